Add the build, the record and peer protocols and the shared modules

Public headers fix the interfaces between the parts; strings, pools, settings, log events, counters, HTTP client and server are implemented.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,95 @@
+# Build of cyclamendrum. Object files and programs go to $(BUILD).
+# `make check` and `make demo` install what is missing; see README.md.
+
+VERSION := 0.1.0
+BUILD ?= build
+PREFIX ?= /usr/local
+CC ?= gcc
+OPT ?= -O2
+SANITIZE ?=
+PACKAGES := glib-2.0 json-c libprotobuf-c libmicrohttpd libcurl libsodium libxxhash
+WARN := -Wall -Wextra -Werror -Wshadow -Wmissing-prototypes -Wstrict-prototypes -Wno-missing-field-initializers
+CFLAGS = -std=gnu11 -g $(OPT) $(WARN) $(SANITIZE) -Iinclude -Isrc $(PKG_CFLAGS) -DCYC_VERSION='"$(VERSION)"'
+LDLIBS = $(PKG_LIBS) -lev -largtable2 -lm
+PKG_CFLAGS = $(shell pkg-config --cflags $(PACKAGES))
+PKG_LIBS = $(shell pkg-config --libs $(PACKAGES))
+
+# Library sources are src/cyc_*.c and the generated record codec.
+LIB_SRC := $(sort $(wildcard src/cyc_*.c) src/record.pb-c.c)
+DAEMON_SRC := $(sort $(filter-out $(LIB_SRC) src/main.c,$(wildcard src/*.c)))
+FAKE_COMMON := $(wildcard fakes/fk_*.c)
+FAKE_MAIN := $(wildcard fakes/fake_*.c)
+TEST_COMMON := $(wildcard tests/tst_*.c)
+TEST_MAIN := $(sort $(wildcard tests/test_*.c))
+BENCH_COMMON := $(wildcard bench/bn_*.c)
+BENCH_MAIN := $(sort $(wildcard bench/bench_*.c))
+EXAMPLE_MAIN := $(wildcard examples/*.c)
+HAND_WRITTEN := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard include/cyclamendrum/*.h src/*.[ch] fakes/*.[ch] tests/*.[ch] bench/*.[ch] examples/*.c))
+
+obj = $(patsubst %.c,$(BUILD)/obj/%.o,$(1))
+LIB := $(BUILD)/libcyclamendrum.a
+DAEMON_LIB := $(BUILD)/libdaemon.a
+BIN := $(BUILD)/cyclamendrum
+FAKES := $(patsubst fakes/fake_%.c,$(BUILD)/fake-%,$(FAKE_MAIN))
+TESTS := $(patsubst tests/%.c,$(BUILD)/%,$(TEST_MAIN))
+BENCHES := $(patsubst bench/%.c,$(BUILD)/%,$(BENCH_MAIN))
+EXAMPLES := $(patsubst examples/%.c,$(BUILD)/example-%,$(EXAMPLE_MAIN))
+
+.PHONY: all deps check test demo bench asan format format-check tidy proto install clean
+all: $(LIB) $(BIN) $(FAKES) $(TESTS) $(BENCHES) $(EXAMPLES)
+
+$(BUILD)/obj/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
+$(BUILD)/obj/%.pb-c.o: WARN = -w
+
+$(LIB): $(call obj,$(LIB_SRC))
+	rm -f $@ && ar rcs $@ $^
+$(DAEMON_LIB): $(call obj,$(DAEMON_SRC))
+	rm -f $@ && ar rcs $@ $^
+$(BIN): $(call obj,src/main.c) $(DAEMON_LIB) $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+$(BUILD)/fake-%: $(BUILD)/obj/fakes/fake_%.o $(call obj,$(FAKE_COMMON)) $(DAEMON_LIB) $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+$(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(call obj,$(TEST_COMMON)) $(call obj,$(FAKE_COMMON)) $(DAEMON_LIB) $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+$(BUILD)/bench_%: $(BUILD)/obj/bench/bench_%.o $(call obj,$(BENCH_COMMON)) $(DAEMON_LIB) $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+$(BUILD)/example-%: $(BUILD)/obj/examples/%.o $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+.SECONDARY:
+
+deps:
+	@scripts/install-deps
+test: all
+	@BUILD=$(BUILD) scripts/run-tests $(TESTS)
+check: deps
+	@$(MAKE) --no-print-directory -j8 format-check all
+	@$(MAKE) --no-print-directory tidy
+	@$(MAKE) --no-print-directory test
+asan: deps
+	@$(MAKE) --no-print-directory -j8 BUILD=build-asan OPT=-O1 SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer" all
+	@$(MAKE) --no-print-directory BUILD=build-asan OPT=-O1 SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer" test
+demo: deps
+	@$(MAKE) --no-print-directory -j8 all
+	@scripts/demo $(BUILD)
+bench: deps
+	@$(MAKE) --no-print-directory -j8 all
+	@for b in $(BENCHES); do $$b || exit 1; done
+format:
+	clang-format -i $(HAND_WRITTEN)
+format-check:
+	@clang-format --dry-run -Werror $(HAND_WRITTEN)
+tidy:
+	@printf '%s\n' $(filter %.c,$(HAND_WRITTEN)) | xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- -std=gnu11 -Iinclude -Isrc -Ifakes $(PKG_CFLAGS) -DCYC_VERSION="\"x\"" 2>/dev/null || { echo "clang-tidy failed in: $$*"; exit 1; }' sh
+proto:
+	protoc-c --proto_path=proto --c_out=src proto/record.proto proto/peer.proto
+install: $(LIB) $(BIN)
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig $(DESTDIR)$(PREFIX)/include/cyclamendrum
+	install -m 755 $(BIN) $(DESTDIR)$(PREFIX)/bin/
+	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib/
+	install -m 644 include/cyclamendrum/*.h $(DESTDIR)$(PREFIX)/include/cyclamendrum/
+	sed -e 's|@PREFIX@|$(PREFIX)|' -e 's|@VERSION@|$(VERSION)|' scripts/libcyclamendrum.pc.in > $(DESTDIR)$(PREFIX)/lib/pkgconfig/libcyclamendrum.pc
+clean:
+	rm -rf build build-asan
+-include $(shell find $(BUILD)/obj -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/include/cyclamendrum/config.h
@@ -0,0 +1,118 @@
+/**
+ * @file
+ * Typed configuration items: the fleet, teams and queues.
+ *
+ * Item bodies are JSON with comments. A parse function checks the whole body
+ * and adds every defect to the findings with its JSON path; the result is
+ * usable only when no finding was added.
+ *
+ * @code
+ * struct cyc_queue_cfg queue;
+ * struct cyc_findings found = { 0 };
+ * cyc_cfg_parse_queue (body, CYC_STR ("kitchen.job.json"), &queue, &found);
+ * if (found.count > 0)
+ *   report (&found);
+ * @endcode
+ */
+#ifndef CYCLAMENDRUM_CONFIG_H
+#define CYCLAMENDRUM_CONFIG_H
+
+#include <cyclamendrum/base.h>
+
+#define CYC_MAX_REGIONS 16
+#define CYC_MAX_DOMAINS 32
+#define CYC_SHARE_WHOLE_PERMILLE 1000
+
+enum cyc_kind
+{
+  CYC_KIND_SERVICE = 0,
+  CYC_KIND_BATCH = 1,
+  CYC_KIND_GANG = 2
+};
+
+enum cyc_spread
+{
+  CYC_SPREAD_NONE = 0,
+  CYC_SPREAD_RACK = 1,
+  CYC_SPREAD_DOMAIN = 2
+};
+
+/** Amount of each resource. */
+struct cyc_res
+{
+  uint32_t millicores;
+  uint32_t memory_mib;
+  uint32_t accelerators;
+};
+
+struct cyc_domain_cfg
+{
+  struct cyc_name name;
+  struct cyc_name region;
+  uint32_t weight;      /**< part of team limits first held here */
+  uint32_t entry_seats; /**< entry VMs of the domain */
+};
+
+struct cyc_fleet_cfg
+{
+  uint32_t domain_count;
+  struct cyc_domain_cfg domains[CYC_MAX_DOMAINS]; /**< sorted by name */
+  struct cyc_res largest_worker;
+  uint32_t shards_per_domain;
+};
+
+struct cyc_team_cfg
+{
+  struct cyc_name name;
+  uint32_t share_permille;
+  uint64_t limit_millicores;
+  uint64_t limit_accelerators;
+};
+
+struct cyc_queue_cfg
+{
+  struct cyc_name name;
+  struct cyc_name team;
+  enum cyc_kind kind;
+  enum cyc_spread spread;
+  bool urgent;
+  bool open;       /**< accepts work without a key */
+  bool repeatable; /**< false: runs at most once */
+  uint32_t tasks;  /**< replicas over the fleet of a service, else per job */
+  struct cyc_res size;         /**< declared size of one task */
+  uint32_t run_s;              /**< declared run time; 0 for services */
+  uint32_t answered_within_ms; /**< objective; 0: none */
+  uint32_t objective_permille;
+};
+
+/** @p place is put before the JSON path of each finding. */
+bool cyc_cfg_parse_fleet (struct cyc_str body, struct cyc_str place,
+                          struct cyc_fleet_cfg *out,
+                          struct cyc_findings *findings);
+bool cyc_cfg_parse_team (struct cyc_str body, struct cyc_str place,
+                         struct cyc_team_cfg *out,
+                         struct cyc_findings *findings);
+bool cyc_cfg_parse_queue (struct cyc_str body, struct cyc_str place,
+                          struct cyc_queue_cfg *out,
+                          struct cyc_findings *findings);
+
+/** Index of the domain, or -1. */
+int cyc_cfg_domain_index (const struct cyc_fleet_cfg *fleet,
+                          struct cyc_str name);
+
+/** A whole configuration, for checks across items. */
+struct cyc_cfg_set
+{
+  const struct cyc_fleet_cfg *fleet; /**< NULL when there is none */
+  const struct cyc_team_cfg *teams;
+  uint32_t team_count;
+  const struct cyc_queue_cfg *queues;
+  uint32_t queue_count;
+};
+
+/** Cross-item checks: teams exist, shares add up to at most 1,000 permille,
+ * a task fits the largest worker, a gang fits its team's limit. */
+bool cyc_cfg_check_set (const struct cyc_cfg_set *set,
+                        struct cyc_findings *findings);
+
+#endif
--- /dev/null
+++ b/src/http_client.c
@@ -0,0 +1,484 @@
+#include "http_client.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <time.h>
+
+#define DEFAULT_MAX_REQUESTS 4096
+#define DEFAULT_MAX_ANSWER_BYTES (8U * 1024 * 1024)
+#define DEFAULT_CONNECT_MS 1000
+#define US_PER_MS 1000
+#define US_PER_S 1000000
+
+struct hc_transfer
+{
+  struct hc_client *client;
+  struct cyc_ref ref;
+  CURL *easy;
+  struct curl_slist *headers;
+  char *request_body;
+  char *answer;
+  size_t answer_len;
+  size_t answer_room;
+  bool not_started;
+  bool draining;
+  char outcome[16];
+  char error[CURL_ERROR_SIZE];
+  void (*done) (void *user, const struct hc_result *result);
+  void *user;
+};
+
+struct socket_watch
+{
+  struct ev_io io;
+  struct hc_client *client;
+};
+
+uint64_t
+hc_now_us (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (uint64_t)now.tv_sec * US_PER_S + (uint64_t)now.tv_nsec / 1000;
+}
+
+uint64_t
+hc_wall_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
+
+uint64_t
+hc_deadline_us (uint64_t wall_ms)
+{
+  uint64_t wall_now_ms = hc_wall_ms ();
+  uint64_t now_us = hc_now_us ();
+  uint64_t past_ms;
+
+  if (wall_ms >= wall_now_ms)
+    {
+      uint64_t left_ms = wall_ms - wall_now_ms;
+
+      if (left_ms > (UINT64_MAX - now_us) / US_PER_MS)
+        return UINT64_MAX;
+      return now_us + left_ms * US_PER_MS;
+    }
+  past_ms = wall_now_ms - wall_ms;
+  return past_ms > now_us / US_PER_MS ? 0 : now_us - past_ms * US_PER_MS;
+}
+
+uint64_t
+hc_deadline_ms (uint64_t deadline_us)
+{
+  uint64_t now_us = hc_now_us ();
+  uint64_t wall_now_ms = hc_wall_ms ();
+  uint64_t past_ms;
+
+  if (deadline_us >= now_us)
+    return wall_now_ms + (deadline_us - now_us) / US_PER_MS;
+  past_ms = (now_us - deadline_us) / US_PER_MS;
+  return past_ms > wall_now_ms ? 0 : wall_now_ms - past_ms;
+}
+
+static size_t
+on_body (char *data, size_t size, size_t count, void *user)
+{
+  struct hc_transfer *transfer = user;
+  size_t len = size * count;
+  size_t needed = transfer->answer_len + len;
+
+  if (needed > transfer->client->max_answer_bytes)
+    return 0;
+  if (needed > transfer->answer_room)
+    {
+      size_t room = needed < 4096 ? 4096 : needed * 2;
+      char *grown = realloc (transfer->answer, room);
+
+      if (grown == NULL)
+        return 0;
+      transfer->answer = grown;
+      transfer->answer_room = room;
+    }
+  memcpy (transfer->answer + transfer->answer_len, data, len);
+  transfer->answer_len = needed;
+  return len;
+}
+
+static bool
+header_is (struct cyc_str line, const char *name, struct cyc_str *value)
+{
+  size_t name_len = strlen (name);
+
+  if (line.len <= name_len || strncasecmp (line.data, name, name_len) != 0
+      || line.data[name_len] != ':')
+    return false;
+  value->data = line.data + name_len + 1;
+  value->len = line.len - name_len - 1;
+  while (value->len > 0 && value->data[0] == ' ')
+    {
+      value->data++;
+      value->len--;
+    }
+  while (value->len > 0 && (unsigned char)value->data[value->len - 1] <= ' ')
+    value->len--;
+  return true;
+}
+
+static size_t
+on_header (char *data, size_t size, size_t count, void *user)
+{
+  struct hc_transfer *transfer = user;
+  struct cyc_str line = { data, size * count };
+  struct cyc_str value;
+
+  if (header_is (line, "Not-Started", &value))
+    transfer->not_started = cyc_str_eq (value, CYC_STR ("1"));
+  else if (header_is (line, "Draining", &value))
+    transfer->draining = cyc_str_eq (value, CYC_STR ("1"));
+  else if (header_is (line, "Outcome", &value)
+           && value.len < sizeof transfer->outcome)
+    snprintf (transfer->outcome, sizeof transfer->outcome, "%.*s",
+              CYC_FMT (value));
+  return line.len;
+}
+
+static void
+release_transfer (struct hc_transfer *transfer)
+{
+  struct hc_client *hc = transfer->client;
+  struct cyc_ref ref = transfer->ref;
+
+  curl_multi_remove_handle (hc->multi, transfer->easy);
+  curl_easy_cleanup (transfer->easy);
+  curl_slist_free_all (transfer->headers);
+  free (transfer->request_body);
+  free (transfer->answer);
+  memset (transfer, 0, sizeof *transfer);
+  cyc_pool_give (&hc->pool, ref);
+}
+
+/* Any doubt counts as sent: curl reports the request's size only once it has
+   begun to write it, and a connect that never finished wrote nothing. */
+static enum hc_sent
+sent_state (CURL *easy, CURLcode code)
+{
+  curl_off_t connect_us = 0;
+  long request_bytes = 0;
+
+  if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST
+      || code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL)
+    return HC_SENT_NO;
+  curl_easy_getinfo (easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  curl_easy_getinfo (easy, CURLINFO_PRETRANSFER_TIME_T, &connect_us);
+  if (request_bytes == 0 && connect_us == 0)
+    return HC_SENT_NO;
+  return HC_SENT_MAYBE;
+}
+
+static void
+finish (struct hc_transfer *transfer, CURLcode code)
+{
+  struct hc_result result = { 0 };
+  struct hc_client *hc = transfer->client;
+  curl_off_t connect_us = 0;
+  long request_bytes = 0;
+  struct hc_transfer kept;
+
+  curl_easy_getinfo (transfer->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
+  curl_easy_getinfo (transfer->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  result.sent = sent_state (transfer->easy, code);
+  result.connected = connect_us > 0 || result.sent == HC_SENT_MAYBE;
+  result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
+  result.error = "";
+  if (code == CURLE_OK)
+    curl_easy_getinfo (transfer->easy, CURLINFO_RESPONSE_CODE, &result.status);
+  else
+    result.error
+        = transfer->error[0] ? transfer->error : curl_easy_strerror (code);
+  result.body = (struct cyc_str){ transfer->answer, transfer->answer_len };
+  result.not_started = transfer->not_started;
+  result.draining = transfer->draining;
+  result.outcome = cyc_str_of (transfer->outcome);
+  hc->bytes_in += transfer->answer_len;
+  hc->bytes_out += (uint64_t)request_bytes;
+  /* The row is released before the call, so that `done` may send again even
+     when the pool was full. */
+  kept = *transfer;
+  if (kept.error[0] && result.status == 0)
+    result.error = kept.error;
+  result.outcome = cyc_str_of (kept.outcome);
+  transfer->answer = NULL;
+  release_transfer (transfer);
+  kept.done (kept.user, &result);
+  free (kept.answer);
+}
+
+static void
+collect (struct hc_client *hc)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (hc->multi, &left)) != NULL)
+    {
+      char *transfer = NULL;
+      CURLcode code = message->data.result;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &transfer);
+      finish ((struct hc_transfer *)(void *)transfer, code);
+    }
+}
+
+static void
+on_socket_ready (struct ev_loop *loop, struct ev_io *io, int events)
+{
+  struct socket_watch *watch = io->data;
+  struct hc_client *hc = watch->client;
+  int flags = ((events & EV_READ) ? CURL_CSELECT_IN : 0)
+              | ((events & EV_WRITE) ? CURL_CSELECT_OUT : 0);
+  int running;
+
+  (void)loop;
+  curl_multi_socket_action (hc->multi, io->fd, flags, &running);
+  collect (hc);
+}
+
+static void
+on_timer (struct ev_loop *loop, struct ev_timer *timer, int events)
+{
+  struct hc_client *hc = timer->data;
+  int running;
+
+  (void)loop;
+  (void)events;
+  curl_multi_socket_action (hc->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  collect (hc);
+}
+
+static int
+on_socket_change (CURL *easy, curl_socket_t fd, int what, void *user,
+                  void *socket_user)
+{
+  struct hc_client *hc = user;
+  struct socket_watch *watch = socket_user;
+  int events = ((what & CURL_POLL_IN) ? EV_READ : 0)
+               | ((what & CURL_POLL_OUT) ? EV_WRITE : 0);
+
+  (void)easy;
+  if (watch != NULL)
+    ev_io_stop (hc->loop, &watch->io);
+  if (what == CURL_POLL_REMOVE)
+    {
+      free (watch);
+      curl_multi_assign (hc->multi, fd, NULL);
+      return 0;
+    }
+  if (watch == NULL)
+    {
+      watch = calloc (1, sizeof *watch);
+      if (watch == NULL)
+        return -1;
+      watch->client = hc;
+      ev_init (&watch->io, on_socket_ready);
+      watch->io.data = watch;
+      curl_multi_assign (hc->multi, fd, watch);
+    }
+  ev_io_set (&watch->io, fd, events);
+  ev_io_start (hc->loop, &watch->io);
+  return 0;
+}
+
+static int
+on_timer_change (CURLM *multi, long timeout_ms, void *user)
+{
+  struct hc_client *hc = user;
+
+  (void)multi;
+  ev_timer_stop (hc->loop, &hc->timer);
+  if (timeout_ms >= 0)
+    {
+      ev_timer_set (&hc->timer, (double)timeout_ms / 1000.0, 0.0);
+      ev_timer_start (hc->loop, &hc->timer);
+    }
+  return 0;
+}
+
+bool
+hc_setup (struct hc_client *hc, const struct hc_desc *desc,
+          struct cyc_findings *findings)
+{
+  uint32_t max
+      = desc->max_requests ? desc->max_requests : DEFAULT_MAX_REQUESTS;
+
+  memset (hc, 0, sizeof *hc);
+  if (desc->loop == NULL)
+    {
+      cyc_findings_add (findings, CYC_STR ("hc_desc.loop"), "is missing");
+      return false;
+    }
+  hc->loop = desc->loop;
+  hc->max_answer_bytes = desc->max_answer_bytes ? desc->max_answer_bytes
+                                                : DEFAULT_MAX_ANSWER_BYTES;
+  hc->connect_ms = desc->connect_ms ? desc->connect_ms : DEFAULT_CONNECT_MS;
+  curl_global_init (CURL_GLOBAL_ALL);
+  hc->multi = curl_multi_init ();
+  hc->transfers = calloc (max, sizeof *hc->transfers);
+  if (hc->multi == NULL || hc->transfers == NULL
+      || !cyc_pool_setup (&hc->pool, max, NULL))
+    {
+      cyc_findings_add (findings, CYC_STR ("http_client"), "out of memory");
+      hc_shutdown (hc);
+      return false;
+    }
+  curl_multi_setopt (hc->multi, CURLMOPT_SOCKETFUNCTION, on_socket_change);
+  curl_multi_setopt (hc->multi, CURLMOPT_SOCKETDATA, hc);
+  curl_multi_setopt (hc->multi, CURLMOPT_TIMERFUNCTION, on_timer_change);
+  curl_multi_setopt (hc->multi, CURLMOPT_TIMERDATA, hc);
+  if (desc->max_per_host > 0)
+    curl_multi_setopt (hc->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                       (long)desc->max_per_host);
+  ev_init (&hc->timer, on_timer);
+  hc->timer.data = hc;
+  return true;
+}
+
+void
+hc_shutdown (struct hc_client *hc)
+{
+  if (hc->transfers != NULL)
+    for (uint32_t i = 0; i < hc->pool.high; i++)
+      if (cyc_pool_used_at (&hc->pool, i))
+        release_transfer (&hc->transfers[i]);
+  if (hc->multi != NULL)
+    curl_multi_cleanup (hc->multi);
+  if (hc->loop != NULL)
+    ev_timer_stop (hc->loop, &hc->timer);
+  free (hc->transfers);
+  cyc_pool_shutdown (&hc->pool);
+  memset (hc, 0, sizeof *hc);
+}
+
+static bool
+set_body (struct hc_transfer *transfer, const struct hc_request *request)
+{
+  CURL *easy = transfer->easy;
+
+  if (request->method == HC_DELETE)
+    curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, "DELETE");
+  if (request->method != HC_POST)
+    return true;
+  transfer->request_body = malloc (request->body.len + 1);
+  if (transfer->request_body == NULL)
+    return false;
+  if (request->body.len > 0)
+    memcpy (transfer->request_body, request->body.data, request->body.len);
+  curl_easy_setopt (easy, CURLOPT_POST, 1L);
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                    (curl_off_t)request->body.len);
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDS, transfer->request_body);
+  return true;
+}
+
+static bool
+set_headers (struct hc_transfer *transfer, const struct hc_request *request)
+{
+  /* "Expect: 100-continue" would add a round trip to larger bodies. */
+  transfer->headers = curl_slist_append (NULL, "Expect:");
+  for (uint32_t i = 0; i < request->header_count; i++)
+    {
+      char line[HC_HEADER_BYTES];
+      struct curl_slist *longer;
+
+      if (request->headers[i].len >= sizeof line)
+        return false;
+      snprintf (line, sizeof line, "%.*s", CYC_FMT (request->headers[i]));
+      longer = curl_slist_append (transfer->headers, line);
+      if (longer == NULL)
+        return false;
+      transfer->headers = longer;
+    }
+  curl_easy_setopt (transfer->easy, CURLOPT_HTTPHEADER, transfer->headers);
+  return transfer->headers != NULL;
+}
+
+static void
+set_options (struct hc_transfer *transfer, const struct hc_request *request,
+             const char *url)
+{
+  CURL *easy = transfer->easy;
+  uint64_t now_us = hc_now_us ();
+  uint64_t left_ms = request->deadline_us > now_us
+                         ? (request->deadline_us - now_us) / US_PER_MS
+                         : 0;
+
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
+                    (long)(left_ms > 0 ? left_ms : 1));
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)transfer->client->connect_ms);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, (char *)transfer);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, transfer);
+  curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, transfer->error);
+  if (request->fresh_connection)
+    curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+}
+
+struct cyc_ref
+hc_send (struct hc_client *hc, const struct hc_request *request)
+{
+  struct cyc_ref none = { 0 };
+  struct cyc_ref ref;
+  struct hc_transfer *transfer;
+  char url[1024];
+
+  assert (request->done != NULL);
+  if (request->url.len >= sizeof url || request->header_count > HC_MAX_HEADERS)
+    return none;
+  ref = cyc_pool_take (&hc->pool);
+  if (ref.generation == 0)
+    return none;
+  snprintf (url, sizeof url, "%.*s", CYC_FMT (request->url));
+  transfer = &hc->transfers[ref.index];
+  memset (transfer, 0, sizeof *transfer);
+  transfer->client = hc;
+  transfer->ref = ref;
+  transfer->done = request->done;
+  transfer->user = request->user;
+  transfer->easy = curl_easy_init ();
+  if (transfer->easy == NULL)
+    {
+      cyc_pool_give (&hc->pool, ref);
+      return none;
+    }
+  set_options (transfer, request, url);
+  if (!set_body (transfer, request) || !set_headers (transfer, request)
+      || curl_multi_add_handle (hc->multi, transfer->easy) != CURLM_OK)
+    {
+      release_transfer (transfer);
+      return none;
+    }
+  return ref;
+}
+
+void
+hc_cancel (struct hc_client *hc, struct cyc_ref ref)
+{
+  if (cyc_pool_live (&hc->pool, ref))
+    release_transfer (&hc->transfers[ref.index]);
+}
--- /dev/null
+++ b/src/http_server.h
@@ -0,0 +1,102 @@
+/**
+ * @file
+ * HTTP server: libmicrohttpd driven by a libev loop.
+ *
+ * Each request is read whole (up to a limit) and given to the handler, which
+ * answers at once or later with hs_reply; until then the connection is
+ * suspended. The handler's view of the call lives only during the handler.
+ *
+ * @code
+ * hs_setup (&hs, &(struct hs_desc){ .loop = loop, .address = "127.0.0.1",
+ *                                   .port = 8080, .handle = on_call,
+ *                                   .user = this }, &found);
+ * hs_reply (&hs, call->ref, &(struct hs_reply){ .status = 200, .body = b });
+ * @endcode
+ *
+ * Errors: a body over the limit is answered 413 with outcome "not-run" and
+ * never reaches the handler; a body cut short ends the connection.
+ */
+#ifndef HTTP_SERVER_H
+#define HTTP_SERVER_H
+
+#include <cyclamendrum/base.h>
+#include <ev.h>
+#include <microhttpd.h>
+
+#define HS_MAX_REPLY_HEADERS 6
+
+struct hs_call
+{
+  struct cyc_ref ref;
+  struct cyc_str method;
+  struct cyc_str path;
+  struct cyc_str body;
+  struct MHD_Connection *connection; /**< for hs_header and hs_query */
+};
+
+struct hs_reply_header
+{
+  const char *name;
+  char value[128];
+};
+
+struct hs_reply
+{
+  uint32_t status;
+  struct cyc_str body;      /**< copied */
+  const char *content_type; /**< NULL: text/plain */
+  struct hs_reply_header headers[HS_MAX_REPLY_HEADERS];
+  uint32_t header_count;
+  bool close; /**< Connection: close */
+};
+
+struct hs_desc
+{
+  struct ev_loop *loop;
+  const char *address; /**< numeric IPv4 address */
+  uint16_t port;
+  uint32_t max_calls;      /**< open at once; 0: 4,096 */
+  uint32_t max_body_bytes; /**< 0: 1 MiB */
+  uint32_t idle_s;         /**< idle connections are closed; 0: 120 */
+  void (*handle) (void *user, const struct hs_call *call);
+  /** The caller's connection closed before the reply; may be NULL. */
+  void (*gone) (void *user, struct cyc_ref ref);
+  void *user;
+};
+
+struct hs_open_call;
+
+struct hs_server
+{
+  struct ev_loop *loop;
+  struct MHD_Daemon *daemon;
+  struct ev_io io;
+  struct ev_timer timer;
+  struct ev_prepare prepare;
+  struct hs_open_call *calls; /**< fixed pool */
+  struct cyc_pool pool;
+  uint32_t max_body_bytes;
+  void (*handle) (void *user, const struct hs_call *call);
+  void (*gone) (void *user, struct cyc_ref ref);
+  void *user;
+  bool run_wanted;
+  uint64_t bytes_in;
+  uint64_t bytes_out;
+};
+
+bool hs_setup (struct hs_server *hs, const struct hs_desc *desc,
+               struct cyc_findings *findings);
+/** Closes the listening socket; open calls can still be answered. */
+void hs_stop_listening (struct hs_server *hs);
+void hs_shutdown (struct hs_server *hs);
+/** False when the call is gone; the reply is then dropped. */
+bool hs_reply (struct hs_server *hs, struct cyc_ref ref,
+               const struct hs_reply *reply);
+/** Calls that were not answered yet. */
+uint32_t hs_open_count (const struct hs_server *hs);
+/** Value of a request header, empty when absent; only in the handler. */
+struct cyc_str hs_header (const struct hs_call *call, const char *name);
+/** Value of a query argument, empty when absent; only in the handler. */
+struct cyc_str hs_query (const struct hs_call *call, const char *name);
+
+#endif
--- /dev/null
+++ b/src/log_client.h
@@ -0,0 +1,107 @@
+/**
+ * @file
+ * The platform's log service: append and read, behind a vtable.
+ *
+ * `struct lc_log` is the first member of each implementation: the HTTP client
+ * (struct lc_http) and the in-memory one that tests use. Every call ends with
+ * exactly one call of its `done` function.
+ *
+ * @code
+ * lc_http_setup (&http, &(struct lc_http_desc){ .client = &hc, .url = url },
+ *                &found);
+ * lc_append (&http.log, &(struct lc_append){ .stream = CYC_STR ("control"),
+ *                                            .record = bytes, ... });
+ * @endcode
+ *
+ * Errors: an append whose answer was lost reports LC_MAYBE; read the stream
+ * back and look for the record id.
+ */
+#ifndef LOG_CLIENT_H
+#define LOG_CLIENT_H
+
+#include "http_client.h"
+
+enum lc_fate
+{
+  LC_OK,
+  LC_FAILED, /**< provably not appended, or nothing read */
+  LC_MAYBE   /**< append only: it may have taken effect */
+};
+
+struct lc_append_result
+{
+  enum lc_fate fate;
+  uint64_t offset; /**< when fate is LC_OK */
+};
+
+struct lc_record
+{
+  uint64_t offset;
+  struct cyc_str data;
+};
+
+struct lc_read_result
+{
+  enum lc_fate fate;
+  uint64_t oldest; /**< oldest retained offset */
+  uint64_t next;   /**< offset after the newest record of the stream */
+  const struct lc_record *records; /**< live only during the call */
+  uint32_t count;
+};
+
+struct lc_append
+{
+  struct cyc_str stream;
+  struct cyc_str record; /**< copied */
+  uint64_t deadline_us;
+  void (*done) (void *user, const struct lc_append_result *result);
+  void *user;
+};
+
+struct lc_read
+{
+  struct cyc_str stream;
+  uint64_t from;
+  uint32_t max;
+  uint32_t wait_ms; /**< long poll: wait so long for a first record */
+  uint64_t deadline_us;
+  void (*done) (void *user, const struct lc_read_result *result);
+  void *user;
+};
+
+struct lc_log;
+
+struct lc_vtable
+{
+  bool (*append) (struct lc_log *log, const struct lc_append *append);
+  bool (*read) (struct lc_log *log, const struct lc_read *read);
+};
+
+struct lc_log
+{
+  const struct lc_vtable *vtable;
+};
+
+/** False: not even begun, `done` will not be called. */
+bool lc_append (struct lc_log *log, const struct lc_append *append);
+bool lc_read (struct lc_log *log, const struct lc_read *read);
+
+struct lc_http_desc
+{
+  struct hc_client *client;
+  struct cyc_str url; /**< base URL of the log service */
+  uint32_t max_calls; /**< 0: 256 */
+};
+
+struct lc_http
+{
+  struct lc_log log;
+  struct lc_http_state *state; /**< private */
+};
+
+bool lc_http_setup (struct lc_http *http, const struct lc_http_desc *desc,
+                    struct cyc_findings *findings);
+/** Call before the HTTP client is shut down; no `done` is called later. */
+void lc_http_shutdown (struct lc_http *http);
+
+#endif
--- /dev/null
+++ b/src/log_event.c
@@ -0,0 +1,95 @@
+#include "log_event.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+struct ev_item
+{
+  GLogLevelFlags level;
+  const char *level_word;
+  const char *name;
+};
+
+static const struct ev_item items[EV_COUNT] = {
+#define EV_ROW(code, level, name) { G_LOG_LEVEL_##level, #level, name },
+  EV_ITEMS (EV_ROW)
+#undef EV_ROW
+};
+
+static const char *
+field_text (const GLogField *fields, gsize count, const char *key)
+{
+  for (gsize i = 0; i < count; i++)
+    if (strcmp (fields[i].key, key) == 0)
+      return fields[i].value;
+  return "";
+}
+
+/* One write per line, so that lines of several processes on one terminal do
+   not mix. */
+static GLogWriterOutput
+write_line (GLogLevelFlags level, const GLogField *fields, gsize count,
+            gpointer user)
+{
+  const struct ev_sink *sink = user;
+  struct timespec now;
+  char line[1400];
+  int length;
+
+  if ((level & G_LOG_LEVEL_MASK) > sink->lowest)
+    return G_LOG_WRITER_HANDLED;
+  clock_gettime (CLOCK_REALTIME, &now);
+  length = snprintf (
+      line, sizeof line, "ts=%lld.%03ld vm=%s role=%s level=%s event=%s %s\n",
+      (long long)now.tv_sec, now.tv_nsec / 1000000, sink->vm.data,
+      sink->role.data, field_text (fields, count, "EVENT_LEVEL"),
+      field_text (fields, count, "EVENT"),
+      field_text (fields, count, "MESSAGE"));
+  if (length >= (int)sizeof line)
+    {
+      length = sizeof line - 1;
+      line[length - 1] = '\n';
+    }
+  if (fwrite (line, 1, (size_t)length, stderr) != (size_t)length)
+    return G_LOG_WRITER_UNHANDLED;
+  return G_LOG_WRITER_HANDLED;
+}
+
+void
+ev_setup (struct ev_sink *sink, const struct ev_desc *desc)
+{
+  memset (sink, 0, sizeof *sink);
+  sink->vm = desc->vm;
+  cyc_name_set (&sink->role, desc->role);
+  sink->lowest = desc->lowest ? desc->lowest : G_LOG_LEVEL_MESSAGE;
+  g_log_set_writer_func (write_line, sink, NULL);
+}
+
+void
+ev_log (enum ev_code code, const char *format, ...)
+{
+  char text[1024];
+  va_list args;
+  GLogField fields[4];
+
+  va_start (args, format);
+  vsnprintf (text, sizeof text, format, args);
+  va_end (args);
+  fields[0] = (GLogField){ "MESSAGE", text, -1 };
+  fields[1] = (GLogField){ "EVENT", items[code].name, -1 };
+  fields[2] = (GLogField){ "EVENT_LEVEL", items[code].level_word, -1 };
+  fields[3] = (GLogField){ "GLIB_DOMAIN", "cyclamendrum", -1 };
+  g_log_structured_array (items[code].level, fields, 4);
+}
+
+void
+ev_findings (enum ev_code code, const struct cyc_findings *findings)
+{
+  for (uint32_t i = 0; i < findings->count; i++)
+    ev_log (code, "place=\"%s\" finding=\"%s\"", findings->rows[i].place,
+            findings->rows[i].text);
+  if (findings->dropped > 0)
+    ev_log (code, "more_findings=%" PRIu32, findings->dropped);
+}
--- /dev/null
+++ b/src/log_event.h
@@ -0,0 +1,97 @@
+/**
+ * @file
+ * Log events: one table of codes, levels and names; one key=value line for
+ * each event, written through GLib's structured log.
+ *
+ * Call ev_setup once, then ev_log with the remaining keys as a printf format.
+ * Quote values that may hold spaces.
+ *
+ * @code
+ * struct ev_sink sink;
+ * ev_setup (&sink, &(struct ev_desc){ .vm = vm, .role = CYC_STR ("gateway")
+ * }); ev_log (EV_CLAIM_WON, "domain=%.*s epoch=%" PRIu64, CYC_FMT (d), epoch);
+ * @endcode
+ */
+#ifndef LOG_EVENT_H
+#define LOG_EVENT_H
+
+#include <cyclamendrum/base.h>
+#include <glib.h>
+#include <inttypes.h>
+
+/** Code, GLib level, name in the line. docs/operations.md explains each. */
+#define EV_ITEMS(X)                                                           \
+  X (EV_STARTED, MESSAGE, "started")                                          \
+  X (EV_READY, MESSAGE, "ready")                                              \
+  X (EV_DRAINING, MESSAGE, "draining")                                        \
+  X (EV_STOPPED, MESSAGE, "stopped")                                          \
+  X (EV_SETTINGS_INVALID, CRITICAL, "settings_invalid")                       \
+  X (EV_SETUP_FAILED, CRITICAL, "setup_failed")                               \
+  X (EV_LOG_UNREACHABLE, WARNING, "log_unreachable")                          \
+  X (EV_LOG_REACHABLE, MESSAGE, "log_reachable")                              \
+  X (EV_LOG_TRIMMED, WARNING, "log_trimmed")                                  \
+  X (EV_RECORD_CORRUPT, WARNING, "record_corrupt")                            \
+  X (EV_RECORD_REFUSED, MESSAGE, "record_refused")                            \
+  X (EV_SNAPSHOT_WRITTEN, MESSAGE, "snapshot_written")                        \
+  X (EV_SNAPSHOT_LOADED, MESSAGE, "snapshot_loaded")                          \
+  X (EV_CONFIG_IN_FORCE, MESSAGE, "config_in_force")                          \
+  X (EV_KEY_CHANGED, MESSAGE, "key_changed")                                  \
+  X (EV_KEYS_STALE, WARNING, "keys_stale")                                    \
+  X (EV_KEYS_FRESH, MESSAGE, "keys_fresh")                                    \
+  X (EV_CLAIM_WON, MESSAGE, "claim_won")                                      \
+  X (EV_CLAIM_LOST, WARNING, "claim_lost")                                    \
+  X (EV_CLAIM_RELEASED, MESSAGE, "claim_released")                            \
+  X (EV_CLAIM_EXTENDED, WARNING, "claim_extended")                            \
+  X (EV_STOCK_TAKEN, MESSAGE, "stock_taken")                                  \
+  X (EV_TASK_STARTED, DEBUG, "task_started")                                  \
+  X (EV_TASK_REFUSED, INFO, "task_refused")                                   \
+  X (EV_TASK_ENDED, DEBUG, "task_ended")                                      \
+  X (EV_JOB_ACCEPTED, INFO, "job_accepted")                                   \
+  X (EV_JOB_ENDED, INFO, "job_ended")                                         \
+  X (EV_JOB_REFUSED, MESSAGE, "job_refused")                                  \
+  X (EV_WORKER_SILENT, WARNING, "worker_silent")                              \
+  X (EV_WORKER_BACK, MESSAGE, "worker_back")                                  \
+  X (EV_WORKER_EJECTED, WARNING, "worker_ejected")                            \
+  X (EV_WORKER_STALE_EPOCH, WARNING, "worker_stale_epoch")                    \
+  X (EV_TARGET_LEAVING, MESSAGE, "target_leaving")                            \
+  X (EV_TARGET_SUSPECT, WARNING, "target_suspect")                            \
+  X (EV_CONNECTION_SILENT, WARNING, "connection_silent")                      \
+  X (EV_REQUEST_REFUSED, INFO, "request_refused")                             \
+  X (EV_REQUEST_UNKNOWN, WARNING, "request_unknown")                          \
+  X (EV_PEER_UP, MESSAGE, "peer_up")                                          \
+  X (EV_PEER_DOWN, WARNING, "peer_down")                                      \
+  X (EV_PEER_REFUSED, WARNING, "peer_refused")                                \
+  X (EV_SEAT_CONFLICT, CRITICAL, "seat_conflict")                             \
+  X (EV_TRANSFER, INFO, "transfer")                                           \
+  X (EV_VM_LIST_FAILED, WARNING, "vm_list_failed")
+
+enum ev_code
+{
+#define EV_CODE(code, level, name) code,
+  EV_ITEMS (EV_CODE)
+#undef EV_CODE
+      EV_COUNT
+};
+
+struct ev_desc
+{
+  struct cyc_name vm;
+  struct cyc_str role;
+  GLogLevelFlags lowest; /**< 0: G_LOG_LEVEL_MESSAGE */
+};
+
+struct ev_sink
+{
+  struct cyc_name vm;
+  struct cyc_name role;
+  GLogLevelFlags lowest;
+};
+
+/** Installs GLib's log writer. @p sink must outlive all logging. */
+void ev_setup (struct ev_sink *sink, const struct ev_desc *desc);
+void ev_log (enum ev_code code, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+/** Logs each finding as one event. */
+void ev_findings (enum ev_code code, const struct cyc_findings *findings);
+
+#endif
--- /dev/null
+++ b/src/main.c
@@ -0,0 +1,54 @@
+/**
+ * @file
+ * The one binary: picks a subcommand from its table and runs it.
+ *
+ * Exit codes: 0 done; 1 the command failed or was refused; 2 wrong use or
+ * invalid input files; 3 a part that is needed cannot be reached.
+ */
+#include "commands.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static const struct cmd_item commands[] = {
+  { "check", cmd_check, "check a settings file and report every finding" },
+};
+
+#define COMMAND_COUNT (sizeof commands / sizeof commands[0])
+
+static void
+print_help (FILE *out)
+{
+  fprintf (out, "Usage: cyclamendrum COMMAND [OPTIONS]\n\nCommands:\n");
+  for (size_t i = 0; i < COMMAND_COUNT; i++)
+    fprintf (out, "  %-12s %s\n", commands[i].name, commands[i].summary);
+  fprintf (out, "\nEach command prints its options with --help.\n"
+                "Exit codes: 0 done; 1 failed or refused; 2 wrong use or "
+                "invalid input;\n3 a needed part cannot be reached.\n");
+}
+
+int
+main (int argc, char **argv)
+{
+  if (argc < 2)
+    {
+      print_help (stderr);
+      return CMD_EXIT_USAGE;
+    }
+  if (strcmp (argv[1], "--help") == 0)
+    {
+      print_help (stdout);
+      return CMD_EXIT_DONE;
+    }
+  if (strcmp (argv[1], "--version") == 0)
+    {
+      printf ("cyclamendrum %s\n", CYC_VERSION);
+      return CMD_EXIT_DONE;
+    }
+  for (size_t i = 0; i < COMMAND_COUNT; i++)
+    if (strcmp (argv[1], commands[i].name) == 0)
+      return commands[i].run (argc - 1, argv + 1);
+  fprintf (stderr, "cyclamendrum: unknown command \"%s\"\n", argv[1]);
+  print_help (stderr);
+  return CMD_EXIT_USAGE;
+}
