Add the tables and the placement of the decision core

The scheduler needs a core to link against. Rows live in fixed pools with hash indexes sized at setup; a tick runs expiry, cancel, services, shares, urgent, gang and batch placement and writes decisions. Workers are found through buckets of free capacity.

--- a/include/cyclamendrum/core.h
+++ b/include/cyclamendrum/core.h
@@ -126,6 +126,7 @@
   uint32_t attempt;
   uint64_t lease_deadline_us; /**< START: not-after */
   bool job_failed;
+  bool job_unknown; /**< JOB_ENDED: the fate of some task is not known */
   char reason[120];
 };
 
@@ -197,6 +198,9 @@
 /** Queued jobs of the queue are refused; running tasks are stopped. */
 enum cyc_core_status cyc_core_queue_remove (struct cyc_core *core,
                                             struct cyc_str queue);
+/** Id of the job that holds the replicas of a service queue when no job was
+ * added for the queue. */
+void cyc_core_service_job (struct cyc_str queue, struct cyc_id128 *out);
 /** Number of replicas of a service queue wanted in this domain. */
 enum cyc_core_status cyc_core_service_scale (struct cyc_core *core,
                                              struct cyc_str queue,
--- /dev/null
+++ b/src/cyc_core_class.c
@@ -0,0 +1,175 @@
+/**
+ * @file
+ * Placement of urgent, service and batch tasks: the team with the largest
+ * deficit first, within a team the queue with the oldest job first.
+ */
+#include "cyc_core_internal.h"
+
+/* Part of the starts that may be retries: a retry costs one token. */
+#define RETRY_TOKENS_PER_START 0.1
+#define RETRY_TOKENS_MAX 1000.0
+/* Unsuccessful searches of one class in one tick: bounds the time of a tick
+ * when little fits. */
+#define FAILS_PER_CLASS 256
+/* Held jobs passed over in one queue. */
+#define LOOK_JOBS 256
+
+enum attempt
+{
+  ATTEMPT_PLACED,
+  ATTEMPT_BLOCKED
+};
+
+static uint32_t
+pick_team (const struct cyc_core_state *st, uint32_t count)
+{
+  uint32_t best = 0;
+
+  for (uint32_t i = 1; i < count; i++)
+    if (st->teams[st->team_scratch[i]].score
+        < st->teams[st->team_scratch[best]].score)
+      best = i;
+  return best;
+}
+
+static uint32_t
+pick_queue (const struct cyc_core_state *st, const struct core_team *team,
+            enum core_class class)
+{
+  struct core_rows rows = CORE_ROWS (st->queues, in_team);
+  uint32_t best = CORE_NONE;
+  uint64_t best_us = 0;
+
+  for (uint32_t q = team->queues[class].head; q != CORE_NONE;
+       q = core_list_next (rows, q))
+    {
+      uint64_t submitted_us;
+
+      if (st->queues[q].blocked_tick == st->tick)
+        continue;
+      submitted_us = st->jobs[st->queues[q].jobs.head].submitted_us;
+      if (best != CORE_NONE && submitted_us >= best_us)
+        continue;
+      best = q;
+      best_us = submitted_us;
+    }
+  return best;
+}
+
+static uint32_t
+pick_task (const struct cyc_core_state *st, uint32_t queue)
+{
+  struct core_rows rows = CORE_ROWS (st->jobs, in_queue);
+  uint32_t job = st->queues[queue].jobs.head;
+
+  for (uint32_t i = 0; job != CORE_NONE && i < LOOK_JOBS; i++)
+    {
+      uint32_t task = st->jobs[job].queued.head;
+
+      if (!core_task_held (st, task))
+        return task;
+      job = core_list_next (rows, job);
+    }
+  return CORE_NONE;
+}
+
+/* A task that only waits for a retry or for another worker does not block
+ * the tasks behind it. */
+static void
+put_behind (struct cyc_core_state *st, uint32_t row)
+{
+  struct core_task *task = &st->tasks[row];
+  struct core_job *job = &st->jobs[task->job];
+
+  if (task->failed_count == 0)
+    return;
+  core_list_remove (&job->queued, CORE_ROWS (st->tasks, in_place), row);
+  core_list_append (&job->queued, CORE_ROWS (st->tasks, in_place), row);
+  core_list_remove (&st->queues[job->queue].jobs,
+                    CORE_ROWS (st->jobs, in_queue), task->job);
+  core_list_append (&st->queues[job->queue].jobs,
+                    CORE_ROWS (st->jobs, in_queue), task->job);
+}
+
+static void
+count_retry (struct cyc_core_state *st, struct core_task *task)
+{
+  if (task->retry)
+    st->retry_tokens -= 1;
+  else if (st->retry_tokens < RETRY_TOKENS_MAX)
+    st->retry_tokens += RETRY_TOKENS_PER_START;
+  task->retry = false;
+}
+
+static enum attempt
+try_task (struct cyc_core_state *st, uint32_t queue, uint32_t task)
+{
+  struct core_queue *q = &st->queues[queue];
+  struct core_want want;
+  uint32_t worker;
+
+  if (st->tasks[task].retry && st->retry_tokens < 1)
+    {
+      put_behind (st, task);
+      return ATTEMPT_BLOCKED;
+    }
+  core_want_set (st, task, &want);
+  if (!core_team_has_balance (st, queue, 1))
+    worker = CORE_NONE;
+  else if (q->kind == CYC_KIND_SERVICE && q->spread != CYC_SPREAD_NONE)
+    worker = core_find_spread (st, &want);
+  else
+    worker = core_find_room (st, &want);
+  if (worker != CORE_NONE)
+    {
+      count_retry (st, &st->tasks[task]);
+      q->blocked_since_us = 0;
+      core_start_on (st, task, worker);
+      return ATTEMPT_PLACED;
+    }
+  if (st->fails_left > 0)
+    st->fails_left--;
+  if (q->blocked_since_us == 0)
+    q->blocked_since_us = st->now_us;
+  if (!core_never_check (st, st->tasks[task].job, 1))
+    put_behind (st, task);
+  return ATTEMPT_BLOCKED;
+}
+
+static uint32_t
+list_teams (struct cyc_core_state *st, enum core_class class)
+{
+  struct core_rows rows = CORE_ROWS (st->teams, in_active[class]);
+  uint32_t count = 0;
+
+  for (uint32_t t = st->active[class].head; t != CORE_NONE;
+       t = core_list_next (rows, t))
+    st->team_scratch[count++] = t;
+  return count;
+}
+
+void
+core_sys_class (struct cyc_core_state *st, enum core_class class)
+{
+  uint32_t teams = list_teams (st, class);
+
+  st->fails_left = FAILS_PER_CLASS;
+  while (teams > 0 && st->starts_left > 0 && st->fails_left > 0)
+    {
+      uint32_t at = pick_team (st, teams);
+      struct core_team *team = &st->teams[st->team_scratch[at]];
+      uint32_t queue = pick_queue (st, team, class);
+      uint32_t task;
+
+      if (queue == CORE_NONE)
+        {
+          st->team_scratch[at] = st->team_scratch[--teams];
+          continue;
+        }
+      task = pick_task (st, queue);
+      if (task != CORE_NONE && try_task (st, queue, task) == ATTEMPT_PLACED)
+        st->starts_left--;
+      else
+        st->queues[queue].blocked_tick = st->tick;
+    }
+}
--- /dev/null
+++ b/src/cyc_core_emit.c
@@ -0,0 +1,115 @@
+/**
+ * @file
+ * Decisions written to the caller's array.
+ */
+#include "cyc_core_internal.h"
+
+#include <stdio.h>
+
+static void
+fill_task (const struct cyc_core_state *st, uint32_t row,
+           struct cyc_decision *out)
+{
+  const struct core_task *task = &st->tasks[row];
+  const struct core_job *job = &st->jobs[task->job];
+  const struct core_queue *queue = &st->queues[job->queue];
+
+  *out = (struct cyc_decision){
+    .kind = (enum cyc_decision_kind)task->emit,
+    .job = job->id,
+    .task_index = task->index,
+    .task = cyc_pool_ref_at (&st->task_pool, row),
+    .worker = cyc_pool_ref_at (&st->worker_pool, task->worker),
+    .worker_name = st->workers[task->worker].name,
+    .queue = queue->name,
+    .work = queue->kind,
+    .size = task->declared,
+    .attempt = task->attempt,
+    .lease_deadline_us = task->lease_us,
+  };
+}
+
+static void
+emit_task (struct cyc_core_state *st, uint32_t row, struct cyc_decision *out)
+{
+  struct core_task *task = &st->tasks[row];
+
+  core_task_no_emit (st, row);
+  if (task->emit == CYC_DECISION_START)
+    {
+      task->attempt++;
+      task->started_here = true;
+      st->jobs[task->job].started = true;
+      st->starts++;
+    }
+  fill_task (st, row, out);
+}
+
+static const char *
+end_reason (enum core_end end)
+{
+  switch (end)
+    {
+    case CORE_END_NONE:
+      return "";
+    case CORE_END_CANCELLED:
+      return "cancelled";
+    case CORE_END_FAILED:
+      return "a task failed on the largest allowed number of workers";
+    case CORE_END_REMOVED:
+      return "the queue was removed";
+    case CORE_END_NO_WORKER:
+      return "no worker is large enough";
+    case CORE_END_NO_LIMIT:
+      return "larger than the limit of the team in this domain";
+    }
+  return "";
+}
+
+/* A job of which some task was started is never refused, because a refusal
+ * says that nothing ran. */
+static void
+emit_ended (struct cyc_core_state *st, uint32_t row, struct cyc_decision *out)
+{
+  const struct core_job *job = &st->jobs[row];
+  const struct core_queue *queue = &st->queues[job->queue];
+  enum core_end end = (enum core_end)job->end;
+  bool refuse = end >= CORE_END_REMOVED && !job->started && job->done == 0;
+
+  *out = (struct cyc_decision){
+    .kind = refuse ? CYC_DECISION_REFUSE : CYC_DECISION_JOB_ENDED,
+    .job = job->id,
+    .queue = queue->name,
+    .work = queue->kind,
+    .size = queue->size,
+    .job_failed = job->failed > 0 || job->unknown > 0
+                  || (end != CORE_END_NONE && end != CORE_END_CANCELLED),
+    .job_unknown = job->unknown > 0,
+  };
+  if (job->unknown > 0)
+    snprintf (out->reason, sizeof out->reason,
+              "it is not known whether %u tasks ran", job->unknown);
+  else if (end == CORE_END_NO_WORKER)
+    snprintf (out->reason, sizeof out->reason,
+              "%s: %u millicores, %u MiB, %u accelerators a task",
+              end_reason (end), queue->size.millicores, queue->size.memory_mib,
+              queue->size.accelerators);
+  else
+    snprintf (out->reason, sizeof out->reason, "%s", end_reason (end));
+  st->refused_jobs += refuse;
+  core_list_remove (&st->ended, CORE_ROWS (st->jobs, in_work), row);
+  core_job_free (st, row);
+}
+
+uint32_t
+core_emit_all (struct cyc_core_state *st, struct cyc_decision *out,
+               uint32_t max)
+{
+  uint32_t count = 0;
+
+  while (count < max && st->ended.count > 0)
+    emit_ended (st, st->ended.head, &out[count++]);
+  while (count < max && st->emit.count > 0)
+    emit_task (st, st->emit.head, &out[count++]);
+  return count;
+}
--- /dev/null
+++ b/src/cyc_core_task.c
@@ -0,0 +1,403 @@
+/**
+ * @file
+ * Task rows: creation, the queued lists, occupation of a worker, timers and
+ * the list of decisions to emit.
+ */
+#include "cyc_core_internal.h"
+
+#include <assert.h>
+
+uint32_t
+core_task_create (struct cyc_core_state *st, uint32_t job, uint32_t index)
+{
+  struct cyc_ref ref = cyc_pool_take (&st->task_pool);
+
+  if (ref.generation == 0)
+    return CORE_NONE;
+  st->tasks[ref.index] = (struct core_task){
+    .job = job,
+    .index = index,
+    .worker = CORE_NONE,
+    .claim_worker = CORE_NONE,
+    .slot = CORE_NONE,
+    .state = CYC_TASK_QUEUED,
+  };
+  core_list_append (&st->jobs[job].tasks, CORE_ROWS (st->tasks, in_job),
+                    ref.index);
+  core_map_put (&st->task_map, ((uint64_t)job << 32) | index, ref.index);
+  return ref.index;
+}
+
+void
+core_task_free (struct cyc_core_state *st, uint32_t row)
+{
+  struct core_task *task = &st->tasks[row];
+
+  assert (task->worker == CORE_NONE && !task->emitting);
+  core_task_drop_claim (st, row);
+  core_list_remove (&st->jobs[task->job].tasks, CORE_ROWS (st->tasks, in_job),
+                    row);
+  core_map_remove (&st->task_map, ((uint64_t)task->job << 32) | task->index);
+  cyc_pool_give (&st->task_pool, cyc_pool_ref_at (&st->task_pool, row));
+}
+
+void
+core_queue_activate (struct cyc_core_state *st, uint32_t queue)
+{
+  struct core_queue *q = &st->queues[queue];
+  struct core_team *team = &st->teams[q->team];
+  enum core_class class = core_class_of (q);
+
+  if (team->queues[class].count == 0)
+    core_list_append (&st->active[class],
+                      CORE_ROWS (st->teams, in_active[class]), q->team);
+  core_list_append (&team->queues[class], CORE_ROWS (st->queues, in_team),
+                    queue);
+}
+
+void
+core_queue_deactivate (struct cyc_core_state *st, uint32_t queue)
+{
+  struct core_queue *q = &st->queues[queue];
+  struct core_team *team = &st->teams[q->team];
+  enum core_class class = core_class_of (q);
+
+  core_list_remove (&team->queues[class], CORE_ROWS (st->queues, in_team),
+                    queue);
+  if (team->queues[class].count == 0)
+    core_list_remove (&st->active[class],
+                      CORE_ROWS (st->teams, in_active[class]), q->team);
+}
+
+void
+core_task_enqueue (struct cyc_core_state *st, uint32_t row)
+{
+  struct core_task *task = &st->tasks[row];
+  struct core_job *job = &st->jobs[task->job];
+  struct core_queue *queue = &st->queues[job->queue];
+
+  task->state = CYC_TASK_QUEUED;
+  task->declared = queue->size;
+  core_list_append (&job->queued, CORE_ROWS (st->tasks, in_place), row);
+  if (job->end != CORE_END_NONE)
+    return;
+  if (job->queued.count == 1)
+    {
+      if (queue->jobs.count == 0)
+        core_queue_activate (st, job->queue);
+      core_list_append (&queue->jobs, CORE_ROWS (st->jobs, in_queue),
+                        task->job);
+    }
+  queue->queued++;
+  st->queued_tasks++;
+  st->teams[queue->team].wanted_millicores += queue->size.millicores;
+  st->teams[queue->team].wanted_accelerators += queue->size.accelerators;
+}
+
+/* Takes @p count queued tasks of the job out of all sums, and the job out of
+ * its queue when @p leave is set. */
+static void
+uncount_queued (struct cyc_core_state *st, uint32_t row, uint32_t count,
+                bool leave)
+{
+  struct core_job *job = &st->jobs[row];
+  struct core_queue *queue = &st->queues[job->queue];
+  struct core_team *team = &st->teams[queue->team];
+
+  queue->queued -= count;
+  st->queued_tasks -= count;
+  team->wanted_millicores -= (uint64_t)count * queue->size.millicores;
+  team->wanted_accelerators -= (uint64_t)count * queue->size.accelerators;
+  if (!leave)
+    return;
+  core_list_remove (&queue->jobs, CORE_ROWS (st->jobs, in_queue), row);
+  if (queue->jobs.count == 0)
+    core_queue_deactivate (st, job->queue);
+}
+
+void
+core_task_dequeue (struct cyc_core_state *st, uint32_t row)
+{
+  uint32_t job = st->tasks[row].job;
+
+  core_list_remove (&st->jobs[job].queued, CORE_ROWS (st->tasks, in_place),
+                    row);
+  if (st->jobs[job].end == CORE_END_NONE)
+    uncount_queued (st, job, 1, st->jobs[job].queued.count == 0);
+}
+
+void
+core_job_finish (struct cyc_core_state *st, uint32_t row, enum core_end end)
+{
+  struct core_job *job = &st->jobs[row];
+
+  if (job->end != CORE_END_NONE)
+    return;
+  if (job->queued.count > 0)
+    uncount_queued (st, row, job->queued.count, true);
+  job->end = (uint8_t)end;
+  job->cancel_left = job->tasks.count;
+  job->in_cancel = true;
+  core_list_append (&st->cancel, CORE_ROWS (st->jobs, in_work), row);
+}
+
+static void
+count_spread (struct cyc_core_state *st, const struct core_worker *worker,
+              uint32_t queue, uint32_t step)
+{
+  uint64_t key = core_spread_key (worker, queue);
+  uint32_t count = core_map_get (&st->spread_map, key);
+
+  count = (count == CORE_NONE ? 0 : count) + step;
+  if (count == 0)
+    core_map_remove (&st->spread_map, key);
+  else
+    core_map_put (&st->spread_map, key, count);
+}
+
+/* Adds (or, with @p add false, takes away) the task in all sums of what
+ * occupies workers. */
+static void
+count_use (struct cyc_core_state *st, uint32_t row, bool add)
+{
+  struct core_task *task = &st->tasks[row];
+  struct core_queue *queue = &st->queues[st->jobs[task->job].queue];
+  struct core_team *team = &st->teams[queue->team];
+  uint64_t sign = add ? 1 : UINT64_MAX;
+  bool batch = queue->kind == CYC_KIND_BATCH && !queue->urgent;
+
+  team->used_millicores += sign * task->declared.millicores;
+  team->used_memory_mib += sign * task->declared.memory_mib;
+  team->used_accelerators += sign * task->declared.accelerators;
+  st->used_millicores += sign * task->declared.millicores;
+  st->occupying_tasks += sign;
+  if (batch)
+    {
+      team->batch_millicores += sign * task->declared.millicores;
+      st->batch_running += sign;
+    }
+  if (queue->kind == CYC_KIND_SERVICE)
+    count_spread (st, &st->workers[task->worker], st->jobs[task->job].queue,
+                  (uint32_t)sign);
+}
+
+static void
+count_worker (struct cyc_core_state *st, struct core_task *task)
+{
+  struct core_worker *worker = &st->workers[task->worker];
+
+  worker->reserved = core_res_add (worker->reserved, task->reserved);
+  worker->declared = core_res_add (worker->declared, task->declared);
+  if (task->started_us > worker->measured_us && worker->measured_us > 0)
+    worker->since = core_res_add (worker->since, task->reserved);
+  core_worker_refresh (st, task->worker);
+}
+
+static void
+uncount_worker (struct cyc_core_state *st, struct core_task *task)
+{
+  struct core_worker *worker = &st->workers[task->worker];
+
+  worker->reserved = core_res_sub (worker->reserved, task->reserved);
+  worker->declared = core_res_sub (worker->declared, task->declared);
+  if (task->started_us > worker->measured_us)
+    worker->since = core_res_sub (worker->since, task->reserved);
+  else
+    worker->measured = core_res_sub (worker->measured, task->used);
+  if (worker->tasks.count == 0)
+    worker->since = (struct cyc_res){ 0 };
+  core_worker_refresh (st, task->worker);
+}
+
+void
+core_task_occupy (struct cyc_core_state *st, uint32_t row, uint32_t worker,
+                  enum cyc_task_state state)
+{
+  struct core_task *task = &st->tasks[row];
+  struct core_job *job = &st->jobs[task->job];
+  struct core_queue *queue = &st->queues[job->queue];
+
+  core_task_drop_claim (st, row);
+  task->worker = worker;
+  task->state = (uint8_t)state;
+  task->started_us = st->now_us;
+  task->kept_us = st->now_us;
+  task->reserved = queue->estimate;
+  task->used = (struct cyc_res){ 0 };
+  task->stage = CORE_STAGE_NONE;
+  task->fate_unknown = false;
+  core_list_append (&st->workers[worker].tasks,
+                    CORE_ROWS (st->tasks, in_place), row);
+  core_list_append (&st->teams[queue->team].tasks,
+                    CORE_ROWS (st->tasks, in_team), row);
+  count_use (st, row, true);
+  count_worker (st, task);
+}
+
+static void
+clear_stop (struct cyc_core_state *st, struct core_task *task)
+{
+  if (task->preempted)
+    st->preempting--;
+  if (task->throttled)
+    st->workers[task->worker].throttled--;
+  task->preempted = false;
+  task->throttled = false;
+  task->stage = CORE_STAGE_NONE;
+  task->stage_us = 0;
+}
+
+void
+core_task_vacate (struct cyc_core_state *st, uint32_t row)
+{
+  struct core_task *task = &st->tasks[row];
+  struct core_queue *queue = &st->queues[st->jobs[task->job].queue];
+
+  core_task_no_emit (st, row);
+  core_task_set_timer (st, row, 0);
+  clear_stop (st, task);
+  count_use (st, row, false);
+  core_list_remove (&st->workers[task->worker].tasks,
+                    CORE_ROWS (st->tasks, in_place), row);
+  core_list_remove (&st->teams[queue->team].tasks,
+                    CORE_ROWS (st->tasks, in_team), row);
+  if (st->workers[task->worker].probe_task == row)
+    st->workers[task->worker].probe_task = CORE_NONE;
+  uncount_worker (st, task);
+  task->worker = CORE_NONE;
+}
+
+/* Ends a task that occupies no worker and is in no queued list. */
+static void
+end_free_task (struct cyc_core_state *st, uint32_t row,
+               enum cyc_task_state state)
+{
+  uint32_t job = st->tasks[row].job;
+  struct core_job *j = &st->jobs[job];
+
+  j->done += state == CYC_TASK_DONE;
+  j->failed += state == CYC_TASK_FAILED;
+  j->unknown += state == CYC_TASK_UNKNOWN;
+  st->cancelled += state == CYC_TASK_CANCELLED;
+  core_task_free (st, row);
+  if (j->service)
+    core_service_touch (st, j->queue);
+  core_job_check_ended (st, job);
+}
+
+void
+core_task_end (struct cyc_core_state *st, uint32_t row,
+               enum cyc_task_state state)
+{
+  if (st->tasks[row].worker != CORE_NONE)
+    core_task_vacate (st, row);
+  else
+    core_task_dequeue (st, row);
+  end_free_task (st, row, state);
+}
+
+/* A task that was only decided and never sent can be queued again without
+ * regard to whether it may be repeated. */
+void
+core_task_requeue (struct cyc_core_state *st, uint32_t row)
+{
+  struct core_task *task = &st->tasks[row];
+  struct core_job *job = &st->jobs[task->job];
+  bool sent = !(task->state == CYC_TASK_STARTING && task->emitting);
+  bool repeatable = st->queues[job->queue].repeatable;
+
+  core_task_vacate (st, row);
+  if (job->service)
+    end_free_task (st, row, CYC_TASK_CANCELLED);
+  else if (sent && !repeatable)
+    end_free_task (st, row, CYC_TASK_UNKNOWN);
+  else if (job->end != CORE_END_NONE)
+    end_free_task (st, row, CYC_TASK_CANCELLED);
+  else
+    core_task_enqueue (st, row);
+}
+
+void
+core_task_emit (struct cyc_core_state *st, uint32_t row,
+                enum cyc_decision_kind kind)
+{
+  struct core_task *task = &st->tasks[row];
+
+  task->emit = (uint8_t)kind;
+  if (task->emitting)
+    return;
+  task->emitting = true;
+  core_list_append (&st->emit, CORE_ROWS (st->tasks, in_emit), row);
+}
+
+void
+core_task_no_emit (struct cyc_core_state *st, uint32_t row)
+{
+  if (!st->tasks[row].emitting)
+    return;
+  st->tasks[row].emitting = false;
+  core_list_remove (&st->emit, CORE_ROWS (st->tasks, in_emit), row);
+}
+
+void
+core_task_set_timer (struct cyc_core_state *st, uint32_t row, uint64_t at_us)
+{
+  struct core_task *task = &st->tasks[row];
+  struct core_rows rows = CORE_ROWS (st->tasks, in_slot);
+  uint64_t number = at_us / CORE_SLOT_US + 1;
+
+  if (st->slot_next == 0)
+    st->slot_next = st->now_us / CORE_SLOT_US;
+  if (task->slot != CORE_NONE)
+    core_list_remove (&st->slots[task->slot], rows, row);
+  task->slot = CORE_NONE;
+  if (at_us == 0)
+    return;
+  if (number < st->slot_next)
+    number = st->slot_next;
+  if (number >= st->slot_next + CORE_SLOTS)
+    number = st->slot_next + CORE_SLOTS - 1;
+  task->slot = (uint32_t)(number % CORE_SLOTS);
+  core_list_append (&st->slots[task->slot], rows, row);
+}
+
+void
+core_task_drop_claim (struct cyc_core_state *st, uint32_t row)
+{
+  struct core_task *task = &st->tasks[row];
+
+  if (task->claim_worker == CORE_NONE)
+    return;
+  st->workers[task->claim_worker].held
+      = core_res_sub (st->workers[task->claim_worker].held, task->claim);
+  core_worker_refresh (st, task->claim_worker);
+  task->claim_worker = CORE_NONE;
+}
+
+void
+core_claims_forget (struct cyc_core_state *st, uint32_t worker)
+{
+  for (uint32_t t = 0; t < st->task_pool.high; t++)
+    if (cyc_pool_used_at (&st->task_pool, t)
+        && st->tasks[t].claim_worker == worker)
+      core_task_drop_claim (st, t);
+}
+
+void
+core_queue_count (struct cyc_core_state *st, uint32_t queue, bool add)
+{
+  struct core_list *list = &st->teams[st->queues[queue].team].tasks;
+
+  for (uint32_t t = 0; t < st->task_pool.high; t++)
+    {
+      if (!cyc_pool_used_at (&st->task_pool, t)
+          || st->tasks[t].worker == CORE_NONE
+          || st->jobs[st->tasks[t].job].queue != queue)
+        continue;
+      count_use (st, t, add);
+      if (add)
+        core_list_append (list, CORE_ROWS (st->tasks, in_team), t);
+      else
+        core_list_remove (list, CORE_ROWS (st->tasks, in_team), t);
+    }
+}
--- /dev/null
+++ b/src/cyc_core_tick.c
@@ -0,0 +1,334 @@
+/**
+ * @file
+ * One tick: expiry, cancellation, services, balances, and the order of the
+ * systems.
+ */
+#include "cyc_core_internal.h"
+
+#include <math.h>
+
+/* Pause between two steps of stopping one task. */
+#define STAGE_PAUSE_US 1500000
+/* A stop that nobody answered is decided again. */
+#define STOP_AGAIN_US 5000000
+
+static uint64_t
+lease_end (const struct cyc_core_state *st, const struct core_task *task)
+{
+  return task->lease_us + st->desc.clock_error_ms * 1000ULL;
+}
+
+static void
+set_next_timer (struct cyc_core_state *st, uint32_t row)
+{
+  struct core_task *task = &st->tasks[row];
+  uint64_t at_us = lease_end (st, task);
+
+  if (task->stage_us > 0 && task->stage_us < at_us)
+    at_us = task->stage_us;
+  core_task_set_timer (st, row, at_us);
+}
+
+void
+core_task_stop (struct cyc_core_state *st, uint32_t row, enum core_stage stage)
+{
+  static const enum cyc_decision_kind kinds[] = {
+    [CORE_STAGE_CHECKPOINT] = CYC_DECISION_CHECKPOINT,
+    [CORE_STAGE_THROTTLE] = CYC_DECISION_THROTTLE,
+    [CORE_STAGE_STOP] = CYC_DECISION_STOP,
+  };
+  struct core_task *task = &st->tasks[row];
+
+  task->stage = (uint8_t)stage;
+  task->stage_us
+      = st->now_us
+        + (stage == CORE_STAGE_STOP ? STOP_AGAIN_US : STAGE_PAUSE_US);
+  if (task->state != CYC_TASK_LOST)
+    {
+      task->state = CYC_TASK_STOPPING;
+      core_task_emit (st, row, kinds[stage]);
+    }
+  set_next_timer (st, row);
+}
+
+static void
+timer_due (struct cyc_core_state *st, uint32_t row)
+{
+  struct core_task *task = &st->tasks[row];
+
+  if (st->now_us >= lease_end (st, task))
+    core_task_requeue (st, row);
+  else if (task->stage_us > 0 && st->now_us >= task->stage_us)
+    core_task_stop (st, row,
+                    task->stage < CORE_STAGE_STOP
+                        ? (enum core_stage) (task->stage + 1)
+                        : CORE_STAGE_STOP);
+  else
+    set_next_timer (st, row);
+}
+
+static void
+end_unfenced (struct cyc_core_state *st)
+{
+  if (st->unfenced == 0)
+    return;
+  for (uint32_t w = 0; w < st->worker_pool.high; w++)
+    {
+      uint64_t until_us = st->workers[w].unfenced_until_us;
+
+      if (!cyc_pool_used_at (&st->worker_pool, w) || until_us == 0
+          || until_us > st->now_us)
+        continue;
+      st->workers[w].unfenced_until_us = 0;
+      st->unfenced--;
+      core_worker_refresh (st, w);
+    }
+}
+
+void
+core_sys_expiry (struct cyc_core_state *st)
+{
+  uint64_t last = st->now_us / CORE_SLOT_US;
+
+  end_unfenced (st);
+  if (st->slot_next == 0 || last >= st->slot_next + CORE_SLOTS)
+    st->slot_next = last >= CORE_SLOTS ? last - CORE_SLOTS + 1 : 1;
+  while (st->slot_next <= last)
+    {
+      struct core_list *slot = &st->slots[st->slot_next % CORE_SLOTS];
+      uint32_t count = slot->count;
+
+      st->slot_next++;
+      while (count-- > 0)
+        timer_due (st, slot->head);
+    }
+}
+
+static void
+cancel_task (struct cyc_core_state *st, uint32_t row)
+{
+  struct core_task *task = &st->tasks[row];
+  struct core_list *list = &st->jobs[task->job].tasks;
+
+  if (task->state == CYC_TASK_QUEUED
+      || (task->state == CYC_TASK_STARTING && task->emitting))
+    {
+      core_task_end (st, row, CYC_TASK_CANCELLED);
+      return;
+    }
+  core_list_remove (list, CORE_ROWS (st->tasks, in_job), row);
+  core_list_append (list, CORE_ROWS (st->tasks, in_job), row);
+  if (task->stage != CORE_STAGE_STOP)
+    core_task_stop (st, row, CORE_STAGE_STOP);
+}
+
+void
+core_sys_cancel (struct cyc_core_state *st, uint32_t budget)
+{
+  while (st->cancel.count > 0 && budget > 0)
+    {
+      uint32_t row = st->cancel.head;
+      struct core_job *job = &st->jobs[row];
+
+      if (job->cancel_left == 0 || job->tasks.count == 0)
+        {
+          core_list_remove (&st->cancel, CORE_ROWS (st->jobs, in_work), row);
+          job->in_cancel = false;
+          core_job_check_ended (st, row);
+          continue;
+        }
+      job->cancel_left--;
+      budget--;
+      cancel_task (st, job->tasks.head);
+    }
+}
+
+static uint32_t
+live_replicas (const struct cyc_core_state *st, uint32_t job, uint32_t *newest)
+{
+  struct core_rows rows = CORE_ROWS (st->tasks, in_job);
+  uint32_t live = 0;
+
+  *newest = CORE_NONE;
+  for (uint32_t t = st->jobs[job].tasks.head; t != CORE_NONE;
+       t = core_list_next (rows, t))
+    {
+      if (st->tasks[t].state == CYC_TASK_LOST
+          || st->tasks[t].state == CYC_TASK_STOPPING)
+        continue;
+      live++;
+      *newest = t;
+    }
+  return live;
+}
+
+static bool
+add_replica (struct cyc_core_state *st, uint32_t queue, uint32_t job)
+{
+  uint32_t row = core_task_create (st, job, st->queues[queue].next_index);
+
+  if (row == CORE_NONE)
+    return false;
+  st->queues[queue].next_index++;
+  /* A new index was never started before, so no fence holds it back. */
+  st->tasks[row].started_here = true;
+  core_task_enqueue (st, row);
+  return true;
+}
+
+static void
+balance_service (struct cyc_core_state *st, uint32_t queue)
+{
+  uint32_t job = core_service_job (st, queue);
+  uint32_t newest;
+  uint32_t live;
+
+  if (job == CORE_NONE)
+    return;
+  live = live_replicas (st, job, &newest);
+  while (live < st->queues[queue].wanted && add_replica (st, queue, job))
+    live++;
+  while (live > st->queues[queue].wanted)
+    {
+      if (st->tasks[newest].state == CYC_TASK_QUEUED)
+        core_task_end (st, newest, CYC_TASK_CANCELLED);
+      else if (st->tasks[newest].state == CYC_TASK_STARTING
+               && st->tasks[newest].emitting)
+        core_task_requeue (st, newest);
+      else
+        core_task_stop (st, newest, CORE_STAGE_STOP);
+      live = live_replicas (st, job, &newest);
+    }
+}
+
+void
+core_sys_services (struct cyc_core_state *st)
+{
+  uint32_t count = st->dirty.count;
+
+  while (count-- > 0)
+    {
+      uint32_t queue = st->dirty.head;
+
+      core_list_remove (&st->dirty, CORE_ROWS (st->queues, in_dirty), queue);
+      st->queues[queue].dirty = false;
+      balance_service (st, queue);
+    }
+}
+
+static double
+ratio (uint64_t part, uint64_t whole)
+{
+  return whole == 0 ? 0 : (double)part / (double)whole;
+}
+
+static double
+dominant (const struct cyc_core_state *st, const struct core_team *team)
+{
+  double share = ratio (team->used_millicores, st->total_millicores);
+  double memory = ratio (team->used_memory_mib, st->total_memory_mib);
+  double accelerators
+      = ratio (team->used_accelerators, st->total_accelerators);
+
+  share = memory > share ? memory : share;
+  return accelerators > share ? accelerators : share;
+}
+
+/* Use now and decayed use weigh the same: the first alone forgets what a team
+ * had, the second alone lets it overshoot for a whole half-life. */
+void
+core_team_score (struct cyc_core_state *st, struct core_team *team)
+{
+  double share = team->share_permille > 0 ? team->share_permille : 0.5;
+
+  team->score = (dominant (st, team) + team->got) / share;
+}
+
+void
+core_sys_shares (struct cyc_core_state *st)
+{
+  double passed_us = (double)(st->now_us - st->last_share_us);
+  double keep = 0;
+
+  if (st->last_share_us > 0)
+    keep = exp2 (-passed_us / (st->desc.share_half_life_ms * 1000.0));
+  st->last_share_us = st->now_us;
+  for (uint32_t t = 0; t < st->team_pool.high; t++)
+    {
+      struct core_team *team = &st->teams[t];
+
+      team->got = team->got * keep + dominant (st, team) * (1 - keep);
+      core_team_score (st, team);
+    }
+}
+
+/* Newest tasks of teams above their balance stop, with a checkpoint first. */
+static void
+shrink_teams (struct cyc_core_state *st)
+{
+  for (uint32_t t = 0; t < st->team_pool.high; t++)
+    {
+      struct core_team *team = &st->teams[t];
+      uint64_t stopping = 0;
+      uint64_t accelerators = 0;
+      uint32_t row = team->tasks.tail;
+
+      while (row != CORE_NONE
+             && (team->used_millicores > team->balance_millicores + stopping
+                 || team->used_accelerators
+                        > team->balance_accelerators + accelerators))
+        {
+          struct core_task *task = &st->tasks[row];
+          uint32_t prev = task->in_team.prev;
+
+          stopping += task->declared.millicores;
+          accelerators += task->declared.accelerators;
+          if (task->state == CYC_TASK_STARTING && task->emitting)
+            core_task_requeue (st, row);
+          else if (task->stage == CORE_STAGE_NONE)
+            core_task_stop (st, row, CORE_STAGE_CHECKPOINT);
+          row = prev;
+        }
+    }
+}
+
+void
+cyc_core_allow_starts (struct cyc_core *core, bool allow)
+{
+  struct cyc_core_state *st = core->state;
+
+  if (allow && !st->allow && st->unfenced > 0)
+    st->held_sequence = st->sequence;
+  st->allow = allow;
+}
+
+static void
+place (struct cyc_core_state *st)
+{
+  core_sys_class (st, CORE_URGENT);
+  core_sys_gang (st);
+  core_sys_class (st, CORE_SERVICE);
+  core_sys_class (st, CORE_BATCH);
+}
+
+uint32_t
+cyc_core_tick (struct cyc_core *core, uint64_t now_us,
+               struct cyc_decision *out, uint32_t max)
+{
+  struct cyc_core_state *st = core->state;
+  uint32_t cancel = st->desc.cancel_per_tick;
+
+  st->now_us = now_us;
+  st->tick++;
+  core_sys_expiry (st);
+  if (cancel > max / 2 + 1)
+    cancel = max / 2 + 1;
+  core_sys_cancel (st, cancel);
+  core_sys_services (st);
+  core_sys_shares (st);
+  shrink_teams (st);
+  st->starts_left = st->emit.count < max ? max - st->emit.count : 0;
+  if (st->allow)
+    place (st);
+  return core_emit_all (st, out, max);
+}
--- /dev/null
+++ b/src/cyc_core_worker.c
@@ -0,0 +1,383 @@
+/**
+ * @file
+ * Workers: inputs about them, their free capacity and the buckets.
+ *
+ * A usable worker is in the bucket of its plane (free accelerators) and its
+ * power-of-two classes of free millicores and memory. Free capacity is
+ * recomputed whenever something on the worker changes.
+ */
+#include "cyc_core_internal.h"
+
+static uint32_t
+floor_log2 (uint32_t value)
+{
+  return value < 2 ? 0 : 31U - (uint32_t)__builtin_clz (value);
+}
+
+static uint32_t
+class_of (uint32_t value)
+{
+  uint32_t class = floor_log2 (value);
+
+  return class < CORE_CLASSES ? class : CORE_CLASSES - 1;
+}
+
+static uint32_t
+plane_of (uint32_t accelerators)
+{
+  uint32_t plane = accelerators == 0 ? 0 : floor_log2 (accelerators) + 1;
+
+  return plane < CORE_PLANES ? plane : CORE_PLANES - 1;
+}
+
+static uint32_t
+bucket_of (struct cyc_res free)
+{
+  return (plane_of (free.accelerators) * CORE_CLASSES
+          + class_of (free.millicores))
+             * CORE_CLASSES
+         + class_of (free.memory_mib);
+}
+
+static void
+leave_bucket (struct cyc_core_state *st, uint32_t row)
+{
+  struct core_worker *worker = &st->workers[row];
+  uint32_t bucket = worker->bucket;
+
+  if (bucket == CORE_NONE)
+    return;
+  core_list_remove (&st->buckets[bucket], CORE_ROWS (st->workers, in_bucket),
+                    row);
+  if (st->buckets[bucket].count == 0)
+    st->memory_mask[bucket / CORE_CLASSES / CORE_CLASSES]
+                   [bucket / CORE_CLASSES % CORE_CLASSES]
+        &= ~(1U << bucket % CORE_CLASSES);
+  worker->bucket = CORE_NONE;
+}
+
+static void
+enter_bucket (struct cyc_core_state *st, uint32_t row, uint32_t bucket)
+{
+  core_list_append (&st->buckets[bucket], CORE_ROWS (st->workers, in_bucket),
+                    row);
+  st->memory_mask[bucket / CORE_CLASSES / CORE_CLASSES]
+                 [bucket / CORE_CLASSES % CORE_CLASSES]
+      |= 1U << bucket % CORE_CLASSES;
+  st->workers[row].bucket = bucket;
+}
+
+bool
+core_worker_usable (const struct cyc_core_state *st,
+                    const struct core_worker *worker)
+{
+  return !worker->leaving && !worker->silent && !worker->ejected
+         && worker->unfenced_until_us <= st->now_us;
+}
+
+static uint32_t
+part (uint32_t value, uint32_t permille)
+{
+  return (uint32_t)((uint64_t)value * permille / 1000);
+}
+
+/* An empty worker takes a task up to its whole capacity; otherwise the part
+ * above worker_high_permille stays free, because placing into it would only
+ * trigger the protection against overload. */
+static struct cyc_res
+free_of (const struct cyc_core_state *st, const struct core_worker *worker)
+{
+  struct cyc_res ceiling = worker->capacity;
+  struct cyc_res committed = core_res_max (
+      worker->reserved, core_res_add (worker->measured, worker->since));
+
+  if (worker->tasks.count > 0)
+    {
+      ceiling.millicores
+          = part (ceiling.millicores, st->desc.worker_high_permille);
+      ceiling.memory_mib
+          = part (ceiling.memory_mib, st->desc.worker_high_permille);
+    }
+  committed.accelerators = worker->declared.accelerators;
+  return core_res_sub (core_res_sub (ceiling, committed), worker->held);
+}
+
+static void
+count_rack (struct cyc_core_state *st, struct core_worker *worker,
+            struct cyc_res free)
+{
+  struct core_rack *rack = &st->racks[worker->rack];
+
+  rack->free_millicores += free.millicores;
+  rack->free_millicores -= worker->free.millicores;
+  rack->free_memory_mib += free.memory_mib;
+  rack->free_memory_mib -= worker->free.memory_mib;
+  rack->free_accelerators += free.accelerators;
+  rack->free_accelerators -= worker->free.accelerators;
+  worker->free = free;
+}
+
+void
+core_worker_refresh (struct cyc_core_state *st, uint32_t row)
+{
+  struct core_worker *worker = &st->workers[row];
+  bool usable = core_worker_usable (st, worker);
+  struct cyc_res free = { 0 };
+  uint32_t bucket;
+
+  if (usable)
+    free = free_of (st, worker);
+  count_rack (st, worker, free);
+  bucket = usable ? bucket_of (free) : CORE_NONE;
+  if (bucket == worker->bucket)
+    return;
+  leave_bucket (st, row);
+  if (usable)
+    enter_bucket (st, row, bucket);
+}
+
+uint64_t
+core_spread_key (const struct core_worker *worker, uint32_t queue)
+{
+  return ((uint64_t)queue << 32) | worker->rack;
+}
+
+static uint32_t
+rack_row (struct cyc_core_state *st, const struct cyc_name *name)
+{
+  uint64_t key = core_hash (cyc_name_str (name));
+  uint32_t row = core_map_get (&st->rack_map, key);
+  struct cyc_ref ref;
+
+  if (row != CORE_NONE)
+    return row;
+  ref = cyc_pool_take (&st->rack_pool);
+  if (ref.generation == 0)
+    return CORE_NONE;
+  st->racks[ref.index] = (struct core_rack){ .name = *name };
+  core_list_init (&st->racks[ref.index].workers);
+  core_map_put (&st->rack_map, key, ref.index);
+  return ref.index;
+}
+
+static void
+leave_rack (struct cyc_core_state *st, uint32_t row)
+{
+  struct core_worker *worker = &st->workers[row];
+  struct core_rack *rack = &st->racks[worker->rack];
+
+  count_rack (st, worker, (struct cyc_res){ 0 });
+  core_list_remove (&rack->workers, CORE_ROWS (st->workers, in_rack), row);
+  if (rack->workers.count > 0)
+    return;
+  core_map_remove (&st->rack_map, core_hash (cyc_name_str (&rack->name)));
+  cyc_pool_give (&st->rack_pool,
+                 cyc_pool_ref_at (&st->rack_pool, worker->rack));
+}
+
+static void
+count_capacity (struct cyc_core_state *st, struct core_worker *worker,
+                struct cyc_res capacity)
+{
+  st->total_millicores += capacity.millicores;
+  st->total_millicores -= worker->capacity.millicores;
+  st->total_memory_mib += capacity.memory_mib;
+  st->total_memory_mib -= worker->capacity.memory_mib;
+  st->total_accelerators += capacity.accelerators;
+  st->total_accelerators -= worker->capacity.accelerators;
+  worker->capacity = capacity;
+}
+
+static uint32_t
+worker_create (struct cyc_core_state *st, const struct cyc_core_worker *input)
+{
+  struct cyc_ref ref = cyc_pool_take (&st->worker_pool);
+  uint32_t rack;
+
+  if (ref.generation == 0)
+    return CORE_NONE;
+  rack = rack_row (st, &input->rack);
+  if (rack == CORE_NONE)
+    {
+      cyc_pool_give (&st->worker_pool, ref);
+      return CORE_NONE;
+    }
+  st->workers[ref.index] = (struct core_worker){
+    .name = input->name,
+    .rack = rack,
+    .bucket = CORE_NONE,
+    .probe_task = CORE_NONE,
+    .failed_queue = CORE_NONE,
+  };
+  core_list_init (&st->workers[ref.index].tasks);
+  core_list_append (&st->racks[rack].workers, CORE_ROWS (st->workers, in_rack),
+                    ref.index);
+  core_map_put (&st->worker_map, core_hash (cyc_name_str (&input->name)),
+                ref.index);
+  return ref.index;
+}
+
+enum cyc_core_status
+cyc_core_worker_upsert (struct cyc_core *core,
+                        const struct cyc_core_worker *worker, uint64_t now_us)
+{
+  struct cyc_core_state *st = core->state;
+  uint32_t row = core_find_worker (st, cyc_name_str (&worker->name));
+
+  if (worker->name.len == 0)
+    return CYC_CORE_INVALID;
+  st->now_us = now_us;
+  if (row == CORE_NONE)
+    row = worker_create (st, worker);
+  if (row == CORE_NONE)
+    return CYC_CORE_FULL;
+  count_capacity (st, &st->workers[row], worker->capacity);
+  st->workers[row].leaving = worker->leaving;
+  st->workers_changed_us = now_us;
+  core_worker_refresh (st, row);
+  return CYC_CORE_OK;
+}
+
+static void
+clear_unfenced (struct cyc_core_state *st, struct core_worker *worker)
+{
+  if (worker->unfenced_until_us == 0)
+    return;
+  worker->unfenced_until_us = 0;
+  st->unfenced--;
+}
+
+/* Tasks keep their leases; the worker's own list decides what still runs. */
+static void
+find_tasks (struct cyc_core_state *st, uint32_t row)
+{
+  struct core_rows rows = CORE_ROWS (st->tasks, in_place);
+
+  for (uint32_t t = st->workers[row].tasks.head; t != CORE_NONE;
+       t = core_list_next (rows, t))
+    {
+      struct core_task *task = &st->tasks[t];
+
+      if (task->state != CYC_TASK_LOST || task->fate_unknown)
+        continue;
+      task->state = task->stage == CORE_STAGE_NONE ? CYC_TASK_RUNNING
+                                                   : CYC_TASK_STOPPING;
+      if (st->jobs[task->job].service)
+        core_service_touch (st, st->jobs[task->job].queue);
+    }
+}
+
+enum cyc_core_status
+cyc_core_worker_seen (struct cyc_core *core, struct cyc_str worker,
+                      uint64_t now_us)
+{
+  struct cyc_core_state *st = core->state;
+  uint32_t row = core_find_worker (st, worker);
+
+  if (row == CORE_NONE)
+    return CYC_CORE_UNKNOWN;
+  st->now_us = now_us;
+  clear_unfenced (st, &st->workers[row]);
+  if (st->workers[row].silent)
+    {
+      st->workers[row].silent = false;
+      st->silent--;
+      find_tasks (st, row);
+    }
+  core_worker_refresh (st, row);
+  return CYC_CORE_OK;
+}
+
+void
+core_worker_lose_tasks (struct cyc_core_state *st, uint32_t row)
+{
+  struct core_rows rows = CORE_ROWS (st->tasks, in_place);
+  uint32_t next;
+
+  for (uint32_t t = st->workers[row].tasks.head; t != CORE_NONE; t = next)
+    {
+      struct core_task *task = &st->tasks[t];
+
+      next = core_list_next (rows, t);
+      if (task->state == CYC_TASK_STARTING && task->emitting)
+        {
+          core_task_requeue (st, t);
+          continue;
+        }
+      core_task_no_emit (st, t);
+      task->state = CYC_TASK_LOST;
+      if (st->jobs[task->job].service)
+        core_service_touch (st, st->jobs[task->job].queue);
+    }
+}
+
+enum cyc_core_status
+cyc_core_worker_silent (struct cyc_core *core, struct cyc_str worker,
+                        uint64_t now_us)
+{
+  struct cyc_core_state *st = core->state;
+  uint32_t row = core_find_worker (st, worker);
+
+  if (row == CORE_NONE)
+    return CYC_CORE_UNKNOWN;
+  st->now_us = now_us;
+  if (!st->workers[row].silent)
+    {
+      st->workers[row].silent = true;
+      st->silent++;
+      core_worker_refresh (st, row);
+      core_worker_lose_tasks (st, row);
+    }
+  return CYC_CORE_OK;
+}
+
+enum cyc_core_status
+cyc_core_worker_remove (struct cyc_core *core, struct cyc_str worker,
+                        uint64_t now_us)
+{
+  struct cyc_core_state *st = core->state;
+  uint32_t row = core_find_worker (st, worker);
+  struct core_worker *gone;
+
+  if (row == CORE_NONE)
+    return CYC_CORE_UNKNOWN;
+  gone = &st->workers[row];
+  st->now_us = now_us;
+  gone->leaving = true;
+  if (gone->held.millicores > 0 || gone->held.memory_mib > 0)
+    core_claims_forget (st, row);
+  clear_unfenced (st, gone);
+  if (gone->silent)
+    st->silent--;
+  if (gone->ejected)
+    core_list_remove (&st->ejected, CORE_ROWS (st->workers, in_ejected), row);
+  core_worker_refresh (st, row);
+  while (gone->tasks.count > 0)
+    core_task_requeue (st, gone->tasks.head);
+  leave_bucket (st, row);
+  count_capacity (st, gone, (struct cyc_res){ 0 });
+  leave_rack (st, row);
+  core_map_remove (&st->worker_map, core_hash (worker));
+  cyc_pool_give (&st->worker_pool, cyc_pool_ref_at (&st->worker_pool, row));
+  st->workers_changed_us = now_us;
+  return CYC_CORE_OK;
+}
+
+enum cyc_core_status
+cyc_core_worker_unfenced (struct cyc_core *core, struct cyc_str worker,
+                          uint64_t until_us)
+{
+  struct cyc_core_state *st = core->state;
+  uint32_t row = core_find_worker (st, worker);
+
+  if (row == CORE_NONE)
+    return CYC_CORE_UNKNOWN;
+  if (st->workers[row].unfenced_until_us == 0)
+    st->unfenced++;
+  st->workers[row].unfenced_until_us = until_us;
+  st->held_sequence = st->sequence;
+  if (until_us > st->unfenced_until_us)
+    st->unfenced_until_us = until_us;
+  core_worker_refresh (st, row);
+  return CYC_CORE_OK;
+}
