--- a/src/cyc_core_task.c
+++ b/src/cyc_core_task.c
@@ -307,11 +307,9 @@
   bool repeatable = st->queues[job->queue].repeatable;
 
   core_task_vacate (st, row);
-  if (job->service)
-    end_free_task (st, row, CYC_TASK_CANCELLED);
-  else if (sent && !repeatable)
+  if (sent && !repeatable && !job->service)
     end_free_task (st, row, CYC_TASK_UNKNOWN);
-  else if (job->end != CORE_END_NONE)
+  else if (job->service || job->end != CORE_END_NONE)
     end_free_task (st, row, CYC_TASK_CANCELLED);
   else
     core_task_enqueue (st, row);
--- a/src/cyc_core_tick.c
+++ b/src/cyc_core_tick.c
@@ -51,6 +51,14 @@
   set_next_timer (st, row);
 }
 
+static enum core_stage
+next_stage (const struct core_task *task)
+{
+  if (task->stage == CORE_STAGE_CHECKPOINT && !task->throttled)
+    return CORE_STAGE_THROTTLE;
+  return CORE_STAGE_STOP;
+}
+
 static void
 timer_due (struct cyc_core_state *st, uint32_t row)
 {
@@ -59,10 +67,7 @@
   if (st->now_us >= lease_end (st, task))
     core_task_requeue (st, row);
   else if (task->stage_us > 0 && st->now_us >= task->stage_us)
-    core_task_stop (st, row,
-                    task->stage < CORE_STAGE_STOP
-                        ? (enum core_stage) (task->stage + 1)
-                        : CORE_STAGE_STOP);
+    core_task_stop (st, row, next_stage (task));
   else
     set_next_timer (st, row);
 }
