--- a/src/cyc_core_internal.h
+++ b/src/cyc_core_internal.h
@@ -19,6 +19,7 @@
 #define CORE_SLOT_US 250000
 #define CORE_FAILED_ON 4
 #define CORE_HIST_BINS 64
+#define CORE_EJECT_MOST 8 /**< upper bound of eject_failures */
 /** Candidates examined in one bucket: bounds the cost of a decision. */
 #define CORE_LOOK 24
 
@@ -96,15 +97,14 @@
   uint32_t bucket;
   uint32_t throttled;
   uint32_t backoff_ms;
-  uint32_t failed_queue; /**< of the first failure of the current run */
+  uint32_t failed_queues[CORE_EJECT_MOST]; /**< of the latest failures */
   uint32_t probe_task;
-  uint16_t failures; /**< consecutive */
+  uint16_t failures;  /**< consecutive */
+  uint16_t successes; /**< consecutive */
   uint8_t over_steps;
-  bool failed_two_queues;
   bool leaving;
   bool silent;
   bool ejected;
-  bool tainted; /**< failures seen; one success clears it */
 };
 
 struct core_rack
@@ -344,6 +344,9 @@
 void core_worker_refresh (struct cyc_core_state *st, uint32_t row);
 bool core_worker_usable (const struct cyc_core_state *st,
                          const struct core_worker *worker);
+/** Free capacity without regard to whether the worker is usable. */
+struct cyc_res core_worker_room (const struct cyc_core_state *st,
+                                 const struct core_worker *worker);
 void core_worker_lose_tasks (struct cyc_core_state *st, uint32_t row);
 uint64_t core_spread_key (const struct core_worker *worker, uint32_t queue);
 
--- a/src/cyc_core_setup.c
+++ b/src/cyc_core_setup.c
@@ -78,6 +78,10 @@
                   desc->preempt_max_permille);
   check_permille (&own, CYC_STR ("batch_floor_permille"),
                   desc->batch_floor_permille);
+  if (desc->eject_failures > CORE_EJECT_MOST)
+    cyc_findings_add (&own, CYC_STR ("eject_failures"),
+                      "%u is more than %d failures", desc->eject_failures,
+                      CORE_EJECT_MOST);
   if (desc->max_attempts > CORE_FAILED_ON)
     cyc_findings_add (&own, CYC_STR ("max_attempts"),
                       "%u is more than %d failures", desc->max_attempts,
--- a/src/cyc_core_tick.c
+++ b/src/cyc_core_tick.c
@@ -310,6 +310,7 @@
 static void
 place (struct cyc_core_state *st)
 {
+  core_sys_health (st);
   core_sys_class (st, CORE_URGENT);
   core_sys_gang (st);
   core_sys_class (st, CORE_SERVICE);
--- a/src/cyc_core_worker.c
+++ b/src/cyc_core_worker.c
@@ -84,8 +84,9 @@
 /* An empty worker takes a task up to its whole capacity; otherwise the part
  * above worker_high_permille stays free, because placing into it would only
  * trigger the protection against overload. */
-static struct cyc_res
-free_of (const struct cyc_core_state *st, const struct core_worker *worker)
+struct cyc_res
+core_worker_room (const struct cyc_core_state *st,
+                  const struct core_worker *worker)
 {
   struct cyc_res ceiling = worker->capacity;
   struct cyc_res committed = core_res_max (
@@ -126,7 +127,7 @@
   uint32_t bucket;
 
   if (usable)
-    free = free_of (st, worker);
+    free = core_worker_room (st, worker);
   count_rack (st, worker, free);
   bucket = usable ? bucket_of (free) : CORE_NONE;
   if (bucket == worker->bucket)
@@ -207,7 +208,6 @@
     .rack = rack,
     .bucket = CORE_NONE,
     .probe_task = CORE_NONE,
-    .failed_queue = CORE_NONE,
   };
   core_list_init (&st->workers[ref.index].tasks);
   core_list_append (&st->racks[rack].workers, CORE_ROWS (st->workers, in_rack),
