Make room for urgent tasks by preemption of batch tasks

The newest batch tasks of one worker, which lose the least work, are checkpointed, throttled and stopped 1.5 s apart, and the urgent task claims the room they leave.

--- a/src/cyc_core_class.c
+++ b/src/cyc_core_class.c
@@ -17,6 +17,7 @@
 enum attempt
 {
   ATTEMPT_PLACED,
+  ATTEMPT_WAITING, /**< for victims; the next task may be tried */
   ATTEMPT_BLOCKED
 };
 
@@ -56,33 +57,14 @@
   return best;
 }
 
-static uint32_t
-pick_task (const struct cyc_core_state *st, uint32_t queue)
-{
-  struct core_rows rows = CORE_ROWS (st->jobs, in_queue);
-  uint32_t job = st->queues[queue].jobs.head;
-
-  for (uint32_t i = 0; job != CORE_NONE && i < LOOK_JOBS; i++)
-    {
-      uint32_t task = st->jobs[job].queued.head;
-
-      if (!core_task_held (st, task))
-        return task;
-      job = core_list_next (rows, job);
-    }
-  return CORE_NONE;
-}
-
-/* A task that only waits for a retry or for another worker does not block
- * the tasks behind it. */
+/* A task that waits for a retry, for another worker or for its victims does
+ * not block the tasks behind it. */
 static void
 put_behind (struct cyc_core_state *st, uint32_t row)
 {
   struct core_task *task = &st->tasks[row];
   struct core_job *job = &st->jobs[task->job];
 
-  if (task->failed_count == 0)
-    return;
   core_list_remove (&job->queued, CORE_ROWS (st->tasks, in_place), row);
   core_list_append (&job->queued, CORE_ROWS (st->tasks, in_place), row);
   core_list_remove (&st->queues[job->queue].jobs,
@@ -91,6 +73,29 @@
                     CORE_ROWS (st->jobs, in_queue), task->job);
 }
 
+static uint32_t
+pick_task (struct cyc_core_state *st, uint32_t queue)
+{
+  struct core_rows rows = CORE_ROWS (st->jobs, in_queue);
+  uint32_t job = st->queues[queue].jobs.head;
+
+  for (uint32_t i = 0; job != CORE_NONE && i < LOOK_JOBS; i++)
+    {
+      uint32_t task = st->jobs[job].queued.head;
+      uint32_t next = core_list_next (rows, job);
+
+      if (st->tasks[task].claim_worker != CORE_NONE)
+        {
+          put_behind (st, task);
+          next = st->queues[queue].jobs.head;
+        }
+      else if (!core_task_held (st, task))
+        return task;
+      job = next;
+    }
+  return CORE_NONE;
+}
+
 static void
 count_retry (struct cyc_core_state *st, struct core_task *task)
 {
@@ -131,7 +136,11 @@
     st->fails_left--;
   if (q->blocked_since_us == 0)
     q->blocked_since_us = st->now_us;
-  if (!core_never_check (st, st->tasks[task].job, 1))
+  if (core_never_check (st, st->tasks[task].job, 1))
+    return ATTEMPT_BLOCKED;
+  if (core_class_of (q) == CORE_URGENT && core_preempt_for (st, task))
+    return ATTEMPT_WAITING;
+  if (st->tasks[task].failed_count > 0)
     put_behind (st, task);
   return ATTEMPT_BLOCKED;
 }
@@ -159,6 +168,7 @@
       uint32_t at = pick_team (st, teams);
       struct core_team *team = &st->teams[st->team_scratch[at]];
       uint32_t queue = pick_queue (st, team, class);
+      enum attempt attempt = ATTEMPT_BLOCKED;
       uint32_t task;
 
       if (queue == CORE_NONE)
@@ -167,9 +177,11 @@
           continue;
         }
       task = pick_task (st, queue);
-      if (task != CORE_NONE && try_task (st, queue, task) == ATTEMPT_PLACED)
+      if (task != CORE_NONE)
+        attempt = try_task (st, queue, task);
+      if (attempt == ATTEMPT_PLACED)
         st->starts_left--;
-      else
+      else if (attempt == ATTEMPT_BLOCKED)
         st->queues[queue].blocked_tick = st->tick;
     }
 }
--- a/src/cyc_core_internal.h
+++ b/src/cyc_core_internal.h
@@ -125,7 +125,8 @@
   uint64_t used_millicores;
   uint64_t used_memory_mib;
   uint64_t used_accelerators;
-  uint64_t batch_millicores; /**< part of used: batch tasks */
+  uint64_t batch_millicores;   /**< part of used: batch tasks */
+  uint64_t preempt_millicores; /**< part of that: being preempted */
   uint64_t wanted_millicores;
   uint64_t wanted_accelerators;
   double got;   /**< decayed dominant share, 0 to 1 */
@@ -220,6 +221,8 @@
   struct core_link in_team;
   struct core_link in_slot;
   struct core_link in_emit;
+  struct core_link in_batch; /**< occupying batch tasks by start */
+  struct core_link in_claim;
   uint32_t job;
   uint32_t index;
   uint32_t worker;
@@ -270,8 +273,10 @@
   struct core_list ended;
   struct core_list emit;
   struct core_list ejected;
-  struct core_list dirty; /**< service queues */
-  uint32_t *scratch;      /**< one row number per task, for transactions */
+  struct core_list dirty;  /**< service queues */
+  struct core_list batch;  /**< occupying batch tasks, newest last */
+  struct core_list claims; /**< urgent tasks that wait for victims */
+  uint32_t *scratch;       /**< one row number per task, for transactions */
   uint32_t *team_scratch;
   uint64_t tick;
   uint64_t now_us;
@@ -344,9 +349,11 @@
 void core_worker_refresh (struct cyc_core_state *st, uint32_t row);
 bool core_worker_usable (const struct cyc_core_state *st,
                          const struct core_worker *worker);
-/** Free capacity without regard to whether the worker is usable. */
+/** Free capacity without regard to whether the worker is usable; the part of
+ * the holds that is the asker's own claim counts as free. */
 struct cyc_res core_worker_room (const struct cyc_core_state *st,
-                                 const struct core_worker *worker);
+                                 const struct core_worker *worker,
+                                 struct cyc_res own_claim);
 void core_worker_lose_tasks (struct cyc_core_state *st, uint32_t row);
 uint64_t core_spread_key (const struct core_worker *worker, uint32_t queue);
 
@@ -426,12 +433,15 @@
 void core_sys_usage (struct cyc_core_state *st);
 void core_sys_health (struct cyc_core_state *st);
 void core_sys_shares (struct cyc_core_state *st);
+void core_sys_urgent (struct cyc_core_state *st);
 void core_sys_class (struct cyc_core_state *st, enum core_class class);
 void core_sys_gang (struct cyc_core_state *st);
 
 /* Parts of systems that others use. */
 void core_queue_estimate (struct cyc_core_state *st, struct core_queue *queue);
 void core_queue_learn_run (struct core_queue *queue, uint64_t run_us);
+/** Chooses victims for an urgent task and claims the room they leave. */
+bool core_preempt_for (struct cyc_core_state *st, uint32_t task);
 void core_gang_unreserve (struct cyc_core_state *st);
 /** Refuses the job when it can never run; true when it was refused. */
 bool core_never_check (struct cyc_core_state *st, uint32_t job,
--- a/src/cyc_core_place.c
+++ b/src/cyc_core_place.c
@@ -58,7 +58,7 @@
       || failed_on (task, row))
     return false;
   if (task->claim_worker == row)
-    room = core_res_add (room, task->claim);
+    room = core_worker_room (st, worker, task->claim);
   fits = core_res_fits (want->need, room)
          || (worker->tasks.count == 0 && core_res_fits (want->declared, room));
   return fits && respects_reservation (st, worker, want);
--- a/src/cyc_core_setup.c
+++ b/src/cyc_core_setup.c
@@ -151,6 +151,8 @@
   core_list_init (&st->emit);
   core_list_init (&st->ejected);
   core_list_init (&st->dirty);
+  core_list_init (&st->batch);
+  core_list_init (&st->claims);
 }
 
 bool
--- a/src/cyc_core_task.c
+++ b/src/cyc_core_task.c
@@ -175,6 +175,10 @@
     {
       team->batch_millicores += sign * task->declared.millicores;
       st->batch_running += sign;
+      if (add)
+        core_list_append (&st->batch, CORE_ROWS (st->tasks, in_batch), row);
+      else
+        core_list_remove (&st->batch, CORE_ROWS (st->tasks, in_batch), row);
     }
   if (queue->kind == CYC_KIND_SERVICE)
     count_spread (st, &st->workers[task->worker], st->jobs[task->job].queue,
@@ -237,8 +241,13 @@
 static void
 clear_stop (struct cyc_core_state *st, struct core_task *task)
 {
+  const struct core_queue *queue = &st->queues[st->jobs[task->job].queue];
+
   if (task->preempted)
-    st->preempting--;
+    {
+      st->preempting--;
+      st->teams[queue->team].preempt_millicores -= task->declared.millicores;
+    }
   if (task->throttled)
     st->workers[task->worker].throttled--;
   task->preempted = false;
@@ -368,6 +377,7 @@
     return;
   st->workers[task->claim_worker].held
       = core_res_sub (st->workers[task->claim_worker].held, task->claim);
+  core_list_remove (&st->claims, CORE_ROWS (st->tasks, in_claim), row);
   core_worker_refresh (st, task->claim_worker);
   task->claim_worker = CORE_NONE;
 }
@@ -392,6 +402,8 @@
           || st->tasks[t].worker == CORE_NONE
           || st->jobs[st->tasks[t].job].queue != queue)
         continue;
+      if (!add)
+        clear_stop (st, &st->tasks[t]);
       count_use (st, t, add);
       if (add)
         core_list_append (list, CORE_ROWS (st->tasks, in_team), t);
--- a/src/cyc_core_tick.c
+++ b/src/cyc_core_tick.c
@@ -311,7 +311,7 @@
 place (struct cyc_core_state *st)
 {
   core_sys_health (st);
-  core_sys_class (st, CORE_URGENT);
+  core_sys_urgent (st);
   core_sys_gang (st);
   core_sys_class (st, CORE_SERVICE);
   core_sys_class (st, CORE_BATCH);
--- /dev/null
+++ b/src/cyc_core_urgent.c
@@ -0,0 +1,294 @@
+/**
+ * @file
+ * Urgent tasks: when nothing fits, batch tasks make room.
+ *
+ * The victims are tasks of one worker that lose the least work. The urgent
+ * task claims the room that they leave, so that nothing else takes it, and is
+ * started when they are gone.
+ */
+#include "cyc_core_internal.h"
+
+/* Newest batch tasks whose workers are compared: bounds the cost. */
+#define LOOK_VICTIMS 48
+#define MOST_VICTIMS 8
+
+struct victims
+{
+  uint32_t rows[MOST_VICTIMS];
+  uint32_t count;
+  uint64_t lost; /**< millicores times microseconds */
+};
+
+static bool
+floor_allows (const struct cyc_core_state *st, const struct core_team *team,
+              uint64_t millicores)
+{
+  uint64_t floor = st->total_millicores * team->share_permille / 1000
+                   * st->desc.batch_floor_permille / 1000;
+
+  return team->batch_millicores
+         >= floor + team->preempt_millicores + millicores;
+}
+
+static bool
+is_victim (const struct cyc_core_state *st, uint32_t row)
+{
+  const struct core_task *task = &st->tasks[row];
+  const struct core_queue *queue = &st->queues[st->jobs[task->job].queue];
+
+  return queue->kind == CYC_KIND_BATCH && !queue->urgent && queue->repeatable
+         && task->state == CYC_TASK_RUNNING && task->stage == CORE_STAGE_NONE;
+}
+
+static uint64_t
+lost_work (const struct cyc_core_state *st, const struct core_task *task)
+{
+  return (st->now_us - task->kept_us) * (task->declared.millicores + 1ULL);
+}
+
+/* What the worker will have free when the victims are gone. */
+static struct cyc_res
+room_without (const struct cyc_core_state *st, uint32_t row,
+              const struct victims *victims)
+{
+  struct core_worker copy = st->workers[row];
+
+  for (uint32_t i = 0; i < victims->count; i++)
+    {
+      const struct core_task *task = &st->tasks[victims->rows[i]];
+
+      copy.reserved = core_res_sub (copy.reserved, task->reserved);
+      copy.declared = core_res_sub (copy.declared, task->declared);
+      if (task->started_us > copy.measured_us)
+        copy.since = core_res_sub (copy.since, task->reserved);
+      else
+        copy.measured = core_res_sub (copy.measured, task->used);
+      copy.tasks.count--;
+    }
+  return core_worker_room (st, &copy, (struct cyc_res){ 0 });
+}
+
+/* With @p team set only its own tasks count, because their end also frees
+ * its balance. */
+struct wish
+{
+  struct core_want want;
+  uint32_t team;
+  uint64_t millicores; /**< balance that is missing */
+  uint64_t accelerators;
+};
+
+static bool
+enough (const struct cyc_core_state *st, uint32_t worker,
+        const struct victims *victims, const struct wish *wish)
+{
+  uint64_t millicores = 0;
+  uint64_t accelerators = 0;
+
+  for (uint32_t i = 0; i < victims->count; i++)
+    {
+      millicores += st->tasks[victims->rows[i]].declared.millicores;
+      accelerators += st->tasks[victims->rows[i]].declared.accelerators;
+    }
+  return millicores >= wish->millicores && accelerators >= wish->accelerators
+         && core_res_fits (wish->want.need,
+                           room_without (st, worker, victims));
+}
+
+static uint64_t
+chosen_of_team (const struct cyc_core_state *st, const struct victims *victims,
+                uint32_t team)
+{
+  uint64_t sum = 0;
+
+  for (uint32_t i = 0; i < victims->count; i++)
+    {
+      const struct core_task *task = &st->tasks[victims->rows[i]];
+
+      if (st->queues[st->jobs[task->job].queue].team == team)
+        sum += task->declared.millicores;
+    }
+  return sum;
+}
+
+/* Newest first: they lost the least. */
+static bool
+choose_on_worker (const struct cyc_core_state *st, uint32_t worker,
+                  const struct wish *wish, struct victims *out)
+{
+  *out = (struct victims){ 0 };
+  for (uint32_t t = st->workers[worker].tasks.tail; t != CORE_NONE;
+       t = st->tasks[t].in_place.prev)
+    {
+      const struct core_task *task = &st->tasks[t];
+      uint32_t team = st->queues[st->jobs[task->job].queue].team;
+
+      if (!is_victim (st, t) || (wish->team != CORE_NONE && wish->team != team)
+          || !floor_allows (st, &st->teams[team],
+                            chosen_of_team (st, out, team)
+                                + task->declared.millicores))
+        continue;
+      out->rows[out->count++] = t;
+      out->lost += lost_work (st, task);
+      if (enough (st, worker, out, wish))
+        return true;
+      if (out->count == MOST_VICTIMS)
+        return false;
+    }
+  return false;
+}
+
+static bool
+bound_allows (const struct cyc_core_state *st, uint32_t victims)
+{
+  return (st->preempting + victims) * 1000
+         <= st->batch_running * st->desc.preempt_max_permille;
+}
+
+static bool
+worker_ready (const struct cyc_core_state *st, uint32_t worker,
+              const struct wish *wish)
+{
+  const struct core_task *task = &st->tasks[wish->want.task];
+
+  for (uint32_t i = 0; i < task->failed_count; i++)
+    if (task->failed_on[i] == worker)
+      return false;
+  return core_worker_usable (st, &st->workers[worker])
+         && st->workers[worker].refused_until_us <= st->now_us
+         && (st->workers[worker].reserved_until_us <= st->now_us
+             || wish->want.end_us <= st->workers[worker].reserved_until_us);
+}
+
+static uint32_t
+choose (const struct cyc_core_state *st, const struct wish *wish,
+        struct victims *best)
+{
+  uint32_t at = CORE_NONE;
+  uint32_t row = st->batch.tail;
+
+  for (uint32_t i = 0; row != CORE_NONE && i < LOOK_VICTIMS; i++)
+    {
+      uint32_t worker = st->tasks[row].worker;
+      struct victims found;
+
+      if (is_victim (st, row) && worker_ready (st, worker, wish)
+          && choose_on_worker (st, worker, wish, &found)
+          && bound_allows (st, found.count)
+          && (at == CORE_NONE || found.lost < best->lost))
+        {
+          *best = found;
+          at = worker;
+        }
+      row = st->tasks[row].in_batch.prev;
+    }
+  return at;
+}
+
+static void
+claim (struct cyc_core_state *st, const struct wish *wish, uint32_t worker)
+{
+  struct core_task *task = &st->tasks[wish->want.task];
+
+  task->claim_worker = worker;
+  task->claim = wish->want.need;
+  st->workers[worker].held
+      = core_res_add (st->workers[worker].held, task->claim);
+  core_list_append (&st->claims, CORE_ROWS (st->tasks, in_claim),
+                    wish->want.task);
+  core_worker_refresh (st, worker);
+}
+
+static void
+preempt (struct cyc_core_state *st, uint32_t row)
+{
+  struct core_task *task = &st->tasks[row];
+  const struct core_queue *queue = &st->queues[st->jobs[task->job].queue];
+
+  task->preempted = true;
+  st->preempting++;
+  st->preempted++;
+  st->teams[queue->team].preempt_millicores += task->declared.millicores;
+  core_task_stop (st, row, CORE_STAGE_CHECKPOINT);
+}
+
+static uint64_t
+missing (uint64_t used, uint64_t more, uint64_t balance)
+{
+  return used + more > balance ? used + more - balance : 0;
+}
+
+bool
+core_preempt_for (struct cyc_core_state *st, uint32_t task)
+{
+  const struct core_queue *queue
+      = &st->queues[st->jobs[st->tasks[task].job].queue];
+  const struct core_team *team = &st->teams[queue->team];
+  struct victims victims = { 0 };
+  struct wish wish = { .team = CORE_NONE };
+  uint32_t worker;
+
+  core_want_set (st, task, &wish.want);
+  wish.millicores = missing (team->used_millicores, queue->size.millicores,
+                             team->balance_millicores);
+  wish.accelerators
+      = missing (team->used_accelerators, queue->size.accelerators,
+                 team->balance_accelerators);
+  if (wish.millicores > 0 || wish.accelerators > 0)
+    wish.team = queue->team;
+  worker = choose (st, &wish, &victims);
+  if (worker == CORE_NONE)
+    return false;
+  claim (st, &wish, worker);
+  for (uint32_t i = 0; i < victims.count; i++)
+    preempt (st, victims.rows[i]);
+  return true;
+}
+
+static bool
+victims_remain (const struct cyc_core_state *st, uint32_t worker)
+{
+  struct core_rows rows = CORE_ROWS (st->tasks, in_place);
+
+  for (uint32_t t = st->workers[worker].tasks.head; t != CORE_NONE;
+       t = core_list_next (rows, t))
+    if (st->tasks[t].preempted)
+      return true;
+  return false;
+}
+
+/* A claim whose victims are gone and that still does not fit is dropped; the
+ * task is then placed like any other. */
+static void
+try_claim (struct cyc_core_state *st, uint32_t row)
+{
+  uint32_t queue = st->jobs[st->tasks[row].job].queue;
+  uint32_t worker = CORE_NONE;
+  struct core_want want;
+
+  core_want_set (st, row, &want);
+  if (core_team_has_balance (st, queue, 1) && !core_task_held (st, row))
+    worker = core_find_room (st, &want);
+  if (worker != CORE_NONE)
+    {
+      st->starts_left--;
+      core_start_on (st, row, worker);
+    }
+  else if (!victims_remain (st, st->tasks[row].claim_worker))
+    core_task_drop_claim (st, row);
+}
+
+void
+core_sys_urgent (struct cyc_core_state *st)
+{
+  struct core_rows rows = CORE_ROWS (st->tasks, in_claim);
+  uint32_t next;
+
+  for (uint32_t t = st->claims.head; t != CORE_NONE && st->starts_left > 0;
+       t = next)
+    {
+      next = core_list_next (rows, t);
+      try_claim (st, t);
+    }
+  core_sys_class (st, CORE_URGENT);
+}
--- a/src/cyc_core_worker.c
+++ b/src/cyc_core_worker.c
@@ -86,7 +86,7 @@
  * trigger the protection against overload. */
 struct cyc_res
 core_worker_room (const struct cyc_core_state *st,
-                  const struct core_worker *worker)
+                  const struct core_worker *worker, struct cyc_res own_claim)
 {
   struct cyc_res ceiling = worker->capacity;
   struct cyc_res committed = core_res_max (
@@ -100,7 +100,8 @@
           = part (ceiling.memory_mib, st->desc.worker_high_permille);
     }
   committed.accelerators = worker->declared.accelerators;
-  return core_res_sub (core_res_sub (ceiling, committed), worker->held);
+  return core_res_sub (core_res_sub (ceiling, committed),
+                       core_res_sub (worker->held, own_claim));
 }
 
 static void
@@ -127,7 +128,7 @@
   uint32_t bucket;
 
   if (usable)
-    free = core_worker_room (st, worker);
+    free = core_worker_room (st, worker, free);
   count_rack (st, worker, free);
   bucket = usable ? bucket_of (free) : CORE_NONE;
   if (bucket == worker->bucket)
--- /dev/null
+++ b/tests/test_core_urgent.c
@@ -0,0 +1,168 @@
+/**
+ * @file
+ * Preemption by urgent tasks: it must be fast, cheap and bounded.
+ */
+#include "tst_core.h"
+
+static struct tst_core t;
+
+static void
+open_full (struct cyc_core_desc desc, bool repeatable, uint64_t balance)
+{
+  struct cyc_queue_cfg urgent = { .kind = CYC_KIND_BATCH,
+                                  .urgent = true,
+                                  .repeatable = true,
+                                  .size = { 2000, 2000, 0 },
+                                  .run_s = 5 };
+  struct cyc_queue_cfg batch = urgent;
+
+  tst_core_open (&t, desc);
+  tst_core_worker (&t, "w0", "r0");
+  tst_core_worker (&t, "w1", "r0");
+  tst_core_worker (&t, "w2", "r1");
+  tst_core_worker (&t, "w3", "r1");
+  tst_core_team (&t, "team", 500, balance);
+  tst_core_queue_cfg (&t, "urgent", "team", urgent);
+  batch.urgent = false;
+  batch.repeatable = repeatable;
+  tst_core_queue_cfg (&t, "batch", "team", batch);
+  for (uint32_t i = 0; i < 12; i++)
+    {
+      tst_core_job (&t, i + 1, "batch", 1);
+      tst_core_tick (&t, TST_SECOND / 10);
+      tst_core_answer (&t, CYC_DECISION_START, CYC_TASK_EVENT_STARTED);
+    }
+}
+
+static void
+newest_batch_task_makes_room_and_nothing_else_takes_it (void **state)
+{
+  struct cyc_name worker;
+
+  (void)state;
+  open_full ((struct cyc_core_desc){ 0 }, true, 100000);
+  assert_int_equal (tst_core_totals (&t).running_tasks, 12);
+  tst_core_job (&t, 100, "urgent", 1);
+  tst_core_job (&t, 101, "batch", 5);
+  tst_core_tick (&t, 1000);
+  assert_int_equal (t.count, 1);
+  assert_int_equal (t.out[0].kind, CYC_DECISION_CHECKPOINT);
+  assert_true (cyc_id128_eq (&t.out[0].job, &(struct cyc_id128){ { 12 } }));
+  worker = t.out[0].worker_name;
+  tst_core_tick (&t, 1000);
+  assert_int_equal (t.count, 0);
+  tst_core_report (&t, 12, 0, CYC_TASK_EVENT_CHECKPOINTED);
+  tst_core_tick (&t, 1000);
+  assert_int_equal (t.count, 1);
+  assert_true (cyc_id128_eq (&t.out[0].job, &(struct cyc_id128){ { 100 } }));
+  assert_true (cyc_name_eq (&worker, &t.out[0].worker_name));
+  tst_core_close (&t);
+}
+
+static void
+room_of_the_first_victim_is_kept_until_the_second_is_gone (void **state)
+{
+  struct cyc_queue_cfg big = { .kind = CYC_KIND_BATCH,
+                               .urgent = true,
+                               .repeatable = true,
+                               .size = { 4000, 4000, 0 } };
+  struct cyc_decision second;
+
+  (void)state;
+  open_full ((struct cyc_core_desc){ 0 }, true, 100000);
+  tst_core_queue_cfg (&t, "big", "team", big);
+  tst_core_job (&t, 100, "big", 1);
+  tst_core_job (&t, 101, "batch", 5);
+  tst_core_tick (&t, 1000);
+  assert_int_equal (tst_core_count (&t, CYC_DECISION_CHECKPOINT), 2);
+  second = t.out[1];
+  cyc_core_task_report (&t.core, &t.out[0].job, 0, CYC_TASK_EVENT_CHECKPOINTED,
+                        t.now_us);
+  tst_core_tick (&t, 1000);
+  assert_int_equal (t.count, 0);
+  cyc_core_task_report (&t.core, &second.job, 0, CYC_TASK_EVENT_CHECKPOINTED,
+                        t.now_us);
+  tst_core_tick (&t, 1000);
+  assert_int_equal (t.count, 1);
+  assert_true (cyc_id128_eq (&t.out[0].job, &(struct cyc_id128){ { 100 } }));
+  tst_core_close (&t);
+}
+
+static void
+silent_victim_is_throttled_then_stopped (void **state)
+{
+  static const enum cyc_decision_kind steps[]
+      = { CYC_DECISION_CHECKPOINT, CYC_DECISION_THROTTLE, CYC_DECISION_STOP,
+          CYC_DECISION_REFUSE };
+  uint32_t seen = 0;
+
+  (void)state;
+  open_full ((struct cyc_core_desc){ 0 }, true, 100000);
+  tst_core_job (&t, 100, "urgent", 1);
+  for (int i = 0; i < 16; i++)
+    {
+      tst_core_tick (&t, TST_SECOND / 4);
+      for (uint32_t k = 0; k < t.count; k++)
+        {
+          assert_int_equal (t.out[k].kind, steps[seen < 3 ? seen : 3]);
+          seen++;
+        }
+    }
+  assert_int_equal (seen, 3);
+  tst_core_close (&t);
+}
+
+struct bound_case
+{
+  uint32_t floor_permille;
+  uint32_t preempt_permille;
+  bool repeatable;
+  uint64_t balance;
+  uint32_t victims; /**< of 12 running, for 10 urgent tasks */
+};
+
+static const struct bound_case bound_cases[] = {
+  { 100, 300, true, 100000, 3 },  { 100, 500, true, 100000, 6 },
+  { 1000, 300, true, 100000, 2 }, /* 24,000 - 2 x 2,000 = 50% of 40,000 */
+  { 100, 300, false, 100000, 0 }, /* a stop could not be undone */
+  { 100, 300, true, 24000, 3 },   /* the team makes room in its balance */
+};
+
+static void
+preemption_keeps_its_bounds (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof bound_cases / sizeof bound_cases[0]; i++)
+    {
+      const struct bound_case *c = &bound_cases[i];
+      struct cyc_core_desc desc
+          = { .batch_floor_permille = c->floor_permille,
+              .preempt_max_permille = c->preempt_permille };
+
+      open_full (desc, c->repeatable, c->balance);
+      assert_int_equal (tst_core_totals (&t).running_tasks, 12);
+      tst_core_job (&t, 100, "urgent", 10);
+      tst_core_tick (&t, 1000);
+      assert_int_equal (tst_core_count (&t, CYC_DECISION_CHECKPOINT),
+                        c->victims);
+      tst_core_answer (&t, CYC_DECISION_CHECKPOINT,
+                       CYC_TASK_EVENT_CHECKPOINTED);
+      tst_core_tick (&t, 1000);
+      assert_int_equal (tst_core_count (&t, CYC_DECISION_START), c->victims);
+      tst_core_close (&t);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (newest_batch_task_makes_room_and_nothing_else_takes_it),
+    cmocka_unit_test (
+        room_of_the_first_victim_is_kept_until_the_second_is_gone),
+    cmocka_unit_test (silent_victim_is_throttled_then_stopped),
+    cmocka_unit_test (preemption_keeps_its_bounds),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
