Reserve workers for the oldest gang that does not fit

A gang needs all its tasks at once, so a stream of small tasks starves it: each one that ends is replaced before enough are free. The oldest gang that does not fit gets a reservation of 30 s on workers that will have room; other work goes there only if by its learned run time it ends 2 s before the deadline, or if it leaves the room free.

--- a/src/cyc_core_gang.c
+++ b/src/cyc_core_gang.c
@@ -1,6 +1,10 @@
 /**
  * @file
  * Gangs: all queued tasks of a gang are placed in one tick or none is.
+ *
+ * Nothing is held for a part of a gang. The oldest gang that does not fit gets
+ * a reservation: workers that will have room when their present tasks end take
+ * only work that ends before the deadline, or that leaves the room free.
  */
 #include "cyc_core_internal.h"
 
@@ -8,6 +12,10 @@
  * bound the cost of gangs that do not fit. */
 #define RETRY_PAUSE_US 100000
 #define TRIES_PER_TICK 8
+/* A gang that could not use this many reservations leaves them to others. */
+#define MOST_RESERVATIONS 10
+/* Workers are ordered by the number of the gang's tasks that fit now. */
+#define FIT_CLASSES 33
 /* Racks in which the whole gang is tried. */
 #define TRY_RACKS 4
 
@@ -37,7 +45,7 @@
       uint32_t worker;
 
       core_want_set (st, row, &want);
-      want.past_reservation = st->reserved_job == job;
+      want.past_reservation |= st->reserved_job == job;
       worker = rack == CORE_NONE ? core_find_room (st, &want)
                                  : core_find_in_rack (st, &want, rack);
       if (worker == CORE_NONE)
@@ -81,6 +89,127 @@
   return place_all (st, job, CORE_NONE);
 }
 
+static uint32_t
+times (struct cyc_res room, struct cyc_res need)
+{
+  uint32_t count = FIT_CLASSES - 1;
+
+  if (need.millicores > 0 && room.millicores / need.millicores < count)
+    count = room.millicores / need.millicores;
+  if (need.memory_mib > 0 && room.memory_mib / need.memory_mib < count)
+    count = room.memory_mib / need.memory_mib;
+  if (need.accelerators > 0 && room.accelerators / need.accelerators < count)
+    count = room.accelerators / need.accelerators;
+  return count;
+}
+
+/* Tasks that fit when everything but replicas has ended. An empty worker has
+ * more room for its first task than for several, so it is not counted as
+ * empty unless only one fits. */
+static uint32_t
+fits_in_time (const struct cyc_core_state *st, uint32_t row,
+              const struct core_queue *queue)
+{
+  struct core_rows rows = CORE_ROWS (st->tasks, in_place);
+  struct core_worker copy = st->workers[row];
+  uint32_t services = 0;
+  uint32_t fits;
+
+  for (uint32_t t = copy.tasks.head; t != CORE_NONE;
+       t = core_list_next (rows, t))
+    {
+      const struct core_task *task = &st->tasks[t];
+
+      services += st->jobs[task->job].service;
+      if (st->jobs[task->job].service)
+        continue;
+      copy.reserved = core_res_sub (copy.reserved, task->reserved);
+      copy.declared = core_res_sub (copy.declared, task->declared);
+      copy.measured = core_res_sub (copy.measured, task->used);
+    }
+  copy.since = (struct cyc_res){ 0 };
+  copy.tasks.count = 1;
+  fits = times (core_worker_room (st, &copy, copy.since), queue->estimate);
+  if (fits == 0 && services == 0)
+    fits = core_res_fits (queue->size, copy.capacity);
+  return fits;
+}
+
+/* Orders usable workers in scratch by the number of tasks that fit now, most
+ * first, so that the reservation waits for as few tasks as possible. */
+static uint32_t
+order_workers (struct cyc_core_state *st, struct cyc_res need)
+{
+  uint32_t start[FIT_CLASSES + 1] = { 0 };
+  uint32_t count = 0;
+
+  for (uint32_t w = 0; w < st->worker_pool.high; w++)
+    if (st->workers[w].bucket != CORE_NONE
+        && cyc_pool_used_at (&st->worker_pool, w))
+      start[FIT_CLASSES - times (st->workers[w].free, need)]++;
+  for (uint32_t i = 1; i <= FIT_CLASSES; i++)
+    start[i] += start[i - 1];
+  for (uint32_t w = 0; w < st->worker_pool.high; w++)
+    if (st->workers[w].bucket != CORE_NONE
+        && cyc_pool_used_at (&st->worker_pool, w))
+      {
+        uint32_t class = times (st->workers[w].free, need);
+
+        st->scratch[start[FIT_CLASSES - class - 1]++] = w;
+        count++;
+      }
+  return count;
+}
+
+static void
+hold (struct core_worker *worker, struct cyc_res need, uint32_t tasks,
+      uint64_t deadline_us)
+{
+  worker->reserved_until_us = deadline_us;
+  worker->gang_hold
+      = (struct cyc_res){ need.millicores * tasks, need.memory_mib * tasks,
+                          need.accelerators * tasks };
+}
+
+static void
+reserve (struct cyc_core_state *st, uint32_t job)
+{
+  const struct core_queue *queue = &st->queues[st->jobs[job].queue];
+  struct cyc_res need = queue->estimate;
+  uint32_t left = st->jobs[job].queued.count;
+  uint32_t workers = order_workers (st, need);
+
+  st->reserved_job = job;
+  st->reserved_deadline_us = st->now_us + st->desc.gang_reserve_ms * 1000ULL;
+  st->jobs[job].reservations++;
+  for (uint32_t i = 0; i < workers && left > 0; i++)
+    {
+      uint32_t fits = fits_in_time (st, st->scratch[i], queue);
+
+      fits = fits < left ? fits : left;
+      if (fits == 0)
+        continue;
+      hold (&st->workers[st->scratch[i]], need, fits,
+            st->reserved_deadline_us);
+      left -= fits;
+    }
+  /* Holding workers for a gang that cannot fit would only waste them. */
+  if (left > 0)
+    core_gang_unreserve (st);
+}
+
+void
+core_gang_unreserve (struct cyc_core_state *st)
+{
+  st->reserved_job = CORE_NONE;
+  st->reserved_deadline_us = 0;
+  for (uint32_t w = 0; w < st->worker_pool.high; w++)
+    {
+      st->workers[w].reserved_until_us = 0;
+      st->workers[w].gang_hold = (struct cyc_res){ 0 };
+    }
+}
+
 static bool
 gang_held (const struct cyc_core_state *st, uint32_t job)
 {
@@ -123,30 +252,35 @@
 {
   struct core_job *j = &st->jobs[job];
   uint32_t tasks = j->queued.count;
+  bool balance;
 
   j->retry_us = st->now_us + RETRY_PAUSE_US;
   if (gang_held (st, job))
     return;
-  if (core_team_has_balance (st, j->queue, tasks) && place_gang (st, job))
+  balance = core_team_has_balance (st, j->queue, tasks);
+  if (balance && place_gang (st, job))
     {
       st->queues[j->queue].blocked_since_us = 0;
       st->starts_left -= tasks < st->starts_left ? tasks : st->starts_left;
+      if (st->reserved_job == job)
+        core_gang_unreserve (st);
       return;
     }
   if (st->queues[j->queue].blocked_since_us == 0)
     st->queues[j->queue].blocked_since_us = st->now_us;
-  core_never_check (st, job, tasks);
-}
-
-void
-core_gang_unreserve (struct cyc_core_state *st)
-{
-  st->reserved_job = CORE_NONE;
+  if (!core_never_check (st, job, tasks) && balance
+      && st->reserved_job == CORE_NONE && j->reservations < MOST_RESERVATIONS)
+    reserve (st, job);
 }
 
 void
 core_sys_gang (struct cyc_core_state *st)
 {
+  if (st->reserved_job != CORE_NONE
+      && (st->now_us >= st->reserved_deadline_us
+          || st->jobs[st->reserved_job].end != CORE_END_NONE
+          || st->jobs[st->reserved_job].queued.count == 0))
+    core_gang_unreserve (st);
   for (uint32_t i = 0; i < TRIES_PER_TICK && st->starts_left > 0; i++)
     {
       uint32_t job = oldest_gang (st);
--- a/src/cyc_core_internal.h
+++ b/src/cyc_core_internal.h
@@ -189,9 +189,10 @@
   uint32_t done;
   uint32_t failed;
   uint32_t unknown;
-  uint32_t cancel_left; /**< tasks that the cancel system has not seen */
-  uint8_t end;          /**< enum core_end */
-  bool started;         /**< some task was started */
+  uint32_t reservations; /**< gang: had so far */
+  uint32_t cancel_left;  /**< tasks that the cancel system has not seen */
+  uint8_t end;           /**< enum core_end */
+  bool started;          /**< some task was started */
   bool service;
   bool in_cancel;
   bool in_ended;
@@ -302,7 +303,6 @@
   double retry_tokens;
   uint64_t random;
   uint32_t reserved_job; /**< gang that holds the reservation */
-  uint64_t reserved_sequence;
   uint64_t reserved_deadline_us;
   uint32_t fails_left; /**< unsuccessful searches left in this tick */
   uint32_t starts_left;
--- a/src/cyc_core_place.c
+++ b/src/cyc_core_place.c
@@ -15,6 +15,10 @@
 /* Workers examined in one search over all buckets. */
 #define LOOK_TOTAL 160
 
+/* Backfill ends this much before the deadline, because ends are reported with
+ * a lag of one heartbeat and the gang must still be tried before it. */
+#define BACKFILL_MARGIN_US 2000000
+
 static uint32_t
 floor_class (uint32_t value, uint32_t most)
 {
@@ -39,10 +43,12 @@
 {
   if (worker->reserved_until_us <= st->now_us || want->past_reservation)
     return true;
-  if (want->end_us <= worker->reserved_until_us)
+  if (want->end_us + BACKFILL_MARGIN_US <= worker->reserved_until_us)
     return true;
-  return core_res_fits (want->need,
-                        core_res_sub (worker->free, worker->gang_hold));
+  /* The first task of an empty worker has more room than the next ones. */
+  return worker->tasks.count > 0
+         && core_res_fits (want->need,
+                           core_res_sub (worker->free, worker->gang_hold));
 }
 
 bool
@@ -79,9 +85,10 @@
     .declared = queue->size,
     .task = task,
     .queue = row,
-    .end_us = UINT64_MAX,
+    .end_us = UINT64_MAX / 2,
+    .past_reservation = core_class_of (queue) == CORE_URGENT,
   };
-  if (queue->kind != CYC_KIND_SERVICE && run_us > 0)
+  if (queue->kind != CYC_KIND_SERVICE && run_us > 0 && run_us < 1e15)
     want->end_us = st->now_us + (uint64_t)run_us;
 }
 
--- /dev/null
+++ b/tests/test_core_gang.c
@@ -0,0 +1,160 @@
+/**
+ * @file
+ * Gangs: never a part of one, and never starved by a stream of small tasks.
+ */
+#include "tst_core.h"
+
+#define MOST_RUNNING 64
+
+static struct tst_core t;
+
+struct running
+{
+  struct cyc_id128 job;
+  uint32_t task;
+  uint64_t end_us;
+};
+
+static struct running runs[MOST_RUNNING];
+static uint32_t run_count;
+
+static void
+open_three (uint32_t batch_run_s)
+{
+  struct cyc_queue_cfg batch = { .kind = CYC_KIND_BATCH,
+                                 .repeatable = true,
+                                 .size = { 2000, 2000, 0 },
+                                 .run_s = batch_run_s };
+
+  tst_core_open (&t, (struct cyc_core_desc){ 0 });
+  run_count = 0;
+  tst_core_worker (&t, "w0", "r0");
+  tst_core_worker (&t, "w2", "r1");
+  tst_core_worker (&t, "w1", "r0");
+  tst_core_team (&t, "team", 500, 1000000);
+  tst_core_team (&t, "other", 500, 1000000);
+  tst_core_queue_cfg (&t, "batch", "team", batch);
+  tst_core_queue (&t, "gang", "other", CYC_KIND_GANG, 2000);
+}
+
+static void
+end_due (void)
+{
+  for (uint32_t i = 0; i < run_count;)
+    {
+      if (runs[i].end_us > t.now_us)
+        {
+          i++;
+          continue;
+        }
+      cyc_core_task_report (&t.core, &runs[i].job, runs[i].task,
+                            CYC_TASK_EVENT_DONE, t.now_us);
+      runs[i] = runs[--run_count];
+    }
+}
+
+/* One second with a steady stream of batch tasks that run @p run_s. Returns
+ * the gang's starts. */
+static uint32_t
+second (uint32_t number, uint32_t run_s)
+{
+  uint32_t gang = 0;
+
+  end_due ();
+  tst_core_job (&t, number, "batch", 1);
+  tst_core_tick (&t, TST_SECOND);
+  for (uint32_t i = 0; i < t.count; i++)
+    {
+      const struct cyc_decision *d = &t.out[i];
+
+      if (d->kind != CYC_DECISION_START)
+        continue;
+      gang += d->work == CYC_KIND_GANG;
+      assert_true (run_count < MOST_RUNNING);
+      runs[run_count++] = (struct running){ d->job, d->task_index,
+                                            t.now_us + run_s * TST_SECOND };
+      cyc_core_task_renewed (&t.core, &d->job, d->task_index,
+                             t.now_us + 1000 * TST_SECOND);
+    }
+  return gang;
+}
+
+struct gang_case
+{
+  uint32_t batch_run_s;
+  uint32_t tasks;
+  uint32_t within_s; /**< 0: never */
+};
+
+static const struct gang_case gang_cases[] = {
+  { 9, 9, 32 },    /* backfill ends before the deadline of 30 s */
+  { 20, 9, 34 },   /* longer tasks are kept off near the deadline */
+  { 100, 9, 110 }, /* too long for the reservation: workers drain */
+  { 9, 6, 32 },    { 20, 10, 0 },
+};
+
+static void
+gang_starts_whole_and_is_not_starved (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof gang_cases / sizeof gang_cases[0]; i++)
+    {
+      const struct gang_case *c = &gang_cases[i];
+      uint32_t number = 1;
+      uint32_t waited = 0;
+      uint32_t started = 0;
+
+      open_three (c->batch_run_s);
+      while (number < 30)
+        second (number++, c->batch_run_s);
+      tst_core_job (&t, 10000, "gang", c->tasks);
+      for (; waited < 150 && started == 0; waited++)
+        started = second (number++, c->batch_run_s);
+      assert_int_equal (started, c->within_s > 0 ? c->tasks : 0);
+      if (c->within_s > 0)
+        assert_in_range (waited, 1, c->within_s);
+      tst_core_close (&t);
+    }
+}
+
+static void
+gang_prefers_one_rack (void **state)
+{
+  (void)state;
+  open_three (9);
+  tst_core_job (&t, 1, "batch", 1);
+  tst_core_tick (&t, 1000);
+  tst_core_job (&t, 10000, "gang", 5);
+  tst_core_tick (&t, 1000);
+  assert_int_equal (tst_core_count (&t, CYC_DECISION_START), 5);
+  for (uint32_t i = 0; i < t.count; i++)
+    assert_int_not_equal (t.out[i].worker_name.data[1], '2');
+  tst_core_close (&t);
+}
+
+static void
+two_gangs_that_fit_only_alone_both_run (void **state)
+{
+  uint32_t started = 0;
+
+  (void)state;
+  open_three (9);
+  tst_core_job (&t, 10000, "gang", 8);
+  tst_core_job (&t, 10001, "gang", 8);
+  for (uint32_t i = 1; i < 60; i++)
+    started += second (i, 9);
+  assert_int_equal (started, 16);
+  tst_core_close (&t);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (gang_starts_whole_and_is_not_starved),
+    cmocka_unit_test (gang_prefers_one_rack),
+    cmocka_unit_test (two_gangs_that_fit_only_alone_both_run),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
