Trace inputs and decisions of the core and replay them

A decision that looks wrong in production must be repeatable. Each input and tick writes one text line through desc.trace; a tick carries the digest of its decisions. cyc_core_replay_setup and cyc_core_replay_line, added to core.h, apply the lines and count ticks that decide otherwise.

--- a/include/cyclamendrum/core.h
+++ b/include/cyclamendrum/core.h
@@ -245,6 +245,22 @@
 uint32_t cyc_core_tick (struct cyc_core *core, uint64_t now_us,
                         struct cyc_decision *out, uint32_t max);
 
+/** Progress of a replay. */
+struct cyc_core_replay
+{
+  struct cyc_decision *out; /**< room for one tick */
+  uint32_t max;             /**< rows of out */
+  uint64_t ticks;
+  uint64_t decisions;
+  uint64_t mismatches; /**< ticks that decided otherwise */
+  uint64_t first_mismatch_us;
+};
+/** Reads the first line of a trace; false when it is no "setup" line. */
+bool cyc_core_replay_setup (struct cyc_str line, struct cyc_core_desc *out);
+/** Applies one further line; false when the line is malformed. */
+bool cyc_core_replay_line (struct cyc_core *core, struct cyc_str line,
+                           struct cyc_core_replay *replay);
+
 struct cyc_core_task_view
 {
   struct cyc_id128 job;
--- a/src/cyc_core_input.c
+++ b/src/cyc_core_input.c
@@ -4,6 +4,7 @@
  */
 #include "cyc_core_internal.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 enum cyc_core_status
@@ -12,6 +13,10 @@
   struct cyc_core_state *st = core->state;
   uint32_t row = core_find_team (st, cyc_name_str (&team->name));
 
+  core_trace (st, "team %.*s %u %" PRIu64 " %" PRIu64,
+              CYC_FMT (core_word (cyc_name_str (&team->name))),
+              team->share_permille, team->balance_millicores,
+              team->balance_accelerators);
   if (team->name.len == 0)
     return CYC_CORE_INVALID;
   if (row == CORE_NONE)
@@ -117,6 +122,12 @@
   uint32_t row = core_find_queue (st, cyc_name_str (&queue->name));
   uint32_t team;
 
+  core_trace (st, "queue %.*s %.*s %d %d %d %d %u %u %u %u",
+              CYC_FMT (core_word (cyc_name_str (&queue->name))),
+              CYC_FMT (core_word (cyc_name_str (&queue->team))),
+              (int)queue->kind, (int)queue->spread, queue->urgent,
+              queue->repeatable, queue->size.millicores,
+              queue->size.memory_mib, queue->size.accelerators, queue->run_s);
   if (queue->name.len == 0 || queue->team.len == 0)
     return CYC_CORE_INVALID;
   team = team_row (core, &queue->team);
@@ -136,6 +147,7 @@
   struct cyc_core_state *st = core->state;
   uint32_t row = core_find_queue (st, queue);
 
+  core_trace (st, "unqueue %.*s", CYC_FMT (core_word (queue)));
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   st->queues[row].removed = true;
@@ -239,6 +251,8 @@
   struct cyc_core_state *st = core->state;
   uint32_t row = core_find_queue (st, queue);
 
+  core_trace (st, "scale %" PRIu64 " %.*s %u", now_us,
+              CYC_FMT (core_word (queue)), replicas);
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   if (st->queues[row].kind != CYC_KIND_SERVICE)
@@ -283,6 +297,7 @@
   uint32_t queue = core_find_queue (st, cyc_name_str (&job->queue));
   uint32_t row;
 
+  core_trace_job (st, job, now_us);
   if (queue == CORE_NONE || st->queues[queue].removed)
     return CYC_CORE_UNKNOWN;
   st->now_us = now_us;
@@ -314,9 +329,12 @@
 cyc_core_job_cancel (struct cyc_core *core, const struct cyc_id128 *job,
                      uint64_t now_us)
 {
+  char hex[33];
   struct cyc_core_state *st = core->state;
   uint32_t row = core_find_job (st, job);
 
+  core_trace_hex (st, job, hex);
+  core_trace (st, "cancel %" PRIu64 " %s", now_us, hex);
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   if (st->jobs[row].service)
--- a/src/cyc_core_internal.h
+++ b/src/cyc_core_internal.h
@@ -307,6 +307,9 @@
   uint32_t fails_left; /**< unsuccessful searches left in this tick */
   uint32_t starts_left;
   bool allow;
+  char *trace_line; /**< only with desc.trace */
+  char *trace_bits;
+  size_t trace_size;
 };
 
 /* Indexes and lists. */
@@ -325,6 +328,21 @@
                        uint32_t row);
 uint32_t core_list_next (struct core_rows rows, uint32_t row);
 
+/* Trace; nothing happens without desc.trace. */
+void core_trace (struct cyc_core_state *st, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+/** Leaves @p out empty when there is no trace, to save the conversion. */
+void core_trace_hex (const struct cyc_core_state *st,
+                     const struct cyc_id128 *id, char out[33]);
+struct cyc_str core_word (struct cyc_str text);
+void core_trace_setup (struct cyc_core_state *st);
+void core_trace_job (struct cyc_core_state *st, const struct cyc_core_job *job,
+                     uint64_t now_us);
+void core_trace_tick (struct cyc_core_state *st, uint64_t now_us,
+                      const struct cyc_decision *out, uint32_t max,
+                      uint32_t count);
+uint64_t core_digest (const struct cyc_decision *out, uint32_t count);
+
 /* Resources. */
 struct cyc_res core_res_add (struct cyc_res a, struct cyc_res b);
 /** Never below zero. */
--- a/src/cyc_core_report.c
+++ b/src/cyc_core_report.c
@@ -4,6 +4,8 @@
  */
 #include "cyc_core_internal.h"
 
+#include <inttypes.h>
+
 /* How long a worker that answered no-room is passed over. */
 #define REFUSED_PAUSE_US 1000000
 
@@ -58,11 +60,19 @@
 cyc_core_task_found (struct cyc_core *core, const struct cyc_core_found *found,
                      uint64_t now_us)
 {
+  char hex[33];
   struct cyc_core_state *st = core->state;
   uint32_t worker = core_find_worker (st, cyc_name_str (&found->worker));
   uint32_t job = found_job (st, found);
   uint32_t row;
 
+  core_trace_hex (st, &found->job, hex);
+  core_trace (st, "found %" PRIu64 " %s %u %.*s %.*s %u %u %u %" PRIu64,
+              now_us, hex, found->task_index,
+              CYC_FMT (core_word (cyc_name_str (&found->worker))),
+              CYC_FMT (core_word (cyc_name_str (&found->queue))),
+              found->size.millicores, found->size.memory_mib,
+              found->size.accelerators, found->lease_deadline_us);
   if (worker == CORE_NONE || job == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   st->now_us = now_us;
@@ -92,11 +102,15 @@
 cyc_core_task_renewed (struct cyc_core *core, const struct cyc_id128 *job,
                        uint32_t task_index, uint64_t lease_deadline_us)
 {
+  char hex[33];
   struct cyc_core_state *st = core->state;
   uint32_t j = core_find_job (st, job);
   uint32_t row
       = j == CORE_NONE ? CORE_NONE : core_find_task (st, j, task_index);
 
+  core_trace_hex (st, job, hex);
+  core_trace (st, "renewed %s %u %" PRIu64, hex, task_index,
+              lease_deadline_us);
   if (row == CORE_NONE || st->tasks[row].worker == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   confirm_running (&st->tasks[row]);
@@ -245,11 +259,15 @@
                       uint32_t task_index, enum cyc_task_event event,
                       uint64_t now_us)
 {
+  char hex[33];
   struct cyc_core_state *st = core->state;
   uint32_t j = core_find_job (st, job);
   uint32_t row
       = j == CORE_NONE ? CORE_NONE : core_find_task (st, j, task_index);
 
+  core_trace_hex (st, job, hex);
+  core_trace (st, "report %" PRIu64 " %s %u %d", now_us, hex, task_index,
+              (int)event);
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   st->now_us = now_us;
--- a/src/cyc_core_setup.c
+++ b/src/cyc_core_setup.c
@@ -137,6 +137,18 @@
          && core_map_setup (&st->spread_map, d->max_tasks, a);
 }
 
+/* Room for the longest line: a job with its bitmap in hex. */
+static bool
+setup_trace (struct cyc_core_state *st, const struct cyc_core_desc *d)
+{
+  if (d->trace == NULL)
+    return true;
+  st->trace_size = 1024 + d->max_tasks / 4;
+  st->trace_line = cyc_alloc (&d->allocator, st->trace_size, 1);
+  st->trace_bits = cyc_alloc (&d->allocator, st->trace_size, 1);
+  return st->trace_line != NULL && st->trace_bits != NULL;
+}
+
 static void
 setup_lists (struct cyc_core_state *st)
 {
@@ -178,8 +190,11 @@
   st->reserved_job = CORE_NONE;
   setup_lists (st);
   if (setup_pools (st, &full) && setup_rows (st, &full)
-      && setup_maps (st, &full))
-    return true;
+      && setup_maps (st, &full) && setup_trace (st, &full))
+    {
+      core_trace_setup (st);
+      return true;
+    }
   if (findings != NULL)
     cyc_findings_add (findings, CYC_STR ("core"), "out of memory");
   cyc_core_shutdown (core);
@@ -222,6 +237,8 @@
   cyc_release (&a, st->tasks);
   cyc_release (&a, st->scratch);
   cyc_release (&a, st->team_scratch);
+  cyc_release (&a, st->trace_line);
+  cyc_release (&a, st->trace_bits);
   cyc_release (&a, st);
   core->state = NULL;
 }
--- a/src/cyc_core_tick.c
+++ b/src/cyc_core_tick.c
@@ -5,6 +5,7 @@
  */
 #include "cyc_core_internal.h"
 
+#include <inttypes.h>
 #include <math.h>
 
 /* Pause between two steps of stopping one task. */
@@ -302,6 +303,7 @@
 {
   struct cyc_core_state *st = core->state;
 
+  core_trace (st, "allow %d", allow);
   if (allow && !st->allow && st->unfenced > 0)
     st->held_sequence = st->sequence;
   st->allow = allow;
@@ -323,6 +325,7 @@
 {
   struct cyc_core_state *st = core->state;
   uint32_t cancel = st->desc.cancel_per_tick;
+  uint32_t count;
 
   st->now_us = now_us;
   st->tick++;
@@ -336,5 +339,7 @@
   st->starts_left = st->emit.count < max ? max - st->emit.count : 0;
   if (st->allow)
     place (st);
-  return core_emit_all (st, out, max);
+  count = core_emit_all (st, out, max);
+  core_trace_tick (st, now_us, out, max, count);
+  return count;
 }
--- a/src/cyc_core_usage.c
+++ b/src/cyc_core_usage.c
@@ -8,6 +8,7 @@
  */
 #include "cyc_core_internal.h"
 
+#include <inttypes.h>
 #include <math.h>
 
 /* Bins are an eighth of a power of two wide, so an estimate is at most 9%
@@ -125,6 +126,7 @@
                      uint32_t task_index, const struct cyc_core_usage *usage,
                      uint64_t now_us)
 {
+  char hex[33];
   struct cyc_core_state *st = core->state;
   uint32_t j = core_find_job (st, job);
   uint32_t row
@@ -132,6 +134,10 @@
   struct core_queue *queue;
   struct core_task *task;
 
+  core_trace_hex (st, job, hex);
+  core_trace (st, "usage %" PRIu64 " %s %u %u %u %u %" PRIu64, now_us, hex,
+              task_index, usage->used.millicores, usage->used.memory_mib,
+              usage->used.accelerators, usage->measured_us);
   if (row == CORE_NONE || st->tasks[row].worker == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   st->now_us = now_us;
@@ -267,6 +273,10 @@
   struct cyc_core_state *st = core->state;
   uint32_t row = core_find_worker (st, worker);
 
+  core_trace (st, "worker-usage %" PRIu64 " %.*s %u %u %u %" PRIu64, now_us,
+              CYC_FMT (core_word (worker)), usage->used.millicores,
+              usage->used.memory_mib, usage->used.accelerators,
+              usage->measured_us);
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   if (usage->measured_us < st->workers[row].measured_us)
--- a/src/cyc_core_worker.c
+++ b/src/cyc_core_worker.c
@@ -8,6 +8,8 @@
  */
 #include "cyc_core_internal.h"
 
+#include <inttypes.h>
+
 static uint32_t
 floor_log2 (uint32_t value)
 {
@@ -225,6 +227,11 @@
   struct cyc_core_state *st = core->state;
   uint32_t row = core_find_worker (st, cyc_name_str (&worker->name));
 
+  core_trace (st, "worker %" PRIu64 " %.*s %.*s %u %u %u %d", now_us,
+              CYC_FMT (core_word (cyc_name_str (&worker->name))),
+              CYC_FMT (core_word (cyc_name_str (&worker->rack))),
+              worker->capacity.millicores, worker->capacity.memory_mib,
+              worker->capacity.accelerators, worker->leaving);
   if (worker->name.len == 0)
     return CYC_CORE_INVALID;
   st->now_us = now_us;
@@ -275,6 +282,8 @@
   struct cyc_core_state *st = core->state;
   uint32_t row = core_find_worker (st, worker);
 
+  core_trace (st, "seen %" PRIu64 " %.*s", now_us,
+              CYC_FMT (core_word (worker)));
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   st->now_us = now_us;
@@ -319,6 +328,8 @@
   struct cyc_core_state *st = core->state;
   uint32_t row = core_find_worker (st, worker);
 
+  core_trace (st, "silent %" PRIu64 " %.*s", now_us,
+              CYC_FMT (core_word (worker)));
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   st->now_us = now_us;
@@ -340,6 +351,8 @@
   uint32_t row = core_find_worker (st, worker);
   struct core_worker *gone;
 
+  core_trace (st, "gone %" PRIu64 " %.*s", now_us,
+              CYC_FMT (core_word (worker)));
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   gone = &st->workers[row];
@@ -371,6 +384,8 @@
   struct cyc_core_state *st = core->state;
   uint32_t row = core_find_worker (st, worker);
 
+  core_trace (st, "unfenced %" PRIu64 " %.*s", until_us,
+              CYC_FMT (core_word (worker)));
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   if (st->workers[row].unfenced_until_us == 0)
--- /dev/null
+++ b/tests/test_core_random.c
@@ -0,0 +1,306 @@
+/**
+ * @file
+ * Random inputs from fixed seeds: the promises hold after every tick, and a
+ * replay of the trace decides the same.
+ */
+#include "tst_core.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#define TASKS 4000
+#define TICKS 1500
+#define TRACE_BYTES (16U << 20)
+
+struct place
+{
+  struct cyc_name worker;
+  uint64_t lease_us;
+  bool running;
+  bool stopping;
+};
+
+static struct tst_core t;
+static struct place places[TASKS]; /* one task per job: index is the job */
+static uint32_t jobs;
+static uint64_t seed;
+static char *trace;
+static size_t trace_len;
+static const char *workers[] = { "w0", "w1", "w2", "w3", "w4", "w5" };
+static bool silent[6];
+
+static uint32_t
+draw (uint32_t below)
+{
+  seed = seed * UINT64_C (6364136223846793005) + 1442695040888963407U;
+  return (uint32_t)(seed >> 33) % below;
+}
+
+static void
+keep_line (void *user, struct cyc_str line)
+{
+  (void)user;
+  assert_true (trace_len + line.len + 2 < TRACE_BYTES);
+  memcpy (trace + trace_len, line.data, line.len);
+  trace_len += line.len;
+  trace[trace_len++] = '\n';
+}
+
+static void
+open_random (uint64_t start)
+{
+  struct cyc_queue_cfg urgent = { .kind = CYC_KIND_BATCH,
+                                  .urgent = true,
+                                  .repeatable = true,
+                                  .size = { 1500, 700, 0 } };
+
+  seed = start;
+  trace_len = 0;
+  jobs = 0;
+  memset (places, 0, sizeof places);
+  memset (silent, 0, sizeof silent);
+  tst_core_open (&t, (struct cyc_core_desc){ .trace = keep_line });
+  for (size_t i = 0; i < 6; i++)
+    tst_core_worker (&t, workers[i], i % 2 == 0 ? "r0" : "r1");
+  tst_core_team (&t, "one", 300, 30000);
+  tst_core_team (&t, "two", 700, 40000);
+  tst_core_queue (&t, "b1", "one", CYC_KIND_BATCH, 1000);
+  tst_core_queue (&t, "b2", "two", CYC_KIND_BATCH, 3000);
+  tst_core_queue (&t, "g2", "two", CYC_KIND_GANG, 2000);
+  tst_core_queue (&t, "s1", "one", CYC_KIND_SERVICE, 500);
+  tst_core_queue_cfg (&t, "u1", "one", urgent);
+  cyc_core_service_scale (&t.core, CYC_STR ("s1"), 4, t.now_us);
+}
+
+static int
+worker_index (const struct cyc_name *name)
+{
+  return name->data[1] - '0';
+}
+
+/* A START must find the task nowhere else, or past its lease there. */
+static void
+check_start (const struct cyc_decision *d)
+{
+  uint32_t number;
+
+  assert_false (silent[worker_index (&d->worker_name)]);
+  if (d->work == CYC_KIND_SERVICE)
+    return;
+  memcpy (&number, d->job.bytes, sizeof number);
+  assert_true (number < TASKS);
+  if (places[number].running)
+    assert_true (t.now_us >= places[number].lease_us + 250000);
+  places[number] = (struct place){ .worker = d->worker_name,
+                                   .lease_us = d->lease_deadline_us,
+                                   .running = true };
+}
+
+static void
+check_balances (void)
+{
+  struct cyc_core_team_view view;
+
+  for (uint32_t i = 0; cyc_core_team_at (&t.core, i, &view); i++)
+    assert_true (view.used_millicores
+                 <= (view.share_permille == 300 ? 30000 : 40000));
+}
+
+static void
+answer (const struct cyc_decision *d)
+{
+  uint32_t number;
+
+  memcpy (&number, d->job.bytes, sizeof number);
+  if (d->kind == CYC_DECISION_START)
+    {
+      check_start (d);
+      cyc_core_task_report (&t.core, &d->job, d->task_index,
+                            draw (50) == 0 ? CYC_TASK_EVENT_FATE_UNKNOWN
+                                           : CYC_TASK_EVENT_STARTED,
+                            t.now_us);
+    }
+  else if ((d->kind == CYC_DECISION_STOP || d->kind == CYC_DECISION_CHECKPOINT)
+           && draw (4) != 0 && !silent[worker_index (&d->worker_name)])
+    {
+      if (d->work != CYC_KIND_SERVICE)
+        places[number].running = false;
+      cyc_core_task_report (&t.core, &d->job, d->task_index,
+                            d->kind == CYC_DECISION_STOP
+                                ? CYC_TASK_EVENT_STOPPED
+                                : CYC_TASK_EVENT_CHECKPOINTED,
+                            t.now_us);
+    }
+}
+
+static void
+end_some (void)
+{
+  static const enum cyc_task_event ends[]
+      = { CYC_TASK_EVENT_DONE, CYC_TASK_EVENT_DONE, CYC_TASK_EVENT_DONE,
+          CYC_TASK_EVENT_FAILED, CYC_TASK_EVENT_REFUSED };
+
+  for (uint32_t i = 0; i < jobs; i++)
+    {
+      struct cyc_id128 id = tst_core_id (i);
+
+      if (!places[i].running || silent[worker_index (&places[i].worker)])
+        continue;
+      /* The worker itself stops a task whose lease is over. */
+      if (t.now_us >= places[i].lease_us)
+        continue;
+      if (draw (12) == 0)
+        {
+          places[i].running = false;
+          cyc_core_task_report (&t.core, &id, 0, ends[draw (5)], t.now_us);
+        }
+      else if (draw (10) == 0)
+        {
+          struct cyc_core_usage usage
+              = { .used = { draw (1500), draw (1200), 0 },
+                  .measured_us = t.now_us - draw (TST_SECOND) };
+
+          places[i].lease_us = t.now_us + 30 * TST_SECOND;
+          assert_int_equal (
+              cyc_core_task_renewed (&t.core, &id, 0, places[i].lease_us),
+              CYC_CORE_OK);
+          cyc_core_task_usage (&t.core, &id, 0, &usage, t.now_us);
+        }
+    }
+}
+
+static void
+disturb (void)
+{
+  uint32_t w = draw (6);
+  struct cyc_str name = cyc_str_of (workers[w]);
+
+  if (draw (30) == 0)
+    {
+      silent[w] = !silent[w];
+      if (silent[w])
+        cyc_core_worker_silent (&t.core, name, t.now_us);
+      else
+        cyc_core_worker_seen (&t.core, name, t.now_us);
+    }
+  if (draw (10) == 0 && !silent[w])
+    {
+      struct cyc_core_usage usage
+          = { .used = { draw (9800), draw (9000), 0 },
+              .measured_us = t.now_us - draw (TST_SECOND) };
+
+      cyc_core_worker_usage (&t.core, name, &usage, t.now_us);
+    }
+  if (jobs > 0 && draw (20) == 0)
+    {
+      struct cyc_id128 id = tst_core_id (draw (jobs));
+
+      cyc_core_job_cancel (&t.core, &id, t.now_us);
+    }
+}
+
+static void
+run_random (uint64_t start)
+{
+  static const char *queues[] = { "b1", "b2", "g2", "u1" };
+
+  open_random (start);
+  for (uint32_t i = 0; i < TICKS; i++)
+    {
+      if (jobs < TASKS && draw (2) == 0)
+        tst_core_job (&t, jobs++, queues[draw (4)], 1);
+      disturb ();
+      end_some ();
+      tst_core_tick (&t, 100000 + draw (200000));
+      for (uint32_t k = 0; k < t.count; k++)
+        answer (&t.out[k]);
+      check_balances ();
+    }
+}
+
+static uint64_t
+replay (struct cyc_core_replay *replay)
+{
+  static struct cyc_decision out[TST_DECISIONS];
+  struct cyc_core_desc desc;
+  struct cyc_findings found = { 0 };
+  struct cyc_core core;
+  size_t at = 0;
+
+  *replay = (struct cyc_core_replay){ .out = out, .max = TST_DECISIONS };
+  while (at < trace_len)
+    {
+      size_t len = strcspn (trace + at, "\n");
+      struct cyc_str line = { trace + at, len };
+
+      if (at == 0)
+        {
+          assert_true (cyc_core_replay_setup (line, &desc));
+          assert_true (cyc_core_setup (&core, &desc, &found));
+        }
+      else
+        assert_true (cyc_core_replay_line (&core, line, replay));
+      at += len + 1;
+    }
+  cyc_core_shutdown (&core);
+  return replay->mismatches;
+}
+
+static void
+promises_hold_and_replay_decides_the_same (void **state)
+{
+  static const uint64_t seeds[] = { 1, 2, 3, 4, 5, 6, 7, 8 };
+  struct cyc_core_replay result;
+
+  (void)state;
+  trace = calloc (TRACE_BYTES, 1);
+  assert_non_null (trace);
+  for (size_t i = 0; i < sizeof seeds / sizeof seeds[0]; i++)
+    {
+      char *line;
+
+      run_random (seeds[i]);
+      assert_true (tst_core_totals (&t).starts > 400);
+      assert_int_equal (replay (&result), 0);
+      assert_int_equal (result.ticks, TICKS);
+      /* A changed input must be noticed. */
+      line = strstr (trace, "\nqueue b1 one");
+      assert_non_null (line);
+      line[8] = '3';
+      assert_true (replay (&result) > 0);
+      tst_core_close (&t);
+    }
+  free (trace);
+}
+
+static const char *const malformed[] = {
+  "jump 1",       "worker x w r 1 1 1 0",
+  "tick 1 2",     "job 1 zz b1 1 0 0 -",
+  "team t 1 2",   "job 1 00000000000000000000000000000001 b1 9 0 0 ff",
+  "worker 1 w r", "tick 1 99999 0 0",
+};
+
+static void
+malformed_lines_are_refused (void **state)
+{
+  static struct cyc_decision out[4];
+  struct cyc_core_replay progress = { .out = out, .max = 4 };
+
+  (void)state;
+  tst_core_open (&t, (struct cyc_core_desc){ 0 });
+  for (size_t i = 0; i < sizeof malformed / sizeof malformed[0]; i++)
+    assert_false (
+        cyc_core_replay_line (&t.core, cyc_str_of (malformed[i]), &progress));
+  tst_core_close (&t);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (promises_hold_and_replay_decides_the_same),
+    cmocka_unit_test (malformed_lines_are_refused),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
