Test shares, cancel waves, refusals and the limit on retries

One defect was found: a retry without a token blocked its whole queue for the tick, so a queue with many failures started one task a tick; such a task is now passed over. test_core_limits: 4 tests pass; each fails when its mechanism (the order by deficit, the budget of cancellations, the refusal, the cost of a retry) is disabled.

--- a/src/cyc_core_class.c
+++ b/src/cyc_core_class.c
@@ -84,7 +84,8 @@
       uint32_t task = st->jobs[job].queued.head;
       uint32_t next = core_list_next (rows, job);
 
-      if (st->tasks[task].claim_worker != CORE_NONE)
+      if (st->tasks[task].claim_worker != CORE_NONE
+          || (st->tasks[task].retry && st->retry_tokens < 1))
         {
           put_behind (st, task);
           next = st->queues[queue].jobs.head;
@@ -113,11 +114,6 @@
   struct core_want want;
   uint32_t worker;
 
-  if (st->tasks[task].retry && st->retry_tokens < 1)
-    {
-      put_behind (st, task);
-      return ATTEMPT_BLOCKED;
-    }
   core_want_set (st, task, &want);
   if (!core_team_has_balance (st, queue, 1))
     worker = CORE_NONE;
--- /dev/null
+++ b/tests/test_core_limits.c
@@ -0,0 +1,229 @@
+/**
+ * @file
+ * Shares, cancellation in waves, jobs that can never run, and the limit on
+ * retries.
+ */
+#include "tst_core.h"
+
+static struct tst_core t;
+
+/* Two teams with more batch work than fits; every task ends after one to
+ * three ticks of a second. Returns the permille that the first team got. */
+static uint32_t
+run_two_teams (uint32_t first_share, uint32_t second_share, uint32_t size_one,
+               uint32_t size_two)
+{
+  static struct cyc_decision running[3][TST_DECISIONS];
+  static uint32_t counts[3];
+  uint64_t used[2] = { 0 };
+  struct cyc_core_team_view view;
+
+  memset (counts, 0, sizeof counts);
+  tst_core_open (&t, (struct cyc_core_desc){ 0 });
+  tst_core_worker (&t, "w0", "r0");
+  tst_core_worker (&t, "w1", "r0");
+  tst_core_worker (&t, "w2", "r0");
+  tst_core_worker (&t, "w3", "r0");
+  tst_core_team (&t, "one", first_share, 1000000);
+  tst_core_team (&t, "two", second_share, 1000000);
+  tst_core_queue (&t, "q1", "one", CYC_KIND_BATCH, size_one);
+  tst_core_queue (&t, "q2", "two", CYC_KIND_BATCH, size_two);
+  for (uint32_t i = 0; i < 300; i++)
+    {
+      uint32_t slot = i % 3;
+
+      for (uint32_t k = 0; k < counts[slot]; k++)
+        cyc_core_task_report (&t.core, &running[slot][k].job,
+                              running[slot][k].task_index, CYC_TASK_EVENT_DONE,
+                              t.now_us);
+      counts[slot] = 0;
+      for (uint32_t k = 0; k < 2; k++)
+        if (!cyc_core_team_at (&t.core, k, &view)
+            || view.wanted_millicores < 40000)
+          tst_core_job (&t, 2 * i + k, k == 0 ? "q1" : "q2", 40);
+      tst_core_tick (&t, TST_SECOND);
+      for (uint32_t k = 0; k < t.count; k++)
+        if (t.out[k].kind == CYC_DECISION_START)
+          {
+            uint32_t end = (slot + 1 + k % 3) % 3;
+
+            running[end][counts[end]++] = t.out[k];
+          }
+      for (uint32_t k = 0; i >= 60 && k < 2; k++)
+        {
+          assert_true (cyc_core_team_at (&t.core, k, &view));
+          used[k] += view.used_millicores;
+        }
+    }
+  tst_core_close (&t);
+  return (uint32_t)(used[0] * 1000 / (used[0] + used[1]));
+}
+
+struct share_case
+{
+  uint32_t first;
+  uint32_t second;
+  uint32_t size_one;
+  uint32_t size_two;
+};
+
+static const struct share_case share_cases[] = {
+  { 500, 500, 500, 500 },
+  { 200, 800, 500, 500 },
+  { 100, 900, 500, 500 },
+  { 250, 750, 500, 1000 },
+};
+
+static void
+saturated_fleet_is_divided_by_share (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof share_cases / sizeof share_cases[0]; i++)
+    {
+      const struct share_case *c = &share_cases[i];
+      uint32_t got
+          = run_two_teams (c->first, c->second, c->size_one, c->size_two);
+
+      assert_in_range (got, c->first - 50, c->first + 50);
+    }
+}
+
+static void
+cancellations_are_worked_off_in_waves (void **state)
+{
+  (void)state;
+  tst_core_open (&t, (struct cyc_core_desc){ .cancel_per_tick = 100 });
+  tst_core_worker (&t, "w0", "r0");
+  tst_core_team (&t, "team", 500, 1000000);
+  tst_core_queue (&t, "batch", "team", CYC_KIND_BATCH, 2000);
+  tst_core_job (&t, 1, "batch", 3);
+  tst_core_tick (&t, 1000);
+  tst_core_answer (&t, CYC_DECISION_START, CYC_TASK_EVENT_STARTED);
+  for (uint32_t i = 2; i < 12; i++)
+    tst_core_job (&t, i, "batch", 45);
+  for (uint32_t i = 1; i < 12; i++)
+    {
+      struct cyc_id128 id = tst_core_id (i);
+
+      cyc_core_job_cancel (&t.core, &id, t.now_us);
+    }
+  for (uint32_t wave = 1; wave <= 5; wave++)
+    {
+      uint64_t done = wave * 100 - 3;
+
+      tst_core_tick (&t, 1000);
+      assert_int_equal (tst_core_count (&t, CYC_DECISION_START), 0);
+      assert_int_equal (tst_core_count (&t, CYC_DECISION_STOP),
+                        wave == 1 ? 3 : 0);
+      assert_int_equal (tst_core_totals (&t).cancelled,
+                        done < 450 ? done : 450);
+    }
+  tst_core_report (&t, 1, 0, CYC_TASK_EVENT_STOPPED);
+  tst_core_report (&t, 1, 1, CYC_TASK_EVENT_DONE);
+  tst_core_report (&t, 1, 2, CYC_TASK_EVENT_STOPPED);
+  tst_core_tick (&t, 1000);
+  assert_int_equal (tst_core_count (&t, CYC_DECISION_JOB_ENDED), 1);
+  assert_false (t.out[0].job_failed);
+  assert_int_equal (tst_core_totals (&t).running_tasks, 0);
+  tst_core_close (&t);
+}
+
+struct never_case
+{
+  enum cyc_kind kind;
+  uint32_t size;
+  uint32_t tasks;
+  uint64_t balance;
+  const char *reason; /**< NULL: not refused */
+};
+
+static const struct never_case never_cases[] = {
+  { CYC_KIND_BATCH, 10001, 1, 1000000, "no worker is large enough" },
+  { CYC_KIND_BATCH, 10000, 1, 1000000, NULL },
+  { CYC_KIND_BATCH, 5000, 1, 4000, "larger than the limit" },
+  { CYC_KIND_GANG, 5000, 5, 1000000, "no worker is large enough" },
+  { CYC_KIND_GANG, 5000, 4, 19999, "larger than the limit" },
+  { CYC_KIND_GANG, 4500, 4, 1000000, NULL },
+};
+
+static void
+jobs_that_can_never_run_are_refused_with_a_reason (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof never_cases / sizeof never_cases[0]; i++)
+    {
+      const struct never_case *c = &never_cases[i];
+      const struct cyc_decision *refusal = NULL;
+
+      tst_core_open (&t, (struct cyc_core_desc){ 0 });
+      tst_core_worker (&t, "w0", "r0");
+      tst_core_worker (&t, "w1", "r1");
+      tst_core_team (&t, "team", 500, c->balance);
+      tst_core_queue (&t, "q", "team", c->kind, c->size);
+      tst_core_job (&t, 1, "q", c->tasks);
+      for (int s = 0; s < 12 && refusal == NULL; s++)
+        {
+          tst_core_tick (&t, TST_SECOND);
+          refusal = tst_core_first (&t, CYC_DECISION_REFUSE);
+        }
+      if (c->reason == NULL)
+        assert_null (refusal);
+      else
+        {
+          assert_non_null (refusal);
+          assert_non_null (strstr (refusal->reason, c->reason));
+        }
+      tst_core_close (&t);
+    }
+}
+
+/* Every task fails on its first worker, so without a limit half of the starts
+ * would be retries. */
+static void
+retries_stay_below_a_tenth_of_the_starts (void **state)
+{
+  uint32_t starts = 0;
+  uint32_t retries = 0;
+
+  (void)state;
+  tst_core_open (&t, (struct cyc_core_desc){ .ejected_max_permille = 1 });
+  tst_core_worker (&t, "w0", "r0");
+  tst_core_worker (&t, "w1", "r0");
+  tst_core_worker (&t, "w2", "r0");
+  tst_core_team (&t, "team", 500, 1000000);
+  tst_core_queue (&t, "batch", "team", CYC_KIND_BATCH, 2000);
+  for (uint32_t i = 1; i <= 600; i++)
+    {
+      tst_core_job (&t, i, "batch", 1);
+      tst_core_tick (&t, 1000);
+      for (uint32_t k = 0; k < t.count; k++)
+        {
+          bool retry = t.out[k].attempt > 1;
+
+          if (t.out[k].kind != CYC_DECISION_START)
+            continue;
+          starts++;
+          retries += retry;
+          cyc_core_task_report (
+              &t.core, &t.out[k].job, 0,
+              retry ? CYC_TASK_EVENT_DONE : CYC_TASK_EVENT_FAILED, t.now_us);
+        }
+    }
+  assert_true (starts > 600);
+  /* Ten retries are possible before the first starts earn any. */
+  assert_true (retries <= 10 + starts / 10);
+  tst_core_close (&t);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (saturated_fleet_is_divided_by_share),
+    cmocka_unit_test (cancellations_are_worked_off_in_waves),
+    cmocka_unit_test (jobs_that_can_never_run_are_refused_with_a_reason),
+    cmocka_unit_test (retries_stay_below_a_tenth_of_the_starts),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
