Add the benchmark of the decision core

The goals need figures beside a baseline. The model drives 50 workers with late measurements and wrong declared sizes for both users at 1, 2 and 4 times the load that fits, for the core and for first-fit in arrival order; the scale run measures 100, 1,000 and 9,800 workers.

--- /dev/null
+++ b/bench/bn_first_fit.c
@@ -0,0 +1,276 @@
+/**
+ * @file
+ * Baseline: first fit in arrival order by declared sizes. A queue whose next
+ * task does not fit is passed over until something ends.
+ */
+#include "bn_model.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct ff_item
+{
+  struct cyc_id128 job;
+  uint32_t first;
+  uint32_t tasks;
+  uint32_t next; /**< item, in arrival order */
+  uint64_t submitted_us;
+};
+
+#define FF_ITEMS (1U << 20)
+#define FF_RUNNING (1U << 20)
+#define FF_NONE UINT32_MAX
+
+struct ff_running
+{
+  struct cyc_id128 job;
+  uint32_t task;
+  uint32_t worker;
+  uint32_t queue;
+  bool used;
+};
+
+struct bn_first_fit
+{
+  struct bn_scheduler base;
+  const struct bn_load *load;
+  struct cyc_res *free;
+  struct ff_item *items;
+  uint32_t item_count;
+  uint32_t heads[BN_MAX_QUEUES];
+  uint32_t tails[BN_MAX_QUEUES];
+  struct ff_running *running; /**< open addressing by job and task */
+};
+
+static struct bn_first_fit *
+self_of (struct bn_scheduler *base)
+{
+  return (struct bn_first_fit *)base;
+}
+
+static void
+add_job (struct bn_scheduler *base, uint32_t queue,
+         const struct cyc_core_job *job, uint64_t now_us)
+{
+  struct bn_first_fit *self = self_of (base);
+  uint32_t item = self->item_count++;
+
+  (void)now_us;
+  if (item >= FF_ITEMS)
+    abort ();
+  self->items[item] = (struct ff_item){ .job = job->id,
+                                        .tasks = job->tasks,
+                                        .next = FF_NONE,
+                                        .submitted_us = job->submitted_us };
+  if (self->heads[queue] == FF_NONE)
+    self->heads[queue] = item;
+  else
+    self->items[self->tails[queue]].next = item;
+  self->tails[queue] = item;
+}
+
+static uint32_t
+slot_of (const struct cyc_id128 *job, uint32_t task)
+{
+  uint32_t number;
+
+  memcpy (&number, job->bytes, sizeof number);
+  return (number * 2654435761U + task * 40503U) & (FF_RUNNING - 1);
+}
+
+static struct ff_running *
+find (struct bn_first_fit *self, const struct cyc_id128 *job, uint32_t task)
+{
+  uint32_t slot = slot_of (job, task);
+
+  for (uint32_t i = 0; i < FF_RUNNING; i++)
+    {
+      struct ff_running *row = &self->running[(slot + i) & (FF_RUNNING - 1)];
+
+      if (row->worker == FF_NONE && !row->used)
+        return row;
+      if (row->used && row->task == task && cyc_id128_eq (&row->job, job))
+        return row;
+    }
+  abort ();
+}
+
+static bool
+take (struct bn_first_fit *self, uint32_t worker, struct cyc_res size)
+{
+  struct cyc_res *free = &self->free[worker];
+
+  if (free->millicores < size.millicores || free->memory_mib < size.memory_mib)
+    return false;
+  free->millicores -= size.millicores;
+  free->memory_mib -= size.memory_mib;
+  return true;
+}
+
+static void
+give (struct bn_first_fit *self, uint32_t worker, struct cyc_res size)
+{
+  self->free[worker].millicores += size.millicores;
+  self->free[worker].memory_mib += size.memory_mib;
+}
+
+static void
+report (struct bn_scheduler *base, const struct cyc_id128 *job, uint32_t task,
+        enum cyc_task_event event, uint64_t now_us)
+{
+  struct bn_first_fit *self = self_of (base);
+  struct ff_running *row = find (self, job, task);
+
+  (void)now_us;
+  if (event == CYC_TASK_EVENT_STARTED || !row->used)
+    return;
+  give (self, row->worker, self->load->queues[row->queue].declared);
+  row->used = false;
+}
+
+static void
+heartbeat (struct bn_scheduler *base, uint32_t worker,
+           const struct cyc_core_usage *usage, uint64_t now_us)
+{
+  (void)base;
+  (void)worker;
+  (void)usage;
+  (void)now_us;
+}
+
+static void
+task_usage (struct bn_scheduler *base, const struct cyc_id128 *job,
+            uint32_t task, const struct cyc_core_usage *usage, uint64_t now_us)
+{
+  (void)base;
+  (void)job;
+  (void)task;
+  (void)usage;
+  (void)now_us;
+}
+
+static uint32_t
+first_fit (struct bn_first_fit *self, struct cyc_res size)
+{
+  for (uint32_t w = 0; w < self->load->workers; w++)
+    if (take (self, w, size))
+      return w;
+  return FF_NONE;
+}
+
+static void
+decide (struct bn_first_fit *self, uint32_t queue, const struct ff_item *item,
+        uint32_t task, uint32_t worker, struct cyc_decision *out)
+{
+  struct ff_running *row = find (self, &item->job, task);
+
+  *row = (struct ff_running){ .job = item->job,
+                              .task = task,
+                              .worker = worker,
+                              .queue = queue,
+                              .used = true };
+  *out = (struct cyc_decision){ .kind = CYC_DECISION_START,
+                                .job = item->job,
+                                .task_index = task,
+                                .worker = { .index = worker } };
+}
+
+/* Starts one task, or all of a gang. Returns the number started. */
+static uint32_t
+start_next (struct bn_first_fit *self, uint32_t queue,
+            struct cyc_decision *out, uint32_t max)
+{
+  const struct bn_queue *q = &self->load->queues[queue];
+  struct ff_item *item = &self->items[self->heads[queue]];
+  uint32_t want = q->kind == CYC_KIND_GANG ? item->tasks : 1;
+  uint32_t workers[64];
+  uint32_t got = 0;
+
+  if (want > max || want > 64)
+    return 0;
+  while (got < want
+         && (workers[got] = first_fit (self, q->declared)) != FF_NONE)
+    got++;
+  if (got < want)
+    {
+      while (got > 0)
+        give (self, workers[--got], q->declared);
+      return 0;
+    }
+  for (uint32_t i = 0; i < want; i++)
+    decide (self, queue, item, item->first++, workers[i], &out[i]);
+  if (item->first == item->tasks)
+    self->heads[queue] = item->next;
+  return want;
+}
+
+static uint32_t
+oldest (const struct bn_first_fit *self, const bool *blocked)
+{
+  uint32_t best = FF_NONE;
+
+  for (uint32_t q = 0; q < self->load->queue_count; q++)
+    if (!blocked[q] && self->heads[q] != FF_NONE
+        && (best == FF_NONE || self->heads[q] < self->heads[best]))
+      best = q;
+  return best;
+}
+
+static uint32_t
+tick (struct bn_scheduler *base, uint64_t now_us, struct cyc_decision *out,
+      uint32_t max)
+{
+  struct bn_first_fit *self = self_of (base);
+  bool blocked[BN_MAX_QUEUES] = { false };
+  uint32_t count = 0;
+  uint32_t queue;
+
+  (void)now_us;
+  while (count < max && (queue = oldest (self, blocked)) != FF_NONE)
+    {
+      uint32_t got = start_next (self, queue, out + count, max - count);
+
+      count += got;
+      blocked[queue] = got == 0;
+    }
+  return count;
+}
+
+static void
+close_first_fit (struct bn_scheduler *base)
+{
+  struct bn_first_fit *self = self_of (base);
+
+  free (self->free);
+  free (self->items);
+  free (self->running);
+  free (self);
+}
+
+struct bn_scheduler *
+bn_first_fit_open (const struct bn_load *load)
+{
+  struct bn_first_fit *self = calloc (1, sizeof *self);
+
+  if (self == NULL)
+    abort ();
+  self->base = (struct bn_scheduler){ .add_job = add_job,
+                                      .report = report,
+                                      .heartbeat = heartbeat,
+                                      .task_usage = task_usage,
+                                      .tick = tick,
+                                      .close = close_first_fit };
+  self->load = load;
+  self->free = calloc (load->workers, sizeof *self->free);
+  self->items = calloc (FF_ITEMS, sizeof *self->items);
+  self->running = calloc (FF_RUNNING, sizeof *self->running);
+  if (self->free == NULL || self->items == NULL || self->running == NULL)
+    abort ();
+  for (uint32_t w = 0; w < load->workers; w++)
+    self->free[w] = load->worker;
+  for (uint32_t q = 0; q < BN_MAX_QUEUES; q++)
+    self->heads[q] = FF_NONE;
+  for (uint32_t i = 0; i < FF_RUNNING; i++)
+    self->running[i].worker = FF_NONE;
+  return &self->base;
+}
--- /dev/null
+++ b/bench/bn_scale.c
@@ -0,0 +1,252 @@
+/**
+ * @file
+ * Scale run: cost of a decision at 100, 1,000 and 9,800 workers with
+ * proportional numbers of running tasks, teams and starts a second.
+ */
+#include "bn_model.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_US 10000
+#define STARTS 45 /**< a tick: 4,500 a second */
+#define TICKS 1500
+
+struct scale
+{
+  struct cyc_core core;
+  uint32_t workers;
+  uint32_t teams;
+  uint32_t short_tasks;
+  struct cyc_decision *ring; /**< running batch tasks in order of their end */
+  uint32_t head;
+  uint32_t count;
+  uint32_t job;
+  uint64_t now_us;
+  uint64_t seed;
+  struct bn_samples tick_us;
+  uint64_t input_ns;
+  uint64_t inputs;
+  uint64_t tick_ns;
+  uint64_t starts;
+};
+
+static struct cyc_name
+name_of (const char *prefix, uint32_t number)
+{
+  struct cyc_name name;
+  char text[32];
+
+  snprintf (text, sizeof text, "%s%u", prefix, number);
+  cyc_name_set (&name, cyc_str_of (text));
+  return name;
+}
+
+static void
+add_queue (struct scale *s, const char *prefix, uint32_t team,
+           enum cyc_kind kind)
+{
+  struct cyc_queue_cfg cfg
+      = { .name = name_of (prefix, team),
+          .team = name_of ("t", team),
+          .kind = kind,
+          .spread = CYC_SPREAD_RACK,
+          .repeatable = true,
+          .size = { 1000 + 250 * (team % 7), 2048 + 512 * (team % 5), 0 },
+          .run_s = 20 };
+
+  cyc_core_queue_upsert (&s->core, &cfg);
+}
+
+static void
+open_scale (struct scale *s, uint32_t workers)
+{
+  struct cyc_findings found = { 0 };
+
+  *s = (struct scale){ .workers = workers,
+                       .teams = workers * 510 / 9800 + 1,
+                       .short_tasks = workers * 8,
+                       .now_us = BN_SECOND,
+                       .seed = 7 };
+  if (!cyc_core_setup (&s->core, &(struct cyc_core_desc){ 0 }, &found))
+    abort ();
+  s->ring = calloc (s->short_tasks + 4 * STARTS, sizeof *s->ring);
+  if (s->ring == NULL)
+    abort ();
+  for (uint32_t i = 0; i < workers; i++)
+    {
+      struct cyc_core_worker worker = { .name = name_of ("w", i),
+                                        .rack = name_of ("r", i / 8),
+                                        .capacity = { 32000, 131072, 1 } };
+
+      cyc_core_worker_upsert (&s->core, &worker, s->now_us);
+    }
+  for (uint32_t t = 0; t < s->teams; t++)
+    {
+      struct cyc_core_team team = { .name = name_of ("t", t),
+                                    .share_permille = 1000 / s->teams + 1,
+                                    .balance_millicores = 1ULL << 40 };
+
+      cyc_core_team_upsert (&s->core, &team);
+      add_queue (s, "b", t, CYC_KIND_BATCH);
+      add_queue (s, "s", t, CYC_KIND_SERVICE);
+    }
+}
+
+static void
+add_job (struct scale *s, const char *prefix, uint32_t team, uint32_t tasks)
+{
+  struct cyc_core_job job = { .queue = name_of (prefix, team),
+                              .tasks = tasks,
+                              .submitted_us = s->now_us };
+  uint32_t number = s->job++;
+
+  memcpy (job.id.bytes, &number, sizeof number);
+  if (cyc_core_job_add (&s->core, &job, s->now_us) != CYC_CORE_OK)
+    abort ();
+}
+
+static void
+tick (struct scale *s, bool measure)
+{
+  static struct cyc_decision out[BN_DECISIONS];
+  uint64_t start = bn_wall_ns ();
+  uint32_t count = cyc_core_tick (&s->core, s->now_us, out, BN_DECISIONS);
+  uint64_t took = bn_wall_ns () - start;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (out[i].kind != CYC_DECISION_START)
+        continue;
+      s->starts += measure;
+      cyc_core_task_report (&s->core, &out[i].job, out[i].task_index,
+                            CYC_TASK_EVENT_STARTED, s->now_us);
+      cyc_core_task_renewed (&s->core, &out[i].job, out[i].task_index,
+                             s->now_us + 3600 * BN_SECOND);
+      if (out[i].work != CYC_KIND_BATCH)
+        continue;
+      s->ring[(s->head + s->count++) % (s->short_tasks + 4 * STARTS)] = out[i];
+    }
+  if (!measure)
+    return;
+  bn_add (&s->tick_us, (double)took / 1e3);
+  s->tick_ns += took;
+}
+
+/* A fifth of the running tasks are replicas. */
+static void
+fill (struct scale *s)
+{
+  for (uint32_t t = 0; t < s->teams; t++)
+    add_job (s, "s", t, s->workers * 2 / s->teams);
+  for (uint32_t i = 0; s->count < s->short_tasks && i < 2000; i++)
+    {
+      for (uint32_t k = 0; k < 100; k++)
+        if (s->count + k < s->short_tasks)
+          add_job (s, "b", (uint32_t)(bn_uniform (&s->seed) * s->teams), 1);
+      s->now_us += TICK_US;
+      tick (s, false);
+    }
+}
+
+static void
+end_tasks (struct scale *s, uint32_t count)
+{
+  for (uint32_t i = 0; i < count && s->count > 0; i++)
+    {
+      const struct cyc_decision *d = &s->ring[s->head];
+
+      cyc_core_task_report (&s->core, &d->job, d->task_index,
+                            CYC_TASK_EVENT_DONE, s->now_us);
+      s->head = (s->head + 1) % (s->short_tasks + 4 * STARTS);
+      s->count--;
+    }
+}
+
+/* Every worker and task reports once a second; here a part of them in each
+ * tick. */
+static void
+heartbeats (struct scale *s, uint32_t round)
+{
+  uint32_t part = s->workers / 100 + 1;
+
+  for (uint32_t i = 0; i < part; i++)
+    {
+      char text[16];
+      uint32_t w = (round * part + i) % s->workers;
+      int len = snprintf (text, sizeof text, "w%u", w);
+
+      cyc_core_worker_seen (&s->core, (struct cyc_str){ text, (size_t)len },
+                            s->now_us);
+    }
+  for (uint32_t i = 0; i < part * 8 && i < s->count; i++)
+    {
+      const struct cyc_decision *d
+          = &s->ring[(s->head + (round * part * 8 + i) % s->count)
+                     % (s->short_tasks + 4 * STARTS)];
+      struct cyc_core_usage usage
+          = { .used = { d->size.millicores, d->size.memory_mib, 0 },
+              .measured_us = s->now_us };
+
+      cyc_core_task_usage (&s->core, &d->job, d->task_index, &usage,
+                           s->now_us);
+    }
+  s->inputs += part + part * 8;
+}
+
+static double
+measure (uint32_t workers)
+{
+  static struct scale s;
+  struct cyc_core_totals totals;
+  double per_start_us;
+
+  open_scale (&s, workers);
+  fill (&s);
+  for (uint32_t i = 0; i < TICKS; i++)
+    {
+      uint64_t start;
+
+      s.now_us += TICK_US;
+      start = bn_wall_ns ();
+      heartbeats (&s, i);
+      s.input_ns += bn_wall_ns () - start;
+      end_tasks (&s, STARTS);
+      for (uint32_t k = 0; k < STARTS; k++)
+        add_job (&s, "b", (uint32_t)(bn_uniform (&s.seed) * s.teams), 1);
+      tick (&s, true);
+    }
+  cyc_core_totals (&s.core, &totals);
+  per_start_us = (double)s.tick_ns / 1e3 / (double)s.starts;
+  printf ("%7u %7u %5u %7llu %10.0f %9.2f %9.0f %9.0f %9.0f %9.2f\n", workers,
+          (uint32_t)totals.running_tasks, s.teams,
+          (unsigned long long)s.starts, 1e6 / per_start_us, per_start_us,
+          bn_quantile (&s.tick_us, 0.5), bn_quantile (&s.tick_us, 0.99),
+          bn_quantile (&s.tick_us, 1),
+          (double)s.input_ns / 1e3 / (double)s.inputs);
+  bn_samples_free (&s.tick_us);
+  cyc_core_shutdown (&s.core);
+  free (s.ring);
+  return per_start_us;
+}
+
+void
+bn_scale_run (void)
+{
+  double small;
+  double large;
+
+  printf ("\nscale: %u starts a tick of 10 ms (4,500/s); target p99 5,000 us "
+          "a tick, slope below 1\n",
+          STARTS);
+  printf ("%7s %7s %5s %7s %10s %9s %9s %9s %9s %9s\n", "workers", "running",
+          "teams", "starts", "starts/s", "us/start", "tick p50", "tick p99",
+          "tick max", "us/input");
+  small = measure (100);
+  measure (1000);
+  large = measure (9800);
+  printf ("slope (log cost / log workers, 100 to 9,800): %.2f\n",
+          log (large / small) / log (98.0));
+}
