Add up variances instead of percentiles on a worker

Ruled out: too few candidates in a search (a worker with 40% free was full by its own sum). The sum of 95th percentiles of many tasks is far above the 95th percentile of their sum; at a deviation of 25% it wasted a third. Means and variances are now added.

--- a/src/cyc_core_gang.c
+++ b/src/cyc_core_gang.c
@@ -123,7 +123,7 @@
       services += st->jobs[task->job].service;
       if (st->jobs[task->job].service)
         continue;
-      copy.reserved = core_res_sub (copy.reserved, task->reserved);
+      copy.need = core_need_sub (copy.need, task->need);
       copy.declared = core_res_sub (copy.declared, task->declared);
       copy.measured = core_res_sub (copy.measured, task->used);
     }
--- a/src/cyc_core_index.c
+++ b/src/cyc_core_index.c
@@ -5,6 +5,7 @@
 #include "cyc_core_internal.h"
 
 #include <assert.h>
+#include <math.h>
 #include <xxhash.h>
 
 #define MAP_EMPTY UINT32_MAX
@@ -188,3 +189,39 @@
          && need.memory_mib <= room.memory_mib
          && need.accelerators <= room.accelerators;
 }
+
+struct core_need
+core_need_add (struct core_need a, struct core_need b)
+{
+  return (struct core_need){ core_res_add (a.mean, b.mean),
+                             a.millicores_variance + b.millicores_variance,
+                             a.memory_variance + b.memory_variance };
+}
+
+static uint64_t
+less_long (uint64_t a, uint64_t b)
+{
+  return a > b ? a - b : 0;
+}
+
+struct core_need
+core_need_sub (struct core_need a, struct core_need b)
+{
+  return (struct core_need){
+    core_res_sub (a.mean, b.mean),
+    less_long (a.millicores_variance, b.millicores_variance),
+    less_long (a.memory_variance, b.memory_variance)
+  };
+}
+
+/* 1.645 standard deviations above the mean of a sum of many tasks. */
+struct cyc_res
+core_need_estimate (struct core_need need)
+{
+  struct cyc_res out = need.mean;
+
+  out.millicores
+      += (uint32_t)(1.645 * sqrt ((double)need.millicores_variance));
+  out.memory_mib += (uint32_t)(1.645 * sqrt ((double)need.memory_variance));
+  return out;
+}
--- a/src/cyc_core_internal.h
+++ b/src/cyc_core_internal.h
@@ -66,17 +66,29 @@
   uint32_t mask;
 };
 
+/** Measured use as a part of the declared size. */
 struct core_hist
 {
   uint16_t bins[CORE_HIST_BINS];
   uint16_t total;
+  uint16_t samples; /**< for mean and variance, bounded */
+  double mean;
+  double variance;
+};
+
+/** Mean and variance of what tasks need; variances of a sum add up. */
+struct core_need
+{
+  struct cyc_res mean;
+  uint64_t millicores_variance;
+  uint64_t memory_variance;
 };
 
 struct core_worker
 {
   struct cyc_name name;
   struct cyc_res capacity;
-  struct cyc_res reserved;  /**< estimates of the tasks on it */
+  struct core_need need;    /**< sum over the tasks on it */
   struct cyc_res declared;  /**< declared sizes of the tasks on it */
   struct cyc_res measured;  /**< last measurement, less what ended since */
   struct cyc_res since;     /**< estimates of starts since then */
@@ -141,6 +153,7 @@
   struct cyc_name name;
   struct cyc_res size;
   struct cyc_res estimate;
+  struct core_need need; /**< of one task */
   struct core_hist cpu;
   struct core_hist memory;
   double run_mean_us; /**< 0: no task ended yet */
@@ -210,7 +223,8 @@
 struct core_task
 {
   struct cyc_res declared; /**< counted against the team while occupying */
-  struct cyc_res reserved; /**< estimate counted on the worker */
+  struct core_need need;   /**< counted on the worker */
+  struct cyc_res estimate; /**< the queue's when it was counted */
   struct cyc_res used;     /**< last measurement */
   struct cyc_res claim;    /**< held on claim_worker while queued */
   uint64_t started_us;
@@ -348,6 +362,10 @@
 /** Never below zero. */
 struct cyc_res core_res_sub (struct cyc_res a, struct cyc_res b);
 struct cyc_res core_res_max (struct cyc_res a, struct cyc_res b);
+struct core_need core_need_add (struct core_need a, struct core_need b);
+struct core_need core_need_sub (struct core_need a, struct core_need b);
+/** 95th percentile of the sum. */
+struct cyc_res core_need_estimate (struct core_need need);
 bool core_res_fits (struct cyc_res need, struct cyc_res room);
 
 /* Lookups; CORE_NONE when there is none. */
--- a/src/cyc_core_task.c
+++ b/src/cyc_core_task.c
@@ -190,10 +190,10 @@
 {
   struct core_worker *worker = &st->workers[task->worker];
 
-  worker->reserved = core_res_add (worker->reserved, task->reserved);
+  worker->need = core_need_add (worker->need, task->need);
   worker->declared = core_res_add (worker->declared, task->declared);
   if (task->started_us > worker->measured_us && worker->measured_us > 0)
-    worker->since = core_res_add (worker->since, task->reserved);
+    worker->since = core_res_add (worker->since, task->estimate);
   core_worker_refresh (st, task->worker);
 }
 
@@ -202,10 +202,10 @@
 {
   struct core_worker *worker = &st->workers[task->worker];
 
-  worker->reserved = core_res_sub (worker->reserved, task->reserved);
+  worker->need = core_need_sub (worker->need, task->need);
   worker->declared = core_res_sub (worker->declared, task->declared);
   if (task->started_us > worker->measured_us)
-    worker->since = core_res_sub (worker->since, task->reserved);
+    worker->since = core_res_sub (worker->since, task->estimate);
   else
     worker->measured = core_res_sub (worker->measured, task->used);
   if (worker->tasks.count == 0)
@@ -226,7 +226,8 @@
   task->state = (uint8_t)state;
   task->started_us = st->now_us;
   task->kept_us = st->now_us;
-  task->reserved = queue->estimate;
+  task->need = queue->need;
+  task->estimate = queue->estimate;
   task->used = (struct cyc_res){ 0 };
   task->stage = CORE_STAGE_NONE;
   task->fate_unknown = false;
--- a/src/cyc_core_urgent.c
+++ b/src/cyc_core_urgent.c
@@ -57,10 +57,10 @@
     {
       const struct core_task *task = &st->tasks[victims->rows[i]];
 
-      copy.reserved = core_res_sub (copy.reserved, task->reserved);
+      copy.need = core_need_sub (copy.need, task->need);
       copy.declared = core_res_sub (copy.declared, task->declared);
       if (task->started_us > copy.measured_us)
-        copy.since = core_res_sub (copy.since, task->reserved);
+        copy.since = core_res_sub (copy.since, task->estimate);
       else
         copy.measured = core_res_sub (copy.measured, task->used);
       copy.tasks.count--;
--- a/src/cyc_core_usage.c
+++ b/src/cyc_core_usage.c
@@ -3,8 +3,11 @@
  * Sizes: what queues are learned to need, and protection of workers whose
  * measured use comes near their capacity.
  *
- * Measurements arrive late, so a worker counts as committed the larger of the
- * sum of estimates and (measured + estimates of what started since).
+ * One task is placed by the 95th percentile of its queue. The tasks of a
+ * worker together need less than the sum of these percentiles, so their
+ * estimate is the 95th percentile of the sum: means and variances added up.
+ * Measurements arrive late, so a worker counts as committed the larger of this
+ * estimate and (measured + percentiles of what started since).
  */
 #include "cyc_core_internal.h"
 
@@ -21,6 +24,7 @@
 #define LEARN_MOST 4.0
 /* Counts are halved at this sum, so that old measurements fade. */
 #define HIST_FULL 4096
+#define MOMENT_SAMPLES 1024
 /* Pause between two steps against overload: one step must show in the
  * measurements before the next. */
 #define OVER_PAUSE_US 1500000
@@ -35,6 +39,19 @@
   return scaled > UINT32_MAX ? UINT32_MAX : (uint32_t)scaled;
 }
 
+/* Mean and variance over about the latest MOMENT_SAMPLES measurements. */
+static void
+hist_moments (struct core_hist *hist, double ratio)
+{
+  double off = ratio - hist->mean;
+
+  if (hist->samples < MOMENT_SAMPLES)
+    hist->samples++;
+  hist->mean += off / hist->samples;
+  hist->variance
+      += (off * (ratio - hist->mean) - hist->variance) / hist->samples;
+}
+
 static void
 hist_add (struct core_hist *hist, uint32_t used, uint32_t declared)
 {
@@ -46,6 +63,7 @@
   bin = bin < 0 ? 0 : bin;
   bin = bin >= CORE_HIST_BINS ? CORE_HIST_BINS - 1 : bin;
   hist->bins[bin]++;
+  hist_moments (hist, ratio);
   if (++hist->total < HIST_FULL)
     return;
   hist->total = 0;
@@ -56,13 +74,19 @@
     }
 }
 
+static double
+bounded (double factor)
+{
+  factor = factor < LEARN_LEAST ? LEARN_LEAST : factor;
+  return factor > LEARN_MOST ? LEARN_MOST : factor;
+}
+
 /* Quantile as a part of the declared size, or @p first without samples. */
 static double
 hist_factor (const struct core_hist *hist, double first)
 {
   uint32_t below = 0;
   int bin = 0;
-  double factor;
 
   if (hist->total < LEARN_SAMPLES)
     return first;
@@ -72,9 +96,20 @@
       if (below * 1000 >= hist->total * LEARN_QUANTILE_PERMILLE)
         break;
     }
-  factor = exp2 ((double)(bin + 1 - BIN_OF_ONE) / BINS_PER_DOUBLING);
-  factor = factor < LEARN_LEAST ? LEARN_LEAST : factor;
-  return factor > LEARN_MOST ? LEARN_MOST : factor;
+  return bounded (exp2 ((double)(bin + 1 - BIN_OF_ONE) / BINS_PER_DOUBLING));
+}
+
+/* Without samples the estimate itself is the mean. */
+static void
+set_need (const struct core_hist *hist, uint32_t size, uint32_t estimate,
+          uint32_t *mean, uint64_t *variance)
+{
+  *mean = estimate;
+  *variance = 0;
+  if (hist->total < LEARN_SAMPLES)
+    return;
+  *mean = scale (size, bounded (hist->mean));
+  *variance = (uint64_t)(hist->variance * size * size);
 }
 
 void
@@ -87,6 +122,11 @@
   queue->estimate.memory_mib
       = scale (queue->size.memory_mib, hist_factor (&queue->memory, first));
   queue->estimate.accelerators = queue->size.accelerators;
+  set_need (&queue->cpu, queue->size.millicores, queue->estimate.millicores,
+            &queue->need.mean.millicores, &queue->need.millicores_variance);
+  set_need (&queue->memory, queue->size.memory_mib, queue->estimate.memory_mib,
+            &queue->need.mean.memory_mib, &queue->need.memory_variance);
+  queue->need.mean.accelerators = queue->size.accelerators;
 }
 
 void
@@ -112,12 +152,13 @@
   const struct core_queue *queue = &st->queues[st->jobs[task->job].queue];
   struct core_worker *worker = &st->workers[task->worker];
 
-  worker->reserved = core_res_add (
-      core_res_sub (worker->reserved, task->reserved), queue->estimate);
+  worker->need
+      = core_need_add (core_need_sub (worker->need, task->need), queue->need);
   if (task->started_us > worker->measured_us && worker->measured_us > 0)
-    worker->since = core_res_add (core_res_sub (worker->since, task->reserved),
+    worker->since = core_res_add (core_res_sub (worker->since, task->estimate),
                                   queue->estimate);
-  task->reserved = queue->estimate;
+  task->need = queue->need;
+  task->estimate = queue->estimate;
   core_worker_refresh (st, task->worker);
 }
 
@@ -263,7 +304,7 @@
   for (uint32_t t = worker->tasks.head; t != CORE_NONE;
        t = core_list_next (rows, t))
     if (st->tasks[t].started_us > worker->measured_us)
-      worker->since = core_res_add (worker->since, st->tasks[t].reserved);
+      worker->since = core_res_add (worker->since, st->tasks[t].estimate);
 }
 
 enum cyc_core_status
--- a/src/cyc_core_worker.c
+++ b/src/cyc_core_worker.c
@@ -91,8 +91,9 @@
                   const struct core_worker *worker, struct cyc_res own_claim)
 {
   struct cyc_res ceiling = worker->capacity;
-  struct cyc_res committed = core_res_max (
-      worker->reserved, core_res_add (worker->measured, worker->since));
+  struct cyc_res committed
+      = core_res_max (core_need_estimate (worker->need),
+                      core_res_add (worker->measured, worker->since));
 
   if (worker->tasks.count > 0)
     {
