Take ended tasks out of late measurements of workers

A measurement is 2 to 3 s old, so it still contains short tasks that ended since, and their room stayed empty. Workers now remember their 32 latest ends, and a measurement is reduced by those at least 1 s younger. The new test fails without the change.

--- a/src/cyc_core_internal.h
+++ b/src/cyc_core_internal.h
@@ -18,6 +18,8 @@
 #define CORE_SLOTS 4096
 #define CORE_SLOT_US 250000
 #define CORE_FAILED_ON 4
+/** Ends remembered per worker: more than happen within the usual lag. */
+#define CORE_ENDED 32
 #define CORE_HIST_BINS 64
 #define CORE_EJECT_MOST 8 /**< upper bound of eject_failures */
 /** Candidates examined in one bucket: bounds the cost of a decision. */
@@ -84,6 +86,15 @@
   uint64_t memory_variance;
 };
 
+/** Task that ended lately: a late measurement may still contain it. */
+struct core_ended
+{
+  uint64_t started_us;
+  uint64_t ended_us;
+  uint32_t millicores;
+  uint32_t memory_mib;
+};
+
 struct core_worker
 {
   struct cyc_name name;
@@ -114,6 +125,8 @@
   uint16_t failures;  /**< consecutive */
   uint16_t successes; /**< consecutive */
   uint8_t over_steps;
+  uint8_t ended_next;
+  struct core_ended ended[CORE_ENDED];
   bool leaving;
   bool silent;
   bool ejected;
--- a/src/cyc_core_task.c
+++ b/src/cyc_core_task.c
@@ -197,6 +197,19 @@
   core_worker_refresh (st, task->worker);
 }
 
+static void
+remember_end (struct cyc_core_state *st, const struct core_task *task)
+{
+  struct core_worker *worker = &st->workers[task->worker];
+
+  worker->ended[worker->ended_next]
+      = (struct core_ended){ .started_us = task->started_us,
+                             .ended_us = st->now_us,
+                             .millicores = task->used.millicores,
+                             .memory_mib = task->used.memory_mib };
+  worker->ended_next = (uint8_t)((worker->ended_next + 1) % CORE_ENDED);
+}
+
 static void
 uncount_worker (struct cyc_core_state *st, struct core_task *task)
 {
@@ -208,6 +221,7 @@
     worker->since = core_res_sub (worker->since, task->estimate);
   else
     worker->measured = core_res_sub (worker->measured, task->used);
+  remember_end (st, task);
   if (worker->tasks.count == 0)
     worker->since = (struct cyc_res){ 0 };
   core_worker_refresh (st, task->worker);
--- a/src/cyc_core_usage.c
+++ b/src/cyc_core_usage.c
@@ -28,6 +28,8 @@
 /* Pause between two steps against overload: one step must show in the
  * measurements before the next. */
 #define OVER_PAUSE_US 1500000
+/* Longest time between the end of a task and its report. */
+#define END_LAG_US 1000000
 /* Hysteresis: throttled tasks run freely again well below the limit. */
 #define OVER_END_PERMILLE 100
 
@@ -307,6 +309,22 @@
       worker->since = core_res_add (worker->since, st->tasks[t].estimate);
 }
 
+/* Takes out of the measurement what ended after it. An end is reported up to
+ * a heartbeat late, so only ends well after the measurement count. */
+static void
+forget_ended (struct core_worker *worker)
+{
+  for (uint32_t i = 0; i < CORE_ENDED; i++)
+    {
+      const struct core_ended *e = &worker->ended[i];
+      struct cyc_res used = { e->millicores, e->memory_mib, 0 };
+
+      if (e->started_us <= worker->measured_us
+          && e->ended_us >= worker->measured_us + END_LAG_US)
+        worker->measured = core_res_sub (worker->measured, used);
+    }
+}
+
 enum cyc_core_status
 cyc_core_worker_usage (struct cyc_core *core, struct cyc_str worker,
                        const struct cyc_core_usage *usage, uint64_t now_us)
@@ -327,6 +345,7 @@
   st->workers[row].measured_us = usage->measured_us;
   count_since (st, &st->workers[row]);
   check_overload (st, &st->workers[row]);
+  forget_ended (&st->workers[row]);
   core_worker_refresh (st, row);
   return CYC_CORE_OK;
 }
--- a/tests/test_core_usage.c
+++ b/tests/test_core_usage.c
@@ -94,6 +94,24 @@
   tst_core_close (&t);
 }
 
+static void
+late_measurement_does_not_count_what_ended_after_it (void **state)
+{
+  (void)state;
+  open_one (1000);
+  tst_core_job (&t, 1, "batch", 1);
+  tst_core_tick (&t, 1000);
+  measure_task (3000, 1);
+  tst_core_tick (&t, 3 * TST_SECOND);
+  tst_core_report (&t, 1, 0, CYC_TASK_EVENT_DONE);
+  /* Of 9,000 measured 2 s ago, 3,000 are gone; 2 x 1,250 fit into 3,500. */
+  measure_worker (9000, 100, 2 * TST_SECOND);
+  tst_core_job (&t, 2, "batch", 5);
+  tst_core_tick (&t, 1000);
+  assert_int_equal (tst_core_count (&t, CYC_DECISION_START), 2);
+  tst_core_close (&t);
+}
+
 struct over_case
 {
   uint32_t millicores;
@@ -172,6 +190,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (estimate_follows_measurements_within_bounds),
     cmocka_unit_test (starts_since_a_late_measurement_count),
+    cmocka_unit_test (late_measurement_does_not_count_what_ended_after_it),
     cmocka_unit_test (overload_is_relieved_step_by_step),
     cmocka_unit_test (throttled_task_runs_freely_after_the_overload),
   };
