Drain a worker for large batch tasks of teams below their share

Cause: at 2x and 4x the teams with the largest tasks got too little (arkisto 2.9 of 20%), because small tasks fill every gap before it is large enough. Ruled out: the order of teams (the starved team was tried first in each tick and did not fit). Open: at 4x the urgent work alone exceeds the share of its team. The new test fails without the claim.

--- a/src/cyc_core_class.c
+++ b/src/cyc_core_class.c
@@ -134,7 +134,14 @@
     q->blocked_since_us = st->now_us;
   if (core_never_check (st, st->tasks[task].job, 1))
     return ATTEMPT_BLOCKED;
-  if (core_class_of (q) == CORE_URGENT && core_preempt_for (st, task))
+  if (core_class_of (q) == CORE_URGENT)
+    {
+      if (core_preempt_for (st, task))
+        return ATTEMPT_WAITING;
+      st->urgent_blocked_tick = st->tick;
+      core_drain_drop (st);
+    }
+  if (core_class_of (q) == CORE_BATCH && core_drain_for (st, task))
     return ATTEMPT_WAITING;
   if (st->tasks[task].failed_count > 0)
     put_behind (st, task);
--- a/src/cyc_core_internal.h
+++ b/src/cyc_core_internal.h
@@ -245,7 +245,8 @@
   uint64_t started_us;
   uint64_t kept_us; /**< work up to here survives a stop */
   uint64_t lease_us;
-  uint64_t stage_us; /**< next step of stopping; 0: none */
+  uint64_t stage_us;       /**< next step of stopping; 0: none */
+  uint64_t drain_until_us; /**< of a claim without victims; 0: none */
   struct core_link in_job;
   struct core_link in_place; /**< job's queued list or worker's list */
   struct core_link in_team;
@@ -331,6 +332,9 @@
   uint64_t refused_jobs;
   double retry_tokens;
   uint64_t random;
+  uint64_t urgent_blocked_tick; /**< an urgent task found no room */
+  uint32_t drains;              /**< claims without victims */
+  double fair_score;     /**< score of a team that has exactly its part */
   uint32_t reserved_job; /**< gang that holds the reservation */
   uint64_t reserved_deadline_us;
   uint32_t fails_left; /**< unsuccessful searches left in this tick */
@@ -487,6 +491,7 @@
 void core_sys_usage (struct cyc_core_state *st);
 void core_sys_health (struct cyc_core_state *st);
 void core_sys_shares (struct cyc_core_state *st);
+void core_sys_drains (struct cyc_core_state *st);
 void core_sys_urgent (struct cyc_core_state *st);
 void core_sys_class (struct cyc_core_state *st, enum core_class class);
 void core_sys_gang (struct cyc_core_state *st);
@@ -496,6 +501,13 @@
 void core_queue_learn_run (struct core_queue *queue, uint64_t run_us);
 /** Chooses victims for an urgent task and claims the room they leave. */
 bool core_preempt_for (struct cyc_core_state *st, uint32_t task);
+/** Claims a worker that drains for a task of a team below its share. */
+bool core_drain_for (struct cyc_core_state *st, uint32_t task);
+/** Gives up the oldest drain, because an urgent task found no room. */
+void core_drain_drop (struct cyc_core_state *st);
+/** Holds @p need on the worker for the task. */
+void core_claim (struct cyc_core_state *st, uint32_t task, uint32_t worker,
+                 struct cyc_res need);
 void core_gang_unreserve (struct cyc_core_state *st);
 /** Refuses the job when it can never run; true when it was refused. */
 bool core_never_check (struct cyc_core_state *st, uint32_t job,
--- a/src/cyc_core_task.c
+++ b/src/cyc_core_task.c
@@ -406,10 +406,25 @@
   st->workers[task->claim_worker].held
       = core_res_sub (st->workers[task->claim_worker].held, task->claim);
   core_list_remove (&st->claims, CORE_ROWS (st->tasks, in_claim), row);
+  st->drains -= task->drain_until_us > 0;
+  task->drain_until_us = 0;
   core_worker_refresh (st, task->claim_worker);
   task->claim_worker = CORE_NONE;
 }
 
+void
+core_claim (struct cyc_core_state *st, uint32_t row, uint32_t worker,
+            struct cyc_res need)
+{
+  struct core_task *task = &st->tasks[row];
+
+  task->claim_worker = worker;
+  task->claim = need;
+  st->workers[worker].held = core_res_add (st->workers[worker].held, need);
+  core_list_append (&st->claims, CORE_ROWS (st->tasks, in_claim), row);
+  core_worker_refresh (st, worker);
+}
+
 void
 core_claims_forget (struct cyc_core_state *st, uint32_t worker)
 {
--- a/src/cyc_core_tick.c
+++ b/src/cyc_core_tick.c
@@ -257,6 +257,8 @@
 {
   double passed_us = (double)(st->now_us - st->last_share_us);
   double keep = 0;
+  double use = 0;
+  double shares = 0;
 
   if (st->last_share_us > 0)
     keep = exp2 (-passed_us / (st->desc.share_half_life_ms * 1000.0));
@@ -267,7 +269,12 @@
 
       team->got = team->got * keep + dominant (st, team) * (1 - keep);
       core_team_score (st, team);
+      if (team->tasks.count == 0 && team->wanted_millicores == 0)
+        continue;
+      use += dominant (st, team) + team->got;
+      shares += team->share_permille;
     }
+  st->fair_score = shares > 0 ? use / shares : 0;
 }
 
 /* Newest tasks of teams above their balance stop, with a checkpoint first. */
@@ -318,6 +325,7 @@
   core_sys_urgent (st);
   core_sys_gang (st);
   core_sys_class (st, CORE_SERVICE);
+  core_sys_drains (st);
   core_sys_class (st, CORE_BATCH);
 }
 
--- a/src/cyc_core_urgent.c
+++ b/src/cyc_core_urgent.c
@@ -183,20 +183,6 @@
   return at;
 }
 
-static void
-claim (struct cyc_core_state *st, const struct wish *wish, uint32_t worker)
-{
-  struct core_task *task = &st->tasks[wish->want.task];
-
-  task->claim_worker = worker;
-  task->claim = wish->want.need;
-  st->workers[worker].held
-      = core_res_add (st->workers[worker].held, task->claim);
-  core_list_append (&st->claims, CORE_ROWS (st->tasks, in_claim),
-                    wish->want.task);
-  core_worker_refresh (st, worker);
-}
-
 static void
 preempt (struct cyc_core_state *st, uint32_t row)
 {
@@ -237,7 +223,7 @@
   worker = choose (st, &wish, &victims);
   if (worker == CORE_NONE)
     return false;
-  claim (st, &wish, worker);
+  core_claim (st, task, worker, wish.want.need);
   for (uint32_t i = 0; i < victims.count; i++)
     preempt (st, victims.rows[i]);
   return true;
@@ -286,7 +272,8 @@
        t = next)
     {
       next = core_list_next (rows, t);
-      try_claim (st, t);
+      if (st->tasks[t].drain_until_us == 0)
+        try_claim (st, t);
     }
   core_sys_class (st, CORE_URGENT);
 }
--- a/tests/test_core_gang.c
+++ b/tests/test_core_gang.c
@@ -1,6 +1,7 @@
 /**
  * @file
- * Gangs: never a part of one, and never starved by a stream of small tasks.
+ * Gangs and large tasks: never a part of a gang, and neither is starved by a
+ * stream of small tasks.
  */
 #include "tst_core.h"
 
@@ -117,6 +118,33 @@
     }
 }
 
+/* Without a claim each small task that ends is replaced by the next one, and
+ * the room for 6,000 never comes together. */
+static void
+large_task_of_a_team_below_its_share_is_not_starved (void **state)
+{
+  struct cyc_id128 id = tst_core_id (10000);
+  struct cyc_core_job_view view = { 0 };
+  uint32_t waited = 0;
+
+  (void)state;
+  open_three (9);
+  tst_core_queue (&t, "large", "other", CYC_KIND_BATCH, 6000);
+  for (uint32_t i = 1; i < 30; i++)
+    {
+      second (2 * i, 9);
+      tst_core_job (&t, 2 * i + 1, "batch", 1);
+    }
+  tst_core_job (&t, 10000, "large", 1);
+  for (; waited < 60 && view.running == 0; waited++)
+    {
+      second (100 + waited, 9);
+      assert_true (cyc_core_job_view (&t.core, &id, &view));
+    }
+  assert_in_range (waited, 1, 20);
+  tst_core_close (&t);
+}
+
 static void
 gang_prefers_one_rack (void **state)
 {
@@ -152,6 +180,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (gang_starts_whole_and_is_not_starved),
+    cmocka_unit_test (large_task_of_a_team_below_its_share_is_not_starved),
     cmocka_unit_test (gang_prefers_one_rack),
     cmocka_unit_test (two_gangs_that_fit_only_alone_both_run),
   };
