Keep the room of ended urgent tasks for the next ones

Workers now hold such room as long as urgent tasks lately used more than now. Open: the number of stops. The new test fails without the holds.

--- a/src/cyc_core_internal.h
+++ b/src/cyc_core_internal.h
@@ -99,17 +99,19 @@
 {
   struct cyc_name name;
   struct cyc_res capacity;
-  struct core_need need;    /**< sum over the tasks on it */
-  struct cyc_res declared;  /**< declared sizes of the tasks on it */
-  struct cyc_res measured;  /**< last measurement, less what ended since */
-  struct cyc_res since;     /**< estimates of starts since then */
-  struct cyc_res held;      /**< promised to urgent tasks */
-  struct cyc_res gang_hold; /**< part that the reserved gang will use */
-  struct cyc_res free;      /**< what buckets and racks were told */
+  struct core_need need;      /**< sum over the tasks on it */
+  struct cyc_res declared;    /**< declared sizes of the tasks on it */
+  struct cyc_res measured;    /**< last measurement, less what ended since */
+  struct cyc_res since;       /**< estimates of starts since then */
+  struct cyc_res held;        /**< promised to urgent tasks */
+  struct cyc_res urgent_hold; /**< kept for the next urgent task */
+  struct cyc_res gang_hold;   /**< part that the reserved gang will use */
+  struct cyc_res free;        /**< what buckets and racks were told */
   struct core_list tasks;
   struct core_link in_bucket;
   struct core_link in_rack;
   struct core_link in_ejected;
+  struct core_link in_holds;
   uint64_t measured_us;
   uint64_t unfenced_until_us;
   uint64_t reserved_until_us; /**< reservation of a gang; 0: none */
@@ -332,6 +334,11 @@
   uint64_t refused_jobs;
   double retry_tokens;
   uint64_t random;
+  uint64_t urgent_millicores;    /**< estimates of running urgent tasks */
+  double urgent_peak_millicores; /**< decayed maximum */
+  uint64_t hold_millicores;      /**< sum of urgent holds */
+  struct core_list holds;        /**< workers with an urgent hold */
+  uint64_t urgent_peak_us;
   uint64_t urgent_blocked_tick; /**< an urgent task found no room */
   uint32_t drains;              /**< claims without victims */
   double fair_score;     /**< score of a team that has exactly its part */
@@ -467,6 +474,7 @@
   uint32_t task;           /**< its failed_on are passed over */
   uint32_t queue;
   uint64_t end_us; /**< learned end; kept off reservations that end before */
+  bool urgent;
   bool past_reservation; /**< the holder of the reservation itself */
 };
 void core_want_set (const struct cyc_core_state *st, uint32_t task,
@@ -502,6 +510,14 @@
 /** Chooses victims for an urgent task and claims the room they leave. */
 bool core_preempt_for (struct cyc_core_state *st, uint32_t task);
 /** Claims a worker that drains for a task of a team below its share. */
+/** Keeps the room of an urgent task that ended for the next one, as far as
+ * urgent tasks lately used more than they do now. */
+void core_hold_room (struct cyc_core_state *st, uint32_t worker,
+                     struct cyc_res room);
+/** Ends a hold up to @p room; with a larger one, all of it. */
+void core_hold_release (struct cyc_core_state *st, uint32_t worker,
+                        struct cyc_res room);
+/** Claims a worker that drains for a task of a team below its share. */
 bool core_drain_for (struct cyc_core_state *st, uint32_t task);
 /** Gives up the oldest drain, because an urgent task found no room. */
 void core_drain_drop (struct cyc_core_state *st);
--- a/src/cyc_core_place.c
+++ b/src/cyc_core_place.c
@@ -65,6 +65,8 @@
     return false;
   if (task->claim_worker == row)
     room = core_worker_room (st, worker, task->claim);
+  else if (want->urgent)
+    room = core_worker_room (st, worker, (struct cyc_res){ 0 });
   fits = core_res_fits (want->need, room)
          || (worker->tasks.count == 0 && core_res_fits (want->declared, room));
   return fits && respects_reservation (st, worker, want);
@@ -87,6 +89,7 @@
     .queue = row,
     .end_us = UINT64_MAX / 2,
     .past_reservation = core_class_of (queue) == CORE_URGENT,
+    .urgent = core_class_of (queue) == CORE_URGENT,
   };
   if (queue->kind != CYC_KIND_SERVICE && run_us > 0 && run_us < 1e15)
     want->end_us = st->now_us + (uint64_t)run_us;
@@ -178,6 +181,23 @@
   return CORE_NONE;
 }
 
+/* Workers that keep room for urgent tasks are not in the bucket of that room.
+ */
+static uint32_t
+look_in_holds (const struct cyc_core_state *st, const struct core_want *want)
+{
+  struct core_rows rows = CORE_ROWS (st->workers, in_holds);
+  uint32_t row = want->urgent ? st->holds.head : CORE_NONE;
+
+  for (uint32_t i = 0; row != CORE_NONE && i < CORE_LOOK; i++)
+    {
+      if (core_worker_takes (st, row, want))
+        return row;
+      row = core_list_next (rows, row);
+    }
+  return CORE_NONE;
+}
+
 uint32_t
 core_find_room (struct cyc_core_state *st, const struct core_want *want)
 {
@@ -186,7 +206,7 @@
                        ? 0
                        : floor_class (accelerators, CORE_PLANES - 1) + 1;
   uint32_t claim = st->tasks[want->task].claim_worker;
-  uint32_t found = CORE_NONE;
+  uint32_t found = look_in_holds (st, want);
   uint32_t looks = LOOK_TOTAL;
 
   if (claim != CORE_NONE && core_worker_takes (st, claim, want))
@@ -294,6 +314,8 @@
   core_task_dequeue (st, row);
   task->declared = st->queues[job->queue].size;
   core_task_occupy (st, row, worker, CYC_TASK_STARTING);
+  if (core_class_of (&st->queues[job->queue]) == CORE_URGENT)
+    core_hold_release (st, worker, task->estimate);
   task->lease_us = st->now_us + lease_ms (st, job) * 1000;
   core_task_emit (st, row, CYC_DECISION_START);
   core_task_set_timer (st, row,
--- a/src/cyc_core_task.c
+++ b/src/cyc_core_task.c
@@ -165,6 +165,8 @@
 
   team->need_millicores += sign * task->need.mean.millicores;
   team->need_memory_mib += sign * task->need.mean.memory_mib;
+  if (core_class_of (queue) == CORE_URGENT)
+    st->urgent_millicores += sign * task->estimate.millicores;
 }
 
 /* Adds (or, with @p add false, takes away) the task in all sums of what
@@ -300,6 +302,8 @@
                     CORE_ROWS (st->tasks, in_team), row);
   if (st->workers[task->worker].probe_task == row)
     st->workers[task->worker].probe_task = CORE_NONE;
+  if (core_class_of (queue) == CORE_URGENT)
+    core_hold_room (st, task->worker, task->estimate);
   uncount_worker (st, task);
   task->worker = CORE_NONE;
 }
--- a/src/cyc_core_urgent.c
+++ b/src/cyc_core_urgent.c
@@ -8,6 +8,8 @@
  */
 #include "cyc_core_internal.h"
 
+#include <math.h>
+
 /* Newest batch tasks whose workers are compared: bounds the cost. */
 #define LOOK_VICTIMS 48
 #define MOST_VICTIMS 8
@@ -262,6 +264,75 @@
     core_task_drop_claim (st, row);
 }
 
+/* The peak falls by half in the half-life of shares. */
+static void
+follow_peak (struct cyc_core_state *st)
+{
+  double passed_us = (double)(st->now_us - st->urgent_peak_us);
+  double keep = exp2 (-passed_us / (st->desc.share_half_life_ms * 1000.0));
+
+  st->urgent_peak_us = st->now_us;
+  st->urgent_peak_millicores *= keep;
+  if (st->urgent_peak_millicores < (double)st->urgent_millicores)
+    st->urgent_peak_millicores = (double)st->urgent_millicores;
+}
+
+/* Millicores that urgent tasks lately used above what they use now. */
+static double
+spare_peak (const struct cyc_core_state *st)
+{
+  return st->urgent_peak_millicores - (double)st->urgent_millicores;
+}
+
+void
+core_hold_room (struct cyc_core_state *st, uint32_t worker,
+                struct cyc_res room)
+{
+  struct core_worker *w = &st->workers[worker];
+  bool listed = w->urgent_hold.millicores > 0;
+
+  room.accelerators = 0;
+  if (room.millicores == 0 || (double)st->hold_millicores >= spare_peak (st))
+    return;
+  w->urgent_hold = core_res_add (w->urgent_hold, room);
+  st->hold_millicores += room.millicores;
+  if (!listed)
+    core_list_append (&st->holds, CORE_ROWS (st->workers, in_holds), worker);
+}
+
+void
+core_hold_release (struct cyc_core_state *st, uint32_t worker,
+                   struct cyc_res room)
+{
+  struct core_worker *w = &st->workers[worker];
+  uint32_t before = w->urgent_hold.millicores;
+
+  if (before == 0)
+    return;
+  w->urgent_hold = core_res_sub (w->urgent_hold, room);
+  st->hold_millicores -= before - w->urgent_hold.millicores;
+  if (w->urgent_hold.millicores == 0)
+    {
+      w->urgent_hold = (struct cyc_res){ 0 };
+      core_list_remove (&st->holds, CORE_ROWS (st->workers, in_holds), worker);
+    }
+  core_worker_refresh (st, worker);
+}
+
+static void
+trim_holds (struct cyc_core_state *st)
+{
+  /* One hold may reach above the peak, because the peak falls all the time. */
+  double slack = st->holds.count > 0
+                     ? st->workers[st->holds.tail].urgent_hold.millicores
+                     : 0;
+
+  while (st->holds.count > 0
+         && (double)st->hold_millicores > spare_peak (st) + slack)
+    core_hold_release (st, st->holds.head,
+                       st->workers[st->holds.head].urgent_hold);
+}
+
 void
 core_sys_urgent (struct cyc_core_state *st)
 {
@@ -276,4 +347,6 @@
         try_claim (st, t);
     }
   core_sys_class (st, CORE_URGENT);
+  follow_peak (st);
+  trim_holds (st);
 }
--- a/src/cyc_core_usage.c
+++ b/src/cyc_core_usage.c
@@ -161,8 +161,8 @@
                                   queue->estimate);
   core_team_need (st, task, false);
   task->need = queue->need;
-  core_team_need (st, task, true);
   task->estimate = queue->estimate;
+  core_team_need (st, task, true);
   core_worker_refresh (st, task->worker);
 }
 
--- a/src/cyc_core_worker.c
+++ b/src/cyc_core_worker.c
@@ -131,7 +131,8 @@
   uint32_t bucket;
 
   if (usable)
-    free = core_worker_room (st, worker, free);
+    free = core_res_sub (core_worker_room (st, worker, free),
+                         worker->urgent_hold);
   count_rack (st, worker, free);
   bucket = usable ? bucket_of (free) : CORE_NONE;
   if (bucket == worker->bucket)
@@ -369,6 +370,7 @@
   core_worker_refresh (st, row);
   while (gone->tasks.count > 0)
     core_task_requeue (st, gone->tasks.head);
+  core_hold_release (st, row, gone->urgent_hold);
   leave_bucket (st, row);
   count_capacity (st, gone, (struct cyc_res){ 0 });
   leave_rack (st, row);
--- a/tests/test_core_urgent.c
+++ b/tests/test_core_urgent.c
@@ -112,6 +112,31 @@
   tst_core_close (&t);
 }
 
+/* Without the room kept free, batch takes it and the next urgent task needs a
+ * victim. */
+static void
+room_of_an_ended_urgent_task_is_kept_for_the_next_one (void **state)
+{
+  (void)state;
+  open_full ((struct cyc_core_desc){ 0 }, true, 100000);
+  tst_core_job (&t, 100, "urgent", 1);
+  tst_core_job (&t, 101, "batch", 20);
+  tst_core_tick (&t, 1000);
+  tst_core_answer (&t, CYC_DECISION_CHECKPOINT, CYC_TASK_EVENT_CHECKPOINTED);
+  tst_core_tick (&t, 1000);
+  assert_int_equal (tst_core_count (&t, CYC_DECISION_START), 1);
+  tst_core_report (&t, 100, 0, CYC_TASK_EVENT_DONE);
+  tst_core_tick (&t, 1000);
+  assert_int_equal (t.count, 1);
+  assert_int_equal (t.out[0].kind, CYC_DECISION_JOB_ENDED);
+  tst_core_job (&t, 102, "urgent", 1);
+  tst_core_tick (&t, 1000);
+  assert_int_equal (t.count, 1);
+  assert_int_equal (t.out[0].kind, CYC_DECISION_START);
+  assert_true (cyc_id128_eq (&t.out[0].job, &(struct cyc_id128){ { 102 } }));
+  tst_core_close (&t);
+}
+
 struct bound_case
 {
   uint32_t floor_permille;
@@ -161,6 +186,7 @@
     cmocka_unit_test (
         room_of_the_first_victim_is_kept_until_the_second_is_gone),
     cmocka_unit_test (silent_victim_is_throttled_then_stopped),
+    cmocka_unit_test (room_of_an_ended_urgent_task_is_kept_for_the_next_one),
     cmocka_unit_test (preemption_keeps_its_bounds),
   };
 
