Add peer links between the project's processes

TCP frames with protobuf-c, hello, heartbeats, suspicion and replacement of connections that go silent. Ruled out: two connections per pair with a tie break, which needs a rule for messages in flight; the smaller identity connects instead.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SANITIZE ?=
 PACKAGES := glib-2.0 json-c libprotobuf-c libmicrohttpd libcurl libsodium libxxhash
 WARN := -Wall -Wextra -Werror -Wshadow -Wmissing-prototypes -Wstrict-prototypes -Wno-missing-field-initializers
-CFLAGS = -std=gnu11 -g $(OPT) $(WARN) $(SANITIZE) -Iinclude -Isrc $(PKG_CFLAGS) -DCYC_VERSION='"$(VERSION)"'
+CFLAGS = -std=gnu11 -D_GNU_SOURCE -g $(OPT) $(WARN) $(SANITIZE) -Iinclude -Isrc $(PKG_CFLAGS) -DCYC_VERSION='"$(VERSION)"'
 LDLIBS = $(PKG_LIBS) -lev -largtable2 -lm
 PKG_CFLAGS = $(shell pkg-config --cflags $(PACKAGES))
 PKG_LIBS = $(shell pkg-config --libs $(PACKAGES))
@@ -81,7 +81,7 @@
 format-check:
 	@clang-format --dry-run -Werror $(HAND_WRITTEN)
 tidy:
-	@printf '%s\n' $(filter %.c,$(HAND_WRITTEN)) | xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- -std=gnu11 -Iinclude -Isrc -Ifakes $(PKG_CFLAGS) -DCYC_VERSION="\"x\"" 2>/dev/null || { echo "clang-tidy failed in: $$*"; exit 1; }' sh
+	@printf '%s\n' $(filter %.c,$(HAND_WRITTEN)) | xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- -std=gnu11 -D_GNU_SOURCE -Iinclude -Isrc -Ifakes $(PKG_CFLAGS) -DCYC_VERSION="\"x\"" 2>/dev/null || { echo "clang-tidy failed in: $$*"; exit 1; }' sh
 proto:
 	protoc-c --proto_path=proto --c_out=src proto/record.proto proto/peer.proto
 install: $(LIB) $(BIN)
--- a/src/peer.h
+++ b/src/peer.h
@@ -3,11 +3,12 @@
  * Links between the project's own processes: TCP frames that carry protobuf
  * messages, with a hello, heartbeats and replacement of silent connections.
  *
- * A process listens and connects to every peer of its settings; of two
- * connections between the same pair the one opened by the smaller
- * (vm, role) is kept. A frame is a 4-byte big-endian length (1 to 1 MiB) and
- * one cyc.Peer message. A peer that sends nothing for `silent_ms` is
- * reconnected; `down` is called when the last connection is gone.
+ * A process listens; of each pair of peers the one with the smaller (vm, role)
+ * connects, so a pair has one connection. A frame is a 4-byte big-endian
+ * length (1 to 1 MiB) and one cyc.Peer message. A connection on which nothing
+ * arrives for `silent_ms` is closed and opened anew, which tells a connection
+ * that went silent from a peer that is dead. A process that is not among the
+ * peers of the settings may connect too; its Hello names it.
  *
  * @code
  * pl_setup (&pl, &(struct pl_desc){ .loop = loop, .self = self,
@@ -16,6 +17,9 @@
  * pl_peer_add (&pl, &peer);
  * pl_send (&pl, ref, &message);
  * @endcode
+ *
+ * Errors: a frame that is empty, too long or no cyc.Peer, a wrong protocol
+ * version and a second Hello end the connection with an event that says why.
  */
 #ifndef PEER_H
 #define PEER_H
@@ -26,7 +30,7 @@
 
 #include <ev.h>
 
-#define PL_FRAME_MAX_BYTES (1024U * 1024)
+#define PL_FRAME_MAX_BYTES ((size_t)1024 * 1024)
 #define PL_PROTOCOL 1
 
 struct pl_identity
--- /dev/null
+++ b/src/peer_conn.c
@@ -0,0 +1,284 @@
+#include "peer_internal.h"
+
+#include "http_client.h"
+#include "log_event.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LENGTH_BYTES 4
+#define READ_BYTES 65536
+#define FIRST_BUFFER_BYTES 4096
+
+static bool
+buffer_reserve (struct pl_buffer *buffer, size_t more)
+{
+  size_t room = buffer->room ? buffer->room : FIRST_BUFFER_BYTES;
+  uint8_t *grown;
+
+  if (buffer->start > 0 && buffer->start + buffer->len + more > buffer->room)
+    {
+      memmove (buffer->data, buffer->data + buffer->start, buffer->len);
+      buffer->start = 0;
+    }
+  if (buffer->len + more <= buffer->room)
+    return true;
+  while (room < buffer->len + more)
+    room *= 2;
+  grown = realloc (buffer->data, room);
+  if (grown == NULL)
+    return false;
+  buffer->data = grown;
+  buffer->room = room;
+  return true;
+}
+
+static void
+buffer_consume (struct pl_buffer *buffer, size_t len)
+{
+  buffer->start += len;
+  buffer->len -= len;
+  if (buffer->len == 0)
+    buffer->start = 0;
+}
+
+void
+pl_conn_fail (struct pl_conn *conn, const char *why)
+{
+  if (conn->phase == CONN_FAILING)
+    return;
+  conn->phase = CONN_FAILING;
+  snprintf (conn->why, sizeof conn->why, "%s", why);
+  ev_io_stop (conn->pl->desc.loop, &conn->reader);
+  ev_io_stop (conn->pl->desc.loop, &conn->writer);
+}
+
+/* Reads one frame from the buffer. Returns false when none is whole. */
+static bool
+take_frame (struct pl_conn *conn)
+{
+  const uint8_t *at = conn->in.data + conn->in.start;
+  size_t len;
+  Cyc__Peer *message;
+
+  if (conn->in.len < LENGTH_BYTES)
+    return false;
+  len = (size_t)at[0] << 24 | (size_t)at[1] << 16 | (size_t)at[2] << 8 | at[3];
+  if (len == 0 || len > PL_FRAME_MAX_BYTES)
+    {
+      pl_conn_fail (conn, "frame length out of range");
+      return false;
+    }
+  if (conn->in.len < LENGTH_BYTES + len)
+    return false;
+  message = cyc__peer__unpack (NULL, len, at + LENGTH_BYTES);
+  buffer_consume (&conn->in, LENGTH_BYTES + len);
+  if (message == NULL)
+    {
+      pl_conn_fail (conn, "frame is not a peer message");
+      return false;
+    }
+  if (conn->pl->desc.met != NULL)
+    {
+      met_add (conn->pl->desc.met, MET_PEER_FRAMES_IN, 1);
+      met_add (conn->pl->desc.met, MET_PEER_BYTES_IN, LENGTH_BYTES + len);
+    }
+  conn->silent_deadline_us
+      = hc_now_us () + (uint64_t)conn->pl->desc.silent_ms * 1000;
+  pl_on_message (conn, message);
+  cyc__peer__free_unpacked (message, NULL);
+  return conn->phase != CONN_FAILING;
+}
+
+static void
+on_readable (struct ev_loop *loop, struct ev_io *io, int events)
+{
+  struct pl_conn *conn = io->data;
+  ssize_t got;
+
+  (void)loop;
+  (void)events;
+  if (!buffer_reserve (&conn->in, READ_BYTES))
+    {
+      pl_conn_fail (conn, "out of memory");
+      return;
+    }
+  got = recv (conn->fd, conn->in.data + conn->in.start + conn->in.len,
+              READ_BYTES, 0);
+  if (got < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (got <= 0)
+    {
+      pl_conn_fail (conn, got == 0 ? "closed by the peer" : strerror (errno));
+      return;
+    }
+  conn->in.len += (size_t)got;
+  while (take_frame (conn))
+    continue;
+}
+
+static void
+flush_out (struct pl_conn *conn)
+{
+  while (conn->out.len > 0)
+    {
+      ssize_t sent = send (conn->fd, conn->out.data + conn->out.start,
+                           conn->out.len, MSG_NOSIGNAL);
+
+      if (sent < 0 && (errno == EAGAIN || errno == EINTR))
+        break;
+      if (sent < 0)
+        {
+          pl_conn_fail (conn, strerror (errno));
+          return;
+        }
+      buffer_consume (&conn->out, (size_t)sent);
+    }
+  if (conn->out.len > 0)
+    ev_io_start (conn->pl->desc.loop, &conn->writer);
+  else
+    ev_io_stop (conn->pl->desc.loop, &conn->writer);
+}
+
+static void
+finish_connect (struct pl_conn *conn)
+{
+  int error = 0;
+  socklen_t len = sizeof error;
+
+  if (getsockopt (conn->fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0
+      || error != 0)
+    {
+      pl_conn_fail (conn, strerror (error));
+      return;
+    }
+  conn->phase = CONN_HELLO;
+  ev_io_start (conn->pl->desc.loop, &conn->reader);
+  pl_conn_send_hello (conn);
+}
+
+static void
+on_writable (struct ev_loop *loop, struct ev_io *io, int events)
+{
+  struct pl_conn *conn = io->data;
+
+  (void)loop;
+  (void)events;
+  if (conn->phase == CONN_CONNECTING)
+    finish_connect (conn);
+  if (conn->phase != CONN_FAILING)
+    flush_out (conn);
+}
+
+bool
+pl_conn_open (struct pl_state *pl, int fd, enum conn_phase phase,
+              struct cyc_ref peer)
+{
+  struct cyc_ref ref = cyc_pool_take (&pl->conn_pool);
+  struct pl_conn *conn;
+
+  if (ref.generation == 0)
+    {
+      close (fd);
+      return false;
+    }
+  conn = &pl->conns[ref.index];
+  memset (conn, 0, sizeof *conn);
+  conn->pl = pl;
+  conn->ref = ref;
+  conn->peer = peer;
+  conn->phase = phase;
+  conn->fd = fd;
+  conn->silent_deadline_us
+      = hc_now_us () + (uint64_t)pl->desc.silent_ms * 1000;
+  ev_io_init (&conn->reader, on_readable, fd, EV_READ);
+  ev_io_init (&conn->writer, on_writable, fd, EV_WRITE);
+  conn->reader.data = conn;
+  conn->writer.data = conn;
+  if (cyc_pool_live (&pl->peer_pool, peer))
+    pl->peers[peer.index].conn = ref;
+  if (phase == CONN_CONNECTING)
+    ev_io_start (pl->desc.loop, &conn->writer);
+  else
+    {
+      ev_io_start (pl->desc.loop, &conn->reader);
+      pl_conn_send_hello (conn);
+    }
+  return true;
+}
+
+void
+pl_conn_close (struct pl_conn *conn)
+{
+  struct pl_state *pl = conn->pl;
+  struct cyc_ref ref = conn->ref;
+
+  ev_io_stop (pl->desc.loop, &conn->reader);
+  ev_io_stop (pl->desc.loop, &conn->writer);
+  close (conn->fd);
+  free (conn->in.data);
+  free (conn->out.data);
+  memset (conn, 0, sizeof *conn);
+  cyc_pool_give (&pl->conn_pool, ref);
+}
+
+static void
+count_sent (const struct pl_conn *conn, size_t bytes)
+{
+  const struct pl_state *pl = conn->pl;
+
+  if (pl->desc.met == NULL)
+    return;
+  met_add (pl->desc.met, MET_PEER_FRAMES_OUT, 1);
+  met_add (pl->desc.met, MET_PEER_BYTES_OUT, bytes);
+  if (cyc_pool_live (&pl->peer_pool, conn->peer)
+      && !pl->peers[conn->peer.index].same_region)
+    met_add (pl->desc.met, MET_PEER_BYTES_OUT_REGION, bytes);
+}
+
+bool
+pl_conn_send (struct pl_conn *conn, const Cyc__Peer *message)
+{
+  size_t len = cyc__peer__get_packed_size (message);
+  uint8_t *at;
+
+  if (conn->phase == CONN_FAILING || len == 0 || len > PL_FRAME_MAX_BYTES
+      || conn->out.len + len > conn->pl->desc.max_queued_bytes
+      || !buffer_reserve (&conn->out, LENGTH_BYTES + len))
+    return false;
+  at = conn->out.data + conn->out.start + conn->out.len;
+  at[0] = (uint8_t)(len >> 24);
+  at[1] = (uint8_t)(len >> 16);
+  at[2] = (uint8_t)(len >> 8);
+  at[3] = (uint8_t)len;
+  cyc__peer__pack (message, at + LENGTH_BYTES);
+  conn->out.len += LENGTH_BYTES + len;
+  count_sent (conn, LENGTH_BYTES + len);
+  if (conn->phase != CONN_CONNECTING)
+    flush_out (conn);
+  return true;
+}
+
+bool
+pl_conn_send_hello (struct pl_conn *conn)
+{
+  struct pl_identity *self = &conn->pl->desc.self;
+  Cyc__Hello hello = CYC__HELLO__INIT;
+  Cyc__Peer message = CYC__PEER__INIT;
+
+  hello.protocol = PL_PROTOCOL;
+  hello.vm = self->vm.data;
+  hello.domain = self->domain.data;
+  hello.region = self->region.data;
+  hello.role = (Cyc__Role)self->role;
+  hello.seat = self->seat;
+  hello.incarnation.data = self->incarnation.bytes;
+  hello.incarnation.len = sizeof self->incarnation.bytes;
+  message.body_case = CYC__PEER__BODY_HELLO;
+  message.hello = &hello;
+  return pl_conn_send (conn, &message);
+}
--- /dev/null
+++ b/src/peer_internal.h
@@ -0,0 +1,89 @@
+/**
+ * @file
+ * State of the peer links, shared by peer.c (peers, health, interface) and
+ * peer_conn.c (sockets and frames).
+ */
+#ifndef PEER_INTERNAL_H
+#define PEER_INTERNAL_H
+
+#include "peer.h"
+
+enum conn_phase
+{
+  CONN_CONNECTING,
+  CONN_HELLO, /**< connected, waiting for the peer's Hello */
+  CONN_OPEN,
+  CONN_FAILING /**< to be closed by the next tick */
+};
+
+struct pl_buffer
+{
+  uint8_t *data;
+  size_t start; /**< first byte in use */
+  size_t len;   /**< bytes in use */
+  size_t room;
+};
+
+struct pl_conn
+{
+  struct pl_state *pl;
+  struct cyc_ref ref;
+  struct cyc_ref peer; /**< generation 0 until the Hello names it */
+  enum conn_phase phase;
+  int fd;
+  struct ev_io reader;
+  struct ev_io writer;
+  struct pl_buffer in;
+  struct pl_buffer out;
+  uint64_t silent_deadline_us;
+  char why[80]; /**< reason of the failure */
+};
+
+struct pl_peer
+{
+  struct pl_identity identity;
+  struct set_address address;
+  bool configured; /**< has an address to connect to */
+  bool same_region;
+  struct cyc_ref conn; /**< generation 0: not linked or connecting */
+  bool linked;
+  enum pl_health health;
+  uint32_t heartbeats_in_row;
+  uint64_t suspect_deadline_us;
+  uint64_t dead_deadline_us;
+  uint64_t connect_at_us;
+  uint32_t connect_failures;
+  uint64_t control_next;
+  uint64_t fresh_us;
+  uint64_t owned_epoch;
+  bool draining;
+};
+
+struct pl_state
+{
+  struct pl_desc desc;
+  int listen_fd;
+  struct ev_io listener;
+  struct cyc_pool peer_pool;
+  struct pl_peer *peers;
+  struct cyc_pool conn_pool;
+  struct pl_conn *conns;
+  uint64_t heartbeat_at_us;
+};
+
+/** A row for a connected or connecting socket; false when the table is full
+ * and the socket was closed. */
+bool pl_conn_open (struct pl_state *pl, int fd, enum conn_phase phase,
+                   struct cyc_ref peer);
+void pl_conn_close (struct pl_conn *conn);
+/** Marks for closing by the next tick, so that a caller never loses a row in
+ * the middle of its own loop. */
+void pl_conn_fail (struct pl_conn *conn, const char *why);
+/** False when the queue of the connection is full. */
+bool pl_conn_send (struct pl_conn *conn, const Cyc__Peer *message);
+bool pl_conn_send_hello (struct pl_conn *conn);
+
+/** A whole frame arrived on @p conn. */
+void pl_on_message (struct pl_conn *conn, const Cyc__Peer *message);
+
+#endif
