Treat answers that cannot be proved whole as errors

Cause: libcurl 7.88 reports success for an answer whose headers were cut short and for a body that ends with the connection, so half an answer could reach a caller as a whole one. Ruled out: checking the body length alone, because it is unknown in both cases. The client now requires the blank line after the headers and a Content-Length or chunked framing. Before: the case 'headers cut short' gave status 200; after: all 8 scripted cases pass.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -25,6 +25,8 @@
   size_t answer_room;
   bool not_started;
   bool draining;
+  bool headers_whole; /* the blank line after the headers arrived */
+  bool length_known;  /* Content-Length or chunked framing */
   char outcome[16];
   char error[CURL_ERROR_SIZE];
   void (*done) (void *user, const struct hc_result *result);
@@ -138,7 +140,17 @@
   struct cyc_str line = { data, size * count };
   struct cyc_str value;
 
-  if (header_is (line, "Not-Started", &value))
+  if (line.len > 5 && strncmp (line.data, "HTTP/", 5) == 0)
+    {
+      transfer->headers_whole = false; /* after an interim 1xx answer */
+      transfer->length_known = false;
+    }
+  else if (line.len <= 2 && line.len > 0 && line.data[line.len - 1] == '\n')
+    transfer->headers_whole = true;
+  else if (header_is (line, "Content-Length", &value)
+           || header_is (line, "Transfer-Encoding", &value))
+    transfer->length_known = true;
+  else if (header_is (line, "Not-Started", &value))
     transfer->not_started = cyc_str_eq (value, CYC_STR ("1"));
   else if (header_is (line, "Draining", &value))
     transfer->draining = cyc_str_eq (value, CYC_STR ("1"));
@@ -182,6 +194,14 @@
   return HC_SENT_MAYBE;
 }
 
+/* libcurl reports success for an answer whose headers were cut short and for
+   one that ends with the connection; neither can be told from a whole one. */
+static bool
+answer_is_whole (const struct hc_transfer *transfer, CURLcode code)
+{
+  return code == CURLE_OK && transfer->headers_whole && transfer->length_known;
+}
+
 static void
 finish (struct hc_transfer *transfer, CURLcode code)
 {
@@ -197,8 +217,10 @@
   result.connected = connect_us > 0 || result.sent == HC_SENT_MAYBE;
   result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
   result.error = "";
-  if (code == CURLE_OK)
+  if (answer_is_whole (transfer, code))
     curl_easy_getinfo (transfer->easy, CURLINFO_RESPONSE_CODE, &result.status);
+  else if (code == CURLE_OK)
+    result.error = "answer was cut short";
   else
     result.error
         = transfer->error[0] ? transfer->error : curl_easy_strerror (code);
--- /dev/null
+++ b/tests/test_http.c
@@ -0,0 +1,361 @@
+/**
+ * @file
+ * HTTP client against scripted bytes and against the HTTP server: a partial
+ * answer must never look whole, and "not sent" must be claimed only when no
+ * byte can have left.
+ */
+#include "http_client.h"
+#include "http_server.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#define LIMIT_US 5000000
+#define SHORT_US 200000
+
+struct seen
+{
+  uint32_t calls;
+  long status;
+  enum hc_sent sent;
+  bool timed_out;
+  bool not_started;
+  char body[256];
+  size_t body_len;
+};
+
+static void
+on_done (void *user, const struct hc_result *result)
+{
+  struct seen *seen = user;
+
+  seen->calls++;
+  seen->status = result->status;
+  seen->sent = result->sent;
+  seen->timed_out = result->timed_out;
+  seen->not_started = result->not_started;
+  seen->body_len = result->body.len;
+  if (result->body.len > 0 && result->body.len < sizeof seen->body)
+    memcpy (seen->body, result->body.data, result->body.len);
+}
+
+static void
+on_wake (struct ev_loop *loop, struct ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)timer;
+  (void)events;
+}
+
+static void
+run_until_called (struct ev_loop *loop, const struct seen *seen)
+{
+  uint64_t deadline_us = hc_now_us () + LIMIT_US;
+  struct ev_timer wake;
+
+  ev_timer_init (&wake, on_wake, 0.01, 0.01);
+  ev_timer_start (loop, &wake);
+  while (seen->calls == 0 && hc_now_us () < deadline_us)
+    ev_run (loop, EVRUN_ONCE);
+  ev_timer_stop (loop, &wake);
+  assert_int_equal (seen->calls, 1);
+}
+
+static int
+listen_any (uint16_t *port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t len = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  assert_int_equal (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  assert_int_equal (listen (fd, 8), 0);
+  getsockname (fd, (struct sockaddr *)&address, &len);
+  *port = ntohs (address.sin_port);
+  return fd;
+}
+
+struct raw_server
+{
+  struct ev_io io;
+  const char *answer; /* NULL: keep silent */
+};
+
+static void
+on_raw_accept (struct ev_loop *loop, struct ev_io *io, int events)
+{
+  struct raw_server *raw = io->data;
+  char sink[4096];
+  int fd = accept (io->fd, NULL, NULL);
+
+  (void)loop;
+  (void)events;
+  if (fd < 0)
+    return;
+  if (raw->answer == NULL)
+    return; /* the descriptor stays open until the program ends */
+  if (recv (fd, sink, sizeof sink, 0) > 0)
+    send (fd, raw->answer, strlen (raw->answer), MSG_NOSIGNAL);
+  close (fd);
+}
+
+struct raw_case
+{
+  const char *name;
+  bool listening;
+  const char *answer;
+  long status;
+  enum hc_sent sent;
+  bool timed_out;
+};
+
+static const struct raw_case raw_cases[] = {
+  { "nobody listens", false, NULL, 0, HC_SENT_NO, false },
+  { "silent after the request", true, NULL, 0, HC_SENT_MAYBE, true },
+  { "closed without an answer", true, "", 0, HC_SENT_MAYBE, false },
+  { "answer cut short", true,
+    "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", 0, HC_SENT_MAYBE,
+    false },
+  { "chunked answer cut short", true,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", 0,
+    HC_SENT_MAYBE, false },
+  { "headers cut short", true, "HTTP/1.1 200 OK\r\nConte", 0, HC_SENT_MAYBE,
+    false },
+  { "body that ends with the connection", true,
+    "HTTP/1.1 200 OK\r\n\r\nmaybe half", 0, HC_SENT_MAYBE, false },
+  { "whole answer", true, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull",
+    200, HC_SENT_MAYBE, false },
+};
+
+static void
+run_raw_case (const struct raw_case *item, struct seen *seen)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct cyc_findings found = { 0 };
+  struct hc_client hc;
+  struct raw_server raw = { .answer = item->answer };
+  uint16_t port;
+  int fd = listen_any (&port);
+  char url[64];
+
+  assert_true (hc_setup (&hc, &(struct hc_desc){ .loop = loop }, &found));
+  if (!item->listening)
+    close (fd);
+  else
+    {
+      ev_io_init (&raw.io, on_raw_accept, fd, EV_READ);
+      raw.io.data = &raw;
+      ev_io_start (loop, &raw.io);
+    }
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/x", port);
+  hc_send (&hc, &(struct hc_request){ .method = HC_POST,
+                                      .url = cyc_str_of (url),
+                                      .body = CYC_STR ("payload"),
+                                      .deadline_us = hc_now_us () + SHORT_US,
+                                      .fresh_connection = true,
+                                      .done = on_done,
+                                      .user = seen });
+  run_until_called (loop, seen);
+  hc_shutdown (&hc);
+  if (item->listening)
+    close (fd);
+  ev_loop_destroy (loop);
+}
+
+static void
+partial_answers_are_errors_and_sent_is_never_denied (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof raw_cases / sizeof raw_cases[0]; i++)
+    {
+      struct seen seen = { 0 };
+
+      print_message ("case: %s\n", raw_cases[i].name);
+      run_raw_case (&raw_cases[i], &seen);
+      assert_int_equal (seen.status, raw_cases[i].status);
+      assert_int_equal (seen.sent, raw_cases[i].sent);
+      assert_int_equal (seen.timed_out, raw_cases[i].timed_out);
+    }
+}
+
+struct pair
+{
+  struct ev_loop *loop;
+  struct hs_server hs;
+  struct hc_client hc;
+  struct cyc_ref held;
+  uint32_t handled;
+  uint32_t gone;
+  bool hold;
+  char url[64];
+};
+
+static void
+echo (struct pair *pair, struct cyc_ref ref, struct cyc_str body)
+{
+  struct hs_reply reply = { .status = 200, .body = body, .header_count = 1 };
+
+  reply.headers[0].name = "Not-Started";
+  snprintf (reply.headers[0].value, sizeof reply.headers[0].value, "1");
+  assert_true (hs_reply (&pair->hs, ref, &reply));
+}
+
+static void
+on_call (void *user, const struct hs_call *call)
+{
+  struct pair *pair = user;
+
+  pair->handled++;
+  pair->held = call->ref;
+  if (!pair->hold)
+    echo (pair, call->ref, call->body);
+}
+
+static void
+on_gone (void *user, struct cyc_ref ref)
+{
+  struct pair *pair = user;
+
+  (void)ref;
+  pair->gone++;
+}
+
+static void
+pair_start (struct pair *pair)
+{
+  struct cyc_findings found = { 0 };
+  uint16_t port;
+
+  memset (pair, 0, sizeof *pair);
+  close (listen_any (&port));
+  pair->loop = ev_loop_new (EVFLAG_AUTO);
+  assert_true (hs_setup (&pair->hs,
+                         &(struct hs_desc){ .loop = pair->loop,
+                                            .address = "127.0.0.1",
+                                            .port = port,
+                                            .max_body_bytes = 64,
+                                            .handle = on_call,
+                                            .gone = on_gone,
+                                            .user = pair },
+                         &found));
+  assert_true (
+      hc_setup (&pair->hc, &(struct hc_desc){ .loop = pair->loop }, &found));
+  snprintf (pair->url, sizeof pair->url, "http://127.0.0.1:%u/x", port);
+}
+
+static void
+pair_stop (struct pair *pair)
+{
+  hc_shutdown (&pair->hc);
+  hs_shutdown (&pair->hs);
+  ev_loop_destroy (pair->loop);
+}
+
+static void
+pair_send (struct pair *pair, struct cyc_str body, uint64_t limit_us,
+           struct seen *seen)
+{
+  hc_send (&pair->hc,
+           &(struct hc_request){ .method = HC_POST,
+                                 .url = cyc_str_of (pair->url),
+                                 .body = body,
+                                 .deadline_us = hc_now_us () + limit_us,
+                                 .done = on_done,
+                                 .user = seen });
+}
+
+static void
+body_over_the_limit_never_reaches_the_handler (void **state)
+{
+  struct pair pair;
+  struct seen seen = { 0 };
+  char body[65];
+
+  (void)state;
+  memset (body, 'x', sizeof body);
+  pair_start (&pair);
+  pair_send (&pair, (struct cyc_str){ body, sizeof body }, LIMIT_US, &seen);
+  run_until_called (pair.loop, &seen);
+  assert_int_equal (seen.status, 413);
+  assert_int_equal (pair.handled, 0);
+  memset (&seen, 0, sizeof seen);
+  pair_send (&pair, (struct cyc_str){ body, 64 }, LIMIT_US, &seen);
+  run_until_called (pair.loop, &seen);
+  assert_int_equal (seen.status, 200);
+  assert_int_equal (seen.body_len, 64);
+  assert_true (seen.not_started);
+  pair_stop (&pair);
+}
+
+static void
+late_reply_reaches_its_own_call (void **state)
+{
+  struct pair pair;
+  struct seen first = { 0 };
+  struct seen second = { 0 };
+  uint64_t deadline_us = hc_now_us () + LIMIT_US;
+
+  (void)state;
+  pair_start (&pair);
+  pair.hold = true;
+  pair_send (&pair, CYC_STR ("one"), LIMIT_US, &first);
+  while (pair.handled == 0 && hc_now_us () < deadline_us)
+    ev_run (pair.loop, EVRUN_ONCE);
+  pair.hold = false;
+  struct cyc_ref held = pair.held;
+  pair_send (&pair, CYC_STR ("two"), LIMIT_US, &second);
+  run_until_called (pair.loop, &second);
+  assert_int_equal (first.calls, 0);
+  echo (&pair, held, CYC_STR ("late"));
+  run_until_called (pair.loop, &first);
+  assert_memory_equal (second.body, "two", 3);
+  assert_memory_equal (first.body, "late", 4);
+  pair_stop (&pair);
+}
+
+static void
+reply_to_a_caller_that_left_is_dropped (void **state)
+{
+  struct pair pair;
+  struct seen seen = { 0 };
+  uint64_t deadline_us = hc_now_us () + LIMIT_US;
+  struct hs_reply reply = { .status = 200 };
+
+  (void)state;
+  pair_start (&pair);
+  pair.hold = true;
+  pair_send (&pair, CYC_STR ("one"), SHORT_US, &seen);
+  run_until_called (pair.loop, &seen);
+  assert_true (seen.timed_out);
+  assert_int_equal (pair.handled, 1);
+  hs_reply (&pair.hs, pair.held, &reply);
+  while (cyc_pool_live (&pair.hs.pool, pair.held)
+         && hc_now_us () < deadline_us)
+    ev_run (pair.loop, EVRUN_ONCE);
+  assert_false (hs_reply (&pair.hs, pair.held, &reply));
+  pair_stop (&pair);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (partial_answers_are_errors_and_sent_is_never_denied),
+    cmocka_unit_test (body_over_the_limit_never_reaches_the_handler),
+    cmocka_unit_test (late_reply_reaches_its_own_call),
+    cmocka_unit_test (reply_to_a_caller_that_left_is_dropped),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
