Add the decision logic of claims on failure domains

The scheduler and the model check need the same rules for claim, renewal, release and the wait of a new owner, without clock or log.

--- /dev/null
+++ b/src/cyc_claim.c
@@ -0,0 +1,286 @@
+#include <cyclamendrum/claim.h>
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define LEASE_DEFAULT_US UINT64_C (2500000)
+#define RATE_DEFAULT_PERMILLE 10
+#define JITTER_DIVISOR 5
+#define RENEW_DIVISOR 3
+
+bool
+cyc_clm_setup (struct cyc_clm *clm, const struct cyc_clm_desc *desc,
+               struct cyc_findings *findings)
+{
+  uint32_t before = findings->count;
+
+  memset (clm, 0, sizeof *clm);
+  if (desc->domain.len == 0)
+    cyc_findings_add (findings, CYC_STR ("domain"), "is missing");
+  if (desc->owner.len == 0)
+    cyc_findings_add (findings, CYC_STR ("owner"), "is missing");
+  if (cyc_id128_zero (&desc->incarnation))
+    cyc_findings_add (findings, CYC_STR ("incarnation"), "is missing");
+  if (findings->count != before)
+    return false;
+  clm->desc = *desc;
+  if (clm->desc.lease_us == 0)
+    clm->desc.lease_us = LEASE_DEFAULT_US;
+  if (clm->desc.rate_permille == 0)
+    clm->desc.rate_permille = RATE_DEFAULT_PERMILLE;
+  if (clm->desc.jitter_max_us == 0)
+    clm->desc.jitter_max_us = clm->desc.lease_us / JITTER_DIVISOR;
+  clm->next_token = 1;
+  return true;
+}
+
+void
+cyc_clm_shutdown (struct cyc_clm *clm)
+{
+  memset (clm, 0, sizeof *clm);
+}
+
+static bool
+is_mine (const struct cyc_clm *clm, const struct cyc_claim *claim)
+{
+  return claim->epoch > 0 && !claim->released
+         && cyc_name_eq (&claim->owner, &clm->desc.owner)
+         && cyc_id128_eq (&claim->incarnation, &clm->desc.incarnation);
+}
+
+/* Jitter that differs between standbys, so that they do not all claim at the
+   same instant. */
+static void
+draw_jitter (struct cyc_clm *clm)
+{
+  uint64_t hash
+      = XXH64 (clm->desc.incarnation.bytes, sizeof clm->desc.incarnation.bytes,
+               clm->seen.renewed_offset);
+
+  clm->jitter_us = hash % (clm->desc.jitter_max_us + 1);
+}
+
+static void
+step_down (struct cyc_clm *clm)
+{
+  clm->role = CYC_CLM_STANDBY;
+  clm->renewed_us = 0;
+  clm->hold_us = 0;
+  clm->claimed_us = 0;
+  clm->fenced_us = 0;
+  clm->stock_taken = false;
+  clm->after_release = false;
+}
+
+void
+cyc_clm_observe (struct cyc_clm *clm, const struct cyc_claim *claim,
+                 uint64_t now_us)
+{
+  bool moved = claim->epoch != clm->seen.epoch
+               || claim->renewed_offset != clm->seen.renewed_offset
+               || claim->released != clm->seen.released;
+
+  if (moved || clm->silent_since_us == 0)
+    clm->silent_since_us = now_us;
+  clm->seen = *claim;
+  if (moved)
+    draw_jitter (clm);
+  if (clm->role == CYC_CLM_OWNER && !is_mine (clm, claim))
+    step_down (clm);
+}
+
+void
+cyc_clm_log (struct cyc_clm *clm, bool reachable, uint64_t now_us)
+{
+  if (reachable && !clm->log_reachable)
+    clm->silent_since_us = now_us;
+  clm->log_reachable = reachable;
+}
+
+void
+cyc_clm_workers (struct cyc_clm *clm, const struct cyc_clm_workers *workers,
+                 uint64_t now_us)
+{
+  if (clm->role != CYC_CLM_OWNER)
+    return;
+  if ((uint64_t)workers->fenced * 2 <= workers->total)
+    {
+      /* A grown fleet needs its majority fenced before the first start only;
+         later on the hold itself is the guard. */
+      if (!cyc_clm_may_start (clm, now_us))
+        clm->fenced_us = 0;
+    }
+  else if (clm->fenced_us == 0)
+    clm->fenced_us = now_us;
+  if (workers->stock_taken)
+    clm->stock_taken = true;
+  if (workers->majority_us > 0
+      && workers->majority_us + clm->desc.lease_us > clm->hold_us)
+    clm->hold_us = workers->majority_us + clm->desc.lease_us;
+}
+
+void
+cyc_clm_stale_epoch (struct cyc_clm *clm, uint64_t epoch)
+{
+  if (clm->role == CYC_CLM_OWNER && epoch > clm->seen.epoch)
+    step_down (clm);
+}
+
+void
+cyc_clm_release (struct cyc_clm *clm)
+{
+  clm->releasing = true;
+}
+
+static void
+fill_step (struct cyc_clm *clm, enum cyc_claim_step kind, uint64_t epoch,
+           uint64_t now_us, struct cyc_clm_step *step)
+{
+  clm->pending_token = clm->next_token++;
+  clm->pending_step = kind;
+  clm->pending_sent_us = now_us;
+  clm->pending_epoch = epoch;
+  clm->pending_after_release = clm->seen.released;
+  *step = (struct cyc_clm_step){ .token = clm->pending_token };
+  step->edit.step = kind;
+  step->edit.domain = cyc_name_str (&clm->desc.domain);
+  step->edit.shard = clm->desc.shard;
+  step->edit.epoch = epoch;
+  step->edit.owner = cyc_name_str (&clm->desc.owner);
+  step->edit.incarnation = clm->desc.incarnation;
+}
+
+static bool
+next_of_owner (struct cyc_clm *clm, uint64_t now_us, struct cyc_clm_step *step)
+{
+  if (clm->releasing)
+    {
+      fill_step (clm, CYC_CLAIM_RELEASE, clm->seen.epoch, now_us, step);
+      return true;
+    }
+  if (now_us < clm->renewed_us + clm->desc.lease_us / RENEW_DIVISOR)
+    return false;
+  fill_step (clm, CYC_CLAIM_RENEW, clm->seen.epoch, now_us, step);
+  return true;
+}
+
+bool
+cyc_clm_next (struct cyc_clm *clm, uint64_t now_us, struct cyc_clm_step *step)
+{
+  if (clm->pending_token != 0 || !clm->log_reachable)
+    return false;
+  if (clm->role == CYC_CLM_OWNER)
+    return next_of_owner (clm, now_us, step);
+  if (clm->releasing)
+    return false;
+  if (!clm->seen.released && clm->seen.epoch > 0
+      && now_us < clm->silent_since_us + clm->desc.lease_us + clm->jitter_us)
+    return false;
+  fill_step (clm, CYC_CLAIM_TAKE, clm->seen.epoch + 1, now_us, step);
+  return true;
+}
+
+static void
+become_owner (struct cyc_clm *clm, uint64_t now_us)
+{
+  clm->role = CYC_CLM_OWNER;
+  clm->renewed_us = clm->pending_sent_us;
+  clm->hold_us = clm->pending_sent_us + clm->desc.lease_us;
+  clm->claimed_us = now_us;
+  clm->fenced_us = 0;
+  clm->stock_taken = false;
+  clm->after_release = clm->pending_after_release;
+  clm->seen.epoch = clm->pending_epoch;
+  clm->seen.released = false;
+  clm->seen.owner = clm->desc.owner;
+  clm->seen.incarnation = clm->desc.incarnation;
+}
+
+static void
+accepted (struct cyc_clm *clm, uint64_t now_us)
+{
+  switch (clm->pending_step)
+    {
+    case CYC_CLAIM_TAKE:
+      become_owner (clm, now_us);
+      break;
+    case CYC_CLAIM_RENEW:
+      if (clm->role != CYC_CLM_OWNER || clm->pending_epoch != clm->seen.epoch)
+        break;
+      clm->renewed_us = clm->pending_sent_us;
+      if (clm->pending_sent_us + clm->desc.lease_us > clm->hold_us)
+        clm->hold_us = clm->pending_sent_us + clm->desc.lease_us;
+      break;
+    case CYC_CLAIM_RELEASE:
+      step_down (clm);
+      break;
+    }
+}
+
+void
+cyc_clm_result (struct cyc_clm *clm, uint64_t token, enum cyc_clm_fate fate,
+                uint64_t now_us)
+{
+  if (token == 0 || token != clm->pending_token)
+    return;
+  clm->pending_token = 0;
+  if (fate == CYC_CLM_APPEND_ACCEPTED)
+    accepted (clm, now_us);
+  else if (clm->role == CYC_CLM_STANDBY)
+    clm->silent_since_us = now_us;
+}
+
+uint64_t
+cyc_clm_wait_us (const struct cyc_clm *clm)
+{
+  uint64_t from = clm->claimed_us;
+
+  if (clm->role != CYC_CLM_OWNER || clm->fenced_us == 0 || !clm->stock_taken)
+    return UINT64_MAX;
+  if (clm->after_release)
+    return from;
+  if (clm->fenced_us > from)
+    from = clm->fenced_us;
+  return from + clm->desc.lease_us
+         + clm->desc.lease_us * clm->desc.rate_permille / 1000;
+}
+
+bool
+cyc_clm_may_start (const struct cyc_clm *clm, uint64_t now_us)
+{
+  return clm->role == CYC_CLM_OWNER && !clm->releasing && now_us < clm->hold_us
+         && now_us >= cyc_clm_wait_us (clm);
+}
+
+uint64_t
+cyc_clm_hold_us (const struct cyc_clm *clm)
+{
+  return clm->role == CYC_CLM_OWNER ? clm->hold_us : 0;
+}
+
+uint64_t
+cyc_clm_epoch (const struct cyc_clm *clm)
+{
+  return clm->role == CYC_CLM_OWNER ? clm->seen.epoch : 0;
+}
+
+static int
+later_first (const void *a, const void *b)
+{
+  uint64_t left = *(const uint64_t *)a;
+  uint64_t right = *(const uint64_t *)b;
+
+  return (left < right) - (left > right);
+}
+
+uint64_t
+cyc_clm_majority_us (uint64_t *accepted_us, uint32_t count, uint32_t total)
+{
+  uint32_t needed = total / 2 + 1;
+
+  if (count < needed)
+    return 0;
+  qsort (accepted_us, count, sizeof *accepted_us, later_first);
+  return accepted_us[needed - 1];
+}
