--- a/src/cyc_claim.c
+++ b/src/cyc_claim.c
@@ -73,6 +73,15 @@
   clm->after_release = false;
 }
 
+/* A claim whose append was reported as lost took effect after all. When it was
+   sent is no longer known, so nothing is held before the next renewal. */
+static void
+adopt_late_claim (struct cyc_clm *clm, uint64_t now_us)
+{
+  clm->role = CYC_CLM_OWNER;
+  clm->claimed_us = now_us;
+}
+
 void
 cyc_clm_observe (struct cyc_clm *clm, const struct cyc_claim *claim,
                  uint64_t now_us)
@@ -84,10 +93,14 @@
   if (moved || clm->silent_since_us == 0)
     clm->silent_since_us = now_us;
   clm->seen = *claim;
+  clm->observed = true;
   if (moved)
     draw_jitter (clm);
   if (clm->role == CYC_CLM_OWNER && !is_mine (clm, claim))
     step_down (clm);
+  else if (clm->role == CYC_CLM_STANDBY && clm->pending_token == 0
+           && is_mine (clm, claim) && claim->epoch >= clm->known_epoch)
+    adopt_late_claim (clm, now_us);
 }
 
 void
@@ -123,6 +136,8 @@
 void
 cyc_clm_stale_epoch (struct cyc_clm *clm, uint64_t epoch)
 {
+  if (epoch > clm->known_epoch)
+    clm->known_epoch = epoch;
   if (clm->role == CYC_CLM_OWNER && epoch > clm->seen.epoch)
     step_down (clm);
 }
@@ -168,7 +183,7 @@
 bool
 cyc_clm_next (struct cyc_clm *clm, uint64_t now_us, struct cyc_clm_step *step)
 {
-  if (clm->pending_token != 0 || !clm->log_reachable)
+  if (!clm->observed || clm->pending_token != 0 || !clm->log_reachable)
     return false;
   if (clm->role == CYC_CLM_OWNER)
     return next_of_owner (clm, now_us, step);
--- /dev/null
+++ b/src/cyc_config.c
@@ -0,0 +1,538 @@
+#include <cyclamendrum/config.h>
+#include <cyclamendrum/jobs.h>
+
+#include <json-c/json.h>
+#include <limits.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Bounds keep every product of limit, weight and balance within 128 bits and
+   every sum over the fleet within 64 bits. */
+#define MAX_LIMIT INT64_C (1000000000000)
+#define MAX_WEIGHT 1000000
+#define MAX_SEATS 1024
+#define MAX_MILLICORES 10000000
+#define MAX_MEMORY_MIB 100000000
+#define MAX_ACCELERATORS 1024
+#define MAX_REPLICAS 65536
+#define MAX_RUN_S 31536000
+#define MAX_ANSWER_MS 86400000
+/* "queue/" and the name must fit struct cyc_name together. */
+#define MAX_ITEM_NAME_BYTES (CYC_NAME_MAX_BYTES - 6)
+
+struct reader
+{
+  struct cyc_str place;
+  struct cyc_findings *findings;
+};
+
+enum member_type
+{
+  MEMBER_U32,
+  MEMBER_U64,
+  MEMBER_BOOL,
+  MEMBER_NAME,
+  MEMBER_KIND,
+  MEMBER_SPREAD,
+  MEMBER_OTHER /**< read by the caller */
+};
+
+/* One member of a JSON object; numbers are between low and high. */
+struct member
+{
+  const char *key;
+  enum member_type type;
+  bool required;
+  size_t offset;
+  int64_t low;
+  int64_t high;
+  int64_t fallback;
+};
+
+static void __attribute__ ((format (printf, 3, 4)))
+add_defect (const struct reader *reader, const char *path, const char *format,
+            ...)
+{
+  char place[256];
+  char text[200];
+  va_list args;
+
+  va_start (args, format);
+  vsnprintf (text, sizeof text, format, args);
+  va_end (args);
+  snprintf (place, sizeof place, "%.*s: %s", CYC_FMT (reader->place), path);
+  cyc_findings_add (reader->findings, cyc_str_of (place), "%s", text);
+}
+
+static void
+read_number (const struct reader *reader, const char *path,
+             const struct member *member, struct json_object *value, void *to)
+{
+  int64_t number = member->fallback;
+  uint32_t narrow;
+  uint64_t wide;
+
+  if (value != NULL && !json_object_is_type (value, json_type_int))
+    add_defect (reader, path, "must be a whole number");
+  else if (value != NULL)
+    {
+      number = json_object_get_int64 (value);
+      if (number < member->low || number > member->high)
+        {
+          add_defect (reader, path, "must be between %lld and %lld",
+                      (long long)member->low, (long long)member->high);
+          number = member->low;
+        }
+    }
+  narrow = (uint32_t)number;
+  wide = (uint64_t)number;
+  if (member->type == MEMBER_U32)
+    memcpy (to, &narrow, sizeof narrow);
+  else
+    memcpy (to, &wide, sizeof wide);
+}
+
+static void
+read_bool (const struct reader *reader, const char *path,
+           const struct member *member, struct json_object *value, void *to)
+{
+  bool flag = member->fallback != 0;
+
+  if (value != NULL && !json_object_is_type (value, json_type_boolean))
+    add_defect (reader, path, "must be true or false");
+  else if (value != NULL)
+    flag = json_object_get_boolean (value);
+  memcpy (to, &flag, sizeof flag);
+}
+
+static struct cyc_str
+text_of (struct json_object *value)
+{
+  if (value == NULL || !json_object_is_type (value, json_type_string))
+    return (struct cyc_str){ 0 };
+  return (struct cyc_str){ .data = json_object_get_string (value),
+                           .len = (size_t)json_object_get_string_len (value) };
+}
+
+static void
+read_name (const struct reader *reader, const char *path,
+           struct json_object *value, void *to)
+{
+  struct cyc_name name = { 0 };
+  struct cyc_str text = text_of (value);
+
+  if (value == NULL)
+    return;
+  if (!cyc_name_valid (text) || text.len > MAX_ITEM_NAME_BYTES)
+    add_defect (reader, path,
+                "must be a name of 1 to %d lower-case letters, digits, '-' "
+                "and '.'",
+                MAX_ITEM_NAME_BYTES);
+  else
+    cyc_name_set (&name, text);
+  memcpy (to, &name, sizeof name);
+}
+
+static const char *const kind_words[] = { "service", "batch", "gang", NULL };
+static const char *const spread_words[] = { "none", "rack", "domain", NULL };
+
+static void
+read_word (const struct reader *reader, const char *path,
+           const char *const *words, struct json_object *value, void *to)
+{
+  struct cyc_str text = text_of (value);
+
+  if (value == NULL)
+    return;
+  for (int i = 0; words[i] != NULL; i++)
+    if (cyc_str_eq (text, cyc_str_of (words[i])))
+      {
+        memcpy (to, &i, sizeof i);
+        return;
+      }
+  add_defect (reader, path, "must be \"%s\", \"%s\" or \"%s\"", words[0],
+              words[1], words[2]);
+}
+
+static void
+read_member (const struct reader *reader, const char *path,
+             const struct member *member, struct json_object *value, void *to)
+{
+  if (value == NULL && member->required)
+    add_defect (reader, path, "is missing");
+  switch (member->type)
+    {
+    case MEMBER_U32:
+    case MEMBER_U64:
+      read_number (reader, path, member, value, to);
+      break;
+    case MEMBER_BOOL:
+      read_bool (reader, path, member, value, to);
+      break;
+    case MEMBER_NAME:
+      read_name (reader, path, value, to);
+      break;
+    case MEMBER_KIND:
+      read_word (reader, path, kind_words, value, to);
+      break;
+    case MEMBER_SPREAD:
+      read_word (reader, path, spread_words, value, to);
+      break;
+    case MEMBER_OTHER:
+      break;
+    }
+}
+
+/* Reads the members of a table and reports members that are not in it. */
+static bool
+read_object (const struct reader *reader, const char *path,
+             const struct member *members, size_t count,
+             struct json_object *object, void *out)
+{
+  char at[160];
+
+  if (!json_object_is_type (object, json_type_object))
+    {
+      add_defect (reader, path, "must be an object");
+      return false;
+    }
+  json_object_object_foreach (object, key, unused)
+  {
+    bool known = false;
+
+    (void)unused;
+    for (size_t i = 0; i < count && !known; i++)
+      known = strcmp (members[i].key, key) == 0;
+    snprintf (at, sizeof at, "%s.%.60s", path, key);
+    if (!known)
+      add_defect (reader, at, "unknown member");
+  }
+  for (size_t i = 0; i < count; i++)
+    {
+      struct json_object *value = NULL;
+
+      /* A member that is null counts as given with a wrong type. */
+      if (json_object_object_get_ex (object, members[i].key, &value)
+          && value == NULL)
+        {
+          snprintf (at, sizeof at, "%s.%s", path, members[i].key);
+          add_defect (reader, at, "must not be null");
+          continue;
+        }
+      snprintf (at, sizeof at, "%s.%s", path, members[i].key);
+      read_member (reader, at, &members[i], value,
+                   (char *)out + members[i].offset);
+    }
+  return true;
+}
+
+static bool
+only_blank (struct cyc_str text, size_t from)
+{
+  for (size_t i = from; i < text.len; i++)
+    if (strchr (" \t\r\n", text.data[i]) == NULL || text.data[i] == '\0')
+      return false;
+  return true;
+}
+
+static struct json_object *
+parse_text (const struct reader *reader, struct cyc_str body)
+{
+  struct json_tokener *tokener;
+  struct json_object *root = NULL;
+  enum json_tokener_error error;
+  size_t end;
+
+  if (body.len == 0 || body.len > INT_MAX)
+    {
+      add_defect (reader, "$", "is empty or too long");
+      return NULL;
+    }
+  tokener = json_tokener_new ();
+  if (tokener == NULL)
+    {
+      add_defect (reader, "$", "no memory");
+      return NULL;
+    }
+  json_tokener_set_flags (tokener, JSON_TOKENER_VALIDATE_UTF8);
+  root = json_tokener_parse_ex (tokener, body.data, (int)body.len);
+  error = json_tokener_get_error (tokener);
+  end = json_tokener_get_parse_end (tokener);
+  if (error != json_tokener_success)
+    add_defect (reader, "$", "not JSON (at byte %zu: %s)", end,
+                json_tokener_error_desc (error));
+  else if (!only_blank (body, end))
+    add_defect (reader, "$", "text after the end of the JSON value");
+  json_tokener_free (tokener);
+  if (root == NULL && error == json_tokener_success)
+    add_defect (reader, "$", "must be an object");
+  return root;
+}
+
+#define SIZE_MEMBERS(type, member, need)                                      \
+  { "millicores",   MEMBER_U32, need, offsetof (type, member.millicores), 1,  \
+    MAX_MILLICORES, 0 },                                                      \
+      { "memory_mib",                                                         \
+        MEMBER_U32,                                                           \
+        need,                                                                 \
+        offsetof (type, member.memory_mib),                                   \
+        1,                                                                    \
+        MAX_MEMORY_MIB,                                                       \
+        0 },                                                                  \
+  {                                                                           \
+    "accelerators", MEMBER_U32, false, offsetof (type, member.accelerators),  \
+        0, MAX_ACCELERATORS, 0                                                \
+  }
+
+struct largest_worker
+{
+  struct cyc_res size;
+};
+
+static const struct member fleet_members[] = {
+  { "regions", MEMBER_OTHER, true, 0, 0, 0, 0 },
+  { "largest_worker", MEMBER_OTHER, true, 0, 0, 0, 0 },
+  { "shards_per_domain", MEMBER_U32, false,
+    offsetof (struct cyc_fleet_cfg, shards_per_domain), 1, 1, 1 },
+};
+static const struct member region_members[] = {
+  { "name", MEMBER_NAME, true, offsetof (struct cyc_domain_cfg, region), 0, 0,
+    0 },
+  { "domains", MEMBER_OTHER, true, 0, 0, 0, 0 },
+};
+static const struct member domain_members[] = {
+  { "name", MEMBER_NAME, true, offsetof (struct cyc_domain_cfg, name), 0, 0,
+    0 },
+  { "weight", MEMBER_U32, true, offsetof (struct cyc_domain_cfg, weight), 1,
+    MAX_WEIGHT, 0 },
+  { "entry_seats", MEMBER_U32, true,
+    offsetof (struct cyc_domain_cfg, entry_seats), 1, MAX_SEATS, 0 },
+};
+static const struct member worker_members[] = {
+  SIZE_MEMBERS (struct largest_worker, size, true),
+};
+static const struct member team_members[] = {
+  { "team", MEMBER_NAME, true, offsetof (struct cyc_team_cfg, name), 0, 0, 0 },
+  { "share_permille", MEMBER_U32, true,
+    offsetof (struct cyc_team_cfg, share_permille), 0,
+    CYC_SHARE_WHOLE_PERMILLE, 0 },
+  { "limit_millicores", MEMBER_U64, true,
+    offsetof (struct cyc_team_cfg, limit_millicores), 0, MAX_LIMIT, 0 },
+  { "limit_accelerators", MEMBER_U64, false,
+    offsetof (struct cyc_team_cfg, limit_accelerators), 0, MAX_LIMIT, 0 },
+};
+static const struct member queue_members[] = {
+  { "queue", MEMBER_NAME, true, offsetof (struct cyc_queue_cfg, name), 0, 0,
+    0 },
+  { "team", MEMBER_NAME, true, offsetof (struct cyc_queue_cfg, team), 0, 0,
+    0 },
+  { "kind", MEMBER_KIND, true, offsetof (struct cyc_queue_cfg, kind), 0, 0,
+    0 },
+  { "urgent", MEMBER_BOOL, false, offsetof (struct cyc_queue_cfg, urgent), 0,
+    0, 0 },
+  { "open", MEMBER_BOOL, false, offsetof (struct cyc_queue_cfg, open), 0, 0,
+    0 },
+  /* Required: a forgotten "false" would run something twice that bills
+     somebody, a forgotten "true" would refuse requests without a key. */
+  { "repeatable", MEMBER_BOOL, true,
+    offsetof (struct cyc_queue_cfg, repeatable), 0, 0, 0 },
+  { "tasks", MEMBER_U32, false, offsetof (struct cyc_queue_cfg, tasks), 1,
+    MAX_REPLICAS, 1 },
+  SIZE_MEMBERS (struct cyc_queue_cfg, size, true),
+  { "run_s", MEMBER_U32, false, offsetof (struct cyc_queue_cfg, run_s), 0,
+    MAX_RUN_S, 0 },
+  { "spread", MEMBER_SPREAD, false, offsetof (struct cyc_queue_cfg, spread), 0,
+    0, 0 },
+  { "objective", MEMBER_OTHER, false, 0, 0, 0, 0 },
+};
+static const struct member objective_members[] = {
+  { "answered_within_ms", MEMBER_U32, true,
+    offsetof (struct cyc_queue_cfg, answered_within_ms), 1, MAX_ANSWER_MS, 0 },
+  { "permille", MEMBER_U32, true,
+    offsetof (struct cyc_queue_cfg, objective_permille), 1,
+    CYC_SHARE_WHOLE_PERMILLE, 0 },
+};
+
+#define COUNT(table) (sizeof (table) / sizeof (table)[0])
+
+static void
+read_domain (const struct reader *reader, const char *path,
+             struct json_object *object, const struct cyc_name *region,
+             struct cyc_fleet_cfg *out)
+{
+  struct cyc_domain_cfg domain = { .region = *region };
+
+  if (!read_object (reader, path, domain_members, COUNT (domain_members),
+                    object, &domain))
+    return;
+  if (out->domain_count == CYC_MAX_DOMAINS)
+    {
+      add_defect (reader, path, "more than %d domains", CYC_MAX_DOMAINS);
+      return;
+    }
+  if (domain.name.len > 0
+      && cyc_cfg_domain_index (out, cyc_name_str (&domain.name)) >= 0)
+    add_defect (reader, path, "domain \"%s\" is listed twice",
+                domain.name.data);
+  out->domains[out->domain_count++] = domain;
+}
+
+static void
+read_region (const struct reader *reader, const char *path,
+             struct json_object *object, struct cyc_fleet_cfg *out)
+{
+  struct cyc_domain_cfg head = { 0 };
+  struct json_object *list = NULL;
+  char at[128];
+
+  if (!read_object (reader, path, region_members, COUNT (region_members),
+                    object, &head))
+    return;
+  for (uint32_t i = 0; i < out->domain_count; i++)
+    if (head.region.len > 0
+        && cyc_name_eq (&out->domains[i].region, &head.region))
+      {
+        add_defect (reader, path, "region \"%s\" is listed twice",
+                    head.region.data);
+        break;
+      }
+  if (!json_object_object_get_ex (object, "domains", &list))
+    return;
+  if (!json_object_is_type (list, json_type_array)
+      || json_object_array_length (list) == 0)
+    {
+      snprintf (at, sizeof at, "%s.domains", path);
+      add_defect (reader, at, "must be a list of at least one domain");
+      return;
+    }
+  for (size_t i = 0; i < json_object_array_length (list); i++)
+    {
+      snprintf (at, sizeof at, "%s.domains[%zu]", path, i);
+      read_domain (reader, at, json_object_array_get_idx (list, i),
+                   &head.region, out);
+    }
+}
+
+static int
+domain_order (const void *a, const void *b)
+{
+  const struct cyc_domain_cfg *left = a;
+  const struct cyc_domain_cfg *right = b;
+
+  return cyc_str_cmp (cyc_name_str (&left->name), cyc_name_str (&right->name));
+}
+
+static void
+read_fleet (const struct reader *reader, struct json_object *root,
+            struct cyc_fleet_cfg *out)
+{
+  struct json_object *list = NULL;
+  struct json_object *worker = NULL;
+  struct largest_worker largest = { 0 };
+  char at[64];
+
+  if (!read_object (reader, "$", fleet_members, COUNT (fleet_members), root,
+                    out))
+    return;
+  if (json_object_object_get_ex (root, "largest_worker", &worker)
+      && worker != NULL)
+    read_object (reader, "$.largest_worker", worker_members,
+                 COUNT (worker_members), worker, &largest);
+  out->largest_worker = largest.size;
+  if (!json_object_object_get_ex (root, "regions", &list) || list == NULL)
+    return;
+  if (!json_object_is_type (list, json_type_array)
+      || json_object_array_length (list) == 0
+      || json_object_array_length (list) > CYC_MAX_REGIONS)
+    {
+      add_defect (reader, "$.regions", "must be a list of 1 to %d regions",
+                  CYC_MAX_REGIONS);
+      return;
+    }
+  for (size_t i = 0; i < json_object_array_length (list); i++)
+    {
+      snprintf (at, sizeof at, "$.regions[%zu]", i);
+      read_region (reader, at, json_object_array_get_idx (list, i), out);
+    }
+  qsort (out->domains, out->domain_count, sizeof out->domains[0],
+         domain_order);
+}
+
+bool
+cyc_cfg_parse_fleet (struct cyc_str body, struct cyc_str place,
+                     struct cyc_fleet_cfg *out, struct cyc_findings *findings)
+{
+  struct reader reader = { place, findings };
+  uint32_t before = findings->count + findings->dropped;
+  struct json_object *root = parse_text (&reader, body);
+
+  memset (out, 0, sizeof *out);
+  if (root != NULL)
+    read_fleet (&reader, root, out);
+  json_object_put (root);
+  return findings->count + findings->dropped == before;
+}
+
+bool
+cyc_cfg_parse_team (struct cyc_str body, struct cyc_str place,
+                    struct cyc_team_cfg *out, struct cyc_findings *findings)
+{
+  struct reader reader = { place, findings };
+  uint32_t before = findings->count + findings->dropped;
+  struct json_object *root = parse_text (&reader, body);
+
+  memset (out, 0, sizeof *out);
+  if (root != NULL)
+    read_object (&reader, "$", team_members, COUNT (team_members), root, out);
+  json_object_put (root);
+  return findings->count + findings->dropped == before;
+}
+
+static void
+check_kind (const struct reader *reader, struct cyc_queue_cfg *queue)
+{
+  if (queue->kind == CYC_KIND_SERVICE)
+    {
+      queue->run_s = 0;
+      return;
+    }
+  if (queue->run_s == 0)
+    add_defect (reader, "$.run_s", "is required for batch and gang queues");
+  if (queue->tasks > CYC_JOB_MAX_TASKS)
+    add_defect (reader, "$.tasks", "must be at most %d for batch and gang",
+                CYC_JOB_MAX_TASKS);
+}
+
+bool
+cyc_cfg_parse_queue (struct cyc_str body, struct cyc_str place,
+                     struct cyc_queue_cfg *out, struct cyc_findings *findings)
+{
+  struct reader reader = { place, findings };
+  uint32_t before = findings->count + findings->dropped;
+  struct json_object *root = parse_text (&reader, body);
+  struct json_object *objective = NULL;
+
+  memset (out, 0, sizeof *out);
+  if (root != NULL
+      && read_object (&reader, "$", queue_members, COUNT (queue_members), root,
+                      out))
+    {
+      if (json_object_object_get_ex (root, "objective", &objective)
+          && objective != NULL)
+        read_object (&reader, "$.objective", objective_members,
+                     COUNT (objective_members), objective, out);
+      check_kind (&reader, out);
+    }
+  json_object_put (root);
+  return findings->count + findings->dropped == before;
+}
+
+int
+cyc_cfg_domain_index (const struct cyc_fleet_cfg *fleet, struct cyc_str name)
+{
+  for (uint32_t i = 0; i < fleet->domain_count; i++)
+    if (cyc_str_eq (cyc_name_str (&fleet->domains[i].name), name))
+      return (int)i;
+  return -1;
+}
--- /dev/null
+++ b/src/cyc_config_check.c
@@ -0,0 +1,148 @@
+#include <cyclamendrum/config.h>
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static int
+team_order (const void *a, const void *b)
+{
+  const struct cyc_team_cfg *const *left = a;
+  const struct cyc_team_cfg *const *right = b;
+
+  return cyc_str_cmp (cyc_name_str (&(*left)->name),
+                      cyc_name_str (&(*right)->name));
+}
+
+static int
+team_key_order (const void *key, const void *entry)
+{
+  const struct cyc_name *name = key;
+  const struct cyc_team_cfg *const *team = entry;
+
+  return cyc_str_cmp (cyc_name_str (name), cyc_name_str (&(*team)->name));
+}
+
+static void __attribute__ ((format (printf, 4, 5)))
+add_defect (struct cyc_findings *findings, const char *kind,
+            const struct cyc_name *name, const char *format, ...)
+{
+  char place[96];
+  char text[200];
+  va_list args;
+
+  va_start (args, format);
+  vsnprintf (text, sizeof text, format, args);
+  va_end (args);
+  snprintf (place, sizeof place, "%s/%s", kind, name->data);
+  cyc_findings_add (findings, cyc_str_of (place), "%s", text);
+}
+
+static void
+check_size (const struct cyc_fleet_cfg *fleet,
+            const struct cyc_queue_cfg *queue, struct cyc_findings *findings)
+{
+  const struct cyc_res *most = &fleet->largest_worker;
+
+  if (queue->size.millicores > most->millicores)
+    add_defect (findings, "queue", &queue->name,
+                "millicores %u exceed the largest worker (%u)",
+                queue->size.millicores, most->millicores);
+  if (queue->size.memory_mib > most->memory_mib)
+    add_defect (findings, "queue", &queue->name,
+                "memory_mib %u exceed the largest worker (%u)",
+                queue->size.memory_mib, most->memory_mib);
+  if (queue->size.accelerators > most->accelerators)
+    add_defect (findings, "queue", &queue->name,
+                "accelerators %u exceed the largest worker (%u)",
+                queue->size.accelerators, most->accelerators);
+}
+
+/* A gang runs whole or not at all, so all its tasks must fit the limit. Of
+   other work one task must fit, or nothing of it could ever run. */
+static void
+check_limit (const struct cyc_team_cfg *team,
+             const struct cyc_queue_cfg *queue, struct cyc_findings *findings)
+{
+  uint64_t at_once = queue->kind == CYC_KIND_GANG ? queue->tasks : 1;
+  uint64_t millicores = at_once * queue->size.millicores;
+  uint64_t accelerators = at_once * queue->size.accelerators;
+  const char *what = queue->kind == CYC_KIND_GANG ? "the gang" : "a task";
+
+  if (millicores > team->limit_millicores)
+    add_defect (findings, "queue", &queue->name,
+                "%s needs %" PRIu64 " millicores, over the limit of team "
+                "\"%s\" (%" PRIu64 ")",
+                what, millicores, team->name.data, team->limit_millicores);
+  if (accelerators > team->limit_accelerators)
+    add_defect (findings, "queue", &queue->name,
+                "%s needs %" PRIu64 " accelerators, over the limit of team "
+                "\"%s\" (%" PRIu64 ")",
+                what, accelerators, team->name.data, team->limit_accelerators);
+}
+
+static void
+check_queues (const struct cyc_cfg_set *set,
+              const struct cyc_team_cfg *const *teams,
+              struct cyc_findings *findings)
+{
+  for (uint32_t i = 0; i < set->queue_count; i++)
+    {
+      const struct cyc_queue_cfg *queue = &set->queues[i];
+      const struct cyc_team_cfg *const *team
+          = set->team_count == 0
+                ? NULL
+                : bsearch (&queue->team, teams, set->team_count,
+                           sizeof (const struct cyc_team_cfg *),
+                           team_key_order);
+
+      if (set->fleet != NULL)
+        check_size (set->fleet, queue, findings);
+      if (team == NULL)
+        add_defect (findings, "queue", &queue->name,
+                    "team \"%s\" does not exist", queue->team.data);
+      else
+        check_limit (*team, queue, findings);
+    }
+}
+
+static void
+check_teams (const struct cyc_cfg_set *set, struct cyc_findings *findings)
+{
+  uint64_t shares = 0;
+
+  for (uint32_t i = 0; i < set->team_count; i++)
+    shares += set->teams[i].share_permille;
+  if (shares > CYC_SHARE_WHOLE_PERMILLE)
+    cyc_findings_add (findings, CYC_STR ("team"),
+                      "shares add up to %" PRIu64 " permille, over %d", shares,
+                      CYC_SHARE_WHOLE_PERMILLE);
+}
+
+bool
+cyc_cfg_check_set (const struct cyc_cfg_set *set,
+                   struct cyc_findings *findings)
+{
+  uint32_t before = findings->count + findings->dropped;
+  const struct cyc_team_cfg **teams = calloc (
+      (size_t)set->team_count + 1, sizeof (const struct cyc_team_cfg *));
+
+  if (teams == NULL)
+    {
+      cyc_findings_add (findings, CYC_STR ("config"), "no memory");
+      return false;
+    }
+  for (uint32_t i = 0; i < set->team_count; i++)
+    teams[i] = &set->teams[i];
+  qsort (teams, set->team_count, sizeof (const struct cyc_team_cfg *),
+         team_order);
+  /* Limits are divided over the domains of the fleet, so there is no team
+     without a fleet. */
+  if (set->fleet == NULL && set->team_count + set->queue_count > 0)
+    cyc_findings_add (findings, CYC_STR ("fleet"), "is missing");
+  check_teams (set, findings);
+  check_queues (set, teams, findings);
+  free (teams);
+  return findings->count + findings->dropped == before;
+}
--- /dev/null
+++ b/src/cyc_index.h
@@ -0,0 +1,53 @@
+/**
+ * @file
+ * Hash index from a key to the index of a row: open addressing, linear
+ * probing, removal by backward shift. The rows and their keys stay with the
+ * caller, who compares them.
+ *
+ * @code
+ * uint32_t hash = cyc_ix_hash (key, key_bytes);
+ * struct cyc_ix_probe probe = cyc_ix_probe (&ix, hash);
+ * while (cyc_ix_step (&ix, &probe))
+ *   if (rows[probe.row] has the key)
+ *     return probe.row;
+ * @endcode
+ */
+#ifndef CYC_INDEX_H
+#define CYC_INDEX_H
+
+#include <cyclamendrum/base.h>
+
+struct cyc_ix_slot
+{
+  uint32_t row_plus_1; /**< 0: free */
+  uint32_t hash;
+};
+
+struct cyc_ix
+{
+  struct cyc_ix_slot *slots;
+  uint32_t mask;
+  struct cyc_allocator allocator;
+};
+
+struct cyc_ix_probe
+{
+  uint32_t hash;
+  uint32_t position;
+  uint32_t row; /**< valid after cyc_ix_step returned true */
+};
+
+/** Room for @p rows entries at a load of at most one half. */
+bool cyc_ix_setup (struct cyc_ix *ix, uint32_t rows,
+                   const struct cyc_allocator *allocator);
+void cyc_ix_shutdown (struct cyc_ix *ix);
+void cyc_ix_clear (struct cyc_ix *ix);
+uint32_t cyc_ix_hash (const void *key, size_t bytes);
+void cyc_ix_add (struct cyc_ix *ix, uint32_t hash, uint32_t row);
+/** The entry must exist. */
+void cyc_ix_remove (struct cyc_ix *ix, uint32_t hash, uint32_t row);
+struct cyc_ix_probe cyc_ix_probe (const struct cyc_ix *ix, uint32_t hash);
+/** Next row with the same hash; false at the end. */
+bool cyc_ix_step (const struct cyc_ix *ix, struct cyc_ix_probe *probe);
+
+#endif
