Add the ledger, the once-only table and the job table

The state of the control, intents and jobs streams is one pure function of the prefix of each stream.

--- a/include/cyclamendrum/claim.h
+++ b/include/cyclamendrum/claim.h
@@ -76,9 +76,9 @@
   struct cyc_clm_desc desc;
   struct cyc_claim seen; /**< newest claim of the ledger */
   enum cyc_clm_role role;
-  bool observed;  /**< cyc_clm_observe was called */
+  bool observed;        /**< cyc_clm_observe was called */
   uint64_t known_epoch; /**< highest epoch that a worker reported */
-  bool releasing;             /**< a release was asked for */
+  bool releasing;       /**< a release was asked for */
   bool log_reachable;
   uint64_t silent_since_us; /**< standby: no renewal was read since */
   uint64_t jitter_us;
--- a/src/cyc_config.c
+++ b/src/cyc_config.c
@@ -3,6 +3,7 @@
 
 #include <json-c/json.h>
 #include <limits.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -227,12 +228,38 @@
   return true;
 }
 
+/* End of the comment that begins at @p from, or @p from when there is none. */
+static size_t
+skip_comment (struct cyc_str text, size_t from)
+{
+  const char *end;
+
+  if (from + 1 >= text.len || text.data[from] != '/')
+    return from;
+  if (text.data[from + 1] == '/')
+    {
+      end = memchr (text.data + from, '\n', text.len - from);
+      return end == NULL ? text.len : (size_t)(end - text.data);
+    }
+  if (text.data[from + 1] != '*')
+    return from;
+  for (size_t i = from + 2; i + 1 < text.len; i++)
+    if (text.data[i] == '*' && text.data[i + 1] == '/')
+      return i + 2;
+  return from;
+}
+
 static bool
 only_blank (struct cyc_str text, size_t from)
 {
-  for (size_t i = from; i < text.len; i++)
-    if (strchr (" \t\r\n", text.data[i]) == NULL || text.data[i] == '\0')
-      return false;
+  while (from < text.len)
+    {
+      size_t next = skip_comment (text, from);
+
+      if (next == from && memchr (" \t\r\n", text.data[from], 4) == NULL)
+        return false;
+      from = next == from ? from + 1 : next;
+    }
   return true;
 }
 
@@ -259,7 +286,9 @@
   root = json_tokener_parse_ex (tokener, body.data, (int)body.len);
   error = json_tokener_get_error (tokener);
   end = json_tokener_get_parse_end (tokener);
-  if (error != json_tokener_success)
+  if (error == json_tokener_continue)
+    add_defect (reader, "$", "not JSON (ends too early)");
+  else if (error != json_tokener_success)
     add_defect (reader, "$", "not JSON (at byte %zu: %s)", end,
                 json_tokener_error_desc (error));
   else if (!only_blank (body, end))
--- a/src/cyc_config_check.c
+++ b/src/cyc_config_check.c
@@ -1,6 +1,7 @@
 #include <cyclamendrum/config.h>
 
 #include <inttypes.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- /dev/null
+++ b/src/cyc_jobs.c
@@ -0,0 +1,427 @@
+#include "cyc_codec.h"
+#include "cyc_index.h"
+
+#include <cyclamendrum/jobs.h>
+#include <cyclamendrum/ledger.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+#define DEFAULT_JOBS 131072
+#define DEFAULT_TASKS 4194304
+#define MOST_JOBS 16777216
+/* Done bits are kept in blocks of 32 tasks, chained for larger jobs, so that
+   the default sizes hold one block for each job. */
+#define BLOCK_TASKS 32
+#define NO_BLOCK UINT32_MAX
+
+struct block
+{
+  uint32_t bits;
+  uint32_t next; /**< of the job's chain or of the free list */
+};
+
+struct job
+{
+  struct cyc_job_row row;
+  uint64_t epoch; /**< highest epoch seen in progress or end */
+  uint32_t blocks;
+};
+
+struct cyc_jobs_state
+{
+  struct cyc_jobs_desc desc;
+  struct job *jobs;
+  struct cyc_pool pool;
+  struct cyc_ix index;
+  struct block *blocks;
+  uint32_t free_blocks; /**< head of the free list */
+  uint32_t free_count;
+  struct cyc_ref *ended; /**< ring, oldest first */
+  uint32_t ended_first;
+  uint32_t ended_count;
+  uint64_t next;
+};
+
+static bool
+tables_setup (struct cyc_jobs_state *state)
+{
+  const struct cyc_allocator *allocator = &state->desc.allocator;
+  uint32_t blocks = state->desc.max_tasks / BLOCK_TASKS;
+
+  state->jobs
+      = cyc_alloc (allocator, state->desc.max_jobs, sizeof *state->jobs);
+  state->ended
+      = cyc_alloc (allocator, state->desc.max_jobs, sizeof *state->ended);
+  state->blocks = cyc_alloc (allocator, blocks, sizeof *state->blocks);
+  if (state->jobs == NULL || state->ended == NULL || state->blocks == NULL)
+    return false;
+  for (uint32_t i = 0; i < blocks; i++)
+    state->blocks[i].next = i + 1 < blocks ? i + 1 : NO_BLOCK;
+  state->free_count = blocks;
+  return cyc_pool_setup (&state->pool, state->desc.max_jobs, allocator)
+         && cyc_ix_setup (&state->index, state->desc.max_jobs, allocator);
+}
+
+bool
+cyc_jobs_setup (struct cyc_jobs *jobs, const struct cyc_jobs_desc *desc,
+                struct cyc_findings *findings)
+{
+  uint32_t before = findings->count;
+
+  jobs->state = NULL;
+  if (desc->max_jobs > MOST_JOBS)
+    cyc_findings_add (findings, CYC_STR ("max_jobs"), "must be at most %d",
+                      MOST_JOBS);
+  if (desc->max_tasks != 0 && desc->max_tasks < CYC_JOB_MAX_TASKS)
+    cyc_findings_add (findings, CYC_STR ("max_tasks"), "must be at least %d",
+                      CYC_JOB_MAX_TASKS);
+  if (findings->count != before)
+    return false;
+  jobs->state = cyc_alloc (&desc->allocator, 1, sizeof *jobs->state);
+  if (jobs->state != NULL)
+    {
+      jobs->state->desc = *desc;
+      if (desc->max_jobs == 0)
+        jobs->state->desc.max_jobs = DEFAULT_JOBS;
+      if (desc->max_tasks == 0)
+        jobs->state->desc.max_tasks = DEFAULT_TASKS;
+      if (tables_setup (jobs->state))
+        return true;
+    }
+  cyc_findings_add (findings, CYC_STR ("jobs"), "no memory");
+  cyc_jobs_shutdown (jobs);
+  return false;
+}
+
+void
+cyc_jobs_shutdown (struct cyc_jobs *jobs)
+{
+  struct cyc_jobs_state *state = jobs->state;
+  struct cyc_allocator allocator;
+
+  if (state == NULL)
+    return;
+  allocator = state->desc.allocator;
+  cyc_pool_shutdown (&state->pool);
+  cyc_ix_shutdown (&state->index);
+  cyc_release (&allocator, state->jobs);
+  cyc_release (&allocator, state->ended);
+  cyc_release (&allocator, state->blocks);
+  cyc_release (&allocator, state);
+  jobs->state = NULL;
+}
+
+static uint32_t
+id_hash (const struct cyc_id128 *id)
+{
+  return cyc_ix_hash (id->bytes, sizeof id->bytes);
+}
+
+static struct job *
+find_job (const struct cyc_jobs_state *state, const struct cyc_id128 *id)
+{
+  struct cyc_ix_probe probe = cyc_ix_probe (&state->index, id_hash (id));
+
+  while (cyc_ix_step (&state->index, &probe))
+    if (cyc_id128_eq (&state->jobs[probe.row].row.id, id))
+      return &state->jobs[probe.row];
+  return NULL;
+}
+
+static void
+give_blocks (struct cyc_jobs_state *state, uint32_t block)
+{
+  while (block != NO_BLOCK)
+    {
+      uint32_t next = state->blocks[block].next;
+
+      state->blocks[block].next = state->free_blocks;
+      state->free_blocks = block;
+      state->free_count++;
+      block = next;
+    }
+}
+
+static uint32_t
+take_blocks (struct cyc_jobs_state *state, uint32_t tasks)
+{
+  uint32_t needed = (tasks + BLOCK_TASKS - 1) / BLOCK_TASKS;
+  uint32_t chain = NO_BLOCK;
+
+  for (; needed > 0; needed--)
+    {
+      uint32_t block = state->free_blocks;
+
+      state->free_blocks = state->blocks[block].next;
+      state->free_count--;
+      state->blocks[block] = (struct block){ .next = chain };
+      chain = block;
+    }
+  return chain;
+}
+
+static bool
+drop_oldest_ended (struct cyc_jobs_state *state)
+{
+  struct cyc_ref ref;
+  struct job *job;
+
+  if (state->ended_count == 0)
+    return false;
+  ref = state->ended[state->ended_first];
+  state->ended_first = (state->ended_first + 1) % state->desc.max_jobs;
+  state->ended_count--;
+  job = &state->jobs[ref.index];
+  cyc_ix_remove (&state->index, id_hash (&job->row.id), ref.index);
+  give_blocks (state, job->blocks);
+  cyc_pool_give (&state->pool, ref);
+  return true;
+}
+
+static bool
+make_room (struct cyc_jobs_state *state, uint32_t tasks)
+{
+  while (state->pool.used == state->desc.max_jobs
+         || (uint64_t)state->free_count * BLOCK_TASKS < tasks)
+    if (!drop_oldest_ended (state))
+      return false;
+  return true;
+}
+
+static void
+notify (const struct cyc_jobs_watch *watch, const struct job *job)
+{
+  if (watch != NULL && watch->changed != NULL)
+    watch->changed (watch->user, &job->row);
+}
+
+static void
+apply_submit (struct cyc_jobs_state *state, uint64_t offset,
+              const Cyc__JobSubmit *submit, const struct cyc_jobs_watch *watch)
+{
+  struct cyc_job_row row = { .queue_version = submit->queue_version,
+                             .submitted_ms = submit->submitted_ms,
+                             .offset = offset,
+                             .tasks = submit->tasks };
+  struct cyc_ref ref;
+  struct job *job;
+
+  if (!cyc_codec_id (submit->job_id, &row.id)
+      || !cyc_codec_name (submit->queue, &row.queue)
+      || (submit->team[0] != '\0' && !cyc_codec_name (submit->team, &row.team))
+      || !cyc_codec_name (submit->domain, &row.domain) || row.tasks == 0
+      || row.tasks > CYC_JOB_MAX_TASKS)
+    return;
+  job = find_job (state, &row.id);
+  if (job != NULL)
+    {
+      job->row.offset = offset;
+      notify (watch, job);
+      return;
+    }
+  if (!make_room (state, row.tasks))
+    return;
+  ref = cyc_pool_take (&state->pool);
+  job = &state->jobs[ref.index];
+  *job = (struct job){ .row = row, .blocks = take_blocks (state, row.tasks) };
+  cyc_ix_add (&state->index, id_hash (&row.id), ref.index);
+  notify (watch, job);
+}
+
+static void
+apply_cancel (struct cyc_jobs_state *state, const Cyc__JobCancel *cancel,
+              const struct cyc_jobs_watch *watch)
+{
+  struct cyc_id128 id;
+  struct job *job;
+
+  if (!cyc_codec_id (cancel->job_id, &id))
+    return;
+  job = find_job (state, &id);
+  if (job == NULL || job->row.state != CYC_JOB_QUEUED
+      || job->row.cancel_requested)
+    return;
+  job->row.cancel_requested = true;
+  notify (watch, job);
+}
+
+static uint32_t
+bits_at (ProtobufCBinaryData data, uint32_t first_task)
+{
+  uint32_t bits = 0;
+
+  for (uint32_t i = 0; i < BLOCK_TASKS / 8; i++)
+    if (first_task / 8 + i < data.len)
+      bits |= (uint32_t)data.data[first_task / 8 + i] << (8 * i);
+  return bits;
+}
+
+/* A task that is done stays done, whatever later records say. */
+static void
+merge_done (struct cyc_jobs_state *state, struct job *job,
+            ProtobufCBinaryData done)
+{
+  uint32_t task = 0;
+
+  for (uint32_t block = job->blocks; block != NO_BLOCK;
+       block = state->blocks[block].next, task += BLOCK_TASKS)
+    {
+      uint32_t bits = bits_at (done, task) & ~state->blocks[block].bits;
+
+      if (job->row.tasks - task < BLOCK_TASKS)
+        bits &= (UINT32_C (1) << (job->row.tasks - task)) - 1;
+      state->blocks[block].bits |= bits;
+      job->row.done_tasks += (uint32_t)__builtin_popcount (bits);
+    }
+}
+
+/* Job that a record of an owner changes, or NULL: it ended, or a later owner
+   wrote already. */
+static struct job *
+job_of_owner (struct cyc_jobs_state *state, ProtobufCBinaryData job_id,
+              uint64_t epoch)
+{
+  struct cyc_id128 id;
+  struct job *job;
+
+  if (!cyc_codec_id (job_id, &id))
+    return NULL;
+  job = find_job (state, &id);
+  if (job == NULL || job->row.state != CYC_JOB_QUEUED || epoch < job->epoch)
+    return NULL;
+  return job;
+}
+
+static void
+apply_progress (struct cyc_jobs_state *state, const Cyc__JobProgress *progress,
+                const struct cyc_jobs_watch *watch)
+{
+  struct job *job = job_of_owner (state, progress->job_id, progress->epoch);
+
+  if (job == NULL)
+    return;
+  job->epoch = progress->epoch;
+  if (progress->attempt > job->row.attempt)
+    job->row.attempt = progress->attempt;
+  merge_done (state, job, progress->done);
+  notify (watch, job);
+}
+
+static void
+apply_done (struct cyc_jobs_state *state, const Cyc__JobDone *done,
+            const struct cyc_jobs_watch *watch)
+{
+  struct job *job;
+  uint32_t at;
+
+  if (done->state < CYC_JOB_DONE || done->state > CYC_JOB_UNKNOWN)
+    return;
+  job = job_of_owner (state, done->job_id, done->epoch);
+  if (job == NULL)
+    return;
+  job->epoch = done->epoch;
+  job->row.state = (enum cyc_job_state)done->state;
+  strncpy (job->row.reason, done->reason, sizeof job->row.reason - 1);
+  at = (state->ended_first + state->ended_count) % state->desc.max_jobs;
+  state->ended[at]
+      = cyc_pool_ref_at (&state->pool, (uint32_t)(job - state->jobs));
+  state->ended_count++;
+  notify (watch, job);
+}
+
+static void
+apply_event (struct cyc_jobs_state *state, uint64_t offset,
+             const Cyc__JobEvent *event, const struct cyc_jobs_watch *watch)
+{
+  switch (event->event_case)
+    {
+    case CYC__JOB_EVENT__EVENT_SUBMIT:
+      apply_submit (state, offset, event->submit, watch);
+      break;
+    case CYC__JOB_EVENT__EVENT_CANCEL:
+      apply_cancel (state, event->cancel, watch);
+      break;
+    case CYC__JOB_EVENT__EVENT_PROGRESS:
+      apply_progress (state, event->progress, watch);
+      break;
+    case CYC__JOB_EVENT__EVENT_DONE:
+      apply_done (state, event->done, watch);
+      break;
+    default:
+      break;
+    }
+}
+
+bool
+cyc_jobs_apply (struct cyc_jobs *jobs, uint64_t offset, struct cyc_str record,
+                const struct cyc_jobs_watch *watch)
+{
+  struct cyc_jobs_state *state = jobs->state;
+  const char *reason = NULL;
+  Cyc__Record *decoded;
+  bool valid;
+
+  if (offset < state->next)
+    return true;
+  state->next = offset + 1;
+  decoded = cyc_codec_open (record, &reason);
+  if (decoded == NULL)
+    return false;
+  valid = decoded->body_case == CYC__RECORD__BODY_JOBS;
+  for (size_t i = 0; valid && i < decoded->jobs->n_events; i++)
+    apply_event (state, offset, decoded->jobs->events[i], watch);
+  cyc__record__free_unpacked (decoded, NULL);
+  return valid;
+}
+
+uint64_t
+cyc_jobs_next (const struct cyc_jobs *jobs)
+{
+  return jobs->state->next;
+}
+
+void
+cyc_jobs_seek (struct cyc_jobs *jobs, uint64_t offset)
+{
+  jobs->state->next = offset;
+}
+
+const struct cyc_job_row *
+cyc_jobs_find (const struct cyc_jobs *jobs, const struct cyc_id128 *id)
+{
+  const struct job *job = find_job (jobs->state, id);
+
+  return job == NULL ? NULL : &job->row;
+}
+
+bool
+cyc_jobs_task_done (const struct cyc_jobs *jobs, const struct cyc_id128 *id,
+                    uint32_t task)
+{
+  const struct job *job = find_job (jobs->state, id);
+  uint32_t block;
+
+  if (job == NULL || task >= job->row.tasks)
+    return false;
+  block = job->blocks;
+  for (uint32_t i = task / BLOCK_TASKS; i > 0; i--)
+    block = jobs->state->blocks[block].next;
+  return (jobs->state->blocks[block].bits >> (task % BLOCK_TASKS) & 1) != 0;
+}
+
+const struct cyc_job_row *
+cyc_jobs_next_open (const struct cyc_jobs *jobs, uint32_t *cursor)
+{
+  const struct cyc_jobs_state *state = jobs->state;
+
+  while (*cursor < state->pool.high)
+    {
+      uint32_t index = (*cursor)++;
+
+      if (cyc_pool_used_at (&state->pool, index)
+          && state->jobs[index].row.state == CYC_JOB_QUEUED)
+        return &state->jobs[index].row;
+    }
+  return NULL;
+}
--- /dev/null
+++ b/src/cyc_ledger_claims.c
@@ -0,0 +1,154 @@
+#include "cyc_ledger_state.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+static int
+claim_order (const struct cyc_claim *claim, struct cyc_str domain,
+             uint32_t shard)
+{
+  int order = cyc_str_cmp (cyc_name_str (&claim->domain), domain);
+
+  if (order != 0)
+    return order;
+  return (claim->shard > shard) - (claim->shard < shard);
+}
+
+/* Position of the claim, or where it would be inserted. */
+static uint32_t
+claim_position (const struct cyc_led_state *state, struct cyc_str domain,
+                uint32_t shard, bool *found)
+{
+  uint32_t low = 0;
+  uint32_t high = state->claim_count;
+
+  *found = false;
+  while (low < high)
+    {
+      uint32_t middle = low + (high - low) / 2;
+      int order = claim_order (&state->claims[middle], domain, shard);
+
+      if (order == 0)
+        {
+          *found = true;
+          return middle;
+        }
+      if (order < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+static struct cyc_claim *
+claim_insert (struct cyc_led_state *state, uint32_t position)
+{
+  if (state->claim_count == LED_MAX_CLAIMS)
+    return NULL;
+  memmove (&state->claims[position + 1], &state->claims[position],
+           (state->claim_count - position) * sizeof state->claims[0]);
+  state->claim_count++;
+  return &state->claims[position];
+}
+
+void
+led_apply_claim (struct cyc_led_state *state, uint64_t offset,
+                 const Cyc__Claim *claim, struct cyc_led_effect *effect)
+{
+  struct cyc_claim row = { .shard = claim->shard,
+                           .epoch = claim->epoch,
+                           .renewed_offset = offset };
+  bool found;
+  uint32_t position;
+  uint64_t current;
+  struct cyc_claim *to;
+
+  if (!cyc_codec_name (claim->domain, &row.domain)
+      || !cyc_codec_name (claim->owner, &row.owner)
+      || !cyc_codec_id (claim->incarnation, &row.incarnation))
+    {
+      led_refuse (effect, "domain, owner or incarnation is not valid");
+      return;
+    }
+  position
+      = claim_position (state, cyc_name_str (&row.domain), row.shard, &found);
+  current = found ? state->claims[position].epoch : 0;
+  if (claim->epoch != current + 1)
+    {
+      led_refuse (effect, "epoch %" PRIu64 " does not follow %" PRIu64,
+                  claim->epoch, current);
+      return;
+    }
+  to = found ? &state->claims[position] : claim_insert (state, position);
+  if (to == NULL)
+    led_refuse (effect, "the table of claims is full");
+  else
+    *to = row;
+}
+
+/* Row that the renewal or release is for, or NULL when it is not current. The
+   owner is the process: a restarted process on the same VM is another one. */
+static struct cyc_claim *
+current_claim (struct cyc_led_state *state, const char *domain, uint32_t shard,
+               uint64_t epoch, const char *owner,
+               ProtobufCBinaryData incarnation)
+{
+  bool found;
+  uint32_t position
+      = claim_position (state, cyc_str_of (domain), shard, &found);
+  struct cyc_claim *claim = &state->claims[position];
+  struct cyc_id128 id;
+
+  if (!found || claim->released || claim->epoch != epoch
+      || !cyc_str_eq (cyc_name_str (&claim->owner), cyc_str_of (owner))
+      || !cyc_codec_id (incarnation, &id)
+      || !cyc_id128_eq (&claim->incarnation, &id))
+    return NULL;
+  return claim;
+}
+
+void
+led_apply_renew (struct cyc_led_state *state, uint64_t offset,
+                 const Cyc__ClaimRenew *renew, struct cyc_led_effect *effect)
+{
+  struct cyc_claim *claim
+      = current_claim (state, renew->domain, renew->shard, renew->epoch,
+                       renew->owner, renew->incarnation);
+
+  if (claim == NULL)
+    led_refuse (effect, "epoch or owner is not current");
+  else
+    claim->renewed_offset = offset;
+}
+
+void
+led_apply_release (struct cyc_led_state *state,
+                   const Cyc__ClaimRelease *release,
+                   struct cyc_led_effect *effect)
+{
+  struct cyc_claim *claim
+      = current_claim (state, release->domain, release->shard, release->epoch,
+                       release->owner, release->incarnation);
+
+  if (claim == NULL)
+    led_refuse (effect, "epoch or owner is not current");
+  else
+    claim->released = true;
+}
+
+void
+cyc_led_claim (const struct cyc_ledger *led, struct cyc_str domain,
+               uint32_t shard, struct cyc_claim *out)
+{
+  bool found;
+  uint32_t position = claim_position (led->state, domain, shard, &found);
+
+  if (found)
+    {
+      *out = led->state->claims[position];
+      return;
+    }
+  *out = (struct cyc_claim){ .shard = shard };
+  cyc_name_set (&out->domain, domain);
+}
--- /dev/null
+++ b/src/cyc_ledger_keys.c
@@ -0,0 +1,99 @@
+#include "cyc_ledger_state.h"
+
+struct led_key *
+led_key_find (const struct cyc_led_state *state,
+              const struct cyc_digest *digest)
+{
+  struct cyc_ix_probe probe = cyc_ix_probe (
+      &state->key_index, cyc_ix_hash (digest->bytes, sizeof digest->bytes));
+
+  while (cyc_ix_step (&state->key_index, &probe))
+    if (cyc_digest_eq (&state->keys[probe.row].digest, digest))
+      return &state->keys[probe.row];
+  return NULL;
+}
+
+bool
+led_key_add (struct cyc_led_state *state, const struct led_key *key)
+{
+  if (state->key_count == state->desc.max_keys)
+    return false;
+  state->keys[state->key_count] = *key;
+  cyc_ix_add (&state->key_index,
+              cyc_ix_hash (key->digest.bytes, sizeof key->digest.bytes),
+              state->key_count);
+  state->key_count++;
+  return true;
+}
+
+void
+led_apply_grant (struct cyc_led_state *state, uint64_t offset,
+                 const Cyc__KeyGrant *grant, struct cyc_led_effect *effect)
+{
+  struct led_key key = { .version = offset + 1 };
+  struct led_key *known;
+
+  if (!cyc_codec_digest (grant->digest, &key.digest)
+      || !cyc_codec_name (grant->team, &key.team))
+    {
+      led_refuse (effect, "digest or team name is not valid");
+      return;
+    }
+  known = led_key_find (state, &key.digest);
+  if (grant->base_version != (known == NULL ? 0 : known->version))
+    led_refuse (effect, "the key was changed since it was read");
+  else if (known != NULL)
+    *known = key;
+  else if (!led_key_add (state, &key))
+    led_refuse (effect, "the table of keys is full");
+}
+
+/* A withdrawal always takes effect, also when the digest is not known yet or
+   was withdrawn before: a concurrent grant that the operator did not see then
+   fails on its base version. */
+void
+led_apply_withdraw (struct cyc_led_state *state, uint64_t offset,
+                    const Cyc__KeyWithdraw *withdraw,
+                    struct cyc_led_effect *effect)
+{
+  struct led_key key = { .version = offset + 1, .withdrawn = true };
+  struct led_key *known;
+
+  if (!cyc_codec_digest (withdraw->digest, &key.digest))
+    {
+      led_refuse (effect, "digest is not valid");
+      return;
+    }
+  known = led_key_find (state, &key.digest);
+  if (known != NULL)
+    {
+      known->withdrawn = true;
+      known->version = key.version;
+    }
+  else if (!led_key_add (state, &key))
+    led_refuse (effect, "the table of keys is full");
+}
+
+enum cyc_key_state
+cyc_led_key (const struct cyc_ledger *led, const struct cyc_digest *digest,
+             struct cyc_name *team)
+{
+  const struct led_key *key = led_key_find (led->state, digest);
+
+  if (key == NULL)
+    return CYC_KEY_UNKNOWN;
+  if (key->withdrawn)
+    return CYC_KEY_WITHDRAWN;
+  if (team != NULL)
+    *team = key->team;
+  return CYC_KEY_VALID;
+}
+
+uint64_t
+cyc_led_key_version (const struct cyc_ledger *led,
+                     const struct cyc_digest *digest)
+{
+  const struct led_key *key = led_key_find (led->state, digest);
+
+  return key == NULL ? 0 : key->version;
+}
--- /dev/null
+++ b/src/cyc_ledger_state.h
@@ -0,0 +1,170 @@
+/**
+ * @file
+ * Private state of the ledger. One file for each body applies it:
+ * cyc_ledger_config.c, _keys.c, _claims.c, _allotments.c, _snapshot.c.
+ *
+ * Arrays are sorted, so that the canonical encoding is a walk over them.
+ * Arrays that a configuration change rewrites have a spare of the same size:
+ * the change is built there and put in force by exchanging the two.
+ */
+#ifndef CYC_LEDGER_STATE_H
+#define CYC_LEDGER_STATE_H
+
+#include "cyc_codec.h"
+#include "cyc_index.h"
+
+#include <cyclamendrum/ledger.h>
+
+#define LED_MAX_CLAIMS 1024
+
+/** A configuration item; a deleted one keeps its row and version. */
+struct led_item
+{
+  struct cyc_name name; /**< "fleet", "team/NAME", "queue/NAME" */
+  struct cyc_name writer;
+  uint64_t version;
+  bool deleted;
+  char *body; /**< NUL-terminated; NULL when deleted */
+};
+
+/** Balances of one team, one for each domain in the fleet's order. */
+struct led_balances
+{
+  struct cyc_balance at[CYC_MAX_DOMAINS];
+};
+
+/** What a configuration change rewrites. */
+struct led_config
+{
+  struct led_item *items; /**< sorted by name */
+  uint32_t item_count;
+  bool has_fleet;
+  struct cyc_fleet_cfg fleet;
+  struct cyc_team_cfg *teams; /**< sorted by name */
+  uint32_t team_count;
+  struct led_balances *balances; /**< same positions as teams */
+  struct cyc_queue_cfg *queues;  /**< sorted by name */
+  uint32_t queue_count;
+};
+
+struct led_key
+{
+  struct cyc_digest digest;
+  struct cyc_name team;
+  uint64_t version;
+  bool withdrawn;
+};
+
+/** Record ids in the order of their first appearance: a ring. */
+struct led_recent
+{
+  struct cyc_id128 *ids;
+  uint32_t capacity;
+  uint32_t first;
+  uint32_t count;
+  struct cyc_ix index; /**< record id -> position in the ring */
+};
+
+struct cyc_led_state
+{
+  struct cyc_led_desc desc;
+  uint32_t max_items;
+  uint64_t next;
+  bool complete;
+  uint64_t config_version;
+  struct led_config config;
+  struct led_config spare;
+  struct cyc_ix item_index;
+  struct cyc_ix team_index;
+  struct cyc_ix queue_index;
+  struct led_key *keys; /**< in order of arrival */
+  uint32_t key_count;
+  struct cyc_ix key_index;
+  struct cyc_claim claims[LED_MAX_CLAIMS]; /**< sorted by domain, shard */
+  uint32_t claim_count;
+  struct led_recent recent;
+  struct cyc_led_gather gather; /**< chunks seen while applying */
+  uint64_t snapshot_upto;
+};
+
+struct cyc_led_state *led_state_new (const struct cyc_led_desc *desc);
+void led_state_free (struct cyc_led_state *state);
+
+/** Sets the reason of a refusal. */
+void led_refuse (struct cyc_led_effect *effect, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
+bool led_recent_setup (struct led_recent *recent, uint32_t capacity,
+                       const struct cyc_allocator *allocator);
+void led_recent_shutdown (struct led_recent *recent,
+                          const struct cyc_allocator *allocator);
+bool led_recent_has (const struct led_recent *recent,
+                     const struct cyc_id128 *id);
+void led_recent_add (struct led_recent *recent, const struct cyc_id128 *id);
+
+/* Configuration. */
+struct led_parsed_name
+{
+  bool fleet;
+  struct cyc_str team;  /**< empty unless "team/NAME" */
+  struct cyc_str queue; /**< empty unless "queue/NAME" */
+};
+bool led_item_name_parse (struct cyc_str name, struct led_parsed_name *out);
+const struct led_item *led_item_find (const struct cyc_led_state *state,
+                                      struct cyc_str name);
+void led_apply_config (struct cyc_led_state *state, uint64_t offset,
+                       const Cyc__ConfigChange *change, struct cyc_str writer,
+                       struct cyc_led_effect *effect);
+void led_config_reindex (struct cyc_led_state *state);
+char *led_copy_body (const struct cyc_led_state *state, const char *body);
+/** Parses the body of a live item and appends it to the typed arrays. */
+bool led_config_take (struct led_config *config, const struct led_item *item,
+                      const struct cyc_led_desc *desc,
+                      struct cyc_findings *findings);
+bool led_config_check (const struct led_config *config,
+                       struct cyc_findings *findings);
+int led_team_position (const struct led_config *config, struct cyc_str name);
+
+/* Keys. */
+struct led_key *led_key_find (const struct cyc_led_state *state,
+                              const struct cyc_digest *digest);
+bool led_key_add (struct cyc_led_state *state, const struct led_key *key);
+void led_apply_grant (struct cyc_led_state *state, uint64_t offset,
+                      const Cyc__KeyGrant *grant,
+                      struct cyc_led_effect *effect);
+void led_apply_withdraw (struct cyc_led_state *state, uint64_t offset,
+                         const Cyc__KeyWithdraw *withdraw,
+                         struct cyc_led_effect *effect);
+
+/* Claims. */
+void led_apply_claim (struct cyc_led_state *state, uint64_t offset,
+                      const Cyc__Claim *claim, struct cyc_led_effect *effect);
+void led_apply_renew (struct cyc_led_state *state, uint64_t offset,
+                      const Cyc__ClaimRenew *renew,
+                      struct cyc_led_effect *effect);
+void led_apply_release (struct cyc_led_state *state,
+                        const Cyc__ClaimRelease *release,
+                        struct cyc_led_effect *effect);
+
+/* Allotments. */
+/** Balances of @p to after a change from @p from; sums equal the limits. */
+void led_allot (const struct led_config *from, struct led_config *to);
+/** Divides @p total by @p weights: largest remainder, ties to the lower
+ * position. The weights must not all be 0 unless @p total is 0. */
+void led_divide (uint64_t total, const uint64_t *weights, uint32_t count,
+                 uint64_t *parts);
+void led_apply_transfer (struct cyc_led_state *state,
+                         const Cyc__Transfer *transfer,
+                         struct cyc_led_effect *effect);
+
+/* Snapshots. */
+void led_apply_chunk (struct cyc_led_state *state, uint64_t offset,
+                      const Cyc__SnapshotChunk *chunk,
+                      struct cyc_led_effect *effect);
+/** Adds a chunk; true when it completed a whole snapshot, which is then in
+ * @p encoded (may be NULL) and covers up to @p upto. */
+bool led_gather_chunk (struct cyc_led_gather *gather,
+                       const Cyc__SnapshotChunk *chunk,
+                       struct cyc_str *encoded, uint64_t *upto);
+
+#endif
