--- /dev/null
+++ b/src/control.c
@@ -0,0 +1,526 @@
+#include "control.h"
+#include "control_snapshot.h"
+#include "log_event.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define DEFAULT_SNAPSHOT_RECORDS 2000
+#define DEFAULT_KEEP_RECORDS 4096
+#define MAX_PENDING 1024
+/* Kept records serve peers that lag by seconds; this bounds their memory when
+   many of them are snapshot chunks. */
+#define KEEP_BYTES (8U * 1024 * 1024)
+
+struct kept
+{
+  char *data;
+  size_t len;
+};
+
+struct pending
+{
+  struct ctl_state *state;
+  struct cyc_ref ref;
+  struct cyc_id128 record_id;
+  bool ended; /**< `done` was called, the follower still has the row */
+  void (*done) (void *user, enum ctl_fate fate, uint64_t offset,
+                const struct cyc_led_effect *effect);
+  void *user;
+};
+
+struct ctl_state
+{
+  struct ctl_desc desc;
+  struct cyc_ledger ledger;
+  struct fo_follow follow;
+  struct csn_writer snapshots;
+  uint64_t now_us;
+  bool ready;
+  bool gathering; /**< behind the trimmed part, looks for a snapshot */
+  struct cyc_led_gather gather;
+  uint64_t fresh_us;
+  uint64_t peer_next; /**< a peer knew the head with this next offset */
+  uint64_t peer_fresh_us;
+  struct kept *kept; /**< ring of the newest records */
+  uint32_t kept_first;
+  uint32_t kept_count;
+  size_t kept_bytes;
+  struct pending *pending;
+  struct cyc_pool pool;
+};
+
+static void
+count (struct ctl_state *state, enum met_counter counter)
+{
+  if (state->desc.met != NULL)
+    met_add (state->desc.met, counter, 1);
+}
+
+/* Kept records. */
+
+static void
+drop_oldest_kept (struct ctl_state *state)
+{
+  struct kept *oldest = &state->kept[state->kept_first];
+
+  state->kept_bytes -= oldest->len;
+  free (oldest->data);
+  *oldest = (struct kept){ 0 };
+  state->kept_first = (state->kept_first + 1) % state->desc.keep_records;
+  state->kept_count--;
+}
+
+static void
+drop_all_kept (struct ctl_state *state)
+{
+  while (state->kept_count > 0)
+    drop_oldest_kept (state);
+}
+
+static void
+keep (struct ctl_state *state, struct cyc_str record)
+{
+  struct kept *to;
+  char *copy = malloc (record.len + 1);
+
+  if (copy == NULL)
+    {
+      /* The ring must have no gap. */
+      drop_all_kept (state);
+      return;
+    }
+  if (record.len > 0)
+    memcpy (copy, record.data, record.len);
+  while (state->kept_count == state->desc.keep_records
+         || (state->kept_count > 0
+             && state->kept_bytes + record.len > KEEP_BYTES))
+    drop_oldest_kept (state);
+  to = &state->kept[(state->kept_first + state->kept_count)
+                    % state->desc.keep_records];
+  *to = (struct kept){ .data = copy, .len = record.len };
+  state->kept_count++;
+  state->kept_bytes += record.len;
+}
+
+uint32_t
+ctl_kept_records (const struct ctl_control *ctl, uint64_t from,
+                  struct cyc_str *out, uint32_t max)
+{
+  const struct ctl_state *state = ctl->state;
+  uint64_t next = cyc_led_next (&state->ledger);
+  uint64_t first = next - state->kept_count;
+  uint32_t rows = 0;
+
+  if (from < first)
+    return 0;
+  for (uint64_t offset = from; offset < next && rows < max; offset++)
+    {
+      const struct kept *kept
+          = &state->kept[(state->kept_first + (uint32_t)(offset - first))
+                         % state->desc.keep_records];
+
+      out[rows++] = (struct cyc_str){ .data = kept->data, .len = kept->len };
+    }
+  return rows;
+}
+
+/* Appends of this process. */
+
+static void
+end_pending (struct pending *row, enum ctl_fate fate, uint64_t offset,
+             const struct cyc_led_effect *effect)
+{
+  if (row->ended)
+    return;
+  row->ended = true;
+  row->done (row->user, fate, offset, effect);
+}
+
+static void
+settle (struct ctl_state *state, uint64_t offset,
+        const struct cyc_led_effect *effect)
+{
+  for (uint32_t i = 0; i < state->pool.high; i++)
+    {
+      struct pending *row = &state->pending[i];
+
+      if (!cyc_pool_used_at (&state->pool, i) || row->ended
+          || !cyc_id128_eq (&row->record_id, &effect->record_id))
+        continue;
+      if (effect->result == CYC_LED_ACCEPTED)
+        end_pending (row, CTL_ACCEPTED, offset, effect);
+      else if (effect->result == CYC_LED_DUPLICATE)
+        /* The first appearance lies in a part that was not read record by
+           record, so what it did is not known. */
+        end_pending (row, CTL_UNKNOWN, offset, effect);
+      else
+        end_pending (row, CTL_REFUSED, offset, effect);
+      return;
+    }
+}
+
+static void
+on_append (void *user, enum fo_fate fate, uint64_t offset)
+{
+  struct pending *row = user;
+
+  /* A confirmed append was settled by its record just before, unless the
+     record came while no snapshot was found yet. */
+  end_pending (row, fate == FO_NOT_DONE ? CTL_NOT_DONE : CTL_UNKNOWN, offset,
+               NULL);
+  cyc_pool_give (&row->state->pool, row->ref);
+}
+
+bool
+ctl_append (struct ctl_control *ctl, const struct ctl_append *append)
+{
+  struct ctl_state *state = ctl->state;
+  struct cyc_ref ref = cyc_pool_take (&state->pool);
+  struct pending *row;
+  struct fo_append call = { .record_id = append->record_id,
+                            .record = append->record,
+                            .deadline_us = append->deadline_us,
+                            .done = on_append };
+
+  if (ref.generation == 0)
+    return false;
+  row = &state->pending[ref.index];
+  *row = (struct pending){ .state = state,
+                           .ref = ref,
+                           .record_id = append->record_id,
+                           .done = append->done,
+                           .user = append->user };
+  call.user = row;
+  if (fo_append (&state->follow, &call))
+    {
+      count (state, MET_LOG_APPENDS);
+      return true;
+    }
+  cyc_pool_give (&state->pool, ref);
+  return false;
+}
+
+/* Records. */
+
+static void
+report_effect (struct ctl_state *state, uint64_t offset,
+               const struct cyc_led_effect *effect)
+{
+  if (effect->result == CYC_LED_CORRUPT)
+    {
+      count (state, MET_RECORDS_CORRUPT);
+      ev_log (EV_RECORD_CORRUPT,
+              "stream=control offset=%" PRIu64 " reason=\"%s\"", offset,
+              effect->reason);
+    }
+  else if (effect->result == CYC_LED_REFUSED)
+    ev_log (EV_RECORD_REFUSED,
+            "stream=control offset=%" PRIu64 " writer=%s reason=\"%s\"",
+            offset, effect->writer.data, effect->reason);
+}
+
+static void
+apply (struct ctl_state *state, uint64_t offset, struct cyc_str record)
+{
+  struct cyc_led_effect effect;
+
+  cyc_led_apply (&state->ledger, offset, record, &effect);
+  if (effect.result == CYC_LED_OUT_OF_ORDER)
+    return;
+  count (state, MET_LOG_RECORDS);
+  keep (state, record);
+  report_effect (state, offset, &effect);
+  if (state->desc.effect != NULL)
+    state->desc.effect (state->desc.user, offset, &effect);
+  if (effect.result != CYC_LED_CORRUPT)
+    settle (state, offset, &effect);
+}
+
+/* Time of the last moment at which this process had the head of the stream. */
+static void
+learn_freshness (struct ctl_state *state)
+{
+  uint64_t next = cyc_led_next (&state->ledger);
+  uint64_t follow_us = fo_fresh_us (&state->follow);
+  /* An untrimmed empty stream is a complete state too. */
+  bool whole = cyc_led_complete (&state->ledger)
+               || (next == 0 && fo_next (&state->follow) == 0
+                   && fo_oldest (&state->follow) == 0);
+
+  if (whole && !state->gathering && fo_at_head (&state->follow)
+      && next >= fo_next (&state->follow))
+    {
+      state->ready = true;
+      if (follow_us > state->fresh_us)
+        state->fresh_us = follow_us;
+    }
+  if (cyc_led_complete (&state->ledger) && state->peer_fresh_us > 0
+      && next >= state->peer_next)
+    {
+      state->ready = true;
+      if (state->peer_fresh_us > state->fresh_us)
+        state->fresh_us = state->peer_fresh_us;
+      state->peer_fresh_us = 0;
+    }
+}
+
+/* Snapshots. */
+
+static void
+stop_gathering (struct ctl_state *state)
+{
+  if (!state->gathering)
+    return;
+  state->gathering = false;
+  cyc_led_gather_shutdown (&state->gather);
+}
+
+/* Puts an encoded state in force if it is ahead of the present one. */
+static bool
+take_snapshot (struct ctl_state *state, struct cyc_str encoded,
+               uint64_t at_least)
+{
+  struct cyc_findings *findings = calloc (1, sizeof *findings);
+  struct cyc_ledger fresh = { 0 };
+  bool taken = false;
+
+  if (findings == NULL)
+    return false;
+  if (cyc_led_setup (&fresh, &state->desc.ledger, findings)
+      && cyc_led_load (&fresh, encoded, findings))
+    taken = cyc_led_next (&fresh) >= at_least
+            && (!cyc_led_complete (&state->ledger)
+                || cyc_led_next (&fresh) > cyc_led_next (&state->ledger));
+  else
+    ev_findings (EV_RECORD_CORRUPT, findings);
+  free (findings);
+  if (!taken)
+    {
+      cyc_led_shutdown (&fresh);
+      return false;
+    }
+  cyc_led_shutdown (&state->ledger);
+  state->ledger = fresh;
+  stop_gathering (state);
+  drop_all_kept (state);
+  ev_log (EV_SNAPSHOT_LOADED, "next=%" PRIu64, cyc_led_next (&state->ledger));
+  fo_start (&state->follow, cyc_led_next (&state->ledger));
+  if (state->desc.replaced != NULL)
+    state->desc.replaced (state->desc.user);
+  learn_freshness (state);
+  return true;
+}
+
+static void
+gather_record (struct ctl_state *state, uint64_t offset, struct cyc_str record)
+{
+  struct cyc_str encoded = { 0 };
+
+  if (!cyc_led_gather_feed (&state->gather, offset, record, &encoded))
+    return;
+  take_snapshot (state, encoded, fo_oldest (&state->follow));
+  free ((char *)encoded.data);
+}
+
+static void
+on_record (void *user, uint64_t offset, struct cyc_str data)
+{
+  struct ctl_state *state = user;
+
+  if (state->gathering)
+    gather_record (state, offset, data);
+  else
+    apply (state, offset, data);
+}
+
+static bool
+on_trimmed (void *user, uint64_t next, uint64_t oldest)
+{
+  struct ctl_state *state = user;
+
+  /* Peers may have brought the records that the log no longer has. */
+  if (!state->gathering && cyc_led_next (&state->ledger) >= oldest)
+    return true;
+  ev_log (EV_LOG_TRIMMED, "stream=control next=%" PRIu64 " oldest=%" PRIu64,
+          next, oldest);
+  stop_gathering (state);
+  state->gathering = cyc_led_gather_setup (&state->gather, oldest);
+  return state->gathering;
+}
+
+static void
+on_reachable (void *user, bool reachable)
+{
+  (void)user;
+  ev_log (reachable ? EV_LOG_REACHABLE : EV_LOG_UNREACHABLE, "stream=control");
+}
+
+/* Set up and run. */
+
+static bool
+follow_setup (struct ctl_state *state, struct cyc_findings *findings)
+{
+  struct fo_desc desc = {
+    .log = state->desc.log,
+    .stream = CYC_STR ("control"),
+    .timeout_ms = state->desc.timeout_ms,
+    .wait_ms = state->desc.wait_ms,
+    .record = on_record,
+    .trimmed = on_trimmed,
+    .reachable = on_reachable,
+    .user = state,
+  };
+
+  return fo_setup (&state->follow, &desc, findings);
+}
+
+bool
+ctl_setup (struct ctl_control *ctl, const struct ctl_desc *desc,
+           struct cyc_findings *findings)
+{
+  struct ctl_state *state = calloc (1, sizeof *state);
+
+  ctl->state = state;
+  if (state == NULL)
+    {
+      cyc_findings_add (findings, CYC_STR ("control"), "no memory");
+      return false;
+    }
+  state->desc = *desc;
+  if (desc->snapshot_records == 0)
+    state->desc.snapshot_records = DEFAULT_SNAPSHOT_RECORDS;
+  if (desc->keep_records == 0)
+    state->desc.keep_records = DEFAULT_KEEP_RECORDS;
+  state->kept = calloc (state->desc.keep_records, sizeof *state->kept);
+  state->pending = calloc (MAX_PENDING, sizeof *state->pending);
+  if (state->kept == NULL || state->pending == NULL
+      || !cyc_pool_setup (&state->pool, MAX_PENDING, NULL))
+    cyc_findings_add (findings, CYC_STR ("control"), "no memory");
+  else if (cyc_led_setup (&state->ledger, &desc->ledger, findings)
+           && follow_setup (state, findings))
+    {
+      csn_setup (&state->snapshots,
+                 &(struct csn_desc){ .follow = &state->follow,
+                                     .vm = desc->vm,
+                                     .records = state->desc.snapshot_records,
+                                     .met = desc->met });
+      fo_start (&state->follow, 0);
+      return true;
+    }
+  ctl_shutdown (ctl);
+  return false;
+}
+
+void
+ctl_shutdown (struct ctl_control *ctl)
+{
+  struct ctl_state *state = ctl->state;
+
+  if (state == NULL)
+    return;
+  csn_shutdown (&state->snapshots);
+  fo_shutdown (&state->follow);
+  cyc_led_shutdown (&state->ledger);
+  stop_gathering (state);
+  if (state->kept != NULL)
+    drop_all_kept (state);
+  free (state->kept);
+  free (state->pending);
+  cyc_pool_shutdown (&state->pool);
+  free (state);
+  ctl->state = NULL;
+}
+
+void
+ctl_tick (struct ctl_control *ctl, uint64_t now_us)
+{
+  struct ctl_state *state = ctl->state;
+
+  state->now_us = now_us;
+  fo_tick (&state->follow, now_us);
+  learn_freshness (state);
+  if (state->desc.write_snapshots && !state->gathering
+      && cyc_led_complete (&state->ledger) && fo_at_head (&state->follow))
+    csn_tick (&state->snapshots, &state->ledger, now_us);
+}
+
+const struct cyc_ledger *
+ctl_ledger (const struct ctl_control *ctl)
+{
+  return &ctl->state->ledger;
+}
+
+bool
+ctl_ready (const struct ctl_control *ctl)
+{
+  return ctl->state->ready;
+}
+
+bool
+ctl_log_reachable (const struct ctl_control *ctl)
+{
+  return fo_reachable (&ctl->state->follow);
+}
+
+uint64_t
+ctl_fresh_us (const struct ctl_control *ctl)
+{
+  /* Answers of the log arrive between ticks. */
+  learn_freshness (ctl->state);
+  return ctl->state->fresh_us;
+}
+
+uint64_t
+ctl_next (const struct ctl_control *ctl)
+{
+  return cyc_led_next (&ctl->state->ledger);
+}
+
+/* Peers. */
+
+bool
+ctl_peer_state (struct ctl_control *ctl, uint64_t next, uint64_t fresh_us)
+{
+  struct ctl_state *state = ctl->state;
+  bool ahead = next > cyc_led_next (&state->ledger);
+
+  /* Of a peer ahead only the newest knowledge is remembered; it counts once
+     its records were applied. */
+  if (fresh_us > state->fresh_us
+      && (state->peer_fresh_us == 0 || !ahead || next <= state->peer_next))
+    {
+      state->peer_next = next;
+      state->peer_fresh_us = fresh_us;
+    }
+  learn_freshness (state);
+  return ahead;
+}
+
+void
+ctl_peer_records (struct ctl_control *ctl, uint64_t from,
+                  const struct cyc_str *records, uint32_t record_count)
+{
+  struct ctl_state *state = ctl->state;
+
+  /* A complete state may go on from a peer's records even while the log has
+     trimmed what lies between. */
+  for (uint32_t i = 0; i < record_count; i++)
+    if (from + i == cyc_led_next (&state->ledger)
+        && (cyc_led_complete (&state->ledger) || from + i == 0))
+      apply (state, from + i, records[i]);
+  if (state->gathering
+      && cyc_led_next (&state->ledger) >= fo_oldest (&state->follow)
+      && cyc_led_complete (&state->ledger))
+    {
+      stop_gathering (state);
+      fo_start (&state->follow, cyc_led_next (&state->ledger));
+    }
+  learn_freshness (state);
+}
+
+bool
+ctl_peer_snapshot (struct ctl_control *ctl, struct cyc_str encoded)
+{
+  return take_snapshot (ctl->state, encoded, 1);
+}
--- a/src/control.h
+++ b/src/control.h
@@ -64,6 +64,7 @@
 
 bool ctl_setup (struct ctl_control *ctl, const struct ctl_desc *desc,
                 struct cyc_findings *findings);
+/** Shut the log client down first: its open calls refer to the follower. */
 void ctl_shutdown (struct ctl_control *ctl);
 void ctl_tick (struct ctl_control *ctl, uint64_t now_us);
 const struct cyc_ledger *ctl_ledger (const struct ctl_control *ctl);
--- /dev/null
+++ b/src/control_snapshot.c
@@ -0,0 +1,161 @@
+#include "control_snapshot.h"
+#include "log_event.h"
+
+#include <cyclamendrum/record.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define US_PER_MS 1000
+#define CHUNK_TIMEOUT_US (10000 * US_PER_MS)
+/* Writers wait for a time that depends on their name, so that usually only the
+   first of them writes. */
+#define SPREAD_STEPS 16
+#define SPREAD_STEP_US (250 * US_PER_MS)
+/* A log that retains less than a snapshot would otherwise be written to all
+   the time. */
+#define PAUSE_US (10000 * US_PER_MS)
+
+void
+csn_setup (struct csn_writer *writer, const struct csn_desc *desc)
+{
+  memset (writer, 0, sizeof *writer);
+  writer->desc = *desc;
+}
+
+static void
+drop_encoded (struct csn_writer *writer)
+{
+  free ((char *)writer->encoded.data);
+  writer->encoded = (struct cyc_str){ 0 };
+}
+
+void
+csn_shutdown (struct csn_writer *writer)
+{
+  drop_encoded (writer);
+}
+
+bool
+csn_needed (uint64_t upto, uint64_t oldest, uint64_t next, uint32_t records)
+{
+  uint64_t behind = next - upto;
+
+  if (next == 0)
+    return false;
+  if (oldest > 0 && upto + 1 < oldest)
+    return true;
+  if (oldest > 0 && behind > (next - oldest) / 2)
+    return true;
+  return behind > records;
+}
+
+static void
+stop (struct csn_writer *writer)
+{
+  drop_encoded (writer);
+  writer->writing = false;
+  writer->due_us = 0;
+  writer->last_us = writer->now_us;
+}
+
+static void append_chunk (struct csn_writer *writer);
+
+static void
+on_chunk (void *user, enum fo_fate fate, uint64_t offset)
+{
+  struct csn_writer *writer = user;
+
+  (void)offset;
+  if (fate != FO_CONFIRMED)
+    {
+      stop (writer);
+      return;
+    }
+  writer->index++;
+  if (writer->index < writer->count)
+    {
+      append_chunk (writer);
+      return;
+    }
+  ev_log (EV_SNAPSHOT_WRITTEN, "upto=%" PRIu64 " bytes=%zu chunks=%u",
+          writer->upto, writer->encoded.len, writer->count);
+  if (writer->desc.met != NULL)
+    met_add (writer->desc.met, MET_SNAPSHOTS_WRITTEN, 1);
+  stop (writer);
+}
+
+static void
+append_chunk (struct csn_writer *writer)
+{
+  size_t from = (size_t)writer->index * CYC_SNAPSHOT_CHUNK_BYTES;
+  struct cyc_str part = { .data = writer->encoded.data + from,
+                          .len = writer->encoded.len - from };
+  struct fo_append append = { .deadline_us = writer->now_us + CHUNK_TIMEOUT_US,
+                              .done = on_chunk,
+                              .user = writer };
+  bool begun = false;
+
+  if (part.len > CYC_SNAPSHOT_CHUNK_BYTES)
+    part.len = CYC_SNAPSHOT_CHUNK_BYTES;
+  cyc_id128_random (&append.record_id);
+  if (cyc_rec_snapshot_chunk (
+          &append.record_id, cyc_name_str (&writer->desc.vm), writer->upto,
+          writer->index, writer->count, &writer->digest, part, &append.record))
+    {
+      begun = fo_append (writer->desc.follow, &append);
+      free ((char *)append.record.data);
+    }
+  if (!begun)
+    stop (writer);
+}
+
+static void
+begin (struct csn_writer *writer, const struct cyc_ledger *led)
+{
+  if (!cyc_led_encode (led, &writer->encoded))
+    {
+      stop (writer);
+      return;
+    }
+  cyc_digest_of (writer->encoded, &writer->digest);
+  writer->upto = cyc_led_next (led) - 1;
+  writer->index = 0;
+  writer->count
+      = (uint32_t)((writer->encoded.len + CYC_SNAPSHOT_CHUNK_BYTES - 1)
+                   / CYC_SNAPSHOT_CHUNK_BYTES);
+  writer->writing = true;
+  append_chunk (writer);
+}
+
+void
+csn_tick (struct csn_writer *writer, const struct cyc_ledger *led,
+          uint64_t now_us)
+{
+  uint64_t upto = cyc_led_snapshot_upto (led);
+  uint64_t oldest = fo_oldest (writer->desc.follow);
+  uint64_t spread;
+
+  writer->now_us = now_us;
+  if (writer->writing)
+    return;
+  if (!csn_needed (upto, oldest, cyc_led_next (led), writer->desc.records))
+    {
+      writer->due_us = 0;
+      return;
+    }
+  if (writer->last_us > 0 && now_us < writer->last_us + PAUSE_US)
+    return;
+  if (writer->due_us == 0)
+    {
+      spread = XXH64 (writer->desc.vm.data, writer->desc.vm.len,
+                      cyc_led_next (led))
+               % SPREAD_STEPS * SPREAD_STEP_US;
+      /* Without any usable snapshot the state would be lost with the last
+         process, so nobody waits. */
+      writer->due_us
+          = oldest > 0 && upto + 1 < oldest ? now_us : now_us + spread;
+    }
+  if (now_us >= writer->due_us)
+    begin (writer, led);
+}
--- a/src/follow.h
+++ b/src/follow.h
@@ -62,6 +62,7 @@
 
 bool fo_setup (struct fo_follow *fo, const struct fo_desc *desc,
                struct cyc_findings *findings);
+/** Shut the log client down first: its open calls refer to the follower. */
 void fo_shutdown (struct fo_follow *fo);
 /** Begins at @p from; UINT64_MAX: at the oldest retained record. */
 void fo_start (struct fo_follow *fo, uint64_t from);
@@ -70,6 +71,8 @@
 /** False when the table is full; `done` is then not called. */
 bool fo_append (struct fo_follow *fo, const struct fo_append *append);
 uint64_t fo_next (const struct fo_follow *fo);
+/** Oldest retained offset as the newest read reported it. */
+uint64_t fo_oldest (const struct fo_follow *fo);
 /** True when the last read reached the head of the stream. */
 bool fo_at_head (const struct fo_follow *fo);
 bool fo_reachable (const struct fo_follow *fo);
