Make the log-backed modules clean under clang-tidy

clang-tidy reported widening multiplications, sizes of pointers and a macro argument. They are written another way now; clang-tidy reports nothing in these files and test_ledger passes.

--- a/src/control.c
+++ b/src/control.c
@@ -10,7 +10,7 @@
 #define MAX_PENDING 1024
 /* Kept records serve peers that lag by seconds; this bounds their memory when
    many of them are snapshot chunks. */
-#define KEEP_BYTES (8U * 1024 * 1024)
+#define KEEP_BYTES ((size_t)8 * 1024 * 1024)
 
 struct kept
 {
--- a/src/control_snapshot.c
+++ b/src/control_snapshot.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define US_PER_MS 1000
+#define US_PER_MS UINT64_C (1000)
 #define CHUNK_TIMEOUT_US (10000 * US_PER_MS)
 /* Writers wait for a time that depends on their name, so that usually only the
    first of them writes. */
--- a/src/cyc_config.c
+++ b/src/cyc_config.c
@@ -249,6 +249,12 @@
   return from;
 }
 
+static bool
+is_blank (char c)
+{
+  return c == ' ' || c == '\t' || c == '\r' || c == '\n';
+}
+
 static bool
 only_blank (struct cyc_str text, size_t from)
 {
@@ -256,7 +262,7 @@
     {
       size_t next = skip_comment (text, from);
 
-      if (next == from && memchr (" \t\r\n", text.data[from], 4) == NULL)
+      if (next == from && !is_blank (text.data[from]))
         return false;
       from = next == from ? from + 1 : next;
     }
@@ -299,26 +305,27 @@
   return root;
 }
 
-#define SIZE_MEMBERS(type, member, need)                                      \
-  { "millicores",   MEMBER_U32, need, offsetof (type, member.millicores), 1,  \
-    MAX_MILLICORES, 0 },                                                      \
+#define SIZE_MEMBERS(at)                                                      \
+  { "millicores",                                                             \
+    MEMBER_U32,                                                               \
+    true,                                                                     \
+    (at) + offsetof (struct cyc_res, millicores),                             \
+    1,                                                                        \
+    MAX_MILLICORES,                                                           \
+    0 },                                                                      \
       { "memory_mib",                                                         \
         MEMBER_U32,                                                           \
-        need,                                                                 \
-        offsetof (type, member.memory_mib),                                   \
+        true,                                                                 \
+        (at) + offsetof (struct cyc_res, memory_mib),                         \
         1,                                                                    \
         MAX_MEMORY_MIB,                                                       \
         0 },                                                                  \
   {                                                                           \
-    "accelerators", MEMBER_U32, false, offsetof (type, member.accelerators),  \
-        0, MAX_ACCELERATORS, 0                                                \
+    "accelerators", MEMBER_U32, false,                                        \
+        (at) + offsetof (struct cyc_res, accelerators), 0, MAX_ACCELERATORS,  \
+        0                                                                     \
   }
 
-struct largest_worker
-{
-  struct cyc_res size;
-};
-
 static const struct member fleet_members[] = {
   { "regions", MEMBER_OTHER, true, 0, 0, 0, 0 },
   { "largest_worker", MEMBER_OTHER, true, 0, 0, 0, 0 },
@@ -339,7 +346,7 @@
     offsetof (struct cyc_domain_cfg, entry_seats), 1, MAX_SEATS, 0 },
 };
 static const struct member worker_members[] = {
-  SIZE_MEMBERS (struct largest_worker, size, true),
+  SIZE_MEMBERS (0),
 };
 static const struct member team_members[] = {
   { "team", MEMBER_NAME, true, offsetof (struct cyc_team_cfg, name), 0, 0, 0 },
@@ -368,7 +375,7 @@
     offsetof (struct cyc_queue_cfg, repeatable), 0, 0, 0 },
   { "tasks", MEMBER_U32, false, offsetof (struct cyc_queue_cfg, tasks), 1,
     MAX_REPLICAS, 1 },
-  SIZE_MEMBERS (struct cyc_queue_cfg, size, true),
+  SIZE_MEMBERS (offsetof (struct cyc_queue_cfg, size)),
   { "run_s", MEMBER_U32, false, offsetof (struct cyc_queue_cfg, run_s), 0,
     MAX_RUN_S, 0 },
   { "spread", MEMBER_SPREAD, false, offsetof (struct cyc_queue_cfg, spread), 0,
@@ -458,7 +465,6 @@
 {
   struct json_object *list = NULL;
   struct json_object *worker = NULL;
-  struct largest_worker largest = { 0 };
   char at[64];
 
   if (!read_object (reader, "$", fleet_members, COUNT (fleet_members), root,
@@ -467,8 +473,7 @@
   if (json_object_object_get_ex (root, "largest_worker", &worker)
       && worker != NULL)
     read_object (reader, "$.largest_worker", worker_members,
-                 COUNT (worker_members), worker, &largest);
-  out->largest_worker = largest.size;
+                 COUNT (worker_members), worker, &out->largest_worker);
   if (!json_object_object_get_ex (root, "regions", &list) || list == NULL)
     return;
   if (!json_object_is_type (list, json_type_array)
--- a/src/cyc_jobs_record.c
+++ b/src/cyc_jobs_record.c
@@ -105,7 +105,7 @@
   Cyc__JobBatch batch = CYC__JOB_BATCH__INIT;
   struct cyc_name writer_copy;
   struct event_parts *parts = calloc (count + (size_t)1, sizeof *parts);
-  Cyc__JobEvent **list = calloc (count + (size_t)1, sizeof *list);
+  Cyc__JobEvent **list = calloc (count + (size_t)1, sizeof (Cyc__JobEvent *));
   bool done = parts != NULL && list != NULL
               && cyc_codec_head (&record, id, writer, &writer_copy);
 
--- a/src/cyc_ledger_snapshot.c
+++ b/src/cyc_ledger_snapshot.c
@@ -28,13 +28,13 @@
   size_t claims = state->claim_count + (size_t)1;
 
   enc->items = calloc (items, sizeof *enc->items);
-  enc->item_list = calloc (items, sizeof *enc->item_list);
+  enc->item_list = calloc (items, sizeof (Cyc__StateItem *));
   enc->keys = calloc (keys, sizeof *enc->keys);
-  enc->key_list = calloc (keys, sizeof *enc->key_list);
+  enc->key_list = calloc (keys, sizeof (Cyc__StateKey *));
   enc->claims = calloc (claims, sizeof *enc->claims);
-  enc->claim_list = calloc (claims, sizeof *enc->claim_list);
+  enc->claim_list = calloc (claims, sizeof (Cyc__StateClaim *));
   enc->balances = calloc (balance_count + 1, sizeof *enc->balances);
-  enc->balance_list = calloc (balance_count + 1, sizeof *enc->balance_list);
+  enc->balance_list = calloc (balance_count + 1, sizeof (Cyc__StateBalance *));
   enc->ids = calloc (state->recent.count + (size_t)1, sizeof *enc->ids);
   enc->key_order = calloc (keys, sizeof *enc->key_order);
   return enc->items != NULL && enc->item_list != NULL && enc->keys != NULL
--- a/src/cyc_once.c
+++ b/src/cyc_once.c
@@ -293,7 +293,7 @@
   Cyc__IntentBatch batch = CYC__INTENT_BATCH__INIT;
   struct cyc_name gateway;
   Cyc__Intent *rows = calloc (count + (size_t)1, sizeof *rows);
-  Cyc__Intent **list = calloc (count + (size_t)1, sizeof *list);
+  Cyc__Intent **list = calloc (count + (size_t)1, sizeof (Cyc__Intent *));
   bool done = rows != NULL && list != NULL
               && cyc_codec_head (&record, id, writer, &gateway);
 
@@ -333,7 +333,7 @@
   Cyc__OutcomeBatch batch = CYC__OUTCOME_BATCH__INIT;
   struct cyc_name gateway;
   Cyc__Outcome *rows = calloc (count + (size_t)1, sizeof *rows);
-  Cyc__Outcome **list = calloc (count + (size_t)1, sizeof *list);
+  Cyc__Outcome **list = calloc (count + (size_t)1, sizeof (Cyc__Outcome *));
   bool done = rows != NULL && list != NULL
               && cyc_codec_head (&record, id, writer, &gateway);
 
--- a/src/cyc_record.c
+++ b/src/cyc_record.c
@@ -55,7 +55,7 @@
   Cyc__ConfigChange change = CYC__CONFIG_CHANGE__INIT;
   struct cyc_name writer_copy;
   Cyc__ConfigItem *items = calloc (count + 1, sizeof *items);
-  Cyc__ConfigItem **list = calloc (count + 1, sizeof *list);
+  Cyc__ConfigItem **list = calloc (count + 1, sizeof (Cyc__ConfigItem *));
   bool done = items != NULL && list != NULL
               && cyc_codec_head (&record, id, writer, &writer_copy);
 
--- a/src/follow.c
+++ b/src/follow.c
@@ -10,7 +10,7 @@
 #define DEFAULT_BATCH 512
 #define DEFAULT_APPENDS 4096
 #define MOST_APPENDS 65536
-#define US_PER_MS 1000
+#define US_PER_MS UINT64_C (1000)
 #define FIRST_BACKOFF_US (50 * US_PER_MS)
 #define LAST_BACKOFF_US (1000 * US_PER_MS)
 /* A position change leaves the old long poll to end by itself; a few may be
@@ -131,7 +131,7 @@
 
   if (state == NULL)
     return;
-  for (uint32_t i = 0; i < state->pool.high; i++)
+  for (uint32_t i = 0; state->rows != NULL && i < state->pool.high; i++)
     if (cyc_pool_used_at (&state->pool, i))
       free (state->rows[i].record);
   free (state->rows);
--- a/src/log_client.c
+++ b/src/log_client.c
@@ -313,7 +313,7 @@
 
   if (state == NULL)
     return;
-  for (uint32_t i = 0; i < state->pool.high; i++)
+  for (uint32_t i = 0; state->calls != NULL && i < state->pool.high; i++)
     if (cyc_pool_used_at (&state->pool, i))
       hc_cancel (state->client, state->calls[i].transfer);
   cyc_pool_shutdown (&state->pool);
