--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SANITIZE ?=
 PACKAGES := glib-2.0 json-c libprotobuf-c libmicrohttpd libcurl libsodium libxxhash
 WARN := -Wall -Wextra -Werror -Wshadow -Wmissing-prototypes -Wstrict-prototypes -Wno-missing-field-initializers
-CFLAGS = -std=gnu11 -g $(OPT) $(WARN) $(SANITIZE) -Iinclude -Isrc $(PKG_CFLAGS) -DCYC_VERSION='"$(VERSION)"'
+CFLAGS = -std=gnu11 -g $(OPT) $(WARN) $(SANITIZE) -Iinclude -Isrc -Ifakes $(PKG_CFLAGS) -DCYC_VERSION='"$(VERSION)"'
 LDLIBS = $(PKG_LIBS) -lev -largtable2 -lm
 PKG_CFLAGS = $(shell pkg-config --cflags $(PACKAGES))
 PKG_LIBS = $(shell pkg-config --libs $(PACKAGES))
--- /dev/null
+++ b/fakes/fake_workers.c
@@ -0,0 +1,55 @@
+/**
+ * @file
+ * Program of the workers fake; see fk_workers.h. `--file` adds the workers of
+ * a JSON file, `--vms` writes their VM list to a file.
+ */
+#include "fk_workers.h"
+
+#include <stdio.h>
+
+static bool
+load_workers (struct fk_workers *all, const struct fk_program *program)
+{
+  struct json_object *json;
+  bool done;
+
+  if (program->file != NULL)
+    {
+      json = json_object_from_file (program->file);
+      done = json != NULL && fk_workers_add (all, json);
+      json_object_put (json);
+      if (!done)
+        return false;
+    }
+  if (program->vms_file == NULL)
+    return true;
+  json = fk_workers_vms (all);
+  done = json_object_to_file (program->vms_file, json) == 0;
+  json_object_put (json);
+  return done;
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct fk_workers all;
+  struct fk_program program = { 0 };
+  struct cyc_findings findings = { 0 };
+
+  if (!fk_program_start (&program, argc, argv))
+    return 2;
+  if (!fk_workers_setup (&all, program.loop, program.port, program.service_ms,
+                         &findings))
+    {
+      fprintf (stderr, "fake-workers: %s\n", findings.rows[0].text);
+      return 1;
+    }
+  if (!load_workers (&all, &program))
+    {
+      fprintf (stderr, "fake-workers: cannot use --file or --vms\n");
+      return 2;
+    }
+  fk_program_run (&program, fk_port (&all.hs));
+  fk_workers_shutdown (&all);
+  return 0;
+}
--- /dev/null
+++ b/fakes/fk_requests.c
@@ -0,0 +1,209 @@
+#include "fk_workers.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Forgets connections that were closed: their descriptor is gone or names
+   another socket. */
+static void
+prune_cookies (struct fk_worker *worker)
+{
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < worker->cookie_count; i++)
+    {
+      uint64_t cookie = 0;
+      socklen_t len = sizeof cookie;
+
+      if (getsockopt (worker->cookie_fds[i], SOL_SOCKET, SO_COOKIE, &cookie,
+                      &len)
+              != 0
+          || cookie != worker->cookies[i])
+        continue;
+      worker->cookies[kept] = cookie;
+      worker->cookie_fds[kept++] = worker->cookie_fds[i];
+    }
+  worker->cookie_count = kept;
+}
+
+static void
+note_connection (struct fk_worker *worker, struct MHD_Connection *connection)
+{
+  int fd;
+  uint64_t cookie = fk_cookie (connection, &fd);
+
+  for (uint32_t i = 0; i < worker->cookie_count; i++)
+    if (worker->cookies[i] == cookie)
+      return;
+  prune_cookies (worker);
+  if (worker->cookie_count == FK_COOKIES)
+    return;
+  worker->cookies[worker->cookie_count] = cookie;
+  worker->cookie_fds[worker->cookie_count++] = fd;
+}
+
+void
+fk_requests_silence (struct fk_worker *worker)
+{
+  prune_cookies (worker);
+  memcpy (worker->silent_cookies, worker->cookies, sizeof worker->cookies);
+  worker->silent_count = worker->cookie_count;
+}
+
+bool
+fk_requests_silent (const struct fk_worker *worker, const struct hs_call *call)
+{
+  int fd;
+  uint64_t cookie = fk_cookie (call->connection, &fd);
+
+  for (uint32_t i = 0; i < worker->silent_count; i++)
+    if (worker->silent_cookies[i] == cookie)
+      return true;
+  return false;
+}
+
+static struct json_object *
+request_event (const struct fk_worker *worker, const char *name,
+               const char *id, const char *queue)
+{
+  struct json_object *event = fk_event (worker, name);
+
+  fk_event_text (event, "id", id);
+  fk_event_text (event, "queue", queue);
+  fk_event_int (event, "slots_used", worker->requests->len);
+  fk_event_int (event, "connections_used", worker->cookie_count);
+  fk_event_int (event, "draining_ms", worker->draining_ms);
+  return event;
+}
+
+static void
+reply_not_started (struct fk_worker *worker, const struct hs_call *call,
+                   const char *reason)
+{
+  struct hs_reply reply = {
+    .status = 503,
+    .body = cyc_str_of (reason),
+    .headers = { { "Not-Started", "1" }, { "Draining", "1" } },
+    .header_count = worker->faults.draining ? 2 : 1,
+  };
+
+  hs_reply (&worker->hs, call->ref, &reply);
+}
+
+static void
+refuse_request (struct fk_worker *worker, const struct hs_call *call,
+                const struct fk_request *request, const char *reason,
+                bool overrun)
+{
+  struct json_object *event
+      = request_event (worker, "request-refused", request->id, request->queue);
+
+  fk_event_text (event, "reason", reason);
+  fk_event_add (worker, event);
+  if (overrun)
+    {
+      event = request_event (worker, "overrun", request->id, request->queue);
+      fk_event_text (event, "what", reason);
+      fk_event_add (worker, event);
+    }
+  reply_not_started (worker, call, reason);
+}
+
+void
+fk_requests_call (struct fk_worker *worker, const struct hs_call *call,
+                  struct cyc_str queue)
+{
+  struct fk_request request
+      = { .ref = call->ref, .connection = call->connection };
+  int64_t service_ms = worker->faults.service_ms;
+
+  snprintf (request.id, sizeof request.id, "%.*s",
+            CYC_FMT (hs_header (call, "Request-Id")));
+  snprintf (request.queue, sizeof request.queue, "%.*s", CYC_FMT (queue));
+  note_connection (worker, call->connection);
+  if (worker->cookie_count > worker->connections)
+    prune_cookies (worker);
+  if (worker->cookie_count > worker->connections)
+    refuse_request (worker, call, &request, "connections", true);
+  else if (worker->requests->len >= worker->slots)
+    refuse_request (worker, call, &request, "slots", true);
+  else if (!worker->faults.accept_any && !fk_tasks_serves (worker, queue))
+    refuse_request (worker, call, &request, "no replica of the queue", false);
+  else
+    {
+      request.body = g_bytes_new (call->body.data, call->body.len);
+      request.due_us = hc_now_us () + (uint64_t)service_ms * 1000;
+      fk_event_add (worker, request_event (worker, "request", request.id,
+                                           request.queue));
+      g_array_append_val (worker->requests, request);
+      if (service_ms == 0)
+        fk_requests_tick (worker);
+    }
+}
+
+static void
+answer_request (struct fk_worker *worker, struct fk_request *request)
+{
+  gsize len;
+  const char *body = g_bytes_get_data (request->body, &len);
+  GString *text = g_string_new (NULL);
+  bool lost = worker->faults.lose_request_answers > 0;
+  struct json_object *event
+      = request_event (worker, "answer", request->id, request->queue);
+
+  g_string_printf (text, "request=%s worker=%s\n", request->id, worker->name);
+  g_string_append_len (text, body, (gssize)len);
+  fk_event_int (event, "lost", lost);
+  fk_event_add (worker, event);
+  if (lost)
+    {
+      worker->faults.lose_request_answers--;
+      fk_drop (&worker->hs, request->ref, request->connection);
+    }
+  else
+    hs_reply (&worker->hs, request->ref,
+              &(struct hs_reply){
+                  .status = 200,
+                  .body = { text->str, text->len },
+                  .headers = { { "Draining", "1" } },
+                  .header_count = worker->faults.draining ? 1 : 0,
+              });
+  g_string_free (text, TRUE);
+}
+
+void
+fk_requests_tick (struct fk_worker *worker)
+{
+  uint64_t now_us = hc_now_us ();
+
+  for (guint i = 0; i < worker->requests->len;)
+    {
+      struct fk_request *request
+          = &g_array_index (worker->requests, struct fk_request, i);
+
+      if (request->due_us > now_us || worker->faults.silent)
+        {
+          i++;
+          continue;
+        }
+      answer_request (worker, request);
+      g_bytes_unref (request->body);
+      g_array_remove_index (worker->requests, i);
+    }
+}
+
+void
+fk_requests_lost (struct fk_worker *worker)
+{
+  for (guint i = 0; i < worker->requests->len; i++)
+    {
+      struct fk_request *request
+          = &g_array_index (worker->requests, struct fk_request, i);
+
+      fk_event_add (
+          worker, request_event (worker, "lost", request->id, request->queue));
+      fk_drop (&worker->hs, request->ref, request->connection);
+      g_bytes_unref (request->body);
+    }
+  g_array_set_size (worker->requests, 0);
+}
