Add service-level windows and the burn report

Windows of one-minute buckets per queue in each process; the report merges processes, names those it cannot reach and shows budget and burn rate over 5 and 60 minutes.

--- a/include/cyclamendrum/config.h
+++ b/include/cyclamendrum/config.h
@@ -82,7 +82,9 @@
   struct cyc_res size;         /**< declared size of one task */
   uint32_t run_s;              /**< declared run time; 0 for services */
   uint32_t answered_within_ms; /**< objective; 0: none */
-  uint32_t objective_permille;
+  uint32_t objective_permille; /**< share of answers within that time */
+  uint32_t definite_permille;  /**< objective: share of requests whose
+                                  outcome is not `unknown`; 0: none */
 };
 
 /** @p place is put before the JSON path of each finding. */
--- /dev/null
+++ b/src/burn_report.h
@@ -0,0 +1,107 @@
+/**
+ * @file
+ * Report on service-level burn: merges what the entry processes say and works
+ * out, for each objective, the budget left and the burn rate.
+ *
+ * The allowed share of bad requests is 1 minus the objective. The burn rate
+ * over a window is the share of bad requests divided by the allowed share: 1.0
+ * uses the budget up exactly, more uses it up early. The budget left is
+ * measured since the start of the counters.
+ *
+ * @code
+ * br_setup (&br, &(struct br_desc){ 0 }, &found);
+ * br_add (&br, json, &found);        // once for each process that answered
+ * br_print (&br, BR_TABLE, stdout);
+ * @endcode
+ *
+ * Errors: an answer that is not valid adds findings and changes nothing.
+ */
+#ifndef BURN_REPORT_H
+#define BURN_REPORT_H
+
+#include "burn_window.h"
+
+#include <stdio.h>
+
+enum br_format
+{
+  BR_TABLE,
+  BR_JSON
+};
+
+/** One objective of a queue. */
+enum br_objective
+{
+  BR_IN_TIME = 0,
+  BR_DEFINITE,
+  BR_OBJECTIVES
+};
+
+struct br_row
+{
+  struct cyc_name queue;
+  uint32_t answered_within_ms;
+  uint32_t permille[BR_OBJECTIVES]; /**< 0: no such objective */
+  struct bw_sums total;
+  struct bw_sums window_short;
+  struct bw_sums window_long;
+};
+
+struct br_process
+{
+  struct cyc_name vm;
+  bool reached;
+  bool restarted; /**< younger than the long window */
+  uint64_t start_ms;
+  char note[80]; /**< why it was not reached */
+};
+
+struct br_desc
+{
+  uint32_t max_rows;      /**< 0: 16,384 */
+  uint32_t max_processes; /**< 0: 512 */
+};
+
+struct br_report
+{
+  struct br_row *rows; /**< sorted by queue */
+  uint32_t row_count;
+  uint32_t row_max;
+  struct br_process *processes;
+  uint32_t process_count;
+  uint32_t process_max;
+};
+
+bool br_setup (struct br_report *br, const struct br_desc *desc,
+               struct cyc_findings *findings);
+void br_shutdown (struct br_report *br);
+/** Adds the answer of one process; @p now_ms is Unix milliseconds. */
+bool br_add (struct br_report *br, struct cyc_str vm, struct cyc_str json,
+             uint64_t now_ms, struct cyc_findings *findings);
+/** Names a process that gave no answer. */
+void br_add_unreached (struct br_report *br, struct cyc_str vm,
+                       struct cyc_str why);
+/** Burn rate in thousandths; 0 without requests. */
+uint64_t br_burn_permille (const struct bw_sums *sums,
+                           enum br_objective objective, uint32_t permille);
+/** Budget left in thousandths, negative when overdrawn. */
+int64_t br_left_permille (const struct bw_sums *sums,
+                          enum br_objective objective, uint32_t permille);
+void br_print (const struct br_report *br, enum br_format format, FILE *out);
+
+struct br_source
+{
+  struct cyc_str queue;
+  uint32_t answered_within_ms;
+  uint32_t permille[BR_OBJECTIVES];
+  const struct bw_row *row; /**< NULL: no traffic */
+};
+
+/** Body of `GET /v1/objectives`: the form that br_add reads. */
+void br_encode_open (FILE *out, const struct cyc_id128 *incarnation,
+                     uint64_t start_ms);
+void br_encode_queue (FILE *out, bool first, const struct br_source *source,
+                      uint64_t now_us);
+void br_encode_close (FILE *out);
+
+#endif
--- a/src/cyc_config.c
+++ b/src/cyc_config.c
@@ -388,6 +388,9 @@
   { "permille", MEMBER_U32, true,
     offsetof (struct cyc_queue_cfg, objective_permille), 1,
     CYC_SHARE_WHOLE_PERMILLE, 0 },
+  { "definite_permille", MEMBER_U32, false,
+    offsetof (struct cyc_queue_cfg, definite_permille), 1,
+    CYC_SHARE_WHOLE_PERMILLE, 0 },
 };
 
 #define COUNT(table) (sizeof (table) / sizeof (table)[0])
--- /dev/null
+++ b/tests/test_burn.c
@@ -0,0 +1,174 @@
+/**
+ * @file
+ * Service-level burn: windows must forget what is too old, a queue without
+ * traffic must not look healthy, and processes that gave no answer are named.
+ */
+#include "burn_report.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define MINUTE_US UINT64_C (60000000)
+
+struct rate_case
+{
+  uint64_t requests;
+  uint64_t in_time;
+  uint32_t permille;
+  uint64_t burn_permille;
+  int64_t left_permille;
+};
+
+static const struct rate_case rate_cases[] = {
+  { 0, 0, 990, 0, 1000 },        { 1000, 1000, 990, 0, 1000 },
+  { 1000, 990, 990, 1000, 0 },   { 1000, 980, 990, 2000, -1000 },
+  { 1000, 995, 990, 500, 500 },  { 1000, 999, 1000, 2000, -1000 },
+  { 1000, 1000, 1000, 0, 1000 }, { 10, 0, 500, 2000, -1000 },
+};
+
+static void
+burn_rate_is_bad_share_over_allowed_share (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof rate_cases / sizeof rate_cases[0]; i++)
+    {
+      const struct rate_case *item = &rate_cases[i];
+      struct bw_sums sums
+          = { .requests = item->requests, .in_time = item->in_time };
+
+      assert_int_equal (br_burn_permille (&sums, BR_IN_TIME, item->permille),
+                        item->burn_permille);
+      assert_int_equal (br_left_permille (&sums, BR_IN_TIME, item->permille),
+                        item->left_permille);
+    }
+}
+
+static void
+window_forgets_minutes_that_have_passed (void **state)
+{
+  struct bw_set bw;
+  struct cyc_findings found = { 0 };
+  struct bw_sums sums;
+  uint64_t start_us = 1000 * MINUTE_US;
+  struct bw_event late = { .in_time = false, .definite = true };
+
+  (void)state;
+  assert_true (bw_setup (&bw, &(struct bw_desc){ .max_queues = 2 }, &found));
+  bw_record (&bw, CYC_STR ("preview"), &late, start_us);
+  bw_record (&bw, CYC_STR ("preview"), &late, start_us + 4 * MINUTE_US);
+  bw_window (bw_find (&bw, CYC_STR ("preview")), 5, start_us + 4 * MINUTE_US,
+             &sums);
+  assert_int_equal (sums.requests, 2);
+  bw_window (bw_find (&bw, CYC_STR ("preview")), 5, start_us + 5 * MINUTE_US,
+             &sums);
+  assert_int_equal (sums.requests, 1);
+  bw_window (bw_find (&bw, CYC_STR ("preview")), 60, start_us + 64 * MINUTE_US,
+             &sums);
+  assert_int_equal (sums.requests, 0);
+  assert_int_equal (bw_find (&bw, CYC_STR ("preview"))->total.requests, 2);
+  /* A bucket is used again after an hour. */
+  bw_record (&bw, CYC_STR ("preview"), &late, start_us + 60 * MINUTE_US);
+  bw_window (bw_find (&bw, CYC_STR ("preview")), 1, start_us + 60 * MINUTE_US,
+             &sums);
+  assert_int_equal (sums.requests, 1);
+  bw_record (&bw, CYC_STR ("rebuild"), &late, start_us);
+  bw_record (&bw, CYC_STR ("archive"), &late, start_us);
+  assert_int_equal (bw.dropped, 1);
+  bw_shutdown (&bw);
+}
+
+static char *
+encode (const struct bw_row *row, uint64_t start_ms, uint64_t now_us)
+{
+  char *data = NULL;
+  size_t len = 0;
+  FILE *out = open_memstream (&data, &len);
+  struct cyc_id128 incarnation = { { 1 } };
+  struct br_source source = { .queue = CYC_STR ("preview"),
+                              .answered_within_ms = 300,
+                              .permille = { 990, 999 },
+                              .row = row };
+  struct br_source quiet = { .queue = CYC_STR ("archive"),
+                             .answered_within_ms = 5000,
+                             .permille = { 900, 0 } };
+
+  br_encode_open (out, &incarnation, start_ms);
+  br_encode_queue (out, true, &source, now_us);
+  br_encode_queue (out, false, &quiet, now_us);
+  br_encode_close (out);
+  fclose (out);
+  return data;
+}
+
+static char *
+printed (const struct br_report *br, enum br_format format)
+{
+  char *data = NULL;
+  size_t len = 0;
+  FILE *out = open_memstream (&data, &len);
+
+  br_print (br, format, out);
+  fclose (out);
+  return data;
+}
+
+static void
+report_sums_processes_and_names_the_missing (void **state)
+{
+  struct cyc_findings found = { 0 };
+  struct br_report br;
+  struct bw_set bw;
+  uint64_t now_us = 1000 * MINUTE_US;
+  struct bw_event good = { true, true };
+  struct bw_event bad = { false, false };
+  char *json;
+  char *text;
+
+  (void)state;
+  assert_true (bw_setup (&bw, &(struct bw_desc){ 0 }, &found));
+  for (int i = 0; i < 99; i++)
+    bw_record (&bw, CYC_STR ("preview"), &good, now_us);
+  bw_record (&bw, CYC_STR ("preview"), &bad, now_us);
+  json = encode (bw_find (&bw, CYC_STR ("preview")), 1000, now_us);
+  assert_true (br_setup (&br, &(struct br_desc){ 0 }, &found));
+  assert_true (
+      br_add (&br, CYC_STR ("vm-1"), cyc_str_of (json), 2000, &found));
+  assert_true (
+      br_add (&br, CYC_STR ("vm-2"), cyc_str_of (json), 4000000, &found));
+  assert_false (
+      br_add (&br, CYC_STR ("vm-3"), CYC_STR ("<html>"), 2000, &found));
+  assert_int_equal (found.count, 1);
+  br_add_unreached (&br, CYC_STR ("vm-3"), CYC_STR ("connect refused"));
+  assert_int_equal (br.row_count, 2);
+  assert_int_equal (br.rows[1].total.requests, 200);
+  assert_int_equal (br.rows[1].window_short.definite, 198);
+  text = printed (&br, BR_TABLE);
+  assert_non_null (strstr (text, "not reached: vm-3 (connect refused)"));
+  assert_non_null (strstr (text, "restarted within the long window: vm-1"));
+  assert_null (strstr (text, "restarted within the long window: vm-2"));
+  assert_non_null (strstr (text, "no traffic"));
+  free (text);
+  text = printed (&br, BR_JSON);
+  assert_non_null (strstr (text, "\"traffic\": false"));
+  free (text);
+  free (json);
+  br_shutdown (&br);
+  bw_shutdown (&bw);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (burn_rate_is_bad_share_over_allowed_share),
+    cmocka_unit_test (window_forgets_minutes_that_have_passed),
+    cmocka_unit_test (report_sums_processes_and_names_the_missing),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
