--- a/fakes/fk_requests.c
+++ b/fakes/fk_requests.c
@@ -3,6 +3,10 @@
 #include <stdio.h>
 #include <string.h>
 
+/* So much of a request's body is in the journal: callers of the tests put
+   their own mark there. */
+#define MARK_BYTES 64
+
 /* Forgets connections that were closed: their descriptor is gone or names
    another socket. */
 static void
@@ -116,6 +120,8 @@
   struct fk_request request
       = { .ref = call->ref, .connection = call->connection };
   int64_t service_ms = worker->faults.service_ms;
+  struct json_object *event;
+  char mark[MARK_BYTES];
 
   snprintf (request.id, sizeof request.id, "%.*s",
             CYC_FMT (hs_header (call, "Request-Id")));
@@ -133,8 +139,10 @@
     {
       request.body = g_bytes_new (call->body.data, call->body.len);
       request.due_us = hc_now_us () + (uint64_t)service_ms * 1000;
-      fk_event_add (worker, request_event (worker, "request", request.id,
-                                           request.queue));
+      event = request_event (worker, "request", request.id, request.queue);
+      snprintf (mark, sizeof mark, "%.*s", CYC_FMT (call->body));
+      fk_event_text (event, "body", mark);
+      fk_event_add (worker, event);
       g_array_append_val (worker->requests, request);
       if (service_ms == 0)
         fk_requests_tick (worker);
--- /dev/null
+++ b/src/cmd_session.h
@@ -0,0 +1,54 @@
+/**
+ * @file
+ * Session of a short-lived command with the control stream: reads the stream
+ * to its head, appends one record and waits until it was read back.
+ *
+ * @code
+ * if (cmd_session_open (&session, &settings, &found)
+ *     && cmd_session_catch_up (&session))
+ *   fate = cmd_session_append (&session, &id, record, &effect);
+ * cmd_session_close (&session);
+ * @endcode
+ */
+#ifndef CMD_SESSION_H
+#define CMD_SESSION_H
+
+#include "commands.h"
+#include "control.h"
+#include "log_event.h"
+#include "settings.h"
+
+struct cmd_session
+{
+  struct ev_sink sink;
+  struct ev_loop *loop;
+  struct ev_timer tick;
+  struct hc_client client;
+  struct lc_http http;
+  struct ctl_control ctl;
+  uint64_t deadline_us;
+  bool waiting;
+  enum ctl_fate fate;
+  uint64_t offset; /**< of the record that was read back */
+  struct cyc_led_effect effect;
+  uint32_t opened; /**< parts that were set up */
+};
+
+bool cmd_session_open (struct cmd_session *session,
+                       const struct set_settings *settings,
+                       struct cyc_findings *findings);
+void cmd_session_close (struct cmd_session *session);
+/** False when the log did not answer in time. */
+bool cmd_session_catch_up (struct cmd_session *session);
+/** Appends and waits; `effect` and `offset` of the session are set when the
+ * record was read back. Releases @p record. */
+enum ctl_fate cmd_session_append (struct cmd_session *session,
+                                  const struct cyc_id128 *id,
+                                  struct cyc_str record);
+/** Prints why a record did not take effect and returns the exit code. */
+int cmd_session_explain (const struct cmd_session *session, enum ctl_fate fate,
+                         const char *subject);
+/** Loads the settings or prints the findings. */
+struct set_settings *cmd_load_settings (const char *path);
+
+#endif
--- a/src/main.c
+++ b/src/main.c
@@ -12,6 +12,9 @@
 
 static const struct cmd_item commands[] = {
   { "check", cmd_check, "check a settings file and report every finding" },
+  { "publish", cmd_publish, "publish configuration files" },
+  { "key", cmd_key, "grant or withdraw a key of a team" },
+  { "status", cmd_status, "ask the gateways and schedulers for their state" },
 };
 
 #define COMMAND_COUNT (sizeof commands / sizeof commands[0])
--- a/src/settings.c
+++ b/src/settings.c
@@ -284,6 +284,7 @@
 {
   struct json_object *role;
   struct json_object *address;
+  struct json_object *http;
 
   if (!json_object_is_type (object, json_type_object))
     {
@@ -295,7 +296,7 @@
     (void)value;
     if (strcmp (key, "vm") != 0 && strcmp (key, "domain") != 0
         && strcmp (key, "region") != 0 && strcmp (key, "role") != 0
-        && strcmp (key, "address") != 0)
+        && strcmp (key, "address") != 0 && strcmp (key, "http") != 0)
       cyc_findings_add (findings, place, "unknown member \"%s\"", key);
   }
   read_peer_name (object, "vm", place, &peer->vm, findings);
@@ -313,6 +314,11 @@
   if (address == NULL || !json_object_is_type (address, json_type_string)
       || !set_address_parse (json_str (address), &peer->address))
     cyc_findings_add (findings, place, "\"address\" must be \"IP:PORT\"");
+  http = json_object_object_get (object, "http");
+  if (http != NULL
+      && (!json_object_is_type (http, json_type_string)
+          || !set_address_parse (json_str (http), &peer->http)))
+    cyc_findings_add (findings, place, "\"http\" must be \"IP:PORT\"");
 }
 
 static void
--- a/src/settings.h
+++ b/src/settings.h
@@ -46,7 +46,8 @@
   struct cyc_name domain;
   struct cyc_name region;
   enum set_role role;
-  struct set_address address;
+  struct set_address address; /**< of peer links */
+  struct set_address http;    /**< for `status`; port 0: not given */
 };
 
 struct set_settings
--- /dev/null
+++ b/tests/tst_cell_ask.c
@@ -0,0 +1,371 @@
+#include "record.pb-c.h"
+#include "tst_cell.h"
+
+#include <fcntl.h>
+#include <glib.h>
+#include <json-c/json.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+struct owner_seen
+{
+  uint64_t epoch;
+  char owner[64];
+};
+
+void
+tst_cell_signal (struct tst_cell *cell, uint32_t vm, enum tst_role role,
+                 int signal)
+{
+  struct tst_vm *at = &cell->vms[vm];
+
+  if (at->pids[role] <= 0)
+    return;
+  kill (at->pids[role], signal);
+  at->alive[role] = signal == SIGCONT;
+  if (signal == SIGKILL)
+    {
+      waitpid (at->pids[role], NULL, 0);
+      at->pids[role] = 0;
+    }
+}
+
+int
+tst_cell_wait_exit (struct tst_cell *cell, uint32_t vm, enum tst_role role,
+                    uint64_t timeout_ms)
+{
+  uint64_t deadline_ms = tst_now_ms () + timeout_ms;
+  pid_t pid = cell->vms[vm].pids[role];
+  int status;
+
+  while (tst_now_ms () < deadline_ms)
+    {
+      if (waitpid (pid, &status, WNOHANG) == pid)
+        {
+          cell->vms[vm].pids[role] = 0;
+          return WIFEXITED (status) ? WEXITSTATUS (status) : 128;
+        }
+      tst_step ();
+    }
+  return -1;
+}
+
+static void
+read_all (int fd, char *out, size_t room)
+{
+  size_t len = 0;
+  ssize_t got;
+  char spare[256];
+
+  while ((got = len + 1 < room ? read (fd, out + len, room - len - 1)
+                               : read (fd, spare, sizeof spare))
+         > 0)
+    if (len + 1 < room)
+      len += (size_t)got;
+  if (room > 0)
+    out[len] = '\0';
+}
+
+int
+tst_cell_command (struct tst_cell *cell, const char *const *arguments,
+                  char *out, size_t room)
+{
+  char program[1100];
+  char *list[16] = { program };
+  int ends[2];
+  int status = 0;
+  pid_t pid;
+
+  snprintf (program, sizeof program, "%s/cyclamendrum", cell->bin);
+  for (size_t i = 0; arguments[i] != NULL && i < 14; i++)
+    list[i + 1] = (char *)arguments[i];
+  if (pipe2 (ends, O_CLOEXEC) != 0)
+    return -1;
+  pid = fork ();
+  if (pid == 0)
+    {
+      dup2 (ends[1], 1);
+      execv (program, list);
+      _exit (127);
+    }
+  close (ends[1]);
+  read_all (ends[0], out, room);
+  close (ends[0]);
+  waitpid (pid, &status, 0);
+  return WIFEXITED (status) ? WEXITSTATUS (status) : 128;
+}
+
+void
+tst_cell_fault (struct tst_cell *cell, uint16_t port, const char *json)
+{
+  char url[80];
+  struct tst_answer answer;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/faults", port);
+  tst_http (&(struct tst_call){ .url = url, .body = json }, &answer);
+  if (answer.status != 200)
+    tst_violation (cell, "fault %s was not set: %ld", json, answer.status);
+  free (answer.body);
+}
+
+void
+tst_cell_sync_vms (struct tst_cell *cell)
+{
+  char url[80];
+  struct tst_answer list;
+  struct tst_answer answer;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/vms", cell->workers_port);
+  tst_http (&(struct tst_call){ .url = url }, &list);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/vms", cell->vms_port);
+  tst_http (&(struct tst_call){ .url = url, .body = list.body }, &answer);
+  if (answer.status != 200)
+    tst_violation (cell, "VM list was not set: %ld", answer.status);
+  free (list.body);
+  free (answer.body);
+}
+
+char *
+tst_cell_journal (struct tst_cell *cell)
+{
+  char url[80];
+  struct tst_answer answer;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/journal",
+            cell->workers_port);
+  tst_http (&(struct tst_call){ .url = url, .timeout_ms = 10000 }, &answer);
+  if (answer.status != 200)
+    tst_violation (cell, "journal cannot be read: %ld", answer.status);
+  return answer.body;
+}
+
+/* Takes the claims of a domain in log order: a higher epoch replaces a lower
+   one, and the first claim of an epoch wins. */
+static void
+follow_claim (struct owner_seen *seen, const char *domain,
+              const Cyc__Record *record)
+{
+  const Cyc__Claim *claim = record->claim;
+  const Cyc__ClaimRenew *renew = record->claim_renew;
+  const Cyc__ClaimRelease *release = record->claim_release;
+
+  if (record->body_case == CYC__RECORD__BODY_CLAIM
+      && strcmp (claim->domain, domain) == 0 && claim->epoch > seen->epoch)
+    {
+      seen->epoch = claim->epoch;
+      g_strlcpy (seen->owner, claim->owner, sizeof seen->owner);
+    }
+  if (record->body_case == CYC__RECORD__BODY_CLAIM_RENEW
+      && strcmp (renew->domain, domain) == 0 && renew->epoch > seen->epoch)
+    {
+      seen->epoch = renew->epoch;
+      g_strlcpy (seen->owner, renew->owner, sizeof seen->owner);
+    }
+  if (record->body_case == CYC__RECORD__BODY_CLAIM_RELEASE
+      && strcmp (release->domain, domain) == 0
+      && release->epoch == seen->epoch)
+    seen->owner[0] = '\0';
+}
+
+/* Claims are read from the stream itself, so that the answer does not depend
+   on the processes under test. */
+static void
+read_owner (struct tst_cell *cell, const char *domain, struct owner_seen *seen)
+{
+  char url[128];
+  struct tst_answer answer;
+  struct json_object *json;
+  struct json_object *rows;
+
+  snprintf (url, sizeof url,
+            "http://127.0.0.1:%u/v1/streams/control/records?from=0&max=100000",
+            cell->log_port);
+  tst_http (&(struct tst_call){ .url = url }, &answer);
+  json = answer.status == 200 ? json_tokener_parse (answer.body) : NULL;
+  free (answer.body);
+  rows = json_object_object_get (json, "records");
+  for (size_t i = 0; rows != NULL && i < json_object_array_length (rows); i++)
+    {
+      gsize len = 0;
+      guchar *data
+          = g_base64_decode (json_object_get_string (json_object_object_get (
+                                 json_object_array_get_idx (rows, i), "data")),
+                             &len);
+      Cyc__Record *record = cyc__record__unpack (NULL, len, data);
+
+      if (record != NULL)
+        {
+          follow_claim (seen, domain, record);
+          cyc__record__free_unpacked (record, NULL);
+        }
+      g_free (data);
+    }
+  json_object_put (json);
+}
+
+int
+tst_cell_owner (struct tst_cell *cell, uint32_t domain)
+{
+  struct owner_seen seen = { 0 };
+
+  read_owner (cell, domain == 0 ? "north-a" : "south-a", &seen);
+  for (int i = 0; i < TST_VMS; i++)
+    if (strcmp (cell->vms[i].name, seen.owner) == 0)
+      return i;
+  return -1;
+}
+
+bool
+tst_cell_wait_owner (struct tst_cell *cell, uint32_t domain, int not_vm,
+                     uint64_t timeout_ms)
+{
+  uint64_t deadline_ms = tst_now_ms () + timeout_ms;
+
+  while (tst_now_ms () < deadline_ms)
+    {
+      int owner = tst_cell_owner (cell, domain);
+
+      if (owner >= 0 && owner != not_vm)
+        return true;
+      tst_step ();
+    }
+  tst_violation (cell,
+                 "domain %u has no new owner within %" G_GUINT64_FORMAT " ms",
+                 domain, timeout_ms);
+  return false;
+}
+
+static bool
+answers (struct tst_cell *cell, uint32_t vm, const char *queue,
+         uint32_t serial)
+{
+  char url[128];
+  char key[160];
+  char repeat[96];
+  struct tst_answer answer;
+  bool answered;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/queues/%s/requests",
+            cell->vms[vm].ports[0], queue);
+  snprintf (key, sizeof key, "Authorization: Bearer %s", cell->alpha_key);
+  snprintf (repeat, sizeof repeat,
+            "Idempotency-Key: probe-%s-%u-%u-%" G_GUINT64_FORMAT, queue, vm,
+            serial, (guint64)tst_now_ms ());
+  tst_http (&(struct tst_call){ .url = url,
+                                .body = "probe",
+                                .headers = { key, repeat } },
+            &answer);
+  answered = answer.status == 200 && strcmp (answer.outcome, "answer") == 0;
+  free (answer.body);
+  return answered;
+}
+
+bool
+tst_cell_wait_serving (struct tst_cell *cell, uint64_t timeout_ms)
+{
+  uint64_t deadline_ms = tst_now_ms () + timeout_ms;
+
+  for (uint32_t i = 0; i < TST_VMS * 2; i++)
+    {
+      const char *queue = i % 2 ? "check" : "plan";
+      uint32_t serial = 0;
+
+      while (cell->vms[i / 2].alive[TST_GATEWAY]
+             && !answers (cell, i / 2, queue, serial++))
+        {
+          if (tst_now_ms () > deadline_ms)
+            {
+              tst_violation (
+                  cell,
+                  "gateway %s does not answer %s within %" G_GUINT64_FORMAT
+                  " ms",
+                  cell->vms[i / 2].name, queue, timeout_ms);
+              return false;
+            }
+          tst_step ();
+        }
+    }
+  return true;
+}
+
+/* Copies the string member @p key of the object in @p body. */
+static void
+member (const char *body, const char *key, char *out, size_t room)
+{
+  struct json_object *json = json_tokener_parse (body);
+  const char *text
+      = json ? json_object_get_string (json_object_object_get (json, key))
+             : NULL;
+
+  g_strlcpy (out, text ? text : "", room);
+  json_object_put (json);
+}
+
+static bool
+submit (struct tst_cell *cell, const char *queue, char id[64],
+        uint64_t deadline_ms)
+{
+  char url[128];
+  char key[160];
+  char repeat[96];
+  struct tst_answer answer;
+  uint32_t vm = 0;
+
+  snprintf (key, sizeof key, "Authorization: Bearer %s", cell->beta_key);
+  snprintf (repeat, sizeof repeat,
+            "Idempotency-Key: job-%s-%" G_GUINT64_FORMAT, queue,
+            (guint64)tst_now_ms ());
+  for (;; vm = (vm + 1) % TST_VMS)
+    {
+      snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/queues/%s/jobs",
+                cell->vms[vm].ports[0], queue);
+      tst_http (&(struct tst_call){ .url = url,
+                                    .body = "{}",
+                                    .headers = { key, repeat } },
+                &answer);
+      member (answer.body, "id", id, 64);
+      free (answer.body);
+      if (answer.status == 202 && id[0] != '\0')
+        return true;
+      if (tst_now_ms () > deadline_ms)
+        {
+          tst_violation (cell, "no gateway accepts a job of %s: %ld", queue,
+                         answer.status);
+          return false;
+        }
+      tst_step ();
+    }
+}
+
+void
+tst_cell_job (struct tst_cell *cell, const char *queue, char state[32],
+              uint64_t timeout_ms)
+{
+  uint64_t deadline_ms = tst_now_ms () + timeout_ms;
+  char url[160];
+  char key[160];
+  char id[64];
+
+  state[0] = '\0';
+  if (!submit (cell, queue, id, deadline_ms))
+    return;
+  snprintf (key, sizeof key, "Authorization: Bearer %s", cell->beta_key);
+  for (uint32_t vm = 0; tst_now_ms () < deadline_ms; vm = (vm + 1) % TST_VMS)
+    {
+      struct tst_answer answer;
+
+      snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/jobs/%s",
+                cell->vms[vm].ports[0], id);
+      tst_http (&(struct tst_call){ .url = url, .headers = { key } }, &answer);
+      if (answer.status == 200)
+        member (answer.body, "state", state, 32);
+      free (answer.body);
+      if (state[0] != '\0' && strcmp (state, "queued") != 0
+          && strcmp (state, "running") != 0)
+        return;
+      tst_step ();
+    }
+}
--- /dev/null
+++ b/tests/tst_check.c
@@ -0,0 +1,213 @@
+#include "tst_load.h"
+
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* "A few seconds" of promises 4 and 9, with the short settings of the tests.
+ */
+#define FEW_SECONDS_MS 2500
+
+struct run
+{
+  char worker[16];
+  int64_t from_ms;
+};
+
+struct journal
+{
+  struct tst_cell *cell;
+  GHashTable *marks;   /* mark -> times received */
+  GHashTable *running; /* task name -> struct run */
+  int64_t beta_millicores;
+  uint32_t overruns;
+  uint32_t late;
+  uint32_t limit_hits;
+};
+
+static const char *
+text_of (struct json_object *event, const char *key)
+{
+  const char *text
+      = json_object_get_string (json_object_object_get (event, key));
+
+  return text ? text : "";
+}
+
+static int64_t
+number_of (struct json_object *event, const char *key)
+{
+  return json_object_get_int64 (json_object_object_get (event, key));
+}
+
+static bool
+is_beta (struct json_object *event)
+{
+  const char *queue = text_of (event, "queue");
+
+  return strcmp (queue, "tally") == 0 || strcmp (queue, "train") == 0;
+}
+
+static void
+take_start (struct journal *journal, struct json_object *event)
+{
+  const char *task = text_of (event, "task");
+  struct run *run = g_hash_table_lookup (journal->running, task);
+
+  if (run != NULL)
+    {
+      tst_violation (journal->cell, "task %s runs on %s and on %s", task,
+                     run->worker, text_of (event, "worker"));
+      return;
+    }
+  run = g_new0 (struct run, 1);
+  g_strlcpy (run->worker, text_of (event, "worker"), sizeof run->worker);
+  run->from_ms = number_of (event, "from_ms");
+  g_hash_table_insert (journal->running, g_strdup (task), run);
+  if (!is_beta (event))
+    return;
+  journal->beta_millicores += number_of (event, "millicores");
+  if (journal->beta_millicores > TST_BETA_LIMIT_MILLICORES
+      && journal->limit_hits++ == 0)
+    tst_violation (journal->cell,
+                   "team beta has %" G_GINT64_FORMAT
+                   " millicores running, over its limit of %d",
+                   journal->beta_millicores, TST_BETA_LIMIT_MILLICORES);
+}
+
+static void
+take_end (struct journal *journal, struct json_object *event)
+{
+  const char *task = text_of (event, "task");
+  const struct run *run = g_hash_table_lookup (journal->running, task);
+
+  if (is_beta (event))
+    journal->beta_millicores -= number_of (event, "millicores");
+  if (run != NULL && strcmp (run->worker, text_of (event, "worker")) == 0)
+    g_hash_table_remove (journal->running, task);
+}
+
+static void
+take_request (struct journal *journal, struct json_object *event)
+{
+  const char *mark = text_of (event, "body");
+  int64_t draining_ms = number_of (event, "draining_ms");
+  int64_t at_ms = number_of (event, "at_ms");
+
+  g_hash_table_insert (
+      journal->marks, g_strdup (mark),
+      GUINT_TO_POINTER (
+          GPOINTER_TO_UINT (g_hash_table_lookup (journal->marks, mark)) + 1));
+  if (draining_ms > 0 && at_ms > draining_ms + FEW_SECONDS_MS
+      && journal->late++ == 0)
+    tst_violation (journal->cell,
+                   "worker %s got a request %" G_GINT64_FORMAT
+                   " ms after it began to drain",
+                   text_of (event, "worker"), at_ms - draining_ms);
+}
+
+static void
+take_event (struct journal *journal, struct json_object *event)
+{
+  const char *name = text_of (event, "event");
+
+  if (strcmp (name, "start") == 0)
+    take_start (journal, event);
+  else if (strcmp (name, "end") == 0)
+    take_end (journal, event);
+  else if (strcmp (name, "request") == 0)
+    take_request (journal, event);
+  else if (strcmp (name, "overrun") == 0 && journal->overruns++ < 3)
+    tst_violation (
+        journal->cell, "overrun: %.200s",
+        json_object_to_json_string_ext (event, JSON_C_TO_STRING_PLAIN));
+}
+
+static void
+read_journal (struct journal *journal)
+{
+  char *text = tst_cell_journal (journal->cell);
+  char *place = NULL;
+
+  for (char *line = strtok_r (text, "\n", &place); line != NULL;
+       line = strtok_r (NULL, "\n", &place))
+    {
+      struct json_object *event = json_tokener_parse (line);
+
+      if (event != NULL)
+        take_event (journal, event);
+      json_object_put (event);
+    }
+  free (text);
+}
+
+static void
+check_call (struct tst_load *load, struct journal *journal,
+            const struct tst_record *record)
+{
+  struct tst_cell *cell = load->cell;
+  guint received
+      = GPOINTER_TO_UINT (g_hash_table_lookup (journal->marks, record->mark));
+  bool is_answer = strcmp (record->outcome, "answer") == 0;
+  bool is_not_run = strcmp (record->outcome, "not-run") == 0;
+
+  if (record->once && received > 1)
+    tst_violation (cell, "once-only request %s was received %u times",
+                   record->mark, received);
+  if (is_not_run && received > 0)
+    tst_violation (cell,
+                   "request %s was refused as not run (%ld) but was received",
+                   record->mark, record->status);
+  if (is_answer && (!record->whole || received == 0))
+    tst_violation (
+        cell, "answer to %s (%ld, attempt %u) is not whole or not its own",
+        record->mark, record->status, record->attempt);
+  if (record->status != 0 && !is_answer && !is_not_run
+      && strcmp (record->outcome, "unknown") != 0)
+    tst_violation (cell, "call %s: status %ld without an outcome",
+                   record->mark, record->status);
+  if (record->status == 0 && !record->refused_connection
+      && !load->lossy[record->vm])
+    tst_violation (cell,
+                   "call %s to %s got no answer for %" G_GUINT64_FORMAT
+                   " ms from a gateway that was not killed",
+                   record->mark, cell->vms[record->vm].name,
+                   record->end_ms - record->start_ms);
+  if (record->second_key && is_answer && load->withdrawn_ms > 0
+      && record->start_ms > load->withdrawn_ms + FEW_SECONDS_MS)
+    tst_violation (cell,
+                   "a withdrawn key was accepted %" G_GUINT64_FORMAT
+                   " ms after its withdrawal",
+                   record->start_ms - load->withdrawn_ms);
+}
+
+void
+tst_check (struct tst_load *load)
+{
+  struct journal journal = {
+    .cell = load->cell,
+    .marks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
+    .running = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
+  };
+  uint32_t answers = 0;
+
+  read_journal (&journal);
+  for (guint i = 0; i < load->records->len; i++)
+    {
+      const struct tst_record *record
+          = &g_array_index (load->records, struct tst_record, i);
+
+      check_call (load, &journal, record);
+      answers += strcmp (record->outcome, "answer") == 0;
+    }
+  if (answers == 0)
+    tst_violation (load->cell, "none of %u calls was answered",
+                   load->records->len);
+  printf ("   %s: %u calls, %u answers, %u jobs\n", load->cell->name,
+          load->records->len, answers, load->jobs->len);
+  g_hash_table_unref (journal.marks);
+  g_hash_table_unref (journal.running);
+  g_array_unref (load->records);
+  g_ptr_array_unref (load->jobs);
+  pthread_mutex_destroy (&load->lock);
+}
--- /dev/null
+++ b/tests/tst_fault.c
@@ -0,0 +1,528 @@
+#include "tst_fault.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+/* Domain 0 holds VMs 0 and 1. Faults of gateways strike VM 0. */
+#define DOMAIN 0
+#define TAKEOVER_MS 8000
+
+static void
+log_fault (struct tst_trial *trial, const char *json)
+{
+  tst_cell_fault (&trial->cell, trial->cell.log_port, json);
+}
+
+static void
+list_fault (struct tst_trial *trial, const char *json)
+{
+  tst_cell_fault (&trial->cell, trial->cell.vms_port, json);
+}
+
+static void
+worker_fault (struct tst_trial *trial, const char *json)
+{
+  tst_cell_fault (&trial->cell, trial->cell.workers_port, json);
+}
+
+static void
+mark_lossy (struct tst_trial *trial, uint32_t vm)
+{
+  pthread_mutex_lock (&trial->load.lock);
+  trial->load.lossy[vm] = true;
+  pthread_mutex_unlock (&trial->load.lock);
+}
+
+static void
+set_out (struct tst_trial *trial, uint32_t vm, bool out)
+{
+  pthread_mutex_lock (&trial->load.lock);
+  trial->load.out[vm] = out;
+  pthread_mutex_unlock (&trial->load.lock);
+}
+
+static void
+kill_gateway (struct tst_trial *trial)
+{
+  mark_lossy (trial, 0);
+  tst_cell_signal (&trial->cell, 0, TST_GATEWAY, SIGKILL);
+}
+
+static void
+run_gateway (struct tst_trial *trial)
+{
+  tst_cell_run (&trial->cell, 0, TST_GATEWAY);
+}
+
+/* The gateway dies while requests are at the targets. */
+static void
+kill_gateway_sending (struct tst_trial *trial)
+{
+  worker_fault (trial, "{\"service_ms\":300}");
+  tst_load_wait_calls (&trial->load, 20, 5000);
+  kill_gateway (trial);
+}
+
+static void
+end_kill_gateway_sending (struct tst_trial *trial)
+{
+  worker_fault (trial, "{\"service_ms\":20}");
+  run_gateway (trial);
+}
+
+/* The gateway dies while its intents are on the way to the log. */
+static void
+kill_gateway_appending (struct tst_trial *trial)
+{
+  log_fault (trial, "{\"delay_ms\":200}");
+  tst_load_wait_calls (&trial->load, 20, 5000);
+  kill_gateway (trial);
+}
+
+static void
+end_kill_gateway_appending (struct tst_trial *trial)
+{
+  log_fault (trial, "{\"delay_ms\":0}");
+  run_gateway (trial);
+}
+
+static void
+kill_owner (struct tst_trial *trial)
+{
+  trial->owner = tst_cell_owner (&trial->cell, DOMAIN);
+  if (trial->owner < 0)
+    tst_violation (&trial->cell, "domain %d has no owner to kill", DOMAIN);
+  else
+    tst_cell_signal (&trial->cell, (uint32_t)trial->owner, TST_SCHEDULER,
+                     SIGKILL);
+}
+
+static void
+end_kill_owner (struct tst_trial *trial)
+{
+  if (trial->owner < 0)
+    return;
+  tst_cell_wait_owner (&trial->cell, DOMAIN, trial->owner, TAKEOVER_MS);
+  tst_cell_run (&trial->cell, (uint32_t)trial->owner, TST_SCHEDULER);
+}
+
+/* The owner dies while starts are on the way: workers took them, and the
+   owner never learnt it. */
+static void
+kill_owner_starting (struct tst_trial *trial)
+{
+  worker_fault (trial, "{\"lose_start_answers\":3}");
+  tst_load_wait_calls (&trial->load, 30, 5000);
+  kill_owner (trial);
+}
+
+static void
+pause_owner (struct tst_trial *trial)
+{
+  trial->owner = tst_cell_owner (&trial->cell, DOMAIN);
+  if (trial->owner < 0)
+    tst_violation (&trial->cell, "domain %d has no owner to pause", DOMAIN);
+  else
+    tst_cell_signal (&trial->cell, (uint32_t)trial->owner, TST_SCHEDULER,
+                     SIGSTOP);
+}
+
+static void
+end_pause_owner (struct tst_trial *trial)
+{
+  if (trial->owner < 0)
+    return;
+  tst_cell_wait_owner (&trial->cell, DOMAIN, trial->owner, TAKEOVER_MS);
+  tst_load_wait_calls (&trial->load, 30, 5000);
+  tst_cell_signal (&trial->cell, (uint32_t)trial->owner, TST_SCHEDULER,
+                   SIGCONT);
+}
+
+static void
+log_down (struct tst_trial *trial)
+{
+  log_fault (trial, "{\"down\":true}");
+}
+
+static void
+log_hang (struct tst_trial *trial)
+{
+  log_fault (trial, "{\"hang\":true}");
+}
+
+static void
+log_slow (struct tst_trial *trial)
+{
+  log_fault (trial, "{\"delay_ms\":250}");
+}
+
+static void
+log_lose (struct tst_trial *trial)
+{
+  log_fault (trial, "{\"lose_answer\":-1}");
+}
+
+static void
+log_limit (struct tst_trial *trial)
+{
+  log_fault (trial, "{\"appends_per_s\":60}");
+}
+
+static void
+log_heal (struct tst_trial *trial)
+{
+  log_fault (trial, "{\"down\":false,\"hang\":false,\"delay_ms\":0,"
+                    "\"lose_answer\":0,\"appends_per_s\":0}");
+}
+
+static void
+log_down_kill_owner (struct tst_trial *trial)
+{
+  trial->owner = tst_cell_owner (&trial->cell, DOMAIN);
+  log_down (trial);
+  tst_load_wait_calls (&trial->load, 20, 5000);
+  if (trial->owner >= 0)
+    tst_cell_signal (&trial->cell, (uint32_t)trial->owner, TST_SCHEDULER,
+                     SIGKILL);
+}
+
+static void
+end_log_down_kill_owner (struct tst_trial *trial)
+{
+  log_heal (trial);
+  end_kill_owner (trial);
+}
+
+/* Only 60 records are kept while gateway and scheduler of VM 0 start anew:
+   they must find a snapshot. */
+static void
+log_trim (struct tst_trial *trial)
+{
+  log_fault (trial, "{\"retain\":60}");
+  tst_load_wait_calls (&trial->load, 150, 6000);
+  kill_gateway (trial);
+  tst_cell_signal (&trial->cell, 0, TST_SCHEDULER, SIGKILL);
+}
+
+static void
+end_log_trim (struct tst_trial *trial)
+{
+  run_gateway (trial);
+  tst_cell_run (&trial->cell, 0, TST_SCHEDULER);
+}
+
+static void
+list_down (struct tst_trial *trial)
+{
+  list_fault (trial, "{\"down\":true}");
+}
+
+static void
+list_wrong (struct tst_trial *trial)
+{
+  list_fault (trial, "{\"wrong\":true}");
+}
+
+static void
+list_heal (struct tst_trial *trial)
+{
+  list_fault (trial, "{\"down\":false,\"wrong\":false,\"lag_ms\":0}");
+}
+
+static void
+worker_gone (struct tst_trial *trial)
+{
+  worker_fault (trial, "{\"worker\":\"w0\",\"gone\":true}");
+  tst_cell_sync_vms (&trial->cell);
+}
+
+static void
+end_worker_gone (struct tst_trial *trial)
+{
+  worker_fault (trial, "{\"worker\":\"w0\",\"gone\":false}");
+  tst_cell_sync_vms (&trial->cell);
+}
+
+/* The list goes on showing a lost worker for seconds. */
+static void
+list_lags (struct tst_trial *trial)
+{
+  list_fault (trial, "{\"lag_ms\":3000}");
+  worker_gone (trial);
+}
+
+static void
+end_list_lags (struct tst_trial *trial)
+{
+  list_heal (trial);
+  end_worker_gone (trial);
+}
+
+static void
+worker_silent (struct tst_trial *trial)
+{
+  worker_fault (trial, "{\"worker\":\"w1\",\"silent\":true}");
+}
+
+static void
+end_worker_silent (struct tst_trial *trial)
+{
+  worker_fault (trial, "{\"worker\":\"w1\",\"silent\":false}");
+}
+
+static void
+worker_fails (struct tst_trial *trial)
+{
+  worker_fault (trial, "{\"worker\":\"w2\",\"fail_starts\":true}");
+}
+
+static void
+end_worker_fails (struct tst_trial *trial)
+{
+  worker_fault (trial, "{\"worker\":\"w2\",\"fail_starts\":false}");
+}
+
+static void
+worker_slow (struct tst_trial *trial)
+{
+  worker_fault (trial, "{\"worker\":\"w0\",\"service_ms\":500}");
+}
+
+static void
+end_worker_slow (struct tst_trial *trial)
+{
+  worker_fault (trial, "{\"worker\":\"w0\",\"service_ms\":20}");
+}
+
+static void
+answers_lost (struct tst_trial *trial)
+{
+  worker_fault (trial,
+                "{\"lose_request_answers\":5,\"lose_start_answers\":1}");
+}
+
+/* The target says itself that it leaves; the list shows it later. */
+static void
+target_leaves (struct tst_trial *trial)
+{
+  worker_fault (trial, "{\"worker\":\"w1\",\"draining\":true}");
+  tst_load_wait_calls (&trial->load, 100, 5000);
+  tst_cell_sync_vms (&trial->cell);
+  tst_load_wait_calls (&trial->load, 300, 4000);
+}
+
+static void
+end_target_leaves (struct tst_trial *trial)
+{
+  worker_fault (trial, "{\"worker\":\"w1\",\"draining\":false}");
+  tst_cell_sync_vms (&trial->cell);
+}
+
+static void
+silent_connections (struct tst_trial *trial)
+{
+  worker_fault (trial, "{\"silence_connections\":true}");
+}
+
+static void
+replace_all (struct tst_trial *trial)
+{
+  for (uint32_t i = 0; i < TST_VMS * 2; i++)
+    {
+      mark_lossy (trial, i / 2);
+      tst_cell_signal (&trial->cell, i / 2, i % 2, SIGKILL);
+    }
+}
+
+static void
+end_replace_all (struct tst_trial *trial)
+{
+  for (uint32_t i = 0; i < TST_VMS * 2; i++)
+    tst_cell_run (&trial->cell, i / 2, i % 2);
+}
+
+/* The balancer sends nothing more to a gateway that is not ready. */
+static void
+stop_gateway (struct tst_trial *trial)
+{
+  uint64_t deadline_ms = tst_now_ms () + 2000;
+  char url[80];
+  int status;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/ready",
+            trial->cell.vms[0].ports[0]);
+  tst_cell_signal (&trial->cell, 0, TST_GATEWAY, SIGTERM);
+  while (tst_http_status (url) == 200 && tst_now_ms () < deadline_ms)
+    tst_step ();
+  set_out (trial, 0, true);
+  status = tst_cell_wait_exit (&trial->cell, 0, TST_GATEWAY, 6000);
+  if (status != 0)
+    tst_violation (&trial->cell, "planned stop of a gateway: exit status %d",
+                   status);
+}
+
+static void
+end_stop_gateway (struct tst_trial *trial)
+{
+  run_gateway (trial);
+  set_out (trial, 0, false);
+}
+
+static void
+stop_owner (struct tst_trial *trial)
+{
+  int status;
+
+  trial->owner = tst_cell_owner (&trial->cell, DOMAIN);
+  if (trial->owner < 0)
+    return;
+  tst_cell_signal (&trial->cell, (uint32_t)trial->owner, TST_SCHEDULER,
+                   SIGTERM);
+  status = tst_cell_wait_exit (&trial->cell, (uint32_t)trial->owner,
+                               TST_SCHEDULER, 6000);
+  if (status != 0)
+    tst_violation (&trial->cell, "planned stop of the owner: exit status %d",
+                   status);
+}
+
+/* A second key is in use and is withdrawn; every gateway must refuse it. */
+static void
+withdraw_key (struct tst_trial *trial)
+{
+  struct tst_cell *cell = &trial->cell;
+  char settings[600];
+  char key[96];
+  char key_path[700];
+  int status = tst_cell_command (
+      cell,
+      (const char *const[]){ "key", "grant", "--settings",
+                             tst_cell_settings (cell, 0, settings), "--team",
+                             "alpha", NULL },
+      key, sizeof key);
+
+  key[strcspn (key, "\r\n")] = '\0';
+  pthread_mutex_lock (&trial->load.lock);
+  g_strlcpy (trial->load.second_key, key, sizeof trial->load.second_key);
+  pthread_mutex_unlock (&trial->load.lock);
+  tst_load_wait_calls (&trial->load, 100, 4000);
+  snprintf (key_path, sizeof key_path, "%s/key", cell->dir);
+  g_file_set_contents (key_path, key, -1, NULL);
+  if (status == 0)
+    status = tst_cell_command (
+        cell,
+        (const char *const[]){ "key", "withdraw", "--settings", settings,
+                               "--key-file", key_path, NULL },
+        NULL, 0);
+  if (status != 0)
+    tst_violation (cell, "key grant or withdraw: exit status %d", status);
+  trial->load.withdrawn_ms = tst_now_ms ();
+  while (tst_now_ms () < trial->load.withdrawn_ms + 3500)
+    tst_load_wait_calls (&trial->load, 50, 1000);
+}
+
+static pid_t
+begin_publish (struct tst_trial *trial, uint32_t vm, const char *directory)
+{
+  struct tst_cell *cell = &trial->cell;
+  char program[700];
+  char settings[600];
+  pid_t pid;
+
+  snprintf (program, sizeof program, "%s/cyclamendrum", cell->bin);
+  tst_cell_settings (cell, vm, settings);
+  pid = fork ();
+  if (pid == 0)
+    {
+      execl (program, program, "publish", "--settings", settings, directory,
+             (char *)NULL);
+      _exit (127);
+    }
+  return pid;
+}
+
+/* Two operators read the same state and change the same item: with answers
+   of the log delayed, neither sees the other's record in time. */
+static void
+two_publish (struct tst_trial *trial)
+{
+  pid_t pids[2];
+  int wins = 0;
+  int losses = 0;
+
+  log_fault (trial, "{\"delay_ms\":200}");
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      char path[700];
+      char text[300];
+
+      snprintf (path, sizeof path, "%s/change%u", trial->cell.dir, i);
+      g_mkdir_with_parents (path, 0700);
+      snprintf (text, sizeof text,
+                "{\"team\":\"alpha\",\"share_permille\":%u,\"limit_"
+                "millicores\":32000,\"limit_accelerators\":0}",
+                410 + i);
+      g_strlcat (path, "/alpha.team.json", sizeof path);
+      g_file_set_contents (path, text, -1, NULL);
+      *strrchr (path, '/') = '\0';
+      pids[i] = begin_publish (trial, i, path);
+    }
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      int status = 0;
+
+      waitpid (pids[i], &status, 0);
+      wins += WIFEXITED (status) && WEXITSTATUS (status) == 0;
+      losses += WIFEXITED (status) && WEXITSTATUS (status) == 1;
+    }
+  if (wins != 1 || losses != 1)
+    tst_violation (&trial->cell,
+                   "of two concurrent publishes %d won and %d lost", wins,
+                   losses);
+}
+
+const struct tst_fault tst_faults[] = {
+  { "none", NULL, NULL },
+  { "gateway-killed", kill_gateway, run_gateway },
+  { "gateway-killed-sending", kill_gateway_sending, end_kill_gateway_sending },
+  { "gateway-killed-appending", kill_gateway_appending,
+    end_kill_gateway_appending },
+  { "owner-killed", kill_owner, end_kill_owner },
+  { "owner-killed-starting", kill_owner_starting, end_kill_owner },
+  { "owner-paused", pause_owner, end_pause_owner },
+  { "log-down", log_down, log_heal },
+  { "log-hangs", log_hang, log_heal },
+  { "log-slow", log_slow, log_heal },
+  { "log-answers-lost", log_lose, log_heal },
+  { "log-limited", log_limit, log_heal },
+  { "log-down-owner-killed", log_down_kill_owner, end_log_down_kill_owner },
+  { "log-trimmed", log_trim, end_log_trim },
+  { "list-down", list_down, list_heal },
+  { "list-wrong", list_wrong, list_heal },
+  { "list-lags", list_lags, end_list_lags },
+  { "worker-gone", worker_gone, end_worker_gone },
+  { "worker-silent", worker_silent, end_worker_silent },
+  { "worker-fails-starts", worker_fails, end_worker_fails },
+  { "worker-slow", worker_slow, end_worker_slow },
+  { "worker-answers-lost", answers_lost, NULL },
+  { "target-leaves", target_leaves, end_target_leaves },
+  { "silent-connections", silent_connections, NULL },
+  { "entry-vms-replaced", replace_all, end_replace_all },
+  { "gateway-stopped", stop_gateway, end_stop_gateway },
+  { "owner-stopped", stop_owner, end_kill_owner },
+  { "key-withdrawn", withdraw_key, NULL },
+  { "two-publish", two_publish, log_heal },
+  { NULL, NULL, NULL },
+};
+
+const struct tst_fault *
+tst_fault_find (const char *name)
+{
+  for (const struct tst_fault *fault = tst_faults; fault->name != NULL;
+       fault++)
+    if (strcmp (fault->name, name) == 0)
+      return fault;
+  return NULL;
+}
--- /dev/null
+++ b/tests/tst_fault.h
@@ -0,0 +1,29 @@
+/**
+ * @file
+ * Faults of the process tests: each has an action and its end.
+ */
+#ifndef TST_FAULT_H
+#define TST_FAULT_H
+
+#include "tst_load.h"
+
+struct tst_trial
+{
+  struct tst_cell cell;
+  struct tst_load load;
+  int owner;       /**< scheduler that a fault stopped, or -1 */
+  char digest[80]; /**< of the key that is withdrawn */
+};
+
+struct tst_fault
+{
+  const char *name;
+  void (*begin) (struct tst_trial *trial);
+  void (*end) (struct tst_trial *trial); /**< may be NULL */
+};
+
+/** Table of all faults; the last row has no name. */
+extern const struct tst_fault tst_faults[];
+const struct tst_fault *tst_fault_find (const char *name);
+
+#endif
--- /dev/null
+++ b/tests/tst_load.c
@@ -0,0 +1,294 @@
+#include "tst_load.h"
+
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define CALL_TIMEOUT_MS 6000
+#define PACE_US 15000
+#define JOB_PACE_US 300000
+#define MAX_ATTEMPTS 3
+
+struct caller
+{
+  struct tst_load *load;
+  uint32_t index;
+};
+
+static bool
+should_stop (struct tst_load *load)
+{
+  bool stop;
+
+  pthread_mutex_lock (&load->lock);
+  stop = load->stop;
+  pthread_mutex_unlock (&load->lock);
+  return stop;
+}
+
+/* Next gateway in rotation; any, when all are out. */
+static uint32_t
+pick_vm (struct tst_load *load, uint32_t *cursor)
+{
+  uint32_t vm = *cursor % TST_VMS;
+
+  pthread_mutex_lock (&load->lock);
+  for (uint32_t i = 0; i < TST_VMS; i++)
+    {
+      vm = (*cursor)++ % TST_VMS;
+      if (!load->out[vm])
+        break;
+    }
+  pthread_mutex_unlock (&load->lock);
+  return vm;
+}
+
+/* The fake target answers "request=ID worker=NAME" and a copy of the body. */
+static bool
+is_own_answer (const struct tst_answer *answer, const char *mark)
+{
+  const char *line = strchr (answer->body, '\n');
+
+  return strncmp (answer->body, "request=", 8) == 0 && line != NULL
+         && strcmp (line + 1, mark) == 0;
+}
+
+static void
+call_once (struct tst_load *load, struct tst_record *record, const char *key)
+{
+  char url[128];
+  char authorization[160];
+  char repeat[96];
+  struct tst_answer answer;
+  struct tst_call call = { .url = url,
+                           .body = record->mark,
+                           .headers = { authorization, NULL, NULL },
+                           .timeout_ms = CALL_TIMEOUT_MS };
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/queues/%s/requests",
+            load->cell->vms[record->vm].ports[0],
+            record->once ? "check" : "plan");
+  snprintf (authorization, sizeof authorization, "Authorization: Bearer %s",
+            key);
+  snprintf (repeat, sizeof repeat, "Idempotency-Key: %s", record->mark);
+  if (record->once)
+    call.headers[1] = repeat;
+  if (record->once && record->attempt == 0)
+    call.headers[2] = "First-Attempt: 1";
+  record->start_ms = tst_now_ms ();
+  tst_http (&call, &answer);
+  record->end_ms = tst_now_ms ();
+  record->status = answer.status;
+  record->refused_connection = answer.refused_connection;
+  g_strlcpy (record->outcome, answer.status ? answer.outcome : "",
+             sizeof record->outcome);
+  record->whole = is_own_answer (&answer, record->mark);
+  free (answer.body);
+  pthread_mutex_lock (&load->lock);
+  g_array_append_val (load->records, *record);
+  pthread_mutex_unlock (&load->lock);
+}
+
+static bool
+may_send_again (const struct tst_record *record)
+{
+  return record->once && record->attempt + 1 < MAX_ATTEMPTS
+         && (record->status == 0 || strcmp (record->outcome, "unknown") == 0);
+}
+
+static void *
+run_caller (void *argument)
+{
+  struct caller caller = *(struct caller *)argument;
+  struct tst_load *load = caller.load;
+  uint32_t cursor = caller.index;
+
+  g_free (argument);
+  for (uint32_t serial = 0; !should_stop (load); serial++)
+    {
+      struct tst_record record = { .once = caller.index % 2 != 0 };
+      char key[96];
+
+      pthread_mutex_lock (&load->lock);
+      record.second_key = caller.index == 0 && load->second_key[0] != '\0';
+      g_strlcpy (key,
+                 record.second_key ? load->second_key : load->cell->alpha_key,
+                 sizeof key);
+      pthread_mutex_unlock (&load->lock);
+      snprintf (record.mark, sizeof record.mark, "mark-%u-%u", caller.index,
+                serial);
+      for (;; record.attempt++)
+        {
+          record.vm = pick_vm (load, &cursor);
+          call_once (load, &record, key);
+          if (!may_send_again (&record))
+            break;
+        }
+      usleep (PACE_US);
+    }
+  return NULL;
+}
+
+static char *
+job_id (const char *body)
+{
+  struct json_object *json = json_tokener_parse (body);
+  const char *text
+      = json ? json_object_get_string (json_object_object_get (json, "id"))
+             : NULL;
+  char *id = text ? g_strdup (text) : NULL;
+
+  json_object_put (json);
+  return id;
+}
+
+static void *
+run_submitter (void *argument)
+{
+  struct tst_load *load = argument;
+  uint32_t cursor = 0;
+
+  while (!should_stop (load))
+    {
+      char url[128];
+      char key[160];
+      struct tst_answer answer;
+
+      snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/queues/%s/jobs",
+                load->cell->vms[pick_vm (load, &cursor)].ports[0],
+                cursor % 4 == 0 ? "train" : "tally");
+      snprintf (key, sizeof key, "Authorization: Bearer %s",
+                load->cell->beta_key);
+      tst_http (&(struct tst_call){ .url = url,
+                                    .body = "{}",
+                                    .headers = { key },
+                                    .timeout_ms = CALL_TIMEOUT_MS },
+                &answer);
+      if (answer.status == 202)
+        {
+          pthread_mutex_lock (&load->lock);
+          g_ptr_array_add (load->jobs, job_id (answer.body));
+          pthread_mutex_unlock (&load->lock);
+        }
+      free (answer.body);
+      usleep (JOB_PACE_US);
+    }
+  return NULL;
+}
+
+void
+tst_load_start (struct tst_load *load, struct tst_cell *cell)
+{
+  memset (load, 0, sizeof *load);
+  load->cell = cell;
+  load->records = g_array_new (FALSE, TRUE, sizeof (struct tst_record));
+  load->jobs = g_ptr_array_new_with_free_func (g_free);
+  pthread_mutex_init (&load->lock, NULL);
+  for (uint32_t i = 0; i < TST_CALLERS; i++)
+    {
+      struct caller *caller = g_new0 (struct caller, 1);
+
+      caller->load = load;
+      caller->index = i;
+      pthread_create (&load->threads[i], NULL, run_caller, caller);
+    }
+  pthread_create (&load->threads[TST_CALLERS], NULL, run_submitter, load);
+}
+
+void
+tst_load_stop (struct tst_load *load)
+{
+  pthread_mutex_lock (&load->lock);
+  load->stop = true;
+  pthread_mutex_unlock (&load->lock);
+  for (uint32_t i = 0; i <= TST_CALLERS; i++)
+    pthread_join (load->threads[i], NULL);
+}
+
+bool
+tst_load_wait_calls (struct tst_load *load, uint32_t count,
+                     uint64_t timeout_ms)
+{
+  uint64_t deadline_ms = tst_now_ms () + timeout_ms;
+  guint goal = 0;
+
+  do
+    {
+      guint have;
+
+      pthread_mutex_lock (&load->lock);
+      have = load->records->len;
+      pthread_mutex_unlock (&load->lock);
+      if (goal == 0)
+        goal = have + count;
+      if (have >= goal)
+        return true;
+      tst_step ();
+    }
+  while (tst_now_ms () < deadline_ms);
+  return false;
+}
+
+static bool
+job_is_done (struct tst_load *load, const char *id, char state[64])
+{
+  struct tst_cell *cell = load->cell;
+  char key[160];
+  bool done = false;
+
+  snprintf (key, sizeof key, "Authorization: Bearer %s", cell->beta_key);
+  g_strlcpy (state, "not known", 64);
+  for (uint32_t vm = 0; vm < TST_VMS && !done; vm++)
+    {
+      char url[160];
+      struct tst_answer answer;
+      struct json_object *json;
+
+      if (!cell->vms[vm].alive[TST_GATEWAY])
+        continue;
+      snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/jobs/%s",
+                cell->vms[vm].ports[0], id);
+      tst_http (&(struct tst_call){ .url = url, .headers = { key } }, &answer);
+      json = answer.status == 200 ? json_tokener_parse (answer.body) : NULL;
+      if (json != NULL)
+        g_strlcpy (
+            state,
+            json_object_get_string (json_object_object_get (json, "state")),
+            64);
+      json_object_put (json);
+      free (answer.body);
+      done = strcmp (state, "done") == 0;
+    }
+  return done;
+}
+
+void
+tst_load_wait_jobs (struct tst_load *load, uint64_t timeout_ms)
+{
+  uint64_t deadline_ms = tst_now_ms () + timeout_ms;
+  char state[64];
+
+  for (guint i = 0; i < load->jobs->len; i++)
+    {
+      const char *id = load->jobs->pdata[i];
+
+      if (id == NULL)
+        {
+          tst_violation (load->cell, "a 202 answer carries no job id");
+          continue;
+        }
+      while (!job_is_done (load, id, state))
+        {
+          if (tst_now_ms () > deadline_ms)
+            {
+              tst_violation (load->cell,
+                             "accepted job %s (%u of %u) is %s after the end "
+                             "of the fault",
+                             id, i, load->jobs->len, state);
+              return;
+            }
+          tst_step ();
+        }
+    }
+}
--- /dev/null
+++ b/tests/tst_load.h
@@ -0,0 +1,60 @@
+/**
+ * @file
+ * Callers that send requests and jobs all the time and keep what they were
+ * told, and the checker that compares it with the workers' journal.
+ *
+ * Each request carries a mark that no other one has. A caller that got no
+ * outcome, or `unknown`, sends the same request again under the same key; one
+ * that got `not-run` does not, so a mark that was refused must not be in the
+ * journal.
+ */
+#ifndef TST_LOAD_H
+#define TST_LOAD_H
+
+#include "tst_cell.h"
+
+#include <glib.h>
+#include <pthread.h>
+
+#define TST_CALLERS 8
+
+struct tst_record
+{
+  char mark[48];
+  char outcome[16];
+  long status;
+  uint32_t vm;
+  uint32_t attempt;
+  uint64_t start_ms;
+  uint64_t end_ms;
+  bool once;       /**< must not be repeated */
+  bool second_key; /**< sent with the key that a case withdraws */
+  bool whole;      /**< the answer is the one to this request */
+  bool refused_connection;
+};
+
+struct tst_load
+{
+  struct tst_cell *cell;
+  pthread_t threads[TST_CALLERS + 1];
+  pthread_mutex_t lock;
+  GArray *records; /**< struct tst_record */
+  GPtrArray *jobs; /**< ids of accepted jobs */
+  bool stop;
+  bool out[TST_VMS];   /**< taken out of rotation by the balancer */
+  bool lossy[TST_VMS]; /**< was killed or paused: calls may break */
+  char second_key[96]; /**< used by one caller when set */
+  uint64_t withdrawn_ms;
+};
+
+void tst_load_start (struct tst_load *load, struct tst_cell *cell);
+void tst_load_stop (struct tst_load *load);
+/** Waits for @p count more calls that ended; false after @p timeout_ms. */
+bool tst_load_wait_calls (struct tst_load *load, uint32_t count,
+                          uint64_t timeout_ms);
+/** Waits until every accepted job is done. */
+void tst_load_wait_jobs (struct tst_load *load, uint64_t timeout_ms);
+/** Compares calls and journal; adds the violations to the cell. */
+void tst_check (struct tst_load *load);
+
+#endif
