Add the deadline of the lender to PermitGrant

A grant that waits in a socket buffer while its reader is paused, or that TCP delivers late, would be counted from its receipt and outlast the lender's record of it, so two gateways could use one slot.

--- /dev/null
+++ b/src/cyc_route_target.c
@@ -0,0 +1,420 @@
+#include "cyc_route.h"
+
+#include <string.h>
+
+/* Failures in a row after which a target is ejected. */
+#define EJECT_FAILURES 5
+/* At most every fifth target of a queue is ejected, so that a fault of the
+   service itself does not take all targets away. */
+#define EJECT_ONE_OF 5
+#define PROBE_FIRST_US 500000
+#define PROBE_LAST_US 30000000
+/* A target that refused for lack of room is left alone so long. */
+#define REFUSED_PAUSE_US 20000
+#define SLOW_FACTOR_MAX 8
+/* Requests count as silent only when they take much longer than usual. */
+#define SILENT_FACTOR 4
+#define RETRY_COST 1000
+#define BACKOFF_FIRST_US 10000
+#define BACKOFF_LAST_US 1000000
+
+uint32_t
+rt_base_slots (const struct cyc_rt_state *state,
+               const struct rt_worker *worker)
+{
+  return state->base && state->seats > 0 ? worker->slots / state->seats : 0;
+}
+
+static uint32_t
+base_connections (const struct cyc_rt_state *state,
+                  const struct rt_worker *worker)
+{
+  return state->base && state->seats > 0 ? worker->connections / state->seats
+                                         : 0;
+}
+
+/* Lent connections serve only a gateway without a base part: an idle
+   connection outlives the permit under which it was opened. */
+uint32_t
+rt_permitted (const struct cyc_rt_state *state, const struct rt_worker *worker,
+              uint64_t now_us)
+{
+  bool lent = worker->lent_deadline_us > now_us;
+  uint32_t slots
+      = rt_base_slots (state, worker) + (lent ? worker->lent_slots : 0);
+  uint32_t connections = base_connections (state, worker);
+
+  if (connections == 0 && lent)
+    connections = worker->lent_connections;
+  if (slots > worker->slots)
+    slots = worker->slots;
+  return slots < connections ? slots : connections;
+}
+
+uint32_t
+cyc_rt_connection_bound (const struct cyc_route *rt)
+{
+  const struct cyc_rt_state *state = rt->state;
+  uint32_t bound = UINT32_MAX;
+
+  for (uint32_t i = 0; i < state->worker_pool.high; i++)
+    if (cyc_pool_used_at (&state->worker_pool, i))
+      {
+        uint32_t base = base_connections (state, &state->workers[i]);
+
+        bound = base < bound ? base : bound;
+      }
+  return bound == UINT32_MAX || bound == 0 ? 1 : bound;
+}
+
+static bool
+usable (const struct cyc_rt_state *state, const struct rt_worker *worker,
+        const struct rt_wait *wait, uint64_t now_us)
+{
+  if (worker->leaving || now_us < worker->pause_us
+      || worker->in_use >= rt_permitted (state, worker, now_us))
+    return false;
+  if (worker->health != CYC_RT_LIVE)
+    return !wait->once && worker->in_use == 0 && now_us >= worker->probe_us;
+  return true;
+}
+
+/* Requests on the target times its usual answer time relative to the queue:
+   a slow target gets less, down to an eighth. */
+static uint64_t
+load_of (const struct rt_worker *worker, const struct rt_queue *queue)
+{
+  uint64_t factor = 1000;
+
+  if (worker->mean_us > 0 && queue->mean_us > 0)
+    factor = worker->mean_us * 1000 / queue->mean_us;
+  if (factor < 1000)
+    factor = 1000;
+  if (factor > (uint64_t)SLOW_FACTOR_MAX * 1000)
+    factor = (uint64_t)SLOW_FACTOR_MAX * 1000;
+  return (worker->in_use + 1) * factor;
+}
+
+static uint32_t
+scan (struct cyc_rt_state *state, const struct rt_queue *queue,
+      const struct rt_wait *wait, uint64_t now_us)
+{
+  uint32_t first = (uint32_t)(rt_random (state) % queue->count);
+  uint32_t avoided = RT_NONE;
+
+  for (uint32_t i = 0; i < queue->count; i++)
+    {
+      uint32_t row = state->members[queue->start + (first + i) % queue->count];
+
+      if (!usable (state, &state->workers[row], wait, now_us))
+        continue;
+      if (!cyc_name_eq (&state->workers[row].name, &wait->avoid))
+        return row;
+      avoided = row;
+    }
+  return avoided;
+}
+
+static uint32_t
+draw (struct cyc_rt_state *state, const struct rt_queue *queue,
+      const struct rt_wait *wait, uint64_t now_us)
+{
+  uint32_t row
+      = state->members[queue->start
+                       + (uint32_t)(rt_random (state) % queue->count)];
+
+  if (!usable (state, &state->workers[row], wait, now_us)
+      || cyc_name_eq (&state->workers[row].name, &wait->avoid))
+    return RT_NONE;
+  return row;
+}
+
+uint32_t
+rt_choose (struct cyc_rt_state *state, const struct rt_queue *queue,
+           const struct rt_wait *wait, uint64_t now_us)
+{
+  uint32_t first;
+  uint32_t second;
+
+  if (queue->count == 0)
+    return RT_NONE;
+  first = draw (state, queue, wait, now_us);
+  second = draw (state, queue, wait, now_us);
+  if (first == RT_NONE && second == RT_NONE)
+    return scan (state, queue, wait, now_us);
+  if (first == RT_NONE || second == RT_NONE)
+    return first == RT_NONE ? second : first;
+  return load_of (&state->workers[first], queue)
+                 <= load_of (&state->workers[second], queue)
+             ? first
+             : second;
+}
+
+static uint64_t
+probe_delay_us (const struct rt_worker *worker)
+{
+  uint64_t delay_us = PROBE_FIRST_US;
+
+  for (uint32_t i = 0; i < worker->probes && delay_us < PROBE_LAST_US; i++)
+    delay_us *= 2;
+  return delay_us < PROBE_LAST_US ? delay_us : PROBE_LAST_US;
+}
+
+static void
+set_health (struct rt_worker *worker, enum cyc_rt_health health,
+            uint64_t now_us)
+{
+  if (health == CYC_RT_LIVE)
+    {
+      worker->failures = 0;
+      worker->probes = 0;
+    }
+  else
+    {
+      worker->probe_us = now_us + probe_delay_us (worker);
+      worker->probes++;
+    }
+  worker->health = health;
+}
+
+/* A probe that is still out must not be joined by a second one. */
+void
+rt_note_sent (struct cyc_rt_state *state, struct rt_worker *worker,
+              uint64_t now_us)
+{
+  worker->in_use++;
+  if (worker->health != CYC_RT_LIVE)
+    worker->probe_us = now_us + state->desc.silent_us;
+}
+
+static bool
+may_eject (const struct cyc_rt_state *state, const struct rt_queue *queue)
+{
+  uint32_t ejected = 0;
+
+  for (uint32_t i = 0; i < queue->count; i++)
+    ejected += state->workers[state->members[queue->start + i]].health
+               == CYC_RT_EJECTED;
+  return (ejected + 1) * EJECT_ONE_OF <= queue->count
+         || (ejected == 0 && queue->count > 1);
+}
+
+static void
+count_failure (struct cyc_rt_state *state, const struct rt_queue *queue,
+               struct rt_worker *worker, uint64_t now_us)
+{
+  worker->failures++;
+  if (worker->health == CYC_RT_EJECTED)
+    set_health (worker, CYC_RT_EJECTED, now_us);
+  else if (worker->health == CYC_RT_SUSPECT)
+    set_health (worker, CYC_RT_LIVE, now_us);
+  else if (worker->failures >= EJECT_FAILURES && may_eject (state, queue))
+    set_health (worker, CYC_RT_EJECTED, now_us);
+}
+
+static void
+learn (uint64_t *mean_us, uint64_t sample_us)
+{
+  if (sample_us == 0)
+    sample_us = 1;
+  *mean_us = *mean_us == 0 ? sample_us : (*mean_us * 7 + sample_us) / 8;
+}
+
+static void
+note_end (struct cyc_rt_state *state, struct rt_flight *flight,
+          enum cyc_rt_end end, uint64_t now_us)
+{
+  struct rt_worker *worker = &state->workers[flight->worker];
+  struct rt_queue *queue = &state->queues[flight->queue];
+
+  switch (end)
+    {
+    case CYC_RT_ANSWERED:
+      learn (&worker->mean_us, now_us - flight->sent_us);
+      learn (&queue->mean_us, now_us - flight->sent_us);
+      worker->answered_us = now_us;
+      worker->failures = 0;
+      if (worker->health != CYC_RT_LIVE)
+        set_health (worker, CYC_RT_LIVE, now_us);
+      break;
+    case CYC_RT_FAILED:
+      worker->answered_us = now_us;
+      count_failure (state, queue, worker, now_us);
+      break;
+    case CYC_RT_REFUSED:
+      worker->answered_us = now_us;
+      worker->pause_us = now_us + REFUSED_PAUSE_US;
+      break;
+    case CYC_RT_NOT_CONNECTED:
+      if (worker->answered_us < flight->sent_us)
+        set_health (worker, CYC_RT_SUSPECT, now_us);
+      break;
+    case CYC_RT_LOST:
+      worker->fresh_until_us = now_us + 4 * state->desc.silent_us;
+      if (worker->health != CYC_RT_LIVE)
+        set_health (worker, worker->health, now_us);
+      break;
+    }
+}
+
+static void
+free_flight (struct cyc_rt_state *state, uint32_t row)
+{
+  uint32_t worker = state->flights[row].worker;
+
+  state->workers[worker].in_use--;
+  cyc_pool_give (&state->flight_pool,
+                 cyc_pool_ref_at (&state->flight_pool, row));
+  rt_drop_if_unused (state, worker);
+}
+
+void
+cyc_rt_finish (struct cyc_route *rt, struct cyc_ref ref, enum cyc_rt_end end,
+               uint64_t now_us, uint64_t deadline_us)
+{
+  struct cyc_rt_state *state = rt->state;
+  struct rt_flight *flight;
+
+  if (!cyc_pool_live (&state->flight_pool, ref))
+    return;
+  flight = &state->flights[ref.index];
+  if (flight->hold_us != 0)
+    return;
+  note_end (state, flight, end, now_us);
+  if (end == CYC_RT_LOST)
+    flight->hold_us = deadline_us + state->desc.clock_error_us;
+  if (end != CYC_RT_LOST || flight->hold_us <= now_us)
+    free_flight (state, ref.index);
+}
+
+void
+cyc_rt_tick (struct cyc_route *rt, uint64_t now_us)
+{
+  struct cyc_rt_state *state = rt->state;
+
+  for (uint32_t i = 0; i < state->flight_pool.high; i++)
+    if (cyc_pool_used_at (&state->flight_pool, i)
+        && state->flights[i].hold_us != 0
+        && state->flights[i].hold_us <= now_us)
+      free_flight (state, i);
+}
+
+static bool
+is_silent (struct cyc_rt_state *state, struct rt_flight *flight,
+           uint64_t now_us)
+{
+  uint64_t usual_us = SILENT_FACTOR * state->queues[flight->queue].mean_us;
+  uint64_t bound_us = state->desc.silent_us;
+
+  if (flight->once || flight->hold_us != 0)
+    return false;
+  if (usual_us > bound_us)
+    bound_us = usual_us;
+  if (now_us < flight->check_us || now_us - flight->sent_us < bound_us)
+    return false;
+  flight->check_us = now_us + bound_us;
+  return true;
+}
+
+/* The connection may be silent while the target is well. Only when a new
+   connection is silent too, and nothing else was answered, is the target
+   itself in doubt. */
+static void
+note_silence (struct cyc_rt_state *state, const struct rt_flight *flight,
+              uint64_t now_us)
+{
+  struct rt_worker *worker = &state->workers[flight->worker];
+
+  worker->fresh_until_us = now_us + 4 * state->desc.silent_us;
+  if (flight->fresh && worker->answered_us < flight->sent_us)
+    set_health (worker, CYC_RT_SUSPECT, now_us);
+}
+
+uint32_t
+cyc_rt_silent (struct cyc_route *rt, uint64_t now_us,
+               struct cyc_rt_silence *out, uint32_t max)
+{
+  struct cyc_rt_state *state = rt->state;
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < state->flight_pool.high && count < max; i++)
+    {
+      struct rt_flight *flight = &state->flights[i];
+
+      if (!cyc_pool_used_at (&state->flight_pool, i)
+          || !is_silent (state, flight, now_us))
+        continue;
+      note_silence (state, flight, now_us);
+      out[count++] = (struct cyc_rt_silence){
+        .flight = cyc_pool_ref_at (&state->flight_pool, i),
+        .user = flight->user,
+        .worker = state->workers[flight->worker].name,
+      };
+    }
+  return count;
+}
+
+bool
+cyc_rt_retry (struct cyc_route *rt, uint32_t attempt, uint64_t deadline_us,
+              uint64_t now_us, uint64_t *at_us)
+{
+  struct cyc_rt_state *state = rt->state;
+  uint64_t delay_us = BACKOFF_FIRST_US;
+
+  for (uint32_t i = 0; i < attempt && delay_us < BACKOFF_LAST_US; i++)
+    delay_us *= 2;
+  if (delay_us > BACKOFF_LAST_US)
+    delay_us = BACKOFF_LAST_US;
+  delay_us = delay_us / 2 + rt_random (state) % (delay_us / 2 + 1);
+  if (state->desc.no_retries || state->retry_tokens < RETRY_COST
+      || now_us + delay_us >= deadline_us)
+    return false;
+  state->retry_tokens -= RETRY_COST;
+  *at_us = now_us + delay_us;
+  return true;
+}
+
+/* Every queue with waiting requests wants one more slot per request, divided
+   over its targets. */
+static uint32_t
+wanted_of (const struct cyc_rt_state *state, const struct rt_worker *worker,
+           uint32_t row)
+{
+  uint32_t base = rt_base_slots (state, worker);
+  uint32_t wanted = worker->in_use > base ? worker->in_use - base : 0;
+
+  for (uint32_t i = 0; i < state->queue_count; i++)
+    {
+      const struct rt_queue *queue = &state->queues[i];
+
+      if (queue->waiting == 0)
+        continue;
+      for (uint32_t j = 0; j < queue->count; j++)
+        if (state->members[queue->start + j] == row)
+          wanted += (queue->waiting + queue->count - 1) / queue->count;
+    }
+  return wanted < worker->slots ? wanted : worker->slots;
+}
+
+uint32_t
+cyc_rt_demand (const struct cyc_route *rt, uint64_t now_us,
+               struct cyc_rt_use *out, uint32_t max)
+{
+  const struct cyc_rt_state *state = rt->state;
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < state->worker_pool.high && count < max; i++)
+    {
+      const struct rt_worker *worker = &state->workers[i];
+
+      if (!cyc_pool_used_at (&state->worker_pool, i) || worker->leaving)
+        continue;
+      out[count++] = (struct cyc_rt_use){
+        .worker = worker->name,
+        .wanted = wanted_of (state, worker, i),
+        .in_use = worker->in_use,
+        .lent = worker->lent_deadline_us > now_us ? worker->lent_slots : 0,
+      };
+    }
+  return count;
+}
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -2166,7 +2166,7 @@
   (ProtobufCMessageInit) cyc__permit_lent__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cyc__permit_grant__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cyc__permit_grant__field_descriptors[4] =
 {
   {
     "epoch",
@@ -2204,8 +2204,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "deadline_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__PermitGrant, deadline_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cyc__permit_grant__field_indices_by_name[] = {
+  3,   /* field[3] = deadline_ms */
   0,   /* field[0] = epoch */
   2,   /* field[2] = lent */
   1,   /* field[1] = valid_for_ms */
@@ -2213,7 +2226,7 @@
 static const ProtobufCIntRange cyc__permit_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cyc__permit_grant__descriptor =
 {
@@ -2223,7 +2236,7 @@
   "Cyc__PermitGrant",
   "cyc",
   sizeof(Cyc__PermitGrant),
-  3,
+  4,
   cyc__permit_grant__field_descriptors,
   cyc__permit_grant__field_indices_by_name,
   1,  cyc__permit_grant__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -289,10 +289,16 @@
   uint64_t valid_for_ms;
   size_t n_lent;
   Cyc__PermitLent **lent;
+  /*
+   * End of the permits by the lender's clock, Unix milliseconds. A grant that
+   * was delayed on the link or read after a pause must not last longer than
+   * the lender believes; 0 from a sender without the field.
+   */
+  uint64_t deadline_ms;
 };
 #define CYC__PERMIT_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cyc__permit_grant__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0 }
 
 
 struct  Cyc__Forward
