Add the gateway process

Callers need one entry that checks keys, admits work, routes requests to targets and puts jobs and once-only intents into the log before it answers.

--- a/src/main.c
+++ b/src/main.c
@@ -12,6 +12,7 @@
 
 static const struct cmd_item commands[] = {
   { "check", cmd_check, "check a settings file and report every finding" },
+  { "gateway", cmd_gateway, "run the gateway process of an entry VM" },
 };
 
 #define COMMAND_COUNT (sizeof commands / sizeof commands[0])
