Test races of two operators, of key changes and of claims

Concurrent changes, grants and claims must be decided by log order alone, and the loser must learn what it lost to. 16 pairs of configuration changes, 11 key steps and 17 claim steps pass.

--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -46,11 +46,335 @@
   tst_control_shutdown (&tc);
 }
 
+#define ORDERS(limit)                                                         \
+  "{\"team\":\"orders\",\"share_permille\":200,\"limit_millicores\":" limit "}"
+#define PLANS(share)                                                          \
+  "{\"team\":\"plans\",\"share_permille\":" share ",\"limit_millicores\":"    \
+                                                  "100}"
+#define TALLY(team)                                                           \
+  "{\"queue\":\"tally\",\"team\":\"" team "\",\"kind\":\"batch\","            \
+  "\"repeatable\":true,\"millicores\":10,\"memory_mib\":5,\"run_s\":30}"
+#define GANG(queue, millicores)                                               \
+  "{\"queue\":\"" queue "\",\"team\":\"orders\",\"kind\":\"gang\","           \
+  "\"repeatable\":true,\"tasks\":10,\"millicores\":" millicores               \
+  ",\"memory_mib\":5,\"run_s\":30}"
+
+/* Two operators publish after both read versions 1 (fleet), 2 (team/orders)
+   and 3 (queue/tally); the first record gets version 4. */
+struct race_case
+{
+  const char *name;
+  struct
+  {
+    const char *item;
+    uint64_t base;
+    const char *body;
+  } first, second;
+  enum cyc_led_result result; /**< of the second */
+  uint64_t lost_to_version;
+};
+
+static const struct race_case race_cases[] = {
+  { "both change one item",
+    { "team/orders", 2, ORDERS ("5000") },
+    { "team/orders", 2, ORDERS ("400000") },
+    CYC_LED_REFUSED,
+    4 },
+  { "they change different items",
+    { "team/orders", 2, ORDERS ("500000") },
+    { "queue/tally", 3, TALLY ("orders") },
+    CYC_LED_ACCEPTED,
+    0 },
+  { "both create one item",
+    { "team/plans", 0, PLANS ("10") },
+    { "team/plans", 0, PLANS ("20") },
+    CYC_LED_REFUSED,
+    4 },
+  { "one deletes, one changes",
+    { "queue/tally", 3, NULL },
+    { "queue/tally", 3, TALLY ("orders") },
+    CYC_LED_REFUSED,
+    4 },
+  { "both delete",
+    { "queue/tally", 3, NULL },
+    { "queue/tally", 3, NULL },
+    CYC_LED_REFUSED,
+    4 },
+  { "a deleted item is created as if it never existed",
+    { "queue/tally", 3, NULL },
+    { "queue/tally", 0, TALLY ("orders") },
+    CYC_LED_REFUSED,
+    4 },
+  { "a deleted item is created from its deletion",
+    { "queue/tally", 3, NULL },
+    { "queue/tally", 4, TALLY ("orders") },
+    CYC_LED_ACCEPTED,
+    0 },
+  { "a deleted item is deleted again",
+    { "queue/tally", 3, NULL },
+    { "queue/tally", 4, NULL },
+    CYC_LED_REFUSED,
+    0 },
+  { "the shares together exceed the whole",
+    { "team/plans", 0, PLANS ("800") },
+    { "team/more", 0,
+      "{\"team\":\"more\",\"share_permille\":1,\"limit_millicores\":1}" },
+    CYC_LED_REFUSED,
+    0 },
+  { "a queue moves to a team that another operator did not create yet",
+    { "team/orders", 2, ORDERS ("500000") },
+    { "queue/tally", 3, TALLY ("plans") },
+    CYC_LED_REFUSED,
+    0 },
+  { "a limit falls below a gang that another operator added",
+    { "queue/gang", 0, GANG ("gang", "40000") },
+    { "team/orders", 2, ORDERS ("399999") },
+    CYC_LED_REFUSED,
+    0 },
+  { "a gang exactly fits the limit",
+    { "queue/gang", 0, GANG ("gang", "40000") },
+    { "team/orders", 2, ORDERS ("400000") },
+    CYC_LED_ACCEPTED,
+    0 },
+  { "a task exceeds the largest worker",
+    { "team/orders", 2, ORDERS ("900000") },
+    { "queue/gang", 0, GANG ("gang", "64001") },
+    CYC_LED_REFUSED,
+    0 },
+  { "the body names another item",
+    { "team/orders", 2, ORDERS ("500000") },
+    { "queue/other", 0, TALLY ("orders") },
+    CYC_LED_REFUSED,
+    0 },
+  { "the fleet is deleted under its teams",
+    { "team/orders", 2, ORDERS ("500000") },
+    { "fleet", 1, NULL },
+    CYC_LED_REFUSED,
+    0 },
+  { "the item is of no known kind",
+    { "team/orders", 2, ORDERS ("500000") },
+    { "rack/one", 0, "{}" },
+    CYC_LED_REFUSED,
+    0 },
+};
+
+/* Guards against a lost update: the later of two conflicting changes must
+   change nothing, and its writer must learn what it lost to. */
+static void
+the_earlier_of_two_changes_wins (void **unused)
+{
+  (void)unused;
+  for (size_t i = 0; i < sizeof race_cases / sizeof race_cases[0]; i++)
+    {
+      const struct race_case *rc = &race_cases[i];
+      bool accepted = rc->result == CYC_LED_ACCEPTED;
+      struct tst_control tc;
+
+      print_message ("  %s\n", rc->name);
+      tst_control_setup (&tc);
+      tst_publish_all (&tc);
+      assert_int_equal (tst_publish (&tc, "vm-a", rc->first.item,
+                                     rc->first.base, rc->first.body),
+                        CYC_LED_ACCEPTED);
+      assert_int_equal (tst_publish (&tc, "vm-b", rc->second.item,
+                                     rc->second.base, rc->second.body),
+                        rc->result);
+      assert_int_equal (tc.effect.body, CYC_LED_BODY_CONFIG);
+      assert_int_equal (tc.effect.lost_to_version, rc->lost_to_version);
+      if (rc->lost_to_version > 0)
+        {
+          assert_string_equal (tc.effect.lost_item.data, rc->second.item);
+          assert_string_equal (tc.effect.lost_to.data, "vm-a");
+        }
+      assert_int_equal (strlen (tc.effect.reason) > 0, !accepted);
+      assert_int_equal (cyc_led_config_version (&tc.led), accepted ? 5 : 4);
+      assert_int_equal (
+          cyc_led_item_version (&tc.led, cyc_str_of (rc->second.item)) == 5,
+          accepted);
+      tst_control_shutdown (&tc);
+    }
+}
+
+/* Guards against a change of which only some items take effect. */
+static void
+a_change_is_accepted_whole_or_not_at_all (void **unused)
+{
+  struct tst_control tc;
+  struct cyc_config_edit edits[2] = { { .name = CYC_STR ("team/orders"),
+                                        .base_version = 2,
+                                        .body = CYC_STR (ORDERS ("500000")) },
+                                      { .name = CYC_STR ("queue/tally"),
+                                        .base_version = 2,
+                                        .body = CYC_STR (TALLY ("orders")) } };
+  struct cyc_id128 id = { { 1 } };
+  struct cyc_str record;
+
+  (void)unused;
+  tst_control_setup (&tc);
+  tst_publish_all (&tc);
+  assert_true (cyc_rec_config (&id, CYC_STR ("vm-a"), edits, 2, &record));
+  assert_int_equal (tst_apply (&tc, record), CYC_LED_REFUSED);
+  assert_string_equal (tc.effect.lost_item.data, "queue/tally");
+  assert_int_equal (
+      cyc_led_team (&tc.led, CYC_STR ("orders"))->limit_millicores, 400000);
+  edits[1].base_version = 3;
+  id.bytes[0] = 2;
+  assert_true (cyc_rec_config (&id, CYC_STR ("vm-a"), edits, 2, &record));
+  assert_int_equal (tst_apply (&tc, record), CYC_LED_ACCEPTED);
+  assert_int_equal (
+      cyc_led_team (&tc.led, CYC_STR ("orders"))->limit_millicores, 500000);
+  edits[1] = edits[0];
+  edits[0].base_version = edits[1].base_version = 5;
+  id.bytes[0] = 3;
+  assert_true (cyc_rec_config (&id, CYC_STR ("vm-a"), edits, 2, &record));
+  assert_int_equal (tst_apply (&tc, record), CYC_LED_REFUSED);
+  tst_control_shutdown (&tc);
+}
+
+/* Steps on one key; the first record gets version 1. */
+struct key_step
+{
+  bool grant;
+  uint64_t base;
+  const char *team;
+  enum cyc_led_result result;
+  enum cyc_key_state state;
+  uint64_t version;
+};
+
+static const struct key_step key_steps[] = {
+  { true, 0, "orders", CYC_LED_ACCEPTED, CYC_KEY_VALID, 1 },
+  { true, 0, "plans", CYC_LED_REFUSED, CYC_KEY_VALID, 1 },
+  { false, 0, NULL, CYC_LED_ACCEPTED, CYC_KEY_WITHDRAWN, 3 },
+  { true, 0, "orders", CYC_LED_REFUSED, CYC_KEY_WITHDRAWN, 3 },
+  { true, 1, "orders", CYC_LED_REFUSED, CYC_KEY_WITHDRAWN, 3 },
+  { false, 0, NULL, CYC_LED_ACCEPTED, CYC_KEY_WITHDRAWN, 6 },
+  { true, 3, "orders", CYC_LED_REFUSED, CYC_KEY_WITHDRAWN, 6 },
+  { true, 6, "Orders", CYC_LED_REFUSED, CYC_KEY_WITHDRAWN, 6 },
+  { true, 6, "plans", CYC_LED_ACCEPTED, CYC_KEY_VALID, 9 },
+};
+
+static enum cyc_led_result
+apply_key (struct tst_control *tc, const struct key_step *step,
+           const char *key)
+{
+  struct cyc_digest digest = tst_digest (key);
+  struct cyc_id128 id;
+  struct cyc_str record;
+
+  cyc_id128_random (&id);
+  if (step->grant)
+    assert_true (cyc_rec_key_grant (&id, CYC_STR ("vm-1"), &digest,
+                                    cyc_str_of (step->team), step->base,
+                                    &record));
+  else
+    assert_true (
+        cyc_rec_key_withdraw (&id, CYC_STR ("vm-1"), &digest, &record));
+  return tst_apply (tc, record);
+}
+
+/* Guards against a withdrawn key that a grant from before the withdrawal makes
+   valid again. */
+static void
+a_withdrawn_key_needs_a_new_grant (void **unused)
+{
+  static const struct key_step early = { .result = CYC_LED_ACCEPTED };
+  struct cyc_digest digest = tst_digest ("key");
+  struct cyc_digest other = tst_digest ("other");
+  struct cyc_name team;
+  struct tst_control tc;
+
+  (void)unused;
+  tst_control_setup (&tc);
+  assert_int_equal (cyc_led_key (&tc.led, &digest, &team), CYC_KEY_UNKNOWN);
+  for (size_t i = 0; i < sizeof key_steps / sizeof key_steps[0]; i++)
+    {
+      const struct key_step *step = &key_steps[i];
+
+      assert_int_equal (apply_key (&tc, step, "key"), step->result);
+      assert_int_equal (cyc_led_key (&tc.led, &digest, &team), step->state);
+      assert_int_equal (cyc_led_key_version (&tc.led, &digest), step->version);
+    }
+  assert_string_equal (team.data, "plans");
+  /* A withdrawal that comes before the grant wins over it. */
+  assert_int_equal (apply_key (&tc, &early, "other"), CYC_LED_ACCEPTED);
+  assert_int_equal (apply_key (&tc, &key_steps[0], "other"), CYC_LED_REFUSED);
+  assert_int_equal (cyc_led_key (&tc.led, &other, &team), CYC_KEY_WITHDRAWN);
+  tst_control_shutdown (&tc);
+}
+
+/* Steps on the claim of one domain, in log order. */
+struct claim_case
+{
+  enum cyc_claim_step step;
+  const char *owner;
+  uint8_t incarnation;
+  uint64_t epoch;
+  enum cyc_led_result result;
+  uint64_t epoch_after;
+};
+
+static const struct claim_case claim_cases[] = {
+  { CYC_CLAIM_RENEW, "vm-a", 1, 0, CYC_LED_REFUSED, 0 },
+  { CYC_CLAIM_TAKE, "vm-a", 1, 2, CYC_LED_REFUSED, 0 },
+  { CYC_CLAIM_TAKE, "vm-a", 1, 1, CYC_LED_ACCEPTED, 1 },
+  { CYC_CLAIM_TAKE, "vm-b", 2, 1, CYC_LED_REFUSED, 1 },
+  { CYC_CLAIM_RENEW, "vm-b", 2, 1, CYC_LED_REFUSED, 1 },
+  { CYC_CLAIM_RENEW, "vm-a", 1, 2, CYC_LED_REFUSED, 1 },
+  /* A restarted process on the same VM is not the owner. */
+  { CYC_CLAIM_RENEW, "vm-a", 9, 1, CYC_LED_REFUSED, 1 },
+  { CYC_CLAIM_RENEW, "vm-a", 1, 1, CYC_LED_ACCEPTED, 1 },
+  { CYC_CLAIM_TAKE, "vm-b", 2, 2, CYC_LED_ACCEPTED, 2 },
+  { CYC_CLAIM_RENEW, "vm-a", 1, 1, CYC_LED_REFUSED, 2 },
+  { CYC_CLAIM_RELEASE, "vm-a", 1, 1, CYC_LED_REFUSED, 2 },
+  { CYC_CLAIM_RELEASE, "vm-b", 2, 2, CYC_LED_ACCEPTED, 2 },
+  { CYC_CLAIM_RENEW, "vm-b", 2, 2, CYC_LED_REFUSED, 2 },
+  { CYC_CLAIM_RELEASE, "vm-b", 2, 2, CYC_LED_REFUSED, 2 },
+  { CYC_CLAIM_TAKE, "vm-a", 1, 2, CYC_LED_REFUSED, 2 },
+  { CYC_CLAIM_TAKE, "vm-a", 1, 3, CYC_LED_ACCEPTED, 3 },
+  { CYC_CLAIM_TAKE, "vm-b", 2, 3, CYC_LED_REFUSED, 3 },
+};
+
+/* Guards against two processes that both read that they own a domain. */
+static void
+a_claim_has_one_owner_in_log_order (void **unused)
+{
+  struct tst_control tc;
+  struct cyc_claim claim;
+
+  (void)unused;
+  tst_control_setup (&tc);
+  for (size_t i = 0; i < sizeof claim_cases / sizeof claim_cases[0]; i++)
+    {
+      const struct claim_case *cc = &claim_cases[i];
+
+      print_message ("  step %zu\n", i);
+      assert_int_equal (
+          tst_claim (&tc, cc->step, cc->owner, cc->incarnation, cc->epoch),
+          cc->result);
+      cyc_led_claim (&tc.led, CYC_STR ("north-a"), 0, &claim);
+      assert_int_equal (claim.epoch, cc->epoch_after);
+      if (cc->result == CYC_LED_ACCEPTED && cc->step != CYC_CLAIM_RELEASE)
+        {
+          assert_string_equal (claim.owner.data, cc->owner);
+          assert_int_equal (claim.renewed_offset, i);
+        }
+      assert_int_equal (claim.released, i >= 11 && i <= 14);
+    }
+  cyc_led_claim (&tc.led, CYC_STR ("north-b"), 0, &claim);
+  assert_int_equal (claim.epoch, 0);
+  tst_control_shutdown (&tc);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (published_items_are_found),
+    cmocka_unit_test (the_earlier_of_two_changes_wins),
+    cmocka_unit_test (a_change_is_accepted_whole_or_not_at_all),
+    cmocka_unit_test (a_withdrawn_key_needs_a_new_grant),
+    cmocka_unit_test (a_claim_has_one_owner_in_log_order),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
