--- a/src/commands.h
+++ b/src/commands.h
@@ -29,6 +29,7 @@
 int cmd_publish (int argc, char **argv);
 int cmd_key (int argc, char **argv);
 int cmd_status (int argc, char **argv);
+int cmd_gateway (int argc, char **argv);
 
 /** Prints findings to standard error, one a line: "place: text". */
 void cmd_print_findings (const struct cyc_findings *findings);
--- a/src/main.c
+++ b/src/main.c
@@ -15,6 +15,7 @@
   { "publish", cmd_publish, "publish configuration files" },
   { "key", cmd_key, "grant or withdraw a key of a team" },
   { "status", cmd_status, "ask the gateways and schedulers for their state" },
+  { "gateway", cmd_gateway, "run the gateway process of an entry VM" },
 };
 
 #define COMMAND_COUNT (sizeof commands / sizeof commands[0])
