Add the VM list client and the membership module

The platform's list lags and may be wrong, so the list can only add VMs and mark them as leaving, and heartbeats decide who is alive. Entries that name one machine twice are left out, because they would double what it is given.

--- /dev/null
+++ b/include/cyclamendrum/member.h
@@ -0,0 +1,118 @@
+/**
+ * @file
+ * Membership of a failure domain: the platform's VM list merged with what the
+ * VMs themselves answer.
+ *
+ * The list lags and may be wrong, so it can only add VMs and mark them as
+ * leaving; heartbeats decide who is alive. A VM that is missing from the list
+ * is kept while it answers, and an address changes only after the old one has
+ * been silent for `dead_ms`, because tasks may still run there.
+ *
+ * @code
+ * cyc_mem_list_begin (&mem);
+ * cyc_mem_list_vm (&mem, &vm);
+ * cyc_mem_list_end (&mem);
+ * cyc_mem_heartbeat (&mem, name, draining, now_us);
+ * cyc_mem_tick (&mem, now_us, on_change, this);
+ * @endcode
+ *
+ * Errors: a full table or an address that another VM holds is answered with a
+ * reference of generation 0 and nothing is kept.
+ */
+#ifndef CYCLAMENDRUM_MEMBER_H
+#define CYCLAMENDRUM_MEMBER_H
+
+#include <cyclamendrum/base.h>
+#include <cyclamendrum/config.h>
+
+#define CYC_MEM_ADDRESS_BYTES 128
+
+/** One entry of the VM list. */
+struct cyc_mem_vm
+{
+  struct cyc_name name;
+  struct cyc_name domain;
+  struct cyc_name rack;
+  char address[CYC_MEM_ADDRESS_BYTES]; /**< base URL */
+  bool worker;
+  bool leaving;
+  struct cyc_res capacity;
+  uint32_t slots;
+  uint32_t connections;
+};
+
+enum cyc_mem_health
+{
+  CYC_MEM_NEW = 0, /**< never answered */
+  CYC_MEM_ALIVE,
+  CYC_MEM_SUSPECT,
+  CYC_MEM_DEAD
+};
+
+struct cyc_mem_row
+{
+  struct cyc_mem_vm vm;
+  enum cyc_mem_health health;
+  bool leaving;          /**< by the list, by itself, or by a report */
+  bool listed;           /**< in the newest list */
+  uint64_t heard_us;     /**< last answer; 0: never */
+  uint32_t address_step; /**< rises when the address was replaced */
+};
+
+struct cyc_mem_desc
+{
+  struct cyc_allocator allocator;
+  uint32_t max_vms;         /**< 0: 16,384 */
+  uint32_t suspect_ms;      /**< 0: 3,500 */
+  uint32_t dead_ms;         /**< 0: 10,000 */
+  uint32_t back_heartbeats; /**< answers until alive again; 0: 2 */
+  uint32_t forget_ms; /**< an unlisted VM is dropped so long after its last
+                         answer; 0: 900,000 */
+};
+
+enum cyc_mem_change
+{
+  CYC_MEM_ADDED,
+  CYC_MEM_CHANGED, /**< health, leaving, capacity or address */
+  CYC_MEM_FORGOTTEN
+};
+
+struct cyc_members
+{
+  struct cyc_mem_state *state; /**< private */
+};
+
+bool cyc_mem_setup (struct cyc_members *mem, const struct cyc_mem_desc *desc,
+                    struct cyc_findings *findings);
+void cyc_mem_shutdown (struct cyc_members *mem);
+
+/** A new list: between begin and end, one call for each of its entries. */
+void cyc_mem_list_begin (struct cyc_members *mem);
+struct cyc_ref cyc_mem_list_vm (struct cyc_members *mem,
+                                const struct cyc_mem_vm *vm, uint64_t now_us);
+void cyc_mem_list_end (struct cyc_members *mem);
+
+/** The VM answered. */
+void cyc_mem_heartbeat (struct cyc_members *mem, struct cyc_ref ref,
+                        bool draining, uint64_t now_us);
+/** Somebody else saw the VM say that it is leaving. */
+void cyc_mem_report_leaving (struct cyc_members *mem, struct cyc_ref ref);
+
+/** Applies the deadlines and calls @p changed for every row that differs from
+ * what was last told. */
+void cyc_mem_tick (struct cyc_members *mem, uint64_t now_us,
+                   void (*changed) (void *user, struct cyc_ref ref,
+                                    const struct cyc_mem_row *row,
+                                    enum cyc_mem_change change),
+                   void *user);
+
+struct cyc_ref cyc_mem_find (const struct cyc_members *mem,
+                             struct cyc_str name);
+/** NULL for a stale reference. */
+const struct cyc_mem_row *cyc_mem_at (const struct cyc_members *mem,
+                                      struct cyc_ref ref);
+/** Iterates; start with *cursor = 0. */
+const struct cyc_mem_row *cyc_mem_next (const struct cyc_members *mem,
+                                        uint32_t *cursor, struct cyc_ref *ref);
+
+#endif
--- /dev/null
+++ b/src/vm_list.c
@@ -0,0 +1,247 @@
+#include "vm_list.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+bool
+vl_fetch (struct vl_list *list, const struct vl_fetch *fetch)
+{
+  return list->vtable->fetch (list, fetch);
+}
+
+static struct cyc_str
+text_of (struct json_object *object, const char *key)
+{
+  struct json_object *value = json_object_object_get (object, key);
+
+  if (value == NULL || !json_object_is_type (value, json_type_string))
+    return (struct cyc_str){ 0 };
+  return (struct cyc_str){
+    .data = json_object_get_string (value),
+    .len = (size_t)json_object_get_string_len (value),
+  };
+}
+
+/* Missing or negative numbers are 0: such a worker offers nothing. */
+static uint32_t
+number_of (struct json_object *object, const char *key)
+{
+  struct json_object *value = json_object_object_get (object, key);
+  int64_t number = value != NULL ? json_object_get_int64 (value) : 0;
+
+  if (number < 0)
+    return 0;
+  return number > UINT32_MAX ? UINT32_MAX : (uint32_t)number;
+}
+
+static bool
+read_name (struct json_object *object, const char *key, struct cyc_name *out)
+{
+  struct cyc_str text = text_of (object, key);
+
+  return cyc_name_valid (text) && cyc_name_set (out, text);
+}
+
+static bool
+read_address (struct json_object *object, struct cyc_mem_vm *vm)
+{
+  struct cyc_str text = text_of (object, "address");
+
+  if (text.len < 8 || text.len >= sizeof vm->address
+      || memcmp (text.data, "http://", 7) != 0)
+    return false;
+  memcpy (vm->address, text.data, text.len);
+  if (vm->address[text.len - 1] == '/')
+    vm->address[text.len - 1] = '\0';
+  return true;
+}
+
+static bool
+read_vm (struct json_object *object, struct cyc_mem_vm *vm)
+{
+  struct cyc_str kind;
+  struct cyc_str state;
+
+  memset (vm, 0, sizeof *vm);
+  if (!json_object_is_type (object, json_type_object)
+      || !read_name (object, "name", &vm->name)
+      || !read_name (object, "domain", &vm->domain)
+      || !read_address (object, vm))
+    return false;
+  if (!read_name (object, "rack", &vm->rack))
+    cyc_name_set (&vm->rack, CYC_STR ("none"));
+  kind = text_of (object, "kind");
+  state = text_of (object, "state");
+  vm->worker = cyc_str_eq (kind, CYC_STR ("worker"));
+  vm->leaving = cyc_str_eq (state, CYC_STR ("leaving"));
+  vm->capacity.millicores = number_of (object, "millicores");
+  vm->capacity.memory_mib = number_of (object, "memory_mib");
+  vm->capacity.accelerators = number_of (object, "accelerators");
+  vm->slots = number_of (object, "slots");
+  vm->connections = number_of (object, "connections");
+  return (vm->worker || cyc_str_eq (kind, CYC_STR ("entry")))
+         && (vm->leaving || cyc_str_eq (state, CYC_STR ("live")));
+}
+
+static int
+by_address (const void *a, const void *b)
+{
+  const struct cyc_mem_vm *const *left = a;
+  const struct cyc_mem_vm *const *right = b;
+
+  return strcmp ((*left)->address, (*right)->address);
+}
+
+static int
+by_name (const void *a, const void *b)
+{
+  const struct cyc_mem_vm *const *left = a;
+  const struct cyc_mem_vm *const *right = b;
+
+  return cyc_str_cmp (cyc_name_str (&(*left)->name),
+                      cyc_name_str (&(*right)->name));
+}
+
+/* Two entries for one machine would let it be given twice what it can bear;
+   which of them is right cannot be known, so both are left out. */
+static void
+mark_repeated (const struct cyc_mem_vm **order, uint32_t count,
+               const struct cyc_mem_vm *vms, bool *bad,
+               int (*compare) (const void *, const void *))
+{
+  qsort (order, count, sizeof *order, compare);
+  for (uint32_t i = 1; i < count; i++)
+    if (compare (&order[i - 1], &order[i]) == 0)
+      bad[order[i - 1] - vms] = bad[order[i] - vms] = true;
+}
+
+static uint32_t
+drop_repeated (struct cyc_mem_vm *vms, uint32_t count)
+{
+  const struct cyc_mem_vm **order = calloc (count + 1, sizeof *order);
+  bool *bad = calloc (count + 1, sizeof *bad);
+  uint32_t kept = 0;
+
+  if (order != NULL && bad != NULL)
+    {
+      for (uint32_t i = 0; i < count; i++)
+        order[i] = &vms[i];
+      mark_repeated (order, count, vms, bad, by_address);
+      mark_repeated (order, count, vms, bad, by_name);
+      for (uint32_t i = 0; i < count; i++)
+        if (!bad[i])
+          vms[kept++] = vms[i];
+    }
+  free (order);
+  free (bad);
+  return kept;
+}
+
+static bool
+read_list (struct json_object *list, struct cyc_mem_vm **out, uint32_t *count,
+           uint32_t *left_out)
+{
+  size_t total = json_object_array_length (list);
+  uint32_t good = 0;
+
+  if (total > VL_MAX_VMS)
+    return false;
+  *out = calloc (total + 1, sizeof **out);
+  if (*out == NULL)
+    return false;
+  for (size_t i = 0; i < total; i++)
+    if (read_vm (json_object_array_get_idx (list, i), &(*out)[good]))
+      good++;
+  *count = drop_repeated (*out, good);
+  *left_out = (uint32_t)total - *count;
+  return true;
+}
+
+bool
+vl_parse (struct cyc_str body, struct cyc_mem_vm **out, uint32_t *count,
+          uint32_t *left_out)
+{
+  struct json_tokener *tokener = json_tokener_new ();
+  struct json_object *root
+      = json_tokener_parse_ex (tokener, body.data, (int)body.len);
+  struct json_object *list = NULL;
+  bool ok = false;
+
+  *out = NULL;
+  if (root != NULL && json_object_is_type (root, json_type_object))
+    list = json_object_object_get (root, "vms");
+  if (list != NULL && json_object_is_type (list, json_type_array))
+    ok = read_list (list, out, count, left_out);
+  json_object_put (root);
+  json_tokener_free (tokener);
+  return ok;
+}
+
+static void
+on_answer (void *user, const struct hc_result *answer)
+{
+  struct vl_http *http = user;
+  struct vl_fetch fetch = http->fetch;
+  struct vl_result result = { .error = "" };
+  struct cyc_mem_vm *vms = NULL;
+
+  http->call = (struct cyc_ref){ 0 };
+  if (answer->status == 0)
+    result.error = answer->error;
+  else if (answer->status != 200)
+    result.error = "the status is not 200";
+  else if (!vl_parse (answer->body, &vms, &result.count, &result.left_out))
+    result.error = "the answer is not a VM list";
+  else
+    result.ok = true;
+  result.vms = vms;
+  fetch.done (fetch.user, &result);
+  free (vms);
+}
+
+static bool
+http_fetch (struct vl_list *list, const struct vl_fetch *fetch)
+{
+  struct vl_http *http = (struct vl_http *)list;
+
+  if (http->call.generation != 0)
+    return false;
+  http->fetch = *fetch;
+  http->call = hc_send (http->client, &(struct hc_request){
+                                          .method = HC_GET,
+                                          .url = cyc_str_of (http->url),
+                                          .deadline_us = fetch->deadline_us,
+                                          .done = on_answer,
+                                          .user = http,
+                                      });
+  return http->call.generation != 0;
+}
+
+static const struct vl_vtable http_vtable = { .fetch = http_fetch };
+
+bool
+vl_http_setup (struct vl_http *http, const struct vl_http_desc *desc,
+               struct cyc_findings *findings)
+{
+  memset (http, 0, sizeof *http);
+  http->list.vtable = &http_vtable;
+  http->client = desc->client;
+  if (desc->client == NULL)
+    cyc_findings_add (findings, CYC_STR ("vl_http_desc.client"), "is missing");
+  if (desc->url.len == 0 || desc->url.len + 9 > sizeof http->url)
+    cyc_findings_add (findings, CYC_STR ("vl_http_desc.url"),
+                      "must have 1 to %zu bytes", sizeof http->url - 9);
+  else
+    snprintf (http->url, sizeof http->url, "%.*s/v1/vms", CYC_FMT (desc->url));
+  return http->client != NULL && http->url[0] != '\0';
+}
+
+void
+vl_http_shutdown (struct vl_http *http)
+{
+  if (http->call.generation != 0)
+    hc_cancel (http->client, http->call);
+  memset (http, 0, sizeof *http);
+}
