Add the division of lent slots among gateway seats

The owner lends what floor(slots / seats) leaves over. A smaller grant keeps the larger one counted until its deadline and the clock error have passed, so the sum never exceeds the worker.

--- /dev/null
+++ b/src/cyc_permit.c
@@ -0,0 +1,370 @@
+#include <cyclamendrum/permit.h>
+
+#include <string.h>
+#include <xxhash.h>
+
+#define DEFAULT_MAX_WORKERS 2048
+#define DEFAULT_LEASE_MS 5000
+#define DEFAULT_CLOCK_ERROR_MS 250
+#define US_PER_MS 1000
+
+/* A grant smaller than the one before it does not end that one: the seat may
+   use the larger number until it reads the new grant, so both are kept. */
+struct prm_seat
+{
+  uint32_t wanted;
+  uint32_t in_use;
+  uint32_t amount;
+  uint32_t old_amount;
+  uint64_t deadline_us;
+  uint64_t old_deadline_us;
+  uint64_t asked_us;
+};
+
+struct prm_worker
+{
+  struct cyc_name name;
+  uint32_t slots;
+  uint32_t connections;
+  uint32_t seats;
+  uint32_t next; /* in the chain of its hash slot: index + 1 */
+  struct prm_seat seat[CYC_PRM_MAX_SEATS];
+};
+
+struct cyc_prm_state
+{
+  struct cyc_prm_desc desc;
+  struct cyc_pool pool;
+  struct prm_worker *workers;
+  uint32_t *slots; /* heads of the chains: index + 1 */
+  uint32_t slot_mask;
+  uint64_t fenced_until_us;
+};
+
+bool
+cyc_prm_setup (struct cyc_permits *prm, const struct cyc_prm_desc *desc,
+               struct cyc_findings *findings)
+{
+  struct cyc_prm_state *state = cyc_alloc (&desc->allocator, 1, sizeof *state);
+  uint32_t slots = 16;
+
+  prm->state = state;
+  if (state == NULL)
+    {
+      cyc_findings_add (findings, CYC_STR ("permit"), "out of memory");
+      return false;
+    }
+  state->desc = *desc;
+  if (state->desc.max_workers == 0)
+    state->desc.max_workers = DEFAULT_MAX_WORKERS;
+  if (state->desc.lease_ms == 0)
+    state->desc.lease_ms = DEFAULT_LEASE_MS;
+  if (state->desc.clock_error_ms == 0)
+    state->desc.clock_error_ms = DEFAULT_CLOCK_ERROR_MS;
+  while (slots < state->desc.max_workers)
+    slots *= 2;
+  state->slot_mask = slots - 1;
+  state->slots = cyc_alloc (&desc->allocator, slots, sizeof *state->slots);
+  state->workers = cyc_alloc (&desc->allocator, state->desc.max_workers,
+                              sizeof *state->workers);
+  if (state->slots != NULL && state->workers != NULL
+      && cyc_pool_setup (&state->pool, state->desc.max_workers,
+                         &desc->allocator))
+    return true;
+  cyc_findings_add (findings, CYC_STR ("permit"), "out of memory");
+  cyc_prm_shutdown (prm);
+  return false;
+}
+
+void
+cyc_prm_shutdown (struct cyc_permits *prm)
+{
+  struct cyc_allocator allocator;
+
+  if (prm->state == NULL)
+    return;
+  allocator = prm->state->desc.allocator;
+  cyc_release (&allocator, prm->state->slots);
+  cyc_release (&allocator, prm->state->workers);
+  cyc_pool_shutdown (&prm->state->pool);
+  cyc_release (&allocator, prm->state);
+  prm->state = NULL;
+}
+
+void
+cyc_prm_fence (struct cyc_permits *prm, uint64_t until_us)
+{
+  struct cyc_prm_state *state = prm->state;
+
+  state->fenced_until_us = until_us;
+  for (uint32_t i = 0; i < state->pool.high; i++)
+    memset (state->workers[i].seat, 0, sizeof state->workers[i].seat);
+}
+
+static uint32_t *
+find_link (const struct cyc_prm_state *state, struct cyc_str name)
+{
+  uint32_t slot = (uint32_t)XXH64 (name.data, name.len, 0) & state->slot_mask;
+  uint32_t *link = &state->slots[slot];
+
+  while (*link != 0
+         && !cyc_str_eq (cyc_name_str (&state->workers[*link - 1].name), name))
+    link = &state->workers[*link - 1].next;
+  return link;
+}
+
+bool
+cyc_prm_worker (struct cyc_permits *prm, struct cyc_str worker, uint32_t slots,
+                uint32_t connections, uint32_t seats)
+{
+  struct cyc_prm_state *state = prm->state;
+  uint32_t *link = find_link (state, worker);
+  struct prm_worker *row;
+
+  if (*link == 0)
+    {
+      struct cyc_ref ref = cyc_pool_take (&state->pool);
+
+      if (ref.generation == 0)
+        return false;
+      row = &state->workers[ref.index];
+      memset (row, 0, sizeof *row);
+      cyc_name_set (&row->name, worker);
+      *link = ref.index + 1;
+    }
+  row = &state->workers[*link - 1];
+  row->slots = slots;
+  row->connections = connections;
+  row->seats = seats < CYC_PRM_MAX_SEATS ? seats : CYC_PRM_MAX_SEATS;
+  return true;
+}
+
+void
+cyc_prm_worker_remove (struct cyc_permits *prm, struct cyc_str worker)
+{
+  struct cyc_prm_state *state = prm->state;
+  uint32_t *link = find_link (state, worker);
+  uint32_t index;
+
+  if (*link == 0)
+    return;
+  index = *link - 1;
+  *link = state->workers[index].next;
+  cyc_pool_give (&state->pool, cyc_pool_ref_at (&state->pool, index));
+}
+
+static uint64_t
+end_us (const struct cyc_prm_state *state, uint64_t deadline_us)
+{
+  return deadline_us + (uint64_t)state->desc.clock_error_ms * US_PER_MS;
+}
+
+static uint32_t
+held_by (const struct cyc_prm_state *state, const struct prm_seat *seat,
+         uint64_t now_us)
+{
+  uint32_t held = 0;
+
+  if (now_us < end_us (state, seat->deadline_us))
+    held = seat->amount;
+  if (now_us < end_us (state, seat->old_deadline_us)
+      && seat->old_amount > held)
+    held = seat->old_amount;
+  return held;
+}
+
+static uint32_t
+base_of (const struct prm_worker *row)
+{
+  return row->seats > 0 ? row->slots / row->seats : 0;
+}
+
+static uint32_t
+remainder_of (const struct prm_worker *row)
+{
+  return row->seats > 0 ? row->slots % row->seats : 0;
+}
+
+static void
+take_back (const struct cyc_prm_state *state, struct prm_seat *seat,
+           uint32_t returned, uint64_t now_us)
+{
+  uint32_t held = held_by (state, seat, now_us);
+  uint32_t left = returned < held ? held - returned : 0;
+
+  if (seat->amount > left)
+    seat->amount = left;
+  if (seat->old_amount > left)
+    seat->old_amount = left;
+}
+
+void
+cyc_prm_demand (struct cyc_permits *prm, uint32_t seat,
+                const struct cyc_prm_use *use, uint64_t now_us)
+{
+  struct cyc_prm_state *state = prm->state;
+  uint32_t link = *find_link (state, use->worker);
+  struct prm_seat *row;
+
+  if (link == 0 || seat >= state->workers[link - 1].seats)
+    return;
+  row = &state->workers[link - 1].seat[seat];
+  if (use->returned > 0)
+    take_back (state, row, use->returned, now_us);
+  row->wanted = use->wanted;
+  row->in_use = use->in_use;
+  row->asked_us = now_us;
+}
+
+static bool
+is_asking (const struct cyc_prm_state *state, const struct prm_seat *seat,
+           uint64_t now_us)
+{
+  return seat->wanted > 0
+         && now_us - seat->asked_us
+                < (uint64_t)state->desc.lease_ms * US_PER_MS;
+}
+
+/* Part of the remainder that the seat may have while others ask too. What
+   cannot be divided evenly goes round, so that no seat waits forever. */
+static uint32_t
+fair_part (const struct cyc_prm_state *state, const struct prm_worker *row,
+           uint32_t seat, uint64_t now_us)
+{
+  uint64_t turn = now_us / ((uint64_t)state->desc.lease_ms * US_PER_MS * 2);
+  uint32_t remainder = remainder_of (row);
+  uint32_t asking = 0;
+  uint32_t rank = 0;
+
+  for (uint32_t s = 0; s < row->seats; s++)
+    if (is_asking (state, &row->seat[s], now_us))
+      {
+        if (s < seat)
+          rank++;
+        asking++;
+      }
+  if (asking <= 1)
+    return remainder;
+  rank = (uint32_t)((rank + turn) % asking);
+  return remainder / asking + (rank < remainder % asking ? 1 : 0);
+}
+
+static bool
+others_lack (const struct cyc_prm_state *state, const struct prm_worker *row,
+             uint32_t seat, uint64_t now_us)
+{
+  for (uint32_t s = 0; s < row->seats; s++)
+    if (s != seat && is_asking (state, &row->seat[s], now_us)
+        && row->seat[s].wanted > held_by (state, &row->seat[s], now_us))
+      return true;
+  return false;
+}
+
+static uint32_t
+free_for (const struct cyc_prm_state *state, const struct prm_worker *row,
+          uint32_t seat, uint64_t now_us)
+{
+  uint32_t remainder = remainder_of (row);
+  uint32_t held = 0;
+
+  /* Seats beyond the current number count too: they may still hold permits
+     from before the number was lowered. */
+  for (uint32_t s = 0; s < CYC_PRM_MAX_SEATS; s++)
+    if (s != seat)
+      held += held_by (state, &row->seat[s], now_us);
+  return held < remainder ? remainder - held : 0;
+}
+
+static uint32_t
+amount_for (const struct cyc_prm_state *state, const struct prm_worker *row,
+            uint32_t seat, uint64_t now_us)
+{
+  const struct prm_seat *own = &row->seat[seat];
+  uint32_t room = free_for (state, row, seat, now_us);
+  uint32_t base = base_of (row);
+  uint32_t busy = own->in_use > base ? own->in_use - base : 0;
+  uint32_t held = held_by (state, own, now_us);
+  uint32_t amount = own->wanted < room ? own->wanted : room;
+  uint32_t part;
+
+  if (others_lack (state, row, seat, now_us))
+    {
+      part = fair_part (state, row, seat, now_us);
+      if (amount > part)
+        amount = part;
+    }
+  /* A request that runs on a lent slot keeps it until it ends. */
+  if (busy > held)
+    busy = held;
+  if (busy > room)
+    busy = room;
+  return amount > busy ? amount : busy;
+}
+
+static void
+lend (const struct cyc_prm_state *state, struct prm_seat *seat,
+      uint32_t amount, uint64_t now_us)
+{
+  uint64_t deadline_us = now_us + (uint64_t)state->desc.lease_ms * US_PER_MS;
+  uint32_t held = held_by (state, seat, now_us);
+
+  if (amount < held)
+    {
+      uint64_t until_us = 0;
+
+      if (seat->amount > amount)
+        until_us = seat->deadline_us;
+      if (seat->old_amount > amount && seat->old_deadline_us > until_us)
+        until_us = seat->old_deadline_us;
+      seat->old_amount = held;
+      seat->old_deadline_us = until_us;
+    }
+  else
+    seat->old_amount = 0;
+  seat->amount = amount;
+  seat->deadline_us = deadline_us;
+}
+
+uint32_t
+cyc_prm_grant (struct cyc_permits *prm, uint32_t seat, uint64_t now_us,
+               struct cyc_prm_grant *out, uint32_t max)
+{
+  struct cyc_prm_state *state = prm->state;
+  uint32_t count = 0;
+
+  if (now_us < state->fenced_until_us || seat >= CYC_PRM_MAX_SEATS)
+    return 0;
+  for (uint32_t i = 0; i < state->pool.high && count < max; i++)
+    {
+      struct prm_worker *row = &state->workers[i];
+      uint32_t amount;
+
+      if (!cyc_pool_used_at (&state->pool, i) || seat >= row->seats
+          || (row->seat[seat].wanted == 0
+              && held_by (state, &row->seat[seat], now_us) == 0))
+        continue;
+      amount = amount_for (state, row, seat, now_us);
+      lend (state, &row->seat[seat], amount, now_us);
+      if (amount == 0)
+        continue;
+      out[count].worker = row->name;
+      out[count].slots = amount;
+      out[count].connections
+          = (row->connections % row->seats) * amount / remainder_of (row);
+      count++;
+    }
+  return count;
+}
+
+uint32_t
+cyc_prm_lent (const struct cyc_permits *prm, struct cyc_str worker,
+              uint64_t now_us)
+{
+  const struct cyc_prm_state *state = prm->state;
+  uint32_t link = *find_link (state, worker);
+  uint32_t held = 0;
+
+  for (uint32_t s = 0; link != 0 && s < CYC_PRM_MAX_SEATS; s++)
+    held += held_by (state, &state->workers[link - 1].seat[s], now_us);
+  return held;
+}
