Add the scheduler process

It follows the control and jobs streams, claims its failure domain, takes stock, runs the decision core each tick and carries out its decisions.

--- a/src/commands.h
+++ b/src/commands.h
@@ -26,6 +26,7 @@
 };
 
 int cmd_check (int argc, char **argv);
+int cmd_scheduler (int argc, char **argv);
 int cmd_gateway (int argc, char **argv);
 
 /** Prints findings to standard error, one a line: "place: text". */
--- a/src/main.c
+++ b/src/main.c
@@ -12,6 +12,8 @@
 
 static const struct cmd_item commands[] = {
   { "check", cmd_check, "check a settings file and report every finding" },
+  { "scheduler", cmd_scheduler,
+    "run a scheduler: place and start the work of a failure domain" },
   { "gateway", cmd_gateway, "run the gateway process of an entry VM" },
 };
 
--- /dev/null
+++ b/src/scheduler_config.c
@@ -0,0 +1,212 @@
+#include "scheduler.h"
+
+#include <string.h>
+
+static uint32_t *
+queue_link (const struct sc_scheduler *sc, struct cyc_str name)
+{
+  uint32_t *link
+      = &sc->queue_index.heads[sc_key_name (name) & sc->queue_index.mask];
+
+  while (*link != SC_NONE
+         && !cyc_str_eq (cyc_name_str (&sc->queues[*link].name), name))
+    link = &sc->queues[*link].chain;
+  return link;
+}
+
+struct sc_queue *
+sc_queue_find (struct sc_scheduler *sc, struct cyc_str name)
+{
+  uint32_t row = *queue_link (sc, name);
+
+  return row == SC_NONE ? NULL : &sc->queues[row];
+}
+
+static struct sc_queue *
+put_queue (struct sc_scheduler *sc, const struct cyc_name *name)
+{
+  uint32_t *link = queue_link (sc, cyc_name_str (name));
+  struct cyc_ref ref;
+
+  if (*link != SC_NONE)
+    return &sc->queues[*link];
+  ref = cyc_pool_take (&sc->queue_pool);
+  if (ref.generation == 0)
+    return NULL;
+  memset (&sc->queues[ref.index], 0, sizeof sc->queues[ref.index]);
+  sc->queues[ref.index].name = *name;
+  sc->queues[ref.index].chain = SC_NONE;
+  *link = ref.index;
+  return &sc->queues[ref.index];
+}
+
+static void
+drop_queue (struct sc_scheduler *sc, uint32_t row)
+{
+  uint32_t *link = queue_link (sc, cyc_name_str (&sc->queues[row].name));
+
+  *link = sc->queues[row].chain;
+  cyc_pool_give (&sc->queue_pool, cyc_pool_ref_at (&sc->queue_pool, row));
+}
+
+void
+sc_config_reset (struct sc_scheduler *sc)
+{
+  for (uint32_t i = 0; i < sc->queue_pool.high; i++)
+    if (cyc_pool_used_at (&sc->queue_pool, i))
+      drop_queue (sc, i);
+}
+
+uint32_t
+sc_divide (const struct cyc_fleet_cfg *fleet, uint32_t total,
+           uint32_t position)
+{
+  uint64_t weights = 0;
+  uint64_t given = 0;
+  uint64_t own_rest;
+  uint32_t before = 0;
+
+  for (uint32_t d = 0; d < fleet->domain_count; d++)
+    weights += fleet->domains[d].weight;
+  if (weights == 0 || position >= fleet->domain_count)
+    return 0;
+  own_rest = (uint64_t)total * fleet->domains[position].weight % weights;
+  for (uint32_t d = 0; d < fleet->domain_count; d++)
+    {
+      uint64_t part = (uint64_t)total * fleet->domains[d].weight;
+
+      given += part / weights;
+      if (part % weights > own_rest
+          || (part % weights == own_rest && d < position))
+        before++;
+    }
+  return (uint32_t)((uint64_t)total * fleet->domains[position].weight
+                    / weights)
+         + (before < total - given ? 1 : 0);
+}
+
+static int
+own_position (const struct sc_scheduler *sc)
+{
+  const struct cyc_fleet_cfg *fleet = cyc_led_fleet (ctl_ledger (&sc->ctl));
+
+  if (fleet == NULL)
+    return -1;
+  return cyc_cfg_domain_index (fleet, cyc_name_str (&sc->settings.domain));
+}
+
+uint32_t
+sc_seats (const struct sc_scheduler *sc)
+{
+  const struct cyc_fleet_cfg *fleet = cyc_led_fleet (ctl_ledger (&sc->ctl));
+  int position = own_position (sc);
+
+  return position < 0 ? 0 : fleet->domains[position].entry_seats;
+}
+
+/* The usable balance is lower than the ledger's by transfers that are on their
+   way: the record may be in the log already. */
+static void
+feed_teams (struct sc_scheduler *sc)
+{
+  const struct cyc_ledger *led = ctl_ledger (&sc->ctl);
+  const struct cyc_team_cfg *team;
+
+  for (uint32_t i = 0; (team = cyc_led_team_at (led, i)) != NULL; i++)
+    {
+      struct cyc_balance balance
+          = cyc_led_balance (led, cyc_name_str (&team->name),
+                             cyc_name_str (&sc->settings.domain));
+      const struct sc_transfer *out
+          = sc_transfer_of (sc, cyc_name_str (&team->name));
+      struct cyc_core_team entry = {
+        .name = team->name,
+        .share_permille = team->share_permille,
+        .balance_millicores = balance.millicores,
+        .balance_accelerators = balance.accelerators,
+      };
+
+      if (out != NULL && out->open)
+        {
+          entry.balance_millicores -= out->millicores < balance.millicores
+                                          ? out->millicores
+                                          : balance.millicores;
+          entry.balance_accelerators
+              -= out->accelerators < balance.accelerators
+                     ? out->accelerators
+                     : balance.accelerators;
+        }
+      cyc_core_team_upsert (&sc->core, &entry);
+    }
+}
+
+static void
+feed_queue (struct sc_scheduler *sc, const struct cyc_queue_cfg *cfg)
+{
+  const struct cyc_fleet_cfg *fleet = cyc_led_fleet (ctl_ledger (&sc->ctl));
+  struct sc_queue *queue = put_queue (sc, &cfg->name);
+  int position = own_position (sc);
+
+  if (queue == NULL)
+    return;
+  queue->stamp = sc->config_stamp;
+  queue->kind = cfg->kind;
+  queue->repeatable = cfg->repeatable;
+  queue->run_ms = cfg->run_s * 1000;
+  if (cyc_core_queue_upsert (&sc->core, cfg) != CYC_CORE_OK
+      || cfg->kind != CYC_KIND_SERVICE)
+    return;
+  queue->targets_dirty = true;
+  cyc_core_service_scale (
+      &sc->core, cyc_name_str (&cfg->name),
+      position < 0 ? 0 : sc_divide (fleet, cfg->tasks, (uint32_t)position),
+      sc->now_us);
+}
+
+static void
+feed_queues (struct sc_scheduler *sc)
+{
+  const struct cyc_ledger *led = ctl_ledger (&sc->ctl);
+  const struct cyc_queue_cfg *cfg;
+
+  sc->config_stamp++;
+  for (uint32_t i = 0; (cfg = cyc_led_queue_at (led, i)) != NULL; i++)
+    feed_queue (sc, cfg);
+  for (uint32_t i = 0; i < sc->queue_pool.high; i++)
+    if (cyc_pool_used_at (&sc->queue_pool, i)
+        && sc->queues[i].stamp != sc->config_stamp)
+      {
+        cyc_core_queue_remove (&sc->core, cyc_name_str (&sc->queues[i].name));
+        drop_queue (sc, i);
+      }
+}
+
+static void
+feed_seats (struct sc_scheduler *sc)
+{
+  const struct cyc_mem_row *row;
+  uint32_t cursor = 0;
+
+  while ((row = cyc_mem_next (&sc->members, &cursor, NULL)) != NULL)
+    cyc_prm_worker (&sc->permits, cyc_name_str (&row->vm.name), row->vm.slots,
+                    row->vm.connections, sc_seats (sc));
+}
+
+void
+sc_config_tick (struct sc_scheduler *sc)
+{
+  if (sc->epoch == 0)
+    return;
+  if (sc->config_dirty || sc->teams_dirty)
+    feed_teams (sc);
+  if (sc->config_dirty)
+    {
+      feed_queues (sc);
+      feed_seats (sc);
+      sc->rescan_us = 0;
+      ev_log (EV_CONFIG_IN_FORCE, "version=%" PRIu64,
+              cyc_led_config_version (ctl_ledger (&sc->ctl)));
+    }
+  sc->config_dirty = false;
+  sc->teams_dirty = false;
+}
--- /dev/null
+++ b/src/scheduler_found.c
@@ -0,0 +1,269 @@
+/* What a worker lists in its answer to a heartbeat: tasks found when taking
+   stock, ended tasks, usage, and tasks that are missing. */
+#include "scheduler.h"
+
+#include <string.h>
+
+#define COMMAND_AGAIN_MS 1000
+
+static enum cyc_task_event
+event_of (enum wc_task_state state)
+{
+  switch (state)
+    {
+    case WC_TASK_DONE:
+      return CYC_TASK_EVENT_DONE;
+    case WC_TASK_FAILED:
+      return CYC_TASK_EVENT_FAILED;
+    case WC_TASK_CHECKPOINTED:
+      return CYC_TASK_EVENT_CHECKPOINTED;
+    case WC_TASK_STOPPED:
+    case WC_TASK_RUNNING:
+      break;
+    }
+  return CYC_TASK_EVENT_STOPPED;
+}
+
+/* A task that this process did not start itself. */
+static uint32_t
+enter_found (struct sc_scheduler *sc, uint32_t worker,
+             const struct wc_task *listed, const struct cyc_id128 *job,
+             uint32_t index, bool service)
+{
+  struct sc_worker *on = &sc->workers[worker];
+  struct cyc_core_found found = {
+    .job = *job,
+    .task_index = index,
+    .worker = on->name,
+    .size = listed->size,
+    .lease_deadline_us = listed->not_after_us,
+  };
+  struct sc_task *task;
+  uint32_t t;
+
+  cyc_name_set (&found.queue, listed->queue);
+  if (cyc_core_task_found (&sc->core, &found, sc->now_us) != CYC_CORE_OK)
+    return SC_NONE;
+  t = sc_task_add (sc, job, index, worker);
+  if (t == SC_NONE)
+    return SC_NONE;
+  task = &sc->tasks[t];
+  task->queue = found.queue;
+  task->size = listed->size;
+  task->lease = listed->lease;
+  task->lease_us = listed->not_after_us;
+  task->kind = service ? CYC_KIND_SERVICE : CYC_KIND_BATCH;
+  task->state = SC_TASK_RUNNING;
+  task->begun_us = sc->now_us;
+  if (service)
+    sc_targets_changed (sc, listed->queue);
+  return t;
+}
+
+static void
+stop_stray (struct sc_scheduler *sc, uint32_t worker,
+            const struct wc_task *listed)
+{
+  const struct cyc_mem_row *row
+      = cyc_mem_at (&sc->members, sc->workers[worker].member);
+
+  ev_log (EV_TASK_REFUSED, "worker=%s task=%.*s reason=\"not ours to run\"",
+          sc->workers[worker].name.data, CYC_FMT (listed->task));
+  wc_command (sc->worker_client,
+              &(struct wc_command){
+                  .address = cyc_str_of (row->vm.address),
+                  .task = listed->task,
+                  .verb = WC_STOP,
+                  .epoch = sc->epoch,
+                  .deadline_us
+                  = sc->now_us
+                    + (uint64_t)sc->settings.worker_timeout_ms * SC_US_PER_MS,
+                  .done = sc_ignore_result,
+                  .user = sc,
+              });
+}
+
+static void
+feed_usage (struct sc_scheduler *sc, const struct sc_task *task,
+            const struct wc_task *listed, uint64_t measured_us)
+{
+  struct cyc_core_usage usage
+      = { .used = listed->used, .measured_us = measured_us };
+
+  if (listed->used.millicores > 0 || listed->used.memory_mib > 0)
+    cyc_core_task_usage (&sc->core, &task->job, task->index, &usage,
+                         sc->now_us);
+}
+
+static void
+listed_running (struct sc_scheduler *sc, uint32_t t,
+                const struct wc_task *listed, uint64_t measured_us)
+{
+  struct sc_task *task = &sc->tasks[t];
+
+  if (task->state == SC_TASK_MAYBE || task->state == SC_TASK_STARTING)
+    {
+      task->state = SC_TASK_RUNNING;
+      task->answered_us = sc->now_us;
+      met_add (&sc->met, MET_TASK_STARTS, 1);
+      cyc_core_task_report (&sc->core, &task->job, task->index,
+                            CYC_TASK_EVENT_STARTED, sc->now_us);
+      if (task->kind == CYC_KIND_SERVICE)
+        sc_targets_changed (sc, cyc_name_str (&task->queue));
+    }
+  feed_usage (sc, task, listed, measured_us);
+  if (task->command_wanted
+      && sc->now_us > task->command_us + COMMAND_AGAIN_MS * SC_US_PER_MS)
+    sc_task_command (sc, t, task->command);
+}
+
+static void
+listed_ended (struct sc_scheduler *sc, uint32_t t,
+              const struct wc_task *listed)
+{
+  struct sc_task *task = &sc->tasks[t];
+
+  if (task->state == SC_TASK_ENDED)
+    return;
+  if (task->state == SC_TASK_MAYBE || task->state == SC_TASK_STARTING)
+    cyc_core_task_report (&sc->core, &task->job, task->index,
+                          CYC_TASK_EVENT_STARTED, sc->now_us);
+  if (listed->state == WC_TASK_CHECKPOINTED)
+    sc_kept_put (sc, &task->job, task->index, listed->checkpoint);
+  sc_task_event (sc, t, event_of (listed->state));
+}
+
+/* The listed copy carries another lease than the row: it is an older run of
+   the same task on this worker, whose final state was not acked yet. */
+static bool
+is_older_run (const struct sc_task *task, const struct wc_task *listed)
+{
+  return !cyc_id128_eq (&task->lease, &listed->lease);
+}
+
+static void
+take_listed (struct sc_scheduler *sc, uint32_t worker,
+             const struct wc_task *listed, uint64_t measured_us)
+{
+  struct cyc_id128 job;
+  uint32_t index;
+  bool service;
+  uint32_t t;
+
+  if (!sc_task_parse (sc, listed->task, listed->queue, &job, &index, &service))
+    return;
+  t = sc_task_find (sc, &job, index);
+  if (t != SC_NONE
+      && (sc->tasks[t].worker != worker
+          || is_older_run (&sc->tasks[t], listed)))
+    {
+      if (listed->state == WC_TASK_RUNNING)
+        stop_stray (sc, worker, listed);
+      else
+        sc_found_ack (sc, worker, listed->task);
+      return;
+    }
+  if (t == SC_NONE)
+    t = enter_found (sc, worker, listed, &job, index, service);
+  if (t == SC_NONE)
+    {
+      if (!sc->jobs_ready)
+        return;
+      if (listed->state == WC_TASK_RUNNING)
+        stop_stray (sc, worker, listed);
+      else
+        sc_found_ack (sc, worker, listed->task);
+      return;
+    }
+  sc->tasks[t].seen_beat = sc->workers[worker].beat;
+  if (listed->state == WC_TASK_RUNNING)
+    listed_running (sc, t, listed, measured_us);
+  else
+    listed_ended (sc, t, listed);
+}
+
+/* The answer does not list the task. That proves that it does not run there
+   only if the worker had answered the start before this heartbeat was sent,
+   or the start can no longer take effect. */
+static void
+take_missing (struct sc_scheduler *sc, uint32_t t, uint32_t address_step,
+              uint64_t sent_us)
+{
+  struct sc_task *task = &sc->tasks[t];
+  uint64_t error_us = (uint64_t)sc->settings.clock_error_ms * SC_US_PER_MS;
+
+  switch (task->state)
+    {
+    case SC_TASK_HELD:
+    case SC_TASK_STARTING:
+      break;
+    case SC_TASK_MAYBE:
+      if (sent_us > task->start_limit_us + error_us)
+        sc_task_event (sc, t, CYC_TASK_EVENT_REFUSED);
+      break;
+    case SC_TASK_RUNNING:
+      if (sent_us <= task->answered_us)
+        break;
+      if (task->address_step == address_step
+          || sent_us > task->lease_us + error_us)
+        sc_task_event (sc, t, CYC_TASK_EVENT_STOPPED);
+      break;
+    case SC_TASK_ENDED:
+      if (task->acked)
+        sc_task_drop (sc, t);
+      break;
+    }
+}
+
+static void
+feed_worker_usage (struct sc_scheduler *sc, uint32_t worker,
+                   const struct wc_heartbeat_result *result,
+                   uint64_t measured_us)
+{
+  struct cyc_core_usage usage = { .measured_us = measured_us };
+
+  for (uint32_t i = 0; i < result->count; i++)
+    if (result->tasks[i].state == WC_TASK_RUNNING)
+      {
+        usage.used.millicores += result->tasks[i].used.millicores;
+        usage.used.memory_mib += result->tasks[i].used.memory_mib;
+        usage.used.accelerators += result->tasks[i].used.accelerators;
+      }
+  cyc_core_worker_usage (&sc->core, cyc_name_str (&sc->workers[worker].name),
+                         &usage, sc->now_us);
+}
+
+void
+sc_found_list (struct sc_scheduler *sc, uint32_t worker,
+               const struct wc_heartbeat_result *result, uint64_t sent_us)
+{
+  struct sc_worker *on = &sc->workers[worker];
+  const struct cyc_mem_row *row = cyc_mem_at (&sc->members, on->member);
+  uint64_t age_us = (uint64_t)result->usage_age_ms * SC_US_PER_MS;
+  uint64_t measured_us = sent_us > age_us ? sent_us - age_us : 0;
+  uint32_t t;
+
+  for (uint32_t i = 0; i < result->count; i++)
+    take_listed (sc, worker, &result->tasks[i], measured_us);
+  t = on->first_task;
+  while (t != SC_NONE)
+    {
+      uint32_t next = sc->tasks[t].next;
+
+      if (sc->tasks[t].seen_beat != on->beat)
+        take_missing (sc, t, row->address_step, sent_us);
+      t = next;
+    }
+  feed_worker_usage (sc, worker, result, measured_us);
+}
+
+void
+sc_found_ack (struct sc_scheduler *sc, uint32_t worker, struct cyc_str task)
+{
+  struct sc_worker *on = &sc->workers[worker];
+
+  if (on->extra_count == SC_MAX_EXTRA || task.len >= WC_TASK_BYTES)
+    return;
+  snprintf (on->extra[on->extra_count++], WC_TASK_BYTES, "%.*s",
+            CYC_FMT (task));
+}
--- /dev/null
+++ b/src/scheduler_jobs.c
@@ -0,0 +1,559 @@
+#include "scheduler.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define APPEND_MS 5000
+#define RESCAN_MS 1000
+/* At most ten appends a second for each domain: 14 domains then take less than
+   half of what the log sustains. */
+#define FLUSH_MS 100
+#define RECORD_BYTES 49152
+#define EVENT_BYTES 400
+
+static bool
+is_ended (const struct cyc_job_row *row)
+{
+  return row->state >= CYC_JOB_DONE;
+}
+
+static uint32_t *
+job_link (const struct sc_scheduler *sc, const struct cyc_id128 *id)
+{
+  uint32_t *link = &sc->job_index.heads[sc_key (id, 0) & sc->job_index.mask];
+
+  while (*link != SC_NONE && !cyc_id128_eq (&sc->job_rows[*link].id, id))
+    link = &sc->job_rows[*link].chain;
+  return link;
+}
+
+struct sc_job *
+sc_job_find (struct sc_scheduler *sc, const struct cyc_id128 *id)
+{
+  uint32_t row = *job_link (sc, id);
+
+  return row == SC_NONE ? NULL : &sc->job_rows[row];
+}
+
+static void
+drop_job (struct sc_scheduler *sc, struct sc_job *job)
+{
+  uint32_t *link = job_link (sc, &job->id);
+  uint32_t row = *link;
+
+  /* A row in the dirty list is dropped when the list is flushed. */
+  job->wants = 0;
+  job->dropped = true;
+  if (job->in_dirty || job->sent != 0 || job->in_core)
+    return;
+  for (uint32_t i = 0; i < job->tasks; i++)
+    sc_kept_drop (sc, &job->id, i);
+  *link = job->chain;
+  cyc_pool_give (&sc->job_pool, cyc_pool_ref_at (&sc->job_pool, row));
+}
+
+void
+sc_job_want (struct sc_scheduler *sc, struct sc_job *job, uint32_t wants)
+{
+  job->wants |= wants;
+  if (job->in_dirty || job->sent != 0)
+    return;
+  job->in_dirty = true;
+  job->dirty_next = sc->dirty_head;
+  sc->dirty_head = (uint32_t)(job - sc->job_rows);
+  sc->dirty_count++;
+}
+
+static struct sc_job *
+add_job (struct sc_scheduler *sc, const struct cyc_job_row *row)
+{
+  struct cyc_ref ref = cyc_pool_take (&sc->job_pool);
+  uint32_t *head;
+  struct sc_job *job;
+
+  if (ref.generation == 0)
+    return NULL;
+  head = &sc->job_index.heads[sc_key (&row->id, 0) & sc->job_index.mask];
+  job = &sc->job_rows[ref.index];
+  memset (job, 0, sizeof *job);
+  job->id = row->id;
+  job->queue = row->queue;
+  job->tasks = row->tasks < CYC_JOB_MAX_TASKS ? row->tasks : CYC_JOB_MAX_TASKS;
+  job->chain = *head;
+  *head = ref.index;
+  job->attempt = row->attempt;
+  job->attempt_on_log = row->attempt > 0;
+  for (uint32_t i = 0; row->done_tasks > 0 && i < job->tasks; i++)
+    if (cyc_jobs_task_done (&sc->jobs, &row->id, i))
+      job->bits[i / 8] |= (uint8_t)(1U << i % 8);
+  return job;
+}
+
+static uint64_t
+submitted_us (const struct sc_scheduler *sc, const struct cyc_job_row *row)
+{
+  uint64_t at_us = hc_deadline_us (row->submitted_ms);
+
+  return at_us < sc->now_us ? at_us : sc->now_us;
+}
+
+static void
+enter_core (struct sc_scheduler *sc, struct sc_job *job,
+            const struct cyc_job_row *row)
+{
+  struct cyc_core_job entry = {
+    .id = job->id,
+    .queue = job->queue,
+    .tasks = job->tasks,
+    .done_bits = job->bits,
+    .submitted_us = submitted_us (sc, row),
+  };
+  const struct sc_queue *queue
+      = sc_queue_find (sc, cyc_name_str (&job->queue));
+
+  if (queue == NULL)
+    {
+      if (row->queue_version <= ctl_next (&sc->ctl))
+        sc_job_end (sc, &job->id, CYC_JOB_FAILED, "the queue was removed");
+      return;
+    }
+  job->repeatable = queue->repeatable;
+  job->in_core
+      = cyc_core_job_add (&sc->core, &entry, sc->now_us) == CYC_CORE_OK;
+}
+
+static void
+take_job (struct sc_scheduler *sc, const struct cyc_job_row *row)
+{
+  struct sc_job *job = sc_job_find (sc, &row->id);
+
+  if (!cyc_name_eq (&row->domain, &sc->settings.domain))
+    return;
+  if (is_ended (row))
+    {
+      if (job != NULL && job->in_core)
+        cyc_core_job_cancel (&sc->core, &job->id, sc->now_us);
+      if (job != NULL)
+        drop_job (sc, job);
+      return;
+    }
+  if (job == NULL)
+    job = add_job (sc, row);
+  if (job == NULL || job->dropped)
+    return;
+  if (row->attempt > 0)
+    job->attempt_on_log = true;
+  if (!job->in_core && job->end == CYC_JOB_QUEUED)
+    enter_core (sc, job, row);
+  if (!row->cancel_requested)
+    return;
+  if (job->in_core && !job->cancelled)
+    cyc_core_job_cancel (&sc->core, &job->id, sc->now_us);
+  if (job->rewritten && !job->cancelled)
+    sc_job_want (sc, job, SC_WANT_CANCEL);
+  job->cancelled = true;
+}
+
+static void
+on_changed (void *user, const struct cyc_job_row *row)
+{
+  struct sc_scheduler *sc = user;
+
+  if (sc->epoch != 0)
+    take_job (sc, row);
+}
+
+static void
+on_record (void *user, uint64_t offset, struct cyc_str data)
+{
+  struct sc_scheduler *sc = user;
+  struct cyc_jobs_watch watch = { .changed = on_changed, .user = sc };
+
+  sc->now_us = hc_now_us ();
+  met_add (&sc->met, MET_LOG_RECORDS, 1);
+  if (!cyc_jobs_apply (&sc->jobs, offset, data, &watch))
+    {
+      met_add (&sc->met, MET_RECORDS_CORRUPT, 1);
+      ev_log (EV_RECORD_CORRUPT, "stream=jobs offset=%" PRIu64, offset);
+    }
+}
+
+static bool
+on_trimmed (void *user, uint64_t next, uint64_t oldest)
+{
+  struct sc_scheduler *sc = user;
+
+  if (next > 0)
+    ev_log (EV_LOG_TRIMMED, "stream=jobs next=%" PRIu64 " oldest=%" PRIu64,
+            next, oldest);
+  cyc_jobs_seek (&sc->jobs, oldest);
+  return true;
+}
+
+bool
+sc_jobs_setup (struct sc_scheduler *sc, struct cyc_findings *findings)
+{
+  sc->dirty_head = SC_NONE;
+  return cyc_jobs_setup (&sc->jobs, &(struct cyc_jobs_desc){ 0 }, findings)
+         && fo_setup (&sc->follow,
+                      &(struct fo_desc){
+                          .log = &sc->log.log,
+                          .stream = CYC_STR ("jobs"),
+                          .timeout_ms = sc->settings.log_timeout_ms,
+                          .wait_ms = sc->settings.log_wait_ms,
+                          .record = on_record,
+                          .trimmed = on_trimmed,
+                          .user = sc,
+                      },
+                      findings);
+}
+
+void
+sc_jobs_reset (struct sc_scheduler *sc)
+{
+  for (uint32_t i = 0; i < sc->job_pool.high; i++)
+    if (cyc_pool_used_at (&sc->job_pool, i))
+      cyc_pool_give (&sc->job_pool, cyc_pool_ref_at (&sc->job_pool, i));
+  memset (sc->job_index.heads, 0xff,
+          ((size_t)sc->job_index.mask + 1) * sizeof (uint32_t));
+  sc->dirty_head = SC_NONE;
+  sc->dirty_count = 0;
+  sc->unresolved = true;
+}
+
+void
+sc_jobs_enter (struct sc_scheduler *sc)
+{
+  const struct cyc_job_row *row;
+  uint32_t cursor = 0;
+
+  sc_jobs_reset (sc);
+  while ((row = cyc_jobs_next_open (&sc->jobs, &cursor)) != NULL)
+    take_job (sc, row);
+}
+
+static bool
+all_done (const struct sc_job *job)
+{
+  for (uint32_t i = 0; i < job->tasks; i++)
+    if ((job->bits[i / 8] >> i % 8 & 1) == 0)
+      return false;
+  return true;
+}
+
+void
+sc_job_end (struct sc_scheduler *sc, const struct cyc_id128 *id,
+            enum cyc_job_state state, const char *reason)
+{
+  struct sc_job *job = sc_job_find (sc, id);
+  char hex[33];
+
+  if (job == NULL)
+    return;
+  job->in_core = false;
+  if (job->dropped)
+    {
+      drop_job (sc, job);
+      return;
+    }
+  if (state == CYC_JOB_DONE && !all_done (job))
+    state = CYC_JOB_CANCELLED;
+  cyc_id128_hex (id, hex);
+  ev_log (state == CYC_JOB_FAILED ? EV_JOB_REFUSED : EV_JOB_ENDED,
+          "job=%s queue=%s state=%d reason=\"%s\"", hex, job->queue.data,
+          (int)state, reason);
+  job->end = state;
+  snprintf (job->reason, sizeof job->reason, "%s", reason);
+  sc_job_want (sc, job, SC_WANT_DONE);
+}
+
+void
+sc_job_task_done (struct sc_scheduler *sc, const struct cyc_id128 *id,
+                  uint32_t index)
+{
+  struct sc_job *job = sc_job_find (sc, id);
+
+  if (job == NULL || index >= job->tasks)
+    return;
+  job->bits[index / 8] |= (uint8_t)(1U << index % 8);
+  sc_job_want (sc, job, SC_WANT_PROGRESS);
+}
+
+bool
+sc_job_may_ack (struct sc_scheduler *sc, const struct sc_task *task)
+{
+  const struct cyc_job_row *row;
+
+  if (task->kind == CYC_KIND_SERVICE || !task->done)
+    return true;
+  row = cyc_jobs_find (&sc->jobs, &task->job);
+  return row == NULL || is_ended (row)
+         || cyc_jobs_task_done (&sc->jobs, &task->job, task->index);
+}
+
+static uint32_t
+job_events (struct sc_scheduler *sc, struct sc_job *job,
+            struct cyc_job_event *out)
+{
+  const struct cyc_job_row *row = cyc_jobs_find (&sc->jobs, &job->id);
+  uint32_t count = 0;
+
+  if (row == NULL || is_ended (row))
+    return 0;
+  if (job->wants & SC_WANT_RESUBMIT)
+    out[count++] = (struct cyc_job_event){
+      .kind = CYC_JOB_EVENT_SUBMIT,
+      .job_id = job->id,
+      .queue = cyc_name_str (&row->queue),
+      .queue_version = row->queue_version,
+      .team = cyc_name_str (&row->team),
+      .domain = cyc_name_str (&row->domain),
+      .tasks = row->tasks,
+      .submitted_ms = row->submitted_ms,
+    };
+  if (job->wants & SC_WANT_CANCEL)
+    out[count++] = (struct cyc_job_event){ .kind = CYC_JOB_EVENT_CANCEL,
+                                           .job_id = job->id };
+  if (job->wants & SC_WANT_DONE)
+    out[count++] = (struct cyc_job_event){
+      .kind = CYC_JOB_EVENT_DONE,
+      .job_id = job->id,
+      .state = job->end,
+      .reason = cyc_str_of (job->reason),
+      .epoch = sc->epoch,
+    };
+  else if (job->wants & SC_WANT_PROGRESS)
+    out[count++] = (struct cyc_job_event){
+      .kind = CYC_JOB_EVENT_PROGRESS,
+      .job_id = job->id,
+      .attempt = job->attempt,
+      .done_bits = { (const char *)job->bits, (job->tasks + 7) / 8 },
+      .epoch = sc->epoch,
+    };
+  return count;
+}
+
+static void
+finish_sent (struct sc_scheduler *sc, struct sc_job *job, bool confirmed)
+{
+  const struct cyc_job_row *row = cyc_jobs_find (&sc->jobs, &job->id);
+  uint32_t sent = job->sent;
+
+  job->sent = 0;
+  if (row == NULL || is_ended (row))
+    {
+      if (confirmed && (sent & SC_WANT_DONE))
+        {
+          met_add (&sc->met, MET_JOBS_ENDED, 1);
+          met_add_label (&sc->met,
+                         job->end == CYC_JOB_DONE ? MET_QUEUE_JOBS_DONE
+                                                  : MET_QUEUE_JOBS_FAILED,
+                         cyc_name_str (&job->queue), 1);
+        }
+      drop_job (sc, job);
+      return;
+    }
+  if (!confirmed || (sent & SC_WANT_DONE))
+    job->wants |= sent;
+  if (confirmed && (sent & SC_WANT_RESUBMIT))
+    job->rewritten = true;
+  if (job->dropped)
+    drop_job (sc, job);
+  else if (job->wants != 0)
+    sc_job_want (sc, job, 0);
+}
+
+static void
+on_batch (void *user, enum fo_fate fate, uint64_t offset)
+{
+  struct sc_batch *batch = user;
+  struct sc_scheduler *sc = batch->sc;
+
+  (void)offset;
+  if (fate == FO_CONFIRMED)
+    met_observe (&sc->met, MET_LOG_APPEND_US, hc_now_us () - batch->sent_us);
+  else
+    met_add (&sc->met, MET_LOG_APPEND_FAILURES, 1);
+  for (uint32_t i = 0; batch->epoch == sc->epoch && i < batch->count; i++)
+    {
+      struct sc_job *job = sc_job_find (sc, &batch->ids[i]);
+
+      if (job != NULL)
+        finish_sent (sc, job, fate == FO_CONFIRMED);
+    }
+  cyc_pool_give (
+      &sc->batch_pool,
+      cyc_pool_ref_at (&sc->batch_pool, (uint32_t)(batch - sc->batches)));
+}
+
+static void
+append_batch (struct sc_scheduler *sc, struct sc_batch *batch,
+              const struct cyc_job_event *events, uint32_t count)
+{
+  struct fo_append append = {
+    .deadline_us = sc->now_us + APPEND_MS * SC_US_PER_MS,
+    .done = on_batch,
+    .user = batch,
+  };
+  struct cyc_str record = { 0 };
+  bool begun;
+
+  cyc_id128_random (&append.record_id);
+  begun = cyc_rec_jobs (&append.record_id, cyc_name_str (&sc->settings.vm),
+                        events, count, &record);
+  append.record = record;
+  begun = begun && fo_append (&sc->follow, &append);
+  free ((void *)record.data);
+  met_add (&sc->met, MET_LOG_APPENDS, 1);
+  if (!begun)
+    on_batch (batch, FO_NOT_DONE, 0);
+}
+
+static struct sc_job *
+pop_dirty (struct sc_scheduler *sc)
+{
+  struct sc_job *job = &sc->job_rows[sc->dirty_head];
+
+  sc->dirty_head = job->dirty_next;
+  sc->dirty_count--;
+  job->in_dirty = false;
+  return job;
+}
+
+/* Group commit: one record for all jobs that changed since the last flush. */
+static void
+flush_jobs (struct sc_scheduler *sc)
+{
+  struct cyc_job_event events[SC_BATCH_EVENTS * 4];
+  struct cyc_ref ref = cyc_pool_take (&sc->batch_pool);
+  struct sc_batch *batch;
+  uint32_t count = 0;
+  size_t bytes = 0;
+
+  if (ref.generation == 0)
+    return;
+  batch = &sc->batches[ref.index];
+  batch->sc = sc;
+  batch->epoch = sc->epoch;
+  batch->sent_us = sc->now_us;
+  batch->count = 0;
+  while (sc->dirty_head != SC_NONE && batch->count < SC_BATCH_EVENTS
+         && bytes < RECORD_BYTES)
+    {
+      struct sc_job *job = pop_dirty (sc);
+      uint32_t added = job_events (sc, job, &events[count]);
+
+      if (job->dropped || added == 0)
+        {
+          drop_job (sc, job);
+          continue;
+        }
+      bytes += added * EVENT_BYTES + job->tasks / 8;
+      count += added;
+      job->sent = job->wants;
+      job->wants = 0;
+      batch->ids[batch->count++] = job->id;
+    }
+  if (count > 0)
+    append_batch (sc, batch, events, count);
+  else
+    cyc_pool_give (&sc->batch_pool, ref);
+}
+
+/* Half of the retention has passed, by the number of records. */
+static bool
+is_old (const struct sc_scheduler *sc, uint64_t offset)
+{
+  uint64_t next = fo_next (&sc->follow);
+  uint64_t oldest = fo_oldest (&sc->follow);
+
+  if (next >= offset + sc->settings.snapshot_records || offset < oldest)
+    return true;
+  return oldest > 0 && offset - oldest < (next - oldest) / 2;
+}
+
+/* Jobs that did not fit a table earlier, and jobs whose submission will be
+   trimmed from the log. */
+static void
+rescan (struct sc_scheduler *sc)
+{
+  const struct cyc_job_row *row;
+  uint32_t cursor = 0;
+
+  while ((row = cyc_jobs_next_open (&sc->jobs, &cursor)) != NULL)
+    {
+      struct sc_job *job;
+
+      if (!cyc_name_eq (&row->domain, &sc->settings.domain))
+        continue;
+      job = sc_job_find (sc, &row->id);
+      if (job == NULL || (!job->in_core && job->end == CYC_JOB_QUEUED))
+        take_job (sc, row);
+      job = sc_job_find (sc, &row->id);
+      if (job == NULL || job->dropped || !is_old (sc, row->offset)
+          || (job->wants & SC_WANT_RESUBMIT) || (job->sent & SC_WANT_RESUBMIT))
+        continue;
+      sc_job_want (sc, job,
+                   SC_WANT_RESUBMIT
+                       | (row->cancel_requested ? SC_WANT_CANCEL : 0));
+    }
+}
+
+static bool
+all_accounted (const struct sc_scheduler *sc)
+{
+  if (!sc->acting)
+    return false;
+  if (sc->now_us >= sc_unfenced_until (sc))
+    return true;
+  for (uint32_t i = 0; i < sc->worker_high; i++)
+    if (sc->workers[i].member.generation != 0
+        && sc->workers[i].fenced_epoch != sc->epoch)
+      return false;
+  return true;
+}
+
+/* Work that may not be repeated and whose start was recorded by an earlier
+   owner, but which no worker knows: nobody can tell whether it ran. */
+static void
+resolve_unknown (struct sc_scheduler *sc)
+{
+  if (!sc->unresolved || !all_accounted (sc))
+    return;
+  sc->unresolved = false;
+  for (uint32_t j = 0; j < sc->job_pool.high; j++)
+    {
+      struct sc_job *job = &sc->job_rows[j];
+
+      if (!cyc_pool_used_at (&sc->job_pool, j) || job->repeatable
+          || !job->attempt_on_log || !job->in_core)
+        continue;
+      for (uint32_t i = 0; i < job->tasks; i++)
+        if ((job->bits[i / 8] >> i % 8 & 1) == 0
+            && sc_task_find (sc, &job->id, i) == SC_NONE)
+          cyc_core_task_report (&sc->core, &job->id, i,
+                                CYC_TASK_EVENT_FATE_UNKNOWN, sc->now_us);
+    }
+}
+
+void
+sc_jobs_tick (struct sc_scheduler *sc)
+{
+  if (!sc->jobs_ready && fo_at_head (&sc->follow))
+    sc->jobs_ready = true;
+  if (sc->epoch == 0)
+    return;
+  resolve_unknown (sc);
+  if (sc->now_us >= sc->rescan_us)
+    {
+      sc->rescan_us = sc->now_us + RESCAN_MS * SC_US_PER_MS;
+      rescan (sc);
+    }
+  if (sc->dirty_head != SC_NONE && sc->now_us >= sc->flush_us
+      && fo_reachable (&sc->follow))
+    {
+      sc->flush_us = sc->now_us + FLUSH_MS * SC_US_PER_MS;
+      flush_jobs (sc);
+    }
+}
