Test the membership with a table of list and answer sequences

Guards against a lagging or wrong list that hides a VM that answers, moves its address while tasks may run there, or names one machine twice.

--- /dev/null
+++ b/tests/test_member.c
@@ -0,0 +1,357 @@
+/**
+ * @file
+ * Membership: a list that lags or is wrong must not make a VM that answers
+ * disappear, and must not move its address while tasks may run at the old one.
+ */
+#include <cyclamendrum/member.h>
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define MS UINT64_C (1000)
+#define START_US UINT64_C (100000000)
+
+struct fixture
+{
+  struct cyc_members mem;
+  uint32_t added;
+  uint32_t changed;
+  uint32_t forgotten;
+};
+
+static void
+on_change (void *user, struct cyc_ref ref, const struct cyc_mem_row *row,
+           enum cyc_mem_change change)
+{
+  struct fixture *f = user;
+
+  (void)ref;
+  (void)row;
+  f->added += change == CYC_MEM_ADDED;
+  f->changed += change == CYC_MEM_CHANGED;
+  f->forgotten += change == CYC_MEM_FORGOTTEN;
+}
+
+static void
+setup (struct fixture *f)
+{
+  struct cyc_findings found = { 0 };
+
+  memset (f, 0, sizeof *f);
+  assert_true (cyc_mem_setup (
+      &f->mem, &(struct cyc_mem_desc){ .max_vms = 4, .forget_ms = 60000 },
+      &found));
+}
+
+/* Lists one VM "w" in the given state; NULL: an empty list. */
+static void
+list (struct fixture *f, const char *address, bool leaving, uint64_t now_us)
+{
+  struct cyc_mem_vm vm = { .worker = true, .leaving = leaving, .slots = 8 };
+
+  cyc_mem_list_begin (&f->mem);
+  if (address != NULL)
+    {
+      cyc_name_set (&vm.name, CYC_STR ("w"));
+      snprintf (vm.address, sizeof vm.address, "%s", address);
+      cyc_mem_list_vm (&f->mem, &vm, now_us);
+    }
+  cyc_mem_list_end (&f->mem);
+}
+
+static const struct cyc_mem_row *
+row_of (struct fixture *f)
+{
+  return cyc_mem_at (&f->mem, cyc_mem_find (&f->mem, CYC_STR ("w")));
+}
+
+enum act
+{
+  END = 0,
+  LIST_A,  /**< listed at address a */
+  LIST_B,  /**< listed at address b */
+  LEAVING, /**< listed as leaving */
+  EMPTY,   /**< not listed */
+  BEAT,    /**< it answered */
+  DRAIN,   /**< it answered that it is draining */
+  REPORT,  /**< a peer saw that it is leaving */
+  TICK
+};
+
+struct member_case
+{
+  const char *guards;
+  struct
+  {
+    enum act act;
+    uint32_t at_ms;
+  } steps[8];
+  bool known;
+  enum cyc_mem_health health;
+  bool leaving;
+  const char *address;
+};
+
+static const struct member_case cases[] = {
+  { "listed only is not alive",
+    { { LIST_A, 0 }, { TICK, 20000 } },
+    true,
+    CYC_MEM_NEW,
+    false,
+    "a" },
+  { "the first answer makes it alive",
+    { { LIST_A, 0 }, { BEAT, 10 } },
+    true,
+    CYC_MEM_ALIVE,
+    false,
+    "a" },
+  { "silence makes it suspect",
+    { { LIST_A, 0 }, { BEAT, 10 }, { TICK, 3510 } },
+    true,
+    CYC_MEM_SUSPECT,
+    false,
+    "a" },
+  { "but not before its time",
+    { { LIST_A, 0 }, { BEAT, 10 }, { TICK, 3509 } },
+    true,
+    CYC_MEM_ALIVE,
+    false,
+    "a" },
+  { "longer silence makes it dead",
+    { { LIST_A, 0 }, { BEAT, 10 }, { TICK, 4000 }, { TICK, 10010 } },
+    true,
+    CYC_MEM_DEAD,
+    false,
+    "a" },
+  { "one answer does not bring a suspect back",
+    { { LIST_A, 0 }, { BEAT, 10 }, { TICK, 4000 }, { BEAT, 4100 } },
+    true,
+    CYC_MEM_SUSPECT,
+    false,
+    "a" },
+  { "two answers do",
+    { { LIST_A, 0 },
+      { BEAT, 10 },
+      { TICK, 4000 },
+      { BEAT, 4100 },
+      { BEAT, 4200 } },
+    true,
+    CYC_MEM_ALIVE,
+    false,
+    "a" },
+  { "a VM that answers stays although the list lacks it",
+    { { LIST_A, 0 },
+      { BEAT, 10 },
+      { EMPTY, 20 },
+      { BEAT, 90000 },
+      { TICK, 90001 } },
+    true,
+    CYC_MEM_ALIVE,
+    false,
+    "a" },
+  { "an unlisted VM that is silent is forgotten",
+    { { LIST_A, 0 }, { BEAT, 10 }, { EMPTY, 20 }, { TICK, 60011 } },
+    false,
+    CYC_MEM_NEW,
+    false,
+    "" },
+  { "a listed VM is never forgotten",
+    { { LIST_A, 0 }, { BEAT, 10 }, { TICK, 99999 } },
+    true,
+    CYC_MEM_DEAD,
+    false,
+    "a" },
+  { "a VM listed until now is not forgotten at once",
+    { { LIST_A, 0 }, { LIST_A, 70000 }, { EMPTY, 70100 }, { TICK, 70200 } },
+    true,
+    CYC_MEM_NEW,
+    false,
+    "a" },
+  { "leaving by the list",
+    { { LIST_A, 0 }, { BEAT, 10 }, { LEAVING, 20 }, { TICK, 30 } },
+    true,
+    CYC_MEM_ALIVE,
+    true,
+    "a" },
+  { "leaving by its own word, before the list knows",
+    { { LIST_A, 0 }, { DRAIN, 10 }, { LIST_A, 20 }, { TICK, 30 } },
+    true,
+    CYC_MEM_ALIVE,
+    true,
+    "a" },
+  { "leaving by a peer's report",
+    { { LIST_A, 0 }, { BEAT, 10 }, { REPORT, 20 }, { TICK, 30 } },
+    true,
+    CYC_MEM_ALIVE,
+    true,
+    "a" },
+  { "its own later word overrides the report",
+    { { LIST_A, 0 }, { REPORT, 20 }, { BEAT, 30 }, { TICK, 40 } },
+    true,
+    CYC_MEM_ALIVE,
+    false,
+    "a" },
+  { "it stays leaving when it drops out of the list",
+    { { LIST_A, 0 },
+      { BEAT, 10 },
+      { LEAVING, 20 },
+      { EMPTY, 30 },
+      { TICK, 40 } },
+    true,
+    CYC_MEM_ALIVE,
+    true,
+    "a" },
+  { "a wrong address does not move a VM that answers",
+    { { LIST_A, 0 }, { BEAT, 10 }, { LIST_B, 20 }, { TICK, 30 } },
+    true,
+    CYC_MEM_ALIVE,
+    false,
+    "a" },
+  { "nor one that is only suspect",
+    { { LIST_A, 0 }, { BEAT, 10 }, { LIST_B, 20 }, { TICK, 5000 } },
+    true,
+    CYC_MEM_SUSPECT,
+    false,
+    "a" },
+  { "a replaced VM is found at its new address",
+    { { LIST_A, 0 }, { BEAT, 10 }, { LIST_B, 20 }, { TICK, 10010 } },
+    true,
+    CYC_MEM_DEAD,
+    false,
+    "b" },
+};
+
+static void
+act (struct fixture *f, enum act what, uint64_t now_us)
+{
+  struct cyc_ref ref = cyc_mem_find (&f->mem, CYC_STR ("w"));
+
+  switch (what)
+    {
+    case LIST_A:
+    case LEAVING:
+      list (f, "a", what == LEAVING, now_us);
+      break;
+    case LIST_B:
+      list (f, "b", false, now_us);
+      break;
+    case EMPTY:
+      list (f, NULL, false, now_us);
+      break;
+    case BEAT:
+    case DRAIN:
+      cyc_mem_heartbeat (&f->mem, ref, what == DRAIN, now_us);
+      break;
+    case REPORT:
+      cyc_mem_report_leaving (&f->mem, ref);
+      break;
+    case TICK:
+      cyc_mem_tick (&f->mem, now_us, on_change, f);
+      break;
+    case END:
+      break;
+    }
+}
+
+static void
+list_and_answers_are_merged (void **state)
+{
+  (void)state;
+  for (size_t c = 0; c < sizeof cases / sizeof cases[0]; c++)
+    {
+      const struct member_case *wanted = &cases[c];
+      const struct cyc_mem_row *row;
+      struct fixture f;
+
+      setup (&f);
+      for (size_t s = 0; s < 8 && wanted->steps[s].act != END; s++)
+        act (&f, wanted->steps[s].act, START_US + wanted->steps[s].at_ms * MS);
+      row = row_of (&f);
+      if ((row != NULL) != wanted->known)
+        fail_msg ("%s: known is %d", wanted->guards, row != NULL);
+      if (row != NULL
+          && (row->health != wanted->health || row->leaving != wanted->leaving
+              || strcmp (row->vm.address, wanted->address) != 0))
+        fail_msg ("%s: health %d, leaving %d, address %s", wanted->guards,
+                  row->health, row->leaving, row->vm.address);
+      cyc_mem_shutdown (&f.mem);
+    }
+}
+
+/* Two names for one machine would be given twice what it can bear. */
+static void
+an_address_belongs_to_one_vm (void **state)
+{
+  struct cyc_mem_vm vm = { .address = "a" };
+  struct fixture f;
+
+  (void)state;
+  setup (&f);
+  list (&f, "a", false, START_US);
+  cyc_name_set (&vm.name, CYC_STR ("other"));
+  assert_int_equal (cyc_mem_list_vm (&f.mem, &vm, START_US).generation, 0);
+  cyc_mem_shutdown (&f.mem);
+}
+
+/* Each change is told once, and a tick without a change tells nothing. */
+static void
+changes_are_told_once (void **state)
+{
+  struct fixture f;
+
+  (void)state;
+  setup (&f);
+  list (&f, "a", false, START_US);
+  act (&f, TICK, START_US);
+  act (&f, TICK, START_US + MS);
+  assert_int_equal (f.added, 1);
+  assert_int_equal (f.changed, 0);
+  act (&f, BEAT, START_US + 2 * MS);
+  act (&f, TICK, START_US + 3 * MS);
+  act (&f, TICK, START_US + 4 * MS);
+  assert_int_equal (f.changed, 1);
+  list (&f, NULL, false, START_US);
+  act (&f, TICK, START_US + 60003 * MS);
+  assert_int_equal (f.forgotten, 1);
+  cyc_mem_shutdown (&f.mem);
+}
+
+static void
+full_table_refuses (void **state)
+{
+  struct cyc_mem_vm vm = { 0 };
+  struct fixture f;
+  uint32_t taken = 0;
+
+  (void)state;
+  setup (&f);
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      char text[8];
+
+      snprintf (text, sizeof text, "w%u", i);
+      cyc_name_set (&vm.name, cyc_str_of (text));
+      snprintf (vm.address, sizeof vm.address, "%s", text);
+      taken += cyc_mem_list_vm (&f.mem, &vm, START_US).generation != 0;
+    }
+  assert_int_equal (taken, 4);
+  cyc_mem_shutdown (&f.mem);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (list_and_answers_are_merged),
+    cmocka_unit_test (an_address_belongs_to_one_vm),
+    cmocka_unit_test (changes_are_told_once),
+    cmocka_unit_test (full_table_refuses),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
