Rename the process tests' installation to tst_site

The scheduler's in-process cell has the name tst_cell, and the merge had left conflict markers in that file. The process tests now use tst_site; all programs build again.

--- a/tests/test_process_cases.c
+++ b/tests/test_process_cases.c
@@ -7,7 +7,7 @@
  * Each case guards against a breach of a promise: a worker over its capacity,
  * a task in two places, a once-only request received twice, a false "not
  * run", an answer that is not the caller's own, work for a target that left,
- * an accepted job that is lost, and a cell that does not recover.
+ * an accepted job that is lost, and an installation that does not recover.
  *
  * Arguments: names of cases to run, as "FAULT" or "FAULT+FAULT".
  */
@@ -62,22 +62,22 @@
 }
 
 static void
-check_job (struct tst_cell *cell, const char *queue)
+check_job (struct tst_site *site, const char *queue)
 {
   char state[32];
 
-  tst_cell_job (cell, queue, state, RECOVERY_MS);
+  tst_site_job (site, queue, state, RECOVERY_MS);
   if (strcmp (state, "done") != 0)
-    tst_violation (cell, "a job of %s is \"%s\" after the fault", queue,
+    tst_violation (site, "a job of %s is \"%s\" after the fault", queue,
                    state);
 }
 
 static void
 run_under_faults (struct tst_trial *trial, const struct tst_fault *faults[2])
 {
-  struct tst_cell *cell = &trial->cell;
+  struct tst_site *site = &trial->site;
 
-  tst_load_start (&trial->load, cell);
+  tst_load_start (&trial->load, site);
   tst_load_wait_calls (&trial->load, 50, 5000);
   for (int i = 0; i < 2; i++)
     if (faults[i] != NULL && faults[i]->begin != NULL)
@@ -86,10 +86,10 @@
   for (int i = 1; i >= 0; i--)
     if (faults[i] != NULL && faults[i]->end != NULL)
       faults[i]->end (trial);
-  tst_cell_wait_serving (cell, RECOVERY_MS);
+  tst_site_wait_serving (site, RECOVERY_MS);
   tst_load_stop (&trial->load);
-  check_job (cell, "tally");
-  check_job (cell, "train");
+  check_job (site, "tally");
+  check_job (site, "train");
   tst_load_wait_jobs (&trial->load, RECOVERY_MS);
   tst_check (&trial->load);
 }
@@ -108,16 +108,16 @@
       return 2;
     }
   trial->owner = -1;
-  if (tst_cell_start (&trial->cell, name)
-      && tst_cell_wait_serving (&trial->cell, START_MS))
+  if (tst_site_start (&trial->site, name)
+      && tst_site_wait_serving (&trial->site, START_MS))
     run_under_faults (trial, faults);
-  tst_cell_stop (&trial->cell);
-  violations = trial->cell.violation_count;
+  tst_site_stop (&trial->site);
+  violations = trial->site.violation_count;
   printf ("%s %s\n", violations == 0 ? "ok    " : "FAILED", name);
   for (uint32_t i = 0; i < violations && i < 8; i++)
-    printf ("       %s\n", trial->cell.violations[i]);
+    printf ("       %s\n", trial->site.violations[i]);
   if (violations > 0)
-    printf ("       %u violations, logs in %s\n", violations, trial->cell.dir);
+    printf ("       %u violations, logs in %s\n", violations, trial->site.dir);
   fflush (stdout);
   free (trial);
   return violations == 0 ? 0 : 1;
--- a/tests/tst_cell.h
+++ b/tests/tst_cell.h
@@ -1,17 +1,5 @@
 /**
  * @file
-<<<<<<< HEAD
- * A small installation of real processes on loopback: two failure domains in
- * two regions with two entry VMs each, and the fakes of the platform.
- *
- * @code
- * if (tst_cell_start (&cell, "case") && tst_cell_wait_serving (&cell, 10000))
- *   tst_cell_signal (&cell, vm, TST_GATEWAY, SIGKILL);
- * tst_cell_stop (&cell);
- * @endcode
- *
- * Settings are short, so that a takeover takes about a second.
-=======
  * A small cell in one process and one event loop: the fakes of the log, the VM
  * list and the workers, and any number of schedulers with short leases.
  *
@@ -21,90 +9,10 @@
  * sc = cell_scheduler (&cell, "entry-1", "north-a");
  * assert_true (cell_until (&cell, owns, sc, 8000));
  * @endcode
->>>>>>> scheduler
  */
 #ifndef TST_CELL_H
 #define TST_CELL_H
 
-<<<<<<< HEAD
-#include "tst_http.h"
-
-#include <stdio.h>
-#include <sys/types.h>
-
-#define TST_VMS 4
-#define TST_DOMAINS 2
-#define TST_WORKERS_PER_DOMAIN 4
-#define TST_MAX_VIOLATIONS 64
-#define TST_BETA_LIMIT_MILLICORES 4000
-
-enum tst_role
-{
-  TST_GATEWAY,
-  TST_SCHEDULER
-};
-
-struct tst_vm
-{
-  char name[32];
-  char domain[32];
-  char region[32];
-  uint32_t seat;
-  uint16_t ports[4]; /**< gateway http, peer; scheduler http, peer */
-  pid_t pids[2];     /**< by enum tst_role; 0: not running */
-  bool alive[2];     /**< expected to run and not paused */
-};
-
-struct tst_cell
-{
-  const char *name;
-  char bin[512]; /**< directory of the programs */
-  char dir[512]; /**< settings, logs; removed when nothing went wrong */
-  struct tst_vm vms[TST_VMS];
-  pid_t fakes[3];
-  uint16_t log_port;
-  uint16_t vms_port;
-  uint16_t workers_port;
-  char alpha_key[96]; /**< team of the services */
-  char beta_key[96];  /**< team of batch and gang work */
-  uint32_t violation_count;
-  char violations[TST_MAX_VIOLATIONS][256];
-};
-
-bool tst_cell_start (struct tst_cell *cell, const char *name);
-/** Ends all processes; keeps the directory when there are violations. */
-void tst_cell_stop (struct tst_cell *cell);
-void tst_violation (struct tst_cell *cell, const char *format, ...)
-    __attribute__ ((format (printf, 2, 3)));
-
-bool tst_cell_run (struct tst_cell *cell, uint32_t vm, enum tst_role role);
-void tst_cell_signal (struct tst_cell *cell, uint32_t vm, enum tst_role role,
-                      int signal);
-/** Waits until the process has ended; its exit status, -1 on timeout. */
-int tst_cell_wait_exit (struct tst_cell *cell, uint32_t vm, enum tst_role role,
-                        uint64_t timeout_ms);
-/** Runs a subcommand; standard output up to @p room bytes. Exit status. */
-int tst_cell_command (struct tst_cell *cell, const char *const *arguments,
-                      char *out, size_t room);
-/** Settings file of a VM. */
-const char *tst_cell_settings (const struct tst_cell *cell, uint32_t vm,
-                               char out[600]);
-
-void tst_cell_fault (struct tst_cell *cell, uint16_t port, const char *json);
-/** Shows the workers' present list in the VM list fake. */
-void tst_cell_sync_vms (struct tst_cell *cell);
-/** VM that owns the domain by the control stream, or -1. */
-int tst_cell_owner (struct tst_cell *cell, uint32_t domain);
-/** Waits until the domain has an owner other than @p not_vm. */
-bool tst_cell_wait_owner (struct tst_cell *cell, uint32_t domain, int not_vm,
-                          uint64_t timeout_ms);
-/** Waits until every gateway that should run answers both services. */
-bool tst_cell_wait_serving (struct tst_cell *cell, uint64_t timeout_ms);
-/** Submits a job of the queue and waits for its end; the last state. */
-void tst_cell_job (struct tst_cell *cell, const char *queue, char state[32],
-                   uint64_t timeout_ms);
-char *tst_cell_journal (struct tst_cell *cell);
-=======
 #include "fk_log.h"
 #include "fk_vms.h"
 #include "fk_workers.h"
@@ -171,6 +79,5 @@
 void cell_run (struct cell *cell, uint32_t ms);
 bool cell_acting (void *sc);
 void cell_facts (const struct cell *cell, struct cell_facts *out);
->>>>>>> scheduler
 
 #endif
--- a/tests/tst_check.c
+++ b/tests/tst_check.c
@@ -16,8 +16,8 @@
 
 struct journal
 {
-  struct tst_cell *cell;
-  GHashTable *marks;   /* mark -> times received */
+  struct tst_site *site;
+  GHashTable *marks;   /* mark -> guint: times received */
   GHashTable *running; /* task name -> struct run */
   int64_t beta_millicores;
   uint32_t overruns;
@@ -56,7 +56,7 @@
 
   if (run != NULL)
     {
-      tst_violation (journal->cell, "task %s runs on %s and on %s", task,
+      tst_violation (journal->site, "task %s runs on %s and on %s", task,
                      run->worker, text_of (event, "worker"));
       return;
     }
@@ -69,7 +69,7 @@
   journal->beta_millicores += number_of (event, "millicores");
   if (journal->beta_millicores > TST_BETA_LIMIT_MILLICORES
       && journal->limit_hits++ == 0)
-    tst_violation (journal->cell,
+    tst_violation (journal->site,
                    "team beta has %" G_GINT64_FORMAT
                    " millicores running, over its limit of %d",
                    journal->beta_millicores, TST_BETA_LIMIT_MILLICORES);
@@ -93,14 +93,18 @@
   const char *mark = text_of (event, "body");
   int64_t draining_ms = number_of (event, "draining_ms");
   int64_t at_ms = number_of (event, "at_ms");
+  guint *times;
 
-  g_hash_table_insert (
-      journal->marks, g_strdup (mark),
-      GUINT_TO_POINTER (
-          GPOINTER_TO_UINT (g_hash_table_lookup (journal->marks, mark)) + 1));
+  times = g_hash_table_lookup (journal->marks, mark);
+  if (times == NULL)
+    {
+      times = g_new0 (guint, 1);
+      g_hash_table_insert (journal->marks, g_strdup (mark), times);
+    }
+  (*times)++;
   if (draining_ms > 0 && at_ms > draining_ms + FEW_SECONDS_MS
       && journal->late++ == 0)
-    tst_violation (journal->cell,
+    tst_violation (journal->site,
                    "worker %s got a request %" G_GINT64_FORMAT
                    " ms after it began to drain",
                    text_of (event, "worker"), at_ms - draining_ms);
@@ -119,14 +123,14 @@
     take_request (journal, event);
   else if (strcmp (name, "overrun") == 0 && journal->overruns++ < 3)
     tst_violation (
-        journal->cell, "overrun: %.200s",
+        journal->site, "overrun: %.200s",
         json_object_to_json_string_ext (event, JSON_C_TO_STRING_PLAIN));
 }
 
 static void
 read_journal (struct journal *journal)
 {
-  char *text = tst_cell_journal (journal->cell);
+  char *text = tst_site_journal (journal->site);
   char *place = NULL;
 
   for (char *line = strtok_r (text, "\n", &place); line != NULL;
@@ -145,37 +149,37 @@
 check_call (struct tst_load *load, struct journal *journal,
             const struct tst_record *record)
 {
-  struct tst_cell *cell = load->cell;
-  guint received
-      = GPOINTER_TO_UINT (g_hash_table_lookup (journal->marks, record->mark));
+  struct tst_site *site = load->site;
+  const guint *times = g_hash_table_lookup (journal->marks, record->mark);
+  guint received = times != NULL ? *times : 0;
   bool is_answer = strcmp (record->outcome, "answer") == 0;
   bool is_not_run = strcmp (record->outcome, "not-run") == 0;
 
   if (record->once && received > 1)
-    tst_violation (cell, "once-only request %s was received %u times",
+    tst_violation (site, "once-only request %s was received %u times",
                    record->mark, received);
   if (is_not_run && received > 0)
-    tst_violation (cell,
+    tst_violation (site,
                    "request %s was refused as not run (%ld) but was received",
                    record->mark, record->status);
   if (is_answer && (!record->whole || received == 0))
     tst_violation (
-        cell, "answer to %s (%ld, attempt %u) is not whole or not its own",
+        site, "answer to %s (%ld, attempt %u) is not whole or not its own",
         record->mark, record->status, record->attempt);
   if (record->status != 0 && !is_answer && !is_not_run
       && strcmp (record->outcome, "unknown") != 0)
-    tst_violation (cell, "call %s: status %ld without an outcome",
+    tst_violation (site, "call %s: status %ld without an outcome",
                    record->mark, record->status);
   if (record->status == 0 && !record->refused_connection
       && !load->lossy[record->vm])
-    tst_violation (cell,
+    tst_violation (site,
                    "call %s to %s got no answer for %" G_GUINT64_FORMAT
                    " ms from a gateway that was not killed",
-                   record->mark, cell->vms[record->vm].name,
+                   record->mark, site->vms[record->vm].name,
                    record->end_ms - record->start_ms);
   if (record->second_key && is_answer && load->withdrawn_ms > 0
       && record->start_ms > load->withdrawn_ms + FEW_SECONDS_MS)
-    tst_violation (cell,
+    tst_violation (site,
                    "a withdrawn key was accepted %" G_GUINT64_FORMAT
                    " ms after its withdrawal",
                    record->start_ms - load->withdrawn_ms);
@@ -185,8 +189,8 @@
 tst_check (struct tst_load *load)
 {
   struct journal journal = {
-    .cell = load->cell,
-    .marks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
+    .site = load->site,
+    .marks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
     .running = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
   };
   uint32_t answers = 0;
@@ -201,9 +205,9 @@
       answers += strcmp (record->outcome, "answer") == 0;
     }
   if (answers == 0)
-    tst_violation (load->cell, "none of %u calls was answered",
+    tst_violation (load->site, "none of %u calls was answered",
                    load->records->len);
-  printf ("   %s: %u calls, %u answers, %u jobs\n", load->cell->name,
+  printf ("   %s: %u calls, %u answers, %u jobs\n", load->site->name,
           load->records->len, answers, load->jobs->len);
   g_hash_table_unref (journal.marks);
   g_hash_table_unref (journal.running);
--- a/tests/tst_fault.c
+++ b/tests/tst_fault.c
@@ -13,19 +13,19 @@
 static void
 log_fault (struct tst_trial *trial, const char *json)
 {
-  tst_cell_fault (&trial->cell, trial->cell.log_port, json);
+  tst_site_fault (&trial->site, trial->site.log_port, json);
 }
 
 static void
 list_fault (struct tst_trial *trial, const char *json)
 {
-  tst_cell_fault (&trial->cell, trial->cell.vms_port, json);
+  tst_site_fault (&trial->site, trial->site.vms_port, json);
 }
 
 static void
 worker_fault (struct tst_trial *trial, const char *json)
 {
-  tst_cell_fault (&trial->cell, trial->cell.workers_port, json);
+  tst_site_fault (&trial->site, trial->site.workers_port, json);
 }
 
 static void
@@ -48,13 +48,13 @@
 kill_gateway (struct tst_trial *trial)
 {
   mark_lossy (trial, 0);
-  tst_cell_signal (&trial->cell, 0, TST_GATEWAY, SIGKILL);
+  tst_site_signal (&trial->site, 0, TST_GATEWAY, SIGKILL);
 }
 
 static void
 run_gateway (struct tst_trial *trial)
 {
-  tst_cell_run (&trial->cell, 0, TST_GATEWAY);
+  tst_site_run (&trial->site, 0, TST_GATEWAY);
 }
 
 /* The gateway dies while requests are at the targets. */
@@ -92,11 +92,11 @@
 static void
 kill_owner (struct tst_trial *trial)
 {
-  trial->owner = tst_cell_owner (&trial->cell, DOMAIN);
+  trial->owner = tst_site_owner (&trial->site, DOMAIN);
   if (trial->owner < 0)
-    tst_violation (&trial->cell, "domain %d has no owner to kill", DOMAIN);
+    tst_violation (&trial->site, "domain %d has no owner to kill", DOMAIN);
   else
-    tst_cell_signal (&trial->cell, (uint32_t)trial->owner, TST_SCHEDULER,
+    tst_site_signal (&trial->site, (uint32_t)trial->owner, TST_SCHEDULER,
                      SIGKILL);
 }
 
@@ -105,8 +105,8 @@
 {
   if (trial->owner < 0)
     return;
-  tst_cell_wait_owner (&trial->cell, DOMAIN, trial->owner, TAKEOVER_MS);
-  tst_cell_run (&trial->cell, (uint32_t)trial->owner, TST_SCHEDULER);
+  tst_site_wait_owner (&trial->site, DOMAIN, trial->owner, TAKEOVER_MS);
+  tst_site_run (&trial->site, (uint32_t)trial->owner, TST_SCHEDULER);
 }
 
 /* The owner dies while starts are on the way: workers took them, and the
@@ -122,11 +122,11 @@
 static void
 pause_owner (struct tst_trial *trial)
 {
-  trial->owner = tst_cell_owner (&trial->cell, DOMAIN);
+  trial->owner = tst_site_owner (&trial->site, DOMAIN);
   if (trial->owner < 0)
-    tst_violation (&trial->cell, "domain %d has no owner to pause", DOMAIN);
+    tst_violation (&trial->site, "domain %d has no owner to pause", DOMAIN);
   else
-    tst_cell_signal (&trial->cell, (uint32_t)trial->owner, TST_SCHEDULER,
+    tst_site_signal (&trial->site, (uint32_t)trial->owner, TST_SCHEDULER,
                      SIGSTOP);
 }
 
@@ -135,9 +135,9 @@
 {
   if (trial->owner < 0)
     return;
-  tst_cell_wait_owner (&trial->cell, DOMAIN, trial->owner, TAKEOVER_MS);
+  tst_site_wait_owner (&trial->site, DOMAIN, trial->owner, TAKEOVER_MS);
   tst_load_wait_calls (&trial->load, 30, 5000);
-  tst_cell_signal (&trial->cell, (uint32_t)trial->owner, TST_SCHEDULER,
+  tst_site_signal (&trial->site, (uint32_t)trial->owner, TST_SCHEDULER,
                    SIGCONT);
 }
 
@@ -181,11 +181,11 @@
 static void
 log_down_kill_owner (struct tst_trial *trial)
 {
-  trial->owner = tst_cell_owner (&trial->cell, DOMAIN);
+  trial->owner = tst_site_owner (&trial->site, DOMAIN);
   log_down (trial);
   tst_load_wait_calls (&trial->load, 20, 5000);
   if (trial->owner >= 0)
-    tst_cell_signal (&trial->cell, (uint32_t)trial->owner, TST_SCHEDULER,
+    tst_site_signal (&trial->site, (uint32_t)trial->owner, TST_SCHEDULER,
                      SIGKILL);
 }
 
@@ -204,14 +204,14 @@
   log_fault (trial, "{\"retain\":60}");
   tst_load_wait_calls (&trial->load, 150, 6000);
   kill_gateway (trial);
-  tst_cell_signal (&trial->cell, 0, TST_SCHEDULER, SIGKILL);
+  tst_site_signal (&trial->site, 0, TST_SCHEDULER, SIGKILL);
 }
 
 static void
 end_log_trim (struct tst_trial *trial)
 {
   run_gateway (trial);
-  tst_cell_run (&trial->cell, 0, TST_SCHEDULER);
+  tst_site_run (&trial->site, 0, TST_SCHEDULER);
 }
 
 static void
@@ -236,14 +236,14 @@
 worker_gone (struct tst_trial *trial)
 {
   worker_fault (trial, "{\"worker\":\"w0\",\"gone\":true}");
-  tst_cell_sync_vms (&trial->cell);
+  tst_site_sync_vms (&trial->site);
 }
 
 static void
 end_worker_gone (struct tst_trial *trial)
 {
   worker_fault (trial, "{\"worker\":\"w0\",\"gone\":false}");
-  tst_cell_sync_vms (&trial->cell);
+  tst_site_sync_vms (&trial->site);
 }
 
 /* The list goes on showing a lost worker for seconds. */
@@ -310,7 +310,7 @@
 {
   worker_fault (trial, "{\"worker\":\"w1\",\"draining\":true}");
   tst_load_wait_calls (&trial->load, 100, 5000);
-  tst_cell_sync_vms (&trial->cell);
+  tst_site_sync_vms (&trial->site);
   tst_load_wait_calls (&trial->load, 300, 4000);
 }
 
@@ -318,7 +318,7 @@
 end_target_leaves (struct tst_trial *trial)
 {
   worker_fault (trial, "{\"worker\":\"w1\",\"draining\":false}");
-  tst_cell_sync_vms (&trial->cell);
+  tst_site_sync_vms (&trial->site);
 }
 
 static void
@@ -333,7 +333,7 @@
   for (uint32_t i = 0; i < TST_VMS * 2; i++)
     {
       mark_lossy (trial, i / 2);
-      tst_cell_signal (&trial->cell, i / 2, i % 2, SIGKILL);
+      tst_site_signal (&trial->site, i / 2, i % 2, SIGKILL);
     }
 }
 
@@ -341,7 +341,7 @@
 end_replace_all (struct tst_trial *trial)
 {
   for (uint32_t i = 0; i < TST_VMS * 2; i++)
-    tst_cell_run (&trial->cell, i / 2, i % 2);
+    tst_site_run (&trial->site, i / 2, i % 2);
 }
 
 /* The balancer sends nothing more to a gateway that is not ready. */
@@ -353,14 +353,14 @@
   int status;
 
   snprintf (url, sizeof url, "http://127.0.0.1:%u/ready",
-            trial->cell.vms[0].ports[0]);
-  tst_cell_signal (&trial->cell, 0, TST_GATEWAY, SIGTERM);
+            trial->site.vms[0].ports[0]);
+  tst_site_signal (&trial->site, 0, TST_GATEWAY, SIGTERM);
   while (tst_http_status (url) == 200 && tst_now_ms () < deadline_ms)
     tst_step ();
   set_out (trial, 0, true);
-  status = tst_cell_wait_exit (&trial->cell, 0, TST_GATEWAY, 6000);
+  status = tst_site_wait_exit (&trial->site, 0, TST_GATEWAY, 6000);
   if (status != 0)
-    tst_violation (&trial->cell, "planned stop of a gateway: exit status %d",
+    tst_violation (&trial->site, "planned stop of a gateway: exit status %d",
                    status);
 }
 
@@ -376,15 +376,15 @@
 {
   int status;
 
-  trial->owner = tst_cell_owner (&trial->cell, DOMAIN);
+  trial->owner = tst_site_owner (&trial->site, DOMAIN);
   if (trial->owner < 0)
     return;
-  tst_cell_signal (&trial->cell, (uint32_t)trial->owner, TST_SCHEDULER,
+  tst_site_signal (&trial->site, (uint32_t)trial->owner, TST_SCHEDULER,
                    SIGTERM);
-  status = tst_cell_wait_exit (&trial->cell, (uint32_t)trial->owner,
+  status = tst_site_wait_exit (&trial->site, (uint32_t)trial->owner,
                                TST_SCHEDULER, 6000);
   if (status != 0)
-    tst_violation (&trial->cell, "planned stop of the owner: exit status %d",
+    tst_violation (&trial->site, "planned stop of the owner: exit status %d",
                    status);
 }
 
@@ -392,14 +392,14 @@
 static void
 withdraw_key (struct tst_trial *trial)
 {
-  struct tst_cell *cell = &trial->cell;
+  struct tst_site *site = &trial->site;
   char settings[600];
   char key[96];
   char key_path[700];
-  int status = tst_cell_command (
-      cell,
+  int status = tst_site_command (
+      site,
       (const char *const[]){ "key", "grant", "--settings",
-                             tst_cell_settings (cell, 0, settings), "--team",
+                             tst_site_settings (site, 0, settings), "--team",
                              "alpha", NULL },
       key, sizeof key);
 
@@ -408,16 +408,16 @@
   g_strlcpy (trial->load.second_key, key, sizeof trial->load.second_key);
   pthread_mutex_unlock (&trial->load.lock);
   tst_load_wait_calls (&trial->load, 100, 4000);
-  snprintf (key_path, sizeof key_path, "%s/key", cell->dir);
+  snprintf (key_path, sizeof key_path, "%s/key", site->dir);
   g_file_set_contents (key_path, key, -1, NULL);
   if (status == 0)
-    status = tst_cell_command (
-        cell,
+    status = tst_site_command (
+        site,
         (const char *const[]){ "key", "withdraw", "--settings", settings,
                                "--key-file", key_path, NULL },
         NULL, 0);
   if (status != 0)
-    tst_violation (cell, "key grant or withdraw: exit status %d", status);
+    tst_violation (site, "key grant or withdraw: exit status %d", status);
   trial->load.withdrawn_ms = tst_now_ms ();
   while (tst_now_ms () < trial->load.withdrawn_ms + 3500)
     tst_load_wait_calls (&trial->load, 50, 1000);
@@ -426,13 +426,13 @@
 static pid_t
 begin_publish (struct tst_trial *trial, uint32_t vm, const char *directory)
 {
-  struct tst_cell *cell = &trial->cell;
+  struct tst_site *site = &trial->site;
   char program[700];
   char settings[600];
   pid_t pid;
 
-  snprintf (program, sizeof program, "%s/cyclamendrum", cell->bin);
-  tst_cell_settings (cell, vm, settings);
+  snprintf (program, sizeof program, "%s/cyclamendrum", site->bin);
+  tst_site_settings (site, vm, settings);
   pid = fork ();
   if (pid == 0)
     {
@@ -458,7 +458,7 @@
       char path[700];
       char text[300];
 
-      snprintf (path, sizeof path, "%s/change%u", trial->cell.dir, i);
+      snprintf (path, sizeof path, "%s/change%u", trial->site.dir, i);
       g_mkdir_with_parents (path, 0700);
       snprintf (text, sizeof text,
                 "{\"team\":\"alpha\",\"share_permille\":%u,\"limit_"
@@ -478,7 +478,7 @@
       losses += WIFEXITED (status) && WEXITSTATUS (status) == 1;
     }
   if (wins != 1 || losses != 1)
-    tst_violation (&trial->cell,
+    tst_violation (&trial->site,
                    "of two concurrent publishes %d won and %d lost", wins,
                    losses);
 }
--- a/tests/tst_fault.h
+++ b/tests/tst_fault.h
@@ -9,7 +9,7 @@
 
 struct tst_trial
 {
-  struct tst_cell cell;
+  struct tst_site site;
   struct tst_load load;
   int owner;       /**< scheduler that a fault stopped, or -1 */
   char digest[80]; /**< of the key that is withdrawn */
--- a/tests/tst_load.c
+++ b/tests/tst_load.c
@@ -67,7 +67,7 @@
                            .timeout_ms = CALL_TIMEOUT_MS };
 
   snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/queues/%s/requests",
-            load->cell->vms[record->vm].ports[0],
+            load->site->vms[record->vm].ports[0],
             record->once ? "check" : "plan");
   snprintf (authorization, sizeof authorization, "Authorization: Bearer %s",
             key);
@@ -113,7 +113,7 @@
       pthread_mutex_lock (&load->lock);
       record.second_key = caller.index == 0 && load->second_key[0] != '\0';
       g_strlcpy (key,
-                 record.second_key ? load->second_key : load->cell->alpha_key,
+                 record.second_key ? load->second_key : load->site->alpha_key,
                  sizeof key);
       pthread_mutex_unlock (&load->lock);
       snprintf (record.mark, sizeof record.mark, "mark-%u-%u", caller.index,
@@ -156,10 +156,10 @@
       struct tst_answer answer;
 
       snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/queues/%s/jobs",
-                load->cell->vms[pick_vm (load, &cursor)].ports[0],
+                load->site->vms[pick_vm (load, &cursor)].ports[0],
                 cursor % 4 == 0 ? "train" : "tally");
       snprintf (key, sizeof key, "Authorization: Bearer %s",
-                load->cell->beta_key);
+                load->site->beta_key);
       tst_http (&(struct tst_call){ .url = url,
                                     .body = "{}",
                                     .headers = { key },
@@ -178,10 +178,10 @@
 }
 
 void
-tst_load_start (struct tst_load *load, struct tst_cell *cell)
+tst_load_start (struct tst_load *load, struct tst_site *site)
 {
   memset (load, 0, sizeof *load);
-  load->cell = cell;
+  load->site = site;
   load->records = g_array_new (FALSE, TRUE, sizeof (struct tst_record));
   load->jobs = g_ptr_array_new_with_free_func (g_free);
   pthread_mutex_init (&load->lock, NULL);
@@ -233,11 +233,11 @@
 static bool
 job_is_done (struct tst_load *load, const char *id, char state[64])
 {
-  struct tst_cell *cell = load->cell;
+  struct tst_site *site = load->site;
   char key[160];
   bool done = false;
 
-  snprintf (key, sizeof key, "Authorization: Bearer %s", cell->beta_key);
+  snprintf (key, sizeof key, "Authorization: Bearer %s", site->beta_key);
   g_strlcpy (state, "not known", 64);
   for (uint32_t vm = 0; vm < TST_VMS && !done; vm++)
     {
@@ -245,10 +245,10 @@
       struct tst_answer answer;
       struct json_object *json;
 
-      if (!cell->vms[vm].alive[TST_GATEWAY])
+      if (!site->vms[vm].alive[TST_GATEWAY])
         continue;
       snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/jobs/%s",
-                cell->vms[vm].ports[0], id);
+                site->vms[vm].ports[0], id);
       tst_http (&(struct tst_call){ .url = url, .headers = { key } }, &answer);
       json = answer.status == 200 ? json_tokener_parse (answer.body) : NULL;
       if (json != NULL)
@@ -275,14 +275,14 @@
 
       if (id == NULL)
         {
-          tst_violation (load->cell, "a 202 answer carries no job id");
+          tst_violation (load->site, "a 202 answer carries no job id");
           continue;
         }
       while (!job_is_done (load, id, state))
         {
           if (tst_now_ms () > deadline_ms)
             {
-              tst_violation (load->cell,
+              tst_violation (load->site,
                              "accepted job %s (%u of %u) is %s after the end "
                              "of the fault",
                              id, i, load->jobs->len, state);
--- a/tests/tst_load.h
+++ b/tests/tst_load.h
@@ -11,7 +11,7 @@
 #ifndef TST_LOAD_H
 #define TST_LOAD_H
 
-#include "tst_cell.h"
+#include "tst_site.h"
 
 #include <glib.h>
 #include <pthread.h>
@@ -35,7 +35,7 @@
 
 struct tst_load
 {
-  struct tst_cell *cell;
+  struct tst_site *site;
   pthread_t threads[TST_CALLERS + 1];
   pthread_mutex_t lock;
   GArray *records; /**< struct tst_record */
@@ -47,14 +47,14 @@
   uint64_t withdrawn_ms;
 };
 
-void tst_load_start (struct tst_load *load, struct tst_cell *cell);
+void tst_load_start (struct tst_load *load, struct tst_site *site);
 void tst_load_stop (struct tst_load *load);
 /** Waits for @p count more calls that ended; false after @p timeout_ms. */
 bool tst_load_wait_calls (struct tst_load *load, uint32_t count,
                           uint64_t timeout_ms);
 /** Waits until every accepted job is done. */
 void tst_load_wait_jobs (struct tst_load *load, uint64_t timeout_ms);
-/** Compares calls and journal; adds the violations to the cell. */
+/** Compares calls and journal; adds the violations to the site. */
 void tst_check (struct tst_load *load);
 
 #endif
--- a/tests/tst_cell_ask.c
+++ b/tests/tst_site_ask.c
@@ -1,5 +1,5 @@
 #include "record.pb-c.h"
-#include "tst_cell.h"
+#include "tst_site.h"
 
 #include <fcntl.h>
 #include <glib.h>
@@ -17,10 +17,10 @@
 };
 
 void
-tst_cell_signal (struct tst_cell *cell, uint32_t vm, enum tst_role role,
+tst_site_signal (struct tst_site *site, uint32_t vm, enum tst_role role,
                  int signal)
 {
-  struct tst_vm *at = &cell->vms[vm];
+  struct tst_vm *at = &site->vms[vm];
 
   if (at->pids[role] <= 0)
     return;
@@ -34,18 +34,18 @@
 }
 
 int
-tst_cell_wait_exit (struct tst_cell *cell, uint32_t vm, enum tst_role role,
+tst_site_wait_exit (struct tst_site *site, uint32_t vm, enum tst_role role,
                     uint64_t timeout_ms)
 {
   uint64_t deadline_ms = tst_now_ms () + timeout_ms;
-  pid_t pid = cell->vms[vm].pids[role];
+  pid_t pid = site->vms[vm].pids[role];
   int status;
 
   while (tst_now_ms () < deadline_ms)
     {
       if (waitpid (pid, &status, WNOHANG) == pid)
         {
-          cell->vms[vm].pids[role] = 0;
+          site->vms[vm].pids[role] = 0;
           return WIFEXITED (status) ? WEXITSTATUS (status) : 128;
         }
       tst_step ();
@@ -70,7 +70,7 @@
 }
 
 int
-tst_cell_command (struct tst_cell *cell, const char *const *arguments,
+tst_site_command (struct tst_site *site, const char *const *arguments,
                   char *out, size_t room)
 {
   char program[1100];
@@ -79,7 +79,7 @@
   int status = 0;
   pid_t pid;
 
-  snprintf (program, sizeof program, "%s/cyclamendrum", cell->bin);
+  snprintf (program, sizeof program, "%s/cyclamendrum", site->bin);
   for (size_t i = 0; arguments[i] != NULL && i < 14; i++)
     list[i + 1] = (char *)arguments[i];
   if (pipe2 (ends, O_CLOEXEC) != 0)
@@ -99,7 +99,7 @@
 }
 
 void
-tst_cell_fault (struct tst_cell *cell, uint16_t port, const char *json)
+tst_site_fault (struct tst_site *site, uint16_t port, const char *json)
 {
   char url[80];
   struct tst_answer answer;
@@ -107,38 +107,38 @@
   snprintf (url, sizeof url, "http://127.0.0.1:%u/faults", port);
   tst_http (&(struct tst_call){ .url = url, .body = json }, &answer);
   if (answer.status != 200)
-    tst_violation (cell, "fault %s was not set: %ld", json, answer.status);
+    tst_violation (site, "fault %s was not set: %ld", json, answer.status);
   free (answer.body);
 }
 
 void
-tst_cell_sync_vms (struct tst_cell *cell)
+tst_site_sync_vms (struct tst_site *site)
 {
   char url[80];
   struct tst_answer list;
   struct tst_answer answer;
 
-  snprintf (url, sizeof url, "http://127.0.0.1:%u/vms", cell->workers_port);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/vms", site->workers_port);
   tst_http (&(struct tst_call){ .url = url }, &list);
-  snprintf (url, sizeof url, "http://127.0.0.1:%u/vms", cell->vms_port);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/vms", site->vms_port);
   tst_http (&(struct tst_call){ .url = url, .body = list.body }, &answer);
   if (answer.status != 200)
-    tst_violation (cell, "VM list was not set: %ld", answer.status);
+    tst_violation (site, "VM list was not set: %ld", answer.status);
   free (list.body);
   free (answer.body);
 }
 
 char *
-tst_cell_journal (struct tst_cell *cell)
+tst_site_journal (struct tst_site *site)
 {
   char url[80];
   struct tst_answer answer;
 
   snprintf (url, sizeof url, "http://127.0.0.1:%u/journal",
-            cell->workers_port);
+            site->workers_port);
   tst_http (&(struct tst_call){ .url = url, .timeout_ms = 10000 }, &answer);
   if (answer.status != 200)
-    tst_violation (cell, "journal cannot be read: %ld", answer.status);
+    tst_violation (site, "journal cannot be read: %ld", answer.status);
   return answer.body;
 }
 
@@ -173,7 +173,7 @@
 /* Claims are read from the stream itself, so that the answer does not depend
    on the processes under test. */
 static void
-read_owner (struct tst_cell *cell, const char *domain, struct owner_seen *seen)
+read_owner (struct tst_site *site, const char *domain, struct owner_seen *seen)
 {
   char url[128];
   struct tst_answer answer;
@@ -182,7 +182,7 @@
 
   snprintf (url, sizeof url,
             "http://127.0.0.1:%u/v1/streams/control/records?from=0&max=100000",
-            cell->log_port);
+            site->log_port);
   tst_http (&(struct tst_call){ .url = url }, &answer);
   json = answer.status == 200 ? json_tokener_parse (answer.body) : NULL;
   free (answer.body);
@@ -207,39 +207,39 @@
 }
 
 int
-tst_cell_owner (struct tst_cell *cell, uint32_t domain)
+tst_site_owner (struct tst_site *site, uint32_t domain)
 {
   struct owner_seen seen = { 0 };
 
-  read_owner (cell, domain == 0 ? "north-a" : "south-a", &seen);
+  read_owner (site, domain == 0 ? "north-a" : "south-a", &seen);
   for (int i = 0; i < TST_VMS; i++)
-    if (strcmp (cell->vms[i].name, seen.owner) == 0)
+    if (strcmp (site->vms[i].name, seen.owner) == 0)
       return i;
   return -1;
 }
 
 bool
-tst_cell_wait_owner (struct tst_cell *cell, uint32_t domain, int not_vm,
+tst_site_wait_owner (struct tst_site *site, uint32_t domain, int not_vm,
                      uint64_t timeout_ms)
 {
   uint64_t deadline_ms = tst_now_ms () + timeout_ms;
 
   while (tst_now_ms () < deadline_ms)
     {
-      int owner = tst_cell_owner (cell, domain);
+      int owner = tst_site_owner (site, domain);
 
       if (owner >= 0 && owner != not_vm)
         return true;
       tst_step ();
     }
-  tst_violation (cell,
+  tst_violation (site,
                  "domain %u has no new owner within %" G_GUINT64_FORMAT " ms",
                  domain, timeout_ms);
   return false;
 }
 
 static bool
-answers (struct tst_cell *cell, uint32_t vm, const char *queue,
+answers (struct tst_site *site, uint32_t vm, const char *queue,
          uint32_t serial)
 {
   char url[128];
@@ -249,8 +249,8 @@
   bool answered;
 
   snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/queues/%s/requests",
-            cell->vms[vm].ports[0], queue);
-  snprintf (key, sizeof key, "Authorization: Bearer %s", cell->alpha_key);
+            site->vms[vm].ports[0], queue);
+  snprintf (key, sizeof key, "Authorization: Bearer %s", site->alpha_key);
   snprintf (repeat, sizeof repeat,
             "Idempotency-Key: probe-%s-%u-%u-%" G_GUINT64_FORMAT, queue, vm,
             serial, (guint64)tst_now_ms ());
@@ -264,7 +264,7 @@
 }
 
 bool
-tst_cell_wait_serving (struct tst_cell *cell, uint64_t timeout_ms)
+tst_site_wait_serving (struct tst_site *site, uint64_t timeout_ms)
 {
   uint64_t deadline_ms = tst_now_ms () + timeout_ms;
 
@@ -273,16 +273,16 @@
       const char *queue = i % 2 ? "check" : "plan";
       uint32_t serial = 0;
 
-      while (cell->vms[i / 2].alive[TST_GATEWAY]
-             && !answers (cell, i / 2, queue, serial++))
+      while (site->vms[i / 2].alive[TST_GATEWAY]
+             && !answers (site, i / 2, queue, serial++))
         {
           if (tst_now_ms () > deadline_ms)
             {
               tst_violation (
-                  cell,
+                  site,
                   "gateway %s does not answer %s within %" G_GUINT64_FORMAT
                   " ms",
-                  cell->vms[i / 2].name, queue, timeout_ms);
+                  site->vms[i / 2].name, queue, timeout_ms);
               return false;
             }
           tst_step ();
@@ -305,7 +305,7 @@
 }
 
 static bool
-submit (struct tst_cell *cell, const char *queue, char id[64],
+submit (struct tst_site *site, const char *queue, char id[64],
         uint64_t deadline_ms)
 {
   char url[128];
@@ -314,14 +314,14 @@
   struct tst_answer answer;
   uint32_t vm = 0;
 
-  snprintf (key, sizeof key, "Authorization: Bearer %s", cell->beta_key);
+  snprintf (key, sizeof key, "Authorization: Bearer %s", site->beta_key);
   snprintf (repeat, sizeof repeat,
             "Idempotency-Key: job-%s-%" G_GUINT64_FORMAT, queue,
             (guint64)tst_now_ms ());
   for (;; vm = (vm + 1) % TST_VMS)
     {
       snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/queues/%s/jobs",
-                cell->vms[vm].ports[0], queue);
+                site->vms[vm].ports[0], queue);
       tst_http (&(struct tst_call){ .url = url,
                                     .body = "{}",
                                     .headers = { key, repeat } },
@@ -332,7 +332,7 @@
         return true;
       if (tst_now_ms () > deadline_ms)
         {
-          tst_violation (cell, "no gateway accepts a job of %s: %ld", queue,
+          tst_violation (site, "no gateway accepts a job of %s: %ld", queue,
                          answer.status);
           return false;
         }
@@ -341,7 +341,7 @@
 }
 
 void
-tst_cell_job (struct tst_cell *cell, const char *queue, char state[32],
+tst_site_job (struct tst_site *site, const char *queue, char state[32],
               uint64_t timeout_ms)
 {
   uint64_t deadline_ms = tst_now_ms () + timeout_ms;
@@ -350,15 +350,15 @@
   char id[64];
 
   state[0] = '\0';
-  if (!submit (cell, queue, id, deadline_ms))
+  if (!submit (site, queue, id, deadline_ms))
     return;
-  snprintf (key, sizeof key, "Authorization: Bearer %s", cell->beta_key);
+  snprintf (key, sizeof key, "Authorization: Bearer %s", site->beta_key);
   for (uint32_t vm = 0; tst_now_ms () < deadline_ms; vm = (vm + 1) % TST_VMS)
     {
       struct tst_answer answer;
 
       snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/jobs/%s",
-                cell->vms[vm].ports[0], id);
+                site->vms[vm].ports[0], id);
       tst_http (&(struct tst_call){ .url = url, .headers = { key } }, &answer);
       if (answer.status == 200)
         member (answer.body, "state", state, 32);
