Add the burn command and serve objectives from both processes

Gateways record the end of each request, owners the end of each job; status and burn share one module that asks all processes.

--- a/src/burn_report.c
+++ b/src/burn_report.c
@@ -344,46 +344,58 @@
            key, sums->requests, sums->in_time, sums->definite);
 }
 
-void
-br_encode_open (FILE *out, const struct cyc_id128 *incarnation,
-                uint64_t start_ms)
-{
-  char hex[33];
-
-  cyc_id128_hex (incarnation, hex);
-  fprintf (out,
-           "{\"incarnation\":\"%s\",\"start_ms\":%" PRIu64 ",\"queues\":[",
-           hex, start_ms);
-}
-
-void
-br_encode_queue (FILE *out, bool first, const struct br_source *source,
-                 uint64_t now_us)
+static void
+encode_queue (FILE *out, bool first, const struct cyc_queue_cfg *queue,
+              const struct br_source *source)
 {
+  const struct bw_row *row
+      = bw_find (source->windows, cyc_name_str (&queue->name));
   struct bw_sums window_short = { 0 };
   struct bw_sums window_long = { 0 };
   struct bw_sums total = { 0 };
 
-  if (source->row != NULL)
+  if (row != NULL)
     {
-      total = source->row->total;
-      bw_window (source->row, BW_SHORT_MINUTES, now_us, &window_short);
-      bw_window (source->row, BW_LONG_MINUTES, now_us, &window_long);
+      total = row->total;
+      bw_window (row, BW_SHORT_MINUTES, source->now_us, &window_short);
+      bw_window (row, BW_LONG_MINUTES, source->now_us, &window_long);
     }
   fprintf (out,
-           "%s{\"queue\":\"%.*s\",\"answered_within_ms\":%u,\"permille\":%u,"
+           "%s{\"queue\":\"%s\",\"answered_within_ms\":%u,\"permille\":%u,"
            "\"definite_permille\":%u",
-           first ? "" : ",", CYC_FMT (source->queue),
-           source->answered_within_ms, source->permille[BR_IN_TIME],
-           source->permille[BR_DEFINITE]);
+           first ? "" : ",", queue->name.data, queue->answered_within_ms,
+           queue->objective_permille, queue->definite_permille);
   encode_sums (out, "total", &total);
   encode_sums (out, "short", &window_short);
   encode_sums (out, "long", &window_long);
   fprintf (out, "}");
 }
 
-void
-br_encode_close (FILE *out)
+struct cyc_str
+br_encode (const struct br_source *source)
 {
+  char *data = NULL;
+  size_t len = 0;
+  char hex[33];
+  FILE *out = open_memstream (&data, &len);
+  const struct cyc_queue_cfg *queue;
+  bool first = true;
+
+  if (out == NULL)
+    return (struct cyc_str){ 0 };
+  cyc_id128_hex (source->incarnation, hex);
+  fprintf (out,
+           "{\"incarnation\":\"%s\",\"start_ms\":%" PRIu64 ",\"queues\":[",
+           hex, source->start_ms);
+  for (uint32_t i = 0; (queue = cyc_led_queue_at (source->ledger, i)) != NULL;
+       i++)
+    {
+      if (queue->objective_permille == 0 && queue->definite_permille == 0)
+        continue;
+      encode_queue (out, first, queue, source);
+      first = false;
+    }
   fprintf (out, "]}\n");
+  fclose (out);
+  return (struct cyc_str){ .data = data, .len = len };
 }
--- a/src/burn_report.h
+++ b/src/burn_report.h
@@ -21,6 +21,8 @@
 
 #include "burn_window.h"
 
+#include <cyclamendrum/ledger.h>
+
 #include <stdio.h>
 
 enum br_format
@@ -89,19 +91,18 @@
                           enum br_objective objective, uint32_t permille);
 void br_print (const struct br_report *br, enum br_format format, FILE *out);
 
+/** What `GET /v1/objectives` of a process is made of. */
 struct br_source
 {
-  struct cyc_str queue;
-  uint32_t answered_within_ms;
-  uint32_t permille[BR_OBJECTIVES];
-  const struct bw_row *row; /**< NULL: no traffic */
+  const struct cyc_ledger *ledger;
+  const struct bw_set *windows;
+  const struct cyc_id128 *incarnation;
+  uint64_t start_ms;
+  uint64_t now_us;
 };
 
-/** Body of `GET /v1/objectives`: the form that br_add reads. */
-void br_encode_open (FILE *out, const struct cyc_id128 *incarnation,
-                     uint64_t start_ms);
-void br_encode_queue (FILE *out, bool first, const struct br_source *source,
-                      uint64_t now_us);
-void br_encode_close (FILE *out);
+/** Body of `GET /v1/objectives`, the form that br_add reads: each queue with
+ * an objective. Caller releases the result's data with free(). */
+struct cyc_str br_encode (const struct br_source *source);
 
 #endif
--- /dev/null
+++ b/src/cmd_ask.h
@@ -0,0 +1,59 @@
+/**
+ * @file
+ * Asks every process of the settings one question over HTTP and waits for all
+ * answers: the common part of `status` and `burn`.
+ *
+ * @code
+ * struct ask_round *round = ask_new (settings, ASK_GATEWAYS);
+ * if (ask_run (round, "/v1/status"))
+ *   for (uint32_t i = 0; i < round->count; i++)
+ *     use (&round->parts[i]);
+ * ask_free (round);
+ * @endcode
+ */
+#ifndef CMD_ASK_H
+#define CMD_ASK_H
+
+#include "http_client.h"
+#include "settings.h"
+
+#define ASK_MAX_PARTS (SET_MAX_PEERS + 2)
+
+enum ask_roles
+{
+  ASK_GATEWAYS = 1,
+  ASK_SCHEDULERS = 2,
+  ASK_ALL = 3
+};
+
+struct ask_round;
+
+struct ask_part
+{
+  struct ask_round *round;
+  struct cyc_name vm;
+  struct cyc_name domain;
+  enum set_role role;
+  struct set_address http; /**< port 0: the settings give no address */
+  char *answer;            /**< NUL-terminated; NULL: not reached */
+  char note[80];           /**< why it was not reached */
+};
+
+struct ask_round
+{
+  struct ev_loop *loop;
+  struct hc_client client;
+  struct ask_part parts[ASK_MAX_PARTS];
+  uint32_t count;
+  uint32_t open;
+};
+
+/** The processes of the settings: this VM's and the peers'. */
+struct ask_round *ask_new (const struct set_settings *settings,
+                           enum ask_roles roles);
+/** False when the HTTP client could not be set up. */
+bool ask_run (struct ask_round *round, const char *path);
+void ask_free (struct ask_round *round);
+const char *ask_role_word (enum set_role role);
+
+#endif
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -167,10 +167,18 @@
                           ? queue->answered_within_ms * GW_US_PER_MS
                           : UINT64_MAX;
 
-  if (answer->outcome == CYC_OUTCOME_ANSWER
-      && hc_now_us () - request->arrived_us <= bound_us)
+  struct bw_event event
+      = { .in_time = answer->outcome == CYC_OUTCOME_ANSWER
+                     && hc_now_us () - request->arrived_us <= bound_us,
+          .definite = answer->outcome != CYC_OUTCOME_UNKNOWN };
+
+  if (event.in_time)
     met_add_label (&gw->met, MET_QUEUE_IN_TIME, cyc_name_str (&request->queue),
                    1);
+  /* A forwarded request counts at the gateway that its caller reached. */
+  if (!request->has_peer)
+    bw_record (&gw->burn, cyc_name_str (&request->queue), &event,
+               hc_now_us ());
 }
 
 void
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -399,6 +399,8 @@
     gw_serve_metrics (gw, call);
   else if (cyc_str_eq (call->path, CYC_STR ("/v1/status")))
     gw_serve_status (gw, call);
+  else if (cyc_str_eq (call->path, CYC_STR ("/v1/objectives")))
+    gw_serve_objectives (gw, call);
   else
     serve_work (gw, call);
 }
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -9,6 +9,7 @@
 #ifndef GATEWAY_INTERNAL_H
 #define GATEWAY_INTERNAL_H
 
+#include "burn_report.h"
 #include "control.h"
 #include "follow.h"
 #include "gateway.h"
@@ -173,6 +174,7 @@
   struct gw_desc desc;
   const struct set_settings *settings;
   struct met_set met;
+  struct bw_set burn;
   struct hs_server server;
   struct hc_client targets;
   struct hc_client log_calls;
@@ -272,6 +274,7 @@
 
 /* gateway_status.c */
 void gw_serve_status (struct gw_state *gw, const struct hs_call *call);
+void gw_serve_objectives (struct gw_state *gw, const struct hs_call *call);
 void gw_serve_metrics (struct gw_state *gw, const struct hs_call *call);
 
 /* gateway_request.c: service requests */
--- a/src/gateway_run.c
+++ b/src/gateway_run.c
@@ -415,6 +415,7 @@
   gw->settings = desc->settings;
   cyc_id128_random (&gw->incarnation);
   if (!met_setup (&gw->met, &(struct met_desc){ 0 }, findings)
+      || !bw_setup (&gw->burn, &(struct bw_desc){ 0 }, findings)
       || !setup_tables (gw, findings) || !setup_clients (gw, findings)
       || !setup_streams (gw, findings) || !setup_links (gw, findings)
       || !setup_server (gw, findings))
@@ -486,6 +487,7 @@
   free (gw->snapshot);
   cyc_pool_shutdown (&gw->request_pool);
   met_shutdown (&gw->met);
+  bw_shutdown (&gw->burn);
   free (gw);
   gateway->state = NULL;
 }
--- a/src/gateway_status.c
+++ b/src/gateway_status.c
@@ -150,3 +150,20 @@
   hs_reply (&gw->server, call->ref, &reply);
   free ((void *)text.data);
 }
+
+void
+gw_serve_objectives (struct gw_state *gw, const struct hs_call *call)
+{
+  struct cyc_str body
+      = br_encode (&(struct br_source){ .ledger = ctl_ledger (&gw->control),
+                                        .windows = &gw->burn,
+                                        .incarnation = &gw->met.incarnation,
+                                        .start_ms = gw->met.start_ms,
+                                        .now_us = hc_now_us () });
+
+  hs_reply (&gw->server, call->ref,
+            &(struct hs_reply){ .status = 200,
+                                .body = body,
+                                .content_type = "application/json" });
+  free ((void *)body.data);
+}
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -16,6 +16,7 @@
 #ifndef SCHEDULER_H
 #define SCHEDULER_H
 
+#include "burn_report.h"
 #include "control.h"
 #include "follow.h"
 #include "http_server.h"
@@ -232,6 +233,7 @@
   struct wc_http workers_http;
   struct vl_http list_http;
   struct met_set met;
+  struct bw_set burn;
   struct ctl_control ctl;
   struct fo_follow follow;
   struct pl_links links;
--- a/src/scheduler_jobs.c
+++ b/src/scheduler_jobs.c
@@ -334,6 +334,23 @@
   return count;
 }
 
+/* A cancelled job says nothing about the service level. */
+static void
+record_burn (struct sc_scheduler *sc, const struct sc_job *job,
+             const struct cyc_job_row *row)
+{
+  const struct cyc_queue_cfg *queue
+      = cyc_led_queue (ctl_ledger (&sc->ctl), cyc_name_str (&job->queue));
+  uint64_t now_ms = hc_wall_ms ();
+  struct bw_event event = { .definite = job->end != CYC_JOB_UNKNOWN };
+
+  if (row == NULL || queue == NULL || job->end == CYC_JOB_CANCELLED)
+    return;
+  event.in_time = job->end == CYC_JOB_DONE
+                  && now_ms <= row->submitted_ms + queue->answered_within_ms;
+  bw_record (&sc->burn, cyc_name_str (&job->queue), &event, sc->now_us);
+}
+
 static void
 finish_sent (struct sc_scheduler *sc, struct sc_job *job, bool confirmed)
 {
@@ -350,6 +367,7 @@
                          job->end == CYC_JOB_DONE ? MET_QUEUE_JOBS_DONE
                                                   : MET_QUEUE_JOBS_FAILED,
                          cyc_name_str (&job->queue), 1);
+          record_burn (sc, job, row);
         }
       drop_job (sc, job);
       return;
--- a/src/scheduler_main.c
+++ b/src/scheduler_main.c
@@ -90,6 +90,7 @@
   const struct set_settings *settings = &sc->settings;
 
   return met_setup (&sc->met, &(struct met_desc){ 0 }, findings)
+         && bw_setup (&sc->burn, &(struct bw_desc){ 0 }, findings)
          && cyc_mem_setup (
              &sc->members,
              &(struct cyc_mem_desc){
@@ -325,6 +326,7 @@
   cyc_mem_shutdown (&sc->members);
   cyc_clm_shutdown (&sc->claim);
   met_shutdown (&sc->met);
+  bw_shutdown (&sc->burn);
   if (sc->trace != NULL)
     fclose (sc->trace);
   free_tables (sc);
--- a/src/scheduler_status.c
+++ b/src/scheduler_status.c
@@ -169,6 +169,23 @@
   return sc->phase == SC_PHASE_RUN && ctl_ready (&sc->ctl) && sc->jobs_ready;
 }
 
+static void
+reply_objectives (struct sc_scheduler *sc, const struct hs_call *call)
+{
+  struct cyc_str body
+      = br_encode (&(struct br_source){ .ledger = ctl_ledger (&sc->ctl),
+                                        .windows = &sc->burn,
+                                        .incarnation = &sc->met.incarnation,
+                                        .start_ms = sc->met.start_ms,
+                                        .now_us = sc->now_us });
+
+  hs_reply (&sc->hs, call->ref,
+            &(struct hs_reply){ .status = 200,
+                                .body = body,
+                                .content_type = "application/json" });
+  free ((void *)body.data);
+}
+
 void
 sc_status_call (void *user, const struct hs_call *call)
 {
@@ -190,6 +207,8 @@
     }
   else if (cyc_str_eq (call->path, CYC_STR ("/v1/status")))
     reply_status (sc, call);
+  else if (cyc_str_eq (call->path, CYC_STR ("/v1/objectives")))
+    reply_objectives (sc, call);
   else
     reply_text (sc, call, 404, "no such path\n");
 }
--- a/tests/test_burn.c
+++ b/tests/test_burn.c
@@ -5,6 +5,8 @@
  */
 #include "burn_report.h"
 
+#include <cyclamendrum/record.h>
+
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -82,27 +84,60 @@
   bw_shutdown (&bw);
 }
 
-static char *
-encode (const struct bw_row *row, uint64_t start_ms, uint64_t now_us)
+/* Applies one configuration with two queues, of which one has no traffic. */
+static void
+configure (struct cyc_ledger *led)
+{
+  struct cyc_findings found = { 0 };
+  struct cyc_led_effect effect;
+  struct cyc_id128 id = { { 1 } };
+  struct cyc_str record;
+  struct cyc_config_edit edits[] = {
+    { .name = CYC_STR ("fleet"),
+      .body = CYC_STR ("{\"regions\":[{\"name\":\"north\",\"domains\":["
+                       "{\"name\":\"north-a\",\"weight\":1,"
+                       "\"entry_seats\":1}]}],\"largest_worker\":{"
+                       "\"millicores\":64000,\"memory_mib\":131072,"
+                       "\"accelerators\":0},\"shards_per_domain\":1}") },
+    { .name = CYC_STR ("team/web"),
+      .body = CYC_STR ("{\"team\":\"web\",\"share_permille\":200,"
+                       "\"limit_millicores\":400000,"
+                       "\"limit_accelerators\":0}") },
+    { .name = CYC_STR ("queue/preview"),
+      .body
+      = CYC_STR ("{\"queue\":\"preview\",\"team\":\"web\","
+                 "\"kind\":\"service\",\"tasks\":1,"
+                 "\"millicores\":1000,\"memory_mib\":512,\"repeatable\":true,"
+                 "\"objective\":{\"answered_within_ms\":300,"
+                 "\"permille\":990,\"definite_permille\":999}}") },
+    { .name = CYC_STR ("queue/archive"),
+      .body
+      = CYC_STR ("{\"queue\":\"archive\",\"team\":\"web\","
+                 "\"kind\":\"batch\",\"tasks\":1,\"run_s\":60,"
+                 "\"millicores\":1000,\"memory_mib\":512,\"repeatable\":true,"
+                 "\"objective\":{\"answered_within_ms\":5000,"
+                 "\"permille\":900}}") },
+  };
+
+  assert_true (cyc_led_setup (led, &(struct cyc_led_desc){ 0 }, &found));
+  assert_true (cyc_rec_config (&id, CYC_STR ("test"), edits,
+                               sizeof edits / sizeof edits[0], &record));
+  cyc_led_apply (led, 0, record, &effect);
+  assert_string_equal (effect.reason, "");
+  free ((void *)record.data);
+}
+
+static struct cyc_str
+encode (const struct cyc_ledger *led, const struct bw_set *bw,
+        uint64_t start_ms, uint64_t now_us)
 {
-  char *data = NULL;
-  size_t len = 0;
-  FILE *out = open_memstream (&data, &len);
   struct cyc_id128 incarnation = { { 1 } };
-  struct br_source source = { .queue = CYC_STR ("preview"),
-                              .answered_within_ms = 300,
-                              .permille = { 990, 999 },
-                              .row = row };
-  struct br_source quiet = { .queue = CYC_STR ("archive"),
-                             .answered_within_ms = 5000,
-                             .permille = { 900, 0 } };
-
-  br_encode_open (out, &incarnation, start_ms);
-  br_encode_queue (out, true, &source, now_us);
-  br_encode_queue (out, false, &quiet, now_us);
-  br_encode_close (out);
-  fclose (out);
-  return data;
+
+  return br_encode (&(struct br_source){ .ledger = led,
+                                         .windows = bw,
+                                         .incarnation = &incarnation,
+                                         .start_ms = start_ms,
+                                         .now_us = now_us });
 }
 
 static char *
@@ -126,7 +161,8 @@
   uint64_t now_us = 1000 * MINUTE_US;
   struct bw_event good = { true, true };
   struct bw_event bad = { false, false };
-  char *json;
+  struct cyc_ledger led;
+  struct cyc_str json;
   char *text;
 
   (void)state;
@@ -134,12 +170,11 @@
   for (int i = 0; i < 99; i++)
     bw_record (&bw, CYC_STR ("preview"), &good, now_us);
   bw_record (&bw, CYC_STR ("preview"), &bad, now_us);
-  json = encode (bw_find (&bw, CYC_STR ("preview")), 1000, now_us);
+  configure (&led);
+  json = encode (&led, &bw, 1000, now_us);
   assert_true (br_setup (&br, &(struct br_desc){ 0 }, &found));
-  assert_true (
-      br_add (&br, CYC_STR ("vm-1"), cyc_str_of (json), 2000, &found));
-  assert_true (
-      br_add (&br, CYC_STR ("vm-2"), cyc_str_of (json), 4000000, &found));
+  assert_true (br_add (&br, CYC_STR ("vm-1"), json, 2000, &found));
+  assert_true (br_add (&br, CYC_STR ("vm-2"), json, 4000000, &found));
   assert_false (
       br_add (&br, CYC_STR ("vm-3"), CYC_STR ("<html>"), 2000, &found));
   assert_int_equal (found.count, 1);
@@ -156,7 +191,8 @@
   text = printed (&br, BR_JSON);
   assert_non_null (strstr (text, "\"traffic\": false"));
   free (text);
-  free (json);
+  free ((void *)json.data);
+  cyc_led_shutdown (&led);
   br_shutdown (&br);
   bw_shutdown (&bw);
 }
