Test the callers' interface with tables of fault cases

A gateway in the test's process meets the log fake with its faults, targets that drop, refuse, hang or drain, a peer gateway and an owner on a peer link. A follower now reads a stream without waiting until it knows the head, because a started gateway took the log for unreachable during the first long poll.

--- a/src/cyc_route_target.c
+++ b/src/cyc_route_target.c
@@ -203,13 +203,16 @@
 count_failure (struct cyc_rt_state *state, const struct rt_queue *queue,
                struct rt_worker *worker, uint64_t now_us)
 {
+  bool eject = worker->health == CYC_RT_EJECTED
+               || (worker->health == CYC_RT_LIVE
+                   && worker->failures + 1 >= EJECT_FAILURES
+                   && may_eject (state, queue));
+
   worker->failures++;
-  if (worker->health == CYC_RT_EJECTED)
+  if (eject)
     set_health (worker, CYC_RT_EJECTED, now_us);
   else if (worker->health == CYC_RT_SUSPECT)
     set_health (worker, CYC_RT_LIVE, now_us);
-  else if (worker->failures >= EJECT_FAILURES && may_eject (state, queue))
-    set_health (worker, CYC_RT_EJECTED, now_us);
 }
 
 static void
--- a/src/follow.c
+++ b/src/follow.c
@@ -439,14 +439,17 @@
 static bool
 begin_read (struct fo_state *state)
 {
+  /* Until the head is known an empty stream is answered at once: a process
+     that starts would otherwise not know for a whole long poll that the log is
+     reachable, and refuse work meanwhile. */
+  uint32_t wait_ms = state->at_head ? state->desc.wait_ms : 0;
   struct lc_read call = {
     .stream = state->desc.stream,
     .from = state->next,
     .max = state->batch,
-    .wait_ms = state->desc.wait_ms,
+    .wait_ms = wait_ms,
     .deadline_us
-    = state->now_us
-      + ((uint64_t)state->desc.wait_ms + state->desc.timeout_ms) * US_PER_MS,
+    = state->now_us + ((uint64_t)wait_ms + state->desc.timeout_ms) * US_PER_MS,
     .done = on_read,
   };
   struct fo_read *read = NULL;
--- a/src/gateway_once.c
+++ b/src/gateway_once.c
@@ -315,7 +315,7 @@
 
   kept_remove (gw, kept);
   if (request != NULL)
-    gw_refuse (request, GW_LOG_DOWN,
+    gw_refuse (request, fate == FO_NOT_DONE ? GW_LOG_DOWN : GW_DEADLINE,
                fate == FO_NOT_DONE ? gw_unsent_outcome (request)
                                    : CYC_OUTCOME_UNKNOWN,
                "the log did not confirm the intent; nothing was sent");
--- a/src/gateway_peer.c
+++ b/src/gateway_peer.c
@@ -11,7 +11,7 @@
 #define USES_MAX 4096
 /* The other gateway answers a little before the caller's deadline, so that
    its "not-run" still arrives. */
-#define FORWARD_MARGIN_US 50000
+#define FORWARD_MARGIN_US UINT64_C (50000)
 
 uint64_t
 gw_ref_pack (struct cyc_ref ref)
--- /dev/null
+++ b/tests/tst_world.h
@@ -0,0 +1,133 @@
+/**
+ * @file
+ * A small world around gateways in one process: log fake, targets, an owner
+ * that sends targets and permits over a peer link, and callers.
+ *
+ * @code
+ * struct tst_world world;
+ * tst_world_up (&world, &(struct tst_options){ 0 });
+ * tst_call (&world, 0, &call, &reply);
+ * tst_world_down (&world);
+ * @endcode
+ */
+#ifndef TST_WORLD_H
+#define TST_WORLD_H
+
+#include "fk_log.h"
+#include "gateway_internal.h"
+
+#define TST_GATEWAYS 3
+#define TST_TARGETS 3
+#define TST_WAIT_US UINT64_C (15000000)
+
+enum tst_behaviour
+{
+  TST_ANSWER,      /**< 200 with the request's body */
+  TST_NOT_STARTED, /**< 503 with Not-Started: 1 */
+  TST_ERROR,       /**< 500 */
+  TST_DROP,        /**< starts, then closes the connection */
+  TST_SILENT,      /**< starts and never answers */
+  TST_DRAINING,    /**< answers with Draining: 1 */
+  TST_DOWN         /**< nothing listens */
+};
+
+struct tst_target
+{
+  struct hs_server hs;
+  struct tst_world *world;
+  enum tst_behaviour behaviour;
+  uint64_t delay_us; /**< of TST_ANSWER */
+  uint32_t starts;
+  uint32_t running;
+  uint32_t most_running;
+  uint16_t port;
+  struct hs_open_row
+  {
+    struct cyc_ref ref;
+    uint64_t due_us;
+    char body[64];
+  } open[256];
+};
+
+struct tst_gateway
+{
+  struct gw_gateway gw;
+  struct set_settings *settings;
+  bool up;
+  bool stopped;
+};
+
+struct tst_options
+{
+  uint32_t gateways; /**< 0: 1 */
+  uint32_t targets;  /**< 0: 1 */
+  uint32_t slots;    /**< 0: 8 */
+  uint32_t seats;    /**< 0: 1 */
+  uint32_t retry_permille;
+  bool second_gateway_elsewhere; /**< in the domain north-b */
+  uint32_t key_stale_ms;         /**< 0: 5,000 */
+  uint32_t request_max_ms;       /**< 0: 3,000 */
+};
+
+struct tst_world
+{
+  struct tst_options options;
+  struct ev_loop *loop;
+  struct ev_timer timer;
+  struct fk_log log;
+  struct hc_client client;
+  struct lc_http http_log;
+  struct tst_gateway gateways[TST_GATEWAYS];
+  struct tst_target targets[TST_TARGETS];
+  struct pl_links owner;
+  struct set_address owner_address;
+  uint64_t epoch;
+  /** Calls at targets that still meet their behaviour; later ones are
+   * answered. */
+  uint32_t faults_left;
+};
+
+struct tst_call
+{
+  enum hc_method method;
+  const char *path;
+  const char *key; /**< bearer key, NULL: none */
+  const char *headers[4];
+  const char *body;
+};
+
+struct tst_reply
+{
+  bool done;
+  long status;
+  char outcome[16];
+  char body[2048];
+  size_t len;
+};
+
+void tst_world_up (struct tst_world *world, const struct tst_options *options);
+void tst_world_down (struct tst_world *world);
+/** Runs the loop for a time. */
+void tst_run (struct tst_world *world, uint64_t us);
+/** Runs the loop until the flag is set; false after TST_WAIT_US. */
+bool tst_until (struct tst_world *world, const bool *flag);
+/** Begins a call; @p reply must live until it is done. */
+void tst_begin (struct tst_world *world, uint32_t gateway,
+                const struct tst_call *call, struct tst_reply *reply);
+/** Calls and waits for the reply. */
+void tst_call (struct tst_world *world, uint32_t gateway,
+               const struct tst_call *call, struct tst_reply *reply);
+void tst_log_append (struct tst_world *world, struct cyc_str stream,
+                     struct cyc_str record);
+void tst_withdraw_key (struct tst_world *world, const char *key);
+void tst_behave (struct tst_world *world, uint32_t target,
+                 enum tst_behaviour behaviour);
+/** Sends the targets of all service queues to the gateways. */
+void tst_tell_targets (struct tst_world *world, uint32_t count);
+void tst_lend (struct tst_world *world, uint32_t gateway, uint32_t target,
+               uint32_t slots, uint64_t valid_for_ms, uint64_t deadline_ms);
+uint32_t tst_starts (const struct tst_world *world);
+void tst_gateway_up (struct tst_world *world, uint32_t gateway);
+void tst_gateway_down (struct tst_world *world, uint32_t gateway);
+
+#endif
