--- /dev/null
+++ b/tests/tst_worker.h
@@ -0,0 +1,64 @@
+/**
+ * @file
+ * In-memory implementations of the worker and VM list interfaces. Calls end in
+ * tst_worker_step and tst_list_step, never inside the call that began them.
+ */
+#ifndef TST_WORKER_H
+#define TST_WORKER_H
+
+#include "vm_list.h"
+#include "worker_client.h"
+
+#define TST_WORKER_TASKS 16
+#define TST_WORKER_CALLS 16
+
+struct tst_worker_task
+{
+  char name[WC_TASK_BYTES];
+  char queue[64];
+  struct cyc_id128 lease;
+  struct cyc_res size;
+  enum wc_task_state state;
+  uint64_t not_after_us;
+};
+
+struct tst_worker_call
+{
+  void (*done) (void *user, const struct wc_result *result);
+  void (*heartbeat_done) (void *user,
+                          const struct wc_heartbeat_result *result);
+  void *user;
+  struct wc_result result;
+};
+
+struct tst_worker
+{
+  struct wc_worker worker;
+  uint64_t epoch;
+  uint32_t millicores;
+  bool silent; /**< nothing reaches it; calls time out */
+  bool gone;   /**< nothing listens */
+  bool draining;
+  bool lose_answer; /**< the next call takes effect unanswered */
+  struct tst_worker_task tasks[TST_WORKER_TASKS];
+  uint32_t task_count;
+  struct tst_worker_call calls[TST_WORKER_CALLS];
+  uint32_t call_count;
+};
+
+void tst_worker_setup (struct tst_worker *tw, uint32_t millicores);
+/** Ends all open calls. */
+void tst_worker_step (struct tst_worker *tw);
+
+struct tst_list
+{
+  struct vl_list list;
+  const char *body; /**< of the answer; NULL: none */
+  bool open;
+  struct vl_fetch fetch;
+};
+
+void tst_list_setup (struct tst_list *tl);
+void tst_list_step (struct tst_list *tl);
+
+#endif
