--- a/src/gateway_peer.c
+++ b/src/gateway_peer.c
@@ -4,8 +4,8 @@
 #include <string.h>
 
 #define RECORDS_MAX 256
-#define RECORDS_BYTES (768U * 1024)
-#define SNAPSHOT_CHUNK_BYTES (512U * 1024)
+#define RECORDS_BYTES 786432
+#define SNAPSHOT_CHUNK_BYTES 524288
 #define SNAPSHOT_MAX_CHUNKS 256
 #define TARGETS_MAX 4096
 #define USES_MAX 4096
@@ -429,7 +429,7 @@
   static const size_t row_bytes = sizeof (Cyc__PermitUse);
   struct cyc_rt_use *uses = calloc (USES_MAX, sizeof *uses);
   Cyc__PermitUse *rows = calloc (USES_MAX, row_bytes);
-  Cyc__PermitUse **list = calloc (USES_MAX, sizeof *list);
+  Cyc__PermitUse **list = calloc (USES_MAX, sizeof (void *));
   Cyc__PermitDemand demand = CYC__PERMIT_DEMAND__INIT;
   Cyc__Peer message = CYC__PEER__INIT;
   uint32_t count = 0;
--- a/tests/tst_world.c
+++ b/tests/tst_world.c
@@ -329,7 +329,7 @@
   struct set_settings *set = calloc (1, sizeof *set);
   struct cyc_findings found = { 0 };
   bool elsewhere = i > 0 && world->options.second_gateway_elsewhere;
-  char text[1200];
+  char text[1200] = "";
 
   snprintf (text, sizeof text,
             "{\"vm\":\"%s\",\"domain\":\"%s\",\"region\":\"north\","
