--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -50,7 +50,7 @@
   "{\"team\":\"orders\",\"share_permille\":200,\"limit_millicores\":" limit "}"
 #define PLANS(share)                                                          \
   "{\"team\":\"plans\",\"share_permille\":" share ",\"limit_millicores\":"    \
-                                                  "100}"
+  "100}"
 #define TALLY(team)                                                           \
   "{\"queue\":\"tally\",\"team\":\"" team "\",\"kind\":\"batch\","            \
   "\"repeatable\":true,\"millicores\":10,\"memory_mib\":5,\"run_s\":30}"
