Run one contract table against the in-memory and the HTTP log

Tests over the in-memory log prove nothing unless the HTTP client behaves alike. 12 cases pass against both, and 15 broken answers are not believed. 12 deliberate defects of the client (fates, order, limits, base64, query) were seen red first.

--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -15,8 +15,8 @@
 
 #include <cmocka.h>
 
-#define STEP_US 10000
-#define DEADLINE_US 2000000
+#define STEP_US UINT64_C (10000)
+#define DEADLINE_US UINT64_C (2000000)
 
 struct harness
 {
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -14,7 +14,7 @@
 
 #include <cmocka.h>
 
-#define BIG 70000
+#define BIG ((size_t)70000)
 
 /* Withdrawal of a key, with members that a case may spoil. */
 struct parts
--- /dev/null
+++ b/tests/tst_http_log.h
@@ -0,0 +1,38 @@
+/**
+ * @file
+ * The log service over HTTP in the process of the test: a tst_store behind
+ * src/http_server.h on a loopback port, with scripted faults.
+ *
+ * @code
+ * tst_http_log_setup (&server, loop);
+ * url = server.url;
+ * @endcode
+ */
+#ifndef TST_HTTP_LOG_H
+#define TST_HTTP_LOG_H
+
+#include "http_server.h"
+#include "tst_memory_log.h"
+
+struct tst_http_log
+{
+  struct ev_loop *loop;
+  struct hs_server server;
+  struct tst_store store;
+  char url[64];
+  enum tst_fault fault;  /**< of the next append */
+  const char *raw;       /**< body of every answer instead; NULL: none */
+  struct cyc_ref polled; /**< a long poll; generation 0: none */
+  struct cyc_name polled_stream;
+  uint64_t polled_from;
+  uint32_t polled_max;
+  struct ev_timer poll_end;
+};
+
+void tst_http_log_setup (struct tst_http_log *log, struct ev_loop *loop);
+void tst_http_log_shutdown (struct tst_http_log *log);
+/** Another writer's record; ends the long poll. */
+void tst_http_log_add (struct tst_http_log *log, struct cyc_str stream,
+                       struct cyc_str record);
+
+#endif
