Test allotments of team limits

The parts of a limit must add up to it after every record. 11 stated divisions, 9 transfers and 40,000 random records with 40 fixed seeds (21,106 accepted) pass. 14 deliberate defects (remainders, ties, lost domains, order of fleet and limit, shrinking, raising, checks of transfers) were seen red first.

--- /dev/null
+++ b/tests/test_allotments.c
@@ -0,0 +1,253 @@
+/**
+ * @file
+ * Allotments: the sum over the domains equals the limit at every point of the
+ * stream, and the parts follow the rules of division.
+ */
+#include "tst_control.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define RUNS 40
+#define RECORDS 1000
+
+/* Fleets with domains a, b, c, d; weight 0: the domain is missing. */
+struct allot_step
+{
+  const char *name;
+  uint32_t weights[4]; /**< all 0: the fleet stays */
+  uint64_t limit;      /**< 0: the limit stays */
+  struct
+  {
+    const char *from;
+    const char *to;
+    uint64_t millicores;
+  } transfer;
+  uint64_t expected[4];
+};
+
+static const struct allot_step allot_steps[] = {
+  { "first: 100 by 1:1:1, the odd unit to the first name",
+    { 1, 1, 1, 0 },
+    100,
+    { 0 },
+    { 34, 33, 33, 0 } },
+  { "raised by 100: the increase is divided by weight",
+    { 0 },
+    200,
+    { 0 },
+    { 68, 66, 66, 0 } },
+  { "transfer", { 0 }, 0, { "a", "b", 60 }, { 8, 126, 66, 0 } },
+  { "lowered to a half: in proportion to the balances",
+    { 0 },
+    100,
+    { 0 },
+    { 4, 63, 33, 0 } },
+  { "lowered to 99: 3.96, 62.37, 32.67", { 0 }, 99, { 0 }, { 4, 62, 33, 0 } },
+  { "a changed weight moves nothing",
+    { 5, 1, 1, 0 },
+    0,
+    { 0 },
+    { 4, 62, 33, 0 } },
+  { "raised by 70 at weights 5:1:1", { 0 }, 169, { 0 }, { 54, 72, 43, 0 } },
+  { "an added domain starts with 0",
+    { 5, 1, 1, 9 },
+    0,
+    { 0 },
+    { 54, 72, 43, 0 } },
+  { "a lost domain is divided by weight 5:1:9",
+    { 5, 0, 1, 9 },
+    0,
+    { 0 },
+    { 78, 0, 48, 43 } },
+  { "fleet and limit at once: the fleet first",
+    { 5, 0, 1, 0 },
+    100,
+    { 0 },
+    { 67, 0, 33, 0 } },
+  { "to the last unit", { 0 }, 1, { 0 }, { 1, 0, 0, 0 } },
+};
+
+static const char *const names[] = { "a", "b", "c", "d" };
+
+static void
+fleet_body (char out[1024], const uint32_t *weights)
+{
+  size_t at = (size_t)snprintf (out, 1024,
+                                "{\"regions\":[{\"name\":\"r\",\"domains\":[");
+  const char *comma = "";
+
+  for (int i = 0; i < 4; i++)
+    if (weights[i] > 0)
+      {
+        at += (size_t)snprintf (
+            out + at, 1024 - at,
+            "%s{\"name\":\"%s\",\"weight\":%u,\"entry_seats\":1}", comma,
+            names[i], weights[i]);
+        comma = ",";
+      }
+  snprintf (out + at, 1024 - at,
+            "]}],\"largest_worker\":{\"millicores\":1,\"memory_mib\":1}}");
+}
+
+static void
+apply_step (struct tst_control *tc, const struct allot_step *step)
+{
+  struct cyc_config_edit edits[2]
+      = { { .name = CYC_STR ("fleet") }, { .name = CYC_STR ("team/orders") } };
+  struct cyc_config_edit *first = edits;
+  struct cyc_id128 id;
+  struct cyc_str record;
+  uint32_t count = 0;
+  char fleet[1024];
+  char team[256];
+
+  if (step->transfer.from != NULL)
+    {
+      assert_int_equal (tst_transfer (tc, step->transfer.from,
+                                      step->transfer.to,
+                                      step->transfer.millicores),
+                        CYC_LED_ACCEPTED);
+      return;
+    }
+  fleet_body (fleet, step->weights);
+  edits[0].body = cyc_str_of (fleet);
+  edits[1].body = cyc_str_of (tst_team (team, "orders", 1, step->limit));
+  for (int i = 0; i < 2; i++)
+    edits[i].base_version = cyc_led_item_version (&tc->led, edits[i].name);
+  if (step->weights[0] > 0)
+    count++;
+  else
+    first++;
+  if (step->limit > 0)
+    count++;
+  cyc_id128_random (&id);
+  assert_true (cyc_rec_config (&id, CYC_STR ("vm-1"), first, count, &record));
+  assert_int_equal (tst_apply (tc, record), CYC_LED_ACCEPTED);
+}
+
+/* Guards against another division than the one the page states, which would
+   split processes of different versions. */
+static void
+limits_are_divided_as_stated (void **unused)
+{
+  struct tst_control tc;
+
+  (void)unused;
+  tst_control_setup (&tc);
+  for (size_t i = 0; i < sizeof allot_steps / sizeof allot_steps[0]; i++)
+    {
+      print_message ("  %s\n", allot_steps[i].name);
+      apply_step (&tc, &allot_steps[i]);
+      for (int d = 0; d < 4; d++)
+        assert_int_equal (tst_balance (&tc, names[d]),
+                          allot_steps[i].expected[d]);
+      tst_check_sums (&tc);
+    }
+  tst_control_shutdown (&tc);
+}
+
+struct transfer_case
+{
+  const char *name;
+  const char *from;
+  const char *to;
+  uint64_t millicores;
+  uint64_t wrong_version;
+  uint64_t wrong_balance;
+  enum cyc_led_result result;
+};
+
+/* Balances before each: north-a 133,334, the others 133,333. */
+static const struct transfer_case transfer_cases[] = {
+  { "whole balance", "north-a", "north-b", 133334, 0, 0, CYC_LED_ACCEPTED },
+  { "more than the balance", "north-a", "north-b", 133335, 0, 0,
+    CYC_LED_REFUSED },
+  { "overflowing amount", "north-a", "north-b", UINT64_MAX, 0, 0,
+    CYC_LED_REFUSED },
+  { "nothing", "north-a", "north-b", 0, 0, 0, CYC_LED_REFUSED },
+  { "to itself", "north-a", "north-a", 1, 0, 0, CYC_LED_REFUSED },
+  { "to an unknown domain", "north-a", "east-a", 1, 0, 0, CYC_LED_REFUSED },
+  { "from an unknown domain", "east-a", "north-a", 1, 0, 0, CYC_LED_REFUSED },
+  { "stale version of the limit", "north-a", "north-b", 1, 1, 0,
+    CYC_LED_REFUSED },
+  { "stale balance", "north-a", "north-b", 1, 0, 1, CYC_LED_REFUSED },
+};
+
+/* Guards against a transfer that creates or destroys part of a limit, and
+   against two transfers from the same balance. */
+static void
+transfers_need_the_current_balance_and_limit (void **unused)
+{
+  (void)unused;
+  for (size_t i = 0; i < sizeof transfer_cases / sizeof transfer_cases[0]; i++)
+    {
+      const struct transfer_case *c = &transfer_cases[i];
+      struct cyc_transfer_edit edit = { .team = CYC_STR ("orders"),
+                                        .from = cyc_str_of (c->from),
+                                        .to = cyc_str_of (c->to),
+                                        .millicores = c->millicores,
+                                        .limit_version = 2 + c->wrong_version,
+                                        .from_accelerators = 14 };
+      struct cyc_id128 id;
+      struct cyc_str record;
+      struct tst_control tc;
+
+      print_message ("  %s\n", c->name);
+      tst_control_setup (&tc);
+      tst_publish_all (&tc);
+      edit.from_millicores = tst_balance (&tc, c->from) + c->wrong_balance;
+      cyc_id128_random (&id);
+      assert_true (cyc_rec_transfer (&id, CYC_STR ("vm-1"), &edit, &record));
+      assert_int_equal (tst_apply (&tc, record), c->result);
+      assert_int_equal (tst_balance (&tc, "north-a") == 133334,
+                        c->result == CYC_LED_REFUSED);
+      tst_check_sums (&tc);
+      tst_control_shutdown (&tc);
+    }
+}
+
+/* Guards against any sequence of changes after which the parts do not add up:
+   a team could then run more than its limit, or less than it may. */
+static void
+sums_hold_after_random_changes (void **unused)
+{
+  uint32_t accepted = 0;
+
+  (void)unused;
+  for (uint64_t seed = 1; seed <= RUNS; seed++)
+    {
+      struct tst_random rnd = { .state = seed };
+      struct tst_control tc;
+
+      tst_control_setup (&tc);
+      for (int i = 0; i < RECORDS; i++)
+        {
+          if (tst_apply (&tc, tst_random_record (&tc, &rnd))
+              == CYC_LED_ACCEPTED)
+            accepted++;
+          tst_check_sums (&tc);
+        }
+      tst_control_shutdown (&tc);
+    }
+  print_message ("  %d records, %u accepted\n", RUNS * RECORDS, accepted);
+  assert_true (accepted > RUNS * RECORDS / 4);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (limits_are_divided_as_stated),
+    cmocka_unit_test (transfers_need_the_current_balance_and_limit),
+    cmocka_unit_test (sums_hold_after_random_changes),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -89,7 +89,7 @@
 
   memset (h, 0, sizeof *h);
   h->now_us = STEP_US;
-  tst_log_setup (&h->log);
+  tst_log_setup (&h->log, NULL);
   assert_true (fo_setup (&h->fo, &desc, &found));
 }
 
@@ -142,7 +142,7 @@
 {
   struct cyc_str record = make_record (id);
 
-  tst_store_append (&h->log.store, CYC_STR ("jobs"), record);
+  tst_store_append (h->log.store, CYC_STR ("jobs"), record);
   free ((char *)record.data);
 }
 
@@ -209,7 +209,7 @@
         }
       assert_int_equal (h.ended, 1);
       assert_int_equal (h.fate, ac->fate);
-      assert_int_equal (tst_stream (&h.log.store, CYC_STR ("jobs"))->next,
+      assert_int_equal (tst_stream (h.log.store, CYC_STR ("jobs"))->next,
                         ac->stored);
       assert_in_range (h.log.appends, 1, ac->most_appends);
       if (ac->fate == FO_CONFIRMED)
@@ -277,7 +277,7 @@
   for (uint8_t id = 1; id <= 20; id++)
     add (&h, id);
   fo_start (&h.fo, 3);
-  tst_store_trim (&h.log.store, CYC_STR ("jobs"), 7);
+  tst_store_trim (h.log.store, CYC_STR ("jobs"), 7);
   run (&h, 5 * STEP_US);
   assert_int_equal (h.trimmed_next, 3);
   assert_int_equal (h.trimmed_oldest, 7);
@@ -369,11 +369,11 @@
   run (&h, 60000000);
   assert_int_equal (h.records, 200);
   h.log.most = 0;
-  tst_stream (&h.log.store, CYC_STR ("jobs"))->next = 150;
+  tst_stream (h.log.store, CYC_STR ("jobs"))->next = 150;
   run (&h, 100 * STEP_US);
   assert_false (fo_at_head (&h.fo));
   assert_int_equal (h.records, 200);
-  tst_stream (&h.log.store, CYC_STR ("jobs"))->next = 200;
+  tst_stream (h.log.store, CYC_STR ("jobs"))->next = 200;
   teardown (&h);
 }
 
--- a/tests/test_log_contract.c
+++ b/tests/test_log_contract.c
@@ -42,7 +42,7 @@
 
   memset (b, 0, sizeof *b);
   b->http = http;
-  tst_log_setup (&b->memory);
+  tst_log_setup (&b->memory, NULL);
   b->log = &b->memory.log;
   if (!http)
     return;
@@ -74,7 +74,7 @@
 static struct tst_store *
 store (struct bench *b)
 {
-  return b->http ? &b->server.store : &b->memory.store;
+  return b->http ? &b->server.store : b->memory.store;
 }
 
 static void
@@ -96,7 +96,7 @@
   if (b->http)
     tst_http_log_add (&b->server, CYC_STR ("jobs"), cyc_str_of (record));
   else
-    tst_store_append (&b->memory.store, CYC_STR ("jobs"), cyc_str_of (record));
+    tst_store_append (b->memory.store, CYC_STR ("jobs"), cyc_str_of (record));
 }
 
 static void
--- a/tests/tst_control.c
+++ b/tests/tst_control.c
@@ -104,8 +104,9 @@
 {
   snprintf (out, 256,
             "{\"team\":\"%s\",\"share_permille\":%u,"
-            "\"limit_millicores\":%" PRIu64 ",\"limit_accelerators\":0}",
-            team, share_permille, millicores);
+            "\"limit_millicores\":%" PRIu64 ",\"limit_accelerators\":%" PRIu64
+            "}",
+            team, share_permille, millicores, millicores / 10000);
   return out;
 }
 
@@ -153,3 +154,185 @@
                    tst_queue (queue, "tally", "orders", "batch", 4)),
       0);
 }
+
+static const char *const domain_names[]
+    = { "north-a", "north-b", "south-a", "south-b" };
+
+static struct cyc_str
+random_fleet (struct tst_random *rnd, char body[1024])
+{
+  uint64_t present = tst_random (rnd) % 15 + 1;
+  size_t at = 0;
+  bool first = true;
+
+  at += (size_t)snprintf (body, 1024,
+                          "{\"regions\":[{\"name\":\"r\",\"domains\":[");
+  for (int i = 0; i < 4; i++)
+    {
+      if ((present >> i & 1) == 0)
+        continue;
+      at += (size_t)snprintf (
+          body + at, 1024 - at,
+          "%s{\"name\":\"%s\",\"weight\":%u,\"entry_seats\":3}",
+          first ? "" : ",", domain_names[i],
+          (unsigned)(tst_random (rnd) % 5 + 1));
+      first = false;
+    }
+  snprintf (body + at, 1024 - at,
+            "]}],\"largest_worker\":{\"millicores\":64000,"
+            "\"memory_mib\":131072,\"accelerators\":8}}");
+  return cyc_str_of (body);
+}
+
+/* A change of the fleet, of one of four teams or of one of eight queues. */
+static struct cyc_str
+random_config (const struct tst_control *tc, struct tst_random *rnd,
+               const struct cyc_id128 *id)
+{
+  struct cyc_config_edit edit = { 0 };
+  struct cyc_str record;
+  uint64_t die = tst_random (rnd) % 10;
+  char body[1024];
+  char name[32];
+  char item[64] = "fleet";
+
+  if (die < 2)
+    edit.body = random_fleet (rnd, body);
+  else if (die < 6)
+    {
+      snprintf (name, sizeof name, "team-%u", (unsigned)(die - 2));
+      snprintf (item, sizeof item, "team/%s", name);
+      edit.body = cyc_str_of (
+          tst_team (body, name, 200, 100000 + tst_random (rnd) % 1000000));
+    }
+  else
+    {
+      snprintf (name, sizeof name, "queue-%u",
+                (unsigned)(tst_random (rnd) % 8));
+      snprintf (item, sizeof item, "queue/%s", name);
+      edit.body = cyc_str_of (tst_queue (body, name, "team-0", "batch", 4));
+      edit.deleted = tst_random (rnd) % 4 == 0;
+    }
+  edit.name = cyc_str_of (item);
+  edit.base_version = cyc_led_item_version (&tc->led, edit.name);
+  if (tst_random (rnd) % 16 == 0)
+    edit.base_version++;
+  assert_true (cyc_rec_config (id, CYC_STR ("vm-1"), &edit, 1, &record));
+  return record;
+}
+
+static struct cyc_str
+random_transfer (const struct tst_control *tc, struct tst_random *rnd,
+                 const struct cyc_id128 *id)
+{
+  struct cyc_transfer_edit edit
+      = { .team = CYC_STR ("team-1"),
+          .from = cyc_str_of (domain_names[tst_random (rnd) % 4]),
+          .to = cyc_str_of (domain_names[tst_random (rnd) % 4]),
+          .limit_version
+          = cyc_led_item_version (&tc->led, CYC_STR ("team/team-1")) };
+  struct cyc_balance balance
+      = cyc_led_balance (&tc->led, edit.team, edit.from);
+  struct cyc_str record;
+
+  edit.from_millicores = balance.millicores;
+  edit.millicores = tst_random (rnd) % (balance.millicores + 2);
+  if (tst_random (rnd) % 16 == 0)
+    edit.from_millicores++;
+  assert_true (cyc_rec_transfer (id, CYC_STR ("vm-1"), &edit, &record));
+  return record;
+}
+
+static struct cyc_str
+random_key (const struct tst_control *tc, struct tst_random *rnd,
+            const struct cyc_id128 *id)
+{
+  struct cyc_digest digest = { { (uint8_t)(tst_random (rnd) % 32) } };
+  struct cyc_str record;
+
+  if (tst_random (rnd) % 3 == 0)
+    assert_true (
+        cyc_rec_key_withdraw (id, CYC_STR ("vm-1"), &digest, &record));
+  else
+    assert_true (
+        cyc_rec_key_grant (id, CYC_STR ("vm-1"), &digest, CYC_STR ("team-0"),
+                           cyc_led_key_version (&tc->led, &digest), &record));
+  return record;
+}
+
+static struct cyc_str
+random_claim (const struct tst_control *tc, struct tst_random *rnd,
+              const struct cyc_id128 *id)
+{
+  struct cyc_claim claim;
+  struct cyc_claim_edit edit
+      = { .step = (enum cyc_claim_step) (tst_random (rnd) % 3),
+          .domain = cyc_str_of (domain_names[tst_random (rnd) % 4]),
+          .owner = CYC_STR ("vm-1"),
+          .incarnation = { { (uint8_t)(tst_random (rnd) % 2) } } };
+  struct cyc_str record;
+
+  cyc_led_claim (&tc->led, edit.domain, 0, &claim);
+  edit.epoch = claim.epoch + (edit.step == CYC_CLAIM_TAKE ? 1 : 0);
+  assert_true (cyc_rec_claim (id, CYC_STR ("vm-1"), &edit, &record));
+  return record;
+}
+
+struct cyc_str
+tst_random_record (const struct tst_control *tc, struct tst_random *rnd)
+{
+  uint64_t draw[2] = { tst_random (rnd), tst_random (rnd) };
+  struct cyc_id128 id;
+  struct cyc_str record = { 0 };
+
+  memcpy (id.bytes, draw, sizeof draw);
+  switch (tst_random (rnd) % 8)
+    {
+    case 0:
+    case 1:
+    case 2:
+      return random_config (tc, rnd, &id);
+    case 3:
+    case 4:
+      return random_transfer (tc, rnd, &id);
+    case 5:
+      return random_key (tc, rnd, &id);
+    case 6:
+      return random_claim (tc, rnd, &id);
+    default:
+      break;
+    }
+  record.len = tc->last.len;
+  if (tst_random (rnd) % 2 == 0)
+    record.len = record.len * 2 / 3;
+  record.data = malloc (record.len + 1);
+  assert_non_null (record.data);
+  if (record.len > 0)
+    memcpy ((char *)record.data, tc->last.data, record.len);
+  return record;
+}
+
+void
+tst_check_sums (const struct tst_control *tc)
+{
+  const struct cyc_fleet_cfg *fleet = cyc_led_fleet (&tc->led);
+  const struct cyc_team_cfg *team;
+
+  for (uint32_t i = 0; (team = cyc_led_team_at (&tc->led, i)) != NULL; i++)
+    {
+      struct cyc_balance sum = { 0 };
+
+      assert_non_null (fleet);
+      for (uint32_t d = 0; d < fleet->domain_count; d++)
+        {
+          struct cyc_balance part
+              = cyc_led_balance (&tc->led, cyc_name_str (&team->name),
+                                 cyc_name_str (&fleet->domains[d].name));
+
+          sum.millicores += part.millicores;
+          sum.accelerators += part.accelerators;
+        }
+      assert_int_equal (sum.millicores, team->limit_millicores);
+      assert_int_equal (sum.accelerators, team->limit_accelerators);
+    }
+}
--- a/tests/tst_control.h
+++ b/tests/tst_control.h
@@ -12,6 +12,8 @@
 #ifndef TST_CONTROL_H
 #define TST_CONTROL_H
 
+#include "tst_random.h"
+
 #include <cyclamendrum/ledger.h>
 #include <cyclamendrum/record.h>
 
@@ -57,4 +59,11 @@
 /** Fleet, team "orders" (limit 400,000, share 200) and a queue "tally". */
 void tst_publish_all (struct tst_control *tc);
 
+/** A record of random kind for the present state of the ledger: most are
+ * valid, some are stale, duplicate or corrupt. Release with free(). */
+struct cyc_str tst_random_record (const struct tst_control *tc,
+                                  struct tst_random *rnd);
+/** Fails the test unless the balances of every team add up to its limit. */
+void tst_check_sums (const struct tst_control *tc);
+
 #endif
--- a/tests/tst_memory_log.c
+++ b/tests/tst_memory_log.c
@@ -131,10 +131,11 @@
     = { .append = memory_append, .read = memory_read };
 
 void
-tst_log_setup (struct tst_log *log)
+tst_log_setup (struct tst_log *log, struct tst_store *shared)
 {
   memset (log, 0, sizeof *log);
   log->log.vtable = &memory_vtable;
+  log->store = shared != NULL ? shared : &log->own;
 }
 
 void
@@ -142,7 +143,7 @@
 {
   for (int i = 0; i < TST_CALLS; i++)
     free ((char *)log->calls[i].record.data);
-  tst_store_free (&log->store);
+  tst_store_free (&log->own);
 }
 
 void
@@ -161,7 +162,7 @@
     result.fate = LC_FAILED;
   else if (call->fault != TST_LOST_BEFORE_WRITE)
     result.offset
-        = tst_store_append (&log->store, call->append.stream, call->record);
+        = tst_store_append (log->store, call->append.stream, call->record);
   if (result.fate == LC_OK && call->fault != TST_NO_FAULT)
     result = (struct lc_append_result){ .fate = LC_MAYBE };
   call->append.done (call->append.user, &result);
@@ -171,8 +172,7 @@
 answer_read (struct tst_log *log, const struct tst_call *call)
 {
   static struct lc_record records[MOST_READ];
-  const struct tst_stream *stream
-      = tst_stream (&log->store, call->read.stream);
+  const struct tst_stream *stream = tst_stream (log->store, call->read.stream);
   struct lc_read_result result = { .fate = LC_FAILED };
   uint32_t max = call->read.max < MOST_READ ? call->read.max : MOST_READ;
 
@@ -183,7 +183,7 @@
       .oldest = stream->oldest,
       .next = stream->next,
       .records = records,
-      .count = tst_store_read (&log->store, call->read.stream, call->read.from,
+      .count = tst_store_read (log->store, call->read.stream, call->read.from,
                                max, records),
     };
   call->read.done (call->read.user, &result);
--- a/tests/tst_memory_log.h
+++ b/tests/tst_memory_log.h
@@ -8,7 +8,7 @@
  * had ended.
  *
  * @code
- * tst_log_setup (&log);
+ * tst_log_setup (&log, NULL);
  * tst_log_fault (&log, TST_LOST_AFTER_WRITE, 1);
  * lc_append (&log.log, &append);
  * tst_log_run (&log);
@@ -58,7 +58,8 @@
 struct tst_log
 {
   struct lc_log log;
-  struct tst_store store;
+  struct tst_store *store; /**< its own, or one shared by several logs */
+  struct tst_store own;
   enum tst_fault fault;
   uint32_t fault_calls; /**< appends that still get the fault */
   bool down;            /**< all calls fail */
@@ -81,7 +82,8 @@
 uint32_t tst_store_read (struct tst_store *store, struct cyc_str stream,
                          uint64_t from, uint32_t max, struct lc_record *out);
 
-void tst_log_setup (struct tst_log *log);
+/** @p shared: store of several processes; NULL: its own. */
+void tst_log_setup (struct tst_log *log, struct tst_store *shared);
 void tst_log_shutdown (struct tst_log *log);
 /** The next @p calls appends get @p fault. */
 void tst_log_fault (struct tst_log *log, enum tst_fault fault, uint32_t calls);
