--- a/src/cyc_ledger.c
+++ b/src/cyc_ledger.c
@@ -143,6 +143,13 @@
   va_start (args, format);
   vsnprintf (effect->reason, sizeof effect->reason, format, args);
   va_end (args);
+  /* Names in the text come from the record; the reason is written to log lines
+     between double quotes. */
+  for (char *c = effect->reason; *c != '\0'; c++)
+    if (*c == '"')
+      *c = '\'';
+    else if ((unsigned char)*c < ' ' || *c == 0x7f)
+      *c = '?';
 }
 
 bool
--- /dev/null
+++ b/tests/test_snapshot.c
@@ -0,0 +1,602 @@
+/**
+ * @file
+ * Snapshots: canonical bytes, damaged encodings, and the control stream behind
+ * trims, over lost chunks, from peers and after long outages.
+ */
+#include "control.h"
+#include "log_event.h"
+#include "tst_control.h"
+#include "tst_memory_log.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define STEP_US UINT64_C (10000)
+#define SECOND_US UINT64_C (1000000)
+#define CONTROL CYC_STR ("control")
+
+static struct cyc_str
+encoded (const struct cyc_ledger *led)
+{
+  struct cyc_str bytes;
+
+  assert_true (cyc_led_encode (led, &bytes));
+  return bytes;
+}
+
+static void
+assert_same_state (const struct cyc_ledger *a, const struct cyc_ledger *b)
+{
+  struct cyc_str left = encoded (a);
+  struct cyc_str right = encoded (b);
+
+  assert_int_equal (left.len, right.len);
+  assert_memory_equal (left.data, right.data, left.len);
+  free ((char *)left.data);
+  free ((char *)right.data);
+}
+
+/* Guards against a replica that starts from a snapshot and derives another
+   state from the same records. */
+static void
+replicas_encode_the_same_bytes (void **unused)
+{
+  (void)unused;
+  for (uint64_t seed = 1; seed <= 10; seed++)
+    {
+      struct tst_random rnd = { .state = seed * 1000 };
+      struct tst_control first;
+      struct tst_control second;
+      struct cyc_findings found = { 0 };
+
+      tst_control_setup (&first);
+      tst_control_setup (&second);
+      for (int i = 0; i < 500; i++)
+        {
+          struct cyc_str record = tst_random_record (&first, &rnd);
+          struct cyc_led_effect effect;
+
+          if (tst_random (&rnd) % 20 == 0)
+            {
+              struct cyc_str bytes = encoded (&first.led);
+
+              assert_true (cyc_led_load (&second.led, bytes, &found));
+              free ((char *)bytes.data);
+            }
+          cyc_led_apply (&second.led, first.next, record, &effect);
+          assert_int_equal (tst_apply (&first, record), effect.result);
+          assert_same_state (&first.led, &second.led);
+          assert_int_equal (cyc_led_config_version (&first.led),
+                            cyc_led_config_version (&second.led));
+        }
+      tst_control_shutdown (&first);
+      tst_control_shutdown (&second);
+    }
+}
+
+/* Guards against a damaged snapshot that replaces a good state, or that is
+   taken over with balances that do not add up. */
+static void
+damaged_snapshots_keep_the_old_state (void **unused)
+{
+  struct tst_random rnd = { .state = 77 };
+  struct tst_control tc;
+  struct tst_control old;
+  struct cyc_str good;
+  uint32_t refused = 0;
+
+  (void)unused;
+  tst_control_setup (&tc);
+  for (int i = 0; i < 300; i++)
+    tst_apply (&tc, tst_random_record (&tc, &rnd));
+  good = encoded (&tc.led);
+  for (int i = 0; i < 2000; i++)
+    {
+      struct cyc_findings found = { 0 };
+      struct cyc_str bad = encoded (&tc.led);
+
+      tst_control_setup (&old);
+      tst_publish_all (&old);
+      if (i % 2 == 0)
+        bad.len = tst_random (&rnd) % bad.len;
+      else
+        ((unsigned char *)bad.data)[tst_random (&rnd) % bad.len]
+            ^= (unsigned char)(1U << tst_random (&rnd) % 8);
+      if (cyc_led_load (&old.led, bad, &found))
+        tst_check_sums (&old);
+      else
+        {
+          refused++;
+          assert_in_range (found.count, 1, CYC_FINDINGS_MAX);
+          assert_int_equal (cyc_led_next (&old.led), 3);
+          assert_int_equal (tst_balance (&old, "north-a"), 133334);
+        }
+      free ((char *)bad.data);
+      tst_control_shutdown (&old);
+    }
+  assert_true (refused > 1000);
+  free ((char *)good.data);
+  tst_control_shutdown (&tc);
+}
+
+static bool
+feed_chunk (struct cyc_led_gather *gather, uint64_t offset, uint64_t upto,
+            uint32_t index, struct cyc_str whole, struct cyc_str *out)
+{
+  struct cyc_str half
+      = { .data = whole.data + index * (whole.len / 2), .len = whole.len / 2 };
+  struct cyc_digest digest;
+  struct cyc_id128 id;
+  struct cyc_str record;
+  bool complete;
+
+  cyc_digest_of (whole, &digest);
+  cyc_id128_random (&id);
+  assert_true (cyc_rec_snapshot_chunk (&id, CYC_STR ("vm-1"), upto, index, 2,
+                                       &digest, half, &record));
+  complete = cyc_led_gather_feed (gather, offset, record, out);
+  free ((char *)record.data);
+  return complete;
+}
+
+/* Guards against a set whose following records are trimmed, and against sets
+   of several writers that spoil each other. */
+static void
+sets_of_several_writers_are_kept_apart (void **unused)
+{
+  struct cyc_led_gather gather;
+  struct cyc_str a = CYC_STR ("abcdef");
+  struct cyc_str b = CYC_STR ("uvwxyz");
+  struct cyc_str out = { 0 };
+
+  (void)unused;
+  assert_true (cyc_led_gather_setup (&gather, 50));
+  assert_false (feed_chunk (&gather, 90, 48, 0, a, &out));
+  assert_false (feed_chunk (&gather, 91, 48, 1, a, &out));
+  assert_false (feed_chunk (&gather, 92, 93, 0, a, &out));
+  assert_false (feed_chunk (&gather, 93, 93, 1, a, &out));
+  assert_false (feed_chunk (&gather, 94, 60, 1, a, &out));
+  assert_false (feed_chunk (&gather, 95, 60, 1, b, &out));
+  assert_false (feed_chunk (&gather, 96, 60, 1, b, &out));
+  assert_false (feed_chunk (&gather, 97, 61, 0, b, &out));
+  assert_true (feed_chunk (&gather, 98, 60, 0, b, &out));
+  assert_true (cyc_str_eq (out, b));
+  free ((char *)out.data);
+  assert_true (feed_chunk (&gather, 99, 60, 0, a, &out));
+  assert_true (cyc_str_eq (out, a));
+  free ((char *)out.data);
+  assert_false (feed_chunk (&gather, 100, 49, 0, a, &out));
+  assert_true (feed_chunk (&gather, 101, 49, 1, a, &out));
+  free ((char *)out.data);
+  cyc_led_gather_shutdown (&gather);
+}
+
+/* A process: its control stream over its own path to the shared log. */
+struct node
+{
+  struct tst_log log;
+  struct ctl_control ctl;
+  uint32_t effects;
+  uint32_t replaced;
+  uint32_t ended;
+  enum ctl_fate fate;
+  struct cyc_led_effect effect;
+};
+
+static uint64_t clock_us;
+
+static void
+on_effect (void *user, uint64_t offset, const struct cyc_led_effect *effect)
+{
+  struct node *node = user;
+
+  (void)offset;
+  (void)effect;
+  node->effects++;
+}
+
+static void
+on_replaced (void *user)
+{
+  ((struct node *)user)->replaced++;
+}
+
+static void
+on_done (void *user, enum ctl_fate fate, uint64_t offset,
+         const struct cyc_led_effect *effect)
+{
+  struct node *node = user;
+
+  (void)offset;
+  node->ended++;
+  node->fate = fate;
+  if (effect != NULL)
+    node->effect = *effect;
+}
+
+static void
+node_setup (struct node *node, struct tst_store *store, const char *vm,
+            bool writes)
+{
+  struct cyc_findings found = { 0 };
+  struct ctl_desc desc
+      = { .log = &node->log.log,
+          .ledger = { .max_teams = 256, .max_queues = 256, .max_keys = 256 },
+          .snapshot_records = 400,
+          .keep_records = 64,
+          .write_snapshots = writes,
+          .effect = on_effect,
+          .replaced = on_replaced,
+          .user = node };
+
+  memset (node, 0, sizeof *node);
+  cyc_name_set (&desc.vm, cyc_str_of (vm));
+  tst_log_setup (&node->log, store);
+  assert_true (ctl_setup (&node->ctl, &desc, &found));
+}
+
+static void
+node_shutdown (struct node *node)
+{
+  tst_log_shutdown (&node->log);
+  ctl_shutdown (&node->ctl);
+}
+
+static void
+run (struct node *const *nodes, uint64_t for_us)
+{
+  for (uint64_t end = clock_us + for_us; clock_us < end; clock_us += STEP_US)
+    for (int i = 0; nodes[i] != NULL; i++)
+      {
+        ctl_tick (&nodes[i]->ctl, clock_us);
+        tst_log_run (&nodes[i]->log);
+      }
+}
+
+static void
+fill (struct tst_store *store, const char *item, uint64_t base,
+      const char *body)
+{
+  struct cyc_config_edit edit = { .name = cyc_str_of (item),
+                                  .base_version = base,
+                                  .body = cyc_str_of (body),
+                                  .deleted = body == NULL };
+  struct cyc_id128 id;
+  struct cyc_str record;
+
+  cyc_id128_random (&id);
+  assert_true (cyc_rec_config (&id, CYC_STR ("vm-0"), &edit, 1, &record));
+  tst_store_append (store, CONTROL, record);
+  free ((char *)record.data);
+}
+
+/* Enough state for a snapshot of two chunks. */
+static void
+fill_all (struct tst_store *store)
+{
+  char body[512];
+  char item[64];
+
+  fill (store, "fleet", 0, TST_FLEET);
+  fill (store, "team/orders", 0, tst_team (body, "orders", 200, 400000));
+  for (int i = 0; i < 240; i++)
+    {
+      snprintf (item, sizeof item, "queue/queue-%03d", i);
+      fill (store, item, 0, tst_queue (body, item + 6, "orders", "batch", 4));
+    }
+}
+
+/* Rewrites stored records in place. */
+static void
+spoil_chunk (struct tst_store *store, uint64_t offset)
+{
+  struct cyc_str *record = &tst_stream (store, CONTROL)->records[offset];
+
+  ((char *)record->data)[record->len - 1] ^= 1;
+}
+
+static uint64_t
+next_of (struct tst_store *store)
+{
+  return tst_stream (store, CONTROL)->next;
+}
+
+/* Guards against a process that starts behind a trim and cannot find its
+   state, or finds another one. */
+static void
+a_cold_start_behind_a_trim_loads_the_snapshot (void **unused)
+{
+  struct tst_store store = { 0 };
+  struct node a;
+  struct node b;
+
+  (void)unused;
+  fill_all (&store);
+  node_setup (&a, &store, "vm-1", true);
+  run ((struct node *[]){ &a, NULL }, 5 * SECOND_US);
+  assert_int_equal (next_of (&store), 242);
+  for (int i = 0; i < 160; i++)
+    fill (&store, "nothing", 0, "");
+  run ((struct node *[]){ &a, NULL }, 6 * SECOND_US);
+  assert_int_equal (next_of (&store), 404);
+  assert_int_equal (cyc_led_snapshot_upto (ctl_ledger (&a.ctl)), 401);
+  tst_store_trim (&store, CONTROL, 402);
+  fill (&store, "queue/queue-000", 3, NULL);
+  node_setup (&b, &store, "vm-2", false);
+  run ((struct node *[]){ &a, &b, NULL }, SECOND_US);
+  assert_true (ctl_ready (&b.ctl));
+  assert_int_equal (b.replaced, 1);
+  assert_int_equal (ctl_next (&b.ctl), 405);
+  assert_null (cyc_led_queue (ctl_ledger (&b.ctl), CYC_STR ("queue-000")));
+  assert_same_state (ctl_ledger (&a.ctl), ctl_ledger (&b.ctl));
+  node_shutdown (&a);
+  node_shutdown (&b);
+  tst_store_free (&store);
+}
+
+struct chunk_case
+{
+  const char *name;
+  uint64_t trim;    /**< the chunks of 0 to 401 are at 402 and 403 */
+  uint64_t spoiled; /**< offset of a chunk, 0: none */
+  bool loads;
+};
+
+static const struct chunk_case chunk_cases[] = {
+  { "whole", 400, 0, true },
+  { "records after it retained from its end on", 402, 0, true },
+  { "first chunk trimmed", 403, 0, false },
+  { "all chunks trimmed", 404, 0, false },
+  { "first chunk corrupt", 400, 402, false },
+  { "last chunk corrupt", 400, 403, false },
+};
+
+/* Guards against a state that is put together from a missing or corrupt chunk;
+   a later whole set must still be found. */
+static void
+only_whole_snapshots_are_loaded (void **unused)
+{
+  (void)unused;
+  for (size_t i = 0; i < sizeof chunk_cases / sizeof chunk_cases[0]; i++)
+    {
+      const struct chunk_case *cc = &chunk_cases[i];
+      struct tst_store store = { 0 };
+      struct node a;
+      struct node b;
+
+      print_message ("  %s\n", cc->name);
+      fill_all (&store);
+      for (int k = 0; k < 160; k++)
+        fill (&store, "nothing", 0, "");
+      node_setup (&a, &store, "vm-1", true);
+      run ((struct node *[]){ &a, NULL }, 6 * SECOND_US);
+      assert_int_equal (next_of (&store), 404);
+      if (cc->spoiled > 0)
+        spoil_chunk (&store, cc->spoiled);
+      tst_store_trim (&store, CONTROL, cc->trim);
+      node_setup (&b, &store, "vm-2", false);
+      run ((struct node *[]){ &b, NULL }, SECOND_US);
+      assert_int_equal (ctl_ready (&b.ctl), cc->loads);
+      assert_int_equal (cyc_led_complete (ctl_ledger (&b.ctl)), cc->loads);
+      /* The process that holds the state writes again when it must. */
+      fill (&store, "nothing", 0, "");
+      run ((struct node *[]){ &a, &b, NULL }, 20 * SECOND_US);
+      if (cc->spoiled == 0)
+        {
+          assert_true (ctl_ready (&b.ctl));
+          assert_same_state (ctl_ledger (&a.ctl), ctl_ledger (&b.ctl));
+        }
+      node_shutdown (&a);
+      node_shutdown (&b);
+      tst_store_free (&store);
+    }
+}
+
+/* Guards against a state that is lost with an outage longer than the
+   retention: the first process that reaches the log must write it at once. */
+static void
+after_a_long_outage_the_state_is_written_at_once (void **unused)
+{
+  struct tst_store store = { 0 };
+  struct node a;
+  struct node behind;
+  struct node cold;
+
+  (void)unused;
+  fill_all (&store);
+  node_setup (&a, &store, "vm-1", true);
+  node_setup (&behind, &store, "vm-2", true);
+  run ((struct node *[]){ &a, &behind, NULL }, SECOND_US);
+  behind.log.down = true;
+  fill (&store, "queue/queue-000", 3, NULL);
+  run ((struct node *[]){ &a, &behind, NULL }, SECOND_US);
+  a.log.down = true;
+  run ((struct node *[]){ &a, &behind, NULL }, 10 * SECOND_US);
+  tst_store_trim (&store, CONTROL, 243);
+  /* Behind the gap nothing may be applied or written. */
+  behind.log.down = false;
+  node_setup (&cold, &store, "vm-3", true);
+  run ((struct node *[]){ &behind, &cold, NULL }, 5 * SECOND_US);
+  assert_int_equal (next_of (&store), 243);
+  assert_int_equal (ctl_next (&behind.ctl), 242);
+  assert_false (ctl_ready (&cold.ctl));
+  assert_true (ctl_fresh_us (&behind.ctl) < clock_us - 10 * SECOND_US);
+  a.log.down = false;
+  run ((struct node *[]){ &a, &behind, &cold, NULL }, 3 * SECOND_US);
+  assert_true (ctl_ready (&cold.ctl));
+  assert_int_equal (behind.replaced, 1);
+  assert_true (ctl_fresh_us (&behind.ctl) > clock_us - SECOND_US);
+  assert_same_state (ctl_ledger (&a.ctl), ctl_ledger (&cold.ctl));
+  assert_same_state (ctl_ledger (&a.ctl), ctl_ledger (&behind.ctl));
+  node_shutdown (&a);
+  node_shutdown (&behind);
+  node_shutdown (&cold);
+  tst_store_free (&store);
+}
+
+/* Guards against a process without a path to the log that has no state, keeps
+   a withdrawn key, or believes itself fresher than the peer it asked. */
+static void
+a_peer_gives_snapshot_records_and_freshness (void **unused)
+{
+  struct tst_store store = { 0 };
+  struct cyc_digest digest = tst_digest ("key");
+  struct cyc_str records[8];
+  struct cyc_str bytes;
+  struct cyc_str record;
+  struct node a;
+  struct node b;
+  uint64_t fresh_us;
+  uint32_t count;
+
+  (void)unused;
+  fill_all (&store);
+  node_setup (&a, &store, "vm-1", false);
+  node_setup (&b, &store, "vm-2", false);
+  b.log.down = true;
+  run ((struct node *[]){ &a, &b, NULL }, SECOND_US);
+  bytes = encoded (ctl_ledger (&a.ctl));
+  fresh_us = ctl_fresh_us (&a.ctl);
+  assert_true (ctl_peer_state (&b.ctl, ctl_next (&a.ctl), fresh_us));
+  assert_false (ctl_ready (&b.ctl));
+  assert_int_equal (ctl_fresh_us (&b.ctl), 0);
+  assert_int_equal (ctl_kept_records (&a.ctl, 0, records, 8), 0);
+  assert_true (ctl_peer_snapshot (&b.ctl, bytes));
+  assert_false (ctl_peer_snapshot (&b.ctl, bytes));
+  assert_true (ctl_ready (&b.ctl));
+  assert_int_equal (ctl_fresh_us (&b.ctl), fresh_us);
+  free ((char *)bytes.data);
+
+  assert_true (cyc_rec_key_grant (&(struct cyc_id128){ { 1 } },
+                                  CYC_STR ("vm-0"), &digest,
+                                  CYC_STR ("orders"), 0, &record));
+  tst_store_append (&store, CONTROL, record);
+  free ((char *)record.data);
+  assert_true (cyc_rec_key_withdraw (&(struct cyc_id128){ { 2 } },
+                                     CYC_STR ("vm-0"), &digest, &record));
+  tst_store_append (&store, CONTROL, record);
+  free ((char *)record.data);
+  run ((struct node *[]){ &a, &b, NULL }, SECOND_US);
+  assert_true (
+      ctl_peer_state (&b.ctl, ctl_next (&a.ctl), ctl_fresh_us (&a.ctl)));
+  assert_int_equal (ctl_fresh_us (&b.ctl), fresh_us);
+  count = ctl_kept_records (&a.ctl, ctl_next (&b.ctl), records, 8);
+  assert_int_equal (count, 2);
+  ctl_peer_records (&b.ctl, ctl_next (&b.ctl) + 1, &records[1], 1);
+  assert_int_equal (ctl_next (&b.ctl), 242);
+  ctl_peer_records (&b.ctl, ctl_next (&b.ctl), records, 1);
+  ctl_peer_records (&b.ctl, ctl_next (&b.ctl) - 1, records, 2);
+  assert_int_equal (cyc_led_key (ctl_ledger (&b.ctl), &digest, NULL),
+                    CYC_KEY_WITHDRAWN);
+  assert_int_equal (ctl_fresh_us (&b.ctl), ctl_fresh_us (&a.ctl));
+  assert_same_state (ctl_ledger (&a.ctl), ctl_ledger (&b.ctl));
+  /* Back at the log, what came from the peer is not applied again. */
+  b.log.down = false;
+  run ((struct node *[]){ &a, &b, NULL }, 3 * SECOND_US);
+  assert_int_equal (b.effects, 2);
+  assert_same_state (ctl_ledger (&a.ctl), ctl_ledger (&b.ctl));
+  node_shutdown (&a);
+  node_shutdown (&b);
+  tst_store_free (&store);
+}
+
+static void
+publish (struct node *node, uint8_t id, const char *item, uint64_t base,
+         const char *body)
+{
+  struct cyc_config_edit edit = { .name = cyc_str_of (item),
+                                  .base_version = base,
+                                  .body = cyc_str_of (body) };
+  struct ctl_append append = { .record_id = { { id } },
+                               .deadline_us = clock_us + 2 * SECOND_US,
+                               .done = on_done,
+                               .user = node };
+
+  assert_true (cyc_rec_config (&append.record_id, CYC_STR ("vm-0"), &edit, 1,
+                               &append.record));
+  assert_true (ctl_append (&node->ctl, &append));
+  free ((char *)append.record.data);
+}
+
+struct publish_case
+{
+  const char *name;
+  enum tst_fault fault;
+  uint32_t calls;
+  bool reads_down;
+  bool other_first; /**< another operator's change comes first */
+  enum ctl_fate fate;
+};
+
+static const struct publish_case publish_cases[] = {
+  { "accepted", TST_NO_FAULT, 0, false, false, CTL_ACCEPTED },
+  { "answer lost after the write", TST_LOST_AFTER_WRITE, 1, false, false,
+    CTL_ACCEPTED },
+  { "answer lost before the write", TST_LOST_BEFORE_WRITE, 1, false, false,
+    CTL_ACCEPTED },
+  { "lost a race", TST_NO_FAULT, 0, false, true, CTL_REFUSED },
+  { "lost a race and the answer", TST_LOST_AFTER_WRITE, 1, false, true,
+    CTL_REFUSED },
+  { "refused by the log", TST_REFUSED, 1000, false, false, CTL_NOT_DONE },
+  { "never read back", TST_LOST_AFTER_WRITE, 1, true, false, CTL_UNKNOWN },
+};
+
+/* Guards against an operator who is told something else than what the stream
+   says about the change. */
+static void
+operators_learn_what_became_of_their_change (void **unused)
+{
+  (void)unused;
+  for (size_t i = 0; i < sizeof publish_cases / sizeof publish_cases[0]; i++)
+    {
+      const struct publish_case *pc = &publish_cases[i];
+      struct tst_store store = { 0 };
+      struct node a;
+
+      print_message ("  %s\n", pc->name);
+      node_setup (&a, &store, "vm-1", false);
+      run ((struct node *[]){ &a, NULL }, 10 * STEP_US);
+      assert_true (ctl_ready (&a.ctl));
+      if (pc->other_first)
+        fill (&store, "fleet", 0, TST_FLEET);
+      a.log.reads_down = pc->reads_down;
+      tst_log_fault (&a.log, pc->fault, pc->calls);
+      publish (&a, 9, "fleet", 0, TST_FLEET);
+      run ((struct node *[]){ &a, NULL }, 4 * SECOND_US);
+      assert_int_equal (a.ended, 1);
+      assert_int_equal (a.fate, pc->fate);
+      if (pc->other_first)
+        assert_string_equal (a.effect.lost_to.data, "vm-0");
+      if (pc->fate == CTL_ACCEPTED)
+        assert_non_null (cyc_led_fleet (ctl_ledger (&a.ctl)));
+      assert_true (next_of (&store) <= 1U + pc->other_first);
+      node_shutdown (&a);
+      tst_store_free (&store);
+    }
+}
+
+int
+main (void)
+{
+  static struct ev_sink sink;
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (replicas_encode_the_same_bytes),
+    cmocka_unit_test (damaged_snapshots_keep_the_old_state),
+    cmocka_unit_test (sets_of_several_writers_are_kept_apart),
+    cmocka_unit_test (a_cold_start_behind_a_trim_loads_the_snapshot),
+    cmocka_unit_test (only_whole_snapshots_are_loaded),
+    cmocka_unit_test (after_a_long_outage_the_state_is_written_at_once),
+    cmocka_unit_test (a_peer_gives_snapshot_records_and_freshness),
+    cmocka_unit_test (operators_learn_what_became_of_their_change),
+  };
+
+  clock_us = SECOND_US;
+  ev_setup (&sink, &(struct ev_desc){ .lowest = G_LOG_LEVEL_CRITICAL });
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
