--- /dev/null
+++ b/tests/test_jobs.c
@@ -0,0 +1,306 @@
+/**
+ * @file
+ * Job table: replay, cancellation against re-append, epochs of owners, and
+ * ended jobs that leave first.
+ */
+#include <cyclamendrum/jobs.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+struct watcher
+{
+  uint32_t changes;
+  struct cyc_job_row last;
+};
+
+static void
+on_change (void *user, const struct cyc_job_row *row)
+{
+  struct watcher *watcher = user;
+
+  watcher->changes++;
+  watcher->last = *row;
+}
+
+static struct cyc_jobs
+table (uint32_t max_jobs, uint32_t max_tasks)
+{
+  struct cyc_findings found = { 0 };
+  struct cyc_jobs jobs;
+
+  assert_true (cyc_jobs_setup (
+      &jobs,
+      &(struct cyc_jobs_desc){ .max_jobs = max_jobs, .max_tasks = max_tasks },
+      &found));
+  return jobs;
+}
+
+static struct cyc_job_event
+submit (uint8_t job, uint32_t tasks)
+{
+  return (struct cyc_job_event){ .kind = CYC_JOB_EVENT_SUBMIT,
+                                 .job_id = { { job } },
+                                 .queue = CYC_STR ("tally"),
+                                 .team = CYC_STR ("orders"),
+                                 .domain = CYC_STR ("north-a"),
+                                 .tasks = tasks,
+                                 .submitted_ms = 5 };
+}
+
+static struct cyc_job_event
+cancel (uint8_t job)
+{
+  return (struct cyc_job_event){ .kind = CYC_JOB_EVENT_CANCEL,
+                                 .job_id = { { job } } };
+}
+
+static struct cyc_job_event
+progress (uint8_t job, uint64_t epoch, uint32_t attempt, struct cyc_str bits)
+{
+  return (struct cyc_job_event){ .kind = CYC_JOB_EVENT_PROGRESS,
+                                 .job_id = { { job } },
+                                 .epoch = epoch,
+                                 .attempt = attempt,
+                                 .done_bits = bits };
+}
+
+static struct cyc_job_event
+done (uint8_t job, uint64_t epoch, enum cyc_job_state state)
+{
+  return (struct cyc_job_event){ .kind = CYC_JOB_EVENT_DONE,
+                                 .job_id = { { job } },
+                                 .epoch = epoch,
+                                 .state = state,
+                                 .reason = CYC_STR ("because") };
+}
+
+static struct cyc_str
+record_of (const struct cyc_job_event *events, uint32_t count)
+{
+  struct cyc_id128 id;
+  struct cyc_str record;
+
+  cyc_id128_random (&id);
+  assert_true (cyc_rec_jobs (&id, CYC_STR ("vm-1"), events, count, &record));
+  return record;
+}
+
+static void
+apply (struct cyc_jobs *jobs, struct cyc_job_event event,
+       struct watcher *watcher)
+{
+  struct cyc_jobs_watch watch = { .changed = on_change, .user = watcher };
+  struct cyc_str record = record_of (&event, 1);
+
+  assert_true (cyc_jobs_apply (jobs, cyc_jobs_next (jobs), record,
+                               watcher != NULL ? &watch : NULL));
+  free ((char *)record.data);
+}
+
+static const struct cyc_job_row *
+find (const struct cyc_jobs *jobs, uint8_t job)
+{
+  return cyc_jobs_find (jobs, &(struct cyc_id128){ { job } });
+}
+
+static bool
+task_done (const struct cyc_jobs *jobs, uint8_t job, uint32_t task)
+{
+  return cyc_jobs_task_done (jobs, &(struct cyc_id128){ { job } }, task);
+}
+
+/* One job of 40 tasks; after each step, the row. */
+struct job_step
+{
+  const char *name;
+  struct cyc_job_event event;
+  bool changes;
+  enum cyc_job_state state;
+  bool cancel_requested;
+  uint64_t offset;
+  uint32_t attempt;
+  uint32_t done_tasks;
+};
+
+/* Guards against a replayed or late record that undoes what a newer one said:
+   a cancellation lost by a re-append, progress of an old owner, a second
+   end. */
+static void
+records_of_a_job_are_idempotent (void **unused)
+{
+  const struct job_step steps[] = {
+    { "progress of an unknown job", progress (1, 1, 1, CYC_STR ("\x01")),
+      false },
+    { "submitted", submit (1, 40), true, CYC_JOB_QUEUED, false, 1, 0, 0 },
+    { "submitted again: the offset moves", submit (1, 99), true,
+      CYC_JOB_QUEUED, false, 2, 0, 0 },
+    { "tasks 0 and 9 done", progress (1, 2, 1, CYC_STR ("\x01\x02")), true,
+      CYC_JOB_QUEUED, false, 2, 1, 2 },
+    { "an older owner's progress", progress (1, 1, 7, CYC_STR ("\xff")), false,
+      CYC_JOB_QUEUED, false, 2, 1, 2 },
+    { "done tasks stay done", progress (1, 3, 2, CYC_STR ("\x03")), true,
+      CYC_JOB_QUEUED, false, 2, 2, 3 },
+    { "an older attempt of the same epoch", progress (1, 3, 1, CYC_STR ("")),
+      true, CYC_JOB_QUEUED, false, 2, 2, 3 },
+    { "bits beyond the tasks",
+      progress (1, 3, 2, CYC_STR ("\0\0\0\0\x80\xff")), true, CYC_JOB_QUEUED,
+      false, 2, 2, 4 },
+    { "cancelled", cancel (1), true, CYC_JOB_QUEUED, true, 2, 2, 4 },
+    { "cancelled again", cancel (1), false, CYC_JOB_QUEUED, true, 2, 2, 4 },
+    { "a re-append keeps the cancellation", submit (1, 40), true,
+      CYC_JOB_QUEUED, true, 10, 2, 4 },
+    { "an older owner's end", done (1, 2, CYC_JOB_DONE), false, CYC_JOB_QUEUED,
+      true, 10, 2, 4 },
+    { "not an end", done (1, 3, CYC_JOB_RUNNING), false, CYC_JOB_QUEUED, true,
+      10, 2, 4 },
+    { "ended", done (1, 3, CYC_JOB_CANCELLED), true, CYC_JOB_CANCELLED, true,
+      10, 2, 4 },
+    { "an ended state is final", done (1, 9, CYC_JOB_DONE), false,
+      CYC_JOB_CANCELLED, true, 10, 2, 4 },
+    { "no progress after the end", progress (1, 9, 9, CYC_STR ("\xff")), false,
+      CYC_JOB_CANCELLED, true, 10, 2, 4 },
+    { "a late re-append opens nothing", submit (1, 40), true,
+      CYC_JOB_CANCELLED, true, 16, 2, 4 },
+  };
+  struct cyc_jobs jobs = table (4, 0);
+  struct watcher watcher = { 0 };
+  uint32_t cursor = 0;
+
+  (void)unused;
+  for (size_t i = 0; i < sizeof steps / sizeof steps[0]; i++)
+    {
+      uint32_t before = watcher.changes;
+      const struct cyc_job_row *row;
+
+      print_message ("  %s\n", steps[i].name);
+      apply (&jobs, steps[i].event, &watcher);
+      assert_int_equal (watcher.changes - before, steps[i].changes);
+      row = find (&jobs, 1);
+      if (i == 0)
+        {
+          assert_null (row);
+          continue;
+        }
+      assert_int_equal (row->tasks, 40);
+      assert_int_equal (row->state, steps[i].state);
+      assert_int_equal (row->cancel_requested, steps[i].cancel_requested);
+      assert_int_equal (row->offset, steps[i].offset);
+      assert_int_equal (row->attempt, steps[i].attempt);
+      assert_int_equal (row->done_tasks, steps[i].done_tasks);
+    }
+  assert_true (task_done (&jobs, 1, 0) && task_done (&jobs, 1, 1));
+  assert_true (task_done (&jobs, 1, 9) && task_done (&jobs, 1, 39));
+  assert_false (task_done (&jobs, 1, 2) || task_done (&jobs, 1, 40));
+  assert_string_equal (find (&jobs, 1)->reason, "because");
+  assert_null (cyc_jobs_next_open (&jobs, &cursor));
+  cyc_jobs_shutdown (&jobs);
+}
+
+/* Guards against a process that starts behind a trim and runs a cancelled job:
+   it sees the cancellation, then the re-append, then the cancellation that the
+   owner appended again because it saw cancel_requested on its re-append. */
+static void
+a_cancellation_survives_re_append_and_trim (void **unused)
+{
+  struct cyc_jobs owner = table (4, 0);
+  struct cyc_jobs late = table (4, 0);
+  struct watcher watcher = { 0 };
+  struct cyc_job_event events[]
+      = { submit (1, 1), cancel (1), submit (1, 1), cancel (1) };
+
+  (void)unused;
+  for (int i = 0; i < 3; i++)
+    apply (&owner, events[i], &watcher);
+  assert_int_equal (watcher.last.offset, 2);
+  assert_true (watcher.last.cancel_requested);
+  cyc_jobs_seek (&late, 1);
+  for (int i = 1; i < 4; i++)
+    apply (&late, events[i], NULL);
+  assert_true (find (&late, 1)->cancel_requested);
+  assert_int_equal (cyc_jobs_next (&late), 4);
+  cyc_jobs_shutdown (&owner);
+  cyc_jobs_shutdown (&late);
+}
+
+/* Guards against an open job that a full table drops, and against done bits
+   that leak when jobs come and go. */
+static void
+ended_jobs_leave_first (void **unused)
+{
+  struct cyc_jobs jobs = table (3, CYC_JOB_MAX_TASKS);
+  uint32_t cursor = 0;
+  const struct cyc_job_row *row;
+
+  (void)unused;
+  for (uint8_t job = 1; job <= 3; job++)
+    apply (&jobs, submit (job, 64), NULL);
+  apply (&jobs, submit (4, 1), NULL);
+  assert_null (find (&jobs, 4));
+  apply (&jobs, done (3, 1, CYC_JOB_DONE), NULL);
+  apply (&jobs, done (2, 1, CYC_JOB_FAILED), NULL);
+  apply (&jobs, submit (4, 1), NULL);
+  assert_null (find (&jobs, 3));
+  assert_non_null (find (&jobs, 2));
+  row = cyc_jobs_next_open (&jobs, &cursor);
+  assert_int_equal (row->id.bytes[0], 1);
+  row = cyc_jobs_next_open (&jobs, &cursor);
+  assert_int_equal (row->id.bytes[0], 4);
+  assert_null (cyc_jobs_next_open (&jobs, &cursor));
+  /* 4,096 task bits in all: only the whole table has room for this one. */
+  for (uint8_t job = 5; job < 200; job++)
+    {
+      apply (&jobs, submit (job, 3000), NULL);
+      assert_non_null (find (&jobs, job));
+      assert_false (task_done (&jobs, job, 2999));
+      apply (&jobs, progress (job, 1, 1, CYC_STR ("\xff")), NULL);
+      assert_int_equal (find (&jobs, job)->done_tasks, 8);
+      apply (&jobs, done (job, 1, CYC_JOB_DONE), NULL);
+    }
+  assert_non_null (find (&jobs, 1));
+  cyc_jobs_shutdown (&jobs);
+}
+
+/* Guards against one bad event that discards the others of its record. */
+static void
+a_bad_event_is_skipped_alone (void **unused)
+{
+  struct cyc_job_event events[]
+      = { submit (1, 0),    submit (2, 4097), submit (3, 1),
+          submit (4, 4096), cancel (9),       submit (5, 1) };
+  struct cyc_jobs jobs = table (8, 0);
+  struct cyc_str record;
+
+  (void)unused;
+  events[2].queue = CYC_STR ("No such name");
+  events[5].team = (struct cyc_str){ 0 };
+  record = record_of (events, 6);
+  assert_true (cyc_jobs_apply (&jobs, 0, record, NULL));
+  assert_null (find (&jobs, 1));
+  assert_null (find (&jobs, 2));
+  assert_null (find (&jobs, 3));
+  assert_non_null (find (&jobs, 4));
+  assert_non_null (find (&jobs, 5));
+  record.len /= 2;
+  assert_false (cyc_jobs_apply (&jobs, 1, record, NULL));
+  assert_int_equal (cyc_jobs_next (&jobs), 2);
+  free ((char *)record.data);
+  cyc_jobs_shutdown (&jobs);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (records_of_a_job_are_idempotent),
+    cmocka_unit_test (a_cancellation_survives_re_append_and_trim),
+    cmocka_unit_test (ended_jobs_leave_first),
+    cmocka_unit_test (a_bad_event_is_skipped_alone),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
