Count permits from the demand that they answer

The owner lends a slot again once its deadline has passed, so a grant that is late on the link must not count from its receipt. One demand is on its way at a time, unused lent slots go back with the next one, and waiting requests ask after 100 ms instead of 1 s. A stop that reaches its deadline now answers every caller, and a refusal for lack of room no longer says not-run to a retry.

--- a/include/cyclamendrum/route.h
+++ b/include/cyclamendrum/route.h
@@ -107,9 +107,9 @@
 struct cyc_rt_use
 {
   struct cyc_name worker;
-  uint32_t wanted; /**< slots beyond the base part that are of use now */
-  uint32_t in_use; /**< slots in use, held ones included */
-  uint32_t lent;   /**< slots lent and not expired */
+  uint32_t wanted;   /**< slots beyond the base part that are of use now */
+  uint32_t in_use;   /**< slots in use, held ones included */
+  uint32_t returned; /**< lent slots given up by this call */
 };
 
 /** A flight on which no byte came for too long. */
@@ -182,8 +182,10 @@
 /** Flights found silent since the last call, at most @p max. */
 uint32_t cyc_rt_silent (struct cyc_route *rt, uint64_t now_us,
                         struct cyc_rt_silence *out, uint32_t max);
-/** Permits this gateway wants; at most @p max rows. */
-uint32_t cyc_rt_demand (const struct cyc_route *rt, uint64_t now_us,
+/** Permits this gateway wants, from the greatest use since the last call and
+ * the waiting requests; gives up lent slots beyond that. At most @p max rows;
+ * workers without any use are left out. */
+uint32_t cyc_rt_demand (struct cyc_route *rt, uint64_t now_us,
                         struct cyc_rt_use *out, uint32_t max);
 /** Iterates over workers; start with *cursor = 0. */
 bool cyc_rt_worker_next (const struct cyc_route *rt, uint32_t *cursor,
--- a/src/cyc_route.h
+++ b/src/cyc_route.h
@@ -29,6 +29,9 @@
   uint32_t lent_connections;
   uint64_t lent_deadline_us;
   uint32_t in_use;
+  uint32_t peak;     /**< greatest in_use since the last demand */
+  uint32_t asked;    /**< slots asked for by waiting requests */
+  uint32_t refusals; /**< in a row */
   uint32_t failures; /**< in a row */
   uint32_t probes;   /**< failed probes in a row */
   uint64_t probe_us; /**< next probe while not live */
--- a/src/cyc_route_target.c
+++ b/src/cyc_route_target.c
@@ -9,8 +9,10 @@
 #define EJECT_ONE_OF 5
 #define PROBE_FIRST_US 500000
 #define PROBE_LAST_US 30000000
-/* A target that refused for lack of room is left alone so long. */
-#define REFUSED_PAUSE_US 20000
+/* A target that refused to start a request is left alone so long, and twice
+   as long after each further refusal in a row. */
+#define REFUSED_PAUSE_US UINT64_C (20000)
+#define REFUSED_DOUBLINGS 6
 #define SLOW_FACTOR_MAX 8
 /* Requests count as silent only when they take much longer than usual. */
 #define SILENT_FACTOR 4
@@ -183,6 +185,8 @@
               uint64_t now_us)
 {
   worker->in_use++;
+  if (worker->in_use > worker->peak)
+    worker->peak = worker->in_use;
   if (worker->health != CYC_RT_LIVE)
     worker->probe_us = now_us + state->desc.silent_us;
 }
@@ -237,6 +241,7 @@
       learn (&queue->mean_us, now_us - flight->sent_us);
       worker->answered_us = now_us;
       worker->failures = 0;
+      worker->refusals = 0;
       if (worker->health != CYC_RT_LIVE)
         set_health (worker, CYC_RT_LIVE, now_us);
       break;
@@ -246,7 +251,9 @@
       break;
     case CYC_RT_REFUSED:
       worker->answered_us = now_us;
-      worker->pause_us = now_us + REFUSED_PAUSE_US;
+      worker->pause_us = now_us + (REFUSED_PAUSE_US << worker->refusals);
+      if (worker->refusals < REFUSED_DOUBLINGS)
+        worker->refusals++;
       break;
     case CYC_RT_NOT_CONNECTED:
       if (worker->answered_us < flight->sent_us)
@@ -379,45 +386,62 @@
 
 /* Every queue with waiting requests wants one more slot per request, divided
    over its targets. */
-static uint32_t
-wanted_of (const struct cyc_rt_state *state, const struct rt_worker *worker,
-           uint32_t row)
+static void
+count_asked (struct cyc_rt_state *state)
 {
-  uint32_t base = rt_base_slots (state, worker);
-  uint32_t wanted = worker->in_use > base ? worker->in_use - base : 0;
-
+  for (uint32_t i = 0; i < state->worker_pool.high; i++)
+    state->workers[i].asked = 0;
   for (uint32_t i = 0; i < state->queue_count; i++)
     {
       const struct rt_queue *queue = &state->queues[i];
+      uint32_t part = queue->waiting == 0 || queue->count == 0
+                          ? 0
+                          : (queue->waiting + queue->count - 1) / queue->count;
 
-      if (queue->waiting == 0)
-        continue;
-      for (uint32_t j = 0; j < queue->count; j++)
-        if (state->members[queue->start + j] == row)
-          wanted += (queue->waiting + queue->count - 1) / queue->count;
+      for (uint32_t j = 0; part > 0 && j < queue->count; j++)
+        state->workers[state->members[queue->start + j]].asked += part;
+    }
+}
+
+static struct cyc_rt_use
+use_of (const struct cyc_rt_state *state, struct rt_worker *worker,
+        uint64_t now_us)
+{
+  uint32_t base = rt_base_slots (state, worker);
+  uint32_t lent = worker->lent_deadline_us > now_us ? worker->lent_slots : 0;
+  struct cyc_rt_use use = { .worker = worker->name, .in_use = worker->in_use };
+
+  use.wanted = worker->peak > base ? worker->peak - base : 0;
+  if (worker->peak >= base)
+    use.wanted += worker->asked;
+  if (use.wanted > worker->slots || worker->leaving)
+    use.wanted = worker->leaving ? 0 : worker->slots;
+  /* Slots in use cannot be given up before their requests end. */
+  if (lent > use.wanted && worker->in_use <= base + use.wanted)
+    {
+      use.returned = lent - use.wanted;
+      worker->lent_slots = use.wanted;
     }
-  return wanted < worker->slots ? wanted : worker->slots;
+  worker->peak = worker->in_use;
+  return use;
 }
 
 uint32_t
-cyc_rt_demand (const struct cyc_route *rt, uint64_t now_us,
-               struct cyc_rt_use *out, uint32_t max)
+cyc_rt_demand (struct cyc_route *rt, uint64_t now_us, struct cyc_rt_use *out,
+               uint32_t max)
 {
-  const struct cyc_rt_state *state = rt->state;
+  struct cyc_rt_state *state = rt->state;
   uint32_t count = 0;
 
+  count_asked (state);
   for (uint32_t i = 0; i < state->worker_pool.high && count < max; i++)
     {
-      const struct rt_worker *worker = &state->workers[i];
-
-      if (!cyc_pool_used_at (&state->worker_pool, i) || worker->leaving)
+      if (!cyc_pool_used_at (&state->worker_pool, i))
         continue;
-      out[count++] = (struct cyc_rt_use){
-        .worker = worker->name,
-        .wanted = wanted_of (state, worker, i),
-        .in_use = worker->in_use,
-        .lent = worker->lent_deadline_us > now_us ? worker->lent_slots : 0,
-      };
+      out[count] = use_of (state, &state->workers[i], now_us);
+      if (out[count].wanted > 0 || out[count].in_use > 0
+          || out[count].returned > 0)
+        count++;
     }
   return count;
 }
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -193,6 +193,9 @@
   uint64_t next_second_us;
   uint64_t config_seen;
   uint64_t targets_epoch;
+  struct cyc_ref demand_peer;
+  uint64_t demand_us;      /**< sending of the oldest unanswered demand */
+  uint64_t demand_last_us; /**< sending of the newest one */
   bool seat_conflict;
   bool keys_were_stale;
   bool was_ready;
@@ -224,6 +227,8 @@
   struct cyc_ref snapshot_peer;
   bool draining;
   bool stopped;
+  bool listening_ended;
+  bool drain_cut; /**< the deadline of the stop has passed */
   uint64_t drain_deadline_us;
   uint64_t drain_least_us;
   uint64_t quiet_us;
@@ -280,6 +285,8 @@
 void gw_dispatch (struct gw_state *gw, uint64_t now_us);
 void gw_check_silence (struct gw_state *gw, uint64_t now_us);
 void gw_check_deadlines (struct gw_state *gw, uint64_t now_us);
+/** Tells every waiting caller the truth before the process ends. */
+void gw_end_all (struct gw_state *gw);
 /** A forwarded request ended elsewhere. */
 void gw_forward_answered (struct gw_request *request,
                           const Cyc__ForwardAnswer *answer);
@@ -324,7 +331,9 @@
 void gw_on_message (void *user, struct cyc_ref peer, const Cyc__Peer *message);
 void gw_on_linked (void *user, struct cyc_ref peer, bool linked);
 void gw_self_state (void *user, struct pl_self_state *out);
-void gw_peer_second (struct gw_state *gw, uint64_t now_us);
+void gw_peer_second (struct gw_state *gw);
+/** Sends a demand for permits when one is due. */
+void gw_peer_demand (struct gw_state *gw, uint64_t now_us);
 /** Sends the request to a gateway of another domain; false: there is none. */
 bool gw_forward (struct gw_request *request, uint64_t now_us);
 void gw_tell_leaving (struct gw_state *gw, const struct cyc_name *worker);
--- a/src/gateway_peer.c
+++ b/src/gateway_peer.c
@@ -9,6 +9,10 @@
 #define SNAPSHOT_MAX_CHUNKS 256
 #define TARGETS_MAX 4096
 #define USES_MAX 4096
+#define DEMAND_INTERVAL_US 1000000
+/* While requests wait, permits are asked for sooner. */
+#define DEMAND_URGENT_US 100000
+#define DEMAND_TIMEOUT_US 2000000
 /* The other gateway answers a little before the caller's deadline, so that
    its "not-run" still arrives. */
 #define FORWARD_MARGIN_US UINT64_C (50000)
@@ -32,15 +36,19 @@
   return (struct cyc_str){ (const char *)data->data, data->len };
 }
 
+/* An owner that was replaced may not know it yet. */
 static bool
 from_own_owner (const struct gw_state *gw, struct cyc_ref peer, uint64_t epoch)
 {
   struct pl_peer_view view;
+  struct cyc_claim claim;
 
+  cyc_led_claim (ctl_ledger (&gw->control),
+                 cyc_name_str (&gw->settings->domain), 0, &claim);
   return pl_view (&gw->links, peer, &view)
          && view.identity.role == SET_ROLE_SCHEDULER
          && cyc_name_eq (&view.identity.domain, &gw->settings->domain)
-         && epoch >= gw->targets_epoch;
+         && epoch >= gw->targets_epoch && epoch >= claim.epoch;
 }
 
 static void
@@ -72,17 +80,22 @@
   gw_apply_config (gw);
 }
 
+/* The life of a grant counts from the sending of the demand that it answers,
+   so that a grant that is late, or read after a pause, does not outlast what
+   the owner believes. The owner's instant bounds it too. */
 static void
 on_grant (struct gw_state *gw, struct cyc_ref peer,
           const Cyc__PermitGrant *grant)
 {
-  uint64_t deadline_us = hc_now_us () + grant->valid_for_ms * GW_US_PER_MS;
+  uint64_t deadline_us = gw->demand_us + grant->valid_for_ms * GW_US_PER_MS;
 
-  if (!from_own_owner (gw, peer, grant->epoch))
+  if (gw->demand_us == 0 || peer.index != gw->demand_peer.index
+      || !from_own_owner (gw, peer, grant->epoch))
     return;
   if (grant->deadline_ms != 0
       && hc_deadline_us (grant->deadline_ms) < deadline_us)
     deadline_us = hc_deadline_us (grant->deadline_ms);
+  gw->demand_us = 0;
   gw->targets_epoch = grant->epoch;
   for (size_t i = 0; i < grant->n_lent; i++)
     cyc_rt_lend (&gw->route, cyc_str_of (grant->lent[i]->worker),
@@ -401,6 +414,9 @@
       gw->next_second_us = 0;
       return;
     }
+  /* An answer cannot come over a later connection. */
+  if (gw->demand_us != 0 && gw->demand_peer.index == peer.index)
+    gw->demand_us = 0;
   for (uint32_t i = 0; i < gw->request_pool.high; i++)
     {
       struct gw_request *request = &gw->requests[i];
@@ -423,19 +439,34 @@
   out->draining = gw->draining;
 }
 
+static bool
+find_owner (const struct gw_state *gw, struct cyc_ref *out)
+{
+  uint64_t epoch = 0;
+  uint32_t cursor = 0;
+  struct cyc_ref ref;
+  struct pl_peer_view view;
+
+  while (pl_next (&gw->links, &cursor, &ref, &view))
+    if (view.linked && view.owned_epoch > epoch
+        && view.identity.role == SET_ROLE_SCHEDULER
+        && cyc_name_eq (&view.identity.domain, &gw->settings->domain))
+      {
+        epoch = view.owned_epoch;
+        *out = ref;
+      }
+  return epoch > 0;
+}
+
 static void
-send_demand (struct gw_state *gw, uint64_t now_us)
+send_demand (struct gw_state *gw, struct cyc_ref owner, uint64_t now_us)
 {
-  static const size_t row_bytes = sizeof (Cyc__PermitUse);
   struct cyc_rt_use *uses = calloc (USES_MAX, sizeof *uses);
-  Cyc__PermitUse *rows = calloc (USES_MAX, row_bytes);
+  Cyc__PermitUse *rows = calloc (USES_MAX, sizeof *rows);
   Cyc__PermitUse **list = calloc (USES_MAX, sizeof (void *));
   Cyc__PermitDemand demand = CYC__PERMIT_DEMAND__INIT;
   Cyc__Peer message = CYC__PEER__INIT;
   uint32_t count = 0;
-  uint32_t cursor = 0;
-  struct cyc_ref ref;
-  struct pl_peer_view view;
 
   if (uses != NULL && rows != NULL && list != NULL)
     count = cyc_rt_demand (&gw->route, now_us, uses, USES_MAX);
@@ -445,6 +476,7 @@
       rows[i].worker = uses[i].worker.data;
       rows[i].wanted = uses[i].wanted;
       rows[i].in_use = uses[i].in_use;
+      rows[i].returned = uses[i].returned;
       list[i] = &rows[i];
     }
   demand.seat = gw->settings->seat;
@@ -452,16 +484,36 @@
   demand.uses = list;
   message.body_case = CYC__PEER__BODY_PERMIT_DEMAND;
   message.permit_demand = &demand;
-  while (pl_next (&gw->links, &cursor, &ref, &view))
-    if (view.linked && view.owned_epoch > 0
-        && view.identity.role == SET_ROLE_SCHEDULER
-        && cyc_name_eq (&view.identity.domain, &gw->settings->domain))
-      pl_send (&gw->links, ref, &message);
+  if (pl_send (&gw->links, owner, &message) && gw->demand_us == 0)
+    {
+      gw->demand_us = now_us;
+      gw->demand_peer = owner;
+    }
   free (uses);
   free (rows);
   free (list);
 }
 
+/* One demand is on its way at a time. One that stays unanswered is repeated
+   without a new sending time: the answer may belong to either. */
+void
+gw_peer_demand (struct gw_state *gw, uint64_t now_us)
+{
+  uint64_t interval_us = cyc_rt_waiting (&gw->route) > 0 ? DEMAND_URGENT_US
+                                                         : DEMAND_INTERVAL_US;
+  struct cyc_ref owner;
+
+  if (now_us < gw->demand_last_us + interval_us
+      || (gw->demand_us != 0
+          && now_us < gw->demand_last_us + DEMAND_TIMEOUT_US)
+      || gw->seat_conflict || !find_owner (gw, &owner))
+    return;
+  if (gw->demand_us != 0 && owner.index != gw->demand_peer.index)
+    gw->demand_us = 0;
+  gw->demand_last_us = now_us;
+  send_demand (gw, owner, now_us);
+}
+
 /* Two gateways with one seat would use the same base part twice. The one with
    the greater incarnation gives its part up; both can tell which. */
 static void
@@ -510,10 +562,9 @@
 }
 
 void
-gw_peer_second (struct gw_state *gw, uint64_t now_us)
+gw_peer_second (struct gw_state *gw)
 {
   check_seats (gw);
-  send_demand (gw, now_us);
   if (!cyc_led_complete (ctl_ledger (&gw->control))
       && !ctl_log_reachable (&gw->control))
     ask_snapshot (gw);
--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -300,6 +300,14 @@
     }
 }
 
+void
+gw_end_all (struct gw_state *gw)
+{
+  for (uint32_t i = 0; i < gw->request_pool.high; i++)
+    if (cyc_pool_used_at (&gw->request_pool, i) && gw->requests[i].stage != 0)
+      deadline_passed (&gw->requests[i]);
+}
+
 /* What was forwarded and refused there has provably not run, so the next
    domain is tried. */
 void
--- a/src/gateway_run.c
+++ b/src/gateway_run.c
@@ -152,7 +152,13 @@
 
   if (!gw->draining || gw->stopped)
     return;
-  if (now_us >= gw->drain_deadline_us)
+  if (now_us >= gw->drain_deadline_us && !gw->drain_cut)
+    {
+      gw->drain_cut = true;
+      gw->drain_deadline_us = now_us + DRAIN_LEAST_US;
+      gw_end_all (gw);
+    }
+  else if (now_us >= gw->drain_deadline_us)
     {
       finish_stop (gw);
       return;
@@ -163,7 +169,12 @@
       return;
     }
   if (gw->quiet_us == 0)
-    gw->quiet_us = now_us + DRAIN_QUIET_US;
+    {
+      gw->quiet_us = now_us + DRAIN_QUIET_US;
+      if (!gw->listening_ended)
+        hs_stop_listening (&gw->server);
+      gw->listening_ended = true;
+    }
   else if (now_us >= gw->quiet_us)
     finish_stop (gw);
 }
@@ -181,10 +192,11 @@
   cyc_rt_tick (&gw->route, now_us);
   gw_check_deadlines (gw, now_us);
   gw_check_silence (gw, now_us);
+  gw_peer_demand (gw, now_us);
   if (now_us >= gw->next_second_us)
     {
       gw->next_second_us = now_us + 1000 * GW_US_PER_MS;
-      gw_peer_second (gw, now_us);
+      gw_peer_second (gw);
       gw_once_expire (gw, now_us);
     }
 }
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -80,9 +80,30 @@
   return result;
 }
 
+static bool
+header_equals (struct MHD_Connection *connection, const char *name,
+               const char *value)
+{
+  const char *found
+      = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, name);
+
+  return found != NULL && strcmp (found, value) == 0;
+}
+
+/* An earlier attempt with the same Idempotency-Key may have run, unless the
+   caller says that there was none. */
+static bool
+may_have_run (struct MHD_Connection *connection)
+{
+  return MHD_lookup_connection_value (connection, MHD_HEADER_KIND,
+                                      "Idempotency-Key")
+             != NULL
+         && !header_equals (connection, "First-Attempt", "1");
+}
+
 static enum MHD_Result
 answer_plainly (struct MHD_Connection *connection, uint32_t status,
-                const char *text)
+                const char *outcome, const char *text)
 {
   struct MHD_Response *response = MHD_create_response_from_buffer (
       strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
@@ -90,7 +111,7 @@
 
   MHD_add_response_header (response, "Content-Type",
                            "application/problem+json");
-  MHD_add_response_header (response, "Outcome", "not-run");
+  MHD_add_response_header (response, "Outcome", outcome);
   result = MHD_queue_response (connection, status, response);
   MHD_destroy_response (response);
   return result;
@@ -103,9 +124,15 @@
   struct cyc_ref ref = cyc_pool_take (&hs->pool);
   struct hs_open_call *open;
 
+  if (ref.generation == 0 && may_have_run (connection))
+    return answer_plainly (
+        connection, MHD_HTTP_SERVICE_UNAVAILABLE, "unknown",
+        "{\"type\":\"about:blank\",\"title\":\"too many open requests\","
+        "\"status\":503,\"detail\":\"an earlier attempt with this key may "
+        "have run\",\"outcome\":\"unknown\"}");
   if (ref.generation == 0)
     return answer_plainly (
-        connection, MHD_HTTP_SERVICE_UNAVAILABLE,
+        connection, MHD_HTTP_SERVICE_UNAVAILABLE, "not-run",
         "{\"type\":\"about:blank\",\"title\":\"too many open requests\","
         "\"status\":503,\"outcome\":\"not-run\"}");
   open = &hs->calls[ref.index];
@@ -161,7 +188,7 @@
     }
   if (open->too_long)
     return answer_plainly (
-        connection, MHD_HTTP_CONTENT_TOO_LARGE,
+        connection, MHD_HTTP_CONTENT_TOO_LARGE, "not-run",
         "{\"type\":\"about:blank\",\"title\":\"body is too long\","
         "\"status\":413,\"outcome\":\"not-run\"}");
   if (open->response != NULL)
--- a/tests/test_caller_contract.c
+++ b/tests/test_caller_contract.c
@@ -603,17 +603,23 @@
 struct permit_case
 {
   const char *what;
-  uint32_t lent;
-  uint64_t valid_for_ms;
-  int64_t deadline_in_ms; /**< by the lender's clock */
+  struct tst_lending lending;
   uint32_t most_running;
 };
 
 /* Eight slots and three seats: a base part of two. */
 static const struct permit_case permit_cases[] = {
-  { "base part only", 0, 5000, 5000, 2 },
-  { "two lent", 2, 5000, 5000, 4 },
-  { "grant that was delayed beyond its deadline", 2, 5000, -100, 2 },
+  { "base part only", { 0 }, 2 },
+  { "two lent", { .slots = 2, .valid_for_ms = 5000 }, 4 },
+  { "two lent, instant stated",
+    { .slots = 2, .valid_for_ms = 5000, .deadline_in_ms = 5000 },
+    4 },
+  { "the lender's instant has passed",
+    { .slots = 2, .valid_for_ms = 5000, .deadline_in_ms = -100 },
+    2 },
+  { "grant that comes after its time",
+    { .slots = 2, .valid_for_ms = 300, .delay_us = 400000 },
+    2 },
 };
 
 /* Guards against slots overrun by permits that their lender holds expired. */
@@ -630,9 +636,8 @@
       const struct permit_case *row = &permit_cases[i];
 
       tst_world_up (&world, &(struct tst_options){ .seats = 3 });
-      world.targets[0].delay_us = 60000;
-      tst_lend (&world, 0, 0, row->lent, row->valid_for_ms,
-                (uint64_t)((int64_t)hc_wall_ms () + row->deadline_in_ms));
+      world.targets[0].delay_us = 150000;
+      world.lending = row->lending;
       for (uint32_t j = 0; j < 12; j++)
         tst_begin (&world, 0, &call, &replies[j]);
       for (uint32_t j = 0; j < 12; j++)
@@ -646,6 +651,32 @@
     }
 }
 
+/* Guards against two processes with one seat that both use its base part. */
+static void
+one_of_two_gateways_with_one_seat_gives_up_its_base_part (void **state)
+{
+  static struct tst_reply replies[20];
+  static const struct tst_call call
+      = { HC_POST, REQUESTS ("round-plan"), "orders-key", { 0 }, "x" };
+
+  (void)state;
+  tst_world_up (&world, &(struct tst_options){ .gateways = 2,
+                                               .seats = 4,
+                                               .same_seat = true,
+                                               .request_max_ms = 1000 });
+  tst_run (&world, 1200000);
+  world.targets[0].delay_us = 50000;
+  for (uint32_t i = 0; i < 20; i++)
+    tst_begin (&world, i % 2, &call, &replies[i]);
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      assert_true (tst_until (&world, &replies[i].done));
+      assert_string_not_equal (replies[i].outcome, "unknown");
+    }
+  assert_int_equal (world.targets[0].most_running, 2);
+  tst_world_down (&world);
+}
+
 /* Guards against new work for a target in shutdown. */
 static void
 draining_target_gets_no_new_request (void **state)
@@ -712,6 +743,56 @@
   tst_world_down (&world);
 }
 
+/* Guards against a caller left without any reply when the stop takes longer
+   than it may. */
+static void
+stop_at_its_deadline_tells_every_caller (void **state)
+{
+  struct tst_call call
+      = { HC_POST, REQUESTS ("round-plan"), "orders-key", { 0 }, "x" };
+  struct tst_reply sent;
+  struct tst_reply waiting;
+
+  (void)state;
+  tst_world_up (&world, &(struct tst_options){ .slots = 1, .drain_ms = 500 });
+  tst_behave (&world, 0, TST_SILENT);
+  tst_begin (&world, 0, &call, &sent);
+  tst_run (&world, 50000);
+  tst_begin (&world, 0, &call, &waiting);
+  tst_run (&world, 50000);
+  gw_stop (&world.gateways[0].gw);
+  assert_true (tst_until (&world, &world.gateways[0].stopped));
+  assert_true (sent.done && waiting.done);
+  check ("sent", &sent, 504, "unknown");
+  check ("never sent", &waiting, 504, "not-run");
+  tst_world_down (&world);
+}
+
+/* Guards against a gateway without a path to the log that serves nothing, or
+   that misses a withdrawal which a peer has read. */
+static void
+gateway_without_log_follows_its_peers (void **state)
+{
+  struct tst_call call
+      = { HC_POST, REQUESTS ("round-plan"), "orders-key", { 0 }, "x" };
+  struct tst_call once = once_call ("Idempotency-Key: n", "x");
+  struct tst_reply reply;
+
+  (void)state;
+  tst_world_up (&world, &(struct tst_options){ .gateways = 2,
+                                               .seats = 2,
+                                               .second_without_log = true });
+  tst_call (&world, 1, &call, &reply);
+  check ("repeatable", &reply, 200, "answer");
+  tst_call (&world, 1, &once, &reply);
+  check ("once-only", &reply, 503, "unknown");
+  tst_withdraw_key (&world, "orders-key");
+  tst_run (&world, 1000000);
+  tst_call (&world, 1, &call, &reply);
+  check ("withdrawn", &reply, 401, "not-run");
+  tst_world_down (&world);
+}
+
 /* Guards against a queue without targets here being refused while another
    domain has targets. */
 static void
@@ -806,8 +887,12 @@
     cmocka_unit_test (withdrawn_and_stale_keys_are_refused),
     cmocka_unit_test (answers_reach_their_own_callers),
     cmocka_unit_test (permits_bound_requests_in_flight),
+    cmocka_unit_test (
+        one_of_two_gateways_with_one_seat_gives_up_its_base_part),
     cmocka_unit_test (draining_target_gets_no_new_request),
     cmocka_unit_test (planned_stop_finishes_what_was_begun),
+    cmocka_unit_test (stop_at_its_deadline_tells_every_caller),
+    cmocka_unit_test (gateway_without_log_follows_its_peers),
     cmocka_unit_test (request_is_forwarded_to_another_domain),
     cmocka_unit_test (waiting_requests_end_by_their_deadline),
     cmocka_unit_test (operators_pages_are_served),
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -501,6 +501,40 @@
   cyc_rt_shutdown (&rt);
 }
 
+/* Guards against permits that are asked for without need, or kept from the
+   other gateways when the need has passed. */
+static void
+demand_follows_use_and_gives_back_the_rest (void **state)
+{
+  struct cyc_rt_use uses[4];
+  struct cyc_rt_send sends[4];
+
+  (void)state;
+  set_up (&(struct cyc_rt_desc){ 0 });
+  cyc_rt_seats (&rt, 4, true);
+  list_targets ("q", 1, 8);
+  assert_int_equal (cyc_rt_demand (&rt, T0, uses, 4), 0);
+  put_many ("q", "t", 5);
+  assert_int_equal (send_all (T0), 2);
+  assert_int_equal (cyc_rt_demand (&rt, T0, uses, 4), 1);
+  assert_int_equal (uses[0].wanted, 3);
+  assert_int_equal (uses[0].in_use, 2);
+  cyc_rt_lend (&rt, CYC_STR ("w0"), 3, 3, T0 + 5000 * MS);
+  for (uint32_t i = 0; i < 3; i++)
+    assert_true (cyc_rt_next (&rt, T0, &sends[i]));
+  for (uint32_t i = 0; i < 3; i++)
+    cyc_rt_finish (&rt, sends[i].flight, CYC_RT_ANSWERED, T0, FAR);
+  assert_int_equal (cyc_rt_demand (&rt, T0, uses, 4), 1);
+  assert_int_equal (uses[0].wanted, 3);
+  assert_int_equal (uses[0].returned, 0);
+  assert_int_equal (cyc_rt_demand (&rt, T0, uses, 4), 1);
+  assert_int_equal (uses[0].wanted, 0);
+  assert_int_equal (uses[0].returned, 3);
+  put_many ("q", "t", 1);
+  assert_int_equal (send_all (T0), 0);
+  cyc_rt_shutdown (&rt);
+}
+
 int
 main (void)
 {
@@ -519,6 +553,7 @@
     cmocka_unit_test (leaving_target_gets_nothing_new),
     cmocka_unit_test (failing_targets_are_ejected_up_to_a_fifth),
     cmocka_unit_test (slots_in_use_survive_a_change_of_the_list),
+    cmocka_unit_test (demand_follows_use_and_gives_back_the_rest),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/tst_world.c
+++ b/tests/tst_world.c
@@ -162,6 +162,28 @@
       }
 }
 
+static void
+answer_demand (struct tst_world *world)
+{
+  Cyc__PermitLent row = CYC__PERMIT_LENT__INIT;
+  Cyc__PermitLent *list[] = { &row };
+  Cyc__PermitGrant grant = CYC__PERMIT_GRANT__INIT;
+  Cyc__Peer message = CYC__PEER__INIT;
+
+  world->lend_at_us = 0;
+  row.worker = "w0";
+  row.slots = world->lending.slots;
+  row.connections = world->lending.slots;
+  grant.epoch = world->epoch;
+  grant.valid_for_ms = world->lending.valid_for_ms;
+  grant.deadline_ms = world->lend_deadline_ms;
+  grant.n_lent = 1;
+  grant.lent = list;
+  message.body_case = CYC__PEER__BODY_PERMIT_GRANT;
+  message.permit_grant = &grant;
+  pl_send (&world->owner, world->lend_to, &message);
+}
+
 static void
 on_tick (struct ev_loop *loop, struct ev_timer *timer, int events)
 {
@@ -172,6 +194,8 @@
   (void)events;
   for (uint32_t i = 0; i < world->options.targets; i++)
     tick_target (&world->targets[i], now_us);
+  if (world->lend_at_us != 0 && now_us >= world->lend_at_us)
+    answer_demand (world);
   pl_tick (&world->owner, now_us);
 }
 
@@ -264,9 +288,18 @@
 static void
 on_owner_message (void *user, struct cyc_ref peer, const Cyc__Peer *message)
 {
-  (void)user;
-  (void)peer;
-  (void)message;
+  struct tst_world *world = user;
+  const struct tst_lending *lending = &world->lending;
+
+  if (message->body_case != CYC__PEER__BODY_PERMIT_DEMAND
+      || lending->slots == 0)
+    return;
+  world->lend_to = peer;
+  world->lend_at_us = hc_now_us () + lending->delay_us;
+  world->lend_deadline_ms
+      = lending->deadline_in_ms == 0
+            ? 0
+            : (uint64_t)((int64_t)hc_wall_ms () + lending->deadline_in_ms);
 }
 
 static void
@@ -329,7 +362,7 @@
   struct set_settings *set = calloc (1, sizeof *set);
   struct cyc_findings found = { 0 };
   bool elsewhere = i > 0 && world->options.second_gateway_elsewhere;
-  char text[1200] = "";
+  char text[1200];
 
   snprintf (text, sizeof text,
             "{\"vm\":\"%s\",\"domain\":\"%s\",\"region\":\"north\","
@@ -339,12 +372,15 @@
             "\"log\":{\"url\":\"http://127.0.0.1:%u\",\"timeout_ms\":500,"
             "\"wait_ms\":200},\"vm_list\":{\"url\":\"http://127.0.0.1:1\"},"
             "\"silent_ms\":300,\"peer_heartbeat_ms\":100,\"tick_ms\":2,"
-            "\"drain_ms\":8000,\"retry_permille\":%u,\"request_max_ms\":%u,"
+            "\"drain_ms\":%u,\"retry_permille\":%u,\"request_max_ms\":%u,"
             "\"keys\":{\"stale_ms\":%u}}",
-            vms[i], elsewhere ? "north-b" : "north-a", i, free_port (),
-            free_port (), fk_port (&world->log.hs),
-            world->options.retry_permille, world->options.request_max_ms,
-            world->options.key_stale_ms);
+            vms[i], elsewhere ? "north-b" : "north-a",
+            world->options.same_seat ? 0 : i, free_port (), free_port (),
+            i == 1 && world->options.second_without_log
+                ? free_port ()
+                : fk_port (&world->log.hs),
+            world->options.drain_ms, world->options.retry_permille,
+            world->options.request_max_ms, world->options.key_stale_ms);
   if (!set_parse (cyc_str_of (text), CYC_STR ("test"), set, &found))
     fail_msg ("%s: %s", found.rows[0].place, found.rows[0].text);
   world->gateways[i].settings = set;
@@ -479,6 +515,8 @@
     world->options.seats = 1;
   if (world->options.key_stale_ms == 0)
     world->options.key_stale_ms = 5000;
+  if (world->options.drain_ms == 0)
+    world->options.drain_ms = 8000;
   if (world->options.request_max_ms == 0)
     world->options.request_max_ms = 3000;
 }
@@ -558,8 +596,8 @@
   static char *const queues[] = { "order-check", "round-plan", "menu" };
   static char *const names[] = { "w0", "w1", "w2" };
   static char urls[TST_TARGETS][48];
-  Cyc__Target rows[TST_TARGETS];
-  Cyc__Target *list[TST_TARGETS];
+  Cyc__Target rows[TST_TARGETS] = { 0 };
+  Cyc__Target *list[TST_TARGETS] = { 0 };
   Cyc__Targets targets = CYC__TARGETS__INIT;
   Cyc__Peer message = CYC__PEER__INIT;
 
@@ -587,33 +625,6 @@
   tst_run (world, 50000);
 }
 
-void
-tst_lend (struct tst_world *world, uint32_t gateway, uint32_t target,
-          uint32_t slots, uint64_t valid_for_ms, uint64_t deadline_ms)
-{
-  static char *const names[] = { "w0", "w1", "w2" };
-  Cyc__PermitLent row = CYC__PERMIT_LENT__INIT;
-  Cyc__PermitLent *list[] = { &row };
-  Cyc__PermitGrant grant = CYC__PERMIT_GRANT__INIT;
-  Cyc__Peer message = CYC__PEER__INIT;
-  struct cyc_ref ref = pl_find (
-      &world->owner, cyc_name_str (&world->gateways[gateway].settings->vm),
-      SET_ROLE_GATEWAY);
-
-  row.worker = names[target];
-  row.slots = slots;
-  row.connections = slots;
-  grant.epoch = world->epoch;
-  grant.valid_for_ms = valid_for_ms;
-  grant.deadline_ms = deadline_ms;
-  grant.n_lent = 1;
-  grant.lent = list;
-  message.body_case = CYC__PEER__BODY_PERMIT_GRANT;
-  message.permit_grant = &grant;
-  assert_true (pl_send (&world->owner, ref, &message));
-  tst_run (world, 50000);
-}
-
 uint32_t
 tst_starts (const struct tst_world *world)
 {
--- a/tests/tst_world.h
+++ b/tests/tst_world.h
@@ -67,6 +67,18 @@
   bool second_gateway_elsewhere; /**< in the domain north-b */
   uint32_t key_stale_ms;         /**< 0: 5,000 */
   uint32_t request_max_ms;       /**< 0: 3,000 */
+  uint32_t drain_ms;             /**< 0: 8,000 */
+  bool same_seat;                /**< all gateways have seat 0 */
+  bool second_without_log;       /**< gateway 1 never reaches the log */
+};
+
+/** How the owner of the world answers demands for permits of target 0. */
+struct tst_lending
+{
+  uint32_t slots;
+  uint64_t valid_for_ms;
+  int64_t deadline_in_ms; /**< by the owner's clock; 0: not stated */
+  uint64_t delay_us;      /**< of the answer */
 };
 
 struct tst_world
@@ -82,6 +94,10 @@
   struct pl_links owner;
   struct set_address owner_address;
   uint64_t epoch;
+  struct tst_lending lending;
+  struct cyc_ref lend_to;
+  uint64_t lend_at_us; /**< 0: no demand to answer */
+  uint64_t lend_deadline_ms;
   /** Calls at targets that still meet their behaviour; later ones are
    * answered. */
   uint32_t faults_left;
@@ -124,8 +140,6 @@
                  enum tst_behaviour behaviour);
 /** Sends the targets of all service queues to the gateways. */
 void tst_tell_targets (struct tst_world *world, uint32_t count);
-void tst_lend (struct tst_world *world, uint32_t gateway, uint32_t target,
-               uint32_t slots, uint64_t valid_for_ms, uint64_t deadline_ms);
 uint32_t tst_starts (const struct tst_world *world);
 void tst_gateway_up (struct tst_world *world, uint32_t gateway);
 void tst_gateway_down (struct tst_world *world, uint32_t gateway);
