Name service replicas anew in each epoch

A new owner that could not reach a worker did not know the replicas there and started others under the same names. Replica indexes now begin at the epoch times 4,096. Seen red in unreached_worker_holds_back_what_it_may_run: two replicas ran in two places.

--- a/src/scheduler_config.c
+++ b/src/scheduler_config.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+#define REPLICAS_PER_EPOCH 4096
+#define REPLICA_EPOCHS (UINT32_MAX / REPLICAS_PER_EPOCH)
+
 static uint32_t *
 queue_link (const struct sc_scheduler *sc, struct cyc_str name)
 {
@@ -140,6 +143,20 @@
     }
 }
 
+/* Replicas of an earlier owner may still run on workers that were not reached,
+   so each epoch names its replicas anew. */
+static void
+begin_service (struct sc_scheduler *sc, struct sc_queue *queue)
+{
+  struct cyc_core_job job = {
+    .queue = queue->name,
+    .first_task = (uint32_t)(sc->epoch % REPLICA_EPOCHS) * REPLICAS_PER_EPOCH,
+  };
+
+  cyc_core_service_job (cyc_name_str (&queue->name), &job.id);
+  queue->begun = cyc_core_job_add (&sc->core, &job, sc->now_us) == CYC_CORE_OK;
+}
+
 static void
 feed_queue (struct sc_scheduler *sc, const struct cyc_queue_cfg *cfg)
 {
@@ -157,6 +174,8 @@
       || cfg->kind != CYC_KIND_SERVICE)
     return;
   queue->targets_dirty = true;
+  if (!queue->begun)
+    begin_service (sc, queue);
   cyc_core_service_scale (
       &sc->core, cyc_name_str (&cfg->name),
       position < 0 ? 0 : sc_divide (fleet, cfg->tasks, (uint32_t)position),
