Renew no lease while the last heartbeat is unanswered

Heartbeats to a silent worker kept extending the leases of its tasks, so these were never started elsewhere. Seen red in task_of_a_silent_worker_runs_again_after_its_lease: the job was still open after 14 s at a task lease of 1.5 s; now it ends.

--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -162,8 +162,8 @@
   enum cyc_kind kind;
   bool repeatable;
   bool targets_dirty;
+  bool begun; /**< the core knows where replica indexes begin */
   uint64_t targets_version;
-  struct cyc_id128 service_job;
 };
 
 /** Hash index: heads of chains, by 64-bit key. */
@@ -267,6 +267,8 @@
 
   struct cyc_jobs jobs;
   bool jobs_ready;
+  bool mark_open;
+  uint64_t marked_epoch; /**< the stream was read beyond this claim */
   struct sc_job *job_rows;
   struct cyc_pool job_pool;
   struct sc_index job_index;
--- a/src/scheduler_workers.c
+++ b/src/scheduler_workers.c
@@ -289,13 +289,16 @@
 }
 
 /* The core learns of a renewal before it is sent: the worker may accept it
-   even when its answer is lost. */
+   even when its answer is lost. While the last heartbeat is unanswered nothing
+   is renewed, or the leases on a silent worker would never end. */
 static uint32_t
 collect_leases (struct sc_scheduler *sc, const struct sc_worker *worker,
                 uint32_t address_step, struct wc_lease *out)
 {
   uint32_t count = 0;
 
+  if (worker->failures > 0)
+    return 0;
   for (uint32_t t = worker->first_task; t != SC_NONE && count < MAX_LEASES;
        t = sc->tasks[t].next)
     {
