Read the jobs stream beyond the claim before the first start

A new owner waited for an empty long poll to know that it had read all jobs, which made a planned takeover take 607 ms with a poll of 300 ms.

--- a/src/scheduler_claim.c
+++ b/src/scheduler_claim.c
@@ -180,10 +180,9 @@
 static void
 update_acting (struct sc_scheduler *sc)
 {
-  bool acting
-      = sc->epoch != 0 && sc->phase == SC_PHASE_RUN
-        && (sc->stock_used || fo_fresh_us (&sc->follow) > sc->claimed_us)
-        && cyc_clm_may_start (&sc->claim, sc->now_us);
+  bool acting = sc->epoch != 0 && sc->phase == SC_PHASE_RUN
+                && sc->marked_epoch == sc->epoch
+                && cyc_clm_may_start (&sc->claim, sc->now_us);
 
   if (acting && !sc->stock_used)
     {
--- a/src/scheduler_jobs.c
+++ b/src/scheduler_jobs.c
@@ -12,6 +12,12 @@
 #define RECORD_BYTES 49152
 #define EVENT_BYTES 400
 
+struct mark_call
+{
+  struct sc_scheduler *sc;
+  uint64_t epoch;
+};
+
 static bool
 is_ended (const struct cyc_job_row *row)
 {
@@ -242,6 +248,40 @@
   return true;
 }
 
+static void
+on_marked (void *user, enum fo_fate fate, uint64_t offset)
+{
+  struct mark_call *call = user;
+
+  (void)offset;
+  call->sc->mark_open = false;
+  if (fate == FO_CONFIRMED)
+    call->sc->marked_epoch = call->epoch;
+  g_free (call);
+}
+
+/* An empty record: once it is read back, everything that was appended before
+   the claim was read too. Waiting for an empty long poll would take longer. */
+static void
+append_mark (struct sc_scheduler *sc)
+{
+  struct mark_call *call = g_new0 (struct mark_call, 1);
+  struct fo_append append = {
+    .deadline_us = sc->now_us + APPEND_MS * SC_US_PER_MS,
+    .done = on_marked,
+    .user = call,
+  };
+
+  *call = (struct mark_call){ sc, sc->epoch };
+  cyc_id128_random (&append.record_id);
+  if (cyc_rec_jobs (&append.record_id, cyc_name_str (&sc->settings.vm), NULL,
+                    0, &append.record))
+    sc->mark_open = fo_append (&sc->follow, &append);
+  free ((void *)append.record.data);
+  if (!sc->mark_open)
+    g_free (call);
+}
+
 void
 sc_job_end (struct sc_scheduler *sc, const struct cyc_id128 *id,
             enum cyc_job_state state, const char *reason)
@@ -544,6 +584,8 @@
     sc->jobs_ready = true;
   if (sc->epoch == 0)
     return;
+  if (sc->marked_epoch != sc->epoch && !sc->mark_open)
+    append_mark (sc);
   resolve_unknown (sc);
   if (sc->now_us >= sc->rescan_us)
     {
