Renew the lease of a started task before it ends on the worker

A start request carries a not-after time of at most 6 s, but the scheduler kept the longer lease of the decision and sent the first renewal a third into it, so with the default settings every task was stopped after 6 s. The scheduler now keeps the lease that it sent.

--- a/src/scheduler_tasks.c
+++ b/src/scheduler_tasks.c
@@ -377,6 +377,9 @@
   task->start_limit_us = sc->now_us + START_VALID_MS * SC_US_PER_MS;
   if (task->start_limit_us > task->lease_us)
     task->start_limit_us = task->lease_us;
+  /* The worker holds the lease of the start request until a renewal: with the
+     longer one here, the renewal would come after the lease had ended. */
+  task->lease_us = task->start_limit_us;
   start.address = cyc_str_of (row->vm.address);
   start.task = cyc_str_of (name);
   start.lease = task->lease;
