--- a/src/cyc_core_worker.c
+++ b/src/cyc_core_worker.c
@@ -8,6 +8,8 @@
  */
 #include "cyc_core_internal.h"
 
+#include <inttypes.h>
+
 static uint32_t
 floor_log2 (uint32_t value)
 {
@@ -86,7 +88,7 @@
  * trigger the protection against overload. */
 struct cyc_res
 core_worker_room (const struct cyc_core_state *st,
-                  const struct core_worker *worker)
+                  const struct core_worker *worker, struct cyc_res own_claim)
 {
   struct cyc_res ceiling = worker->capacity;
   struct cyc_res committed = core_res_max (
@@ -100,7 +102,8 @@
           = part (ceiling.memory_mib, st->desc.worker_high_permille);
     }
   committed.accelerators = worker->declared.accelerators;
-  return core_res_sub (core_res_sub (ceiling, committed), worker->held);
+  return core_res_sub (core_res_sub (ceiling, committed),
+                       core_res_sub (worker->held, own_claim));
 }
 
 static void
@@ -127,7 +130,7 @@
   uint32_t bucket;
 
   if (usable)
-    free = core_worker_room (st, worker);
+    free = core_worker_room (st, worker, free);
   count_rack (st, worker, free);
   bucket = usable ? bucket_of (free) : CORE_NONE;
   if (bucket == worker->bucket)
@@ -224,6 +227,11 @@
   struct cyc_core_state *st = core->state;
   uint32_t row = core_find_worker (st, cyc_name_str (&worker->name));
 
+  core_trace (st, "worker %" PRIu64 " %.*s %.*s %u %u %u %d", now_us,
+              CYC_FMT (core_word (cyc_name_str (&worker->name))),
+              CYC_FMT (core_word (cyc_name_str (&worker->rack))),
+              worker->capacity.millicores, worker->capacity.memory_mib,
+              worker->capacity.accelerators, worker->leaving);
   if (worker->name.len == 0)
     return CYC_CORE_INVALID;
   st->now_us = now_us;
@@ -274,6 +282,8 @@
   struct cyc_core_state *st = core->state;
   uint32_t row = core_find_worker (st, worker);
 
+  core_trace (st, "seen %" PRIu64 " %.*s", now_us,
+              CYC_FMT (core_word (worker)));
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   st->now_us = now_us;
@@ -318,6 +328,8 @@
   struct cyc_core_state *st = core->state;
   uint32_t row = core_find_worker (st, worker);
 
+  core_trace (st, "silent %" PRIu64 " %.*s", now_us,
+              CYC_FMT (core_word (worker)));
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   st->now_us = now_us;
@@ -339,6 +351,8 @@
   uint32_t row = core_find_worker (st, worker);
   struct core_worker *gone;
 
+  core_trace (st, "gone %" PRIu64 " %.*s", now_us,
+              CYC_FMT (core_word (worker)));
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   gone = &st->workers[row];
@@ -370,6 +384,8 @@
   struct cyc_core_state *st = core->state;
   uint32_t row = core_find_worker (st, worker);
 
+  core_trace (st, "unfenced %" PRIu64 " %.*s", until_us,
+              CYC_FMT (core_word (worker)));
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   if (st->workers[row].unfenced_until_us == 0)
