--- a/tests/tst_load.c
+++ b/tests/tst_load.c
@@ -135,7 +135,7 @@
 {
   struct json_object *json = json_tokener_parse (body);
   const char *text
-      = json ? json_object_get_string (json_object_object_get (json, "id"))
+      = json ? json_object_get_string (json_object_object_get (json, "job"))
              : NULL;
   char *id = text ? g_strdup (text) : NULL;
 
--- a/tests/tst_site_ask.c
+++ b/tests/tst_site_ask.c
@@ -326,7 +326,7 @@
                                     .body = "{}",
                                     .headers = { key, repeat } },
                 &answer);
-      member (answer.body, "id", id, 64);
+      member (answer.body, "job", id, 64);
       free (answer.body);
       if (answer.status == 202 && id[0] != '\0')
         return true;
