Test that a planned stop ends only after its answers have left

The test kept the stopped gateway running, so a stop that ended too early went unseen: a deliberate fault in the busy check survived. The gateway is now shut down when it reports the stop, and the same fault turns the test red.

--- a/tests/test_caller_contract.c
+++ b/tests/test_caller_contract.c
@@ -719,8 +719,9 @@
   struct tst_reply reply;
 
   (void)state;
-  tst_world_up (&world, &(struct tst_options){ .slots = 8 });
-  world.targets[0].delay_us = 400000;
+  /* The answers come well after the shortest time of a stop. */
+  tst_world_up (&world, &(struct tst_options){ .slots = 16 });
+  world.targets[0].delay_us = 1400000;
   for (uint32_t i = 0; i < 18; i++)
     tst_begin (&world, 0, &call, &begun[i]);
   tst_begin (&world, 0, &once, &begun[18]);
@@ -733,13 +734,14 @@
   check ("during the stop", &reply, 503, "not-run");
   tst_call (&world, 0, &retry, &reply);
   check ("retry during the stop", &reply, 503, "unknown");
+  assert_true (tst_until (&world, &world.gateways[0].stopped));
+  tst_gateway_down (&world, 0);
   for (uint32_t i = 0; i < 20; i++)
     {
       assert_true (tst_until (&world, &begun[i].done));
       check ("begun before the stop", &begun[i], i == 19 ? 202 : 200,
              "answer");
     }
-  assert_true (tst_until (&world, &world.gateways[0].stopped));
   tst_world_down (&world);
 }
 
@@ -762,7 +764,9 @@
   tst_run (&world, 50000);
   gw_stop (&world.gateways[0].gw);
   assert_true (tst_until (&world, &world.gateways[0].stopped));
-  assert_true (sent.done && waiting.done);
+  tst_gateway_down (&world, 0);
+  assert_true (tst_until (&world, &sent.done));
+  assert_true (tst_until (&world, &waiting.done));
   check ("sent", &sent, 504, "unknown");
   check ("never sent", &waiting, 504, "not-run");
   tst_world_down (&world);
--- a/tests/tst_world.c
+++ b/tests/tst_world.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <assert.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -364,6 +365,7 @@
   bool elsewhere = i > 0 && world->options.second_gateway_elsewhere;
   char text[1200];
 
+  assert (i < TST_GATEWAYS);
   snprintf (text, sizeof text,
             "{\"vm\":\"%s\",\"domain\":\"%s\",\"region\":\"north\","
             "\"seat\":%u,\"gateway\":{\"http\":\"127.0.0.1:%u\","
@@ -601,6 +603,7 @@
   Cyc__Targets targets = CYC__TARGETS__INIT;
   Cyc__Peer message = CYC__PEER__INIT;
 
+  assert (count <= TST_TARGETS);
   for (uint32_t i = 0; i < count; i++)
     {
       cyc__target__init (&rows[i]);
