Keep once-only service and slots available after faults

After some 22,000 once-only requests in a few minutes the table of kept answers was full and refused new ones: the oldest answer now makes room, and the table of ids has 262,144 rows. Eight lost answers took a target's slots away for 30 s; a slot whose target closed the connection is now held for four usual answer times.

--- a/include/cyclamendrum/route.h
+++ b/include/cyclamendrum/route.h
@@ -69,7 +69,8 @@
   CYC_RT_FAILED,        /**< complete answer that states a server error */
   CYC_RT_REFUSED,       /**< the target refused before it started */
   CYC_RT_NOT_CONNECTED, /**< no connection: no byte left */
-  CYC_RT_LOST           /**< a byte may have arrived, no complete answer */
+  CYC_RT_CLOSED,        /**< the target closed before a complete answer */
+  CYC_RT_LOST           /**< given up by this gateway, maybe still running */
 };
 
 struct cyc_rt_target
@@ -169,7 +170,9 @@
                   struct cyc_rt_send *out);
 /** Ends a flight. The slot of a LOST flight stays counted until
  * @p deadline_us of the request plus the clock error, because the target may
- * still work on it. */
+ * still work on it. A CLOSED one stays counted for a few usual answer times
+ * only: a target that closes the connection has most likely ended the request,
+ * and a few lost answers must not take all its slots away for long. */
 void cyc_rt_finish (struct cyc_route *rt, struct cyc_ref flight,
                     enum cyc_rt_end end, uint64_t now_us,
                     uint64_t deadline_us);
--- a/src/cyc_route_target.c
+++ b/src/cyc_route_target.c
@@ -259,6 +259,7 @@
       if (worker->answered_us < flight->sent_us)
         set_health (worker, CYC_RT_SUSPECT, now_us);
       break;
+    case CYC_RT_CLOSED:
     case CYC_RT_LOST:
       worker->fresh_until_us = now_us + 4 * state->desc.silent_us;
       if (worker->health != CYC_RT_LIVE)
@@ -278,6 +279,20 @@
   rt_drop_if_unused (state, worker);
 }
 
+static uint64_t
+hold_until (const struct cyc_rt_state *state, const struct rt_flight *flight,
+            enum cyc_rt_end end, uint64_t now_us, uint64_t deadline_us)
+{
+  uint64_t usual_us = SILENT_FACTOR * state->queues[flight->queue].mean_us;
+
+  if (end == CYC_RT_LOST)
+    return deadline_us + state->desc.clock_error_us;
+  if (end != CYC_RT_CLOSED)
+    return 0;
+  return (now_us + usual_us < deadline_us ? now_us + usual_us : deadline_us)
+         + state->desc.clock_error_us;
+}
+
 void
 cyc_rt_finish (struct cyc_route *rt, struct cyc_ref ref, enum cyc_rt_end end,
                uint64_t now_us, uint64_t deadline_us)
@@ -291,9 +306,8 @@
   if (flight->hold_us != 0)
     return;
   note_end (state, flight, end, now_us);
-  if (end == CYC_RT_LOST)
-    flight->hold_us = deadline_us + state->desc.clock_error_us;
-  if (end != CYC_RT_LOST || flight->hold_us <= now_us)
+  flight->hold_us = hold_until (state, flight, end, now_us, deadline_us);
+  if (flight->hold_us <= now_us)
     free_flight (state, ref.index);
 }
 
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -189,7 +189,8 @@
 
   count (gw, request, answer);
   count_in_time (gw, request, answer);
-  if (answer->outcome == CYC_OUTCOME_UNKNOWN)
+  if (answer->outcome == CYC_OUTCOME_UNKNOWN
+      && (request->sent || request->won || request->appended))
     {
       char hex[33];
 
@@ -197,7 +198,7 @@
       ev_log (EV_REQUEST_UNKNOWN, "queue=%s request=%s reason=\"%s\"",
               request->queue.data, hex, answer->detail ? answer->detail : "");
     }
-  else if (answer->outcome == CYC_OUTCOME_NOT_RUN)
+  else if (answer->outcome != CYC_OUTCOME_ANSWER)
     ev_log (EV_REQUEST_REFUSED, "queue=%s reason=\"%s\"", request->queue.data,
             answer->detail ? answer->detail : "");
   if (request->has_call)
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -210,6 +210,9 @@
   uint32_t *kept_buckets; /**< row + 1 */
   uint32_t kept_mask;
   size_t kept_bytes;
+  struct cyc_ref *kept_done; /**< ring of answered rows, oldest first */
+  uint32_t kept_done_head;
+  uint32_t kept_done_count;
   struct cyc_pool batch_pool;
   struct gw_batch *batches;
   struct cyc_ref *pending_intents;
--- a/src/gateway_once.c
+++ b/src/gateway_once.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define DEFAULT_MAX_KEPT 8192
+#define DEFAULT_MAX_KEPT 32768
 #define DEFAULT_MAX_KEPT_BYTES (32U * 1024 * 1024)
 #define ASK_AGAIN_US 100000
 #define ASK_TIMEOUT_US 1000000
@@ -19,7 +19,8 @@
   gw->kept_mask = buckets - 1;
   gw->kept = calloc (max, sizeof *gw->kept);
   gw->kept_buckets = calloc (buckets, sizeof *gw->kept_buckets);
-  if (gw->kept != NULL && gw->kept_buckets != NULL
+  gw->kept_done = calloc (max, sizeof *gw->kept_done);
+  if (gw->kept != NULL && gw->kept_done != NULL && gw->kept_buckets != NULL
       && cyc_pool_setup (&gw->kept_pool, max, NULL))
     return true;
   cyc_findings_add (findings, CYC_STR ("gateway"), "out of memory");
@@ -34,6 +35,7 @@
       free (gw->kept[i].body);
   free (gw->kept);
   free (gw->kept_buckets);
+  free (gw->kept_done);
   cyc_pool_shutdown (&gw->kept_pool);
 }
 
@@ -57,13 +59,58 @@
   return NULL;
 }
 
+static void
+kept_remove (struct gw_state *gw, struct gw_kept *kept)
+{
+  uint32_t *link = bucket_of (gw, &kept->id);
+
+  while (*link != kept->ref.index + 1)
+    link = &gw->kept[*link - 1].next;
+  *link = kept->next;
+  gw->kept_bytes -= kept->body_len;
+  free (kept->body);
+  kept->body = NULL;
+  cyc_pool_give (&gw->kept_pool, kept->ref);
+}
+
+static void
+kept_settled (struct gw_state *gw, const struct gw_kept *kept)
+{
+  uint32_t at
+      = (gw->kept_done_head + gw->kept_done_count) % gw->kept_pool.capacity;
+
+  gw->kept_done[at] = kept->ref;
+  gw->kept_done_count++;
+}
+
+static struct gw_kept *
+oldest_settled (const struct gw_state *gw)
+{
+  return gw->kept_done_count == 0
+             ? NULL
+             : &gw->kept[gw->kept_done[gw->kept_done_head].index];
+}
+
+static void
+drop_oldest (struct gw_state *gw)
+{
+  kept_remove (gw, oldest_settled (gw));
+  gw->kept_done_head = (gw->kept_done_head + 1) % gw->kept_pool.capacity;
+  gw->kept_done_count--;
+}
+
+/* A full table drops the oldest answer before its time: its outcome is in the
+   log, and refusing new requests would be worse. */
 static struct gw_kept *
 kept_add (struct gw_state *gw, const struct gw_request *request)
 {
-  struct cyc_ref ref = cyc_pool_take (&gw->kept_pool);
+  struct cyc_ref ref;
   uint32_t *bucket = bucket_of (gw, &request->id);
   struct gw_kept *kept;
 
+  if (gw->kept_pool.used == gw->kept_pool.capacity && gw->kept_done_count > 0)
+    drop_oldest (gw);
+  ref = cyc_pool_take (&gw->kept_pool);
   if (ref.generation == 0)
     return NULL;
   kept = &gw->kept[ref.index];
@@ -76,20 +123,6 @@
   return kept;
 }
 
-static void
-kept_remove (struct gw_state *gw, struct gw_kept *kept)
-{
-  uint32_t *link = bucket_of (gw, &kept->id);
-
-  while (*link != kept->ref.index + 1)
-    link = &gw->kept[*link - 1].next;
-  *link = kept->next;
-  gw->kept_bytes -= kept->body_len;
-  free (kept->body);
-  kept->body = NULL;
-  cyc_pool_give (&gw->kept_pool, kept->ref);
-}
-
 /* Requests that waited for another request with their id start over. */
 static void
 wake_followers (struct gw_state *gw, const struct cyc_id128 *id)
@@ -215,6 +248,8 @@
                                            : DEFAULT_MAX_KEPT_BYTES;
 
   kept->body_dropped = true;
+  while (gw->kept_bytes + body.len > max && gw->kept_done_count > 0)
+    drop_oldest (gw);
   if (gw->kept_bytes + body.len > max)
     return;
   kept->body = malloc (body.len + 1);
@@ -239,6 +274,7 @@
   kept->expire_us = hc_now_us () + gw->settings->answer_keep_ms * GW_US_PER_MS;
   if (answer->outcome == CYC_OUTCOME_ANSWER)
     keep_body (gw, kept, answer->body);
+  kept_settled (gw, kept);
   record_outcome (gw, kept);
   wake_followers (gw, &id);
 }
@@ -460,13 +496,7 @@
 void
 gw_once_expire (struct gw_state *gw, uint64_t now_us)
 {
-  for (uint32_t i = 0; i < gw->kept_pool.high; i++)
-    {
-      struct gw_kept *kept = &gw->kept[i];
-
-      if (cyc_pool_used_at (&gw->kept_pool, i) && kept->stage == GW_KEPT_DONE
-          && kept->expire_us <= now_us)
-        kept_remove (gw, kept);
-    }
+  while (gw->kept_done_count > 0 && oldest_settled (gw)->expire_us <= now_us)
+    drop_oldest (gw);
   cyc_once_expire (&gw->once, now_us);
 }
--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -97,7 +97,9 @@
     return CYC_RT_FAILED;
   if (result->status > 0)
     return CYC_RT_ANSWERED;
-  return result->sent == HC_SENT_NO ? CYC_RT_NOT_CONNECTED : CYC_RT_LOST;
+  if (result->sent == HC_SENT_NO)
+    return CYC_RT_NOT_CONNECTED;
+  return result->timed_out ? CYC_RT_LOST : CYC_RT_CLOSED;
 }
 
 static void
@@ -136,6 +138,7 @@
     case CYC_RT_NOT_CONNECTED:
       retry_or_refuse (request, GW_LOST, "no connection to the target");
       break;
+    case CYC_RT_CLOSED:
     case CYC_RT_LOST:
       request->sent = true;
       if (request->once)
--- a/src/gateway_run.c
+++ b/src/gateway_run.c
@@ -5,6 +5,8 @@
 #include <time.h>
 
 #define DEFAULT_MAX_REQUESTS 4096
+/* Once-only ids of the window: 36 MB when full, 3 a second over 24 h. */
+#define MAX_ONCE_IDS 262144
 /* Idle connections kept to targets, over all targets of a domain. */
 #define IDLE_CONNECTIONS 4096L
 /* A stopping gateway answers "draining" at least so long, so that the load
@@ -326,7 +328,8 @@
     .seed = hc_now_us (),
   };
   struct cyc_once_desc once
-      = { .window_us = set->once_window_ms * GW_US_PER_MS };
+      = { .max_requests = MAX_ONCE_IDS,
+          .window_us = set->once_window_ms * GW_US_PER_MS };
 
   gw->requests = calloc (max, sizeof *gw->requests);
   gw->by_call = calloc (max, sizeof *gw->by_call);
--- a/tests/test_caller_contract.c
+++ b/tests/test_caller_contract.c
@@ -468,6 +468,35 @@
   tst_world_down (&world);
 }
 
+/* Guards against requests refused because many answers are kept, and against
+   a second run of one whose answer was dropped. */
+static void
+full_table_of_answers_drops_the_oldest (void **state)
+{
+  char lines[10][32];
+  struct tst_reply reply;
+
+  (void)state;
+  tst_world_up (&world, &(struct tst_options){ .max_kept = 4 });
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      struct tst_call call = once_call (lines[i], "x");
+
+      snprintf (lines[i], sizeof lines[i], "Idempotency-Key: k%u", i);
+      tst_call (&world, 0, &call, &reply);
+      check ("new", &reply, 200, "answer");
+    }
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      struct tst_call call = once_call (lines[i], "x");
+
+      tst_call (&world, 0, &call, &reply);
+      check ("again", &reply, i < 6 ? 409 : 200, i < 6 ? "unknown" : "answer");
+    }
+  assert_int_equal (tst_starts (&world), 10);
+  tst_world_down (&world);
+}
+
 /* Guards against a second run, or a false "not-run", after the gateway that
    sent the request was lost. */
 static void
@@ -886,6 +915,7 @@
     cmocka_unit_test (target_faults_have_true_outcomes),
     cmocka_unit_test (log_faults_have_true_outcomes),
     cmocka_unit_test (repeated_once_only_request_runs_once),
+    cmocka_unit_test (full_table_of_answers_drops_the_oldest),
     cmocka_unit_test (once_only_request_of_a_lost_gateway_is_unknown),
     cmocka_unit_test (job_is_found_again_and_hidden_from_others),
     cmocka_unit_test (withdrawn_and_stale_keys_are_refused),
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -146,23 +146,46 @@
   cyc_rt_shutdown (&rt);
 }
 
-/* Guards against reuse of a slot on which the target may still work. */
-static void
-slot_of_a_lost_request_is_held_until_its_deadline (void **state)
+struct hold_case
 {
-  struct cyc_rt_send send;
+  enum cyc_rt_end end;
+  uint64_t held_us; /**< after the end */
+};
+
+/* Answers take 10 ms, the deadline is 500 ms away, the clock error 250 ms. */
+static const struct hold_case hold_cases[] = {
+  { CYC_RT_ANSWERED, 0 },
+  { CYC_RT_FAILED, 0 },
+  { CYC_RT_CLOSED, 290 * MS },
+  { CYC_RT_LOST, 750 * MS },
+};
 
+/* Guards against reuse of a slot on which the target may still work, and
+   against lost answers that block a target for long. */
+static void
+slot_without_answer_is_held (void **state)
+{
   (void)state;
-  set_up (&(struct cyc_rt_desc){ .clock_error_us = 250 * MS });
-  list_targets ("q", 1, 1);
-  put_many ("q", "t", 2);
-  assert_true (cyc_rt_next (&rt, T0, &send));
-  cyc_rt_finish (&rt, send.flight, CYC_RT_LOST, T0, T0 + 500 * MS);
-  cyc_rt_tick (&rt, T0 + 749 * MS);
-  assert_false (cyc_rt_next (&rt, T0 + 749 * MS, &send));
-  cyc_rt_tick (&rt, T0 + 750 * MS);
-  assert_true (cyc_rt_next (&rt, T0 + 750 * MS, &send));
-  cyc_rt_shutdown (&rt);
+  for (size_t i = 0; i < sizeof hold_cases / sizeof hold_cases[0]; i++)
+    {
+      uint64_t end_us = T0 + hold_cases[i].held_us;
+      struct cyc_rt_send send;
+
+      set_up (&(struct cyc_rt_desc){ .clock_error_us = 250 * MS });
+      list_targets ("q", 1, 1);
+      put_many ("q", "t", 3);
+      assert_true (cyc_rt_next (&rt, T0 - 10 * MS, &send));
+      cyc_rt_finish (&rt, send.flight, CYC_RT_ANSWERED, T0, FAR);
+      assert_true (cyc_rt_next (&rt, T0, &send));
+      cyc_rt_finish (&rt, send.flight, hold_cases[i].end, T0, T0 + 500 * MS);
+      cyc_rt_tick (&rt, end_us - 1);
+      assert_int_equal (cyc_rt_next (&rt, end_us - 1, &send),
+                        hold_cases[i].held_us == 0);
+      cyc_rt_tick (&rt, end_us);
+      if (hold_cases[i].held_us > 0)
+        assert_true (cyc_rt_next (&rt, end_us, &send));
+      cyc_rt_shutdown (&rt);
+    }
 }
 
 struct weight_case
@@ -541,7 +564,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (permits_bound_what_is_in_flight),
     cmocka_unit_test (slots_are_counted_over_all_queues_of_a_worker),
-    cmocka_unit_test (slot_of_a_lost_request_is_held_until_its_deadline),
+    cmocka_unit_test (slot_without_answer_is_held),
     cmocka_unit_test (freed_slots_are_divided_by_weight),
     cmocka_unit_test (waiting_is_bounded_per_team),
     cmocka_unit_test (request_that_cannot_be_in_time_is_refused_at_once),
--- a/tests/tst_world.c
+++ b/tests/tst_world.c
@@ -426,6 +426,7 @@
   if (!gw_setup (&gateway->gw,
                  &(struct gw_desc){ .loop = world->loop,
                                     .settings = gateway->settings,
+                                    .max_kept = world->options.max_kept,
                                     .stopped = on_stopped,
                                     .user = &gateway->stopped },
                  &found))
