--- a/src/burn_report.c
+++ b/src/burn_report.c
@@ -140,7 +140,9 @@
     {
       process->reached = true;
       process->start_ms = member_u64 (root, "start_ms");
-      process->restarted = now_ms < process->start_ms + LONG_WINDOW_MS;
+      process->age_ms
+          = now_ms > process->start_ms ? now_ms - process->start_ms : 0;
+      process->restarted = process->age_ms < LONG_WINDOW_MS;
     }
   for (size_t i = 0; i < json_object_array_length (queues); i++)
     add_queue (br, json_object_array_get_idx (queues, i));
@@ -222,6 +224,27 @@
              left < 0 ? "  overdrawn" : "");
 }
 
+static void
+print_processes (const struct br_report *br, FILE *out)
+{
+  bool first = true;
+
+  for (uint32_t i = 0; i < br->process_count; i++)
+    if (!br->processes[i].reached)
+      fprintf (out, "not reached: %s (%s)\n", br->processes[i].vm.data,
+               br->processes[i].note);
+  for (uint32_t i = 0; i < br->process_count; i++)
+    if (br->processes[i].restarted)
+      {
+        fprintf (out, "%s %s (%" PRIu64 " min)",
+                 first ? "started within the last 60 minutes:" : ",",
+                 br->processes[i].vm.data, br->processes[i].age_ms / 60000);
+        first = false;
+      }
+  if (!first)
+    fprintf (out, "\n");
+}
+
 static void
 print_table (const struct br_report *br, FILE *out)
 {
@@ -231,19 +254,7 @@
     for (int o = 0; o < BR_OBJECTIVES; o++)
       if (br->rows[i].permille[o] > 0)
         print_objective_row (&br->rows[i], (enum br_objective)o, out);
-  for (uint32_t i = 0; i < br->process_count; i++)
-    {
-      const struct br_process *process = &br->processes[i];
-
-      if (!process->reached)
-        fprintf (out, "not reached: %s (%s)\n", process->vm.data,
-                 process->note);
-      else if (process->restarted)
-        fprintf (out,
-                 "restarted within the long window: %s (counters since "
-                 "start_ms %" PRIu64 ")\n",
-                 process->vm.data, process->start_ms);
-    }
+  print_processes (br, out);
 }
 
 static struct json_object *
@@ -322,7 +333,10 @@
     }
   json_object_object_add (root, "objectives", objectives);
   json_object_object_add (root, "processes", processes);
-  fprintf (out, "%s\n", json_object_to_json_string (root));
+  fprintf (
+      out, "%s\n",
+      json_object_to_json_string_ext (
+          root, JSON_C_TO_STRING_SPACED | JSON_C_TO_STRING_NOSLASHESCAPE));
   json_object_put (root);
 }
 
--- a/src/burn_report.h
+++ b/src/burn_report.h
@@ -55,7 +55,8 @@
   bool reached;
   bool restarted; /**< younger than the long window */
   uint64_t start_ms;
-  char note[80]; /**< why it was not reached */
+  uint64_t age_ms; /**< of the counters */
+  char note[80];   /**< why it was not reached */
 };
 
 struct br_desc
