--- a/src/cyc_core_internal.h
+++ b/src/cyc_core_internal.h
@@ -18,6 +18,8 @@
 #define CORE_SLOTS 4096
 #define CORE_SLOT_US 250000
 #define CORE_FAILED_ON 4
+/** Ends remembered per worker: more than happen within the usual lag. */
+#define CORE_ENDED 32
 #define CORE_HIST_BINS 64
 #define CORE_EJECT_MOST 8 /**< upper bound of eject_failures */
 /** Candidates examined in one bucket: bounds the cost of a decision. */
@@ -66,17 +68,38 @@
   uint32_t mask;
 };
 
+/** Measured use as a part of the declared size. */
 struct core_hist
 {
   uint16_t bins[CORE_HIST_BINS];
   uint16_t total;
+  uint16_t samples; /**< for mean and variance, bounded */
+  double mean;
+  double variance;
+};
+
+/** Mean and variance of what tasks need; variances of a sum add up. */
+struct core_need
+{
+  struct cyc_res mean;
+  uint64_t millicores_variance;
+  uint64_t memory_variance;
+};
+
+/** Task that ended lately: a late measurement may still contain it. */
+struct core_ended
+{
+  uint64_t started_us;
+  uint64_t ended_us;
+  uint32_t millicores;
+  uint32_t memory_mib;
 };
 
 struct core_worker
 {
   struct cyc_name name;
   struct cyc_res capacity;
-  struct cyc_res reserved;  /**< estimates of the tasks on it */
+  struct core_need need;    /**< sum over the tasks on it */
   struct cyc_res declared;  /**< declared sizes of the tasks on it */
   struct cyc_res measured;  /**< last measurement, less what ended since */
   struct cyc_res since;     /**< estimates of starts since then */
@@ -102,6 +125,8 @@
   uint16_t failures;  /**< consecutive */
   uint16_t successes; /**< consecutive */
   uint8_t over_steps;
+  uint8_t ended_next;
+  struct core_ended ended[CORE_ENDED];
   bool leaving;
   bool silent;
   bool ejected;
@@ -125,6 +150,8 @@
   uint64_t used_millicores;
   uint64_t used_memory_mib;
   uint64_t used_accelerators;
+  uint64_t need_millicores; /**< learned mean needs: what shares compare */
+  uint64_t need_memory_mib;
   uint64_t batch_millicores;   /**< part of used: batch tasks */
   uint64_t preempt_millicores; /**< part of that: being preempted */
   uint64_t wanted_millicores;
@@ -141,6 +168,7 @@
   struct cyc_name name;
   struct cyc_res size;
   struct cyc_res estimate;
+  struct core_need need; /**< of one task */
   struct core_hist cpu;
   struct core_hist memory;
   double run_mean_us; /**< 0: no task ended yet */
@@ -210,7 +238,8 @@
 struct core_task
 {
   struct cyc_res declared; /**< counted against the team while occupying */
-  struct cyc_res reserved; /**< estimate counted on the worker */
+  struct core_need need;   /**< counted on the worker */
+  struct cyc_res estimate; /**< the queue's when it was counted */
   struct cyc_res used;     /**< last measurement */
   struct cyc_res claim;    /**< held on claim_worker while queued */
   uint64_t started_us;
@@ -348,6 +377,10 @@
 /** Never below zero. */
 struct cyc_res core_res_sub (struct cyc_res a, struct cyc_res b);
 struct cyc_res core_res_max (struct cyc_res a, struct cyc_res b);
+struct core_need core_need_add (struct core_need a, struct core_need b);
+struct core_need core_need_sub (struct core_need a, struct core_need b);
+/** 95th percentile of the sum. */
+struct cyc_res core_need_estimate (struct core_need need);
 bool core_res_fits (struct cyc_res need, struct cyc_res room);
 
 /* Lookups; CORE_NONE when there is none. */
@@ -392,6 +425,9 @@
                     enum cyc_task_state state);
 void core_task_emit (struct cyc_core_state *st, uint32_t row,
                      enum cyc_decision_kind kind);
+/** Adds the task's need to its team's, or takes it away. */
+void core_team_need (struct cyc_core_state *st, const struct core_task *task,
+                     bool add);
 void core_task_no_emit (struct cyc_core_state *st, uint32_t row);
 void core_task_set_timer (struct cyc_core_state *st, uint32_t row,
                           uint64_t at_us);
