Add cases of a paused gateway, a second dead owner and a new queue

The first set had no case in which a gateway resumes with requests in hand, an owner dies while it takes stock, or a configuration must reach every gateway. One caller now presents another team's key all the time.

--- a/tests/test_process_pairs.c
+++ b/tests/test_process_pairs.c
@@ -34,6 +34,11 @@
   "targets-busy+gateway-killed",
   "targets-busy+owner-killed",
   "targets-busy+target-leaves",
+  "gateway-paused+log-answers-lost",
+  "gateway-paused+owner-killed-twice",
+  "owner-paused+log-down",
+  "log-down+entry-vms-replaced",
+  "log-slow+queue-published",
 };
 
 int
--- a/tests/tst_check.c
+++ b/tests/tst_check.c
@@ -185,6 +185,9 @@
                    " ms from a gateway that was not killed",
                    record->mark, site->vms[record->vm].name,
                    record->end_ms - record->start_ms);
+  if (record->other_key && (is_answer || received > 0))
+    tst_violation (site, "request %s was accepted with another team's key",
+                   record->mark);
   if (record->second_key && is_answer && load->withdrawn_ms > 0
       && record->start_ms > load->withdrawn_ms + FEW_SECONDS_MS)
     tst_violation (site,
--- a/tests/tst_fault.c
+++ b/tests/tst_fault.c
@@ -109,6 +109,36 @@
   tst_site_run (&trial->site, (uint32_t)trial->owner, TST_SCHEDULER);
 }
 
+/* The new owner dies as well, while it takes stock. */
+static void
+kill_owner_twice (struct tst_trial *trial)
+{
+  int first;
+
+  kill_owner (trial);
+  first = trial->owner;
+  if (first < 0
+      || !tst_site_wait_owner (&trial->site, DOMAIN, first, TAKEOVER_MS))
+    return;
+  kill_owner (trial);
+  tst_site_run (&trial->site, (uint32_t)first, TST_SCHEDULER);
+}
+
+/* A paused gateway goes on with what it was doing when it resumes: it must
+   not send a request whose time has passed to another's advantage. */
+static void
+pause_gateway (struct tst_trial *trial)
+{
+  mark_lossy (trial, 0);
+  tst_site_signal (&trial->site, 0, TST_GATEWAY, SIGSTOP);
+}
+
+static void
+resume_gateway (struct tst_trial *trial)
+{
+  tst_site_signal (&trial->site, 0, TST_GATEWAY, SIGCONT);
+}
+
 /* The owner dies while starts are on the way: workers took them, and the
    owner never learnt it. */
 static void
@@ -496,6 +526,54 @@
                    losses);
 }
 
+static bool
+serves_board (const struct tst_site *site, uint32_t vm)
+{
+  char url[128];
+  struct tst_answer answer;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/queues/board/requests",
+            site->vms[vm].ports[0]);
+  tst_http (&(struct tst_call){ .url = url, .body = "probe" }, &answer);
+  free (answer.body);
+  return answer.status == 200;
+}
+
+/* A new queue must be known to every gateway within seconds. */
+static void
+publish_queue (struct tst_trial *trial)
+{
+  static const char text[]
+      = "{\"queue\":\"board\",\"team\":\"alpha\",\"kind\":\"service\","
+        "\"urgent\":false,\"open\":true,\"repeatable\":true,\"tasks\":2,"
+        "\"millicores\":100,\"memory_mib\":64,\"accelerators\":0,\"run_s\":0,"
+        "\"spread\":\"none\"}";
+  struct tst_site *site = &trial->site;
+  uint64_t deadline_ms = tst_now_ms () + 8000;
+  char path[700];
+  int status = 0;
+
+  snprintf (path, sizeof path, "%s/board", site->dir);
+  g_mkdir_with_parents (path, 0700);
+  g_strlcat (path, "/board.job.json", sizeof path);
+  g_file_set_contents (path, text, -1, NULL);
+  *strrchr (path, '/') = '\0';
+  waitpid (begin_publish (trial, 0, path), &status, 0);
+  if (!WIFEXITED (status) || WEXITSTATUS (status) != 0)
+    tst_violation (site, "publish of a queue: status %d", status);
+  for (uint32_t vm = 0; vm < TST_VMS; vm++)
+    while (site->vms[vm].alive[TST_GATEWAY] && !serves_board (site, vm))
+      {
+        if (tst_now_ms () > deadline_ms)
+          {
+            tst_violation (site, "%s does not serve a new queue",
+                           site->vms[vm].name);
+            return;
+          }
+        tst_step ();
+      }
+}
+
 const struct tst_fault tst_faults[] = {
   { "none", NULL, NULL },
   { "gateway-killed", kill_gateway, run_gateway },
@@ -504,6 +582,8 @@
     end_kill_gateway_appending },
   { "owner-killed", kill_owner, end_kill_owner },
   { "owner-killed-starting", kill_owner_starting, end_kill_owner },
+  { "owner-killed-twice", kill_owner_twice, end_kill_owner },
+  { "gateway-paused", pause_gateway, resume_gateway },
   { "owner-paused", pause_owner, end_pause_owner },
   { "log-down", log_down, log_heal },
   { "log-hangs", log_hang, log_heal },
@@ -527,6 +607,7 @@
   { "gateway-stopped", stop_gateway, end_stop_gateway },
   { "owner-stopped", stop_owner, end_kill_owner },
   { "key-withdrawn", withdraw_key, NULL },
+  { "queue-published", publish_queue, NULL },
   { "two-publish", two_publish, log_heal },
   { NULL, NULL, NULL },
 };
--- a/tests/tst_load.c
+++ b/tests/tst_load.c
@@ -112,9 +112,14 @@
 
       pthread_mutex_lock (&load->lock);
       record.second_key = caller.index == 0 && load->second_key[0] != '\0';
-      g_strlcpy (key,
-                 record.second_key ? load->second_key : load->site->alpha_key,
-                 sizeof key);
+      record.other_key = caller.index == TST_WRONG_CALLER;
+      if (record.second_key)
+        g_strlcpy (key, load->second_key, sizeof key);
+      else
+        g_strlcpy (key,
+                   record.other_key ? load->site->beta_key
+                                    : load->site->alpha_key,
+                   sizeof key);
       pthread_mutex_unlock (&load->lock);
       snprintf (record.mark, sizeof record.mark, "mark-%u-%u", caller.index,
                 serial);
--- a/tests/tst_load.h
+++ b/tests/tst_load.h
@@ -17,6 +17,8 @@
 #include <pthread.h>
 
 #define TST_CALLERS 24
+/** This caller presents the key of a team that the queue is not of. */
+#define TST_WRONG_CALLER 2
 
 struct tst_record
 {
@@ -29,6 +31,7 @@
   uint64_t end_ms;
   bool once;       /**< must not be repeated */
   bool second_key; /**< sent with the key that a case withdraws */
+  bool other_key;  /**< sent with a key of another team */
   bool whole;      /**< the answer is the one to this request */
   bool refused_connection;
 };
