--- a/tests/test_process_commands.c
+++ b/tests/test_process_commands.c
@@ -111,8 +111,7 @@
     { "no team \"nobody\"" } },
   { "withdraw an unknown key",
     { "key", "withdraw", "--settings", SETTINGS, "--digest",
-      "00000000000000000000000000000000"
-      "00000000000000000000000000000000" },
+      "0000000000000000000000000000000000000000000000000000000000000000" },
     NULL,
     NULL,
     1,
--- a/tests/tst_site.c
+++ b/tests/tst_site.c
@@ -374,9 +374,42 @@
   waitpid (pid, NULL, 0);
 }
 
+/* What is needed to find the cause of a violation. */
+static void
+keep_answer (struct tst_site *site, uint16_t port, const char *path,
+             const char *file)
+{
+  char url[80];
+  char to[700];
+  struct tst_answer answer;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u%s", port, path);
+  tst_http (&(struct tst_call){ .url = url, .timeout_ms = 500 }, &answer);
+  snprintf (to, sizeof to, "%s/%s", site->dir, file);
+  g_file_set_contents (to, answer.body, (gssize)answer.len, NULL);
+  free (answer.body);
+}
+
+static void
+keep_state (struct tst_site *site)
+{
+  char file[80];
+
+  keep_answer (site, site->workers_port, "/journal", "journal");
+  for (uint32_t i = 0; i < TST_VMS * 2; i++)
+    {
+      snprintf (file, sizeof file, "%s-%s.status", site->vms[i / 2].name,
+                i % 2 ? "scheduler" : "gateway");
+      keep_answer (site, site->vms[i / 2].ports[i % 2 * 2], "/v1/status",
+                   file);
+    }
+}
+
 void
 tst_site_stop (struct tst_site *site)
 {
+  if (site->violation_count > 0)
+    keep_state (site);
   for (uint32_t i = 0; i < TST_VMS * 2; i++)
     end_process (site->vms[i / 2].pids[i % 2]);
   for (uint32_t i = 0; i < 3; i++)
