Decide nothing before the stock is taken

The core made up for replicas that it had not been told of yet, and then stopped the running ones as surplus, so each takeover interrupted every service. Seen red in both takeover tests, which now count replicas that an owner stopped: none.

--- a/src/scheduler_tasks.c
+++ b/src/scheduler_tasks.c
@@ -634,8 +634,10 @@
     }
 }
 
-/* While this process is not allowed to start, the core still runs, so that
-   cancels, lost leases and ended jobs are processed. */
+/* Before the stock is taken the core knows too little to decide anything: it
+   would make up for replicas that run. Later it runs even while this process
+   is not allowed to start, so that cancels, lost leases and ended jobs are
+   processed. */
 void
 sc_tasks_run (struct sc_scheduler *sc)
 {
@@ -645,7 +647,7 @@
                       : 0;
   uint32_t count;
 
-  if (sc->epoch == 0)
+  if (sc->epoch == 0 || !sc->stock_reported)
     return;
   sc_tasks_held (sc);
   count = cyc_core_tick (&sc->core, sc->now_us, sc->decisions,
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -23,6 +23,16 @@
   assert_int_equal (facts.overruns, 0);
 }
 
+/* A takeover leaves the replicas that run alone. */
+static void
+assert_no_replica_stopped (const struct cell *cell)
+{
+  struct cell_facts facts;
+
+  cell_facts (cell, &facts);
+  assert_int_equal (facts.replicas_stopped, 0);
+}
+
 struct goal
 {
   struct sc_scheduler *sc;
@@ -157,6 +167,7 @@
   goal.sc = standby;
   assert_true (cell_until (&cell, job_has_state, &goal, 8000));
   assert_int_equal (starts_of (&cell, &goal.job), 2);
+  assert_no_replica_stopped (&cell);
   assert_promises (&cell);
   cell_shutdown (&cell);
 }
@@ -192,6 +203,7 @@
   goal.sc = standby;
   assert_true (cell_until (&cell, job_has_state, &goal, 8000));
   assert_int_equal (starts_of (&cell, &goal.job), 2);
+  assert_no_replica_stopped (&cell);
   assert_promises (&cell);
   cell_shutdown (&cell);
 }
--- a/tests/tst_cell.c
+++ b/tests/tst_cell.c
@@ -339,6 +339,9 @@
 
   if (strcmp (fk_text (event, "state", ""), "done") == 0)
     out->done++;
+  if (strcmp (fk_text (event, "kind", ""), "service") == 0
+      && strcmp (fk_text (event, "reason", ""), "stopped by the owner") == 0)
+    out->replicas_stopped++;
   if (run == NULL || strcmp (run->worker, fk_text (event, "worker", "")) != 0)
     return;
   *running -= (uint64_t)run->millicores;
--- a/tests/tst_cell.h
+++ b/tests/tst_cell.h
@@ -46,7 +46,8 @@
   uint32_t overlaps; /**< a task ran in two places at once */
   uint32_t overruns; /**< a worker was asked for more than it has */
   uint32_t done;
-  uint64_t peak_millicores; /**< most that ran at once */
+  uint32_t replicas_stopped; /**< services ended by an owner */
+  uint64_t peak_millicores;  /**< most that ran at once */
 };
 
 /** @p workers in domain north-a, named w-0, w-1, ..., 4,000 millicores each.
