--- a/src/cyc_core_task.c
+++ b/src/cyc_core_task.c
@@ -165,6 +165,8 @@
 
   team->need_millicores += sign * task->need.mean.millicores;
   team->need_memory_mib += sign * task->need.mean.memory_mib;
+  if (core_class_of (queue) == CORE_URGENT)
+    st->urgent_millicores += sign * task->estimate.millicores;
 }
 
 /* Adds (or, with @p add false, takes away) the task in all sums of what
@@ -300,6 +302,8 @@
                     CORE_ROWS (st->tasks, in_team), row);
   if (st->workers[task->worker].probe_task == row)
     st->workers[task->worker].probe_task = CORE_NONE;
+  if (core_class_of (queue) == CORE_URGENT)
+    core_hold_room (st, task->worker, task->estimate);
   uncount_worker (st, task);
   task->worker = CORE_NONE;
 }
@@ -406,10 +410,25 @@
   st->workers[task->claim_worker].held
       = core_res_sub (st->workers[task->claim_worker].held, task->claim);
   core_list_remove (&st->claims, CORE_ROWS (st->tasks, in_claim), row);
+  st->drains -= task->drain_until_us > 0;
+  task->drain_until_us = 0;
   core_worker_refresh (st, task->claim_worker);
   task->claim_worker = CORE_NONE;
 }
 
+void
+core_claim (struct cyc_core_state *st, uint32_t row, uint32_t worker,
+            struct cyc_res need)
+{
+  struct core_task *task = &st->tasks[row];
+
+  task->claim_worker = worker;
+  task->claim = need;
+  st->workers[worker].held = core_res_add (st->workers[worker].held, need);
+  core_list_append (&st->claims, CORE_ROWS (st->tasks, in_claim), row);
+  core_worker_refresh (st, worker);
+}
+
 void
 core_claims_forget (struct cyc_core_state *st, uint32_t worker)
 {
--- a/src/cyc_core_urgent.c
+++ b/src/cyc_core_urgent.c
@@ -8,6 +8,8 @@
  */
 #include "cyc_core_internal.h"
 
+#include <math.h>
+
 /* Newest batch tasks whose workers are compared: bounds the cost. */
 #define LOOK_VICTIMS 48
 #define MOST_VICTIMS 8
@@ -183,20 +185,6 @@
   return at;
 }
 
-static void
-claim (struct cyc_core_state *st, const struct wish *wish, uint32_t worker)
-{
-  struct core_task *task = &st->tasks[wish->want.task];
-
-  task->claim_worker = worker;
-  task->claim = wish->want.need;
-  st->workers[worker].held
-      = core_res_add (st->workers[worker].held, task->claim);
-  core_list_append (&st->claims, CORE_ROWS (st->tasks, in_claim),
-                    wish->want.task);
-  core_worker_refresh (st, worker);
-}
-
 static void
 preempt (struct cyc_core_state *st, uint32_t row)
 {
@@ -237,7 +225,7 @@
   worker = choose (st, &wish, &victims);
   if (worker == CORE_NONE)
     return false;
-  claim (st, &wish, worker);
+  core_claim (st, task, worker, wish.want.need);
   for (uint32_t i = 0; i < victims.count; i++)
     preempt (st, victims.rows[i]);
   return true;
@@ -276,6 +264,75 @@
     core_task_drop_claim (st, row);
 }
 
+/* The peak falls by half in the half-life of shares. */
+static void
+follow_peak (struct cyc_core_state *st)
+{
+  double passed_us = (double)(st->now_us - st->urgent_peak_us);
+  double keep = exp2 (-passed_us / (st->desc.share_half_life_ms * 1000.0));
+
+  st->urgent_peak_us = st->now_us;
+  st->urgent_peak_millicores *= keep;
+  if (st->urgent_peak_millicores < (double)st->urgent_millicores)
+    st->urgent_peak_millicores = (double)st->urgent_millicores;
+}
+
+/* Millicores that urgent tasks lately used above what they use now. */
+static double
+spare_peak (const struct cyc_core_state *st)
+{
+  return st->urgent_peak_millicores - (double)st->urgent_millicores;
+}
+
+void
+core_hold_room (struct cyc_core_state *st, uint32_t worker,
+                struct cyc_res room)
+{
+  struct core_worker *w = &st->workers[worker];
+  bool listed = w->urgent_hold.millicores > 0;
+
+  room.accelerators = 0;
+  if (room.millicores == 0 || (double)st->hold_millicores >= spare_peak (st))
+    return;
+  w->urgent_hold = core_res_add (w->urgent_hold, room);
+  st->hold_millicores += room.millicores;
+  if (!listed)
+    core_list_append (&st->holds, CORE_ROWS (st->workers, in_holds), worker);
+}
+
+void
+core_hold_release (struct cyc_core_state *st, uint32_t worker,
+                   struct cyc_res room)
+{
+  struct core_worker *w = &st->workers[worker];
+  uint32_t before = w->urgent_hold.millicores;
+
+  if (before == 0)
+    return;
+  w->urgent_hold = core_res_sub (w->urgent_hold, room);
+  st->hold_millicores -= before - w->urgent_hold.millicores;
+  if (w->urgent_hold.millicores == 0)
+    {
+      w->urgent_hold = (struct cyc_res){ 0 };
+      core_list_remove (&st->holds, CORE_ROWS (st->workers, in_holds), worker);
+    }
+  core_worker_refresh (st, worker);
+}
+
+static void
+trim_holds (struct cyc_core_state *st)
+{
+  /* One hold may reach above the peak, because the peak falls all the time. */
+  double slack = st->holds.count > 0
+                     ? st->workers[st->holds.tail].urgent_hold.millicores
+                     : 0;
+
+  while (st->holds.count > 0
+         && (double)st->hold_millicores > spare_peak (st) + slack)
+    core_hold_release (st, st->holds.head,
+                       st->workers[st->holds.head].urgent_hold);
+}
+
 void
 core_sys_urgent (struct cyc_core_state *st)
 {
@@ -286,7 +343,10 @@
        t = next)
     {
       next = core_list_next (rows, t);
-      try_claim (st, t);
+      if (st->tasks[t].drain_until_us == 0)
+        try_claim (st, t);
     }
   core_sys_class (st, CORE_URGENT);
+  follow_peak (st);
+  trim_holds (st);
 }
