--- a/src/cyc_config.c
+++ b/src/cyc_config.c
@@ -292,6 +292,13 @@
   root = json_tokener_parse_ex (tokener, body.data, (int)body.len);
   error = json_tokener_get_error (tokener);
   end = json_tokener_get_parse_end (tokener);
+  if (error == json_tokener_continue)
+    {
+      /* A line comment at the end of the file may lack its newline. */
+      root = json_tokener_parse_ex (tokener, "\n", 1);
+      error = json_tokener_get_error (tokener);
+      end = body.len;
+    }
   if (error == json_tokener_continue)
     add_defect (reader, "$", "not JSON (ends too early)");
   else if (error != json_tokener_success)
