--- a/src/commands.h
+++ b/src/commands.h
@@ -27,6 +27,7 @@
 
 int cmd_check (int argc, char **argv);
 int cmd_burn (int argc, char **argv);
+int cmd_replay (int argc, char **argv);
 int cmd_publish (int argc, char **argv);
 int cmd_key (int argc, char **argv);
 int cmd_status (int argc, char **argv);
--- a/src/main.c
+++ b/src/main.c
@@ -15,6 +15,7 @@
   { "publish", cmd_publish, "publish configuration files" },
   { "key", cmd_key, "grant or withdraw a key of a team" },
   { "status", cmd_status, "ask the gateways and schedulers for their state" },
+  { "replay", cmd_replay, "replay a trace against its stated outcomes" },
   { "burn", cmd_burn, "report on service-level burn" },
   { "scheduler", cmd_scheduler,
     "run a scheduler: place and start the work of a failure domain" },
