--- a/tests/tst_site.c
+++ b/tests/tst_site.c
@@ -31,7 +31,7 @@
     "{\"regions\":[{\"name\":\"north\",\"domains\":[{\"name\":\"north-a\","
     "\"weight\":1,\"entry_seats\":2}]},{\"name\":\"south\",\"domains\":[{"
     "\"name\":\"south-a\",\"weight\":1,\"entry_seats\":2}]}],"
-    "\"largest_worker\":{\"millicores\":8000,\"memory_mib\":16384,"
+    "\"largest_worker\":{\"millicores\":2500,\"memory_mib\":16384,"
     "\"accelerators\":0},\"shards_per_domain\":1}" },
   { "alpha.team.json",
     "{\"team\":\"alpha\",\"share_permille\":500,\"limit_millicores\":32000,"
@@ -52,6 +52,11 @@
     "{\"queue\":\"tally\",\"team\":\"beta\",\"kind\":\"batch\",\"urgent\":"
     "false,\"open\":false,\"repeatable\":true,\"tasks\":2,\"millicores\":500,"
     "\"memory_mib\":256,\"accelerators\":0,\"run_s\":1,\"spread\":\"none\"}" },
+  { "invoice.job.json",
+    "{\"queue\":\"invoice\",\"team\":\"beta\",\"kind\":\"batch\",\"urgent\":"
+    "false,\"open\":false,\"repeatable\":false,\"tasks\":1,\"millicores\":"
+    "300,\"memory_mib\":256,\"accelerators\":0,\"run_s\":1,\"spread\":"
+    "\"none\"}" },
   { "train.job.json",
     "{\"queue\":\"train\",\"team\":\"beta\",\"kind\":\"gang\",\"urgent\":"
     "false,\"open\":false,\"repeatable\":true,\"tasks\":2,\"millicores\":700,"
@@ -168,7 +173,7 @@
     g_string_append_printf (
         text,
         "%s{\"name\":\"w%u\",\"domain\":\"%s\",\"rack\":\"r%u\",\"millicores\""
-        ":8000,\"memory_mib\":16384,\"slots\":8,\"connections\":64}",
+        ":2500,\"memory_mib\":16384,\"slots\":3,\"connections\":64}",
         i ? "," : "", i, i < TST_WORKERS_PER_DOMAIN ? "north-a" : "south-a",
         i / 2);
   g_string_append (text, "]}");
@@ -369,9 +374,42 @@
   waitpid (pid, NULL, 0);
 }
 
+/* What is needed to find the cause of a violation. */
+static void
+keep_answer (struct tst_site *site, uint16_t port, const char *path,
+             const char *file)
+{
+  char url[80];
+  char to[700];
+  struct tst_answer answer;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u%s", port, path);
+  tst_http (&(struct tst_call){ .url = url, .timeout_ms = 500 }, &answer);
+  snprintf (to, sizeof to, "%s/%s", site->dir, file);
+  g_file_set_contents (to, answer.body, (gssize)answer.len, NULL);
+  free (answer.body);
+}
+
+static void
+keep_state (struct tst_site *site)
+{
+  char file[80];
+
+  keep_answer (site, site->workers_port, "/journal", "journal");
+  for (uint32_t i = 0; i < TST_VMS * 2; i++)
+    {
+      snprintf (file, sizeof file, "%s-%s.status", site->vms[i / 2].name,
+                i % 2 ? "scheduler" : "gateway");
+      keep_answer (site, site->vms[i / 2].ports[i % 2 * 2], "/v1/status",
+                   file);
+    }
+}
+
 void
 tst_site_stop (struct tst_site *site)
 {
+  if (site->violation_count > 0)
+    keep_state (site);
   for (uint32_t i = 0; i < TST_VMS * 2; i++)
     end_process (site->vms[i / 2].pids[i % 2]);
   for (uint32_t i = 0; i < 3; i++)
