Give up queued replicas before those that were found

When a worker answers late in the stock-taking, the found replica was the newest row and was stopped in favour of one not even started.

--- a/src/cyc_core_tick.c
+++ b/src/cyc_core_tick.c
@@ -149,6 +149,8 @@
     }
 }
 
+/* @p newest: the replica to give up first. One that is still queued goes
+ * before one that was found running on a worker that answered late. */
 static uint32_t
 live_replicas (const struct cyc_core_state *st, uint32_t job, uint32_t *newest)
 {
@@ -163,7 +165,9 @@
           || st->tasks[t].state == CYC_TASK_STOPPING)
         continue;
       live++;
-      *newest = t;
+      if (*newest == CORE_NONE || st->tasks[t].state == CYC_TASK_QUEUED
+          || st->tasks[*newest].state != CYC_TASK_QUEUED)
+        *newest = t;
     }
   return live;
 }
--- a/tests/test_core_basic.c
+++ b/tests/test_core_basic.c
@@ -233,6 +233,32 @@
   tst_core_close (&t);
 }
 
+/* A worker that answers late in the stock-taking must not lose its replicas to
+   others that were not even started. */
+static void
+queued_replica_gives_way_to_one_that_is_found (void **state)
+{
+  struct cyc_core_found found = { .task_index = 40 };
+
+  (void)state;
+  open_with (2, 100000);
+  cyc_core_allow_starts (&t.core, false);
+  cyc_core_service_scale (&t.core, CYC_STR ("svc"), 1, t.now_us);
+  tst_core_tick (&t, 1000);
+  cyc_core_service_job (CYC_STR ("svc"), &found.job);
+  cyc_name_set (&found.queue, CYC_STR ("svc"));
+  cyc_name_set (&found.worker, CYC_STR ("w0"));
+  found.size = (struct cyc_res){ 2000, 2000, 0 };
+  found.lease_deadline_us = t.now_us + 20 * TST_SECOND;
+  assert_int_equal (cyc_core_task_found (&t.core, &found, t.now_us),
+                    CYC_CORE_OK);
+  cyc_core_allow_starts (&t.core, true);
+  tst_core_tick (&t, 1000);
+  assert_int_equal (t.count, 0);
+  assert_int_equal (tst_core_totals (&t).running_tasks, 1);
+  tst_core_close (&t);
+}
+
 static void
 lowered_balance_stops_the_newest_with_a_checkpoint (void **state)
 {
@@ -288,6 +314,7 @@
     cmocka_unit_test (tasks_that_an_unfenced_worker_may_run_are_held_back),
     cmocka_unit_test (
         replica_on_a_silent_worker_is_replaced_under_a_new_index),
+    cmocka_unit_test (queued_replica_gives_way_to_one_that_is_found),
     cmocka_unit_test (lowered_balance_stops_the_newest_with_a_checkpoint),
     cmocka_unit_test (removed_queue_refuses_queued_and_stops_running_jobs),
   };
