--- a/tests/tst_cell.c
+++ b/tests/tst_cell.c
@@ -10,8 +10,8 @@
 
 #include <cmocka.h>
 
-static uint16_t
-free_port (void)
+uint16_t
+cell_free_port (void)
 {
   struct sockaddr_in address = { .sin_family = AF_INET };
   socklen_t len = sizeof address;
@@ -219,8 +219,8 @@
             "\"permit_lease_ms\":1000,\"tick_ms\":5,\"clock_error_ms\":50,"
             "\"peer_heartbeat_ms\":100,\"peer_silent_ms\":400,"
             "\"peer_dead_ms\":1000}",
-            vm, domain, free_port (), free_port (), fk_port (&cell->log.hs),
-            fk_port (&cell->vms.hs));
+            vm, domain, cell_free_port (), cell_free_port (),
+            fk_port (&cell->log.hs), fk_port (&cell->vms.hs));
   if (!set_parse (cyc_str_of (text), CYC_STR ("cell"), out, &found))
     fail_msg ("%s %s", found.rows[0].place, found.rows[0].text);
 }
--- a/tests/tst_cell.h
+++ b/tests/tst_cell.h
@@ -78,6 +78,7 @@
 bool cell_until (struct cell *cell, bool (*test) (void *user), void *user,
                  uint32_t limit_ms);
 void cell_run (struct cell *cell, uint32_t ms);
+uint16_t cell_free_port (void);
 bool cell_acting (void *sc);
 void cell_facts (const struct cell *cell, struct cell_facts *out);
 
