Keep urgent tasks off the reservation of a gang

A log of reservations at their deadline showed that urgent tasks, which ignored them, had filled all the drained room. Ruled out: a reservation too small or on workers whose tasks run past the deadline; reserving a quarter more, on workers that end in time first, is kept but changed little. Urgent tasks now use a reserved worker only if they end before the deadline, and break the reservation only when they find no victim. The new test fails when urgent tasks ignore the reservation.

--- a/src/cyc_core_class.c
+++ b/src/cyc_core_class.c
@@ -107,6 +107,28 @@
   task->retry = false;
 }
 
+/* An urgent task keeps off a reservation like all others, because the room
+ * that drains there would draw all urgent tasks; without a victim elsewhere it
+ * may break it. */
+static uint32_t
+break_reservation (struct cyc_core_state *st, struct core_want *want)
+{
+  if (st->reserved_job == CORE_NONE)
+    return CORE_NONE;
+  want->past_reservation = true;
+  return core_find_room (st, want);
+}
+
+static enum attempt
+start (struct cyc_core_state *st, uint32_t queue, uint32_t task,
+       uint32_t worker)
+{
+  count_retry (st, &st->tasks[task]);
+  st->queues[queue].blocked_since_us = 0;
+  core_start_on (st, task, worker);
+  return ATTEMPT_PLACED;
+}
+
 static enum attempt
 try_task (struct cyc_core_state *st, uint32_t queue, uint32_t task)
 {
@@ -122,12 +144,7 @@
   else
     worker = core_find_room (st, &want);
   if (worker != CORE_NONE)
-    {
-      count_retry (st, &st->tasks[task]);
-      q->blocked_since_us = 0;
-      core_start_on (st, task, worker);
-      return ATTEMPT_PLACED;
-    }
+    return start (st, queue, task, worker);
   if (st->fails_left > 0)
     st->fails_left--;
   if (q->blocked_since_us == 0)
@@ -138,6 +155,10 @@
     {
       if (core_preempt_for (st, task))
         return ATTEMPT_WAITING;
+      if (core_team_has_balance (st, queue, 1))
+        worker = break_reservation (st, &want);
+      if (worker != CORE_NONE)
+        return start (st, queue, task, worker);
       st->urgent_blocked_tick = st->tick;
       core_drain_drop (st);
     }
--- a/src/cyc_core_gang.c
+++ b/src/cyc_core_gang.c
@@ -103,16 +103,27 @@
   return count;
 }
 
-/* Tasks that fit when everything but replicas has ended. An empty worker has
- * more room for its first task than for several, so it is not counted as
+static bool
+ends_by (const struct cyc_core_state *st, const struct core_task *task,
+         uint64_t deadline_us)
+{
+  const struct core_queue *queue = &st->queues[st->jobs[task->job].queue];
+  double run_us = queue->run_mean_us + queue->run_dev_us;
+
+  return !st->jobs[task->job].service
+         && (double)task->started_us + run_us <= (double)deadline_us;
+}
+
+/* Tasks that fit when what ends by the deadline has ended. An empty worker
+ * has more room for its first task than for several, so it is not counted as
  * empty unless only one fits. */
 static uint32_t
 fits_in_time (const struct cyc_core_state *st, uint32_t row,
-              const struct core_queue *queue)
+              const struct core_queue *queue, uint64_t deadline_us)
 {
   struct core_rows rows = CORE_ROWS (st->tasks, in_place);
   struct core_worker copy = st->workers[row];
-  uint32_t services = 0;
+  uint32_t stay = 0;
   uint32_t fits;
 
   for (uint32_t t = copy.tasks.head; t != CORE_NONE;
@@ -120,9 +131,11 @@
     {
       const struct core_task *task = &st->tasks[t];
 
-      services += st->jobs[task->job].service;
-      if (st->jobs[task->job].service)
-        continue;
+      if (!ends_by (st, task, deadline_us))
+        {
+          stay++;
+          continue;
+        }
       copy.need = core_need_sub (copy.need, task->need);
       copy.declared = core_res_sub (copy.declared, task->declared);
       copy.measured = core_res_sub (copy.measured, task->used);
@@ -130,7 +143,7 @@
   copy.since = (struct cyc_res){ 0 };
   copy.tasks.count = 1;
   fits = times (core_worker_room (st, &copy, copy.since), queue->estimate);
-  if (fits == 0 && services == 0)
+  if (fits == 0 && stay == 0)
     fits = core_res_fits (queue->size, copy.capacity);
   return fits;
 }
@@ -171,30 +184,48 @@
                           need.accelerators * tasks };
 }
 
-static void
-reserve (struct cyc_core_state *st, uint32_t job)
+/* Returns the number of tasks for which no worker has room by @p end_us. */
+static uint32_t
+hold_workers (struct cyc_core_state *st, const struct core_queue *queue,
+              uint32_t left, uint32_t workers, uint64_t end_us)
 {
-  const struct core_queue *queue = &st->queues[st->jobs[job].queue];
-  struct cyc_res need = queue->estimate;
-  uint32_t left = st->jobs[job].queued.count;
-  uint32_t workers = order_workers (st, need);
-
-  st->reserved_job = job;
-  st->reserved_deadline_us = st->now_us + st->desc.gang_reserve_ms * 1000ULL;
-  st->jobs[job].reservations++;
   for (uint32_t i = 0; i < workers && left > 0; i++)
     {
-      uint32_t fits = fits_in_time (st, st->scratch[i], queue);
+      struct core_worker *worker = &st->workers[st->scratch[i]];
+      uint32_t fits;
 
+      if (worker->reserved_until_us > 0)
+        continue;
+      fits = fits_in_time (st, st->scratch[i], queue, end_us);
       fits = fits < left ? fits : left;
       if (fits == 0)
         continue;
-      hold (&st->workers[st->scratch[i]], need, fits,
-            st->reserved_deadline_us);
+      hold (worker, queue->estimate, fits, st->reserved_deadline_us);
       left -= fits;
     }
+  return left;
+}
+
+/* Workers whose tasks end before the deadline come first. Some tasks run
+ * longer than learned, so a quarter more is reserved when there is room. */
+static void
+reserve (struct cyc_core_state *st, uint32_t job)
+{
+  const struct core_queue *queue = &st->queues[st->jobs[job].queue];
+  uint32_t tasks = st->jobs[job].queued.count;
+  uint32_t workers = order_workers (st, queue->estimate);
+  uint32_t spare = (tasks + 3) / 4;
+  uint32_t left;
+
+  st->reserved_job = job;
+  st->reserved_deadline_us = st->now_us + st->desc.gang_reserve_ms * 1000ULL;
+  st->jobs[job].reservations++;
+  left = hold_workers (st, queue, tasks + spare, workers,
+                       st->reserved_deadline_us);
+  if (left > spare)
+    left = hold_workers (st, queue, left, workers, UINT64_MAX);
   /* Holding workers for a gang that cannot fit would only waste them. */
-  if (left > 0)
+  if (left > spare)
     core_gang_unreserve (st);
 }
 
--- a/src/cyc_core_place.c
+++ b/src/cyc_core_place.c
@@ -88,7 +88,6 @@
     .task = task,
     .queue = row,
     .end_us = UINT64_MAX / 2,
-    .past_reservation = core_class_of (queue) == CORE_URGENT,
     .urgent = core_class_of (queue) == CORE_URGENT,
   };
   if (queue->kind != CYC_KIND_SERVICE && run_us > 0 && run_us < 1e15)
--- a/src/cyc_core_urgent.c
+++ b/src/cyc_core_urgent.c
@@ -157,7 +157,8 @@
     if (task->failed_on[i] == worker)
       return false;
   return core_worker_usable (st, &st->workers[worker])
-         && st->workers[worker].refused_until_us <= st->now_us;
+         && st->workers[worker].refused_until_us <= st->now_us
+         && st->workers[worker].reserved_until_us <= st->now_us;
 }
 
 static uint32_t
--- a/tests/test_core_gang.c
+++ b/tests/test_core_gang.c
@@ -118,6 +118,35 @@
     }
 }
 
+/* Urgent tasks that ignore the reservation all go where room drains. */
+static void
+urgent_stream_does_not_use_up_a_reservation (void **state)
+{
+  struct cyc_queue_cfg urgent = { .kind = CYC_KIND_BATCH,
+                                  .urgent = true,
+                                  .repeatable = true,
+                                  .size = { 2000, 2000, 0 },
+                                  .run_s = 9 };
+  uint32_t started = 0;
+  uint32_t waited = 0;
+
+  (void)state;
+  open_three (9);
+  tst_core_queue_cfg (&t, "urgent", "team", urgent);
+  for (uint32_t i = 1; i < 30; i++)
+    second (i, 9);
+  tst_core_job (&t, 10000, "gang", 4);
+  for (; waited < 100 && started == 0; waited++)
+    {
+      if (waited % 2 == 0)
+        tst_core_job (&t, 5000 + waited, "urgent", 1);
+      started = second (100 + waited, 9);
+    }
+  assert_int_equal (started, 4);
+  assert_in_range (waited, 1, 62);
+  tst_core_close (&t);
+}
+
 /* Without a claim each small task that ends is replaced by the next one, and
  * the room for 6,000 never comes together. */
 static void
@@ -181,6 +210,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (gang_starts_whole_and_is_not_starved),
     cmocka_unit_test (large_task_of_a_team_below_its_share_is_not_starved),
+    cmocka_unit_test (urgent_stream_does_not_use_up_a_reservation),
     cmocka_unit_test (gang_prefers_one_rack),
     cmocka_unit_test (two_gangs_that_fit_only_alone_both_run),
   };
