Replace workers and change queues in the random test

Removal of a worker with claims or holds and a change of a queue's class had no test, and both move rows between lists. The random test now replaces workers, changes size and urgency of a queue and scales a service.

--- a/tests/test_core_random.c
+++ b/tests/test_core_random.c
@@ -169,12 +169,42 @@
     }
 }
 
+/* The worker is gone and comes back empty under the same name. */
+static void
+replace_worker (uint32_t w)
+{
+  for (uint32_t i = 0; i < jobs; i++)
+    if (places[i].running && worker_index (&places[i].worker) == (int)w)
+      places[i].running = false;
+  cyc_core_worker_remove (&t.core, cyc_str_of (workers[w]), t.now_us);
+  tst_core_worker (&t, workers[w], w % 2 == 0 ? "r0" : "r1");
+  silent[w] = false;
+}
+
+/* Changes of configuration move queues between classes and sizes. */
+static void
+change_queue (void)
+{
+  struct cyc_queue_cfg cfg = { .kind = CYC_KIND_BATCH,
+                               .urgent = draw (2) == 0,
+                               .repeatable = true,
+                               .run_s = draw (20) };
+
+  cfg.size = (struct cyc_res){ 500 + draw (2000), 500 + draw (1000), 0 };
+  tst_core_queue_cfg (&t, "u1", "one", cfg);
+  cyc_core_service_scale (&t.core, CYC_STR ("s1"), draw (8), t.now_us);
+}
+
 static void
 disturb (void)
 {
   uint32_t w = draw (6);
   struct cyc_str name = cyc_str_of (workers[w]);
 
+  if (draw (100) == 0)
+    replace_worker (w);
+  if (draw (50) == 0)
+    change_queue ();
   if (draw (30) == 0)
     {
       silent[w] = !silent[w];
