--- a/include/cyclamendrum/claim.h
+++ b/include/cyclamendrum/claim.h
@@ -129,6 +129,13 @@
 uint64_t cyc_clm_hold_us (const struct cyc_clm *clm);
 /** First instant at which starts can be allowed; UINT64_MAX: not known. */
 uint64_t cyc_clm_wait_us (const struct cyc_clm *clm);
+/** Until this instant a task of an earlier owner may run on a worker that was
+ * not reached, if tasks run under leases of @p task_lease_us; UINT64_MAX: not
+ * known yet. The old owner may have extended its hold until the majority was
+ * fenced, so the time counts from the later of the claim and the fencing. */
+uint64_t cyc_clm_unreached_us (const struct cyc_clm *clm,
+                               uint64_t task_lease_us,
+                               uint64_t clock_error_us);
 /** Epoch of this process's claim; 0 when it is not the owner. */
 uint64_t cyc_clm_epoch (const struct cyc_clm *clm);
 /** Latest instant T such that more than half of @p total workers have an entry
--- a/src/cyc_claim.c
+++ b/src/cyc_claim.c
@@ -246,21 +246,35 @@
     clm->silent_since_us = now_us;
 }
 
-uint64_t
-cyc_clm_wait_us (const struct cyc_clm *clm)
+/* End of any hold of an earlier owner, on any clock. */
+static uint64_t
+old_hold_end_us (const struct cyc_clm *clm)
 {
   uint64_t from = clm->claimed_us;
 
-  if (clm->role != CYC_CLM_OWNER || clm->fenced_us == 0 || !clm->stock_taken)
-    return UINT64_MAX;
-  if (clm->after_release)
-    return from;
   if (clm->fenced_us > from)
     from = clm->fenced_us;
   return from + clm->desc.lease_us
          + clm->desc.lease_us * clm->desc.rate_permille / 1000;
 }
 
+uint64_t
+cyc_clm_wait_us (const struct cyc_clm *clm)
+{
+  if (clm->role != CYC_CLM_OWNER || clm->fenced_us == 0 || !clm->stock_taken)
+    return UINT64_MAX;
+  return clm->after_release ? clm->claimed_us : old_hold_end_us (clm);
+}
+
+uint64_t
+cyc_clm_unreached_us (const struct cyc_clm *clm, uint64_t task_lease_us,
+                      uint64_t clock_error_us)
+{
+  if (clm->role != CYC_CLM_OWNER || clm->fenced_us == 0)
+    return UINT64_MAX;
+  return old_hold_end_us (clm) + task_lease_us + clock_error_us;
+}
+
 bool
 cyc_clm_may_start (const struct cyc_clm *clm, uint64_t now_us)
 {
--- /dev/null
+++ b/tests/test_model.c
@@ -0,0 +1,788 @@
+/**
+ * @file
+ * Exhaustive check of the ownership of a domain in a small instance: two
+ * schedulers that claim, renew, release, crash and pause, up to three workers,
+ * one task, with appends, heartbeats and starts that are lost or late.
+ *
+ * The decisions are those of cyclamendrum/claim.h; the log and the workers
+ * follow the rules of the design page. Time is counted in ticks; a process
+ * that takes no step while time passes is paused or cut off.
+ */
+#include "tst_model.h"
+
+#include <cyclamendrum/claim.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define PROCESSES 2
+#define MOST_WORKERS 3
+#define MOST_LOG 7
+#define LEASE 2
+#define TASK_LEASE 2
+#define NOBODY 9
+
+enum variant
+{
+  V_RIGHT,
+  V_NO_WAIT,           /**< a new owner starts without waiting */
+  V_HOLD_FROM_READING, /**< the hold counts from reading the renewal back */
+  V_NO_FENCING,        /**< a new owner does not fence a majority first */
+  V_MINORITY_EXTENDS,  /**< heartbeats of one worker extend the hold */
+  V_WORKER_NO_EPOCH,   /**< workers accept starts of any epoch */
+  V_UNREACHED_EARLY,   /**< unreached workers count from the claim only */
+  V_NO_STOCK           /**< workers that were not reached are ignored */
+};
+
+/* What an instance allows, and how often. */
+struct instance
+{
+  enum variant variant;
+  uint8_t workers;
+  uint8_t lost;
+  uint8_t late_beats;
+  uint8_t late_starts;
+  uint8_t crashes;
+  uint8_t releases;
+  uint8_t beats;   /**< heartbeats in all */
+  uint8_t appends; /**< in all */
+  bool settled;    /**< process 0 owns the domain already */
+};
+
+struct entry
+{
+  uint8_t kind; /**< enum cyc_claim_step */
+  uint8_t who;  /**< incarnation of the writer */
+  uint8_t epoch;
+  uint8_t valid;
+};
+
+struct process
+{
+  struct cyc_clm clm;
+  uint8_t incarnation;
+  uint8_t read; /**< entries of the log that were read */
+  bool appending;
+  struct entry append;
+  uint64_t token;  /**< of the append in flight or in the log; 0: none */
+  uint8_t written; /**< position of that append in the log + 1 */
+  uint8_t heard[MOST_WORKERS]; /**< sending of the newest accepted beat */
+  uint8_t beat[MOST_WORKERS];  /**< tick of the newest beat sent */
+  bool stock[MOST_WORKERS];
+  uint8_t runs_until[MOST_WORKERS]; /**< of the task, as stock was taken */
+  bool started;
+};
+
+struct worker
+{
+  uint8_t epoch;
+  uint8_t until; /**< end of the task's lease; the task runs before it */
+};
+
+struct message
+{
+  bool used;
+  uint8_t from;
+  uint8_t incarnation;
+  uint8_t worker;
+  uint8_t epoch;
+  uint8_t at; /**< beat: sent at; start: not after */
+};
+
+struct state
+{
+  struct instance may; /**< counts down */
+  uint8_t now;
+  struct process processes[PROCESSES];
+  struct worker workers[MOST_WORKERS];
+  uint8_t log_len;
+  struct entry log[MOST_LOG];
+  struct entry orphan; /**< append whose writer does not wait for it */
+  bool has_orphan;
+  struct message beat;
+  struct message start;
+};
+
+enum step
+{
+  S_TICK,
+  S_DECIDE,
+  S_APPEND,
+  S_LOSE,
+  S_ORPHAN,
+  S_READ,
+  S_BEAT,
+  S_BEAT_LATE,
+  S_BEAT_ARRIVES,
+  S_START,
+  S_START_LATE,
+  S_START_ARRIVES,
+  S_CRASH,
+  S_RELEASE
+};
+
+#define STEP(kind, process, worker)                                           \
+  ((uint32_t)(kind) << 8 | (uint32_t)(process) << 4 | (uint32_t)(worker))
+
+static void
+describe (uint32_t step, char out[80])
+{
+  static const char *const texts[] = {
+    "time passes",
+    "decides to append",
+    "append is written",
+    "answer of the append is lost",
+    "append without a waiting writer is written",
+    "reads the next record",
+    "sends a heartbeat, accepted or refused",
+    "sends a heartbeat that is delayed",
+    "delayed heartbeat arrives",
+    "starts the task",
+    "sends a start that is delayed",
+    "delayed start arrives",
+    "crashes and restarts",
+    "is told to stop",
+  };
+
+  snprintf (out, 80, "process %u, worker %u: %s", step >> 4 & 15, step & 15,
+            texts[step >> 8]);
+}
+
+/* Claim after the first @p len records, by the rules of the ledger. */
+static struct cyc_claim
+claim_after (const struct state *s, uint8_t len)
+{
+  struct cyc_claim claim = { 0 };
+
+  for (uint8_t i = 0; i < len; i++)
+    {
+      const struct entry *entry = &s->log[i];
+
+      if (!entry->valid)
+        continue;
+      claim.renewed_offset = i;
+      claim.released = entry->kind == CYC_CLAIM_RELEASE;
+      claim.epoch = entry->epoch;
+      claim.incarnation.bytes[0] = entry->who;
+      cyc_name_set (&claim.owner, CYC_STR ("vm"));
+    }
+  return claim;
+}
+
+static void
+write_entry (struct state *s, struct entry entry)
+{
+  struct cyc_claim claim = claim_after (s, s->log_len);
+
+  if (entry.kind == CYC_CLAIM_TAKE)
+    entry.valid = entry.epoch == claim.epoch + 1;
+  else
+    entry.valid = entry.epoch == claim.epoch && !claim.released
+                  && entry.who == claim.incarnation.bytes[0];
+  s->log[s->log_len++] = entry;
+}
+
+static void
+boot (struct state *s, uint8_t i, uint8_t incarnation)
+{
+  struct process *p = &s->processes[i];
+  struct cyc_findings found = { 0 };
+  struct cyc_clm_desc desc
+      = { .incarnation = { { incarnation } }, .lease_us = LEASE };
+  struct cyc_claim claim = claim_after (s, s->log_len);
+
+  memset (p, 0, sizeof *p);
+  cyc_name_set (&desc.domain, CYC_STR ("d"));
+  cyc_name_set (&desc.owner, CYC_STR ("vm"));
+  assert_true (cyc_clm_setup (&p->clm, &desc, &found));
+  p->incarnation = incarnation;
+  /* It starts from a snapshot. */
+  p->read = s->log_len;
+  cyc_clm_observe (&p->clm, &claim, s->now);
+  cyc_clm_log (&p->clm, true, s->now);
+}
+
+/* Tells the claim module what the heartbeats showed. */
+static void
+count_workers (const struct state *s, struct process *p)
+{
+  struct cyc_clm_workers counts
+      = { .total = s->may.workers, .stock_taken = true };
+  uint64_t heard[MOST_WORKERS];
+  uint32_t answered = 0;
+
+  for (uint8_t w = 0; w < s->may.workers; w++)
+    {
+      if (p->heard[w] == 0)
+        continue;
+      heard[answered++] = p->heard[w];
+      counts.fenced++;
+    }
+  counts.majority_us = cyc_clm_majority_us (
+      heard, answered,
+      s->may.variant == V_MINORITY_EXTENDS ? 1 : counts.total);
+  if (s->may.variant == V_NO_FENCING)
+    counts.fenced = counts.total;
+  cyc_clm_workers (&p->clm, &counts, s->now);
+}
+
+static void
+forget_workers (struct process *p)
+{
+  memset (p->heard, 0, sizeof p->heard);
+  memset (p->beat, 0, sizeof p->beat);
+  memset (p->stock, 0, sizeof p->stock);
+  memset (p->runs_until, 0, sizeof p->runs_until);
+}
+
+static void
+read_next (struct state *s, struct process *p)
+{
+  const struct entry *entry = &s->log[p->read];
+  uint64_t epoch = cyc_clm_epoch (&p->clm);
+  struct cyc_claim claim;
+
+  p->read++;
+  if (p->written == p->read)
+    {
+      cyc_clm_result (&p->clm, p->token,
+                      entry->valid ? CYC_CLM_APPEND_ACCEPTED
+                                   : CYC_CLM_APPEND_REFUSED,
+                      s->now);
+      p->written = 0;
+      p->token = 0;
+      if (s->may.variant == V_HOLD_FROM_READING && p->clm.hold_us > 0)
+        p->clm.hold_us = s->now + LEASE;
+    }
+  claim = claim_after (s, p->read);
+  cyc_clm_observe (&p->clm, &claim, s->now);
+  if (cyc_clm_epoch (&p->clm) == epoch)
+    return;
+  forget_workers (p);
+  if (s->may.variant == V_NO_WAIT)
+    p->clm.after_release = true;
+  count_workers (s, p);
+}
+
+/* A heartbeat reaches a worker, and its answer the sender. */
+static void
+beat_arrives (struct state *s, const struct message *beat)
+{
+  struct worker *worker = &s->workers[beat->worker];
+  struct process *p = &s->processes[beat->from];
+  bool same = p->incarnation == beat->incarnation
+              && cyc_clm_epoch (&p->clm) == beat->epoch;
+
+  if (beat->epoch < worker->epoch)
+    {
+      if (same)
+        cyc_clm_stale_epoch (&p->clm, worker->epoch);
+      return;
+    }
+  worker->epoch = beat->epoch;
+  if (!same)
+    return;
+  if (beat->at > p->heard[beat->worker])
+    p->heard[beat->worker] = beat->at;
+  p->stock[beat->worker] = true;
+  p->runs_until[beat->worker] = worker->until;
+  count_workers (s, p);
+}
+
+static void
+start_arrives (struct state *s, const struct message *start)
+{
+  struct worker *worker = &s->workers[start->worker];
+
+  if (start->epoch < worker->epoch && s->may.variant != V_WORKER_NO_EPOCH)
+    return;
+  if (start->epoch > worker->epoch)
+    worker->epoch = start->epoch;
+  if (s->now < start->at && worker->until <= s->now)
+    worker->until = start->at;
+}
+
+/* Whether the owner may take the task for not running anywhere. */
+static bool
+task_is_free (const struct state *s, const struct process *p)
+{
+  uint64_t unreached = cyc_clm_unreached_us (&p->clm, TASK_LEASE, 0);
+
+  if (s->may.variant == V_UNREACHED_EARLY)
+    unreached = p->clm.claimed_us + LEASE + TASK_LEASE;
+  if (s->may.variant == V_NO_STOCK)
+    unreached = 0;
+  for (uint8_t w = 0; w < s->may.workers; w++)
+    {
+      if (p->stock[w] && s->now < p->runs_until[w])
+        return false;
+      if (!p->stock[w] && s->now < unreached)
+        return false;
+    }
+  return !p->started;
+}
+
+static void
+expand_log (const struct state *s, uint8_t i, struct tst_model_run *run)
+{
+  const struct process *p = &s->processes[i];
+  struct state next = *s;
+  struct process *q = &next.processes[i];
+  struct cyc_clm_step step;
+
+  if (!p->appending && s->may.appends > 0
+      && cyc_clm_next (&q->clm, s->now, &step))
+    {
+      next.may.appends--;
+      q->appending = true;
+      q->token = step.token;
+      q->append = (struct entry){ .kind = (uint8_t)step.edit.step,
+                                  .who = p->incarnation,
+                                  .epoch = (uint8_t)step.edit.epoch };
+      tst_model_emit (run, &next, STEP (S_DECIDE, i, NOBODY));
+    }
+  next = *s;
+  if (p->appending)
+    {
+      write_entry (&next, p->append);
+      q->appending = false;
+      q->written = next.log_len;
+      tst_model_emit (run, &next, STEP (S_APPEND, i, NOBODY));
+    }
+  next = *s;
+  if (p->appending && s->may.lost > 0 && !s->has_orphan)
+    {
+      next.may.lost--;
+      next.orphan = p->append;
+      next.has_orphan = true;
+      q->appending = false;
+      cyc_clm_result (&q->clm, p->token, CYC_CLM_APPEND_LOST, s->now);
+      q->token = 0;
+      tst_model_emit (run, &next, STEP (S_LOSE, i, NOBODY));
+    }
+  next = *s;
+  if (p->read < s->log_len)
+    {
+      read_next (&next, q);
+      tst_model_emit (run, &next, STEP (S_READ, i, NOBODY));
+    }
+}
+
+static void
+expand_beats (const struct state *s, uint8_t i, struct tst_model_run *run)
+{
+  const struct process *p = &s->processes[i];
+  struct state next;
+
+  if (cyc_clm_epoch (&p->clm) == 0 || s->may.beats == 0)
+    return;
+  for (uint8_t w = 0; w < s->may.workers; w++)
+    {
+      struct message beat = { .used = true,
+                              .from = i,
+                              .incarnation = p->incarnation,
+                              .worker = w,
+                              .epoch = (uint8_t)cyc_clm_epoch (&p->clm),
+                              .at = s->now };
+
+      if (p->beat[w] == s->now)
+        continue;
+      next = *s;
+      next.may.beats--;
+      next.processes[i].beat[w] = s->now;
+      beat_arrives (&next, &beat);
+      tst_model_emit (run, &next, STEP (S_BEAT, i, w));
+      if (s->may.late_beats == 0 || s->beat.used)
+        continue;
+      next = *s;
+      next.may.beats--;
+      next.may.late_beats--;
+      next.processes[i].beat[w] = s->now;
+      next.beat = beat;
+      tst_model_emit (run, &next, STEP (S_BEAT_LATE, i, w));
+    }
+}
+
+static void
+expand_starts (const struct state *s, uint8_t i, struct tst_model_run *run)
+{
+  const struct process *p = &s->processes[i];
+  struct state next;
+
+  if (!cyc_clm_may_start (&p->clm, s->now) || !task_is_free (s, p))
+    return;
+  for (uint8_t w = 0; w < s->may.workers; w++)
+    {
+      struct message start = { .used = true,
+                               .from = i,
+                               .worker = w,
+                               .epoch = (uint8_t)cyc_clm_epoch (&p->clm),
+                               .at = s->now + TASK_LEASE };
+
+      if (!p->stock[w])
+        continue;
+      next = *s;
+      next.processes[i].started = true;
+      start_arrives (&next, &start);
+      tst_model_emit (run, &next, STEP (S_START, i, w));
+      if (s->may.late_starts == 0 || s->start.used)
+        continue;
+      next = *s;
+      next.processes[i].started = true;
+      next.may.late_starts--;
+      next.start = start;
+      tst_model_emit (run, &next, STEP (S_START_LATE, i, w));
+    }
+}
+
+static void
+expand_process (const struct state *s, uint8_t i, struct tst_model_run *run)
+{
+  const struct process *p = &s->processes[i];
+  struct state next = *s;
+
+  if (s->may.crashes > 0 && p->clm.role == CYC_CLM_OWNER)
+    {
+      next.may.crashes--;
+      if (p->appending && !s->has_orphan)
+        {
+          next.orphan = p->append;
+          next.has_orphan = true;
+        }
+      boot (&next, i, p->incarnation + PROCESSES);
+      tst_model_emit (run, &next, STEP (S_CRASH, i, NOBODY));
+    }
+  next = *s;
+  if (s->may.releases > 0 && p->clm.role == CYC_CLM_OWNER)
+    {
+      next.may.releases--;
+      cyc_clm_release (&next.processes[i].clm);
+      tst_model_emit (run, &next, STEP (S_RELEASE, i, NOBODY));
+    }
+}
+
+static void
+expand (const void *state, struct tst_model_run *run)
+{
+  const struct state *s = state;
+  struct state next = *s;
+
+  for (uint8_t i = 0; i < PROCESSES; i++)
+    {
+      expand_log (s, i, run);
+      expand_beats (s, i, run);
+      expand_starts (s, i, run);
+      expand_process (s, i, run);
+    }
+  if (s->has_orphan)
+    {
+      write_entry (&next, s->orphan);
+      next.has_orphan = false;
+      tst_model_emit (run, &next, STEP (S_ORPHAN, NOBODY, NOBODY));
+    }
+  next = *s;
+  if (s->beat.used)
+    {
+      next.beat.used = false;
+      beat_arrives (&next, &s->beat);
+      tst_model_emit (run, &next,
+                      STEP (S_BEAT_ARRIVES, s->beat.from, s->beat.worker));
+    }
+  next = *s;
+  if (s->start.used)
+    {
+      next.start.used = false;
+      start_arrives (&next, &s->start);
+      tst_model_emit (run, &next,
+                      STEP (S_START_ARRIVES, s->start.from, s->start.worker));
+    }
+  next = *s;
+  next.now++;
+  tst_model_emit (run, &next, STEP (S_TICK, NOBODY, NOBODY));
+}
+
+/* Process 0 claims, reaches all workers, waits and renews; process 1 reads. */
+static void
+settle (struct state *s)
+{
+  struct process *p = &s->processes[0];
+  struct cyc_clm_step step;
+
+  for (int round = 0; round < 2; round++)
+    {
+      assert_true (cyc_clm_next (&p->clm, s->now, &step));
+      p->token = step.token;
+      write_entry (s, (struct entry){ .kind = (uint8_t)step.edit.step,
+                                      .who = p->incarnation,
+                                      .epoch = (uint8_t)step.edit.epoch });
+      p->written = s->log_len;
+      read_next (s, p);
+      read_next (s, &s->processes[1]);
+      for (uint8_t w = 0; round == 0 && w < s->may.workers; w++)
+        beat_arrives (s, &(struct message){ .incarnation = p->incarnation,
+                                            .worker = w,
+                                            .epoch = 1,
+                                            .at = s->now });
+      s->now++;
+    }
+  assert_true (cyc_clm_may_start (&p->clm, s->now));
+}
+
+static const char *
+defect (const void *state)
+{
+  const struct state *s = state;
+  int owners = 0;
+  int running = 0;
+
+  for (int i = 0; i < PROCESSES; i++)
+    owners += cyc_clm_may_start (&s->processes[i].clm, s->now);
+  for (int w = 0; w < s->may.workers; w++)
+    running += s->workers[w].until > s->now;
+  if (owners > 1)
+    return "two owners may place";
+  return running > 1 ? "the task runs on two workers" : NULL;
+}
+
+/* Times in the key are relative to now, and those that can no longer matter
+   are alike. So time needs no bound: the number of states is finite. */
+static uint8_t
+left (const struct state *s, uint64_t deadline)
+{
+  return deadline > s->now ? (uint8_t)(deadline - s->now) : 0;
+}
+
+static size_t
+key_of_process (const struct state *s, const struct process *p, uint8_t *out)
+{
+  const struct cyc_clm *clm = &p->clm;
+  uint64_t pending = clm->pending_token != 0;
+  uint64_t fenced = clm->fenced_us != 0;
+  uint64_t from
+      = clm->fenced_us > clm->claimed_us ? clm->fenced_us : clm->claimed_us;
+  const uint64_t values[] = {
+    p->incarnation,
+    p->read,
+    p->appending,
+    p->appending ? p->append.kind : 0,
+    p->appending ? p->append.epoch : 0,
+    p->written,
+    p->started,
+    clm->role,
+    clm->known_epoch > clm->seen.epoch ? clm->known_epoch : 0,
+    clm->releasing,
+    left (s, clm->silent_since_us + LEASE),
+    pending,
+    pending ? clm->pending_step : 0,
+    pending ? left (s, clm->pending_sent_us + LEASE) : 0,
+    pending ? clm->pending_epoch : 0,
+    pending ? clm->pending_after_release : 0,
+    left (s, clm->hold_us),
+    fenced,
+    fenced ? left (s, from + LEASE + TASK_LEASE) : 0,
+    left (s, clm->claimed_us + LEASE + TASK_LEASE),
+    clm->after_release,
+  };
+  size_t count = sizeof values / sizeof values[0];
+
+  for (size_t i = 0; i < count; i++)
+    out[i] = (uint8_t)values[i];
+  if (s->may.variant != V_UNREACHED_EARLY)
+    out[count - 2] = 0;
+  return count;
+}
+
+/* Workers are alike, so their parts of the key are sorted. */
+static size_t
+key_of_workers (const struct state *s, uint8_t *out)
+{
+  enum
+  {
+    PART = 2 + 4 * PROCESSES + 2
+  };
+  uint8_t parts[MOST_WORKERS][PART];
+
+  for (int w = 0; w < s->may.workers; w++)
+    {
+      uint8_t part[PART]
+          = { s->workers[w].epoch, left (s, s->workers[w].until) };
+      size_t at = 2;
+      int to = w;
+
+      for (int i = 0; i < PROCESSES; i++)
+        {
+          const struct process *p = &s->processes[i];
+
+          part[at++] = p->heard[w] > 0 ? left (s, p->heard[w] + LEASE) + 1 : 0;
+          part[at++] = p->beat[w] == s->now;
+          part[at++] = p->stock[w];
+          part[at++] = left (s, p->runs_until[w]);
+        }
+      part[at++] = s->beat.used && s->beat.worker == w;
+      part[at] = s->start.used && s->start.worker == w;
+      for (; to > 0 && memcmp (parts[to - 1], part, PART) > 0; to--)
+        memcpy (parts[to], parts[to - 1], PART);
+      memcpy (parts[to], part, PART);
+    }
+  memcpy (out, parts, (size_t)s->may.workers * PART);
+  return (size_t)s->may.workers * PART;
+}
+
+static size_t
+key_of_message (const struct state *s, const struct message *message,
+                uint8_t added, uint8_t *out)
+{
+  out[0] = message->used;
+  if (!message->used)
+    return 1;
+  out[1] = message->from;
+  out[2] = message->incarnation;
+  out[3] = message->epoch;
+  out[4] = left (s, message->at + added);
+  return 5;
+}
+
+/* Records that both processes have read count by the claim they led to. */
+static size_t
+key_of_log (const struct state *s, uint8_t *out)
+{
+  uint8_t from = s->processes[0].read < s->processes[1].read
+                     ? s->processes[0].read
+                     : s->processes[1].read;
+  struct cyc_claim claim = claim_after (s, from);
+  size_t rest = (s->log_len - from) * sizeof s->log[0];
+
+  out[0] = s->log_len;
+  out[1] = from;
+  out[2] = (uint8_t)claim.epoch;
+  out[3] = claim.released;
+  out[4] = claim.incarnation.bytes[0];
+  memcpy (out + 5, s->log + from, rest);
+  return 5 + rest;
+}
+
+static size_t
+key (const void *state, uint8_t out[TST_MODEL_KEY])
+{
+  const struct state *s = state;
+  size_t at = 0;
+
+  out[at++] = s->may.lost;
+  out[at++] = s->may.late_beats;
+  out[at++] = s->may.late_starts;
+  out[at++] = s->may.crashes;
+  out[at++] = s->may.releases;
+  out[at++] = s->may.beats;
+  out[at++] = s->may.appends;
+  at += key_of_log (s, out + at);
+  out[at++] = s->has_orphan;
+  if (s->has_orphan)
+    memcpy (out + at, &s->orphan, sizeof s->orphan);
+  at += s->has_orphan ? sizeof s->orphan : 0;
+  for (int i = 0; i < PROCESSES; i++)
+    at += key_of_process (s, &s->processes[i], out + at);
+  at += key_of_workers (s, out + at);
+  at += key_of_message (s, &s->beat, LEASE, out + at);
+  return at + key_of_message (s, &s->start, 0, out + at);
+}
+
+static const struct tst_model ownership
+    = { .name = "ownership",
+        .state_bytes = sizeof (struct state),
+        .most_states = 3000000,
+        .expand = expand,
+        .key = key,
+        .defect = defect,
+        .describe = describe };
+
+struct model_case
+{
+  const char *name;
+  struct instance may;
+  bool breaks;
+};
+
+/* Members of the instance: variant, workers, lost appends, late heartbeats,
+   late starts, crashes, releases, heartbeats, appends, settled. */
+static const struct model_case model_cases[] = {
+  { "one worker, lost append",
+    { V_RIGHT, 1, 1, 0, 0, 0, 0, 2, 3, false },
+    false },
+  { "one worker, crash", { V_RIGHT, 1, 0, 0, 0, 1, 0, 2, 3, false }, false },
+  { "three workers, first claim",
+    { V_RIGHT, 3, 0, 0, 0, 0, 0, 5, 2, false },
+    false },
+  { "three workers, takeover",
+    { V_RIGHT, 3, 0, 0, 0, 0, 0, 6, 1, true },
+    false },
+  { "two workers, late messages",
+    { V_RIGHT, 2, 0, 1, 1, 0, 0, 3, 1, true },
+    false },
+  { "two workers, release, late start",
+    { V_RIGHT, 2, 0, 0, 1, 0, 1, 2, 2, true },
+    false },
+  { "one worker, lost append, crash, late start",
+    { V_RIGHT, 1, 1, 0, 1, 1, 0, 2, 2, true },
+    false },
+  { "broken: a new owner does not wait",
+    { V_NO_WAIT, 1, 0, 0, 0, 0, 0, 2, 1, true },
+    true },
+  { "broken: the hold counts from reading back",
+    { V_HOLD_FROM_READING, 1, 0, 0, 0, 0, 0, 3, 2, true },
+    true },
+  { "broken: no majority is fenced first",
+    { V_NO_FENCING, 1, 0, 0, 0, 0, 0, 3, 1, true },
+    true },
+  { "broken: a minority extends the hold",
+    { V_MINORITY_EXTENDS, 3, 0, 0, 0, 0, 0, 5, 1, true },
+    true },
+  { "broken: workers accept starts of any epoch",
+    { V_WORKER_NO_EPOCH, 2, 0, 0, 1, 0, 1, 2, 2, true },
+    true },
+  { "broken: unreached workers count from the claim only",
+    { V_UNREACHED_EARLY, 3, 0, 0, 0, 0, 0, 6, 1, true },
+    true },
+  { "broken: unreached workers are ignored",
+    { V_NO_STOCK, 3, 0, 0, 0, 0, 0, 4, 2, true },
+    true },
+};
+
+/* Guards against two owners that place at the same time and a task that runs
+   twice; each broken variant shows that the check would see it. */
+static void
+never_two_owners_place (void **unused)
+{
+  (void)unused;
+  for (size_t i = 0; i < sizeof model_cases / sizeof model_cases[0]; i++)
+    {
+      const struct model_case *mc = &model_cases[i];
+      struct tst_model_result got;
+      static struct state first;
+
+      memset (&first, 0, sizeof first);
+      first.may = mc->may;
+      first.now = 1;
+      for (uint8_t p = 0; p < PROCESSES; p++)
+        boot (&first, p, p + 1);
+      if (first.may.settled)
+        settle (&first);
+      tst_model_run (&ownership, &first, &got);
+      tst_model_print (&ownership, &got, mc->name);
+      assert_int_equal (got.defect != NULL, mc->breaks);
+      assert_true (got.states < ownership.most_states);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (never_two_owners_place),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/tst_model.c
@@ -0,0 +1,174 @@
+#include "tst_model.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include <cmocka.h>
+
+/* A visited state: how it was reached. */
+struct node
+{
+  uint32_t parent;
+  uint32_t step;
+};
+
+struct level
+{
+  char *states;
+  uint32_t *nodes;
+  uint32_t count;
+  uint32_t room;
+};
+
+struct tst_model_run
+{
+  const struct tst_model *model;
+  struct node *nodes;
+  uint32_t node_count;
+  XXH128_hash_t *slots; /**< keys of visited states; all 0: free */
+  uint32_t mask;
+  struct level levels[2];
+  struct level *next;
+  uint32_t parent;
+  uint32_t broken; /**< node that violates a property; UINT32_MAX: none */
+  const char *defect;
+};
+
+static bool
+is_new (struct tst_model_run *run, const void *state)
+{
+  uint8_t key[TST_MODEL_KEY];
+  XXH128_hash_t hash = XXH3_128bits (key, run->model->key (state, key));
+  uint32_t at;
+
+  hash.low64 |= 1;
+  at = (uint32_t)hash.high64 & run->mask;
+  for (; run->slots[at].low64 != 0; at = (at + 1) & run->mask)
+    if (XXH128_isEqual (run->slots[at], hash))
+      return false;
+  run->slots[at] = hash;
+  return true;
+}
+
+static void
+level_add (struct level *level, const void *state, size_t bytes, uint32_t node)
+{
+  if (level->count == level->room)
+    {
+      level->room = level->room == 0 ? 1024 : 2 * level->room;
+      level->states = realloc (level->states, level->room * bytes);
+      level->nodes
+          = realloc (level->nodes, level->room * sizeof *level->nodes);
+      assert_non_null (level->states);
+      assert_non_null (level->nodes);
+    }
+  memcpy (level->states + level->count * bytes, state, bytes);
+  level->nodes[level->count++] = node;
+}
+
+void
+tst_model_emit (struct tst_model_run *run, const void *state, uint32_t step)
+{
+  uint32_t node = run->node_count;
+
+  if (run->broken != UINT32_MAX || !is_new (run, state))
+    return;
+  if (node == run->model->most_states)
+    {
+      run->defect = "too many states to visit them all";
+      run->broken = run->parent;
+      return;
+    }
+  run->nodes[run->node_count++]
+      = (struct node){ .parent = run->parent, .step = step };
+  run->defect = run->model->defect (state);
+  if (run->defect != NULL)
+    run->broken = node;
+  level_add (run->next, state, run->model->state_bytes, node);
+}
+
+static void
+fill_trace (const struct tst_model_run *run, struct tst_model_result *result)
+{
+  uint32_t length = 0;
+
+  for (uint32_t at = run->broken; at != 0; at = run->nodes[at].parent)
+    length++;
+  result->trace_len = length;
+  assert_true (length <= TST_MODEL_TRACE);
+  for (uint32_t at = run->broken; at != 0; at = run->nodes[at].parent)
+    result->trace[--length] = run->nodes[at].step;
+}
+
+static void
+run_levels (struct tst_model_run *run, struct tst_model_result *result)
+{
+  struct level *level = &run->levels[0];
+
+  while (level->count > 0 && run->broken == UINT32_MAX)
+    {
+      run->next = level == &run->levels[0] ? &run->levels[1] : &run->levels[0];
+      run->next->count = 0;
+      for (uint32_t i = 0; i < level->count && run->broken == UINT32_MAX; i++)
+        {
+          run->parent = level->nodes[i];
+          run->model->expand (level->states + i * run->model->state_bytes,
+                              run);
+        }
+      level = run->next;
+      if (level->count > 0)
+        result->depth++;
+    }
+}
+
+void
+tst_model_run (const struct tst_model *model, const void *first,
+               struct tst_model_result *result)
+{
+  struct tst_model_run run = { .model = model, .broken = UINT32_MAX };
+  uint32_t slots = 1024;
+
+  memset (result, 0, sizeof *result);
+  while (slots / 2 < model->most_states)
+    slots *= 2;
+  run.mask = slots - 1;
+  run.slots = calloc (slots, sizeof *run.slots);
+  run.nodes = calloc (model->most_states, sizeof *run.nodes);
+  assert_non_null (run.slots);
+  assert_non_null (run.nodes);
+  run.next = &run.levels[0];
+  tst_model_emit (&run, first, 0);
+  run_levels (&run, result);
+  result->states = run.node_count;
+  result->defect = run.defect;
+  if (run.broken != UINT32_MAX)
+    fill_trace (&run, result);
+  for (int i = 0; i < 2; i++)
+    {
+      free (run.levels[i].states);
+      free (run.levels[i].nodes);
+    }
+  free (run.slots);
+  free (run.nodes);
+}
+
+void
+tst_model_print (const struct tst_model *model,
+                 const struct tst_model_result *result, const char *variant)
+{
+  char text[80];
+
+  print_message ("  %s, %s: %u states, depth %u, %s\n", model->name, variant,
+                 result->states, result->depth,
+                 result->defect != NULL ? result->defect : "no violation");
+  for (uint32_t i = 0; i < result->trace_len; i++)
+    {
+      model->describe (result->trace[i], text);
+      print_message ("    %2u %s%s\n", i + 1, text,
+                     i + 1 == result->trace_len ? "  <- breaks it" : "");
+    }
+}
