--- a/include/cyclamendrum/record.h
+++ b/include/cyclamendrum/record.h
@@ -54,6 +54,10 @@
   uint64_t limit_version;
   uint64_t from_millicores;
   uint64_t from_accelerators;
+  /** Epoch of the owner of `from`. A transfer that is still under way when its
+   * writer dies must not take effect after the next owner's claim, which uses
+   * the whole balance; 0: not checked. */
+  uint64_t epoch;
 };
 
 bool cyc_rec_config (const struct cyc_id128 *id, struct cyc_str writer,
--- a/src/cyc_ledger_allotments.c
+++ b/src/cyc_ledger_allotments.c
@@ -200,6 +200,10 @@
   if (transfer->limit_version
       != team_version (state, &config->teams[place.team].name))
     led_refuse (effect, "the team was changed since it was read");
+  else if (transfer->epoch != 0
+           && transfer->epoch
+                  != led_held_epoch (state, cyc_str_of (transfer->from)))
+    led_refuse (effect, "the writer does not own the domain any more");
   else if (transfer->from_millicores != from->millicores
            || transfer->from_accelerators != from->accelerators)
     led_refuse (effect, "the balance was changed since it was read");
--- a/src/cyc_ledger_claims.c
+++ b/src/cyc_ledger_claims.c
@@ -137,6 +137,17 @@
     claim->released = true;
 }
 
+uint64_t
+led_held_epoch (const struct cyc_led_state *state, struct cyc_str domain)
+{
+  bool found;
+  uint32_t position = claim_position (state, domain, 0, &found);
+
+  if (!found || state->claims[position].released)
+    return 0;
+  return state->claims[position].epoch;
+}
+
 void
 cyc_led_claim (const struct cyc_ledger *led, struct cyc_str domain,
                uint32_t shard, struct cyc_claim *out)
--- a/src/cyc_ledger_state.h
+++ b/src/cyc_ledger_state.h
@@ -146,6 +146,10 @@
                         const Cyc__ClaimRelease *release,
                         struct cyc_led_effect *effect);
 
+/** Epoch of the claim that is held on the domain's first shard; 0: none. */
+uint64_t led_held_epoch (const struct cyc_led_state *state,
+                         struct cyc_str domain);
+
 /* Allotments. */
 /** Balances of @p to after a change from @p from; sums equal the limits. */
 void led_allot (const struct led_config *from, struct led_config *to);
--- a/src/cyc_record.c
+++ b/src/cyc_record.c
@@ -193,6 +193,7 @@
   transfer.limit_version = edit->limit_version;
   transfer.from_millicores = edit->from_millicores;
   transfer.from_accelerators = edit->from_accelerators;
+  transfer.epoch = edit->epoch;
   record.body_case = CYC__RECORD__BODY_TRANSFER;
   record.transfer = &transfer;
   return cyc_codec_pack (&record, out);
--- a/src/record.pb-c.c
+++ b/src/record.pb-c.c
@@ -1829,7 +1829,7 @@
   (ProtobufCMessageInit) cyc__claim_release__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cyc__transfer__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cyc__transfer__field_descriptors[9] =
 {
   {
     "team",
@@ -1927,9 +1927,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__Transfer, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cyc__transfer__field_indices_by_name[] = {
   4,   /* field[4] = accelerators */
+  8,   /* field[8] = epoch */
   1,   /* field[1] = from */
   7,   /* field[7] = from_accelerators */
   6,   /* field[6] = from_millicores */
@@ -1941,7 +1954,7 @@
 static const ProtobufCIntRange cyc__transfer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cyc__transfer__descriptor =
 {
@@ -1951,7 +1964,7 @@
   "Cyc__Transfer",
   "cyc",
   sizeof(Cyc__Transfer),
-  8,
+  9,
   cyc__transfer__field_descriptors,
   cyc__transfer__field_indices_by_name,
   1,  cyc__transfer__number_ranges,
--- a/src/record.pb-c.h
+++ b/src/record.pb-c.h
@@ -227,10 +227,14 @@
    */
   uint64_t from_millicores;
   uint64_t from_accelerators;
+  /*
+   * of the owner of `from`; 0: not checked
+   */
+  uint64_t epoch;
 };
 #define CYC__TRANSFER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cyc__transfer__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cyc__SnapshotChunk
--- a/tests/test_allotments.c
+++ b/tests/test_allotments.c
@@ -162,6 +162,7 @@
   uint64_t wrong_version;
   uint64_t wrong_balance;
   enum cyc_led_result result;
+  uint64_t epoch; /**< the domain is held at epoch 2 */
 };
 
 /* Balances before each: north-a 133,334, the others 133,333. */
@@ -178,6 +179,9 @@
   { "stale version of the limit", "north-a", "north-b", 1, 1, 0,
     CYC_LED_REFUSED },
   { "stale balance", "north-a", "north-b", 1, 0, 1, CYC_LED_REFUSED },
+  { "current epoch", "north-a", "north-b", 1, 0, 0, CYC_LED_ACCEPTED, 2 },
+  { "epoch of the owner before", "north-a", "north-b", 1, 0, 0,
+    CYC_LED_REFUSED, 1 },
 };
 
 /* Guards against a transfer that creates or destroys part of a limit, and
@@ -194,7 +198,8 @@
                                         .to = cyc_str_of (c->to),
                                         .millicores = c->millicores,
                                         .limit_version = 2 + c->wrong_version,
-                                        .from_accelerators = 14 };
+                                        .from_accelerators = 14,
+                                        .epoch = c->epoch };
       struct cyc_id128 id;
       struct cyc_str record;
       struct tst_control tc;
@@ -202,6 +207,8 @@
       print_message ("  %s\n", c->name);
       tst_control_setup (&tc);
       tst_publish_all (&tc);
+      assert_int_equal (tst_claim (&tc, CYC_CLAIM_TAKE, "vm-1", 1, 1), 0);
+      assert_int_equal (tst_claim (&tc, CYC_CLAIM_TAKE, "vm-2", 2, 2), 0);
       edit.from_millicores = tst_balance (&tc, c->from) + c->wrong_balance;
       cyc_id128_random (&id);
       assert_true (cyc_rec_transfer (&id, CYC_STR ("vm-1"), &edit, &record));
