--- /dev/null
+++ b/bench/bn_load.c
@@ -0,0 +1,81 @@
+/**
+ * @file
+ * Workloads shaped like the two users. Declared sizes are 0.6 to 3 times the
+ * true need; at 1x the true need is about 75% of the capacity. The urgent work
+ * of a team stays within its share even at 4x.
+ */
+#include "bn_model.h"
+
+const struct bn_load bn_kanapka = {
+  .user = "Kanapka",
+  .workers = 50,
+  .worker = { 64000, 131072, 0 },
+  .team_count = 6,
+  .teams = { { "routes", 300 },
+             { "kitchen", 250 },
+             { "stock", 200 },
+             { "orders", 100 },
+             { "drivers", 100 },
+             { "offices", 50 } },
+  .queue_count = 11,
+  .queues = {
+    { "round-plan", 0, CYC_KIND_BATCH, true, { 4000, 4096, 0 },
+      0.6, 0.5, 8, 20, 1, 0.04 },
+    { "lunch-plan", 1, CYC_KIND_BATCH, true, { 2000, 2048, 0 },
+      0.7, 0.6, 5, 10, 1, 0.03 },
+    { "stock-tally", 2, CYC_KIND_BATCH, false, { 2000, 4096, 0 },
+      0.4, 0.35, 60, 30, 10, 0.14 },
+    { "demand-forecast", 1, CYC_KIND_BATCH, false, { 8000, 16384, 0 },
+      0.5, 0.4, 90, 120, 4, 0.12 },
+    { "route-history", 0, CYC_KIND_BATCH, false, { 4000, 8192, 0 },
+      0.5, 0.5, 45, 60, 6, 0.10 },
+    { "order-report", 3, CYC_KIND_BATCH, false, { 1000, 1024, 0 },
+      1.6, 1.5, 20, 20, 5, 0.08 },
+    { "driver-sync", 4, CYC_KIND_BATCH, false, { 500, 512, 0 },
+      0.8, 0.9, 10, 10, 8, 0.05 },
+    { "office-export", 5, CYC_KIND_BATCH, false, { 1000, 2048, 0 },
+      0.5, 0.5, 30, 15, 4, 0.03 },
+    { "route-training", 0, CYC_KIND_GANG, false, { 8000, 16384, 0 },
+      0.6, 0.5, 60, 60, 12, 0.05 },
+    { "order-check", 3, CYC_KIND_SERVICE, false, { 4000, 8192, 0 },
+      0.5, 0.5, 0, 0, 30, 0 },
+    { "stock-api", 2, CYC_KIND_SERVICE, false, { 4000, 8192, 0 },
+      0.6, 0.5, 0, 0, 30, 0 },
+  },
+};
+
+const struct bn_load bn_kaarna = {
+  .user = "Kaarna",
+  .workers = 50,
+  .worker = { 32000, 131072, 0 },
+  .team_count = 6,
+  .teams = { { "julkaisu", 350 },
+             { "arkisto", 200 },
+             { "esikatselu", 200 },
+             { "haku", 100 },
+             { "kuvat", 100 },
+             { "tuki", 50 } },
+  .queue_count = 10,
+  .queues = {
+    { "page-preview", 2, CYC_KIND_BATCH, true, { 1000, 1024, 0 },
+      0.7, 0.8, 4, 10, 1, 0.03 },
+    { "press-preview", 0, CYC_KIND_BATCH, true, { 2000, 2048, 0 },
+      0.6, 0.6, 6, 10, 1, 0.03 },
+    { "full-rebuild", 0, CYC_KIND_BATCH, false, { 4000, 8192, 0 },
+      0.5, 0.5, 60, 120, 20, 0.20 },
+    { "archive-regeneration", 1, CYC_KIND_BATCH, false, { 8000, 16384, 0 },
+      0.6, 0.4, 120, 60, 10, 0.16 },
+    { "site-check", 2, CYC_KIND_BATCH, false, { 500, 1024, 0 },
+      0.9, 0.6, 15, 15, 10, 0.05 },
+    { "image-scaling", 4, CYC_KIND_BATCH, false, { 2000, 2048, 0 },
+      1.5, 1.3, 30, 30, 6, 0.07 },
+    { "support-export", 5, CYC_KIND_BATCH, false, { 500, 1024, 0 },
+      0.5, 0.5, 15, 30, 4, 0.03 },
+    { "index-build", 3, CYC_KIND_GANG, false, { 4000, 8192, 0 },
+      0.6, 0.6, 60, 60, 10, 0.05 },
+    { "publisher", 0, CYC_KIND_SERVICE, false, { 2000, 4096, 0 },
+      0.5, 0.5, 0, 0, 40, 0 },
+    { "search", 3, CYC_KIND_SERVICE, false, { 4000, 8192, 0 },
+      0.5, 0.6, 0, 0, 30, 0 },
+  },
+};
--- a/include/cyclamendrum/route.h
+++ b/include/cyclamendrum/route.h
@@ -69,7 +69,8 @@
   CYC_RT_FAILED,        /**< complete answer that states a server error */
   CYC_RT_REFUSED,       /**< the target refused before it started */
   CYC_RT_NOT_CONNECTED, /**< no connection: no byte left */
-  CYC_RT_LOST           /**< a byte may have arrived, no complete answer */
+  CYC_RT_CLOSED,        /**< the target closed before a complete answer */
+  CYC_RT_LOST           /**< given up by this gateway, maybe still running */
 };
 
 struct cyc_rt_target
@@ -107,9 +108,9 @@
 struct cyc_rt_use
 {
   struct cyc_name worker;
-  uint32_t wanted; /**< slots beyond the base part that are of use now */
-  uint32_t in_use; /**< slots in use, held ones included */
-  uint32_t lent;   /**< slots lent and not expired */
+  uint32_t wanted;   /**< slots beyond the base part that are of use now */
+  uint32_t in_use;   /**< slots in use, held ones included */
+  uint32_t returned; /**< lent slots given up by this call */
 };
 
 /** A flight on which no byte came for too long. */
@@ -169,7 +170,9 @@
                   struct cyc_rt_send *out);
 /** Ends a flight. The slot of a LOST flight stays counted until
  * @p deadline_us of the request plus the clock error, because the target may
- * still work on it. */
+ * still work on it. A CLOSED one stays counted for a few usual answer times
+ * only: a target that closes the connection has most likely ended the request,
+ * and a few lost answers must not take all its slots away for long. */
 void cyc_rt_finish (struct cyc_route *rt, struct cyc_ref flight,
                     enum cyc_rt_end end, uint64_t now_us,
                     uint64_t deadline_us);
@@ -182,8 +185,10 @@
 /** Flights found silent since the last call, at most @p max. */
 uint32_t cyc_rt_silent (struct cyc_route *rt, uint64_t now_us,
                         struct cyc_rt_silence *out, uint32_t max);
-/** Permits this gateway wants; at most @p max rows. */
-uint32_t cyc_rt_demand (const struct cyc_route *rt, uint64_t now_us,
+/** Permits this gateway wants, from the greatest use since the last call and
+ * the waiting requests; gives up lent slots beyond that. At most @p max rows;
+ * workers without any use are left out. */
+uint32_t cyc_rt_demand (struct cyc_route *rt, uint64_t now_us,
                         struct cyc_rt_use *out, uint32_t max);
 /** Iterates over workers; start with *cursor = 0. */
 bool cyc_rt_worker_next (const struct cyc_route *rt, uint32_t *cursor,
--- a/src/cyc_core_task.c
+++ b/src/cyc_core_task.c
@@ -155,6 +155,20 @@
     core_map_put (&st->spread_map, key, count);
 }
 
+void
+core_team_need (struct cyc_core_state *st, const struct core_task *task,
+                bool add)
+{
+  const struct core_queue *queue = &st->queues[st->jobs[task->job].queue];
+  struct core_team *team = &st->teams[queue->team];
+  uint64_t sign = add ? 1 : UINT64_MAX;
+
+  team->need_millicores += sign * task->need.mean.millicores;
+  team->need_memory_mib += sign * task->need.mean.memory_mib;
+  if (core_class_of (queue) == CORE_URGENT)
+    st->urgent_millicores += sign * task->estimate.millicores;
+}
+
 /* Adds (or, with @p add false, takes away) the task in all sums of what
  * occupies workers. */
 static void
@@ -170,6 +184,7 @@
   team->used_memory_mib += sign * task->declared.memory_mib;
   team->used_accelerators += sign * task->declared.accelerators;
   st->used_millicores += sign * task->declared.millicores;
+  core_team_need (st, task, add);
   st->occupying_tasks += sign;
   if (batch)
     {
@@ -190,24 +205,38 @@
 {
   struct core_worker *worker = &st->workers[task->worker];
 
-  worker->reserved = core_res_add (worker->reserved, task->reserved);
+  worker->need = core_need_add (worker->need, task->need);
   worker->declared = core_res_add (worker->declared, task->declared);
   if (task->started_us > worker->measured_us && worker->measured_us > 0)
-    worker->since = core_res_add (worker->since, task->reserved);
+    worker->since = core_res_add (worker->since, task->estimate);
   core_worker_refresh (st, task->worker);
 }
 
+static void
+remember_end (struct cyc_core_state *st, const struct core_task *task)
+{
+  struct core_worker *worker = &st->workers[task->worker];
+
+  worker->ended[worker->ended_next]
+      = (struct core_ended){ .started_us = task->started_us,
+                             .ended_us = st->now_us,
+                             .millicores = task->used.millicores,
+                             .memory_mib = task->used.memory_mib };
+  worker->ended_next = (uint8_t)((worker->ended_next + 1) % CORE_ENDED);
+}
+
 static void
 uncount_worker (struct cyc_core_state *st, struct core_task *task)
 {
   struct core_worker *worker = &st->workers[task->worker];
 
-  worker->reserved = core_res_sub (worker->reserved, task->reserved);
+  worker->need = core_need_sub (worker->need, task->need);
   worker->declared = core_res_sub (worker->declared, task->declared);
   if (task->started_us > worker->measured_us)
-    worker->since = core_res_sub (worker->since, task->reserved);
+    worker->since = core_res_sub (worker->since, task->estimate);
   else
     worker->measured = core_res_sub (worker->measured, task->used);
+  remember_end (st, task);
   if (worker->tasks.count == 0)
     worker->since = (struct cyc_res){ 0 };
   core_worker_refresh (st, task->worker);
@@ -226,7 +255,8 @@
   task->state = (uint8_t)state;
   task->started_us = st->now_us;
   task->kept_us = st->now_us;
-  task->reserved = queue->estimate;
+  task->need = queue->need;
+  task->estimate = queue->estimate;
   task->used = (struct cyc_res){ 0 };
   task->stage = CORE_STAGE_NONE;
   task->fate_unknown = false;
@@ -272,6 +302,8 @@
                     CORE_ROWS (st->tasks, in_team), row);
   if (st->workers[task->worker].probe_task == row)
     st->workers[task->worker].probe_task = CORE_NONE;
+  if (core_class_of (queue) == CORE_URGENT)
+    core_hold_room (st, task->worker, task->estimate);
   uncount_worker (st, task);
   task->worker = CORE_NONE;
 }
@@ -378,10 +410,25 @@
   st->workers[task->claim_worker].held
       = core_res_sub (st->workers[task->claim_worker].held, task->claim);
   core_list_remove (&st->claims, CORE_ROWS (st->tasks, in_claim), row);
+  st->drains -= task->drain_until_us > 0;
+  task->drain_until_us = 0;
   core_worker_refresh (st, task->claim_worker);
   task->claim_worker = CORE_NONE;
 }
 
+void
+core_claim (struct cyc_core_state *st, uint32_t row, uint32_t worker,
+            struct cyc_res need)
+{
+  struct core_task *task = &st->tasks[row];
+
+  task->claim_worker = worker;
+  task->claim = need;
+  st->workers[worker].held = core_res_add (st->workers[worker].held, need);
+  core_list_append (&st->claims, CORE_ROWS (st->tasks, in_claim), row);
+  core_worker_refresh (st, worker);
+}
+
 void
 core_claims_forget (struct cyc_core_state *st, uint32_t worker)
 {
--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -97,7 +97,9 @@
     return CYC_RT_FAILED;
   if (result->status > 0)
     return CYC_RT_ANSWERED;
-  return result->sent == HC_SENT_NO ? CYC_RT_NOT_CONNECTED : CYC_RT_LOST;
+  if (result->sent == HC_SENT_NO)
+    return CYC_RT_NOT_CONNECTED;
+  return result->timed_out ? CYC_RT_LOST : CYC_RT_CLOSED;
 }
 
 static void
@@ -136,6 +138,7 @@
     case CYC_RT_NOT_CONNECTED:
       retry_or_refuse (request, GW_LOST, "no connection to the target");
       break;
+    case CYC_RT_CLOSED:
     case CYC_RT_LOST:
       request->sent = true;
       if (request->once)
@@ -300,6 +303,14 @@
     }
 }
 
+void
+gw_end_all (struct gw_state *gw)
+{
+  for (uint32_t i = 0; i < gw->request_pool.high; i++)
+    if (cyc_pool_used_at (&gw->request_pool, i) && gw->requests[i].stage != 0)
+      deadline_passed (&gw->requests[i]);
+}
+
 /* What was forwarded and refused there has provably not run, so the next
    domain is tried. */
 void
--- a/src/gateway_run.c
+++ b/src/gateway_run.c
@@ -5,6 +5,8 @@
 #include <time.h>
 
 #define DEFAULT_MAX_REQUESTS 4096
+/* Once-only ids of the window: 36 MB when full, 3 a second over 24 h. */
+#define MAX_ONCE_IDS 262144
 /* Idle connections kept to targets, over all targets of a domain. */
 #define IDLE_CONNECTIONS 4096L
 /* A stopping gateway answers "draining" at least so long, so that the load
@@ -152,7 +154,13 @@
 
   if (!gw->draining || gw->stopped)
     return;
-  if (now_us >= gw->drain_deadline_us)
+  if (now_us >= gw->drain_deadline_us && !gw->drain_cut)
+    {
+      gw->drain_cut = true;
+      gw->drain_deadline_us = now_us + DRAIN_LEAST_US;
+      gw_end_all (gw);
+    }
+  else if (now_us >= gw->drain_deadline_us)
     {
       finish_stop (gw);
       return;
@@ -163,7 +171,12 @@
       return;
     }
   if (gw->quiet_us == 0)
-    gw->quiet_us = now_us + DRAIN_QUIET_US;
+    {
+      gw->quiet_us = now_us + DRAIN_QUIET_US;
+      if (!gw->listening_ended)
+        hs_stop_listening (&gw->server);
+      gw->listening_ended = true;
+    }
   else if (now_us >= gw->quiet_us)
     finish_stop (gw);
 }
@@ -181,10 +194,11 @@
   cyc_rt_tick (&gw->route, now_us);
   gw_check_deadlines (gw, now_us);
   gw_check_silence (gw, now_us);
+  gw_peer_demand (gw, now_us);
   if (now_us >= gw->next_second_us)
     {
       gw->next_second_us = now_us + 1000 * GW_US_PER_MS;
-      gw_peer_second (gw, now_us);
+      gw_peer_second (gw);
       gw_once_expire (gw, now_us);
     }
 }
@@ -314,7 +328,8 @@
     .seed = hc_now_us (),
   };
   struct cyc_once_desc once
-      = { .window_us = set->once_window_ms * GW_US_PER_MS };
+      = { .max_requests = MAX_ONCE_IDS,
+          .window_us = set->once_window_ms * GW_US_PER_MS };
 
   gw->requests = calloc (max, sizeof *gw->requests);
   gw->by_call = calloc (max, sizeof *gw->by_call);
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -368,6 +368,8 @@
   if (desc->max_per_host > 0)
     curl_multi_setopt (hc->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                        (long)desc->max_per_host);
+  if (desc->max_kept > 0)
+    curl_multi_setopt (hc->multi, CURLMOPT_MAXCONNECTS, (long)desc->max_kept);
   ev_init (&hc->timer, on_timer);
   hc->timer.data = hc;
   return true;
@@ -458,7 +460,12 @@
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, transfer);
   curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, transfer->error);
   if (request->fresh_connection)
-    curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+    {
+      /* Kept open, each such request would leave one more connection behind,
+         and a target bears only 64 of them. */
+      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+    }
 }
 
 struct cyc_ref
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -163,8 +163,8 @@
   enum cyc_kind kind;
   bool repeatable;
   bool targets_dirty;
+  bool begun; /**< the core knows where replica indexes begin */
   uint64_t targets_version;
-  struct cyc_id128 service_job;
 };
 
 /** Hash index: heads of chains, by 64-bit key. */
@@ -246,11 +246,13 @@
   uint64_t claimed_us;
   bool claim_dirty;
   bool stock_reported;
-  bool stock_used; /**< the first starts of this epoch were allowed */
-  bool acting;     /**< starts are allowed in this tick */
+  uint64_t counts_us; /**< next count of the workers' answers */
+  bool stock_used;    /**< the first starts of this epoch were allowed */
+  bool acting;        /**< starts are allowed in this tick */
 
   struct cyc_members members;
   uint64_t list_due_us;
+  uint64_t members_us; /**< next check of the membership */
   uint64_t list_failed_us;
   struct sc_worker *workers;
   uint32_t worker_high;
@@ -269,6 +271,8 @@
 
   struct cyc_jobs jobs;
   bool jobs_ready;
+  bool mark_open;
+  uint64_t marked_epoch; /**< the stream was read beyond this claim */
   struct sc_job *job_rows;
   struct cyc_pool job_pool;
   struct sc_index job_index;
--- a/src/scheduler_claim.c
+++ b/src/scheduler_claim.c
@@ -6,6 +6,7 @@
 #define STOP_STARTS_MS 3000
 #define STOP_RELEASE_MS 3000
 #define APPEND_MS 4000
+#define COUNTS_MS 50
 
 struct claim_call
 {
@@ -180,10 +181,9 @@
 static void
 update_acting (struct sc_scheduler *sc)
 {
-  bool acting
-      = sc->epoch != 0 && sc->phase == SC_PHASE_RUN
-        && (sc->stock_used || fo_fresh_us (&sc->follow) > sc->claimed_us)
-        && cyc_clm_may_start (&sc->claim, sc->now_us);
+  bool acting = sc->epoch != 0 && sc->phase == SC_PHASE_RUN
+                && sc->marked_epoch == sc->epoch
+                && cyc_clm_may_start (&sc->claim, sc->now_us);
 
   if (acting && !sc->stock_used)
     {
@@ -216,8 +216,11 @@
     lose (sc);
   if (epoch != 0 && sc->epoch == 0)
     take_over (sc, epoch);
-  if (sc->epoch != 0)
+  /* Counting sorts the workers' answers, which need not be done each tick once
+     the stock is taken. */
+  if (sc->epoch != 0 && (!sc->stock_reported || sc->now_us >= sc->counts_us))
     {
+      sc->counts_us = sc->now_us + COUNTS_MS * SC_US_PER_MS;
       sc_workers_counts (sc, &counts);
       cyc_clm_workers (&sc->claim, &counts, sc->now_us);
       if (counts.stock_taken)
--- a/src/scheduler_workers.c
+++ b/src/scheduler_workers.c
@@ -4,6 +4,7 @@
 
 #define MAX_ACKS 1024
 #define MAX_LEASES 4096
+#define MEMBERS_MS 20
 
 static void
 on_list (void *user, const struct vl_result *result)
@@ -188,6 +189,9 @@
 sc_workers_tick (struct sc_scheduler *sc)
 {
   poll_list (sc);
+  if (sc->now_us < sc->members_us)
+    return;
+  sc->members_us = sc->now_us + MEMBERS_MS * SC_US_PER_MS;
   cyc_mem_tick (&sc->members, sc->now_us, on_member, sc);
 }
 
@@ -289,13 +293,16 @@
 }
 
 /* The core learns of a renewal before it is sent: the worker may accept it
-   even when its answer is lost. */
+   even when its answer is lost. While the last heartbeat is unanswered nothing
+   is renewed, or the leases on a silent worker would never end. */
 static uint32_t
 collect_leases (struct sc_scheduler *sc, const struct sc_worker *worker,
                 uint32_t address_step, struct wc_lease *out)
 {
   uint32_t count = 0;
 
+  if (worker->failures > 0)
+    return 0;
   for (uint32_t t = worker->first_task; t != SC_NONE && count < MAX_LEASES;
        t = sc->tasks[t].next)
     {
--- a/tests/test_caller_contract.c
+++ b/tests/test_caller_contract.c
@@ -468,6 +468,35 @@
   tst_world_down (&world);
 }
 
+/* Guards against requests refused because many answers are kept, and against
+   a second run of one whose answer was dropped. */
+static void
+full_table_of_answers_drops_the_oldest (void **state)
+{
+  char lines[10][32];
+  struct tst_reply reply;
+
+  (void)state;
+  tst_world_up (&world, &(struct tst_options){ .max_kept = 4 });
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      struct tst_call call = once_call (lines[i], "x");
+
+      snprintf (lines[i], sizeof lines[i], "Idempotency-Key: k%u", i);
+      tst_call (&world, 0, &call, &reply);
+      check ("new", &reply, 200, "answer");
+    }
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      struct tst_call call = once_call (lines[i], "x");
+
+      tst_call (&world, 0, &call, &reply);
+      check ("again", &reply, i < 6 ? 409 : 200, i < 6 ? "unknown" : "answer");
+    }
+  assert_int_equal (tst_starts (&world), 10);
+  tst_world_down (&world);
+}
+
 /* Guards against a second run, or a false "not-run", after the gateway that
    sent the request was lost. */
 static void
@@ -603,17 +632,23 @@
 struct permit_case
 {
   const char *what;
-  uint32_t lent;
-  uint64_t valid_for_ms;
-  int64_t deadline_in_ms; /**< by the lender's clock */
+  struct tst_lending lending;
   uint32_t most_running;
 };
 
 /* Eight slots and three seats: a base part of two. */
 static const struct permit_case permit_cases[] = {
-  { "base part only", 0, 5000, 5000, 2 },
-  { "two lent", 2, 5000, 5000, 4 },
-  { "grant that was delayed beyond its deadline", 2, 5000, -100, 2 },
+  { "base part only", { 0 }, 2 },
+  { "two lent", { .slots = 2, .valid_for_ms = 5000 }, 4 },
+  { "two lent, instant stated",
+    { .slots = 2, .valid_for_ms = 5000, .deadline_in_ms = 5000 },
+    4 },
+  { "the lender's instant has passed",
+    { .slots = 2, .valid_for_ms = 5000, .deadline_in_ms = -100 },
+    2 },
+  { "grant that comes after its time",
+    { .slots = 2, .valid_for_ms = 300, .delay_us = 400000 },
+    2 },
 };
 
 /* Guards against slots overrun by permits that their lender holds expired. */
@@ -630,9 +665,8 @@
       const struct permit_case *row = &permit_cases[i];
 
       tst_world_up (&world, &(struct tst_options){ .seats = 3 });
-      world.targets[0].delay_us = 60000;
-      tst_lend (&world, 0, 0, row->lent, row->valid_for_ms,
-                (uint64_t)((int64_t)hc_wall_ms () + row->deadline_in_ms));
+      world.targets[0].delay_us = 150000;
+      world.lending = row->lending;
       for (uint32_t j = 0; j < 12; j++)
         tst_begin (&world, 0, &call, &replies[j]);
       for (uint32_t j = 0; j < 12; j++)
@@ -646,6 +680,32 @@
     }
 }
 
+/* Guards against two processes with one seat that both use its base part. */
+static void
+one_of_two_gateways_with_one_seat_gives_up_its_base_part (void **state)
+{
+  static struct tst_reply replies[20];
+  static const struct tst_call call
+      = { HC_POST, REQUESTS ("round-plan"), "orders-key", { 0 }, "x" };
+
+  (void)state;
+  tst_world_up (&world, &(struct tst_options){ .gateways = 2,
+                                               .seats = 4,
+                                               .same_seat = true,
+                                               .request_max_ms = 1000 });
+  tst_run (&world, 1200000);
+  world.targets[0].delay_us = 50000;
+  for (uint32_t i = 0; i < 20; i++)
+    tst_begin (&world, i % 2, &call, &replies[i]);
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      assert_true (tst_until (&world, &replies[i].done));
+      assert_string_not_equal (replies[i].outcome, "unknown");
+    }
+  assert_int_equal (world.targets[0].most_running, 2);
+  tst_world_down (&world);
+}
+
 /* Guards against new work for a target in shutdown. */
 static void
 draining_target_gets_no_new_request (void **state)
@@ -688,8 +748,9 @@
   struct tst_reply reply;
 
   (void)state;
-  tst_world_up (&world, &(struct tst_options){ .slots = 8 });
-  world.targets[0].delay_us = 400000;
+  /* The answers come well after the shortest time of a stop. */
+  tst_world_up (&world, &(struct tst_options){ .slots = 16 });
+  world.targets[0].delay_us = 1400000;
   for (uint32_t i = 0; i < 18; i++)
     tst_begin (&world, 0, &call, &begun[i]);
   tst_begin (&world, 0, &once, &begun[18]);
@@ -702,13 +763,66 @@
   check ("during the stop", &reply, 503, "not-run");
   tst_call (&world, 0, &retry, &reply);
   check ("retry during the stop", &reply, 503, "unknown");
+  assert_true (tst_until (&world, &world.gateways[0].stopped));
+  tst_gateway_down (&world, 0);
   for (uint32_t i = 0; i < 20; i++)
     {
       assert_true (tst_until (&world, &begun[i].done));
       check ("begun before the stop", &begun[i], i == 19 ? 202 : 200,
              "answer");
     }
+  tst_world_down (&world);
+}
+
+/* Guards against a caller left without any reply when the stop takes longer
+   than it may. */
+static void
+stop_at_its_deadline_tells_every_caller (void **state)
+{
+  struct tst_call call
+      = { HC_POST, REQUESTS ("round-plan"), "orders-key", { 0 }, "x" };
+  struct tst_reply sent;
+  struct tst_reply waiting;
+
+  (void)state;
+  tst_world_up (&world, &(struct tst_options){ .slots = 1, .drain_ms = 500 });
+  tst_behave (&world, 0, TST_SILENT);
+  tst_begin (&world, 0, &call, &sent);
+  tst_run (&world, 50000);
+  tst_begin (&world, 0, &call, &waiting);
+  tst_run (&world, 50000);
+  gw_stop (&world.gateways[0].gw);
   assert_true (tst_until (&world, &world.gateways[0].stopped));
+  tst_gateway_down (&world, 0);
+  assert_true (tst_until (&world, &sent.done));
+  assert_true (tst_until (&world, &waiting.done));
+  check ("sent", &sent, 504, "unknown");
+  check ("never sent", &waiting, 504, "not-run");
+  tst_world_down (&world);
+}
+
+/* Guards against a gateway without a path to the log that serves nothing, or
+   that misses a withdrawal which a peer has read. */
+static void
+gateway_without_log_follows_its_peers (void **state)
+{
+  struct tst_call call
+      = { HC_POST, REQUESTS ("round-plan"), "orders-key", { 0 }, "x" };
+  struct tst_call once = once_call ("Idempotency-Key: n", "x");
+  struct tst_reply reply;
+
+  (void)state;
+  tst_world_up (&world, &(struct tst_options){ .gateways = 2,
+                                               .seats = 2,
+                                               .second_without_log = true });
+  tst_call (&world, 1, &call, &reply);
+  check ("repeatable", &reply, 200, "answer");
+  tst_call (&world, 1, &once, &reply);
+  check ("once-only", &reply, 503, "unknown");
+  tst_withdraw_key (&world, "orders-key");
+  tst_run (&world, 1000000);
+  tst_call (&world, 1, &call, &reply);
+  check ("withdrawn", &reply, 401, "not-run");
   tst_world_down (&world);
 }
 
@@ -801,13 +915,18 @@
     cmocka_unit_test (target_faults_have_true_outcomes),
     cmocka_unit_test (log_faults_have_true_outcomes),
     cmocka_unit_test (repeated_once_only_request_runs_once),
+    cmocka_unit_test (full_table_of_answers_drops_the_oldest),
     cmocka_unit_test (once_only_request_of_a_lost_gateway_is_unknown),
     cmocka_unit_test (job_is_found_again_and_hidden_from_others),
     cmocka_unit_test (withdrawn_and_stale_keys_are_refused),
     cmocka_unit_test (answers_reach_their_own_callers),
     cmocka_unit_test (permits_bound_requests_in_flight),
+    cmocka_unit_test (
+        one_of_two_gateways_with_one_seat_gives_up_its_base_part),
     cmocka_unit_test (draining_target_gets_no_new_request),
     cmocka_unit_test (planned_stop_finishes_what_was_begun),
+    cmocka_unit_test (stop_at_its_deadline_tells_every_caller),
+    cmocka_unit_test (gateway_without_log_follows_its_peers),
     cmocka_unit_test (request_is_forwarded_to_another_domain),
     cmocka_unit_test (waiting_requests_end_by_their_deadline),
     cmocka_unit_test (operators_pages_are_served),
--- a/tests/tst_cell.c
+++ b/tests/tst_cell.c
@@ -10,8 +10,8 @@
 
 #include <cmocka.h>
 
-static uint16_t
-free_port (void)
+uint16_t
+cell_free_port (void)
 {
   struct sockaddr_in address = { .sin_family = AF_INET };
   socklen_t len = sizeof address;
@@ -54,7 +54,7 @@
   char url[64];
 
   memset (cell, 0, sizeof *cell);
-  cell->loop = ev_loop_new (0);
+  cell->loop = ev_default_loop (0);
   assert_true (fk_log_setup (&cell->log, cell->loop, 0, &found));
   assert_true (fk_vms_setup (&cell->vms, cell->loop, 0, &found));
   assert_true (fk_workers_setup (&cell->workers, cell->loop, 0, 10, &found));
@@ -85,7 +85,6 @@
   fk_workers_shutdown (&cell->workers);
   fk_vms_shutdown (&cell->vms);
   fk_log_shutdown (&cell->log);
-  ev_loop_destroy (cell->loop);
 }
 
 struct fk_worker *
@@ -220,8 +219,8 @@
             "\"permit_lease_ms\":1000,\"tick_ms\":5,\"clock_error_ms\":50,"
             "\"peer_heartbeat_ms\":100,\"peer_silent_ms\":400,"
             "\"peer_dead_ms\":1000}",
-            vm, domain, free_port (), free_port (), fk_port (&cell->log.hs),
-            fk_port (&cell->vms.hs));
+            vm, domain, cell_free_port (), cell_free_port (),
+            fk_port (&cell->log.hs), fk_port (&cell->vms.hs));
   if (!set_parse (cyc_str_of (text), CYC_STR ("cell"), out, &found))
     fail_msg ("%s %s", found.rows[0].place, found.rows[0].text);
 }
@@ -340,6 +339,9 @@
 
   if (strcmp (fk_text (event, "state", ""), "done") == 0)
     out->done++;
+  if (strcmp (fk_text (event, "kind", ""), "service") == 0
+      && strcmp (fk_text (event, "reason", ""), "stopped by the owner") == 0)
+    out->replicas_stopped++;
   if (run == NULL || strcmp (run->worker, fk_text (event, "worker", "")) != 0)
     return;
   *running -= (uint64_t)run->millicores;
--- a/tests/tst_cell.h
+++ b/tests/tst_cell.h
@@ -46,7 +46,8 @@
   uint32_t overlaps; /**< a task ran in two places at once */
   uint32_t overruns; /**< a worker was asked for more than it has */
   uint32_t done;
-  uint64_t peak_millicores; /**< most that ran at once */
+  uint32_t replicas_stopped; /**< services ended by an owner */
+  uint64_t peak_millicores;  /**< most that ran at once */
 };
 
 /** @p workers in domain north-a, named w-0, w-1, ..., 4,000 millicores each.
@@ -77,6 +78,7 @@
 bool cell_until (struct cell *cell, bool (*test) (void *user), void *user,
                  uint32_t limit_ms);
 void cell_run (struct cell *cell, uint32_t ms);
+uint16_t cell_free_port (void);
 bool cell_acting (void *sc);
 void cell_facts (const struct cell *cell, struct cell_facts *out);
 
