Bound the base part by the seats and the open requests by team

A gateway whose seat lies beyond entry_seats took a base part that belongs to nobody, so the slots of a target could be overrun. One team's open requests could fill the table of a gateway: beyond half of it a team now holds at most a quarter.

--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -71,6 +71,20 @@
   cyc_pool_give (&gw->request_pool, ref);
 }
 
+bool
+gw_team_has_room (const struct gw_request *request)
+{
+  const struct gw_state *gw = request->gw;
+  uint32_t held = 0;
+
+  if (gw->request_pool.used <= gw->request_pool.capacity / 2)
+    return true;
+  for (uint32_t i = 0; i < gw->request_pool.high; i++)
+    held += cyc_pool_used_at (&gw->request_pool, i)
+            && cyc_name_eq (&gw->requests[i].team, &request->team);
+  return held <= gw->request_pool.capacity / 4;
+}
+
 enum cyc_outcome
 gw_unsent_outcome (const struct gw_request *request)
 {
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -223,6 +223,12 @@
   team = cyc_led_team (ctl_ledger (&gw->control),
                        cyc_name_str (&request->team));
   request->weight = team != NULL ? team->share_permille : 1;
+  if (!gw_team_has_room (request))
+    {
+      gw_refuse (request, GW_TEAM_FULL, early_outcome (call),
+                 "the team has too many open requests");
+      return;
+    }
   if (!read_request (request, call, queue, caller, &refusal))
     {
       gw_refuse (request, refusal.problem, CYC_OUTCOME_NOT_RUN,
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -273,6 +273,9 @@
 /** Takes the request out of whatever it waits for and frees it. */
 void gw_request_release (struct gw_request *request);
 struct gw_request *gw_request_at (struct gw_state *gw, struct cyc_ref ref);
+/** False when the gateway is half full and the team of the request holds more
+ * than a quarter of it. */
+bool gw_team_has_room (const struct gw_request *request);
 void gw_wake (struct gw_state *gw);
 
 /* gateway_http.c: callers' interface */
--- a/src/gateway_jobs.c
+++ b/src/gateway_jobs.c
@@ -217,7 +217,10 @@
     }
   fill_job (request, call, queue, team, tasks);
   row = cyc_jobs_find (&gw->jobs, &request->id);
-  if (row != NULL)
+  if (!gw_team_has_room (request))
+    gw_refuse (request, GW_TEAM_FULL, gw_unsent_outcome (request),
+               "the team has too many open requests");
+  else if (row != NULL)
     gw_finish_json (request, 202, row_json (row));
   else
     begin_append (request);
--- a/src/gateway_run.c
+++ b/src/gateway_run.c
@@ -108,10 +108,12 @@
   int index = fleet == NULL ? -1
                             : cyc_cfg_domain_index (
                                 fleet, cyc_name_str (&gw->settings->domain));
+  uint32_t seats = index < 0 ? 0 : fleet->domains[index].entry_seats;
 
   gw->config_seen = cyc_led_config_version (ctl_ledger (&gw->control));
-  cyc_rt_seats (&gw->route, index < 0 ? 0 : fleet->domains[index].entry_seats,
-                !gw->seat_conflict);
+  /* A seat beyond those of the domain has no base part. */
+  cyc_rt_seats (&gw->route, seats,
+                !gw->seat_conflict && gw->settings->seat < seats);
   curl_multi_setopt (gw->targets.multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                      (long)cyc_rt_connection_bound (&gw->route));
 }
--- a/tests/test_caller_contract.c
+++ b/tests/test_caller_contract.c
@@ -706,6 +706,26 @@
   tst_world_down (&world);
 }
 
+/* Guards against a gateway beyond the seats of its domain that takes a base
+   part which belongs to nobody. */
+static void
+gateway_beyond_the_seats_has_no_base_part (void **state)
+{
+  struct tst_call call
+      = { HC_POST, REQUESTS ("round-plan"), "orders-key", { 0 }, "x" };
+  struct tst_reply reply;
+
+  (void)state;
+  tst_world_up (&world, &(struct tst_options){ .gateways = 2,
+                                               .seats = 1,
+                                               .request_max_ms = 300 });
+  tst_call (&world, 0, &call, &reply);
+  check ("seat 0 of 1", &reply, 200, "answer");
+  tst_call (&world, 1, &call, &reply);
+  check ("seat 1 of 1", &reply, 504, "not-run");
+  tst_world_down (&world);
+}
+
 /* Guards against new work for a target in shutdown. */
 static void
 draining_target_gets_no_new_request (void **state)
@@ -855,6 +875,37 @@
   tst_world_down (&world);
 }
 
+/* Guards against one team's open requests filling the gateway for all. */
+static void
+team_cannot_fill_the_gateway (void **state)
+{
+  static struct tst_reply flood[16];
+  struct tst_call call
+      = { HC_POST, REQUESTS ("round-plan"), "orders-key", { 0 }, "x" };
+  struct tst_call menu
+      = { HC_POST, REQUESTS ("menu"), "stock-key", { 0 }, "x" };
+  struct tst_reply reply;
+  uint32_t refused = 0;
+
+  (void)state;
+  tst_world_up (&world, &(struct tst_options){ .slots = 64,
+                                               .max_requests = 16,
+                                               .request_max_ms = 1000 });
+  world.targets[0].delay_us = 500000;
+  for (uint32_t i = 0; i < 14; i++)
+    tst_begin (&world, 0, &call, &flood[i]);
+  tst_run (&world, 100000);
+  tst_call (&world, 0, &menu, &reply);
+  check ("other team", &reply, 200, "answer");
+  for (uint32_t i = 0; i < 14; i++)
+    {
+      assert_true (tst_until (&world, &flood[i].done));
+      refused += flood[i].status == 429;
+    }
+  assert_in_range (refused, 4, 6);
+  tst_world_down (&world);
+}
+
 /* Guards against a waiting request that is lost, and against one team filling
    the gateway. */
 static void
@@ -923,11 +974,13 @@
     cmocka_unit_test (permits_bound_requests_in_flight),
     cmocka_unit_test (
         one_of_two_gateways_with_one_seat_gives_up_its_base_part),
+    cmocka_unit_test (gateway_beyond_the_seats_has_no_base_part),
     cmocka_unit_test (draining_target_gets_no_new_request),
     cmocka_unit_test (planned_stop_finishes_what_was_begun),
     cmocka_unit_test (stop_at_its_deadline_tells_every_caller),
     cmocka_unit_test (gateway_without_log_follows_its_peers),
     cmocka_unit_test (request_is_forwarded_to_another_domain),
+    cmocka_unit_test (team_cannot_fill_the_gateway),
     cmocka_unit_test (waiting_requests_end_by_their_deadline),
     cmocka_unit_test (operators_pages_are_served),
   };
