Keep the contexts of open calls in fixed tables

Contexts allocated for each heartbeat, start and claim append leaked when a scheduler was shut down with open calls, which made the sanitizer run red (80 bytes in test_scheduler). They now live in tables sized at setup.

--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -41,6 +41,7 @@
 #define SC_MAX_TEAMS 1024
 #define SC_MAX_DECISIONS 1024
 #define SC_MAX_BATCHES 64
+#define SC_MAX_STARTS 4096
 #define SC_MAX_KEPT 16384
 #define SC_MAX_EXTRA 16
 #define SC_CHECKPOINT_BYTES 64
@@ -98,13 +99,34 @@
   uint64_t accepted_us;  /**< sending of the newest one that was accepted */
   uint64_t fenced_epoch; /**< it accepted a heartbeat with this epoch */
   uint64_t tried_epoch;  /**< a heartbeat with it was answered or failed */
-  bool open;             /**< a heartbeat is open */
   bool in_core;
   bool told_leaving;
   uint32_t extra_count; /**< ended tasks to ack that have no row */
   char extra[SC_MAX_EXTRA][WC_TASK_BYTES];
 };
 
+/** An open heartbeat; same index as the worker. It outlives a worker that is
+ * forgotten meanwhile, and the row's next user waits until it ended. */
+struct sc_beat
+{
+  struct sc_scheduler *sc;
+  struct cyc_ref member;
+  uint64_t epoch;
+  uint64_t sent_us;
+  bool open;
+};
+
+/** An open start call. */
+struct sc_start
+{
+  struct sc_scheduler *sc;
+  struct cyc_ref ref;
+  struct cyc_id128 job;
+  struct cyc_id128 lease;
+  uint32_t index;
+  uint64_t sent_us;
+};
+
 enum sc_want
 {
   SC_WANT_PROGRESS = 1,
@@ -245,6 +267,7 @@
   uint64_t epoch; /**< of the claim that the tables below belong to; 0 */
   uint64_t claimed_us;
   bool claim_dirty;
+  uint64_t claim_token; /**< of the append that is open */
   bool stock_reported;
   uint64_t counts_us; /**< next count of the workers' answers */
   bool stock_used;    /**< the first starts of this epoch were allowed */
@@ -255,6 +278,7 @@
   uint64_t members_us; /**< next check of the membership */
   uint64_t list_failed_us;
   struct sc_worker *workers;
+  struct sc_beat *beats;
   uint32_t worker_high;
 
   struct cyc_core core;
@@ -265,6 +289,8 @@
   struct sc_kept *kept;
   struct cyc_pool kept_pool;
   struct sc_index kept_index;
+  struct sc_start *starts;
+  struct cyc_pool start_pool;
   uint32_t starts_open;
   uint64_t held_checked_us;
   uint32_t held_count;
@@ -272,6 +298,7 @@
   struct cyc_jobs jobs;
   bool jobs_ready;
   bool mark_open;
+  uint64_t mark_epoch;   /**< of the mark that is open */
   uint64_t marked_epoch; /**< the stream was read beyond this claim */
   struct sc_job *job_rows;
   struct cyc_pool job_pool;
--- a/src/scheduler_claim.c
+++ b/src/scheduler_claim.c
@@ -8,12 +8,6 @@
 #define APPEND_MS 4000
 #define COUNTS_MS 50
 
-struct claim_call
-{
-  struct sc_scheduler *sc;
-  uint64_t token;
-};
-
 bool
 sc_claim_setup (struct sc_scheduler *sc, struct cyc_findings *findings)
 {
@@ -41,7 +35,7 @@
 on_appended (void *user, enum ctl_fate fate, uint64_t offset,
              const struct cyc_led_effect *effect)
 {
-  struct claim_call *call = user;
+  struct sc_scheduler *sc = user;
   enum cyc_clm_fate told = CYC_CLM_APPEND_LOST;
 
   (void)offset;
@@ -50,24 +44,21 @@
     told = CYC_CLM_APPEND_ACCEPTED;
   else if (fate == CTL_REFUSED || fate == CTL_NOT_DONE)
     told = CYC_CLM_APPEND_REFUSED;
-  cyc_clm_result (&call->sc->claim, call->token, told, hc_now_us ());
-  call->sc->claim_dirty = true;
-  g_free (call);
+  cyc_clm_result (&sc->claim, sc->claim_token, told, hc_now_us ());
+  sc->claim_dirty = true;
 }
 
 static void
 append_step (struct sc_scheduler *sc, const struct cyc_clm_step *step)
 {
   struct ctl_append append = { 0 };
-  struct claim_call *call = g_new0 (struct claim_call, 1);
   struct cyc_str record;
 
-  call->sc = sc;
-  call->token = step->token;
+  sc->claim_token = step->token;
   cyc_id128_random (&append.record_id);
   append.deadline_us = sc->now_us + APPEND_MS * SC_US_PER_MS;
   append.done = on_appended;
-  append.user = call;
+  append.user = sc;
   if (cyc_rec_claim (&append.record_id, cyc_name_str (&sc->settings.vm),
                      &step->edit, &record))
     {
@@ -80,7 +71,6 @@
       free ((void *)record.data);
     }
   cyc_clm_result (&sc->claim, step->token, CYC_CLM_APPEND_REFUSED, sc->now_us);
-  g_free (call);
 }
 
 static void
--- a/src/scheduler_jobs.c
+++ b/src/scheduler_jobs.c
@@ -13,12 +13,6 @@
 #define RECORD_BYTES 49152
 #define EVENT_BYTES 400
 
-struct mark_call
-{
-  struct sc_scheduler *sc;
-  uint64_t epoch;
-};
-
 static bool
 is_ended (const struct cyc_job_row *row)
 {
@@ -253,13 +247,12 @@
 static void
 on_marked (void *user, enum fo_fate fate, uint64_t offset)
 {
-  struct mark_call *call = user;
+  struct sc_scheduler *sc = user;
 
   (void)offset;
-  call->sc->mark_open = false;
+  sc->mark_open = false;
   if (fate == FO_CONFIRMED)
-    call->sc->marked_epoch = call->epoch;
-  g_free (call);
+    sc->marked_epoch = sc->mark_epoch;
 }
 
 /* An empty record: once it is read back, everything that was appended before
@@ -267,21 +260,18 @@
 static void
 append_mark (struct sc_scheduler *sc)
 {
-  struct mark_call *call = g_new0 (struct mark_call, 1);
   struct fo_append append = {
     .deadline_us = sc->now_us + APPEND_MS * SC_US_PER_MS,
     .done = on_marked,
-    .user = call,
+    .user = sc,
   };
 
-  *call = (struct mark_call){ sc, sc->epoch };
+  sc->mark_epoch = sc->epoch;
   cyc_id128_random (&append.record_id);
   if (cyc_rec_jobs (&append.record_id, cyc_name_str (&sc->settings.vm), NULL,
                     0, &append.record))
     sc->mark_open = fo_append (&sc->follow, &append);
   free ((void *)append.record.data);
-  if (!sc->mark_open)
-    g_free (call);
 }
 
 void
--- a/src/scheduler_main.c
+++ b/src/scheduler_main.c
@@ -64,6 +64,8 @@
 setup_tables (struct sc_scheduler *sc, struct cyc_findings *findings)
 {
   sc->workers = calloc (SC_MAX_WORKERS, sizeof *sc->workers);
+  sc->beats = calloc (SC_MAX_WORKERS, sizeof *sc->beats);
+  sc->starts = calloc (SC_MAX_STARTS, sizeof *sc->starts);
   sc->tasks = calloc (SC_MAX_TASKS, sizeof *sc->tasks);
   sc->kept = calloc (SC_MAX_KEPT, sizeof *sc->kept);
   sc->job_rows = calloc (SC_MAX_JOBS, sizeof *sc->job_rows);
@@ -71,10 +73,12 @@
   sc->batches = calloc (SC_MAX_BATCHES, sizeof *sc->batches);
   sc->transfers = calloc (SC_MAX_TEAMS, sizeof *sc->transfers);
   sc->decisions = calloc (SC_MAX_DECISIONS, sizeof *sc->decisions);
-  if (sc->workers != NULL && sc->tasks != NULL && sc->kept != NULL
-      && sc->job_rows != NULL && sc->queues != NULL && sc->batches != NULL
-      && sc->transfers != NULL && sc->decisions != NULL
+  if (sc->workers != NULL && sc->beats != NULL && sc->starts != NULL
+      && sc->tasks != NULL && sc->kept != NULL && sc->job_rows != NULL
+      && sc->queues != NULL && sc->batches != NULL && sc->transfers != NULL
+      && sc->decisions != NULL
       && cyc_pool_setup (&sc->task_pool, SC_MAX_TASKS, NULL)
+      && cyc_pool_setup (&sc->start_pool, SC_MAX_STARTS, NULL)
       && cyc_pool_setup (&sc->kept_pool, SC_MAX_KEPT, NULL)
       && cyc_pool_setup (&sc->job_pool, SC_MAX_JOBS, NULL)
       && cyc_pool_setup (&sc->queue_pool, SC_MAX_QUEUES, NULL)
@@ -289,6 +293,8 @@
 free_tables (struct sc_scheduler *sc)
 {
   free (sc->workers);
+  free (sc->beats);
+  free (sc->starts);
   free (sc->tasks);
   free (sc->kept);
   free (sc->job_rows);
@@ -301,6 +307,7 @@
   free (sc->job_index.heads);
   free (sc->queue_index.heads);
   cyc_pool_shutdown (&sc->task_pool);
+  cyc_pool_shutdown (&sc->start_pool);
   cyc_pool_shutdown (&sc->kept_pool);
   cyc_pool_shutdown (&sc->job_pool);
   cyc_pool_shutdown (&sc->queue_pool);
--- a/src/scheduler_tasks.c
+++ b/src/scheduler_tasks.c
@@ -17,15 +17,6 @@
 /* Commands and ended jobs are carried out even when no start may be begun. */
 #define MIN_DECISIONS 32
 
-struct start_call
-{
-  struct sc_scheduler *sc;
-  struct cyc_id128 job;
-  struct cyc_id128 lease;
-  uint32_t index;
-  uint64_t sent_us;
-};
-
 void
 sc_ignore_result (void *user, const struct wc_result *result)
 {
@@ -301,7 +292,7 @@
 }
 
 static uint32_t
-find_start (const struct start_call *call)
+find_start (const struct sc_start *call)
 {
   uint32_t t = sc_task_find (call->sc, &call->job, call->index);
 
@@ -349,7 +340,7 @@
 static void
 on_started (void *user, const struct wc_result *result)
 {
-  struct start_call *call = user;
+  struct sc_start *call = user;
   struct sc_scheduler *sc = call->sc;
   uint32_t t;
 
@@ -363,7 +354,7 @@
   if (result->fate == WC_REFUSED && result->refusal == WC_REFUSAL_STALE_EPOCH
       && sc->epoch != 0)
     cyc_clm_stale_epoch (&sc->claim, sc->epoch + 1);
-  g_free (call);
+  cyc_pool_give (&sc->start_pool, call->ref);
 }
 
 static void
@@ -374,12 +365,19 @@
   const struct cyc_mem_row *row = cyc_mem_at (&sc->members, on->member);
   const struct sc_queue *queue
       = sc_queue_find (sc, cyc_name_str (&task->queue));
-  struct start_call *call = g_new0 (struct start_call, 1);
+  struct cyc_ref ref = cyc_pool_take (&sc->start_pool);
+  struct sc_start *call;
   char name[WC_TASK_BYTES];
   struct wc_start start = { 0 };
 
-  *call = (struct start_call){ sc, task->job, task->lease, task->index,
-                               sc->now_us };
+  if (ref.generation == 0)
+    {
+      sc_task_event (sc, t, CYC_TASK_EVENT_REFUSED);
+      return;
+    }
+  call = &sc->starts[ref.index];
+  *call = (struct sc_start){ sc,          ref,         task->job,
+                             task->lease, task->index, sc->now_us };
   sc_task_name (sc, task, name);
   task->start_limit_us = sc->now_us + START_VALID_MS * SC_US_PER_MS;
   if (task->start_limit_us > task->lease_us)
@@ -407,7 +405,7 @@
       sc->starts_open++;
       return;
     }
-  g_free (call);
+  cyc_pool_give (&sc->start_pool, ref);
   sc_task_event (sc, t, CYC_TASK_EVENT_REFUSED);
 }
 
--- a/src/scheduler_workers.c
+++ b/src/scheduler_workers.c
@@ -223,17 +223,9 @@
   out->majority_us = cyc_clm_majority_us (accepted_us, accepted, out->total);
 }
 
-struct beat_call
-{
-  struct sc_scheduler *sc;
-  struct cyc_ref member;
-  uint64_t epoch;
-  uint64_t sent_us;
-};
-
 static void
 beat_answered (struct sc_scheduler *sc, struct sc_worker *worker,
-               const struct beat_call *call,
+               const struct sc_beat *call,
                const struct wc_heartbeat_result *result)
 {
   struct cyc_str name = cyc_name_str (&worker->name);
@@ -256,15 +248,15 @@
 static void
 on_beat (void *user, const struct wc_heartbeat_result *result)
 {
-  struct beat_call *call = user;
+  struct sc_beat *call = user;
   struct sc_scheduler *sc = call->sc;
   struct sc_worker *worker = &sc->workers[call->member.index];
 
   sc->now_us = hc_now_us ();
+  call->open = false;
   if (worker->member.generation == call->member.generation
       && call->epoch == sc->epoch)
     {
-      worker->open = false;
       worker->tried_epoch = call->epoch;
       if (result->fate == WC_OK)
         beat_answered (sc, worker, call, result);
@@ -278,9 +270,6 @@
           cyc_clm_stale_epoch (&sc->claim, call->epoch + 1);
         }
     }
-  else if (worker->member.generation == call->member.generation)
-    worker->open = false;
-  g_free (call);
 }
 
 static uint64_t
@@ -357,7 +346,7 @@
   static struct wc_lease leases[MAX_LEASES];
   static char names[MAX_ACKS][WC_TASK_BYTES];
   static struct cyc_str acks[MAX_ACKS];
-  struct beat_call *call = g_new0 (struct beat_call, 1);
+  struct sc_beat *call = &sc->beats[worker - sc->workers];
   struct wc_heartbeat beat = {
     .address = cyc_str_of (row->vm.address),
     .epoch = sc->epoch,
@@ -372,14 +361,13 @@
 
   beat.lease_count = collect_leases (sc, worker, row->address_step, leases);
   beat.acked_count = collect_acks (sc, worker, names, acks);
-  *call = (struct beat_call){ sc, worker->member, sc->epoch, sc->now_us };
+  *call = (struct sc_beat){ sc, worker->member, sc->epoch, sc->now_us, true };
   worker->beat++;
   worker->sent_us = sc->now_us;
   worker->due_us
       = sc->now_us + (uint64_t)sc->settings.worker_heartbeat_ms * SC_US_PER_MS;
-  worker->open = wc_heartbeat (sc->worker_client, &beat);
-  if (!worker->open)
-    g_free (call);
+  if (!wc_heartbeat (sc->worker_client, &beat))
+    call->open = false;
 }
 
 void
@@ -392,7 +380,7 @@
       struct sc_worker *worker = &sc->workers[i];
       const struct cyc_mem_row *row;
 
-      if (worker->member.generation == 0 || worker->open
+      if (worker->member.generation == 0 || sc->beats[i].open
           || sc->now_us < worker->due_us)
         continue;
       row = cyc_mem_at (&sc->members, worker->member);
