Leave a running task alone whose job was not read yet

A new owner stopped every listed task that its core did not take, also when the job's record had not arrived yet or a table was full. It now waits until the jobs stream was read beyond the claim and the job is known to have ended. Seen red in task_of_an_unread_job_is_not_stopped with the old rule.

--- a/src/scheduler_found.c
+++ b/src/scheduler_found.c
@@ -141,6 +141,20 @@
   return !cyc_id128_eq (&task->lease, &listed->lease);
 }
 
+/* The job of a task that the core does not take may be open all the same: its
+   record was not read yet, or a table is full. Such a task is left alone. */
+static bool
+may_be_ours (const struct sc_scheduler *sc, const struct cyc_id128 *job,
+             uint32_t index)
+{
+  const struct cyc_job_row *row = cyc_jobs_find (&sc->jobs, job);
+
+  if (row == NULL)
+    return sc->marked_epoch != sc->epoch;
+  return row->state < CYC_JOB_DONE && !row->cancel_requested
+         && !cyc_jobs_task_done (&sc->jobs, job, index);
+}
+
 static void
 take_listed (struct sc_scheduler *sc, uint32_t worker,
              const struct wc_task *listed, uint64_t measured_us)
@@ -167,7 +181,7 @@
     t = enter_found (sc, worker, listed, &job, index, service);
   if (t == SC_NONE)
     {
-      if (!sc->jobs_ready)
+      if (!service && may_be_ours (sc, &job, index))
         return;
       if (listed->state == WC_TASK_RUNNING)
         stop_stray (sc, worker, listed);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -583,6 +583,54 @@
   cell_shutdown (&cell);
 }
 
+static bool
+runs_nothing (void *user)
+{
+  const struct fk_worker *worker = user;
+
+  for (guint i = 0; i < worker->tasks->len; i++)
+    if (strcmp (((struct fk_task *)worker->tasks->pdata[i])->kind, "batch")
+        == 0)
+      return false;
+  return true;
+}
+
+/* A running task whose job was not read yet must be left alone; once the
+   stream was read beyond the claim, a task without a job is stopped. */
+static void
+task_of_an_unread_job_is_not_stopped (void **state)
+{
+  static struct cell cell;
+  struct sc_scheduler *sc;
+  struct fk_worker *worker;
+  struct wc_start stray = {
+    .task = CYC_STR ("00112233445566778899aabbccddeeff.0"),
+    .lease = { { 9 } },
+    .kind = CYC_KIND_BATCH,
+    .queue = CYC_STR ("long"),
+    .size = { .millicores = 10, .memory_mib = 1 },
+    .run_ms = 60000,
+    .done = sc_ignore_result,
+  };
+
+  (void)state;
+  sc = start_owner (&cell, 1);
+  worker = cell_worker (&cell, "w-0");
+  stray.address = cyc_str_of (
+      cyc_mem_at (&sc->members, sc->workers[0].member)->vm.address);
+  stray.epoch = sc->epoch;
+  stray.not_after_us = hc_now_us () + 60 * SC_US_PER_S;
+  stray.deadline_us = hc_now_us () + SC_US_PER_S;
+  sc->marked_epoch = 0;
+  sc->mark_open = true;
+  assert_true (wc_start (sc->worker_client, &stray));
+  cell_run (&cell, 500);
+  assert_false (runs_nothing (worker));
+  sc->mark_open = false;
+  assert_true (cell_until (&cell, runs_nothing, worker, 3000));
+  cell_shutdown (&cell);
+}
+
 int
 main (void)
 {
@@ -604,6 +652,7 @@
     cmocka_unit_test (draining_worker_gets_no_task),
     cmocka_unit_test (allotments_move_to_where_they_are_needed),
     cmocka_unit_test (open_jobs_are_appended_again_before_they_are_trimmed),
+    cmocka_unit_test (task_of_an_unread_job_is_not_stopped),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
