--- a/tests/tst_site.c
+++ b/tests/tst_site.c
@@ -400,7 +400,7 @@
     {
       snprintf (file, sizeof file, "%s-%s.status", site->vms[i / 2].name,
                 i % 2 ? "scheduler" : "gateway");
-      keep_answer (site, site->vms[i / 2].ports[i % 2 * 2], "/v1/status",
+      keep_answer (site, site->vms[i / 2].ports[i % 2 ? 2 : 0], "/v1/status",
                    file);
     }
 }
