--- a/tests/test_process_check.c
+++ b/tests/test_process_check.c
@@ -19,7 +19,8 @@
   const char *name;
   const char *journal;
   struct tst_record record;
-  const char *expected; /* part of the one violation; NULL: none */
+  const char *expected;  /* part of the one violation; NULL: none */
+  const char *job_state; /* of the once-only job "t"; NULL: no job */
 };
 
 #define REQUEST(mark)                                                         \
@@ -31,6 +32,9 @@
 #define TASK(event, worker, task, queue)                                      \
   "{\"event\":\"" event "\",\"worker\":\"" worker "\",\"task\":\"" task       \
   "\",\"queue\":\"" queue "\",\"millicores\":2500,\"from_ms\":1}\n"
+#define DONE(task)                                                            \
+  "{\"event\":\"end\",\"state\":\"done\",\"queue\":\"invoice\",\"task\":"     \
+  "\"" task "\"}\n"
 #define OVERRUN "{\"event\":\"overrun\",\"what\":\"slots\"}\n"
 
 #define ANSWERED .mark = "m", .outcome = "answer", .status = 200, .whole = true
@@ -85,6 +89,21 @@
         "end", "w1", "t", "invoice") TASK ("start", "w2", "t", "invoice"),
     { ANSWERED },
     "started twice" },
+  { "once-only job done",
+    REQUEST ("m") DONE ("t.0"),
+    { ANSWERED },
+    NULL,
+    "done" },
+  { "once-only job said to be done",
+    REQUEST ("m"),
+    { ANSWERED },
+    "said to be done",
+    "done" },
+  { "once-only job said to have failed",
+    REQUEST ("m") DONE ("t.0"),
+    { ANSWERED },
+    "said to be failed",
+    "failed" },
   { "team over its limit",
     REQUEST ("m") TASK ("start", "w1", "t", "tally")
         TASK ("start", "w2", "u", "train"),
@@ -104,16 +123,17 @@
 check_one (const struct check_case *row)
 {
   struct tst_site *site = calloc (1, sizeof *site);
-  struct tst_load load = { .site = site, .withdrawn_ms = 1000 };
+  struct tst_load load;
   struct tst_record answered = { ANSWERED };
   char *journal = g_strdup (row->journal);
 
   site->name = row->name;
+  tst_load_setup (&load, site);
+  load.withdrawn_ms = 1000;
   load.lossy[0] = true;
-  load.records = g_array_new (FALSE, TRUE, sizeof (struct tst_record));
-  load.jobs = g_ptr_array_new ();
-  load.once_jobs = g_ptr_array_new ();
-  pthread_mutex_init (&load.lock, NULL);
+  if (row->job_state != NULL)
+    g_hash_table_insert (load.once_states, g_strdup ("t"),
+                         g_strdup (row->job_state));
   g_array_append_vals (load.records, &row->record, 1);
   /* A run without any answer is a violation of its own. */
   if (strcmp (row->record.outcome, "answer") != 0)
@@ -143,15 +163,12 @@
 run_without_answers_is_reported (void **state)
 {
   struct tst_site *site = calloc (1, sizeof *site);
-  struct tst_load load = { .site = site };
+  struct tst_load load;
   char journal[] = "";
 
   (void)state;
   site->name = "no answers";
-  load.records = g_array_new (FALSE, TRUE, sizeof (struct tst_record));
-  load.jobs = g_ptr_array_new ();
-  load.once_jobs = g_ptr_array_new ();
-  pthread_mutex_init (&load.lock, NULL);
+  tst_load_setup (&load, site);
   tst_check (&load, journal);
   assert_int_equal (site->violation_count, 1);
   tst_load_release (&load);
--- a/tests/tst_check.c
+++ b/tests/tst_check.c
@@ -18,6 +18,7 @@
   struct tst_site *site;
   GHashTable *marks;    /* mark -> guint: times received */
   GHashTable *running;  /* task name -> struct run */
+  GHashTable *finished; /* names of once-only tasks that ended as done */
   GHashTable *invoices; /* names of once-only tasks that were started */
   int64_t beta_millicores;
   uint32_t overruns;
@@ -87,6 +88,9 @@
   const char *task = text_of (event, "task");
   const struct run *run = g_hash_table_lookup (journal->running, task);
 
+  if (strcmp (text_of (event, "queue"), "invoice") == 0
+      && strcmp (text_of (event, "state"), "done") == 0)
+    g_hash_table_add (journal->finished, g_strdup (task));
   if (is_beta (event))
     journal->beta_millicores -= number_of (event, "millicores");
   if (run != NULL && strcmp (run->worker, text_of (event, "worker")) == 0)
@@ -196,12 +200,39 @@
                    record->start_ms - load->withdrawn_ms);
 }
 
+/* What is said of a once-only job must be true: done only if it ran to its
+   end, failed only if it did not. */
+static void
+check_once_jobs (struct tst_load *load, const struct journal *journal)
+{
+  GHashTableIter iter;
+  gpointer id;
+  gpointer state;
+
+  g_hash_table_iter_init (&iter, load->once_states);
+  while (g_hash_table_iter_next (&iter, &id, &state))
+    {
+      char task[96];
+      bool finished;
+
+      snprintf (task, sizeof task, "%s.0", (const char *)id);
+      finished = g_hash_table_contains (journal->finished, task);
+      if ((strcmp (state, "done") == 0 && !finished)
+          || (strcmp (state, "failed") == 0 && finished))
+        tst_violation (load->site,
+                       "once-only job %s is said to be %s, but its task %s",
+                       (const char *)id, (const char *)state,
+                       finished ? "ran to its end" : "did not");
+    }
+}
+
 void
 tst_check (struct tst_load *load, char *text)
 {
   struct journal journal = {
     .site = load->site,
     .marks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
+    .finished = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
     .invoices = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
     .running = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
   };
@@ -220,6 +251,7 @@
       refused += strcmp (record->outcome, "not-run") == 0;
       unknown += strcmp (record->outcome, "unknown") == 0;
     }
+  check_once_jobs (load, &journal);
   if (answers == 0)
     tst_violation (load->site, "none of %u calls was answered",
                    load->records->len);
@@ -232,4 +264,5 @@
   g_hash_table_unref (journal.marks);
   g_hash_table_unref (journal.running);
   g_hash_table_unref (journal.invoices);
+  g_hash_table_unref (journal.finished);
 }
--- a/tests/tst_load.c
+++ b/tests/tst_load.c
@@ -190,12 +190,7 @@
 void
 tst_load_start (struct tst_load *load, struct tst_site *site)
 {
-  memset (load, 0, sizeof *load);
-  load->site = site;
-  load->records = g_array_new (FALSE, TRUE, sizeof (struct tst_record));
-  load->jobs = g_ptr_array_new_with_free_func (g_free);
-  load->once_jobs = g_ptr_array_new_with_free_func (g_free);
-  pthread_mutex_init (&load->lock, NULL);
+  tst_load_setup (load, site);
   for (uint32_t i = 0; i < TST_CALLERS; i++)
     {
       struct caller *caller = g_new0 (struct caller, 1);
@@ -274,8 +269,17 @@
   return done;
 }
 
+static bool
+has_ended (const char *state, bool once)
+{
+  return strcmp (state, "done") == 0
+         || (once
+             && (strcmp (state, "failed") == 0
+                 || strcmp (state, "unknown") == 0));
+}
+
 static void
-wait_list (struct tst_load *load, const GPtrArray *jobs, const char *also,
+wait_list (struct tst_load *load, const GPtrArray *jobs, bool once,
            uint64_t deadline_ms)
 {
   char state[64];
@@ -289,7 +293,7 @@
           tst_violation (load->site, "a 202 answer carries no job id");
           continue;
         }
-      while (!job_is_done (load, id, state) && strcmp (state, also) != 0)
+      while (!job_is_done (load, id, state) && !has_ended (state, once))
         {
           if (tst_now_ms () > deadline_ms)
             {
@@ -301,6 +305,9 @@
             }
           tst_step ();
         }
+      if (once)
+        g_hash_table_insert (load->once_states, g_strdup (id),
+                             g_strdup (state));
     }
 }
 
@@ -309,8 +316,21 @@
 {
   uint64_t deadline_ms = tst_now_ms () + timeout_ms;
 
-  wait_list (load, load->jobs, "done", deadline_ms);
-  wait_list (load, load->once_jobs, "unknown", deadline_ms);
+  wait_list (load, load->jobs, false, deadline_ms);
+  wait_list (load, load->once_jobs, true, deadline_ms);
+}
+
+void
+tst_load_setup (struct tst_load *load, struct tst_site *site)
+{
+  memset (load, 0, sizeof *load);
+  load->site = site;
+  load->records = g_array_new (FALSE, TRUE, sizeof (struct tst_record));
+  load->jobs = g_ptr_array_new_with_free_func (g_free);
+  load->once_jobs = g_ptr_array_new_with_free_func (g_free);
+  load->once_states
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  pthread_mutex_init (&load->lock, NULL);
 }
 
 void
@@ -319,5 +339,6 @@
   g_array_unref (load->records);
   g_ptr_array_unref (load->jobs);
   g_ptr_array_unref (load->once_jobs);
+  g_hash_table_unref (load->once_states);
   pthread_mutex_destroy (&load->lock);
 }
--- a/tests/tst_load.h
+++ b/tests/tst_load.h
@@ -44,6 +44,7 @@
   GArray *records;      /**< struct tst_record */
   GPtrArray *jobs;      /**< ids of accepted jobs */
   GPtrArray *once_jobs; /**< the same, of the queue that is not repeatable */
+  GHashTable *once_states; /**< id of a once-only job -> its last state */
   bool stop;
   bool out[TST_VMS];   /**< taken out of rotation by the balancer */
   bool lossy[TST_VMS]; /**< was killed or paused: calls may break */
@@ -51,13 +52,15 @@
   uint64_t withdrawn_ms;
 };
 
+/** Empty load without callers; tst_load_start does it as well. */
+void tst_load_setup (struct tst_load *load, struct tst_site *site);
 void tst_load_start (struct tst_load *load, struct tst_site *site);
 void tst_load_stop (struct tst_load *load);
 /** Waits for @p count more calls that ended; false after @p timeout_ms. */
 bool tst_load_wait_calls (struct tst_load *load, uint32_t count,
                           uint64_t timeout_ms);
-/** Waits until every accepted job is done; one that may not be repeated may
- * also end as unknown. */
+/** Waits until every accepted job is done; one that may not be repeated is not
+ * tried again, so it may also end as failed or unknown. */
 void tst_load_wait_jobs (struct tst_load *load, uint64_t timeout_ms);
 /** Compares calls and journal (JSON lines, changed by the call); adds the
  * violations to the site. */
