--- a/tests/tst_world.c
+++ b/tests/tst_world.c
@@ -691,3 +691,24 @@
   tst_begin (world, gateway, call, reply);
   assert_true (tst_until (world, &reply->done));
 }
+
+void
+tst_expect (const char *what, const struct tst_reply *reply, long status,
+            const char *outcome)
+{
+  if (reply->status != status || strcmp (reply->outcome, outcome) != 0)
+    fail_msg ("%s: got %ld %s: %s", what, reply->status, reply->outcome,
+              reply->body);
+  if (strcmp (outcome, "answer") != 0
+      && (strstr (reply->body, "\"detail\"") == NULL
+          || strstr (reply->body, outcome) == NULL))
+    fail_msg ("%s: no problem body: %s", what, reply->body);
+}
+
+struct tst_call
+tst_once_call (const char *key_line, const char *body)
+{
+  return (struct tst_call){
+    HC_POST, TST_REQUESTS ("order-check"), "orders-key", { key_line }, body
+  };
+}
--- a/tests/tst_world.h
+++ b/tests/tst_world.h
@@ -16,6 +16,8 @@
 #include "fk_log.h"
 #include "gateway_internal.h"
 
+#define TST_REQUESTS(queue) "/v1/queues/" queue "/requests"
+#define TST_JOBS(queue) "/v1/queues/" queue "/jobs"
 #define TST_GATEWAYS 3
 #define TST_TARGETS 3
 #define TST_WAIT_US UINT64_C (15000000)
@@ -142,6 +144,11 @@
                  enum tst_behaviour behaviour);
 /** Sends the targets of all service queues to the gateways. */
 void tst_tell_targets (struct tst_world *world, uint32_t count);
+/** Fails unless status and outcome are as given and a refusal has a body. */
+void tst_expect (const char *what, const struct tst_reply *reply, long status,
+                 const char *outcome);
+/** Request for order-check with an Idempotency-Key header line. */
+struct tst_call tst_once_call (const char *key_line, const char *body);
 uint32_t tst_starts (const struct tst_world *world);
 void tst_gateway_up (struct tst_world *world, uint32_t gateway);
 void tst_gateway_down (struct tst_world *world, uint32_t gateway);
