Bind transfers and unreached workers to the fencing of the old owner

The protocol models found two faults. Workers not reached in a takeover were released a claim lease after the claim, although the old owner may extend its hold until a majority is fenced; and a transfer still under way when its writer dies could land after the next owner had used the balance. The scheduler now asks cyc_clm_unreached_us and writes its epoch into transfers.

--- a/src/scheduler_claim.c
+++ b/src/scheduler_claim.c
@@ -22,13 +22,21 @@
       findings);
 }
 
+/* The old owner may have extended its hold through its workers until a
+   majority of them was fenced. Before that the time is not known and no start
+   is allowed; the estimate from the claim then only marks the workers. */
 uint64_t
 sc_unfenced_until (const struct sc_scheduler *sc)
 {
-  return sc->claimed_us
-         + ((uint64_t)sc->settings.claim_lease_ms + sc->settings.task_lease_ms
-            + sc->settings.clock_error_ms)
-               * SC_US_PER_MS;
+  uint64_t task_lease_us = sc->settings.task_lease_ms * SC_US_PER_MS;
+  uint64_t clock_error_us = sc->settings.clock_error_ms * SC_US_PER_MS;
+  uint64_t until_us
+      = cyc_clm_unreached_us (&sc->claim, task_lease_us, clock_error_us);
+
+  if (until_us != UINT64_MAX)
+    return until_us;
+  return sc->claimed_us + sc->settings.claim_lease_ms * SC_US_PER_MS
+         + task_lease_us + clock_error_us;
 }
 
 static void
--- a/src/scheduler_limits.c
+++ b/src/scheduler_limits.c
@@ -322,6 +322,9 @@
     .accelerators = transfer->accelerators,
     .from_millicores = balance.millicores,
     .from_accelerators = balance.accelerators,
+    /* A transfer that reaches the log after a takeover must be refused: the
+       next owner may have used the balance. */
+    .epoch = sc->epoch,
   };
 
   snprintf (item, sizeof item, "team/%.*s", CYC_FMT (team));
