--- a/tests/test_scheduler_peers.c
+++ b/tests/test_scheduler_peers.c
@@ -3,6 +3,7 @@
  * What a scheduler tells its peers: targets, permits, job states, leaving
  * workers, and control records to a process that lost the log.
  */
+#include "record.pb-c.h"
 #include "tst_cell.h"
 
 #include <setjmp.h>
@@ -83,7 +84,8 @@
 }
 
 static void
-start (struct listener *l)
+start_as (struct listener *l, const char *vm, const char *domain,
+          enum set_role role)
 {
   struct cyc_findings found = { 0 };
   struct pl_desc desc = { .loop = NULL,
@@ -101,10 +103,10 @@
   assert_true (met_setup (&l->met, &(struct met_desc){ 0 }, &found));
   desc.met = &l->met;
   desc.loop = l->cell.loop;
-  cyc_name_set (&desc.self.vm, CYC_STR ("entry-1"));
-  cyc_name_set (&desc.self.domain, CYC_STR ("north-a"));
+  cyc_name_set (&desc.self.vm, cyc_str_of (vm));
+  cyc_name_set (&desc.self.domain, cyc_str_of (domain));
   cyc_name_set (&desc.self.region, CYC_STR ("north"));
-  desc.self.role = SET_ROLE_GATEWAY;
+  desc.self.role = role;
   cyc_id128_random (&desc.self.incarnation);
   desc.listen = l->sc->settings.scheduler_peer;
   desc.listen.port = cell_free_port ();
@@ -119,6 +121,12 @@
   ev_timer_start (l->cell.loop, &l->timer);
 }
 
+static void
+start (struct listener *l)
+{
+  start_as (l, "entry-1", "north-a", SET_ROLE_GATEWAY);
+}
+
 static void
 stop (struct listener *l)
 {
@@ -313,6 +321,83 @@
   cell_shutdown (&cell);
 }
 
+/* The first transfer in the control stream, or NULL. */
+static Cyc__Record *
+transfer_record (const struct cell *cell)
+{
+  for (uint32_t i = 0; i < cell->log.stream_count; i++)
+    {
+      GPtrArray *records = cell->log.streams[i].records;
+
+      for (guint r = 0; r < records->len; r++)
+        {
+          gsize len;
+          const uint8_t *data = g_bytes_get_data (records->pdata[r], &len);
+          Cyc__Record *record = cyc__record__unpack (NULL, len, data);
+
+          if (record != NULL
+              && record->body_case == CYC__RECORD__BODY_TRANSFER)
+            return record;
+          if (record != NULL)
+            cyc__record__free_unpacked (record, NULL);
+        }
+    }
+  return NULL;
+}
+
+/* Says as the owner of north-b that team orders needs 30,000 millicores. */
+static bool
+balance_has_moved (void *user)
+{
+  struct listener *l = user;
+  Cyc__TeamUse use = CYC__TEAM_USE__INIT;
+  Cyc__TeamUse *uses[] = { &use };
+  Cyc__Aggregate aggregate = CYC__AGGREGATE__INIT;
+  Cyc__Peer message = CYC__PEER__INIT;
+
+  use.team = (char *)"orders";
+  use.wanted_millicores = 30000;
+  aggregate.domain = (char *)"north-b";
+  aggregate.epoch = 1;
+  aggregate.n_teams = 1;
+  aggregate.teams = uses;
+  message.body_case = CYC__PEER__BODY_AGGREGATE;
+  message.aggregate = &aggregate;
+  tell (l, &message);
+  return cyc_led_balance (ctl_ledger (&l->sc->ctl), CYC_STR ("orders"),
+                          CYC_STR ("north-b"))
+             .millicores
+         > 20000;
+}
+
+/* Idle balance must reach the domain that needs it, and the record must carry
+   the epoch of its writer: without it a transfer that reaches the log after a
+   takeover would count although the next owner has used the balance. */
+static void
+idle_balance_moves_under_the_owners_epoch (void **state)
+{
+  static struct listener l;
+  const struct cyc_ledger *led;
+  Cyc__Record *record;
+
+  (void)state;
+  start_as (&l, "entry-0", "north-b", SET_ROLE_SCHEDULER);
+  assert_true (cell_until (&l.cell, cell_acting, l.sc, WAIT_MS));
+  assert_true (cell_until (&l.cell, balance_has_moved, &l, WAIT_MS));
+  led = ctl_ledger (&l.sc->ctl);
+  assert_int_equal (
+      cyc_led_balance (led, CYC_STR ("orders"), CYC_STR ("north-a")).millicores
+          + cyc_led_balance (led, CYC_STR ("orders"), CYC_STR ("north-b"))
+                .millicores,
+      40000);
+  record = transfer_record (&l.cell);
+  assert_non_null (record);
+  assert_true (l.sc->epoch > 0);
+  assert_int_equal (record->transfer->epoch, l.sc->epoch);
+  cyc__record__free_unpacked (record, NULL);
+  stop (&l);
+}
+
 int
 main (void)
 {
@@ -320,6 +405,7 @@
     cmocka_unit_test (gateways_hear_of_targets_and_of_leaving_ones),
     cmocka_unit_test (permits_wait_for_those_of_the_earlier_owner),
     cmocka_unit_test (job_queries_are_answered),
+    cmocka_unit_test (idle_balance_moves_under_the_owners_epoch),
     cmocka_unit_test (control_records_reach_a_process_without_the_log),
   };
 
