--- a/src/cmd_burn.c
+++ b/src/cmd_burn.c
@@ -1,6 +1,6 @@
 #include "burn_report.h"
 #include "cmd_ask.h"
-#include "cmd_session.h"
+#include "cmd_settings.h"
 
 #include <argtable2.h>
 #include <stdio.h>
--- a/src/cmd_gateway.c
+++ b/src/cmd_gateway.c
@@ -1,8 +1,7 @@
-#include "commands.h"
+#include "cmd_settings.h"
 #include "gateway.h"
 #include "log_event.h"
 
-#include <argtable2.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -32,9 +31,9 @@
 }
 
 static int
-run_gateway (const struct set_settings *settings,
-             struct cyc_findings *findings)
+run_gateway (const struct set_settings *settings)
 {
+  struct cyc_findings findings = { 0 };
   struct run run = { .loop = ev_default_loop (EVFLAG_AUTO) };
   struct ev_signal term;
   struct ev_signal interrupt;
@@ -51,9 +50,9 @@
                                     .settings = settings,
                                     .stopped = on_stopped,
                                     .user = &run },
-                 findings))
+                 &findings))
     {
-      ev_findings (EV_SETUP_FAILED, findings);
+      ev_findings (EV_SETUP_FAILED, &findings);
       return CMD_EXIT_FAILED;
     }
   ev_signal_init (&term, on_signal, SIGTERM);
@@ -72,31 +71,7 @@
 int
 cmd_gateway (int argc, char **argv)
 {
-  struct arg_lit *help = arg_lit0 (NULL, "help", "print this text");
-  struct arg_file *file
-      = arg_file1 (NULL, "settings", "FILE", "settings file");
-  struct arg_end *end = arg_end (8);
-  void *table[] = { help, file, end };
-  struct set_settings *settings = calloc (1, sizeof *settings);
-  struct cyc_findings *findings = calloc (1, sizeof *findings);
-  int status = CMD_EXIT_USAGE;
-  int errors = arg_parse (argc, argv, table);
-
-  if (help->count > 0)
-    {
-      printf ("Usage: cyclamendrum gateway");
-      arg_print_syntax (stdout, table, "\n");
-      arg_print_glossary (stdout, table, "  %-20s %s\n");
-      status = CMD_EXIT_DONE;
-    }
-  else if (errors > 0)
-    arg_print_errors (stderr, end, "cyclamendrum gateway");
-  else if (set_load (cyc_str_of (file->filename[0]), settings, findings))
-    status = run_gateway (settings, findings);
-  else
-    cmd_print_findings (findings);
-  free (settings);
-  free (findings);
-  arg_freetable (table, sizeof table / sizeof table[0]);
-  return status;
+  return cmd_with_settings (
+      argc, argv,
+      &(struct cmd_settings_use){ .name = "gateway", .run = run_gateway });
 }
--- a/src/cmd_session.c
+++ b/src/cmd_session.c
@@ -160,22 +160,3 @@
       return CMD_EXIT_UNREACHABLE;
     }
 }
-
-struct set_settings *
-cmd_load_settings (const char *path)
-{
-  struct set_settings *settings = calloc (1, sizeof *settings);
-  struct cyc_findings *findings = calloc (1, sizeof *findings);
-  bool loaded = settings != NULL && findings != NULL
-                && set_load (cyc_str_of (path), settings, findings);
-
-  if (!loaded)
-    {
-      if (findings != NULL)
-        cmd_print_findings (findings);
-      free (settings);
-      settings = NULL;
-    }
-  free (findings);
-  return settings;
-}
--- a/src/cmd_session.h
+++ b/src/cmd_session.h
@@ -13,7 +13,7 @@
 #ifndef CMD_SESSION_H
 #define CMD_SESSION_H
 
-#include "commands.h"
+#include "cmd_settings.h"
 #include "control.h"
 #include "log_event.h"
 #include "settings.h"
@@ -48,7 +48,5 @@
 /** Prints why a record did not take effect and returns the exit code. */
 int cmd_session_explain (const struct cmd_session *session, enum ctl_fate fate,
                          const char *subject);
-/** Loads the settings or prints the findings. */
-struct set_settings *cmd_load_settings (const char *path);
 
 #endif
--- a/src/cyc_index.c
+++ b/src/cyc_index.c
@@ -39,6 +39,12 @@
   return (uint32_t)XXH64 (key, bytes, 0);
 }
 
+uint32_t
+cyc_ix_hash_id (const struct cyc_id128 *id)
+{
+  return cyc_ix_hash (id->bytes, sizeof id->bytes);
+}
+
 void
 cyc_ix_add (struct cyc_ix *ix, uint32_t hash, uint32_t row)
 {
--- a/src/cyc_index.h
+++ b/src/cyc_index.h
@@ -43,6 +43,7 @@
 void cyc_ix_shutdown (struct cyc_ix *ix);
 void cyc_ix_clear (struct cyc_ix *ix);
 uint32_t cyc_ix_hash (const void *key, size_t bytes);
+uint32_t cyc_ix_hash_id (const struct cyc_id128 *id);
 void cyc_ix_add (struct cyc_ix *ix, uint32_t hash, uint32_t row);
 /** The entry must exist. */
 void cyc_ix_remove (struct cyc_ix *ix, uint32_t hash, uint32_t row);
--- a/src/cyc_jobs.c
+++ b/src/cyc_jobs.c
@@ -112,16 +112,11 @@
   jobs->state = NULL;
 }
 
-static uint32_t
-id_hash (const struct cyc_id128 *id)
-{
-  return cyc_ix_hash (id->bytes, sizeof id->bytes);
-}
-
 static struct job *
 find_job (const struct cyc_jobs_state *state, const struct cyc_id128 *id)
 {
-  struct cyc_ix_probe probe = cyc_ix_probe (&state->index, id_hash (id));
+  struct cyc_ix_probe probe
+      = cyc_ix_probe (&state->index, cyc_ix_hash_id (id));
 
   while (cyc_ix_step (&state->index, &probe))
     if (cyc_id128_eq (&state->jobs[probe.row].row.id, id))
@@ -173,7 +168,7 @@
   state->ended_first = (state->ended_first + 1) % state->desc.max_jobs;
   state->ended_count--;
   job = &state->jobs[ref.index];
-  cyc_ix_remove (&state->index, id_hash (&job->row.id), ref.index);
+  cyc_ix_remove (&state->index, cyc_ix_hash_id (&job->row.id), ref.index);
   give_blocks (state, job->blocks);
   cyc_pool_give (&state->pool, ref);
   return true;
@@ -225,7 +220,7 @@
   ref = cyc_pool_take (&state->pool);
   job = &state->jobs[ref.index];
   *job = (struct job){ .row = row, .blocks = take_blocks (state, row.tasks) };
-  cyc_ix_add (&state->index, id_hash (&row.id), ref.index);
+  cyc_ix_add (&state->index, cyc_ix_hash_id (&row.id), ref.index);
   notify (watch, job);
 }
 
--- a/src/cyc_once.c
+++ b/src/cyc_once.c
@@ -86,16 +86,11 @@
   once->state = NULL;
 }
 
-static uint32_t
-id_hash (const struct cyc_id128 *id)
-{
-  return cyc_ix_hash (id->bytes, sizeof id->bytes);
-}
-
 static struct once_row *
 find_row (const struct cyc_once_state *state, const struct cyc_id128 *id)
 {
-  struct cyc_ix_probe probe = cyc_ix_probe (&state->index, id_hash (id));
+  struct cyc_ix_probe probe
+      = cyc_ix_probe (&state->index, cyc_ix_hash_id (id));
 
   while (cyc_ix_step (&state->index, &probe))
     if (cyc_id128_eq (&state->rows[probe.row].request_id, id))
@@ -110,7 +105,8 @@
 
   if (state->count == 0 || now_us < row->deadline_us)
     return false;
-  cyc_ix_remove (&state->index, id_hash (&row->request_id), state->first);
+  cyc_ix_remove (&state->index, cyc_ix_hash_id (&row->request_id),
+                 state->first);
   state->first = (state->first + 1) % state->desc.max_requests;
   state->count--;
   return true;
@@ -124,7 +120,7 @@
 remember_refused (struct cyc_once_state *state, const struct cyc_id128 *id,
                   uint64_t now_us)
 {
-  uint32_t bit = id_hash (id) % REFUSED_BITS;
+  uint32_t bit = cyc_ix_hash_id (id) % REFUSED_BITS;
 
   state->refused[bit / 8] |= (uint8_t)(1U << (bit % 8));
   state->refused_until_us = now_us + state->desc.window_us;
@@ -134,7 +130,7 @@
 was_refused (struct cyc_once_state *state, const struct cyc_id128 *id,
              uint64_t now_us)
 {
-  uint32_t bit = id_hash (id) % REFUSED_BITS;
+  uint32_t bit = cyc_ix_hash_id (id) % REFUSED_BITS;
 
   if (state->refused_until_us == 0)
     return false;
@@ -164,7 +160,7 @@
                            .entry = *entry,
                            .deadline_us = now_us + state->desc.window_us };
   state->count++;
-  cyc_ix_add (&state->index, id_hash (id), at);
+  cyc_ix_add (&state->index, cyc_ix_hash_id (id), at);
 }
 
 static bool
--- a/src/scheduler_main.c
+++ b/src/scheduler_main.c
@@ -1,7 +1,6 @@
-#include "commands.h"
+#include "cmd_settings.h"
 #include "scheduler.h"
 
-#include <argtable2.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -378,31 +377,7 @@
 int
 cmd_scheduler (int argc, char **argv)
 {
-  struct arg_lit *help = arg_lit0 (NULL, "help", "print this text");
-  struct arg_file *file
-      = arg_file1 (NULL, "settings", "FILE", "settings of this entry VM");
-  struct arg_end *end = arg_end (8);
-  void *table[] = { help, file, end };
-  struct set_settings *settings = calloc (1, sizeof *settings);
-  struct cyc_findings *findings = calloc (1, sizeof *findings);
-  int status = CMD_EXIT_USAGE;
-  int errors = arg_parse (argc, argv, table);
-
-  if (help->count > 0)
-    {
-      printf ("Usage: cyclamendrum scheduler");
-      arg_print_syntax (stdout, table, "\n");
-      arg_print_glossary (stdout, table, "  %-20s %s\n");
-      status = CMD_EXIT_DONE;
-    }
-  else if (errors > 0)
-    arg_print_errors (stderr, end, "cyclamendrum scheduler");
-  else if (set_load (cyc_str_of (file->filename[0]), settings, findings))
-    status = run_scheduler (settings);
-  else
-    cmd_print_findings (findings);
-  free (settings);
-  free (findings);
-  arg_freetable (table, sizeof table / sizeof table[0]);
-  return status;
+  return cmd_with_settings (
+      argc, argv,
+      &(struct cmd_settings_use){ .name = "scheduler", .run = run_scheduler });
 }
--- a/src/scheduler_status.c
+++ b/src/scheduler_status.c
@@ -169,6 +169,19 @@
   return sc->phase == SC_PHASE_RUN && ctl_ready (&sc->ctl) && sc->jobs_ready;
 }
 
+static void
+reply_metrics (struct sc_scheduler *sc, const struct hs_call *call)
+{
+  struct cyc_str text;
+
+  sc->met.counters[MET_HTTP_BYTES_IN] = sc->hs.bytes_in + sc->hc.bytes_in;
+  sc->met.counters[MET_HTTP_BYTES_OUT] = sc->hs.bytes_out + sc->hc.bytes_out;
+  text = met_text (&sc->met);
+  hs_reply (&sc->hs, call->ref,
+            &(struct hs_reply){ .status = 200, .body = text });
+  free ((void *)text.data);
+}
+
 static void
 reply_objectives (struct sc_scheduler *sc, const struct hs_call *call)
 {
@@ -198,13 +211,7 @@
     reply_text (sc, call, is_ready (sc) ? 200 : 503,
                 is_ready (sc) ? "ready\n" : "not ready\n");
   else if (cyc_str_eq (call->path, CYC_STR ("/metrics")))
-    {
-      struct cyc_str text = met_text (&sc->met);
-
-      hs_reply (&sc->hs, call->ref,
-                &(struct hs_reply){ .status = 200, .body = text });
-      free ((void *)text.data);
-    }
+    reply_metrics (sc, call);
   else if (cyc_str_eq (call->path, CYC_STR ("/v1/status")))
     reply_status (sc, call);
   else if (cyc_str_eq (call->path, CYC_STR ("/v1/objectives")))
