Let the key that was withdrawn first make room for a new one

Cause: withdrawn digests were kept for good, so after 16,384 grants every further grant was refused. Ruled out: dropping a digest at its withdrawal, because a grant from before the withdrawal could then make it valid again.

--- a/src/cyc_ledger_keys.c
+++ b/src/cyc_ledger_keys.c
@@ -13,16 +13,48 @@
   return NULL;
 }
 
+/* The key that was withdrawn first, or NULL. Versions differ, so every process
+   finds the same one. */
+static struct led_key *
+oldest_withdrawn (struct cyc_led_state *state)
+{
+  struct led_key *oldest = NULL;
+
+  for (uint32_t i = 0; i < state->key_count; i++)
+    {
+      struct led_key *key = &state->keys[i];
+
+      if (key->withdrawn && (oldest == NULL || key->version < oldest->version))
+        oldest = key;
+    }
+  return oldest;
+}
+
+static uint32_t
+key_hash (const struct led_key *key)
+{
+  return cyc_ix_hash (key->digest.bytes, sizeof key->digest.bytes);
+}
+
 bool
 led_key_add (struct cyc_led_state *state, const struct led_key *key)
 {
+  struct led_key *row = &state->keys[state->key_count];
+
   if (state->key_count == state->desc.max_keys)
-    return false;
-  state->keys[state->key_count] = *key;
-  cyc_ix_add (&state->key_index,
-              cyc_ix_hash (key->digest.bytes, sizeof key->digest.bytes),
-              state->key_count);
-  state->key_count++;
+    {
+      /* A key that is forgotten is refused like one that is withdrawn. */
+      row = oldest_withdrawn (state);
+      if (row == NULL)
+        return false;
+      cyc_ix_remove (&state->key_index, key_hash (row),
+                     (uint32_t)(row - state->keys));
+    }
+  else
+    state->key_count++;
+  *row = *key;
+  cyc_ix_add (&state->key_index, key_hash (row),
+              (uint32_t)(row - state->keys));
   return true;
 }
 
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -303,6 +303,36 @@
   tst_control_shutdown (&tc);
 }
 
+/* Rotation of keys must not fill the table for good: the key that was
+   withdrawn first makes room, and a valid one never does. */
+static void
+withdrawn_keys_make_room (void **unused)
+{
+  static const struct key_step grant
+      = { .grant = true, .team = "orders", .result = CYC_LED_ACCEPTED };
+  static const struct key_step withdraw = { .result = CYC_LED_ACCEPTED };
+  struct cyc_findings found = { 0 };
+  struct cyc_digest first = tst_digest ("first");
+  struct cyc_digest second = tst_digest ("second");
+  struct cyc_name team;
+  struct tst_control tc;
+
+  (void)unused;
+  tst_control_setup (&tc);
+  cyc_led_shutdown (&tc.led);
+  assert_true (cyc_led_setup (&tc.led, &(struct cyc_led_desc){ .max_keys = 2 },
+                              &found));
+  assert_int_equal (apply_key (&tc, &grant, "first"), CYC_LED_ACCEPTED);
+  assert_int_equal (apply_key (&tc, &grant, "second"), CYC_LED_ACCEPTED);
+  assert_int_equal (apply_key (&tc, &grant, "third"), CYC_LED_REFUSED);
+  assert_int_equal (apply_key (&tc, &withdraw, "first"), CYC_LED_ACCEPTED);
+  assert_int_equal (apply_key (&tc, &grant, "third"), CYC_LED_ACCEPTED);
+  assert_int_equal (cyc_led_key (&tc.led, &first, &team), CYC_KEY_UNKNOWN);
+  assert_int_equal (cyc_led_key (&tc.led, &second, &team), CYC_KEY_VALID);
+  assert_int_equal (apply_key (&tc, &grant, "fourth"), CYC_LED_REFUSED);
+  tst_control_shutdown (&tc);
+}
+
 /* Steps on the claim of one domain, in log order. */
 struct claim_case
 {
@@ -374,6 +404,7 @@
     cmocka_unit_test (the_earlier_of_two_changes_wins),
     cmocka_unit_test (a_change_is_accepted_whole_or_not_at_all),
     cmocka_unit_test (a_withdrawn_key_needs_a_new_grant),
+    cmocka_unit_test (withdrawn_keys_make_room),
     cmocka_unit_test (a_claim_has_one_owner_in_log_order),
   };
 
