Keep urgent tasks off the room reserved for a gang

At 2x and 4x many gangs never start. Urgent tasks end well before the deadline, so the backfill rule let them in; as no batch task competes for that room, they replaced each other there until the deadline.

Ruled out by the same counters: no gang lacked balance or was held by a fence, and no reservation was dropped at once.

An urgent task no longer backfills a reservation. It takes other room, makes batch tasks elsewhere give way, and breaks the reservation only without a victim, as before.

--- a/src/cyc_core_place.c
+++ b/src/cyc_core_place.c
@@ -43,7 +43,10 @@
 {
   if (worker->reserved_until_us <= st->now_us || want->past_reservation)
     return true;
-  if (want->end_us + BACKFILL_MARGIN_US <= worker->reserved_until_us)
+  /* Room that no batch task takes draws all urgent tasks, which replace each
+   * other there until the deadline. */
+  if (!want->urgent
+      && want->end_us + BACKFILL_MARGIN_US <= worker->reserved_until_us)
     return true;
   /* The first task of an empty worker has more room than the next ones. */
   return worker->tasks.count > 0
--- a/tests/test_core_gang.c
+++ b/tests/test_core_gang.c
@@ -147,6 +147,77 @@
   tst_core_close (&t);
 }
 
+/* Batch tasks that make room for an urgent task end at once. */
+static void
+answer_checkpoints (void)
+{
+  for (uint32_t i = 0; i < t.count; i++)
+    for (uint32_t r = 0; r < run_count; r++)
+      if (t.out[i].kind == CYC_DECISION_CHECKPOINT
+          && runs[r].task == t.out[i].task_index
+          && memcmp (&runs[r].job, &t.out[i].job, sizeof runs[r].job) == 0)
+        {
+          cyc_core_task_report (&t.core, &runs[r].job, runs[r].task,
+                                CYC_TASK_EVENT_CHECKPOINTED, t.now_us);
+          runs[r] = runs[--run_count];
+          break;
+        }
+}
+
+/* Urgent tasks have job numbers from 5000 and run 4 s. */
+static void
+shorten_urgent (void)
+{
+  for (uint32_t r = 0; r < run_count; r++)
+    {
+      uint32_t number;
+
+      memcpy (&number, runs[r].job.bytes, sizeof number);
+      if (number >= 5000 && number < 10000
+          && runs[r].end_us == t.now_us + 9 * TST_SECOND)
+        runs[r].end_us = t.now_us + 4 * TST_SECOND;
+    }
+}
+
+/* Guards against short urgent tasks that end before the deadline and replace
+ * each other in the reserved room until it passes. */
+static void
+short_urgent_tasks_do_not_fill_a_reservation (void **state)
+{
+  struct cyc_queue_cfg urgent = { .kind = CYC_KIND_BATCH,
+                                  .urgent = true,
+                                  .repeatable = true,
+                                  .size = { 2000, 2000, 0 },
+                                  .run_s = 4 };
+  uint32_t started = 0;
+  uint32_t waited = 0;
+
+  (void)state;
+  open_three (9);
+  tst_core_worker (&t, "w3", "r1");
+  tst_core_worker (&t, "w4", "r2");
+  tst_core_worker (&t, "w5", "r2");
+  tst_core_queue_cfg (&t, "urgent", "team", urgent);
+  for (uint32_t i = 1; i < 40; i++)
+    {
+      tst_core_job (&t, 3000 + i, "batch", 1);
+      second (i, 9);
+    }
+  tst_core_job (&t, 10000, "gang", 8);
+  for (; waited < 100 && started == 0; waited++)
+    {
+      tst_core_job (&t, 3100 + waited, "batch", 1);
+      tst_core_job (&t, 5000 + 2 * waited, "urgent", 1);
+      tst_core_job (&t, 5001 + 2 * waited, "urgent", 1);
+      started = second (100 + waited, 9);
+      shorten_urgent ();
+      answer_checkpoints ();
+    }
+  assert_int_equal (started, 8);
+  assert_in_range (waited, 1, 32);
+  tst_core_close (&t);
+}
+
 /* Without a claim each small task that ends is replaced by the next one, and
  * the room for 6,000 never comes together. */
 static void
@@ -253,6 +324,7 @@
     cmocka_unit_test (large_task_of_a_team_below_its_share_is_not_starved),
     cmocka_unit_test (urgent_stream_does_not_use_up_a_reservation),
     cmocka_unit_test (small_tasks_give_way_to_a_large_one_without_claim),
+    cmocka_unit_test (short_urgent_tasks_do_not_fill_a_reservation),
     cmocka_unit_test (gang_prefers_one_rack),
     cmocka_unit_test (two_gangs_that_fit_only_alone_both_run),
   };
