Reserve for up to three gangs at a time

A reservation now belongs to a gang and its workers. The first goes to the oldest gang as before; up to two more go to gangs whose team, with all its reserved gangs running, stays within 10% of its part.

--- a/src/cyc_core_class.c
+++ b/src/cyc_core_class.c
@@ -127,7 +127,7 @@
 static uint32_t
 break_reservation (struct cyc_core_state *st, struct core_want *want)
 {
-  if (st->reserved_job == CORE_NONE)
+  if (st->reserved_count == 0)
     return CORE_NONE;
   want->past_reservation = true;
   return core_find_room (st, want);
--- a/src/cyc_core_gang.c
+++ b/src/cyc_core_gang.c
@@ -2,9 +2,9 @@
  * @file
  * Gangs: all queued tasks of a gang are placed in one tick or none is.
  *
- * Nothing is held for a part of a gang. The oldest gang that does not fit gets
- * a reservation: workers that will have room when their present tasks end take
- * only work that ends before the deadline, or that leaves the room free.
+ * Nothing is held for a part of a gang. The oldest gangs that do not fit get
+ * a reservation each: workers that will have room when their present tasks end
+ * take only work that ends before the deadline, or that leaves the room free.
  */
 #include "cyc_core_internal.h"
 
@@ -16,6 +16,9 @@
 #define MOST_RESERVATIONS 10
 /* Workers are ordered by the number of the gang's tasks that fit now. */
 #define FIT_CLASSES 33
+/* A further reservation may bring its team this much above its part: a gang is
+ * large beside the distance of a team from its part. */
+#define RESERVE_OVER 1.1
 /* Racks in which the whole gang is tried. */
 #define TRY_RACKS 4
 
@@ -45,7 +48,6 @@
       uint32_t worker;
 
       core_want_set (st, row, &want);
-      want.past_reservation |= st->reserved_job == job;
       worker = rack == CORE_NONE ? core_find_room (st, &want)
                                  : core_find_in_rack (st, &want, rack);
       if (worker == CORE_NONE)
@@ -175,9 +177,10 @@
 }
 
 static void
-hold (struct core_worker *worker, struct cyc_res need, uint32_t tasks,
-      uint64_t deadline_us)
+hold (struct core_worker *worker, uint32_t job, struct cyc_res need,
+      uint32_t tasks, uint64_t deadline_us)
 {
+  worker->reserved_job = job;
   worker->reserved_until_us = deadline_us;
   worker->gang_hold
       = (struct cyc_res){ need.millicores * tasks, need.memory_mib * tasks,
@@ -186,9 +189,11 @@
 
 /* Returns the number of tasks for which no worker has room by @p end_us. */
 static uint32_t
-hold_workers (struct cyc_core_state *st, const struct core_queue *queue,
-              uint32_t left, uint32_t workers, uint64_t end_us)
+hold_workers (struct cyc_core_state *st, uint32_t job, uint32_t left,
+              uint32_t workers, uint64_t end_us)
 {
+  const struct core_queue *queue = &st->queues[st->jobs[job].queue];
+
   for (uint32_t i = 0; i < workers && left > 0; i++)
     {
       struct core_worker *worker = &st->workers[st->scratch[i]];
@@ -200,7 +205,8 @@
       fits = fits < left ? fits : left;
       if (fits == 0)
         continue;
-      hold (worker, queue->estimate, fits, st->reserved_deadline_us);
+      hold (worker, job, queue->estimate, fits,
+            st->jobs[job].reserved_until_us);
       left -= fits;
     }
   return left;
@@ -217,25 +223,35 @@
   uint32_t spare = (tasks + 3) / 4;
   uint32_t left;
 
-  st->reserved_job = job;
-  st->reserved_deadline_us = st->now_us + st->desc.gang_reserve_ms * 1000ULL;
+  st->reserved[st->reserved_count++] = job;
+  st->jobs[job].reserved_until_us
+      = st->now_us + st->desc.gang_reserve_ms * 1000ULL;
   st->jobs[job].reservations++;
-  left = hold_workers (st, queue, tasks + spare, workers,
-                       st->reserved_deadline_us);
+  left = hold_workers (st, job, tasks + spare, workers,
+                       st->jobs[job].reserved_until_us);
   if (left > spare)
-    left = hold_workers (st, queue, left, workers, UINT64_MAX);
+    left = hold_workers (st, job, left, workers, UINT64_MAX);
   /* Holding workers for a gang that cannot fit would only waste them. */
   if (left > spare)
-    core_gang_unreserve (st);
+    core_gang_unreserve (st, job);
 }
 
 void
-core_gang_unreserve (struct cyc_core_state *st)
+core_gang_unreserve (struct cyc_core_state *st, uint32_t job)
 {
-  st->reserved_job = CORE_NONE;
-  st->reserved_deadline_us = 0;
+  uint32_t at = 0;
+
+  if (st->jobs[job].reserved_until_us == 0)
+    return;
+  st->jobs[job].reserved_until_us = 0;
+  while (st->reserved[at] != job)
+    at++;
+  st->reserved[at] = st->reserved[--st->reserved_count];
   for (uint32_t w = 0; w < st->worker_pool.high; w++)
     {
+      if (st->workers[w].reserved_until_us == 0
+          || st->workers[w].reserved_job != job)
+        continue;
       st->workers[w].reserved_until_us = 0;
       st->workers[w].gang_hold = (struct cyc_res){ 0 };
     }
@@ -278,6 +294,36 @@
   return best;
 }
 
+/* The first reservation goes to the oldest gang. More go to teams that stay
+ * near or below their part when all their reserved gangs run. One is added to
+ * both divisors because a fleet may be empty and a share zero. */
+static bool
+may_reserve (const struct cyc_core_state *st, uint32_t job)
+{
+  uint32_t row = st->queues[st->jobs[job].queue].team;
+  const struct core_team *team = &st->teams[row];
+  double pending = 0;
+
+  if (st->reserved_count == 0)
+    return true;
+  if (st->reserved_count == CORE_RESERVED
+      || st->jobs[job].reserved_until_us > 0)
+    return false;
+  for (uint32_t i = 0; i <= st->reserved_count; i++)
+    {
+      const struct core_job *j
+          = &st->jobs[i < st->reserved_count ? st->reserved[i] : job];
+      const struct core_queue *queue = &st->queues[j->queue];
+
+      if (queue->team == row)
+        pending += (double)j->queued.count * queue->need.mean.millicores;
+    }
+  return team->score
+             + pending / (double)(st->total_millicores + 1)
+                   / (team->share_permille + 1)
+         < st->fair_score * RESERVE_OVER;
+}
+
 static void
 try_gang (struct cyc_core_state *st, uint32_t job)
 {
@@ -293,25 +339,27 @@
     {
       st->queues[j->queue].blocked_since_us = 0;
       st->starts_left -= tasks < st->starts_left ? tasks : st->starts_left;
-      if (st->reserved_job == job)
-        core_gang_unreserve (st);
+      core_gang_unreserve (st, job);
       return;
     }
   if (st->queues[j->queue].blocked_since_us == 0)
     st->queues[j->queue].blocked_since_us = st->now_us;
   if (!core_never_check (st, job, tasks) && balance
-      && st->reserved_job == CORE_NONE && j->reservations < MOST_RESERVATIONS)
+      && j->reservations < MOST_RESERVATIONS && may_reserve (st, job))
     reserve (st, job);
 }
 
 void
 core_sys_gang (struct cyc_core_state *st)
 {
-  if (st->reserved_job != CORE_NONE
-      && (st->now_us >= st->reserved_deadline_us
-          || st->jobs[st->reserved_job].end != CORE_END_NONE
-          || st->jobs[st->reserved_job].queued.count == 0))
-    core_gang_unreserve (st);
+  for (uint32_t i = st->reserved_count; i-- > 0;)
+    {
+      const struct core_job *job = &st->jobs[st->reserved[i]];
+
+      if (st->now_us >= job->reserved_until_us || job->end != CORE_END_NONE
+          || job->queued.count == 0)
+        core_gang_unreserve (st, st->reserved[i]);
+    }
   for (uint32_t i = 0; i < TRIES_PER_TICK && st->starts_left > 0; i++)
     {
       uint32_t job = oldest_gang (st);
--- a/src/cyc_core_input.c
+++ b/src/cyc_core_input.c
@@ -194,8 +194,7 @@
   struct cyc_str id
       = { (const char *)st->jobs[row].id.bytes, sizeof st->jobs[row].id };
 
-  if (st->reserved_job == row)
-    core_gang_unreserve (st);
+  core_gang_unreserve (st, row);
   if (st->queues[st->jobs[row].queue].service_job == row)
     st->queues[st->jobs[row].queue].service_job = CORE_NONE;
   core_map_remove (&st->job_map, core_hash (id));
--- a/src/cyc_core_internal.h
+++ b/src/cyc_core_internal.h
@@ -118,6 +118,7 @@
   uint64_t refused_until_us;  /**< answered no-room; not tried until then */
   uint64_t probe_us;          /**< ejected: next probe */
   uint64_t over_us;           /**< last step against overload */
+  uint32_t reserved_job;      /**< gang that holds it */
   uint32_t rack;
   uint32_t bucket;
   uint32_t throttled;
@@ -143,6 +144,9 @@
   uint64_t free_accelerators;
 };
 
+/** Most gang reservations at a time: bounds the room that drains. */
+#define CORE_RESERVED 3
+
 struct core_team
 {
   struct cyc_name name;
@@ -219,10 +223,11 @@
   uint32_t done;
   uint32_t failed;
   uint32_t unknown;
-  uint32_t reservations; /**< gang: had so far */
-  uint32_t cancel_left;  /**< tasks that the cancel system has not seen */
-  uint8_t end;           /**< enum core_end */
-  bool started;          /**< some task was started */
+  uint64_t reserved_until_us; /**< gang: 0 without reservation */
+  uint32_t reservations;      /**< gang: had so far */
+  uint32_t cancel_left;       /**< tasks that the cancel system has not seen */
+  uint8_t end;                /**< enum core_end */
+  bool started;               /**< some task was started */
   bool service;
   bool in_cancel;
   bool in_ended;
@@ -343,8 +348,8 @@
   uint64_t starved_tick; /**< batch of a team below its part was blocked */
   uint32_t drains;       /**< claims without victims */
   double fair_score;     /**< score of a team that has exactly its part */
-  uint32_t reserved_job; /**< gang that holds the reservation */
-  uint64_t reserved_deadline_us;
+  uint32_t reserved[CORE_RESERVED]; /**< gangs with a reservation */
+  uint32_t reserved_count;
   uint32_t fails_left; /**< unsuccessful searches left in this tick */
   uint32_t starts_left;
   bool allow;
@@ -476,7 +481,7 @@
   uint32_t queue;
   uint64_t end_us; /**< learned end; kept off reservations that end before */
   bool urgent;
-  bool past_reservation; /**< the holder of the reservation itself */
+  bool past_reservation; /**< may use all reserved room */
 };
 void core_want_set (const struct cyc_core_state *st, uint32_t task,
                     struct core_want *want);
@@ -525,7 +530,7 @@
 /** Holds @p need on the worker for the task. */
 void core_claim (struct cyc_core_state *st, uint32_t task, uint32_t worker,
                  struct cyc_res need);
-void core_gang_unreserve (struct cyc_core_state *st);
+void core_gang_unreserve (struct cyc_core_state *st, uint32_t job);
 /** Refuses the job when it can never run; true when it was refused. */
 bool core_never_check (struct cyc_core_state *st, uint32_t job,
                        uint32_t tasks);
--- a/src/cyc_core_place.c
+++ b/src/cyc_core_place.c
@@ -41,7 +41,8 @@
                       const struct core_worker *worker,
                       const struct core_want *want)
 {
-  if (worker->reserved_until_us <= st->now_us || want->past_reservation)
+  if (worker->reserved_until_us <= st->now_us || want->past_reservation
+      || worker->reserved_job == st->tasks[want->task].job)
     return true;
   /* Room that no batch task takes draws all urgent tasks, which replace each
    * other there until the deadline. */
--- a/src/cyc_core_setup.c
+++ b/src/cyc_core_setup.c
@@ -188,7 +188,6 @@
   st->allow = true;
   /* A few retries are possible before the first starts earn any. */
   st->retry_tokens = 10;
-  st->reserved_job = CORE_NONE;
   setup_lists (st);
   if (setup_pools (st, &full) && setup_rows (st, &full)
       && setup_maps (st, &full) && setup_trace (st, &full))
--- a/tests/test_core_gang.c
+++ b/tests/test_core_gang.c
@@ -316,6 +316,36 @@
   tst_core_close (&t);
 }
 
+/* Guards against gangs of one team that start one for each reservation, while
+ * the team stays far below its share. */
+static void
+two_gangs_below_share_drain_room_at_once (void **state)
+{
+  uint32_t started = 0;
+  uint32_t waited = 0;
+
+  (void)state;
+  open_three (9);
+  tst_core_worker (&t, "w3", "r1");
+  tst_core_worker (&t, "w4", "r2");
+  tst_core_worker (&t, "w5", "r2");
+  for (uint32_t i = 1; i < 40; i++)
+    {
+      tst_core_job (&t, 3000 + i, "batch", 1);
+      second (i, 60);
+    }
+  tst_core_job (&t, 10000, "gang", 5);
+  tst_core_job (&t, 10001, "gang", 5);
+  for (; waited < 100 && started < 10; waited++)
+    {
+      tst_core_job (&t, 3100 + waited, "batch", 1);
+      started += second (100 + waited, 60);
+    }
+  assert_int_equal (started, 10);
+  assert_in_range (waited, 1, 32);
+  tst_core_close (&t);
+}
+
 int
 main (void)
 {
@@ -325,6 +355,7 @@
     cmocka_unit_test (urgent_stream_does_not_use_up_a_reservation),
     cmocka_unit_test (small_tasks_give_way_to_a_large_one_without_claim),
     cmocka_unit_test (short_urgent_tasks_do_not_fill_a_reservation),
+    cmocka_unit_test (two_gangs_below_share_drain_room_at_once),
     cmocka_unit_test (gang_prefers_one_rack),
     cmocka_unit_test (two_gangs_that_fit_only_alone_both_run),
   };
