--- a/src/cyc_core_place.c
+++ b/src/cyc_core_place.c
@@ -41,9 +41,13 @@
                       const struct core_worker *worker,
                       const struct core_want *want)
 {
-  if (worker->reserved_until_us <= st->now_us || want->past_reservation)
+  if (worker->reserved_until_us <= st->now_us || want->past_reservation
+      || worker->reserved_job == st->tasks[want->task].job)
     return true;
-  if (want->end_us + BACKFILL_MARGIN_US <= worker->reserved_until_us)
+  /* Room that no batch task takes draws all urgent tasks, which replace each
+   * other there until the deadline. */
+  if (!want->urgent
+      && want->end_us + BACKFILL_MARGIN_US <= worker->reserved_until_us)
     return true;
   /* The first task of an empty worker has more room than the next ones. */
   return worker->tasks.count > 0
