Route the links between the test domains through a relay

fake-relay forwards TCP between pairs of ports and takes cuts and one-way silence over HTTP by group. Everything that crosses the border of the second test domain goes through it, so that a test can cut a link without touching the processes at its ends.

--- a/tests/tst_site.c
+++ b/tests/tst_site.c
@@ -162,6 +162,35 @@
   return wait_port (site, program, port);
 }
 
+static void
+add_pair (GString *text, const char *group, uint16_t from, uint16_t to)
+{
+  g_string_append_printf (
+      text, "%s{\"group\":\"%s\",\"listen\":%u,\"target\":%u}",
+      text->str[text->len - 1] == '[' ? "" : ",", group, from, to);
+}
+
+/* Everything that crosses the border of domain 1 goes through the relay. The
+   connecting side is domain 1 in all groups but "peers". */
+static bool
+start_relay (struct tst_site *site)
+{
+  GString *text = g_string_new ("{\"pairs\":[");
+  char path[1100];
+
+  add_pair (text, "log", site->log_relay, site->log_port);
+  add_pair (text, "list", site->list_relay, site->vms_port);
+  for (uint32_t i = 0; i < TST_VMS; i++)
+    for (uint32_t role = 0; role < 2; role++)
+      add_pair (text, tst_site_domain (i) == 1 ? "peers" : "peers-back",
+                site->peer_relays[i][role], site->vms[i].ports[role * 2 + 1]);
+  g_string_append (text, "]}");
+  snprintf (path, sizeof path, "%s/relay.json", site->dir);
+  g_file_set_contents (path, text->str, -1, NULL);
+  g_string_free (text, TRUE);
+  return start_fake (site, 3, "fake-relay", &site->relay_port, "--file", path);
+}
+
 static bool
 start_fakes (struct tst_site *site)
 {
@@ -183,7 +212,8 @@
   done = start_fake (site, 0, "fake-log", &site->log_port, NULL, NULL)
          && start_fake (site, 1, "fake-vms", &site->vms_port, NULL, NULL)
          && start_fake (site, 2, "fake-workers", &site->workers_port, "--file",
-                        path);
+                        path)
+         && start_relay (site);
   if (done)
     {
       tst_site_fault (site, site->workers_port, "{\"service_ms\":20}");
@@ -192,6 +222,12 @@
   return done;
 }
 
+uint32_t
+tst_site_domain (uint32_t vm)
+{
+  return vm / (TST_VMS / TST_DOMAINS);
+}
+
 const char *
 tst_site_settings (const struct tst_site *site, uint32_t vm, char out[600])
 {
@@ -199,6 +235,16 @@
   return out;
 }
 
+/* Port at which VM @p from reaches a peer: direct inside a domain. */
+static uint16_t
+peer_port (const struct tst_site *site, uint32_t from, uint32_t to,
+           uint32_t role)
+{
+  return tst_site_domain (from) == tst_site_domain (to)
+             ? site->vms[to].ports[role * 2 + 1]
+             : site->peer_relays[to][role];
+}
+
 static void
 write_settings (struct tst_site *site, uint32_t index)
 {
@@ -216,8 +262,9 @@
       "\"wait_ms\":300},\"vm_list\":{\"url\":\"http://127.0.0.1:%u\","
       "\"poll_ms\":200},\"peers\":[",
       short_settings, vm->name, vm->domain, vm->region, vm->seat, vm->ports[0],
-      vm->ports[1], vm->ports[2], vm->ports[3], site->log_port,
-      site->vms_port);
+      vm->ports[1], vm->ports[2], vm->ports[3],
+      tst_site_domain (index) == 1 ? site->log_relay : site->log_port,
+      tst_site_domain (index) == 1 ? site->list_relay : site->vms_port);
   for (uint32_t i = 0; i < TST_VMS * 2; i++)
     {
       const struct tst_vm *peer = &site->vms[i / 2];
@@ -227,8 +274,8 @@
           "%s{\"vm\":\"%s\",\"domain\":\"%s\",\"region\":\"%s\",\"role\":"
           "\"%s\",\"address\":\"127.0.0.1:%u\",\"http\":\"127.0.0.1:%u\"}",
           i ? "," : "", peer->name, peer->domain, peer->region,
-          i % 2 ? "scheduler" : "gateway", peer->ports[i % 2 ? 3 : 1],
-          peer->ports[i % 2 ? 2 : 0]);
+          i % 2 ? "scheduler" : "gateway",
+          peer_port (site, index, i / 2, i % 2), peer->ports[i % 2 ? 2 : 0]);
     }
   g_string_append (text, "]}");
   g_file_set_contents (tst_site_settings (site, index, path), text->str, -1,
@@ -260,7 +307,7 @@
   for (uint32_t i = 0; i < TST_VMS; i++)
     {
       struct tst_vm *vm = &site->vms[i];
-      const char *side = i < TST_VMS / TST_DOMAINS ? "north" : "south";
+      const char *side = tst_site_domain (i) == 0 ? "north" : "south";
 
       vm->seat = i % (TST_VMS / TST_DOMAINS);
       snprintf (vm->name, sizeof vm->name, "%s-a-%u", side, vm->seat + 1);
@@ -268,7 +315,11 @@
       snprintf (vm->region, sizeof vm->region, "%s", side);
       for (uint32_t p = 0; p < 4; p++)
         vm->ports[p] = next_port (&cursor);
+      for (uint32_t role = 0; role < 2; role++)
+        site->peer_relays[i][role] = next_port (&cursor);
     }
+  site->log_relay = next_port (&cursor);
+  site->list_relay = next_port (&cursor);
 }
 
 bool
@@ -412,7 +463,7 @@
     keep_state (site);
   for (uint32_t i = 0; i < TST_VMS * 2; i++)
     end_process (site->vms[i / 2].pids[i % 2]);
-  for (uint32_t i = 0; i < 3; i++)
+  for (uint32_t i = 0; i < G_N_ELEMENTS (site->fakes); i++)
     end_process (site->fakes[i]);
   if (site->violation_count == 0)
     remove_directory (site->dir);
--- a/tests/tst_site.h
+++ b/tests/tst_site.h
@@ -48,12 +48,16 @@
   char bin[512]; /**< directory of the programs */
   char dir[512]; /**< settings, logs; removed when nothing went wrong */
   struct tst_vm vms[TST_VMS];
-  pid_t fakes[3];
+  pid_t fakes[4];
   uint16_t log_port;
   uint16_t vms_port;
   uint16_t workers_port;
-  char alpha_key[96]; /**< team of the services */
-  char beta_key[96];  /**< team of batch and gang work */
+  uint16_t relay_port;              /**< takes the faults of links */
+  uint16_t log_relay;               /**< port of the log for domain 1 */
+  uint16_t list_relay;              /**< port of the VM list for domain 1 */
+  uint16_t peer_relays[TST_VMS][2]; /**< peer ports for the other domain */
+  char alpha_key[96];               /**< team of the services */
+  char beta_key[96];                /**< team of batch and gang work */
   uint32_t violation_count;
   char violations[TST_MAX_VIOLATIONS][256];
 };
@@ -74,6 +78,8 @@
  * commands.log of the directory. Exit status. */
 int tst_site_command (struct tst_site *site, const char *const *arguments,
                       char *out, size_t room);
+/** Domain of a VM. */
+uint32_t tst_site_domain (uint32_t vm);
 /** Settings file of a VM. */
 const char *tst_site_settings (const struct tst_site *site, uint32_t vm,
                                char out[600]);
