Test cut links between failure domains

Adds the faults domain-cut, domain-cut-one-way, log-cut-from-domain, peers-cut and key-withdrawn-in-cut, and three pairs with them. The checker decides in addition that gateways that are cut off answer repeatable requests from the targets of their own domain, and that a withdrawn key stops working when the link is back.

--- a/tests/test_process_pairs.c
+++ b/tests/test_process_pairs.c
@@ -39,6 +39,9 @@
   "owner-paused+log-down",
   "log-down+entry-vms-replaced",
   "log-slow+queue-published",
+  "domain-cut+owner-killed",
+  "log-cut-from-domain+key-withdrawn",
+  "log-cut-from-domain+queue-published",
 };
 
 int
--- a/tests/tst_check.c
+++ b/tests/tst_check.c
@@ -1,12 +1,20 @@
 #include "tst_load.h"
 
 #include <json-c/json.h>
+#include <stdio.h>
 #include <string.h>
 
 /* "A few seconds" of promises 4 and 9, with the short settings of the tests.
  */
 #define FEW_SECONDS_MS 2500
 
+/* Within this time of the settings, a peer that is cut off is dead and its
+   targets are no longer used (peer_dead_ms is 1,000). */
+#define SETTLED_MS 1300
+/* A withdrawal reaches a process whose link is back with the first contact:
+   longest wait between two attempts to reach the log or a peer. */
+#define AT_ONCE_MS 1500
+
 struct run
 {
   char worker[16];
@@ -26,6 +34,9 @@
   uint32_t limit_hits;
   int64_t most_slots;
   int64_t most_connections;
+  uint32_t alone_answers[TST_VMS];
+  uint32_t second_answers[TST_VMS]; /* under the key that is withdrawn */
+  uint32_t late_refusals[TST_VMS];  /* of it after the cut */
 };
 
 static const char *
@@ -157,6 +168,61 @@
     }
 }
 
+/* Design section 18: a domain that is cut off answers repeatable requests from
+   its own targets. */
+static void
+check_alone (struct tst_load *load, struct journal *journal,
+             const struct tst_record *record)
+{
+  bool is_answer = strcmp (record->outcome, "answer") == 0;
+  uint32_t worker;
+
+  if (load->cut_ms == 0 || !load->alone[record->vm] || record->once
+      || record->second_key || record->other_key
+      || record->start_ms < load->cut_ms + SETTLED_MS
+      || record->end_ms > load->healed_ms)
+    return;
+  journal->alone_answers[record->vm] += is_answer;
+  if (!is_answer)
+    tst_violation (load->site,
+                   "cut off %s did not answer %s from its own targets: \"%s\" "
+                   "(%ld)",
+                   load->site->vms[record->vm].name, record->mark,
+                   record->outcome, record->status);
+  else if (sscanf (record->worker, "w%u", &worker) != 1
+           || worker / TST_WORKERS_PER_DOMAIN != tst_site_domain (record->vm))
+    tst_violation (load->site, "cut off %s answered %s from worker %s",
+                   load->site->vms[record->vm].name, record->mark,
+                   record->worker);
+}
+
+/* A process without a path to the log or to a fresh peer learns of the
+   withdrawal when its link is back (design section 10). */
+static void
+check_withdrawn (struct tst_load *load, struct journal *journal,
+                 const struct tst_record *record)
+{
+  uint64_t known_ms = load->withdrawn_ms + FEW_SECONDS_MS;
+
+  if (!record->second_key || load->withdrawn_ms == 0)
+    return;
+  if (strcmp (record->outcome, "answer") != 0)
+    {
+      journal->late_refusals[record->vm]
+          += record->start_ms > load->healed_ms && record->status == 401;
+      return;
+    }
+  journal->second_answers[record->vm]++;
+  if (load->no_path[record->vm])
+    known_ms = MAX (load->withdrawn_ms, load->healed_ms) + AT_ONCE_MS;
+  if (record->start_ms > known_ms)
+    tst_violation (load->site,
+                   "a withdrawn key was accepted by %s %" G_GUINT64_FORMAT
+                   " ms after its withdrawal",
+                   load->site->vms[record->vm].name,
+                   record->start_ms - load->withdrawn_ms);
+}
+
 static void
 check_call (struct tst_load *load, struct journal *journal,
             const struct tst_record *record)
@@ -192,12 +258,8 @@
   if (record->other_key && (is_answer || received > 0))
     tst_violation (site, "request %s was accepted with another team's key",
                    record->mark);
-  if (record->second_key && is_answer && load->withdrawn_ms > 0
-      && record->start_ms > load->withdrawn_ms + FEW_SECONDS_MS)
-    tst_violation (site,
-                   "a withdrawn key was accepted %" G_GUINT64_FORMAT
-                   " ms after its withdrawal",
-                   record->start_ms - load->withdrawn_ms);
+  check_withdrawn (load, journal, record);
+  check_alone (load, journal, record);
 }
 
 /* What is said of a once-only job must be true: done only if it ran to its
@@ -226,6 +288,28 @@
     }
 }
 
+/* The checks of single calls under a cut hold only if there were such calls:
+   answers of each gateway that was alone, and use of the withdrawn key at each
+   gateway before its withdrawal and after the cut. */
+static void
+check_cut (struct tst_load *load, const struct journal *journal)
+{
+  for (uint32_t vm = 0; vm < TST_VMS && load->cut_ms > 0; vm++)
+    {
+      const char *name = load->site->vms[vm].name;
+
+      if (load->alone[vm] && journal->alone_answers[vm] == 0)
+        tst_violation (load->site, "cut off %s answered nothing", name);
+      if (load->withdrawn_ms > 0 && journal->second_answers[vm] == 0)
+        tst_violation (load->site, "%s never accepted the second key", name);
+      if (load->withdrawn_ms > 0 && load->no_path[vm]
+          && journal->late_refusals[vm] == 0)
+        tst_violation (load->site,
+                       "%s did not refuse the withdrawn key after the cut",
+                       name);
+    }
+}
+
 void
 tst_check (struct tst_load *load, char *text)
 {
@@ -252,6 +336,7 @@
       unknown += strcmp (record->outcome, "unknown") == 0;
     }
   check_once_jobs (load, &journal);
+  check_cut (load, &journal);
   if (answers == 0)
     tst_violation (load->site, "none of %u calls was answered",
                    load->records->len);
--- a/tests/tst_fault.c
+++ b/tests/tst_fault.c
@@ -431,9 +431,77 @@
                    status);
 }
 
-/* A second key is in use and is withdrawn; every gateway must refuse it. */
 static void
-withdraw_key (struct tst_trial *trial)
+relay_fault (struct tst_trial *trial, const char *json)
+{
+  tst_site_fault (&trial->site, trial->site.relay_port, json);
+}
+
+/* Notes the start of a cut. @p alone: the domains do not reach each other;
+   @p no_path: domain 1 reaches neither the log nor a process that does. */
+static void
+mark_cut (struct tst_trial *trial, bool alone, bool no_path)
+{
+  struct tst_load *load = &trial->load;
+
+  pthread_mutex_lock (&load->lock);
+  for (uint32_t vm = 0; vm < TST_VMS; vm++)
+    {
+      load->alone[vm] = alone;
+      load->no_path[vm] = no_path && tst_site_domain (vm) == 1;
+    }
+  load->cut_ms = tst_now_ms ();
+  load->healed_ms = UINT64_MAX;
+  pthread_mutex_unlock (&load->lock);
+}
+
+static void
+cut_domain (struct tst_trial *trial)
+{
+  relay_fault (trial, "{\"cut\":true}");
+  mark_cut (trial, true, true);
+}
+
+/* What domain 1 sends is lost; what is sent to it arrives. Domain 1 connects
+   to the log and to the list, domain 0 connects to the peers. */
+static void
+cut_domain_one_way (struct tst_trial *trial)
+{
+  relay_fault (trial, "{\"group\":\"log\",\"silent\":\"forward\"}");
+  relay_fault (trial, "{\"group\":\"list\",\"silent\":\"forward\"}");
+  relay_fault (trial, "{\"group\":\"peers-back\",\"silent\":\"forward\"}");
+  relay_fault (trial, "{\"group\":\"peers\",\"silent\":\"back\"}");
+  mark_cut (trial, true, true);
+}
+
+static void
+cut_log (struct tst_trial *trial)
+{
+  relay_fault (trial, "{\"group\":\"log\",\"cut\":true}");
+  mark_cut (trial, false, false);
+}
+
+static void
+cut_peers (struct tst_trial *trial)
+{
+  relay_fault (trial, "{\"group\":\"peers\",\"cut\":true}");
+  relay_fault (trial, "{\"group\":\"peers-back\",\"cut\":true}");
+  mark_cut (trial, true, false);
+}
+
+static void
+heal_links (struct tst_trial *trial)
+{
+  pthread_mutex_lock (&trial->load.lock);
+  trial->load.healed_ms = tst_now_ms ();
+  pthread_mutex_unlock (&trial->load.lock);
+  relay_fault (trial, "{\"cut\":false,\"silent\":\"none\"}");
+}
+
+/* A second key is in use and is withdrawn, after @p cut if there is one;
+   every gateway must refuse it. */
+static void
+withdraw_key_under (struct tst_trial *trial, void (*cut) (struct tst_trial *))
 {
   struct tst_site *site = &trial->site;
   char settings[600];
@@ -450,7 +518,9 @@
   pthread_mutex_lock (&trial->load.lock);
   g_strlcpy (trial->load.second_key, key, sizeof trial->load.second_key);
   pthread_mutex_unlock (&trial->load.lock);
-  tst_load_wait_calls (&trial->load, 100, 4000);
+  tst_load_wait_calls (&trial->load, 250, 4000);
+  if (cut != NULL)
+    cut (trial);
   snprintf (key_path, sizeof key_path, "%s/key", site->dir);
   g_file_set_contents (key_path, key, -1, NULL);
   if (status == 0)
@@ -466,6 +536,29 @@
     tst_load_wait_calls (&trial->load, 50, 1000);
 }
 
+static void
+withdraw_key (struct tst_trial *trial)
+{
+  withdraw_key_under (trial, NULL);
+}
+
+/* The withdrawal cannot reach domain 1 before the link is back; the key must
+   stop working there then. */
+static void
+withdraw_key_in_cut (struct tst_trial *trial)
+{
+  withdraw_key_under (trial, cut_domain);
+}
+
+/* The load goes on for long enough to use the key after the link is back. */
+static void
+end_withdraw_key_in_cut (struct tst_trial *trial)
+{
+  heal_links (trial);
+  while (tst_now_ms () < trial->load.healed_ms + 2500)
+    tst_load_wait_calls (&trial->load, 50, 1000);
+}
+
 static pid_t
 begin_publish (struct tst_trial *trial, uint32_t vm, const char *directory)
 {
@@ -609,6 +702,11 @@
   { "key-withdrawn", withdraw_key, NULL },
   { "queue-published", publish_queue, NULL },
   { "two-publish", two_publish, log_heal },
+  { "domain-cut", cut_domain, heal_links },
+  { "domain-cut-one-way", cut_domain_one_way, heal_links },
+  { "log-cut-from-domain", cut_log, heal_links },
+  { "peers-cut", cut_peers, heal_links },
+  { "key-withdrawn-in-cut", withdraw_key_in_cut, end_withdraw_key_in_cut },
   { NULL, NULL, NULL },
 };
 
--- a/tests/tst_load.c
+++ b/tests/tst_load.c
@@ -1,6 +1,7 @@
 #include "tst_load.h"
 
 #include <json-c/json.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -83,6 +84,7 @@
   record->refused_connection = answer.refused_connection;
   g_strlcpy (record->outcome, answer.status ? answer.outcome : "",
              sizeof record->outcome);
+  sscanf (answer.body, "request=%*s worker=%15s", record->worker);
   record->whole = is_own_answer (&answer, record->mark);
   free (answer.body);
   pthread_mutex_lock (&load->lock);
--- a/tests/tst_load.h
+++ b/tests/tst_load.h
@@ -24,6 +24,7 @@
 {
   char mark[48];
   char outcome[16];
+  char worker[16]; /**< that answered */
   long status;
   uint32_t vm;
   uint32_t attempt;
@@ -50,6 +51,10 @@
   bool lossy[TST_VMS]; /**< was killed or paused: calls may break */
   char second_key[96]; /**< used by one caller when set */
   uint64_t withdrawn_ms;
+  bool alone[TST_VMS];   /**< cut off from the other domain */
+  bool no_path[TST_VMS]; /**< to the log or to a fresh peer */
+  uint64_t cut_ms;       /**< start of the cut; 0: none */
+  uint64_t healed_ms;    /**< end of the cut */
 };
 
 /** Empty load without callers; tst_load_start does it as well. */
