--- a/tests/tst_fault.c
+++ b/tests/tst_fault.c
@@ -9,6 +9,8 @@
 /* Domain 0 holds VMs 0 and 1. Faults of gateways strike VM 0. */
 #define DOMAIN 0
 #define TAKEOVER_MS 8000
+/* Time until a gateway notices that a path is lost or back. */
+#define PATHS_MS 4000
 
 static void
 log_fault (struct tst_trial *trial, const char *json)
@@ -460,6 +462,7 @@
 {
   relay_fault (trial, "{\"cut\":true}");
   mark_cut (trial, true, true);
+  tst_site_wait_paths (&trial->site, false, false, PATHS_MS);
 }
 
 /* What domain 1 sends is lost; what is sent to it arrives. Domain 1 connects
@@ -472,6 +475,7 @@
   relay_fault (trial, "{\"group\":\"peers-back\",\"silent\":\"forward\"}");
   relay_fault (trial, "{\"group\":\"peers\",\"silent\":\"back\"}");
   mark_cut (trial, true, true);
+  tst_site_wait_paths (&trial->site, false, false, PATHS_MS);
 }
 
 static void
@@ -479,6 +483,7 @@
 {
   relay_fault (trial, "{\"group\":\"log\",\"cut\":true}");
   mark_cut (trial, false, false);
+  tst_site_wait_paths (&trial->site, false, true, PATHS_MS);
 }
 
 static void
@@ -487,6 +492,7 @@
   relay_fault (trial, "{\"group\":\"peers\",\"cut\":true}");
   relay_fault (trial, "{\"group\":\"peers-back\",\"cut\":true}");
   mark_cut (trial, true, false);
+  tst_site_wait_paths (&trial->site, true, false, PATHS_MS);
 }
 
 static void
@@ -496,6 +502,7 @@
   trial->load.healed_ms = tst_now_ms ();
   pthread_mutex_unlock (&trial->load.lock);
   relay_fault (trial, "{\"cut\":false,\"silent\":\"none\"}");
+  tst_site_wait_paths (&trial->site, true, true, PATHS_MS);
 }
 
 /* A second key is in use and is withdrawn, after @p cut if there is one;
--- a/tests/tst_site.h
+++ b/tests/tst_site.h
@@ -94,6 +94,11 @@
                           uint64_t timeout_ms);
 /** Waits until every gateway that should run answers both services. */
 bool tst_site_wait_serving (struct tst_site *site, uint64_t timeout_ms);
+/** Waits until all gateways of domain 1 that should run report the log as
+ * reachable or not (@p log) and hold links to all gateways of the other domain
+ * or to none (@p peers). */
+bool tst_site_wait_paths (struct tst_site *site, bool log, bool peers,
+                          uint64_t timeout_ms);
 /** Submits a job of the queue and waits for its end; the last state. */
 void tst_site_job (struct tst_site *site, const char *queue, char state[32],
                    uint64_t timeout_ms);
--- a/tests/tst_site_ask.c
+++ b/tests/tst_site_ask.c
@@ -297,6 +297,90 @@
   return true;
 }
 
+/* Links of a gateway's status to gateways of the other domain that should
+   run; @p wanted: their number. */
+static uint32_t
+count_links (const struct tst_site *site, uint32_t vm,
+             struct json_object *status, uint32_t *wanted)
+{
+  struct json_object *rows = json_object_object_get (status, "peers");
+  uint32_t links = 0;
+
+  *wanted = 0;
+  for (uint32_t i = 0; i < TST_VMS; i++)
+    {
+      if (tst_site_domain (i) == tst_site_domain (vm)
+          || !site->vms[i].alive[TST_GATEWAY])
+        continue;
+      (*wanted)++;
+      for (size_t r = 0; rows != NULL && r < json_object_array_length (rows);
+           r++)
+        {
+          struct json_object *row = json_object_array_get_idx (rows, r);
+          const char *name
+              = json_object_get_string (json_object_object_get (row, "vm"));
+          const char *role
+              = json_object_get_string (json_object_object_get (row, "role"));
+
+          links += name != NULL && role != NULL
+                   && strcmp (name, site->vms[i].name) == 0
+                   && strcmp (role, "gateway") == 0
+                   && json_object_get_boolean (
+                       json_object_object_get (row, "linked"));
+        }
+    }
+  return links;
+}
+
+static bool
+has_paths (const struct tst_site *site, uint32_t vm, bool log, bool peers)
+{
+  char url[80];
+  struct tst_answer answer;
+  struct json_object *status;
+  uint32_t wanted;
+  uint32_t links;
+  bool reaches_log;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/status",
+            site->vms[vm].ports[0]);
+  tst_http (&(struct tst_call){ .url = url }, &answer);
+  status = answer.status == 200 ? json_tokener_parse (answer.body) : NULL;
+  free (answer.body);
+  if (status == NULL)
+    return false;
+  links = count_links (site, vm, status, &wanted);
+  reaches_log = json_object_get_boolean (
+      json_object_object_get (status, "log_reachable"));
+  json_object_put (status);
+  return reaches_log == log && links == (peers ? wanted : 0);
+}
+
+bool
+tst_site_wait_paths (struct tst_site *site, bool log, bool peers,
+                     uint64_t timeout_ms)
+{
+  uint64_t deadline_ms = tst_now_ms () + timeout_ms;
+
+  for (uint32_t vm = 0; vm < TST_VMS; vm++)
+    while (tst_site_domain (vm) == 1 && site->vms[vm].alive[TST_GATEWAY]
+           && !has_paths (site, vm, log, peers))
+      {
+        if (tst_now_ms () > deadline_ms)
+          {
+            tst_violation (
+                site,
+                "%s does not show the log as %s and its peers as %s within "
+                "%" G_GUINT64_FORMAT " ms",
+                site->vms[vm].name, log ? "reached" : "lost",
+                peers ? "linked" : "lost", timeout_ms);
+            return false;
+          }
+        tst_step ();
+      }
+  return true;
+}
+
 /* Copies the string member @p key of the object in @p body. */
 static void
 member (const char *body, const char *key, char *out, size_t room)
