--- a/tests/test_process_check.c
+++ b/tests/test_process_check.c
@@ -9,6 +9,7 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -159,6 +160,122 @@
     check_one (&cases[i]);
 }
 
+/* A cut from 10,000 to 20,000 ms; the second key is withdrawn at 12,000. */
+struct cut_case
+{
+  const char *name;
+  struct tst_record extra; /* of VM 3 unless it says otherwise */
+  const char *expected;    /* part of the one violation; NULL: none */
+  enum
+  {
+    KEEP_ALL,
+    NO_ALONE,   /* VM 3 answered nothing during the cut */
+    NO_SECOND,  /* VM 3 never accepted the second key */
+    NO_REFUSAL, /* VM 3 did not refuse it after the cut */
+  } leave_out;
+  bool has_path;
+};
+
+#define DURING .start_ms = 15000, .end_ms = 15100
+#define NOT_RUN .mark = "r", .outcome = "not-run"
+
+static const struct cut_case cut_cases[] = {
+  { "all as it must be", { ANSWERED, DURING, .vm = 3, .worker = "w5" }, NULL },
+  { "refusal of a repeatable request",
+    { NOT_RUN, DURING, .vm = 3, .status = 503 },
+    "did not answer" },
+  { "refusal of a once-only request",
+    { NOT_RUN, DURING, .vm = 3, .status = 503, .once = true },
+    NULL },
+  { "refusal before the cut is noticed",
+    { NOT_RUN, .start_ms = 10100, .end_ms = 10200, .vm = 3, .status = 503 },
+    NULL },
+  { "answer from the other domain",
+    { ANSWERED, DURING, .vm = 3, .worker = "w1" },
+    "from worker w1" },
+  { "answer of no worker", { ANSWERED, DURING, .vm = 3 }, "from worker" },
+  { "withdrawn key without a path",
+    { ANSWERED, .start_ms = 19000, .vm = 3, .second_key = true },
+    NULL },
+  { "withdrawn key after the cut",
+    { ANSWERED, .start_ms = 22000, .vm = 3, .second_key = true },
+    "withdrawn key was accepted by v3" },
+  { "withdrawn key with a path",
+    { ANSWERED, .start_ms = 19000, .vm = 3, .second_key = true },
+    "withdrawn key was accepted by v3",
+    KEEP_ALL,
+    true },
+  { "nothing answered", { ANSWERED }, "v3 answered nothing", NO_ALONE },
+  { "second key never accepted",
+    { ANSWERED },
+    "v3 never accepted",
+    NO_SECOND },
+  { "withdrawn key not refused",
+    { ANSWERED },
+    "v3 did not refuse",
+    NO_REFUSAL },
+};
+
+/* What a gateway says that behaves under a cut. */
+static void
+add_good_calls (struct tst_load *load, uint32_t vm, int leave_out)
+{
+  struct tst_record alone = { ANSWERED, DURING, .vm = vm };
+  struct tst_record second
+      = { ANSWERED, .start_ms = 11000, .vm = vm, .second_key = true };
+  struct tst_record refusal = { NOT_RUN, .start_ms = 22000, .vm = vm,
+                                .status = 401, .second_key = true };
+
+  g_strlcpy (alone.worker, tst_site_domain (vm) == 0 ? "w1" : "w5",
+             sizeof alone.worker);
+  if (leave_out != NO_ALONE)
+    g_array_append_val (load->records, alone);
+  if (leave_out != NO_SECOND)
+    g_array_append_val (load->records, second);
+  if (leave_out != NO_REFUSAL)
+    g_array_append_val (load->records, refusal);
+}
+
+static void
+check_one_cut (const struct cut_case *row)
+{
+  struct tst_site *site = calloc (1, sizeof *site);
+  struct tst_load load;
+  char journal[] = REQUEST ("m");
+
+  site->name = row->name;
+  tst_load_setup (&load, site);
+  load.cut_ms = 10000;
+  load.withdrawn_ms = 12000;
+  load.healed_ms = 20000;
+  for (uint32_t vm = 0; vm < TST_VMS; vm++)
+    {
+      snprintf (site->vms[vm].name, sizeof site->vms[vm].name, "v%u", vm);
+      load.alone[vm] = true;
+      load.no_path[vm] = tst_site_domain (vm) == 1 && !row->has_path;
+      add_good_calls (&load, vm, vm == 3 ? row->leave_out : KEEP_ALL);
+    }
+  g_array_append_vals (load.records, &row->extra, 1);
+  tst_check (&load, journal);
+  if (row->expected == NULL)
+    assert_int_equal (site->violation_count, 0);
+  else
+    {
+      assert_int_equal (site->violation_count, 1);
+      assert_non_null (strstr (site->violations[0], row->expected));
+    }
+  tst_load_release (&load);
+  free (site);
+}
+
+static void
+each_breach_under_a_cut_is_reported (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof cut_cases / sizeof cut_cases[0]; i++)
+    check_one_cut (&cut_cases[i]);
+}
+
 static void
 run_without_answers_is_reported (void **state)
 {
@@ -180,6 +297,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (each_breach_is_reported),
+    cmocka_unit_test (each_breach_under_a_cut_is_reported),
     cmocka_unit_test (run_without_answers_is_reported),
   };
 
