--- a/tests/test_process_check.c
+++ b/tests/test_process_check.c
@@ -218,7 +218,7 @@
 
 /* What a gateway says that behaves under a cut. */
 static void
-add_good_calls (struct tst_load *load, uint32_t vm, int leave_out)
+add_good_calls (struct tst_load *load, uint32_t vm, uint32_t leave_out)
 {
   struct tst_record alone = { ANSWERED, DURING, .vm = vm };
   struct tst_record second
--- a/tests/tst_check.c
+++ b/tests/tst_check.c
@@ -11,8 +11,8 @@
 /* Within this time of the settings, a peer that is cut off is dead and its
    targets are no longer used (peer_dead_ms is 1,000). */
 #define SETTLED_MS 1300
-/* A withdrawal reaches a process whose link is back with the first contact:
-   longest wait between two attempts to reach the log or a peer. */
+/* A follower of the log waits at most 1 s between two reads that failed; the
+   rest is for the read itself on a busy machine. */
 #define AT_ONCE_MS 1500
 
 struct run
