Emit the events of the operations page that no code emitted

Six events stood in the table and on the page and were never written: worker_back, worker_ejected, claim_extended, task_started and target_suspect are now logged on a change, settings_invalid is gone because findings go to standard error.

--- a/bench/bench_route.c
+++ b/bench/bench_route.c
@@ -25,6 +25,7 @@
 #define RUN_US UINT64_C (5000000)
 #define TICK_US 1000
 #define DEADLINE_US 500000
+#define ALL_SLOTS ((size_t)TARGETS * SLOTS)
 #define MAX_REQUESTS 2000000
 #define TEAMS 2
 #define SMALL_TEAM_SHARE 0.1
@@ -293,7 +294,7 @@
   uint32_t next = 0;
   uint64_t start_ns;
 
-  run.ends.events = calloc (TARGETS * SLOTS + 1, sizeof *run.ends.events);
+  run.ends.events = calloc (ALL_SLOTS + 1, sizeof *run.ends.events);
   if (run.ends.events == NULL
       || !cyc_rt_setup (&run.route, &(struct cyc_rt_desc){ .seed = SEED },
                         &found))
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -196,6 +196,7 @@
   uint64_t config_seen;
   uint64_t targets_epoch;
   struct cyc_ref demand_peer;
+  uint32_t told_suspect;   /**< suspect and ejected targets, newest event */
   uint64_t demand_us;      /**< sending of the oldest unanswered demand */
   uint64_t demand_last_us; /**< sending of the newest one */
   bool seat_conflict;
--- a/src/gateway_peer.c
+++ b/src/gateway_peer.c
@@ -514,6 +514,25 @@
   send_demand (gw, owner, now_us);
 }
 
+static void
+report_suspects (struct gw_state *gw, uint64_t now_us)
+{
+  uint32_t cursor = 0;
+  uint32_t suspect = 0;
+  uint32_t ejected = 0;
+  struct cyc_rt_view view;
+
+  while (cyc_rt_worker_next (&gw->route, &cursor, now_us, &view))
+    {
+      suspect += view.health == CYC_RT_SUSPECT;
+      ejected += view.health == CYC_RT_EJECTED;
+    }
+  if (suspect + ejected != gw->told_suspect)
+    ev_log (EV_TARGET_SUSPECT, "suspect=%" PRIu32 " ejected=%" PRIu32, suspect,
+            ejected);
+  gw->told_suspect = suspect + ejected;
+}
+
 /* Two gateways with one seat would use the same base part twice. The one with
    the greater incarnation gives its part up; both can tell which. */
 static void
@@ -565,6 +584,7 @@
 gw_peer_second (struct gw_state *gw)
 {
   check_seats (gw);
+  report_suspects (gw, hc_now_us ());
   if (!cyc_led_complete (ctl_ledger (&gw->control))
       && !ctl_log_reachable (&gw->control))
     ask_snapshot (gw);
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -25,7 +25,6 @@
   X (EV_READY, MESSAGE, "ready")                                              \
   X (EV_DRAINING, MESSAGE, "draining")                                        \
   X (EV_STOPPED, MESSAGE, "stopped")                                          \
-  X (EV_SETTINGS_INVALID, CRITICAL, "settings_invalid")                       \
   X (EV_SETUP_FAILED, CRITICAL, "setup_failed")                               \
   X (EV_LOG_UNREACHABLE, WARNING, "log_unreachable")                          \
   X (EV_LOG_REACHABLE, MESSAGE, "log_reachable")                              \
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -101,6 +101,7 @@
   uint64_t tried_epoch;  /**< a heartbeat with it was answered or failed */
   bool in_core;
   bool told_leaving;
+  bool told_silent;
   uint32_t extra_count; /**< ended tasks to ack that have no row */
   char extra[SC_MAX_EXTRA][WC_TASK_BYTES];
 };
@@ -269,9 +270,11 @@
   bool claim_dirty;
   uint64_t claim_token; /**< of the append that is open */
   bool stock_reported;
-  uint64_t counts_us; /**< next count of the workers' answers */
-  bool stock_used;    /**< the first starts of this epoch were allowed */
-  bool acting;        /**< starts are allowed in this tick */
+  uint64_t counts_us;    /**< next count of the workers' answers */
+  bool stock_used;       /**< the first starts of this epoch were allowed */
+  bool acting;           /**< starts are allowed in this tick */
+  bool told_extended;    /**< held through the workers, without the log */
+  uint32_t told_ejected; /**< workers, in the newest event */
 
   struct cyc_members members;
   uint64_t list_due_us;
--- a/src/scheduler_claim.c
+++ b/src/scheduler_claim.c
@@ -176,6 +176,21 @@
           (sc->now_us - sc->claimed_us) / SC_US_PER_MS);
 }
 
+/* The owner acts although its last renewal has lapsed. */
+static void
+report_extension (struct sc_scheduler *sc)
+{
+  bool extended
+      = sc->acting
+        && sc->now_us > sc->claim.renewed_us
+                            + sc->settings.claim_lease_ms * SC_US_PER_MS;
+
+  if (extended && !sc->told_extended)
+    ev_log (EV_CLAIM_EXTENDED, "epoch=%" PRIu64 " since_renewal_ms=%" PRIu64,
+            sc->epoch, (sc->now_us - sc->claim.renewed_us) / SC_US_PER_MS);
+  sc->told_extended = extended;
+}
+
 static void
 update_acting (struct sc_scheduler *sc)
 {
@@ -195,6 +210,7 @@
   if (acting != sc->acting && sc->epoch != 0)
     cyc_core_allow_starts (&sc->core, acting);
   sc->acting = acting;
+  report_extension (sc);
 }
 
 void
--- a/src/scheduler_limits.c
+++ b/src/scheduler_limits.c
@@ -184,6 +184,10 @@
       = totals.capacity_millicores > totals.used_millicores
             ? totals.capacity_millicores - totals.used_millicores
             : 0;
+  if (totals.ejected != sc->told_ejected)
+    ev_log (EV_WORKER_EJECTED, "ejected=%" PRIu32 " before=%" PRIu32,
+            totals.ejected, sc->told_ejected);
+  sc->told_ejected = totals.ejected;
   aggregate.n_teams = count;
   aggregate.teams = rows;
   message.body_case = CYC__PEER__BODY_AGGREGATE;
--- a/src/scheduler_tasks.c
+++ b/src/scheduler_tasks.c
@@ -312,6 +312,9 @@
     {
     case WC_OK:
       task->state = SC_TASK_RUNNING;
+      ev_log (EV_TASK_STARTED, "worker=%s queue=%s index=%" PRIu32,
+              sc->workers[task->worker].name.data, task->queue.data,
+              task->index);
       met_add (&sc->met, MET_TASK_STARTS, 1);
       met_observe (&sc->met, MET_TASK_WAIT_US, sc->now_us - task->begun_us);
       cyc_core_task_report (&sc->core, &task->job, task->index,
--- a/src/scheduler_workers.c
+++ b/src/scheduler_workers.c
@@ -151,6 +151,12 @@
       ev_log (EV_WORKER_SILENT, "worker=%s dead=%d tasks=%" PRIu32,
               row->vm.name.data, row->health == CYC_MEM_DEAD,
               worker->task_count);
+      worker->told_silent = true;
+    }
+  else if (row->health == CYC_MEM_ALIVE && worker->told_silent)
+    {
+      ev_log (EV_WORKER_BACK, "worker=%s", row->vm.name.data);
+      worker->told_silent = false;
     }
   tell_leaving (sc, worker, row);
 }
