--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -134,6 +134,16 @@
   assert_true (pl_peer_add (&node->links, &peer));
 }
 
+/* Two linked nodes, vm-a and vm-b. */
+static void
+pair_start (struct node *a, struct node *b, struct ev_loop *loop)
+{
+  node_start (a, loop, "vm-a");
+  node_start (b, loop, "vm-b");
+  know (a, b, "vm-b");
+  know (b, a, "vm-a");
+}
+
 /* Runs the loop until *value reaches at_least or the limit passes. */
 static bool
 run_until (struct ev_loop *loop, const uint32_t *value, uint32_t at_least)
@@ -167,10 +177,7 @@
   struct node b;
 
   (void)state;
-  node_start (&a, loop, "vm-a");
-  node_start (&b, loop, "vm-b");
-  know (&a, &b, "vm-b");
-  know (&b, &a, "vm-a");
+  pair_start (&a, &b, loop);
   assert_true (run_until (loop, &a.ups, 1));
   assert_true (run_until (loop, &b.ups, 1));
   assert_true (send_forward (&a, "vm-b", 7));
@@ -245,10 +252,7 @@
   struct node b;
 
   (void)state;
-  node_start (&a, loop, "vm-a");
-  node_start (&b, loop, "vm-b");
-  know (&a, &b, "vm-b");
-  know (&b, &a, "vm-a");
+  pair_start (&a, &b, loop);
   assert_true (run_until (loop, &b.ups, 1));
   for (size_t i = 0; i < sizeof bytes_cases / sizeof bytes_cases[0]; i++)
     {
@@ -280,9 +284,7 @@
   struct node b;
 
   (void)state;
-  node_start (&a, loop, "vm-a");
-  node_start (&b, loop, "vm-b");
-  know (&a, &b, "vm-b");
+  pair_start (&a, &b, loop);
   assert_true (run_until (loop, &a.ups, 1));
   ev_timer_stop (loop, &b.timer);
   assert_true (run_until (loop, &a.downs, 1));
