Refuse settings with text after the JSON value

Cause: the settings had a parser call of their own that ignored everything after the first value, so 'check' passed a file that was pasted together; the configuration items had the strict one. Both now use cyc_json_parse. Before: the case with trailing text was valid; after: 12 cases of test_settings pass, and test_decode passes.

--- a/src/cyc_config.c
+++ b/src/cyc_config.c
@@ -1,3 +1,5 @@
+#include "cyc_json.h"
+
 #include <cyclamendrum/config.h>
 #include <cyclamendrum/jobs.h>
 
@@ -228,90 +230,6 @@
   return true;
 }
 
-/* End of the comment that begins at @p from, or @p from when there is none. */
-static size_t
-skip_comment (struct cyc_str text, size_t from)
-{
-  const char *end;
-
-  if (from + 1 >= text.len || text.data[from] != '/')
-    return from;
-  if (text.data[from + 1] == '/')
-    {
-      end = memchr (text.data + from, '\n', text.len - from);
-      return end == NULL ? text.len : (size_t)(end - text.data);
-    }
-  if (text.data[from + 1] != '*')
-    return from;
-  for (size_t i = from + 2; i + 1 < text.len; i++)
-    if (text.data[i] == '*' && text.data[i + 1] == '/')
-      return i + 2;
-  return from;
-}
-
-static bool
-is_blank (char c)
-{
-  return c == ' ' || c == '\t' || c == '\r' || c == '\n';
-}
-
-static bool
-only_blank (struct cyc_str text, size_t from)
-{
-  while (from < text.len)
-    {
-      size_t next = skip_comment (text, from);
-
-      if (next == from && !is_blank (text.data[from]))
-        return false;
-      from = next == from ? from + 1 : next;
-    }
-  return true;
-}
-
-static struct json_object *
-parse_text (const struct reader *reader, struct cyc_str body)
-{
-  struct json_tokener *tokener;
-  struct json_object *root = NULL;
-  enum json_tokener_error error;
-  size_t end;
-
-  if (body.len == 0 || body.len > INT_MAX)
-    {
-      add_defect (reader, "$", "is empty or too long");
-      return NULL;
-    }
-  tokener = json_tokener_new ();
-  if (tokener == NULL)
-    {
-      add_defect (reader, "$", "no memory");
-      return NULL;
-    }
-  json_tokener_set_flags (tokener, JSON_TOKENER_VALIDATE_UTF8);
-  root = json_tokener_parse_ex (tokener, body.data, (int)body.len);
-  error = json_tokener_get_error (tokener);
-  end = json_tokener_get_parse_end (tokener);
-  if (error == json_tokener_continue)
-    {
-      /* A line comment at the end of the file may lack its newline. */
-      root = json_tokener_parse_ex (tokener, "\n", 1);
-      error = json_tokener_get_error (tokener);
-      end = body.len;
-    }
-  if (error == json_tokener_continue)
-    add_defect (reader, "$", "not JSON (ends too early)");
-  else if (error != json_tokener_success)
-    add_defect (reader, "$", "not JSON (at byte %zu: %s)", end,
-                json_tokener_error_desc (error));
-  else if (!only_blank (body, end))
-    add_defect (reader, "$", "text after the end of the JSON value");
-  json_tokener_free (tokener);
-  if (root == NULL && error == json_tokener_success)
-    add_defect (reader, "$", "must be an object");
-  return root;
-}
-
 #define SIZE_MEMBERS(at)                                                      \
   { "millicores",                                                             \
     MEMBER_U32,                                                               \
@@ -509,7 +427,7 @@
 {
   struct reader reader = { place, findings };
   uint32_t before = findings->count + findings->dropped;
-  struct json_object *root = parse_text (&reader, body);
+  struct json_object *root = cyc_json_parse (body, place, findings);
 
   memset (out, 0, sizeof *out);
   if (root != NULL)
@@ -524,7 +442,7 @@
 {
   struct reader reader = { place, findings };
   uint32_t before = findings->count + findings->dropped;
-  struct json_object *root = parse_text (&reader, body);
+  struct json_object *root = cyc_json_parse (body, place, findings);
 
   memset (out, 0, sizeof *out);
   if (root != NULL)
@@ -554,7 +472,7 @@
 {
   struct reader reader = { place, findings };
   uint32_t before = findings->count + findings->dropped;
-  struct json_object *root = parse_text (&reader, body);
+  struct json_object *root = cyc_json_parse (body, place, findings);
   struct json_object *objective = NULL;
 
   memset (out, 0, sizeof *out);
--- a/src/settings.c
+++ b/src/settings.c
@@ -1,5 +1,7 @@
 #include "settings.h"
 
+#include "cyc_json.h"
+
 #include <arpa/inet.h>
 #include <glib.h>
 #include <json-c/json.h>
@@ -396,21 +398,16 @@
 set_parse (struct cyc_str text, struct cyc_str place, struct set_settings *out,
            struct cyc_findings *findings)
 {
-  struct json_tokener *tokener = json_tokener_new ();
-  struct json_object *root;
   bool seen[FIELD_COUNT] = { false };
   uint32_t before = findings->count;
+  struct json_object *root = cyc_json_parse (text, place, findings);
 
   apply_defaults (out);
-  root = json_tokener_parse_ex (tokener, text.data, (int)text.len);
   if (root == NULL || !json_object_is_type (root, json_type_object))
     {
-      cyc_findings_add (
-          findings, place, "not a JSON object (at byte %zu: %s)",
-          json_tokener_get_parse_end (tokener),
-          json_tokener_error_desc (json_tokener_get_error (tokener)));
+      if (findings->count == before)
+        cyc_findings_add (findings, place, "must be an object");
       json_object_put (root);
-      json_tokener_free (tokener);
       return false;
     }
   read_object (root, "", place, out, seen, findings);
@@ -420,7 +417,6 @@
       cyc_findings_add (findings, place, "$.%s is missing", fields[i].path);
   check_order (out, place, findings);
   json_object_put (root);
-  json_tokener_free (tokener);
   return findings->count == before;
 }
 
--- /dev/null
+++ b/tests/test_settings.c
@@ -0,0 +1,75 @@
+/**
+ * @file
+ * Settings: every defect must be found at its place and all together; a value
+ * out of range, an unknown name or trailing text must not pass.
+ */
+#include "settings.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define HEAD                                                                  \
+  "{\"vm\":\"a-1\",\"domain\":\"a\",\"region\":\"r\",\"seat\":0,"             \
+  "\"gateway\":{\"http\":\"10.0.0.1:1\",\"peer\":\"10.0.0.1:2\"},"            \
+  "\"scheduler\":{\"http\":\"10.0.0.1:3\",\"peer\":\"10.0.0.1:4\"},"          \
+  "\"vm_list\":{\"url\":\"http://10.0.0.2:5\"},"                              \
+  "\"log\":{\"url\":\"http://10.0.0.2:6\"}"
+
+struct settings_case
+{
+  const char *text;
+  uint32_t findings;
+  const char *place; /* of the first finding */
+};
+
+static const struct settings_case cases[] = {
+  { HEAD "}", 0, NULL },
+  { HEAD "} // the end", 0, NULL },
+  { HEAD "} garbage", 1, "x: $" },
+  { HEAD, 1, "x: $" },
+  { "[]", 1, "x" },
+  { HEAD ",\"tick_ms\":0}", 1, "x: $.tick_ms" },
+  { HEAD ",\"tick_ms\":\"5\"}", 1, "x: $.tick_ms" },
+  { HEAD ",\"tock_ms\":5}", 1, "x: $.tock_ms" },
+  { HEAD ",\"keys\":{\"on_stale\":{\"once\":\"maybe\"}}}", 1,
+    "x: $.keys.on_stale.once" },
+  { HEAD ",\"keys\":{\"stale_ms\":5000,\"stale_max_ms\":400}}", 1, "x" },
+  { HEAD ",\"peers\":[{\"vm\":\"b-1\"}]}", 4, "x: $.peers[0]" },
+  { HEAD ",\"tick_ms\":0,\"drain_ms\":1,\"tock\":1}", 3, "x: $.tick_ms" },
+};
+
+static void
+defects_are_found_at_their_place (void **state)
+{
+  static struct set_settings settings;
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct cyc_findings found = { 0 };
+      bool valid = set_parse (cyc_str_of (cases[i].text), CYC_STR ("x"),
+                              &settings, &found);
+
+      print_message ("case %zu: %s\n", i,
+                     found.count > 0 ? found.rows[0].text : "valid");
+      assert_int_equal (found.count, cases[i].findings);
+      assert_int_equal (valid, cases[i].findings == 0);
+      if (cases[i].place != NULL)
+        assert_string_equal (found.rows[0].place, cases[i].place);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (defects_are_found_at_their_place),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
