Write the trace line and find the worker in one place

Four inputs of the core repeated the same lookup and trace; the line on disk is the same. Measured: test_replay decides all recorded ticks alike, and the core tests pass.

--- a/src/cyc_core_worker.c
+++ b/src/cyc_core_worker.c
@@ -277,15 +277,23 @@
     }
 }
 
+/* Writes the trace line of an input about a worker and finds its row. */
+static uint32_t
+traced_worker (struct cyc_core_state *st, const char *input, uint64_t at_us,
+               struct cyc_str worker)
+{
+  core_trace (st, "%s %" PRIu64 " %.*s", input, at_us,
+              CYC_FMT (core_word (worker)));
+  return core_find_worker (st, worker);
+}
+
 enum cyc_core_status
 cyc_core_worker_seen (struct cyc_core *core, struct cyc_str worker,
                       uint64_t now_us)
 {
   struct cyc_core_state *st = core->state;
-  uint32_t row = core_find_worker (st, worker);
+  uint32_t row = traced_worker (st, "seen", now_us, worker);
 
-  core_trace (st, "seen %" PRIu64 " %.*s", now_us,
-              CYC_FMT (core_word (worker)));
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   st->now_us = now_us;
@@ -328,10 +336,8 @@
                         uint64_t now_us)
 {
   struct cyc_core_state *st = core->state;
-  uint32_t row = core_find_worker (st, worker);
+  uint32_t row = traced_worker (st, "silent", now_us, worker);
 
-  core_trace (st, "silent %" PRIu64 " %.*s", now_us,
-              CYC_FMT (core_word (worker)));
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   st->now_us = now_us;
@@ -350,11 +356,9 @@
                         uint64_t now_us)
 {
   struct cyc_core_state *st = core->state;
-  uint32_t row = core_find_worker (st, worker);
+  uint32_t row = traced_worker (st, "gone", now_us, worker);
   struct core_worker *gone;
 
-  core_trace (st, "gone %" PRIu64 " %.*s", now_us,
-              CYC_FMT (core_word (worker)));
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   gone = &st->workers[row];
@@ -385,10 +389,8 @@
                           uint64_t until_us)
 {
   struct cyc_core_state *st = core->state;
-  uint32_t row = core_find_worker (st, worker);
+  uint32_t row = traced_worker (st, "unfenced", until_us, worker);
 
-  core_trace (st, "unfenced %" PRIu64 " %.*s", until_us,
-              CYC_FMT (core_word (worker)));
   if (row == CORE_NONE)
     return CYC_CORE_UNKNOWN;
   if (st->workers[row].unfenced_until_us == 0)
