--- a/src/cyc_core_internal.h
+++ b/src/cyc_core_internal.h
@@ -502,7 +502,6 @@
 void core_sys_expiry (struct cyc_core_state *st);
 void core_sys_services (struct cyc_core_state *st);
 void core_sys_cancel (struct cyc_core_state *st, uint32_t budget);
-void core_sys_usage (struct cyc_core_state *st);
 void core_sys_health (struct cyc_core_state *st);
 void core_sys_shares (struct cyc_core_state *st);
 void core_sys_drains (struct cyc_core_state *st);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -51,6 +51,5 @@
 void gw_shutdown (struct gw_gateway *gw);
 /** True when work that needs configuration is served. */
 bool gw_ready (const struct gw_gateway *gw);
-const struct met_set *gw_metrics (const struct gw_gateway *gw);
 
 #endif
--- a/src/gateway_run.c
+++ b/src/gateway_run.c
@@ -514,9 +514,3 @@
 {
   return gw_is_ready (gateway->state) && !gateway->state->draining;
 }
-
-const struct met_set *
-gw_metrics (const struct gw_gateway *gateway)
-{
-  return &gateway->state->met;
-}
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -395,15 +395,3 @@
     }
   return true;
 }
-
-uint32_t
-hs_open_count (const struct hs_server *hs)
-{
-  uint32_t count = 0;
-
-  for (uint32_t i = 0; i < hs->pool.high; i++)
-    if (cyc_pool_used_at (&hs->pool, i) && hs->calls[i].whole
-        && !hs->calls[i].answered)
-      count++;
-  return count;
-}
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -92,8 +92,6 @@
 /** False when the call is gone; the reply is then dropped. */
 bool hs_reply (struct hs_server *hs, struct cyc_ref ref,
                const struct hs_reply *reply);
-/** Calls that were not answered yet. */
-uint32_t hs_open_count (const struct hs_server *hs);
 /** Value of a request header, empty when absent; only in the handler. */
 struct cyc_str hs_header (const struct hs_call *call, const char *name);
 /** Value of a query argument, empty when absent; only in the handler. */
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -96,25 +96,6 @@
   met->hists[hist][bucket]++;
 }
 
-uint64_t
-met_quantile (const struct met_set *met, enum met_hist hist, uint32_t permille)
-{
-  uint64_t total = 0;
-  uint64_t seen = 0;
-
-  for (uint32_t i = 0; i < MET_BUCKETS; i++)
-    total += met->hists[hist][i];
-  if (total == 0)
-    return 0;
-  for (uint32_t i = 0; i < MET_BUCKETS; i++)
-    {
-      seen += met->hists[hist][i];
-      if (seen * 1000 >= total * permille)
-        return UINT64_C (1) << i;
-    }
-  return UINT64_C (1) << (MET_BUCKETS - 1);
-}
-
 static void
 write_rows (const struct met_set *met, FILE *out)
 {
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -119,9 +119,6 @@
 void met_add_label (struct met_set *met, enum met_label_counter counter,
                     struct cyc_str label, uint64_t amount);
 void met_observe (struct met_set *met, enum met_hist hist, uint64_t us);
-/** Upper bound of the bucket that holds the quantile; 0 when empty. */
-uint64_t met_quantile (const struct met_set *met, enum met_hist hist,
-                       uint32_t permille);
 /** Text, one "name value" or "name{label} value" a line. The caller releases
  * the result's data with free(). */
 struct cyc_str met_text (const struct met_set *met);
