--- a/Makefile
+++ b/Makefile
@@ -9,14 +9,14 @@
 SANITIZE ?=
 PACKAGES := glib-2.0 json-c libprotobuf-c libmicrohttpd libcurl libsodium libxxhash
 WARN := -Wall -Wextra -Werror -Wshadow -Wmissing-prototypes -Wstrict-prototypes -Wno-missing-field-initializers
-CFLAGS = -std=gnu11 -D_GNU_SOURCE -g $(OPT) $(WARN) $(SANITIZE) -Iinclude -Isrc -Ifakes $(PKG_CFLAGS) -DCYC_VERSION='"$(VERSION)"'
+CFLAGS = -std=gnu11 -D_GNU_SOURCE -g $(OPT) $(WARN) $(SANITIZE) -Iinclude -Isrc -Iplatform -Ifakes $(PKG_CFLAGS) -DCYC_VERSION='"$(VERSION)"'
 LDLIBS = $(PKG_LIBS) -lev -largtable2 -lm
 PKG_CFLAGS = $(shell pkg-config --cflags $(PACKAGES))
 PKG_LIBS = $(shell pkg-config --libs $(PACKAGES))
 
 # Library sources are src/cyc_*.c and the generated record codec.
-LIB_SRC := $(sort $(wildcard src/cyc_*.c) src/record.pb-c.c)
-DAEMON_SRC := $(sort $(filter-out $(LIB_SRC) src/main.c,$(wildcard src/*.c)))
+LIB_SRC := $(sort $(wildcard src/cyc_*.c) src/record.pb-c.c src/cell.pb-c.c)
+DAEMON_SRC := $(sort $(filter-out $(LIB_SRC) src/main.c,$(wildcard src/*.c platform/*.c)))
 FAKE_COMMON := $(wildcard fakes/fk_*.c)
 FAKE_MAIN := $(wildcard fakes/fake_*.c)
 TEST_COMMON := $(wildcard tests/tst_*.c)
@@ -24,7 +24,7 @@
 BENCH_COMMON := $(wildcard bench/bn_*.c)
 BENCH_MAIN := $(sort $(wildcard bench/bench_*.c))
 EXAMPLE_MAIN := $(wildcard examples/*.c)
-HAND_WRITTEN := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard include/cyclamendrum/*.h src/*.[ch] fakes/*.[ch] tests/*.[ch] bench/*.[ch] examples/*.c))
+HAND_WRITTEN := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard include/cyclamendrum/*.h src/*.[ch] platform/*.[ch] fakes/*.[ch] tests/*.[ch] bench/*.[ch] examples/*.c))
 
 obj = $(patsubst %.c,$(BUILD)/obj/%.o,$(1))
 LIB := $(BUILD)/libcyclamendrum.a
@@ -35,9 +35,12 @@
 BENCHES := $(patsubst bench/%.c,$(BUILD)/%,$(BENCH_MAIN))
 EXAMPLES := $(patsubst examples/%.c,$(BUILD)/example-%,$(EXAMPLE_MAIN))
 
-.PHONY: all deps check test demo bench asan format format-check tidy proto install clean
+.PHONY: all programs deps check test demo bench asan format format-check tidy proto install clean
 all: $(LIB) $(BIN) $(FAKES) $(TESTS) $(BENCHES) $(EXAMPLES)
 
+# What a machine runs; builds without the libraries of the tests.
+programs: $(BIN)
+
 $(BUILD)/obj/%.o: %.c
 	@mkdir -p $(dir $@)
 	$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
@@ -81,9 +84,9 @@
 format-check:
 	@clang-format --dry-run -Werror $(HAND_WRITTEN)
 tidy:
-	@printf '%s\n' $(filter %.c,$(HAND_WRITTEN)) | xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- -std=gnu11 -D_GNU_SOURCE -Iinclude -Isrc -Ifakes $(PKG_CFLAGS) -DCYC_VERSION="\"x\"" 2>/dev/null || { echo "clang-tidy failed in: $$*"; exit 1; }' sh
+	@printf '%s\n' $(filter %.c,$(HAND_WRITTEN)) | xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- -std=gnu11 -D_GNU_SOURCE -Iinclude -Isrc -Iplatform -Ifakes $(PKG_CFLAGS) -DCYC_VERSION="\"x\"" 2>/dev/null || { echo "clang-tidy failed in: $$*"; exit 1; }' sh
 proto:
-	protoc-c --proto_path=proto --c_out=src proto/record.proto proto/peer.proto
+	protoc-c --proto_path=proto --c_out=src proto/record.proto proto/peer.proto proto/cell.proto
 install: $(LIB) $(BIN)
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig $(DESTDIR)$(PREFIX)/include/cyclamendrum
 	install -m 755 $(BIN) $(DESTDIR)$(PREFIX)/bin/
--- /dev/null
+++ b/src/cmd_entry.c
@@ -0,0 +1,170 @@
+#include "commands.h"
+#include "entry.h"
+#include "log_event.h"
+#include "pf.h"
+
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/** Names the settings file when no option does. */
+#define SETTINGS_VARIABLE "CYCLAMENDRUM_BOOT"
+
+struct run
+{
+  struct ev_loop *loop;
+  struct ent_settings settings;
+  struct cyc_str path;
+  struct pf_platform platform;
+  struct entry entry;
+};
+
+static void
+on_stop_signal (struct ev_loop *loop, struct ev_signal *signal, int events)
+{
+  struct run *run = signal->data;
+
+  (void)loop;
+  (void)events;
+  entry_stop (&run->entry);
+}
+
+static void
+on_reload_signal (struct ev_loop *loop, struct ev_signal *signal, int events)
+{
+  struct run *run = signal->data;
+  struct cyc_findings findings = { 0 };
+  struct ent_settings fresh;
+  bool valid = ent_settings_load (run->path, &fresh, &findings);
+
+  (void)loop;
+  (void)events;
+  ev_findings (EV_SETUP_FAILED, &findings);
+  if (valid)
+    {
+      run->settings.lease_ms = fresh.lease_ms;
+      run->settings.grace_ms = fresh.grace_ms;
+    }
+  ev_log (EV_RELOADED, "valid=%d worker_lease_ms=%u stop_grace_ms=%u", valid,
+          run->settings.lease_ms, run->settings.grace_ms);
+}
+
+static void
+on_stopped (void *user)
+{
+  struct run *run = user;
+
+  ev_break (run->loop, EVBREAK_ALL);
+}
+
+static void
+watch (struct run *run, struct ev_signal *watcher, int number,
+       void (*handler) (struct ev_loop *, struct ev_signal *, int))
+{
+  ev_signal_init (watcher, handler, number);
+  watcher->data = run;
+  ev_signal_start (run->loop, watcher);
+}
+
+static int
+run_entry (struct run *run)
+{
+  struct cyc_findings findings = { 0 };
+  struct ev_signal term;
+  struct ev_signal interrupt;
+  struct ev_signal hangup;
+  struct ev_sink sink;
+
+  ev_setup (&sink, &(struct ev_desc){
+                       .vm = run->settings.vm,
+                       .role = CYC_STR ("entry"),
+                       .lowest = run->settings.log_info
+                                     ? G_LOG_LEVEL_INFO
+                                     : G_LOG_LEVEL_MESSAGE,
+                   });
+  signal (SIGPIPE, SIG_IGN);
+  watch (run, &term, SIGTERM, on_stop_signal);
+  watch (run, &interrupt, SIGINT, on_stop_signal);
+  watch (run, &hangup, SIGHUP, on_reload_signal);
+  if (!pf_setup (&run->platform,
+                 &(struct pf_desc){ .loop = run->loop,
+                                    .settings = &run->settings,
+                                    .request = entry_request,
+                                    .gone = entry_gone,
+                                    .ready = entry_ready,
+                                    .metrics = entry_metrics,
+                                    .user = &run->entry },
+                 &findings)
+      || !entry_setup (&run->entry,
+                       &(struct entry_desc){ .loop = run->loop,
+                                             .settings = &run->settings,
+                                             .ports = &run->platform.ports,
+                                             .stopped = on_stopped,
+                                             .user = run },
+                       &findings))
+    {
+      ev_findings (EV_SETUP_FAILED, &findings);
+      return CMD_EXIT_FAILED;
+    }
+  ev_run (run->loop, 0);
+  entry_shutdown (&run->entry);
+  pf_shutdown (&run->platform);
+  return CMD_EXIT_DONE;
+}
+
+static int
+load_and_run (const char *path)
+{
+  struct run *run = calloc (1, sizeof *run);
+  struct cyc_findings findings = { 0 };
+  int status;
+
+  if (run == NULL)
+    return CMD_EXIT_FAILED;
+  run->loop = ev_default_loop (EVFLAG_AUTO);
+  run->path = cyc_str_of (path);
+  if (ent_settings_load (run->path, &run->settings, &findings))
+    status = run_entry (run);
+  else
+    {
+      cmd_print_findings (&findings);
+      status = CMD_EXIT_USAGE;
+    }
+  free (run);
+  return status;
+}
+
+int
+cmd_entry (int argc, char **argv)
+{
+  struct arg_lit *help = arg_lit0 (NULL, "help", "print this text");
+  struct arg_file *file = arg_file0 (
+      NULL, "settings", "FILE", "settings; else named by " SETTINGS_VARIABLE);
+  struct arg_end *end = arg_end (8);
+  void *table[] = { help, file, end };
+  const char *path = getenv (SETTINGS_VARIABLE);
+  int errors = arg_parse (argc, argv, table);
+  int status = CMD_EXIT_USAGE;
+
+  if (help->count > 0)
+    {
+      printf ("Usage: cyclamendrum entry");
+      arg_print_syntax (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-20s %s\n");
+      status = CMD_EXIT_DONE;
+    }
+  else if (errors > 0)
+    arg_print_errors (stderr, end, argv[0]);
+  else
+    {
+      if (file->count > 0)
+        path = file->filename[0];
+      if (path != NULL)
+        status = load_and_run (path);
+      else
+        fprintf (stderr, "cyclamendrum entry: no settings given\n");
+    }
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return status;
+}
--- a/src/commands.h
+++ b/src/commands.h
@@ -33,6 +33,7 @@
 int cmd_status (int argc, char **argv);
 int cmd_scheduler (int argc, char **argv);
 int cmd_gateway (int argc, char **argv);
+int cmd_entry (int argc, char **argv);
 
 /** Prints findings to standard error, one a line: "place: text". */
 void cmd_print_findings (const struct cyc_findings *findings);
--- /dev/null
+++ b/src/cyc_cell.c
@@ -0,0 +1,731 @@
+#include "cyc_cell_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define US_PER_MS 1000
+
+void
+cell_config_free (struct cell_config *config)
+{
+  if (config == NULL)
+    return;
+  for (uint32_t i = 0; i < config->team_count; i++)
+    free (config->teams[i].keys);
+  free (config->queues);
+  free (config->teams);
+  free (config->pools);
+  free (config);
+}
+
+const struct cell_queue_cfg *
+cell_config_route (const struct cell_config *config, struct cyc_str host,
+                   struct cyc_str path)
+{
+  const struct cell_queue_cfg *best = NULL;
+  size_t best_len = 0;
+
+  for (uint32_t i = 0; i < config->queue_count; i++)
+    {
+      const struct cell_queue_cfg *queue = &config->queues[i];
+      size_t len = strlen (queue->path_prefix);
+
+      if (len < best_len || (best != NULL && len == best_len)
+          || path.len < len || memcmp (path.data, queue->path_prefix, len) != 0
+          || !cyc_str_eq (cyc_name_str (&queue->host), host))
+        continue;
+      best = queue;
+      best_len = len;
+    }
+  return best;
+}
+
+const struct cell_team_cfg *
+cell_config_team_of_key (const struct cell_config *config, struct cyc_str key)
+{
+  for (uint32_t i = 0; i < config->team_count; i++)
+    for (uint32_t k = 0; k < config->teams[i].key_count; k++)
+      if (cyc_str_eq (cyc_name_str (&config->teams[i].keys[k]), key))
+        return &config->teams[i];
+  return NULL;
+}
+
+const struct cell_queue_cfg *
+cell_config_queue (const struct cell_config *config, struct cyc_str name)
+{
+  for (uint32_t i = 0; i < config->queue_count; i++)
+    if (cyc_str_eq (cyc_name_str (&config->queues[i].name), name))
+      return &config->queues[i];
+  return NULL;
+}
+
+bool
+cell_job_id_parse (struct cyc_str text, uint64_t *out)
+{
+  uint64_t id = 0;
+
+  if (text.len != 16)
+    return false;
+  for (size_t i = 0; i < text.len; i++)
+    {
+      int digit = g_ascii_xdigit_value (text.data[i]);
+
+      if (digit < 0)
+        return false;
+      id = id << 4 | (uint64_t)digit;
+    }
+  *out = id;
+  return true;
+}
+
+struct cell_core *
+cell_setup (const struct cell_desc *desc)
+{
+  struct cell_core *core = g_new0 (struct cell_core, 1);
+
+  core->desc = *desc;
+  core->workers = g_ptr_array_new_with_free_func (g_free);
+  core->worker_rows
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  core->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
+  core->teams
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  core->queue_good
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  core->racks = g_ptr_array_new_with_free_func (g_free);
+  core->waiting = g_ptr_array_new ();
+  core->timed = g_ptr_array_new ();
+  core->dirty = g_ptr_array_new ();
+  core->questions = g_ptr_array_new_with_free_func (g_free);
+  core->runs = g_ptr_array_new ();
+  core->run_generations = g_array_new (FALSE, TRUE, sizeof (uint32_t));
+  core->free_runs = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  core->shown_pending = g_ptr_array_new ();
+  core->records = g_ptr_array_new ();
+  g_queue_init (&core->recording);
+  g_queue_init (&core->orders);
+  core->batch = 1;
+  core->next_ask = 1;
+  core->next_us = UINT64_MAX;
+  return core;
+}
+
+static void
+free_job (gpointer key, gpointer value, gpointer user)
+{
+  struct cell_job *job = value;
+
+  (void)key;
+  (void)user;
+  for (uint32_t r = 0; r < job->round_count; r++)
+    {
+      for (size_t s = 0; s < job->spec->n_steps; s++)
+        cell_stage_release (&job->rounds[r].stages[s]);
+      g_free (job->rounds[r].stages);
+      g_free (job->rounds[r].tasks);
+    }
+  g_free (job->rounds);
+  cyc__cell_job__free_unpacked (job->spec, NULL);
+  g_free (job);
+}
+
+void
+cell_shutdown (struct cell_core *core)
+{
+  struct cell_record record;
+
+  if (core == NULL)
+    return;
+  while (cell_batch_next (core, &record))
+    free (record.data);
+  for (guint i = 0; i < core->runs->len; i++)
+    g_free (g_ptr_array_index (core->runs, i));
+  g_hash_table_foreach (core->jobs, free_job, NULL);
+  g_hash_table_destroy (core->jobs);
+  g_hash_table_destroy (core->teams);
+  g_hash_table_destroy (core->worker_rows);
+  g_hash_table_destroy (core->queue_good);
+  g_ptr_array_free (core->workers, TRUE);
+  g_ptr_array_free (core->racks, TRUE);
+  g_ptr_array_free (core->waiting, TRUE);
+  g_ptr_array_free (core->timed, TRUE);
+  g_ptr_array_free (core->dirty, TRUE);
+  g_ptr_array_free (core->questions, TRUE);
+  g_ptr_array_free (core->runs, TRUE);
+  g_ptr_array_free (core->shown_pending, TRUE);
+  g_ptr_array_free (core->records, TRUE);
+  g_array_free (core->run_generations, TRUE);
+  g_array_free (core->free_runs, TRUE);
+  g_queue_clear (&core->recording);
+  g_queue_clear_full (&core->orders, g_free);
+  g_free (core);
+}
+
+void
+cell_wake (struct cell_core *core, uint64_t at_us)
+{
+  if (at_us < core->next_us)
+    core->next_us = at_us;
+}
+
+uint64_t
+cell_next_us (const struct cell_core *core)
+{
+  return core->next_us;
+}
+
+void
+cell_touch (struct cell_core *core, struct cell_job *job)
+{
+  if (job->dirty)
+    return;
+  job->dirty = true;
+  g_ptr_array_add (core->dirty, job);
+}
+
+/* Configuration. */
+
+static void
+apply_team (struct cell_core *core, const struct cell_team_cfg *cfg)
+{
+  struct cell_team *team = cell_team_of (core, cyc_name_str (&cfg->name));
+
+  team->limit = cfg->limit;
+  team->weight = cfg->weight;
+  team->known = true;
+}
+
+static void
+apply_to_job (gpointer key, gpointer value, gpointer user)
+{
+  struct cell_core *core = user;
+  struct cell_job *job = value;
+  const struct cell_queue_cfg *queue
+      = cell_config_queue (core->config, cyc_name_str (&job->queue));
+
+  (void)key;
+  job->cfg_known = queue != NULL;
+  if (queue != NULL)
+    job->cfg = *queue;
+}
+
+void
+cell_config_set (struct cell_core *core, const struct cell_config *config)
+{
+  GHashTableIter iter;
+  gpointer team;
+
+  core->config = config;
+  g_hash_table_iter_init (&iter, core->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &team))
+    ((struct cell_team *)team)->known = false;
+  for (uint32_t i = 0; i < config->team_count; i++)
+    apply_team (core, &config->teams[i]);
+  g_hash_table_foreach (core->jobs, apply_to_job, core);
+  core->place_wanted = true;
+  cell_wake (core, 0);
+}
+
+struct cell_team *
+cell_team_of (struct cell_core *core, struct cyc_str name)
+{
+  char text[CYC_NAME_MAX_BYTES + 1];
+  struct cell_team *team;
+
+  snprintf (text, sizeof text, "%.*s", CYC_FMT (name));
+  team = g_hash_table_lookup (core->teams, text);
+  if (team != NULL)
+    return team;
+  team = g_new0 (struct cell_team, 1);
+  cyc_name_set (&team->name, cyc_str_of (text));
+  g_hash_table_insert (core->teams, g_strdup (text), team);
+  return team;
+}
+
+/* Workers. */
+
+struct cell_worker *
+cell_worker_at (const struct cell_core *core, uint32_t row)
+{
+  return g_ptr_array_index (core->workers, row);
+}
+
+uint32_t
+cell_worker_count (const struct cell_core *core)
+{
+  return core->workers->len;
+}
+
+uint32_t
+cell_worker_row (struct cell_core *core, struct cyc_str id)
+{
+  char text[CYC_NAME_MAX_BYTES + 1];
+  gpointer found;
+  struct cell_worker *worker;
+
+  snprintf (text, sizeof text, "%.*s", CYC_FMT (id));
+  if (g_hash_table_lookup_extended (core->worker_rows, text, NULL, &found))
+    return GPOINTER_TO_UINT (found);
+  worker = g_new0 (struct cell_worker, 1);
+  cyc_name_set (&worker->id, cyc_str_of (text));
+  worker->rack = CELL_NO_ROW;
+  g_ptr_array_add (core->workers, worker);
+  g_hash_table_insert (core->worker_rows, g_strdup (text),
+                       GUINT_TO_POINTER (core->workers->len - 1));
+  return core->workers->len - 1;
+}
+
+bool
+cell_worker_usable (const struct cell_core *core,
+                    const struct cell_worker *worker)
+{
+  return worker->listed && !worker->draining && worker->fenced
+         && worker->reachable && worker->bad_until_us <= core->now_us;
+}
+
+/* A new life holds nothing of what the earlier one ran. */
+static void
+worker_reborn (struct cell_core *core, struct cell_worker *worker,
+               uint64_t born_ms)
+{
+  worker->born_ms = born_ms;
+  worker->clock_ms = 0;
+  worker->lease_deadline_ms = 0;
+  worker->lease_until_us = core->now_us + (uint64_t)core->desc.lease_ms * 1000;
+  worker->seen_end = 0;
+  worker->ack = 0;
+  worker->ack_next = 0;
+  worker->ack_batch = 0;
+  worker->fenced = false;
+  worker->failures_in_row = 0;
+  worker->bad_until_us = 0;
+}
+
+/* Ends the confirmed runs of earlier lives. Starts without an answer may have
+   reached the new life; their stop settles that. */
+static void
+drop_earlier_lives (struct cell_core *core, struct cell_worker *worker,
+                    uint64_t sent_us)
+{
+  struct cell_run *next;
+
+  for (struct cell_run *run = worker->runs; run != NULL; run = next)
+    {
+      next = run->next;
+      if (run->worker_born_ms == worker->born_ms || run->worker_born_ms == 0
+          || run->state == CELL_RUN_RECORDING)
+        continue;
+      if (run->inherited
+          || (run->state == CELL_RUN_RUNNING && run->answered_us < sent_us))
+        cell_run_gone (core, run, CELL_END_LAPSED, CYC_STR (""));
+      else
+        cell_run_stop (core, run);
+    }
+}
+
+void
+cell_worker_listed (struct cell_core *core,
+                    const struct cell_worker_entry *entry, uint64_t now_us)
+{
+  struct cell_worker *worker = cell_worker_at (
+      core, cell_worker_row (core, cyc_name_str (&entry->id)));
+
+  core->now_us = now_us;
+  if (!worker->listed || worker->draining != entry->draining
+      || (entry->born_ms != 0 && worker->born_ms != entry->born_ms))
+    {
+      core->place_wanted = true;
+      cell_wake (core, now_us);
+    }
+  worker->listed = true;
+  worker->draining = entry->draining;
+  worker->pool = entry->pool;
+  worker->domain = entry->domain;
+  worker->address = entry->address;
+  worker->capacity = entry->capacity;
+  memcpy (worker->labels, entry->labels, sizeof worker->labels);
+  worker->label_count = entry->label_count;
+  if (entry->born_ms > worker->born_ms)
+    {
+      bool first = worker->born_ms == 0;
+
+      worker_reborn (core, worker, entry->born_ms);
+      if (!first)
+        drop_earlier_lives (core, worker, now_us);
+    }
+}
+
+void
+cell_worker_unlisted (struct cell_core *core, struct cyc_str id)
+{
+  struct cell_worker *worker
+      = cell_worker_at (core, cell_worker_row (core, id));
+
+  worker->listed = false;
+}
+
+void
+cell_worker_view (const struct cell_core *core, uint32_t row,
+                  struct cell_worker_view *out)
+{
+  const struct cell_worker *worker = cell_worker_at (core, row);
+
+  out->id = cyc_name_str (&worker->id);
+  out->address = cyc_name_str (&worker->address);
+  out->listed = worker->listed;
+  out->draining = worker->draining;
+  out->runs = worker->run_count;
+  out->fenced = worker->fenced;
+  out->seen_end = worker->seen_end;
+  out->lease_deadline_ms = worker->lease_deadline_ms;
+  out->ack = worker->ack;
+  out->clock_ms = worker->clock_ms;
+  out->clock_at_us = worker->clock_at_us;
+}
+
+void
+cell_worker_leased (struct cell_core *core, uint32_t row, uint64_t deadline_ms)
+{
+  struct cell_worker *worker = cell_worker_at (core, row);
+
+  if (deadline_ms > worker->lease_deadline_ms)
+    worker->lease_deadline_ms = deadline_ms;
+}
+
+void
+cell_worker_silent (struct cell_core *core, uint32_t row, uint64_t now_us)
+{
+  struct cell_worker *worker = cell_worker_at (core, row);
+
+  core->now_us = now_us;
+  worker->reachable = false;
+  cell_wake (core, now_us);
+}
+
+static void
+take_ends (struct cell_core *core, struct cell_worker *worker, uint32_t row,
+           const struct cell_report *report)
+{
+  for (uint32_t i = 0; i < report->end_count; i++)
+    {
+      const struct cell_end_row *end = &report->ends[i];
+      struct cell_job *job;
+      uint32_t round;
+      uint32_t task;
+      struct cell_run *run = NULL;
+
+      if (end->number <= worker->seen_end)
+        continue;
+      worker->seen_end = end->number;
+      if (!cell_task_parse (core, end->task, &job, &round, &task))
+        continue;
+      for (run = worker->runs; run != NULL; run = run->next)
+        if (run->job == job && run->round == round && run->task == task
+            && run->number == end->run)
+          break;
+      if (run != NULL && end->kind != CELL_END_DONE)
+        {
+          cell_run_gone (core, run, end->kind, end->checkpoint);
+          continue;
+        }
+      if (end->kind != CELL_END_DONE)
+        continue;
+      if (run != NULL)
+        {
+          worker->failures_in_row = 0;
+          cell_run_free (core, run);
+        }
+      cell_task_done (core, job, round, task);
+    }
+  (void)row;
+  if (worker->ack_batch == 0 && worker->seen_end > worker->ack)
+    {
+      worker->ack_next = worker->seen_end;
+      worker->ack_batch = core->batch;
+    }
+}
+
+static struct cell_run *
+find_running (struct cell_core *core, struct cell_worker *worker,
+              const struct cell_running_row *row)
+{
+  struct cell_job *job;
+  uint32_t round;
+  uint32_t task;
+
+  if (!cell_task_parse (core, row->task, &job, &round, &task))
+    return NULL;
+  for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    if (run->job == job && run->round == round && run->task == task
+        && run->number == row->run)
+      return run;
+  return NULL;
+}
+
+static void
+take_running (struct cell_core *core, struct cell_worker *worker,
+              const struct cell_report *report, GHashTable *seen)
+{
+  for (uint32_t i = 0; i < report->running_count; i++)
+    {
+      const struct cell_running_row *row = &report->running[i];
+      struct cell_run *run = find_running (core, worker, row);
+      struct cell_task *task;
+
+      if (run == NULL)
+        continue;
+      g_hash_table_add (seen, run);
+      run->percent = row->percent;
+      run->inherited = false;
+      run->worker_born_ms = worker->born_ms;
+      if (run->state == CELL_RUN_STARTING)
+        {
+          run->state = CELL_RUN_RUNNING;
+          run->answered_us = report->sent_us;
+          if (run->stopped_sent_us == 0 && !run->superseded
+              && cell_job_open (run->job))
+            run->stop = false;
+        }
+      task = &run->job->rounds[run->round].tasks[run->task];
+      if (task->run == run && row->checkpoint.len > 0
+          && row->checkpoint.len < sizeof task->checkpoint)
+        snprintf (task->checkpoint, sizeof task->checkpoint, "%.*s",
+                  CYC_FMT (row->checkpoint));
+    }
+}
+
+/* Runs that the worker neither runs nor lists as ended. */
+static void
+take_missing (struct cell_core *core, struct cell_worker *worker,
+              const struct cell_report *report, GHashTable *seen)
+{
+  struct cell_run *next;
+
+  for (struct cell_run *run = worker->runs; run != NULL; run = next)
+    {
+      bool gone;
+
+      next = run->next;
+      if (g_hash_table_contains (seen, run) || report->more_ends)
+        continue;
+      if (run->inherited)
+        gone = true;
+      else if (run->state == CELL_RUN_RUNNING)
+        gone = report->sent_us > run->answered_us;
+      else
+        gone = run->state == CELL_RUN_STARTING && run->stopped_sent_us != 0
+               && report->sent_us > run->stopped_sent_us;
+      if (gone)
+        cell_run_gone (core, run, CELL_END_LAPSED, CYC_STR (""));
+    }
+}
+
+void
+cell_worker_report (struct cell_core *core, uint32_t row,
+                    const struct cell_report *report, uint64_t now_us)
+{
+  struct cell_worker *worker = cell_worker_at (core, row);
+  GHashTable *seen = g_hash_table_new (NULL, NULL);
+
+  core->now_us = now_us;
+  if (report->born_ms != 0 && report->born_ms < worker->born_ms)
+    {
+      g_hash_table_destroy (seen);
+      return; /* of an earlier life */
+    }
+  if (report->born_ms > worker->born_ms)
+    {
+      bool first = worker->born_ms == 0;
+
+      worker_reborn (core, worker, report->born_ms);
+      take_running (core, worker, report, seen);
+      if (!first)
+        drop_earlier_lives (core, worker, report->sent_us);
+    }
+  if (report->clock_ms > worker->clock_ms)
+    {
+      worker->clock_ms = report->clock_ms;
+      worker->clock_at_us = now_us;
+    }
+  if (!worker->fenced || !worker->reachable)
+    core->place_wanted = true;
+  if (!worker->fenced)
+    cell_worker_leased (core, row, report->clock_ms + core->desc.lease_ms);
+  worker->fenced = true;
+  worker->reachable = true;
+  take_ends (core, worker, row, report);
+  take_running (core, worker, report, seen);
+  take_missing (core, worker, report, seen);
+  g_hash_table_destroy (seen);
+  cell_wake (core, now_us);
+}
+
+/* Batches. */
+
+uint64_t
+cell_batch_close (struct cell_core *core)
+{
+  bool acks = false;
+
+  for (guint i = 0; i < core->workers->len && !acks; i++)
+    acks = cell_worker_at (core, i)->ack_batch == core->batch;
+  if (core->dirty->len == 0 && !acks)
+    return 0;
+  if (core->dirty->len == 0)
+    {
+      /* Ends that changed nothing, as a repeated one: nothing to write. */
+      uint64_t batch = core->batch++;
+
+      cell_batch_durable (core, batch, core->now_us);
+      return 0;
+    }
+  for (guint i = 0; i < core->dirty->len; i++)
+    {
+      struct cell_job *job = g_ptr_array_index (core->dirty, i);
+      struct cell_record *record = g_new0 (struct cell_record, 1);
+
+      record->job = job->id;
+      cell_job_record (core, job, record);
+      job->dirty = false;
+      g_ptr_array_add (core->records, record);
+    }
+  g_ptr_array_set_size (core->dirty, 0);
+  return core->batch++;
+}
+
+bool
+cell_batch_next (struct cell_core *core, struct cell_record *out)
+{
+  struct cell_record *record;
+
+  if (core->records->len == 0)
+    return false;
+  record = g_ptr_array_index (core->records, core->records->len - 1);
+  g_ptr_array_set_size (core->records, (gint)core->records->len - 1);
+  *out = *record;
+  g_free (record);
+  return true;
+}
+
+static void
+show_states (struct cell_core *core)
+{
+  for (guint i = 0; i < core->shown_pending->len;)
+    {
+      struct cell_job *job = g_ptr_array_index (core->shown_pending, i);
+
+      if (job->state_batch > core->durable)
+        {
+          i++;
+          continue;
+        }
+      job->shown = job->state;
+      g_ptr_array_remove_index_fast (core->shown_pending, i);
+    }
+}
+
+static void
+order_start (struct cell_core *core, struct cell_run *run)
+{
+  struct cell_order *order = g_new0 (struct cell_order, 1);
+  const struct cell_task *task
+      = &run->job->rounds[run->round].tasks[run->task];
+
+  order->kind = CELL_ORDER_START;
+  order->run = run->ref;
+  order->worker = run->worker;
+  order->number = run->number;
+  cell_task_name (run, order->task);
+  order->payload = (struct cyc_str){ (char *)run->job->spec->payload.data,
+                                     run->job->spec->payload.len };
+  memcpy (order->ticket, run->ticket, sizeof order->ticket);
+  memcpy (order->checkpoint, task->checkpoint, sizeof order->checkpoint);
+  g_queue_push_tail (&core->orders, order);
+  run->state = CELL_RUN_STARTING;
+  run->ordered_us = core->now_us;
+  cell_wake (core, core->now_us + CELL_START_ANSWER_US);
+}
+
+void
+cell_batch_durable (struct cell_core *core, uint64_t batch, uint64_t now_us)
+{
+  core->durable = batch;
+  core->now_us = now_us;
+  for (guint i = 0; i < core->workers->len; i++)
+    {
+      struct cell_worker *worker = cell_worker_at (core, i);
+
+      if (worker->ack_batch == 0 || worker->ack_batch > batch)
+        continue;
+      worker->ack = worker->ack_next;
+      worker->ack_batch = 0;
+      if (worker->seen_end > worker->ack)
+        {
+          worker->ack_next = worker->seen_end;
+          worker->ack_batch = core->batch;
+        }
+    }
+  while (!g_queue_is_empty (&core->recording))
+    {
+      struct cell_run *run = g_queue_peek_head (&core->recording);
+
+      if (run->batch > batch)
+        break;
+      g_queue_pop_head (&core->recording);
+      if (run->stop || !cell_job_open (run->job))
+        cell_run_gone (core, run, CELL_END_STOPPED, CYC_STR (""));
+      else
+        order_start (core, run);
+    }
+  show_states (core);
+}
+
+bool
+cell_order_next (struct cell_core *core, struct cell_order *out)
+{
+  struct cell_order *order = g_queue_pop_head (&core->orders);
+
+  if (order == NULL)
+    return false;
+  *out = *order;
+  g_free (order);
+  return true;
+}
+
+void
+cell_tick (struct cell_core *core, uint64_t now_us, uint64_t now_ms)
+{
+  core->now_us = now_us;
+  core->now_ms = now_ms;
+  core->next_us = UINT64_MAX;
+  cell_runs_tick (core);
+  cell_rounds_tick (core);
+  cell_place_tick (core);
+}
+
+void
+cell_totals (const struct cell_core *core, struct cell_totals *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  memset (out, 0, sizeof *out);
+  out->jobs = g_hash_table_size (core->jobs);
+  g_hash_table_iter_init (&iter, core->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    out->jobs_open += cell_job_open (value);
+  out->stages_waiting = core->waiting->len;
+  out->asks_waiting = core->questions->len;
+  for (guint i = 0; i < core->workers->len; i++)
+    {
+      const struct cell_worker *worker = cell_worker_at (core, i);
+
+      out->runs += worker->run_count;
+      out->used_millicores += worker->used_millicores;
+      if (!cell_worker_usable (core, worker))
+        continue;
+      out->workers_usable++;
+      out->capacity_millicores += worker->capacity.millicores;
+    }
+}
--- /dev/null
+++ b/src/cyc_cell_internal.h
@@ -0,0 +1,283 @@
+/**
+ * @file
+ * Rows of the cell's decision core; private to cyc_cell_*.c.
+ *
+ * A task is a position in a round of a job. A run is one start of a task on a
+ * worker; it occupies the worker until the worker has listed its end, or it
+ * is certain that it never began or has ended.
+ */
+#ifndef CYC_CELL_INTERNAL_H
+#define CYC_CELL_INTERNAL_H
+
+#include <cyclamendrum/cell.h>
+#include "cell.pb-c.h"
+#include <glib.h>
+
+/** A worker's clock may run slow by so much; bound given by the platform. */
+#define CELL_CLOCK_SLOW_PERMILLE 20
+/** Added to computed lease ends for the time that messages take. */
+#define CELL_LEASE_MARGIN_US 200000
+/** Start without an answer: a stop is ordered after this time, so that the
+ * capacity does not stay blocked. Longer than a start between regions. */
+#define CELL_START_ANSWER_US 1200000
+/** Gap between repeated stops of one run. */
+#define CELL_STOP_REPEAT_US 700000
+/** Wait before a task is tried again after a refused start. */
+#define CELL_RETRY_US 150000
+/** Failures in a row, of different jobs, after which a worker gets no new
+ * tasks for a while. */
+#define CELL_BAD_FAILURES 3
+#define CELL_BAD_US 3000000
+
+enum cell_run_state
+{
+  CELL_RUN_RECORDING, /**< waits for the record to be durable */
+  CELL_RUN_STARTING,  /**< ordered, not confirmed */
+  CELL_RUN_RUNNING
+};
+
+struct cell_run
+{
+  struct cell_job *job;
+  uint32_t round;
+  uint32_t task;
+  uint32_t number;
+  uint32_t worker;
+  uint64_t worker_born_ms; /**< 0: not known when it was placed */
+  struct cyc_res size;
+  enum cell_run_state state;
+  uint64_t batch;       /**< whose record names this run */
+  uint64_t decided_us;
+  uint64_t ordered_us;  /**< start sent */
+  uint64_t answered_us; /**< start answered */
+  uint64_t stop_next_us; /**< next time to order a stop; 0: none */
+  uint64_t stopped_sent_us; /**< when the answered stop was sent */
+  bool stop;            /**< wanted to end */
+  bool superseded;      /**< the task is done elsewhere or requeued */
+  bool inherited;       /**< of an earlier leader */
+  uint32_t percent;
+  char ticket[CELL_TICKET_BYTES];
+  struct cyc_ref ref;
+  struct cell_run *prev;
+  struct cell_run *next; /**< on the worker */
+};
+
+struct cell_worker
+{
+  struct cyc_name id;
+  struct cyc_name pool;
+  struct cyc_name domain;
+  struct cyc_name address;
+  struct cyc_name labels[CELL_LABELS_MAX];
+  uint32_t label_count;
+  uint32_t rack; /**< number of the rack label; CELL_NO_ROW: none */
+  struct cyc_res capacity;
+  uint64_t used_millicores;
+  uint64_t used_memory_mib;
+  uint64_t used_accelerators;
+  uint64_t held_millicores; /**< kept free in this tick for a gang */
+  uint64_t born_ms;
+  bool listed;
+  bool draining;
+  bool fenced;    /**< has answered a hold of this leader */
+  bool reachable; /**< answered the last call */
+  uint32_t failures_in_row;
+  uint64_t last_failed_job;
+  uint64_t bad_until_us;
+  uint64_t clock_ms;
+  uint64_t clock_at_us;
+  uint64_t lease_deadline_ms; /**< latest asked for, worker's clock */
+  uint64_t lease_until_us;    /**< without a clock: certain end of leases */
+  uint64_t seen_end;      /**< highest end number taken in */
+  uint64_t ack;           /**< highest end number that is durable */
+  uint64_t ack_next;      /**< becomes ack when ack_batch is durable */
+  uint64_t ack_batch;     /**< 0: none pending */
+  struct cell_run *runs;
+  uint32_t run_count;
+};
+
+enum cell_task_state
+{
+  CELL_TASK_WAITING,
+  CELL_TASK_PLACED,
+  CELL_TASK_DONE
+};
+
+struct cell_task
+{
+  enum cell_task_state state;
+  uint32_t next_run; /**< 1 + the highest number used */
+  uint32_t failures;
+  uint64_t not_before_us;
+  struct cell_run *run;
+  char checkpoint[CELL_CHECKPOINT_BYTES];
+};
+
+struct cell_held_ticket
+{
+  uint32_t worker;
+  uint64_t born_ms;
+  uint64_t until_us;
+  char text[CELL_TICKET_BYTES];
+};
+
+/** What is known of the advisor's verdict on a worker; it does not change. */
+enum cell_verdict
+{
+  CELL_VERDICT_UNKNOWN,
+  CELL_VERDICT_DENIED,
+  CELL_VERDICT_ALLOWED
+};
+
+/** A step of a round. */
+struct cell_stage
+{
+  struct cell_job *job;
+  uint32_t round;
+  uint32_t step;
+  uint32_t first_task;
+  uint32_t count;
+  uint32_t done;
+  uint32_t waiting;
+  bool ready;      /**< all it depends on is done, and it is due */
+  bool listed;     /**< in the core's list of waiting stages */
+  uint64_t ask;    /**< open question; 0: none */
+  uint64_t ask_after_us;
+  uint8_t *verdicts; /**< by worker row */
+  uint32_t verdict_count;
+  GArray *tickets; /**< struct cell_held_ticket */
+};
+
+struct cell_round
+{
+  uint32_t index;
+  uint64_t due_ms; /**< 0: at once */
+  bool due;
+  bool finished;
+  uint32_t tasks_done;
+  struct cell_task *tasks;
+  struct cell_stage *stages;
+};
+
+struct cell_job
+{
+  uint64_t id;
+  Cyc__CellJob *spec;
+  uint32_t task_count; /**< of a round */
+  uint32_t round_count;
+  struct cell_round *rounds;
+  struct cell_team *team;
+  struct cyc_name queue;
+  struct cell_queue_cfg cfg; /**< copy of the queue's, as last known */
+  bool cfg_known;            /**< the queue is in the configuration */
+  enum cell_job_state state;
+  enum cell_job_state shown; /**< durable */
+  uint64_t state_batch;
+  bool dirty;
+  bool in_recording;
+  uint64_t deadline_us; /**< of the objective */
+  uint64_t accepted_us;
+  uint64_t ended_ms;
+  uint32_t rounds_finished;
+};
+
+struct cell_team
+{
+  struct cyc_name name;
+  struct cyc_res limit;
+  uint32_t weight;
+  bool known; /**< in the configuration */
+  uint64_t used_millicores;
+  uint64_t used_memory_mib;
+  uint64_t used_accelerators;
+};
+
+struct cell_question
+{
+  uint64_t ask;
+  struct cell_stage *stage;
+  bool handed_out;
+  uint64_t cost_us;
+};
+
+struct cell_core
+{
+  struct cell_desc desc;
+  const struct cell_config *config;
+  GPtrArray *workers; /**< struct cell_worker */
+  GHashTable *worker_rows;
+  GHashTable *jobs;  /**< id to struct cell_job */
+  GHashTable *teams; /**< name to struct cell_team */
+  GPtrArray *racks;  /**< names */
+  GPtrArray *waiting; /**< struct cell_stage that are ready with tasks */
+  GPtrArray *timed;   /**< struct cell_job with rounds to come */
+  GPtrArray *dirty;   /**< struct cell_job */
+  GPtrArray *questions;
+  GPtrArray *runs;     /**< by ref.index; NULL: free */
+  GArray *run_generations;
+  GArray *free_runs;
+  GQueue recording; /**< runs in the order of their batch */
+  GPtrArray *shown_pending; /**< jobs whose state waits for its batch */
+  GQueue orders;    /**< struct cell_order * */
+  GPtrArray *records;
+  GHashTable *queue_good; /**< queue name to permille of allowed workers */
+  uint64_t batch;
+  uint64_t durable;
+  uint64_t next_ask;
+  uint64_t now_us;
+  uint64_t now_ms;
+  uint64_t next_us;
+  bool place_wanted;
+};
+
+struct cell_worker *cell_worker_at (const struct cell_core *core,
+                                    uint32_t row);
+uint32_t cell_worker_row (struct cell_core *core, struct cyc_str id);
+bool cell_worker_usable (const struct cell_core *core,
+                         const struct cell_worker *worker);
+struct cell_team *cell_team_of (struct cell_core *core, struct cyc_str name);
+void cell_touch (struct cell_core *core, struct cell_job *job);
+void cell_wake (struct cell_core *core, uint64_t at_us);
+
+/* Jobs. */
+struct cell_job *cell_job_find (const struct cell_core *core, uint64_t id);
+struct cell_stage *cell_stage_of_task (struct cell_job *job, uint32_t round,
+                                       uint32_t task);
+const Cyc__CellStep *cell_stage_step (const struct cell_stage *stage);
+void cell_job_set_state (struct cell_core *core, struct cell_job *job,
+                         enum cell_job_state state);
+void cell_job_advance (struct cell_core *core, struct cell_job *job);
+void cell_task_requeue (struct cell_core *core, struct cell_job *job,
+                        uint32_t round, uint32_t task, uint64_t at_us);
+void cell_task_done (struct cell_core *core, struct cell_job *job,
+                     uint32_t round, uint32_t task);
+bool cell_job_open (const struct cell_job *job);
+void cell_task_name (const struct cell_run *run, char out[64]);
+bool cell_task_parse (struct cell_core *core, struct cyc_str name,
+                      struct cell_job **job, uint32_t *round, uint32_t *task);
+void cell_stage_release (struct cell_stage *stage);
+/** Stages whose time has come. */
+void cell_rounds_tick (struct cell_core *core);
+void cell_job_record (struct cell_core *core, const struct cell_job *job,
+                      struct cell_record *out);
+
+/* Runs. */
+struct cell_run *cell_run_new (struct cell_core *core, struct cell_job *job,
+                               uint32_t round, uint32_t task, uint32_t worker,
+                               uint32_t number);
+void cell_run_free (struct cell_core *core, struct cell_run *run);
+struct cell_run *cell_run_at (const struct cell_core *core,
+                              struct cyc_ref ref);
+void cell_run_stop (struct cell_core *core, struct cell_run *run);
+void cell_runs_tick (struct cell_core *core);
+/** The run has ended or never began, without success. */
+void cell_run_gone (struct cell_core *core, struct cell_run *run,
+                    enum cell_end_kind kind, struct cyc_str checkpoint);
+
+/* Placement and advice. */
+void cell_place_tick (struct cell_core *core);
+void cell_stage_ask (struct cell_core *core, struct cell_stage *stage);
+bool cell_res_fits (const struct cell_worker *worker,
+                    const struct cyc_res *size);
+
+#endif
--- /dev/null
+++ b/src/cyc_cell_jobs.c
@@ -0,0 +1,642 @@
+#include "cyc_cell_internal.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define US_PER_MS 1000
+/** Most occurrences of a scheduled job that are kept in memory. */
+#define ROUNDS_MAX 10000
+
+bool
+cell_job_open (const struct cell_job *job)
+{
+  return job->state == CELL_JOB_QUEUED || job->state == CELL_JOB_ACTIVE;
+}
+
+struct cell_job *
+cell_job_find (const struct cell_core *core, uint64_t id)
+{
+  gint64 key = (gint64)id;
+
+  return g_hash_table_lookup (core->jobs, &key);
+}
+
+enum cell_job_state
+cell_job_state (const struct cell_core *core, uint64_t id)
+{
+  const struct cell_job *job = cell_job_find (core, id);
+
+  return job == NULL ? 0 : job->shown;
+}
+
+uint32_t
+cell_queue_pending (const struct cell_core *core, struct cyc_str queue)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, core->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct cell_job *job = value;
+
+      count += job->state == CELL_JOB_QUEUED
+               && cyc_str_eq (cyc_name_str (&job->queue), queue);
+    }
+  return count;
+}
+
+const Cyc__CellStep *
+cell_stage_step (const struct cell_stage *stage)
+{
+  return stage->job->spec->steps[stage->step];
+}
+
+void
+cell_stage_release (struct cell_stage *stage)
+{
+  g_free (stage->verdicts);
+  if (stage->tickets != NULL)
+    g_array_free (stage->tickets, TRUE);
+  stage->verdicts = NULL;
+  stage->tickets = NULL;
+}
+
+struct cell_stage *
+cell_stage_of_task (struct cell_job *job, uint32_t round, uint32_t task)
+{
+  struct cell_stage *stages = job->rounds[round].stages;
+
+  for (size_t s = 0; s < job->spec->n_steps; s++)
+    if (task < stages[s].first_task + stages[s].count)
+      return &stages[s];
+  return NULL;
+}
+
+void
+cell_task_name (const struct cell_run *run, char out[64])
+{
+  const struct cell_stage *stage
+      = cell_stage_of_task (run->job, run->round, run->task);
+
+  snprintf (out, 64, "%016" PRIx64 ".%u.%u.%u", run->job->id, run->round,
+            stage->step, run->task - stage->first_task);
+}
+
+bool
+cell_task_parse (struct cell_core *core, struct cyc_str name,
+                 struct cell_job **job, uint32_t *round, uint32_t *task)
+{
+  char text[64];
+  uint64_t id;
+  unsigned int step;
+  unsigned int index;
+  unsigned int k;
+
+  if (name.len <= 17 || name.len >= sizeof text)
+    return false;
+  memcpy (text, name.data, name.len);
+  text[name.len] = 0;
+  if (!cell_job_id_parse ((struct cyc_str){ text, 16 }, &id)
+      || sscanf (text + 16, ".%u.%u.%u", &k, &step, &index) != 3)
+    return false;
+  *job = cell_job_find (core, id);
+  if (*job == NULL || k >= (*job)->round_count
+      || step >= (*job)->spec->n_steps
+      || index >= (*job)->spec->steps[step]->count)
+    return false;
+  *round = k;
+  *task = (*job)->rounds[k].stages[step].first_task + index;
+  return true;
+}
+
+static void
+setup_round (struct cell_job *job, uint32_t index)
+{
+  struct cell_round *round = &job->rounds[index];
+  uint32_t first = 0;
+
+  round->index = index;
+  if (job->spec->repeat_count > 0)
+    round->due_ms = job->spec->first_due_ms + index * job->spec->interval_ms;
+  round->tasks = g_new0 (struct cell_task, job->task_count);
+  round->stages = g_new0 (struct cell_stage, job->spec->n_steps);
+  for (uint32_t t = 0; t < job->task_count; t++)
+    round->tasks[t].next_run = 1;
+  for (uint32_t s = 0; s < job->spec->n_steps; s++)
+    {
+      struct cell_stage *stage = &round->stages[s];
+
+      stage->job = job;
+      stage->round = index;
+      stage->step = s;
+      stage->first_task = first;
+      stage->count = job->spec->steps[s]->count;
+      stage->waiting = stage->count;
+      first += stage->count;
+    }
+}
+
+/* Longest chain of estimates through the steps, in milliseconds. */
+static uint64_t
+chain_ms (const Cyc__CellJob *spec)
+{
+  uint64_t ends[CELL_STEPS_MAX] = { 0 };
+  uint64_t longest = 0;
+
+  for (size_t s = 0; s < spec->n_steps; s++)
+    {
+      const Cyc__CellStep *step = spec->steps[s];
+
+      for (size_t d = 0; d < step->n_depends_on; d++)
+        ends[s] = MAX (ends[s], ends[step->depends_on[d]]);
+      ends[s] += step->estimate_ms;
+      longest = MAX (longest, ends[s]);
+    }
+  return longest;
+}
+
+/* Marks stages whose dependencies are done; lists those with tasks. */
+static void
+open_stages (struct cell_core *core, struct cell_job *job,
+             struct cell_round *round)
+{
+  if (!round->due || !cell_job_open (job))
+    return;
+  for (uint32_t s = 0; s < job->spec->n_steps; s++)
+    {
+      struct cell_stage *stage = &round->stages[s];
+      const Cyc__CellStep *step = job->spec->steps[s];
+      bool ready = true;
+
+      for (size_t d = 0; d < step->n_depends_on; d++)
+        {
+          const struct cell_stage *before
+              = &round->stages[step->depends_on[d]];
+
+          ready = ready && before->done == before->count;
+        }
+      stage->ready = ready;
+      if (!ready || stage->listed || stage->waiting == 0)
+        continue;
+      stage->listed = true;
+      g_ptr_array_add (core->waiting, stage);
+      core->place_wanted = true;
+      cell_wake (core, core->now_us);
+    }
+}
+
+void
+cell_rounds_tick (struct cell_core *core)
+{
+  for (guint i = 0; i < core->timed->len;)
+    {
+      struct cell_job *job = g_ptr_array_index (core->timed, i);
+      bool all = true;
+
+      for (uint32_t r = 0; r < job->round_count && cell_job_open (job); r++)
+        {
+          struct cell_round *round = &job->rounds[r];
+
+          if (round->due)
+            continue;
+          if (round->due_ms <= core->now_ms)
+            {
+              round->due = true;
+              open_stages (core, job, round);
+              continue;
+            }
+          all = false;
+          cell_wake (core, core->now_us
+                               + (round->due_ms - core->now_ms) * US_PER_MS);
+        }
+      if (all || !cell_job_open (job))
+        g_ptr_array_remove_index_fast (core->timed, i);
+      else
+        i++;
+    }
+}
+
+static bool
+spec_valid (const Cyc__CellJob *spec)
+{
+  uint64_t tasks = 0;
+
+  if (spec->n_steps == 0 || spec->n_steps > CELL_STEPS_MAX
+      || spec->repeat_count > ROUNDS_MAX)
+    return false;
+  for (size_t s = 0; s < spec->n_steps; s++)
+    {
+      const Cyc__CellStep *step = spec->steps[s];
+
+      tasks += step->count;
+      if (step->count == 0 || tasks > 100000)
+        return false;
+      for (size_t d = 0; d < step->n_depends_on; d++)
+        if (step->depends_on[d] >= s)
+          return false;
+    }
+  return true;
+}
+
+bool
+cell_job_add (struct cell_core *core, uint64_t id, Cyc__CellJob *spec,
+              uint64_t now_us, uint64_t now_ms)
+{
+  struct cell_job *job;
+  const struct cell_queue_cfg *queue = NULL;
+  uint64_t age_us;
+
+  core->now_us = now_us;
+  core->now_ms = now_ms;
+  if (cell_job_find (core, id) != NULL || !spec_valid (spec))
+    {
+      cyc__cell_job__free_unpacked (spec, NULL);
+      return false;
+    }
+  job = g_new0 (struct cell_job, 1);
+  job->id = id;
+  job->spec = spec;
+  cyc_name_set (&job->queue, cyc_str_of (spec->queue));
+  job->team = cell_team_of (core, cyc_str_of (spec->team));
+  if (core->config != NULL)
+    queue = cell_config_queue (core->config, cyc_name_str (&job->queue));
+  job->cfg_known = queue != NULL;
+  if (queue != NULL)
+    job->cfg = *queue;
+  for (size_t s = 0; s < spec->n_steps; s++)
+    job->task_count += spec->steps[s]->count;
+  job->round_count = MAX (1, spec->repeat_count);
+  job->rounds = g_new0 (struct cell_round, job->round_count);
+  job->state = job->shown = CELL_JOB_QUEUED;
+  age_us = now_ms > spec->accepted_ms
+               ? (now_ms - spec->accepted_ms) * US_PER_MS
+               : 0;
+  job->accepted_us = now_us > age_us ? now_us - age_us : 0;
+  job->deadline_us
+      = job->accepted_us
+        + chain_ms (spec) * (job->cfg.slack_permille ? job->cfg.slack_permille
+                                                     : 1000)
+        + (uint64_t)job->cfg.objective_ms * US_PER_MS;
+  g_hash_table_insert (core->jobs, &job->id, job);
+  for (uint32_t r = 0; r < job->round_count; r++)
+    {
+      setup_round (job, r);
+      job->rounds[r].due = job->rounds[r].due_ms == 0;
+      open_stages (core, job, &job->rounds[r]);
+    }
+  if (spec->repeat_count > 0)
+    {
+      g_ptr_array_add (core->timed, job);
+      cell_wake (core, now_us);
+    }
+  return true;
+}
+
+void
+cell_job_set_state (struct cell_core *core, struct cell_job *job,
+                    enum cell_job_state state)
+{
+  if (job->state == state)
+    return;
+  job->state = state;
+  job->state_batch = core->batch;
+  cell_touch (core, job);
+  if (job->shown != state)
+    g_ptr_array_add (core->shown_pending, job);
+  if (!cell_job_open (job))
+    job->ended_ms = core->now_ms;
+}
+
+/* Stops what runs of a job that has ended. */
+static void
+stop_runs (struct cell_core *core, struct cell_job *job)
+{
+  for (uint32_t r = 0; r < job->round_count; r++)
+    for (uint32_t t = 0; t < job->task_count; t++)
+      if (job->rounds[r].tasks[t].run != NULL)
+        cell_run_stop (core, job->rounds[r].tasks[t].run);
+}
+
+bool
+cell_job_cancel (struct cell_core *core, uint64_t id, uint64_t now_us)
+{
+  struct cell_job *job = cell_job_find (core, id);
+
+  core->now_us = now_us;
+  if (job == NULL)
+    return false;
+  if (!cell_job_open (job))
+    return true;
+  cell_job_set_state (core, job, CELL_JOB_CANCELED);
+  job->shown = CELL_JOB_CANCELED; /* the cancellation is durable already */
+  stop_runs (core, job);
+  cell_wake (core, now_us);
+  return true;
+}
+
+void
+cell_task_requeue (struct cell_core *core, struct cell_job *job,
+                   uint32_t round, uint32_t task, uint64_t at_us)
+{
+  struct cell_task *row = &job->rounds[round].tasks[task];
+  struct cell_stage *stage = cell_stage_of_task (job, round, task);
+
+  row->run = NULL;
+  if (row->state == CELL_TASK_DONE)
+    return;
+  row->not_before_us = at_us;
+  if (row->state == CELL_TASK_PLACED)
+    stage->waiting++;
+  row->state = CELL_TASK_WAITING;
+  cell_touch (core, job);
+  open_stages (core, job, &job->rounds[round]);
+  core->place_wanted = true;
+  cell_wake (core, at_us);
+}
+
+static void
+mark_done (struct cell_core *core, struct cell_job *job, uint32_t round,
+           uint32_t task)
+{
+  struct cell_round *of = &job->rounds[round];
+  struct cell_stage *stage = cell_stage_of_task (job, round, task);
+  struct cell_task *row = &of->tasks[task];
+
+  if (row->state == CELL_TASK_DONE)
+    return;
+  if (row->state == CELL_TASK_WAITING)
+    stage->waiting--;
+  row->state = CELL_TASK_DONE;
+  row->checkpoint[0] = 0;
+  stage->done++;
+  of->tasks_done++;
+  if (stage->done == stage->count)
+    cell_stage_release (stage);
+  if (row->run != NULL)
+    {
+      row->run->superseded = true;
+      row->run = NULL;
+    }
+  cell_touch (core, job);
+}
+
+void
+cell_task_done (struct cell_core *core, struct cell_job *job, uint32_t round,
+                uint32_t task)
+{
+  struct cell_round *of = &job->rounds[round];
+  struct cell_stage *stage = cell_stage_of_task (job, round, task);
+
+  if (cell_stage_step (stage)->long_running)
+    {
+      cell_task_requeue (core, job, round, task, core->now_us);
+      return;
+    }
+  if (cell_stage_step (stage)->gang)
+    for (uint32_t t = 0; t < stage->count; t++)
+      mark_done (core, job, round, stage->first_task + t);
+  else
+    mark_done (core, job, round, task);
+  if (of->tasks_done == job->task_count && !of->finished)
+    {
+      of->finished = true;
+      job->rounds_finished++;
+    }
+  if (job->rounds_finished == job->round_count && cell_job_open (job))
+    cell_job_set_state (core, job, CELL_JOB_COMPLETE);
+  else
+    open_stages (core, job, of);
+}
+
+void
+cell_job_advance (struct cell_core *core, struct cell_job *job)
+{
+  if (job->state == CELL_JOB_QUEUED)
+    cell_job_set_state (core, job, CELL_JOB_ACTIVE);
+}
+
+static void
+fail_job (struct cell_core *core, struct cell_job *job)
+{
+  if (!cell_job_open (job))
+    return;
+  cell_job_set_state (core, job, CELL_JOB_FAILED);
+  stop_runs (core, job);
+}
+
+/* Counts a failure; a gang counts as one, at its first task. */
+static void
+count_failure (struct cell_core *core, struct cell_run *run)
+{
+  struct cell_job *job = run->job;
+  struct cell_stage *stage = cell_stage_of_task (job, run->round, run->task);
+  const Cyc__CellStep *step = cell_stage_step (stage);
+  uint32_t at = step->gang ? stage->first_task : run->task;
+  struct cell_task *task = &job->rounds[run->round].tasks[at];
+  struct cell_worker *worker = cell_worker_at (core, run->worker);
+
+  if (worker->last_failed_job != job->id)
+    worker->failures_in_row++;
+  worker->last_failed_job = job->id;
+  if (worker->failures_in_row >= CELL_BAD_FAILURES)
+    {
+      worker->bad_until_us = core->now_us + CELL_BAD_US;
+      cell_wake (core, worker->bad_until_us);
+    }
+  if (step->long_running)
+    return;
+  task->failures++;
+  cell_touch (core, job);
+  if (task->failures >= MAX (1, job->cfg.max_attempts) && job->cfg_known)
+    fail_job (core, job);
+}
+
+void
+cell_run_gone (struct cell_core *core, struct cell_run *run,
+               enum cell_end_kind kind, struct cyc_str checkpoint)
+{
+  struct cell_job *job = run->job;
+  uint32_t round = run->round;
+  uint32_t task = run->task;
+  struct cell_task *row = &job->rounds[round].tasks[task];
+  struct cell_stage *stage = cell_stage_of_task (job, round, task);
+  bool current = row->run == run;
+  uint64_t at_us = core->now_us;
+
+  if (kind == CELL_END_FAILED && current)
+    count_failure (core, run);
+  if (kind == CELL_END_FAILED || kind == CELL_END_ALONE)
+    at_us += CELL_RETRY_US;
+  if (current && checkpoint.len > 0
+      && checkpoint.len < sizeof row->checkpoint)
+    snprintf (row->checkpoint, sizeof row->checkpoint, "%.*s",
+              CYC_FMT (checkpoint));
+  cell_run_free (core, run);
+  if (!current || row->state == CELL_TASK_DONE)
+    return;
+  /* The members of a gang work only together: without one, all are freed. */
+  if (cell_stage_step (stage)->gang)
+    for (uint32_t t = 0; t < stage->count; t++)
+      {
+        struct cell_run *other
+            = job->rounds[round].tasks[stage->first_task + t].run;
+
+        if (other != NULL)
+          cell_run_stop (core, other);
+      }
+  cell_task_requeue (core, job, round, task, at_us);
+}
+
+/* Records. */
+
+void
+cell_job_record (struct cell_core *core, const struct cell_job *job,
+                 struct cell_record *out)
+{
+  Cyc__CellProgress progress = CYC__CELL_PROGRESS__INIT;
+  GPtrArray *rounds = g_ptr_array_new_with_free_func (g_free);
+  GPtrArray *arrays = g_ptr_array_new_with_free_func (g_free);
+
+  progress.state = job->state;
+  progress.ended_ms = job->ended_ms;
+  for (uint32_t r = 0; r < job->round_count && cell_job_open (job); r++)
+    {
+      const struct cell_round *from = &job->rounds[r];
+      Cyc__CellRound *round = g_new0 (Cyc__CellRound, 1);
+      uint32_t *next_run = g_new0 (uint32_t, job->task_count);
+      uint32_t *failures = g_new0 (uint32_t, job->task_count);
+      uint8_t *done = g_new0 (uint8_t, job->task_count / 8 + 1);
+      char **checkpoints = g_new0 (char *, job->task_count);
+      Cyc__CellRun **runs = g_new0 (Cyc__CellRun *, job->task_count);
+      bool any_checkpoint = false;
+      bool any = from->finished;
+
+      cyc__cell_round__init (round);
+      round->index = r;
+      for (uint32_t t = 0; t < job->task_count; t++)
+        {
+          const struct cell_task *task = &from->tasks[t];
+
+          next_run[t] = task->next_run;
+          failures[t] = task->failures;
+          any = any || task->next_run > 1;
+          if (task->state == CELL_TASK_DONE)
+            done[t / 8] |= (uint8_t)(1U << (t % 8));
+          checkpoints[t] = (char *)task->checkpoint;
+          any_checkpoint = any_checkpoint || task->checkpoint[0] != 0;
+          if (task->run == NULL)
+            continue;
+          runs[round->n_runs] = g_new0 (Cyc__CellRun, 1);
+          cyc__cell_run__init (runs[round->n_runs]);
+          runs[round->n_runs]->task = t;
+          runs[round->n_runs]->number = task->run->number;
+          runs[round->n_runs]->worker
+              = cell_worker_at (core, task->run->worker)->id.data;
+          runs[round->n_runs]->worker_born_ms = task->run->worker_born_ms;
+          g_ptr_array_add (arrays, runs[round->n_runs]);
+          round->n_runs++;
+        }
+      round->done = (ProtobufCBinaryData){ job->task_count / 8 + 1, done };
+      round->n_next_run = job->task_count;
+      round->next_run = next_run;
+      round->n_failures = job->task_count;
+      round->failures = failures;
+      round->runs = runs;
+      round->n_checkpoints = any_checkpoint ? job->task_count : 0;
+      round->checkpoints = checkpoints;
+      g_ptr_array_add (arrays, next_run);
+      g_ptr_array_add (arrays, failures);
+      g_ptr_array_add (arrays, done);
+      g_ptr_array_add (arrays, checkpoints);
+      g_ptr_array_add (arrays, runs);
+      if (any)
+        g_ptr_array_add (rounds, round);
+      else
+        g_free (round);
+    }
+  progress.n_rounds = rounds->len;
+  progress.rounds = (Cyc__CellRound **)rounds->pdata;
+  out->len = cyc__cell_progress__get_packed_size (&progress);
+  out->data = malloc (out->len > 0 ? out->len : 1);
+  cyc__cell_progress__pack (&progress, out->data);
+  g_ptr_array_free (rounds, TRUE);
+  g_ptr_array_free (arrays, TRUE);
+}
+
+static void
+restore_round (struct cell_core *core, struct cell_job *job,
+               const Cyc__CellRound *from, uint64_t lease_until_us)
+{
+  struct cell_round *round = &job->rounds[from->index];
+
+  for (uint32_t t = 0; t < job->task_count; t++)
+    {
+      struct cell_task *task = &round->tasks[t];
+
+      if (t < from->n_next_run && from->next_run[t] > task->next_run)
+        task->next_run = from->next_run[t];
+      if (t < from->n_failures)
+        task->failures = from->failures[t];
+      if (t < from->n_checkpoints)
+        g_strlcpy (task->checkpoint, from->checkpoints[t],
+                   sizeof task->checkpoint);
+      if (t / 8 < from->done.len && (from->done.data[t / 8] >> (t % 8) & 1))
+        mark_done (core, job, from->index, t);
+    }
+  for (size_t i = 0; i < from->n_runs; i++)
+    {
+      const Cyc__CellRun *run = from->runs[i];
+      uint32_t row;
+      struct cell_worker *worker;
+      struct cell_run *made;
+
+      if (run->task >= job->task_count
+          || round->tasks[run->task].state != CELL_TASK_WAITING)
+        continue;
+      row = cell_worker_row (core, cyc_str_of (run->worker));
+      worker = cell_worker_at (core, row);
+      if (worker->lease_until_us < lease_until_us)
+        worker->lease_until_us = lease_until_us;
+      made = cell_run_new (core, job, from->index, run->task, row,
+                           run->number);
+      made->state = CELL_RUN_STARTING;
+      made->inherited = true;
+      made->worker_born_ms = run->worker_born_ms;
+    }
+  if (round->tasks_done == job->task_count && !round->finished)
+    {
+      round->finished = true;
+      job->rounds_finished++;
+    }
+}
+
+bool
+cell_job_restore (struct cell_core *core, uint64_t id, struct cyc_str record,
+                  uint64_t lease_until_us)
+{
+  struct cell_job *job = cell_job_find (core, id);
+  Cyc__CellProgress *progress;
+
+  if (job == NULL)
+    return false;
+  progress = cyc__cell_progress__unpack (NULL, record.len,
+                                         (const uint8_t *)record.data);
+  if (progress == NULL)
+    return false;
+  for (size_t r = 0; r < progress->n_rounds; r++)
+    if (progress->rounds[r]->index < job->round_count)
+      restore_round (core, job, progress->rounds[r], lease_until_us);
+  if (cell_job_open (job) && progress->state != 0)
+    job->state = job->shown = progress->state;
+  job->ended_ms = progress->ended_ms;
+  if (!cell_job_open (job))
+    stop_runs (core, job);
+  for (uint32_t r = 0; r < job->round_count; r++)
+    open_stages (core, job, &job->rounds[r]);
+  cyc__cell_progress__free_unpacked (progress, NULL);
+  return true;
+}
--- /dev/null
+++ b/src/cyc_cell_runs.c
@@ -0,0 +1,248 @@
+#include "cyc_cell_internal.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/** Timers of runs are looked at so often: a tenth of the shortest of them. */
+#define RUN_TIMER_US 100000
+
+struct cell_run *
+cell_run_at (const struct cell_core *core, struct cyc_ref ref)
+{
+  if (ref.generation == 0 || ref.index >= core->runs->len
+      || g_array_index (core->run_generations, uint32_t, ref.index)
+             != ref.generation)
+    return NULL;
+  return g_ptr_array_index (core->runs, ref.index);
+}
+
+static void
+count_use (struct cell_core *core, const struct cell_run *run, int sign)
+{
+  struct cell_worker *worker = cell_worker_at (core, run->worker);
+  struct cell_team *team = run->job->team;
+  int64_t millicores = sign * (int64_t)run->size.millicores;
+  int64_t memory = sign * (int64_t)run->size.memory_mib;
+  int64_t accelerators = sign * (int64_t)run->size.accelerators;
+
+  worker->used_millicores += (uint64_t)millicores;
+  worker->used_memory_mib += (uint64_t)memory;
+  worker->used_accelerators += (uint64_t)accelerators;
+  worker->run_count += (uint32_t)sign;
+  team->used_millicores += (uint64_t)millicores;
+  team->used_memory_mib += (uint64_t)memory;
+  team->used_accelerators += (uint64_t)accelerators;
+}
+
+struct cell_run *
+cell_run_new (struct cell_core *core, struct cell_job *job, uint32_t round,
+              uint32_t task, uint32_t worker_row, uint32_t number)
+{
+  struct cell_run *run = g_new0 (struct cell_run, 1);
+  struct cell_worker *worker = cell_worker_at (core, worker_row);
+  struct cell_stage *stage = cell_stage_of_task (job, round, task);
+  const Cyc__CellStep *step = cell_stage_step (stage);
+  struct cell_task *row = &job->rounds[round].tasks[task];
+
+  if (core->free_runs->len > 0)
+    {
+      run->ref.index
+          = g_array_index (core->free_runs, uint32_t, core->free_runs->len - 1);
+      g_array_set_size (core->free_runs, core->free_runs->len - 1);
+      g_ptr_array_index (core->runs, run->ref.index) = run;
+    }
+  else
+    {
+      uint32_t none = 0;
+
+      run->ref.index = core->runs->len;
+      g_ptr_array_add (core->runs, run);
+      g_array_append_val (core->run_generations, none);
+    }
+  run->ref.generation
+      = ++g_array_index (core->run_generations, uint32_t, run->ref.index);
+  run->job = job;
+  run->round = round;
+  run->task = task;
+  run->number = number;
+  run->worker = worker_row;
+  run->worker_born_ms = worker->born_ms;
+  run->decided_us = core->now_us;
+  run->size = (struct cyc_res){ step->fills ? 0 : step->millicores,
+                                step->memory_mib, step->accelerators };
+  run->next = worker->runs;
+  if (worker->runs != NULL)
+    worker->runs->prev = run;
+  worker->runs = run;
+  count_use (core, run, 1);
+  if (row->state == CELL_TASK_WAITING)
+    stage->waiting--;
+  row->state = CELL_TASK_PLACED;
+  row->run = run;
+  if (number >= row->next_run)
+    row->next_run = number + 1;
+  return run;
+}
+
+void
+cell_run_free (struct cell_core *core, struct cell_run *run)
+{
+  struct cell_worker *worker = cell_worker_at (core, run->worker);
+  struct cell_task *task = &run->job->rounds[run->round].tasks[run->task];
+
+  if (task->run == run)
+    task->run = NULL;
+  if (run->state == CELL_RUN_RECORDING)
+    g_queue_remove (&core->recording, run);
+  if (run->prev != NULL)
+    run->prev->next = run->next;
+  else
+    worker->runs = run->next;
+  if (run->next != NULL)
+    run->next->prev = run->prev;
+  count_use (core, run, -1);
+  g_ptr_array_index (core->runs, run->ref.index) = NULL;
+  g_array_index (core->run_generations, uint32_t, run->ref.index)++;
+  g_array_append_val (core->free_runs, run->ref.index);
+  core->place_wanted = true;
+  cell_wake (core, core->now_us);
+  g_free (run);
+}
+
+void
+cell_run_stop (struct cell_core *core, struct cell_run *run)
+{
+  if (run->stop)
+    return;
+  run->stop = true;
+  run->stop_next_us = core->now_us;
+  cell_wake (core, core->now_us);
+}
+
+void
+cell_start_result (struct cell_core *core, struct cyc_ref ref,
+                   enum cell_start_result result, uint64_t now_us)
+{
+  struct cell_run *run = cell_run_at (core, ref);
+
+  core->now_us = now_us;
+  if (run == NULL || run->state != CELL_RUN_STARTING)
+    return;
+  switch (result)
+    {
+    case CELL_START_OK:
+      run->state = CELL_RUN_RUNNING;
+      run->answered_us = now_us;
+      return;
+    case CELL_START_REFUSED_TICKET:
+    case CELL_START_REFUSED_ROOM:
+    case CELL_START_REFUSED_OTHER:
+    case CELL_START_FENCED:
+      {
+        struct cell_worker *worker = cell_worker_at (core, run->worker);
+
+        if (result == CELL_START_REFUSED_OTHER)
+          {
+            worker->bad_until_us = now_us + CELL_BAD_US / 2;
+            cell_wake (core, worker->bad_until_us);
+          }
+        cell_run_gone (core, run, CELL_END_STOPPED, CYC_STR (""));
+        return;
+      }
+    case CELL_START_UNKNOWN:
+      cell_run_stop (core, run);
+      return;
+    }
+}
+
+void
+cell_stop_result (struct cell_core *core, struct cyc_ref ref, uint64_t sent_us,
+                  uint64_t now_us)
+{
+  struct cell_run *run = cell_run_at (core, ref);
+
+  core->now_us = now_us;
+  if (run != NULL && sent_us != 0 && run->stopped_sent_us == 0)
+    run->stopped_sent_us = now_us;
+}
+
+static void
+order_stop (struct cell_core *core, struct cell_run *run)
+{
+  struct cell_order *order = g_new0 (struct cell_order, 1);
+
+  order->kind = CELL_ORDER_STOP;
+  order->run = run->ref;
+  order->worker = run->worker;
+  order->number = run->number;
+  cell_task_name (run, order->task);
+  g_queue_push_tail (&core->orders, order);
+}
+
+/* Time from which everything on the worker has certainly lapsed. */
+static uint64_t
+lease_end_us (const struct cell_worker *worker)
+{
+  uint64_t left_ms;
+
+  if (worker->clock_ms == 0)
+    return worker->lease_until_us;
+  left_ms = worker->lease_deadline_ms > worker->clock_ms
+                ? worker->lease_deadline_ms - worker->clock_ms
+                : 0;
+  return worker->clock_at_us
+         + left_ms * 1000 * 1000 / (1000 - CELL_CLOCK_SLOW_PERMILLE)
+         + CELL_LEASE_MARGIN_US;
+}
+
+static void
+expire_worker (struct cell_core *core, struct cell_worker *worker)
+{
+  uint64_t end_us = lease_end_us (worker);
+  struct cell_run *next;
+
+  if (end_us > core->now_us)
+    {
+      cell_wake (core, end_us);
+      return;
+    }
+  for (struct cell_run *run = worker->runs; run != NULL; run = next)
+    {
+      next = run->next;
+      if (run->state != CELL_RUN_RECORDING)
+        cell_run_gone (core, run, CELL_END_LAPSED, CYC_STR (""));
+    }
+}
+
+void
+cell_runs_tick (struct cell_core *core)
+{
+  for (guint i = 0; i < core->workers->len; i++)
+    {
+      struct cell_worker *worker = cell_worker_at (core, i);
+
+      if (worker->runs == NULL)
+        continue;
+      if (!worker->reachable)
+        expire_worker (core, worker);
+      for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
+        {
+          if (run->state == CELL_RUN_RECORDING)
+            continue;
+          if (run->state == CELL_RUN_STARTING && !run->inherited && !run->stop
+              && run->ordered_us + CELL_START_ANSWER_US <= core->now_us)
+            cell_run_stop (core, run);
+          if (!run->stop || run->stopped_sent_us != 0
+              || (run->inherited && !worker->fenced))
+            continue;
+          if (run->stop_next_us <= core->now_us)
+            {
+              order_stop (core, run);
+              run->stop_next_us = core->now_us + CELL_STOP_REPEAT_US;
+            }
+          cell_wake (core, MAX (run->stop_next_us,
+                                core->now_us + RUN_TIMER_US));
+        }
+      cell_wake (core, core->now_us + RUN_TIMER_US * 5);
+    }
+}
--- /dev/null
+++ b/src/entry.c
@@ -0,0 +1,369 @@
+#include "entry_internal.h"
+
+#include <sys/stat.h>
+
+/** Period of the tick: leading, and following. */
+#define TICK_LEADING_US 50000
+#define TICK_FOLLOWING_US 100000
+/** Inputs that come together are handled by one tick. */
+#define KICK_US 1000
+#define CALLS_MAX 2048
+/** The log's view is too old for new connections to be sent here. */
+#define READY_STALE_US 3000000
+/** Gap between tries to register this VM. */
+#define REGISTER_RETRY_US 300000
+/** The platform asks for readiness once a second and drops a VM after two
+ * misses; requests on open connections are served for so long. */
+#define STOP_LINGER_US 2600000
+/** Left of the grace time when the process ends. */
+#define STOP_MARGIN_MS 700
+#define PEER_HEARTBEAT_MS 500
+#define PEER_SILENT_MS 1600
+#define PEER_DEAD_MS 3200
+#define PEERS_MAX 512
+
+static void
+arm (struct entry *entry, uint64_t at_us)
+{
+  uint64_t now_us = hc_now_us ();
+  double in_s = at_us > now_us ? (double)(at_us - now_us) / 1e6 : 0.0;
+
+  ev_timer_stop (entry->desc.loop, &entry->timer);
+  ev_timer_set (&entry->timer, in_s, 0.0);
+  ev_timer_start (entry->desc.loop, &entry->timer);
+}
+
+void
+entry_wake_at (struct entry *entry, uint64_t at_us)
+{
+  uint64_t now_us = hc_now_us ();
+  ev_tstamp left = ev_timer_remaining (entry->desc.loop, &entry->timer);
+
+  if (at_us < now_us + KICK_US)
+    at_us = now_us + KICK_US;
+  if (!ev_is_active (&entry->timer)
+      || (double)(at_us - now_us) / 1e6 < left)
+    arm (entry, at_us);
+}
+
+void
+entry_kick (struct entry *entry)
+{
+  entry_wake_at (entry, 0);
+}
+
+/* Configuration. */
+
+static void
+on_config (void *user, const struct pt_record *record, uint64_t offset)
+{
+  struct entry *entry = user;
+  struct cyc_findings findings = { 0 };
+  struct cell_config *config;
+  struct cell_config *old = entry->config;
+
+  if (!cyc_str_eq (record->key, entry->desc.ports->records->config_key))
+    return;
+  config = entry->desc.ports->records->config (record->value, &findings);
+  ev_findings (EV_RECORD_REFUSED, &findings);
+  if (config == NULL)
+    return;
+  if (old != NULL && config->version <= old->version)
+    {
+      cell_config_free (config);
+      return;
+    }
+  entry->config = config;
+  owner_config (entry);
+  cell_config_free (old);
+  ev_log (EV_CONFIG_IN_FORCE,
+          "version=%" PRIu64 " offset=%" PRIu64 " queues=%u teams=%u pools=%u",
+          config->version, offset, config->queue_count, config->team_count,
+          config->pool_count);
+  entry_kick (entry);
+}
+
+/* The VM's own entry among the entry VMs. */
+
+static void
+on_registered (void *user, const struct pt_append_result *result)
+{
+  struct entry *entry = user;
+  uint64_t now_us = hc_now_us ();
+
+  entry->register_in_flight = false;
+  entry->registered = result->fate == PT_OK;
+  if (entry->registered)
+    entry->log_trip_ms
+        = (uint32_t)((now_us - entry->register_at_us) / 1000);
+  else
+    entry->register_at_us = now_us + REGISTER_RETRY_US;
+}
+
+static void
+register_vm (struct entry *entry, uint64_t now_us)
+{
+  const struct ent_settings *settings = entry->desc.settings;
+  Cyc__CellVm vm = CYC__CELL_VM__INIT;
+  char address[64];
+  uint8_t data[256];
+  struct pt_record record = { .key = cyc_name_str (&settings->vm) };
+
+  if (entry->registered || entry->register_in_flight
+      || now_us < entry->register_at_us)
+    return;
+  snprintf (address, sizeof address, "%s:%u", settings->peers.host,
+            settings->peers.port);
+  vm.domain = (char *)settings->domain.data;
+  vm.region = (char *)settings->region.data;
+  vm.address = address;
+  if (cyc__cell_vm__get_packed_size (&vm) > sizeof data)
+    return;
+  record.value = (struct cyc_str){ (const char *)data,
+                                   cyc__cell_vm__pack (&vm, data) };
+  entry->register_at_us = now_us;
+  entry->register_in_flight = entry->desc.ports->log->vtable->append (
+      entry->desc.ports->log,
+      &(struct pt_append){
+          .stream = PT_STREAM_VMS,
+          .records = &record,
+          .count = 1,
+          .deadline_us = now_us + (uint64_t)ENTRY_APPEND_MS * 1000,
+          .done = on_registered,
+          .user = entry,
+      });
+}
+
+/* Links. */
+
+static void
+on_message (void *user, struct cyc_ref peer, const Cyc__Peer *message)
+{
+  struct entry *entry = user;
+
+  switch (message->body_case)
+    {
+    case CYC__PEER__BODY_ADVICE_ASK:
+      advice_on_ask (entry, peer, message->advice_ask);
+      return;
+    case CYC__PEER__BODY_ADVICE_ANSWER:
+      if (owner_advice (entry) != NULL)
+        advice_on_answer (owner_advice (entry), message->advice_answer);
+      return;
+    case CYC__PEER__BODY_CELL_ASK:
+      {
+        const Cyc__CellAsk *ask = message->cell_ask;
+        Cyc__Peer out = CYC__PEER__INIT;
+        Cyc__CellAnswer answer = CYC__CELL_ANSWER__INIT;
+
+        out.body_case = CYC__PEER__BODY_CELL_ANSWER;
+        out.cell_answer = &answer;
+        answer.ask = ask->ask;
+        answer.leading = owner_answers (entry);
+        if (answer.leading && ask->job != 0)
+          answer.state = owner_job_state (entry, ask->job);
+        else if (answer.leading)
+          answer.pending = owner_pending (entry, cyc_str_of (ask->queue));
+        answer.known = answer.state != 0;
+        pl_send (&entry->links, peer, &out);
+        return;
+      }
+    case CYC__PEER__BODY_CELL_ANSWER:
+      requests_on_answer (entry, message->cell_answer);
+      return;
+    default:
+      return;
+    }
+}
+
+static void
+on_linked (void *user, struct cyc_ref peer, bool linked)
+{
+  struct entry *entry = user;
+
+  (void)peer;
+  (void)linked;
+  entry_kick (entry);
+}
+
+static void
+self_state (void *user, struct pl_self_state *out)
+{
+  struct entry *entry = user;
+
+  memset (out, 0, sizeof *out);
+  out->owned_epoch = entry->owner != NULL ? entry->leader.epoch : 0;
+  out->draining = entry->stopping;
+}
+
+/* The tick. */
+
+static void
+stop_tick (struct entry *entry, uint64_t now_us)
+{
+  bool idle = entry->desc.ports->callers->vtable->open (
+                  entry->desc.ports->callers)
+                  == 0
+              && entry->owner == NULL;
+
+  if (!entry->stopping)
+    return;
+  if ((idle && now_us >= entry->stop_first_us)
+      || now_us >= entry->stop_deadline_us)
+    {
+      ev_log (EV_STOPPED, "open_calls=%u",
+              entry->desc.ports->callers->vtable->open (
+                  entry->desc.ports->callers));
+      entry->desc.stopped (entry->desc.user);
+    }
+}
+
+static void
+on_tick (struct ev_loop *loop, struct ev_timer *timer, int events)
+{
+  struct entry *entry = timer->data;
+  uint64_t now_us = hc_now_us ();
+
+  (void)loop;
+  (void)events;
+  arm (entry, now_us
+                  + (entry->owner != NULL ? TICK_LEADING_US
+                                          : TICK_FOLLOWING_US));
+  pl_tick (&entry->links, now_us);
+  register_vm (entry, now_us);
+  accept_tick (entry, now_us);
+  lead_tick (entry, now_us);
+  owner_tick (entry, now_us);
+  owner_reap (entry);
+  requests_tick (entry, now_us);
+  stop_tick (entry, now_us);
+}
+
+static bool
+setup_links (struct entry *entry, struct cyc_findings *findings)
+{
+  const struct ent_settings *settings = entry->desc.settings;
+
+  return pl_setup (&entry->links,
+                   &(struct pl_desc){
+                       .loop = entry->desc.loop,
+                       .self = { .vm = settings->vm,
+                                 .domain = settings->domain,
+                                 .region = settings->region,
+                                 .role = SET_ROLE_ENTRY,
+                                 .incarnation = entry->incarnation },
+                       .listen = settings->peers,
+                       .max_peers = PEERS_MAX,
+                       .heartbeat_ms = PEER_HEARTBEAT_MS,
+                       .silent_ms = PEER_SILENT_MS,
+                       .dead_ms = PEER_DEAD_MS,
+                       .met = &entry->met,
+                       .self_state = self_state,
+                       .message = on_message,
+                       .linked = on_linked,
+                       .user = entry,
+                   },
+                   findings);
+}
+
+bool
+entry_setup (struct entry *entry, const struct entry_desc *desc,
+             struct cyc_findings *findings)
+{
+  memset (entry, 0, sizeof *entry);
+  entry->desc = *desc;
+  cyc_id128_random (&entry->incarnation);
+  entry->calls = calloc (CALLS_MAX, sizeof *entry->calls);
+  entry->accept_flight = g_ptr_array_new ();
+  entry->ended_owners = g_ptr_array_new ();
+  g_queue_init (&entry->accept_waiting);
+  if (entry->calls == NULL
+      || !cyc_pool_setup (&entry->call_pool, CALLS_MAX, NULL)
+      || !met_setup (&entry->met, &(struct met_desc){ .max_labels = 64 },
+                     findings)
+      || !setup_links (entry, findings))
+    return false;
+  tail_setup (&entry->config_tail, &(struct tail_desc){
+                                       .loop = desc->loop,
+                                       .log = desc->ports->log,
+                                       .stream = PT_STREAM_CONFIG,
+                                       .keyed = true,
+                                       .wait_ms = ENTRY_LOG_WAIT_MS,
+                                       .gap_ms = 20,
+                                       .record = on_config,
+                                       .user = entry,
+                                   });
+  tail_setup (&entry->lead_tail, &(struct tail_desc){
+                                     .loop = desc->loop,
+                                     .log = desc->ports->log,
+                                     .stream = PT_STREAM_LEAD,
+                                     .wait_ms = ENTRY_LOG_WAIT_MS,
+                                     .gap_ms = 20,
+                                     .record = lead_on_record,
+                                     .user = entry,
+                                 });
+  tail_start (&entry->config_tail);
+  tail_start (&entry->lead_tail);
+  ev_init (&entry->timer, on_tick);
+  entry->timer.data = entry;
+  arm (entry, 0);
+  ev_log (EV_STARTED, "version=%s domain=%s region=%s", CYC_VERSION,
+          desc->settings->domain.data, desc->settings->region.data);
+  return true;
+}
+
+void
+entry_shutdown (struct entry *entry)
+{
+  if (entry->owner != NULL)
+    owner_end (entry);
+  tail_stop (&entry->config_tail);
+  tail_stop (&entry->lead_tail);
+  ev_timer_stop (entry->desc.loop, &entry->timer);
+  accept_shutdown (entry);
+  g_ptr_array_free (entry->ended_owners, TRUE);
+  pl_shutdown (&entry->links);
+  cell_config_free (entry->config);
+  met_shutdown (&entry->met);
+  cyc_pool_shutdown (&entry->call_pool);
+  free (entry->calls);
+}
+
+void
+entry_stop (struct entry *entry)
+{
+  uint64_t now_us = hc_now_us ();
+  uint64_t grace_ms = entry->desc.settings->grace_ms;
+
+  if (entry->stopping)
+    return;
+  entry->stopping = true;
+  entry->stop_first_us = now_us + STOP_LINGER_US;
+  entry->stop_deadline_us
+      = now_us
+        + (grace_ms > STOP_MARGIN_MS ? grace_ms - STOP_MARGIN_MS : 0) * 1000;
+  ev_log (EV_DRAINING, "open_calls=%u leading=%d",
+          entry->desc.ports->callers->vtable->open (
+              entry->desc.ports->callers),
+          entry->owner != NULL);
+  lead_release (entry);
+  entry_kick (entry);
+}
+
+bool
+entry_ready (void *user)
+{
+  const struct entry *entry = user;
+  uint64_t now_us = hc_now_us ();
+
+  return !entry->stopping && entry->config != NULL
+         && entry->config_tail.fresh_us + READY_STALE_US > now_us;
+}
+
+struct cyc_str
+entry_metrics (void *user)
+{
+  struct entry *entry = user;
+
+  return met_text (&entry->met);
+}
--- /dev/null
+++ b/src/entry_advice.c
@@ -0,0 +1,378 @@
+/* Questions to the advisor. It handles one call at a time for each calling
+   VM, so the leader spreads the questions over the entry VMs, and keeps some
+   VMs free of long calls, so that urgent steps do not wait behind them. */
+
+#include "entry_internal.h"
+
+/** A question that costs more is long. */
+#define LONG_US 150000
+/** VMs that take no long question, as a part of all: one third. */
+#define FREE_DIVISOR 3
+/** Answer time beside the cost of the call. */
+#define ANSWER_MS 700
+/** A second question may wait at a VM whose first is as short as this. */
+#define SHORT_US 25000
+#define HELPERS_MAX 512
+
+struct helper
+{
+  struct cyc_name vm; /* empty: this VM */
+  uint64_t busy_until_us;
+  uint32_t open;
+  bool has_long;
+};
+
+struct open_ask
+{
+  uint64_t ask;
+  uint64_t deadline_us;
+  struct cyc_name vm;
+  uint64_t cost_us;
+  uint64_t sent_us;
+  char step[48];
+};
+
+struct advice_state
+{
+  struct entry *entry;
+  struct cell_core *core;
+  GArray *open; /**< struct open_ask */
+  bool ended;
+  uint32_t calls; /**< of the advisor's port in flight */
+};
+
+struct advice_state *
+advice_begin (struct entry *entry, struct cell_core *core)
+{
+  struct advice_state *advice = g_new0 (struct advice_state, 1);
+
+  advice->entry = entry;
+  advice->core = core;
+  advice->open = g_array_new (FALSE, FALSE, sizeof (struct open_ask));
+  return advice;
+}
+
+static void
+drop (struct advice_state *advice)
+{
+  g_array_free (advice->open, TRUE);
+  g_free (advice);
+}
+
+void
+advice_end (struct advice_state *advice)
+{
+  advice->ended = true;
+  if (advice->calls == 0)
+    drop (advice);
+}
+
+static bool
+close_ask (struct advice_state *advice, uint64_t ask, struct open_ask *out)
+{
+  for (guint i = 0; i < advice->open->len; i++)
+    {
+      *out = g_array_index (advice->open, struct open_ask, i);
+      if (out->ask != ask)
+        continue;
+      g_array_remove_index_fast (advice->open, i);
+      return true;
+    }
+  return false;
+}
+
+static void
+settle (struct advice_state *advice, uint64_t ask, bool answered,
+        uint64_t valid_us, const struct cell_ticket *tickets, uint32_t count)
+{
+  struct open_ask open;
+  uint64_t now_us = hc_now_us ();
+
+  if (!close_ask (advice, ask, &open))
+    return;
+  ev_log (EV_ADVICE,
+          "step=%s helper=%s answered=%d allowed=%u took_ms=%" PRIu64
+          " cost_ms=%" PRIu64,
+          open.step, open.vm.data, answered, count,
+          (now_us - open.sent_us) / 1000, open.cost_us / 1000);
+  cell_advice (advice->core, ask, answered, valid_us, tickets, count, now_us);
+  entry_kick (advice->entry);
+}
+
+static void
+on_advised (void *user, uint64_t ask, const struct pt_advise_result *result)
+{
+  struct advice_state *advice = user;
+
+  advice->calls--;
+  if (advice->ended)
+    {
+      if (advice->calls == 0)
+        drop (advice);
+      return;
+    }
+  settle (advice, ask, result->answered, result->valid_us, result->tickets,
+          result->count);
+}
+
+void
+advice_on_answer (struct advice_state *advice,
+                  const Cyc__AdviceAnswer *answer)
+{
+  struct cell_ticket *tickets
+      = g_new0 (struct cell_ticket, answer->n_tickets + 1);
+
+  for (size_t i = 0; i < answer->n_tickets; i++)
+    tickets[i] = (struct cell_ticket){
+      cyc_str_of (answer->tickets[i]->worker),
+      cyc_str_of (answer->tickets[i]->ticket),
+    };
+  settle (advice, answer->ask, answer->answered,
+          (uint64_t)answer->valid_ms * 1000, tickets,
+          (uint32_t)answer->n_tickets);
+  g_free (tickets);
+}
+
+/* VMs that can ask, with what they have open. */
+static uint32_t
+list_helpers (const struct advice_state *advice, struct helper *out)
+{
+  struct pl_peer_view view;
+  struct cyc_ref ref;
+  uint32_t cursor = 0;
+  uint32_t count = 1;
+
+  memset (&out[0], 0, sizeof out[0]);
+  while (count < HELPERS_MAX
+         && pl_next (&advice->entry->links, &cursor, &ref, &view))
+    {
+      if (!view.linked || view.draining || view.health != PL_ALIVE
+          || view.identity.role != SET_ROLE_ENTRY)
+        continue;
+      out[count] = (struct helper){ .vm = view.identity.vm };
+      count++;
+    }
+  for (guint i = 0; i < advice->open->len; i++)
+    {
+      const struct open_ask *open
+          = &g_array_index (advice->open, struct open_ask, i);
+
+      for (uint32_t h = 0; h < count; h++)
+        if (cyc_name_eq (&out[h].vm, &open->vm))
+          {
+            out[h].open++;
+            out[h].busy_until_us += open->cost_us;
+            out[h].has_long = out[h].has_long || open->cost_us > LONG_US;
+          }
+    }
+  return count;
+}
+
+/* Chooses who asks a question that costs at most *most_us; NULL: nobody. */
+static struct helper *
+choose_helper (struct helper *helpers, uint32_t count, bool long_allowed)
+{
+  struct helper *best = NULL;
+
+  (void)long_allowed;
+  for (uint32_t h = 0; h < count; h++)
+    {
+      if (helpers[h].open >= 2 || helpers[h].busy_until_us > SHORT_US)
+        continue;
+      if (best == NULL || helpers[h].busy_until_us < best->busy_until_us)
+        best = &helpers[h];
+    }
+  return best;
+}
+
+static bool
+send_ask (struct advice_state *advice, const struct helper *helper,
+          const struct cell_ask *ask, uint64_t now_us)
+{
+  struct cell_worker_view views[100];
+  uint32_t budget_ms = (uint32_t)(ask->cost_us / 1000) + ANSWER_MS;
+
+  for (uint32_t i = 0; i < ask->worker_count; i++)
+    cell_worker_view (advice->core, ask->workers[i], &views[i]);
+  if (helper->vm.len == 0)
+    {
+      struct cyc_str ids[100];
+      bool begun;
+
+      for (uint32_t i = 0; i < ask->worker_count; i++)
+        ids[i] = views[i].id;
+      begun = advice->entry->desc.ports->advisor->vtable->advise (
+          advice->entry->desc.ports->advisor,
+          &(struct pt_advise){
+              .step = cyc_str_of (ask->step),
+              .workers = ids,
+              .count = ask->worker_count,
+              .deadline_us = now_us + budget_ms * 1000ULL,
+              .done = on_advised,
+              .user = advice,
+              .ask = ask->ask,
+          });
+      advice->calls += begun;
+      return begun;
+    }
+  else
+    {
+      Cyc__Peer message = CYC__PEER__INIT;
+      Cyc__AdviceAsk out = CYC__ADVICE_ASK__INIT;
+      char *ids[100];
+      struct cyc_ref peer = pl_find (&advice->entry->links,
+                                     cyc_name_str (&helper->vm),
+                                     SET_ROLE_ENTRY);
+
+      for (uint32_t i = 0; i < ask->worker_count; i++)
+        ids[i] = (char *)views[i].id.data;
+      message.body_case = CYC__PEER__BODY_ADVICE_ASK;
+      message.advice_ask = &out;
+      out.ask = ask->ask;
+      out.step = (char *)ask->step;
+      out.n_workers = ask->worker_count;
+      out.workers = ids;
+      out.budget_ms = budget_ms;
+      return pl_send (&advice->entry->links, peer, &message);
+    }
+}
+
+static void
+expire (struct advice_state *advice, uint64_t now_us)
+{
+  for (guint i = 0; i < advice->open->len;)
+    {
+      const struct open_ask *open
+          = &g_array_index (advice->open, struct open_ask, i);
+
+      if (now_us < open->deadline_us)
+        {
+          i++;
+          continue;
+        }
+      settle (advice, open->ask, false, 0, NULL, 0);
+      i = 0;
+    }
+}
+
+void
+advice_tick (struct advice_state *advice, uint64_t now_us)
+{
+  static struct helper helpers[HELPERS_MAX];
+  uint32_t count;
+  uint32_t with_long = 0;
+
+  expire (advice, now_us);
+  count = list_helpers (advice, helpers);
+  for (uint32_t h = 0; h < count; h++)
+    with_long += helpers[h].has_long;
+  for (;;)
+    {
+      struct helper *helper = choose_helper (helpers, count, true);
+      uint32_t long_most = MAX (1, count - count / FREE_DIVISOR);
+      struct cell_ask ask;
+      struct open_ask open;
+
+      if (helper == NULL
+          || !cell_ask_next (advice->core,
+                             with_long < long_most && helper->open == 0
+                                 ? UINT64_MAX
+                                 : LONG_US,
+                             &ask))
+        return;
+      if (!send_ask (advice, helper, &ask, now_us))
+        {
+          cell_advice (advice->core, ask.ask, false, 0, NULL, 0, now_us);
+          helper->open = 2;
+          continue;
+        }
+      open = (struct open_ask){
+        .ask = ask.ask,
+        .deadline_us = now_us + ask.cost_us + (ANSWER_MS + 200) * 1000ULL,
+        .vm = helper->vm,
+        .cost_us = ask.cost_us,
+        .sent_us = now_us,
+      };
+      memcpy (open.step, ask.step, sizeof open.step);
+      g_array_append_val (advice->open, open);
+      helper->open++;
+      helper->busy_until_us += ask.cost_us;
+      with_long += ask.cost_us > LONG_US;
+    }
+}
+
+/* Asking on behalf of the leader. */
+
+struct errand
+{
+  struct entry *entry;
+  struct cyc_name leader;
+};
+
+static void
+on_errand_done (void *user, uint64_t ask,
+                const struct pt_advise_result *result)
+{
+  struct errand *errand = user;
+  Cyc__Peer message = CYC__PEER__INIT;
+  Cyc__AdviceAnswer answer = CYC__ADVICE_ANSWER__INIT;
+  Cyc__AdviceTicket *tickets = g_new0 (Cyc__AdviceTicket, result->count + 1);
+  Cyc__AdviceTicket **rows = g_new0 (Cyc__AdviceTicket *, result->count + 1);
+  GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
+  struct cyc_ref peer
+      = pl_find (&errand->entry->links, cyc_name_str (&errand->leader),
+                 SET_ROLE_ENTRY);
+
+  answer.ask = ask;
+  answer.answered = result->answered;
+  answer.valid_ms = (uint32_t)(result->valid_us / 1000);
+  for (uint32_t i = 0; i < result->count; i++)
+    {
+      cyc__advice_ticket__init (&tickets[i]);
+      tickets[i].worker = g_strndup (result->tickets[i].worker.data,
+                                     result->tickets[i].worker.len);
+      tickets[i].ticket = g_strndup (result->tickets[i].text.data,
+                                     result->tickets[i].text.len);
+      g_ptr_array_add (texts, tickets[i].worker);
+      g_ptr_array_add (texts, tickets[i].ticket);
+      rows[i] = &tickets[i];
+    }
+  answer.n_tickets = result->count;
+  answer.tickets = rows;
+  message.body_case = CYC__PEER__BODY_ADVICE_ANSWER;
+  message.advice_answer = &answer;
+  if (peer.generation != 0)
+    pl_send (&errand->entry->links, peer, &message);
+  g_ptr_array_free (texts, TRUE);
+  g_free (tickets);
+  g_free (rows);
+  g_free (errand);
+}
+
+void
+advice_on_ask (struct entry *entry, struct cyc_ref peer,
+               const Cyc__AdviceAsk *ask)
+{
+  struct errand *errand = g_new0 (struct errand, 1);
+  struct pl_peer_view view;
+  struct cyc_str ids[100];
+  uint32_t count = (uint32_t)MIN (ask->n_workers, 100);
+
+  errand->entry = entry;
+  if (pl_view (&entry->links, peer, &view))
+    errand->leader = view.identity.vm;
+  for (uint32_t i = 0; i < count; i++)
+    ids[i] = cyc_str_of (ask->workers[i]);
+  if (!entry->desc.ports->advisor->vtable->advise (
+          entry->desc.ports->advisor,
+          &(struct pt_advise){
+              .step = cyc_str_of (ask->step),
+              .workers = ids,
+              .count = count,
+              .deadline_us = hc_now_us () + ask->budget_ms * 1000ULL,
+              .done = on_errand_done,
+              .user = errand,
+              .ask = ask->ask,
+          }))
+    on_errand_done (errand, ask->ask, &(struct pt_advise_result){ 0 });
+}
--- /dev/null
+++ b/src/entry_internal.h
@@ -0,0 +1,75 @@
+/**
+ * @file
+ * Parts of the entry process that call each other; private to entry_*.c.
+ */
+#ifndef ENTRY_INTERNAL_H
+#define ENTRY_INTERNAL_H
+
+#include "entry.h"
+#include "http_client.h"
+#include "log_event.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/** Longest wait of a read of the log that finds nothing new. A connection
+ * that went silent is noticed after this and the answer time of a read. */
+#define ENTRY_LOG_WAIT_MS 1200
+/** Time limit of one append; a slow log answers within 60 times its usual
+ * 4 ms, and a round trip between regions takes 40 ms. */
+#define ENTRY_APPEND_MS 700
+
+/* entry_accept.c */
+/** Adds a record to the next batch; @p call is answered when it is stored. */
+void accept_add (struct entry *entry, struct cyc_ref call, char kind,
+                 uint64_t job, uint8_t *data, size_t len);
+void accept_tick (struct entry *entry, uint64_t now_us);
+void accept_shutdown (struct entry *entry);
+
+/* entry_requests.c */
+void requests_tick (struct entry *entry, uint64_t now_us);
+/** Ends a request; a stale reference is ignored. */
+void requests_answer (struct entry *entry, struct cyc_ref call,
+                      const struct pt_answer *answer);
+void requests_on_answer (struct entry *entry, const Cyc__CellAnswer *answer);
+
+/* entry_lead.c */
+void lead_on_record (void *user, const struct pt_record *record,
+                     uint64_t offset);
+void lead_tick (struct entry *entry, uint64_t now_us);
+void lead_release (struct entry *entry);
+void lead_step_down (struct entry *entry, const char *why);
+/** The leadership was confirmed lately enough to speak for the cell. */
+bool lead_confirmed (const struct entry *entry, uint64_t now_us);
+
+/* entry_owner.c */
+void owner_begin (struct entry *entry, uint64_t epoch);
+void owner_end (struct entry *entry);
+void owner_tick (struct entry *entry, uint64_t now_us);
+void owner_config (struct entry *entry);
+/** False: not loaded, or not sure to know all jobs. */
+bool owner_answers (const struct entry *entry);
+enum cell_job_state owner_job_state (const struct entry *entry, uint64_t job);
+uint32_t owner_pending (const struct entry *entry, struct cyc_str queue);
+/** Frees owners that have ended and have nothing in flight. */
+void owner_reap (struct entry *entry);
+
+/* entry_advice.c */
+struct advice_state;
+struct advice_state *advice_begin (struct entry *entry,
+                                   struct cell_core *core);
+void advice_end (struct advice_state *advice);
+void advice_tick (struct advice_state *advice, uint64_t now_us);
+void advice_on_answer (struct advice_state *advice,
+                       const Cyc__AdviceAnswer *answer);
+/** A leader asks this VM to ask the advisor. */
+void advice_on_ask (struct entry *entry, struct cyc_ref peer,
+                    const Cyc__AdviceAsk *ask);
+struct advice_state *owner_advice (const struct entry *entry);
+/** Something happened that the next tick should see at once. */
+void entry_kick (struct entry *entry);
+void entry_wake_at (struct entry *entry, uint64_t at_us);
+
+#endif
--- /dev/null
+++ b/src/entry_lead.c
@@ -0,0 +1,238 @@
+/* Who leads: claims and renewals in a stream of the log. A claim is appended
+   only at the end of the stream that its writer has read, so of several
+   claims one wins; the offset of the claim is its epoch. */
+
+#include "entry_internal.h"
+
+/** Gap between renewals. */
+#define RENEW_US 600000
+/** A leader that renews nothing for so long is replaced: three renewals. */
+#define SILENT_US 2000000
+/** The same when the link to the leader is down too. */
+#define SILENT_NO_LINK_US 1100000
+/** A view of the stream that is older proves no silence. */
+#define VIEW_US 1500000
+/** Candidates wait for a multiple of their way to the log, so that one near
+ * it wins; at most this. */
+#define WAY_FACTOR 8
+#define WAY_MOST_MS 500
+#define JITTER_MS 60
+/** A leader that could not renew for so long speaks for nobody. */
+#define CONFIRMED_US 2500000
+
+bool
+lead_confirmed (const struct entry *entry, uint64_t now_us)
+{
+  return entry->confirmed_us + CONFIRMED_US > now_us;
+}
+
+void
+lead_step_down (struct entry *entry, const char *why)
+{
+  if (entry->owner == NULL)
+    return;
+  ev_log (EV_LEAD_LOST, "why=\"%s\" leader=%s epoch=%" PRIu64, why,
+          entry->leader.vm.data, entry->leader.epoch);
+  met_add (&entry->met, MET_CLAIMS_LOST, 1);
+  owner_end (entry);
+}
+
+static void
+take_claim (struct entry *entry, const Cyc__CellLead *lead, uint64_t epoch)
+{
+  struct entry_leader *leader = &entry->leader;
+  bool own_vm = cyc_str_eq (cyc_str_of (lead->vm),
+                            cyc_name_str (&entry->desc.settings->vm));
+  bool own = own_vm && lead->incarnation.len == 16
+             && memcmp (lead->incarnation.data, entry->incarnation.bytes, 16)
+                    == 0;
+  struct set_peer peer = { .role = SET_ROLE_ENTRY };
+
+  memset (leader, 0, sizeof *leader);
+  leader->epoch = epoch;
+  leader->self = own;
+  leader->own_past = own_vm && !own;
+  leader->released = lead->released;
+  cyc_name_set (&leader->vm, cyc_str_of (lead->vm));
+  if (!set_address_parse (cyc_str_of (lead->address), &leader->address))
+    return;
+  ev_log (EV_LEAD_SEEN, "leader=%s epoch=%" PRIu64 " self=%d", lead->vm, epoch,
+          own);
+  if (!own && entry->owner != NULL)
+    lead_step_down (entry, "a newer claim");
+  if (own)
+    {
+      if (entry->owner == NULL)
+        owner_begin (entry, epoch);
+      return;
+    }
+  peer.vm = leader->vm;
+  peer.address = leader->address;
+  pl_peer_add (&entry->links, &peer);
+}
+
+void
+lead_on_record (void *user, const struct pt_record *record, uint64_t offset)
+{
+  struct entry *entry = user;
+  Cyc__CellLead *lead = cyc__cell_lead__unpack (
+      NULL, record->value.len, (const uint8_t *)record->value.data);
+  uint64_t epoch;
+
+  if (lead == NULL)
+    {
+      ev_log (EV_RECORD_CORRUPT, "stream=lead offset=%" PRIu64, offset);
+      return;
+    }
+  epoch = lead->epoch != 0 ? lead->epoch : offset + 1;
+  if (epoch > entry->leader.epoch)
+    take_claim (entry, lead, epoch);
+  if (epoch == entry->leader.epoch)
+    {
+      entry->leader.seen_us = hc_now_us ();
+      entry->leader.released = entry->leader.released || lead->released;
+    }
+  entry->claim_at_us = 0;
+  cyc__cell_lead__free_unpacked (lead, NULL);
+  entry_kick (entry);
+}
+
+static bool
+append_lead (struct entry *entry, uint64_t epoch, bool released,
+             void (*done) (void *user, const struct pt_append_result *result))
+{
+  const struct ent_settings *settings = entry->desc.settings;
+  Cyc__CellLead lead = CYC__CELL_LEAD__INIT;
+  uint8_t data[256];
+  char address[64];
+  struct pt_record record = { 0 };
+
+  snprintf (address, sizeof address, "%s:%u", settings->peers.host,
+            settings->peers.port);
+  lead.vm = (char *)settings->vm.data;
+  lead.address = address;
+  lead.epoch = epoch;
+  lead.released = released;
+  lead.incarnation.len = sizeof entry->incarnation.bytes;
+  lead.incarnation.data = entry->incarnation.bytes;
+  if (cyc__cell_lead__get_packed_size (&lead) > sizeof data)
+    return false;
+  record.value = (struct cyc_str){ (const char *)data,
+                                   cyc__cell_lead__pack (&lead, data) };
+  return entry->desc.ports->log->vtable->append (
+      entry->desc.ports->log,
+      &(struct pt_append){
+          .stream = PT_STREAM_LEAD,
+          .records = &record,
+          .count = 1,
+          .at_end = epoch == 0,
+          .end = entry->lead_tail.next,
+          .deadline_us = hc_now_us () + (uint64_t)ENTRY_APPEND_MS * 1000,
+          .done = done,
+          .user = entry,
+      });
+}
+
+static void
+on_claim (void *user, const struct pt_append_result *result)
+{
+  struct entry *entry = user;
+
+  entry->claim_in_flight = false;
+  entry->claim_at_us = 0;
+  /* The claim itself is taken up when the stream shows it, which also covers
+     a claim whose answer was lost. */
+  if (result->fate == PT_OK)
+    {
+      entry->confirmed_us = hc_now_us ();
+      ev_log (EV_LEAD_CLAIMED, "epoch=%" PRIu64, result->offset + 1);
+      met_add (&entry->met, MET_CLAIMS_WON, 1);
+    }
+}
+
+static void
+on_renewed (void *user, const struct pt_append_result *result)
+{
+  struct entry *entry = user;
+
+  entry->renew_in_flight = false;
+  if (result->fate == PT_OK)
+    entry->confirmed_us = entry->renew_at_us - RENEW_US;
+  else
+    entry->renew_at_us = hc_now_us () + RENEW_US / 4;
+}
+
+static void
+on_released (void *user, const struct pt_append_result *result)
+{
+  (void)user;
+  ev_log (EV_CLAIM_RELEASED, "fate=%d", (int)result->fate);
+}
+
+void
+lead_release (struct entry *entry)
+{
+  if (entry->owner == NULL || entry->released)
+    return;
+  entry->released = true;
+  append_lead (entry, entry->leader.epoch, true, on_released);
+  owner_end (entry);
+}
+
+static bool
+leader_silent (const struct entry *entry, uint64_t now_us)
+{
+  const struct entry_leader *leader = &entry->leader;
+  struct pl_peer_view view;
+  struct cyc_ref peer;
+  uint64_t age_us = now_us - leader->seen_us;
+
+  if (leader->epoch == 0 || leader->released || leader->own_past)
+    return true;
+  if (age_us >= SILENT_US)
+    return true;
+  peer = pl_find (&entry->links, cyc_name_str (&leader->vm), SET_ROLE_ENTRY);
+  return age_us >= SILENT_NO_LINK_US && peer.generation != 0
+         && pl_view (&entry->links, peer, &view) && !view.linked;
+}
+
+static void
+follow_tick (struct entry *entry, uint64_t now_us)
+{
+  uint64_t way_ms;
+
+  if (entry->stopping || entry->claim_in_flight || !entry->registered
+      || entry->lead_tail.fresh_us == 0
+      || entry->lead_tail.fresh_us + VIEW_US < now_us
+      || entry->config == NULL || !leader_silent (entry, now_us))
+    {
+      if (!entry->claim_in_flight)
+        entry->claim_at_us = 0;
+      return;
+    }
+  if (entry->claim_at_us == 0)
+    {
+      way_ms = MIN ((uint64_t)entry->log_trip_ms * WAY_FACTOR, WAY_MOST_MS);
+      entry->claim_at_us
+          = now_us + (way_ms + (uint64_t)g_random_int_range (0, JITTER_MS)) * 1000;
+      entry_wake_at (entry, entry->claim_at_us);
+    }
+  if (now_us < entry->claim_at_us)
+    return;
+  entry->claim_in_flight = append_lead (entry, 0, false, on_claim);
+}
+
+void
+lead_tick (struct entry *entry, uint64_t now_us)
+{
+  if (entry->owner == NULL)
+    {
+      follow_tick (entry, now_us);
+      return;
+    }
+  if (entry->renew_in_flight || now_us < entry->renew_at_us)
+    return;
+  entry->renew_at_us = now_us + RENEW_US;
+  entry->renew_in_flight
+      = append_lead (entry, entry->leader.epoch, false, on_renewed);
+}
--- /dev/null
+++ b/src/entry_owner.c
@@ -0,0 +1,816 @@
+/* The work of the leader: loads what the log holds, keeps the workers' leases,
+   writes the progress of jobs and gives the orders that follow. */
+
+#include "entry_internal.h"
+
+/** A hold of a worker that runs something waits so long for an end. */
+#define HOLD_WAIT_MS 1000
+/** Answer time of a hold beside its wait. */
+#define HOLD_ANSWER_MS 800
+/** Gap after a hold that brought ends, so that several come together. */
+#define HOLD_GAP_US 15000
+/** Gap between holds of a worker that runs nothing. */
+#define HOLD_IDLE_US 2500000
+/** Gap after a hold without answer. */
+#define HOLD_RETRY_US 400000
+/** Holds without answer in a row after which a worker counts as silent. */
+#define HOLD_FAILURES 2
+/** A start without answer is uncertain after this time. */
+#define START_MS 1200
+#define STOP_MS 800
+/** Leases are no longer extended when the leadership could not be confirmed
+ * for so long: another leader may wait for them to lapse. */
+#define LEASE_UNCONFIRMED_US 8000000
+/** Gap after a batch that the log did not take. */
+#define BATCH_RETRY_US 50000
+/** Least gap between two batches: one append serves what came meanwhile. */
+#define BATCH_GAP_US 4000
+/** The view of accepted jobs is too old to say that a job is not known. */
+#define JOBS_STALE_US 2500000
+/** Gap between two lines on the load. */
+#define LOAD_LINE_US 2000000
+/** Tickets are not used in the last part of their life: the record and the
+ * order need so long. */
+#define TICKET_SLACK_MS 250
+/** Longest time between two ticks of the core. */
+#define CORE_TICK_US 200000
+
+struct owner_worker
+{
+  bool holding;
+  uint32_t failures;
+  uint64_t next_us;
+  uint64_t ack_sent;
+};
+
+enum owner_phase
+{
+  OWNER_FENCING,
+  OWNER_LOADING_JOBS,
+  OWNER_LOADING_PROGRESS,
+  OWNER_LEADING
+};
+
+struct entry_owner
+{
+  struct entry *entry;
+  uint64_t epoch;
+  enum owner_phase phase;
+  struct cell_core *core;
+  struct advice_state *advice;
+  struct tail jobs_tail;
+  struct tail progress_tail;
+  struct tail workers_tail;
+  struct tail vms_tail;
+  GHashTable *cancelled; /**< ids whose job was not seen yet */
+  GArray *workers;       /**< struct owner_worker by row */
+  GHashTable *unusable;  /**< ids of entries that name no worker */
+  GPtrArray *batch;      /**< struct cell_record of the batch in flight */
+  uint64_t batch_number; /**< 0: none */
+  bool batch_in_flight;
+  uint64_t batch_at_us;
+  uint64_t sequence;
+  bool fence_in_flight;
+  uint64_t fence_at_us;
+  uint64_t begun_us;
+  uint64_t load_line_us;
+  uint64_t last_tick_us;
+  bool input; /**< the core was fed since its last tick */
+  bool ended; /**< no longer leads; freed when nothing is in flight */
+  uint32_t calls; /**< of ports in flight */
+};
+
+static void
+drop_owner (struct entry_owner *owner)
+{
+  for (guint i = 0; i < owner->batch->len; i++)
+    {
+      struct cell_record *record = g_ptr_array_index (owner->batch, i);
+
+      free (record->data);
+      g_free (record);
+    }
+  g_ptr_array_free (owner->batch, TRUE);
+  g_hash_table_destroy (owner->cancelled);
+  g_hash_table_destroy (owner->unusable);
+  g_array_free (owner->workers, TRUE);
+  cell_shutdown (owner->core);
+  g_free (owner);
+}
+
+/* The end of a call of a port. False: the owner has ended meanwhile. */
+static bool
+call_ended (struct entry_owner *owner)
+{
+  owner->calls--;
+  return !owner->ended;
+}
+
+void
+owner_reap (struct entry *entry)
+{
+  for (guint i = 0; i < entry->ended_owners->len;)
+    {
+      struct entry_owner *owner = g_ptr_array_index (entry->ended_owners, i);
+
+      if (owner->calls > 0 || owner->jobs_tail.in_flight
+          || owner->progress_tail.in_flight || owner->workers_tail.in_flight
+          || owner->vms_tail.in_flight)
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_remove_index_fast (entry->ended_owners, i);
+      drop_owner (owner);
+    }
+}
+
+static void
+fed (struct entry_owner *owner)
+{
+  owner->input = true;
+  entry_kick (owner->entry);
+}
+
+/* Streams. */
+
+static void
+on_job (void *user, const struct pt_record *record, uint64_t offset)
+{
+  struct entry_owner *owner = user;
+  uint64_t now_us = hc_now_us ();
+  gint64 id;
+  uint64_t parsed;
+  Cyc__CellJob *job;
+
+  if (record->key.len != 17 || record->value.len == 0
+      || !cell_job_id_parse (
+          (struct cyc_str){ record->key.data + 1, 16 }, &parsed))
+    return;
+  id = (gint64)parsed;
+  if (record->key.data[0] == 'c')
+    {
+      if (!cell_job_cancel (owner->core, parsed, now_us))
+        g_hash_table_add (owner->cancelled, g_memdup2 (&id, sizeof id));
+      ev_log (EV_JOB_CANCELLED, "job=%016" PRIx64 " offset=%" PRIu64, parsed,
+              offset);
+      fed (owner);
+      return;
+    }
+  job = cyc__cell_job__unpack (NULL, record->value.len,
+                               (const uint8_t *)record->value.data);
+  if (job == NULL)
+    {
+      ev_log (EV_RECORD_CORRUPT, "job=%016" PRIx64 " offset=%" PRIu64, parsed,
+              offset);
+      return;
+    }
+  if (owner->phase == OWNER_LEADING)
+    ev_log (EV_JOB_SEEN,
+            "job=%016" PRIx64 " queue=%s team=%s steps=%zu offset=%" PRIu64
+            " age_ms=%" PRId64,
+            parsed, job->queue, job->team, job->n_steps, offset,
+            (int64_t)(hc_wall_ms () - job->accepted_ms));
+  cell_job_add (owner->core, parsed, job, now_us, hc_wall_ms ());
+  if (g_hash_table_remove (owner->cancelled, &id))
+    cell_job_cancel (owner->core, parsed, now_us);
+  fed (owner);
+}
+
+static void
+on_progress (void *user, const struct pt_record *record, uint64_t offset)
+{
+  struct entry_owner *owner = user;
+  uint64_t lease_us
+      = (uint64_t)owner->entry->desc.settings->lease_ms * 1000 * 103 / 100
+        + 300000;
+  uint64_t id;
+
+  (void)offset;
+  if (record->value.len == 0 || !cell_job_id_parse (record->key, &id))
+    return;
+  if (!cell_job_restore (owner->core, id, record->value,
+                         owner->begun_us + lease_us))
+    ev_log (EV_RECORD_CORRUPT, "stream=progress job=%016" PRIx64, id);
+}
+
+static void
+on_progress_loaded (void *user)
+{
+  struct entry_owner *owner = user;
+  struct cell_totals totals;
+
+  tail_stop (&owner->progress_tail);
+  owner->phase = OWNER_LEADING;
+  cell_totals (owner->core, &totals);
+  ev_log (EV_LEAD_LOADED,
+          "epoch=%" PRIu64 " jobs=%u open=%u runs=%u workers=%u took_ms=%"
+          PRIu64,
+          owner->epoch, totals.jobs, totals.jobs_open, totals.runs,
+          cell_worker_count (owner->core),
+          (hc_now_us () - owner->begun_us) / 1000);
+  fed (owner);
+}
+
+static void
+on_jobs_loaded (void *user)
+{
+  struct entry_owner *owner = user;
+
+  if (owner->phase != OWNER_LOADING_JOBS)
+    return;
+  owner->phase = OWNER_LOADING_PROGRESS;
+  tail_start (&owner->progress_tail);
+}
+
+static void
+on_worker (void *user, const struct pt_record *record, uint64_t offset)
+{
+  struct entry_owner *owner = user;
+  struct cyc_findings findings = { 0 };
+  struct cell_worker_entry entry;
+  gchar *id;
+
+  (void)offset;
+  if (record->key.len == 0)
+    return;
+  if (record->value.len == 0)
+    {
+      cell_worker_unlisted (owner->core, record->key);
+      ev_log (EV_TARGET_LEAVING, "worker=%.*s unlisted=1",
+              CYC_FMT (record->key));
+      fed (owner);
+      return;
+    }
+  if (owner->entry->desc.ports->records->worker (record->key, record->value,
+                                                 &entry, &findings))
+    {
+      uint32_t before = cell_worker_count (owner->core);
+
+      cell_worker_listed (owner->core, &entry, hc_now_us ());
+      if (cell_worker_count (owner->core) > before || entry.draining)
+        ev_log (EV_WORKER_LISTED,
+                "worker=%s pool=%s domain=%s draining=%d millicores=%u",
+                entry.id.data, entry.pool.data, entry.domain.data,
+                entry.draining, entry.capacity.millicores);
+      return;
+    }
+  id = g_strndup (record->key.data, record->key.len);
+  if (g_hash_table_add (owner->unusable, id))
+    ev_findings (EV_ENTRY_UNUSABLE, &findings);
+}
+
+static void
+on_vm (void *user, const struct pt_record *record, uint64_t offset)
+{
+  struct entry_owner *owner = user;
+  Cyc__CellVm *vm;
+  struct set_peer peer = { .role = SET_ROLE_ENTRY };
+
+  (void)offset;
+  vm = cyc__cell_vm__unpack (NULL, record->value.len,
+                             (const uint8_t *)record->value.data);
+  if (vm != NULL && cyc_name_set (&peer.vm, record->key)
+      && set_address_parse (cyc_str_of (vm->address), &peer.address))
+    {
+      cyc_name_set (&peer.domain, cyc_str_of (vm->domain));
+      cyc_name_set (&peer.region, cyc_str_of (vm->region));
+      pl_peer_add (&owner->entry->links, &peer);
+    }
+  if (vm != NULL)
+    cyc__cell_vm__free_unpacked (vm, NULL);
+}
+
+/* Holds. */
+
+static struct owner_worker *
+worker_slot (struct entry_owner *owner, uint32_t row)
+{
+  if (row >= owner->workers->len)
+    g_array_set_size (owner->workers, row + 1);
+  return &g_array_index (owner->workers, struct owner_worker, row);
+}
+
+static void
+log_ends (const struct entry_owner *owner, uint32_t row,
+          const struct cell_report *report)
+{
+  static const char *const kinds[]
+      = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+  struct cell_worker_view view;
+
+  cell_worker_view (owner->core, row, &view);
+  for (uint32_t i = 0; i < report->end_count; i++)
+    if (report->ends[i].number > view.seen_end)
+      ev_log (EV_RUN_END, "task=%.*s run=%u worker=%.*s how=%s number=%" PRIu64,
+              CYC_FMT (report->ends[i].task), report->ends[i].run,
+              CYC_FMT (view.id), kinds[report->ends[i].kind],
+              report->ends[i].number);
+}
+
+static void
+on_held (void *user, uint32_t row, enum pt_hold_fate fate,
+         struct cell_report *report)
+{
+  struct entry_owner *owner = user;
+  struct owner_worker *slot;
+  uint64_t now_us = hc_now_us ();
+
+  if (!call_ended (owner))
+    return;
+  slot = worker_slot (owner, row);
+  slot->holding = false;
+  if (fate == PT_HOLD_OK)
+    {
+      struct cell_worker_view view;
+
+      if (slot->failures >= HOLD_FAILURES)
+        {
+          cell_worker_view (owner->core, row, &view);
+          ev_log (EV_WORKER_BACK, "worker=%.*s failures=%u", CYC_FMT (view.id),
+                  slot->failures);
+        }
+      slot->failures = 0;
+      log_ends (owner, row, report);
+      cell_worker_report (owner->core, row, report, now_us);
+      cell_worker_view (owner->core, row, &view);
+      slot->next_us = now_us + (view.runs > 0 ? HOLD_GAP_US : HOLD_IDLE_US);
+      fed (owner);
+      return;
+    }
+  slot->failures++;
+  slot->next_us = now_us + (slot->failures < HOLD_FAILURES ? 0 : HOLD_RETRY_US);
+  if (slot->failures == HOLD_FAILURES)
+    {
+      struct cell_worker_view view;
+
+      cell_worker_view (owner->core, row, &view);
+      cell_worker_silent (owner->core, row, now_us);
+      ev_log (EV_WORKER_SILENT,
+              "worker=%.*s runs=%u other_life=%d lease_left_ms=%" PRId64,
+              CYC_FMT (view.id), view.runs, fate == PT_HOLD_OTHER_LIFE,
+              view.clock_ms == 0
+                  ? 0
+                  : (int64_t)(view.lease_deadline_ms - view.clock_ms)
+                        - (int64_t)((now_us - view.clock_at_us) / 1000));
+    }
+  fed (owner);
+}
+
+/* End of a lease that begins now, on the worker's clock; 0: not known. */
+static uint64_t
+lease_deadline_ms (const struct entry_owner *owner,
+                   const struct cell_worker_view *view, uint64_t now_us)
+{
+  if (view->clock_ms == 0
+      || owner->entry->confirmed_us + LEASE_UNCONFIRMED_US < now_us)
+    return 0;
+  return view->clock_ms + (now_us - view->clock_at_us) / 1000
+         + owner->entry->desc.settings->lease_ms;
+}
+
+static void
+hold_worker (struct entry_owner *owner, uint32_t row, uint64_t now_us)
+{
+  struct owner_worker *slot = worker_slot (owner, row);
+  struct cell_worker_view view;
+  uint64_t lease_ms;
+  uint32_t wait_ms;
+
+  if (slot->holding)
+    return;
+  cell_worker_view (owner->core, row, &view);
+  if (view.address.len == 0 || (!view.listed && view.runs == 0))
+    return;
+  if (view.ack > slot->ack_sent && slot->next_us > now_us + HOLD_RETRY_US)
+    slot->next_us = now_us + HOLD_RETRY_US;
+  if (now_us < slot->next_us)
+    {
+      entry_wake_at (owner->entry, slot->next_us);
+      return;
+    }
+  lease_ms = view.runs > 0 ? lease_deadline_ms (owner, &view, now_us) : 0;
+  wait_ms = view.runs > 0 && view.fenced && slot->failures == 0 ? HOLD_WAIT_MS
+                                                                : 0;
+  if (lease_ms != 0)
+    cell_worker_leased (owner->core, row, lease_ms);
+  slot->ack_sent = view.ack;
+  slot->holding = owner->entry->desc.ports->workers->vtable->hold (
+      owner->entry->desc.ports->workers,
+      &(struct pt_hold){
+          .target = { view.id, view.address, owner->epoch },
+          .lease_ms = lease_ms,
+          .ack = view.ack,
+          .wait_ms = wait_ms,
+          .deadline_us
+          = now_us + (uint64_t)(wait_ms + HOLD_ANSWER_MS) * 1000,
+          .done = on_held,
+          .user = owner,
+          .row = row,
+      });
+  if (slot->holding)
+    owner->calls++;
+  else
+    slot->next_us = now_us + HOLD_RETRY_US;
+}
+
+/* Orders. */
+
+static void
+on_started (void *user, struct cyc_ref run, enum cell_start_result result,
+            const char *why)
+{
+  struct entry_owner *owner = user;
+
+  if (!call_ended (owner))
+    return;
+  if (result != CELL_START_OK)
+    {
+      met_add (&owner->entry->met, MET_TASK_START_REFUSED, 1);
+      ev_log (EV_RUN_REFUSED, "run_row=%u.%u result=%d why=%s", run.index,
+              run.generation, (int)result, why);
+    }
+  cell_start_result (owner->core, run, result, hc_now_us ());
+  fed (owner);
+}
+
+static void
+on_stopped (void *user, struct cyc_ref run, bool answered)
+{
+  struct entry_owner *owner = user;
+  uint64_t now_us = hc_now_us ();
+
+  if (!call_ended (owner))
+    return;
+  cell_stop_result (owner->core, run, answered ? now_us : 0, now_us);
+  fed (owner);
+}
+
+static void
+give_order (struct entry_owner *owner, const struct cell_order *order,
+            uint64_t now_us)
+{
+  struct pt_workers *port = owner->entry->desc.ports->workers;
+  struct owner_worker *slot = worker_slot (owner, order->worker);
+  struct cell_worker_view view;
+  struct pt_target target;
+  bool begun;
+
+  cell_worker_view (owner->core, order->worker, &view);
+  target = (struct pt_target){ view.id, view.address, owner->epoch };
+  if (order->kind == CELL_ORDER_START)
+    {
+      uint64_t lease_ms = lease_deadline_ms (owner, &view, now_us);
+
+      begun = lease_ms != 0
+              && port->vtable->start (
+                  port, &(struct pt_start){
+                            .target = target,
+                            .task = cyc_str_of (order->task),
+                            .number = order->number,
+                            .payload = order->payload,
+                            .lease_ms = lease_ms,
+                            .checkpoint = cyc_str_of (order->checkpoint),
+                            .ticket = cyc_str_of (order->ticket),
+                            .deadline_us = now_us + START_MS * 1000ULL,
+                            .done = on_started,
+                            .user = owner,
+                            .run = order->run,
+                        });
+      if (begun)
+        cell_worker_leased (owner->core, order->worker, lease_ms);
+      else
+        cell_start_result (owner->core, order->run, CELL_START_REFUSED_OTHER,
+                           now_us);
+      met_add (&owner->entry->met, MET_TASK_STARTS, 1);
+      ev_log (EV_RUN_START,
+              "task=%s run=%u worker=%.*s epoch=%" PRIu64
+              " run_row=%u.%u checkpoint=%d",
+              order->task, order->number, CYC_FMT (view.id), owner->epoch,
+              order->run.index, order->run.generation,
+              order->checkpoint[0] != 0);
+    }
+  else
+    {
+      begun = port->vtable->stop (
+          port, &(struct pt_stop){
+                    .target = target,
+                    .task = cyc_str_of (order->task),
+                    .number = order->number,
+                    .deadline_us = now_us + STOP_MS * 1000ULL,
+                    .done = on_stopped,
+                    .user = owner,
+                    .run = order->run,
+                });
+      ev_log (EV_RUN_STOP, "task=%s run=%u worker=%.*s", order->task,
+              order->number, CYC_FMT (view.id));
+    }
+  if (begun)
+    owner->calls++;
+  if (slot->next_us > now_us + HOLD_GAP_US)
+    slot->next_us = now_us + HOLD_GAP_US;
+}
+
+/* Batches. */
+
+static void
+free_batch (struct entry_owner *owner)
+{
+  for (guint i = 0; i < owner->batch->len; i++)
+    {
+      struct cell_record *record = g_ptr_array_index (owner->batch, i);
+
+      free (record->data);
+      g_free (record);
+    }
+  g_ptr_array_set_size (owner->batch, 0);
+}
+
+static void
+on_written (void *user, const struct pt_append_result *result)
+{
+  struct entry_owner *owner = user;
+  uint64_t now_us = hc_now_us ();
+
+  if (!call_ended (owner))
+    return;
+  owner->batch_in_flight = false;
+  if (result->fate == PT_OK)
+    {
+      uint64_t batch = owner->batch_number;
+
+      free_batch (owner);
+      owner->sequence++;
+      owner->batch_number = 0;
+      owner->batch_at_us = now_us + BATCH_GAP_US;
+      cell_batch_durable (owner->core, batch, now_us);
+      fed (owner);
+      return;
+    }
+  if (result->fate == PT_FENCED || result->fate == PT_CONFLICT)
+    {
+      lead_step_down (owner->entry, "the log refused the epoch");
+      return;
+    }
+  owner->batch_at_us = now_us + BATCH_RETRY_US;
+  entry_wake_at (owner->entry, owner->batch_at_us);
+}
+
+static void
+write_batch (struct entry_owner *owner, uint64_t now_us)
+{
+  struct pt_record *records;
+  char (*keys)[17];
+  bool begun;
+
+  if (owner->batch_in_flight)
+    return;
+  if (now_us < owner->batch_at_us)
+    {
+      entry_wake_at (owner->entry, owner->batch_at_us);
+      return;
+    }
+  if (owner->batch_number == 0)
+    {
+      struct cell_record record;
+
+      owner->batch_number = cell_batch_close (owner->core);
+      while (cell_batch_next (owner->core, &record))
+        g_ptr_array_add (owner->batch, g_memdup2 (&record, sizeof record));
+    }
+  if (owner->batch_number == 0)
+    return;
+  records = g_new0 (struct pt_record, owner->batch->len);
+  keys = g_malloc (17 * (gsize)owner->batch->len);
+  for (guint i = 0; i < owner->batch->len; i++)
+    {
+      const struct cell_record *record = g_ptr_array_index (owner->batch, i);
+
+      snprintf (keys[i], 17, "%016" PRIx64, record->job);
+      records[i].key = (struct cyc_str){ keys[i], 16 };
+      records[i].value
+          = (struct cyc_str){ (const char *)record->data, record->len };
+    }
+  begun = owner->entry->desc.ports->log->vtable->append (
+      owner->entry->desc.ports->log,
+      &(struct pt_append){
+          .stream = PT_STREAM_PROGRESS,
+          .records = records,
+          .count = owner->batch->len,
+          .epoch = owner->epoch,
+          .sequence = owner->sequence,
+          .deadline_us = now_us + (uint64_t)ENTRY_APPEND_MS * 1000,
+          .done = on_written,
+          .user = owner,
+      });
+  owner->batch_in_flight = begun;
+  if (begun)
+    owner->calls++;
+  else
+    owner->batch_at_us = now_us + BATCH_RETRY_US;
+  g_free (records);
+  g_free (keys);
+}
+
+/* The epoch is set before anything is read, so that no record of an earlier
+   leader can follow what was read. */
+static void
+on_fenced (void *user, const struct pt_append_result *result)
+{
+  struct entry_owner *owner = user;
+
+  if (!call_ended (owner))
+    return;
+  owner->fence_in_flight = false;
+  if (result->fate == PT_OK)
+    {
+      owner->phase = OWNER_LOADING_JOBS;
+      tail_start (&owner->jobs_tail);
+      return;
+    }
+  if (result->fate == PT_FENCED)
+    {
+      lead_step_down (owner->entry, "the log knows a higher epoch");
+      return;
+    }
+  owner->fence_at_us = hc_now_us () + BATCH_RETRY_US;
+  entry_wake_at (owner->entry, owner->fence_at_us);
+}
+
+static void
+set_fence (struct entry_owner *owner, uint64_t now_us)
+{
+  if (owner->fence_in_flight || now_us < owner->fence_at_us)
+    return;
+  owner->fence_in_flight = owner->entry->desc.ports->log->vtable->append (
+      owner->entry->desc.ports->log,
+      &(struct pt_append){
+          .stream = PT_STREAM_PROGRESS,
+          .epoch = owner->epoch,
+          .sequence = 0,
+          .deadline_us = now_us + (uint64_t)ENTRY_APPEND_MS * 1000,
+          .done = on_fenced,
+          .user = owner,
+      });
+  if (owner->fence_in_flight)
+    owner->calls++;
+  else
+    owner->fence_at_us = now_us + BATCH_RETRY_US;
+}
+
+static void
+follow (struct entry_owner *owner, struct tail *tail, enum pt_stream stream,
+        uint32_t wait_ms, uint32_t gap_ms,
+        void (*record) (void *, const struct pt_record *, uint64_t),
+        void (*caught_up) (void *))
+{
+  tail_setup (tail, &(struct tail_desc){
+                        .loop = owner->entry->desc.loop,
+                        .log = owner->entry->desc.ports->log,
+                        .stream = stream,
+                        .keyed = true,
+                        .wait_ms = wait_ms,
+                        .gap_ms = gap_ms,
+                        .record = record,
+                        .caught_up = caught_up,
+                        .user = owner,
+                    });
+}
+
+void
+owner_begin (struct entry *entry, uint64_t epoch)
+{
+  struct entry_owner *owner = g_new0 (struct entry_owner, 1);
+
+  owner->entry = entry;
+  owner->epoch = epoch;
+  owner->begun_us = hc_now_us ();
+  owner->core = cell_setup (
+      &(struct cell_desc){ .lease_ms = entry->desc.settings->lease_ms,
+                           .ticket_slack_ms = TICKET_SLACK_MS });
+  owner->cancelled = g_hash_table_new_full (g_int64_hash, g_int64_equal,
+                                            g_free, NULL);
+  owner->unusable
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  owner->workers
+      = g_array_new (FALSE, TRUE, sizeof (struct owner_worker));
+  owner->batch = g_ptr_array_new ();
+  if (entry->config != NULL)
+    cell_config_set (owner->core, entry->config);
+  owner->advice = advice_begin (entry, owner->core);
+  follow (owner, &owner->jobs_tail, PT_STREAM_JOBS, ENTRY_LOG_WAIT_MS, 5,
+          on_job, on_jobs_loaded);
+  follow (owner, &owner->progress_tail, PT_STREAM_PROGRESS, 0, 5, on_progress,
+          on_progress_loaded);
+  follow (owner, &owner->workers_tail, PT_STREAM_WORKERS, 0, 400, on_worker,
+          NULL);
+  follow (owner, &owner->vms_tail, PT_STREAM_VMS, ENTRY_LOG_WAIT_MS, 500,
+          on_vm, NULL);
+  tail_start (&owner->workers_tail);
+  tail_start (&owner->vms_tail);
+  entry->owner = owner;
+  entry->renew_at_us = owner->begun_us;
+  entry->confirmed_us = owner->begun_us;
+  entry_kick (entry);
+}
+
+void
+owner_end (struct entry *entry)
+{
+  struct entry_owner *owner = entry->owner;
+
+  entry->owner = NULL;
+  owner->ended = true;
+  tail_stop (&owner->jobs_tail);
+  tail_stop (&owner->progress_tail);
+  tail_stop (&owner->workers_tail);
+  tail_stop (&owner->vms_tail);
+  advice_end (owner->advice);
+  owner->advice = NULL;
+  /* Calls in flight still name the owner. */
+  g_ptr_array_add (entry->ended_owners, owner);
+}
+
+void
+owner_config (struct entry *entry)
+{
+  if (entry->owner != NULL)
+    cell_config_set (entry->owner->core, entry->config);
+}
+
+bool
+owner_answers (const struct entry *entry)
+{
+  const struct entry_owner *owner = entry->owner;
+  uint64_t now_us = hc_now_us ();
+
+  return owner != NULL && owner->phase == OWNER_LEADING
+         && owner->jobs_tail.fresh_us + JOBS_STALE_US > now_us
+         && lead_confirmed (entry, now_us);
+}
+
+enum cell_job_state
+owner_job_state (const struct entry *entry, uint64_t job)
+{
+  return cell_job_state (entry->owner->core, job);
+}
+
+uint32_t
+owner_pending (const struct entry *entry, struct cyc_str queue)
+{
+  return cell_queue_pending (entry->owner->core, queue);
+}
+
+struct advice_state *
+owner_advice (const struct entry *entry)
+{
+  return entry->owner != NULL ? entry->owner->advice : NULL;
+}
+
+static void
+load_line (struct entry_owner *owner, uint64_t now_us)
+{
+  struct cell_totals totals;
+
+  if (now_us < owner->load_line_us)
+    return;
+  owner->load_line_us = now_us + LOAD_LINE_US;
+  cell_totals (owner->core, &totals);
+  ev_log (EV_LOAD,
+          "jobs=%u open=%u stages_waiting=%u asks_waiting=%u runs=%u "
+          "workers=%u used_millicores=%" PRIu64 " capacity_millicores=%"
+          PRIu64,
+          totals.jobs, totals.jobs_open, totals.stages_waiting,
+          totals.asks_waiting, totals.runs, totals.workers_usable,
+          totals.used_millicores, totals.capacity_millicores);
+}
+
+void
+owner_tick (struct entry *entry, uint64_t now_us)
+{
+  struct entry_owner *owner = entry->owner;
+  struct cell_order order;
+
+  if (owner == NULL)
+    return;
+  if (owner->phase == OWNER_FENCING)
+    set_fence (owner, now_us);
+  for (uint32_t row = 0; row < cell_worker_count (owner->core); row++)
+    hold_worker (owner, row, now_us);
+  if (owner->phase != OWNER_LEADING)
+    return;
+  if (owner->input || now_us >= cell_next_us (owner->core)
+      || now_us >= owner->last_tick_us + CORE_TICK_US)
+    {
+      owner->input = false;
+      owner->last_tick_us = now_us;
+      cell_tick (owner->core, now_us, hc_wall_ms ());
+    }
+  if (cell_next_us (owner->core) != UINT64_MAX)
+    entry_wake_at (entry, cell_next_us (owner->core));
+  write_batch (owner, now_us);
+  while (cell_order_next (owner->core, &order))
+    give_order (owner, &order, now_us);
+  advice_tick (owner->advice, now_us);
+  load_line (owner, now_us);
+}
--- /dev/null
+++ b/src/entry_requests.c
@@ -0,0 +1,319 @@
+/* Callers' requests: which queue, whose key, and what becomes of them. */
+
+#include "entry_internal.h"
+
+/** Time that a caller is assumed to wait when it does not say. */
+#define WAIT_DEFAULT_MS 3000
+/** The answer is sent so long before the caller gives up. */
+#define WAIT_MARGIN_MS 120
+/** Longest wait for a leader that can answer: a takeover takes so long. */
+#define ASK_MOST_MS 2000
+/** An unanswered question is asked again after this time. */
+#define ASK_AGAIN_US 500000
+/** Callers come back after this when nobody can answer. */
+#define RETRY_AFTER_S 1
+
+void
+requests_answer (struct entry *entry, struct cyc_ref ref,
+                 const struct pt_answer *answer)
+{
+  struct entry_call *call;
+  struct pt_answer out = *answer;
+
+  if (!cyc_pool_live (&entry->call_pool, ref))
+    return;
+  call = &entry->calls[ref.index];
+  out.close = entry->stopping;
+  if (answer->kind == PT_ANSWER_BUSY || answer->kind == PT_ANSWER_NOT_KNOWN)
+    ev_log (EV_REQUEST_UNANSWERED,
+            "job=%016" PRIx64 " verb=%d answer=%d queue=%s waited_ms=%" PRIu64
+            " leader=%s epoch=%" PRIu64 " lead_age_ms=%" PRIu64,
+            call->job, (int)call->verb, (int)answer->kind, call->queue.data,
+            (hc_now_us () - call->received_us) / 1000, entry->leader.vm.data,
+            entry->leader.epoch,
+            (hc_now_us () - entry->leader.seen_us) / 1000);
+  else if (call->verb == PT_SUBMIT || call->verb == PT_CANCEL)
+    ev_log (call->verb == PT_SUBMIT ? EV_JOB_ACCEPTED : EV_JOB_CANCELLED,
+            "job=%016" PRIx64 " queue=%s answer=%d waited_ms=%" PRIu64
+            " config=%" PRIu64,
+            call->job, call->queue.data, (int)answer->kind,
+            (hc_now_us () - call->received_us) / 1000,
+            entry->config != NULL ? entry->config->version : 0);
+  met_observe (&entry->met, MET_ANSWER_US, hc_now_us () - call->received_us);
+  met_add (&entry->met, MET_ANSWERS, 1);
+  entry->desc.ports->callers->vtable->answer (entry->desc.ports->callers,
+                                              call->call, &out);
+  cyc_pool_give (&entry->call_pool, ref);
+}
+
+/* A record without a value would drop its key, so a cancellation has one. */
+static uint8_t *
+pack_cancel (size_t *len)
+{
+  Cyc__CellJob job = CYC__CELL_JOB__INIT;
+  uint8_t *data;
+
+  job.cancel = true;
+  job.accepted_ms = hc_wall_ms ();
+  *len = cyc__cell_job__get_packed_size (&job);
+  data = malloc (*len);
+  cyc__cell_job__pack (&job, data);
+  return data;
+}
+
+/* What follows from the leader's view of the job. */
+static void
+use_state (struct entry *entry, struct cyc_ref ref, enum cell_job_state state)
+{
+  struct entry_call *call = &entry->calls[ref.index];
+  uint8_t *data;
+  size_t len = 0;
+
+  if (state == 0)
+    {
+      requests_answer (entry, ref,
+                       &(struct pt_answer){ .kind = PT_ANSWER_GONE });
+      return;
+    }
+  if (call->verb == PT_SHOW)
+    {
+      requests_answer (
+          entry, ref,
+          &(struct pt_answer){ .kind = PT_ANSWER_STATE, .state = state });
+      return;
+    }
+  if (state != CELL_JOB_QUEUED && state != CELL_JOB_ACTIVE)
+    {
+      requests_answer (entry, ref,
+                       &(struct pt_answer){ .kind = PT_ANSWER_CANCELLED });
+      return;
+    }
+  call->asking = false;
+  data = pack_cancel (&len);
+  accept_add (entry, ref, 'c', call->job, data, len);
+}
+
+static void
+ask_leader (struct entry *entry, struct cyc_ref ref, uint64_t now_us)
+{
+  struct entry_call *call = &entry->calls[ref.index];
+  Cyc__Peer message = CYC__PEER__INIT;
+  Cyc__CellAsk ask = CYC__CELL_ASK__INIT;
+  struct cyc_ref peer;
+
+  call->asking = true;
+  if (owner_answers (entry))
+    {
+      if (call->verb == PT_COUNT)
+        requests_answer (entry, ref,
+                         &(struct pt_answer){
+                             .kind = PT_ANSWER_PENDING,
+                             .pending = owner_pending (
+                                 entry, cyc_name_str (&call->queue)) });
+      else
+        use_state (entry, ref, owner_job_state (entry, call->job));
+      return;
+    }
+  if (entry->leader.epoch == 0 || entry->leader.self)
+    return;
+  peer = pl_find (&entry->links, cyc_name_str (&entry->leader.vm),
+                  SET_ROLE_ENTRY);
+  message.body_case = CYC__PEER__BODY_CELL_ASK;
+  message.cell_ask = &ask;
+  ask.ask = (uint64_t)ref.generation << 32 | ref.index;
+  if (call->verb == PT_COUNT)
+    ask.queue = call->queue.data;
+  else
+    ask.job = call->job;
+  if (peer.generation != 0 && pl_send (&entry->links, peer, &message))
+    call->ask_again_us = now_us + ASK_AGAIN_US;
+}
+
+void
+requests_on_answer (struct entry *entry, const Cyc__CellAnswer *answer)
+{
+  struct cyc_ref ref = { (uint32_t)answer->ask, (uint32_t)(answer->ask >> 32) };
+  struct entry_call *call;
+
+  if (!answer->leading || !cyc_pool_live (&entry->call_pool, ref))
+    return;
+  call = &entry->calls[ref.index];
+  if (!call->asking)
+    return;
+  if (call->verb == PT_COUNT)
+    requests_answer (entry, ref,
+                     &(struct pt_answer){ .kind = PT_ANSWER_PENDING,
+                                          .pending = answer->pending });
+  else
+    use_state (entry, ref, answer->known ? answer->state : 0);
+}
+
+void
+requests_tick (struct entry *entry, uint64_t now_us)
+{
+  for (uint32_t i = 0; i < entry->call_pool.high; i++)
+    {
+      struct entry_call *call = &entry->calls[i];
+      struct cyc_ref ref;
+
+      if (!cyc_pool_used_at (&entry->call_pool, i) || !call->asking)
+        continue;
+      ref = cyc_pool_ref_at (&entry->call_pool, i);
+      if (now_us >= call->deadline_us
+          || now_us >= call->received_us + (uint64_t)ASK_MOST_MS * 1000)
+        requests_answer (entry, ref,
+                         &(struct pt_answer){
+                             .kind = PT_ANSWER_BUSY,
+                             .retry_after_s = RETRY_AFTER_S });
+      else if (now_us >= call->ask_again_us)
+        ask_leader (entry, ref, now_us);
+    }
+}
+
+void
+entry_gone (void *user, struct cyc_ref call)
+{
+  struct entry *entry = user;
+
+  for (uint32_t i = 0; i < entry->call_pool.high; i++)
+    if (cyc_pool_used_at (&entry->call_pool, i)
+        && entry->calls[i].call.index == call.index
+        && entry->calls[i].call.generation == call.generation
+        && entry->calls[i].asking)
+      cyc_pool_give (&entry->call_pool,
+                     cyc_pool_ref_at (&entry->call_pool, i));
+}
+
+static void
+refuse (struct entry *entry, const struct pt_request *request,
+        enum pt_answer_kind kind)
+{
+  if (kind != PT_ANSWER_NO_QUEUE)
+    ev_log (EV_REQUEST_REFUSED,
+            "answer=%d method=%.*s path=\"%.*s\" config=%" PRIu64, (int)kind,
+            CYC_FMT (request->method), CYC_FMT (request->path),
+            entry->config != NULL ? entry->config->version : 0);
+  entry->desc.ports->callers->vtable->answer (
+      entry->desc.ports->callers, request->call,
+      &(struct pt_answer){
+          .kind = kind,
+          .retry_after_s = kind == PT_ANSWER_BUSY ? RETRY_AFTER_S : 0,
+          .close = entry->stopping,
+      });
+}
+
+/* Packs the submitted job; NULL: it is not valid. */
+static uint8_t *
+pack_job (struct entry *entry, const struct pt_request *request,
+          const struct cell_queue_cfg *queue,
+          const struct cell_team_cfg *team, size_t *len)
+{
+  struct cyc_findings findings = { 0 };
+  Cyc__CellJob *job
+      = entry->desc.ports->callers->vtable->job (request->body, &findings);
+  uint8_t *data;
+
+  ev_findings (EV_REQUEST_REFUSED, &findings);
+  if (job == NULL)
+    return NULL;
+  job->queue = strdup (queue->name.data);
+  if (team != NULL)
+    job->team = strdup (team->name.data);
+  job->accepted_ms = hc_wall_ms ();
+  *len = cyc__cell_job__get_packed_size (job);
+  data = malloc (*len);
+  cyc__cell_job__pack (job, data);
+  cyc__cell_job__free_unpacked (job, NULL);
+  return data;
+}
+
+static void
+begin_call (struct entry *entry, const struct pt_request *request,
+            const struct cell_queue_cfg *queue,
+            const struct cell_team_cfg *team, enum pt_verb verb, uint64_t job)
+{
+  uint64_t now_us = hc_now_us ();
+  uint32_t wait_ms = request->wait_ms ? request->wait_ms : WAIT_DEFAULT_MS;
+  struct cyc_ref ref;
+  struct entry_call *call;
+  uint8_t *data = NULL;
+  size_t len = 0;
+
+  if (verb == PT_SUBMIT)
+    {
+      data = pack_job (entry, request, queue, team, &len);
+      if (data == NULL)
+        {
+          refuse (entry, request, PT_ANSWER_BAD_REQUEST);
+          return;
+        }
+    }
+  ref = cyc_pool_take (&entry->call_pool);
+  if (ref.generation == 0)
+    {
+      free (data);
+      refuse (entry, request, PT_ANSWER_BUSY);
+      return;
+    }
+  call = &entry->calls[ref.index];
+  *call = (struct entry_call){
+    .call = request->call,
+    .verb = verb,
+    .job = job,
+    .queue = queue->name,
+    .received_us = now_us,
+    .deadline_us
+    = now_us
+      + (uint64_t)(wait_ms > 2 * WAIT_MARGIN_MS ? wait_ms - WAIT_MARGIN_MS
+                                                : wait_ms / 2)
+            * 1000,
+  };
+  met_add (&entry->met, MET_REQUESTS, 1);
+  if (verb == PT_SUBMIT)
+    accept_add (entry, ref, 'j', job, data, len);
+  else
+    ask_leader (entry, ref, now_us);
+}
+
+void
+entry_request (void *user, const struct pt_request *request)
+{
+  struct entry *entry = user;
+  const struct cell_queue_cfg *queue;
+  const struct cell_team_cfg *team;
+  struct cyc_str rest;
+  uint64_t job = 0;
+  enum pt_verb verb;
+
+  if (entry->config == NULL)
+    {
+      refuse (entry, request, PT_ANSWER_BUSY);
+      return;
+    }
+  queue = cell_config_route (entry->config, request->host, request->path);
+  if (queue == NULL)
+    {
+      refuse (entry, request, PT_ANSWER_NO_QUEUE);
+      return;
+    }
+  team = cell_config_team_of_key (entry->config, request->key);
+  if (team == NULL && !queue->open_to_all)
+    {
+      refuse (entry, request, PT_ANSWER_BAD_KEY);
+      return;
+    }
+  rest = (struct cyc_str){ request->path.data + strlen (queue->path_prefix),
+                           request->path.len - strlen (queue->path_prefix) };
+  if (cyc_str_eq (request->method, CYC_STR ("POST")))
+    verb = PT_SUBMIT;
+  else if (cyc_str_eq (request->method, CYC_STR ("DELETE")))
+    verb = PT_CANCEL;
+  else
+    verb = rest.len == 0 ? PT_COUNT : PT_SHOW;
+  if (verb != PT_COUNT && !cell_job_id_parse (rest, &job))
+    {
+      refuse (entry, request, PT_ANSWER_BAD_REQUEST);
+      return;
+    }
+  begin_call (entry, request, queue, team, verb, job);
+}
--- /dev/null
+++ b/src/entry_settings.c
@@ -0,0 +1,188 @@
+#include "entry_settings.h"
+
+#include "cyc_json.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+enum kind
+{
+  KIND_NAME,
+  KIND_LISTEN,  /* address of our own */
+  KIND_ADDRESS, /* address of another party, kept as text */
+  KIND_UINT,
+  KIND_BOOL
+};
+
+struct row
+{
+  const char *member;
+  enum kind kind;
+  bool required;
+  size_t offset;
+  uint32_t lowest;
+  uint32_t highest;
+  uint32_t fallback;
+};
+
+#define AT(member) offsetof (struct ent_settings, member)
+
+static const struct row rows[] = {
+  { "vm", KIND_NAME, true, AT (vm), 0, 0, 0 },
+  { "domain", KIND_NAME, true, AT (domain), 0, 0, 0 },
+  { "region", KIND_NAME, true, AT (region), 0, 0, 0 },
+  { "callers", KIND_LISTEN, true, AT (callers), 0, 0, 0 },
+  { "readiness", KIND_LISTEN, true, AT (readiness), 0, 0, 0 },
+  { "peers", KIND_LISTEN, true, AT (peers), 0, 0, 0 },
+  { "metrics", KIND_LISTEN, false, AT (metrics), 0, 0, 0 },
+  { "log", KIND_ADDRESS, true, AT (log_address), 0, 0, 0 },
+  { "advisor", KIND_ADDRESS, false, AT (advisor_address), 0, 0, 0 },
+  { "worker_lease_ms", KIND_UINT, true, AT (lease_ms), 500, 600000, 10000 },
+  { "stop_grace_ms", KIND_UINT, false, AT (grace_ms), 1000, 600000, 6000 },
+  { "log_decisions", KIND_BOOL, false, AT (log_info), 0, 0, 1 },
+};
+
+#define ROW_COUNT (sizeof rows / sizeof rows[0])
+
+static void
+bad (struct cyc_findings *findings, struct cyc_str place,
+     const struct row *row, const char *text)
+{
+  cyc_findings_add (findings, place, "$.%s %s", row->member, text);
+}
+
+static void
+read_uint (const struct row *row, struct json_object *value,
+           struct cyc_str place, struct ent_settings *out,
+           struct cyc_findings *findings)
+{
+  int64_t number = json_object_get_int64 (value);
+  uint32_t checked;
+
+  if (!json_object_is_type (value, json_type_int) || number < row->lowest
+      || number > row->highest)
+    {
+      cyc_findings_add (findings, place,
+                        "$.%s must be a whole number from %u to %u",
+                        row->member, row->lowest, row->highest);
+      return;
+    }
+  checked = (uint32_t)number;
+  memcpy ((char *)out + row->offset, &checked, sizeof checked);
+}
+
+static void
+read_text (const struct row *row, struct json_object *value,
+           struct cyc_str place, struct ent_settings *out,
+           struct cyc_findings *findings)
+{
+  void *at = (char *)out + row->offset;
+  struct set_address address;
+  struct cyc_str text;
+
+  if (!json_object_is_type (value, json_type_string))
+    {
+      bad (findings, place, row, "must be a string");
+      return;
+    }
+  text = (struct cyc_str){ json_object_get_string (value),
+                           (size_t)json_object_get_string_len (value) };
+  if (row->kind == KIND_NAME)
+    {
+      if (!cyc_name_valid (text) || !cyc_name_set (at, text))
+        bad (findings, place, row, "is no valid name");
+      return;
+    }
+  if (text.len == 0 && !row->required)
+    return;
+  if (!set_address_parse (text, &address))
+    bad (findings, place, row, "must be IP:PORT");
+  else if (row->kind == KIND_LISTEN)
+    memcpy (at, &address, sizeof address);
+  else
+    g_strlcpy (at, json_object_get_string (value),
+               sizeof ((struct ent_settings *)0)->log_address);
+}
+
+static void
+read_row (const struct row *row, struct json_object *root,
+          struct cyc_str place, struct ent_settings *out,
+          struct cyc_findings *findings)
+{
+  struct json_object *value = NULL;
+  bool flag;
+
+  if (!json_object_object_get_ex (root, row->member, &value) || value == NULL)
+    {
+      if (row->required)
+        bad (findings, place, row, "is missing");
+      else if (row->kind == KIND_UINT)
+        memcpy ((char *)out + row->offset, &row->fallback,
+                sizeof row->fallback);
+      return;
+    }
+  switch (row->kind)
+    {
+    case KIND_UINT:
+      read_uint (row, value, place, out, findings);
+      return;
+    case KIND_BOOL:
+      if (!json_object_is_type (value, json_type_boolean))
+        bad (findings, place, row, "must be true or false");
+      flag = json_object_get_boolean (value);
+      memcpy ((char *)out + row->offset, &flag, sizeof flag);
+      return;
+    case KIND_NAME:
+    case KIND_LISTEN:
+    case KIND_ADDRESS:
+      read_text (row, value, place, out, findings);
+      return;
+    }
+}
+
+bool
+ent_settings_parse (struct cyc_str text, struct cyc_str place,
+                    struct ent_settings *out, struct cyc_findings *findings)
+{
+  uint32_t before = findings->count;
+  struct json_object *root = cyc_json_parse (text, place, findings);
+
+  memset (out, 0, sizeof *out);
+  out->log_info = true;
+  if (root == NULL || !json_object_is_type (root, json_type_object))
+    {
+      if (findings->count == before)
+        cyc_findings_add (findings, place, "must be an object");
+      json_object_put (root);
+      return false;
+    }
+  for (size_t i = 0; i < ROW_COUNT; i++)
+    read_row (&rows[i], root, place, out, findings);
+  json_object_put (root);
+  return findings->count == before;
+}
+
+bool
+ent_settings_load (struct cyc_str path, struct ent_settings *out,
+                   struct cyc_findings *findings)
+{
+  char *file = g_strndup (path.data, path.len);
+  gchar *data = NULL;
+  gsize len = 0;
+  GError *error = NULL;
+  bool valid;
+
+  if (!g_file_get_contents (file, &data, &len, &error))
+    {
+      cyc_findings_add (findings, path, "%s", error->message);
+      g_error_free (error);
+      g_free (file);
+      return false;
+    }
+  g_free (file);
+  valid = ent_settings_parse ((struct cyc_str){ data, len }, path, out,
+                              findings);
+  g_free (data);
+  return valid;
+}
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -62,7 +62,29 @@
   X (EV_PEER_REFUSED, WARNING, "peer_refused")                                \
   X (EV_SEAT_CONFLICT, CRITICAL, "seat_conflict")                             \
   X (EV_TRANSFER, INFO, "transfer")                                           \
-  X (EV_VM_LIST_FAILED, WARNING, "vm_list_failed")
+  X (EV_VM_LIST_FAILED, WARNING, "vm_list_failed")                            \
+  X (EV_RELOADED, MESSAGE, "reloaded")                                        \
+  X (EV_APPEND_FAILED, WARNING, "append_failed")                              \
+  X (EV_READ_FAILED, WARNING, "read_failed")                                  \
+  X (EV_ENTRY_UNUSABLE, MESSAGE, "entry_unusable")                            \
+  X (EV_WORKER_ROW_UNKNOWN, WARNING, "worker_row_unknown")                    \
+  X (EV_ADVICE, INFO, "advice")                                               \
+  X (EV_ADVICE_FAILED, MESSAGE, "advice_failed")                              \
+  X (EV_LEAD_SEEN, MESSAGE, "lead_seen")                                      \
+  X (EV_LEAD_CLAIMED, MESSAGE, "lead_claimed")                                \
+  X (EV_LEAD_LOST, WARNING, "lead_lost")                                      \
+  X (EV_LEAD_LOADED, MESSAGE, "lead_loaded")                                  \
+  X (EV_WORKER_LISTED, MESSAGE, "worker_listed")                              \
+  X (EV_JOB_SEEN, INFO, "job_seen")                                           \
+  X (EV_JOB_CANCELLED, INFO, "job_cancelled")                                 \
+  X (EV_JOB_STATE, INFO, "job_state")                                         \
+  X (EV_RUN_START, INFO, "run_start")                                         \
+  X (EV_RUN_REFUSED, MESSAGE, "run_refused")                                  \
+  X (EV_RUN_STOP, INFO, "run_stop")                                           \
+  X (EV_RUN_END, INFO, "run_end")                                             \
+  X (EV_REQUEST_UNANSWERED, MESSAGE, "request_unanswered")                    \
+  X (EV_LOAD, MESSAGE, "load")                                                \
+  X (EV_LINES_DROPPED, WARNING, "lines_dropped")
 
 enum ev_code
 {
--- a/src/main.c
+++ b/src/main.c
@@ -20,6 +20,7 @@
   { "scheduler", cmd_scheduler,
     "run a scheduler: place and start the work of a failure domain" },
   { "gateway", cmd_gateway, "run the gateway process of an entry VM" },
+  { "entry", cmd_entry, "run the process of an entry VM on the platform" },
 };
 
 #define COMMAND_COUNT (sizeof commands / sizeof commands[0])
--- a/src/peer.c
+++ b/src/peer.c
@@ -328,7 +328,8 @@
       || !cyc_name_set (&out->domain, cyc_str_of (hello->domain))
       || !cyc_name_set (&out->region, cyc_str_of (hello->region))
       || (hello->role != CYC__ROLE__ROLE_GATEWAY
-          && hello->role != CYC__ROLE__ROLE_SCHEDULER))
+          && hello->role != CYC__ROLE__ROLE_SCHEDULER
+          && hello->role != CYC__ROLE__ROLE_ENTRY))
     return false;
   out->role = (enum set_role)hello->role;
   out->seat = hello->seat;
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1087,7 +1087,232 @@
   assert(message->base.descriptor == &cyc__goodbye__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cyc__peer__field_descriptors[19] =
+void   cyc__advice_ask__init
+                     (Cyc__AdviceAsk         *message)
+{
+  static const Cyc__AdviceAsk init_value = CYC__ADVICE_ASK__INIT;
+  *message = init_value;
+}
+size_t cyc__advice_ask__get_packed_size
+                     (const Cyc__AdviceAsk *message)
+{
+  assert(message->base.descriptor == &cyc__advice_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cyc__advice_ask__pack
+                     (const Cyc__AdviceAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cyc__advice_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cyc__advice_ask__pack_to_buffer
+                     (const Cyc__AdviceAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cyc__advice_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cyc__AdviceAsk *
+       cyc__advice_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cyc__AdviceAsk *)
+     protobuf_c_message_unpack (&cyc__advice_ask__descriptor,
+                                allocator, len, data);
+}
+void   cyc__advice_ask__free_unpacked
+                     (Cyc__AdviceAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cyc__advice_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cyc__advice_ticket__init
+                     (Cyc__AdviceTicket         *message)
+{
+  static const Cyc__AdviceTicket init_value = CYC__ADVICE_TICKET__INIT;
+  *message = init_value;
+}
+size_t cyc__advice_ticket__get_packed_size
+                     (const Cyc__AdviceTicket *message)
+{
+  assert(message->base.descriptor == &cyc__advice_ticket__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cyc__advice_ticket__pack
+                     (const Cyc__AdviceTicket *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cyc__advice_ticket__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cyc__advice_ticket__pack_to_buffer
+                     (const Cyc__AdviceTicket *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cyc__advice_ticket__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cyc__AdviceTicket *
+       cyc__advice_ticket__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cyc__AdviceTicket *)
+     protobuf_c_message_unpack (&cyc__advice_ticket__descriptor,
+                                allocator, len, data);
+}
+void   cyc__advice_ticket__free_unpacked
+                     (Cyc__AdviceTicket *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cyc__advice_ticket__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cyc__advice_answer__init
+                     (Cyc__AdviceAnswer         *message)
+{
+  static const Cyc__AdviceAnswer init_value = CYC__ADVICE_ANSWER__INIT;
+  *message = init_value;
+}
+size_t cyc__advice_answer__get_packed_size
+                     (const Cyc__AdviceAnswer *message)
+{
+  assert(message->base.descriptor == &cyc__advice_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cyc__advice_answer__pack
+                     (const Cyc__AdviceAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cyc__advice_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cyc__advice_answer__pack_to_buffer
+                     (const Cyc__AdviceAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cyc__advice_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cyc__AdviceAnswer *
+       cyc__advice_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cyc__AdviceAnswer *)
+     protobuf_c_message_unpack (&cyc__advice_answer__descriptor,
+                                allocator, len, data);
+}
+void   cyc__advice_answer__free_unpacked
+                     (Cyc__AdviceAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cyc__advice_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cyc__cell_ask__init
+                     (Cyc__CellAsk         *message)
+{
+  static const Cyc__CellAsk init_value = CYC__CELL_ASK__INIT;
+  *message = init_value;
+}
+size_t cyc__cell_ask__get_packed_size
+                     (const Cyc__CellAsk *message)
+{
+  assert(message->base.descriptor == &cyc__cell_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cyc__cell_ask__pack
+                     (const Cyc__CellAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cyc__cell_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cyc__cell_ask__pack_to_buffer
+                     (const Cyc__CellAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cyc__cell_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cyc__CellAsk *
+       cyc__cell_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cyc__CellAsk *)
+     protobuf_c_message_unpack (&cyc__cell_ask__descriptor,
+                                allocator, len, data);
+}
+void   cyc__cell_ask__free_unpacked
+                     (Cyc__CellAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cyc__cell_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cyc__cell_answer__init
+                     (Cyc__CellAnswer         *message)
+{
+  static const Cyc__CellAnswer init_value = CYC__CELL_ANSWER__INIT;
+  *message = init_value;
+}
+size_t cyc__cell_answer__get_packed_size
+                     (const Cyc__CellAnswer *message)
+{
+  assert(message->base.descriptor == &cyc__cell_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cyc__cell_answer__pack
+                     (const Cyc__CellAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cyc__cell_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cyc__cell_answer__pack_to_buffer
+                     (const Cyc__CellAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cyc__cell_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cyc__CellAnswer *
+       cyc__cell_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cyc__CellAnswer *)
+     protobuf_c_message_unpack (&cyc__cell_answer__descriptor,
+                                allocator, len, data);
+}
+void   cyc__cell_answer__free_unpacked
+                     (Cyc__CellAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cyc__cell_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor cyc__peer__field_descriptors[23] =
 {
   {
     "hello",
@@ -1317,9 +1542,61 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "advice_ask",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cyc__Peer, body_case),
+    offsetof(Cyc__Peer, advice_ask),
+    &cyc__advice_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_answer",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cyc__Peer, body_case),
+    offsetof(Cyc__Peer, advice_answer),
+    &cyc__advice_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cell_ask",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cyc__Peer, body_case),
+    offsetof(Cyc__Peer, cell_ask),
+    &cyc__cell_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cell_answer",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cyc__Peer, body_case),
+    offsetof(Cyc__Peer, cell_answer),
+    &cyc__cell_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cyc__peer__field_indices_by_name[] = {
+  20,   /* field[20] = advice_answer */
+  19,   /* field[19] = advice_ask */
   16,   /* field[16] = aggregate */
+  22,   /* field[22] = cell_answer */
+  21,   /* field[21] = cell_ask */
   2,   /* field[2] = control_records */
   3,   /* field[3] = control_request */
   9,   /* field[9] = forward */
@@ -1342,7 +1619,7 @@
 static const ProtobufCIntRange cyc__peer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor cyc__peer__descriptor =
 {
@@ -1352,7 +1629,7 @@
   "Cyc__Peer",
   "cyc",
   sizeof(Cyc__Peer),
-  19,
+  23,
   cyc__peer__field_descriptors,
   cyc__peer__field_indices_by_name,
   1,  cyc__peer__number_ranges,
@@ -3039,18 +3316,379 @@
   (ProtobufCMessageInit) cyc__goodbye__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue cyc__role__enum_values_by_number[4] =
+static const ProtobufCFieldDescriptor cyc__advice_ask__field_descriptors[4] =
+{
+  {
+    "ask",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__AdviceAsk, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__AdviceAsk, step),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workers",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cyc__AdviceAsk, n_workers),
+    offsetof(Cyc__AdviceAsk, workers),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "budget_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__AdviceAsk, budget_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cyc__advice_ask__field_indices_by_name[] = {
+  0,   /* field[0] = ask */
+  3,   /* field[3] = budget_ms */
+  1,   /* field[1] = step */
+  2,   /* field[2] = workers */
+};
+static const ProtobufCIntRange cyc__advice_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cyc__advice_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cyc.AdviceAsk",
+  "AdviceAsk",
+  "Cyc__AdviceAsk",
+  "cyc",
+  sizeof(Cyc__AdviceAsk),
+  4,
+  cyc__advice_ask__field_descriptors,
+  cyc__advice_ask__field_indices_by_name,
+  1,  cyc__advice_ask__number_ranges,
+  (ProtobufCMessageInit) cyc__advice_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cyc__advice_ticket__field_descriptors[2] =
+{
+  {
+    "worker",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__AdviceTicket, worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__AdviceTicket, ticket),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cyc__advice_ticket__field_indices_by_name[] = {
+  1,   /* field[1] = ticket */
+  0,   /* field[0] = worker */
+};
+static const ProtobufCIntRange cyc__advice_ticket__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cyc__advice_ticket__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cyc.AdviceTicket",
+  "AdviceTicket",
+  "Cyc__AdviceTicket",
+  "cyc",
+  sizeof(Cyc__AdviceTicket),
+  2,
+  cyc__advice_ticket__field_descriptors,
+  cyc__advice_ticket__field_indices_by_name,
+  1,  cyc__advice_ticket__number_ranges,
+  (ProtobufCMessageInit) cyc__advice_ticket__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cyc__advice_answer__field_descriptors[4] =
+{
+  {
+    "ask",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__AdviceAnswer, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__AdviceAnswer, answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "valid_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__AdviceAnswer, valid_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tickets",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cyc__AdviceAnswer, n_tickets),
+    offsetof(Cyc__AdviceAnswer, tickets),
+    &cyc__advice_ticket__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cyc__advice_answer__field_indices_by_name[] = {
+  1,   /* field[1] = answered */
+  0,   /* field[0] = ask */
+  3,   /* field[3] = tickets */
+  2,   /* field[2] = valid_ms */
+};
+static const ProtobufCIntRange cyc__advice_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cyc__advice_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cyc.AdviceAnswer",
+  "AdviceAnswer",
+  "Cyc__AdviceAnswer",
+  "cyc",
+  sizeof(Cyc__AdviceAnswer),
+  4,
+  cyc__advice_answer__field_descriptors,
+  cyc__advice_answer__field_indices_by_name,
+  1,  cyc__advice_answer__number_ranges,
+  (ProtobufCMessageInit) cyc__advice_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cyc__cell_ask__field_descriptors[3] =
+{
+  {
+    "ask",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellAsk, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellAsk, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellAsk, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cyc__cell_ask__field_indices_by_name[] = {
+  0,   /* field[0] = ask */
+  1,   /* field[1] = job */
+  2,   /* field[2] = queue */
+};
+static const ProtobufCIntRange cyc__cell_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cyc__cell_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cyc.CellAsk",
+  "CellAsk",
+  "Cyc__CellAsk",
+  "cyc",
+  sizeof(Cyc__CellAsk),
+  3,
+  cyc__cell_ask__field_descriptors,
+  cyc__cell_ask__field_indices_by_name,
+  1,  cyc__cell_ask__number_ranges,
+  (ProtobufCMessageInit) cyc__cell_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cyc__cell_answer__field_descriptors[5] =
+{
+  {
+    "ask",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellAnswer, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leading",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellAnswer, leading),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellAnswer, known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellAnswer, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pending",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellAnswer, pending),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cyc__cell_answer__field_indices_by_name[] = {
+  0,   /* field[0] = ask */
+  2,   /* field[2] = known */
+  1,   /* field[1] = leading */
+  4,   /* field[4] = pending */
+  3,   /* field[3] = state */
+};
+static const ProtobufCIntRange cyc__cell_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cyc__cell_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cyc.CellAnswer",
+  "CellAnswer",
+  "Cyc__CellAnswer",
+  "cyc",
+  sizeof(Cyc__CellAnswer),
+  5,
+  cyc__cell_answer__field_descriptors,
+  cyc__cell_answer__field_indices_by_name,
+  1,  cyc__cell_answer__number_ranges,
+  (ProtobufCMessageInit) cyc__cell_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue cyc__role__enum_values_by_number[5] =
 {
   { "ROLE_UNKNOWN", "CYC__ROLE__ROLE_UNKNOWN", 0 },
   { "ROLE_GATEWAY", "CYC__ROLE__ROLE_GATEWAY", 1 },
   { "ROLE_SCHEDULER", "CYC__ROLE__ROLE_SCHEDULER", 2 },
   { "ROLE_TOOL", "CYC__ROLE__ROLE_TOOL", 3 },
+  { "ROLE_ENTRY", "CYC__ROLE__ROLE_ENTRY", 4 },
 };
 static const ProtobufCIntRange cyc__role__value_ranges[] = {
-{0, 0},{0, 4}
+{0, 0},{0, 5}
 };
-static const ProtobufCEnumValueIndex cyc__role__enum_values_by_name[4] =
+static const ProtobufCEnumValueIndex cyc__role__enum_values_by_name[5] =
 {
+  { "ROLE_ENTRY", 4 },
   { "ROLE_GATEWAY", 1 },
   { "ROLE_SCHEDULER", 2 },
   { "ROLE_TOOL", 3 },
@@ -3063,9 +3701,9 @@
   "Role",
   "Cyc__Role",
   "cyc",
-  4,
+  5,
   cyc__role__enum_values_by_number,
-  4,
+  5,
   cyc__role__enum_values_by_name,
   1,
   cyc__role__value_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -39,6 +39,11 @@
 typedef struct Cyc__TeamUse Cyc__TeamUse;
 typedef struct Cyc__Aggregate Cyc__Aggregate;
 typedef struct Cyc__Goodbye Cyc__Goodbye;
+typedef struct Cyc__AdviceAsk Cyc__AdviceAsk;
+typedef struct Cyc__AdviceTicket Cyc__AdviceTicket;
+typedef struct Cyc__AdviceAnswer Cyc__AdviceAnswer;
+typedef struct Cyc__CellAsk Cyc__CellAsk;
+typedef struct Cyc__CellAnswer Cyc__CellAnswer;
 
 
 /* --- enums --- */
@@ -47,7 +52,8 @@
   CYC__ROLE__ROLE_UNKNOWN = 0,
   CYC__ROLE__ROLE_GATEWAY = 1,
   CYC__ROLE__ROLE_SCHEDULER = 2,
-  CYC__ROLE__ROLE_TOOL = 3
+  CYC__ROLE__ROLE_TOOL = 3,
+  CYC__ROLE__ROLE_ENTRY = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CYC__ROLE)
 } Cyc__Role;
 
@@ -73,7 +79,11 @@
   CYC__PEER__BODY_JOB_REPLY = 16,
   CYC__PEER__BODY_AGGREGATE = 17,
   CYC__PEER__BODY_GOODBYE = 18,
-  CYC__PEER__BODY_TARGET_LEAVING = 19
+  CYC__PEER__BODY_TARGET_LEAVING = 19,
+  CYC__PEER__BODY_ADVICE_ASK = 20,
+  CYC__PEER__BODY_ADVICE_ANSWER = 21,
+  CYC__PEER__BODY_CELL_ASK = 22,
+  CYC__PEER__BODY_CELL_ANSWER = 23
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CYC__PEER__BODY__CASE)
 } Cyc__Peer__BodyCase;
 
@@ -101,6 +111,10 @@
     Cyc__Aggregate *aggregate;
     Cyc__Goodbye *goodbye;
     Cyc__TargetLeaving *target_leaving;
+    Cyc__AdviceAsk *advice_ask;
+    Cyc__AdviceAnswer *advice_answer;
+    Cyc__CellAsk *cell_ask;
+    Cyc__CellAnswer *cell_answer;
   };
 };
 #define CYC__PEER__INIT \
@@ -434,6 +448,86 @@
     , (char *)protobuf_c_empty_string }
 
 
+/*
+ * Leader to an entry VM: ask the advisor which workers may run a step.
+ */
+struct  Cyc__AdviceAsk
+{
+  ProtobufCMessage base;
+  uint64_t ask;
+  char *step;
+  size_t n_workers;
+  char **workers;
+  uint32_t budget_ms;
+};
+#define CYC__ADVICE_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cyc__advice_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
+
+
+struct  Cyc__AdviceTicket
+{
+  ProtobufCMessage base;
+  char *worker;
+  char *ticket;
+};
+#define CYC__ADVICE_TICKET__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cyc__advice_ticket__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Cyc__AdviceAnswer
+{
+  ProtobufCMessage base;
+  uint64_t ask;
+  protobuf_c_boolean answered;
+  uint32_t valid_ms;
+  size_t n_tickets;
+  Cyc__AdviceTicket **tickets;
+};
+#define CYC__ADVICE_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cyc__advice_answer__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
+/*
+ * Entry VM to the leader: the state of a job, or the backlog of a queue.
+ */
+struct  Cyc__CellAsk
+{
+  ProtobufCMessage base;
+  uint64_t ask;
+  /*
+   * 0: the queue is meant
+   */
+  uint64_t job;
+  char *queue;
+};
+#define CYC__CELL_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cyc__cell_ask__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Cyc__CellAnswer
+{
+  ProtobufCMessage base;
+  uint64_t ask;
+  /*
+   * false: the sender does not lead, or is still loading
+   */
+  protobuf_c_boolean leading;
+  protobuf_c_boolean known;
+  /*
+   * enum cell_job_state
+   */
+  uint32_t state;
+  uint32_t pending;
+};
+#define CYC__CELL_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cyc__cell_answer__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
 /* Cyc__Peer methods */
 void   cyc__peer__init
                      (Cyc__Peer         *message);
@@ -890,6 +984,101 @@
 void   cyc__goodbye__free_unpacked
                      (Cyc__Goodbye *message,
                       ProtobufCAllocator *allocator);
+/* Cyc__AdviceAsk methods */
+void   cyc__advice_ask__init
+                     (Cyc__AdviceAsk         *message);
+size_t cyc__advice_ask__get_packed_size
+                     (const Cyc__AdviceAsk   *message);
+size_t cyc__advice_ask__pack
+                     (const Cyc__AdviceAsk   *message,
+                      uint8_t             *out);
+size_t cyc__advice_ask__pack_to_buffer
+                     (const Cyc__AdviceAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Cyc__AdviceAsk *
+       cyc__advice_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cyc__advice_ask__free_unpacked
+                     (Cyc__AdviceAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Cyc__AdviceTicket methods */
+void   cyc__advice_ticket__init
+                     (Cyc__AdviceTicket         *message);
+size_t cyc__advice_ticket__get_packed_size
+                     (const Cyc__AdviceTicket   *message);
+size_t cyc__advice_ticket__pack
+                     (const Cyc__AdviceTicket   *message,
+                      uint8_t             *out);
+size_t cyc__advice_ticket__pack_to_buffer
+                     (const Cyc__AdviceTicket   *message,
+                      ProtobufCBuffer     *buffer);
+Cyc__AdviceTicket *
+       cyc__advice_ticket__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cyc__advice_ticket__free_unpacked
+                     (Cyc__AdviceTicket *message,
+                      ProtobufCAllocator *allocator);
+/* Cyc__AdviceAnswer methods */
+void   cyc__advice_answer__init
+                     (Cyc__AdviceAnswer         *message);
+size_t cyc__advice_answer__get_packed_size
+                     (const Cyc__AdviceAnswer   *message);
+size_t cyc__advice_answer__pack
+                     (const Cyc__AdviceAnswer   *message,
+                      uint8_t             *out);
+size_t cyc__advice_answer__pack_to_buffer
+                     (const Cyc__AdviceAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Cyc__AdviceAnswer *
+       cyc__advice_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cyc__advice_answer__free_unpacked
+                     (Cyc__AdviceAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Cyc__CellAsk methods */
+void   cyc__cell_ask__init
+                     (Cyc__CellAsk         *message);
+size_t cyc__cell_ask__get_packed_size
+                     (const Cyc__CellAsk   *message);
+size_t cyc__cell_ask__pack
+                     (const Cyc__CellAsk   *message,
+                      uint8_t             *out);
+size_t cyc__cell_ask__pack_to_buffer
+                     (const Cyc__CellAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Cyc__CellAsk *
+       cyc__cell_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cyc__cell_ask__free_unpacked
+                     (Cyc__CellAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Cyc__CellAnswer methods */
+void   cyc__cell_answer__init
+                     (Cyc__CellAnswer         *message);
+size_t cyc__cell_answer__get_packed_size
+                     (const Cyc__CellAnswer   *message);
+size_t cyc__cell_answer__pack
+                     (const Cyc__CellAnswer   *message,
+                      uint8_t             *out);
+size_t cyc__cell_answer__pack_to_buffer
+                     (const Cyc__CellAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Cyc__CellAnswer *
+       cyc__cell_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cyc__cell_answer__free_unpacked
+                     (Cyc__CellAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Cyc__Peer_Closure)
@@ -964,6 +1153,21 @@
 typedef void (*Cyc__Goodbye_Closure)
                  (const Cyc__Goodbye *message,
                   void *closure_data);
+typedef void (*Cyc__AdviceAsk_Closure)
+                 (const Cyc__AdviceAsk *message,
+                  void *closure_data);
+typedef void (*Cyc__AdviceTicket_Closure)
+                 (const Cyc__AdviceTicket *message,
+                  void *closure_data);
+typedef void (*Cyc__AdviceAnswer_Closure)
+                 (const Cyc__AdviceAnswer *message,
+                  void *closure_data);
+typedef void (*Cyc__CellAsk_Closure)
+                 (const Cyc__CellAsk *message,
+                  void *closure_data);
+typedef void (*Cyc__CellAnswer_Closure)
+                 (const Cyc__CellAnswer *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -995,6 +1199,11 @@
 extern const ProtobufCMessageDescriptor cyc__team_use__descriptor;
 extern const ProtobufCMessageDescriptor cyc__aggregate__descriptor;
 extern const ProtobufCMessageDescriptor cyc__goodbye__descriptor;
+extern const ProtobufCMessageDescriptor cyc__advice_ask__descriptor;
+extern const ProtobufCMessageDescriptor cyc__advice_ticket__descriptor;
+extern const ProtobufCMessageDescriptor cyc__advice_answer__descriptor;
+extern const ProtobufCMessageDescriptor cyc__cell_ask__descriptor;
+extern const ProtobufCMessageDescriptor cyc__cell_answer__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -24,7 +24,8 @@
 enum set_role
 {
   SET_ROLE_GATEWAY = 1,
-  SET_ROLE_SCHEDULER = 2
+  SET_ROLE_SCHEDULER = 2,
+  SET_ROLE_ENTRY = 4
 };
 
 enum set_on_stale
--- /dev/null
+++ b/src/tail.c
@@ -0,0 +1,204 @@
+#include "tail.h"
+
+#include "http_client.h"
+#include "log_event.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/** A read without answer is given up so long after its wait: a connection
+ * that went silent must not hide changes for longer. */
+#define ANSWER_MS 900
+#define RETRY_FIRST_MS 50
+#define RETRY_MOST_MS 400
+#define US_PER_MS 1000
+
+static void begin (struct tail *tail);
+
+static void
+schedule (struct tail *tail, uint32_t ms)
+{
+  ev_timer_stop (tail->desc.loop, &tail->timer);
+  ev_timer_set (&tail->timer, ms / 1000.0, 0.0);
+  ev_timer_start (tail->desc.loop, &tail->timer);
+}
+
+static void
+on_timer (struct ev_loop *loop, struct ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  begin (timer->data);
+}
+
+static void
+failed (struct tail *tail)
+{
+  uint32_t wait_ms = RETRY_FIRST_MS << MIN (tail->failures, 8U);
+
+  if (tail->failures == 1)
+    ev_log (EV_LOG_UNREACHABLE, "stream=%d next=%" PRIu64 " fresh_age_ms=%"
+            PRIu64, (int)tail->desc.stream, tail->next,
+            tail->fresh_us ? (hc_now_us () - tail->fresh_us) / 1000 : 0);
+  tail->failures++;
+  schedule (tail, MIN (wait_ms, RETRY_MOST_MS));
+}
+
+static void
+succeeded (struct tail *tail)
+{
+  if (tail->failures > 1)
+    ev_log (EV_LOG_REACHABLE, "stream=%d failures=%u next=%" PRIu64,
+            (int)tail->desc.stream, tail->failures, tail->next);
+  tail->failures = 0;
+}
+
+static void
+hand_over (struct tail *tail, const struct pt_record *records, uint32_t count,
+           uint64_t first_offset)
+{
+  for (uint32_t i = 0; i < count && tail->running; i++)
+    tail->desc.record (tail->desc.user, &records[i], first_offset + i);
+}
+
+static void
+on_newest (void *user, const struct pt_newest_result *result)
+{
+  struct tail *tail = user;
+
+  tail->in_flight = false;
+  if (!tail->running)
+    return;
+  if (result->fate != PT_OK)
+    {
+      failed (tail);
+      return;
+    }
+  succeeded (tail);
+  if (tail->after[0] == 0)
+    tail->load_end = result->end;
+  hand_over (tail, result->records, result->count, 0);
+  if (!tail->running)
+    return;
+  if (result->more && result->count > 0)
+    {
+      snprintf (tail->after, sizeof tail->after, "%.*s",
+                CYC_FMT (result->records[result->count - 1].key));
+      begin (tail);
+      return;
+    }
+  tail->after[0] = 0;
+  tail->loaded = true;
+  tail->next = tail->load_end;
+  tail->fresh_us = tail->sent_us;
+  if (tail->desc.caught_up != NULL)
+    tail->desc.caught_up (tail->desc.user);
+  if (tail->running)
+    begin (tail);
+}
+
+static void
+on_read (void *user, const struct pt_read_result *result)
+{
+  struct tail *tail = user;
+
+  tail->in_flight = false;
+  if (!tail->running)
+    return;
+  if (result->fate == PT_TRIMMED)
+    {
+      ev_log (EV_LOG_TRIMMED, "stream=%d wanted=%" PRIu64 " oldest=%" PRIu64,
+              (int)tail->desc.stream, tail->next, result->first);
+      tail->loaded = !tail->desc.keyed;
+      tail->next = result->first;
+      schedule (tail, 1);
+      return;
+    }
+  if (result->fate != PT_OK)
+    {
+      failed (tail);
+      return;
+    }
+  succeeded (tail);
+  tail->fresh_us = tail->sent_us;
+  hand_over (tail, result->records, result->count,
+             result->next - result->count);
+  if (!tail->running)
+    return;
+  tail->next = result->next;
+  if (tail->desc.caught_up != NULL)
+    tail->desc.caught_up (tail->desc.user);
+  if (tail->running && !tail->in_flight)
+    schedule (tail, tail->desc.gap_ms);
+}
+
+static void
+begin_load (struct tail *tail)
+{
+  if (tail->after[0] == 0 && tail->desc.reload != NULL)
+    tail->desc.reload (tail->desc.user);
+  tail->in_flight = tail->desc.log->vtable->newest (
+      tail->desc.log,
+      &(struct pt_newest){
+          .stream = tail->desc.stream,
+          .after = cyc_str_of (tail->after),
+          .deadline_us
+          = tail->sent_us + (uint64_t)ANSWER_MS * 2 * US_PER_MS,
+          .done = on_newest,
+          .user = tail,
+      });
+}
+
+static void
+begin (struct tail *tail)
+{
+  if (!tail->running || tail->in_flight)
+    return;
+  tail->sent_us = hc_now_us ();
+  if (!tail->loaded)
+    begin_load (tail);
+  else
+    tail->in_flight = tail->desc.log->vtable->read (
+        tail->desc.log,
+        &(struct pt_read){
+            .stream = tail->desc.stream,
+            .from = tail->next,
+            .wait_ms = tail->desc.wait_ms,
+            .deadline_us
+            = tail->sent_us
+              + (uint64_t)(tail->desc.wait_ms + ANSWER_MS) * US_PER_MS,
+            .done = on_read,
+            .user = tail,
+        });
+  if (!tail->in_flight)
+    failed (tail);
+}
+
+void
+tail_setup (struct tail *tail, const struct tail_desc *desc)
+{
+  memset (tail, 0, sizeof *tail);
+  tail->desc = *desc;
+  tail->loaded = !desc->keyed;
+  ev_init (&tail->timer, on_timer);
+  tail->timer.data = tail;
+}
+
+void
+tail_start (struct tail *tail)
+{
+  if (tail->running)
+    return;
+  tail->running = true;
+  tail->loaded = !tail->desc.keyed;
+  tail->after[0] = 0;
+  tail->fresh_us = 0;
+  begin (tail);
+}
+
+void
+tail_stop (struct tail *tail)
+{
+  tail->running = false;
+  ev_timer_stop (tail->desc.loop, &tail->timer);
+}
