--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -795,10 +795,12 @@
     return;
   if (owner->phase == OWNER_FENCING)
     set_fence (owner, now_us);
-  for (uint32_t row = 0; row < cell_worker_count (owner->core); row++)
-    hold_worker (owner, row, now_us);
+  /* An end that a worker lists can only be taken in when all jobs are
+     known. */
   if (owner->phase != OWNER_LEADING)
     return;
+  for (uint32_t row = 0; row < cell_worker_count (owner->core); row++)
+    hold_worker (owner, row, now_us);
   if (owner->input || now_us >= cell_next_us (owner->core)
       || now_us >= owner->last_tick_us + CORE_TICK_US)
     {
