Spread accepted jobs over the parts of the log; extend no silent lease

Retried holds asked for ever later lease ends, so the time from which the lease has certainly lapsed never came. A worker that did not answer now gets no further lease. Ruled out: advice and quota; the log shows run_stop of members on the dead worker every 0.7 s. Each VM now appends to a part of its own, and an append has 1.8 s. Ruled out: processor time (0.017 cores).

--- a/src/entry.c
+++ b/src/entry.c
@@ -94,8 +94,13 @@
   entry->register_in_flight = false;
   entry->registered = result->fate == PT_OK;
   if (entry->registered)
-    entry->log_trip_ms
-        = (uint32_t)((now_us - entry->register_at_us) / 1000);
+    {
+      entry->log_trip_ms
+          = (uint32_t)((now_us - entry->register_at_us) / 1000);
+      /* Entries are numbered in turn, which spreads the VMs over the parts. */
+      entry->accept_part
+          = (uint32_t)(result->offset % entry->desc.settings->log_parts);
+    }
   else
     entry->register_at_us = now_us + REGISTER_RETRY_US;
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -74,6 +74,7 @@
   GQueue accept_waiting; /**< struct accept_item */
   GPtrArray *accept_flight;
   uint64_t accept_next_us;
+  uint32_t accept_part; /**< of the stream of jobs */
 
   struct entry_leader leader;
   uint64_t claim_at_us;  /**< a claim is to be made then; 0: none */
--- a/src/entry_accept.c
+++ b/src/entry_accept.c
@@ -7,6 +7,9 @@
  * come back: a log that refuses longer is down for seconds. */
 #define REFUSED_MOST_US 350000
 #define RETRY_US 50000
+/** Time limit of an append: several VMs may wait for one part of a slow log,
+ * and an append that is tried again waits once more. */
+#define ACCEPT_APPEND_MS 1800
 /** Most bytes and records in one append. */
 #define BATCH_BYTES 1048576
 #define BATCH_RECORDS 500
@@ -150,9 +153,10 @@
           entry->desc.ports->log,
           &(struct pt_append){
               .stream = PT_STREAM_JOBS,
+              .part = entry->accept_part,
               .records = records,
               .count = count,
-              .deadline_us = now_us + (uint64_t)ENTRY_APPEND_MS * 1000,
+              .deadline_us = now_us + (uint64_t)ACCEPT_APPEND_MS * 1000,
               .done = on_stored,
               .user = entry,
           }))
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -58,7 +58,8 @@
   enum owner_phase phase;
   struct cell_core *core;
   struct advice_state *advice;
-  struct tail jobs_tail;
+  struct tail *jobs_tails; /**< one for each part */
+  uint32_t jobs_parts;
   struct tail progress_tail;
   struct tail workers_tail;
   struct tail vms_tail;
@@ -95,6 +96,7 @@
   g_hash_table_destroy (owner->unusable);
   g_array_free (owner->workers, TRUE);
   cell_shutdown (owner->core);
+  g_free (owner->jobs_tails);
   g_free (owner);
 }
 
@@ -106,6 +108,15 @@
   return !owner->ended;
 }
 
+static bool
+jobs_in_flight (const struct entry_owner *owner)
+{
+  for (uint32_t i = 0; i < owner->jobs_parts; i++)
+    if (owner->jobs_tails[i].in_flight)
+      return true;
+  return false;
+}
+
 void
 owner_reap (struct entry *entry)
 {
@@ -113,7 +124,7 @@
     {
       struct entry_owner *owner = g_ptr_array_index (entry->ended_owners, i);
 
-      if (owner->calls > 0 || owner->jobs_tail.in_flight
+      if (owner->calls > 0 || jobs_in_flight (owner)
           || owner->progress_tail.in_flight || owner->workers_tail.in_flight
           || owner->vms_tail.in_flight)
         {
@@ -219,6 +230,9 @@
 
   if (owner->phase != OWNER_LOADING_JOBS)
     return;
+  for (uint32_t i = 0; i < owner->jobs_parts; i++)
+    if (owner->jobs_tails[i].fresh_us == 0)
+      return;
   owner->phase = OWNER_LOADING_PROGRESS;
   tail_start (&owner->progress_tail);
 }
@@ -389,7 +403,11 @@
       entry_wake_at (owner->entry, slot->next_us);
       return;
     }
-  lease_ms = view.runs > 0 ? lease_deadline_ms (owner, &view, now_us) : 0;
+  /* A worker that did not answer gets no further lease: what may run there
+     ends at a time that stays known. */
+  lease_ms = view.runs > 0 && slot->failures == 0
+                 ? lease_deadline_ms (owner, &view, now_us)
+                 : 0;
   wait_ms = view.runs > 0 && view.fenced && slot->failures == 0 ? HOLD_WAIT_MS
                                                                 : 0;
   if (lease_ms != 0)
@@ -625,7 +643,8 @@
   if (result->fate == PT_OK)
     {
       owner->phase = OWNER_LOADING_JOBS;
-      tail_start (&owner->jobs_tail);
+      for (uint32_t i = 0; i < owner->jobs_parts; i++)
+        tail_start (&owner->jobs_tails[i]);
       return;
     }
   if (result->fate == PT_FENCED)
@@ -660,7 +679,7 @@
 
 static void
 follow (struct entry_owner *owner, struct tail *tail, enum pt_stream stream,
-        uint32_t wait_ms, uint32_t gap_ms,
+        uint32_t part, uint32_t wait_ms, uint32_t gap_ms,
         void (*record) (void *, const struct pt_record *, uint64_t),
         void (*caught_up) (void *))
 {
@@ -668,6 +687,7 @@
                         .loop = owner->entry->desc.loop,
                         .log = owner->entry->desc.ports->log,
                         .stream = stream,
+                        .part = part,
                         .keyed = true,
                         .wait_ms = wait_ms,
                         .gap_ms = gap_ms,
@@ -698,13 +718,16 @@
   if (entry->config != NULL)
     cell_config_set (owner->core, entry->config);
   owner->advice = advice_begin (entry, owner->core);
-  follow (owner, &owner->jobs_tail, PT_STREAM_JOBS, ENTRY_LOG_WAIT_MS, 5,
-          on_job, on_jobs_loaded);
-  follow (owner, &owner->progress_tail, PT_STREAM_PROGRESS, 0, 5, on_progress,
+  owner->jobs_parts = entry->desc.settings->log_parts;
+  owner->jobs_tails = g_new0 (struct tail, owner->jobs_parts);
+  for (uint32_t i = 0; i < owner->jobs_parts; i++)
+    follow (owner, &owner->jobs_tails[i], PT_STREAM_JOBS, i,
+            ENTRY_LOG_WAIT_MS, 5, on_job, on_jobs_loaded);
+  follow (owner, &owner->progress_tail, PT_STREAM_PROGRESS, 0, 0, 5, on_progress,
           on_progress_loaded);
-  follow (owner, &owner->workers_tail, PT_STREAM_WORKERS, 0, 400, on_worker,
+  follow (owner, &owner->workers_tail, PT_STREAM_WORKERS, 0, 0, 400, on_worker,
           NULL);
-  follow (owner, &owner->vms_tail, PT_STREAM_VMS, ENTRY_LOG_WAIT_MS, 500,
+  follow (owner, &owner->vms_tail, PT_STREAM_VMS, 0, ENTRY_LOG_WAIT_MS, 500,
           on_vm, NULL);
   tail_start (&owner->workers_tail);
   tail_start (&owner->vms_tail);
@@ -721,7 +744,8 @@
 
   entry->owner = NULL;
   owner->ended = true;
-  tail_stop (&owner->jobs_tail);
+  for (uint32_t i = 0; i < owner->jobs_parts; i++)
+    tail_stop (&owner->jobs_tails[i]);
   tail_stop (&owner->progress_tail);
   tail_stop (&owner->workers_tail);
   tail_stop (&owner->vms_tail);
@@ -744,9 +768,13 @@
   const struct entry_owner *owner = entry->owner;
   uint64_t now_us = hc_now_us ();
 
-  return owner != NULL && owner->phase == OWNER_LEADING
-         && owner->jobs_tail.fresh_us + JOBS_STALE_US > now_us
-         && lead_confirmed (entry, now_us);
+  if (owner == NULL || owner->phase != OWNER_LEADING
+      || !lead_confirmed (entry, now_us))
+    return false;
+  for (uint32_t i = 0; i < owner->jobs_parts; i++)
+    if (owner->jobs_tails[i].fresh_us + JOBS_STALE_US < now_us)
+      return false;
+  return true;
 }
 
 enum cell_job_state
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -38,6 +38,7 @@
   { "metrics", KIND_LISTEN, false, AT (metrics), 0, 0, 0 },
   { "log", KIND_ADDRESS, true, AT (log_address), 0, 0, 0 },
   { "advisor", KIND_ADDRESS, false, AT (advisor_address), 0, 0, 0 },
+  { "log_parts", KIND_UINT, false, AT (log_parts), 1, 64, 1 },
   { "worker_lease_ms", KIND_UINT, true, AT (lease_ms), 500, 600000, 10000 },
   { "stop_grace_ms", KIND_UINT, false, AT (grace_ms), 1000, 600000, 6000 },
   { "log_decisions", KIND_BOOL, false, AT (log_info), 0, 0, 1 },
--- a/src/entry_settings.h
+++ b/src/entry_settings.h
@@ -25,6 +25,7 @@
   struct set_address metrics;   /**< port 0: none */
   char log_address[64];         /**< of the platform's log service */
   char advisor_address[64];     /**< empty: there is none */
+  uint32_t log_parts;           /**< parts of a stream of the log */
   uint32_t lease_ms;            /**< longest lease that workers grant */
   uint32_t grace_ms;            /**< from SIGTERM to SIGKILL */
   bool log_info;                /**< log each decision */
--- a/src/ports.h
+++ b/src/ports.h
@@ -20,7 +20,8 @@
 {
   PT_STREAM_CONFIG,   /**< keyed; the operators' configuration */
   PT_STREAM_WORKERS,  /**< keyed; the workers' own entries */
-  PT_STREAM_JOBS,     /**< keyed; accepted jobs and cancellations */
+  PT_STREAM_JOBS,     /**< keyed; accepted jobs and cancellations; in parts,
+                         as each part takes one append at a time */
   PT_STREAM_PROGRESS, /**< keyed; written by the leader */
   PT_STREAM_VMS,      /**< keyed; the entry VMs that are up */
   PT_STREAM_LEAD,     /**< claims of the leadership and renewals */
@@ -53,6 +54,7 @@
 struct pt_append
 {
   enum pt_stream stream;
+  uint32_t part; /**< of the stream; 0 for streams of one part */
   const struct pt_record *records; /**< copied */
   uint32_t count;                  /**< 0 with an epoch: only sets the epoch */
   bool at_end;        /**< only if the stream ends at `end` */
@@ -76,6 +78,7 @@
 struct pt_read
 {
   enum pt_stream stream;
+  uint32_t part;
   uint64_t from;
   uint32_t wait_ms; /**< wait so long for a first record */
   uint64_t deadline_us;
@@ -95,6 +98,7 @@
 struct pt_newest
 {
   enum pt_stream stream;
+  uint32_t part;
   struct cyc_str after; /**< key; empty: from the start */
   uint64_t deadline_us;
   void (*done) (void *user, const struct pt_newest_result *result);
--- a/src/tail.c
+++ b/src/tail.c
@@ -141,6 +141,7 @@
       tail->desc.log,
       &(struct pt_newest){
           .stream = tail->desc.stream,
+          .part = tail->desc.part,
           .after = cyc_str_of (tail->after),
           .deadline_us
           = tail->sent_us + (uint64_t)ANSWER_MS * 2 * US_PER_MS,
@@ -162,6 +163,7 @@
         tail->desc.log,
         &(struct pt_read){
             .stream = tail->desc.stream,
+            .part = tail->desc.part,
             .from = tail->next,
             .wait_ms = tail->desc.wait_ms,
             .deadline_us
--- a/src/tail.h
+++ b/src/tail.h
@@ -23,6 +23,7 @@
   struct ev_loop *loop;
   struct pt_log *log;
   enum pt_stream stream;
+  uint32_t part;
   bool keyed;
   uint32_t wait_ms; /**< of a long poll */
   uint32_t gap_ms;  /**< least time between two reads */
