--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -108,6 +108,7 @@
   core->batch = 1;
   core->next_ask = 1;
   core->next_us = UINT64_MAX;
+  core->place_at_us = UINT64_MAX;
   return core;
 }
 
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -24,6 +24,8 @@
 #define CELL_STOP_REPEAT_US 700000
 /** Wait before a task is tried again after a refused start. */
 #define CELL_RETRY_US 150000
+/** Workers on which runs of a stage failed and which it avoids. */
+#define CELL_AVOID 4
 /** Failures in a row, of different jobs, after which a worker gets no new
  * tasks for a while. */
 #define CELL_BAD_FAILURES 3
@@ -143,6 +145,8 @@
   bool listed;     /**< in the core's list of waiting stages */
   uint64_t ask;    /**< open question; 0: none */
   uint64_t ask_after_us;
+  uint32_t failed_on[CELL_AVOID]; /**< 1 + row; 0: none */
+  uint32_t failed_next;           /**< entry of failed_on to fill */
   uint8_t *verdicts; /**< by worker row */
   uint32_t verdict_count;
   GArray *tickets; /**< struct cell_held_ticket */
@@ -228,6 +232,7 @@
   uint64_t now_ms;
   uint64_t next_us;
   bool place_wanted;
+  uint64_t place_at_us; /**< something can be placed then that could not */
 };
 
 struct cell_worker *cell_worker_at (const struct cell_core *core,
@@ -276,6 +281,8 @@
 
 /* Placement and advice. */
 void cell_place_tick (struct cell_core *core);
+/** Placement is to run again at a time when nothing else may happen. */
+void cell_place_again (struct cell_core *core, uint64_t at_us);
 void cell_stage_ask (struct cell_core *core, struct cell_stage *stage);
 bool cell_res_fits (const struct cell_worker *worker,
                     const struct cyc_res *size);
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -445,8 +445,9 @@
   if (worker->failures_in_row >= CELL_BAD_FAILURES)
     {
       worker->bad_until_us = core->now_us + CELL_BAD_US;
-      cell_wake (core, worker->bad_until_us);
+      cell_place_again (core, worker->bad_until_us);
     }
+  stage->failed_on[stage->failed_next++ % CELL_AVOID] = run->worker + 1;
   if (step->long_running)
     return;
   task->failures++;
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -179,6 +179,14 @@
   return count;
 }
 
+void
+cell_place_again (struct cell_core *core, uint64_t at_us)
+{
+  if (at_us < core->place_at_us)
+    core->place_at_us = at_us;
+  cell_wake (core, at_us);
+}
+
 void
 cell_stage_ask (struct cell_core *core, struct cell_stage *stage)
 {
@@ -187,7 +195,7 @@
   if (stage->ask != 0 || core->now_us < stage->ask_after_us)
     {
       if (stage->ask == 0)
-        cell_wake (core, stage->ask_after_us);
+        cell_place_again (core, stage->ask_after_us);
       return;
     }
   question = g_new0 (struct cell_question, 1);
@@ -257,7 +265,7 @@
       if (out->worker_count == 0)
         {
           stage->ask_after_us = core->now_us + ASK_RETRY_US;
-          cell_wake (core, stage->ask_after_us);
+          cell_place_again (core, stage->ask_after_us);
           drop_question (core, best);
           return cell_ask_next (core, most_us, out);
         }
@@ -328,7 +336,7 @@
       settle_verdicts (stage, CELL_VERDICT_UNKNOWN, &named);
       stage->ask_after_us = now_us + ASK_RETRY_US;
       core->place_wanted = true;
-      cell_wake (core, stage->ask_after_us);
+      cell_place_again (core, stage->ask_after_us);
       return;
     }
   settle_verdicts (stage, CELL_VERDICT_DENIED, &named);
@@ -400,6 +408,15 @@
   return count;
 }
 
+static bool
+stage_failed_on (const struct cell_stage *stage, uint32_t row)
+{
+  for (uint32_t i = 0; i < CELL_AVOID; i++)
+    if (stage->failed_on[i] == row + 1)
+      return true;
+  return false;
+}
+
 /* Smaller is better; UINT64_MAX: not possible. Best fit, near the data. */
 static uint64_t
 placement_cost (const struct cell_core *core, const struct cell_stage *stage,
@@ -427,6 +444,8 @@
   if (step->data_rack[0] != 0
       && !has_label (worker, cyc_str_of (step->data_rack)))
     cost += UINT32_MAX;
+  if (stage_failed_on (stage, row))
+    cost += 2 * (uint64_t)UINT32_MAX;
   return cost;
 }
 
@@ -518,7 +537,6 @@
 place_gang (struct cell_core *core, struct cell_stage *stage,
             const struct cyc_res *size)
 {
-  enum cell_job_state before = stage->job->state;
   GPtrArray *racks;
   bool done = false;
 
@@ -526,12 +544,16 @@
       || !team_has_room (stage->job->team, size, stage->count))
     return false;
   for (uint32_t t = 0; t < stage->count; t++)
-    if (stage->job->rounds[stage->round]
-            .tasks[stage->first_task + t]
-            .not_before_us
-        > core->now_us)
+    {
+      uint64_t at_us = stage->job->rounds[stage->round]
+                           .tasks[stage->first_task + t]
+                           .not_before_us;
+
+      if (at_us <= core->now_us)
+        continue;
+      cell_place_again (core, at_us);
       return false;
-  (void)before;
+    }
   if (!cell_stage_step (stage)->same_rack)
     return place_gang_in (core, stage, size, CYC_STR (""));
   racks = g_ptr_array_new ();
@@ -571,7 +593,7 @@
         continue;
       if (task->not_before_us > core->now_us)
         {
-          cell_wake (core, task->not_before_us);
+          cell_place_again (core, task->not_before_us);
           continue;
         }
       if (!team_has_room (stage->job->team, size, 1))
@@ -665,10 +687,13 @@
 {
   if (core->waiting->len == 0)
     return;
-  cell_wake (core, core->now_us + ASK_RETRY_US);
-  if (!core->place_wanted)
-    return;
+  if (!core->place_wanted && core->now_us < core->place_at_us)
+    {
+      cell_wake (core, core->place_at_us);
+      return;
+    }
   core->place_wanted = false;
+  core->place_at_us = UINT64_MAX;
   for (guint i = 0; i < core->workers->len; i++)
     cell_worker_at (core, i)->held_millicores = 0;
   for (guint i = 0; i < core->waiting->len;)
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -144,7 +144,7 @@
         if (result == CELL_START_REFUSED_OTHER)
           {
             worker->bad_until_us = now_us + CELL_BAD_US / 2;
-            cell_wake (core, worker->bad_until_us);
+            cell_place_again (core, worker->bad_until_us);
           }
         cell_run_gone (core, run, CELL_END_STOPPED, CYC_STR (""));
         return;
--- a/src/entry.c
+++ b/src/entry.c
@@ -127,8 +127,8 @@
   record.value = (struct cyc_str){ (const char *)data,
                                    cyc__cell_vm__pack (&vm, data) };
   entry->register_at_us = now_us;
-  entry->register_in_flight = entry->desc.ports->log->vtable->append (
-      entry->desc.ports->log,
+  entry->register_in_flight = entry->relay.log.vtable->append (
+      &entry->relay.log,
       &(struct pt_append){
           .stream = PT_STREAM_VMS,
           .records = &record,
@@ -176,6 +176,12 @@
     case CYC__PEER__BODY_CELL_ANSWER:
       requests_on_answer (entry, message->cell_answer);
       return;
+    case CYC__PEER__BODY_LOG_ASK:
+      relay_on_ask (&entry->relay, peer, message->log_ask);
+      return;
+    case CYC__PEER__BODY_LOG_ANSWER:
+      relay_on_answer (&entry->relay, message->log_answer);
+      return;
     default:
       return;
     }
@@ -199,6 +205,7 @@
   memset (out, 0, sizeof *out);
   out->owned_epoch = entry->owner != NULL ? entry->leader.epoch : 0;
   out->draining = entry->stopping;
+  out->fresh_us = entry->relay.direct_fresh_us;
 }
 
 /* The tick. */
@@ -235,6 +242,7 @@
                   + (entry->owner != NULL ? TICK_LEADING_US
                                           : TICK_FOLLOWING_US));
   pl_tick (&entry->links, now_us);
+  relay_tick (&entry->relay, now_us);
   register_vm (entry, now_us);
   accept_tick (entry, now_us);
   lead_tick (entry, now_us);
@@ -288,9 +296,12 @@
                      findings)
       || !setup_links (entry, findings))
     return false;
+  relay_setup (&entry->relay, &(struct relay_desc){
+                                  .direct = desc->ports->log,
+                                  .links = &entry->links });
   tail_setup (&entry->config_tail, &(struct tail_desc){
                                        .loop = desc->loop,
-                                       .log = desc->ports->log,
+                                       .log = &entry->relay.log,
                                        .stream = PT_STREAM_CONFIG,
                                        .keyed = true,
                                        .wait_ms = ENTRY_LOG_WAIT_MS,
@@ -300,7 +311,7 @@
                                    });
   tail_setup (&entry->lead_tail, &(struct tail_desc){
                                      .loop = desc->loop,
-                                     .log = desc->ports->log,
+                                     .log = &entry->relay.log,
                                      .stream = PT_STREAM_LEAD,
                                      .wait_ms = ENTRY_LOG_WAIT_MS,
                                      .gap_ms = 20,
@@ -327,6 +338,7 @@
   ev_timer_stop (entry->desc.loop, &entry->timer);
   accept_shutdown (entry);
   g_ptr_array_free (entry->ended_owners, TRUE);
+  relay_shutdown (&entry->relay);
   pl_shutdown (&entry->links);
   cell_config_free (entry->config);
   met_shutdown (&entry->met);
--- a/src/entry.h
+++ b/src/entry.h
@@ -13,6 +13,7 @@
 #define ENTRY_H
 
 #include "entry_settings.h"
+#include "log_relay.h"
 #include "metrics.h"
 #include "peer.h"
 #include "ports.h"
@@ -62,6 +63,7 @@
   struct entry_desc desc;
   struct met_set met;
   struct pl_links links;
+  struct log_relay relay; /**< the log, as all parts use it */
   struct cyc_id128 incarnation;
   struct cell_config *config;
   struct tail config_tail;
--- a/src/entry_accept.c
+++ b/src/entry_accept.c
@@ -149,8 +149,8 @@
     }
   if (count == 0)
     return;
-  if (!entry->desc.ports->log->vtable->append (
-          entry->desc.ports->log,
+  if (!entry->relay.log.vtable->append (
+      &entry->relay.log,
           &(struct pt_append){
               .stream = PT_STREAM_JOBS,
               .part = entry->accept_part,
--- a/src/entry_lead.c
+++ b/src/entry_lead.c
@@ -119,8 +119,8 @@
     return false;
   record.value = (struct cyc_str){ (const char *)data,
                                    cyc__cell_lead__pack (&lead, data) };
-  return entry->desc.ports->log->vtable->append (
-      entry->desc.ports->log,
+  return entry->relay.log.vtable->append (
+      &entry->relay.log,
       &(struct pt_append){
           .stream = PT_STREAM_LEAD,
           .records = &record,
@@ -204,7 +204,8 @@
   if (entry->stopping || entry->claim_in_flight || !entry->registered
       || entry->lead_tail.fresh_us == 0
       || entry->lead_tail.fresh_us + VIEW_US < now_us
-      || entry->config == NULL || !leader_silent (entry, now_us))
+      || entry->config == NULL || !relay_direct (&entry->relay, now_us)
+      || !leader_silent (entry, now_us))
     {
       if (!entry->claim_in_flight)
         entry->claim_at_us = 0;
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -609,8 +609,8 @@
       records[i].value
           = (struct cyc_str){ (const char *)record->data, record->len };
     }
-  begun = owner->entry->desc.ports->log->vtable->append (
-      owner->entry->desc.ports->log,
+  begun = owner->entry->relay.log.vtable->append (
+      &owner->entry->relay.log,
       &(struct pt_append){
           .stream = PT_STREAM_PROGRESS,
           .records = records,
@@ -661,8 +661,8 @@
 {
   if (owner->fence_in_flight || now_us < owner->fence_at_us)
     return;
-  owner->fence_in_flight = owner->entry->desc.ports->log->vtable->append (
-      owner->entry->desc.ports->log,
+  owner->fence_in_flight = owner->entry->relay.log.vtable->append (
+      &owner->entry->relay.log,
       &(struct pt_append){
           .stream = PT_STREAM_PROGRESS,
           .epoch = owner->epoch,
@@ -685,7 +685,7 @@
 {
   tail_setup (tail, &(struct tail_desc){
                         .loop = owner->entry->desc.loop,
-                        .log = owner->entry->desc.ports->log,
+                        .log = &owner->entry->relay.log,
                         .stream = stream,
                         .part = part,
                         .keyed = true,
--- /dev/null
+++ b/src/log_relay.c
@@ -0,0 +1,668 @@
+#include "log_relay.h"
+
+#include "http_client.h"
+#include "log_event.h"
+
+#include <string.h>
+
+/** A linked VM whose own way to the log worked within this time is asked.
+ * Its reads of the stream of claims end at least so often. */
+#define PEER_FRESH_US 1600000
+/** The own way is doubted when no call succeeded for so long. */
+#define DIRECT_STALE_US 900000
+/** A direct call without answer is passed on after this time when the own way
+ * is doubted. */
+#define PATIENCE_US 300000
+/** Gap between direct tries while calls are passed on. */
+#define PROBE_US 400000
+/** Failures in a row after which calls are passed on at once. */
+#define FAILURES_MOST 2
+/** From a VM to the leader, and from the leader to a third VM. */
+#define HOPS_MAX 2
+
+enum relay_kind
+{
+  RELAY_APPEND,
+  RELAY_READ,
+  RELAY_NEWEST
+};
+
+struct relay_call
+{
+  struct log_relay *relay;
+  uint64_t number;
+  enum relay_kind kind;
+  uint32_t hops;
+  uint64_t begun_us;
+  uint64_t deadline_us;
+  struct cyc_ref asked;   /* peer that makes the call; generation 0: none */
+  struct cyc_ref for_peer; /* answered by a message; generation 0: own call */
+  uint64_t for_ask;
+  bool direct_open;       /* the direct call has not ended */
+  bool maybe;             /* the direct call may have taken effect */
+  bool ended;
+  struct pt_append append;
+  struct pt_read read;
+  struct pt_newest newest;
+  struct pt_record *records;
+  char after[96];
+};
+
+static struct log_relay *
+relay_of (struct pt_log *log)
+{
+  return (struct log_relay *)log;
+}
+
+static void
+free_call (struct relay_call *call)
+{
+  for (uint32_t i = 0; i < call->append.count; i++)
+    {
+      g_free ((char *)call->records[i].key.data);
+      g_free ((char *)call->records[i].value.data);
+    }
+  g_free (call->records);
+  g_free (call);
+}
+
+/* The call is over for its caller. Its row stays while the direct call is
+   open, which may still need the user pointer. */
+static void
+end_call (struct relay_call *call)
+{
+  call->ended = true;
+  if (call->direct_open)
+    return;
+  g_hash_table_remove (call->relay->calls, &call->number);
+}
+
+bool
+relay_direct (const struct log_relay *relay, uint64_t now_us)
+{
+  return !relay->relaying
+         && relay->direct_fresh_us + PEER_FRESH_US > now_us;
+}
+
+static void
+note_direct (struct log_relay *relay, bool worked)
+{
+  if (!worked)
+    {
+      relay->failures++;
+      return;
+    }
+  relay->failures = 0;
+  relay->direct_fresh_us = hc_now_us ();
+  if (relay->relaying)
+    ev_log (EV_LOG_REACHABLE, "way=direct passed_on=%" PRIu64,
+            relay->passed_on);
+  relay->relaying = false;
+}
+
+/* Linked VM that reached the log last. */
+static struct cyc_ref
+find_helper (const struct log_relay *relay, struct cyc_ref except,
+             uint64_t now_us)
+{
+  struct pl_peer_view view;
+  struct cyc_ref ref;
+  struct cyc_ref best = { 0 };
+  uint64_t best_us = 0;
+  uint32_t cursor = 0;
+
+  while (pl_next (relay->desc.links, &cursor, &ref, &view))
+    if (view.linked && view.health == PL_ALIVE
+        && view.fresh_us + PEER_FRESH_US > now_us && view.fresh_us > best_us
+        && !(ref.index == except.index
+             && ref.generation == except.generation))
+      {
+        best = ref;
+        best_us = view.fresh_us;
+      }
+  return best;
+}
+
+static Cyc__LogRecord **
+pack_records (const struct pt_record *records, uint32_t count)
+{
+  Cyc__LogRecord **rows = g_new0 (Cyc__LogRecord *, count + 1);
+  Cyc__LogRecord *space = g_new0 (Cyc__LogRecord, count + 1);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      cyc__log_record__init (&space[i]);
+      space[i].key = (ProtobufCBinaryData){ records[i].key.len,
+                                            (uint8_t *)records[i].key.data };
+      space[i].value = (ProtobufCBinaryData){
+        records[i].value.len, (uint8_t *)records[i].value.data
+      };
+      rows[i] = &space[i];
+    }
+  rows[count] = space; /* the whole allocation, for free_records */
+  return rows;
+}
+
+static void
+free_records (Cyc__LogRecord **rows, uint32_t count)
+{
+  g_free (rows[count]);
+  g_free (rows);
+}
+
+/* Passes the call on; false when nobody can make it. */
+static bool
+pass_on (struct relay_call *call, uint64_t now_us)
+{
+  struct log_relay *relay = call->relay;
+  struct cyc_ref peer = find_helper (relay, call->for_peer, now_us);
+  Cyc__Peer message = CYC__PEER__INIT;
+  Cyc__LogAsk ask = CYC__LOG_ASK__INIT;
+  Cyc__LogRecord **rows;
+  bool sent;
+
+  if (peer.generation == 0 || call->hops >= HOPS_MAX
+      || call->deadline_us <= now_us)
+    return false;
+  message.body_case = CYC__PEER__BODY_LOG_ASK;
+  message.log_ask = &ask;
+  ask.ask = call->number;
+  ask.hops = call->hops + 1;
+  ask.kind = call->kind;
+  ask.budget_ms = (uint32_t)((call->deadline_us - now_us) / 1000);
+  rows = pack_records (call->records, call->append.count);
+  ask.n_records = call->append.count;
+  ask.records = rows;
+  if (call->kind == RELAY_APPEND)
+    {
+      ask.stream = call->append.stream;
+      ask.part = call->append.part;
+      ask.at_end = call->append.at_end;
+      ask.end = call->append.end;
+      ask.epoch = call->append.epoch;
+      ask.sequence = call->append.sequence;
+    }
+  else if (call->kind == RELAY_READ)
+    {
+      ask.stream = call->read.stream;
+      ask.part = call->read.part;
+      ask.from = call->read.from;
+      ask.wait_ms = call->read.wait_ms;
+    }
+  else
+    {
+      ask.stream = call->newest.stream;
+      ask.part = call->newest.part;
+      ask.after = (ProtobufCBinaryData){ strlen (call->after),
+                                         (uint8_t *)call->after };
+    }
+  sent = pl_send (relay->desc.links, peer, &message);
+  free_records (rows, call->append.count);
+  if (!sent)
+    return false;
+  call->asked = peer;
+  relay->passed_on++;
+  if (!relay->relaying)
+    {
+      struct pl_peer_view view;
+
+      pl_view (relay->desc.links, peer, &view);
+      ev_log (EV_LOG_UNREACHABLE,
+              "way=direct failures=%u direct_age_ms=%" PRIu64 " through=%s",
+              relay->failures,
+              (now_us - relay->direct_fresh_us) / 1000,
+              view.identity.vm.data);
+    }
+  relay->relaying = true;
+  return true;
+}
+
+static void
+answer_peer (const struct relay_call *call, Cyc__LogAnswer *answer)
+{
+  Cyc__Peer message = CYC__PEER__INIT;
+
+  answer->ask = call->for_ask;
+  message.body_case = CYC__PEER__BODY_LOG_ANSWER;
+  message.log_answer = answer;
+  if (pl_send (call->relay->desc.links, call->for_peer, &message))
+    return;
+  /* Too long for a frame, or the link is gone: the asker tries again. */
+  answer->n_records = 0;
+  answer->fate = PT_REFUSED;
+  pl_send (call->relay->desc.links, call->for_peer, &message);
+}
+
+/* Ends of calls. The caller's function is called after the row is closed, as
+   it may begin the next call. */
+
+static void
+finish_append (struct relay_call *call, const struct pt_append_result *result)
+{
+  struct pt_append append = call->append;
+  bool own = call->for_peer.generation == 0;
+
+  if (!own)
+    {
+      Cyc__LogAnswer answer = CYC__LOG_ANSWER__INIT;
+
+      answer.fate = result->fate;
+      answer.offset = result->offset;
+      answer.end = result->end;
+      answer_peer (call, &answer);
+    }
+  end_call (call);
+  if (own)
+    append.done (append.user, result);
+}
+
+static void
+finish_read (struct relay_call *call, const struct pt_read_result *result)
+{
+  struct pt_read read = call->read;
+  bool own = call->for_peer.generation == 0;
+
+  if (!own)
+    {
+      Cyc__LogAnswer answer = CYC__LOG_ANSWER__INIT;
+      Cyc__LogRecord **rows = pack_records (result->records, result->count);
+
+      answer.fate = result->fate;
+      answer.first = result->first;
+      answer.next = result->next;
+      answer.n_records = result->count;
+      answer.records = rows;
+      answer_peer (call, &answer);
+      free_records (rows, result->count);
+    }
+  end_call (call);
+  if (own)
+    read.done (read.user, result);
+}
+
+static void
+finish_newest (struct relay_call *call, const struct pt_newest_result *result)
+{
+  struct pt_newest newest = call->newest;
+  bool own = call->for_peer.generation == 0;
+
+  if (!own)
+    {
+      Cyc__LogAnswer answer = CYC__LOG_ANSWER__INIT;
+      Cyc__LogRecord **rows = pack_records (result->records, result->count);
+
+      answer.fate = result->fate;
+      answer.end = result->end;
+      answer.more = result->more;
+      answer.n_records = result->count;
+      answer.records = rows;
+      answer_peer (call, &answer);
+      free_records (rows, result->count);
+    }
+  end_call (call);
+  if (own)
+    newest.done (newest.user, result);
+}
+
+static void
+fail (struct relay_call *call, bool maybe)
+{
+  switch (call->kind)
+    {
+    case RELAY_APPEND:
+      finish_append (call, &(struct pt_append_result){
+                               .fate = maybe ? PT_UNKNOWN : PT_REFUSED });
+      return;
+    case RELAY_READ:
+      finish_read (call, &(struct pt_read_result){ .fate = PT_REFUSED });
+      return;
+    case RELAY_NEWEST:
+      finish_newest (call, &(struct pt_newest_result){ .fate = PT_REFUSED });
+      return;
+    }
+}
+
+static bool
+failed (enum pt_fate fate)
+{
+  return fate == PT_REFUSED || fate == PT_UNKNOWN;
+}
+
+/* The direct call ended. True: the caller hears of it; false: another VM
+   makes the call, or its caller was told already. */
+static bool
+direct_ended (struct relay_call *call, enum pt_fate fate)
+{
+  call->direct_open = false;
+  call->maybe = call->maybe || fate == PT_UNKNOWN;
+  note_direct (call->relay, !failed (fate));
+  if (call->ended)
+    {
+      end_call (call);
+      return false;
+    }
+  if (!failed (fate))
+    return true;
+  if (call->asked.generation != 0)
+    return false;
+  return !pass_on (call, hc_now_us ());
+}
+
+static void
+on_append (void *user, const struct pt_append_result *result)
+{
+  struct relay_call *call = user;
+
+  if (direct_ended (call, result->fate))
+    finish_append (call, result);
+}
+
+static void
+on_read (void *user, const struct pt_read_result *result)
+{
+  struct relay_call *call = user;
+
+  if (direct_ended (call, result->fate))
+    finish_read (call, result);
+}
+
+static void
+on_newest (void *user, const struct pt_newest_result *result)
+{
+  struct relay_call *call = user;
+
+  if (direct_ended (call, result->fate))
+    finish_newest (call, result);
+}
+
+static bool
+begin_direct (struct relay_call *call)
+{
+  struct pt_log *direct = call->relay->desc.direct;
+
+  switch (call->kind)
+    {
+    case RELAY_APPEND:
+      {
+        struct pt_append append = call->append;
+
+        append.records = call->records;
+        append.done = on_append;
+        append.user = call;
+        call->direct_open = direct->vtable->append (direct, &append);
+        break;
+      }
+    case RELAY_READ:
+      {
+        struct pt_read read = call->read;
+
+        read.done = on_read;
+        read.user = call;
+        call->direct_open = direct->vtable->read (direct, &read);
+        break;
+      }
+    case RELAY_NEWEST:
+      {
+        struct pt_newest newest = call->newest;
+
+        newest.after = cyc_str_of (call->after);
+        newest.done = on_newest;
+        newest.user = call;
+        call->direct_open = direct->vtable->newest (direct, &newest);
+        break;
+      }
+    }
+  return call->direct_open;
+}
+
+/* Begins the call directly, or passes it on when the own way is known to
+   fail; now and then one call tries the own way. */
+static bool
+begin (struct relay_call *call)
+{
+  struct log_relay *relay = call->relay;
+  uint64_t now_us = hc_now_us ();
+
+  if (relay->relaying && now_us < relay->probe_at_us
+      && pass_on (call, now_us))
+    return true;
+  if (relay->relaying)
+    relay->probe_at_us = now_us + PROBE_US;
+  if (begin_direct (call) || pass_on (call, now_us))
+    return true;
+  end_call (call);
+  return false;
+}
+
+static struct relay_call *
+new_call (struct log_relay *relay, enum relay_kind kind, uint64_t deadline_us)
+{
+  struct relay_call *call = g_new0 (struct relay_call, 1);
+
+  call->relay = relay;
+  call->number = relay->next_call++;
+  call->kind = kind;
+  call->begun_us = hc_now_us ();
+  call->deadline_us = deadline_us;
+  g_hash_table_insert (relay->calls, &call->number, call);
+  return call;
+}
+
+static void
+copy_records (struct relay_call *call, const struct pt_record *records,
+              uint32_t count)
+{
+  call->records = g_new0 (struct pt_record, count + 1);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      call->records[i].key = (struct cyc_str){
+        g_memdup2 (records[i].key.data, records[i].key.len),
+        records[i].key.len
+      };
+      call->records[i].value = (struct cyc_str){
+        g_memdup2 (records[i].value.data, records[i].value.len),
+        records[i].value.len
+      };
+    }
+  call->append.count = count;
+}
+
+static bool
+relay_append (struct pt_log *log, const struct pt_append *append)
+{
+  struct relay_call *call
+      = new_call (relay_of (log), RELAY_APPEND, append->deadline_us);
+
+  call->append = *append;
+  copy_records (call, append->records, append->count);
+  return begin (call);
+}
+
+static bool
+relay_read (struct pt_log *log, const struct pt_read *read)
+{
+  struct relay_call *call
+      = new_call (relay_of (log), RELAY_READ, read->deadline_us);
+
+  call->read = *read;
+  return begin (call);
+}
+
+static bool
+relay_newest (struct pt_log *log, const struct pt_newest *newest)
+{
+  struct relay_call *call
+      = new_call (relay_of (log), RELAY_NEWEST, newest->deadline_us);
+
+  call->newest = *newest;
+  snprintf (call->after, sizeof call->after, "%.*s", CYC_FMT (newest->after));
+  return begin (call);
+}
+
+void
+relay_on_ask (struct log_relay *relay, struct cyc_ref peer,
+              const Cyc__LogAsk *ask)
+{
+  uint64_t deadline_us = hc_now_us () + (uint64_t)ask->budget_ms * 1000;
+  struct relay_call *call;
+
+  if (ask->kind > RELAY_NEWEST || ask->stream >= PT_STREAM_COUNT)
+    return;
+  call = new_call (relay, (enum relay_kind)ask->kind, deadline_us);
+  call->hops = ask->hops;
+  call->for_peer = peer;
+  call->for_ask = ask->ask;
+  if (ask->kind == RELAY_APPEND)
+    {
+      struct pt_record *records = g_new0 (struct pt_record, ask->n_records + 1);
+
+      for (size_t i = 0; i < ask->n_records; i++)
+        {
+          const Cyc__LogRecord *row = ask->records[i];
+
+          records[i].key = (struct cyc_str){ (const char *)row->key.data,
+                                             row->key.len };
+          records[i].value = (struct cyc_str){ (const char *)row->value.data,
+                                               row->value.len };
+        }
+      call->append = (struct pt_append){
+        .stream = (enum pt_stream)ask->stream,
+        .part = ask->part,
+        .at_end = ask->at_end,
+        .end = ask->end,
+        .epoch = ask->epoch,
+        .sequence = ask->sequence,
+        .deadline_us = deadline_us,
+      };
+      copy_records (call, records, (uint32_t)ask->n_records);
+      g_free (records);
+    }
+  else if (ask->kind == RELAY_READ)
+    call->read = (struct pt_read){
+      .stream = (enum pt_stream)ask->stream,
+      .part = ask->part,
+      .from = ask->from,
+      .wait_ms = ask->wait_ms,
+      .deadline_us = deadline_us,
+    };
+  else
+    {
+      call->newest = (struct pt_newest){
+        .stream = (enum pt_stream)ask->stream,
+        .part = ask->part,
+        .deadline_us = deadline_us,
+      };
+      snprintf (call->after, sizeof call->after, "%.*s", (int)ask->after.len,
+                (const char *)ask->after.data);
+    }
+  if (!begin (call))
+    {
+      Cyc__LogAnswer answer = CYC__LOG_ANSWER__INIT;
+      struct relay_call refused = { .relay = relay, .for_peer = peer,
+                                    .for_ask = ask->ask };
+
+      answer.fate = PT_REFUSED;
+      answer_peer (&refused, &answer);
+    }
+}
+
+/* The other VM was refused, but the own call may have taken effect. */
+static enum pt_fate
+combined_fate (const struct relay_call *call, uint32_t fate)
+{
+  if (fate == PT_REFUSED && (call->maybe || call->direct_open))
+    return PT_UNKNOWN;
+  return (enum pt_fate)fate;
+}
+
+void
+relay_on_answer (struct log_relay *relay, const Cyc__LogAnswer *answer)
+{
+  struct relay_call *call = g_hash_table_lookup (relay->calls, &answer->ask);
+  struct pt_record *records;
+  uint32_t count = (uint32_t)answer->n_records;
+
+  if (call == NULL || call->ended || call->asked.generation == 0)
+    return;
+  records = g_new0 (struct pt_record, count + 1);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const Cyc__LogRecord *row = answer->records[i];
+
+      records[i].key
+          = (struct cyc_str){ (const char *)row->key.data, row->key.len };
+      records[i].value
+          = (struct cyc_str){ (const char *)row->value.data, row->value.len };
+    }
+  if (call->kind == RELAY_APPEND)
+    finish_append (call, &(struct pt_append_result){
+                             .fate = combined_fate (call, answer->fate),
+                             .offset = answer->offset,
+                             .end = answer->end });
+  else if (call->kind == RELAY_READ)
+    finish_read (call, &(struct pt_read_result){
+                           .fate = (enum pt_fate)answer->fate,
+                           .first = answer->first,
+                           .next = answer->next,
+                           .records = records,
+                           .count = count });
+  else
+    finish_newest (call, &(struct pt_newest_result){
+                             .fate = (enum pt_fate)answer->fate,
+                             .records = records,
+                             .count = count,
+                             .more = answer->more,
+                             .end = answer->end });
+  g_free (records);
+}
+
+void
+relay_tick (struct log_relay *relay, uint64_t now_us)
+{
+  GPtrArray *late = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+  bool doubted = relay->direct_fresh_us + DIRECT_STALE_US < now_us;
+
+  if (relay->failures >= FAILURES_MOST)
+    doubted = true;
+  g_hash_table_iter_init (&iter, relay->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct relay_call *call = value;
+
+      if (call->ended)
+        continue;
+      if (call->asked.generation == 0 && call->direct_open && doubted
+          && call->begun_us + PATIENCE_US < now_us)
+        pass_on (call, now_us);
+      else if (call->asked.generation != 0 && !call->direct_open
+               && call->deadline_us < now_us)
+        g_ptr_array_add (late, call);
+    }
+  for (guint i = 0; i < late->len; i++)
+    fail (g_ptr_array_index (late, i), true);
+  g_ptr_array_free (late, TRUE);
+}
+
+static const struct pt_log_vtable relay_vtable
+    = { .append = relay_append, .read = relay_read, .newest = relay_newest };
+
+void
+relay_setup (struct log_relay *relay, const struct relay_desc *desc)
+{
+  memset (relay, 0, sizeof *relay);
+  relay->log.vtable = &relay_vtable;
+  relay->desc = *desc;
+  relay->next_call = 1;
+  relay->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                        (GDestroyNotify)free_call);
+}
+
+void
+relay_shutdown (struct log_relay *relay)
+{
+  if (relay->calls != NULL)
+    g_hash_table_destroy (relay->calls);
+  relay->calls = NULL;
+}
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1312,7 +1312,142 @@
   assert(message->base.descriptor == &cyc__cell_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cyc__peer__field_descriptors[23] =
+void   cyc__log_record__init
+                     (Cyc__LogRecord         *message)
+{
+  static const Cyc__LogRecord init_value = CYC__LOG_RECORD__INIT;
+  *message = init_value;
+}
+size_t cyc__log_record__get_packed_size
+                     (const Cyc__LogRecord *message)
+{
+  assert(message->base.descriptor == &cyc__log_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cyc__log_record__pack
+                     (const Cyc__LogRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cyc__log_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cyc__log_record__pack_to_buffer
+                     (const Cyc__LogRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cyc__log_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cyc__LogRecord *
+       cyc__log_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cyc__LogRecord *)
+     protobuf_c_message_unpack (&cyc__log_record__descriptor,
+                                allocator, len, data);
+}
+void   cyc__log_record__free_unpacked
+                     (Cyc__LogRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cyc__log_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cyc__log_ask__init
+                     (Cyc__LogAsk         *message)
+{
+  static const Cyc__LogAsk init_value = CYC__LOG_ASK__INIT;
+  *message = init_value;
+}
+size_t cyc__log_ask__get_packed_size
+                     (const Cyc__LogAsk *message)
+{
+  assert(message->base.descriptor == &cyc__log_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cyc__log_ask__pack
+                     (const Cyc__LogAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cyc__log_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cyc__log_ask__pack_to_buffer
+                     (const Cyc__LogAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cyc__log_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cyc__LogAsk *
+       cyc__log_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cyc__LogAsk *)
+     protobuf_c_message_unpack (&cyc__log_ask__descriptor,
+                                allocator, len, data);
+}
+void   cyc__log_ask__free_unpacked
+                     (Cyc__LogAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cyc__log_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cyc__log_answer__init
+                     (Cyc__LogAnswer         *message)
+{
+  static const Cyc__LogAnswer init_value = CYC__LOG_ANSWER__INIT;
+  *message = init_value;
+}
+size_t cyc__log_answer__get_packed_size
+                     (const Cyc__LogAnswer *message)
+{
+  assert(message->base.descriptor == &cyc__log_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cyc__log_answer__pack
+                     (const Cyc__LogAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cyc__log_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cyc__log_answer__pack_to_buffer
+                     (const Cyc__LogAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cyc__log_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cyc__LogAnswer *
+       cyc__log_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cyc__LogAnswer *)
+     protobuf_c_message_unpack (&cyc__log_answer__descriptor,
+                                allocator, len, data);
+}
+void   cyc__log_answer__free_unpacked
+                     (Cyc__LogAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cyc__log_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor cyc__peer__field_descriptors[25] =
 {
   {
     "hello",
@@ -1590,6 +1725,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "log_ask",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cyc__Peer, body_case),
+    offsetof(Cyc__Peer, log_ask),
+    &cyc__log_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_answer",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cyc__Peer, body_case),
+    offsetof(Cyc__Peer, log_answer),
+    &cyc__log_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cyc__peer__field_indices_by_name[] = {
   20,   /* field[20] = advice_answer */
@@ -1607,6 +1766,8 @@
   13,   /* field[13] = job_hint */
   14,   /* field[14] = job_query */
   15,   /* field[15] = job_reply */
+  24,   /* field[24] = log_answer */
+  23,   /* field[23] = log_ask */
   11,   /* field[11] = outcome_query */
   12,   /* field[12] = outcome_reply */
   7,   /* field[7] = permit_demand */
@@ -1619,7 +1780,7 @@
 static const ProtobufCIntRange cyc__peer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor cyc__peer__descriptor =
 {
@@ -1629,7 +1790,7 @@
   "Cyc__Peer",
   "cyc",
   sizeof(Cyc__Peer),
-  23,
+  25,
   cyc__peer__field_descriptors,
   cyc__peer__field_indices_by_name,
   1,  cyc__peer__number_ranges,
@@ -3675,6 +3836,393 @@
   (ProtobufCMessageInit) cyc__cell_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cyc__log_record__field_descriptors[2] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogRecord, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogRecord, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cyc__log_record__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange cyc__log_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cyc__log_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cyc.LogRecord",
+  "LogRecord",
+  "Cyc__LogRecord",
+  "cyc",
+  sizeof(Cyc__LogRecord),
+  2,
+  cyc__log_record__field_descriptors,
+  cyc__log_record__field_indices_by_name,
+  1,  cyc__log_record__number_ranges,
+  (ProtobufCMessageInit) cyc__log_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cyc__log_ask__field_descriptors[14] =
+{
+  {
+    "ask",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAsk, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hops",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAsk, hops),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAsk, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAsk, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAsk, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "budget_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAsk, budget_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cyc__LogAsk, n_records),
+    offsetof(Cyc__LogAsk, records),
+    &cyc__log_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "at_end",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAsk, at_end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAsk, end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAsk, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAsk, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAsk, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAsk, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAsk, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cyc__log_ask__field_indices_by_name[] = {
+  13,   /* field[13] = after */
+  0,   /* field[0] = ask */
+  7,   /* field[7] = at_end */
+  5,   /* field[5] = budget_ms */
+  8,   /* field[8] = end */
+  9,   /* field[9] = epoch */
+  11,   /* field[11] = from */
+  1,   /* field[1] = hops */
+  2,   /* field[2] = kind */
+  4,   /* field[4] = part */
+  6,   /* field[6] = records */
+  10,   /* field[10] = sequence */
+  3,   /* field[3] = stream */
+  12,   /* field[12] = wait_ms */
+};
+static const ProtobufCIntRange cyc__log_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 14 }
+};
+const ProtobufCMessageDescriptor cyc__log_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cyc.LogAsk",
+  "LogAsk",
+  "Cyc__LogAsk",
+  "cyc",
+  sizeof(Cyc__LogAsk),
+  14,
+  cyc__log_ask__field_descriptors,
+  cyc__log_ask__field_indices_by_name,
+  1,  cyc__log_ask__number_ranges,
+  (ProtobufCMessageInit) cyc__log_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cyc__log_answer__field_descriptors[8] =
+{
+  {
+    "ask",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAnswer, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fate",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAnswer, fate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAnswer, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAnswer, end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAnswer, first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAnswer, next),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "more",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__LogAnswer, more),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cyc__LogAnswer, n_records),
+    offsetof(Cyc__LogAnswer, records),
+    &cyc__log_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cyc__log_answer__field_indices_by_name[] = {
+  0,   /* field[0] = ask */
+  3,   /* field[3] = end */
+  1,   /* field[1] = fate */
+  4,   /* field[4] = first */
+  6,   /* field[6] = more */
+  5,   /* field[5] = next */
+  2,   /* field[2] = offset */
+  7,   /* field[7] = records */
+};
+static const ProtobufCIntRange cyc__log_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor cyc__log_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cyc.LogAnswer",
+  "LogAnswer",
+  "Cyc__LogAnswer",
+  "cyc",
+  sizeof(Cyc__LogAnswer),
+  8,
+  cyc__log_answer__field_descriptors,
+  cyc__log_answer__field_indices_by_name,
+  1,  cyc__log_answer__number_ranges,
+  (ProtobufCMessageInit) cyc__log_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue cyc__role__enum_values_by_number[5] =
 {
   { "ROLE_UNKNOWN", "CYC__ROLE__ROLE_UNKNOWN", 0 },
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -44,6 +44,9 @@
 typedef struct Cyc__AdviceAnswer Cyc__AdviceAnswer;
 typedef struct Cyc__CellAsk Cyc__CellAsk;
 typedef struct Cyc__CellAnswer Cyc__CellAnswer;
+typedef struct Cyc__LogRecord Cyc__LogRecord;
+typedef struct Cyc__LogAsk Cyc__LogAsk;
+typedef struct Cyc__LogAnswer Cyc__LogAnswer;
 
 
 /* --- enums --- */
@@ -83,7 +86,9 @@
   CYC__PEER__BODY_ADVICE_ASK = 20,
   CYC__PEER__BODY_ADVICE_ANSWER = 21,
   CYC__PEER__BODY_CELL_ASK = 22,
-  CYC__PEER__BODY_CELL_ANSWER = 23
+  CYC__PEER__BODY_CELL_ANSWER = 23,
+  CYC__PEER__BODY_LOG_ASK = 24,
+  CYC__PEER__BODY_LOG_ANSWER = 25
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CYC__PEER__BODY__CASE)
 } Cyc__Peer__BodyCase;
 
@@ -115,6 +120,8 @@
     Cyc__AdviceAnswer *advice_answer;
     Cyc__CellAsk *cell_ask;
     Cyc__CellAnswer *cell_answer;
+    Cyc__LogAsk *log_ask;
+    Cyc__LogAnswer *log_answer;
   };
 };
 #define CYC__PEER__INIT \
@@ -528,6 +535,71 @@
     , 0, 0, 0, 0, 0 }
 
 
+/*
+ * A call of the log that the sender cannot make itself.
+ */
+struct  Cyc__LogRecord
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData key;
+  ProtobufCBinaryData value;
+};
+#define CYC__LOG_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cyc__log_record__descriptor) \
+    , {0,NULL}, {0,NULL} }
+
+
+struct  Cyc__LogAsk
+{
+  ProtobufCMessage base;
+  uint64_t ask;
+  /*
+   * times that the call was passed on
+   */
+  uint32_t hops;
+  /*
+   * enum relay_kind
+   */
+  uint32_t kind;
+  uint32_t stream;
+  uint32_t part;
+  uint32_t budget_ms;
+  size_t n_records;
+  Cyc__LogRecord **records;
+  protobuf_c_boolean at_end;
+  uint64_t end;
+  uint64_t epoch;
+  uint64_t sequence;
+  uint64_t from;
+  uint32_t wait_ms;
+  ProtobufCBinaryData after;
+};
+#define CYC__LOG_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cyc__log_ask__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, {0,NULL} }
+
+
+struct  Cyc__LogAnswer
+{
+  ProtobufCMessage base;
+  uint64_t ask;
+  /*
+   * enum pt_fate
+   */
+  uint32_t fate;
+  uint64_t offset;
+  uint64_t end;
+  uint64_t first;
+  uint64_t next;
+  protobuf_c_boolean more;
+  size_t n_records;
+  Cyc__LogRecord **records;
+};
+#define CYC__LOG_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cyc__log_answer__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+
+
 /* Cyc__Peer methods */
 void   cyc__peer__init
                      (Cyc__Peer         *message);
@@ -1079,6 +1151,63 @@
 void   cyc__cell_answer__free_unpacked
                      (Cyc__CellAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Cyc__LogRecord methods */
+void   cyc__log_record__init
+                     (Cyc__LogRecord         *message);
+size_t cyc__log_record__get_packed_size
+                     (const Cyc__LogRecord   *message);
+size_t cyc__log_record__pack
+                     (const Cyc__LogRecord   *message,
+                      uint8_t             *out);
+size_t cyc__log_record__pack_to_buffer
+                     (const Cyc__LogRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Cyc__LogRecord *
+       cyc__log_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cyc__log_record__free_unpacked
+                     (Cyc__LogRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Cyc__LogAsk methods */
+void   cyc__log_ask__init
+                     (Cyc__LogAsk         *message);
+size_t cyc__log_ask__get_packed_size
+                     (const Cyc__LogAsk   *message);
+size_t cyc__log_ask__pack
+                     (const Cyc__LogAsk   *message,
+                      uint8_t             *out);
+size_t cyc__log_ask__pack_to_buffer
+                     (const Cyc__LogAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Cyc__LogAsk *
+       cyc__log_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cyc__log_ask__free_unpacked
+                     (Cyc__LogAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Cyc__LogAnswer methods */
+void   cyc__log_answer__init
+                     (Cyc__LogAnswer         *message);
+size_t cyc__log_answer__get_packed_size
+                     (const Cyc__LogAnswer   *message);
+size_t cyc__log_answer__pack
+                     (const Cyc__LogAnswer   *message,
+                      uint8_t             *out);
+size_t cyc__log_answer__pack_to_buffer
+                     (const Cyc__LogAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Cyc__LogAnswer *
+       cyc__log_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cyc__log_answer__free_unpacked
+                     (Cyc__LogAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Cyc__Peer_Closure)
@@ -1168,6 +1297,15 @@
 typedef void (*Cyc__CellAnswer_Closure)
                  (const Cyc__CellAnswer *message,
                   void *closure_data);
+typedef void (*Cyc__LogRecord_Closure)
+                 (const Cyc__LogRecord *message,
+                  void *closure_data);
+typedef void (*Cyc__LogAsk_Closure)
+                 (const Cyc__LogAsk *message,
+                  void *closure_data);
+typedef void (*Cyc__LogAnswer_Closure)
+                 (const Cyc__LogAnswer *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1204,6 +1342,9 @@
 extern const ProtobufCMessageDescriptor cyc__advice_answer__descriptor;
 extern const ProtobufCMessageDescriptor cyc__cell_ask__descriptor;
 extern const ProtobufCMessageDescriptor cyc__cell_answer__descriptor;
+extern const ProtobufCMessageDescriptor cyc__log_record__descriptor;
+extern const ProtobufCMessageDescriptor cyc__log_ask__descriptor;
+extern const ProtobufCMessageDescriptor cyc__log_answer__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- /dev/null
+++ b/tests/test_cell.c
@@ -0,0 +1,320 @@
+/* The decision core of a cell under faults: each case runs a small fleet and
+   guards against one way in which work could be lost, run twice, run without
+   room or wait for nothing. */
+
+#include "tst_fleet.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+struct fleet_case
+{
+  const char *name;
+  uint32_t workers;
+  uint32_t millicores;
+  struct fleet_job jobs[4];
+  /** Faults, called once after `fault_ms`. */
+  void (*fault) (struct fleet *fleet);
+  uint64_t fault_ms;
+  uint64_t run_ms; /**< after the fault */
+  enum cell_job_state wanted; /**< of all jobs */
+};
+
+static void
+crash_first (struct fleet *fleet)
+{
+  fleet_crash (fleet, 0);
+}
+
+static void
+crash_and_restart (struct fleet *fleet)
+{
+  fleet_crash (fleet, 0);
+  fleet_run (fleet, 300);
+  fleet_restart (fleet, 0);
+}
+
+static void
+cut_first (struct fleet *fleet)
+{
+  fleet->workers[0].cut = true;
+}
+
+static void
+cut_and_heal (struct fleet *fleet)
+{
+  fleet->workers[0].cut = true;
+  fleet_run (fleet, 2000);
+  fleet->workers[0].cut = false;
+}
+
+static void
+mute_and_heal (struct fleet *fleet)
+{
+  fleet->workers[0].mute = true;
+  fleet_run (fleet, 1500);
+  fleet->workers[0].mute = false;
+}
+
+static void
+lose_answers (struct fleet *fleet)
+{
+  fleet->lose_start_answers = 6;
+}
+
+static void
+delay_starts (struct fleet *fleet)
+{
+  fleet->delay_starts_ms = 1800;
+  fleet_run (fleet, 2500);
+  fleet->delay_starts_ms = 0;
+}
+
+static void
+takeover (struct fleet *fleet)
+{
+  fleet_takeover (fleet);
+}
+
+static void
+takeover_with_delayed_starts (struct fleet *fleet)
+{
+  fleet->delay_starts_ms = 700;
+  fleet_run (fleet, 300);
+  fleet->delay_starts_ms = 0;
+  fleet_takeover (fleet);
+}
+
+static void
+takeover_beside_a_cut (struct fleet *fleet)
+{
+  fleet->workers[0].cut = true;
+  fleet_run (fleet, 100);
+  fleet_takeover (fleet);
+}
+
+static void
+takeover_while_the_log_is_down (struct fleet *fleet)
+{
+  fleet->log_down = true;
+  fleet_run (fleet, 900);
+  fleet_takeover (fleet);
+  fleet->log_down = false;
+}
+
+static void
+log_down_for_a_while (struct fleet *fleet)
+{
+  fleet->log_down = true;
+  fleet_run (fleet, 3000);
+  fleet->log_down = false;
+}
+
+static void
+advice_down_for_a_while (struct fleet *fleet)
+{
+  fleet->advice_down = true;
+  fleet_run (fleet, 1000);
+  fleet->advice_down = false;
+}
+
+static void
+deny_every_second (struct fleet *fleet)
+{
+  fleet->advice_deny = 2;
+}
+
+static void
+first_fails_all (struct fleet *fleet)
+{
+  fleet->workers[0].failing = true;
+}
+
+static const struct fleet_case cases[] = {
+  { "plain tasks end", 2, 4000, { { .tasks = { 10 } } }, NULL, 0, 4000,
+    CELL_JOB_COMPLETE },
+  { "steps run in order", 2, 4000, { { .tasks = { 3, 2, 4 }, .chain = true } },
+    NULL, 0, 4000, CELL_JOB_COMPLETE },
+  { "a gang starts whole", 3, 4000,
+    { { .tasks = { 5 }, .millicores = 2000, .gang = true } }, NULL, 0, 3000,
+    CELL_JOB_COMPLETE },
+  { "two gangs that fit only one by one", 2, 4000,
+    { { .tasks = { 4 }, .millicores = 2000, .gang = true },
+      { .tasks = { 4 }, .millicores = 2000, .gang = true } },
+    NULL, 0, 4000, CELL_JOB_COMPLETE },
+  { "a gang waits behind a stream of small tasks", 2, 4000,
+    { { .tasks = { 60 }, .queue = "batch" },
+      { .tasks = { 4 }, .millicores = 2000, .gang = true, .queue = "urgent" } },
+    NULL, 0, 12000, CELL_JOB_COMPLETE },
+  { "a team stays under its limit", 4, 8000,
+    { { .tasks = { 20 }, .team = "limited" },
+      { .tasks = { 2 }, .team = "limited", .millicores = 3000,
+        .gang = true } },
+    NULL, 0, 8000, CELL_JOB_COMPLETE },
+  { "at most so many tasks of a step on a worker", 3, 8000,
+    { { .tasks = { 9 }, .max_per_worker = 1 } }, NULL, 0, 4000,
+    CELL_JOB_COMPLETE },
+  { "a label is required", 3, 4000,
+    { { .tasks = { 6 }, .label = "even" } }, NULL, 0, 4000,
+    CELL_JOB_COMPLETE },
+  { "a hopeless job fails after its attempts", 2, 4000,
+    { { .tasks = { 2 }, .hopeless = true } }, NULL, 0, 8000,
+    CELL_JOB_FAILED },
+  { "a hopeless gang fails after its attempts", 2, 4000,
+    { { .tasks = { 3 }, .gang = true, .hopeless = true } }, NULL, 0, 8000,
+    CELL_JOB_FAILED },
+  { "one worker fails all that it starts", 4, 4000,
+    { { .tasks = { 4 } } }, first_fails_all, 0, 9000, CELL_JOB_COMPLETE },
+  { "a worker crashes", 3, 4000, { { .tasks = { 8 }, .work_ms = 1000 } },
+    crash_first, 300, 9000, CELL_JOB_COMPLETE },
+  { "a worker of a gang crashes", 4, 4000,
+    { { .tasks = { 6 }, .millicores = 2000, .gang = true, .work_ms = 1000 } },
+    crash_first, 300, 12000, CELL_JOB_COMPLETE },
+  { "a worker starts again under its id", 2, 4000,
+    { { .tasks = { 8 }, .work_ms = 1500 } }, crash_and_restart, 300, 9000,
+    CELL_JOB_COMPLETE },
+  { "a worker is cut off for good and runs on", 3, 4000,
+    { { .tasks = { 8 }, .work_ms = 3000 } }, cut_first, 200, 14000,
+    CELL_JOB_COMPLETE },
+  { "a worker is cut off for a while", 3, 4000,
+    { { .tasks = { 8 }, .work_ms = 1000 } }, cut_and_heal, 200, 9000,
+    CELL_JOB_COMPLETE },
+  { "a worker takes orders and does not answer", 2, 4000,
+    { { .tasks = { 16 }, .work_ms = 400 } }, mute_and_heal, 100, 12000,
+    CELL_JOB_COMPLETE },
+  { "answers of starts are lost", 2, 4000, { { .tasks = { 12 } } },
+    lose_answers, 0, 9000, CELL_JOB_COMPLETE },
+  { "answers of the starts of a gang are lost", 2, 8000,
+    { { .tasks = { 5 }, .gang = true, .work_ms = 3000 } }, lose_answers, 0,
+    14000, CELL_JOB_COMPLETE },
+  { "starts are carried out late", 2, 4000, { { .tasks = { 12 } } },
+    delay_starts, 0, 12000, CELL_JOB_COMPLETE },
+  { "a new leader takes over", 3, 4000,
+    { { .tasks = { 20 }, .work_ms = 700 },
+      { .tasks = { 3, 3 }, .chain = true } },
+    takeover, 400, 9000, CELL_JOB_COMPLETE },
+  { "a new leader takes over a gang", 3, 4000,
+    { { .tasks = { 5 }, .millicores = 2000, .gang = true, .work_ms = 2000 } },
+    takeover, 400, 9000, CELL_JOB_COMPLETE },
+  { "a new leader while starts are on their way", 3, 4000,
+    { { .tasks = { 20 }, .work_ms = 700 } }, takeover_with_delayed_starts, 0,
+    9000, CELL_JOB_COMPLETE },
+  { "a new leader cannot reach a worker", 3, 4000,
+    { { .tasks = { 12 }, .work_ms = 2500 } }, takeover_beside_a_cut, 300,
+    16000, CELL_JOB_COMPLETE },
+  { "ends that the log does not hold at a takeover", 3, 4000,
+    { { .tasks = { 12 }, .work_ms = 300 } }, takeover_while_the_log_is_down,
+    150, 9000, CELL_JOB_COMPLETE },
+  { "the log is down for a while", 3, 4000,
+    { { .tasks = { 12 }, .work_ms = 300 } }, log_down_for_a_while, 100, 9000,
+    CELL_JOB_COMPLETE },
+  { "advised tasks", 4, 4000, { { .tasks = { 12 }, .queue = "advised" } },
+    deny_every_second, 0, 9000, CELL_JOB_COMPLETE },
+  { "an advised gang", 4, 4000,
+    { { .tasks = { 4 }, .millicores = 2000, .gang = true,
+        .queue = "advised" } },
+    deny_every_second, 0, 9000, CELL_JOB_COMPLETE },
+  { "the advisor does not answer for a while", 3, 4000,
+    { { .tasks = { 6 }, .queue = "advised" } }, advice_down_for_a_while, 0,
+    9000, CELL_JOB_COMPLETE },
+};
+
+static void
+run_case (const struct fleet_case *row)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+
+  fleet_setup (fleet, row->workers, row->millicores);
+  fleet_run (fleet, 100);
+  if (row->fault != NULL && row->fault_ms == 0)
+    row->fault (fleet);
+  for (uint64_t j = 0; j < 4 && row->jobs[j].tasks[0] > 0; j++)
+    fleet_submit (fleet, j + 1, &row->jobs[j]);
+  if (row->fault_ms > 0)
+    {
+      fleet_run (fleet, row->fault_ms);
+      row->fault (fleet);
+    }
+  fleet_run (fleet, row->run_ms);
+  if (fleet->broken > 0)
+    fail_msg ("%s: %u promises broken, first: %s", row->name, fleet->broken,
+              fleet->first_broken);
+  for (uint64_t j = 0; j < 4 && row->jobs[j].tasks[0] > 0; j++)
+    if (fleet_state (fleet, j + 1) != row->wanted)
+      fail_msg ("%s: job %d is in state %d, wanted %d", row->name, (int)j + 1,
+                (int)fleet_state (fleet, j + 1), (int)row->wanted);
+  if (fleet_running (fleet) > 0)
+    fail_msg ("%s: %u runs are left", row->name, fleet_running (fleet));
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+static void
+test_faults (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    run_case (&cases[i]);
+}
+
+/* A cancelled job's tasks are stopped and never start again, also at a new
+   leader. Guards against work that nobody wants any more. */
+static void
+test_cancel (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+
+  (void)state;
+  fleet_setup (fleet, 2, 4000);
+  fleet_run (fleet, 100);
+  fleet_submit (fleet, 1, &(struct fleet_job){ .tasks = { 12 },
+                                               .work_ms = 60000 });
+  fleet_run (fleet, 500);
+  assert_int_equal (fleet_running (fleet), 8);
+  fleet_cancel (fleet, 1);
+  fleet_run (fleet, 300);
+  assert_int_equal (fleet_running (fleet), 0);
+  assert_int_equal (fleet_state (fleet, 1), CELL_JOB_CANCELED);
+  fleet_takeover (fleet);
+  fleet_run (fleet, 1000);
+  assert_int_equal (fleet_running (fleet), 0);
+  assert_int_equal (fleet_state (fleet, 1), CELL_JOB_CANCELED);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+/* A silent worker gets no further lease, so that its tasks start elsewhere
+   after one lease and not later. Guards against retried holds that move the
+   end of the lease. */
+static void
+test_silent_worker_expires (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+
+  (void)state;
+  fleet_setup (fleet, 2, 4000);
+  fleet_run (fleet, 100);
+  fleet_submit (fleet, 1, &(struct fleet_job){ .tasks = { 8 },
+                                               .work_ms = 1000 });
+  fleet_run (fleet, 300);
+  fleet_crash (fleet, 0);
+  fleet_run (fleet, FLEET_LEASE_MS * 102 / 100 + 500 + 1500);
+  assert_int_equal (fleet_state (fleet, 1), CELL_JOB_COMPLETE);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_faults),
+    cmocka_unit_test (test_cancel),
+    cmocka_unit_test (test_silent_worker_expires),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -83,7 +83,7 @@
   struct goal services = { .running = 2 };
 
   (void)state;
-  cell_setup (&cell, 4);
+  domain_cell_setup (&cell, 4);
   publish_all (&cell);
   batch.sc = gang.sc = services.sc
       = cell_scheduler (&cell, "entry-1", "north-a");
@@ -94,7 +94,7 @@
   assert_true (cell_until (&cell, job_has_state, &gang, 8000));
   assert_true (cell_until (&cell, runs_so_many, &services, 3000));
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 static bool
@@ -111,7 +111,7 @@
 {
   struct sc_scheduler *sc;
 
-  cell_setup (cell, workers);
+  domain_cell_setup (cell, workers);
   publish_all (cell);
   cell_queue (cell, "long", "orders", "batch", 1, 4, true);
   cell_queue (cell, "once", "orders", "batch", 1, 4, false);
@@ -169,7 +169,7 @@
   assert_int_equal (starts_of (&cell, &goal.job), 2);
   assert_no_replica_stopped (&cell);
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 static bool
@@ -205,7 +205,7 @@
   assert_int_equal (starts_of (&cell, &goal.job), 2);
   assert_no_replica_stopped (&cell);
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 /* A start that took effect unanswered must not be repeated elsewhere. */
@@ -224,7 +224,7 @@
   assert_true (cell_until (&cell, job_has_state, &goal, 12000));
   assert_int_equal (starts_of (&cell, &goal.job), 6);
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 static struct fk_worker *
@@ -253,7 +253,7 @@
   assert_true (cell_until (&cell, job_has_state, &goal, 14000));
   assert_int_equal (starts_of (&cell, &goal.job), 2);
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 static void
@@ -273,7 +273,7 @@
   assert_true (cell_until (&cell, job_has_state, &goal, 7000));
   assert_int_equal (starts_of (&cell, &goal.job), 2);
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 /* Work that may not be repeated, whose worker is lost together with the owner
@@ -296,7 +296,7 @@
   assert_true (cell_until (&cell, job_has_state, &goal, 10000));
   assert_int_equal (starts_of (&cell, &goal.job), 1);
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 /* The allotment of the domain bounds what runs, not only what is started
@@ -309,7 +309,7 @@
   struct cell_facts facts;
 
   (void)state;
-  cell_setup (&cell, 4);
+  domain_cell_setup (&cell, 4);
   cell_publish (&cell, "fleet", CELL_FLEET);
   cell_team (&cell, "small", 4000);
   cell_queue (&cell, "tally", "small", "batch", 1, 1, true);
@@ -320,7 +320,7 @@
   cell_facts (&cell, &facts);
   assert_int_equal (facts.peak_millicores, 2000);
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 /* An owner whose tick did not run for longer than its claim's lease must not
@@ -345,7 +345,7 @@
   assert_int_equal (paused->epoch, 0);
   assert_int_equal (starts_of (&cell, &goal.job), 4);
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 /* While the log is down the owner keeps its hold by its workers' majority, and
@@ -370,7 +370,7 @@
   cell.log.faults.down = false;
   assert_true (cell_until (&cell, job_has_state, &goal, 12000));
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 static bool
@@ -416,7 +416,7 @@
   goal.job = cell_submit (&cell, "tally", "orders", 4);
   assert_true (cell_until (&cell, job_has_state, &goal, 9000));
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 /* A worker that the new owner could not reach may run anything of the earlier
@@ -440,7 +440,7 @@
   assert_true (cell_until (&cell, job_has_state, &goal, 14000));
   assert_int_equal (starts_of (&cell, &goal.job), 2);
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 static void
@@ -472,7 +472,7 @@
   assert_true (cell_until (&cell, job_has_state, &goal, 3000));
   assert_true (hc_now_us () - asked_us < 2 * SC_US_PER_S);
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 /* The list may vanish, lose entries or name wrong addresses; what runs goes on
@@ -496,7 +496,7 @@
   assert_true (cell_until (&cell, job_has_state, &goal, 8000));
   assert_int_equal (starts_of (&cell, &goal.job), 4);
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 /* A worker that says that it is draining gets nothing new from then on. */
@@ -519,7 +519,7 @@
   assert_true (cell_until (&cell, job_has_state, &goal, 20000));
   assert_true (worker->tasks->len <= before);
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 /* Idle allotment moves to the domain that needs it, and the sum over the
@@ -535,7 +535,7 @@
   struct cyc_balance b;
 
   (void)state;
-  cell_setup (&cell, 4);
+  domain_cell_setup (&cell, 4);
   cell_add_worker (&cell, "v-0", "north-b");
   cell_publish (&cell, "fleet", CELL_FLEET);
   cell_team (&cell, "small", 8000);
@@ -557,7 +557,7 @@
   assert_true (facts.peak_millicores > 4000);
   assert_true (facts.peak_millicores <= 8000);
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 /* An open job must survive the trimming of its submission. */
@@ -580,7 +580,7 @@
   goal.sc = cell_scheduler (&cell, "entry-2", "north-a");
   assert_true (cell_until (&cell, job_has_state, &goal, 12000));
   assert_promises (&cell);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 static bool
@@ -628,7 +628,7 @@
   assert_false (runs_nothing (worker));
   sc->mark_open = false;
   assert_true (cell_until (&cell, runs_nothing, worker, 3000));
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 int
--- a/tests/test_scheduler_peers.c
+++ b/tests/test_scheduler_peers.c
@@ -97,7 +97,7 @@
   struct set_peer peer = { .role = SET_ROLE_SCHEDULER };
 
   memset (l, 0, sizeof *l);
-  cell_setup (&l->cell, 4);
+  domain_cell_setup (&l->cell, 4);
   publish (&l->cell);
   l->sc = cell_scheduler (&l->cell, "entry-1", "north-a");
   assert_true (met_setup (&l->met, &(struct met_desc){ 0 }, &found));
@@ -133,7 +133,7 @@
   ev_timer_stop (l->cell.loop, &l->timer);
   pl_shutdown (&l->links);
   met_shutdown (&l->met);
-  cell_shutdown (&l->cell);
+  domain_cell_shutdown (&l->cell);
 }
 
 static void
@@ -305,7 +305,7 @@
   struct sc_scheduler *never;
 
   (void)state;
-  cell_setup (&cell, 2);
+  domain_cell_setup (&cell, 2);
   publish (&cell);
   cell_scheduler (&cell, "entry-1", "north-a");
   cut = cell_scheduler (&cell, "entry-2", "north-a");
@@ -318,7 +318,7 @@
   assert_true (cell_until (&cell, knows_late_queue, never, WAIT_MS));
   cell_run (&cell, 500);
   assert_true (hc_now_us () - ctl_fresh_us (&cut->ctl) < 3 * SC_US_PER_S);
-  cell_shutdown (&cell);
+  domain_cell_shutdown (&cell);
 }
 
 /* The first transfer in the control stream, or NULL. */
--- a/tests/tst_cell.c
+++ b/tests/tst_cell.c
@@ -48,7 +48,7 @@
 }
 
 void
-cell_setup (struct cell *cell, uint32_t workers)
+domain_cell_setup (struct cell *cell, uint32_t workers)
 {
   struct cyc_findings found = { 0 };
   char url[64];
@@ -75,7 +75,7 @@
 }
 
 void
-cell_shutdown (struct cell *cell)
+domain_cell_shutdown (struct cell *cell)
 {
   for (uint32_t i = 0; i < cell->scheduler_count; i++)
     if (cell->schedulers[i] != NULL)
--- a/tests/tst_cell.h
+++ b/tests/tst_cell.h
@@ -4,7 +4,7 @@
  * list and the workers, and any number of schedulers with short leases.
  *
  * @code
- * cell_setup (&cell, 4);
+ * domain_cell_setup (&cell, 4);
  * cell_publish (&cell, "fleet", CELL_FLEET);
  * sc = cell_scheduler (&cell, "entry-1", "north-a");
  * assert_true (cell_until (&cell, owns, sc, 8000));
@@ -52,8 +52,8 @@
 
 /** @p workers in domain north-a, named w-0, w-1, ..., 4,000 millicores each.
  */
-void cell_setup (struct cell *cell, uint32_t workers);
-void cell_shutdown (struct cell *cell);
+void domain_cell_setup (struct cell *cell, uint32_t workers);
+void domain_cell_shutdown (struct cell *cell);
 /** Adds a worker of any domain and shows the new VM list. */
 void cell_add_worker (struct cell *cell, const char *name, const char *domain);
 void cell_show_vms (struct cell *cell);
--- /dev/null
+++ b/tests/tst_fleet.h
@@ -0,0 +1,127 @@
+/**
+ * @file
+ * A decision core with workers and a log in memory, driven in steps of
+ * simulated time. The workers follow the published rules for runs, leases,
+ * fences and ends; every start is checked against the promises (room, one run
+ * of a task at a time, order of steps, whole gangs, quotas, attempts).
+ *
+ * @code
+ * fleet_setup (&fleet, 4, 8000);
+ * fleet_submit (&fleet, 1, &(struct fleet_job){ .tasks = { 3 }, ... });
+ * fleet_run (&fleet, 5000);
+ * assert_int_equal (fleet_state (&fleet, 1), CELL_JOB_COMPLETE);
+ * @endcode
+ */
+#ifndef TST_FLEET_H
+#define TST_FLEET_H
+
+#include <cyclamendrum/cell.h>
+#include <glib.h>
+
+#define FLEET_WORKERS 16
+#define FLEET_RUNS 256
+#define FLEET_LEASE_MS 4000
+
+struct fleet_run
+{
+  char task[64];
+  char checkpoint[32];
+  uint32_t number;
+  uint64_t end_ms;
+  uint64_t begun_ms;
+  bool fails;
+  bool gang;
+};
+
+struct fleet_end
+{
+  uint64_t number;
+  char task[64];
+  char checkpoint[32];
+  uint32_t run;
+  enum cell_end_kind kind;
+};
+
+struct fleet_worker
+{
+  char id[16];
+  uint32_t millicores;
+  bool up;
+  bool cut;    /**< runs on, but no call gets through */
+  bool mute;   /**< takes orders, but its answers are lost */
+  bool listed;
+  bool draining;
+  bool failing; /**< every task it starts fails */
+  uint64_t born_ms;
+  uint64_t clock_shift_ms;
+  uint64_t fence;
+  uint64_t lease_ms; /**< on its clock */
+  uint64_t next_end;
+  uint64_t hold_at_ms;
+  struct fleet_run runs[FLEET_RUNS];
+  uint32_t run_count;
+  struct fleet_end ends[FLEET_RUNS * 4];
+  uint32_t end_count;
+};
+
+/** What a test submits; zero members take a default. */
+struct fleet_job
+{
+  uint32_t tasks[4];      /**< by step; 0 ends the list */
+  uint32_t millicores;    /**< [1,000] */
+  uint32_t work_ms;       /**< [500] */
+  uint32_t max_per_worker;
+  bool gang;
+  bool chain;             /**< each step depends on the one before */
+  bool checkpointing;
+  bool hopeless;          /**< every run fails */
+  const char *team;       /**< ["blue"] */
+  const char *queue;      /**< ["batch"] */
+  const char *label;      /**< required */
+};
+
+struct fleet
+{
+  struct cell_core *core;
+  struct cell_config *config;
+  struct fleet_worker workers[FLEET_WORKERS];
+  uint32_t worker_count;
+  uint64_t now_ms;
+  uint64_t epoch;
+  bool log_down;          /**< batches are not taken */
+  uint64_t batch;         /**< in flight; 0: none */
+  uint64_t batch_at_ms;
+  GPtrArray *batch_records;
+  GHashTable *progress;   /**< id to GBytes: what the log holds */
+  GHashTable *jobs;       /**< id to GBytes: accepted jobs */
+  GHashTable *ended;      /**< names of tasks whose done end was taken note of */
+  GHashTable *done;       /**< names of tasks that ended done */
+  GHashTable *failures;   /**< names to number of failed ends */
+  GHashTable *specs;      /**< id to struct fleet_job */
+  bool advice_down;
+  uint32_t advice_deny;   /**< every n-th worker is denied; 0: none */
+  uint32_t lose_start_answers; /**< of the next starts */
+  uint32_t delay_starts_ms;    /**< orders reach the worker later */
+  GPtrArray *late;        /**< orders under way */
+  uint32_t starts;
+  uint32_t stops;
+  uint32_t broken;        /**< promises broken */
+  char first_broken[160];
+};
+
+void fleet_setup (struct fleet *fleet, uint32_t workers, uint32_t millicores);
+void fleet_teardown (struct fleet *fleet);
+void fleet_submit (struct fleet *fleet, uint64_t id,
+                   const struct fleet_job *job);
+void fleet_cancel (struct fleet *fleet, uint64_t id);
+/** Runs for @p ms of simulated time. */
+void fleet_run (struct fleet *fleet, uint64_t ms);
+/** A new leader: the core is built anew from what the log holds. */
+void fleet_takeover (struct fleet *fleet);
+void fleet_crash (struct fleet *fleet, uint32_t worker);
+void fleet_restart (struct fleet *fleet, uint32_t worker);
+enum cell_job_state fleet_state (const struct fleet *fleet, uint64_t id);
+/** Runs on all workers now. */
+uint32_t fleet_running (const struct fleet *fleet);
+
+#endif
