Refuse jobs at once while the log is known to be down

One more try after 50 ms, then a refusal with Retry-After; while appends are refused only one job in 150 ms tries the log. Ruled out: holding jobs until the log is back; their callers give up after 3 s and the outages last 4 to 9 s.

--- a/src/entry.h
+++ b/src/entry.h
@@ -76,6 +76,8 @@
   GQueue accept_waiting; /**< struct accept_item */
   GPtrArray *accept_flight;
   uint64_t accept_next_us;
+  bool accept_down;     /**< the last append was refused */
+  uint64_t accept_probe_us; /**< while down: next job that tries the log */
   uint32_t accept_part; /**< of the stream of jobs */
 
   struct entry_leader leader;
--- a/src/entry_accept.c
+++ b/src/entry_accept.c
@@ -4,9 +4,12 @@
 #include "entry_internal.h"
 
 /** A refused append is tried again for so long before the caller is told to
- * come back: a log that refuses longer is down for seconds. */
-#define REFUSED_MOST_US 350000
+ * come back: one more try, as a log that refuses twice is down for seconds. */
+#define REFUSED_MOST_US 60000
 #define RETRY_US 50000
+/** While the log is known to be down, an append tries it so often; jobs that
+ * come meanwhile are refused at once. */
+#define PROBE_US 150000
 /** Time limit of an append: several VMs may wait for one part of a slow log,
  * and an append that is tried again waits once more. */
 #define ACCEPT_APPEND_MS 1800
@@ -35,6 +38,19 @@
   g_free (item);
 }
 
+static void
+end_item (struct entry *entry, struct accept_item *item,
+          enum pt_answer_kind kind)
+{
+  requests_answer (entry, item->call,
+                   &(struct pt_answer){
+                       .kind = kind,
+                       .retry_after_s
+                       = kind == PT_ANSWER_BUSY ? RETRY_AFTER_S : 0,
+                   });
+  free_item (item);
+}
+
 void
 accept_add (struct entry *entry, struct cyc_ref call, char kind, uint64_t job,
             uint8_t *data, size_t len)
@@ -47,23 +63,16 @@
   item->job = job;
   item->begun_us = hc_now_us ();
   snprintf (item->key, sizeof item->key, "%c%016" PRIx64, kind, job);
+  if (entry->accept_down && item->begun_us < entry->accept_probe_us)
+    {
+      end_item (entry, item, PT_ANSWER_BUSY);
+      return;
+    }
+  entry->accept_probe_us = item->begun_us + PROBE_US;
   g_queue_push_tail (&entry->accept_waiting, item);
   accept_tick (entry, item->begun_us);
 }
 
-static void
-end_item (struct entry *entry, struct accept_item *item,
-          enum pt_answer_kind kind)
-{
-  requests_answer (entry, item->call,
-                   &(struct pt_answer){
-                       .kind = kind,
-                       .retry_after_s
-                       = kind == PT_ANSWER_BUSY ? RETRY_AFTER_S : 0,
-                   });
-  free_item (item);
-}
-
 /* True when the item ended; else it waits for another append. */
 static bool
 settle (struct entry *entry, struct accept_item *item, enum pt_fate fate,
@@ -112,6 +121,7 @@
   met_add (&entry->met,
            result->fate == PT_OK ? MET_LOG_APPENDS : MET_LOG_APPEND_FAILURES,
            1);
+  entry->accept_down = result->fate == PT_REFUSED;
   for (guint i = flight->len; i-- > 0;)
     if (!settle (entry, g_ptr_array_index (flight, i), result->fate, now_us))
       g_queue_push_head (&entry->accept_waiting,
