--- /dev/null
+++ b/fakes/fk_platform.c
@@ -0,0 +1,745 @@
+#include "fk_platform.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_S 0.005
+#define NEWEST_PAGE 3
+#define ENTRY_GAP_MS 500
+
+void
+fkp_address (const struct hs_server *hs, char out[32])
+{
+  snprintf (out, 32, "127.0.0.1:%u", fk_port (hs));
+}
+
+static uint64_t
+now_ms (void)
+{
+  return hc_now_us () / 1000;
+}
+
+/* The log. */
+
+static struct fkp_part *
+find_part (struct fkp_platform *platform, const char *topic, uint32_t number)
+{
+  char name[64];
+  struct fkp_part *part;
+
+  snprintf (name, sizeof name, "%s/%u", topic, number);
+  for (guint i = 0; i < platform->parts->len; i++)
+    {
+      part = g_ptr_array_index (platform->parts, i);
+      if (strcmp (part->name, name) == 0)
+        return part;
+    }
+  part = g_new0 (struct fkp_part, 1);
+  snprintf (part->name, sizeof part->name, "%s", name);
+  part->keyed = strncmp (topic, "keyed.", 6) == 0;
+  part->records
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  part->newest = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                        (GDestroyNotify)g_bytes_unref);
+  part->offsets
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_ptr_array_add (platform->parts, part);
+  return part;
+}
+
+static uint64_t
+part_end (const struct fkp_part *part)
+{
+  return part->first + part->records->len;
+}
+
+static void
+add_record (struct fkp_part *part, const uint8_t *data, size_t len)
+{
+  uint64_t offset = part_end (part);
+
+  g_ptr_array_add (part->records, g_bytes_new (data, len));
+  if (part->keyed && len > 0 && (size_t)data[0] + 1 <= len)
+    {
+      char *key = g_strndup ((const char *)data + 1, data[0]);
+      size_t head = 1 + (size_t)data[0];
+
+      if (len == head)
+        {
+          g_hash_table_remove (part->newest, key);
+          g_hash_table_remove (part->offsets, key);
+        }
+      else
+        {
+          g_hash_table_replace (part->newest, g_strdup (key),
+                                g_bytes_new (data + head, len - head));
+          g_hash_table_replace (part->offsets, g_strdup (key),
+                                g_memdup2 (&offset, sizeof offset));
+        }
+      g_free (key);
+    }
+}
+
+void
+fkp_put (struct fkp_platform *platform, const char *topic, const char *key,
+         const char *value)
+{
+  GByteArray *record = g_byte_array_new ();
+  uint8_t len = (uint8_t)strlen (key);
+
+  g_byte_array_append (record, &len, 1);
+  g_byte_array_append (record, (const uint8_t *)key, len);
+  g_byte_array_append (record, (const uint8_t *)value, (guint)strlen (value));
+  add_record (find_part (platform, topic, 0), record->data, record->len);
+  g_byte_array_free (record, TRUE);
+}
+
+void
+fkp_trim (struct fkp_platform *platform, const char *topic, uint64_t before)
+{
+  struct fkp_part *part = find_part (platform, topic, 0);
+
+  while (part->first < before && part->records->len > 0)
+    {
+      g_ptr_array_remove_index (part->records, 0);
+      part->first++;
+    }
+}
+
+static void
+answer_later (struct fkp_platform *platform, struct hs_server *hs,
+              struct cyc_ref call, uint32_t status, struct cyc_str body)
+{
+  struct fkp_wait wait = {
+    .hs = hs,
+    .call = call,
+    .until_ms = now_ms () + platform->faults.delay_ms,
+    .body = g_bytes_new (body.data, body.len),
+    .status = status,
+  };
+
+  g_array_append_val (platform->waits, wait);
+}
+
+static void
+log_reply (struct fkp_platform *platform, struct cyc_ref call, uint32_t status,
+           struct cyc_str body)
+{
+  if (platform->faults.delay_ms > 0)
+    answer_later (platform, &platform->log, call, status, body);
+  else
+    fk_reply_text (&platform->log, call, status, body);
+}
+
+static uint64_t
+query_u64 (const struct hs_call *call, const char *name, uint64_t fallback)
+{
+  struct cyc_str text = hs_query (call, name);
+
+  return text.len > 0 ? strtoull (text.data, NULL, 10) : fallback;
+}
+
+static void
+reply_json (struct fkp_platform *platform, struct cyc_ref call,
+            uint32_t status, const char *format, uint64_t a, uint64_t b)
+{
+  char body[160];
+
+  snprintf (body, sizeof body, format, a, b);
+  log_reply (platform, call, status, cyc_str_of (body));
+}
+
+/* True when the append is to be carried out. */
+static bool
+check_producer (struct fkp_platform *platform, struct fkp_part *part,
+                const struct hs_call *call)
+{
+  struct cyc_str producer = hs_query (call, "producer");
+  uint64_t epoch = query_u64 (call, "epoch", 0);
+  uint64_t sequence = query_u64 (call, "seq", 0);
+
+  if (producer.len == 0)
+    return true;
+  if (epoch < part->epoch)
+    {
+      reply_json (platform, call->ref, 409,
+                  "{\"reason\":\"fenced\",\"epoch\":%" PRIu64 "}", part->epoch,
+                  0);
+      return false;
+    }
+  if (epoch > part->epoch)
+    {
+      part->epoch = epoch;
+      part->sequence = sequence;
+    }
+  if (call->body.len == 0)
+    return true;
+  if (sequence + 1 == part->sequence)
+    {
+      reply_json (platform, call->ref, 200,
+                  "{\"offset\":%" PRIu64 ",\"end_offset\":%" PRIu64 "}",
+                  part->last_offset, part_end (part));
+      return false;
+    }
+  if (sequence != part->sequence)
+    {
+      reply_json (platform, call->ref, 409,
+                  "{\"reason\":\"seq\",\"seq\":%" PRIu64 "}", part->sequence,
+                  0);
+      return false;
+    }
+  part->sequence++;
+  part->last_offset = part_end (part);
+  return true;
+}
+
+static void
+on_append (struct fkp_platform *platform, const struct hs_call *call)
+{
+  struct cyc_str topic = hs_query (call, "topic");
+  struct fkp_part *part = find_part (platform, topic.data,
+                                     (uint32_t)query_u64 (call, "part", 0));
+  uint64_t offset = part_end (part);
+  const uint8_t *at = (const uint8_t *)call->body.data;
+  size_t left = call->body.len;
+
+  if (query_u64 (call, "at", offset) != offset)
+    {
+      reply_json (platform, call->ref, 412, "{\"end_offset\":%" PRIu64 "}",
+                  offset, 0);
+      return;
+    }
+  if (!check_producer (platform, part, call))
+    return;
+  while (left >= 4)
+    {
+      size_t len = (size_t)at[0] << 24 | (size_t)at[1] << 16
+                   | (size_t)at[2] << 8 | at[3];
+
+      add_record (part, at + 4, len);
+      at += 4 + len;
+      left -= 4 + len;
+    }
+  if (platform->faults.log_lose > 0)
+    {
+      platform->faults.log_lose--;
+      fk_drop (&platform->log, call->ref, call->connection);
+      return;
+    }
+  reply_json (platform, call->ref, 200,
+              "{\"offset\":%" PRIu64 ",\"end_offset\":%" PRIu64 "}", offset,
+              part_end (part));
+}
+
+static void
+put_u64 (GByteArray *out, uint64_t value)
+{
+  uint8_t bytes[8];
+
+  for (int i = 0; i < 8; i++)
+    bytes[i] = (uint8_t)(value >> (56 - 8 * i));
+  g_byte_array_append (out, bytes, 8);
+}
+
+static void
+reply_read (struct fkp_platform *platform, struct cyc_ref call,
+            const struct fkp_part *part, uint64_t from)
+{
+  GByteArray *out = g_byte_array_new ();
+
+  put_u64 (out, part_end (part));
+  put_u64 (out, part->first);
+  for (uint64_t at = from; at < part_end (part); at++)
+    {
+      gsize len;
+      const uint8_t *data = g_bytes_get_data (
+          g_ptr_array_index (part->records, at - part->first), &len);
+      uint8_t head[4] = { (uint8_t)(len >> 24), (uint8_t)(len >> 16),
+                          (uint8_t)(len >> 8), (uint8_t)len };
+
+      g_byte_array_append (out, head, 4);
+      g_byte_array_append (out, data, (guint)len);
+    }
+  log_reply (platform, call, 200,
+             (struct cyc_str){ (const char *)out->data, out->len });
+  g_byte_array_free (out, TRUE);
+}
+
+static void
+on_read (struct fkp_platform *platform, const struct hs_call *call)
+{
+  struct cyc_str topic = hs_query (call, "topic");
+  struct fkp_part *part = find_part (platform, topic.data,
+                                     (uint32_t)query_u64 (call, "part", 0));
+  uint64_t from = query_u64 (call, "from", 0);
+  uint64_t wait = query_u64 (call, "wait_ms", 0);
+
+  if (from < part->first)
+    {
+      reply_json (platform, call->ref, 410, "{\"first_offset\":%" PRIu64 "}",
+                  part->first, 0);
+      return;
+    }
+  if (from < part_end (part) || wait == 0)
+    {
+      reply_read (platform, call->ref, part, from);
+      return;
+    }
+  g_array_append_vals (platform->waits,
+                       &(struct fkp_wait){ .hs = &platform->log,
+                                           .call = call->ref,
+                                           .part = part,
+                                           .from = from,
+                                           .until_ms = now_ms () + wait },
+                       1);
+}
+
+static gint
+by_text (gconstpointer a, gconstpointer b)
+{
+  return strcmp (a, b);
+}
+
+static void
+on_newest (struct fkp_platform *platform, const struct hs_call *call)
+{
+  struct cyc_str topic = hs_query (call, "topic");
+  struct cyc_str after = hs_query (call, "depends_on");
+  struct fkp_part *part = find_part (platform, topic.data,
+                                     (uint32_t)query_u64 (call, "part", 0));
+  GList *keys = g_list_sort (g_hash_table_get_keys (part->newest), by_text);
+  GString *out = g_string_new ("{\"items\":[");
+  uint32_t count = 0;
+  bool more = false;
+
+  for (GList *at = keys; at != NULL; at = at->next)
+    {
+      gsize len;
+      const uint8_t *data;
+      char *text;
+
+      if (after.len > 0 && strcmp (at->data, after.data) <= 0)
+        continue;
+      if (count == NEWEST_PAGE)
+        {
+          more = true;
+          break;
+        }
+      data = g_bytes_get_data (g_hash_table_lookup (part->newest, at->data),
+                               &len);
+      text = g_base64_encode (data, len);
+      g_string_append_printf (
+          out, "%s{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%" PRIu64 "}",
+          count > 0 ? "," : "", (const char *)at->data, text,
+          *(uint64_t *)g_hash_table_lookup (part->offsets, at->data));
+      g_free (text);
+      count++;
+    }
+  g_string_append_printf (out, "],\"has_more\":%s,\"end_offset\":%" PRIu64 "}",
+                          more ? "true" : "false", part_end (part));
+  log_reply (platform, call->ref, 200, (struct cyc_str){ out->str, out->len });
+  g_string_free (out, TRUE);
+  g_list_free (keys);
+}
+
+static void
+on_log_call (void *user, const struct hs_call *call)
+{
+  struct fkp_platform *platform = user;
+
+  platform->calls++;
+  if (platform->faults.log_silent)
+    return;
+  if (platform->faults.log_down)
+    {
+      fk_drop (&platform->log, call->ref, call->connection);
+      return;
+    }
+  if (platform->faults.log_busy)
+    {
+      fk_reply_text (&platform->log, call->ref, 503, CYC_STR ("{}"));
+      return;
+    }
+  if (cyc_str_eq (call->path, CYC_STR ("/-/log-append")))
+    on_append (platform, call);
+  else if (cyc_str_eq (call->path, CYC_STR ("/-/log-read")))
+    on_read (platform, call);
+  else if (cyc_str_eq (call->path, CYC_STR ("/-/log-newest")))
+    on_newest (platform, call);
+  else
+    fk_reply_text (&platform->log, call->ref, 404, CYC_STR ("{}"));
+}
+
+/* Workers. */
+
+static uint64_t
+worker_clock (const struct fkp_worker *worker)
+{
+  return now_ms () - worker->born_ms + 1;
+}
+
+static void
+end_run (struct fkp_worker *worker, uint32_t index, const char *how)
+{
+  struct fkp_end *end = &worker->ends[worker->end_count++];
+
+  end->number = worker->next_end++;
+  end->run = worker->runs[index].number;
+  end->how = how;
+  memcpy (end->task, worker->runs[index].task, sizeof end->task);
+  worker->runs[index] = worker->runs[--worker->run_count];
+}
+
+static void
+reply_hold (struct fkp_worker *worker, struct cyc_ref call)
+{
+  GString *out = g_string_new (NULL);
+
+  g_string_printf (
+      out, "{\"clock_ms\":%" PRIu64 ",\"born\":%" PRIu64 ",\"running\":[",
+      worker_clock (worker), worker->born_ms);
+  for (uint32_t i = 0; i < worker->run_count; i++)
+    g_string_append_printf (out, "%s[\"%s\",%u,\"%s\",50,0]", i > 0 ? "," : "",
+                            worker->runs[i].task, worker->runs[i].number,
+                            worker->runs[i].checkpoint);
+  g_string_append (out, "],\"finished\":[");
+  for (uint32_t i = 0; i < worker->end_count; i++)
+    g_string_append_printf (out, "%s[%" PRIu64 ",\"%s\",%u,\"%s\",\"\"]",
+                            i > 0 ? "," : "", worker->ends[i].number,
+                            worker->ends[i].task, worker->ends[i].run,
+                            worker->ends[i].how);
+  g_string_append (out, "]}");
+  fk_reply_text (&worker->hs, call, 200,
+                 (struct cyc_str){ out->str, out->len });
+  g_string_free (out, TRUE);
+}
+
+static void
+reply_clock (struct fkp_worker *worker, struct cyc_ref call, uint32_t status,
+             const char *reason)
+{
+  char body[96];
+
+  snprintf (body, sizeof body, "{\"clock_ms\":%" PRIu64 "%s%s%s}",
+            worker_clock (worker), reason ? ",\"reason\":\"" : "",
+            reason ? reason : "", reason ? "\"" : "");
+  fk_reply_text (&worker->hs, call, status, cyc_str_of (body));
+}
+
+static struct fkp_run *
+find_run (struct fkp_worker *worker, const char *task, uint32_t *index)
+{
+  for (uint32_t i = 0; i < worker->run_count; i++)
+    if (strcmp (worker->runs[i].task, task) == 0)
+      {
+        *index = i;
+        return &worker->runs[i];
+      }
+  return NULL;
+}
+
+static void
+on_start (struct fkp_worker *worker, const struct hs_call *call,
+          struct json_object *root)
+{
+  struct fkp_faults *faults = &worker->platform->faults;
+  const char *task = fk_text (root, "task", "");
+  uint32_t number = (uint32_t)fk_int (root, "run", 0);
+  uint32_t index;
+  struct fkp_run *run = find_run (worker, task, &index);
+
+  if (faults->refuse_starts != 0)
+    {
+      reply_clock (worker, call->ref, (uint32_t)faults->refuse_starts,
+                   faults->refuse_starts == 409 ? faults->reason : NULL);
+      return;
+    }
+  if (run != NULL && run->number != number)
+    {
+      reply_clock (worker, call->ref, 409, "old");
+      return;
+    }
+  if (run == NULL && worker->run_count < FKP_RUNS_MAX)
+    {
+      uint32_t work_ms = worker->platform->work_ms;
+
+      run = &worker->runs[worker->run_count++];
+      memset (run, 0, sizeof *run);
+      snprintf (run->task, sizeof run->task, "%s", task);
+      snprintf (run->checkpoint, sizeof run->checkpoint, "%s",
+                fk_text (root, "checkpoint", ""));
+      run->number = number;
+      run->begun_ms = now_ms ();
+      run->end_ms = run->begun_ms + (work_ms ? work_ms : 200);
+      worker->starts++;
+    }
+  worker->lease_ms
+      = MAX (worker->lease_ms, (uint64_t)fk_int (root, "deadline_ms", 0));
+  if (faults->lose_starts > 0)
+    {
+      faults->lose_starts--;
+      fk_drop (&worker->hs, call->ref, call->connection);
+      return;
+    }
+  reply_clock (worker, call->ref, 200, NULL);
+}
+
+static void
+on_stop (struct fkp_worker *worker, const struct hs_call *call,
+         struct json_object *root)
+{
+  uint32_t index;
+
+  if (find_run (worker, fk_text (root, "task", ""), &index) != NULL)
+    end_run (worker, index, "stopped");
+  reply_clock (worker, call->ref, 200, NULL);
+}
+
+static void
+on_hold (struct fkp_worker *worker, const struct hs_call *call,
+         struct json_object *root)
+{
+  uint64_t ack = (uint64_t)fk_int (root, "ack_cursor", 0);
+  int64_t wait = fk_int (root, "wait_ms", 0);
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < worker->end_count; i++)
+    if (worker->ends[i].number > ack)
+      worker->ends[kept++] = worker->ends[i];
+  worker->end_count = kept;
+  worker->lease_ms
+      = MAX (worker->lease_ms, (uint64_t)fk_int (root, "deadline_ms", 0));
+  if (kept > 0 || wait == 0)
+    {
+      reply_hold (worker, call->ref);
+      return;
+    }
+  g_array_append_vals (
+      worker->platform->waits,
+      &(struct fkp_wait){ .hs = &worker->hs,
+                          .call = call->ref,
+                          .worker = worker,
+                          .until_ms = now_ms () + (uint64_t)wait },
+      1);
+}
+
+static void
+on_worker_call (void *user, const struct hs_call *call)
+{
+  struct fkp_worker *worker = user;
+  struct cyc_str life = hs_header (call, "X-Expect-Instance");
+  struct json_object *root = fk_parse (call->body);
+  uint64_t fence = root != NULL ? (uint64_t)fk_int (root, "fence", 0) : 0;
+
+  if (worker->platform->faults.workers_silent)
+    ;
+  else if (worker->platform->faults.other_life
+           || (life.len > 0 && !cyc_str_eq (life, cyc_str_of (worker->id))))
+    reply_clock (worker, call->ref, 421, NULL);
+  else if (root == NULL)
+    reply_clock (worker, call->ref, 400, NULL);
+  else if (fence < worker->fence)
+    reply_clock (worker, call->ref, 409, "fence");
+  else
+    {
+      worker->fence = fence;
+      if (cyc_str_eq (call->path, CYC_STR ("/-/run-start")))
+        on_start (worker, call, root);
+      else if (cyc_str_eq (call->path, CYC_STR ("/-/run-stop")))
+        on_stop (worker, call, root);
+      else if (cyc_str_eq (call->path, CYC_STR ("/-/hold")))
+        on_hold (worker, call, root);
+      else
+        reply_clock (worker, call->ref, 404, NULL);
+    }
+  json_object_put (root);
+}
+
+static void
+list_workers (struct fkp_platform *platform)
+{
+  for (uint32_t i = 0; i < platform->worker_count; i++)
+    {
+      struct fkp_worker *worker = &platform->workers[i];
+      char value[512];
+      char address[32];
+
+      fkp_address (&worker->hs, address);
+      snprintf (value, sizeof value,
+                "{\"service\":\"pool\",\"address\":\"%s\",\"zone\":\"north\","
+                "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
+                "\"cold_remaining_ms\":0,\"capacity\":{\"cpu\":%u,"
+                "\"mem_mb\":100000,\"gpu\":0},\"labels\":[\"a\",\"r%u\"],"
+                "\"clock_ms\":%" PRIu64 ",\"born\":%" PRIu64
+                ",\"seq\":%" PRIu64 "}",
+                address, worker->draining ? "draining" : "ready",
+                worker->millicores, i / 2, worker_clock (worker),
+                worker->born_ms, platform->entry_seq++);
+      fkp_put (platform, "keyed.servers", worker->id, value);
+    }
+}
+
+/* The advisor: every worker named may run the step. */
+
+static void
+on_advise (void *user, const struct hs_call *call)
+{
+  struct fkp_platform *platform = user;
+  struct json_object *root = fk_parse (call->body);
+  struct json_object *workers = NULL;
+  GString *out = g_string_new ("{\"allowed\":[");
+
+  platform->asks++;
+  if (platform->faults.advisor_silent)
+    ;
+  else if (platform->faults.advisor_busy || root == NULL
+           || !json_object_object_get_ex (root, "workers", &workers))
+    fk_reply_text (&platform->advisor, call->ref, 429, CYC_STR ("{}"));
+  else
+    {
+      for (size_t i = 0; i < json_object_array_length (workers); i++)
+        g_string_append_printf (
+            out, "%s[\"%s\",\"ticket-%zu\"]", i > 0 ? "," : "",
+            json_object_get_string (json_object_array_get_idx (workers, i)),
+            i);
+      g_string_append (out, "],\"valid_ms\":2500}");
+      fk_reply_text (&platform->advisor, call->ref, 200,
+                     (struct cyc_str){ out->str, out->len });
+    }
+  g_string_free (out, TRUE);
+  json_object_put (root);
+}
+
+/* Time. */
+
+static bool
+wait_over (struct fkp_platform *platform, struct fkp_wait *wait, uint64_t now)
+{
+  if (wait->body != NULL)
+    {
+      gsize len;
+      const char *data = g_bytes_get_data (wait->body, &len);
+
+      if (now < wait->until_ms)
+        return false;
+      fk_reply_text (wait->hs, wait->call, wait->status,
+                     (struct cyc_str){ data, len });
+      g_bytes_unref (wait->body);
+      return true;
+    }
+  if (wait->worker != NULL)
+    {
+      if (wait->worker->end_count == 0 && now < wait->until_ms)
+        return false;
+      reply_hold (wait->worker, wait->call);
+      return true;
+    }
+  if (part_end (wait->part) <= wait->from && now < wait->until_ms)
+    return false;
+  reply_read (platform, wait->call, wait->part, wait->from);
+  return true;
+}
+
+static void
+on_tick (struct ev_loop *loop, struct ev_timer *timer, int events)
+{
+  struct fkp_platform *platform = timer->data;
+  uint64_t now = now_ms ();
+
+  (void)loop;
+  (void)events;
+  for (uint32_t w = 0; w < platform->worker_count; w++)
+    {
+      struct fkp_worker *worker = &platform->workers[w];
+
+      for (uint32_t r = 0; r < worker->run_count;)
+        if (worker->runs[r].end_ms <= now)
+          end_run (worker, r, "done");
+        else if (worker->lease_ms < worker_clock (worker))
+          end_run (worker, r, "lapsed");
+        else
+          r++;
+    }
+  for (guint i = 0; i < platform->waits->len;)
+    {
+      struct fkp_wait wait
+          = g_array_index (platform->waits, struct fkp_wait, i);
+
+      if (wait_over (platform, &wait, now))
+        g_array_remove_index (platform->waits, i);
+      else
+        i++;
+    }
+  if (now >= platform->entries_at_ms)
+    {
+      platform->entries_at_ms = now + ENTRY_GAP_MS;
+      list_workers (platform);
+    }
+}
+
+static bool
+listen_on (struct hs_server *hs, struct ev_loop *loop,
+           void (*handle) (void *user, const struct hs_call *call), void *user,
+           struct cyc_findings *findings)
+{
+  return hs_setup (hs,
+                   &(struct hs_desc){ .loop = loop,
+                                      .address = "127.0.0.1",
+                                      .max_body_bytes = 4U << 20,
+                                      .handle = handle,
+                                      .user = user },
+                   findings);
+}
+
+bool
+fkp_setup (struct fkp_platform *platform, struct ev_loop *loop,
+           uint32_t workers, struct cyc_findings *findings)
+{
+  memset (platform, 0, sizeof *platform);
+  platform->loop = loop;
+  platform->parts = g_ptr_array_new ();
+  platform->waits = g_array_new (FALSE, TRUE, sizeof (struct fkp_wait));
+  if (!listen_on (&platform->log, loop, on_log_call, platform, findings)
+      || !listen_on (&platform->advisor, loop, on_advise, platform, findings))
+    return false;
+  for (uint32_t i = 0; i < workers; i++)
+    {
+      struct fkp_worker *worker = &platform->workers[i];
+
+      worker->platform = platform;
+      snprintf (worker->id, sizeof worker->id, "i-worker%u", i);
+      worker->born_ms = now_ms () - 1000;
+      worker->millicores = 8000;
+      worker->next_end = 1;
+      if (!listen_on (&worker->hs, loop, on_worker_call, worker, findings))
+        return false;
+      platform->worker_count++;
+    }
+  ev_timer_init (&platform->timer, on_tick, TICK_S, TICK_S);
+  platform->timer.data = platform;
+  ev_timer_start (loop, &platform->timer);
+  return true;
+}
+
+void
+fkp_shutdown (struct fkp_platform *platform)
+{
+  ev_timer_stop (platform->loop, &platform->timer);
+  for (uint32_t i = 0; i < platform->worker_count; i++)
+    hs_shutdown (&platform->workers[i].hs);
+  hs_shutdown (&platform->log);
+  hs_shutdown (&platform->advisor);
+  for (guint i = 0; i < platform->parts->len; i++)
+    {
+      struct fkp_part *part = g_ptr_array_index (platform->parts, i);
+
+      g_ptr_array_free (part->records, TRUE);
+      g_hash_table_destroy (part->newest);
+      g_hash_table_destroy (part->offsets);
+      g_free (part);
+    }
+  g_ptr_array_free (platform->parts, TRUE);
+  g_array_free (platform->waits, TRUE);
+}
--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -238,12 +238,12 @@
   bool listed;
   bool draining;
   uint32_t runs;
-  bool fenced;         /**< has answered this leader */
-  uint64_t seen_end;   /**< highest number of an end taken in */
-  uint64_t ack;        /**< ends up to here may be forgotten */
+  bool fenced;                /**< has answered this leader */
+  uint64_t seen_end;          /**< highest number of an end taken in */
+  uint64_t ack;               /**< ends up to here may be forgotten */
   uint64_t lease_deadline_ms; /**< on the worker's clock */
-  uint64_t clock_ms;   /**< of the worker, 0: not known */
-  uint64_t clock_at_us; /**< when clock_ms was read */
+  uint64_t clock_ms;          /**< of the worker, 0: not known */
+  uint64_t clock_at_us;       /**< when clock_ms was read */
 };
 void cell_worker_view (const struct cell_core *core, uint32_t row,
                        struct cell_worker_view *out);
@@ -258,8 +258,8 @@
                          uint64_t deadline_ms);
 
 /** Takes @p job over. False: known already, and freed. */
-bool cell_job_add (struct cell_core *core, uint64_t id, struct Cyc__CellJob *job,
-                   uint64_t now_us, uint64_t now_ms);
+bool cell_job_add (struct cell_core *core, uint64_t id,
+                   struct Cyc__CellJob *job, uint64_t now_us, uint64_t now_ms);
 /** False when the job is not known. */
 bool cell_job_cancel (struct cell_core *core, uint64_t id, uint64_t now_us);
 /** Applies a progress record to a job added before; @p lease_until_us: until
--- a/src/cmd_entry.c
+++ b/src/cmd_entry.c
@@ -79,9 +79,8 @@
   ev_setup (&sink, &(struct ev_desc){
                        .vm = run->settings.vm,
                        .role = CYC_STR ("entry"),
-                       .lowest = run->settings.log_info
-                                     ? G_LOG_LEVEL_INFO
-                                     : G_LOG_LEVEL_MESSAGE,
+                       .lowest = run->settings.log_info ? G_LOG_LEVEL_INFO
+                                                        : G_LOG_LEVEL_MESSAGE,
                    });
   signal (SIGPIPE, SIG_IGN);
   watch (run, &term, SIGTERM, on_stop_signal);
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -31,8 +31,8 @@
       const struct cell_queue_cfg *queue = &config->queues[i];
       size_t len = strlen (queue->path_prefix);
 
-      if (len < best_len || (best != NULL && len == best_len)
-          || path.len < len || memcmp (path.data, queue->path_prefix, len) != 0
+      if (len < best_len || (best != NULL && len == best_len) || path.len < len
+          || memcmp (path.data, queue->path_prefix, len) != 0
           || !cyc_str_eq (cyc_name_str (&queue->host), host))
         continue;
       best = queue;
@@ -519,6 +519,9 @@
                && report->sent_us > run->stopped_sent_us;
       if (gone)
         cell_run_gone (core, run, CELL_END_LAPSED, CYC_STR (""));
+      else if (run->state == CELL_RUN_STARTING && run->uncertain_us != 0
+               && report->sent_us > run->uncertain_us)
+        cell_run_stop (core, run);
     }
 }
 
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -17,8 +17,9 @@
 #define CELL_CLOCK_SLOW_PERMILLE 20
 /** Added to computed lease ends for the time that messages take. */
 #define CELL_LEASE_MARGIN_US 200000
-/** Start without an answer: a stop is ordered after this time, so that the
- * capacity does not stay blocked. Longer than a start between regions. */
+/** A start without an answer is uncertain after this time: when the worker's
+ * next report does not show the run, a stop settles it. Longer than a start
+ * between regions takes. */
 #define CELL_START_ANSWER_US 1200000
 /** Gap between repeated stops of one run. */
 #define CELL_STOP_REPEAT_US 700000
@@ -48,15 +49,16 @@
   uint64_t worker_born_ms; /**< 0: not known when it was placed */
   struct cyc_res size;
   enum cell_run_state state;
-  uint64_t batch;       /**< whose record names this run */
+  uint64_t batch; /**< whose record names this run */
   uint64_t decided_us;
-  uint64_t ordered_us;  /**< start sent */
-  uint64_t answered_us; /**< start answered */
-  uint64_t stop_next_us; /**< next time to order a stop; 0: none */
+  uint64_t ordered_us;      /**< start sent */
+  uint64_t answered_us;     /**< start answered */
+  uint64_t uncertain_us;    /**< the start got no answer; 0: it may yet */
+  uint64_t stop_next_us;    /**< next time to order a stop; 0: none */
   uint64_t stopped_sent_us; /**< when the answered stop was sent */
-  bool stop;            /**< wanted to end */
-  bool superseded;      /**< the task is done elsewhere or requeued */
-  bool inherited;       /**< of an earlier leader */
+  bool stop;                /**< wanted to end */
+  bool superseded;          /**< the task is done elsewhere or requeued */
+  bool inherited;           /**< of an earlier leader */
   uint32_t percent;
   char ticket[CELL_TICKET_BYTES];
   struct cyc_ref ref;
@@ -90,10 +92,10 @@
   uint64_t clock_at_us;
   uint64_t lease_deadline_ms; /**< latest asked for, worker's clock */
   uint64_t lease_until_us;    /**< without a clock: certain end of leases */
-  uint64_t seen_end;      /**< highest end number taken in */
-  uint64_t ack;           /**< highest end number that is durable */
-  uint64_t ack_next;      /**< becomes ack when ack_batch is durable */
-  uint64_t ack_batch;     /**< 0: none pending */
+  uint64_t seen_end;          /**< highest end number taken in */
+  uint64_t ack;               /**< highest end number that is durable */
+  uint64_t ack_next;          /**< becomes ack when ack_batch is durable */
+  uint64_t ack_batch;         /**< 0: none pending */
   struct cell_run *runs;
   uint32_t run_count;
 };
@@ -141,13 +143,13 @@
   uint32_t count;
   uint32_t done;
   uint32_t waiting;
-  bool ready;      /**< all it depends on is done, and it is due */
-  bool listed;     /**< in the core's list of waiting stages */
-  uint64_t ask;    /**< open question; 0: none */
+  bool ready;   /**< all it depends on is done, and it is due */
+  bool listed;  /**< in the core's list of waiting stages */
+  uint64_t ask; /**< open question; 0: none */
   uint64_t ask_after_us;
   uint32_t failed_on[CELL_AVOID]; /**< 1 + row; 0: none */
   uint32_t failed_next;           /**< entry of failed_on to fill */
-  uint8_t *verdicts; /**< by worker row */
+  uint8_t *verdicts;              /**< by worker row */
   uint32_t verdict_count;
   GArray *tickets; /**< struct cell_held_ticket */
 };
@@ -210,19 +212,19 @@
   const struct cell_config *config;
   GPtrArray *workers; /**< struct cell_worker */
   GHashTable *worker_rows;
-  GHashTable *jobs;  /**< id to struct cell_job */
-  GHashTable *teams; /**< name to struct cell_team */
-  GPtrArray *racks;  /**< names */
+  GHashTable *jobs;   /**< id to struct cell_job */
+  GHashTable *teams;  /**< name to struct cell_team */
+  GPtrArray *racks;   /**< names */
   GPtrArray *waiting; /**< struct cell_stage that are ready with tasks */
   GPtrArray *timed;   /**< struct cell_job with rounds to come */
   GPtrArray *dirty;   /**< struct cell_job */
   GPtrArray *questions;
-  GPtrArray *runs;     /**< by ref.index; NULL: free */
+  GPtrArray *runs; /**< by ref.index; NULL: free */
   GArray *run_generations;
   GArray *free_runs;
-  GQueue recording; /**< runs in the order of their batch */
+  GQueue recording;         /**< runs in the order of their batch */
   GPtrArray *shown_pending; /**< jobs whose state waits for its batch */
-  GQueue orders;    /**< struct cell_order * */
+  GQueue orders;            /**< struct cell_order * */
   GPtrArray *records;
   GHashTable *queue_good; /**< queue name to permille of allowed workers */
   uint64_t batch;
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -104,8 +104,7 @@
       || sscanf (text + 16, ".%u.%u.%u", &k, &step, &index) != 3)
     return false;
   *job = cell_job_find (core, id);
-  if (*job == NULL || k >= (*job)->round_count
-      || step >= (*job)->spec->n_steps
+  if (*job == NULL || k >= (*job)->round_count || step >= (*job)->spec->n_steps
       || index >= (*job)->spec->steps[step]->count)
     return false;
   *round = k;
@@ -278,8 +277,8 @@
   job->accepted_us = now_us > age_us ? now_us - age_us : 0;
   job->deadline_us
       = job->accepted_us
-        + chain_ms (spec) * (job->cfg.slack_permille ? job->cfg.slack_permille
-                                                     : 1000)
+        + chain_ms (spec)
+              * (job->cfg.slack_permille ? job->cfg.slack_permille : 1000)
         + (uint64_t)job->cfg.objective_ms * US_PER_MS;
   g_hash_table_insert (core->jobs, &job->id, job);
   for (uint32_t r = 0; r < job->round_count; r++)
@@ -472,8 +471,7 @@
     count_failure (core, run);
   if (kind == CELL_END_FAILED || kind == CELL_END_ALONE)
     at_us += CELL_RETRY_US;
-  if (current && checkpoint.len > 0
-      && checkpoint.len < sizeof row->checkpoint)
+  if (current && checkpoint.len > 0 && checkpoint.len < sizeof row->checkpoint)
     snprintf (row->checkpoint, sizeof row->checkpoint, "%.*s",
               CYC_FMT (checkpoint));
   cell_run_free (core, run);
@@ -602,8 +600,8 @@
       worker = cell_worker_at (core, row);
       if (worker->lease_until_us < lease_until_us)
         worker->lease_until_us = lease_until_us;
-      made = cell_run_new (core, job, from->index, run->task, row,
-                           run->number);
+      made
+          = cell_run_new (core, job, from->index, run->task, row, run->number);
       made->state = CELL_RUN_STARTING;
       made->inherited = true;
       made->worker_born_ms = run->worker_born_ms;
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -272,9 +272,9 @@
       question->handed_out = true;
       out->ask = question->ask;
       out->priority = stage->job->cfg.priority;
-      out->cost_us = stage->job->cfg.advice.decision_us
-                     + out->worker_count
-                           * stage->job->cfg.advice.per_worker_us;
+      out->cost_us
+          = stage->job->cfg.advice.decision_us
+            + out->worker_count * stage->job->cfg.advice.per_worker_us;
       snprintf (job, sizeof job, "%016llx",
                 (unsigned long long)stage->job->id);
       snprintf (out->step, sizeof out->step, "%s.%u.%u", job, stage->round,
@@ -524,8 +524,8 @@
 
       whole = row != CELL_NO_ROW;
       if (whole)
-        g_ptr_array_add (placed, place (core, stage, stage->first_task + t,
-                                        row, number));
+        g_ptr_array_add (
+            placed, place (core, stage, stage->first_task + t, row, number));
     }
   if (!whole)
     unplace (core, placed);
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -46,8 +46,8 @@
 
   if (core->free_runs->len > 0)
     {
-      run->ref.index
-          = g_array_index (core->free_runs, uint32_t, core->free_runs->len - 1);
+      run->ref.index = g_array_index (core->free_runs, uint32_t,
+                                      core->free_runs->len - 1);
       g_array_set_size (core->free_runs, core->free_runs->len - 1);
       g_ptr_array_index (core->runs, run->ref.index) = run;
     }
@@ -150,7 +150,7 @@
         return;
       }
     case CELL_START_UNKNOWN:
-      cell_run_stop (core, run);
+      run->uncertain_us = now_us;
       return;
     }
 }
@@ -229,9 +229,9 @@
         {
           if (run->state == CELL_RUN_RECORDING)
             continue;
-          if (run->state == CELL_RUN_STARTING && !run->inherited && !run->stop
+          if (run->state == CELL_RUN_STARTING && run->uncertain_us == 0
               && run->ordered_us + CELL_START_ANSWER_US <= core->now_us)
-            cell_run_stop (core, run);
+            run->uncertain_us = core->now_us;
           if (!run->stop || run->stopped_sent_us != 0
               || (run->inherited && !worker->fenced))
             continue;
@@ -240,8 +240,8 @@
               order_stop (core, run);
               run->stop_next_us = core->now_us + CELL_STOP_REPEAT_US;
             }
-          cell_wake (core, MAX (run->stop_next_us,
-                                core->now_us + RUN_TIMER_US));
+          cell_wake (core,
+                     MAX (run->stop_next_us, core->now_us + RUN_TIMER_US));
         }
       cell_wake (core, core->now_us + RUN_TIMER_US * 5);
     }
--- a/src/entry.c
+++ b/src/entry.c
@@ -41,8 +41,7 @@
 
   if (at_us < now_us + KICK_US)
     at_us = now_us + KICK_US;
-  if (!ev_is_active (&entry->timer)
-      || (double)(at_us - now_us) / 1e6 < left)
+  if (!ev_is_active (&entry->timer) || (double)(at_us - now_us) / 1e6 < left)
     arm (entry, at_us);
 }
 
@@ -95,8 +94,7 @@
   entry->registered = result->fate == PT_OK;
   if (entry->registered)
     {
-      entry->log_trip_ms
-          = (uint32_t)((now_us - entry->register_at_us) / 1000);
+      entry->log_trip_ms = (uint32_t)((now_us - entry->register_at_us) / 1000);
       /* Entries are numbered in turn, which spreads the VMs over the parts. */
       entry->accept_part
           = (uint32_t)(result->offset % entry->desc.settings->log_parts);
@@ -124,8 +122,8 @@
   vm.address = address;
   if (cyc__cell_vm__get_packed_size (&vm) > sizeof data)
     return;
-  record.value = (struct cyc_str){ (const char *)data,
-                                   cyc__cell_vm__pack (&vm, data) };
+  record.value
+      = (struct cyc_str){ (const char *)data, cyc__cell_vm__pack (&vm, data) };
   entry->register_at_us = now_us;
   entry->register_in_flight = entry->relay.log.vtable->append (
       &entry->relay.log,
@@ -213,10 +211,10 @@
 static void
 stop_tick (struct entry *entry, uint64_t now_us)
 {
-  bool idle = entry->desc.ports->callers->vtable->open (
-                  entry->desc.ports->callers)
-                  == 0
-              && entry->owner == NULL;
+  bool idle
+      = entry->desc.ports->callers->vtable->open (entry->desc.ports->callers)
+            == 0
+        && entry->owner == NULL;
 
   if (!entry->stopping)
     return;
@@ -238,9 +236,8 @@
 
   (void)loop;
   (void)events;
-  arm (entry, now_us
-                  + (entry->owner != NULL ? TICK_LEADING_US
-                                          : TICK_FOLLOWING_US));
+  arm (entry,
+       now_us + (entry->owner != NULL ? TICK_LEADING_US : TICK_FOLLOWING_US));
   pl_tick (&entry->links, now_us);
   relay_tick (&entry->relay, now_us);
   register_vm (entry, now_us);
@@ -296,9 +293,8 @@
                      findings)
       || !setup_links (entry, findings))
     return false;
-  relay_setup (&entry->relay, &(struct relay_desc){
-                                  .direct = desc->ports->log,
-                                  .links = &entry->links });
+  relay_setup (&entry->relay, &(struct relay_desc){ .direct = desc->ports->log,
+                                                    .links = &entry->links });
   tail_setup (&entry->config_tail, &(struct tail_desc){
                                        .loop = desc->loop,
                                        .log = &entry->relay.log,
@@ -359,10 +355,10 @@
   entry->stop_deadline_us
       = now_us
         + (grace_ms > STOP_MARGIN_MS ? grace_ms - STOP_MARGIN_MS : 0) * 1000;
-  ev_log (EV_DRAINING, "open_calls=%u leading=%d",
-          entry->desc.ports->callers->vtable->open (
-              entry->desc.ports->callers),
-          entry->owner != NULL);
+  ev_log (
+      EV_DRAINING, "open_calls=%u leading=%d",
+      entry->desc.ports->callers->vtable->open (entry->desc.ports->callers),
+      entry->owner != NULL);
   lead_release (entry);
   entry_kick (entry);
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -52,8 +52,8 @@
   uint64_t epoch;   /**< 0: none known */
   uint64_t seen_us; /**< last claim or renewal */
   bool released;
-  bool self;        /**< this process wrote the claim */
-  bool own_past;    /**< an earlier process of this VM wrote it */
+  bool self;     /**< this process wrote the claim */
+  bool own_past; /**< an earlier process of this VM wrote it */
 };
 
 struct entry_owner;
@@ -76,12 +76,12 @@
   GQueue accept_waiting; /**< struct accept_item */
   GPtrArray *accept_flight;
   uint64_t accept_next_us;
-  bool accept_down;     /**< the last append was refused */
+  bool accept_down;         /**< the last append was refused */
   uint64_t accept_probe_us; /**< while down: next job that tries the log */
-  uint32_t accept_part; /**< of the stream of jobs */
+  uint32_t accept_part;     /**< of the stream of jobs */
 
   struct entry_leader leader;
-  uint64_t claim_at_us;  /**< a claim is to be made then; 0: none */
+  uint64_t claim_at_us; /**< a claim is to be made then; 0: none */
   bool claim_in_flight;
   uint32_t log_trip_ms;  /**< measured time of an append */
   uint64_t confirmed_us; /**< when the last renewal that succeeded was sent */
--- a/src/entry_accept.c
+++ b/src/entry_accept.c
@@ -42,12 +42,12 @@
 end_item (struct entry *entry, struct accept_item *item,
           enum pt_answer_kind kind)
 {
-  requests_answer (entry, item->call,
-                   &(struct pt_answer){
-                       .kind = kind,
-                       .retry_after_s
-                       = kind == PT_ANSWER_BUSY ? RETRY_AFTER_S : 0,
-                   });
+  requests_answer (
+      entry, item->call,
+      &(struct pt_answer){
+          .kind = kind,
+          .retry_after_s = kind == PT_ANSWER_BUSY ? RETRY_AFTER_S : 0,
+      });
   free_item (item);
 }
 
@@ -78,10 +78,9 @@
 settle (struct entry *entry, struct accept_item *item, enum pt_fate fate,
         uint64_t now_us)
 {
-  struct entry_call *call
-      = cyc_pool_live (&entry->call_pool, item->call)
-            ? &entry->calls[item->call.index]
-            : NULL;
+  struct entry_call *call = cyc_pool_live (&entry->call_pool, item->call)
+                                ? &entry->calls[item->call.index]
+                                : NULL;
   uint64_t deadline_us = call != NULL ? call->deadline_us : now_us;
 
   if (fate == PT_OK)
@@ -103,8 +102,8 @@
     }
   if (now_us >= deadline_us)
     {
-      end_item (entry, item, item->maybe ? PT_ANSWER_NOT_KNOWN
-                                         : PT_ANSWER_BUSY);
+      end_item (entry, item,
+                item->maybe ? PT_ANSWER_NOT_KNOWN : PT_ANSWER_BUSY);
       return true;
     }
   return false;
@@ -160,7 +159,7 @@
   if (count == 0)
     return;
   if (!entry->relay.log.vtable->append (
-      &entry->relay.log,
+          &entry->relay.log,
           &(struct pt_append){
               .stream = PT_STREAM_JOBS,
               .part = entry->accept_part,
--- a/src/entry_advice.c
+++ b/src/entry_advice.c
@@ -116,8 +116,7 @@
 }
 
 void
-advice_on_answer (struct advice_state *advice,
-                  const Cyc__AdviceAnswer *answer)
+advice_on_answer (struct advice_state *advice, const Cyc__AdviceAnswer *answer)
 {
   struct cell_ticket *tickets
       = g_new0 (struct cell_ticket, answer->n_tickets + 1);
@@ -220,9 +219,8 @@
       Cyc__Peer message = CYC__PEER__INIT;
       Cyc__AdviceAsk out = CYC__ADVICE_ASK__INIT;
       char *ids[100];
-      struct cyc_ref peer = pl_find (&advice->entry->links,
-                                     cyc_name_str (&helper->vm),
-                                     SET_ROLE_ENTRY);
+      struct cyc_ref peer = pl_find (
+          &advice->entry->links, cyc_name_str (&helper->vm), SET_ROLE_ENTRY);
 
       for (uint32_t i = 0; i < ask->worker_count; i++)
         ids[i] = (char *)views[i].id.data;
@@ -319,9 +317,8 @@
   Cyc__AdviceTicket *tickets = g_new0 (Cyc__AdviceTicket, result->count + 1);
   Cyc__AdviceTicket **rows = g_new0 (Cyc__AdviceTicket *, result->count + 1);
   GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
-  struct cyc_ref peer
-      = pl_find (&errand->entry->links, cyc_name_str (&errand->leader),
-                 SET_ROLE_ENTRY);
+  struct cyc_ref peer = pl_find (
+      &errand->entry->links, cyc_name_str (&errand->leader), SET_ROLE_ENTRY);
 
   answer.ask = ask;
   answer.answered = result->answered;
--- a/src/entry_lead.c
+++ b/src/entry_lead.c
@@ -43,9 +43,9 @@
   struct entry_leader *leader = &entry->leader;
   bool own_vm = cyc_str_eq (cyc_str_of (lead->vm),
                             cyc_name_str (&entry->desc.settings->vm));
-  bool own = own_vm && lead->incarnation.len == 16
-             && memcmp (lead->incarnation.data, entry->incarnation.bytes, 16)
-                    == 0;
+  bool own
+      = own_vm && lead->incarnation.len == 16
+        && memcmp (lead->incarnation.data, entry->incarnation.bytes, 16) == 0;
   struct set_peer peer = { .role = SET_ROLE_ENTRY };
 
   memset (leader, 0, sizeof *leader);
@@ -203,8 +203,8 @@
 
   if (entry->stopping || entry->claim_in_flight || !entry->registered
       || entry->lead_tail.fresh_us == 0
-      || entry->lead_tail.fresh_us + VIEW_US < now_us
-      || entry->config == NULL || !relay_direct (&entry->relay, now_us)
+      || entry->lead_tail.fresh_us + VIEW_US < now_us || entry->config == NULL
+      || !relay_direct (&entry->relay, now_us)
       || !leader_silent (entry, now_us))
     {
       if (!entry->claim_in_flight)
@@ -215,7 +215,8 @@
     {
       way_ms = MIN ((uint64_t)entry->log_trip_ms * WAY_FACTOR, WAY_MOST_MS);
       entry->claim_at_us
-          = now_us + (way_ms + (uint64_t)g_random_int_range (0, JITTER_MS)) * 1000;
+          = now_us
+            + (way_ms + (uint64_t)g_random_int_range (0, JITTER_MS)) * 1000;
       entry_wake_at (entry, entry->claim_at_us);
     }
   if (now_us < entry->claim_at_us)
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -76,8 +76,8 @@
   uint64_t begun_us;
   uint64_t load_line_us;
   uint64_t last_tick_us;
-  bool input; /**< the core was fed since its last tick */
-  bool ended; /**< no longer leads; freed when nothing is in flight */
+  bool input;     /**< the core was fed since its last tick */
+  bool ended;     /**< no longer leads; freed when nothing is in flight */
   uint32_t calls; /**< of ports in flight */
 };
 
@@ -155,8 +155,8 @@
   Cyc__CellJob *job;
 
   if (record->key.len != 17 || record->value.len == 0
-      || !cell_job_id_parse (
-          (struct cyc_str){ record->key.data + 1, 16 }, &parsed))
+      || !cell_job_id_parse ((struct cyc_str){ record->key.data + 1, 16 },
+                             &parsed))
     return;
   id = (gint64)parsed;
   if (record->key.data[0] == 'c')
@@ -215,8 +215,8 @@
   owner->phase = OWNER_LEADING;
   cell_totals (owner->core, &totals);
   ev_log (EV_LEAD_LOADED,
-          "epoch=%" PRIu64 " jobs=%u open=%u runs=%u workers=%u took_ms=%"
-          PRIu64,
+          "epoch=%" PRIu64
+          " jobs=%u open=%u runs=%u workers=%u took_ms=%" PRIu64,
           owner->epoch, totals.jobs, totals.jobs_open, totals.runs,
           cell_worker_count (owner->core),
           (hc_now_us () - owner->begun_us) / 1000);
@@ -316,7 +316,8 @@
   cell_worker_view (owner->core, row, &view);
   for (uint32_t i = 0; i < report->end_count; i++)
     if (report->ends[i].number > view.seen_end)
-      ev_log (EV_RUN_END, "task=%.*s run=%u worker=%.*s how=%s number=%" PRIu64,
+      ev_log (EV_RUN_END,
+              "task=%.*s run=%u worker=%.*s how=%s number=%" PRIu64,
               CYC_FMT (report->ends[i].task), report->ends[i].run,
               CYC_FMT (view.id), kinds[report->ends[i].kind],
               report->ends[i].number);
@@ -353,7 +354,8 @@
       return;
     }
   slot->failures++;
-  slot->next_us = now_us + (slot->failures < HOLD_FAILURES ? 0 : HOLD_RETRY_US);
+  slot->next_us
+      = now_us + (slot->failures < HOLD_FAILURES ? 0 : HOLD_RETRY_US);
   if (slot->failures == HOLD_FAILURES)
     {
       struct cell_worker_view view;
@@ -408,8 +410,8 @@
   lease_ms = view.runs > 0 && slot->failures == 0
                  ? lease_deadline_ms (owner, &view, now_us)
                  : 0;
-  wait_ms = view.runs > 0 && view.fenced && slot->failures == 0 ? HOLD_WAIT_MS
-                                                                : 0;
+  wait_ms
+      = view.runs > 0 && view.fenced && slot->failures == 0 ? HOLD_WAIT_MS : 0;
   if (lease_ms != 0)
     cell_worker_leased (owner->core, row, lease_ms);
   slot->ack_sent = view.ack;
@@ -420,8 +422,7 @@
           .lease_ms = lease_ms,
           .ack = view.ack,
           .wait_ms = wait_ms,
-          .deadline_us
-          = now_us + (uint64_t)(wait_ms + HOLD_ANSWER_MS) * 1000,
+          .deadline_us = now_us + (uint64_t)(wait_ms + HOLD_ANSWER_MS) * 1000,
           .done = on_held,
           .user = owner,
           .row = row,
@@ -708,12 +709,11 @@
   owner->core = cell_setup (
       &(struct cell_desc){ .lease_ms = entry->desc.settings->lease_ms,
                            .ticket_slack_ms = TICKET_SLACK_MS });
-  owner->cancelled = g_hash_table_new_full (g_int64_hash, g_int64_equal,
-                                            g_free, NULL);
+  owner->cancelled
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   owner->unusable
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  owner->workers
-      = g_array_new (FALSE, TRUE, sizeof (struct owner_worker));
+  owner->workers = g_array_new (FALSE, TRUE, sizeof (struct owner_worker));
   owner->batch = g_ptr_array_new ();
   if (entry->config != NULL)
     cell_config_set (owner->core, entry->config);
@@ -721,10 +721,10 @@
   owner->jobs_parts = entry->desc.settings->log_parts;
   owner->jobs_tails = g_new0 (struct tail, owner->jobs_parts);
   for (uint32_t i = 0; i < owner->jobs_parts; i++)
-    follow (owner, &owner->jobs_tails[i], PT_STREAM_JOBS, i,
-            ENTRY_LOG_WAIT_MS, 5, on_job, on_jobs_loaded);
-  follow (owner, &owner->progress_tail, PT_STREAM_PROGRESS, 0, 0, 5, on_progress,
-          on_progress_loaded);
+    follow (owner, &owner->jobs_tails[i], PT_STREAM_JOBS, i, ENTRY_LOG_WAIT_MS,
+            5, on_job, on_jobs_loaded);
+  follow (owner, &owner->progress_tail, PT_STREAM_PROGRESS, 0, 0, 5,
+          on_progress, on_progress_loaded);
   follow (owner, &owner->workers_tail, PT_STREAM_WORKERS, 0, 0, 400, on_worker,
           NULL);
   follow (owner, &owner->vms_tail, PT_STREAM_VMS, 0, ENTRY_LOG_WAIT_MS, 500,
@@ -806,8 +806,8 @@
   cell_totals (owner->core, &totals);
   ev_log (EV_LOAD,
           "jobs=%u open=%u stages_waiting=%u asks_waiting=%u runs=%u "
-          "workers=%u used_millicores=%" PRIu64 " capacity_millicores=%"
-          PRIu64,
+          "workers=%u used_millicores=%" PRIu64
+          " capacity_millicores=%" PRIu64,
           totals.jobs, totals.jobs_open, totals.stages_waiting,
           totals.asks_waiting, totals.runs, totals.workers_usable,
           totals.used_millicores, totals.capacity_millicores);
--- a/src/entry_requests.c
+++ b/src/entry_requests.c
@@ -105,11 +105,11 @@
   if (owner_answers (entry))
     {
       if (call->verb == PT_COUNT)
-        requests_answer (entry, ref,
-                         &(struct pt_answer){
-                             .kind = PT_ANSWER_PENDING,
-                             .pending = owner_pending (
-                                 entry, cyc_name_str (&call->queue)) });
+        requests_answer (
+            entry, ref,
+            &(struct pt_answer){ .kind = PT_ANSWER_PENDING,
+                                 .pending = owner_pending (
+                                     entry, cyc_name_str (&call->queue)) });
       else
         use_state (entry, ref, owner_job_state (entry, call->job));
       return;
@@ -132,7 +132,8 @@
 void
 requests_on_answer (struct entry *entry, const Cyc__CellAnswer *answer)
 {
-  struct cyc_ref ref = { (uint32_t)answer->ask, (uint32_t)(answer->ask >> 32) };
+  struct cyc_ref ref
+      = { (uint32_t)answer->ask, (uint32_t)(answer->ask >> 32) };
   struct entry_call *call;
 
   if (!answer->leading || !cyc_pool_live (&entry->call_pool, ref))
@@ -161,10 +162,10 @@
       ref = cyc_pool_ref_at (&entry->call_pool, i);
       if (now_us >= call->deadline_us
           || now_us >= call->received_us + (uint64_t)ASK_MOST_MS * 1000)
-        requests_answer (entry, ref,
-                         &(struct pt_answer){
-                             .kind = PT_ANSWER_BUSY,
-                             .retry_after_s = RETRY_AFTER_S });
+        requests_answer (
+            entry, ref,
+            &(struct pt_answer){ .kind = PT_ANSWER_BUSY,
+                                 .retry_after_s = RETRY_AFTER_S });
       else if (now_us >= call->ask_again_us)
         ask_leader (entry, ref, now_us);
     }
@@ -205,8 +206,8 @@
 /* Packs the submitted job; NULL: it is not valid. */
 static uint8_t *
 pack_job (struct entry *entry, const struct pt_request *request,
-          const struct cell_queue_cfg *queue,
-          const struct cell_team_cfg *team, size_t *len)
+          const struct cell_queue_cfg *queue, const struct cell_team_cfg *team,
+          size_t *len)
 {
   struct cyc_findings findings = { 0 };
   Cyc__CellJob *job
--- a/src/log_relay.c
+++ b/src/log_relay.c
@@ -35,11 +35,11 @@
   uint32_t hops;
   uint64_t begun_us;
   uint64_t deadline_us;
-  struct cyc_ref asked;   /* peer that makes the call; generation 0: none */
+  struct cyc_ref asked;    /* peer that makes the call; generation 0: none */
   struct cyc_ref for_peer; /* answered by a message; generation 0: own call */
   uint64_t for_ask;
-  bool direct_open;       /* the direct call has not ended */
-  bool maybe;             /* the direct call may have taken effect */
+  bool direct_open; /* the direct call has not ended */
+  bool maybe;       /* the direct call may have taken effect */
   bool ended;
   struct pt_append append;
   struct pt_read read;
@@ -80,8 +80,7 @@
 bool
 relay_direct (const struct log_relay *relay, uint64_t now_us)
 {
-  return !relay->relaying
-         && relay->direct_fresh_us + PEER_FRESH_US > now_us;
+  return !relay->relaying && relay->direct_fresh_us + PEER_FRESH_US > now_us;
 }
 
 static void
@@ -114,8 +113,7 @@
   while (pl_next (relay->desc.links, &cursor, &ref, &view))
     if (view.linked && view.health == PL_ALIVE
         && view.fresh_us + PEER_FRESH_US > now_us && view.fresh_us > best_us
-        && !(ref.index == except.index
-             && ref.generation == except.generation))
+        && !(ref.index == except.index && ref.generation == except.generation))
       {
         best = ref;
         best_us = view.fresh_us;
@@ -134,9 +132,9 @@
       cyc__log_record__init (&space[i]);
       space[i].key = (ProtobufCBinaryData){ records[i].key.len,
                                             (uint8_t *)records[i].key.data };
-      space[i].value = (ProtobufCBinaryData){
-        records[i].value.len, (uint8_t *)records[i].value.data
-      };
+      space[i].value
+          = (ProtobufCBinaryData){ records[i].value.len,
+                                   (uint8_t *)records[i].value.data };
       rows[i] = &space[i];
     }
   rows[count] = space; /* the whole allocation, for free_records */
@@ -209,8 +207,7 @@
       pl_view (relay->desc.links, peer, &view);
       ev_log (EV_LOG_UNREACHABLE,
               "way=direct failures=%u direct_age_ms=%" PRIu64 " through=%s",
-              relay->failures,
-              (now_us - relay->direct_fresh_us) / 1000,
+              relay->failures, (now_us - relay->direct_fresh_us) / 1000,
               view.identity.vm.data);
     }
   relay->relaying = true;
@@ -423,8 +420,7 @@
   struct log_relay *relay = call->relay;
   uint64_t now_us = hc_now_us ();
 
-  if (relay->relaying && now_us < relay->probe_at_us
-      && pass_on (call, now_us))
+  if (relay->relaying && now_us < relay->probe_at_us && pass_on (call, now_us))
     return true;
   if (relay->relaying)
     relay->probe_at_us = now_us + PROBE_US;
@@ -456,13 +452,12 @@
   for (uint32_t i = 0; i < count; i++)
     {
       call->records[i].key = (struct cyc_str){
-        g_memdup2 (records[i].key.data, records[i].key.len),
-        records[i].key.len
-      };
-      call->records[i].value = (struct cyc_str){
-        g_memdup2 (records[i].value.data, records[i].value.len),
-        records[i].value.len
+        g_memdup2 (records[i].key.data, records[i].key.len), records[i].key.len
       };
+      call->records[i].value
+          = (struct cyc_str){ g_memdup2 (records[i].value.data,
+                                         records[i].value.len),
+                              records[i].value.len };
     }
   call->append.count = count;
 }
@@ -514,14 +509,15 @@
   call->for_ask = ask->ask;
   if (ask->kind == RELAY_APPEND)
     {
-      struct pt_record *records = g_new0 (struct pt_record, ask->n_records + 1);
+      struct pt_record *records
+          = g_new0 (struct pt_record, ask->n_records + 1);
 
       for (size_t i = 0; i < ask->n_records; i++)
         {
           const Cyc__LogRecord *row = ask->records[i];
 
-          records[i].key = (struct cyc_str){ (const char *)row->key.data,
-                                             row->key.len };
+          records[i].key
+              = (struct cyc_str){ (const char *)row->key.data, row->key.len };
           records[i].value = (struct cyc_str){ (const char *)row->value.data,
                                                row->value.len };
         }
@@ -558,8 +554,8 @@
   if (!begin (call))
     {
       Cyc__LogAnswer answer = CYC__LOG_ANSWER__INIT;
-      struct relay_call refused = { .relay = relay, .for_peer = peer,
-                                    .for_ask = ask->ask };
+      struct relay_call refused
+          = { .relay = relay, .for_peer = peer, .for_ask = ask->ask };
 
       answer.fate = PT_REFUSED;
       answer_peer (&refused, &answer);
@@ -600,19 +596,19 @@
                              .offset = answer->offset,
                              .end = answer->end });
   else if (call->kind == RELAY_READ)
-    finish_read (call, &(struct pt_read_result){
-                           .fate = (enum pt_fate)answer->fate,
-                           .first = answer->first,
-                           .next = answer->next,
-                           .records = records,
-                           .count = count });
+    finish_read (call,
+                 &(struct pt_read_result){ .fate = (enum pt_fate)answer->fate,
+                                           .first = answer->first,
+                                           .next = answer->next,
+                                           .records = records,
+                                           .count = count });
   else
-    finish_newest (call, &(struct pt_newest_result){
-                             .fate = (enum pt_fate)answer->fate,
-                             .records = records,
-                             .count = count,
-                             .more = answer->more,
-                             .end = answer->end });
+    finish_newest (
+        call, &(struct pt_newest_result){ .fate = (enum pt_fate)answer->fate,
+                                          .records = records,
+                                          .count = count,
+                                          .more = answer->more,
+                                          .end = answer->end });
   g_free (records);
 }
 
--- a/src/log_relay.h
+++ b/src/log_relay.h
@@ -34,7 +34,7 @@
 {
   struct pt_log log;
   struct relay_desc desc;
-  GHashTable *calls;        /**< number to struct relay_call */
+  GHashTable *calls; /**< number to struct relay_call */
   uint64_t next_call;
   uint64_t direct_fresh_us; /**< a direct call succeeded then; 0: never */
   uint64_t probe_at_us;     /**< next direct try while the way fails */
--- a/src/ports.h
+++ b/src/ports.h
@@ -40,7 +40,7 @@
 
 struct pt_record
 {
-  struct cyc_str key; /**< empty in streams without keys */
+  struct cyc_str key;   /**< empty in streams without keys */
   struct cyc_str value; /**< empty with a key: the key was dropped */
 };
 
@@ -57,10 +57,10 @@
   uint32_t part; /**< of the stream; 0 for streams of one part */
   const struct pt_record *records; /**< copied */
   uint32_t count;                  /**< 0 with an epoch: only sets the epoch */
-  bool at_end;        /**< only if the stream ends at `end` */
+  bool at_end;                     /**< only if the stream ends at `end` */
   uint64_t end;
-  uint64_t epoch;     /**< 0: none; else of the only writer */
-  uint64_t sequence;  /**< of this append in the epoch, from 0 */
+  uint64_t epoch;    /**< 0: none; else of the only writer */
+  uint64_t sequence; /**< of this append in the epoch, from 0 */
   uint64_t deadline_us;
   void (*done) (void *user, const struct pt_append_result *result);
   void *user;
@@ -254,16 +254,16 @@
 enum pt_answer_kind
 {
   PT_ANSWER_ACCEPTED,
-  PT_ANSWER_STATE,     /**< `state` */
-  PT_ANSWER_PENDING,   /**< `pending` */
+  PT_ANSWER_STATE,   /**< `state` */
+  PT_ANSWER_PENDING, /**< `pending` */
   PT_ANSWER_CANCELLED,
-  PT_ANSWER_GONE,      /**< no such job */
+  PT_ANSWER_GONE, /**< no such job */
   PT_ANSWER_NO_QUEUE,
   PT_ANSWER_BAD_KEY,
   PT_ANSWER_BAD_REQUEST,
-  PT_ANSWER_BUSY,      /**< has not run; try again after retry_after_s */
-  PT_ANSWER_REFUSED,   /**< the team sends too much; has not run */
-  PT_ANSWER_NOT_KNOWN  /**< it may have been accepted; ask again */
+  PT_ANSWER_BUSY,     /**< has not run; try again after retry_after_s */
+  PT_ANSWER_REFUSED,  /**< the team sends too much; has not run */
+  PT_ANSWER_NOT_KNOWN /**< it may have been accepted; ask again */
 };
 
 struct pt_answer
--- a/src/tail.c
+++ b/src/tail.c
@@ -37,8 +37,9 @@
   uint32_t wait_ms = RETRY_FIRST_MS << MIN (tail->failures, 8U);
 
   if (tail->failures == 1)
-    ev_log (EV_LOG_UNREACHABLE, "stream=%d next=%" PRIu64 " fresh_age_ms=%"
-            PRIu64, (int)tail->desc.stream, tail->next,
+    ev_log (EV_LOG_UNREACHABLE,
+            "stream=%d next=%" PRIu64 " fresh_age_ms=%" PRIu64,
+            (int)tail->desc.stream, tail->next,
             tail->fresh_us ? (hc_now_us () - tail->fresh_us) / 1000 : 0);
   tail->failures++;
   schedule (tail, MIN (wait_ms, RETRY_MOST_MS));
@@ -143,8 +144,7 @@
           .stream = tail->desc.stream,
           .part = tail->desc.part,
           .after = cyc_str_of (tail->after),
-          .deadline_us
-          = tail->sent_us + (uint64_t)ANSWER_MS * 2 * US_PER_MS,
+          .deadline_us = tail->sent_us + (uint64_t)ANSWER_MS * 2 * US_PER_MS,
           .done = on_newest,
           .user = tail,
       });
--- a/src/tail.h
+++ b/src/tail.h
@@ -27,8 +27,7 @@
   bool keyed;
   uint32_t wait_ms; /**< of a long poll */
   uint32_t gap_ms;  /**< least time between two reads */
-  void (*record) (void *user, const struct pt_record *record,
-                  uint64_t offset);
+  void (*record) (void *user, const struct pt_record *record, uint64_t offset);
   /** Everything that stood in the stream was handed over; also after each
    * read, so that a batch can be acted on as a whole. */
   void (*caught_up) (void *user);
@@ -44,11 +43,11 @@
   bool running;
   bool in_flight;
   bool loaded;
-  uint64_t next;       /**< offset to read from */
-  uint64_t load_end;   /**< end of the stream when loading began */
-  char after[80];      /**< key to go on after */
-  uint64_t fresh_us;   /**< the view holds all that stood then; 0: never */
-  uint32_t failures;   /**< in a row */
+  uint64_t next;     /**< offset to read from */
+  uint64_t load_end; /**< end of the stream when loading began */
+  char after[80];    /**< key to go on after */
+  uint64_t fresh_us; /**< the view holds all that stood then; 0: never */
+  uint32_t failures; /**< in a row */
   uint64_t sent_us;
 };
 
--- /dev/null
+++ b/tests/test_platform_contract.c
@@ -0,0 +1,776 @@
+/* Contract of the platform's interfaces as the adapter speaks them, against
+   the stand-in: each case is one call, a fault and what the port must report.
+   A fate told wrongly makes a job run twice or get lost. */
+
+#include "cell.pb-c.h"
+#include "fk_platform.h"
+#include "pf.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define CALL_MS 250
+
+struct fixture
+{
+  struct ev_loop *loop;
+  struct fkp_platform fake;
+  struct ent_settings settings;
+  struct pf_desc desc;
+  struct pf_log log;
+  struct pf_workers workers;
+  struct pf_advisor advisor;
+  uint32_t done;
+  struct pt_append_result append;
+  struct pt_read_result read;
+  struct pt_newest_result newest;
+  char keys[16][32];
+  char values[16][32];
+  enum cell_start_result start;
+  bool stop_answered;
+  enum pt_hold_fate hold;
+  struct cell_report report;
+  char running_task[64];
+  char end_task[64];
+  enum cell_end_kind end_kind;
+  bool advised;
+  uint32_t tickets;
+};
+
+static void
+setup (struct fixture *f)
+{
+  struct cyc_findings findings = { 0 };
+
+  memset (f, 0, sizeof *f);
+  f->loop = ev_default_loop (0);
+  assert_true (fkp_setup (&f->fake, f->loop, 1, &findings));
+  fkp_address (&f->fake.log, f->settings.log_address);
+  fkp_address (&f->fake.advisor, f->settings.advisor_address);
+  f->desc = (struct pf_desc){ .loop = f->loop, .settings = &f->settings };
+  assert_true (pf_log_setup (&f->log, &f->desc, &findings));
+  assert_true (pf_workers_setup (&f->workers, &f->desc, &findings));
+  assert_true (pf_advisor_setup (&f->advisor, &f->desc, &findings));
+}
+
+static void
+teardown (struct fixture *f)
+{
+  hc_shutdown (&f->log.client);
+  hc_shutdown (&f->workers.client);
+  hc_shutdown (&f->advisor.client);
+  fkp_shutdown (&f->fake);
+}
+
+static void
+wait_done (struct fixture *f, uint32_t count)
+{
+  uint64_t end_us = hc_now_us () + 3000000;
+
+  while (f->done < count && hc_now_us () < end_us)
+    ev_run (f->loop, EVRUN_ONCE);
+  assert_int_equal (f->done, count);
+}
+
+static uint64_t
+deadline_us (void)
+{
+  return hc_now_us () + CALL_MS * 1000;
+}
+
+static void
+on_append (void *user, const struct pt_append_result *result)
+{
+  struct fixture *f = user;
+
+  f->append = *result;
+  f->done++;
+}
+
+static void
+on_read (void *user, const struct pt_read_result *result)
+{
+  struct fixture *f = user;
+
+  f->read = *result;
+  for (uint32_t i = 0; i < result->count && i < 16; i++)
+    {
+      snprintf (f->keys[i], sizeof f->keys[i], "%.*s",
+                CYC_FMT (result->records[i].key));
+      snprintf (f->values[i], sizeof f->values[i], "%.*s",
+                CYC_FMT (result->records[i].value));
+    }
+  f->done++;
+}
+
+static void
+on_newest (void *user, const struct pt_newest_result *result)
+{
+  struct fixture *f = user;
+
+  f->newest = *result;
+  for (uint32_t i = 0; i < result->count && i < 16; i++)
+    {
+      snprintf (f->keys[i], sizeof f->keys[i], "%.*s",
+                CYC_FMT (result->records[i].key));
+      snprintf (f->values[i], sizeof f->values[i], "%.*s",
+                CYC_FMT (result->records[i].value));
+    }
+  f->done++;
+}
+
+static void
+append (struct fixture *f, struct pt_append desc, const char *key,
+        const char *value)
+{
+  struct pt_record record = { cyc_str_of (key), cyc_str_of (value) };
+  uint32_t before = f->done;
+
+  desc.records = &record;
+  desc.count = value[0] != 0;
+  desc.deadline_us = deadline_us ();
+  desc.done = on_append;
+  desc.user = f;
+  assert_true (f->log.port.vtable->append (&f->log.port, &desc));
+  wait_done (f, before + 1);
+}
+
+struct append_case
+{
+  const char *guards;
+  struct fkp_faults faults;
+  struct pt_append first; /**< appended before, without fault */
+  struct pt_append append;
+  const char *value;
+  enum pt_fate fate;
+  uint64_t records; /**< in the stream afterwards */
+};
+
+#define KEYED PT_STREAM_JOBS
+#define EPOCH(number, seq)                                                    \
+  {                                                                           \
+    .stream = PT_STREAM_PROGRESS, .epoch = (number), .sequence = (seq)        \
+  }
+
+static const struct append_case append_cases[] = {
+  { "a record is stored",
+    { 0 },
+    { .stream = KEYED },
+    { .stream = KEYED },
+    "v",
+    PT_OK,
+    2 },
+  { "a busy log did nothing",
+    { .log_busy = true },
+    { .stream = KEYED },
+    { .stream = KEYED },
+    "v",
+    PT_REFUSED,
+    1 },
+  { "a closed connection leaves the fate open",
+    { .log_down = true },
+    { .stream = KEYED },
+    { .stream = KEYED },
+    "v",
+    PT_UNKNOWN,
+    1 },
+  { "a lost answer on a kept connection: the call is made again",
+    { .log_lose = 1 },
+    { .stream = KEYED },
+    { .stream = KEYED },
+    "v",
+    PT_OK,
+    3 },
+  { "lost answers leave the fate open",
+    { .log_lose = 2 },
+    { .stream = KEYED },
+    { .stream = KEYED },
+    "v",
+    PT_UNKNOWN,
+    3 },
+  { "a lost answer of an epoch's record: stored once",
+    { .log_lose = 1 },
+    EPOCH (5, 0),
+    EPOCH (5, 1),
+    "v",
+    PT_OK,
+    2 },
+  { "no answer in time leaves the fate open",
+    { .log_silent = true },
+    { .stream = KEYED },
+    { .stream = KEYED },
+    "v",
+    PT_UNKNOWN,
+    1 },
+  { "a claim at the end of its stream",
+    { 0 },
+    { .stream = PT_STREAM_LEAD },
+    { .stream = PT_STREAM_LEAD, .at_end = true, .end = 1 },
+    "v",
+    PT_OK,
+    2 },
+  { "a claim behind the end of its stream",
+    { 0 },
+    { .stream = PT_STREAM_LEAD },
+    { .stream = PT_STREAM_LEAD, .at_end = true, .end = 0 },
+    "v",
+    PT_CONFLICT,
+    1 },
+  { "the next record of an epoch",
+    { 0 },
+    EPOCH (5, 0),
+    EPOCH (5, 1),
+    "v",
+    PT_OK,
+    2 },
+  { "a repeated record is stored once",
+    { 0 },
+    EPOCH (5, 0),
+    EPOCH (5, 0),
+    "v",
+    PT_OK,
+    1 },
+  { "a record of an earlier epoch",
+    { 0 },
+    EPOCH (5, 0),
+    EPOCH (4, 7),
+    "v",
+    PT_FENCED,
+    1 },
+  { "a record out of sequence",
+    { 0 },
+    EPOCH (5, 0),
+    EPOCH (5, 7),
+    "v",
+    PT_CONFLICT,
+    1 },
+  { "an epoch is set without a record",
+    { 0 },
+    EPOCH (5, 0),
+    EPOCH (6, 0),
+    "",
+    PT_OK,
+    1 },
+};
+
+static void
+test_appends (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof append_cases / sizeof append_cases[0]; i++)
+    {
+      const struct append_case *row = &append_cases[i];
+      struct fixture f;
+      uint32_t before;
+
+      setup (&f);
+      append (&f, row->first, "k", "v");
+      f.fake.faults = row->faults;
+      append (&f, row->append, "k", row->value);
+      if (f.append.fate != row->fate)
+        fail_msg ("%s: fate %d, wanted %d", row->guards, (int)f.append.fate,
+                  (int)row->fate);
+      memset (&f.fake.faults, 0, sizeof f.fake.faults);
+      before = f.done;
+      assert_true (f.log.port.vtable->read (
+          &f.log.port, &(struct pt_read){ .stream = row->append.stream,
+                                          .deadline_us = deadline_us (),
+                                          .done = on_read,
+                                          .user = &f }));
+      wait_done (&f, before + 1);
+      if (f.read.next != row->records)
+        fail_msg ("%s: %d records, wanted %d", row->guards, (int)f.read.next,
+                  (int)row->records);
+      teardown (&f);
+    }
+}
+
+/* Keys and values survive, a trimmed stream says where it begins, and a read
+   that waits ends when a record comes. */
+static void
+test_reads (void **state)
+{
+  struct fixture f;
+
+  (void)state;
+  setup (&f);
+  for (int i = 0; i < 5; i++)
+    {
+      char key[8];
+
+      snprintf (key, sizeof key, "k%d", i);
+      append (&f, (struct pt_append){ .stream = KEYED }, key, key + 1);
+    }
+  append (&f, (struct pt_append){ .stream = KEYED }, "k2", "new");
+  f.done = 0;
+  f.log.port.vtable->newest (
+      &f.log.port, &(struct pt_newest){ .stream = KEYED,
+                                        .after = CYC_STR (""),
+                                        .deadline_us = deadline_us (),
+                                        .done = on_newest,
+                                        .user = &f });
+  wait_done (&f, 1);
+  assert_int_equal (f.newest.count, 3);
+  assert_true (f.newest.more);
+  assert_int_equal (f.newest.end, 6);
+  assert_string_equal (f.keys[2], "k2");
+  assert_string_equal (f.values[2], "new");
+  f.log.port.vtable->newest (
+      &f.log.port, &(struct pt_newest){ .stream = KEYED,
+                                        .after = CYC_STR ("k2"),
+                                        .deadline_us = deadline_us (),
+                                        .done = on_newest,
+                                        .user = &f });
+  wait_done (&f, 2);
+  assert_int_equal (f.newest.count, 2);
+  assert_false (f.newest.more);
+  assert_string_equal (f.keys[0], "k3");
+  fkp_trim (&f.fake, "keyed.cyc-jobs", 4);
+  f.log.port.vtable->read (&f.log.port,
+                           &(struct pt_read){ .stream = KEYED,
+                                              .from = 1,
+                                              .deadline_us = deadline_us (),
+                                              .done = on_read,
+                                              .user = &f });
+  wait_done (&f, 3);
+  assert_int_equal (f.read.fate, PT_TRIMMED);
+  assert_int_equal (f.read.first, 4);
+  f.log.port.vtable->read (
+      &f.log.port, &(struct pt_read){ .stream = KEYED,
+                                      .from = 6,
+                                      .wait_ms = 1000,
+                                      .deadline_us = hc_now_us () + 1500000,
+                                      .done = on_read,
+                                      .user = &f });
+  append (&f, (struct pt_append){ .stream = KEYED }, "k9", "late");
+  wait_done (&f, 5);
+  assert_int_equal (f.read.fate, PT_OK);
+  assert_int_equal (f.read.next, 7);
+  assert_string_equal (f.keys[0], "k9");
+  assert_string_equal (f.values[0], "late");
+  teardown (&f);
+}
+
+/* Workers. */
+
+static void
+on_started (void *user, struct cyc_ref run, enum cell_start_result result,
+            const char *why)
+{
+  struct fixture *f = user;
+
+  (void)run;
+  (void)why;
+  f->start = result;
+  f->done++;
+}
+
+static void
+on_stopped (void *user, struct cyc_ref run, bool answered)
+{
+  struct fixture *f = user;
+
+  (void)run;
+  f->stop_answered = answered;
+  f->done++;
+}
+
+static void
+on_held (void *user, uint32_t row, enum pt_hold_fate fate,
+         struct cell_report *report)
+{
+  struct fixture *f = user;
+
+  (void)row;
+  f->hold = fate;
+  f->done++;
+  if (report == NULL)
+    return;
+  f->report = *report;
+  if (report->running_count > 0)
+    snprintf (f->running_task, sizeof f->running_task, "%.*s",
+              CYC_FMT (report->running[0].task));
+  if (report->end_count > 0)
+    {
+      snprintf (f->end_task, sizeof f->end_task, "%.*s",
+                CYC_FMT (report->ends[0].task));
+      f->end_kind = report->ends[0].kind;
+    }
+}
+
+#define TASK "00000000000000aa.0.0.1"
+
+static struct pt_target
+target (const struct fixture *f, char address[32], uint64_t fence)
+{
+  fkp_address (&f->fake.workers[0].hs, address);
+  return (struct pt_target){ cyc_str_of (f->fake.workers[0].id),
+                             cyc_str_of (address), fence };
+}
+
+static void
+start (struct fixture *f, uint32_t number, uint64_t fence)
+{
+  char address[32];
+  uint32_t before = f->done;
+
+  assert_true (f->workers.port.vtable->start (
+      &f->workers.port, &(struct pt_start){
+                            .target = target (f, address, fence),
+                            .task = CYC_STR (TASK),
+                            .number = number,
+                            .payload = CYC_STR ("a \"quoted\" text\n"),
+                            .lease_ms = 100000,
+                            .deadline_us = deadline_us (),
+                            .done = on_started,
+                            .user = f,
+                        }));
+  wait_done (f, before + 1);
+}
+
+static void
+hold (struct fixture *f, uint64_t fence, uint64_t ack)
+{
+  char address[32];
+  uint32_t before = f->done;
+
+  assert_true (f->workers.port.vtable->hold (
+      &f->workers.port, &(struct pt_hold){
+                            .target = target (f, address, fence),
+                            .lease_ms = 100000,
+                            .ack = ack,
+                            .deadline_us = deadline_us (),
+                            .done = on_held,
+                            .user = f,
+                        }));
+  wait_done (f, before + 1);
+}
+
+struct start_case
+{
+  const char *guards;
+  struct fkp_faults faults;
+  uint64_t fence;
+  enum cell_start_result result;
+  uint64_t starts; /**< that the worker carried out */
+};
+
+static const struct start_case start_cases[] = {
+  { "a start", { 0 }, 5, CELL_START_OK, 1 },
+  { "a start of an earlier leader", { 0 }, 4, CELL_START_FENCED, 0 },
+  { "no room",
+    { .refuse_starts = 409, .reason = "room" },
+    5,
+    CELL_START_REFUSED_ROOM,
+    0 },
+  { "a ticket that is used up",
+    { .refuse_starts = 409, .reason = "ticket" },
+    5,
+    CELL_START_REFUSED_TICKET,
+    0 },
+  { "a start that came too late",
+    { .refuse_starts = 409, .reason = "late" },
+    5,
+    CELL_START_REFUSED_OTHER,
+    0 },
+  { "an unhealthy worker did nothing",
+    { .refuse_starts = 503 },
+    5,
+    CELL_START_REFUSED_OTHER,
+    0 },
+  { "a server error leaves the fate open",
+    { .refuse_starts = 500 },
+    5,
+    CELL_START_UNKNOWN,
+    0 },
+  { "another life of the worker",
+    { .other_life = true },
+    5,
+    CELL_START_REFUSED_OTHER,
+    0 },
+  { "a lost answer on a kept connection: the call is made again",
+    { .lose_starts = 1 },
+    5,
+    CELL_START_OK,
+    1 },
+  { "lost answers leave the fate open",
+    { .lose_starts = 2 },
+    5,
+    CELL_START_UNKNOWN,
+    1 },
+  { "no answer in time leaves the fate open",
+    { .workers_silent = true },
+    5,
+    CELL_START_UNKNOWN,
+    0 },
+};
+
+static void
+test_starts (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof start_cases / sizeof start_cases[0]; i++)
+    {
+      const struct start_case *row = &start_cases[i];
+      struct fixture f;
+
+      setup (&f);
+      hold (&f, 5, 0);
+      f.fake.faults = row->faults;
+      start (&f, 1, row->fence);
+      if (f.start != row->result || f.fake.workers[0].starts != row->starts)
+        fail_msg ("%s: result %d, %d starts", row->guards, (int)f.start,
+                  (int)f.fake.workers[0].starts);
+      teardown (&f);
+    }
+}
+
+/* What a worker says of itself: its clock, its life, what runs and what has
+   ended; an end is repeated until it is acknowledged. */
+static void
+test_holds (void **state)
+{
+  struct fixture f;
+  char address[32];
+
+  (void)state;
+  setup (&f);
+  f.fake.work_ms = 60;
+  hold (&f, 5, 0);
+  assert_int_equal (f.hold, PT_HOLD_OK);
+  assert_int_equal (f.report.born_ms, f.fake.workers[0].born_ms);
+  assert_true (f.report.clock_ms > 0);
+  start (&f, 1, 5);
+  hold (&f, 5, 0);
+  assert_string_equal (f.running_task, TASK);
+  for (uint64_t end_us = hc_now_us () + 100000; hc_now_us () < end_us;)
+    ev_run (f.loop, EVRUN_ONCE);
+  for (int i = 0; i < 2; i++)
+    {
+      hold (&f, 5, 0);
+      assert_int_equal (f.report.end_count, 1);
+      assert_string_equal (f.end_task, TASK);
+      assert_int_equal (f.end_kind, CELL_END_DONE);
+    }
+  hold (&f, 5, 1);
+  assert_int_equal (f.report.end_count, 0);
+  f.done = 0;
+  f.workers.port.vtable->stop (
+      &f.workers.port, &(struct pt_stop){ .target = target (&f, address, 5),
+                                          .task = CYC_STR (TASK),
+                                          .number = 2,
+                                          .deadline_us = deadline_us (),
+                                          .done = on_stopped,
+                                          .user = &f });
+  wait_done (&f, 1);
+  assert_true (f.stop_answered);
+  f.fake.faults.other_life = true;
+  hold (&f, 5, 0);
+  assert_int_equal (f.hold, PT_HOLD_OTHER_LIFE);
+  f.fake.faults.workers_silent = true;
+  hold (&f, 5, 0);
+  assert_int_equal (f.hold, PT_HOLD_NO_ANSWER);
+  teardown (&f);
+}
+
+/* Advice. */
+
+static void
+on_advised (void *user, uint64_t ask, const struct pt_advise_result *result)
+{
+  struct fixture *f = user;
+
+  assert_int_equal (ask, 7);
+  f->advised = result->answered;
+  f->tickets = result->count;
+  f->done++;
+}
+
+struct advice_case
+{
+  const char *guards;
+  struct fkp_faults faults;
+  bool answered;
+  uint32_t tickets;
+};
+
+static const struct advice_case advice_cases[] = {
+  { "tickets for the workers named", { 0 }, true, 2 },
+  { "a busy advisor", { .advisor_busy = true }, false, 0 },
+  { "no answer in time", { .advisor_silent = true }, false, 0 },
+};
+
+static void
+test_advice (void **state)
+{
+  static const struct cyc_str ids[] = { { "i-a", 3 }, { "i-b", 3 } };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof advice_cases / sizeof advice_cases[0]; i++)
+    {
+      const struct advice_case *row = &advice_cases[i];
+      struct fixture f;
+
+      setup (&f);
+      f.fake.faults = row->faults;
+      f.advisor.port.vtable->advise (
+          &f.advisor.port,
+          &(struct pt_advise){ .step = CYC_STR ("00000000000000aa.0.0"),
+                               .workers = ids,
+                               .count = 2,
+                               .deadline_us = deadline_us (),
+                               .done = on_advised,
+                               .user = &f,
+                               .ask = 7 });
+      wait_done (&f, 1);
+      if (f.advised != row->answered || f.tickets != row->tickets)
+        fail_msg ("%s: answered %d, %d tickets", row->guards, f.advised,
+                  (int)f.tickets);
+      teardown (&f);
+    }
+}
+
+/* Records of other writers. */
+
+struct entry_case
+{
+  const char *guards;
+  const char *value;
+  bool usable;
+  bool draining;
+};
+
+#define REST                                                                  \
+  "\"address\":\"10.0.0.1:80\",\"zone\":\"north\",\"labels\":[\"a\","         \
+  "\"r1-2\"],\"capacity\":{\"cpu\":4000,\"mem_mb\":100,\"gpu\":1},"           \
+  "\"born\":1700000000123"
+
+static const struct entry_case entry_cases[] = {
+  { "a worker", "{\"service\":\"s\",\"state\":\"ready\"," REST "}", true,
+    false },
+  { "a worker that leaves",
+    "{\"service\":\"s\",\"state\":\"draining\"," REST "}", true, true },
+  { "a state that has no name",
+    "{\"service\":\"s\",\"state\":\"odd\"," REST "}", false, false },
+  { "a state of another type", "{\"service\":\"s\",\"state\":3," REST "}",
+    false, false },
+  { "no service", "{\"state\":\"ready\"," REST "}", false, false },
+  { "no capacity",
+    "{\"service\":\"s\",\"state\":\"ready\",\"address\":\"10.0.0.1:80\","
+    "\"zone\":\"north\",\"labels\":[]}",
+    false, false },
+  { "bytes that cannot be read", "\x01\x02{", false, false },
+  { "an empty value", "", false, false },
+  { "a list", "[1,2]", false, false },
+};
+
+static void
+test_entries (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof entry_cases / sizeof entry_cases[0]; i++)
+    {
+      const struct entry_case *row = &entry_cases[i];
+      struct cell_worker_entry entry;
+      struct cyc_findings findings = { 0 };
+      bool usable = pf_records.worker (
+          CYC_STR ("i-1"), cyc_str_of (row->value), &entry, &findings);
+
+      if (usable != row->usable || (findings.count > 0) == usable)
+        fail_msg ("%s: usable %d, %u findings", row->guards, usable,
+                  findings.count);
+      if (!usable)
+        continue;
+      assert_int_equal (entry.draining, row->draining);
+      assert_int_equal (entry.capacity.millicores, 4000);
+      assert_int_equal (entry.capacity.accelerators, 1);
+      assert_true (entry.born_ms == 1700000000123);
+      assert_string_equal (entry.labels[1].data, "r1-2");
+    }
+}
+
+static const char config_text[]
+    = "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"h\","
+      "\"path_prefix\":\"/a/\",\"service\":\"s\",\"priority\":1,"
+      "\"max_attempts\":3,\"slack_factor\":2.2,\"target_latency_ms\":1200,"
+      "\"advisor\":{\"decision_ms\":450.0,\"period_ms\":6.5,"
+      "\"valid_ms\":2500},\"public\":false},{\"name\":\"r2\",\"host\":\"h\","
+      "\"path_prefix\":\"/a/b/\",\"service\":\"s\",\"public\":true},"
+      "{\"name\":5}],\"services\":[{\"name\":\"s\",\"standby\":false}],"
+      "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"key-1\",\"key-2\"],"
+      "\"weight\":28,\"max_count\":{\"cpu\":1000,\"mem_mb\":5,\"gpu\":0}}]}";
+
+/* A configuration is decoded once, with units in the names; what is no route
+   is left out and reported with its place. */
+static void
+test_config (void **state)
+{
+  struct cyc_findings findings = { 0 };
+  struct cell_config *config
+      = pf_records.config (cyc_str_of (config_text), &findings);
+  const struct cell_queue_cfg *queue;
+
+  (void)state;
+  assert_non_null (config);
+  assert_int_equal (config->queue_count, 2);
+  assert_int_equal (findings.count, 1);
+  assert_non_null (strstr (findings.rows[0].place, "routes[2]"));
+  queue = cell_config_route (config, CYC_STR ("h"), CYC_STR ("/a/b/x"));
+  assert_string_equal (queue->name.data, "r2");
+  assert_true (queue->open_to_all);
+  queue = cell_config_route (config, CYC_STR ("h"), CYC_STR ("/a/x"));
+  assert_string_equal (queue->name.data, "r1");
+  assert_int_equal (queue->slack_permille, 2200);
+  assert_int_equal (queue->advice.decision_us, 450000);
+  assert_int_equal (queue->advice.per_worker_us, 6500);
+  assert_null (cell_config_route (config, CYC_STR ("g"), CYC_STR ("/a/x")));
+  assert_non_null (cell_config_team_of_key (config, CYC_STR ("key-2")));
+  assert_null (cell_config_team_of_key (config, CYC_STR ("key-")));
+  cell_config_free (config);
+  assert_null (pf_records.config (CYC_STR ("{\"version\":"), &findings));
+}
+
+static const char job_text[]
+    = "{\"spec\":\"text\",\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":256,"
+      "\"estimate_ms\":900,\"affinity\":\"r1-3\"},{\"count\":2,\"cpu\":2000,"
+      "\"depends_on\":[0],\"checkpointing\":true,\"gang\":true,"
+      "\"anti_affinity\":1,\"requirements\":\"b\"}],\"repeat_count\":3,"
+      "\"start_at_ms\":1700000000000,\"interval_ms\":5000}";
+
+static void
+test_job (void **state)
+{
+  struct cyc_findings findings = { 0 };
+  Cyc__CellJob *job = pf_job_decode (cyc_str_of (job_text), &findings);
+
+  (void)state;
+  assert_non_null (job);
+  assert_int_equal (job->n_steps, 2);
+  assert_string_equal (job->steps[0]->data_rack, "r1-3");
+  assert_int_equal (job->steps[1]->depends_on[0], 0);
+  assert_true (job->steps[1]->gang && job->steps[1]->checkpointing);
+  assert_int_equal (job->steps[1]->max_per_worker, 1);
+  assert_string_equal (job->steps[1]->required_label, "b");
+  assert_int_equal (job->repeat_count, 3);
+  assert_true (job->first_due_ms == 1700000000000);
+  cyc__cell_job__free_unpacked (job, NULL);
+  assert_null (pf_job_decode (CYC_STR ("{\"steps\":[]}"), &findings));
+  assert_null (pf_job_decode (CYC_STR ("no json"), &findings));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_appends), cmocka_unit_test (test_reads),
+    cmocka_unit_test (test_starts),  cmocka_unit_test (test_holds),
+    cmocka_unit_test (test_advice),  cmocka_unit_test (test_entries),
+    cmocka_unit_test (test_config),  cmocka_unit_test (test_job),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -127,8 +127,8 @@
                                            (GDestroyNotify)g_bytes_unref);
   fleet->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
                                        (GDestroyNotify)g_bytes_unref);
-  fleet->specs = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
-                                        g_free);
+  fleet->specs
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   fleet->ended = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fleet->done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fleet->failures
@@ -152,8 +152,7 @@
 {
   for (guint i = 0; i < fleet->batch_records->len; i++)
     {
-      struct cell_record *record
-          = g_ptr_array_index (fleet->batch_records, i);
+      struct cell_record *record = g_ptr_array_index (fleet->batch_records, i);
 
       free (record->data);
       g_free (record);
@@ -325,9 +324,9 @@
   if (kind == CELL_END_FAILED)
     g_hash_table_insert (
         fleet->failures, g_strdup (run->task),
-        GUINT_TO_POINTER (GPOINTER_TO_UINT (g_hash_table_lookup (
-                              fleet->failures, run->task))
-                          + 1));
+        GUINT_TO_POINTER (
+            GPOINTER_TO_UINT (g_hash_table_lookup (fleet->failures, run->task))
+            + 1));
 }
 
 static void
@@ -407,8 +406,7 @@
 
   if (worker->cut)
     {
-      if (late->epoch == fleet->epoch
-          && late->order.kind == CELL_ORDER_START)
+      if (late->epoch == fleet->epoch && late->order.kind == CELL_ORDER_START)
         cell_start_result (fleet->core, late->order.run, CELL_START_UNKNOWN,
                            now_us (fleet));
       return;
@@ -468,9 +466,9 @@
                        + FLEET_LEASE_MS;
       if (order.kind == CELL_ORDER_START)
         cell_worker_leased (fleet->core, order.worker, late->lease_ms);
-      late->at_ms = fleet->now_ms
-                    + (order.kind == CELL_ORDER_START ? fleet->delay_starts_ms
-                                                      : 0);
+      late->at_ms
+          = fleet->now_ms
+            + (order.kind == CELL_ORDER_START ? fleet->delay_starts_ms : 0);
       g_ptr_array_add (fleet->late, late);
     }
 }
@@ -632,7 +630,8 @@
         return;
       for (guint i = 0; i < fleet->batch_records->len; i++)
         {
-          struct cell_record *row = g_ptr_array_index (fleet->batch_records, i);
+          struct cell_record *row
+              = g_ptr_array_index (fleet->batch_records, i);
           gint64 key = (gint64)row->job;
 
           g_hash_table_insert (fleet->progress, g_memdup2 (&key, sizeof key),
@@ -645,8 +644,7 @@
   fleet->batch = cell_batch_close (fleet->core);
   fleet->batch_at_ms = fleet->now_ms + BATCH_MS;
   while (cell_batch_next (fleet->core, &record))
-    g_ptr_array_add (fleet->batch_records,
-                     g_memdup2 (&record, sizeof record));
+    g_ptr_array_add (fleet->batch_records, g_memdup2 (&record, sizeof record));
 }
 
 void
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -47,8 +47,8 @@
   char id[16];
   uint32_t millicores;
   bool up;
-  bool cut;    /**< runs on, but no call gets through */
-  bool mute;   /**< takes orders, but its answers are lost */
+  bool cut;  /**< runs on, but no call gets through */
+  bool mute; /**< takes orders, but its answers are lost */
   bool listed;
   bool draining;
   bool failing; /**< every task it starts fails */
@@ -67,17 +67,17 @@
 /** What a test submits; zero members take a default. */
 struct fleet_job
 {
-  uint32_t tasks[4];      /**< by step; 0 ends the list */
-  uint32_t millicores;    /**< [1,000] */
-  uint32_t work_ms;       /**< [500] */
+  uint32_t tasks[4];   /**< by step; 0 ends the list */
+  uint32_t millicores; /**< [1,000] */
+  uint32_t work_ms;    /**< [500] */
   uint32_t max_per_worker;
   bool gang;
-  bool chain;             /**< each step depends on the one before */
+  bool chain; /**< each step depends on the one before */
   bool checkpointing;
-  bool hopeless;          /**< every run fails */
-  const char *team;       /**< ["blue"] */
-  const char *queue;      /**< ["batch"] */
-  const char *label;      /**< required */
+  bool hopeless;     /**< every run fails */
+  const char *team;  /**< ["blue"] */
+  const char *queue; /**< ["batch"] */
+  const char *label; /**< required */
 };
 
 struct fleet
@@ -88,24 +88,24 @@
   uint32_t worker_count;
   uint64_t now_ms;
   uint64_t epoch;
-  bool log_down;          /**< batches are not taken */
-  uint64_t batch;         /**< in flight; 0: none */
+  bool log_down;  /**< batches are not taken */
+  uint64_t batch; /**< in flight; 0: none */
   uint64_t batch_at_ms;
   GPtrArray *batch_records;
-  GHashTable *progress;   /**< id to GBytes: what the log holds */
-  GHashTable *jobs;       /**< id to GBytes: accepted jobs */
-  GHashTable *ended;      /**< names of tasks whose done end was taken note of */
-  GHashTable *done;       /**< names of tasks that ended done */
-  GHashTable *failures;   /**< names to number of failed ends */
-  GHashTable *specs;      /**< id to struct fleet_job */
+  GHashTable *progress; /**< id to GBytes: what the log holds */
+  GHashTable *jobs;     /**< id to GBytes: accepted jobs */
+  GHashTable *ended;    /**< names of tasks whose done end was taken note of */
+  GHashTable *done;     /**< names of tasks that ended done */
+  GHashTable *failures; /**< names to number of failed ends */
+  GHashTable *specs;    /**< id to struct fleet_job */
   bool advice_down;
-  uint32_t advice_deny;   /**< every n-th worker is denied; 0: none */
+  uint32_t advice_deny;        /**< every n-th worker is denied; 0: none */
   uint32_t lose_start_answers; /**< of the next starts */
   uint32_t delay_starts_ms;    /**< orders reach the worker later */
-  GPtrArray *late;        /**< orders under way */
+  GPtrArray *late;             /**< orders under way */
   uint32_t starts;
   uint32_t stops;
-  uint32_t broken;        /**< promises broken */
+  uint32_t broken; /**< promises broken */
   char first_broken[160];
 };
 
