Keep room for starts of an earlier leader; find runs that no row names

Rows of an earlier leader now stay until the first report under the new fence, and a run that a worker shows without a row gets one: it becomes the run of a waiting task or is stopped, and occupies room until then.

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -304,7 +304,8 @@
 }
 
 /* Ends the confirmed runs of earlier lives. Starts without an answer may have
-   reached the new life; their stop settles that. */
+   reached the new life; their stop settles that. So may starts of an earlier
+   leader; the first report under this leader's fence settles those. */
 static void
 drop_earlier_lives (struct cell_core *core, struct cell_worker *worker,
                     uint64_t sent_us)
@@ -317,8 +318,9 @@
       if (run->worker_born_ms == worker->born_ms || run->worker_born_ms == 0
           || run->state == CELL_RUN_RECORDING)
         continue;
-      if (run->inherited
-          || (run->state == CELL_RUN_RUNNING && run->answered_us < sent_us))
+      if (run->inherited)
+        continue;
+      if (run->state == CELL_RUN_RUNNING && run->answered_us < sent_us)
         cell_run_gone (core, run, CELL_END_LAPSED, CYC_STR (""));
       else
         cell_run_stop (core, run);
@@ -449,7 +451,7 @@
 
 static struct cell_run *
 find_running (struct cell_core *core, struct cell_worker *worker,
-              const struct cell_running_row *row)
+              uint32_t worker_row, const struct cell_running_row *row)
 {
   struct cell_job *job;
   uint32_t round;
@@ -461,17 +463,18 @@
     if (run->job == job && run->round == round && run->task == task
         && run->number == row->run)
       return run;
-  return NULL;
+  return cell_run_found (core, job, round, task, worker_row, row->run);
 }
 
 static void
 take_running (struct cell_core *core, struct cell_worker *worker,
-              const struct cell_report *report, GHashTable *seen)
+              uint32_t worker_row, const struct cell_report *report,
+              GHashTable *seen)
 {
   for (uint32_t i = 0; i < report->running_count; i++)
     {
       const struct cell_running_row *row = &report->running[i];
-      struct cell_run *run = find_running (core, worker, row);
+      struct cell_run *run = find_running (core, worker, worker_row, row);
       struct cell_task *task;
 
       if (run == NULL)
@@ -543,7 +546,7 @@
       bool first = worker->born_ms == 0;
 
       worker_reborn (core, worker, report->born_ms);
-      take_running (core, worker, report, seen);
+      take_running (core, worker, row, report, seen);
       if (!first)
         drop_earlier_lives (core, worker, report->sent_us);
     }
@@ -559,7 +562,7 @@
   worker->fenced = true;
   worker->reachable = true;
   take_ends (core, worker, row, report);
-  take_running (core, worker, report, seen);
+  take_running (core, worker, row, report, seen);
   take_missing (core, worker, report, seen);
   g_hash_table_destroy (seen);
   cell_wake (core, now_us);
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -272,6 +272,11 @@
 struct cell_run *cell_run_new (struct cell_core *core, struct cell_job *job,
                                uint32_t round, uint32_t task, uint32_t worker,
                                uint32_t number);
+/** A worker runs something that no row names: it becomes the run of its task
+ * when that waits, else it occupies the worker until it is stopped. */
+struct cell_run *cell_run_found (struct cell_core *core, struct cell_job *job,
+                                 uint32_t round, uint32_t task,
+                                 uint32_t worker, uint32_t number);
 void cell_run_free (struct cell_core *core, struct cell_run *run);
 struct cell_run *cell_run_at (const struct cell_core *core,
                               struct cyc_ref ref);
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -151,7 +151,8 @@
           = worker->capacity.millicores - worker->used_millicores;
       g_array_append_val (found, candidate);
     }
-  qsort (found->data, found->len, sizeof (struct candidate), by_free);
+  if (found->len > 1)
+    qsort (found->data, found->len, sizeof (struct candidate), by_free);
   if (advice->per_worker_us > 0)
     most = MIN (most, MAX (8, advice->decision_us / ASK_NAMING_DIVISOR
                                   / advice->per_worker_us));
@@ -634,7 +635,8 @@
           = worker->capacity.millicores - worker->used_millicores;
       g_array_append_val (found, candidate);
     }
-  qsort (found->data, found->len, sizeof (struct candidate), by_free);
+  if (found->len > 1)
+    qsort (found->data, found->len, sizeof (struct candidate), by_free);
   for (guint i = 0; i < found->len && left > 0; i++)
     {
       struct cell_worker *worker = cell_worker_at (
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -34,15 +34,15 @@
   team->used_accelerators += (uint64_t)accelerators;
 }
 
-struct cell_run *
-cell_run_new (struct cell_core *core, struct cell_job *job, uint32_t round,
-              uint32_t task, uint32_t worker_row, uint32_t number)
+/* A run that occupies the worker and is not yet the run of its task. */
+static struct cell_run *
+make_run (struct cell_core *core, struct cell_job *job, uint32_t round,
+          uint32_t task, uint32_t worker_row, uint32_t number)
 {
   struct cell_run *run = g_new0 (struct cell_run, 1);
   struct cell_worker *worker = cell_worker_at (core, worker_row);
-  struct cell_stage *stage = cell_stage_of_task (job, round, task);
-  const Cyc__CellStep *step = cell_stage_step (stage);
-  struct cell_task *row = &job->rounds[round].tasks[task];
+  const Cyc__CellStep *step
+      = cell_stage_step (cell_stage_of_task (job, round, task));
 
   if (core->free_runs->len > 0)
     {
@@ -75,6 +75,17 @@
     worker->runs->prev = run;
   worker->runs = run;
   count_use (core, run, 1);
+  return run;
+}
+
+struct cell_run *
+cell_run_new (struct cell_core *core, struct cell_job *job, uint32_t round,
+              uint32_t task, uint32_t worker, uint32_t number)
+{
+  struct cell_run *run = make_run (core, job, round, task, worker, number);
+  struct cell_stage *stage = cell_stage_of_task (job, round, task);
+  struct cell_task *row = &job->rounds[round].tasks[task];
+
   if (row->state == CELL_TASK_WAITING)
     stage->waiting--;
   row->state = CELL_TASK_PLACED;
@@ -84,6 +95,30 @@
   return run;
 }
 
+struct cell_run *
+cell_run_found (struct cell_core *core, struct cell_job *job, uint32_t round,
+                uint32_t task, uint32_t worker, uint32_t number)
+{
+  struct cell_stage *stage = cell_stage_of_task (job, round, task);
+  struct cell_task *row = &job->rounds[round].tasks[task];
+  struct cell_run *run;
+
+  if (row->state == CELL_TASK_WAITING && cell_job_open (job)
+      && number >= row->next_run - 1 && !cell_stage_step (stage)->gang)
+    {
+      run = cell_run_new (core, job, round, task, worker, number);
+      cell_touch (core, job);
+    }
+  else
+    {
+      run = make_run (core, job, round, task, worker, number);
+      run->superseded = true;
+      cell_run_stop (core, run);
+    }
+  run->state = CELL_RUN_RUNNING;
+  return run;
+}
+
 void
 cell_run_free (struct cell_core *core, struct cell_run *run)
 {
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -7,6 +7,7 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <stdlib.h>
 
 #include <cmocka.h>
 
@@ -466,6 +467,146 @@
   free (fleet);
 }
 
+/* Random faults, one after the other and at the same time: workers crash,
+   restart, are cut off or mute, the log goes away, leaders change, answers
+   are lost, jobs are cancelled. No promise may break, and what is left ends
+   when the faults do. */
+#define RANDOM_WORKERS 6
+#define RANDOM_JOBS 40
+
+static void
+random_fault (struct fleet *fleet, GRand *rand)
+{
+  uint32_t worker = (uint32_t)g_rand_int_range (rand, 0, RANDOM_WORKERS);
+
+  switch (g_rand_int_range (rand, 0, 12))
+    {
+    case 0:
+      fleet_crash (fleet, worker);
+      break;
+    case 1:
+    case 2:
+      if (!fleet->workers[worker].up)
+        fleet_restart (fleet, worker);
+      break;
+    case 3:
+      fleet->workers[worker].cut = !fleet->workers[worker].cut;
+      break;
+    case 4:
+      fleet->workers[worker].mute = !fleet->workers[worker].mute;
+      break;
+    case 5:
+      fleet->log_down = !fleet->log_down;
+      break;
+    case 6:
+    case 7:
+      fleet_takeover (fleet);
+      break;
+    case 8:
+      fleet->lose_start_answers = 5;
+      break;
+    case 9:
+      fleet->delay_starts_ms = fleet->delay_starts_ms ? 0 : 900;
+      break;
+    case 10:
+      fleet->advice_down = !fleet->advice_down;
+      break;
+    default:
+      fleet->workers[worker].failing = !fleet->workers[worker].failing;
+      break;
+    }
+}
+
+static struct fleet_job
+random_job (GRand *rand)
+{
+  static const char *const queues[] = { "urgent", "batch", "advised" };
+  struct fleet_job job = {
+    .tasks = { (uint32_t)g_rand_int_range (rand, 1, 6) },
+    .millicores = 500 * (uint32_t)g_rand_int_range (rand, 1, 5),
+    .work_ms = (uint32_t)g_rand_int_range (rand, 50, 1500),
+    .gang = g_rand_int_range (rand, 0, 4) == 0,
+    .chain = true,
+    .team = g_rand_int_range (rand, 0, 5) == 0 ? "limited" : "blue",
+    .queue = queues[g_rand_int_range (rand, 0, 3)],
+    .hopeless = g_rand_int_range (rand, 0, 20) == 0,
+  };
+
+  if (g_rand_int_range (rand, 0, 3) == 0)
+    job.tasks[1] = (uint32_t)g_rand_int_range (rand, 1, 4);
+  if (job.gang && job.millicores * job.tasks[0] > 6000)
+    job.team = "blue";
+  return job;
+}
+
+static void
+heal (struct fleet *fleet)
+{
+  for (uint32_t i = 0; i < RANDOM_WORKERS; i++)
+    {
+      fleet->workers[i].cut = false;
+      fleet->workers[i].mute = false;
+      fleet->workers[i].failing = false;
+      if (!fleet->workers[i].up)
+        fleet_restart (fleet, i);
+    }
+  fleet->log_down = false;
+  fleet->advice_down = false;
+  fleet->delay_starts_ms = 0;
+  fleet->lose_start_answers = 0;
+}
+
+static void
+run_seed (uint32_t seed)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  GRand *rand = g_rand_new_with_seed (seed);
+  uint64_t job = 0;
+
+  fleet_setup (fleet, RANDOM_WORKERS, 4000);
+  for (int step = 0; step < 60; step++)
+    {
+      fleet_run (fleet, (uint64_t)g_rand_int_range (rand, 5, 400));
+      if (job < RANDOM_JOBS)
+        {
+          struct fleet_job next = random_job (rand);
+
+          fleet_submit (fleet, ++job, &next);
+        }
+      if (g_rand_int_range (rand, 0, 12) == 0)
+        fleet_cancel (fleet, job);
+      if (g_rand_int_range (rand, 0, 3) == 0)
+        random_fault (fleet, rand);
+    }
+  heal (fleet);
+  fleet_run (fleet, 60000);
+  if (fleet->broken > 0)
+    fail_msg ("seed %u: %u promises broken, first: %s", seed, fleet->broken,
+              fleet->first_broken);
+  for (uint64_t j = 1; j <= job; j++)
+    if (fleet_state (fleet, j) < CELL_JOB_COMPLETE)
+      fail_msg ("seed %u: job %d is in state %d in the end", seed, (int)j,
+                (int)fleet_state (fleet, j));
+  if (fleet_running (fleet) > 0)
+    fail_msg ("seed %u: %u runs are left", seed, fleet_running (fleet));
+  g_rand_free (rand);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+static void
+test_random (void **state)
+{
+  const char *seeds = getenv ("CELL_SEEDS");
+  const char *first = getenv ("CELL_SEED");
+  uint32_t begin = first != NULL ? (uint32_t)atoi (first) : 1;
+  uint32_t count = seeds != NULL ? (uint32_t)atoi (seeds) : 40;
+
+  (void)state;
+  for (uint32_t seed = begin; seed < begin + count; seed++)
+    run_seed (seed);
+}
+
 int
 main (void)
 {
@@ -473,6 +614,7 @@
     cmocka_unit_test (test_faults),
     cmocka_unit_test (test_cancel),
     cmocka_unit_test (test_silent_worker_expires),
+    cmocka_unit_test (test_random),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_platform_contract.c
+++ b/tests/test_platform_contract.c
@@ -300,7 +300,7 @@
   setup (&f);
   for (int i = 0; i < 5; i++)
     {
-      char key[8];
+      char key[16];
 
       snprintf (key, sizeof key, "k%d", i);
       append (&f, (struct pt_append){ .stream = KEYED }, key, key + 1);
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -10,6 +10,7 @@
 #define STEP_MS 5
 #define HOLD_GAP_MS 20
 #define BATCH_MS 8
+#define GANG_MS 3000
 #define ADVICE_VALID_US 2000000
 #define LIMIT_MILLICORES 6000
 
@@ -19,7 +20,7 @@
   uint64_t at_ms;
   uint64_t epoch;
   uint64_t lease_ms;
-  uint64_t core_generation;
+  uint64_t born_ms; /* of the life that it was sent to */
 };
 
 static void
@@ -143,6 +144,8 @@
       worker->listed = true;
       worker->born_ms = 5000 + i;
       worker->next_end = 1;
+      worker->closed
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
     }
   make_core (fleet);
 }
@@ -167,6 +170,8 @@
   drop_batch (fleet);
   cell_shutdown (fleet->core);
   cell_config_free (fleet->config);
+  for (uint32_t i = 0; i < fleet->worker_count; i++)
+    g_hash_table_destroy (fleet->workers[i].closed);
   g_ptr_array_free (fleet->batch_records, TRUE);
   g_ptr_array_free (fleet->late, TRUE);
   g_hash_table_destroy (fleet->progress);
@@ -307,6 +312,13 @@
       }
 }
 
+static void
+close_run (struct fleet_worker *worker, const char *task, uint32_t number)
+{
+  g_hash_table_insert (worker->closed, g_strdup (task),
+                       GUINT_TO_POINTER (number));
+}
+
 static void
 add_end (struct fleet *fleet, struct fleet_worker *worker,
          const struct fleet_run *run, enum cell_end_kind kind)
@@ -316,17 +328,13 @@
   end->number = worker->next_end++;
   end->run = run->number;
   end->kind = kind;
+  end->lapsed = false;
+  close_run (worker, run->task, run->number);
   snprintf (end->task, sizeof end->task, "%s", run->task);
   snprintf (end->checkpoint, sizeof end->checkpoint, "%s",
             kind == CELL_END_STOPPED ? "saved" : run->checkpoint);
   if (kind == CELL_END_DONE)
     g_hash_table_add (fleet->done, g_strdup (run->task));
-  if (kind == CELL_END_FAILED)
-    g_hash_table_insert (
-        fleet->failures, g_strdup (run->task),
-        GUINT_TO_POINTER (
-            GPOINTER_TO_UINT (g_hash_table_lookup (fleet->failures, run->task))
-            + 1));
 }
 
 static void
@@ -356,10 +364,9 @@
       return worker->runs[i].number == late->order.number
                  ? CELL_START_OK
                  : CELL_START_REFUSED_OTHER;
-  for (uint32_t i = 0; i < worker->end_count; i++)
-    if (strcmp (worker->ends[i].task, late->order.task) == 0
-        && worker->ends[i].run >= late->order.number)
-      return CELL_START_REFUSED_OTHER;
+  if (GPOINTER_TO_UINT (g_hash_table_lookup (worker->closed, late->order.task))
+      >= late->order.number)
+    return CELL_START_REFUSED_OTHER;
   check_start (fleet, worker, late->order.task);
   fleet->starts++;
   run = &worker->runs[worker->run_count++];
@@ -372,13 +379,13 @@
   run->end_ms = fleet->now_ms + (job->work_ms ? job->work_ms : 500);
   run->fails = job->hopeless || worker->failing;
   run->gang = job->gang;
+  run->together = !job->gang;
   if (late->lease_ms > worker->lease_ms)
     worker->lease_ms = late->lease_ms;
   return CELL_START_OK;
 }
 
-/* A run that was stopped before it came is remembered as an end that was
-   forgotten, so that it is rejected later. */
+/* A run that is stopped before it came is rejected later. */
 static bool
 take_stop (struct fleet *fleet, const struct late_order *late)
 {
@@ -387,6 +394,9 @@
   if (!worker->up || late->epoch < worker->fence)
     return false;
   fleet->stops++;
+  if (GPOINTER_TO_UINT (g_hash_table_lookup (worker->closed, late->order.task))
+      < late->order.number)
+    close_run (worker, late->order.task, late->order.number);
   for (uint32_t i = 0; i < worker->run_count; i++)
     if (strcmp (worker->runs[i].task, late->order.task) == 0
         && worker->runs[i].number <= late->order.number)
@@ -404,7 +414,8 @@
   struct fleet_worker *worker = &fleet->workers[late->order.worker];
   bool heard = late->epoch == fleet->epoch && !worker->cut && !worker->mute;
 
-  if (worker->cut)
+  /* A connection to a life that has ended carries nothing to the next. */
+  if (worker->cut || late->born_ms != worker->born_ms)
     {
       if (late->epoch == fleet->epoch && late->order.kind == CELL_ORDER_START)
         cell_start_result (fleet->core, late->order.run, CELL_START_UNKNOWN,
@@ -461,6 +472,7 @@
       cell_worker_view (fleet->core, order.worker, &view);
       late->order = order;
       late->epoch = fleet->epoch;
+      late->born_ms = fleet->workers[order.worker].born_ms;
       late->lease_ms = view.clock_ms
                        + (now_us (fleet) - view.clock_at_us) / 1000
                        + FLEET_LEASE_MS;
@@ -482,7 +494,9 @@
       {
         struct fleet_run *run = &fleet->workers[w].runs[r];
 
-        if (strncmp (run->task, ended->task, 18) != 0
+        if (strncmp (run->task, ended->task,
+                     (size_t)(strrchr (ended->task, '.') - ended->task + 1))
+                != 0
             || run->number != ended->number)
           {
             r++;
@@ -493,6 +507,51 @@
       }
 }
 
+/* The end of one member stands for all. */
+static void
+gang_done (struct fleet *fleet, const struct fleet_run *run)
+{
+  const struct fleet_job *job = spec_of (fleet, run->task);
+  unsigned int step = 0;
+
+  sscanf (run->task + 16, ".%*u.%u", &step);
+  for (uint32_t t = 0; t < job->tasks[step]; t++)
+    g_hash_table_add (fleet->done,
+                      g_strdup_printf ("%.16s.0.%u.%u", run->task, step, t));
+}
+
+/* The members of a gang work from the moment when all are present. */
+static void
+join_gang (struct fleet *fleet, struct fleet_worker *worker, uint32_t index)
+{
+  struct fleet_run *run = &worker->runs[index];
+  const struct fleet_job *job = spec_of (fleet, run->task);
+  unsigned int step = 0;
+  uint32_t present = 0;
+
+  sscanf (run->task + 16, ".%*u.%u", &step);
+  for (uint32_t w = 0; w < fleet->worker_count; w++)
+    for (uint32_t r = 0; r < fleet->workers[w].run_count; r++)
+      {
+        const struct fleet_run *other = &fleet->workers[w].runs[r];
+        unsigned int other_step = 0;
+
+        sscanf (other->task + 16, ".%*u.%u", &other_step);
+        present += strncmp (other->task, run->task, 16) == 0
+                   && other_step == step && other->number == run->number;
+      }
+  if (present == job->tasks[step])
+    {
+      run->together = true;
+      run->end_ms = fleet->now_ms + (job->work_ms ? job->work_ms : 500);
+    }
+  else if (fleet->now_ms >= run->begun_ms + GANG_MS)
+    {
+      add_end (fleet, worker, run, CELL_END_ALONE);
+      remove_run (worker, index);
+    }
+}
+
 /* Tasks end, leases lapse. */
 static void
 work (struct fleet *fleet)
@@ -503,6 +562,9 @@
 
       if (!worker->up)
         continue;
+      if (clock_of (fleet, worker) > worker->lease_ms)
+        for (uint32_t i = 0; i < worker->end_count; i++)
+          worker->ends[i].lapsed = true;
       while (worker->run_count > 0
              && clock_of (fleet, worker) > worker->lease_ms)
         {
@@ -513,6 +575,14 @@
         {
           struct fleet_run run = worker->runs[r];
 
+          if (!run.together)
+            {
+              uint32_t before = worker->run_count;
+
+              join_gang (fleet, worker, r);
+              r += worker->run_count == before;
+              continue;
+            }
           if (run.end_ms > fleet->now_ms)
             {
               r++;
@@ -522,12 +592,25 @@
                    run.fails ? CELL_END_FAILED : CELL_END_DONE);
           remove_run (worker, r);
           if (run.gang)
-            end_gang (fleet, &run,
-                      run.fails ? CELL_END_BROKEN : CELL_END_DONE);
+            {
+              end_gang (fleet, &run,
+                        run.fails ? CELL_END_BROKEN : CELL_END_DONE);
+              if (!run.fails)
+                gang_done (fleet, &run);
+            }
         }
     }
 }
 
+static void
+count_failure (struct fleet *fleet, const char *task)
+{
+  gpointer before = g_hash_table_lookup (fleet->failures, task);
+
+  g_hash_table_insert (fleet->failures, g_strdup (task),
+                       GUINT_TO_POINTER (GPOINTER_TO_UINT (before) + 1));
+}
+
 static void
 forget_ends (struct fleet *fleet, struct fleet_worker *worker, uint64_t ack)
 {
@@ -536,8 +619,12 @@
   for (uint32_t i = 0; i < worker->end_count; i++)
     if (worker->ends[i].number > ack)
       worker->ends[kept++] = worker->ends[i];
+    else if (worker->ends[i].lapsed)
+      continue;
     else if (worker->ends[i].kind == CELL_END_DONE)
       g_hash_table_add (fleet->ended, g_strdup (worker->ends[i].task));
+    else if (worker->ends[i].kind == CELL_END_FAILED)
+      count_failure (fleet, worker->ends[i].task);
   worker->end_count = kept;
 }
 
@@ -710,6 +797,7 @@
   fleet->workers[worker].up = false;
   fleet->workers[worker].run_count = 0;
   fleet->workers[worker].end_count = 0;
+  g_hash_table_remove_all (fleet->workers[worker].closed);
 }
 
 void
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -31,6 +31,7 @@
   uint64_t begun_ms;
   bool fails;
   bool gang;
+  bool together; /**< works: not a gang, or all members are present */
 };
 
 struct fleet_end
@@ -40,6 +41,8 @@
   char checkpoint[32];
   uint32_t run;
   enum cell_end_kind kind;
+  bool lapsed; /**< the worker's lease lapsed before it was acknowledged: the
+                  task may be started again */
 };
 
 struct fleet_worker
@@ -62,6 +65,7 @@
   uint32_t run_count;
   struct fleet_end ends[FLEET_RUNS * 4];
   uint32_t end_count;
+  GHashTable *closed; /**< task to the highest run stopped or ended there */
 };
 
 /** What a test submits; zero members take a default. */
