Lead from the strongest VM; fewer holds; a crash; the backlog

VMs register their processor, link and measured way to the log, and candidates wait for those that lead better. A job now waits until a worker has begun one of its tasks (test_pending, red first: 0 instead of 3).

--- a/src/cell.pb-c.c
+++ b/src/cell.pb-c.c
@@ -1057,7 +1057,7 @@
   (ProtobufCMessageInit) cyc__cell_lead__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cyc__cell_vm__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cyc__cell_vm__field_descriptors[7] =
 {
   {
     "domain",
@@ -1107,17 +1107,56 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "millicores",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellVm, millicores),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "link_kbps",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellVm, link_kbps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_trip_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellVm, log_trip_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cyc__cell_vm__field_indices_by_name[] = {
   2,   /* field[2] = address */
   0,   /* field[0] = domain */
   3,   /* field[3] = leaving */
+  5,   /* field[5] = link_kbps */
+  6,   /* field[6] = log_trip_ms */
+  4,   /* field[4] = millicores */
   1,   /* field[1] = region */
 };
 static const ProtobufCIntRange cyc__cell_vm__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cyc__cell_vm__descriptor =
 {
@@ -1127,7 +1166,7 @@
   "Cyc__CellVm",
   "cyc",
   sizeof(Cyc__CellVm),
-  4,
+  7,
   cyc__cell_vm__field_descriptors,
   cyc__cell_vm__field_indices_by_name,
   1,  cyc__cell_vm__number_ranges,
--- a/src/cell.pb-c.h
+++ b/src/cell.pb-c.h
@@ -208,10 +208,19 @@
    */
   char *address;
   protobuf_c_boolean leaving;
+  /*
+   * of the VM
+   */
+  uint32_t millicores;
+  uint32_t link_kbps;
+  /*
+   * measured time of a call of the log
+   */
+  uint32_t log_trip_ms;
 };
 #define CYC__CELL_VM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cyc__cell_vm__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /* Cyc__CellStep methods */
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -481,6 +481,7 @@
         continue;
       g_hash_table_add (seen, run);
       run->percent = row->percent;
+      run->job->begun = true;
       run->inherited = false;
       run->worker_born_ms = worker->born_ms;
       if (run->state == CELL_RUN_STARTING)
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -43,7 +43,7 @@
     {
       const struct cell_job *job = value;
 
-      count += job->state == CELL_JOB_QUEUED
+      count += cell_job_open (job) && !job->begun
                && cyc_str_eq (cyc_name_str (&job->queue), queue);
     }
   return count;
@@ -62,6 +62,7 @@
   if (stage->tickets != NULL)
     g_array_free (stage->tickets, TRUE);
   stage->verdicts = NULL;
+  stage->verdict_count = 0;
   stage->tickets = NULL;
 }
 
@@ -367,6 +368,7 @@
 
   if (row->state == CELL_TASK_DONE)
     return;
+  job->begun = true;
   if (row->state == CELL_TASK_WAITING)
     stage->waiting--;
   row->state = CELL_TASK_DONE;
@@ -467,6 +469,8 @@
   bool current = row->run == run;
   uint64_t at_us = core->now_us;
 
+  if (kind == CELL_END_FAILED)
+    job->begun = true;
   if (kind == CELL_END_FAILED && current)
     count_failure (core, run);
   if (kind == CELL_END_FAILED || kind == CELL_END_ALONE)
@@ -580,6 +584,7 @@
         task->next_run = from->next_run[t];
       if (t < from->n_failures)
         task->failures = from->failures[t];
+      job->begun = job->begun || task->failures > 0;
       if (t < from->n_checkpoints)
         g_strlcpy (task->checkpoint, from->checkpoints[t],
                    sizeof task->checkpoint);
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -168,6 +168,7 @@
     case CELL_START_OK:
       run->state = CELL_RUN_RUNNING;
       run->answered_us = now_us;
+      run->job->begun = true;
       return;
     case CELL_START_REFUSED_TICKET:
     case CELL_START_REFUSED_ROOM:
--- a/src/entry.c
+++ b/src/entry.c
@@ -21,6 +21,11 @@
 #define PEER_SILENT_MS 1600
 #define PEER_DEAD_MS 3200
 #define PEERS_MAX 512
+/** A leader's link that is narrower counts against it: orders and reports of
+ * some hundred workers fill about this. */
+#define LINK_WIDE_KBPS 50000
+/** A call of the log within a region takes 6 ms, between regions 45. */
+#define LOG_NEAR_MS 25
 
 static void
 arm (struct entry *entry, uint64_t at_us)
@@ -94,7 +99,6 @@
   entry->registered = result->fate == PT_OK;
   if (entry->registered)
     {
-      entry->log_trip_ms = (uint32_t)((now_us - entry->register_at_us) / 1000);
       /* Entries are numbered in turn, which spreads the VMs over the parts. */
       entry->accept_part
           = (uint32_t)(result->offset % entry->desc.settings->log_parts);
@@ -113,13 +117,16 @@
   struct pt_record record = { .key = cyc_name_str (&settings->vm) };
 
   if (entry->registered || entry->register_in_flight
-      || now_us < entry->register_at_us)
+      || !entry->config_tail.loaded || now_us < entry->register_at_us)
     return;
   snprintf (address, sizeof address, "%s:%u", settings->peers.host,
             settings->peers.port);
   vm.domain = (char *)settings->domain.data;
   vm.region = (char *)settings->region.data;
   vm.address = address;
+  vm.millicores = settings->cpu_permille * settings->cores;
+  vm.link_kbps = settings->link_kbps;
+  vm.log_trip_ms = entry->config_tail.load_trip_us / 1000;
   if (cyc__cell_vm__get_packed_size (&vm) > sizeof data)
     return;
   record.value
@@ -137,6 +144,60 @@
       });
 }
 
+/* How well a VM can lead: by its processor, less when its link is narrow or
+   its way to the log long. */
+static uint64_t
+strength_of (const Cyc__CellVm *vm)
+{
+  uint64_t strength = vm->millicores;
+
+  if (vm->link_kbps < LINK_WIDE_KBPS)
+    strength = strength * vm->link_kbps / LINK_WIDE_KBPS;
+  return vm->log_trip_ms > LOG_NEAR_MS ? strength / 2 : strength;
+}
+
+static void
+on_vm (void *user, const struct pt_record *record, uint64_t offset)
+{
+  struct entry *entry = user;
+  Cyc__CellVm *vm = cyc__cell_vm__unpack (
+      NULL, record->value.len, (const uint8_t *)record->value.data);
+  struct entry_vm *row;
+
+  (void)offset;
+  if (vm == NULL)
+    {
+      ev_log (EV_RECORD_CORRUPT, "stream=vms offset=%" PRIu64, offset);
+      return;
+    }
+  row = g_new0 (struct entry_vm, 1);
+  row->peer.role = SET_ROLE_ENTRY;
+  if (cyc_name_set (&row->peer.vm, record->key)
+      && set_address_parse (cyc_str_of (vm->address), &row->peer.address))
+    {
+      cyc_name_set (&row->peer.domain, cyc_str_of (vm->domain));
+      cyc_name_set (&row->peer.region, cyc_str_of (vm->region));
+      row->strength = strength_of (vm);
+      g_hash_table_replace (entry->vms, g_strdup (row->peer.vm.data), row);
+      if (entry->owner != NULL)
+        pl_peer_add (&entry->links, &row->peer);
+    }
+  else
+    g_free (row);
+  cyc__cell_vm__free_unpacked (vm, NULL);
+}
+
+void
+entry_link_all (struct entry *entry)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, entry->vms);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    pl_peer_add (&entry->links, &((struct entry_vm *)value)->peer);
+}
+
 /* Links. */
 
 static void
@@ -314,6 +375,18 @@
                                      .record = lead_on_record,
                                      .user = entry,
                                  });
+  entry->vms = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  tail_setup (&entry->vms_tail, &(struct tail_desc){
+                                    .loop = desc->loop,
+                                    .log = &entry->relay.log,
+                                    .stream = PT_STREAM_VMS,
+                                    .keyed = true,
+                                    .wait_ms = ENTRY_VMS_WAIT_MS,
+                                    .gap_ms = 200,
+                                    .record = on_vm,
+                                    .user = entry,
+                                });
+  tail_start (&entry->vms_tail);
   tail_start (&entry->config_tail);
   tail_start (&entry->lead_tail);
   ev_init (&entry->timer, on_tick);
@@ -331,6 +404,8 @@
     owner_end (entry);
   tail_stop (&entry->config_tail);
   tail_stop (&entry->lead_tail);
+  tail_stop (&entry->vms_tail);
+  g_hash_table_destroy (entry->vms);
   ev_timer_stop (entry->desc.loop, &entry->timer);
   accept_shutdown (entry);
   g_ptr_array_free (entry->ended_owners, TRUE);
--- a/src/entry.h
+++ b/src/entry.h
@@ -56,6 +56,13 @@
   bool own_past; /**< an earlier process of this VM wrote it */
 };
 
+/** An entry VM as it registered itself. */
+struct entry_vm
+{
+  struct set_peer peer;
+  uint64_t strength; /**< how well it can lead; more is better */
+};
+
 struct entry_owner;
 
 struct entry
@@ -68,6 +75,8 @@
   struct cell_config *config;
   struct tail config_tail;
   struct tail lead_tail;
+  struct tail vms_tail;
+  GHashTable *vms; /**< name to struct entry_vm */
   struct ev_timer timer;
 
   struct cyc_pool call_pool;
@@ -83,7 +92,6 @@
   struct entry_leader leader;
   uint64_t claim_at_us; /**< a claim is to be made then; 0: none */
   bool claim_in_flight;
-  uint32_t log_trip_ms;  /**< measured time of an append */
   uint64_t confirmed_us; /**< when the last renewal that succeeded was sent */
   uint64_t renew_at_us;
   bool renew_in_flight;
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -17,6 +17,8 @@
 /** Longest wait of a read of the log that finds nothing new. A connection
  * that went silent is noticed after this and the answer time of a read. */
 #define ENTRY_LOG_WAIT_MS 1200
+/** The same for the list of entry VMs, which changes seldom. */
+#define ENTRY_VMS_WAIT_MS 4000
 /** Time limit of one append; a slow log answers within 60 times its usual
  * 4 ms, and a round trip between regions takes 40 ms. */
 #define ENTRY_APPEND_MS 700
@@ -68,6 +70,8 @@
 void advice_on_ask (struct entry *entry, struct cyc_ref peer,
                     const Cyc__AdviceAsk *ask);
 struct advice_state *owner_advice (const struct entry *entry);
+/** Links to all entry VMs: a leader needs them. */
+void entry_link_all (struct entry *entry);
 /** Something happened that the next tick should see at once. */
 void entry_kick (struct entry *entry);
 void entry_wake_at (struct entry *entry, uint64_t at_us);
--- a/src/entry_lead.c
+++ b/src/entry_lead.c
@@ -12,11 +12,11 @@
 #define SILENT_NO_LINK_US 1100000
 /** A view of the stream that is older proves no silence. */
 #define VIEW_US 1500000
-/** Candidates wait for a multiple of their way to the log, so that one near
- * it wins; at most this. */
-#define WAY_FACTOR 8
-#define WAY_MOST_MS 500
-#define JITTER_MS 60
+/** Candidates wait for each VM that can lead better, so that the best one
+ * that is up wins; a claim between regions takes 45 ms. */
+#define RANK_MS 70
+#define RANK_MOST 8
+#define JITTER_MS 50
 /** A leader that could not renew for so long speaks for nobody. */
 #define CONFIRMED_US 2500000
 
@@ -196,10 +196,29 @@
          && pl_view (&entry->links, peer, &view) && !view.linked;
 }
 
+/* VMs that can lead better than this one, the silent leader left out. */
+static uint32_t
+own_rank (const struct entry *entry)
+{
+  const char *self = entry->desc.settings->vm.data;
+  const struct entry_vm *own = g_hash_table_lookup (entry->vms, self);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  uint32_t rank = 0;
+
+  if (own == NULL)
+    return RANK_MOST;
+  g_hash_table_iter_init (&iter, entry->vms);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    rank += ((struct entry_vm *)value)->strength > own->strength
+            && strcmp (key, entry->leader.vm.data) != 0;
+  return MIN (rank, RANK_MOST);
+}
+
 static void
 follow_tick (struct entry *entry, uint64_t now_us)
 {
-  uint64_t way_ms;
 
   if (entry->stopping || entry->claim_in_flight || !entry->registered
       || entry->lead_tail.fresh_us == 0
@@ -213,10 +232,11 @@
     }
   if (entry->claim_at_us == 0)
     {
-      way_ms = MIN ((uint64_t)entry->log_trip_ms * WAY_FACTOR, WAY_MOST_MS);
       entry->claim_at_us
           = now_us
-            + (way_ms + (uint64_t)g_random_int_range (0, JITTER_MS)) * 1000;
+            + (own_rank (entry) * RANK_MS
+               + (uint64_t)g_random_int_range (0, JITTER_MS))
+                  * 1000;
       entry_wake_at (entry, entry->claim_at_us);
     }
   if (now_us < entry->claim_at_us)
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -8,7 +8,10 @@
 /** Answer time of a hold beside its wait. */
 #define HOLD_ANSWER_MS 800
 /** Gap after a hold that brought ends, so that several come together. */
-#define HOLD_GAP_US 15000
+#define HOLD_GAP_US 30000
+/** Ends are listed again until they are acknowledged, so the next hold waits
+ * for their record to be durable, at most so long. */
+#define HOLD_ACK_US 150000
 /** Gap between holds of a worker that runs nothing. */
 #define HOLD_IDLE_US 2500000
 /** Gap after a hold without answer. */
@@ -40,6 +43,7 @@
   bool holding;
   uint32_t failures;
   uint64_t next_us;
+  uint64_t ack_by_us; /**< ends need not be acknowledged from then on */
   uint64_t ack_sent;
 };
 
@@ -62,7 +66,6 @@
   uint32_t jobs_parts;
   struct tail progress_tail;
   struct tail workers_tail;
-  struct tail vms_tail;
   GHashTable *cancelled; /**< ids whose job was not seen yet */
   GArray *workers;       /**< struct owner_worker by row */
   GHashTable *unusable;  /**< ids of entries that name no worker */
@@ -125,8 +128,7 @@
       struct entry_owner *owner = g_ptr_array_index (entry->ended_owners, i);
 
       if (owner->calls > 0 || jobs_in_flight (owner)
-          || owner->progress_tail.in_flight || owner->workers_tail.in_flight
-          || owner->vms_tail.in_flight)
+          || owner->progress_tail.in_flight || owner->workers_tail.in_flight)
         {
           i++;
           continue;
@@ -274,27 +276,6 @@
     ev_findings (EV_ENTRY_UNUSABLE, &findings);
 }
 
-static void
-on_vm (void *user, const struct pt_record *record, uint64_t offset)
-{
-  struct entry_owner *owner = user;
-  Cyc__CellVm *vm;
-  struct set_peer peer = { .role = SET_ROLE_ENTRY };
-
-  (void)offset;
-  vm = cyc__cell_vm__unpack (NULL, record->value.len,
-                             (const uint8_t *)record->value.data);
-  if (vm != NULL && cyc_name_set (&peer.vm, record->key)
-      && set_address_parse (cyc_str_of (vm->address), &peer.address))
-    {
-      cyc_name_set (&peer.domain, cyc_str_of (vm->domain));
-      cyc_name_set (&peer.region, cyc_str_of (vm->region));
-      pl_peer_add (&owner->entry->links, &peer);
-    }
-  if (vm != NULL)
-    cyc__cell_vm__free_unpacked (vm, NULL);
-}
-
 /* Holds. */
 
 static struct owner_worker *
@@ -350,6 +331,7 @@
       cell_worker_report (owner->core, row, report, now_us);
       cell_worker_view (owner->core, row, &view);
       slot->next_us = now_us + (view.runs > 0 ? HOLD_GAP_US : HOLD_IDLE_US);
+      slot->ack_by_us = now_us + HOLD_ACK_US;
       fed (owner);
       return;
     }
@@ -405,6 +387,8 @@
       entry_wake_at (owner->entry, slot->next_us);
       return;
     }
+  if (view.ack < view.seen_end && now_us < slot->ack_by_us)
+    return;
   /* A worker that did not answer gets no further lease: what may run there
      ends at a time that stays known. */
   lease_ms = view.runs > 0 && slot->failures == 0
@@ -727,10 +711,8 @@
           on_progress, on_progress_loaded);
   follow (owner, &owner->workers_tail, PT_STREAM_WORKERS, 0, 0, 400, on_worker,
           NULL);
-  follow (owner, &owner->vms_tail, PT_STREAM_VMS, 0, ENTRY_LOG_WAIT_MS, 500,
-          on_vm, NULL);
+  entry_link_all (entry);
   tail_start (&owner->workers_tail);
-  tail_start (&owner->vms_tail);
   entry->owner = owner;
   entry->renew_at_us = owner->begun_us;
   entry->confirmed_us = owner->begun_us;
@@ -748,7 +730,6 @@
     tail_stop (&owner->jobs_tails[i]);
   tail_stop (&owner->progress_tail);
   tail_stop (&owner->workers_tail);
-  tail_stop (&owner->vms_tail);
   advice_end (owner->advice);
   owner->advice = NULL;
   /* Calls in flight still name the owner. */
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -12,6 +12,7 @@
   KIND_LISTEN,  /* address of our own */
   KIND_ADDRESS, /* address of another party, kept as text */
   KIND_UINT,
+  KIND_THOUSANDTHS, /* a number, kept as so many thousandths */
   KIND_BOOL
 };
 
@@ -38,6 +39,11 @@
   { "metrics", KIND_LISTEN, false, AT (metrics), 0, 0, 0 },
   { "log", KIND_ADDRESS, true, AT (log_address), 0, 0, 0 },
   { "advisor", KIND_ADDRESS, false, AT (advisor_address), 0, 0, 0 },
+  { "cpu_share", KIND_THOUSANDTHS, false, AT (cpu_permille), 1, 1000000,
+    1000 },
+  { "cores", KIND_UINT, false, AT (cores), 1, 1024, 1 },
+  { "link_mbps", KIND_THOUSANDTHS, false, AT (link_kbps), 1, 1000000000,
+    1000000 },
   { "log_parts", KIND_UINT, false, AT (log_parts), 1, 64, 1 },
   { "worker_lease_ms", KIND_UINT, true, AT (lease_ms), 500, 600000, 10000 },
   { "stop_grace_ms", KIND_UINT, false, AT (grace_ms), 1000, 600000, 6000 },
@@ -73,6 +79,27 @@
   memcpy ((char *)out + row->offset, &checked, sizeof checked);
 }
 
+static void
+read_thousandths (const struct row *row, struct json_object *value,
+                  struct cyc_str place, struct ent_settings *out,
+                  struct cyc_findings *findings)
+{
+  double number = json_object_get_double (value) * 1000.0;
+  uint32_t checked;
+
+  if ((!json_object_is_type (value, json_type_double)
+       && !json_object_is_type (value, json_type_int))
+      || !(number >= row->lowest) || number > row->highest)
+    {
+      cyc_findings_add (findings, place, "$.%s must be a number from %g to %g",
+                        row->member, row->lowest / 1000.0,
+                        row->highest / 1000.0);
+      return;
+    }
+  checked = (uint32_t)number;
+  memcpy ((char *)out + row->offset, &checked, sizeof checked);
+}
+
 static void
 read_text (const struct row *row, struct json_object *value,
            struct cyc_str place, struct ent_settings *out,
@@ -118,7 +145,7 @@
     {
       if (row->required)
         bad (findings, place, row, "is missing");
-      else if (row->kind == KIND_UINT)
+      else if (row->kind == KIND_UINT || row->kind == KIND_THOUSANDTHS)
         memcpy ((char *)out + row->offset, &row->fallback,
                 sizeof row->fallback);
       return;
@@ -128,6 +155,9 @@
     case KIND_UINT:
       read_uint (row, value, place, out, findings);
       return;
+    case KIND_THOUSANDTHS:
+      read_thousandths (row, value, place, out, findings);
+      return;
     case KIND_BOOL:
       if (!json_object_is_type (value, json_type_boolean))
         bad (findings, place, row, "must be true or false");
--- a/src/entry_settings.h
+++ b/src/entry_settings.h
@@ -25,6 +25,9 @@
   struct set_address metrics;   /**< port 0: none */
   char log_address[64];         /**< of the platform's log service */
   char advisor_address[64];     /**< empty: there is none */
+  uint32_t cpu_permille;        /**< of a core that this VM has */
+  uint32_t cores;               /**< how many times as fast the core is */
+  uint32_t link_kbps;           /**< of its link */
   uint32_t log_parts;           /**< parts of a stream of the log */
   uint32_t lease_ms;            /**< longest lease that workers grant */
   uint32_t grace_ms;            /**< from SIGTERM to SIGKILL */
--- a/src/tail.c
+++ b/src/tail.c
@@ -76,6 +76,7 @@
       return;
     }
   succeeded (tail);
+  tail->load_trip_us = (uint32_t)(hc_now_us () - tail->sent_us);
   if (tail->after[0] == 0)
     tail->load_end = result->end;
   hand_over (tail, result->records, result->count, 0);
--- a/src/tail.h
+++ b/src/tail.h
@@ -49,6 +49,7 @@
   uint64_t fresh_us; /**< the view holds all that stood then; 0: never */
   uint32_t failures; /**< in a row */
   uint64_t sent_us;
+  uint32_t load_trip_us; /**< time of the last page of a load */
 };
 
 void tail_setup (struct tail *tail, const struct tail_desc *desc);
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -128,6 +128,15 @@
   fleet->advice_deny = 2;
 }
 
+/* Answers come when the steps that they are about have long ended. */
+static void
+slow_advice (struct fleet *fleet)
+{
+  fleet->advice_ms = 60;
+  fleet_run (fleet, 120);
+  fleet->advice_ms = 1500;
+}
+
 static void
 first_fails_all (struct fleet *fleet)
 {
@@ -372,6 +381,9 @@
     0,
     9000,
     CELL_JOB_COMPLETE },
+  { "advice comes when the step has ended", 2, 2000,
+    { { .tasks = { 4 }, .work_ms = 100, .queue = "advised" } }, slow_advice, 1,
+    9000, CELL_JOB_COMPLETE },
   { "the advisor does not answer for a while",
     3,
     4000,
@@ -446,6 +458,31 @@
   free (fleet);
 }
 
+/* A job waits until a worker has begun one of its tasks, also when a leader
+   that is gone had decided where to run it. Guards against a backlog that is
+   given as smaller than it is. */
+static void
+test_pending (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+
+  (void)state;
+  fleet_setup (fleet, 1, 4000);
+  fleet_run (fleet, 100);
+  fleet->delay_starts_ms = 1000;
+  for (uint64_t id = 1; id <= 3; id++)
+    fleet_submit (fleet, id, &(struct fleet_job){ .tasks = { 1 } });
+  fleet_run (fleet, 200);
+  assert_int_equal (cell_queue_pending (fleet->core, CYC_STR ("batch")), 3);
+  fleet_takeover (fleet);
+  assert_int_equal (cell_queue_pending (fleet->core, CYC_STR ("batch")), 3);
+  fleet->delay_starts_ms = 0;
+  fleet_run (fleet, 400);
+  assert_int_equal (cell_queue_pending (fleet->core, CYC_STR ("batch")), 0);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
 /* A silent worker gets no further lease, so that its tasks start elsewhere
    after one lease and not later. Guards against retried holds that move the
    end of the lease. */
@@ -564,6 +601,7 @@
   uint64_t job = 0;
 
   fleet_setup (fleet, RANDOM_WORKERS, 4000);
+  fleet->advice_ms = (uint32_t)g_rand_int_range (rand, 0, 800);
   for (int step = 0; step < 60; step++)
     {
       fleet_run (fleet, (uint64_t)g_rand_int_range (rand, 5, 400));
@@ -613,6 +651,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_faults),
     cmocka_unit_test (test_cancel),
+    cmocka_unit_test (test_pending),
     cmocka_unit_test (test_silent_worker_expires),
     cmocka_unit_test (test_random),
   };
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -123,6 +123,7 @@
   fleet->config = make_config ();
   fleet->worker_count = workers;
   fleet->batch_records = g_ptr_array_new ();
+  fleet->asks = g_array_new (FALSE, FALSE, sizeof (struct fleet_ask));
   fleet->late = g_ptr_array_new_with_free_func (g_free);
   fleet->progress = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
                                            (GDestroyNotify)g_bytes_unref);
@@ -173,6 +174,7 @@
   for (uint32_t i = 0; i < fleet->worker_count; i++)
     g_hash_table_destroy (fleet->workers[i].closed);
   g_ptr_array_free (fleet->batch_records, TRUE);
+  g_array_free (fleet->asks, TRUE);
   g_ptr_array_free (fleet->late, TRUE);
   g_hash_table_destroy (fleet->progress);
   g_hash_table_destroy (fleet->jobs);
@@ -681,27 +683,41 @@
 }
 
 static void
-advise (struct fleet *fleet)
+answer_ask (struct fleet *fleet, const struct cell_ask *ask)
 {
-  struct cell_ask ask;
+  struct cell_ticket tickets[100];
+  uint32_t count = 0;
 
-  while (cell_ask_next (fleet->core, UINT64_MAX, &ask))
+  for (uint32_t i = 0; i < ask->worker_count; i++)
     {
-      struct cell_ticket tickets[100];
-      uint32_t count = 0;
+      struct cell_worker_view view;
 
-      for (uint32_t i = 0; i < ask.worker_count; i++)
-        {
-          struct cell_worker_view view;
+      if (fleet->advice_deny != 0 && ask->workers[i] % fleet->advice_deny == 0)
+        continue;
+      cell_worker_view (fleet->core, ask->workers[i], &view);
+      tickets[count++] = (struct cell_ticket){ view.id, CYC_STR ("t") };
+    }
+  cell_advice (fleet->core, ask->ask, !fleet->advice_down, ADVICE_VALID_US,
+               tickets, fleet->advice_down ? 0 : count, now_us (fleet));
+}
 
-          if (fleet->advice_deny != 0
-              && ask.workers[i] % fleet->advice_deny == 0)
-            continue;
-          cell_worker_view (fleet->core, ask.workers[i], &view);
-          tickets[count++] = (struct cell_ticket){ view.id, CYC_STR ("t") };
+static void
+advise (struct fleet *fleet)
+{
+  struct fleet_ask row = { .at_ms = fleet->now_ms + fleet->advice_ms };
+
+  while (cell_ask_next (fleet->core, UINT64_MAX, &row.ask))
+    g_array_append_val (fleet->asks, row);
+  for (guint i = 0; i < fleet->asks->len;)
+    {
+      row = g_array_index (fleet->asks, struct fleet_ask, i);
+      if (row.at_ms > fleet->now_ms)
+        {
+          i++;
+          continue;
         }
-      cell_advice (fleet->core, ask.ask, !fleet->advice_down, ADVICE_VALID_US,
-                   tickets, fleet->advice_down ? 0 : count, now_us (fleet));
+      g_array_remove_index (fleet->asks, i);
+      answer_ask (fleet, &row.ask);
     }
 }
 
@@ -786,6 +802,7 @@
 fleet_takeover (struct fleet *fleet)
 {
   drop_batch (fleet);
+  g_array_set_size (fleet->asks, 0);
   cell_shutdown (fleet->core);
   make_core (fleet);
   reload (fleet);
