--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -180,7 +180,7 @@
   enum cell_job_state shown; /**< durable */
   uint64_t state_batch;
   bool dirty;
-  bool begun; /**< a worker has begun one of its tasks */
+  bool begun;           /**< a worker has begun one of its tasks */
   uint64_t deadline_us; /**< of the objective */
   uint64_t accepted_us;
   uint64_t ended_ms;
--- a/src/entry.c
+++ b/src/entry.c
@@ -160,8 +160,8 @@
 on_vm (void *user, const struct pt_record *record, uint64_t offset)
 {
   struct entry *entry = user;
-  Cyc__CellVm *vm = cyc__cell_vm__unpack (
-      NULL, record->value.len, (const uint8_t *)record->value.data);
+  Cyc__CellVm *vm = cyc__cell_vm__unpack (NULL, record->value.len,
+                                          (const uint8_t *)record->value.data);
   struct entry_vm *row;
 
   (void)offset;
@@ -408,6 +408,7 @@
   g_hash_table_destroy (entry->vms);
   ev_timer_stop (entry->desc.loop, &entry->timer);
   accept_shutdown (entry);
+  owner_drop_ended (entry);
   g_ptr_array_free (entry->ended_owners, TRUE);
   relay_shutdown (&entry->relay);
   pl_shutdown (&entry->links);
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -57,6 +57,9 @@
 uint32_t owner_pending (const struct entry *entry, struct cyc_str queue);
 /** Frees owners that have ended and have nothing in flight. */
 void owner_reap (struct entry *entry);
+/** Frees all owners that have ended; the ports are shut down next and end
+ * nothing that is in flight. */
+void owner_drop_ended (struct entry *entry);
 
 /* entry_advice.c */
 struct advice_state;
--- a/src/entry_lead.c
+++ b/src/entry_lead.c
@@ -232,11 +232,10 @@
     }
   if (entry->claim_at_us == 0)
     {
-      entry->claim_at_us
-          = now_us
-            + (own_rank (entry) * RANK_MS
-               + (uint64_t)g_random_int_range (0, JITTER_MS))
-                  * 1000;
+      entry->claim_at_us = now_us
+                           + (own_rank (entry) * RANK_MS
+                              + (uint64_t)g_random_int_range (0, JITTER_MS))
+                                 * 1000;
       entry_wake_at (entry, entry->claim_at_us);
     }
   if (now_us < entry->claim_at_us)
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -120,6 +120,14 @@
   return false;
 }
 
+void
+owner_drop_ended (struct entry *entry)
+{
+  for (guint i = 0; i < entry->ended_owners->len; i++)
+    drop_owner (g_ptr_array_index (entry->ended_owners, i));
+  g_ptr_array_set_size (entry->ended_owners, 0);
+}
+
 void
 owner_reap (struct entry *entry)
 {
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -121,9 +121,9 @@
   if (!vm->up)
     return;
   entry_shutdown (&vm->entry);
-  hc_shutdown (&vm->log.client);
-  hc_shutdown (&vm->workers.client);
-  hc_shutdown (&vm->advisor.client);
+  pf_client_shutdown (&vm->log.client);
+  pf_client_shutdown (&vm->workers.client);
+  pf_client_shutdown (&vm->advisor.client);
   vm->up = false;
 }
 
--- a/tests/test_platform_contract.c
+++ b/tests/test_platform_contract.c
@@ -60,9 +60,9 @@
 static void
 teardown (struct fixture *f)
 {
-  hc_shutdown (&f->log.client);
-  hc_shutdown (&f->workers.client);
-  hc_shutdown (&f->advisor.client);
+  pf_client_shutdown (&f->log.client);
+  pf_client_shutdown (&f->workers.client);
+  pf_client_shutdown (&f->advisor.client);
   fkp_shutdown (&f->fake);
 }
 
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -110,8 +110,8 @@
   GHashTable *failures; /**< names to number of failed ends */
   GHashTable *specs;    /**< id to struct fleet_job */
   bool advice_down;
-  uint32_t advice_ms;     /**< time until the advisor answers */
-  GArray *asks;           /**< struct fleet_ask: questions under way */
+  uint32_t advice_ms;          /**< time until the advisor answers */
+  GArray *asks;                /**< struct fleet_ask: questions under way */
   uint32_t advice_deny;        /**< every n-th worker is denied; 0: none */
   uint32_t lose_start_answers; /**< of the next starts */
   uint32_t delay_starts_ms;    /**< orders reach the worker later */
