Settle a start without answer by a look at the worker

After 130 ms a report beside the waiting hold shows whether the run began; if not, a stop closes it. Ruled out: only a shorter time-out (it would stop runs that began).

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -239,6 +239,9 @@
   bool draining;
   uint32_t runs;
   bool fenced;                /**< has answered this leader */
+  /** A report asked for after this time would settle some run; 0: none is
+   * unsettled. */
+  uint64_t look_us;
   uint64_t seen_end;          /**< highest number of an end taken in */
   uint64_t ack;               /**< ends up to here may be forgotten */
   uint64_t lease_deadline_ms; /**< on the worker's clock */
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -18,9 +18,9 @@
 /** Added to computed lease ends for the time that messages take. */
 #define CELL_LEASE_MARGIN_US 200000
 /** A start without an answer is uncertain after this time: when the worker's
- * next report does not show the run, a stop settles it. Longer than a start
- * between regions takes. */
-#define CELL_START_ANSWER_US 1200000
+ * next report does not show the run, a stop settles it. Three times as long as
+ * a start between regions takes; being wrong costs one look at the worker. */
+#define CELL_START_ANSWER_US 130000
 /** Gap between repeated stops of one run. */
 #define CELL_STOP_REPEAT_US 700000
 /** Wait before a task is tried again after a refused start. */
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -41,6 +41,8 @@
 struct owner_worker
 {
   bool holding;
+  bool looking;      /**< a second hold, which does not wait, is out */
+  uint64_t asked_us; /**< when the last hold or look was sent */
   uint32_t failures;
   uint64_t next_us;
   uint64_t ack_by_us; /**< ends need not be acknowledged from then on */
@@ -375,6 +377,48 @@
          + owner->entry->desc.settings->lease_ms;
 }
 
+static void
+on_looked (void *user, uint32_t row, enum pt_hold_fate fate,
+           struct cell_report *report)
+{
+  struct entry_owner *owner = user;
+
+  if (!call_ended (owner))
+    return;
+  worker_slot (owner, row)->looking = false;
+  if (fate != PT_HOLD_OK)
+    return;
+  log_ends (owner, row, report);
+  cell_worker_report (owner->core, row, report, hc_now_us ());
+  fed (owner);
+}
+
+/* Asks a worker for a report at once, beside a hold that waits, when that
+   settles whether a start was carried out. */
+static void
+look_at_worker (struct entry_owner *owner, uint32_t row,
+                const struct cell_worker_view *view, uint64_t now_us)
+{
+  struct owner_worker *slot = worker_slot (owner, row);
+
+  if (slot->looking || view->look_us == 0 || view->look_us < slot->asked_us)
+    return;
+  slot->looking = owner->entry->desc.ports->workers->vtable->hold (
+      owner->entry->desc.ports->workers,
+      &(struct pt_hold){
+          .target = { view->id, view->address, owner->epoch },
+          .ack = view->ack,
+          .deadline_us = now_us + HOLD_ANSWER_MS * 1000ULL,
+          .done = on_looked,
+          .user = owner,
+          .row = row,
+      });
+  if (!slot->looking)
+    return;
+  slot->asked_us = now_us;
+  owner->calls++;
+}
+
 static void
 hold_worker (struct entry_owner *owner, uint32_t row, uint64_t now_us)
 {
@@ -383,19 +427,24 @@
   uint64_t lease_ms;
   uint32_t wait_ms;
 
-  if (slot->holding)
-    return;
   cell_worker_view (owner->core, row, &view);
+  if (slot->holding)
+    {
+      look_at_worker (owner, row, &view, now_us);
+      return;
+    }
   if (view.address.len == 0 || (!view.listed && view.runs == 0))
     return;
   if (view.ack > slot->ack_sent && slot->next_us > now_us + HOLD_RETRY_US)
     slot->next_us = now_us + HOLD_RETRY_US;
+  if (view.look_us != 0 && view.look_us >= slot->asked_us)
+    slot->next_us = now_us;
   if (now_us < slot->next_us)
     {
       entry_wake_at (owner->entry, slot->next_us);
       return;
     }
-  if (view.ack < view.seen_end && now_us < slot->ack_by_us)
+  if (view.look_us == 0 && view.ack < view.seen_end && now_us < slot->ack_by_us)
     return;
   /* A worker that did not answer gets no further lease: what may run there
      ends at a time that stays known. */
@@ -419,6 +468,7 @@
           .user = owner,
           .row = row,
       });
+  slot->asked_us = now_us;
   if (slot->holding)
     owner->calls++;
   else
