Push accepted jobs to the leader when the log has taken them

The VM that accepted a job now sends its record to the leader as well, which ignores what it knows; reads of the stream become the second way. Ruled out: shorter reads (each is priced, and 8 parts are read).

--- a/src/entry.c
+++ b/src/entry.c
@@ -235,6 +235,18 @@
     case CYC__PEER__BODY_CELL_ANSWER:
       requests_on_answer (entry, message->cell_answer);
       return;
+    case CYC__PEER__BODY_CELL_PUSH:
+      {
+        const Cyc__CellPush *push = message->cell_push;
+
+        owner_push (entry,
+                    &(struct pt_record){
+                        .key = { (const char *)push->key.data, push->key.len },
+                        .value
+                        = { (const char *)push->value.data, push->value.len },
+                    });
+        return;
+      }
     case CYC__PEER__BODY_LOG_ASK:
       relay_on_ask (&entry->relay, peer, message->log_ask);
       return;
--- a/src/entry_accept.c
+++ b/src/entry_accept.c
@@ -73,6 +73,34 @@
   accept_tick (entry, item->begun_us);
 }
 
+/* Tells the leader of a record that is stored, so that it need not wait until
+   its read of the stream shows it. */
+static void
+push_item (struct entry *entry, const struct accept_item *item)
+{
+  Cyc__Peer message = CYC__PEER__INIT;
+  Cyc__CellPush push = CYC__CELL_PUSH__INIT;
+  struct cyc_ref peer;
+
+  if (entry->owner != NULL)
+    {
+      owner_push (entry, &(struct pt_record){
+                             .key = cyc_str_of (item->key),
+                             .value = { (const char *)item->data, item->len },
+                         });
+      return;
+    }
+  peer = pl_find (&entry->links, cyc_name_str (&entry->leader.vm),
+                  SET_ROLE_ENTRY);
+  message.body_case = CYC__PEER__BODY_CELL_PUSH;
+  message.cell_push = &push;
+  push.key = (ProtobufCBinaryData){ strlen (item->key),
+                                    (uint8_t *)item->key };
+  push.value = (ProtobufCBinaryData){ item->len, item->data };
+  if (peer.generation != 0)
+    pl_send (&entry->links, peer, &message);
+}
+
 /* True when the item ended; else it waits for another append. */
 static bool
 settle (struct entry *entry, struct accept_item *item, enum pt_fate fate,
@@ -87,6 +115,7 @@
     {
       met_add (&entry->met, MET_JOBS_ACCEPTED, 1);
       met_observe (&entry->met, MET_LOG_APPEND_US, now_us - item->begun_us);
+      push_item (entry, item);
       end_item (entry, item,
                 item->key[0] == 'j' ? PT_ANSWER_ACCEPTED
                                     : PT_ANSWER_CANCELLED);
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -51,6 +51,9 @@
 void owner_end (struct entry *entry);
 void owner_tick (struct entry *entry, uint64_t now_us);
 void owner_config (struct entry *entry);
+/** A record of the stream of jobs that the log has taken, before the stream
+ * shows it; ignored while loading. */
+void owner_push (struct entry *entry, const struct pt_record *record);
 /** False: not loaded, or not sure to know all jobs. */
 bool owner_answers (const struct entry *entry);
 enum cell_job_state owner_job_state (const struct entry *entry, uint64_t job);
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -12,6 +12,10 @@
 /** Ends are listed again until they are acknowledged, so the next hold waits
  * for their record to be durable, at most so long. */
 #define HOLD_ACK_US 150000
+/** Offset of a record that was not read from its stream. */
+#define PUSHED UINT64_MAX
+/** Gap between reads of accepted jobs, which are pushed as well. */
+#define JOBS_GAP_MS 100
 /** Gap between holds of a worker that runs nothing. */
 #define HOLD_IDLE_US 2500000
 /** Gap after a hold without answer. */
@@ -188,11 +192,12 @@
               offset);
       return;
     }
-  if (owner->phase == OWNER_LEADING)
+  if (owner->phase == OWNER_LEADING
+      && cell_job_state (owner->core, parsed) == 0)
     ev_log (EV_JOB_SEEN,
-            "job=%016" PRIx64 " queue=%s team=%s steps=%zu offset=%" PRIu64
+            "job=%016" PRIx64 " queue=%s team=%s steps=%zu pushed=%d"
             " age_ms=%" PRId64,
-            parsed, job->queue, job->team, job->n_steps, offset,
+            parsed, job->queue, job->team, job->n_steps, offset == PUSHED,
             (int64_t)(hc_wall_ms () - job->accepted_ms));
   cell_job_add (owner->core, parsed, job, now_us, hc_wall_ms ());
   if (g_hash_table_remove (owner->cancelled, &id))
@@ -200,6 +205,13 @@
   fed (owner);
 }
 
+void
+owner_push (struct entry *entry, const struct pt_record *record)
+{
+  if (entry->owner != NULL && entry->owner->phase == OWNER_LEADING)
+    on_job (entry->owner, record, PUSHED);
+}
+
 static void
 on_progress (void *user, const struct pt_record *record, uint64_t offset)
 {
@@ -764,7 +776,7 @@
   owner->jobs_tails = g_new0 (struct tail, owner->jobs_parts);
   for (uint32_t i = 0; i < owner->jobs_parts; i++)
     follow (owner, &owner->jobs_tails[i], PT_STREAM_JOBS, i, ENTRY_LOG_WAIT_MS,
-            5, on_job, on_jobs_loaded);
+            JOBS_GAP_MS, on_job, on_jobs_loaded);
   follow (owner, &owner->progress_tail, PT_STREAM_PROGRESS, 0, 0, 5,
           on_progress, on_progress_loaded);
   follow (owner, &owner->workers_tail, PT_STREAM_WORKERS, 0, 0, 400, on_worker,
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1447,7 +1447,52 @@
   assert(message->base.descriptor == &cyc__log_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cyc__peer__field_descriptors[25] =
+void   cyc__cell_push__init
+                     (Cyc__CellPush         *message)
+{
+  static const Cyc__CellPush init_value = CYC__CELL_PUSH__INIT;
+  *message = init_value;
+}
+size_t cyc__cell_push__get_packed_size
+                     (const Cyc__CellPush *message)
+{
+  assert(message->base.descriptor == &cyc__cell_push__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cyc__cell_push__pack
+                     (const Cyc__CellPush *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cyc__cell_push__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cyc__cell_push__pack_to_buffer
+                     (const Cyc__CellPush *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cyc__cell_push__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cyc__CellPush *
+       cyc__cell_push__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cyc__CellPush *)
+     protobuf_c_message_unpack (&cyc__cell_push__descriptor,
+                                allocator, len, data);
+}
+void   cyc__cell_push__free_unpacked
+                     (Cyc__CellPush *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cyc__cell_push__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor cyc__peer__field_descriptors[26] =
 {
   {
     "hello",
@@ -1749,6 +1794,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cell_push",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cyc__Peer, body_case),
+    offsetof(Cyc__Peer, cell_push),
+    &cyc__cell_push__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cyc__peer__field_indices_by_name[] = {
   20,   /* field[20] = advice_answer */
@@ -1756,6 +1813,7 @@
   16,   /* field[16] = aggregate */
   22,   /* field[22] = cell_answer */
   21,   /* field[21] = cell_ask */
+  25,   /* field[25] = cell_push */
   2,   /* field[2] = control_records */
   3,   /* field[3] = control_request */
   9,   /* field[9] = forward */
@@ -1780,7 +1838,7 @@
 static const ProtobufCIntRange cyc__peer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 25 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor cyc__peer__descriptor =
 {
@@ -1790,7 +1848,7 @@
   "Cyc__Peer",
   "cyc",
   sizeof(Cyc__Peer),
-  25,
+  26,
   cyc__peer__field_descriptors,
   cyc__peer__field_indices_by_name,
   1,  cyc__peer__number_ranges,
@@ -4223,6 +4281,57 @@
   (ProtobufCMessageInit) cyc__log_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cyc__cell_push__field_descriptors[2] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellPush, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellPush, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cyc__cell_push__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange cyc__cell_push__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cyc__cell_push__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cyc.CellPush",
+  "CellPush",
+  "Cyc__CellPush",
+  "cyc",
+  sizeof(Cyc__CellPush),
+  2,
+  cyc__cell_push__field_descriptors,
+  cyc__cell_push__field_indices_by_name,
+  1,  cyc__cell_push__number_ranges,
+  (ProtobufCMessageInit) cyc__cell_push__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue cyc__role__enum_values_by_number[5] =
 {
   { "ROLE_UNKNOWN", "CYC__ROLE__ROLE_UNKNOWN", 0 },
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -47,6 +47,7 @@
 typedef struct Cyc__LogRecord Cyc__LogRecord;
 typedef struct Cyc__LogAsk Cyc__LogAsk;
 typedef struct Cyc__LogAnswer Cyc__LogAnswer;
+typedef struct Cyc__CellPush Cyc__CellPush;
 
 
 /* --- enums --- */
@@ -88,7 +89,8 @@
   CYC__PEER__BODY_CELL_ASK = 22,
   CYC__PEER__BODY_CELL_ANSWER = 23,
   CYC__PEER__BODY_LOG_ASK = 24,
-  CYC__PEER__BODY_LOG_ANSWER = 25
+  CYC__PEER__BODY_LOG_ANSWER = 25,
+  CYC__PEER__BODY_CELL_PUSH = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CYC__PEER__BODY__CASE)
 } Cyc__Peer__BodyCase;
 
@@ -122,6 +124,7 @@
     Cyc__CellAnswer *cell_answer;
     Cyc__LogAsk *log_ask;
     Cyc__LogAnswer *log_answer;
+    Cyc__CellPush *cell_push;
   };
 };
 #define CYC__PEER__INIT \
@@ -600,6 +603,20 @@
     , 0, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
+/*
+ * Entry VM to the leader: a record of accepted jobs that the log has taken.
+ */
+struct  Cyc__CellPush
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData key;
+  ProtobufCBinaryData value;
+};
+#define CYC__CELL_PUSH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cyc__cell_push__descriptor) \
+    , {0,NULL}, {0,NULL} }
+
+
 /* Cyc__Peer methods */
 void   cyc__peer__init
                      (Cyc__Peer         *message);
@@ -1208,6 +1225,25 @@
 void   cyc__log_answer__free_unpacked
                      (Cyc__LogAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Cyc__CellPush methods */
+void   cyc__cell_push__init
+                     (Cyc__CellPush         *message);
+size_t cyc__cell_push__get_packed_size
+                     (const Cyc__CellPush   *message);
+size_t cyc__cell_push__pack
+                     (const Cyc__CellPush   *message,
+                      uint8_t             *out);
+size_t cyc__cell_push__pack_to_buffer
+                     (const Cyc__CellPush   *message,
+                      ProtobufCBuffer     *buffer);
+Cyc__CellPush *
+       cyc__cell_push__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cyc__cell_push__free_unpacked
+                     (Cyc__CellPush *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Cyc__Peer_Closure)
@@ -1306,6 +1342,9 @@
 typedef void (*Cyc__LogAnswer_Closure)
                  (const Cyc__LogAnswer *message,
                   void *closure_data);
+typedef void (*Cyc__CellPush_Closure)
+                 (const Cyc__CellPush *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1345,6 +1384,7 @@
 extern const ProtobufCMessageDescriptor cyc__log_record__descriptor;
 extern const ProtobufCMessageDescriptor cyc__log_ask__descriptor;
 extern const ProtobufCMessageDescriptor cyc__log_answer__descriptor;
+extern const ProtobufCMessageDescriptor cyc__cell_push__descriptor;
 
 PROTOBUF_C__END_DECLS
 
