--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -238,7 +238,7 @@
   bool listed;
   bool draining;
   uint32_t runs;
-  bool fenced;                /**< has answered this leader */
+  bool fenced; /**< has answered this leader */
   /** A report asked for after this time would settle some run; 0: none is
    * unsettled. */
   uint64_t look_us;
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -384,8 +384,8 @@
   for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
     if (run->state == CELL_RUN_STARTING
         && (run->uncertain_us != 0 || run->stopped_sent_us != 0))
-      out->look_us = MAX (out->look_us,
-                          MAX (run->uncertain_us, run->stopped_sent_us));
+      out->look_us
+          = MAX (out->look_us, MAX (run->uncertain_us, run->stopped_sent_us));
   out->seen_end = worker->seen_end;
   out->lease_deadline_ms = worker->lease_deadline_ms;
   out->ack = worker->ack;
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -124,7 +124,29 @@
                                     : CELL_VERDICT_UNKNOWN;
 }
 
-/* Workers to name: with most free capacity first. Returns their number. */
+static const struct cell_held_ticket *
+ticket_for (const struct cell_core *core, const struct cell_stage *stage,
+            uint32_t row)
+{
+  const struct cell_worker *worker = cell_worker_at (core, row);
+
+  if (stage->tickets == NULL)
+    return NULL;
+  for (guint i = 0; i < stage->tickets->len; i++)
+    {
+      const struct cell_held_ticket *held
+          = &g_array_index (stage->tickets, struct cell_held_ticket, i);
+
+      if (held->worker == row && held->until_us > core->now_us
+          && held->born_ms == worker->born_ms)
+        return held;
+    }
+  return NULL;
+}
+
+/* Workers to name: with most free capacity first. One for which a ticket is
+   held had room and was not used, so another ticket would not help. Returns
+   their number. */
 static uint32_t
 choose_workers (struct cell_core *core, struct cell_stage *stage,
                 uint32_t rows[ASK_WORKERS_MAX])
@@ -144,7 +166,8 @@
 
       if (!worker_suits (core, stage, worker)
           || verdict_of (stage, i) == CELL_VERDICT_DENIED
-          || !cell_res_fits (worker, &size))
+          || !cell_res_fits (worker, &size)
+          || ticket_for (core, stage, i) != NULL)
         continue;
       known = known || verdict_of (stage, i) == CELL_VERDICT_ALLOWED;
       candidate.free_millicores
@@ -373,26 +396,6 @@
   cell_wake (core, now_us);
 }
 
-static const struct cell_held_ticket *
-ticket_for (const struct cell_core *core, const struct cell_stage *stage,
-            uint32_t row)
-{
-  const struct cell_worker *worker = cell_worker_at (core, row);
-
-  if (stage->tickets == NULL)
-    return NULL;
-  for (guint i = 0; i < stage->tickets->len; i++)
-    {
-      const struct cell_held_ticket *held
-          = &g_array_index (stage->tickets, struct cell_held_ticket, i);
-
-      if (held->worker == row && held->until_us > core->now_us
-          && held->born_ms == worker->born_ms)
-        return held;
-    }
-  return NULL;
-}
-
 /* Placement. */
 
 /* Tasks of the step that occupy the worker. */
--- a/src/entry.c
+++ b/src/entry.c
@@ -239,12 +239,12 @@
       {
         const Cyc__CellPush *push = message->cell_push;
 
-        owner_push (entry,
-                    &(struct pt_record){
-                        .key = { (const char *)push->key.data, push->key.len },
-                        .value
-                        = { (const char *)push->value.data, push->value.len },
-                    });
+        owner_push (
+            entry,
+            &(struct pt_record){
+                .key = { (const char *)push->key.data, push->key.len },
+                .value = { (const char *)push->value.data, push->value.len },
+            });
         return;
       }
     case CYC__PEER__BODY_LOG_ASK:
--- a/src/entry_accept.c
+++ b/src/entry_accept.c
@@ -94,8 +94,7 @@
                   SET_ROLE_ENTRY);
   message.body_case = CYC__PEER__BODY_CELL_PUSH;
   message.cell_push = &push;
-  push.key = (ProtobufCBinaryData){ strlen (item->key),
-                                    (uint8_t *)item->key };
+  push.key = (ProtobufCBinaryData){ strlen (item->key), (uint8_t *)item->key };
   push.value = (ProtobufCBinaryData){ item->len, item->data };
   if (peer.generation != 0)
     pl_send (&entry->links, peer, &message);
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -456,7 +456,8 @@
       entry_wake_at (owner->entry, slot->next_us);
       return;
     }
-  if (view.look_us == 0 && view.ack < view.seen_end && now_us < slot->ack_by_us)
+  if (view.look_us == 0 && view.ack < view.seen_end
+      && now_us < slot->ack_by_us)
     return;
   /* A worker that did not answer gets no further lease: what may run there
      ends at a time that stays known. */
