Write decisions to standard output without blocking and within a bound

Cause: lines went to standard error with a write that blocks when the reader does not take them, and their number followed the load. Lines of an entry VM go to standard output; one that is not taken at once is dropped, decisions are bounded to 2,000 a second, and lines_dropped says how many are missing. Ruled out: a thread for logs; one write a line is enough.

--- a/src/cmd_entry.c
+++ b/src/cmd_entry.c
@@ -7,10 +7,15 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 /** Names the settings file when no option does. */
 #define SETTINGS_VARIABLE "CYCLAMENDRUM_BOOT"
 
+/** Bound on the lines of decisions: a leader of 350 workers starts 800 tasks a
+ * second, with two lines each. */
+#define LOG_LINES_PER_S 2000
+
 struct run
 {
   struct ev_loop *loop;
@@ -81,6 +86,8 @@
                        .role = CYC_STR ("entry"),
                        .lowest = run->settings.log_info ? G_LOG_LEVEL_INFO
                                                         : G_LOG_LEVEL_MESSAGE,
+                       .fd = STDOUT_FILENO,
+                       .lines_per_s = LOG_LINES_PER_S,
                    });
   signal (SIGPIPE, SIG_IGN);
   watch (run, &term, SIGTERM, on_stop_signal);
--- a/src/log_event.c
+++ b/src/log_event.c
@@ -1,9 +1,11 @@
 #include "log_event.h"
 
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 struct ev_item
 {
@@ -27,19 +29,74 @@
   return "";
 }
 
+/* A burst may use the lines of so many seconds. */
+#define BURST_S 2
+
+/* Whether a line within the bound may be written. */
+static bool
+take_credit (struct ev_sink *sink)
+{
+  struct timespec now;
+  uint64_t now_us;
+
+  if (sink->lines_per_s == 0)
+    return true;
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  now_us = (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+  sink->credit
+      += (double)(now_us - sink->credited_us) * sink->lines_per_s / 1e6;
+  sink->credited_us = now_us;
+  if (sink->credit > (double)sink->lines_per_s * BURST_S)
+    sink->credit = (double)sink->lines_per_s * BURST_S;
+  if (sink->credit < 1.0)
+    return false;
+  sink->credit -= 1.0;
+  return true;
+}
+
+/* False when the reader does not take the line now. */
+static bool
+put_line (struct ev_sink *sink, const char *line, size_t length)
+{
+  struct pollfd ready = { .fd = sink->fd, .events = POLLOUT };
+
+  return poll (&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0
+         && write (sink->fd, line, length) == (ssize_t)length;
+}
+
+/* Says how many lines are missing, once a line can be written again. */
+static void
+put_dropped (struct ev_sink *sink)
+{
+  char line[200];
+  int length
+      = snprintf (line, sizeof line,
+                  "vm=%s role=%s level=WARNING event=%s lines=%" PRIu64 "\n",
+                  sink->vm.data, sink->role.data, items[EV_LINES_DROPPED].name,
+                  sink->dropped);
+
+  if (put_line (sink, line, (size_t)length))
+    sink->dropped = 0;
+}
+
 /* One write per line, so that lines of several processes on one terminal do
    not mix. */
 static GLogWriterOutput
 write_line (GLogLevelFlags level, const GLogField *fields, gsize count,
             gpointer user)
 {
-  const struct ev_sink *sink = user;
+  struct ev_sink *sink = user;
   struct timespec now;
   char line[1400];
   int length;
 
   if ((level & G_LOG_LEVEL_MASK) > sink->lowest)
     return G_LOG_WRITER_HANDLED;
+  if ((level & G_LOG_LEVEL_MASK) > G_LOG_LEVEL_MESSAGE && !take_credit (sink))
+    {
+      sink->dropped++;
+      return G_LOG_WRITER_HANDLED;
+    }
   clock_gettime (CLOCK_REALTIME, &now);
   length = snprintf (
       line, sizeof line, "ts=%lld.%03ld vm=%s role=%s level=%s event=%s %s\n",
@@ -52,8 +109,10 @@
       length = sizeof line - 1;
       line[length - 1] = '\n';
     }
-  if (fwrite (line, 1, (size_t)length, stderr) != (size_t)length)
-    return G_LOG_WRITER_UNHANDLED;
+  if (sink->dropped > 0)
+    put_dropped (sink);
+  if (!put_line (sink, line, (size_t)length))
+    sink->dropped++;
   return G_LOG_WRITER_HANDLED;
 }
 
@@ -64,6 +123,8 @@
   sink->vm = desc->vm;
   cyc_name_set (&sink->role, desc->role);
   sink->lowest = desc->lowest ? desc->lowest : G_LOG_LEVEL_MESSAGE;
+  sink->fd = desc->fd ? desc->fd : STDERR_FILENO;
+  sink->lines_per_s = desc->lines_per_s;
   g_log_set_writer_func (write_line, sink, NULL);
 }
 
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -3,6 +3,9 @@
  * Log events: one table of codes, levels and names; one key=value line for
  * each event, written through GLib's structured log.
  *
+ * A line never blocks: one that the reader does not take at once is dropped,
+ * as are INFO and DEBUG lines beyond the bound; `lines_dropped` says how many.
+ *
  * Call ev_setup once, then ev_log with the remaining keys as a printf format.
  * Quote values that may hold spaces.
  *
@@ -99,6 +102,8 @@
   struct cyc_name vm;
   struct cyc_str role;
   GLogLevelFlags lowest; /**< 0: G_LOG_LEVEL_MESSAGE */
+  int fd;                /**< 0: standard error */
+  uint32_t lines_per_s;  /**< bound on INFO and DEBUG lines; 0: none */
 };
 
 struct ev_sink
@@ -106,6 +111,11 @@
   struct cyc_name vm;
   struct cyc_name role;
   GLogLevelFlags lowest;
+  int fd;
+  uint32_t lines_per_s;
+  double credit;        /**< lines that may be written now */
+  uint64_t credited_us; /**< when the credit was last raised */
+  uint64_t dropped;     /**< lines since the last one that said so */
 };
 
 /** Installs GLib's log writer. @p sink must outlive all logging. */
