Tidy the cell and the entry process for the linter and the reader

No change of behaviour: numbers in hash tables have memory of their own, the sort has no global, one function frees a batch, marks and limits have names, members that nothing reads are gone. clang-tidy is clean on the new files. test_cell, test_entry and test_platform_contract pass.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -221,10 +221,9 @@
 struct cell_core *cell_setup (const struct cell_desc *desc);
 void cell_shutdown (struct cell_core *core);
 
-/** The core copies what it needs; @p config must outlive its use. */
+/** @p config must stay valid until the next call or the end of the core. */
 void cell_config_set (struct cell_core *core,
                       const struct cell_config *config);
-/** False: the entry names a pool that no configuration has. */
 void cell_worker_listed (struct cell_core *core,
                          const struct cell_worker_entry *entry,
                          uint64_t now_us);
@@ -252,7 +251,7 @@
                        struct cell_worker_view *out);
 void cell_worker_report (struct cell_core *core, uint32_t row,
                          const struct cell_report *report, uint64_t now_us);
-/** No answer; @p failures in a row. */
+/** The worker did not answer several calls in a row. */
 void cell_worker_silent (struct cell_core *core, uint32_t row,
                          uint64_t now_us);
 /** The lease was asked to be extended to @p deadline_ms of the worker's
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -87,13 +87,12 @@
   core->desc = *desc;
   core->workers = g_ptr_array_new_with_free_func (g_free);
   core->worker_rows
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   core->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
   core->teams
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   core->queue_good
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  core->racks = g_ptr_array_new_with_free_func (g_free);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   core->waiting = g_ptr_array_new ();
   core->timed = g_ptr_array_new ();
   core->dirty = g_ptr_array_new ();
@@ -148,7 +147,6 @@
   g_hash_table_destroy (core->worker_rows);
   g_hash_table_destroy (core->queue_good);
   g_ptr_array_free (core->workers, TRUE);
-  g_ptr_array_free (core->racks, TRUE);
   g_ptr_array_free (core->waiting, TRUE);
   g_ptr_array_free (core->timed, TRUE);
   g_ptr_array_free (core->dirty, TRUE);
@@ -262,19 +260,21 @@
 cell_worker_row (struct cell_core *core, struct cyc_str id)
 {
   char text[CYC_NAME_MAX_BYTES + 1];
-  gpointer found;
+  const uint32_t *found;
   struct cell_worker *worker;
+  uint32_t row;
 
   snprintf (text, sizeof text, "%.*s", CYC_FMT (id));
-  if (g_hash_table_lookup_extended (core->worker_rows, text, NULL, &found))
-    return GPOINTER_TO_UINT (found);
+  found = g_hash_table_lookup (core->worker_rows, text);
+  if (found != NULL)
+    return *found;
   worker = g_new0 (struct cell_worker, 1);
   cyc_name_set (&worker->id, cyc_str_of (text));
-  worker->rack = CELL_NO_ROW;
   g_ptr_array_add (core->workers, worker);
+  row = core->workers->len - 1;
   g_hash_table_insert (core->worker_rows, g_strdup (text),
-                       GUINT_TO_POINTER (core->workers->len - 1));
-  return core->workers->len - 1;
+                       g_memdup2 (&row, sizeof row));
+  return row;
 }
 
 bool
@@ -413,7 +413,7 @@
 }
 
 static void
-take_ends (struct cell_core *core, struct cell_worker *worker, uint32_t row,
+take_ends (struct cell_core *core, struct cell_worker *worker,
            const struct cell_report *report)
 {
   for (uint32_t i = 0; i < report->end_count; i++)
@@ -447,7 +447,6 @@
         }
       cell_task_done (core, job, round, task);
     }
-  (void)row;
   if (worker->ack_batch == 0 && worker->seen_end > worker->ack)
     {
       worker->ack_next = worker->seen_end;
@@ -568,7 +567,7 @@
     cell_worker_leased (core, row, report->clock_ms + core->desc.lease_ms);
   worker->fenced = true;
   worker->reachable = true;
-  take_ends (core, worker, row, report);
+  take_ends (core, worker, report);
   take_running (core, worker, row, report, seen);
   take_missing (core, worker, report, seen);
   g_hash_table_destroy (seen);
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -74,7 +74,6 @@
   struct cyc_name address;
   struct cyc_name labels[CELL_LABELS_MAX];
   uint32_t label_count;
-  uint32_t rack; /**< number of the rack label; CELL_NO_ROW: none */
   struct cyc_res capacity;
   uint64_t used_millicores;
   uint64_t used_memory_mib;
@@ -214,7 +213,6 @@
   GHashTable *worker_rows;
   GHashTable *jobs;   /**< id to struct cell_job */
   GHashTable *teams;  /**< name to struct cell_team */
-  GPtrArray *racks;   /**< names */
   GPtrArray *waiting; /**< struct cell_stage that are ready with tasks */
   GPtrArray *timed;   /**< struct cell_job with rounds to come */
   GPtrArray *dirty;   /**< struct cell_job */
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -13,8 +13,11 @@
 /** Permille of the workers that the policy allows, before anything is
  * learned. */
 #define GOOD_FIRST_PERMILLE 500
+#define GOOD_LEAST_PERMILLE 50
 /** Weight of one answer in the learned permille: 1/8. */
 #define GOOD_SHIFT 3
+/** Marks the verdict of a worker that an open question names. */
+#define VERDICT_ASKED 0x80
 /** Gap after a question that was not answered. */
 #define ASK_RETRY_US 100000
 
@@ -80,12 +83,11 @@
 static uint32_t
 queue_good (const struct cell_core *core, const struct cell_job *job)
 {
-  gpointer found;
+  const uint32_t *found
+      = g_hash_table_lookup (core->queue_good, job->queue.data);
 
-  if (g_hash_table_lookup_extended (core->queue_good, job->queue.data, NULL,
-                                    &found))
-    return MAX (50, GPOINTER_TO_UINT (found));
-  return GOOD_FIRST_PERMILLE;
+  return found != NULL ? MAX (GOOD_LEAST_PERMILLE, *found)
+                       : GOOD_FIRST_PERMILLE;
 }
 
 static void
@@ -94,10 +96,10 @@
 {
   uint32_t old = queue_good (core, job);
   uint32_t seen = allowed * 1000 / MAX (1, named);
+  uint32_t learned = old - (old >> GOOD_SHIFT) + (seen >> GOOD_SHIFT);
 
-  g_hash_table_insert (
-      core->queue_good, g_strdup (job->queue.data),
-      GUINT_TO_POINTER (old - (old >> GOOD_SHIFT) + (seen >> GOOD_SHIFT)));
+  g_hash_table_replace (core->queue_good, g_strdup (job->queue.data),
+                        g_memdup2 (&learned, sizeof learned));
 }
 
 struct candidate
@@ -314,7 +316,7 @@
         }
       for (uint32_t w = 0; w < out->worker_count; w++)
         if (stage->verdicts[out->workers[w]] == CELL_VERDICT_UNKNOWN)
-          stage->verdicts[out->workers[w]] |= 0x80;
+          stage->verdicts[out->workers[w]] |= VERDICT_ASKED;
       return true;
     }
   return false;
@@ -326,7 +328,7 @@
                  uint32_t *named)
 {
   for (uint32_t i = 0; i < stage->verdict_count; i++)
-    if (stage->verdicts[i] & 0x80)
+    if (stage->verdicts[i] & VERDICT_ASKED)
       {
         stage->verdicts[i] = (uint8_t)others;
         (*named)++;
@@ -647,7 +649,7 @@
       uint32_t fits = worker->capacity.millicores / size->millicores;
       uint32_t taken = MIN (left, fits);
 
-      worker->held_millicores = taken * size->millicores;
+      worker->held_millicores = (uint64_t)taken * size->millicores;
       left -= taken;
     }
   g_array_free (found, TRUE);
@@ -674,17 +676,15 @@
     cell_stage_ask (core, stage);
 }
 
-static struct cell_core *sort_core;
-
 static gint
-compare_stages (gconstpointer a, gconstpointer b)
+compare_stages (gconstpointer a, gconstpointer b, gpointer core)
 {
   const struct cell_stage *left = *(struct cell_stage *const *)a;
   const struct cell_stage *right = *(struct cell_stage *const *)b;
 
-  if (stage_before (sort_core, left, right))
+  if (stage_before (core, left, right))
     return -1;
-  return stage_before (sort_core, right, left) ? 1 : 0;
+  return stage_before (core, right, left) ? 1 : 0;
 }
 
 void
@@ -713,8 +713,7 @@
       stage->listed = false;
       g_ptr_array_remove_index_fast (core->waiting, i);
     }
-  sort_core = core;
-  g_ptr_array_sort (core->waiting, compare_stages);
+  g_ptr_array_sort_with_data (core->waiting, compare_stages, core);
   for (guint i = 0; i < core->waiting->len; i++)
     place_stage (core, g_ptr_array_index (core->waiting, i));
 }
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -5,6 +5,8 @@
 
 /** Timers of runs are looked at so often: a tenth of the shortest of them. */
 #define RUN_TIMER_US 100000
+/** The same while nothing of a worker is unsettled. */
+#define RUN_IDLE_TIMER_US 500000
 
 struct cell_run *
 cell_run_at (const struct cell_core *core, struct cyc_ref ref)
@@ -279,6 +281,6 @@
           cell_wake (core,
                      MAX (run->stop_next_us, core->now_us + RUN_TIMER_US));
         }
-      cell_wake (core, core->now_us + RUN_TIMER_US * 5);
+      cell_wake (core, core->now_us + RUN_IDLE_TIMER_US);
     }
 }
--- a/src/entry.c
+++ b/src/entry.c
@@ -200,6 +200,25 @@
 
 /* Links. */
 
+/* Another VM asks the leader for the state of a job or a backlog. */
+static void
+answer_ask (struct entry *entry, struct cyc_ref peer, const Cyc__CellAsk *ask)
+{
+  Cyc__Peer message = CYC__PEER__INIT;
+  Cyc__CellAnswer answer = CYC__CELL_ANSWER__INIT;
+
+  message.body_case = CYC__PEER__BODY_CELL_ANSWER;
+  message.cell_answer = &answer;
+  answer.ask = ask->ask;
+  answer.leading = owner_answers (entry);
+  if (answer.leading && ask->job != 0)
+    answer.state = owner_job_state (entry, ask->job);
+  else if (answer.leading)
+    answer.pending = owner_pending (entry, cyc_str_of (ask->queue));
+  answer.known = answer.state != 0;
+  pl_send (&entry->links, peer, &message);
+}
+
 static void
 on_message (void *user, struct cyc_ref peer, const Cyc__Peer *message)
 {
@@ -215,23 +234,8 @@
         advice_on_answer (owner_advice (entry), message->advice_answer);
       return;
     case CYC__PEER__BODY_CELL_ASK:
-      {
-        const Cyc__CellAsk *ask = message->cell_ask;
-        Cyc__Peer out = CYC__PEER__INIT;
-        Cyc__CellAnswer answer = CYC__CELL_ANSWER__INIT;
-
-        out.body_case = CYC__PEER__BODY_CELL_ANSWER;
-        out.cell_answer = &answer;
-        answer.ask = ask->ask;
-        answer.leading = owner_answers (entry);
-        if (answer.leading && ask->job != 0)
-          answer.state = owner_job_state (entry, ask->job);
-        else if (answer.leading)
-          answer.pending = owner_pending (entry, cyc_str_of (ask->queue));
-        answer.known = answer.state != 0;
-        pl_send (&entry->links, peer, &out);
-        return;
-      }
+      answer_ask (entry, peer, message->cell_ask);
+      return;
     case CYC__PEER__BODY_CELL_ANSWER:
       requests_on_answer (entry, message->cell_answer);
       return;
--- a/src/entry.h
+++ b/src/entry.h
@@ -107,7 +107,6 @@
   uint64_t stop_deadline_us;
   uint64_t stop_first_us;
   bool released;
-  uint64_t settings_checked_us;
 };
 
 bool entry_setup (struct entry *entry, const struct entry_desc *desc,
--- a/src/entry_advice.c
+++ b/src/entry_advice.c
@@ -13,6 +13,8 @@
 /** A second question may wait at a VM whose first is as short as this. */
 #define SHORT_US 25000
 #define HELPERS_MAX 512
+/** Questions that one VM has open at most. */
+#define OPEN_MOST 2
 
 struct helper
 {
@@ -167,16 +169,16 @@
   return count;
 }
 
-/* Chooses who asks a question that costs at most *most_us; NULL: nobody. */
+/* Who asks the next question: the VM that is free soonest; NULL: all are
+   busy. */
 static struct helper *
-choose_helper (struct helper *helpers, uint32_t count, bool long_allowed)
+choose_helper (struct helper *helpers, uint32_t count)
 {
   struct helper *best = NULL;
 
-  (void)long_allowed;
   for (uint32_t h = 0; h < count; h++)
     {
-      if (helpers[h].open >= 2 || helpers[h].busy_until_us > SHORT_US)
+      if (helpers[h].open >= OPEN_MOST || helpers[h].busy_until_us > SHORT_US)
         continue;
       if (best == NULL || helpers[h].busy_until_us < best->busy_until_us)
         best = &helpers[h];
@@ -266,7 +268,7 @@
     with_long += helpers[h].has_long;
   for (;;)
     {
-      struct helper *helper = choose_helper (helpers, count, true);
+      struct helper *helper = choose_helper (helpers, count);
       uint32_t long_most = MAX (1, count - count / FREE_DIVISOR);
       struct cell_ask ask;
       struct open_ask open;
@@ -281,7 +283,7 @@
       if (!send_ask (advice, helper, &ask, now_us))
         {
           cell_advice (advice->core, ask.ask, false, 0, NULL, 0, now_us);
-          helper->open = 2;
+          helper->open = OPEN_MOST;
           continue;
         }
       open = (struct open_ask){
--- a/src/entry_lead.c
+++ b/src/entry_lead.c
@@ -14,9 +14,9 @@
 #define VIEW_US 1500000
 /** Candidates wait for each VM that can lead better, so that the best one
  * that is up wins; a claim between regions takes 45 ms. */
-#define RANK_MS 70
+#define RANK_US 70000
 #define RANK_MOST 8
-#define JITTER_MS 50
+#define JITTER_US 50000
 /** After a claim that another one has beaten, its record is waited for. */
 #define CLAIM_AGAIN_US 600000
 /** A leader that could not renew for so long speaks for nobody. */
@@ -252,10 +252,8 @@
     }
   if (entry->claim_at_us == 0)
     {
-      entry->claim_at_us = now_us
-                           + (own_rank (entry) * RANK_MS
-                              + (uint64_t)g_random_int_range (0, JITTER_MS))
-                                 * 1000;
+      entry->claim_at_us = now_us + (uint64_t)own_rank (entry) * RANK_US
+                           + (uint64_t)g_random_int_range (0, JITTER_US);
       entry_wake_at (entry, entry->claim_at_us);
     }
   if (now_us < entry->claim_at_us)
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -91,7 +91,7 @@
 };
 
 static void
-drop_owner (struct entry_owner *owner)
+free_batch (struct entry_owner *owner)
 {
   for (guint i = 0; i < owner->batch->len; i++)
     {
@@ -100,6 +100,13 @@
       free (record->data);
       g_free (record);
     }
+  g_ptr_array_set_size (owner->batch, 0);
+}
+
+static void
+drop_owner (struct entry_owner *owner)
+{
+  free_batch (owner);
   g_ptr_array_free (owner->batch, TRUE);
   g_hash_table_destroy (owner->cancelled);
   g_hash_table_destroy (owner->unusable);
@@ -587,19 +594,6 @@
 
 /* Batches. */
 
-static void
-free_batch (struct entry_owner *owner)
-{
-  for (guint i = 0; i < owner->batch->len; i++)
-    {
-      struct cell_record *record = g_ptr_array_index (owner->batch, i);
-
-      free (record->data);
-      g_free (record);
-    }
-  g_ptr_array_set_size (owner->batch, 0);
-}
-
 static void
 on_written (void *user, const struct pt_append_result *result)
 {
--- a/tests/test_log_event.c
+++ b/tests/test_log_event.c
@@ -89,7 +89,7 @@
   ev_log (EV_STOPPED, "open_calls=0");
   memset (text, 0, PIPE_BYTES);
   for (int i = 0; i < 4 && strstr (text, "event=stopped") == NULL; i++)
-    got = read (ends[0], text, PIPE_BYTES);
+    assert_true (read (ends[0], text, PIPE_BYTES) > 0);
   assert_non_null (strstr (text, "event=lines_dropped"));
   close (ends[0]);
   close (ends[1]);
--- a/tests/test_platform_contract.c
+++ b/tests/test_platform_contract.c
@@ -79,7 +79,7 @@
 static uint64_t
 deadline_us (void)
 {
-  return hc_now_us () + CALL_MS * 1000;
+  return hc_now_us () + CALL_MS * 1000ULL;
 }
 
 static void
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -134,7 +134,7 @@
   fleet->ended = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fleet->done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fleet->failures
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   for (uint32_t i = 0; i < workers; i++)
     {
       struct fleet_worker *worker = &fleet->workers[i];
@@ -146,7 +146,7 @@
       worker->born_ms = 5000 + i;
       worker->next_end = 1;
       worker->closed
-          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
     }
   make_core (fleet);
 }
@@ -265,6 +265,22 @@
   return g_hash_table_lookup (fleet->specs, &key);
 }
 
+/* Numbers by name; 0: none. */
+static uint32_t
+number_of (GHashTable *table, const char *name)
+{
+  const uint32_t *found = g_hash_table_lookup (table, name);
+
+  return found != NULL ? *found : 0;
+}
+
+static void
+set_number (GHashTable *table, const char *name, uint32_t number)
+{
+  g_hash_table_replace (table, g_strdup (name),
+                        g_memdup2 (&number, sizeof number));
+}
+
 /* Promises that a start can break. */
 
 static void
@@ -276,7 +292,6 @@
   uint64_t used = 0;
   uint64_t team = 0;
   unsigned int step = 0;
-  gpointer failures = g_hash_table_lookup (fleet->failures, task);
 
   sscanf (task + 16, ".%*u.%u", &step);
   for (uint32_t w = 0; w < fleet->worker_count; w++)
@@ -301,7 +316,7 @@
     broken (fleet, "team over its limit by", task);
   if (g_hash_table_contains (fleet->ended, task))
     broken (fleet, "started after its end:", task);
-  if (GPOINTER_TO_UINT (failures) >= 3)
+  if (number_of (fleet->failures, task) >= 3)
     broken (fleet, "too many attempts of", task);
   if (job->chain && step > 0)
     for (uint32_t t = 0; t < job->tasks[step - 1]; t++)
@@ -317,8 +332,7 @@
 static void
 close_run (struct fleet_worker *worker, const char *task, uint32_t number)
 {
-  g_hash_table_insert (worker->closed, g_strdup (task),
-                       GUINT_TO_POINTER (number));
+  set_number (worker->closed, task, number);
 }
 
 static void
@@ -366,8 +380,7 @@
       return worker->runs[i].number == late->order.number
                  ? CELL_START_OK
                  : CELL_START_REFUSED_OTHER;
-  if (GPOINTER_TO_UINT (g_hash_table_lookup (worker->closed, late->order.task))
-      >= late->order.number)
+  if (number_of (worker->closed, late->order.task) >= late->order.number)
     return CELL_START_REFUSED_OTHER;
   check_start (fleet, worker, late->order.task);
   fleet->starts++;
@@ -396,8 +409,7 @@
   if (!worker->up || late->epoch < worker->fence)
     return false;
   fleet->stops++;
-  if (GPOINTER_TO_UINT (g_hash_table_lookup (worker->closed, late->order.task))
-      < late->order.number)
+  if (number_of (worker->closed, late->order.task) < late->order.number)
     close_run (worker, late->order.task, late->order.number);
   for (uint32_t i = 0; i < worker->run_count; i++)
     if (strcmp (worker->runs[i].task, late->order.task) == 0
@@ -607,10 +619,7 @@
 static void
 count_failure (struct fleet *fleet, const char *task)
 {
-  gpointer before = g_hash_table_lookup (fleet->failures, task);
-
-  g_hash_table_insert (fleet->failures, g_strdup (task),
-                       GUINT_TO_POINTER (GPOINTER_TO_UINT (before) + 1));
+  set_number (fleet->failures, task, number_of (fleet->failures, task) + 1);
 }
 
 static void
@@ -794,7 +803,7 @@
 
       cell_job_restore (fleet->core, (uint64_t) * (gint64 *)key,
                         (struct cyc_str){ data, len },
-                        now_us (fleet) + FLEET_LEASE_MS * 1100);
+                        now_us (fleet) + FLEET_LEASE_MS * 1100ULL);
     }
 }
 
