Try the own way to the log beside a call that is passed on

Probes are reads that are passed on as well; an append is passed on after 0.3 s without any answer. Ruled out: a change of the leader; the relay is quicker than a claim. New case of test_entry: the log gives the leader no answer, complete within 3 s.

--- a/src/log_relay.c
+++ b/src/log_relay.c
@@ -13,6 +13,9 @@
 /** A direct call without answer is passed on after this time when the own way
  * is doubted. */
 #define PATIENCE_US 300000
+/** An append waits for nothing but the log: it is passed on when neither it
+ * nor another call was answered for so long. A slow log takes 0.3 s. */
+#define APPEND_PATIENCE_US 300000
 /** Gap between direct tries while calls are passed on. */
 #define PROBE_US 400000
 /** Failures in a row after which calls are passed on at once. */
@@ -413,7 +416,9 @@
 }
 
 /* Begins the call directly, or passes it on when the own way is known to
-   fail; now and then one call tries the own way. */
+   fail. Now and then a read that is passed on tries the own way as well; an
+   append does not, as its fate would stay open for as long as the own way
+   gives no answer. */
 static bool
 begin (struct relay_call *call)
 {
@@ -612,6 +617,15 @@
   g_free (records);
 }
 
+static bool
+is_overdue (const struct relay_call *call, bool doubted, uint64_t now_us)
+{
+  if (call->kind == RELAY_APPEND)
+    return call->begun_us + APPEND_PATIENCE_US < now_us
+           && call->relay->direct_fresh_us + APPEND_PATIENCE_US < now_us;
+  return doubted && call->begun_us + PATIENCE_US < now_us;
+}
+
 void
 relay_tick (struct log_relay *relay, uint64_t now_us)
 {
@@ -629,8 +643,8 @@
 
       if (call->ended)
         continue;
-      if (call->asked.generation == 0 && call->direct_open && doubted
-          && call->begun_us + PATIENCE_US < now_us)
+      if (call->asked.generation == 0 && call->direct_open
+          && is_overdue (call, doubted, now_us))
         pass_on (call, now_us);
       else if (call->asked.generation != 0 && !call->direct_open
                && call->deadline_us < now_us)
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -328,6 +328,13 @@
   spin (site, 1500);
 }
 
+static void
+ignore_call (void *user, const struct hs_call *call)
+{
+  (void)user;
+  (void)call;
+}
+
 static void
 cut_the_leader (struct site *site)
 {
@@ -335,6 +342,22 @@
              sizeof site->vms[0].log.address);
 }
 
+/* A port that takes connections and never answers. */
+static void
+silence_the_leader (struct site *site)
+{
+  static struct hs_server mute;
+  struct cyc_findings findings = { 0 };
+
+  if (mute.daemon == NULL)
+    assert_true (hs_setup (&mute,
+                           &(struct hs_desc){ .loop = site->loop,
+                                              .address = "127.0.0.1",
+                                              .handle = ignore_call },
+                           &findings));
+  fkp_address (&mute, leader (site)->log.address);
+}
+
 static const struct site_case cases[] = {
   { "a quiet site", NULL, NULL, 200, 4000, true },
   { "the leader is killed", NULL, kill_leader, 1200, 12000, true },
@@ -348,6 +371,8 @@
   { "the advisor is busy for a while", advisor_busy, NULL, 200, 9000, true },
   { "a VM cannot reach the log", cut_a_follower, NULL, 200, 6000, true },
   { "the leader cannot reach the log", cut_the_leader, NULL, 200, 8000, true },
+  { "the log gives the leader no answer", silence_the_leader, NULL, 200, 3000,
+    true },
 };
 
 static uint64_t
