--- a/src/log_event.h
+++ b/src/log_event.h
@@ -22,7 +22,7 @@
 #include <glib.h>
 #include <inttypes.h>
 
-/** Code, GLib level, name in the line. docs/operations.md explains each. */
+/** Code, GLib level, name in the line. docs/OPERATIONS.md explains each. */
 #define EV_ITEMS(X)                                                           \
   X (EV_STARTED, MESSAGE, "started")                                          \
   X (EV_READY, MESSAGE, "ready")                                              \
