Split the leader's orders from its life and records

No change of behaviour: holds, looks and orders move from entry_owner.c to entry_orders.c, the shared state to entry_owner_internal.h (893 lines became 536 and 313).

--- a/src/cyc_core_class.c
+++ b/src/cyc_core_class.c
@@ -13,7 +13,7 @@
 #define FAILS_PER_CLASS 256
 /* Batch tasks of a team this much above its part of the use wait while a team
  * below its part is blocked; otherwise teams of small tasks fill every gap and
- * keep more than their share. Factors of 1.0 and 1.25 left Kaarna's worst
+ * keep more than their share. Factors of 1.0 and 1.25 left one user's worst
  * share distance at 4x at about 5 points. */
 #define OVER_SHARE 1.1
 /* Held jobs passed over in one queue. */
--- /dev/null
+++ b/src/entry_orders.c
@@ -0,0 +1,313 @@
+/* Holds of workers, which extend their leases and report what they run, and
+   orders to start and stop tasks. */
+
+#include "entry_owner_internal.h"
+
+/** A hold of a worker that runs something waits so long for an end. */
+#define HOLD_WAIT_MS 1000
+/** Answer time of a hold beside its wait. */
+#define HOLD_ANSWER_MS 800
+/** Gap after a hold that brought ends, so that several come together. */
+#define HOLD_GAP_US 30000
+/** Ends are listed again until they are acknowledged, so the next hold waits
+ * for their record to be durable, at most so long. */
+#define HOLD_ACK_US 150000
+/** Gap between holds of a worker that runs nothing. */
+#define HOLD_IDLE_US 2500000
+/** Gap after a hold without answer. */
+#define HOLD_RETRY_US 400000
+/** Holds without answer in a row after which a worker counts as silent. */
+#define HOLD_FAILURES 2
+/** A start without answer is uncertain after this time. */
+#define START_MS 1200
+#define STOP_MS 800
+/** Leases are no longer extended when the leadership could not be confirmed
+ * for so long: another leader may wait for them to lapse. */
+#define LEASE_UNCONFIRMED_US 8000000
+
+/* Holds. */
+
+static struct owner_worker *
+worker_slot (struct entry_owner *owner, uint32_t row)
+{
+  if (row >= owner->workers->len)
+    g_array_set_size (owner->workers, row + 1);
+  return &g_array_index (owner->workers, struct owner_worker, row);
+}
+
+static void
+log_ends (const struct entry_owner *owner, uint32_t row,
+          const struct cell_report *report)
+{
+  static const char *const kinds[]
+      = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+  struct cell_worker_view view;
+
+  cell_worker_view (owner->core, row, &view);
+  for (uint32_t i = 0; i < report->end_count; i++)
+    if (report->ends[i].number > view.seen_end)
+      ev_log (EV_RUN_END,
+              "task=%.*s run=%u worker=%.*s how=%s number=%" PRIu64,
+              CYC_FMT (report->ends[i].task), report->ends[i].run,
+              CYC_FMT (view.id), kinds[report->ends[i].kind],
+              report->ends[i].number);
+}
+
+static void
+on_held (void *user, uint32_t row, enum pt_hold_fate fate,
+         struct cell_report *report)
+{
+  struct entry_owner *owner = user;
+  struct owner_worker *slot;
+  uint64_t now_us = hc_now_us ();
+
+  if (!owner_call_ended (owner))
+    return;
+  slot = worker_slot (owner, row);
+  slot->holding = false;
+  if (fate == PT_HOLD_OK)
+    {
+      struct cell_worker_view view;
+
+      if (slot->failures >= HOLD_FAILURES)
+        {
+          cell_worker_view (owner->core, row, &view);
+          ev_log (EV_WORKER_BACK, "worker=%.*s failures=%u", CYC_FMT (view.id),
+                  slot->failures);
+        }
+      slot->failures = 0;
+      log_ends (owner, row, report);
+      cell_worker_report (owner->core, row, report, now_us);
+      cell_worker_view (owner->core, row, &view);
+      slot->next_us = now_us + (view.runs > 0 ? HOLD_GAP_US : HOLD_IDLE_US);
+      slot->ack_by_us = now_us + HOLD_ACK_US;
+      owner_fed (owner);
+      return;
+    }
+  slot->failures++;
+  slot->next_us
+      = now_us + (slot->failures < HOLD_FAILURES ? 0 : HOLD_RETRY_US);
+  if (slot->failures == HOLD_FAILURES)
+    {
+      struct cell_worker_view view;
+
+      cell_worker_view (owner->core, row, &view);
+      cell_worker_silent (owner->core, row, now_us);
+      ev_log (EV_WORKER_SILENT,
+              "worker=%.*s runs=%u other_life=%d lease_left_ms=%" PRId64,
+              CYC_FMT (view.id), view.runs, fate == PT_HOLD_OTHER_LIFE,
+              view.clock_ms == 0
+                  ? 0
+                  : (int64_t)(view.lease_deadline_ms - view.clock_ms)
+                        - (int64_t)((now_us - view.clock_at_us) / 1000));
+    }
+  owner_fed (owner);
+}
+
+/* End of a lease that begins now, on the worker's clock; 0: not known. */
+static uint64_t
+lease_deadline_ms (const struct entry_owner *owner,
+                   const struct cell_worker_view *view, uint64_t now_us)
+{
+  if (view->clock_ms == 0
+      || owner->entry->confirmed_us + LEASE_UNCONFIRMED_US < now_us)
+    return 0;
+  return view->clock_ms + (now_us - view->clock_at_us) / 1000
+         + owner->entry->desc.settings->lease_ms;
+}
+
+static void
+on_looked (void *user, uint32_t row, enum pt_hold_fate fate,
+           struct cell_report *report)
+{
+  struct entry_owner *owner = user;
+
+  if (!owner_call_ended (owner))
+    return;
+  worker_slot (owner, row)->looking = false;
+  if (fate != PT_HOLD_OK)
+    return;
+  log_ends (owner, row, report);
+  cell_worker_report (owner->core, row, report, hc_now_us ());
+  owner_fed (owner);
+}
+
+/* Asks a worker for a report at once, beside a hold that waits, when that
+   settles whether a start was carried out. */
+static void
+look_at_worker (struct entry_owner *owner, uint32_t row,
+                const struct cell_worker_view *view, uint64_t now_us)
+{
+  struct owner_worker *slot = worker_slot (owner, row);
+
+  if (slot->looking || view->look_us == 0 || view->look_us < slot->asked_us)
+    return;
+  slot->looking = owner->entry->desc.ports->workers->vtable->hold (
+      owner->entry->desc.ports->workers,
+      &(struct pt_hold){
+          .target = { view->id, view->address, owner->epoch },
+          .ack = view->ack,
+          .deadline_us = now_us + HOLD_ANSWER_MS * 1000ULL,
+          .done = on_looked,
+          .user = owner,
+          .row = row,
+      });
+  if (!slot->looking)
+    return;
+  slot->asked_us = now_us;
+  owner->calls++;
+}
+
+void
+orders_hold (struct entry_owner *owner, uint32_t row, uint64_t now_us)
+{
+  struct owner_worker *slot = worker_slot (owner, row);
+  struct cell_worker_view view;
+  uint64_t lease_ms;
+  uint32_t wait_ms;
+
+  cell_worker_view (owner->core, row, &view);
+  if (slot->holding)
+    {
+      look_at_worker (owner, row, &view, now_us);
+      return;
+    }
+  if (view.address.len == 0 || (!view.listed && view.runs == 0))
+    return;
+  if (view.ack > slot->ack_sent && slot->next_us > now_us + HOLD_RETRY_US)
+    slot->next_us = now_us + HOLD_RETRY_US;
+  if (view.look_us != 0 && view.look_us >= slot->asked_us)
+    slot->next_us = now_us;
+  if (now_us < slot->next_us)
+    {
+      entry_wake_at (owner->entry, slot->next_us);
+      return;
+    }
+  if (view.look_us == 0 && view.ack < view.seen_end
+      && now_us < slot->ack_by_us)
+    return;
+  /* A worker that did not answer gets no further lease: what may run there
+     ends at a time that stays known. */
+  lease_ms = view.runs > 0 && slot->failures == 0
+                 ? lease_deadline_ms (owner, &view, now_us)
+                 : 0;
+  wait_ms
+      = view.runs > 0 && view.fenced && slot->failures == 0 ? HOLD_WAIT_MS : 0;
+  if (lease_ms != 0)
+    cell_worker_leased (owner->core, row, lease_ms);
+  slot->ack_sent = view.ack;
+  slot->holding = owner->entry->desc.ports->workers->vtable->hold (
+      owner->entry->desc.ports->workers,
+      &(struct pt_hold){
+          .target = { view.id, view.address, owner->epoch },
+          .lease_ms = lease_ms,
+          .ack = view.ack,
+          .wait_ms = wait_ms,
+          .deadline_us = now_us + (uint64_t)(wait_ms + HOLD_ANSWER_MS) * 1000,
+          .done = on_held,
+          .user = owner,
+          .row = row,
+      });
+  slot->asked_us = now_us;
+  if (slot->holding)
+    owner->calls++;
+  else
+    slot->next_us = now_us + HOLD_RETRY_US;
+}
+
+/* Orders. */
+
+static void
+on_started (void *user, struct cyc_ref run, enum cell_start_result result,
+            const char *why)
+{
+  struct entry_owner *owner = user;
+
+  if (!owner_call_ended (owner))
+    return;
+  if (result != CELL_START_OK)
+    {
+      met_add (&owner->entry->met, MET_TASK_START_REFUSED, 1);
+      ev_log (EV_RUN_REFUSED, "run_row=%u.%u result=%d why=%s", run.index,
+              run.generation, (int)result, why);
+    }
+  cell_start_result (owner->core, run, result, hc_now_us ());
+  owner_fed (owner);
+}
+
+static void
+on_stopped (void *user, struct cyc_ref run, bool answered)
+{
+  struct entry_owner *owner = user;
+  uint64_t now_us = hc_now_us ();
+
+  if (!owner_call_ended (owner))
+    return;
+  cell_stop_result (owner->core, run, answered ? now_us : 0, now_us);
+  owner_fed (owner);
+}
+
+void
+orders_give (struct entry_owner *owner, const struct cell_order *order,
+             uint64_t now_us)
+{
+  struct pt_workers *port = owner->entry->desc.ports->workers;
+  struct owner_worker *slot = worker_slot (owner, order->worker);
+  struct cell_worker_view view;
+  struct pt_target target;
+  bool begun;
+
+  cell_worker_view (owner->core, order->worker, &view);
+  target = (struct pt_target){ view.id, view.address, owner->epoch };
+  if (order->kind == CELL_ORDER_START)
+    {
+      uint64_t lease_ms = lease_deadline_ms (owner, &view, now_us);
+
+      begun = lease_ms != 0
+              && port->vtable->start (
+                  port, &(struct pt_start){
+                            .target = target,
+                            .task = cyc_str_of (order->task),
+                            .number = order->number,
+                            .payload = order->payload,
+                            .lease_ms = lease_ms,
+                            .checkpoint = cyc_str_of (order->checkpoint),
+                            .ticket = cyc_str_of (order->ticket),
+                            .deadline_us = now_us + START_MS * 1000ULL,
+                            .done = on_started,
+                            .user = owner,
+                            .run = order->run,
+                        });
+      if (begun)
+        cell_worker_leased (owner->core, order->worker, lease_ms);
+      else
+        cell_start_result (owner->core, order->run, CELL_START_REFUSED_OTHER,
+                           now_us);
+      met_add (&owner->entry->met, MET_TASK_STARTS, 1);
+      ev_log (EV_RUN_START,
+              "task=%s run=%u worker=%.*s epoch=%" PRIu64
+              " run_row=%u.%u checkpoint=%d",
+              order->task, order->number, CYC_FMT (view.id), owner->epoch,
+              order->run.index, order->run.generation,
+              order->checkpoint[0] != 0);
+    }
+  else
+    {
+      begun = port->vtable->stop (
+          port, &(struct pt_stop){
+                    .target = target,
+                    .task = cyc_str_of (order->task),
+                    .number = order->number,
+                    .deadline_us = now_us + STOP_MS * 1000ULL,
+                    .done = on_stopped,
+                    .user = owner,
+                    .run = order->run,
+                });
+      ev_log (EV_RUN_STOP, "task=%s run=%u worker=%.*s", order->task,
+              order->number, CYC_FMT (view.id));
+    }
+  if (begun)
+    owner->calls++;
+  if (slot->next_us > now_us + HOLD_GAP_US)
+    slot->next_us = now_us + HOLD_GAP_US;
+}
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -1,33 +1,12 @@
-/* The work of the leader: loads what the log holds, keeps the workers' leases,
-   writes the progress of jobs and gives the orders that follow. */
-
-#include "entry_internal.h"
-
-/** A hold of a worker that runs something waits so long for an end. */
-#define HOLD_WAIT_MS 1000
-/** Answer time of a hold beside its wait. */
-#define HOLD_ANSWER_MS 800
-/** Gap after a hold that brought ends, so that several come together. */
-#define HOLD_GAP_US 30000
-/** Ends are listed again until they are acknowledged, so the next hold waits
- * for their record to be durable, at most so long. */
-#define HOLD_ACK_US 150000
+/* The life of a leader: loads what the log holds, writes the progress of jobs
+   and runs the core. */
+
+#include "entry_owner_internal.h"
+
 /** Offset of a record that was not read from its stream. */
 #define PUSHED UINT64_MAX
 /** Gap between reads of accepted jobs, which are pushed as well. */
 #define JOBS_GAP_MS 100
-/** Gap between holds of a worker that runs nothing. */
-#define HOLD_IDLE_US 2500000
-/** Gap after a hold without answer. */
-#define HOLD_RETRY_US 400000
-/** Holds without answer in a row after which a worker counts as silent. */
-#define HOLD_FAILURES 2
-/** A start without answer is uncertain after this time. */
-#define START_MS 1200
-#define STOP_MS 800
-/** Leases are no longer extended when the leadership could not be confirmed
- * for so long: another leader may wait for them to lapse. */
-#define LEASE_UNCONFIRMED_US 8000000
 /** Gap after a batch that the log did not take. */
 #define BATCH_RETRY_US 50000
 /** Least gap between two batches: one append serves what came meanwhile. */
@@ -42,54 +21,6 @@
 /** Longest time between two ticks of the core. */
 #define CORE_TICK_US 200000
 
-struct owner_worker
-{
-  bool holding;
-  bool looking;      /**< a second hold, which does not wait, is out */
-  uint64_t asked_us; /**< when the last hold or look was sent */
-  uint32_t failures;
-  uint64_t next_us;
-  uint64_t ack_by_us; /**< ends need not be acknowledged from then on */
-  uint64_t ack_sent;
-};
-
-enum owner_phase
-{
-  OWNER_LOADING_JOBS,
-  OWNER_LOADING_PROGRESS,
-  OWNER_LEADING
-};
-
-struct entry_owner
-{
-  struct entry *entry;
-  uint64_t epoch;
-  enum owner_phase phase;
-  struct cell_core *core;
-  struct advice_state *advice;
-  struct tail *jobs_tails; /**< one for each part */
-  uint32_t jobs_parts;
-  struct tail progress_tail;
-  struct tail workers_tail;
-  GHashTable *cancelled; /**< ids whose job was not seen yet */
-  GArray *workers;       /**< struct owner_worker by row */
-  GHashTable *unusable;  /**< ids of entries that name no worker */
-  GPtrArray *batch;      /**< struct cell_record of the batch in flight */
-  uint64_t batch_number; /**< 0: none */
-  bool batch_in_flight;
-  uint64_t batch_at_us;
-  uint64_t sequence;
-  bool fenced; /**< the log takes no progress of earlier leaders */
-  bool fence_in_flight;
-  uint64_t fence_at_us;
-  uint64_t begun_us;
-  uint64_t load_line_us;
-  uint64_t last_tick_us;
-  bool input;     /**< the core was fed since its last tick */
-  bool ended;     /**< no longer leads; freed when nothing is in flight */
-  uint32_t calls; /**< of ports in flight */
-};
-
 static void
 free_batch (struct entry_owner *owner)
 {
@@ -116,14 +47,6 @@
   g_free (owner);
 }
 
-/* The end of a call of a port. False: the owner has ended meanwhile. */
-static bool
-call_ended (struct entry_owner *owner)
-{
-  owner->calls--;
-  return !owner->ended;
-}
-
 static bool
 jobs_in_flight (const struct entry_owner *owner)
 {
@@ -159,8 +82,15 @@
     }
 }
 
-static void
-fed (struct entry_owner *owner)
+bool
+owner_call_ended (struct entry_owner *owner)
+{
+  owner->calls--;
+  return !owner->ended;
+}
+
+void
+owner_fed (struct entry_owner *owner)
 {
   owner->input = true;
   entry_kick (owner->entry);
@@ -188,7 +118,7 @@
         g_hash_table_add (owner->cancelled, g_memdup2 (&id, sizeof id));
       ev_log (EV_JOB_CANCELLED, "job=%016" PRIx64 " offset=%" PRIu64, parsed,
               offset);
-      fed (owner);
+      owner_fed (owner);
       return;
     }
   job = cyc__cell_job__unpack (NULL, record->value.len,
@@ -209,7 +139,7 @@
   cell_job_add (owner->core, parsed, job, now_us, hc_wall_ms ());
   if (g_hash_table_remove (owner->cancelled, &id))
     cell_job_cancel (owner->core, parsed, now_us);
-  fed (owner);
+  owner_fed (owner);
 }
 
 void
@@ -251,7 +181,7 @@
           owner->epoch, totals.jobs, totals.jobs_open, totals.runs,
           cell_worker_count (owner->core),
           (hc_now_us () - owner->begun_us) / 1000);
-  fed (owner);
+  owner_fed (owner);
 }
 
 static void
@@ -284,7 +214,7 @@
       cell_worker_unlisted (owner->core, record->key);
       ev_log (EV_TARGET_LEAVING, "worker=%.*s unlisted=1",
               CYC_FMT (record->key));
-      fed (owner);
+      owner_fed (owner);
       return;
     }
   if (owner->entry->desc.ports->records->worker (record->key, record->value,
@@ -305,293 +235,6 @@
     ev_findings (EV_ENTRY_UNUSABLE, &findings);
 }
 
-/* Holds. */
-
-static struct owner_worker *
-worker_slot (struct entry_owner *owner, uint32_t row)
-{
-  if (row >= owner->workers->len)
-    g_array_set_size (owner->workers, row + 1);
-  return &g_array_index (owner->workers, struct owner_worker, row);
-}
-
-static void
-log_ends (const struct entry_owner *owner, uint32_t row,
-          const struct cell_report *report)
-{
-  static const char *const kinds[]
-      = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
-  struct cell_worker_view view;
-
-  cell_worker_view (owner->core, row, &view);
-  for (uint32_t i = 0; i < report->end_count; i++)
-    if (report->ends[i].number > view.seen_end)
-      ev_log (EV_RUN_END,
-              "task=%.*s run=%u worker=%.*s how=%s number=%" PRIu64,
-              CYC_FMT (report->ends[i].task), report->ends[i].run,
-              CYC_FMT (view.id), kinds[report->ends[i].kind],
-              report->ends[i].number);
-}
-
-static void
-on_held (void *user, uint32_t row, enum pt_hold_fate fate,
-         struct cell_report *report)
-{
-  struct entry_owner *owner = user;
-  struct owner_worker *slot;
-  uint64_t now_us = hc_now_us ();
-
-  if (!call_ended (owner))
-    return;
-  slot = worker_slot (owner, row);
-  slot->holding = false;
-  if (fate == PT_HOLD_OK)
-    {
-      struct cell_worker_view view;
-
-      if (slot->failures >= HOLD_FAILURES)
-        {
-          cell_worker_view (owner->core, row, &view);
-          ev_log (EV_WORKER_BACK, "worker=%.*s failures=%u", CYC_FMT (view.id),
-                  slot->failures);
-        }
-      slot->failures = 0;
-      log_ends (owner, row, report);
-      cell_worker_report (owner->core, row, report, now_us);
-      cell_worker_view (owner->core, row, &view);
-      slot->next_us = now_us + (view.runs > 0 ? HOLD_GAP_US : HOLD_IDLE_US);
-      slot->ack_by_us = now_us + HOLD_ACK_US;
-      fed (owner);
-      return;
-    }
-  slot->failures++;
-  slot->next_us
-      = now_us + (slot->failures < HOLD_FAILURES ? 0 : HOLD_RETRY_US);
-  if (slot->failures == HOLD_FAILURES)
-    {
-      struct cell_worker_view view;
-
-      cell_worker_view (owner->core, row, &view);
-      cell_worker_silent (owner->core, row, now_us);
-      ev_log (EV_WORKER_SILENT,
-              "worker=%.*s runs=%u other_life=%d lease_left_ms=%" PRId64,
-              CYC_FMT (view.id), view.runs, fate == PT_HOLD_OTHER_LIFE,
-              view.clock_ms == 0
-                  ? 0
-                  : (int64_t)(view.lease_deadline_ms - view.clock_ms)
-                        - (int64_t)((now_us - view.clock_at_us) / 1000));
-    }
-  fed (owner);
-}
-
-/* End of a lease that begins now, on the worker's clock; 0: not known. */
-static uint64_t
-lease_deadline_ms (const struct entry_owner *owner,
-                   const struct cell_worker_view *view, uint64_t now_us)
-{
-  if (view->clock_ms == 0
-      || owner->entry->confirmed_us + LEASE_UNCONFIRMED_US < now_us)
-    return 0;
-  return view->clock_ms + (now_us - view->clock_at_us) / 1000
-         + owner->entry->desc.settings->lease_ms;
-}
-
-static void
-on_looked (void *user, uint32_t row, enum pt_hold_fate fate,
-           struct cell_report *report)
-{
-  struct entry_owner *owner = user;
-
-  if (!call_ended (owner))
-    return;
-  worker_slot (owner, row)->looking = false;
-  if (fate != PT_HOLD_OK)
-    return;
-  log_ends (owner, row, report);
-  cell_worker_report (owner->core, row, report, hc_now_us ());
-  fed (owner);
-}
-
-/* Asks a worker for a report at once, beside a hold that waits, when that
-   settles whether a start was carried out. */
-static void
-look_at_worker (struct entry_owner *owner, uint32_t row,
-                const struct cell_worker_view *view, uint64_t now_us)
-{
-  struct owner_worker *slot = worker_slot (owner, row);
-
-  if (slot->looking || view->look_us == 0 || view->look_us < slot->asked_us)
-    return;
-  slot->looking = owner->entry->desc.ports->workers->vtable->hold (
-      owner->entry->desc.ports->workers,
-      &(struct pt_hold){
-          .target = { view->id, view->address, owner->epoch },
-          .ack = view->ack,
-          .deadline_us = now_us + HOLD_ANSWER_MS * 1000ULL,
-          .done = on_looked,
-          .user = owner,
-          .row = row,
-      });
-  if (!slot->looking)
-    return;
-  slot->asked_us = now_us;
-  owner->calls++;
-}
-
-static void
-hold_worker (struct entry_owner *owner, uint32_t row, uint64_t now_us)
-{
-  struct owner_worker *slot = worker_slot (owner, row);
-  struct cell_worker_view view;
-  uint64_t lease_ms;
-  uint32_t wait_ms;
-
-  cell_worker_view (owner->core, row, &view);
-  if (slot->holding)
-    {
-      look_at_worker (owner, row, &view, now_us);
-      return;
-    }
-  if (view.address.len == 0 || (!view.listed && view.runs == 0))
-    return;
-  if (view.ack > slot->ack_sent && slot->next_us > now_us + HOLD_RETRY_US)
-    slot->next_us = now_us + HOLD_RETRY_US;
-  if (view.look_us != 0 && view.look_us >= slot->asked_us)
-    slot->next_us = now_us;
-  if (now_us < slot->next_us)
-    {
-      entry_wake_at (owner->entry, slot->next_us);
-      return;
-    }
-  if (view.look_us == 0 && view.ack < view.seen_end
-      && now_us < slot->ack_by_us)
-    return;
-  /* A worker that did not answer gets no further lease: what may run there
-     ends at a time that stays known. */
-  lease_ms = view.runs > 0 && slot->failures == 0
-                 ? lease_deadline_ms (owner, &view, now_us)
-                 : 0;
-  wait_ms
-      = view.runs > 0 && view.fenced && slot->failures == 0 ? HOLD_WAIT_MS : 0;
-  if (lease_ms != 0)
-    cell_worker_leased (owner->core, row, lease_ms);
-  slot->ack_sent = view.ack;
-  slot->holding = owner->entry->desc.ports->workers->vtable->hold (
-      owner->entry->desc.ports->workers,
-      &(struct pt_hold){
-          .target = { view.id, view.address, owner->epoch },
-          .lease_ms = lease_ms,
-          .ack = view.ack,
-          .wait_ms = wait_ms,
-          .deadline_us = now_us + (uint64_t)(wait_ms + HOLD_ANSWER_MS) * 1000,
-          .done = on_held,
-          .user = owner,
-          .row = row,
-      });
-  slot->asked_us = now_us;
-  if (slot->holding)
-    owner->calls++;
-  else
-    slot->next_us = now_us + HOLD_RETRY_US;
-}
-
-/* Orders. */
-
-static void
-on_started (void *user, struct cyc_ref run, enum cell_start_result result,
-            const char *why)
-{
-  struct entry_owner *owner = user;
-
-  if (!call_ended (owner))
-    return;
-  if (result != CELL_START_OK)
-    {
-      met_add (&owner->entry->met, MET_TASK_START_REFUSED, 1);
-      ev_log (EV_RUN_REFUSED, "run_row=%u.%u result=%d why=%s", run.index,
-              run.generation, (int)result, why);
-    }
-  cell_start_result (owner->core, run, result, hc_now_us ());
-  fed (owner);
-}
-
-static void
-on_stopped (void *user, struct cyc_ref run, bool answered)
-{
-  struct entry_owner *owner = user;
-  uint64_t now_us = hc_now_us ();
-
-  if (!call_ended (owner))
-    return;
-  cell_stop_result (owner->core, run, answered ? now_us : 0, now_us);
-  fed (owner);
-}
-
-static void
-give_order (struct entry_owner *owner, const struct cell_order *order,
-            uint64_t now_us)
-{
-  struct pt_workers *port = owner->entry->desc.ports->workers;
-  struct owner_worker *slot = worker_slot (owner, order->worker);
-  struct cell_worker_view view;
-  struct pt_target target;
-  bool begun;
-
-  cell_worker_view (owner->core, order->worker, &view);
-  target = (struct pt_target){ view.id, view.address, owner->epoch };
-  if (order->kind == CELL_ORDER_START)
-    {
-      uint64_t lease_ms = lease_deadline_ms (owner, &view, now_us);
-
-      begun = lease_ms != 0
-              && port->vtable->start (
-                  port, &(struct pt_start){
-                            .target = target,
-                            .task = cyc_str_of (order->task),
-                            .number = order->number,
-                            .payload = order->payload,
-                            .lease_ms = lease_ms,
-                            .checkpoint = cyc_str_of (order->checkpoint),
-                            .ticket = cyc_str_of (order->ticket),
-                            .deadline_us = now_us + START_MS * 1000ULL,
-                            .done = on_started,
-                            .user = owner,
-                            .run = order->run,
-                        });
-      if (begun)
-        cell_worker_leased (owner->core, order->worker, lease_ms);
-      else
-        cell_start_result (owner->core, order->run, CELL_START_REFUSED_OTHER,
-                           now_us);
-      met_add (&owner->entry->met, MET_TASK_STARTS, 1);
-      ev_log (EV_RUN_START,
-              "task=%s run=%u worker=%.*s epoch=%" PRIu64
-              " run_row=%u.%u checkpoint=%d",
-              order->task, order->number, CYC_FMT (view.id), owner->epoch,
-              order->run.index, order->run.generation,
-              order->checkpoint[0] != 0);
-    }
-  else
-    {
-      begun = port->vtable->stop (
-          port, &(struct pt_stop){
-                    .target = target,
-                    .task = cyc_str_of (order->task),
-                    .number = order->number,
-                    .deadline_us = now_us + STOP_MS * 1000ULL,
-                    .done = on_stopped,
-                    .user = owner,
-                    .run = order->run,
-                });
-      ev_log (EV_RUN_STOP, "task=%s run=%u worker=%.*s", order->task,
-              order->number, CYC_FMT (view.id));
-    }
-  if (begun)
-    owner->calls++;
-  if (slot->next_us > now_us + HOLD_GAP_US)
-    slot->next_us = now_us + HOLD_GAP_US;
-}
-
 /* Batches. */
 
 static void
@@ -600,7 +243,7 @@
   struct entry_owner *owner = user;
   uint64_t now_us = hc_now_us ();
 
-  if (!call_ended (owner))
+  if (!owner_call_ended (owner))
     return;
   owner->batch_in_flight = false;
   if (result->fate == PT_OK)
@@ -612,7 +255,7 @@
       owner->batch_number = 0;
       owner->batch_at_us = now_us + BATCH_GAP_US;
       cell_batch_durable (owner->core, batch, now_us);
-      fed (owner);
+      owner_fed (owner);
       return;
     }
   if (result->fate == PT_FENCED || result->fate == PT_CONFLICT)
@@ -687,7 +330,7 @@
 {
   struct entry_owner *owner = user;
 
-  if (!call_ended (owner))
+  if (!owner_call_ended (owner))
     return;
   owner->fence_in_flight = false;
   if (result->fate == PT_OK)
@@ -875,7 +518,7 @@
   if (owner->phase != OWNER_LEADING)
     return;
   for (uint32_t row = 0; row < cell_worker_count (owner->core); row++)
-    hold_worker (owner, row, now_us);
+    orders_hold (owner, row, now_us);
   if (owner->input || now_us >= cell_next_us (owner->core)
       || now_us >= owner->last_tick_us + CORE_TICK_US)
     {
@@ -887,7 +530,7 @@
     entry_wake_at (entry, cell_next_us (owner->core));
   write_batch (owner, now_us);
   while (cell_order_next (owner->core, &order))
-    give_order (owner, &order, now_us);
+    orders_give (owner, &order, now_us);
   advice_tick (owner->advice, now_us);
   load_line (owner, now_us);
 }
--- /dev/null
+++ b/src/entry_owner_internal.h
@@ -0,0 +1,69 @@
+/**
+ * @file
+ * State of a leader, shared by entry_owner.c (streams, records, life) and
+ * entry_orders.c (holds of workers and orders to them).
+ */
+#ifndef ENTRY_OWNER_INTERNAL_H
+#define ENTRY_OWNER_INTERNAL_H
+
+#include "entry_internal.h"
+
+struct owner_worker
+{
+  bool holding;
+  bool looking;      /**< a second hold, which does not wait, is out */
+  uint64_t asked_us; /**< when the last hold or look was sent */
+  uint32_t failures;
+  uint64_t next_us;
+  uint64_t ack_by_us; /**< ends need not be acknowledged from then on */
+  uint64_t ack_sent;
+};
+
+enum owner_phase
+{
+  OWNER_LOADING_JOBS,
+  OWNER_LOADING_PROGRESS,
+  OWNER_LEADING
+};
+
+struct entry_owner
+{
+  struct entry *entry;
+  uint64_t epoch;
+  enum owner_phase phase;
+  struct cell_core *core;
+  struct advice_state *advice;
+  struct tail *jobs_tails; /**< one for each part */
+  uint32_t jobs_parts;
+  struct tail progress_tail;
+  struct tail workers_tail;
+  GHashTable *cancelled; /**< ids whose job was not seen yet */
+  GArray *workers;       /**< struct owner_worker by row */
+  GHashTable *unusable;  /**< ids of entries that name no worker */
+  GPtrArray *batch;      /**< struct cell_record of the batch in flight */
+  uint64_t batch_number; /**< 0: none */
+  bool batch_in_flight;
+  uint64_t batch_at_us;
+  uint64_t sequence;
+  bool fenced; /**< the log takes no progress of earlier leaders */
+  bool fence_in_flight;
+  uint64_t fence_at_us;
+  uint64_t begun_us;
+  uint64_t load_line_us;
+  uint64_t last_tick_us;
+  bool input;     /**< the core was fed since its last tick */
+  bool ended;     /**< no longer leads; freed when nothing is in flight */
+  uint32_t calls; /**< of ports in flight */
+};
+
+/** The end of a call of a port. False: the leader has ended meanwhile. */
+bool owner_call_ended (struct entry_owner *owner);
+/** The core was fed: it ticks soon. */
+void owner_fed (struct entry_owner *owner);
+/** Keeps the leases of a worker and learns what it runs. */
+void orders_hold (struct entry_owner *owner, uint32_t row, uint64_t now_us);
+/** Gives an order of the core to its worker. */
+void orders_give (struct entry_owner *owner, const struct cell_order *order,
+                  uint64_t now_us);
+
+#endif
