Ask for advice in one broad question and keep room in all resources

Now the first question names enough workers, full ones too, to hold the gang twelve times; later ones name allowed workers when the gang fits there. Room is kept where least has to come free, in processor, memory and accelerators. Stages claim room in their order, and only those that find some ask. Stages wait by their latest start, not by their deadline.

--- /dev/null
+++ b/src/cyc_cell_advice.c
@@ -0,0 +1,401 @@
+/* Advice: which workers the policy of a queue allows for a step.
+
+   A verdict on a worker does not change; a ticket that permits starts there
+   lasts some seconds. A call costs a long base time and a little for each
+   worker named, and calls wait for each other. So a first question names many
+   workers, also such as are full, and later ones name only workers known as
+   allowed that have room now. */
+
+#include "cyc_cell_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define US_PER_MS 1000
+/** Workers named in one question at most; the advisor's bound. */
+#define ASK_WORKERS_MAX 100
+/** Naming workers may cost as much as the call itself, for so many at
+ * least. */
+#define ASK_WORKERS_LEAST 8
+/** Permille of the workers that the policy allows, before anything is
+ * learned. */
+#define GOOD_FIRST_PERMILLE 500
+#define GOOD_LEAST_PERMILLE 50
+/** Weight of one answer in the learned permille: 1/8. */
+#define GOOD_SHIFT 3
+/** Marks the verdict of a worker that an open question names. */
+#define VERDICT_ASKED 0x80
+/** Gap after a question that was not answered or would name nobody. */
+#define ASK_RETRY_US 100000
+/** Room that a question should bring, as a multiple of what the tasks need:
+ * some of it is taken by others before the answer comes. */
+#define ASK_SPARE 2
+
+static uint32_t
+queue_good (const struct cell_core *core, const struct cell_job *job)
+{
+  const uint32_t *found
+      = g_hash_table_lookup (core->queue_good, job->queue.data);
+
+  return found != NULL ? MAX (GOOD_LEAST_PERMILLE, *found)
+                       : GOOD_FIRST_PERMILLE;
+}
+
+static void
+learn_good (struct cell_core *core, const struct cell_job *job, uint32_t named,
+            uint32_t allowed)
+{
+  uint32_t old = queue_good (core, job);
+  uint32_t seen = allowed * 1000 / MAX (1, named);
+  uint32_t learned = old - (old >> GOOD_SHIFT) + (seen >> GOOD_SHIFT);
+
+  g_hash_table_replace (core->queue_good, g_strdup (job->queue.data),
+                        g_memdup2 (&learned, sizeof learned));
+}
+
+enum cell_verdict
+cell_verdict_of (const struct cell_stage *stage, uint32_t row)
+{
+  return row < stage->verdict_count
+             ? (enum cell_verdict) (stage->verdicts[row] & ~VERDICT_ASKED)
+             : CELL_VERDICT_UNKNOWN;
+}
+
+const struct cell_held_ticket *
+cell_ticket_for (const struct cell_core *core, const struct cell_stage *stage,
+                 uint32_t row)
+{
+  const struct cell_worker *worker = cell_worker_at (core, row);
+
+  if (stage->tickets == NULL)
+    return NULL;
+  for (guint i = 0; i < stage->tickets->len; i++)
+    {
+      const struct cell_held_ticket *held
+          = &g_array_index (stage->tickets, struct cell_held_ticket, i);
+
+      if (held->worker == row && held->until_us > core->now_us
+          && held->born_ms == worker->born_ms)
+        return held;
+    }
+  return NULL;
+}
+
+struct candidate
+{
+  uint32_t row;
+  uint32_t slots;   /* tasks for which there is room now */
+  uint32_t ranking; /* what it is sorted by */
+};
+
+static int
+by_ranking (const void *a, const void *b)
+{
+  const struct candidate *left = a;
+  const struct candidate *right = b;
+
+  if (left->ranking != right->ranking)
+    return left->ranking < right->ranking ? 1 : -1;
+  return left->row < right->row ? -1 : 1;
+}
+
+/* Takes the best candidates until their slots, each worth so many permille,
+   reach the wanted number. Returns the slots. */
+static uint64_t
+take_candidates (GArray *from, uint64_t wanted, uint32_t permille,
+                 uint32_t most, uint32_t *rows, uint32_t *count)
+{
+  uint64_t slots = 0;
+
+  if (from->len > 1)
+    qsort (from->data, from->len, sizeof (struct candidate), by_ranking);
+  for (guint i = 0; i < from->len && *count < most && slots < wanted * 1000;
+       i++)
+    {
+      const struct candidate *candidate
+          = &g_array_index (from, struct candidate, i);
+
+      rows[(*count)++] = candidate->row;
+      slots += (uint64_t)candidate->ranking * permille;
+    }
+  return slots / 1000;
+}
+
+static uint32_t
+named_most (const struct cell_advice_cfg *advice)
+{
+  uint64_t most = ASK_WORKERS_MAX;
+
+  if (advice->per_worker_us > 0)
+    most
+        = MAX (ASK_WORKERS_LEAST, advice->decision_us / advice->per_worker_us);
+  return (uint32_t)MIN (most, ASK_WORKERS_MAX);
+}
+
+/* Workers to name: allowed ones with room first, then unknown ones. A worker
+   for which a ticket is held had room and was not used, so another ticket
+   would not help. Returns their number. */
+static uint32_t
+choose_workers (const struct cell_core *core, const struct cell_stage *stage,
+                uint32_t rows[ASK_WORKERS_MAX])
+{
+  const Cyc__CellStep *step = cell_stage_step (stage);
+  GArray *allowed = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+  GArray *unknown = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+  uint32_t most = named_most (&stage->job->cfg.advice);
+  uint64_t wanted = (uint64_t)stage->waiting * (step->gang ? 1 : ASK_SPARE);
+  uint64_t capacity = 0;
+  uint32_t count = 0;
+
+  for (guint i = 0; i < core->workers->len; i++)
+    {
+      const struct cell_worker *worker = cell_worker_at (core, i);
+      enum cell_verdict verdict = cell_verdict_of (stage, i);
+      struct candidate candidate = { .row = i };
+      uint32_t whole;
+
+      if (verdict == CELL_VERDICT_DENIED
+          || !cell_worker_suits (core, stage, worker))
+        continue;
+      whole = cell_slots_whole (stage, worker);
+      candidate.slots = cell_slots_now (stage, worker);
+      if (verdict == CELL_VERDICT_ALLOWED)
+        {
+          capacity += whole;
+          candidate.ranking = candidate.slots;
+          if (candidate.slots > 0 && cell_ticket_for (core, stage, i) == NULL)
+            g_array_append_val (allowed, candidate);
+          continue;
+        }
+      /* A gang waits for room on whatever workers are allowed. */
+      candidate.ranking = step->gang ? whole : candidate.slots;
+      if (candidate.ranking > 0)
+        g_array_append_val (unknown, candidate);
+    }
+  if (step->gang)
+    {
+      uint64_t spread = (uint64_t)stage->count * CELL_GANG_SPREAD;
+
+      if (cell_gang_fits (core, stage, false))
+        take_candidates (allowed, wanted * ASK_SPARE, 1000, most, rows,
+                         &count);
+      else if (capacity < spread)
+        take_candidates (unknown, spread - capacity,
+                         queue_good (core, stage->job), most, rows, &count);
+    }
+  else
+    {
+      uint64_t found
+          = take_candidates (allowed, wanted, 1000, most, rows, &count);
+
+      if (found < stage->waiting)
+        take_candidates (unknown, wanted - found,
+                         queue_good (core, stage->job), most, rows, &count);
+    }
+  g_array_free (allowed, TRUE);
+  g_array_free (unknown, TRUE);
+  return count;
+}
+
+void
+cell_stage_ask (struct cell_core *core, struct cell_stage *stage)
+{
+  struct cell_question *question;
+
+  if (stage->ask != 0)
+    return;
+  if (core->now_us < stage->ask_after_us)
+    {
+      cell_place_again (core, stage->ask_after_us);
+      return;
+    }
+  question = g_new0 (struct cell_question, 1);
+  question->ask = core->next_ask++;
+  question->stage = stage;
+  question->cost_us = stage->job->cfg.advice.decision_us;
+  stage->ask = question->ask;
+  g_ptr_array_add (core->questions, question);
+}
+
+static void
+drop_question (struct cell_core *core, guint index)
+{
+  struct cell_question *question = g_ptr_array_index (core->questions, index);
+
+  question->stage->ask = 0;
+  g_ptr_array_remove_index_fast (core->questions, index);
+}
+
+/* Index of the most urgent question that may be handed out; G_MAXUINT: there
+   is none. */
+static guint
+next_question (struct cell_core *core, uint64_t most_us)
+{
+  const struct cell_stage *best_stage = NULL;
+  guint best = G_MAXUINT;
+
+  for (guint i = 0; i < core->questions->len;)
+    {
+      const struct cell_question *question
+          = g_ptr_array_index (core->questions, i);
+      const struct cell_stage *stage = question->stage;
+
+      if (!question->handed_out
+          && (!cell_job_open (stage->job) || stage->waiting == 0))
+        {
+          drop_question (core, i);
+          continue;
+        }
+      if (!question->handed_out && question->cost_us <= most_us
+          && (best == G_MAXUINT
+              || cell_stage_before (core, stage, best_stage)))
+        {
+          best = i;
+          best_stage = stage;
+        }
+      i++;
+    }
+  return best;
+}
+
+/* Workers that the answer leaves out will be denied. */
+static void
+mark_asked (const struct cell_core *core, struct cell_stage *stage,
+            const struct cell_ask *ask)
+{
+  if (stage->verdict_count < core->workers->len)
+    {
+      stage->verdicts = g_realloc (stage->verdicts, core->workers->len);
+      memset (stage->verdicts + stage->verdict_count, 0,
+              core->workers->len - stage->verdict_count);
+      stage->verdict_count = core->workers->len;
+    }
+  for (uint32_t w = 0; w < ask->worker_count; w++)
+    if (stage->verdicts[ask->workers[w]] == CELL_VERDICT_UNKNOWN)
+      stage->verdicts[ask->workers[w]] |= VERDICT_ASKED;
+}
+
+bool
+cell_ask_next (struct cell_core *core, uint64_t most_us, struct cell_ask *out)
+{
+  guint index;
+
+  while ((index = next_question (core, most_us)) != G_MAXUINT)
+    {
+      struct cell_question *question
+          = g_ptr_array_index (core->questions, index);
+      struct cell_stage *stage = question->stage;
+      const struct cell_advice_cfg *advice = &stage->job->cfg.advice;
+
+      out->worker_count = choose_workers (core, stage, out->workers);
+      if (out->worker_count == 0)
+        {
+          stage->ask_after_us = core->now_us + ASK_RETRY_US;
+          cell_place_again (core, stage->ask_after_us);
+          drop_question (core, index);
+          continue;
+        }
+      question->handed_out = true;
+      out->ask = question->ask;
+      out->priority = stage->job->cfg.priority;
+      out->cost_us
+          = advice->decision_us + out->worker_count * advice->per_worker_us;
+      question->cost_us = out->cost_us;
+      snprintf (out->step, sizeof out->step, "%016llx.%u.%u",
+                (unsigned long long)stage->job->id, stage->round, stage->step);
+      mark_asked (core, stage, out);
+      return true;
+    }
+  return false;
+}
+
+/* Verdicts of workers that were named get their final value. */
+static void
+settle_verdicts (struct cell_stage *stage, enum cell_verdict others,
+                 uint32_t *named)
+{
+  for (uint32_t i = 0; i < stage->verdict_count; i++)
+    if (stage->verdicts[i] & VERDICT_ASKED)
+      {
+        stage->verdicts[i] = (uint8_t)others;
+        (*named)++;
+      }
+}
+
+static void
+keep_ticket (struct cell_core *core, struct cell_stage *stage, uint32_t row,
+             struct cyc_str text, uint64_t until_us)
+{
+  struct cell_held_ticket held = { .worker = row, .until_us = until_us };
+
+  held.born_ms = cell_worker_at (core, row)->born_ms;
+  memcpy (held.text, text.data, text.len);
+  for (guint t = 0; t < stage->tickets->len;)
+    if (g_array_index (stage->tickets, struct cell_held_ticket, t).worker
+        == row)
+      g_array_remove_index_fast (stage->tickets, t);
+    else
+      t++;
+  g_array_append_val (stage->tickets, held);
+}
+
+/* Ends the question. NULL: it is not known any more. */
+static struct cell_stage *
+close_question (struct cell_core *core, uint64_t ask)
+{
+  for (guint i = 0; i < core->questions->len; i++)
+    {
+      struct cell_question *question = g_ptr_array_index (core->questions, i);
+      struct cell_stage *stage = question->stage;
+
+      if (question->ask != ask)
+        continue;
+      drop_question (core, i);
+      return stage;
+    }
+  return NULL;
+}
+
+void
+cell_advice (struct cell_core *core, uint64_t ask, bool answered,
+             uint64_t valid_us, const struct cell_ticket *tickets,
+             uint32_t count, uint64_t now_us)
+{
+  struct cell_stage *stage = close_question (core, ask);
+  uint64_t slack_us = (uint64_t)core->desc.ticket_slack_ms * US_PER_MS;
+  uint64_t until_us = now_us + (valid_us > slack_us ? valid_us - slack_us : 0);
+  uint32_t named = 0;
+
+  core->now_us = now_us;
+  if (stage == NULL)
+    return;
+  if (!answered)
+    {
+      settle_verdicts (stage, CELL_VERDICT_UNKNOWN, &named);
+      stage->ask_after_us = now_us + ASK_RETRY_US;
+      core->place_wanted = true;
+      cell_place_again (core, stage->ask_after_us);
+      return;
+    }
+  settle_verdicts (stage, CELL_VERDICT_DENIED, &named);
+  if (stage->done == stage->count)
+    return;
+  if (stage->tickets == NULL)
+    stage->tickets
+        = g_array_new (FALSE, FALSE, sizeof (struct cell_held_ticket));
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint32_t row = cell_worker_row (core, tickets[i].worker);
+
+      if (tickets[i].text.len >= CELL_TICKET_BYTES
+          || row >= stage->verdict_count)
+        continue;
+      stage->verdicts[row] = CELL_VERDICT_ALLOWED;
+      keep_ticket (core, stage, row, tickets[i].text, until_us);
+    }
+  if (named > 0)
+    learn_good (core, stage->job, named, MIN (count, named));
+  core->place_wanted = true;
+  cell_wake (core, now_us);
+}
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -31,6 +31,10 @@
  * tasks for a while. */
 #define CELL_BAD_FAILURES 3
 #define CELL_BAD_US 3000000
+/** Room of a gang, as a multiple of what it needs, that the workers known as
+ * allowed have when they are empty: the fleet is three quarters full when it
+ * is busy, and free room is in pieces. */
+#define CELL_GANG_SPREAD 12
 
 enum cell_run_state
 {
@@ -66,6 +70,14 @@
   struct cell_run *next; /**< on the worker */
 };
 
+/** An amount of each resource of a worker or of many. */
+struct cell_room
+{
+  uint64_t millicores;
+  uint64_t memory_mib;
+  uint64_t accelerators;
+};
+
 struct cell_worker
 {
   struct cyc_name id;
@@ -78,7 +90,8 @@
   uint64_t used_millicores;
   uint64_t used_memory_mib;
   uint64_t used_accelerators;
-  uint64_t held_millicores; /**< kept free in this tick for a gang */
+  struct cell_room held; /**< kept for a gang, free already or not */
+  const struct cell_stage *held_for; /**< NULL: nothing is kept */
   uint64_t born_ms;
   bool listed;
   bool draining;
@@ -146,6 +159,7 @@
   bool listed;  /**< in the core's list of waiting stages */
   uint64_t ask; /**< open question; 0: none */
   uint64_t ask_after_us;
+  uint64_t tail_us; /**< longest chain of estimates from this step on */
   uint32_t failed_on[CELL_AVOID]; /**< 1 + row; 0: none */
   uint32_t failed_next;           /**< entry of failed_on to fill */
   uint8_t *verdicts;              /**< by worker row */
@@ -233,6 +247,7 @@
   uint64_t next_us;
   bool place_wanted;
   uint64_t place_at_us; /**< something can be placed then that could not */
+  uint32_t holders;     /**< gangs for which room is kept */
 };
 
 struct cell_worker *cell_worker_at (const struct cell_core *core,
@@ -288,8 +303,36 @@
 void cell_place_tick (struct cell_core *core);
 /** Placement is to run again at a time when nothing else may happen. */
 void cell_place_again (struct cell_core *core, uint64_t at_us);
-void cell_stage_ask (struct cell_core *core, struct cell_stage *stage);
 bool cell_res_fits (const struct cell_worker *worker,
                     const struct cyc_res *size);
+struct cyc_res cell_step_size (const Cyc__CellStep *step);
+/** The worker may run tasks of the stage, apart from advice and room. */
+bool cell_worker_suits (const struct cell_core *core,
+                        const struct cell_stage *stage,
+                        const struct cell_worker *worker);
+/** Tasks of the stage for which the worker has room, apart from what is kept
+ * for other stages. */
+uint32_t cell_slots_now (const struct cell_stage *stage,
+                         const struct cell_worker *worker);
+/** The same if the worker were empty. */
+uint32_t cell_slots_whole (const struct cell_stage *stage,
+                           const struct cell_worker *worker);
+/** Workers that are allowed, or for which tickets are held, have room for the
+ * whole gang. */
+bool cell_gang_fits (const struct cell_core *core,
+                     const struct cell_stage *stage, bool with_tickets);
+/** The order in which stages wait. */
+bool cell_stage_before (const struct cell_core *core,
+                        const struct cell_stage *a,
+                        const struct cell_stage *b);
+
+/* Advice. */
+void cell_stage_ask (struct cell_core *core, struct cell_stage *stage);
+enum cell_verdict cell_verdict_of (const struct cell_stage *stage,
+                                   uint32_t row);
+/** NULL: none is held that is valid for this life of the worker. */
+const struct cell_held_ticket *cell_ticket_for (const struct cell_core *core,
+                                                const struct cell_stage *stage,
+                                                uint32_t row);
 
 #endif
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -113,6 +113,27 @@
   return true;
 }
 
+/* Longest chain of estimates from each step to the end of the round. */
+static void
+set_tails (const struct cell_job *job, struct cell_round *round)
+{
+  for (size_t s = job->spec->n_steps; s-- > 0;)
+    {
+      const Cyc__CellStep *step = job->spec->steps[s];
+      uint64_t tail_us
+          = round->stages[s].tail_us + (uint64_t)step->estimate_ms * US_PER_MS;
+
+      /* Until here tail_us holds the longest chain behind the step. */
+      round->stages[s].tail_us = tail_us;
+      for (size_t d = 0; d < step->n_depends_on; d++)
+        {
+          struct cell_stage *before = &round->stages[step->depends_on[d]];
+
+          before->tail_us = MAX (before->tail_us, tail_us);
+        }
+    }
+}
+
 static void
 setup_round (struct cell_job *job, uint32_t index)
 {
@@ -138,6 +159,7 @@
       stage->waiting = stage->count;
       first += stage->count;
     }
+  set_tails (job, round);
 }
 
 /* Longest chain of estimates through the steps, in milliseconds. */
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -4,22 +4,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define US_PER_MS 1000
-/** Workers named in one question at most; the advisor's bound. */
-#define ASK_WORKERS_MAX 100
-/** A first question names so many workers that naming them costs at most half
- * of the call itself. */
-#define ASK_NAMING_DIVISOR 2
-/** Permille of the workers that the policy allows, before anything is
- * learned. */
-#define GOOD_FIRST_PERMILLE 500
-#define GOOD_LEAST_PERMILLE 50
-/** Weight of one answer in the learned permille: 1/8. */
-#define GOOD_SHIFT 3
-/** Marks the verdict of a worker that an open question names. */
-#define VERDICT_ASKED 0x80
-/** Gap after a question that was not answered. */
-#define ASK_RETRY_US 100000
+/** Gangs that keep room at a time; more would leave the fleet idle. */
+#define HOLDERS_MOST 3
+/** Part of the room in use that comes free while advice is asked for: tasks
+ * take some seconds, advice half a second. */
+#define SOON_FREE_DIVISOR 8
 
 bool
 cell_res_fits (const struct cell_worker *worker, const struct cyc_res *size)
@@ -32,8 +21,8 @@
                 <= worker->capacity.accelerators;
 }
 
-static struct cyc_res
-step_size (const Cyc__CellStep *step)
+struct cyc_res
+cell_step_size (const Cyc__CellStep *step)
 {
   return (struct cyc_res){ step->fills ? 0 : step->millicores,
                            step->memory_mib, step->accelerators };
@@ -49,9 +38,10 @@
 }
 
 /* The worker may run tasks of the stage, apart from advice and room. */
-static bool
-worker_suits (const struct cell_core *core, const struct cell_stage *stage,
-              const struct cell_worker *worker)
+bool
+cell_worker_suits (const struct cell_core *core,
+                   const struct cell_stage *stage,
+                   const struct cell_worker *worker)
 {
   const Cyc__CellStep *step = cell_stage_step (stage);
 
@@ -78,340 +68,109 @@
                     <= limit->accelerators);
 }
 
-/* Advice. */
+/* Placement. */
 
+/* Tasks of the step that occupy the worker. */
 static uint32_t
-queue_good (const struct cell_core *core, const struct cell_job *job)
-{
-  const uint32_t *found
-      = g_hash_table_lookup (core->queue_good, job->queue.data);
-
-  return found != NULL ? MAX (GOOD_LEAST_PERMILLE, *found)
-                       : GOOD_FIRST_PERMILLE;
-}
-
-static void
-learn_good (struct cell_core *core, const struct cell_job *job, uint32_t named,
-            uint32_t allowed)
+step_tasks_on (const struct cell_stage *stage,
+               const struct cell_worker *worker)
 {
-  uint32_t old = queue_good (core, job);
-  uint32_t seen = allowed * 1000 / MAX (1, named);
-  uint32_t learned = old - (old >> GOOD_SHIFT) + (seen >> GOOD_SHIFT);
+  uint32_t count = 0;
 
-  g_hash_table_replace (core->queue_good, g_strdup (job->queue.data),
-                        g_memdup2 (&learned, sizeof learned));
+  for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    count += run->job == stage->job && run->round == stage->round
+             && run->task >= stage->first_task
+             && run->task < stage->first_task + stage->count;
+  return count;
 }
 
-struct candidate
-{
-  uint32_t row;
-  uint64_t free_millicores;
-};
-
-static int
-by_free (const void *a, const void *b)
-{
-  const struct candidate *left = a;
-  const struct candidate *right = b;
-
-  if (left->free_millicores != right->free_millicores)
-    return left->free_millicores < right->free_millicores ? 1 : -1;
-  return left->row < right->row ? -1 : 1;
-}
+/* Room for tasks of the stage, apart from what other stages keep. */
 
-static enum cell_verdict
-verdict_of (const struct cell_stage *stage, uint32_t row)
+static uint64_t
+left_of (uint64_t whole, uint64_t used)
 {
-  return row < stage->verdict_count ? stage->verdicts[row]
-                                    : CELL_VERDICT_UNKNOWN;
+  return whole > used ? whole - used : 0;
 }
 
-static const struct cell_held_ticket *
-ticket_for (const struct cell_core *core, const struct cell_stage *stage,
-            uint32_t row)
+/* What is left of the worker when so much of it is taken. */
+static struct cell_room
+room_beside (const struct cell_worker *worker, const struct cell_room *taken)
 {
-  const struct cell_worker *worker = cell_worker_at (core, row);
-
-  if (stage->tickets == NULL)
-    return NULL;
-  for (guint i = 0; i < stage->tickets->len; i++)
-    {
-      const struct cell_held_ticket *held
-          = &g_array_index (stage->tickets, struct cell_held_ticket, i);
-
-      if (held->worker == row && held->until_us > core->now_us
-          && held->born_ms == worker->born_ms)
-        return held;
-    }
-  return NULL;
+  return (struct cell_room){
+    left_of (worker->capacity.millicores, taken->millicores),
+    left_of (worker->capacity.memory_mib, taken->memory_mib),
+    left_of (worker->capacity.accelerators, taken->accelerators),
+  };
 }
 
-/* Workers to name: with most free capacity first. One for which a ticket is
-   held had room and was not used, so another ticket would not help. Returns
-   their number. */
 static uint32_t
-choose_workers (struct cell_core *core, struct cell_stage *stage,
-                uint32_t rows[ASK_WORKERS_MAX])
+slots_in (const struct cell_stage *stage, const struct cell_worker *worker,
+          const struct cell_room *room)
 {
-  const struct cell_advice_cfg *advice = &stage->job->cfg.advice;
-  struct cyc_res size = step_size (cell_stage_step (stage));
-  GArray *found = g_array_new (FALSE, FALSE, sizeof (struct candidate));
-  uint64_t slots = 0;
-  uint64_t most = ASK_WORKERS_MAX;
-  uint32_t count = 0;
-  bool known = false;
-
-  for (guint i = 0; i < core->workers->len; i++)
-    {
-      const struct cell_worker *worker = cell_worker_at (core, i);
-      struct candidate candidate = { i, 0 };
-
-      if (!worker_suits (core, stage, worker)
-          || verdict_of (stage, i) == CELL_VERDICT_DENIED
-          || !cell_res_fits (worker, &size)
-          || ticket_for (core, stage, i) != NULL)
-        continue;
-      known = known || verdict_of (stage, i) == CELL_VERDICT_ALLOWED;
-      candidate.free_millicores
-          = worker->capacity.millicores - worker->used_millicores;
-      g_array_append_val (found, candidate);
-    }
-  if (found->len > 1)
-    qsort (found->data, found->len, sizeof (struct candidate), by_free);
-  if (advice->per_worker_us > 0)
-    most = MIN (most, MAX (8, advice->decision_us / ASK_NAMING_DIVISOR
-                                  / advice->per_worker_us));
-  /* Workers known as allowed come first; they need no luck. */
-  for (int pass = known ? 0 : 1; pass < 2; pass++)
-    for (guint i = 0; i < found->len && count < most; i++)
-      {
-        const struct candidate *candidate
-            = &g_array_index (found, struct candidate, i);
-        enum cell_verdict verdict = verdict_of (stage, candidate->row);
-
-        if ((pass == 0) != (verdict == CELL_VERDICT_ALLOWED))
-          continue;
-        if (pass == 0 && slots >= 2 * (uint64_t)stage->waiting)
-          break;
-        rows[count++] = candidate->row;
-        if (verdict == CELL_VERDICT_ALLOWED)
-          slots += size.millicores > 0
-                       ? candidate->free_millicores / size.millicores
-                       : stage->waiting;
-        if (pass == 1 && known && slots >= stage->waiting)
-          break;
-      }
-  g_array_free (found, TRUE);
-  return count;
-}
-
-void
-cell_place_again (struct cell_core *core, uint64_t at_us)
-{
-  if (at_us < core->place_at_us)
-    core->place_at_us = at_us;
-  cell_wake (core, at_us);
+  const Cyc__CellStep *step = cell_stage_step (stage);
+  struct cyc_res size = cell_step_size (step);
+  uint64_t slots = stage->count;
+
+  if (size.millicores > 0)
+    slots = MIN (slots, room->millicores / size.millicores);
+  if (size.memory_mib > 0)
+    slots = MIN (slots, room->memory_mib / size.memory_mib);
+  if (size.accelerators > 0)
+    slots = MIN (slots, room->accelerators / size.accelerators);
+  if (step->max_per_worker > 0)
+    slots = MIN (
+        slots, left_of (step->max_per_worker, step_tasks_on (stage, worker)));
+  return (uint32_t)slots;
 }
 
-void
-cell_stage_ask (struct cell_core *core, struct cell_stage *stage)
+uint32_t
+cell_slots_now (const struct cell_stage *stage,
+                const struct cell_worker *worker)
 {
-  struct cell_question *question;
+  struct cell_room taken = { worker->used_millicores, worker->used_memory_mib,
+                             worker->used_accelerators };
+  struct cell_room room;
 
-  if (stage->ask != 0 || core->now_us < stage->ask_after_us)
+  if (worker->held_for != stage)
     {
-      if (stage->ask == 0)
-        cell_place_again (core, stage->ask_after_us);
-      return;
+      taken.millicores += worker->held.millicores;
+      taken.memory_mib += worker->held.memory_mib;
+      taken.accelerators += worker->held.accelerators;
     }
-  question = g_new0 (struct cell_question, 1);
-  question->ask = core->next_ask++;
-  question->stage = stage;
-  question->cost_us = stage->job->cfg.advice.decision_us;
-  stage->ask = question->ask;
-  g_ptr_array_add (core->questions, question);
+  room = room_beside (worker, &taken);
+  return slots_in (stage, worker, &room);
 }
 
-static void
-drop_question (struct cell_core *core, guint index)
-{
-  struct cell_question *question = g_ptr_array_index (core->questions, index);
-
-  question->stage->ask = 0;
-  g_ptr_array_remove_index_fast (core->questions, index);
-}
-
-static bool
-stage_before (const struct cell_core *core, const struct cell_stage *a,
-              const struct cell_stage *b)
+uint32_t
+cell_slots_whole (const struct cell_stage *stage,
+                  const struct cell_worker *worker)
 {
-  bool late_a = a->job->deadline_us < core->now_us;
-  bool late_b = b->job->deadline_us < core->now_us;
+  struct cell_room room = room_beside (worker, &(struct cell_room){ 0 });
 
-  if (a->job->cfg.priority != b->job->cfg.priority)
-    return a->job->cfg.priority < b->job->cfg.priority;
-  if (late_a != late_b)
-    return late_b;
-  return a->job->deadline_us < b->job->deadline_us;
+  return slots_in (stage, worker, &room);
 }
 
 bool
-cell_ask_next (struct cell_core *core, uint64_t most_us, struct cell_ask *out)
-{
-  guint best = G_MAXUINT;
-
-  for (guint i = 0; i < core->questions->len;)
-    {
-      struct cell_question *question = g_ptr_array_index (core->questions, i);
-      struct cell_stage *stage = question->stage;
-
-      if (!question->handed_out
-          && (!cell_job_open (stage->job) || stage->waiting == 0))
-        {
-          drop_question (core, i);
-          continue;
-        }
-      if (!question->handed_out && question->cost_us <= most_us
-          && (best == G_MAXUINT
-              || stage_before (core, stage,
-                               ((struct cell_question *)g_ptr_array_index (
-                                    core->questions, best))
-                                   ->stage)))
-        best = i;
-      i++;
-    }
-  while (best != G_MAXUINT)
-    {
-      struct cell_question *question
-          = g_ptr_array_index (core->questions, best);
-      struct cell_stage *stage = question->stage;
-      char job[17];
-
-      out->worker_count = choose_workers (core, stage, out->workers);
-      if (out->worker_count == 0)
-        {
-          stage->ask_after_us = core->now_us + ASK_RETRY_US;
-          cell_place_again (core, stage->ask_after_us);
-          drop_question (core, best);
-          return cell_ask_next (core, most_us, out);
-        }
-      question->handed_out = true;
-      out->ask = question->ask;
-      out->priority = stage->job->cfg.priority;
-      out->cost_us
-          = stage->job->cfg.advice.decision_us
-            + out->worker_count * stage->job->cfg.advice.per_worker_us;
-      snprintf (job, sizeof job, "%016llx",
-                (unsigned long long)stage->job->id);
-      snprintf (out->step, sizeof out->step, "%s.%u.%u", job, stage->round,
-                stage->step);
-      question->cost_us = out->cost_us;
-      /* Named workers that the answer leaves out are denied. */
-      if (stage->verdict_count < core->workers->len)
-        {
-          stage->verdicts = g_realloc (stage->verdicts, core->workers->len);
-          memset (stage->verdicts + stage->verdict_count, 0,
-                  core->workers->len - stage->verdict_count);
-          stage->verdict_count = core->workers->len;
-        }
-      for (uint32_t w = 0; w < out->worker_count; w++)
-        if (stage->verdicts[out->workers[w]] == CELL_VERDICT_UNKNOWN)
-          stage->verdicts[out->workers[w]] |= VERDICT_ASKED;
-      return true;
-    }
-  return false;
-}
-
-/* Verdicts of workers that were named get their final value. */
-static void
-settle_verdicts (struct cell_stage *stage, enum cell_verdict others,
-                 uint32_t *named)
+cell_gang_fits (const struct cell_core *core, const struct cell_stage *stage,
+                bool with_tickets)
 {
-  for (uint32_t i = 0; i < stage->verdict_count; i++)
-    if (stage->verdicts[i] & VERDICT_ASKED)
-      {
-        stage->verdicts[i] = (uint8_t)others;
-        (*named)++;
-      }
-}
-
-void
-cell_advice (struct cell_core *core, uint64_t ask, bool answered,
-             uint64_t valid_us, const struct cell_ticket *tickets,
-             uint32_t count, uint64_t now_us)
-{
-  struct cell_stage *stage = NULL;
-  uint64_t slack_us = (uint64_t)core->desc.ticket_slack_ms * US_PER_MS;
-  uint32_t named = 0;
+  bool advised = stage->job->cfg.advice.wanted;
+  uint64_t slots = 0;
 
-  core->now_us = now_us;
-  for (guint i = 0; i < core->questions->len; i++)
+  for (guint i = 0; i < core->workers->len && slots < stage->count; i++)
     {
-      struct cell_question *question = g_ptr_array_index (core->questions, i);
+      const struct cell_worker *worker = cell_worker_at (core, i);
 
-      if (question->ask != ask)
+      if (!cell_worker_suits (core, stage, worker))
         continue;
-      stage = question->stage;
-      drop_question (core, i);
-      break;
-    }
-  if (stage == NULL)
-    return;
-  if (!answered)
-    {
-      settle_verdicts (stage, CELL_VERDICT_UNKNOWN, &named);
-      stage->ask_after_us = now_us + ASK_RETRY_US;
-      core->place_wanted = true;
-      cell_place_again (core, stage->ask_after_us);
-      return;
-    }
-  settle_verdicts (stage, CELL_VERDICT_DENIED, &named);
-  if (stage->done == stage->count)
-    return;
-  if (stage->tickets == NULL)
-    stage->tickets
-        = g_array_new (FALSE, FALSE, sizeof (struct cell_held_ticket));
-  for (uint32_t i = 0; i < count; i++)
-    {
-      struct cell_held_ticket held = { 0 };
-      uint32_t row = cell_worker_row (core, tickets[i].worker);
-
-      if (tickets[i].text.len >= sizeof held.text
-          || row >= stage->verdict_count)
+      if (advised
+          && (with_tickets
+                  ? cell_ticket_for (core, stage, i) == NULL
+                  : cell_verdict_of (stage, i) != CELL_VERDICT_ALLOWED))
         continue;
-      stage->verdicts[row] = CELL_VERDICT_ALLOWED;
-      held.worker = row;
-      held.born_ms = cell_worker_at (core, row)->born_ms;
-      held.until_us = now_us + (valid_us > slack_us ? valid_us - slack_us : 0);
-      memcpy (held.text, tickets[i].text.data, tickets[i].text.len);
-      for (guint t = 0; t < stage->tickets->len;)
-        if (g_array_index (stage->tickets, struct cell_held_ticket, t).worker
-            == row)
-          g_array_remove_index_fast (stage->tickets, t);
-        else
-          t++;
-      g_array_append_val (stage->tickets, held);
+      slots += cell_slots_now (stage, worker);
     }
-  if (named > 0)
-    learn_good (core, stage->job, named, MIN (count, named));
-  core->place_wanted = true;
-  cell_wake (core, now_us);
-}
-
-/* Placement. */
-
-/* Tasks of the step that occupy the worker. */
-static uint32_t
-step_tasks_on (const struct cell_stage *stage,
-               const struct cell_worker *worker)
-{
-  uint32_t count = 0;
-
-  for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
-    count += run->job == stage->job && run->round == stage->round
-             && run->task >= stage->first_task
-             && run->task < stage->first_task + stage->count;
-  return count;
+  return slots >= stage->count;
 }
 
 static bool
@@ -423,6 +182,23 @@
   return false;
 }
 
+/* What the task would leave of the worker, each resource in permille. */
+static uint64_t
+left_over (const struct cell_worker *worker, const struct cyc_res *size)
+{
+  uint64_t left = 0;
+
+  if (worker->capacity.millicores > 0)
+    left += (worker->capacity.millicores - worker->used_millicores
+             - size->millicores)
+            * 1000 / worker->capacity.millicores;
+  if (worker->capacity.memory_mib > 0)
+    left += (worker->capacity.memory_mib - worker->used_memory_mib
+             - size->memory_mib)
+            * 1000 / worker->capacity.memory_mib;
+  return left;
+}
+
 /* Smaller is better; UINT64_MAX: not possible. Best fit, near the data. */
 static uint64_t
 placement_cost (const struct cell_core *core, const struct cell_stage *stage,
@@ -432,21 +208,18 @@
   const Cyc__CellStep *step = cell_stage_step (stage);
   uint64_t cost;
 
-  if (!worker_suits (core, stage, worker) || !cell_res_fits (worker, size))
-    return UINT64_MAX;
-  if (worker->held_millicores > 0
-      && worker->used_millicores + worker->held_millicores + size->millicores
-             > worker->capacity.millicores)
+  if (!cell_worker_suits (core, stage, worker) || !cell_res_fits (worker, size)
+      || (rack.len > 0 && !has_label (worker, rack)))
     return UINT64_MAX;
-  if (rack.len > 0 && !has_label (worker, rack))
+  if (worker->held_for != NULL && cell_slots_now (stage, worker) == 0)
     return UINT64_MAX;
   if (step->max_per_worker > 0
       && step_tasks_on (stage, worker) >= step->max_per_worker)
     return UINT64_MAX;
-  if (stage->job->cfg.advice.wanted && ticket_for (core, stage, row) == NULL)
+  if (stage->job->cfg.advice.wanted
+      && cell_ticket_for (core, stage, row) == NULL)
     return UINT64_MAX;
-  cost = worker->capacity.millicores - worker->used_millicores
-         - size->millicores;
+  cost = left_over (worker, size);
   if (step->data_rack[0] != 0
       && !has_label (worker, cyc_str_of (step->data_rack)))
     cost += UINT32_MAX;
@@ -481,7 +254,7 @@
 {
   struct cell_run *run
       = cell_run_new (core, stage->job, stage->round, task, row, number);
-  const struct cell_held_ticket *ticket = ticket_for (core, stage, row);
+  const struct cell_held_ticket *ticket = cell_ticket_for (core, stage, row);
 
   run->state = CELL_RUN_RECORDING;
   run->batch = core->batch;
@@ -560,6 +333,8 @@
       cell_place_again (core, at_us);
       return false;
     }
+  if (!cell_gang_fits (core, stage, true))
+    return false;
   if (!cell_stage_step (stage)->same_rack)
     return place_gang_in (core, stage, size, CYC_STR (""));
   racks = g_ptr_array_new ();
@@ -568,7 +343,7 @@
       const struct cell_worker *worker = cell_worker_at (core, i);
 
       /* Of a worker's labels, the last one names its rack. */
-      if (worker->label_count > 1 && worker_suits (core, stage, worker))
+      if (worker->label_count > 1 && cell_worker_suits (core, stage, worker))
         {
           const char *label = worker->labels[worker->label_count - 1].data;
 
@@ -612,68 +387,124 @@
   return stage->waiting == 0;
 }
 
-/* Keeps room free for a gang that does not fit yet, on the allowed workers
-   with most free capacity; stages after it pass over that room. */
+/* A place for one member of a gang, and what has to come free for it. */
+struct place
+{
+  uint32_t row;
+  uint64_t missing_permille; /* of the resource that the worker lacks most */
+};
+
+static int
+by_missing (const void *a, const void *b)
+{
+  const struct place *left = a;
+  const struct place *right = b;
+
+  if (left->missing_permille != right->missing_permille)
+    return left->missing_permille < right->missing_permille ? -1 : 1;
+  return left->row < right->row ? -1 : left->row > right->row;
+}
+
+static uint64_t
+missing_permille (const struct cell_worker *worker, const struct cyc_res *size,
+                  uint32_t members)
+{
+  uint64_t cores = left_of (worker->used_millicores
+                                + (uint64_t)members * size->millicores,
+                            worker->capacity.millicores);
+  uint64_t memory = left_of (worker->used_memory_mib
+                                 + (uint64_t)members * size->memory_mib,
+                             worker->capacity.memory_mib);
+
+  return MAX (cores * 1000 / MAX (1, worker->capacity.millicores),
+              memory * 1000 / MAX (1, worker->capacity.memory_mib));
+}
+
+/* Keeps room for a gang that does not fit yet, on the allowed workers where
+   least has to come free for it; stages after it pass over that room. */
 static void
-hold_room (struct cell_core *core, struct cell_stage *stage,
-           const struct cyc_res *size)
+hold_room (struct cell_core *core, struct cell_stage *stage)
 {
-  uint32_t left = stage->count;
-  GArray *found;
+  bool advised = stage->job->cfg.advice.wanted;
+  struct cyc_res size = cell_step_size (cell_stage_step (stage));
+  GArray *places;
 
-  if (size->millicores == 0
-      || !team_has_room (stage->job->team, size, stage->count))
+  if (core->holders >= HOLDERS_MOST)
     return;
-  found = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+  core->holders++;
+  places = g_array_new (FALSE, FALSE, sizeof (struct place));
   for (guint i = 0; i < core->workers->len; i++)
     {
       const struct cell_worker *worker = cell_worker_at (core, i);
-      struct candidate candidate = { i, 0 };
+      uint32_t slots;
 
-      if (!worker_suits (core, stage, worker)
-          || (stage->job->cfg.advice.wanted
-              && verdict_of (stage, i) != CELL_VERDICT_ALLOWED)
-          || worker->held_millicores > 0
-          || worker->capacity.millicores < size->millicores)
+      if (worker->held_for != NULL || !cell_worker_suits (core, stage, worker)
+          || (advised && cell_verdict_of (stage, i) != CELL_VERDICT_ALLOWED))
         continue;
-      candidate.free_millicores
-          = worker->capacity.millicores - worker->used_millicores;
-      g_array_append_val (found, candidate);
+      slots = cell_slots_whole (stage, worker);
+      for (uint32_t k = 1; k <= slots; k++)
+        {
+          struct place place = { i, missing_permille (worker, &size, k) };
+
+          g_array_append_val (places, place);
+        }
     }
-  if (found->len > 1)
-    qsort (found->data, found->len, sizeof (struct candidate), by_free);
-  for (guint i = 0; i < found->len && left > 0; i++)
+  if (places->len > 1)
+    qsort (places->data, places->len, sizeof (struct place), by_missing);
+  for (guint i = 0; i < places->len && i < stage->count; i++)
     {
-      struct cell_worker *worker = cell_worker_at (
-          core, g_array_index (found, struct candidate, i).row);
-      uint32_t fits = worker->capacity.millicores / size->millicores;
-      uint32_t taken = MIN (left, fits);
+      struct cell_worker *worker
+          = cell_worker_at (core, g_array_index (places, struct place, i).row);
 
-      worker->held_millicores = (uint64_t)taken * size->millicores;
-      left -= taken;
+      worker->held_for = stage;
+      worker->held.millicores += size.millicores;
+      worker->held.memory_mib += size.memory_mib;
+      worker->held.accelerators += size.accelerators;
     }
-  g_array_free (found, TRUE);
+  g_array_free (places, TRUE);
 }
 
+/* Places what fits. Stages that are left claim room in their order, and only
+   those that will find some ask for advice. */
 static void
-place_stage (struct cell_core *core, struct cell_stage *stage)
+place_stage (struct cell_core *core, struct cell_stage *stage,
+             struct cell_room *room)
 {
   const Cyc__CellStep *step = cell_stage_step (stage);
-  struct cyc_res size = step_size (step);
-  bool done;
+  struct cyc_res size = cell_step_size (step);
 
   if (!stage->job->cfg_known)
     return;
-  done = step->gang ? place_gang (core, stage, &size)
-                    : place_tasks (core, stage, &size);
-  if (done)
+  if (step->gang ? place_gang (core, stage, &size)
+                 : place_tasks (core, stage, &size))
+    return;
+  if (!team_has_room (stage->job->team, &size, step->gang ? stage->count : 1))
     return;
   if (step->gang)
-    hold_room (core, stage, &size);
-  if (stage->job->cfg.advice.wanted && stage->ask == 0
-      && team_has_room (stage->job->team, &size,
-                        step->gang ? stage->count : 1))
+    hold_room (core, stage);
+  if (stage->job->cfg.advice.wanted && room->millicores >= size.millicores
+      && room->memory_mib >= size.memory_mib)
     cell_stage_ask (core, stage);
+  room->millicores
+      = left_of (room->millicores, (uint64_t)stage->waiting * size.millicores);
+  room->memory_mib
+      = left_of (room->memory_mib, (uint64_t)stage->waiting * size.memory_mib);
+}
+
+bool
+cell_stage_before (const struct cell_core *core, const struct cell_stage *a,
+                   const struct cell_stage *b)
+{
+  /* Estimates may be far off: only half of the work left counts against a
+     stage that may still end in time. */
+  bool late_a = a->job->deadline_us < core->now_us + a->tail_us / 2;
+  bool late_b = b->job->deadline_us < core->now_us + b->tail_us / 2;
+
+  if (a->job->cfg.priority != b->job->cfg.priority)
+    return a->job->cfg.priority < b->job->cfg.priority;
+  if (late_a != late_b)
+    return late_b;
+  return a->job->deadline_us + b->tail_us < b->job->deadline_us + a->tail_us;
 }
 
 static gint
@@ -682,14 +513,46 @@
   const struct cell_stage *left = *(struct cell_stage *const *)a;
   const struct cell_stage *right = *(struct cell_stage *const *)b;
 
-  if (stage_before (core, left, right))
+  if (cell_stage_before (core, left, right))
     return -1;
-  return stage_before (core, right, left) ? 1 : 0;
+  return cell_stage_before (core, right, left) ? 1 : 0;
+}
+
+/* Room that is free or comes free while a question is under way. */
+static struct cell_room
+room_soon (const struct cell_core *core)
+{
+  struct cell_room room = { 0 };
+
+  for (guint i = 0; i < core->workers->len; i++)
+    {
+      const struct cell_worker *worker = cell_worker_at (core, i);
+
+      if (!cell_worker_usable (core, worker))
+        continue;
+      room.millicores
+          += left_of (worker->capacity.millicores, worker->used_millicores)
+             + worker->used_millicores / SOON_FREE_DIVISOR;
+      room.memory_mib
+          += left_of (worker->capacity.memory_mib, worker->used_memory_mib)
+             + worker->used_memory_mib / SOON_FREE_DIVISOR;
+    }
+  return room;
+}
+
+void
+cell_place_again (struct cell_core *core, uint64_t at_us)
+{
+  if (at_us < core->place_at_us)
+    core->place_at_us = at_us;
+  cell_wake (core, at_us);
 }
 
 void
 cell_place_tick (struct cell_core *core)
 {
+  struct cell_room room;
+
   if (core->waiting->len == 0)
     return;
   if (!core->place_wanted && core->now_us < core->place_at_us)
@@ -699,8 +562,12 @@
     }
   core->place_wanted = false;
   core->place_at_us = UINT64_MAX;
+  core->holders = 0;
   for (guint i = 0; i < core->workers->len; i++)
-    cell_worker_at (core, i)->held_millicores = 0;
+    {
+      cell_worker_at (core, i)->held = (struct cell_room){ 0 };
+      cell_worker_at (core, i)->held_for = NULL;
+    }
   for (guint i = 0; i < core->waiting->len;)
     {
       struct cell_stage *stage = g_ptr_array_index (core->waiting, i);
@@ -714,6 +581,7 @@
       g_ptr_array_remove_index_fast (core->waiting, i);
     }
   g_ptr_array_sort_with_data (core->waiting, compare_stages, core);
+  room = room_soon (core);
   for (guint i = 0; i < core->waiting->len; i++)
-    place_stage (core, g_ptr_array_index (core->waiting, i));
+    place_stage (core, g_ptr_array_index (core->waiting, i), &room);
 }
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -546,6 +546,56 @@
   free (fleet);
 }
 
+/* The load of a busy fleet: all workers are full, small work of the same queue
+   keeps coming, and a call for advice takes half a second. A gang learns in
+   one question which workers are allowed, keeps room there and asks again only
+   when it is free. Guards against questions about the few workers that happen
+   to have room, one after the other, while the gang's objective passes. */
+static void
+test_gang_on_a_busy_fleet (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  uint64_t id = 1;
+  uint64_t begun_ms;
+
+  (void)state;
+  fleet_setup (fleet, 12, 4000);
+  fleet_run (fleet, 100);
+  for (; id <= 24; id++)
+    {
+      fleet_submit (fleet, id,
+                    &(struct fleet_job){ .tasks = { 2 },
+                                         .work_ms = 900 + 20 * (uint32_t)id });
+      fleet_run (fleet, 20);
+    }
+  fleet->advice_deny = 3;
+  fleet->advice_ms = 450;
+  fleet_submit (fleet, 99,
+                &(struct fleet_job){ .tasks = { 4 },
+                                     .millicores = 3000,
+                                     .work_ms = 1000,
+                                     .gang = true,
+                                     .queue = "advised" });
+  begun_ms = fleet->now_ms;
+  while (fleet_state (fleet, 99) != CELL_JOB_COMPLETE
+         && fleet->now_ms < begun_ms + 8000)
+    {
+      if (id < 90)
+        fleet_submit (fleet, id++,
+                      &(struct fleet_job){ .tasks = { 2 },
+                                           .work_ms = 700,
+                                           .queue = "advised" });
+      fleet_run (fleet, 50);
+    }
+  assert_int_equal (fleet_state (fleet, 99), CELL_JOB_COMPLETE);
+  /* Advice, the longest task that runs, advice again, the work itself. */
+  assert_in_range (fleet->now_ms - begun_ms, 0, 450 + 1400 + 450 + 1000 + 300);
+  assert_in_range (fleet_asked (fleet, "0000000000000063.0.0"), 1, 3);
+  assert_int_equal (fleet->broken, 0);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
 /* Random faults, one after the other and at the same time: workers crash,
    restart, are cut off or mute, the log goes away, leaders change, answers
    are lost, jobs are cancelled. No promise may break, and what is left ends
@@ -696,6 +746,7 @@
     cmocka_unit_test (test_pending),
     cmocka_unit_test (test_overtaking_reports),
     cmocka_unit_test (test_silent_worker_expires),
+    cmocka_unit_test (test_gang_on_a_busy_fleet),
     cmocka_unit_test (test_random),
   };
 
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -133,6 +133,8 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   fleet->ended = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fleet->done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  fleet->asked
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   fleet->failures
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   for (uint32_t i = 0; i < workers; i++)
@@ -182,6 +184,7 @@
   g_hash_table_destroy (fleet->ended);
   g_hash_table_destroy (fleet->done);
   g_hash_table_destroy (fleet->failures);
+  g_hash_table_destroy (fleet->asked);
 }
 
 static Cyc__CellJob *
@@ -616,6 +619,12 @@
     }
 }
 
+uint32_t
+fleet_asked (const struct fleet *fleet, const char *step)
+{
+  return number_of (fleet->asked, step);
+}
+
 static void
 count_failure (struct fleet *fleet, const char *task)
 {
@@ -716,7 +725,11 @@
   struct fleet_ask row = { .at_ms = fleet->now_ms + fleet->advice_ms };
 
   while (cell_ask_next (fleet->core, UINT64_MAX, &row.ask))
-    g_array_append_val (fleet->asks, row);
+    {
+      g_array_append_val (fleet->asks, row);
+      set_number (fleet->asked, row.ask.step,
+                  number_of (fleet->asked, row.ask.step) + 1);
+    }
   for (guint i = 0; i < fleet->asks->len;)
     {
       row = g_array_index (fleet->asks, struct fleet_ask, i);
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -112,6 +112,7 @@
   bool advice_down;
   uint32_t advice_ms;          /**< time until the advisor answers */
   GArray *asks;                /**< struct fleet_ask: questions under way */
+  GHashTable *asked;           /**< step to number of questions about it */
   uint32_t advice_deny;        /**< every n-th worker is denied; 0: none */
   uint32_t lose_start_answers; /**< of the next starts */
   uint32_t delay_starts_ms;    /**< orders reach the worker later */
@@ -134,6 +135,8 @@
 void fleet_crash (struct fleet *fleet, uint32_t worker);
 void fleet_restart (struct fleet *fleet, uint32_t worker);
 enum cell_job_state fleet_state (const struct fleet *fleet, uint64_t id);
+/** Questions that the advisor was asked about a step, "ID.K.STEP". */
+uint32_t fleet_asked (const struct fleet *fleet, const char *step);
 /** Runs on all workers now. */
 uint32_t fleet_running (const struct fleet *fleet);
 
