Keep room for gangs softly and spread questions over workers and VMs

Steps that waited together named the same workers, those with most room by row; a call of 7 ms kept a VM busy for the 59 ms of its trips; only three gangs kept room, all others asked for tickets (26 times for one step) and found the room taken when the answer came.

Now equals are shuffled by step, a VM has up to eight short calls under way, gangs keep up to a quarter of the fleet, only gangs that keep room ask for tickets, and what is kept is passed over by stages behind and avoided by stages before the gang.

Ruled out: the advisor's capacity (943 s of 2,700 s).

--- a/src/cyc_cell_advice.c
+++ b/src/cyc_cell_advice.c
@@ -85,8 +85,8 @@
 struct candidate
 {
   uint32_t row;
-  uint32_t slots;   /* tasks for which there is room now */
-  uint32_t ranking; /* what it is sorted by */
+  uint32_t ranking; /* tasks that it can take: more come first */
+  uint32_t shuffle; /* among equals; spreads questions over the workers */
 };
 
 static int
@@ -97,7 +97,20 @@
 
   if (left->ranking != right->ranking)
     return left->ranking < right->ranking ? 1 : -1;
-  return left->row < right->row ? -1 : 1;
+  return left->shuffle < right->shuffle ? -1 : left->shuffle > right->shuffle;
+}
+
+/* Steps that wait at the same time name different workers, so that they do
+   not all wait for the same room. */
+static uint32_t
+shuffled (const struct cell_stage *stage, uint32_t row)
+{
+  uint64_t mixed = (stage->job->id ^ stage->step) + row;
+
+  mixed *= UINT64_C (0x9e3779b97f4a7c15);
+  mixed ^= mixed >> 29;
+  mixed *= UINT64_C (0xbf58476d1ce4e5b9);
+  return (uint32_t)(mixed >> 32);
 }
 
 /* Takes the best candidates until their slots, each worth so many permille,
@@ -152,24 +165,26 @@
     {
       const struct cell_worker *worker = cell_worker_at (core, i);
       enum cell_verdict verdict = cell_verdict_of (stage, i);
-      struct candidate candidate = { .row = i };
+      struct candidate candidate
+          = { .row = i, .shuffle = shuffled (stage, i) };
       uint32_t whole;
+      uint32_t slots;
 
       if (verdict == CELL_VERDICT_DENIED
           || !cell_worker_suits (core, stage, worker))
         continue;
       whole = cell_slots_whole (stage, worker);
-      candidate.slots = cell_slots_now (stage, worker);
+      slots = cell_slots_now (core, stage, worker);
       if (verdict == CELL_VERDICT_ALLOWED)
         {
           capacity += whole;
-          candidate.ranking = candidate.slots;
-          if (candidate.slots > 0 && cell_ticket_for (core, stage, i) == NULL)
+          candidate.ranking = slots;
+          if (slots > 0 && cell_ticket_for (core, stage, i) == NULL)
             g_array_append_val (allowed, candidate);
           continue;
         }
       /* A gang waits for room on whatever workers are allowed. */
-      candidate.ranking = step->gang ? whole : candidate.slots;
+      candidate.ranking = step->gang ? whole : slots;
       if (candidate.ranking > 0)
         g_array_append_val (unknown, candidate);
     }
@@ -177,10 +192,12 @@
     {
       uint64_t spread = (uint64_t)stage->count * CELL_GANG_SPREAD;
 
-      if (cell_gang_fits (core, stage, false))
+      if (stage->holds && cell_gang_fits (core, stage, false))
         take_candidates (allowed, wanted * ASK_SPARE, 1000, most, rows,
                          &count);
-      else if (capacity < spread)
+      else if (capacity < (stage->surveyed
+                               ? (uint64_t)stage->count * CELL_GANG_LEAST
+                               : spread))
         take_candidates (unknown, spread - capacity,
                          queue_good (core, stage->job), most, rows, &count);
     }
@@ -379,6 +396,7 @@
       return;
     }
   settle_verdicts (stage, CELL_VERDICT_DENIED, &named);
+  stage->surveyed = stage->surveyed || named > 0;
   if (stage->done == stage->count)
     return;
   if (stage->tickets == NULL)
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -35,6 +35,8 @@
  * allowed have when they are empty: the fleet is three quarters full when it
  * is busy, and free room is in pieces. */
 #define CELL_GANG_SPREAD 12
+/** With less than this a gang asks about unknown workers once more. */
+#define CELL_GANG_LEAST 3
 
 enum cell_run_state
 {
@@ -155,9 +157,11 @@
   uint32_t count;
   uint32_t done;
   uint32_t waiting;
-  bool ready;   /**< all it depends on is done, and it is due */
-  bool listed;  /**< in the core's list of waiting stages */
-  uint64_t ask; /**< open question; 0: none */
+  bool ready;    /**< all it depends on is done, and it is due */
+  bool listed;   /**< in the core's list of waiting stages */
+  bool holds;    /**< room is kept for it */
+  bool surveyed; /**< a question about unknown workers was answered */
+  uint64_t ask;  /**< open question; 0: none */
   uint64_t ask_after_us;
   uint64_t tail_us; /**< longest chain of estimates from this step on */
   uint32_t failed_on[CELL_AVOID]; /**< 1 + row; 0: none */
@@ -246,8 +250,9 @@
   uint64_t now_ms;
   uint64_t next_us;
   bool place_wanted;
-  uint64_t place_at_us; /**< something can be placed then that could not */
-  uint32_t holders;     /**< gangs for which room is kept */
+  uint64_t place_at_us;     /**< something can be placed then that could not */
+  uint64_t held_millicores; /**< kept for gangs in this tick */
+  uint64_t usable_millicores; /**< of all workers that are usable */
 };
 
 struct cell_worker *cell_worker_at (const struct cell_core *core,
@@ -311,8 +316,9 @@
                         const struct cell_stage *stage,
                         const struct cell_worker *worker);
 /** Tasks of the stage for which the worker has room, apart from what is kept
- * for other stages. */
-uint32_t cell_slots_now (const struct cell_stage *stage,
+ * for stages before it. */
+uint32_t cell_slots_now (const struct cell_core *core,
+                         const struct cell_stage *stage,
                          const struct cell_worker *worker);
 /** The same if the worker were empty. */
 uint32_t cell_slots_whole (const struct cell_stage *stage,
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -4,8 +4,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** Gangs that keep room at a time; more would leave the fleet idle. */
-#define HOLDERS_MOST 3
+/** Part of the fleet that is kept for gangs at most; more would leave it
+ * idle while their room comes free. The first gang may keep what it needs. */
+#define HELD_DIVISOR 4
+/** Cost of room that is kept for another stage: more than any left over room,
+ * less than work far from its data. */
+#define KEPT_COST 10000
 /** Part of the room in use that comes free while advice is asked for: tasks
  * take some seconds, advice half a second. */
 #define SOON_FREE_DIVISOR 8
@@ -123,15 +127,16 @@
   return (uint32_t)slots;
 }
 
-uint32_t
-cell_slots_now (const struct cell_stage *stage,
-                const struct cell_worker *worker)
+/* Room of the worker; @p beside_held: without what is kept for others. */
+static uint32_t
+slots_beside (const struct cell_stage *stage, const struct cell_worker *worker,
+              bool beside_held)
 {
   struct cell_room taken = { worker->used_millicores, worker->used_memory_mib,
                              worker->used_accelerators };
   struct cell_room room;
 
-  if (worker->held_for != stage)
+  if (beside_held)
     {
       taken.millicores += worker->held.millicores;
       taken.memory_mib += worker->held.memory_mib;
@@ -141,6 +146,16 @@
   return slots_in (stage, worker, &room);
 }
 
+uint32_t
+cell_slots_now (const struct cell_core *core, const struct cell_stage *stage,
+                const struct cell_worker *worker)
+{
+  bool beside_held = worker->held_for != NULL && worker->held_for != stage
+                     && cell_stage_before (core, worker->held_for, stage);
+
+  return slots_beside (stage, worker, beside_held);
+}
+
 uint32_t
 cell_slots_whole (const struct cell_stage *stage,
                   const struct cell_worker *worker)
@@ -168,7 +183,7 @@
                   ? cell_ticket_for (core, stage, i) == NULL
                   : cell_verdict_of (stage, i) != CELL_VERDICT_ALLOWED))
         continue;
-      slots += cell_slots_now (stage, worker);
+      slots += cell_slots_now (core, stage, worker);
     }
   return slots >= stage->count;
 }
@@ -206,20 +221,26 @@
 {
   const struct cell_worker *worker = cell_worker_at (core, row);
   const Cyc__CellStep *step = cell_stage_step (stage);
+  bool kept = false; /* for a stage that waits behind this one */
   uint64_t cost;
 
   if (!cell_worker_suits (core, stage, worker) || !cell_res_fits (worker, size)
       || (rack.len > 0 && !has_label (worker, rack)))
     return UINT64_MAX;
-  if (worker->held_for != NULL && cell_slots_now (stage, worker) == 0)
-    return UINT64_MAX;
+  if (worker->held_for != NULL && worker->held_for != stage
+      && slots_beside (stage, worker, true) == 0)
+    {
+      if (cell_stage_before (core, worker->held_for, stage))
+        return UINT64_MAX;
+      kept = true;
+    }
   if (step->max_per_worker > 0
       && step_tasks_on (stage, worker) >= step->max_per_worker)
     return UINT64_MAX;
   if (stage->job->cfg.advice.wanted
       && cell_ticket_for (core, stage, row) == NULL)
     return UINT64_MAX;
-  cost = left_over (worker, size);
+  cost = left_over (worker, size) + (kept ? KEPT_COST : 0);
   if (step->data_rack[0] != 0
       && !has_label (worker, cyc_str_of (step->data_rack)))
     cost += UINT32_MAX;
@@ -420,6 +441,31 @@
               memory * 1000 / MAX (1, worker->capacity.memory_mib));
 }
 
+/* Gives back what is kept for the stage; NULL: for stages that no longer wait.
+ */
+static void
+release_room (struct cell_core *core, struct cell_stage *stage)
+{
+  if (stage != NULL && !stage->holds)
+    return;
+  for (guint i = 0; i < core->workers->len; i++)
+    {
+      struct cell_worker *worker = cell_worker_at (core, i);
+      const struct cell_stage *of = worker->held_for;
+
+      if (of == NULL)
+        continue;
+      if (stage != NULL
+              ? of != stage
+              : of->waiting > 0 && cell_job_open (of->job) && of->holds)
+        continue;
+      worker->held_for = NULL;
+      worker->held = (struct cell_room){ 0 };
+    }
+  if (stage != NULL)
+    stage->holds = false;
+}
+
 /* Keeps room for a gang that does not fit yet, on the allowed workers where
    least has to come free for it; stages after it pass over that room. */
 static void
@@ -429,9 +475,12 @@
   struct cyc_res size = cell_step_size (cell_stage_step (stage));
   GArray *places;
 
-  if (core->holders >= HOLDERS_MOST)
+  if (core->held_millicores > 0
+      && core->held_millicores + (uint64_t)stage->count * size.millicores
+             > core->usable_millicores / HELD_DIVISOR)
     return;
-  core->holders++;
+  core->held_millicores += (uint64_t)stage->count * size.millicores;
+  stage->holds = true;
   places = g_array_new (FALSE, FALSE, sizeof (struct place));
   for (guint i = 0; i < core->workers->len; i++)
     {
@@ -475,6 +524,7 @@
 
   if (!stage->job->cfg_known)
     return;
+  release_room (core, stage);
   if (step->gang ? place_gang (core, stage, &size)
                  : place_tasks (core, stage, &size))
     return;
@@ -520,16 +570,18 @@
 
 /* Room that is free or comes free while a question is under way. */
 static struct cell_room
-room_soon (const struct cell_core *core)
+room_soon (struct cell_core *core)
 {
   struct cell_room room = { 0 };
 
+  core->usable_millicores = 0;
   for (guint i = 0; i < core->workers->len; i++)
     {
       const struct cell_worker *worker = cell_worker_at (core, i);
 
       if (!cell_worker_usable (core, worker))
         continue;
+      core->usable_millicores += worker->capacity.millicores;
       room.millicores
           += left_of (worker->capacity.millicores, worker->used_millicores)
              + worker->used_millicores / SOON_FREE_DIVISOR;
@@ -562,12 +614,8 @@
     }
   core->place_wanted = false;
   core->place_at_us = UINT64_MAX;
-  core->holders = 0;
-  for (guint i = 0; i < core->workers->len; i++)
-    {
-      cell_worker_at (core, i)->held = (struct cell_room){ 0 };
-      cell_worker_at (core, i)->held_for = NULL;
-    }
+  core->held_millicores = 0;
+  release_room (core, NULL);
   for (guint i = 0; i < core->waiting->len;)
     {
       struct cell_stage *stage = g_ptr_array_index (core->waiting, i);
--- a/src/entry_advice.c
+++ b/src/entry_advice.c
@@ -10,11 +10,12 @@
 #define FREE_DIVISOR 3
 /** Answer time beside the cost of the call. */
 #define ANSWER_MS 700
-/** A second question may wait at a VM whose first is as short as this. */
+/** A further question may wait at a VM whose open ones cost no more than
+ * this: about the round trip through that VM. */
 #define SHORT_US 25000
 #define HELPERS_MAX 512
-/** Questions that one VM has open at most. */
-#define OPEN_MOST 2
+/** Questions that one VM has open at most; the advisor lets 32 wait. */
+#define OPEN_MOST 8
 
 struct helper
 {
