Try a failed task again at once

A run that failed waited 150 ms for its next attempt, like a start that was refused; that is a tenth of the objective of an order check. Covered by test_cell (hopeless jobs, a worker that fails all).

--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -495,7 +495,7 @@
     job->begun = true;
   if (kind == CELL_END_FAILED && current)
     count_failure (core, run);
-  if (kind == CELL_END_FAILED || kind == CELL_END_ALONE)
+  if (kind == CELL_END_ALONE)
     at_us += CELL_RETRY_US;
   if (current && checkpoint.len > 0 && checkpoint.len < sizeof row->checkpoint)
     snprintf (row->checkpoint, sizeof row->checkpoint, "%.*s",
