Lengthen the pause of a worker that goes on failing

Cause: after a pause of 3 s a worker that fails all it starts took as many tasks at once as fit, and each lost an attempt. Now it is given one task until one ends well, and the pause doubles up to 24 s. test_failing_worker_is_left_alone, red before.

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -281,8 +281,10 @@
 cell_worker_usable (const struct cell_core *core,
                     const struct cell_worker *worker)
 {
+  /* After a pause a worker is given one task until one ends well. */
   return worker->listed && !worker->draining && worker->fenced
-         && worker->reachable && worker->bad_until_us <= core->now_us;
+         && worker->reachable && worker->bad_until_us <= core->now_us
+         && (worker->bad_pauses == 0 || worker->run_count == 0);
 }
 
 /* A new life holds nothing of what the earlier one ran. */
@@ -301,6 +303,7 @@
   worker->fenced = false;
   worker->failures_in_row = 0;
   worker->bad_until_us = 0;
+  worker->bad_pauses = 0;
 }
 
 /* Ends the confirmed runs of earlier lives. Starts without an answer may have
@@ -443,6 +446,7 @@
       if (run != NULL)
         {
           worker->failures_in_row = 0;
+          worker->bad_pauses = 0;
           cell_run_free (core, run);
         }
       cell_task_done (core, job, round, task);
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -31,6 +31,8 @@
  * tasks for a while. */
 #define CELL_BAD_FAILURES 3
 #define CELL_BAD_US 3000000
+/** The pause doubles with each task that fails after it, so often at most. */
+#define CELL_BAD_DOUBLINGS 3
 /** Room of a gang, as a multiple of what it needs, that the workers known as
  * allowed have when they are empty: the fleet is three quarters full when it
  * is busy, and free room is in pieces. */
@@ -102,6 +104,7 @@
   uint32_t failures_in_row;
   uint64_t last_failed_job;
   uint64_t bad_until_us;
+  uint32_t bad_pauses; /**< since a task ended well; 0: it is trusted */
   uint64_t clock_ms;
   uint64_t clock_at_us;
   uint64_t lease_deadline_ms; /**< latest asked for, worker's clock */
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -467,7 +467,10 @@
   worker->last_failed_job = job->id;
   if (worker->failures_in_row >= CELL_BAD_FAILURES)
     {
-      worker->bad_until_us = core->now_us + CELL_BAD_US;
+      worker->bad_until_us = core->now_us
+                             + ((uint64_t)CELL_BAD_US << MIN (
+                                    worker->bad_pauses, CELL_BAD_DOUBLINGS));
+      worker->bad_pauses++;
       cell_place_again (core, worker->bad_until_us);
     }
   stage->failed_on[stage->failed_next++ % CELL_AVOID] = run->worker + 1;
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -546,6 +546,36 @@
   free (fleet);
 }
 
+/* One worker fails all that it starts for as long as a stream of small jobs
+   lasts. Guards against a worker that costs every job that meets it an
+   attempt, again and again, because each pause ends as if nothing had been
+   learned. */
+static void
+test_failing_worker_is_left_alone (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  uint64_t id = 1;
+
+  (void)state;
+  fleet_setup (fleet, 4, 4000);
+  fleet->workers[0].failing = true;
+  fleet_run (fleet, 100);
+  for (; id <= 1500; id++)
+    {
+      fleet_submit (fleet, id,
+                    &(struct fleet_job){ .tasks = { 1 }, .work_ms = 100 });
+      fleet_run (fleet, 10);
+    }
+  fleet_run (fleet, 3000);
+  for (uint64_t job = 1; job < id; job++)
+    assert_int_equal (fleet_state (fleet, job), CELL_JOB_COMPLETE);
+  /* Four at first, then one after each pause of 3, 6 and 12 s. */
+  assert_in_range (fleet->starts - 1500, 1, 4 + 3);
+  assert_int_equal (fleet->broken, 0);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
 /* The load of a busy fleet: all workers are full, small work of the same queue
    keeps coming, and a call for advice takes half a second. A gang learns in
    one question which workers are allowed, keeps room there and asks again only
@@ -746,6 +776,7 @@
     cmocka_unit_test (test_pending),
     cmocka_unit_test (test_overtaking_reports),
     cmocka_unit_test (test_silent_worker_expires),
+    cmocka_unit_test (test_failing_worker_is_left_alone),
     cmocka_unit_test (test_gang_on_a_busy_fleet),
     cmocka_unit_test (test_random),
   };
