--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -11,7 +11,7 @@
  *
  * @code
  * cell_setup (&core, &(struct cell_desc){ .lease_ms = 10000 });
- * cell_job_add (core, id, job, now_us);
+ * cell_job_add (core, id, job, true, now_us, now_ms);
  * cell_tick (core, now_us);
  * while (cell_batch_next (core, &record)) append (record);
  * cell_batch_durable (core, batch, now_us);
@@ -205,7 +205,8 @@
 struct cell_record
 {
   uint64_t job;
-  uint8_t *data; /**< to be freed */
+  uint64_t revision; /**< of two records of a job the higher one is true */
+  uint8_t *data;     /**< to be freed */
   size_t len;
 };
 
@@ -214,6 +215,7 @@
   uint32_t lease_ms;        /**< longest lease that workers grant */
   uint32_t ticket_slack_ms; /**< a ticket is used up to so long before its
                                end */
+  uint64_t first_revision;  /**< above those of all earlier leaders */
 };
 
 struct cell_core;
@@ -259,16 +261,24 @@
 void cell_worker_leased (struct cell_core *core, uint32_t row,
                          uint64_t deadline_ms);
 
-/** Takes @p job over. False: known already, and freed. */
+/** Takes @p job over. @p stored: the log holds it; else advice is asked for
+ * and workers are chosen, but nothing starts until cell_job_stored. False:
+ * known already or not valid, and freed. */
 bool cell_job_add (struct cell_core *core, uint64_t id,
-                   struct Cyc__CellJob *job, uint64_t now_us, uint64_t now_ms);
+                   struct Cyc__CellJob *job, bool stored, uint64_t now_us,
+                   uint64_t now_ms);
+/** The log holds the job now; ignored for one that is not known. */
+void cell_job_stored (struct cell_core *core, uint64_t id, uint64_t now_us);
+/** Forgets a job that the log surely does not hold. */
+void cell_job_withdraw (struct cell_core *core, uint64_t id);
 /** False when the job is not known. */
 bool cell_job_cancel (struct cell_core *core, uint64_t id, uint64_t now_us);
-/** Applies a progress record to a job added before; @p lease_until_us: until
- * when its runs may go on on workers that do not answer. */
+/** Applies the progress record with the highest revision to a job added
+ * before; @p lease_until_us: until when its runs may go on on workers that do
+ * not answer. */
 bool cell_job_restore (struct cell_core *core, uint64_t id,
                        struct cyc_str record, uint64_t lease_until_us);
-/** 0: not known. The state that is durable. */
+/** 0: not known, or not stored. The state that is durable. */
 enum cell_job_state cell_job_state (const struct cell_core *core, uint64_t id);
 /** Jobs of the queue of which no task has started. */
 uint32_t cell_queue_pending (const struct cell_core *core,
@@ -294,6 +304,8 @@
 /** Closes the batch of records; 0 when there is nothing to write. */
 uint64_t cell_batch_close (struct cell_core *core);
 bool cell_batch_next (struct cell_core *core, struct cell_record *out);
+/** All records of the batch are durable; batches may become so in any
+ * order. */
 void cell_batch_durable (struct cell_core *core, uint64_t batch,
                          uint64_t now_us);
 bool cell_order_next (struct cell_core *core, struct cell_order *out);
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -105,19 +105,17 @@
   g_queue_init (&core->recording);
   g_queue_init (&core->orders);
   core->batch = 1;
+  core->durable_later = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  core->revision = desc->first_revision;
   core->next_ask = 1;
   core->next_us = UINT64_MAX;
   core->place_at_us = UINT64_MAX;
   return core;
 }
 
-static void
-free_job (gpointer key, gpointer value, gpointer user)
+void
+cell_job_free (struct cell_job *job)
 {
-  struct cell_job *job = value;
-
-  (void)key;
-  (void)user;
   for (uint32_t r = 0; r < job->round_count; r++)
     {
       for (size_t s = 0; s < job->spec->n_steps; s++)
@@ -130,6 +128,14 @@
   g_free (job);
 }
 
+static void
+free_job (gpointer key, gpointer value, gpointer user)
+{
+  (void)key;
+  (void)user;
+  cell_job_free (value);
+}
+
 void
 cell_shutdown (struct cell_core *core)
 {
@@ -155,6 +161,7 @@
   g_ptr_array_free (core->shown_pending, TRUE);
   g_ptr_array_free (core->records, TRUE);
   g_array_free (core->run_generations, TRUE);
+  g_array_free (core->durable_later, TRUE);
   g_array_free (core->free_runs, TRUE);
   g_queue_clear (&core->recording);
   g_queue_clear_full (&core->orders, g_free);
@@ -603,6 +610,7 @@
       struct cell_record *record = g_new0 (struct cell_record, 1);
 
       record->job = job->id;
+      record->revision = ++core->revision;
       cell_job_record (core, job, record);
       job->dirty = false;
       g_ptr_array_add (core->records, record);
@@ -625,6 +633,35 @@
   return true;
 }
 
+static bool
+is_durable (const struct cell_core *core, uint64_t batch)
+{
+  if (batch <= core->durable)
+    return true;
+  for (guint i = 0; i < core->durable_later->len; i++)
+    if (g_array_index (core->durable_later, uint64_t, i) == batch)
+      return true;
+  return false;
+}
+
+static void
+note_durable (struct cell_core *core, uint64_t batch)
+{
+  g_array_append_val (core->durable_later, batch);
+  for (guint i = 0; i < core->durable_later->len;)
+    {
+      if (g_array_index (core->durable_later, uint64_t, i)
+          != core->durable + 1)
+        {
+          i++;
+          continue;
+        }
+      core->durable++;
+      g_array_remove_index_fast (core->durable_later, i);
+      i = 0;
+    }
+}
+
 static void
 show_states (struct cell_core *core)
 {
@@ -632,7 +669,7 @@
     {
       struct cell_job *job = g_ptr_array_index (core->shown_pending, i);
 
-      if (job->state_batch > core->durable)
+      if (!is_durable (core, job->state_batch))
         {
           i++;
           continue;
@@ -664,16 +701,50 @@
   cell_wake (core, core->now_us + CELL_START_ANSWER_US);
 }
 
+/* The worker may still be given the run: the record took its time. */
+static bool
+may_order (const struct cell_core *core, const struct cell_run *run)
+{
+  const struct cell_worker *worker = cell_worker_at (core, run->worker);
+
+  return !run->stop && cell_job_open (run->job) && worker->listed
+         && !worker->draining
+         && (run->ticket_until_us == 0 || run->ticket_until_us > core->now_us);
+}
+
+/* Orders the runs that wait for nothing any more. */
+static void
+order_recorded (struct cell_core *core)
+{
+  GList *next;
+
+  for (GList *at = core->recording.head; at != NULL; at = next)
+    {
+      struct cell_run *run = at->data;
+
+      next = at->next;
+      run->recorded = run->recorded || is_durable (core, run->batch);
+      if (!run->recorded || !run->job->stored)
+        continue;
+      g_queue_delete_link (&core->recording, at);
+      if (may_order (core, run))
+        order_start (core, run);
+      else
+        cell_run_gone (core, run, CELL_END_STOPPED, CYC_STR (""));
+    }
+}
+
 void
 cell_batch_durable (struct cell_core *core, uint64_t batch, uint64_t now_us)
 {
-  core->durable = batch;
+  note_durable (core, batch);
   core->now_us = now_us;
   for (guint i = 0; i < core->workers->len; i++)
     {
       struct cell_worker *worker = cell_worker_at (core, i);
 
-      if (worker->ack_batch == 0 || worker->ack_batch > batch)
+      /* What an end changed may stand in any batch up to this one. */
+      if (worker->ack_batch == 0 || worker->ack_batch > core->durable)
         continue;
       worker->ack = worker->ack_next;
       worker->ack_batch = 0;
@@ -683,21 +754,22 @@
           worker->ack_batch = core->batch;
         }
     }
-  while (!g_queue_is_empty (&core->recording))
-    {
-      struct cell_run *run = g_queue_peek_head (&core->recording);
-
-      if (run->batch > batch)
-        break;
-      g_queue_pop_head (&core->recording);
-      if (run->stop || !cell_job_open (run->job))
-        cell_run_gone (core, run, CELL_END_STOPPED, CYC_STR (""));
-      else
-        order_start (core, run);
-    }
+  order_recorded (core);
   show_states (core);
 }
 
+void
+cell_job_stored (struct cell_core *core, uint64_t id, uint64_t now_us)
+{
+  struct cell_job *job = cell_job_find (core, id);
+
+  if (job == NULL || job->stored)
+    return;
+  core->now_us = now_us;
+  job->stored = true;
+  order_recorded (core);
+}
+
 bool
 cell_order_next (struct cell_core *core, struct cell_order *out)
 {
--- a/src/cyc_cell_advice.c
+++ b/src/cyc_cell_advice.c
@@ -244,6 +244,21 @@
   g_ptr_array_remove_index_fast (core->questions, index);
 }
 
+void
+cell_questions_forget (struct cell_core *core, const struct cell_job *job)
+{
+  for (guint i = 0; i < core->questions->len;)
+    {
+      const struct cell_question *question
+          = g_ptr_array_index (core->questions, i);
+
+      if (question->stage->job == job)
+        drop_question (core, i);
+      else
+        i++;
+    }
+}
+
 /* Index of the most urgent question that may be handed out; G_MAXUINT: there
    is none. */
 static guint
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -58,6 +58,7 @@
   struct cyc_res size;
   enum cell_run_state state;
   uint64_t batch; /**< whose record names this run */
+  bool recorded; /**< that record is durable; waits for its job to be stored */
   uint64_t decided_us;
   uint64_t ordered_us;      /**< start sent */
   uint64_t answered_us;     /**< start answered */
@@ -69,6 +70,7 @@
   bool inherited;           /**< of an earlier leader */
   uint32_t percent;
   char ticket[CELL_TICKET_BYTES];
+  uint64_t ticket_until_us; /**< 0: it needs none */
   struct cyc_ref ref;
   struct cell_run *prev;
   struct cell_run *next; /**< on the worker */
@@ -199,6 +201,7 @@
   enum cell_job_state state;
   enum cell_job_state shown; /**< durable */
   uint64_t state_batch;
+  bool stored; /**< the log holds the job */
   bool dirty;
   bool begun;           /**< a worker has begun one of its tasks */
   uint64_t deadline_us; /**< of the objective */
@@ -247,7 +250,9 @@
   GPtrArray *records;
   GHashTable *queue_good; /**< queue name to permille of allowed workers */
   uint64_t batch;
-  uint64_t durable;
+  uint64_t durable;      /**< all batches up to this one are */
+  GArray *durable_later; /**< uint64_t: batches beyond it that are */
+  uint64_t revision;     /**< of the last record */
   uint64_t next_ask;
   uint64_t now_us;
   uint64_t now_ms;
@@ -269,6 +274,7 @@
 
 /* Jobs. */
 struct cell_job *cell_job_find (const struct cell_core *core, uint64_t id);
+void cell_job_free (struct cell_job *job);
 struct cell_stage *cell_stage_of_task (struct cell_job *job, uint32_t round,
                                        uint32_t task);
 const Cyc__CellStep *cell_stage_step (const struct cell_stage *stage);
@@ -337,6 +343,9 @@
 
 /* Advice. */
 void cell_stage_ask (struct cell_core *core, struct cell_stage *stage);
+/** Drops all questions about steps of the job. */
+void cell_questions_forget (struct cell_core *core,
+                            const struct cell_job *job);
 enum cell_verdict cell_verdict_of (const struct cell_stage *stage,
                                    uint32_t row);
 /** NULL: none is held that is valid for this life of the worker. */
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -28,7 +28,7 @@
 {
   const struct cell_job *job = cell_job_find (core, id);
 
-  return job == NULL ? 0 : job->shown;
+  return job == NULL || !job->stored ? 0 : job->shown;
 }
 
 uint32_t
@@ -43,7 +43,7 @@
     {
       const struct cell_job *job = value;
 
-      count += cell_job_open (job) && !job->begun
+      count += cell_job_open (job) && !job->begun && job->stored
                && cyc_str_eq (cyc_name_str (&job->queue), queue);
     }
   return count;
@@ -266,7 +266,7 @@
 
 bool
 cell_job_add (struct cell_core *core, uint64_t id, Cyc__CellJob *spec,
-              uint64_t now_us, uint64_t now_ms)
+              bool stored, uint64_t now_us, uint64_t now_ms)
 {
   struct cell_job *job;
   const struct cell_queue_cfg *queue = NULL;
@@ -282,6 +282,7 @@
   job = g_new0 (struct cell_job, 1);
   job->id = id;
   job->spec = spec;
+  job->stored = stored;
   cyc_name_set (&job->queue, cyc_str_of (spec->queue));
   job->team = cell_team_of (core, cyc_str_of (spec->team));
   if (core->config != NULL)
@@ -318,6 +319,52 @@
   return true;
 }
 
+/* Takes the job out of all lists and frees it. */
+static void
+forget_job (struct cell_core *core, struct cell_job *job)
+{
+  for (uint32_t r = 0; r < job->round_count; r++)
+    for (uint32_t t = 0; t < job->task_count; t++)
+      if (job->rounds[r].tasks[t].run != NULL)
+        cell_run_free (core, job->rounds[r].tasks[t].run);
+  for (guint i = 0; i < core->waiting->len;)
+    {
+      struct cell_stage *stage = g_ptr_array_index (core->waiting, i);
+
+      if (stage->job == job)
+        g_ptr_array_remove_index_fast (core->waiting, i);
+      else
+        i++;
+    }
+  cell_questions_forget (core, job);
+  for (guint i = 0; i < core->workers->len; i++)
+    {
+      struct cell_worker *worker = cell_worker_at (core, i);
+
+      if (worker->held_for != NULL && worker->held_for->job == job)
+        {
+          worker->held_for = NULL;
+          worker->held = (struct cell_room){ 0 };
+        }
+    }
+  g_ptr_array_remove_fast (core->timed, job);
+  g_ptr_array_remove_fast (core->dirty, job);
+  while (g_ptr_array_remove_fast (core->shown_pending, job))
+    ;
+  g_hash_table_remove (core->jobs, &job->id);
+  cell_job_free (job);
+}
+
+void
+cell_job_withdraw (struct cell_core *core, uint64_t id)
+{
+  struct cell_job *job = cell_job_find (core, id);
+
+  /* Nothing of it was ordered: all its runs wait for the job to be stored. */
+  if (job != NULL && !job->stored)
+    forget_job (core, job);
+}
+
 void
 cell_job_set_state (struct cell_core *core, struct cell_job *job,
                     enum cell_job_state state)
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -280,7 +280,10 @@
   run->state = CELL_RUN_RECORDING;
   run->batch = core->batch;
   if (ticket != NULL)
-    memcpy (run->ticket, ticket->text, sizeof run->ticket);
+    {
+      memcpy (run->ticket, ticket->text, sizeof run->ticket);
+      run->ticket_until_us = ticket->until_us;
+    }
   g_queue_push_tail (&core->recording, run);
   cell_job_advance (core, stage->job);
   cell_touch (core, stage->job);
--- a/src/entry.c
+++ b/src/entry.c
@@ -101,7 +101,7 @@
     {
       /* Entries are numbered in turn, which spreads the VMs over the parts. */
       entry->accept_part
-          = (uint32_t)(result->offset % entry->desc.settings->log_parts);
+          = (uint32_t)(result->offset % entry_jobs_parts (entry));
     }
   else
     entry->register_at_us = now_us + REGISTER_RETRY_US;
@@ -258,6 +258,26 @@
             });
         return;
       }
+    case CYC__PEER__BODY_CELL_SUBMIT:
+      {
+        const Cyc__CellSubmit *submit = message->cell_submit;
+
+        owner_submit (entry,
+                      (struct cyc_str){ (const char *)submit->key.data,
+                                        submit->key.len },
+                      (struct cyc_str){ (const char *)submit->value.data,
+                                        submit->value.len },
+                      peer);
+        return;
+      }
+    case CYC__PEER__BODY_CELL_STORED:
+      accept_on_stored (
+          entry,
+          (struct cyc_str){ (const char *)message->cell_stored->key.data,
+                            message->cell_stored->key.len },
+          (enum records_outcome)message->cell_stored->outcome,
+          message->cell_stored->retry_after_s);
+      return;
     case CYC__PEER__BODY_LOG_ASK:
       relay_on_ask (&entry->relay, peer, message->log_ask);
       return;
@@ -369,6 +389,7 @@
   cyc_id128_random (&entry->incarnation);
   entry->calls = calloc (CALLS_MAX, sizeof *entry->calls);
   entry->accept_flight = g_ptr_array_new ();
+  entry->accept_asked = g_ptr_array_new ();
   entry->ended_owners = g_ptr_array_new ();
   g_queue_init (&entry->accept_waiting);
   if (entry->calls == NULL
--- a/src/entry.h
+++ b/src/entry.h
@@ -84,8 +84,9 @@
 
   GQueue accept_waiting; /**< struct accept_item */
   GPtrArray *accept_flight;
+  GPtrArray *accept_asked; /**< struct accept_item that the leader stores */
   uint64_t accept_next_us;
-  bool accept_down;         /**< the last append was refused */
+  uint64_t accept_down_us;  /**< the last append was refused, since then */
   uint64_t accept_probe_us; /**< while down: next job that tries the log */
   uint32_t accept_part;     /**< of the stream of jobs */
 
--- a/src/entry_accept.c
+++ b/src/entry_accept.c
@@ -1,5 +1,7 @@
-/* Writes accepted jobs and cancellations to the log, as many as wait in one
-   append. A caller hears of its job only when the log has it. */
+/* Has accepted jobs and cancellations stored: by the leader, which writes
+   those of all VMs in common appends beside its own records, or, when no
+   leader can, by an append of this VM's own. A caller hears of its job only
+   when the log has it. */
 
 #include "entry_internal.h"
 
@@ -16,19 +18,24 @@
 /** Most bytes and records in one append. */
 #define BATCH_BYTES 1048576
 #define BATCH_RECORDS 500
-/** Callers whose job the log does not take come back after this. */
-#define RETRY_AFTER_S 1
+/** A leader that has not answered for so long is not waited for: a slow log
+ * takes 0.5 s. */
+#define LEADER_PATIENCE_US 1000000
+/** Callers come back after the time that the log has been down, from 1 s to
+ * this: an outage that has lasted long tends to go on. */
+#define RETRY_AFTER_MOST_S 4
 
 struct accept_item
 {
   struct cyc_ref call;
   uint8_t *data;
   size_t len;
-  char key[20];
+  char key[CELL_KEY_BYTES];
   uint64_t job;
   uint64_t first_refused_us;
   uint64_t begun_us;
-  bool maybe; /* an append of it may have taken effect */
+  uint64_t epoch; /* of the leader that stores it */
+  bool maybe;     /* an append of it may have taken effect */
 };
 
 static void
@@ -40,37 +47,56 @@
 
 static void
 end_item (struct entry *entry, struct accept_item *item,
-          enum pt_answer_kind kind)
+          enum pt_answer_kind kind, uint32_t retry_after_s)
 {
   requests_answer (
       entry, item->call,
       &(struct pt_answer){
           .kind = kind,
-          .retry_after_s = kind == PT_ANSWER_BUSY ? RETRY_AFTER_S : 0,
+          .retry_after_s = kind == PT_ANSWER_BUSY ? retry_after_s : 0,
       });
   free_item (item);
 }
 
-void
-accept_add (struct entry *entry, struct cyc_ref call, char kind, uint64_t job,
-            uint8_t *data, size_t len)
+static enum pt_answer_kind
+answer_of (const struct accept_item *item)
 {
-  struct accept_item *item = g_new0 (struct accept_item, 1);
+  return item->key[0] == 'j' ? PT_ANSWER_ACCEPTED : PT_ANSWER_CANCELLED;
+}
 
-  item->call = call;
-  item->data = data;
-  item->len = len;
-  item->job = job;
-  item->begun_us = hc_now_us ();
-  snprintf (item->key, sizeof item->key, "%c%016" PRIx64, kind, job);
-  if (entry->accept_down && item->begun_us < entry->accept_probe_us)
+static uint32_t
+retry_after_s (const struct entry *entry, uint64_t now_us)
+{
+  uint64_t age_s = entry->accept_down_us != 0
+                       ? (now_us - entry->accept_down_us) / 1000000
+                       : 0;
+
+  return (uint32_t)CLAMP (age_s, 1, RETRY_AFTER_MOST_S);
+}
+
+/* When the caller of the item gives up; 0: it has gone. */
+static uint64_t
+deadline_of (const struct entry *entry, const struct accept_item *item)
+{
+  return cyc_pool_live (&entry->call_pool, item->call)
+             ? entry->calls[item->call.index].deadline_us
+             : 0;
+}
+
+/* The own way to the log. */
+
+static void
+append_self (struct entry *entry, struct accept_item *item, uint64_t now_us)
+{
+  if (entry->accept_down_us != 0 && now_us < entry->accept_probe_us
+      && !item->maybe)
     {
-      end_item (entry, item, PT_ANSWER_BUSY);
+      end_item (entry, item, PT_ANSWER_BUSY, retry_after_s (entry, now_us));
       return;
     }
-  entry->accept_probe_us = item->begun_us + PROBE_US;
+  entry->accept_probe_us = now_us + PROBE_US;
   g_queue_push_tail (&entry->accept_waiting, item);
-  accept_tick (entry, item->begun_us);
+  entry_kick (entry);
 }
 
 /* Tells the leader of a record that is stored, so that it need not wait until
@@ -105,19 +131,12 @@
 settle (struct entry *entry, struct accept_item *item, enum pt_fate fate,
         uint64_t now_us)
 {
-  struct entry_call *call = cyc_pool_live (&entry->call_pool, item->call)
-                                ? &entry->calls[item->call.index]
-                                : NULL;
-  uint64_t deadline_us = call != NULL ? call->deadline_us : now_us;
-
   if (fate == PT_OK)
     {
       met_add (&entry->met, MET_JOBS_ACCEPTED, 1);
       met_observe (&entry->met, MET_LOG_APPEND_US, now_us - item->begun_us);
       push_item (entry, item);
-      end_item (entry, item,
-                item->key[0] == 'j' ? PT_ANSWER_ACCEPTED
-                                    : PT_ANSWER_CANCELLED);
+      end_item (entry, item, answer_of (item), 0);
       return true;
     }
   item->maybe = item->maybe || fate == PT_UNKNOWN;
@@ -125,13 +144,7 @@
     item->first_refused_us = now_us;
   if (!item->maybe && now_us >= item->first_refused_us + REFUSED_MOST_US)
     {
-      end_item (entry, item, PT_ANSWER_BUSY);
-      return true;
-    }
-  if (now_us >= deadline_us)
-    {
-      end_item (entry, item,
-                item->maybe ? PT_ANSWER_NOT_KNOWN : PT_ANSWER_BUSY);
+      end_item (entry, item, PT_ANSWER_BUSY, retry_after_s (entry, now_us));
       return true;
     }
   return false;
@@ -148,7 +161,10 @@
   met_add (&entry->met,
            result->fate == PT_OK ? MET_LOG_APPENDS : MET_LOG_APPEND_FAILURES,
            1);
-  entry->accept_down = result->fate == PT_REFUSED;
+  if (result->fate != PT_REFUSED)
+    entry->accept_down_us = 0;
+  else if (entry->accept_down_us == 0)
+    entry->accept_down_us = now_us;
   for (guint i = flight->len; i-- > 0;)
     if (!settle (entry, g_ptr_array_index (flight, i), result->fate, now_us))
       g_queue_push_head (&entry->accept_waiting,
@@ -163,8 +179,8 @@
     accept_tick (entry, now_us);
 }
 
-void
-accept_tick (struct entry *entry, uint64_t now_us)
+static void
+append_waiting (struct entry *entry, uint64_t now_us)
 {
   struct pt_record records[BATCH_RECORDS];
   uint32_t count = 0;
@@ -200,6 +216,169 @@
     on_stored (entry, &(struct pt_append_result){ .fate = PT_REFUSED });
 }
 
+/* The leader's way. */
+
+/* True when the leader was handed the item. */
+static bool
+ask_leader (struct entry *entry, struct accept_item *item)
+{
+  Cyc__Peer message = CYC__PEER__INIT;
+  Cyc__CellSubmit submit = CYC__CELL_SUBMIT__INIT;
+  struct pl_peer_view view;
+  struct cyc_ref peer;
+
+  if (entry->leader.epoch == 0 || entry->leader.released
+      || entry->leader.own_past)
+    return false;
+  item->epoch = entry->leader.epoch;
+  if (entry->owner != NULL)
+    {
+      g_ptr_array_add (entry->accept_asked, item);
+      owner_submit (entry, cyc_str_of (item->key),
+                    (struct cyc_str){ (const char *)item->data, item->len },
+                    (struct cyc_ref){ 0 });
+      return true;
+    }
+  peer = pl_find (&entry->links, cyc_name_str (&entry->leader.vm),
+                  SET_ROLE_ENTRY);
+  if (peer.generation == 0 || !pl_view (&entry->links, peer, &view)
+      || !view.linked || view.draining)
+    return false;
+  message.body_case = CYC__PEER__BODY_CELL_SUBMIT;
+  message.cell_submit = &submit;
+  submit.key
+      = (ProtobufCBinaryData){ strlen (item->key), (uint8_t *)item->key };
+  submit.value = (ProtobufCBinaryData){ item->len, item->data };
+  if (!pl_send (&entry->links, peer, &message))
+    return false;
+  g_ptr_array_add (entry->accept_asked, item);
+  return true;
+}
+
+/* The leader could not store the item. A log that refuses the leader may still
+   take appends of this VM. */
+static void
+leave_leader (struct entry *entry, struct accept_item *item,
+              enum records_outcome outcome, uint32_t after_s, uint64_t now_us)
+{
+  item->maybe = item->maybe || outcome != RECORDS_REFUSED;
+  if (item->maybe || relay_direct (&entry->relay, now_us))
+    append_self (entry, item, now_us);
+  else
+    end_item (entry, item, PT_ANSWER_BUSY, after_s);
+}
+
+void
+accept_on_stored (struct entry *entry, struct cyc_str key,
+                  enum records_outcome outcome, uint32_t after_s)
+{
+  uint64_t now_us = hc_now_us ();
+
+  for (guint i = 0; i < entry->accept_asked->len;)
+    {
+      struct accept_item *item = g_ptr_array_index (entry->accept_asked, i);
+
+      if (!cyc_str_eq (cyc_str_of (item->key), key))
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_remove_index_fast (entry->accept_asked, i);
+      if (outcome == RECORDS_STORED)
+        {
+          met_add (&entry->met, MET_JOBS_ACCEPTED, 1);
+          met_observe (&entry->met, MET_LOG_APPEND_US,
+                       now_us - item->begun_us);
+          end_item (entry, item, answer_of (item), 0);
+        }
+      else
+        leave_leader (entry, item, outcome, after_s, now_us);
+    }
+}
+
+static bool
+leader_lost (const struct entry *entry, const struct accept_item *item,
+             uint64_t now_us)
+{
+  struct pl_peer_view view;
+  struct cyc_ref peer;
+
+  if (item->epoch != entry->leader.epoch
+      || item->begun_us + LEADER_PATIENCE_US < now_us)
+    return true;
+  if (entry->owner != NULL)
+    return false;
+  peer = pl_find (&entry->links, cyc_name_str (&entry->leader.vm),
+                  SET_ROLE_ENTRY);
+  return peer.generation == 0 || !pl_view (&entry->links, peer, &view)
+         || !view.linked;
+}
+
+/* Answers items whose callers are about to give up. */
+static void
+expire_items (struct entry *entry, uint64_t now_us)
+{
+  GList *next;
+
+  for (GList *at = entry->accept_waiting.head; at != NULL; at = next)
+    {
+      struct accept_item *item = at->data;
+
+      next = at->next;
+      if (now_us < deadline_of (entry, item))
+        continue;
+      g_queue_delete_link (&entry->accept_waiting, at);
+      end_item (entry, item,
+                item->maybe ? PT_ANSWER_NOT_KNOWN : PT_ANSWER_BUSY,
+                retry_after_s (entry, now_us));
+    }
+  /* The append goes on; its result finds the call answered. */
+  for (guint i = 0; i < entry->accept_flight->len; i++)
+    {
+      const struct accept_item *item
+          = g_ptr_array_index (entry->accept_flight, i);
+
+      if (now_us >= deadline_of (entry, item))
+        requests_answer (entry, item->call,
+                         &(struct pt_answer){ .kind = PT_ANSWER_NOT_KNOWN });
+    }
+}
+
+void
+accept_add (struct entry *entry, struct cyc_ref call, char kind, uint64_t job,
+            uint8_t *data, size_t len)
+{
+  struct accept_item *item = g_new0 (struct accept_item, 1);
+
+  item->call = call;
+  item->data = data;
+  item->len = len;
+  item->job = job;
+  item->begun_us = hc_now_us ();
+  snprintf (item->key, sizeof item->key, "%c%016" PRIx64, kind, job);
+  if (!ask_leader (entry, item))
+    append_self (entry, item, item->begun_us);
+}
+
+void
+accept_tick (struct entry *entry, uint64_t now_us)
+{
+  for (guint i = 0; i < entry->accept_asked->len;)
+    {
+      struct accept_item *item = g_ptr_array_index (entry->accept_asked, i);
+
+      if (!leader_lost (entry, item, now_us))
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_remove_index_fast (entry->accept_asked, i);
+      leave_leader (entry, item, RECORDS_ELSEWHERE, 0, now_us);
+    }
+  expire_items (entry, now_us);
+  append_waiting (entry, now_us);
+}
+
 void
 accept_shutdown (struct entry *entry)
 {
@@ -209,5 +388,8 @@
     free_item (item);
   for (guint i = 0; i < entry->accept_flight->len; i++)
     free_item (g_ptr_array_index (entry->accept_flight, i));
+  for (guint i = 0; i < entry->accept_asked->len; i++)
+    free_item (g_ptr_array_index (entry->accept_asked, i));
   g_ptr_array_free (entry->accept_flight, TRUE);
+  g_ptr_array_free (entry->accept_asked, TRUE);
 }
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -23,7 +23,21 @@
  * 4 ms, and a round trip between regions takes 40 ms. */
 #define ENTRY_APPEND_MS 700
 
+/** Bytes of a key in the streams of jobs: a letter, 16 digits, 0. */
+#define CELL_KEY_BYTES 18
+
+/** What became of a record that was handed to the leader. */
+enum records_outcome
+{
+  RECORDS_STORED = 1,
+  RECORDS_REFUSED,  /**< surely not stored; the log is down */
+  RECORDS_ELSEWHERE /**< the leader cannot say: it ends, or is not ready */
+};
+
 /* entry_accept.c */
+/** The leader's word on a record that this VM handed to it. */
+void accept_on_stored (struct entry *entry, struct cyc_str key,
+                       enum records_outcome outcome, uint32_t retry_after_s);
 /** Adds a record to the next batch; @p call is answered when it is stored. */
 void accept_add (struct entry *entry, struct cyc_ref call, char kind,
                  uint64_t job, uint8_t *data, size_t len);
@@ -51,6 +65,9 @@
 void owner_end (struct entry *entry);
 void owner_tick (struct entry *entry, uint64_t now_us);
 void owner_config (struct entry *entry);
+/** A job or a cancellation that another VM wants stored. */
+void owner_submit (struct entry *entry, struct cyc_str key,
+                   struct cyc_str value, struct cyc_ref peer);
 /** A record of the stream of jobs that the log has taken, before the stream
  * shows it; ignored while loading. */
 void owner_push (struct entry *entry, const struct pt_record *record);
@@ -80,6 +97,8 @@
 void advice_on_ask (struct entry *entry, struct cyc_ref peer,
                     const Cyc__AdviceAsk *ask);
 struct advice_state *owner_advice (const struct entry *entry);
+/** Parts of the stream of jobs that VMs write. */
+uint32_t entry_jobs_parts (const struct entry *entry);
 /** Links to all entry VMs: a leader needs them. */
 void entry_link_all (struct entry *entry);
 /** Something happened that the next tick should see at once. */
--- a/src/entry_owner_internal.h
+++ b/src/entry_owner_internal.h
@@ -1,12 +1,13 @@
 /**
  * @file
- * State of a leader, shared by entry_owner.c (streams, records, life) and
- * entry_orders.c (holds of workers and orders to them).
+ * State of a leader, shared by entry_owner.c (streams, life), entry_records.c
+ * (what it keeps in the log) and entry_orders.c (holds of workers and orders
+ * to them).
  */
 #ifndef ENTRY_OWNER_INTERNAL_H
 #define ENTRY_OWNER_INTERNAL_H
 
-#include "entry_internal.h"
+#include "entry_records.h"
 
 struct owner_worker
 {
@@ -21,8 +22,7 @@
 
 enum owner_phase
 {
-  OWNER_LOADING_JOBS,
-  OWNER_LOADING_PROGRESS,
+  OWNER_LOADING,
   OWNER_LEADING
 };
 
@@ -35,19 +35,11 @@
   struct advice_state *advice;
   struct tail *jobs_tails; /**< one for each part */
   uint32_t jobs_parts;
-  struct tail progress_tail;
+  struct entry_records records;
   struct tail workers_tail;
   GHashTable *cancelled; /**< ids whose job was not seen yet */
   GArray *workers;       /**< struct owner_worker by row */
   GHashTable *unusable;  /**< ids of entries that name no worker */
-  GPtrArray *batch;      /**< struct cell_record of the batch in flight */
-  uint64_t batch_number; /**< 0: none */
-  bool batch_in_flight;
-  uint64_t batch_at_us;
-  uint64_t sequence;
-  bool fenced; /**< the log takes no progress of earlier leaders */
-  bool fence_in_flight;
-  uint64_t fence_at_us;
   uint64_t begun_us;
   uint64_t load_line_us;
   uint64_t last_tick_us;
@@ -58,6 +50,14 @@
 
 /** The end of a call of a port. False: the leader has ended meanwhile. */
 bool owner_call_ended (struct entry_owner *owner);
+/** A record of accepted jobs and cancellations. */
+void owner_on_job (void *user, const struct pt_record *record,
+                   uint64_t offset);
+/** A job that is not stored yet. */
+void owner_offer_job (struct entry_owner *owner, uint64_t id,
+                      struct cyc_str value);
+/** The log holds a cancellation. */
+void owner_cancel (struct entry_owner *owner, uint64_t id);
 /** The core was fed: it ticks soon. */
 void owner_fed (struct entry_owner *owner);
 /** Keeps the leases of a worker and learns what it runs. */
--- /dev/null
+++ b/src/entry_records.c
@@ -0,0 +1,644 @@
+#include "entry_records.h"
+
+#include "entry_owner_internal.h"
+
+/** Least gap between two batches: one append serves what came meanwhile. */
+#define BATCH_GAP_US 8000
+/** Most bytes and submitted records in one append. */
+#define BATCH_BYTES 1048576
+#define BATCH_ROWS 400
+/** Gap after an append that failed; longer from the second one in a row. */
+#define RETRY_FIRST_US 50000
+#define RETRY_US 150000
+/** A part is written for so long before the next one: the records of a short
+ * job stay in few parts. */
+#define ROTATE_US 1000000
+/** An append without answer for so long, with none answered since, shows that
+ * the log is silent; a slow log takes 0.5 s. */
+#define SILENT_US 900000
+/** While the log is down a submitted record tries it so often. */
+#define PROBE_US 150000
+/** Callers come back after the time that the log has been down, from 1 s to
+ * this: an outage that has lasted long tends to go on. */
+#define RETRY_AFTER_MOST_S 4
+/** Revision in front of a progress record, big-endian. */
+#define REVISION_BYTES 8
+
+/** The newest progress of a job, of all parts. */
+struct loaded_progress
+{
+  uint64_t revision;
+  uint8_t *data;
+  size_t len;
+};
+
+static void
+free_loaded (gpointer data)
+{
+  struct loaded_progress *progress = data;
+
+  g_free (progress->data);
+  g_free (progress);
+}
+
+static void
+free_row (gpointer data)
+{
+  struct records_row *row = data;
+
+  free (row->data);
+  g_free (row);
+}
+
+static struct pt_log *
+log_of (const struct entry_records *records)
+{
+  return &records->owner->entry->relay.log;
+}
+
+/* Loading. */
+
+static void
+on_progress (struct entry_records *records, const struct pt_record *record)
+{
+  struct loaded_progress *old;
+  struct loaded_progress *progress;
+  uint64_t revision = 0;
+  uint64_t parsed;
+  gint64 id;
+
+  if (record->value.len < REVISION_BYTES
+      || !cell_job_id_parse ((struct cyc_str){ record->key.data + 1, 16 },
+                             &parsed))
+    return;
+  for (size_t i = 0; i < REVISION_BYTES; i++)
+    revision = revision << 8 | (uint8_t)record->value.data[i];
+  id = (gint64)parsed;
+  old = g_hash_table_lookup (records->loaded, &id);
+  if (old != NULL && old->revision > revision)
+    return;
+  progress = g_new0 (struct loaded_progress, 1);
+  progress->revision = revision;
+  progress->len = record->value.len - REVISION_BYTES;
+  progress->data
+      = g_memdup2 (record->value.data + REVISION_BYTES, progress->len);
+  g_hash_table_replace (records->loaded, g_memdup2 (&id, sizeof id), progress);
+}
+
+static void
+on_record (void *user, const struct pt_record *record, uint64_t offset)
+{
+  struct records_part *part = user;
+
+  if (record->key.len == CELL_KEY_BYTES - 1 && record->key.data[0] == 'p')
+    on_progress (part->records, record);
+  else
+    owner_on_job (part->records->owner, record, offset);
+}
+
+static void
+on_part_loaded (void *user)
+{
+  struct records_part *part = user;
+
+  tail_stop (&part->tail);
+  part->loaded = true;
+  owner_fed (part->records->owner);
+}
+
+static void
+on_fenced (void *user, const struct pt_append_result *result)
+{
+  struct records_part *part = user;
+  struct entry_owner *owner = part->records->owner;
+
+  part->in_flight = false;
+  if (!owner_call_ended (owner))
+    return;
+  if (result->fate == PT_OK)
+    {
+      part->fenced = true;
+      tail_start (&part->tail);
+      return;
+    }
+  if (result->fate == PT_FENCED)
+    {
+      lead_step_down (owner->entry, "the log knows a higher epoch");
+      return;
+    }
+  part->retry_us = hc_now_us () + RETRY_FIRST_US;
+  entry_wake_at (owner->entry, part->retry_us);
+}
+
+static void
+set_fence (struct records_part *part, uint64_t now_us)
+{
+  struct entry_owner *owner = part->records->owner;
+
+  if (part->in_flight || now_us < part->retry_us)
+    return;
+  part->in_flight
+      = log_of (part->records)
+            ->vtable->append (
+                log_of (part->records),
+                &(struct pt_append){
+                    .stream = PT_STREAM_CELL,
+                    .part = part->index,
+                    .epoch = owner->epoch,
+                    .sequence = 0,
+                    .deadline_us = now_us + ENTRY_APPEND_MS * 1000ULL,
+                    .done = on_fenced,
+                    .user = part,
+                });
+  if (part->in_flight)
+    owner->calls++;
+  else
+    part->retry_us = now_us + RETRY_FIRST_US;
+}
+
+bool
+records_loaded (const struct entry_records *records)
+{
+  for (uint32_t i = 0; i < records->part_count; i++)
+    if (!records->parts[i].loaded)
+      return false;
+  return true;
+}
+
+void
+records_restore (struct entry_records *records)
+{
+  uint64_t lease_us = (uint64_t)records->owner->entry->desc.settings->lease_ms
+                          * 1000 * 103 / 100
+                      + 300000;
+  uint32_t orphans = 0;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, records->loaded);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const struct loaded_progress *progress = value;
+
+      /* Progress of a job that the log refused has no job. */
+      orphans += !cell_job_restore (
+          records->owner->core, (uint64_t) * (gint64 *)key,
+          (struct cyc_str){ (const char *)progress->data, progress->len },
+          records->owner->begun_us + lease_us);
+    }
+  if (orphans > 0)
+    ev_log (EV_PROGRESS_ORPHANED, "epoch=%" PRIu64 " records=%u of=%u",
+            records->owner->epoch, orphans,
+            g_hash_table_size (records->loaded));
+  g_hash_table_remove_all (records->loaded);
+}
+
+/* Answers to those who submitted. */
+
+static uint32_t
+retry_after_s (const struct entry_records *records, uint64_t now_us)
+{
+  uint64_t age_s
+      = records->down_us != 0 ? (now_us - records->down_us) / 1000000 : 0;
+
+  return (uint32_t)CLAMP (age_s, 1, RETRY_AFTER_MOST_S);
+}
+
+static void
+tell (struct entry_records *records, const struct records_row *row,
+      enum records_outcome outcome)
+{
+  struct entry *entry = records->owner->entry;
+  Cyc__Peer message = CYC__PEER__INIT;
+  Cyc__CellStored stored = CYC__CELL_STORED__INIT;
+  uint32_t after_s
+      = outcome == RECORDS_REFUSED ? retry_after_s (records, hc_now_us ()) : 0;
+
+  if (row->peer.generation == 0)
+    {
+      accept_on_stored (entry, cyc_str_of (row->key), outcome, after_s);
+      return;
+    }
+  message.body_case = CYC__PEER__BODY_CELL_STORED;
+  message.cell_stored = &stored;
+  stored.key = (ProtobufCBinaryData){ strlen (row->key), (uint8_t *)row->key };
+  stored.outcome = outcome;
+  stored.retry_after_s = after_s;
+  pl_send (&entry->links, row->peer, &message);
+}
+
+/* The same id may have been submitted through another VM too. */
+static bool
+submitted_elsewhere (const struct entry_records *records,
+                     const struct records_row *row)
+{
+  for (const GList *at = records->waiting.head; at != NULL; at = at->next)
+    if (at->data != row
+        && strcmp (((struct records_row *)at->data)->key, row->key) == 0)
+      return true;
+  for (uint32_t p = 0; p < records->part_count; p++)
+    for (guint i = 0; i < records->parts[p].rows->len; i++)
+      {
+        const struct records_row *other
+            = g_ptr_array_index (records->parts[p].rows, i);
+
+        if (other != row && strcmp (other->key, row->key) == 0)
+          return true;
+      }
+  return false;
+}
+
+static void
+refuse_row (struct entry_records *records, const struct records_row *row)
+{
+  uint64_t id;
+
+  if (row->key[0] == 'j' && cell_job_id_parse (cyc_str_of (row->key + 1), &id)
+      && !submitted_elsewhere (records, row))
+    cell_job_withdraw (records->owner->core, id);
+  tell (records, row, RECORDS_REFUSED);
+}
+
+static void
+row_stored (struct entry_records *records, const struct records_row *row,
+            uint64_t now_us)
+{
+  struct entry_owner *owner = records->owner;
+  uint64_t id;
+
+  if (!row->submitted || !cell_job_id_parse (cyc_str_of (row->key + 1), &id))
+    return;
+  if (row->key[0] == 'j')
+    cell_job_stored (owner->core, id, now_us);
+  else
+    owner_cancel (owner, id);
+  met_observe (&owner->entry->met, MET_LOG_APPEND_US,
+               now_us - row->received_us);
+  tell (records, row, RECORDS_STORED);
+}
+
+/* Writing. */
+
+static bool
+is_silent (const struct entry_records *records, uint64_t now_us)
+{
+  for (uint32_t i = 0; i < records->part_count; i++)
+    {
+      const struct records_part *part = &records->parts[i];
+
+      if (part->in_flight && part->begun_us + SILENT_US < now_us
+          && records->worked_us < part->begun_us)
+        return true;
+    }
+  return false;
+}
+
+static void
+note_failure (struct entry_records *records, uint64_t begun_us)
+{
+  if (records->down_us == 0)
+    records->down_us = begun_us;
+}
+
+/* Ends a batch whose append surely had no effect: submitted records are
+   refused, progress is tried again. */
+static void
+refuse_submitted (struct records_part *part)
+{
+  for (guint i = 0; i < part->rows->len;)
+    {
+      struct records_row *row = g_ptr_array_index (part->rows, i);
+
+      if (!row->submitted)
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_steal_index (part->rows, i);
+      refuse_row (part->records, row);
+      free_row (row);
+    }
+}
+
+static void
+on_written (void *user, const struct pt_append_result *result)
+{
+  struct records_part *part = user;
+  struct entry_records *records = part->records;
+  struct entry_owner *owner = records->owner;
+  uint64_t now_us = hc_now_us ();
+
+  part->in_flight = false;
+  if (!owner_call_ended (owner))
+    return;
+  met_add (&owner->entry->met,
+           result->fate == PT_OK ? MET_LOG_APPENDS : MET_LOG_APPEND_FAILURES,
+           1);
+  if (result->fate == PT_FENCED || result->fate == PT_CONFLICT)
+    {
+      lead_step_down (owner->entry, "the log refused the epoch");
+      return;
+    }
+  if (result->fate == PT_OK)
+    {
+      GPtrArray *rows = part->rows;
+      uint64_t batch = part->batch;
+
+      part->rows = g_ptr_array_new_with_free_func (free_row);
+      part->batch = 0;
+      part->maybe = false;
+      part->failures = 0;
+      part->sequence++;
+      records->worked_us = now_us;
+      records->down_us = 0;
+      if (batch != 0)
+        cell_batch_durable (owner->core, batch, now_us);
+      for (guint i = 0; i < rows->len; i++)
+        row_stored (records, g_ptr_array_index (rows, i), now_us);
+      g_ptr_array_free (rows, TRUE);
+      owner_fed (owner);
+      return;
+    }
+  note_failure (records, part->begun_us);
+  part->maybe = part->maybe || result->fate == PT_UNKNOWN;
+  if (!part->maybe)
+    refuse_submitted (part);
+  part->retry_us
+      = now_us + (part->failures++ == 0 ? RETRY_FIRST_US : RETRY_US);
+  entry_wake_at (owner->entry, part->retry_us);
+}
+
+static void
+send_rows (struct records_part *part, uint64_t now_us)
+{
+  struct entry_records *records = part->records;
+  struct entry_owner *owner = records->owner;
+  struct pt_record *out;
+
+  if (part->rows->len == 0 || part->in_flight)
+    return;
+  if (now_us < part->retry_us)
+    {
+      entry_wake_at (owner->entry, part->retry_us);
+      return;
+    }
+  out = g_new0 (struct pt_record, part->rows->len);
+  for (guint i = 0; i < part->rows->len; i++)
+    {
+      const struct records_row *row = g_ptr_array_index (part->rows, i);
+
+      out[i].key = cyc_str_of (row->key);
+      out[i].value = (struct cyc_str){ (const char *)row->data, row->len };
+    }
+  part->begun_us = now_us;
+  part->in_flight = log_of (records)->vtable->append (
+      log_of (records), &(struct pt_append){
+                            .stream = PT_STREAM_CELL,
+                            .part = part->index,
+                            .records = out,
+                            .count = part->rows->len,
+                            .epoch = owner->epoch,
+                            .sequence = part->sequence,
+                            .deadline_us = now_us + ENTRY_APPEND_MS * 1000ULL,
+                            .done = on_written,
+                            .user = part,
+                        });
+  if (part->in_flight)
+    owner->calls++;
+  else
+    part->retry_us = now_us + RETRY_FIRST_US;
+  g_free (out);
+}
+
+static struct records_row *
+progress_row (const struct cell_record *record)
+{
+  struct records_row *row = g_new0 (struct records_row, 1);
+
+  snprintf (row->key, sizeof row->key, "p%016" PRIx64, record->job);
+  row->len = record->len + REVISION_BYTES;
+  row->data = malloc (row->len);
+  for (size_t i = 0; i < REVISION_BYTES; i++)
+    row->data[i]
+        = (uint8_t)(record->revision >> (8 * (REVISION_BYTES - 1 - i)));
+  memcpy (row->data + REVISION_BYTES, record->data, record->len);
+  return row;
+}
+
+/* Moves what waits into the part. */
+static void
+fill_part (struct records_part *part)
+{
+  struct entry_records *records = part->records;
+  struct cell_record record;
+  size_t bytes = 0;
+
+  part->batch = cell_batch_close (records->owner->core);
+  while (cell_batch_next (records->owner->core, &record))
+    {
+      g_ptr_array_add (part->rows, progress_row (&record));
+      free (record.data);
+    }
+  for (uint32_t n = 0; n < BATCH_ROWS && bytes < BATCH_BYTES
+                       && !g_queue_is_empty (&records->waiting);
+       n++)
+    {
+      struct records_row *row = g_queue_pop_head (&records->waiting);
+
+      bytes += row->len;
+      g_ptr_array_add (part->rows, row);
+    }
+}
+
+static struct records_part *
+idle_part (struct entry_records *records, uint64_t now_us)
+{
+  uint32_t first = (uint32_t)(now_us / ROTATE_US % records->part_count);
+
+  for (uint32_t i = 0; i < records->part_count; i++)
+    {
+      struct records_part *part
+          = &records->parts[(first + i) % records->part_count];
+
+      if (part->rows->len == 0)
+        return part;
+    }
+  return NULL;
+}
+
+/* While the log is down the appends that are tried again show when it is back;
+   nothing else is sent. */
+static bool
+is_probing (const struct entry_records *records)
+{
+  if (records->down_us == 0)
+    return false;
+  for (uint32_t i = 0; i < records->part_count; i++)
+    if (records->parts[i].rows->len > 0)
+      return true;
+  return false;
+}
+
+static void
+refuse_waiting (struct entry_records *records)
+{
+  struct records_row *row;
+
+  while ((row = g_queue_pop_head (&records->waiting)) != NULL)
+    {
+      refuse_row (records, row);
+      free_row (row);
+    }
+}
+
+static void
+write_batches (struct entry_records *records, uint64_t now_us)
+{
+  struct records_part *part;
+
+  for (uint32_t i = 0; i < records->part_count; i++)
+    send_rows (&records->parts[i], now_us);
+  if (is_probing (records))
+    {
+      refuse_waiting (records);
+      return;
+    }
+  if (now_us < records->close_us)
+    {
+      entry_wake_at (records->owner->entry, records->close_us);
+      return;
+    }
+  part = idle_part (records, now_us);
+  if (part == NULL)
+    return;
+  fill_part (part);
+  if (part->rows->len == 0)
+    return;
+  records->close_us = now_us + BATCH_GAP_US;
+  part->retry_us = 0;
+  send_rows (part, now_us);
+}
+
+void
+records_tick (struct entry_records *records, uint64_t now_us)
+{
+  for (uint32_t i = 0; i < records->part_count; i++)
+    if (!records->parts[i].fenced)
+      set_fence (&records->parts[i], now_us);
+  if (records->owner->phase != OWNER_LEADING)
+    return;
+  if (records->down_us == 0 && is_silent (records, now_us))
+    records->down_us = now_us - SILENT_US;
+  write_batches (records, now_us);
+}
+
+void
+records_submit (struct entry_records *records, struct cyc_str key,
+                struct cyc_str value, struct cyc_ref peer)
+{
+  struct entry_owner *owner = records->owner;
+  struct records_row *row;
+  uint64_t now_us = hc_now_us ();
+  uint64_t id;
+
+  if (key.len != CELL_KEY_BYTES - 1
+      || !cell_job_id_parse ((struct cyc_str){ key.data + 1, 16 }, &id))
+    return;
+  row = g_new0 (struct records_row, 1);
+  snprintf (row->key, sizeof row->key, "%.*s", CYC_FMT (key));
+  row->submitted = true;
+  row->peer = peer;
+  row->received_us = now_us;
+  if (owner->phase != OWNER_LEADING)
+    tell (records, row, RECORDS_ELSEWHERE);
+  else if (row->key[0] == 'j' && cell_job_state (owner->core, id) != 0)
+    tell (records, row, RECORDS_STORED);
+  else if (records->down_us != 0
+           && (is_probing (records) || now_us < records->probe_us))
+    tell (records, row, RECORDS_REFUSED);
+  else
+    {
+      records->probe_us = now_us + PROBE_US;
+      row->data = malloc (value.len > 0 ? value.len : 1);
+      memcpy (row->data, value.data, value.len);
+      row->len = value.len;
+      g_queue_push_tail (&records->waiting, row);
+      if (row->key[0] == 'j')
+        owner_offer_job (owner, id, value);
+      owner_fed (owner);
+      return;
+    }
+  free_row (row);
+}
+
+void
+records_begin (struct entry_records *records, struct entry_owner *owner)
+{
+  memset (records, 0, sizeof *records);
+  records->owner = owner;
+  records->part_count
+      = MIN (owner->entry->desc.settings->log_parts, RECORDS_PARTS_MAX);
+  records->parts = g_new0 (struct records_part, records->part_count);
+  records->loaded = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
+                                           free_loaded);
+  g_queue_init (&records->waiting);
+  for (uint32_t i = 0; i < records->part_count; i++)
+    {
+      struct records_part *part = &records->parts[i];
+
+      part->records = records;
+      part->index = i;
+      part->rows = g_ptr_array_new_with_free_func (free_row);
+      tail_setup (&part->tail, &(struct tail_desc){
+                                   .loop = owner->entry->desc.loop,
+                                   .log = log_of (records),
+                                   .stream = PT_STREAM_CELL,
+                                   .part = i,
+                                   .keyed = true,
+                                   .record = on_record,
+                                   .caught_up = on_part_loaded,
+                                   .user = part,
+                               });
+    }
+}
+
+void
+records_end (struct entry_records *records)
+{
+  struct records_row *row;
+
+  while ((row = g_queue_pop_head (&records->waiting)) != NULL)
+    {
+      tell (records, row, RECORDS_ELSEWHERE);
+      free_row (row);
+    }
+  for (uint32_t p = 0; p < records->part_count; p++)
+    {
+      tail_stop (&records->parts[p].tail);
+      for (guint i = 0; i < records->parts[p].rows->len; i++)
+        {
+          row = g_ptr_array_index (records->parts[p].rows, i);
+          if (row->submitted)
+            tell (records, row, RECORDS_ELSEWHERE);
+        }
+    }
+}
+
+bool
+records_busy (const struct entry_records *records)
+{
+  for (uint32_t i = 0; i < records->part_count; i++)
+    if (records->parts[i].tail.in_flight)
+      return true;
+  return false;
+}
+
+void
+records_shutdown (struct entry_records *records)
+{
+  for (uint32_t i = 0; i < records->part_count; i++)
+    g_ptr_array_free (records->parts[i].rows, TRUE);
+  g_free (records->parts);
+  g_hash_table_destroy (records->loaded);
+}
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -6,6 +6,11 @@
 #include <stdio.h>
 #include <string.h>
 
+/** Leases asked for at most. What runs on a worker that is lost starts again
+ * elsewhere after one lease; a takeover takes up to 4 s when the log is slow.
+ */
+#define LEASE_MOST_MS 6000
+
 enum kind
 {
   KIND_NAME,
@@ -191,6 +196,7 @@
   for (size_t i = 0; i < ROW_COUNT; i++)
     read_row (&rows[i], root, place, out, findings);
   json_object_put (root);
+  out->lease_ms = MIN (out->lease_ms, LEASE_MOST_MS);
   return findings->count == before;
 }
 
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -77,6 +77,7 @@
   X (EV_LEAD_CLAIMED, MESSAGE, "lead_claimed")                                \
   X (EV_LEAD_LOST, WARNING, "lead_lost")                                      \
   X (EV_LEAD_LOADED, MESSAGE, "lead_loaded")                                  \
+  X (EV_PROGRESS_ORPHANED, MESSAGE, "progress_orphaned")                      \
   X (EV_WORKER_LISTED, MESSAGE, "worker_listed")                              \
   X (EV_JOB_SEEN, INFO, "job_seen")                                           \
   X (EV_JOB_CANCELLED, INFO, "job_cancelled")                                 \
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1492,7 +1492,97 @@
   assert(message->base.descriptor == &cyc__cell_push__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cyc__peer__field_descriptors[26] =
+void   cyc__cell_submit__init
+                     (Cyc__CellSubmit         *message)
+{
+  static const Cyc__CellSubmit init_value = CYC__CELL_SUBMIT__INIT;
+  *message = init_value;
+}
+size_t cyc__cell_submit__get_packed_size
+                     (const Cyc__CellSubmit *message)
+{
+  assert(message->base.descriptor == &cyc__cell_submit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cyc__cell_submit__pack
+                     (const Cyc__CellSubmit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cyc__cell_submit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cyc__cell_submit__pack_to_buffer
+                     (const Cyc__CellSubmit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cyc__cell_submit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cyc__CellSubmit *
+       cyc__cell_submit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cyc__CellSubmit *)
+     protobuf_c_message_unpack (&cyc__cell_submit__descriptor,
+                                allocator, len, data);
+}
+void   cyc__cell_submit__free_unpacked
+                     (Cyc__CellSubmit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cyc__cell_submit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cyc__cell_stored__init
+                     (Cyc__CellStored         *message)
+{
+  static const Cyc__CellStored init_value = CYC__CELL_STORED__INIT;
+  *message = init_value;
+}
+size_t cyc__cell_stored__get_packed_size
+                     (const Cyc__CellStored *message)
+{
+  assert(message->base.descriptor == &cyc__cell_stored__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cyc__cell_stored__pack
+                     (const Cyc__CellStored *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cyc__cell_stored__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cyc__cell_stored__pack_to_buffer
+                     (const Cyc__CellStored *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cyc__cell_stored__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cyc__CellStored *
+       cyc__cell_stored__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cyc__CellStored *)
+     protobuf_c_message_unpack (&cyc__cell_stored__descriptor,
+                                allocator, len, data);
+}
+void   cyc__cell_stored__free_unpacked
+                     (Cyc__CellStored *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cyc__cell_stored__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor cyc__peer__field_descriptors[28] =
 {
   {
     "hello",
@@ -1806,6 +1896,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cell_submit",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cyc__Peer, body_case),
+    offsetof(Cyc__Peer, cell_submit),
+    &cyc__cell_submit__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cell_stored",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cyc__Peer, body_case),
+    offsetof(Cyc__Peer, cell_stored),
+    &cyc__cell_stored__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cyc__peer__field_indices_by_name[] = {
   20,   /* field[20] = advice_answer */
@@ -1814,6 +1928,8 @@
   22,   /* field[22] = cell_answer */
   21,   /* field[21] = cell_ask */
   25,   /* field[25] = cell_push */
+  27,   /* field[27] = cell_stored */
+  26,   /* field[26] = cell_submit */
   2,   /* field[2] = control_records */
   3,   /* field[3] = control_request */
   9,   /* field[9] = forward */
@@ -1838,7 +1954,7 @@
 static const ProtobufCIntRange cyc__peer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 26 }
+  { 0, 28 }
 };
 const ProtobufCMessageDescriptor cyc__peer__descriptor =
 {
@@ -1848,7 +1964,7 @@
   "Cyc__Peer",
   "cyc",
   sizeof(Cyc__Peer),
-  26,
+  28,
   cyc__peer__field_descriptors,
   cyc__peer__field_indices_by_name,
   1,  cyc__peer__number_ranges,
@@ -4332,6 +4448,121 @@
   (ProtobufCMessageInit) cyc__cell_push__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cyc__cell_submit__field_descriptors[2] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellSubmit, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellSubmit, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cyc__cell_submit__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange cyc__cell_submit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cyc__cell_submit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cyc.CellSubmit",
+  "CellSubmit",
+  "Cyc__CellSubmit",
+  "cyc",
+  sizeof(Cyc__CellSubmit),
+  2,
+  cyc__cell_submit__field_descriptors,
+  cyc__cell_submit__field_indices_by_name,
+  1,  cyc__cell_submit__number_ranges,
+  (ProtobufCMessageInit) cyc__cell_submit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cyc__cell_stored__field_descriptors[3] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellStored, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellStored, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellStored, retry_after_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cyc__cell_stored__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  1,   /* field[1] = outcome */
+  2,   /* field[2] = retry_after_s */
+};
+static const ProtobufCIntRange cyc__cell_stored__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cyc__cell_stored__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cyc.CellStored",
+  "CellStored",
+  "Cyc__CellStored",
+  "cyc",
+  sizeof(Cyc__CellStored),
+  3,
+  cyc__cell_stored__field_descriptors,
+  cyc__cell_stored__field_indices_by_name,
+  1,  cyc__cell_stored__number_ranges,
+  (ProtobufCMessageInit) cyc__cell_stored__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue cyc__role__enum_values_by_number[5] =
 {
   { "ROLE_UNKNOWN", "CYC__ROLE__ROLE_UNKNOWN", 0 },
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -48,6 +48,8 @@
 typedef struct Cyc__LogAsk Cyc__LogAsk;
 typedef struct Cyc__LogAnswer Cyc__LogAnswer;
 typedef struct Cyc__CellPush Cyc__CellPush;
+typedef struct Cyc__CellSubmit Cyc__CellSubmit;
+typedef struct Cyc__CellStored Cyc__CellStored;
 
 
 /* --- enums --- */
@@ -90,7 +92,9 @@
   CYC__PEER__BODY_CELL_ANSWER = 23,
   CYC__PEER__BODY_LOG_ASK = 24,
   CYC__PEER__BODY_LOG_ANSWER = 25,
-  CYC__PEER__BODY_CELL_PUSH = 26
+  CYC__PEER__BODY_CELL_PUSH = 26,
+  CYC__PEER__BODY_CELL_SUBMIT = 27,
+  CYC__PEER__BODY_CELL_STORED = 28
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CYC__PEER__BODY__CASE)
 } Cyc__Peer__BodyCase;
 
@@ -125,6 +129,8 @@
     Cyc__LogAsk *log_ask;
     Cyc__LogAnswer *log_answer;
     Cyc__CellPush *cell_push;
+    Cyc__CellSubmit *cell_submit;
+    Cyc__CellStored *cell_stored;
   };
 };
 #define CYC__PEER__INIT \
@@ -617,6 +623,38 @@
     , {0,NULL}, {0,NULL} }
 
 
+/*
+ * Entry VM to the leader: a job or a cancellation that is to be stored.
+ */
+struct  Cyc__CellSubmit
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData key;
+  ProtobufCBinaryData value;
+};
+#define CYC__CELL_SUBMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cyc__cell_submit__descriptor) \
+    , {0,NULL}, {0,NULL} }
+
+
+struct  Cyc__CellStored
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData key;
+  /*
+   * enum records_outcome
+   */
+  uint32_t outcome;
+  /*
+   * of a refusal
+   */
+  uint32_t retry_after_s;
+};
+#define CYC__CELL_STORED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cyc__cell_stored__descriptor) \
+    , {0,NULL}, 0, 0 }
+
+
 /* Cyc__Peer methods */
 void   cyc__peer__init
                      (Cyc__Peer         *message);
@@ -1244,6 +1282,44 @@
 void   cyc__cell_push__free_unpacked
                      (Cyc__CellPush *message,
                       ProtobufCAllocator *allocator);
+/* Cyc__CellSubmit methods */
+void   cyc__cell_submit__init
+                     (Cyc__CellSubmit         *message);
+size_t cyc__cell_submit__get_packed_size
+                     (const Cyc__CellSubmit   *message);
+size_t cyc__cell_submit__pack
+                     (const Cyc__CellSubmit   *message,
+                      uint8_t             *out);
+size_t cyc__cell_submit__pack_to_buffer
+                     (const Cyc__CellSubmit   *message,
+                      ProtobufCBuffer     *buffer);
+Cyc__CellSubmit *
+       cyc__cell_submit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cyc__cell_submit__free_unpacked
+                     (Cyc__CellSubmit *message,
+                      ProtobufCAllocator *allocator);
+/* Cyc__CellStored methods */
+void   cyc__cell_stored__init
+                     (Cyc__CellStored         *message);
+size_t cyc__cell_stored__get_packed_size
+                     (const Cyc__CellStored   *message);
+size_t cyc__cell_stored__pack
+                     (const Cyc__CellStored   *message,
+                      uint8_t             *out);
+size_t cyc__cell_stored__pack_to_buffer
+                     (const Cyc__CellStored   *message,
+                      ProtobufCBuffer     *buffer);
+Cyc__CellStored *
+       cyc__cell_stored__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cyc__cell_stored__free_unpacked
+                     (Cyc__CellStored *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Cyc__Peer_Closure)
@@ -1345,6 +1421,12 @@
 typedef void (*Cyc__CellPush_Closure)
                  (const Cyc__CellPush *message,
                   void *closure_data);
+typedef void (*Cyc__CellSubmit_Closure)
+                 (const Cyc__CellSubmit *message,
+                  void *closure_data);
+typedef void (*Cyc__CellStored_Closure)
+                 (const Cyc__CellStored *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1385,6 +1467,8 @@
 extern const ProtobufCMessageDescriptor cyc__log_ask__descriptor;
 extern const ProtobufCMessageDescriptor cyc__log_answer__descriptor;
 extern const ProtobufCMessageDescriptor cyc__cell_push__descriptor;
+extern const ProtobufCMessageDescriptor cyc__cell_submit__descriptor;
+extern const ProtobufCMessageDescriptor cyc__cell_stored__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/ports.h
+++ b/src/ports.h
@@ -18,13 +18,15 @@
 /** Streams of the platform's log that an entry VM uses. */
 enum pt_stream
 {
-  PT_STREAM_CONFIG,   /**< keyed; the operators' configuration */
-  PT_STREAM_WORKERS,  /**< keyed; the workers' own entries */
-  PT_STREAM_JOBS,     /**< keyed; accepted jobs and cancellations; in parts,
-                         as each part takes one append at a time */
-  PT_STREAM_PROGRESS, /**< keyed; written by the leader */
-  PT_STREAM_VMS,      /**< keyed; the entry VMs that are up */
-  PT_STREAM_LEAD,     /**< claims of the leadership and renewals */
+  PT_STREAM_CONFIG,  /**< keyed; the operators' configuration */
+  PT_STREAM_WORKERS, /**< keyed; the workers' own entries */
+  PT_STREAM_CELL,    /**< keyed; jobs, cancellations and progress, written by
+                        the leader alone; in parts, as each part takes one
+                        append at a time */
+  PT_STREAM_JOBS,    /**< keyed; jobs and cancellations that VMs wrote while
+                        no leader could; in parts */
+  PT_STREAM_VMS,     /**< keyed; the entry VMs that are up */
+  PT_STREAM_LEAD,    /**< claims of the leadership and renewals */
   PT_STREAM_COUNT
 };
 
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -527,6 +527,41 @@
   free (site);
 }
 
+/* A slow log: each of its answers takes 250 ms. A job is stored and its
+   workers are recorded at the same time, so that its tasks start after one
+   append. Guards against two appends one after the other, and against records
+   that wait for an append under way. */
+#define SLOW_MS 250
+
+static void
+test_slow_log (void **state)
+{
+  struct site *site = calloc (1, sizeof *site);
+
+  (void)state;
+  setup (site);
+  site->fake.faults.delay_ms = SLOW_MS;
+  spin (site, 2 * SLOW_MS);
+  for (uint32_t vm = 0; vm < VMS; vm++)
+    {
+      char path[64];
+      uint64_t before = starts (site);
+      uint64_t begun_us = hc_now_us ();
+
+      snprintf (path, sizeof path, "/plain/%016x", 0x20 + vm);
+      ask (site, vm, "POST", path, KEY,
+           "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"cpu\":1000,"
+           "\"mem_mb\":10,\"estimate_ms\":200}]}");
+      while (starts (site) == before && hc_now_us () < begun_us + 2000000)
+        spin (site, 5);
+      assert_in_range ((hc_now_us () - begun_us) / 1000, SLOW_MS,
+                       2 * SLOW_MS - 50);
+    }
+  spin (site, 1500);
+  teardown (site);
+  free (site);
+}
+
 /* A job that has ended is shown at every VM while the log gives no answer.
    Guards against callers who learn of a result only when the log is back. */
 static void
@@ -563,6 +598,7 @@
     cmocka_unit_test (test_answers),
     cmocka_unit_test (test_faults),
     cmocka_unit_test (test_refusal_is_quick),
+    cmocka_unit_test (test_slow_log),
     cmocka_unit_test (test_final_state_needs_no_log),
   };
 
