Let work beyond a team's rate, late work and worthless work wait behind the rest

Late gangs of the backlog claimed all room, so nothing behind them asked for advice; the heavy team's jobs stood before those of the others by their deadlines.

Now jobs that a team sends beyond its weight (a bucket of 2 s) rank behind all others; late work yields to work of the next priority that can be in time; a job past three objectives comes last; a gang that keeps no room does not claim any.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -280,6 +280,8 @@
                        struct cyc_str record, uint64_t lease_until_us);
 /** 0: not known, or not stored. The state that is durable. */
 enum cell_job_state cell_job_state (const struct cell_core *core, uint64_t id);
+/** The job's team sent more than its rate allows when the job came. */
+bool cell_job_over_rate (const struct cell_core *core, uint64_t id);
 /** Jobs of the queue of which no task has started. */
 uint32_t cell_queue_pending (const struct cell_core *core,
                              struct cyc_str queue);
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -203,8 +203,10 @@
   uint64_t state_batch;
   bool stored; /**< the log holds the job */
   bool dirty;
-  bool begun;           /**< a worker has begun one of its tasks */
-  uint64_t deadline_us; /**< of the objective */
+  bool begun;            /**< a worker has begun one of its tasks */
+  bool over_rate;        /**< its team sent more than its share then */
+  uint64_t deadline_us;  /**< of the objective */
+  uint64_t worthless_us; /**< nobody waits for the result any longer */
   uint64_t accepted_us;
   uint64_t ended_ms;
   uint32_t rounds_finished;
@@ -215,7 +217,9 @@
   struct cyc_name name;
   struct cyc_res limit;
   uint32_t weight;
-  bool known; /**< in the configuration */
+  bool known;           /**< in the configuration */
+  double credit_jobs;   /**< jobs that it may send now */
+  uint64_t credited_us; /**< when the credit was last raised; 0: never */
   uint64_t used_millicores;
   uint64_t used_memory_mib;
   uint64_t used_accelerators;
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -6,6 +6,13 @@
 #include <string.h>
 
 #define US_PER_MS 1000
+/** A result is worth nothing after so many times its objective. */
+#define WORTHLESS_OBJECTIVES 3
+/** A team may send the jobs of so many seconds at once. */
+#define RATE_BURST_S 2
+/** A job that was accepted longer ago does not count against its team's rate:
+ * a new leader hears of jobs in no order. */
+#define RATE_AGE_US 1000000
 /** Most occurrences of a scheduled job that are kept in memory. */
 #define ROUNDS_MAX 10000
 
@@ -31,6 +38,14 @@
   return job == NULL || !job->stored ? 0 : job->shown;
 }
 
+bool
+cell_job_over_rate (const struct cell_core *core, uint64_t id)
+{
+  const struct cell_job *job = cell_job_find (core, id);
+
+  return job != NULL && job->over_rate;
+}
+
 uint32_t
 cell_queue_pending (const struct cell_core *core, struct cyc_str queue)
 {
@@ -264,6 +279,28 @@
   return true;
 }
 
+/* A team may send as many jobs a second as its weight says. */
+static bool
+is_over_rate (const struct cell_core *core, struct cell_team *team,
+              uint64_t age_us)
+{
+  double most = (double)team->weight * RATE_BURST_S;
+
+  if (team->weight == 0 || age_us > RATE_AGE_US)
+    return false;
+  if (team->credited_us == 0)
+    team->credit_jobs = most;
+  else
+    team->credit_jobs
+        += (double)(core->now_us - team->credited_us) * team->weight / 1e6;
+  team->credited_us = core->now_us;
+  team->credit_jobs = MIN (team->credit_jobs, most);
+  if (team->credit_jobs < 1.0)
+    return true;
+  team->credit_jobs -= 1.0;
+  return false;
+}
+
 bool
 cell_job_add (struct cell_core *core, uint64_t id, Cyc__CellJob *spec,
               bool stored, uint64_t now_us, uint64_t now_ms)
@@ -304,6 +341,10 @@
         + chain_ms (spec)
               * (job->cfg.slack_permille ? job->cfg.slack_permille : 1000)
         + (uint64_t)job->cfg.objective_ms * US_PER_MS;
+  job->worthless_us
+      = job->accepted_us
+        + (job->deadline_us - job->accepted_us) * WORTHLESS_OBJECTIVES;
+  job->over_rate = is_over_rate (core, job->team, age_us);
   g_hash_table_insert (core->jobs, &job->id, job);
   for (uint32_t r = 0; r < job->round_count; r++)
     {
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -7,6 +7,10 @@
 /** Part of the fleet that is kept for gangs at most; more would leave it
  * idle while their room comes free. The first gang may keep what it needs. */
 #define HELD_DIVISOR 4
+/** Ranks beyond those of priorities. */
+#define PRIORITY_MOST 1000
+#define RANK_OVER_RATE 4000
+#define RANK_WORTHLESS 8000
 /** Cost of room that is kept for another stage: more than any left over room,
  * less than work far from its data. */
 #define KEPT_COST 10000
@@ -516,6 +520,14 @@
   g_array_free (places, TRUE);
 }
 
+/* Estimates may be far off: only half of the work that is left counts against
+   a stage that may still end in time. */
+static bool
+is_late (const struct cell_core *core, const struct cell_stage *stage)
+{
+  return stage->job->deadline_us < core->now_us + stage->tail_us / 2;
+}
+
 /* Places what fits. Stages that are left claim room in their order, and only
    those that will find some ask for advice. */
 static void
@@ -538,25 +550,42 @@
   if (stage->job->cfg.advice.wanted && room->millicores >= size.millicores
       && room->memory_mib >= size.memory_mib)
     cell_stage_ask (core, stage);
+  /* A gang that keeps no room yet does not stop what can run meanwhile. */
+  if (step->gang && !stage->holds)
+    return;
   room->millicores
       = left_of (room->millicores, (uint64_t)stage->waiting * size.millicores);
   room->memory_mib
       = left_of (room->memory_mib, (uint64_t)stage->waiting * size.memory_mib);
 }
 
+/* Stages of a lower rank come first. Work that is late yields to work of the
+   next priority that can still be in time, work beyond a team's rate to all
+   that is within, and a result that nobody waits for any more comes last. */
+static uint32_t
+rank_of (const struct cell_core *core, const struct cell_stage *stage)
+{
+  const struct cell_job *job = stage->job;
+  uint32_t rank = 2 * MIN (job->cfg.priority, PRIORITY_MOST);
+
+  if (is_late (core, stage))
+    rank += 3;
+  if (job->over_rate)
+    rank += RANK_OVER_RATE;
+  if (job->worthless_us < core->now_us)
+    rank += RANK_WORTHLESS;
+  return rank;
+}
+
 bool
 cell_stage_before (const struct cell_core *core, const struct cell_stage *a,
                    const struct cell_stage *b)
 {
-  /* Estimates may be far off: only half of the work left counts against a
-     stage that may still end in time. */
-  bool late_a = a->job->deadline_us < core->now_us + a->tail_us / 2;
-  bool late_b = b->job->deadline_us < core->now_us + b->tail_us / 2;
+  uint32_t rank_a = rank_of (core, a);
+  uint32_t rank_b = rank_of (core, b);
 
-  if (a->job->cfg.priority != b->job->cfg.priority)
-    return a->job->cfg.priority < b->job->cfg.priority;
-  if (late_a != late_b)
-    return late_b;
+  if (rank_a != rank_b)
+    return rank_a < rank_b;
   return a->job->deadline_us + b->tail_us < b->job->deadline_us + a->tail_us;
 }
 
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -103,6 +103,9 @@
 {
   uint64_t now_us = hc_now_us ();
   gint64 key = (gint64)id;
+  gchar *team;
+  gchar *queue;
+  int64_t age_ms;
   Cyc__CellJob *job
       = cyc__cell_job__unpack (NULL, value.len, (const uint8_t *)value.data);
 
@@ -112,13 +115,18 @@
               from_stream);
       return;
     }
-  if (owner->phase == OWNER_LEADING && cell_job_state (owner->core, id) == 0)
+  team = g_strdup (job->team);
+  queue = g_strdup (job->queue);
+  age_ms = (int64_t)(hc_wall_ms () - job->accepted_ms);
+  if (cell_job_add (owner->core, id, job, stored, now_us, hc_wall_ms ())
+      && owner->phase == OWNER_LEADING)
     ev_log (EV_JOB_SEEN,
-            "job=%016" PRIx64 " queue=%s team=%s steps=%zu stored=%d"
-            " pushed=%d age_ms=%" PRId64,
-            id, job->queue, job->team, job->n_steps, stored, !from_stream,
-            (int64_t)(hc_wall_ms () - job->accepted_ms));
-  cell_job_add (owner->core, id, job, stored, now_us, hc_wall_ms ());
+            "job=%016" PRIx64 " queue=%s team=%s stored=%d pushed=%d"
+            " over_rate=%d age_ms=%" PRId64,
+            id, queue, team, stored, !from_stream,
+            cell_job_over_rate (owner->core, id), age_ms);
+  g_free (team);
+  g_free (queue);
   if (stored)
     cell_job_stored (owner->core, id, now_us);
   if (g_hash_table_remove (owner->cancelled, &key))
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -576,6 +576,54 @@
   free (fleet);
 }
 
+/* One team sends six times what its weight allows, more than the fleet can
+   carry, while another one sends a little. What is beyond the weight waits;
+   the other team's jobs end as on a quiet fleet, and so do as many jobs of the
+   heavy team as its weight allows. Guards against a team that makes the others
+   wait behind its backlog. */
+static void
+test_team_over_its_rate (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  uint64_t sent_ms[400] = { 0 };
+  uint64_t heavy = 100; /* ids from here on are of the heavy team */
+  uint64_t blue = 0;
+  uint32_t heavy_done = 0;
+
+  (void)state;
+  fleet_setup (fleet, 4, 4000);
+  fleet_run (fleet, 100);
+  for (uint32_t ms = 0; ms < 5000; ms += 50)
+    {
+      for (uint32_t n = 0; n < 3; n++)
+        fleet_submit (fleet, ++heavy,
+                      &(struct fleet_job){
+                          .tasks = { 1 }, .work_ms = 500, .team = "heavy" });
+      if (ms % 250 == 0)
+        {
+          sent_ms[++blue] = fleet->now_ms;
+          fleet_submit (fleet, blue,
+                        &(struct fleet_job){ .tasks = { 1 }, .work_ms = 500 });
+        }
+      fleet_run (fleet, 50);
+      for (uint64_t id = 1; id <= blue; id++)
+        if (sent_ms[id] != 0 && fleet_state (fleet, id) == CELL_JOB_COMPLETE)
+          {
+            assert_in_range (fleet->now_ms - sent_ms[id], 0, 1300);
+            sent_ms[id] = 0;
+          }
+    }
+  fleet_run (fleet, 1300);
+  for (uint64_t id = 1; id <= blue; id++)
+    assert_int_equal (fleet_state (fleet, id), CELL_JOB_COMPLETE);
+  for (uint64_t id = 101; id <= heavy; id++)
+    heavy_done += fleet_state (fleet, id) == CELL_JOB_COMPLETE;
+  assert_in_range (heavy_done, FLEET_HEAVY_WEIGHT * 5, heavy - 100);
+  assert_int_equal (fleet->broken, 0);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
 /* The load of a busy fleet: all workers are full, small work of the same queue
    keeps coming, and a call for advice takes half a second. A gang learns in
    one question which workers are allowed, keeps room there and asks again only
@@ -792,6 +840,7 @@
     cmocka_unit_test (test_overtaking_reports),
     cmocka_unit_test (test_silent_worker_expires),
     cmocka_unit_test (test_failing_worker_is_left_alone),
+    cmocka_unit_test (test_team_over_its_rate),
     cmocka_unit_test (test_gang_on_a_busy_fleet),
     cmocka_unit_test (test_random),
   };
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -72,11 +72,13 @@
     .per_worker_us = 1000,
     .valid_us = ADVICE_VALID_US,
   };
-  config->team_count = 2;
-  config->teams = calloc (2, sizeof *config->teams);
+  config->team_count = 3;
+  config->teams = calloc (3, sizeof *config->teams);
   cyc_name_set (&config->teams[0].name, CYC_STR ("blue"));
   cyc_name_set (&config->teams[1].name, CYC_STR ("limited"));
   config->teams[1].limit.millicores = LIMIT_MILLICORES;
+  cyc_name_set (&config->teams[2].name, CYC_STR ("heavy"));
+  config->teams[2].weight = FLEET_HEAVY_WEIGHT;
   config->pool_count = 1;
   config->pools = calloc (1, sizeof *config->pools);
   cyc_name_set (&config->pools[0].name, CYC_STR ("pool"));
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -21,6 +21,8 @@
 #define FLEET_WORKERS 16
 #define FLEET_RUNS 256
 #define FLEET_LEASE_MS 4000
+/** Jobs a second that the team "heavy" may send; the others have no bound. */
+#define FLEET_HEAVY_WEIGHT 10
 /** Appends that may be under way at a time. */
 #define FLEET_BATCHES 3
 
