Empty workers that leave, notice that they have left, ask for gangs in time

Now what cannot end before a worker leaves is stopped, with a checkpoint at the last moment; an entry that is removed while it is fresher than the three heartbeats after which silence removes it shows that the worker left by itself. The end of each run is expected from its progress, and a gang asks for tickets when its room is about to come free.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -113,6 +113,8 @@
   struct cyc_res capacity;
   uint64_t born_ms; /**< start of this life, Unix; 0: not said */
   bool draining;
+  uint32_t leaves_in_ms; /**< draining: it stays so long at least; 0: not
+                            said */
 };
 
 /** One row of what a worker says it runs. */
@@ -213,6 +215,8 @@
 struct cell_desc
 {
   uint32_t lease_ms;        /**< longest lease that workers grant */
+  uint32_t heartbeat_ms;    /**< gap between what a worker says of itself; 0:
+                               not known */
   uint32_t ticket_slack_ms; /**< a ticket is used up to so long before its
                                end */
   uint64_t first_revision;  /**< above those of all earlier leaders */
@@ -226,10 +230,14 @@
 /** @p config must stay valid until the next call or the end of the core. */
 void cell_config_set (struct cell_core *core,
                       const struct cell_config *config);
+/** @p after_us: the entry was written later than that; 0: not known. */
 void cell_worker_listed (struct cell_core *core,
                          const struct cell_worker_entry *entry,
-                         uint64_t now_us);
-void cell_worker_unlisted (struct cell_core *core, struct cyc_str id);
+                         uint64_t after_us, uint64_t now_us);
+/** The entry was removed: the worker has left, or was silent for three
+ * heartbeats. */
+void cell_worker_unlisted (struct cell_core *core, struct cyc_str id,
+                           uint64_t now_us);
 uint32_t cell_worker_count (const struct cell_core *core);
 
 struct cell_worker_view
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -303,6 +303,7 @@
   worker->clock_ms = 0;
   worker->lease_deadline_ms = 0;
   worker->lease_until_us = core->now_us + (uint64_t)core->desc.lease_ms * 1000;
+  worker->left_us = 0;
   worker->seen_end = 0;
   worker->ack = 0;
   worker->ack_next = 0;
@@ -339,7 +340,8 @@
 
 void
 cell_worker_listed (struct cell_core *core,
-                    const struct cell_worker_entry *entry, uint64_t now_us)
+                    const struct cell_worker_entry *entry, uint64_t after_us,
+                    uint64_t now_us)
 {
   struct cell_worker *worker = cell_worker_at (
       core, cell_worker_row (core, cyc_name_str (&entry->id)));
@@ -353,6 +355,11 @@
     }
   worker->listed = true;
   worker->draining = entry->draining;
+  worker->written_us = after_us;
+  worker->leaves_us
+      = entry->draining && entry->leaves_in_ms > 0 && after_us != 0
+            ? after_us + (uint64_t)entry->leaves_in_ms * US_PER_MS
+            : 0;
   worker->pool = entry->pool;
   worker->domain = entry->domain;
   worker->address = entry->address;
@@ -370,11 +377,21 @@
 }
 
 void
-cell_worker_unlisted (struct cell_core *core, struct cyc_str id)
+cell_worker_unlisted (struct cell_core *core, struct cyc_str id,
+                      uint64_t now_us)
 {
   struct cell_worker *worker
       = cell_worker_at (core, cell_worker_row (core, id));
+  uint64_t silence_us
+      = (uint64_t)core->desc.heartbeat_ms * CELL_LEFT_HEARTBEATS_PERMILLE;
 
+  core->now_us = now_us;
+  if (worker->listed && worker->draining && worker->written_us != 0
+      && now_us < worker->written_us + silence_us)
+    {
+      worker->left_us = now_us + CELL_LEFT_MARGIN_US;
+      cell_wake (core, worker->left_us);
+    }
   worker->listed = false;
 }
 
@@ -482,6 +499,25 @@
   return cell_run_found (core, job, round, task, worker_row, row->run);
 }
 
+/* The end of a run is expected from how fast it went on between the first and
+   the latest report. */
+static void
+note_progress (struct cell_run *run, uint32_t percent, uint64_t now_us)
+{
+  percent = MIN (percent, 100);
+  if (run->first_us == 0)
+    {
+      run->first_us = now_us;
+      run->first_percent = percent;
+    }
+  run->percent = percent;
+  run->percent_us = now_us;
+  if (percent > run->first_percent)
+    run->end_us = now_us
+                  + (now_us - run->first_us) * (100 - percent)
+                        / (percent - run->first_percent);
+}
+
 static void
 take_running (struct cell_core *core, struct cell_worker *worker,
               uint32_t worker_row, const struct cell_report *report,
@@ -496,7 +532,7 @@
       if (run == NULL)
         continue;
       g_hash_table_add (seen, run);
-      run->percent = row->percent;
+      note_progress (run, row->percent, core->now_us);
       run->job->begun = true;
       run->inherited = false;
       run->worker_born_ms = worker->born_ms;
@@ -578,6 +614,7 @@
     cell_worker_leased (core, row, report->clock_ms + core->desc.lease_ms);
   worker->fenced = true;
   worker->reachable = true;
+  worker->left_us = 0;
   take_ends (core, worker, report);
   take_running (core, worker, row, report, seen);
   take_missing (core, worker, report, seen);
--- a/src/cyc_cell_advice.c
+++ b/src/cyc_cell_advice.c
@@ -178,6 +178,8 @@
       if (verdict == CELL_VERDICT_ALLOWED)
         {
           capacity += whole;
+          if (step->gang)
+            slots = cell_slots_soon (core, stage, worker);
           candidate.ranking = slots;
           if (slots > 0 && cell_ticket_for (core, stage, i) == NULL)
             g_array_append_val (allowed, candidate);
@@ -192,7 +194,7 @@
     {
       uint64_t spread = (uint64_t)stage->count * CELL_GANG_SPREAD;
 
-      if (stage->holds && cell_gang_fits (core, stage, false))
+      if (stage->holds && cell_gang_fits_soon (core, stage))
         take_candidates (allowed, wanted * ASK_SPARE, 1000, most, rows,
                          &count);
       else if (capacity < (stage->surveyed
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -21,6 +21,11 @@
  * next report does not show the run, a stop settles it. Three times as long as
  * a start between regions takes; being wrong costs one look at the worker. */
 #define CELL_START_ANSWER_US 130000
+/** A worker whose entry is removed has left by itself when it was heard of
+ * within so many heartbeats: silence removes it after three. */
+#define CELL_LEFT_HEARTBEATS_PERMILLE 2700
+/** Its process may end so long after its entry. */
+#define CELL_LEFT_MARGIN_US 300000
 /** Gap between repeated stops of one run. */
 #define CELL_STOP_REPEAT_US 700000
 /** Wait before a task is tried again after a refused start. */
@@ -69,6 +74,10 @@
   bool superseded;          /**< the task is done elsewhere or requeued */
   bool inherited;           /**< of an earlier leader */
   uint32_t percent;
+  uint64_t percent_us;    /**< when it was said */
+  uint32_t first_percent; /**< of the first report that showed the run */
+  uint64_t first_us;      /**< when that came; 0: not yet */
+  uint64_t end_us;        /**< expected; 0: not known */
   char ticket[CELL_TICKET_BYTES];
   uint64_t ticket_until_us; /**< 0: it needs none */
   struct cyc_ref ref;
@@ -101,8 +110,12 @@
   uint64_t born_ms;
   bool listed;
   bool draining;
-  bool fenced;    /**< has answered a hold of this leader */
-  bool reachable; /**< answered the last call */
+  uint64_t written_us; /**< its entry is newer than that; 0: not known */
+  uint64_t leaves_us;  /**< draining: it stays until then; 0: not known */
+  uint64_t left_us;    /**< it has left: nothing runs there from then on; 0:
+                          not known */
+  bool fenced;         /**< has answered a hold of this leader */
+  bool reachable;      /**< answered the last call */
   uint32_t failures_in_row;
   uint64_t last_failed_job;
   uint64_t bad_until_us;
@@ -333,6 +346,10 @@
 uint32_t cell_slots_now (const struct cell_core *core,
                          const struct cell_stage *stage,
                          const struct cell_worker *worker);
+/** The same when what is expected to end while advice is asked for has. */
+uint32_t cell_slots_soon (const struct cell_core *core,
+                          const struct cell_stage *stage,
+                          const struct cell_worker *worker);
 /** The same if the worker were empty. */
 uint32_t cell_slots_whole (const struct cell_stage *stage,
                            const struct cell_worker *worker);
@@ -340,6 +357,10 @@
  * whole gang. */
 bool cell_gang_fits (const struct cell_core *core,
                      const struct cell_stage *stage, bool with_tickets);
+/** The same for allowed workers, with what comes free while advice is asked
+ * for. */
+bool cell_gang_fits_soon (const struct cell_core *core,
+                          const struct cell_stage *stage);
 /** The order in which stages wait. */
 bool cell_stage_before (const struct cell_core *core,
                         const struct cell_stage *a,
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -134,10 +134,12 @@
 /* Room of the worker; @p beside_held: without what is kept for others. */
 static uint32_t
 slots_beside (const struct cell_stage *stage, const struct cell_worker *worker,
-              bool beside_held)
+              bool beside_held, const struct cell_room *freed)
 {
-  struct cell_room taken = { worker->used_millicores, worker->used_memory_mib,
-                             worker->used_accelerators };
+  struct cell_room taken
+      = { left_of (worker->used_millicores, freed->millicores),
+          left_of (worker->used_memory_mib, freed->memory_mib),
+          left_of (worker->used_accelerators, freed->accelerators) };
   struct cell_room room;
 
   if (beside_held)
@@ -150,14 +152,39 @@
   return slots_in (stage, worker, &room);
 }
 
+/* What is kept on the worker is out of reach for the stage. */
+static bool
+is_kept_from (const struct cell_core *core, const struct cell_stage *stage,
+              const struct cell_worker *worker)
+{
+  return worker->held_for != NULL && worker->held_for != stage
+         && cell_stage_before (core, worker->held_for, stage);
+}
+
 uint32_t
 cell_slots_now (const struct cell_core *core, const struct cell_stage *stage,
                 const struct cell_worker *worker)
 {
-  bool beside_held = worker->held_for != NULL && worker->held_for != stage
-                     && cell_stage_before (core, worker->held_for, stage);
+  return slots_beside (stage, worker, is_kept_from (core, stage, worker),
+                       &(struct cell_room){ 0 });
+}
 
-  return slots_beside (stage, worker, beside_held);
+uint32_t
+cell_slots_soon (const struct cell_core *core, const struct cell_stage *stage,
+                 const struct cell_worker *worker)
+{
+  uint64_t then_us = core->now_us + stage->job->cfg.advice.decision_us;
+  struct cell_room freed = { 0 };
+
+  for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    if (run->end_us != 0 && run->end_us <= then_us)
+      {
+        freed.millicores += run->size.millicores;
+        freed.memory_mib += run->size.memory_mib;
+        freed.accelerators += run->size.accelerators;
+      }
+  return slots_beside (stage, worker, is_kept_from (core, stage, worker),
+                       &freed);
 }
 
 uint32_t
@@ -192,6 +219,23 @@
   return slots >= stage->count;
 }
 
+bool
+cell_gang_fits_soon (const struct cell_core *core,
+                     const struct cell_stage *stage)
+{
+  uint64_t slots = 0;
+
+  for (guint i = 0; i < core->workers->len && slots < stage->count; i++)
+    {
+      const struct cell_worker *worker = cell_worker_at (core, i);
+
+      if (cell_worker_suits (core, stage, worker)
+          && cell_verdict_of (stage, i) == CELL_VERDICT_ALLOWED)
+        slots += cell_slots_soon (core, stage, worker);
+    }
+  return slots >= stage->count;
+}
+
 static bool
 stage_failed_on (const struct cell_stage *stage, uint32_t row)
 {
@@ -232,7 +276,7 @@
       || (rack.len > 0 && !has_label (worker, rack)))
     return UINT64_MAX;
   if (worker->held_for != NULL && worker->held_for != stage
-      && slots_beside (stage, worker, true) == 0)
+      && slots_beside (stage, worker, true, &(struct cell_room){ 0 }) == 0)
     {
       if (cell_stage_before (core, worker->held_for, stage))
         return UINT64_MAX;
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -5,6 +5,11 @@
 
 /** Timers of runs are looked at so often: a tenth of the shortest of them. */
 #define RUN_TIMER_US 100000
+/** What leaves a worker with a checkpoint is stopped so long before the worker
+ * goes: a stop takes up to a second and has to be heard of. */
+#define EVACUATE_US 1500000
+/** A run that ends so long before its worker goes may stay. */
+#define EVACUATE_SPARE_US 250000
 /** The same while nothing of a worker is unsettled. */
 #define RUN_IDLE_TIMER_US 500000
 
@@ -223,6 +228,8 @@
 {
   uint64_t left_ms;
 
+  if (worker->left_us != 0)
+    return worker->left_us;
   if (worker->clock_ms == 0)
     return worker->lease_until_us;
   left_ms = worker->lease_deadline_ms > worker->clock_ms
@@ -252,6 +259,53 @@
     }
 }
 
+/* Work that a run has left, as far as its progress or its estimate tells. */
+static uint64_t
+work_left_us (const struct cell_core *core, const struct cell_run *run)
+{
+  const Cyc__CellStep *step
+      = cell_stage_step (cell_stage_of_task (run->job, run->round, run->task));
+  uint64_t estimate_us = (uint64_t)step->estimate_ms * 1000;
+  uint64_t gone_us
+      = run->answered_us != 0 ? core->now_us - run->answered_us : 0;
+
+  if (run->end_us != 0)
+    return run->end_us > core->now_us ? run->end_us - core->now_us : 0;
+  return estimate_us > gone_us ? estimate_us - gone_us : 0;
+}
+
+/* Stops what cannot end before the worker leaves: with a checkpoint at the
+   last moment, without one at once unless half of the work is done, as workers
+   often stay longer than they say. */
+static void
+evacuate (struct cell_core *core, struct cell_worker *worker)
+{
+  uint64_t last_us
+      = worker->leaves_us > EVACUATE_US ? worker->leaves_us - EVACUATE_US : 0;
+
+  for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    {
+      const Cyc__CellStep *step = cell_stage_step (
+          cell_stage_of_task (run->job, run->round, run->task));
+      uint64_t left_us;
+
+      if (run->state != CELL_RUN_RUNNING || run->stop || run->superseded)
+        continue;
+      left_us = work_left_us (core, run);
+      if (core->now_us + left_us + EVACUATE_SPARE_US < worker->leaves_us)
+        continue;
+      if (step->checkpointing || step->long_running)
+        {
+          if (core->now_us >= last_us)
+            cell_run_stop (core, run);
+          else
+            cell_wake (core, last_us);
+        }
+      else if (left_us > core->now_us - run->answered_us)
+        cell_run_stop (core, run);
+    }
+}
+
 void
 cell_runs_tick (struct cell_core *core)
 {
@@ -261,8 +315,10 @@
 
       if (worker->runs == NULL)
         continue;
-      if (!worker->reachable)
+      if (!worker->reachable || worker->left_us != 0)
         expire_worker (core, worker);
+      if (worker->leaves_us != 0 && worker->left_us == 0)
+        evacuate (core, worker);
       for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
         {
           if (run->state == CELL_RUN_RECORDING)
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -224,7 +224,7 @@
     return;
   if (record->value.len == 0)
     {
-      cell_worker_unlisted (owner->core, record->key);
+      cell_worker_unlisted (owner->core, record->key, hc_now_us ());
       ev_log (EV_TARGET_LEAVING, "worker=%.*s unlisted=1",
               CYC_FMT (record->key));
       owner_fed (owner);
@@ -235,7 +235,8 @@
     {
       uint32_t before = cell_worker_count (owner->core);
 
-      cell_worker_listed (owner->core, &entry, hc_now_us ());
+      cell_worker_listed (owner->core, &entry, owner->workers_tail.before_us,
+                          hc_now_us ());
       if (cell_worker_count (owner->core) > before || entry.draining)
         ev_log (EV_WORKER_LISTED,
                 "worker=%s pool=%s domain=%s draining=%d millicores=%u",
@@ -284,6 +285,7 @@
   owner->begun_us = hc_now_us ();
   owner->core = cell_setup (
       &(struct cell_desc){ .lease_ms = entry->desc.settings->lease_ms,
+                           .heartbeat_ms = entry->desc.settings->heartbeat_ms,
                            .ticket_slack_ms = TICKET_SLACK_MS,
                            .first_revision = epoch << EPOCH_SHIFT });
   owner->cancelled
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -51,6 +51,7 @@
     1000000 },
   { "log_parts", KIND_UINT, false, AT (log_parts), 1, 64, 1 },
   { "worker_lease_ms", KIND_UINT, true, AT (lease_ms), 500, 600000, 10000 },
+  { "worker_heartbeat_ms", KIND_UINT, false, AT (heartbeat_ms), 0, 600000, 0 },
   { "stop_grace_ms", KIND_UINT, false, AT (grace_ms), 1000, 600000, 6000 },
   { "log_decisions", KIND_BOOL, false, AT (log_info), 0, 0, 1 },
 };
--- a/src/entry_settings.h
+++ b/src/entry_settings.h
@@ -30,6 +30,8 @@
   uint32_t link_kbps;           /**< of its link */
   uint32_t log_parts;           /**< parts of a stream of the log */
   uint32_t lease_ms;            /**< longest lease that workers grant */
+  uint32_t heartbeat_ms;        /**< gap between what workers say of
+                                   themselves; 0: not known */
   uint32_t grace_ms;            /**< from SIGTERM to SIGKILL */
   bool log_info;                /**< log each decision */
 };
--- a/src/tail.c
+++ b/src/tail.c
@@ -77,6 +77,7 @@
     }
   succeeded (tail);
   tail->load_trip_us = (uint32_t)(hc_now_us () - tail->sent_us);
+  tail->before_us = 0;
   if (tail->after[0] == 0)
     tail->load_end = result->end;
   hand_over (tail, result->records, result->count, 0);
@@ -122,6 +123,7 @@
       return;
     }
   succeeded (tail);
+  tail->before_us = tail->fresh_us;
   tail->fresh_us = tail->sent_us;
   hand_over (tail, result->records, result->count,
              result->next - result->count);
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -674,6 +674,87 @@
   free (fleet);
 }
 
+/* A worker drains and leaves with a task that was to end just after. Its entry
+   goes while it is fresh, so it has left by itself, and the task starts again
+   at once. Guards against waiting for the lease of a worker that is gone. */
+static void
+test_worker_leaves (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+
+  (void)state;
+  fleet_setup (fleet, 2, 4000);
+  fleet_run (fleet, 100);
+  fleet_submit (fleet, 1,
+                &(struct fleet_job){ .tasks = { 8 }, .work_ms = 1200 });
+  fleet_run (fleet, 700);
+  fleet_drain (fleet, 0, 400);
+  fleet_run (fleet, 400);
+  fleet_leave (fleet, 0);
+  fleet_run (fleet, 1900);
+  assert_int_equal (fleet_state (fleet, 1), CELL_JOB_COMPLETE);
+  assert_int_equal (fleet->broken, 0);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+/* A silent worker's entry is removed too, when it is old: what runs there may
+   run on. Guards against a second run beside it. */
+static void
+test_removed_entry_of_a_silent_worker (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+
+  (void)state;
+  fleet_setup (fleet, 2, 4000);
+  fleet_run (fleet, 100);
+  fleet_submit (fleet, 1,
+                &(struct fleet_job){ .tasks = { 8 }, .work_ms = 5500 });
+  fleet_run (fleet, 300);
+  fleet_drain (fleet, 0, 60000);
+  fleet->workers[0].cut = true;
+  fleet_run (fleet, 3 * FLEET_HEARTBEAT_MS);
+  cell_worker_unlisted (fleet->core, cyc_str_of (fleet->workers[0].id),
+                        fleet->now_ms * 1000);
+  fleet_run (fleet, 9000);
+  assert_int_equal (fleet_state (fleet, 1), CELL_JOB_COMPLETE);
+  assert_int_equal (fleet->broken, 0);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+/* A worker says that it leaves long before its task can end. The task is
+   stopped in time, and goes on elsewhere from its checkpoint. Guards against
+   work that ends with its worker. */
+static void
+test_evacuation (void **state)
+{
+  static const bool gangs[] = { false, true };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof gangs / sizeof gangs[0]; i++)
+    {
+      struct fleet *fleet = calloc (1, sizeof *fleet);
+
+      fleet_setup (fleet, 2, 4000);
+      fleet_run (fleet, 100);
+      fleet_submit (fleet, 1,
+                    &(struct fleet_job){ .tasks = { 2 },
+                                         .work_ms = 6000,
+                                         .gang = gangs[i],
+                                         .checkpointing = true });
+      fleet_run (fleet, 1000);
+      fleet_drain (fleet, 0, 2500);
+      fleet_run (fleet, 1500);
+      assert_int_equal (fleet->workers[0].run_count, 0);
+      assert_true (fleet->stops >= 2);
+      assert_int_equal (fleet->resumed, 2);
+      assert_int_equal (fleet->broken, 0);
+      fleet_teardown (fleet);
+      free (fleet);
+    }
+}
+
 /* Random faults, one after the other and at the same time: workers crash,
    restart, are cut off or mute, the log goes away, leaders change, answers
    are lost, jobs are cancelled. No promise may break, and what is left ends
@@ -839,6 +920,9 @@
     cmocka_unit_test (test_pending),
     cmocka_unit_test (test_overtaking_reports),
     cmocka_unit_test (test_silent_worker_expires),
+    cmocka_unit_test (test_worker_leaves),
+    cmocka_unit_test (test_removed_entry_of_a_silent_worker),
+    cmocka_unit_test (test_evacuation),
     cmocka_unit_test (test_failing_worker_is_left_alone),
     cmocka_unit_test (test_team_over_its_rate),
     cmocka_unit_test (test_gang_on_a_busy_fleet),
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -102,7 +102,8 @@
   entry.capacity = (struct cyc_res){ worker->millicores, 1000000, 0 };
   entry.born_ms = worker->born_ms;
   entry.draining = worker->draining;
-  cell_worker_listed (fleet->core, &entry, now_us (fleet));
+  entry.leaves_in_ms = worker->leaves_in_ms;
+  cell_worker_listed (fleet->core, &entry, now_us (fleet), now_us (fleet));
 }
 
 static void
@@ -111,6 +112,7 @@
   fleet->epoch++;
   fleet->core = cell_setup (
       &(struct cell_desc){ .lease_ms = FLEET_LEASE_MS,
+                           .heartbeat_ms = FLEET_HEARTBEAT_MS,
                            .ticket_slack_ms = 250,
                            .first_revision = fleet->epoch << 32 });
   cell_config_set (fleet->core, fleet->config);
@@ -457,6 +459,7 @@
     return CELL_START_REFUSED_OTHER;
   check_start (fleet, worker, late->order.task);
   fleet->starts++;
+  fleet->resumed += late->order.checkpoint[0] != 0;
   run = &worker->runs[worker->run_count++];
   memset (run, 0, sizeof *run);
   snprintf (run->task, sizeof run->task, "%s", late->order.task);
@@ -947,3 +950,20 @@
   worker->born_ms = fleet->now_ms;
   list_worker (fleet, worker);
 }
+
+void
+fleet_drain (struct fleet *fleet, uint32_t row, uint32_t leaves_in_ms)
+{
+  fleet->workers[row].draining = true;
+  fleet->workers[row].leaves_in_ms = leaves_in_ms;
+  list_worker (fleet, &fleet->workers[row]);
+}
+
+void
+fleet_leave (struct fleet *fleet, uint32_t row)
+{
+  fleet->workers[row].listed = false;
+  fleet_crash (fleet, row);
+  cell_worker_unlisted (fleet->core, cyc_str_of (fleet->workers[row].id),
+                        now_us (fleet));
+}
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -21,6 +21,7 @@
 #define FLEET_WORKERS 16
 #define FLEET_RUNS 256
 #define FLEET_LEASE_MS 4000
+#define FLEET_HEARTBEAT_MS 1500
 /** Jobs a second that the team "heavy" may send; the others have no bound. */
 #define FLEET_HEAVY_WEIGHT 10
 /** Appends that may be under way at a time. */
@@ -58,7 +59,8 @@
   bool mute; /**< takes orders, but its answers are lost */
   bool listed;
   bool draining;
-  bool failing; /**< every task it starts fails */
+  uint32_t leaves_in_ms; /**< when it drains */
+  bool failing;          /**< every task it starts fails */
   uint64_t born_ms;
   uint64_t clock_shift_ms;
   uint64_t fence;
@@ -138,6 +140,7 @@
   uint32_t delay_starts_ms;    /**< orders reach the worker later */
   GPtrArray *late;             /**< orders under way */
   uint32_t starts;
+  uint32_t resumed; /**< starts from a checkpoint */
   uint32_t stops;
   uint32_t broken; /**< promises broken */
   char first_broken[160];
@@ -159,6 +162,10 @@
 /** A new leader: the core is built anew from what the log holds. */
 void fleet_takeover (struct fleet *fleet);
 void fleet_crash (struct fleet *fleet, uint32_t worker);
+/** The worker says that it stays for @p leaves_in_ms and takes nothing new. */
+void fleet_drain (struct fleet *fleet, uint32_t worker, uint32_t leaves_in_ms);
+/** A worker that drained ends and removes its entry. */
+void fleet_leave (struct fleet *fleet, uint32_t worker);
 void fleet_restart (struct fleet *fleet, uint32_t worker);
 enum cell_job_state fleet_state (const struct fleet *fleet, uint64_t id);
 /** Questions that the advisor was asked about a step, "ID.K.STEP". */
