Load the leader's records while the parts learn its epoch

Now a part is read beside that append and is loaded when it was read up to the end that the append told. This also holds when a read shows an older end.

--- a/src/entry_records.c
+++ b/src/entry_records.c
@@ -21,6 +21,8 @@
 /** Callers come back after the time that the log has been down, from 1 s to
  * this: an outage that has lasted long tends to go on. */
 #define RETRY_AFTER_MOST_S 4
+/** Gap between reads of a part until it is loaded. */
+#define LOAD_GAP_MS 10
 /** Revision in front of a progress record, big-endian. */
 #define REVISION_BYTES 8
 
@@ -96,11 +98,17 @@
     owner_on_job (part->records->owner, record, offset);
 }
 
+/* The part is loaded when it was read up to where it ended when it learned the
+   epoch: nothing of an earlier leader can follow. It is read beside that
+   append, as both take long when the log is slow. */
 static void
-on_part_loaded (void *user)
+check_loaded (void *user)
 {
   struct records_part *part = user;
 
+  if (part->loaded || !part->fenced || !part->tail.loaded
+      || part->tail.next < part->fence_end)
+    return;
   tail_stop (&part->tail);
   part->loaded = true;
   owner_fed (part->records->owner);
@@ -118,7 +126,8 @@
   if (result->fate == PT_OK)
     {
       part->fenced = true;
-      tail_start (&part->tail);
+      part->fence_end = result->end;
+      check_loaded (part);
       return;
     }
   if (result->fate == PT_FENCED)
@@ -596,10 +605,12 @@
                                    .stream = PT_STREAM_CELL,
                                    .part = i,
                                    .keyed = true,
+                                   .gap_ms = LOAD_GAP_MS,
                                    .record = on_record,
-                                   .caught_up = on_part_loaded,
+                                   .caught_up = check_loaded,
                                    .user = part,
                                });
+      tail_start (&part->tail);
     }
 }
 
--- a/src/entry_records.h
+++ b/src/entry_records.h
@@ -5,9 +5,9 @@
  *
  * Every part takes one append at a time. Each batch goes to a part that is
  * idle, so that a slow log does not make records wait for each other; of
- * several progress records of a job the highest revision is the true one. All
- * parts know the leader's epoch before anything is loaded, so no record of an
- * earlier leader can follow what was read.
+ * several progress records of a job the highest revision is the true one. A
+ * part is loaded up to where it ended when it learned the leader's epoch, so
+ * no record of an earlier leader can follow what was read.
  *
  * @code
  * records_begin (&records, owner);
@@ -41,8 +41,9 @@
 {
   struct entry_records *records;
   uint32_t index;
-  struct tail tail; /**< loads the part */
-  bool fenced;      /**< the part takes nothing of earlier leaders */
+  struct tail tail;   /**< loads the part */
+  bool fenced;        /**< the part takes nothing of earlier leaders */
+  uint64_t fence_end; /**< where it ended then */
   bool loaded;
   bool in_flight;
   bool maybe;        /**< an append of these rows may have taken effect */
