--- /dev/null
+++ b/bench/bench_cell.c
@@ -0,0 +1,184 @@
+/* Time of a decision tick of the cell's core while steps wait: what a leader
+   spends when the fleet is full and a backlog has formed. */
+
+#include <cyclamendrum/cell.h>
+
+#include "cell.pb-c.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define US 1000000
+#define TICKS 200
+#define WORKER_MILLICORES 32000
+
+static double
+now_s (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (double)now.tv_sec + (double)now.tv_nsec / 1e9;
+}
+
+static struct cell_config *
+make_config (void)
+{
+  struct cell_config *config = calloc (1, sizeof *config);
+
+  config->version = 1;
+  config->queue_count = 1;
+  config->queues = calloc (1, sizeof *config->queues);
+  config->pool_count = 1;
+  config->pools = calloc (1, sizeof *config->pools);
+  cyc_name_set (&config->queues[0].name, CYC_STR ("queue"));
+  cyc_name_set (&config->queues[0].pool, CYC_STR ("pool"));
+  cyc_name_set (&config->pools[0].name, CYC_STR ("pool"));
+  config->queues[0].max_attempts = 3;
+  config->queues[0].slack_permille = 2000;
+  config->queues[0].objective_ms = 1000;
+  config->queues[0].advice = (struct cell_advice_cfg){
+    .wanted = true,
+    .decision_us = 50000,
+    .per_worker_us = 500,
+    .valid_us = 2500000,
+  };
+  return config;
+}
+
+static void
+add_workers (struct cell_core *core, uint32_t count, uint64_t now_us)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct cell_worker_entry entry = { 0 };
+      struct cell_report report = { .sent_us = now_us, .clock_ms = 1000 };
+      char id[16];
+
+      snprintf (id, sizeof id, "w%u", i);
+      cyc_name_set (&entry.id, cyc_str_of (id));
+      cyc_name_set (&entry.pool, CYC_STR ("pool"));
+      cyc_name_set (&entry.address, CYC_STR ("127.0.0.1:1"));
+      entry.capacity = (struct cyc_res){ WORKER_MILLICORES, 131072, 0 };
+      entry.born_ms = report.born_ms = 1 + i;
+      cell_worker_listed (core, &entry, 0, now_us);
+      cell_worker_report (core, i, &report, now_us);
+    }
+}
+
+/* Jobs that alternate between eight single tasks and a gang of eight. */
+static void
+add_jobs (struct cell_core *core, uint64_t first, uint32_t count,
+          uint64_t now_us)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      Cyc__CellJob *job = malloc (sizeof *job);
+      Cyc__CellStep *step = malloc (sizeof *step);
+
+      cyc__cell_job__init (job);
+      cyc__cell_step__init (step);
+      job->queue = strdup ("queue");
+      job->team = strdup ("team");
+      job->accepted_ms = now_us / 1000;
+      job->n_steps = 1;
+      job->steps = calloc (1, sizeof (Cyc__CellStep *));
+      job->steps[0] = step;
+      step->count = 8;
+      step->gang = i % 4 == 0;
+      step->millicores = 4000;
+      step->memory_mib = 8000;
+      step->estimate_ms = 2000;
+      cell_job_add (core, first + i, job, true, now_us, now_us / 1000);
+    }
+}
+
+/* Answers all questions: every third worker is denied. */
+static void
+answer_asks (struct cell_core *core, uint64_t now_us)
+{
+  struct cell_ask ask;
+
+  while (cell_ask_next (core, UINT64_MAX, &ask))
+    {
+      struct cell_ticket tickets[100];
+      uint32_t count = 0;
+
+      for (uint32_t i = 0; i < ask.worker_count; i++)
+        {
+          struct cell_worker_view view;
+
+          if (ask.workers[i] % 3 == 0)
+            continue;
+          cell_worker_view (core, ask.workers[i], &view);
+          tickets[count++] = (struct cell_ticket){ view.id, CYC_STR ("t") };
+        }
+      cell_advice (core, ask.ask, true, 2500000, tickets, count, now_us);
+    }
+}
+
+static void
+write_records (struct cell_core *core, uint64_t now_us)
+{
+  struct cell_record record;
+  struct cell_order order;
+  uint64_t batch = cell_batch_close (core);
+
+  while (cell_batch_next (core, &record))
+    free (record.data);
+  if (batch != 0)
+    cell_batch_durable (core, batch, now_us);
+  while (cell_order_next (core, &order))
+    if (order.kind == CELL_ORDER_START)
+      cell_start_result (core, order.run, CELL_START_OK, now_us);
+}
+
+static void
+measure (uint32_t workers, uint32_t backlog)
+{
+  struct cell_config *config = make_config ();
+  struct cell_core *core = cell_setup (&(struct cell_desc){
+      .lease_ms = 6000, .ticket_slack_ms = 250, .heartbeat_ms = 1500 });
+  uint64_t now_us = 100 * (uint64_t)US;
+  struct cell_totals totals;
+  double begun_s;
+
+  cell_config_set (core, config);
+  add_workers (core, workers, now_us);
+  /* The fleet takes one job of 32 cores a worker; the rest waits. */
+  add_jobs (core, 1, workers + backlog, now_us);
+  for (int i = 0; i < 40; i++)
+    {
+      now_us += 20000;
+      cell_tick (core, now_us, now_us / 1000);
+      answer_asks (core, now_us);
+      write_records (core, now_us);
+    }
+  begun_s = now_s ();
+  for (int i = 0; i < TICKS; i++)
+    {
+      /* Something ends between two ticks, so that each one places anew. */
+      cell_config_set (core, config);
+      cell_tick (core, now_us, now_us / 1000);
+    }
+  cell_totals (core, &totals);
+  printf ("cell tick: %5u workers, %4u steps waiting, %u runs: %.0f us\n",
+          workers, totals.stages_waiting, totals.runs,
+          (now_s () - begun_s) * 1e6 / TICKS);
+  cell_shutdown (core);
+  cell_config_free (config);
+}
+
+int
+main (void)
+{
+  static const uint32_t workers[] = { 48, 350, 1400 };
+  static const uint32_t backlogs[] = { 0, 100, 800 };
+
+  for (size_t w = 0; w < sizeof workers / sizeof workers[0]; w++)
+    for (size_t b = 0; b < sizeof backlogs / sizeof backlogs[0]; b++)
+      measure (workers[w], backlogs[b]);
+  return 0;
+}
--- a/src/cyc_cell_advice.c
+++ b/src/cyc_cell_advice.c
@@ -63,22 +63,33 @@
 }
 
 const struct cell_held_ticket *
-cell_ticket_for (const struct cell_core *core, const struct cell_stage *stage,
-                 uint32_t row)
+cell_ticket_at (const struct cell_core *core, const struct cell_stage *stage,
+                uint32_t index)
 {
-  const struct cell_worker *worker = cell_worker_at (core, row);
+  const struct cell_held_ticket *held
+      = &g_array_index (stage->tickets, struct cell_held_ticket, index);
+
+  return held->until_us > core->now_us
+                 && held->born_ms
+                        == cell_worker_at (core, held->worker)->born_ms
+             ? held
+             : NULL;
+}
 
-  if (stage->tickets == NULL)
-    return NULL;
-  for (guint i = 0; i < stage->tickets->len; i++)
-    {
-      const struct cell_held_ticket *held
-          = &g_array_index (stage->tickets, struct cell_held_ticket, i);
+uint32_t
+cell_ticket_count (const struct cell_stage *stage)
+{
+  return stage->tickets != NULL ? stage->tickets->len : 0;
+}
 
-      if (held->worker == row && held->until_us > core->now_us
-          && held->born_ms == worker->born_ms)
-        return held;
-    }
+const struct cell_held_ticket *
+cell_ticket_for (const struct cell_core *core, const struct cell_stage *stage,
+                 uint32_t row)
+{
+  for (guint i = 0; i < cell_ticket_count (stage); i++)
+    if (g_array_index (stage->tickets, struct cell_held_ticket, i).worker
+        == row)
+      return cell_ticket_at (core, stage, i);
   return NULL;
 }
 
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -353,12 +353,8 @@
 /** The same if the worker were empty. */
 uint32_t cell_slots_whole (const struct cell_stage *stage,
                            const struct cell_worker *worker);
-/** Workers that are allowed, or for which tickets are held, have room for the
- * whole gang. */
-bool cell_gang_fits (const struct cell_core *core,
-                     const struct cell_stage *stage, bool with_tickets);
-/** The same for allowed workers, with what comes free while advice is asked
- * for. */
+/** Allowed workers have room for the whole gang, with what comes free while
+ * advice is asked for. */
 bool cell_gang_fits_soon (const struct cell_core *core,
                           const struct cell_stage *stage);
 /** The order in which stages wait. */
@@ -373,6 +369,11 @@
                             const struct cell_job *job);
 enum cell_verdict cell_verdict_of (const struct cell_stage *stage,
                                    uint32_t row);
+uint32_t cell_ticket_count (const struct cell_stage *stage);
+/** NULL: the ticket is not valid any more. */
+const struct cell_held_ticket *cell_ticket_at (const struct cell_core *core,
+                                               const struct cell_stage *stage,
+                                               uint32_t index);
 /** NULL: none is held that is valid for this life of the worker. */
 const struct cell_held_ticket *cell_ticket_for (const struct cell_core *core,
                                                 const struct cell_stage *stage,
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -196,25 +196,25 @@
   return slots_in (stage, worker, &room);
 }
 
-bool
-cell_gang_fits (const struct cell_core *core, const struct cell_stage *stage,
-                bool with_tickets)
+/* The whole gang has room now, where it holds tickets if it needs them. */
+static bool
+gang_fits (const struct cell_core *core, const struct cell_stage *stage)
 {
   bool advised = stage->job->cfg.advice.wanted;
+  uint32_t count = advised ? cell_ticket_count (stage) : core->workers->len;
   uint64_t slots = 0;
 
-  for (guint i = 0; i < core->workers->len && slots < stage->count; i++)
+  for (uint32_t i = 0; i < count && slots < stage->count; i++)
     {
-      const struct cell_worker *worker = cell_worker_at (core, i);
+      const struct cell_held_ticket *held
+          = advised ? cell_ticket_at (core, stage, i) : NULL;
+      const struct cell_worker *worker;
 
-      if (!cell_worker_suits (core, stage, worker))
-        continue;
-      if (advised
-          && (with_tickets
-                  ? cell_ticket_for (core, stage, i) == NULL
-                  : cell_verdict_of (stage, i) != CELL_VERDICT_ALLOWED))
+      if (advised && held == NULL)
         continue;
-      slots += cell_slots_now (core, stage, worker);
+      worker = cell_worker_at (core, held != NULL ? held->worker : i);
+      if (cell_worker_suits (core, stage, worker))
+        slots += cell_slots_now (core, stage, worker);
     }
   return slots >= stage->count;
 }
@@ -285,9 +285,6 @@
   if (step->max_per_worker > 0
       && step_tasks_on (stage, worker) >= step->max_per_worker)
     return UINT64_MAX;
-  if (stage->job->cfg.advice.wanted
-      && cell_ticket_for (core, stage, row) == NULL)
-    return UINT64_MAX;
   cost = left_over (worker, size) + (kept ? KEPT_COST : 0);
   if (step->data_rack[0] != 0
       && !has_label (worker, cyc_str_of (step->data_rack)))
@@ -297,21 +294,31 @@
   return cost;
 }
 
+/* A step that needs advice has few workers to choose from: those for which it
+   holds tickets. */
 static uint32_t
 best_worker (const struct cell_core *core, const struct cell_stage *stage,
              const struct cyc_res *size, struct cyc_str rack)
 {
+  bool advised = stage->job->cfg.advice.wanted;
+  uint32_t count = advised ? cell_ticket_count (stage) : core->workers->len;
   uint64_t best_cost = UINT64_MAX;
   uint32_t best = CELL_NO_ROW;
 
-  for (guint i = 0; i < core->workers->len; i++)
+  for (uint32_t i = 0; i < count; i++)
     {
-      uint64_t cost = placement_cost (core, stage, i, size, rack);
+      const struct cell_held_ticket *held
+          = advised ? cell_ticket_at (core, stage, i) : NULL;
+      uint32_t row = held != NULL ? held->worker : i;
+      uint64_t cost;
 
+      if (advised && held == NULL)
+        continue;
+      cost = placement_cost (core, stage, row, size, rack);
       if (cost < best_cost)
         {
           best_cost = cost;
-          best = i;
+          best = row;
         }
     }
   return best;
@@ -405,7 +412,7 @@
       cell_place_again (core, at_us);
       return false;
     }
-  if (!cell_gang_fits (core, stage, true))
+  if (!gang_fits (core, stage))
     return false;
   if (!cell_stage_step (stage)->same_rack)
     return place_gang_in (core, stage, size, CYC_STR (""));
