Notice workers that are slow or stand still by the progress of their tasks

Now each report gives the pace of a task against its estimate; a worker whose pace is three times that of all (three samples) is given one task at a time after a pause of 3 s, and what would end twice as early elsewhere is stopped and starts there, from its checkpoint if it has one. Moves are bounded to a tenth of the starts. Gangs do not count for a worker's pace, as their members go on together.

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -312,6 +312,7 @@
   worker->failures_in_row = 0;
   worker->bad_until_us = 0;
   worker->bad_pauses = 0;
+  worker->pace_samples = 0;
 }
 
 /* Ends the confirmed runs of earlier lives. Starts without an answer may have
@@ -499,25 +500,6 @@
   return cell_run_found (core, job, round, task, worker_row, row->run);
 }
 
-/* The end of a run is expected from how fast it went on between the first and
-   the latest report. */
-static void
-note_progress (struct cell_run *run, uint32_t percent, uint64_t now_us)
-{
-  percent = MIN (percent, 100);
-  if (run->first_us == 0)
-    {
-      run->first_us = now_us;
-      run->first_percent = percent;
-    }
-  run->percent = percent;
-  run->percent_us = now_us;
-  if (percent > run->first_percent)
-    run->end_us = now_us
-                  + (now_us - run->first_us) * (100 - percent)
-                        / (percent - run->first_percent);
-}
-
 static void
 take_running (struct cell_core *core, struct cell_worker *worker,
               uint32_t worker_row, const struct cell_report *report,
@@ -532,7 +514,7 @@
       if (run == NULL)
         continue;
       g_hash_table_add (seen, run);
-      note_progress (run, row->percent, core->now_us);
+      cell_run_progress (core, run, row->percent);
       run->job->begun = true;
       run->inherited = false;
       run->worker_born_ms = worker->born_ms;
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -45,6 +45,12 @@
 /** With less than this a gang asks about unknown workers once more. */
 #define CELL_GANG_LEAST 3
 
+/** A worker is slow when its tasks take so many times longer than tasks take
+ * elsewhere, measured by their estimates; kinds of workers differ by half. */
+#define CELL_SLOW_FACTOR 3
+/** Reports of tasks after which a worker may be called slow. */
+#define CELL_SLOW_SAMPLES 3
+
 enum cell_run_state
 {
   CELL_RUN_RECORDING, /**< waits for the record to be durable */
@@ -120,6 +126,9 @@
   uint64_t last_failed_job;
   uint64_t bad_until_us;
   uint32_t bad_pauses; /**< since a task ended well; 0: it is trusted */
+  /** Time that its tasks take for each unit of their estimates, smoothed. */
+  double pace;
+  uint32_t pace_samples;
   uint64_t clock_ms;
   uint64_t clock_at_us;
   uint64_t lease_deadline_ms; /**< latest asked for, worker's clock */
@@ -276,6 +285,8 @@
   uint64_t next_us;
   bool place_wanted;
   uint64_t place_at_us;     /**< something can be placed then that could not */
+  double pace;              /**< of all workers, see cell_worker */
+  double move_credit;       /**< runs that may be moved for their pace now */
   uint64_t held_millicores; /**< kept for gangs in this tick */
   uint64_t usable_millicores; /**< of all workers that are usable */
 };
@@ -326,6 +337,9 @@
                               struct cyc_ref ref);
 void cell_run_stop (struct cell_core *core, struct cell_run *run);
 void cell_runs_tick (struct cell_core *core);
+/** A report showed how far the run has come. */
+void cell_run_progress (struct cell_core *core, struct cell_run *run,
+                        uint32_t percent);
 /** The run has ended or never began, without success. */
 void cell_run_gone (struct cell_core *core, struct cell_run *run,
                     enum cell_end_kind kind, struct cyc_str checkpoint);
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -755,6 +755,42 @@
     }
 }
 
+/* One worker takes ten times as long, or its tasks stand still, while a stream
+   of jobs lasts. What it has is moved, and it gets little new work. Guards
+   against jobs that wait for the slowest worker. */
+static void
+test_slow_worker (void **state)
+{
+  static const uint32_t slow[] = { 10, 100000 };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof slow / sizeof slow[0]; i++)
+    {
+      struct fleet *fleet = calloc (1, sizeof *fleet);
+      uint64_t id = 1;
+      uint32_t late = 0;
+
+      fleet_setup (fleet, 4, 4000);
+      fleet_run (fleet, 100);
+      fleet->workers[0].slow = slow[i];
+      for (; id <= 100; id++)
+        {
+          fleet_submit (fleet, id,
+                        &(struct fleet_job){ .tasks = { 1 }, .work_ms = 800 });
+          fleet_run (fleet, 100);
+        }
+      fleet_run (fleet, 4000);
+      for (uint64_t n = 1; n < id; n++)
+        late += fleet_state (fleet, n) != CELL_JOB_COMPLETE;
+      assert_int_equal (late, 0);
+      /* It took those before it was known as slow and one after each pause. */
+      assert_in_range (fleet->starts - 100, 1, 4 + 4);
+      assert_int_equal (fleet->broken, 0);
+      fleet_teardown (fleet);
+      free (fleet);
+    }
+}
+
 /* Random faults, one after the other and at the same time: workers crash,
    restart, are cut off or mute, the log goes away, leaders change, answers
    are lost, jobs are cancelled. No promise may break, and what is left ends
@@ -767,8 +803,16 @@
 {
   uint32_t worker = (uint32_t)g_rand_int_range (rand, 0, RANDOM_WORKERS);
 
-  switch (g_rand_int_range (rand, 0, 13))
+  switch (g_rand_int_range (rand, 0, 15))
     {
+    case 13:
+      fleet->workers[worker].slow = fleet->workers[worker].slow ? 0 : 8;
+      break;
+    case 14:
+      if (fleet->workers[worker].up)
+        fleet_drain (fleet, worker,
+                     fleet->workers[worker].draining ? 0 : 1500);
+      break;
     case 12:
       fleet->uneven_ms = fleet->uneven_ms ? 0 : 120;
       break;
@@ -838,8 +882,10 @@
       fleet->workers[i].cut = false;
       fleet->workers[i].mute = false;
       fleet->workers[i].failing = false;
+      fleet->workers[i].slow = 0;
       if (!fleet->workers[i].up)
         fleet_restart (fleet, i);
+      fleet_drain (fleet, i, 0);
     }
   fleet->log_down = false;
   fleet->uneven_ms = 0;
@@ -923,6 +969,7 @@
     cmocka_unit_test (test_worker_leaves),
     cmocka_unit_test (test_removed_entry_of_a_silent_worker),
     cmocka_unit_test (test_evacuation),
+    cmocka_unit_test (test_slow_worker),
     cmocka_unit_test (test_failing_worker_is_left_alone),
     cmocka_unit_test (test_team_over_its_rate),
     cmocka_unit_test (test_gang_on_a_busy_fleet),
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -467,7 +467,9 @@
             late->order.checkpoint);
   run->number = late->order.number;
   run->begun_ms = fleet->now_ms;
-  run->end_ms = fleet->now_ms + (job->work_ms ? job->work_ms : 500);
+  run->work_ms
+      = (uint64_t)(job->work_ms ? job->work_ms : 500) * MAX (1, worker->slow);
+  run->end_ms = fleet->now_ms + run->work_ms;
   run->fails = job->hopeless || worker->failing;
   run->gang = job->gang;
   run->together = !job->gang;
@@ -633,7 +635,7 @@
   if (present == job->tasks[step])
     {
       run->together = true;
-      run->end_ms = fleet->now_ms + (job->work_ms ? job->work_ms : 500);
+      run->end_ms = fleet->now_ms + run->work_ms;
     }
   else if (fleet->now_ms >= run->begun_ms + GANG_MS)
     {
@@ -721,6 +723,17 @@
   worker->end_count = kept;
 }
 
+static uint32_t
+percent_of (const struct fleet *fleet, const struct fleet_run *run)
+{
+  uint64_t left_ms
+      = run->end_ms > fleet->now_ms ? run->end_ms - fleet->now_ms : 0;
+
+  if (!run->together)
+    return 0;
+  return (uint32_t)(100 - MIN (left_ms, run->work_ms) * 100 / run->work_ms);
+}
+
 static void
 hold (struct fleet *fleet, uint32_t row)
 {
@@ -756,7 +769,7 @@
       .task = cyc_str_of (worker->runs[i].task),
       .run = worker->runs[i].number,
       .checkpoint = CYC_STR (""),
-      .percent = 50,
+      .percent = percent_of (fleet, &worker->runs[i]),
     };
   for (uint32_t i = 0; i < worker->end_count; i++)
     ends[i] = (struct cell_end_row){
@@ -954,7 +967,7 @@
 void
 fleet_drain (struct fleet *fleet, uint32_t row, uint32_t leaves_in_ms)
 {
-  fleet->workers[row].draining = true;
+  fleet->workers[row].draining = leaves_in_ms > 0;
   fleet->workers[row].leaves_in_ms = leaves_in_ms;
   list_worker (fleet, &fleet->workers[row]);
 }
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -34,6 +34,7 @@
   uint32_t number;
   uint64_t end_ms;
   uint64_t begun_ms;
+  uint64_t work_ms;
   bool fails;
   bool gang;
   bool together; /**< works: not a gang, or all members are present */
@@ -60,7 +61,8 @@
   bool listed;
   bool draining;
   uint32_t leaves_in_ms; /**< when it drains */
-  bool failing;          /**< every task it starts fails */
+  uint32_t slow; /**< what starts there takes so many times longer; 0: 1 */
+  bool failing;  /**< every task it starts fails */
   uint64_t born_ms;
   uint64_t clock_shift_ms;
   uint64_t fence;
@@ -162,7 +164,8 @@
 /** A new leader: the core is built anew from what the log holds. */
 void fleet_takeover (struct fleet *fleet);
 void fleet_crash (struct fleet *fleet, uint32_t worker);
-/** The worker says that it stays for @p leaves_in_ms and takes nothing new. */
+/** The worker says that it stays for @p leaves_in_ms and takes nothing new; 0:
+ * that it stays after all. */
 void fleet_drain (struct fleet *fleet, uint32_t worker, uint32_t leaves_in_ms);
 /** A worker that drained ends and removes its entry. */
 void fleet_leave (struct fleet *fleet, uint32_t worker);
