Refuse work beyond a team's rate while such work waits beyond its objective

The leader now refuses such a job at once with 429 and a time to come back, before it is stored, while work of that kind is seen to be late; with room free nothing is refused.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -290,6 +290,9 @@
 enum cell_job_state cell_job_state (const struct cell_core *core, uint64_t id);
 /** The job's team sent more than its rate allows when the job came. */
 bool cell_job_over_rate (const struct cell_core *core, uint64_t id);
+/** A job that is not stored yet had better be refused: its team is over its
+ * rate, and work of that kind already waits longer than its objective. */
+bool cell_job_refusable (const struct cell_core *core, uint64_t id);
 /** Jobs of the queue of which no task has started. */
 uint32_t cell_queue_pending (const struct cell_core *core,
                              struct cyc_str queue);
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -284,10 +284,12 @@
   uint64_t now_ms;
   uint64_t next_us;
   bool place_wanted;
-  uint64_t place_at_us;     /**< something can be placed then that could not */
-  double pace;              /**< of all workers, see cell_worker */
-  double move_credit;       /**< runs that may be moved for their pace now */
-  uint64_t held_millicores; /**< kept for gangs in this tick */
+  uint64_t place_at_us; /**< something can be placed then that could not */
+  uint64_t over_rate_late_us; /**< when work over a team's rate was last seen
+                                 to be late; 0: never */
+  double pace;                /**< of all workers, see cell_worker */
+  double move_credit;         /**< runs that may be moved for their pace now */
+  uint64_t held_millicores;   /**< kept for gangs in this tick */
   uint64_t usable_millicores; /**< of all workers that are usable */
 };
 
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -10,6 +10,9 @@
 #define WORTHLESS_OBJECTIVES 3
 /** A team may send the jobs of so many seconds at once. */
 #define RATE_BURST_S 2
+/** Jobs over the rate are refused for so long after one was seen to wait
+ * beyond its objective. */
+#define REFUSE_US 500000
 /** A job that was accepted longer ago does not count against its team's rate:
  * a new leader hears of jobs in no order. */
 #define RATE_AGE_US 1000000
@@ -46,6 +49,16 @@
   return job != NULL && job->over_rate;
 }
 
+bool
+cell_job_refusable (const struct cell_core *core, uint64_t id)
+{
+  const struct cell_job *job = cell_job_find (core, id);
+
+  return job != NULL && job->over_rate && !job->stored
+         && core->over_rate_late_us != 0
+         && core->now_us < core->over_rate_late_us + REFUSE_US;
+}
+
 uint32_t
 cell_queue_pending (const struct cell_core *core, struct cyc_str queue)
 {
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -714,5 +714,11 @@
   g_ptr_array_sort_with_data (core->waiting, compare_stages, core);
   room = room_soon (core);
   for (guint i = 0; i < core->waiting->len; i++)
-    place_stage (core, g_ptr_array_index (core->waiting, i), &room);
+    {
+      struct cell_stage *stage = g_ptr_array_index (core->waiting, i);
+
+      place_stage (core, stage, &room);
+      if (stage->job->over_rate && stage->waiting > 0 && is_late (core, stage))
+        core->over_rate_late_us = core->now_us;
+    }
 }
--- a/src/entry_accept.c
+++ b/src/entry_accept.c
@@ -53,7 +53,9 @@
       entry, item->call,
       &(struct pt_answer){
           .kind = kind,
-          .retry_after_s = kind == PT_ANSWER_BUSY ? retry_after_s : 0,
+          .retry_after_s = kind == PT_ANSWER_BUSY || kind == PT_ANSWER_REFUSED
+                               ? retry_after_s
+                               : 0,
       });
   free_item (item);
 }
@@ -291,6 +293,8 @@
                        now_us - item->begun_us);
           end_item (entry, item, answer_of (item), 0);
         }
+      else if (outcome == RECORDS_OVER_RATE)
+        end_item (entry, item, PT_ANSWER_REFUSED, after_s);
       else
         leave_leader (entry, item, outcome, after_s, now_us);
     }
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -30,8 +30,9 @@
 enum records_outcome
 {
   RECORDS_STORED = 1,
-  RECORDS_REFUSED,  /**< surely not stored; the log is down */
-  RECORDS_ELSEWHERE /**< the leader cannot say: it ends, or is not ready */
+  RECORDS_REFUSED,   /**< surely not stored; the log is down */
+  RECORDS_OVER_RATE, /**< surely not stored; the team sends too much */
+  RECORDS_ELSEWHERE  /**< the leader cannot say: it ends, or is not ready */
 };
 
 /* entry_accept.c */
--- a/src/entry_records.c
+++ b/src/entry_records.c
@@ -21,6 +21,8 @@
 /** Callers come back after the time that the log has been down, from 1 s to
  * this: an outage that has lasted long tends to go on. */
 #define RETRY_AFTER_MOST_S 4
+/** A team over its rate comes back after this: its backlog takes seconds. */
+#define RETRY_OVER_RATE_S 2
 /** Gap between reads of a part until it is loaded. */
 #define LOAD_GAP_MS 10
 /** Revision in front of a progress record, big-endian. */
@@ -221,8 +223,12 @@
   struct entry *entry = records->owner->entry;
   Cyc__Peer message = CYC__PEER__INIT;
   Cyc__CellStored stored = CYC__CELL_STORED__INIT;
-  uint32_t after_s
-      = outcome == RECORDS_REFUSED ? retry_after_s (records, hc_now_us ()) : 0;
+  uint32_t after_s = 0;
+
+  if (outcome == RECORDS_REFUSED)
+    after_s = retry_after_s (records, hc_now_us ());
+  else if (outcome == RECORDS_OVER_RATE)
+    after_s = RETRY_OVER_RATE_S;
 
   if (row->peer.generation == 0)
     {
@@ -576,7 +582,13 @@
       if (row->key[0] == 'j')
         owner_offer_job (owner, id, value);
       owner_fed (owner);
-      return;
+      if (row->key[0] != 'j' || !cell_job_refusable (owner->core, id)
+          || submitted_elsewhere (records, row))
+        return;
+      g_queue_remove (&records->waiting, row);
+      cell_job_withdraw (owner->core, id);
+      met_add (&owner->entry->met, MET_JOBS_REFUSED, 1);
+      tell (records, row, RECORDS_OVER_RATE);
     }
   free_row (row);
 }
--- a/src/entry_requests.c
+++ b/src/entry_requests.c
@@ -24,7 +24,8 @@
     return;
   call = &entry->calls[ref.index];
   out.close = entry->stopping;
-  if (answer->kind == PT_ANSWER_BUSY || answer->kind == PT_ANSWER_NOT_KNOWN)
+  if (answer->kind == PT_ANSWER_BUSY || answer->kind == PT_ANSWER_NOT_KNOWN
+      || answer->kind == PT_ANSWER_REFUSED)
     ev_log (EV_REQUEST_UNANSWERED,
             "job=%016" PRIx64 " verb=%d answer=%d queue=%s waited_ms=%" PRIu64
             " leader=%s epoch=%" PRIu64 " lead_age_ms=%" PRIu64,
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -624,6 +624,45 @@
   free (fleet);
 }
 
+/* A job that is beyond its team's rate is refused only while such work waits
+   beyond its objective: not on a fleet with room, and not for another team.
+   Guards against jobs that are accepted although they will not be served, and
+   against refusals with room free. */
+static void
+test_refusal_over_the_rate (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  struct fleet_job job = { .tasks = { 1 }, .work_ms = 3000, .team = "heavy" };
+  uint64_t id = 0;
+
+  (void)state;
+  fleet_setup (fleet, 4, 4000);
+  fleet_run (fleet, 100);
+  for (int n = 0; n < 3 * FLEET_HEAVY_WEIGHT; n++)
+    fleet_submit (fleet, ++id, &job);
+  fleet_offer (fleet, ++id, &job);
+  assert_true (cell_job_over_rate (fleet->core, id));
+  assert_false (cell_job_refusable (fleet->core, id));
+  fleet_settle (fleet, id, true);
+  for (int n = 0; n < 5 * FLEET_HEAVY_WEIGHT; n++)
+    fleet_submit (fleet, ++id, &job);
+  fleet_run (fleet, 8000);
+  for (int n = 0; n < 3 * FLEET_HEAVY_WEIGHT; n++)
+    fleet_submit (fleet, ++id, &job);
+  fleet_run (fleet, 20);
+  fleet_offer (fleet, ++id, &job);
+  assert_true (cell_job_refusable (fleet->core, id));
+  fleet_settle (fleet, id, false);
+  job.team = "blue";
+  fleet_offer (fleet, ++id, &job);
+  assert_false (cell_job_refusable (fleet->core, id));
+  fleet_settle (fleet, id, true);
+  fleet_run (fleet, 30000);
+  assert_int_equal (fleet->broken, 0);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
 /* The load of a busy fleet: all workers are full, small work of the same queue
    keeps coming, and a call for advice takes half a second. A gang learns in
    one question which workers are allowed, keeps room there and asks again only
@@ -972,6 +1011,7 @@
     cmocka_unit_test (test_slow_worker),
     cmocka_unit_test (test_failing_worker_is_left_alone),
     cmocka_unit_test (test_team_over_its_rate),
+    cmocka_unit_test (test_refusal_over_the_rate),
     cmocka_unit_test (test_gang_on_a_busy_fleet),
     cmocka_unit_test (test_random),
   };
