Judge the pace of workers by what tasks of a queue take, split off gangs and pace

Cause: the first form compared tasks with their estimates, which are off by more than a slow worker is.

Now the time that tasks of a queue take is learned from their ends, nothing is judged in the first 10 s of a leader (the first ends are those of short tasks), and three tasks at once must show it, each twice as long and all three times. A task without any progress for 3 s is moved by itself.

Gangs (cyc_cell_gang.c) and pace (cyc_cell_pace.c) have files of their own.

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -91,6 +91,8 @@
   core->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
   core->teams
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  core->queue_times
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   core->queue_good
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   core->waiting = g_ptr_array_new ();
@@ -151,6 +153,7 @@
   g_hash_table_destroy (core->jobs);
   g_hash_table_destroy (core->teams);
   g_hash_table_destroy (core->worker_rows);
+  g_hash_table_destroy (core->queue_times);
   g_hash_table_destroy (core->queue_good);
   g_ptr_array_free (core->workers, TRUE);
   g_ptr_array_free (core->waiting, TRUE);
@@ -312,7 +315,6 @@
   worker->failures_in_row = 0;
   worker->bad_until_us = 0;
   worker->bad_pauses = 0;
-  worker->pace_samples = 0;
 }
 
 /* Ends the confirmed runs of earlier lives. Starts without an answer may have
@@ -472,6 +474,7 @@
         {
           worker->failures_in_row = 0;
           worker->bad_pauses = 0;
+          cell_pace_done (core, run);
           cell_run_free (core, run);
         }
       cell_task_done (core, job, round, task);
@@ -514,7 +517,7 @@
       if (run == NULL)
         continue;
       g_hash_table_add (seen, run);
-      cell_run_progress (core, run, row->percent);
+      cell_pace_progress (core, run, row->percent);
       run->job->begun = true;
       run->inherited = false;
       run->worker_born_ms = worker->born_ms;
@@ -600,6 +603,7 @@
   take_ends (core, worker, report);
   take_running (core, worker, row, report, seen);
   take_missing (core, worker, report, seen);
+  cell_pace_worker (core, worker);
   g_hash_table_destroy (seen);
   cell_wake (core, now_us);
 }
@@ -717,6 +721,7 @@
   g_queue_push_tail (&core->orders, order);
   run->state = CELL_RUN_STARTING;
   run->ordered_us = core->now_us;
+  run->resumed = task->checkpoint[0] != 0;
   cell_wake (core, core->now_us + CELL_START_ANSWER_US);
 }
 
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -45,12 +45,6 @@
 /** With less than this a gang asks about unknown workers once more. */
 #define CELL_GANG_LEAST 3
 
-/** A worker is slow when its tasks take so many times longer than tasks take
- * elsewhere, measured by their estimates; kinds of workers differ by half. */
-#define CELL_SLOW_FACTOR 3
-/** Reports of tasks after which a worker may be called slow. */
-#define CELL_SLOW_SAMPLES 3
-
 enum cell_run_state
 {
   CELL_RUN_RECORDING, /**< waits for the record to be durable */
@@ -82,6 +76,8 @@
   uint32_t percent;
   uint64_t percent_us;    /**< when it was said */
   uint32_t first_percent; /**< of the first report that showed the run */
+  uint64_t whole_us;      /**< what the task takes at its pace; 0: not known */
+  bool resumed;           /**< started from a checkpoint */
   uint64_t first_us;      /**< when that came; 0: not yet */
   uint64_t end_us;        /**< expected; 0: not known */
   char ticket[CELL_TICKET_BYTES];
@@ -126,9 +122,6 @@
   uint64_t last_failed_job;
   uint64_t bad_until_us;
   uint32_t bad_pauses; /**< since a task ended well; 0: it is trusted */
-  /** Time that its tasks take for each unit of their estimates, smoothed. */
-  double pace;
-  uint32_t pace_samples;
   uint64_t clock_ms;
   uint64_t clock_at_us;
   uint64_t lease_deadline_ms; /**< latest asked for, worker's clock */
@@ -274,7 +267,9 @@
   GPtrArray *shown_pending; /**< jobs whose state waits for its batch */
   GQueue orders;            /**< struct cell_order * */
   GPtrArray *records;
-  GHashTable *queue_good; /**< queue name to permille of allowed workers */
+  uint64_t first_end_us;   /**< when the first end was seen; 0: not yet */
+  GHashTable *queue_times; /**< queue name to struct cell_queue_time */
+  GHashTable *queue_good;  /**< queue name to permille of allowed workers */
   uint64_t batch;
   uint64_t durable;      /**< all batches up to this one are */
   GArray *durable_later; /**< uint64_t: batches beyond it that are */
@@ -287,12 +282,17 @@
   uint64_t place_at_us; /**< something can be placed then that could not */
   uint64_t over_rate_late_us; /**< when work over a team's rate was last seen
                                  to be late; 0: never */
-  double pace;                /**< of all workers, see cell_worker */
   double move_credit;         /**< runs that may be moved for their pace now */
   uint64_t held_millicores;   /**< kept for gangs in this tick */
   uint64_t usable_millicores; /**< of all workers that are usable */
 };
 
+static inline uint64_t
+cell_left (uint64_t whole, uint64_t used)
+{
+  return whole > used ? whole - used : 0;
+}
+
 struct cell_worker *cell_worker_at (const struct cell_core *core,
                                     uint32_t row);
 uint32_t cell_worker_row (struct cell_core *core, struct cyc_str id);
@@ -339,9 +339,18 @@
                               struct cyc_ref ref);
 void cell_run_stop (struct cell_core *core, struct cell_run *run);
 void cell_runs_tick (struct cell_core *core);
+
+/* Pace. */
+
 /** A report showed how far the run has come. */
-void cell_run_progress (struct cell_core *core, struct cell_run *run,
-                        uint32_t percent);
+void cell_pace_progress (struct cell_core *core, struct cell_run *run,
+                         uint32_t percent);
+/** A run ended well: tasks of its queue take so long. */
+void cell_pace_done (struct cell_core *core, const struct cell_run *run);
+/** A run was decided: more runs may be moved. */
+void cell_pace_started (struct cell_core *core);
+/** All runs of the worker were reported: is it slow? */
+void cell_pace_worker (struct cell_core *core, struct cell_worker *worker);
 /** The run has ended or never began, without success. */
 void cell_run_gone (struct cell_core *core, struct cell_run *run,
                     enum cell_end_kind kind, struct cyc_str checkpoint);
@@ -373,6 +382,26 @@
  * advice is asked for. */
 bool cell_gang_fits_soon (const struct cell_core *core,
                           const struct cell_stage *stage);
+bool cell_team_has_room (const struct cell_team *team,
+                         const struct cyc_res *size, uint64_t tasks);
+/** CELL_NO_ROW: no worker has room and is allowed. @p rack: only there, unless
+ * it is empty. */
+uint32_t cell_best_worker (const struct cell_core *core,
+                           const struct cell_stage *stage,
+                           const struct cyc_res *size, struct cyc_str rack);
+struct cell_run *cell_place (struct cell_core *core, struct cell_stage *stage,
+                             uint32_t task, uint32_t row, uint32_t number);
+
+/* Gangs. */
+
+/** Places all members or none. */
+bool cell_gang_place (struct cell_core *core, struct cell_stage *stage);
+/** Keeps room for a gang that does not fit yet, on the allowed workers where
+ * it comes free first; stages after it pass over that room. */
+void cell_gang_hold (struct cell_core *core, struct cell_stage *stage);
+/** Gives back what is kept for stages that no longer wait; what is kept for
+ * the others is counted anew by cell_gang_hold. */
+void cell_gang_release_ended (struct cell_core *core);
 /** The order in which stages wait. */
 bool cell_stage_before (const struct cell_core *core,
                         const struct cell_stage *a,
--- /dev/null
+++ b/src/cyc_cell_pace.c
@@ -0,0 +1,191 @@
+/* Pace: workers that are slow or stand still, seen from the progress of their
+   tasks against the time that tasks of the same queue take elsewhere. Declared
+   estimates are of no use here, they are off by more than a slow worker is. */
+
+#include "cyc_cell_internal.h"
+
+/** A worker is slow when its tasks take so many times longer; sizes of tasks
+ * of one queue differ by half, kinds of workers too. */
+#define SLOW_FACTOR 3.0
+/** At least so many tasks at once must show it, each by this factor. */
+#define SLOW_TASKS 3
+#define SLOW_TASK_FACTOR 2.0
+/** One task counts as so many times slower at most. */
+#define FACTOR_MOST 10.0
+/** Ends after which the time of a queue's tasks is known, and the weight of a
+ * further one. */
+#define TIMES_LEAST 8
+#define TIME_WEIGHT 0.03
+/** Nothing is judged in the first time of a leader: the first ends that it
+ * sees are those of short tasks. */
+#define AGE_LEAST_US 10000000
+/** Progress is measured over this time at least; a task without any is taken
+ * to stand still after it. */
+#define PACE_LEAST_US 300000
+#define STILL_US 1200000
+/** A single task without any progress for so long is moved, whatever else runs
+ * on its worker. */
+#define STILL_ALONE_US 3000000
+/** Moves may make up a tenth of all starts, and so many at once. */
+#define MOVE_SHARE 0.1
+#define MOVES_MOST 20.0
+/** Time that a move costs beside the work: a stop, advice and a start; a gang
+ * also waits for room. */
+#define MOVE_COST_US 700000
+#define MOVE_GANG_COST_US 3000000
+
+/** How long tasks of a queue take. */
+struct cell_queue_time
+{
+  double mean_us;
+  uint32_t ends;
+};
+
+void
+cell_pace_started (struct cell_core *core)
+{
+  core->move_credit = MIN (core->move_credit + MOVE_SHARE, MOVES_MOST);
+}
+
+void
+cell_pace_done (struct cell_core *core, const struct cell_run *run)
+{
+  struct cell_queue_time *time
+      = g_hash_table_lookup (core->queue_times, run->job->queue.data);
+  double took_us = (double)(core->now_us - run->answered_us);
+
+  if (core->first_end_us == 0)
+    core->first_end_us = core->now_us;
+  if (run->answered_us == 0 || run->resumed)
+    return;
+  if (time == NULL)
+    {
+      time = g_new0 (struct cell_queue_time, 1);
+      g_hash_table_insert (core->queue_times, g_strdup (run->job->queue.data),
+                           time);
+    }
+  time->ends++;
+  time->mean_us += (took_us - time->mean_us)
+                   * MAX (TIME_WEIGHT, 1.0 / (double)time->ends);
+}
+
+/* 0: not known. */
+static double
+usual_us (const struct cell_core *core, const struct cell_run *run)
+{
+  const struct cell_queue_time *time
+      = g_hash_table_lookup (core->queue_times, run->job->queue.data);
+
+  return time != NULL && time->ends >= TIMES_LEAST
+                 && core->now_us >= core->first_end_us + AGE_LEAST_US
+             ? time->mean_us
+             : 0;
+}
+
+static uint64_t
+whole_us (const struct cell_core *core, const struct cell_run *run)
+{
+  uint64_t seen_us = core->now_us - run->first_us;
+
+  if (run->percent >= 100)
+    return 0;
+  if (run->percent > run->first_percent)
+    return seen_us < PACE_LEAST_US
+               ? 0
+               : seen_us * 100 / (run->percent - run->first_percent);
+  return seen_us >= STILL_US ? seen_us * 100 : 0;
+}
+
+void
+cell_pace_progress (struct cell_core *core, struct cell_run *run,
+                    uint32_t percent)
+{
+  percent = MIN (percent, 100);
+  if (run->first_us == 0)
+    {
+      run->first_us = core->now_us;
+      run->first_percent = percent;
+    }
+  if (percent != run->percent || run->percent_us == 0)
+    run->percent_us = core->now_us;
+  run->percent = percent;
+  run->whole_us = whole_us (core, run);
+  if (run->whole_us != 0 && run->percent > run->first_percent)
+    run->end_us = core->now_us + run->whole_us * (100 - run->percent) / 100;
+}
+
+/* Stops a run whose work would end much earlier elsewhere, even from its last
+   checkpoint or its start. */
+static void
+move_if_better (struct cell_core *core, struct cell_run *run, double factor)
+{
+  const Cyc__CellStep *step
+      = cell_stage_step (cell_stage_of_task (run->job, run->round, run->task));
+  uint64_t left_us = run->whole_us * (100 - run->percent) / 100;
+  uint64_t there_us = (uint64_t)((double)run->whole_us / factor);
+
+  if (step->checkpointing)
+    there_us = there_us * (100 - run->percent) / 100;
+  there_us += step->gang ? MOVE_GANG_COST_US : MOVE_COST_US;
+  if (run->whole_us == 0 || run->stop || run->superseded || step->long_running
+      || core->move_credit < 1.0 || left_us < 2 * there_us)
+    return;
+  core->move_credit -= 1.0;
+  cell_run_stop (core, run);
+}
+
+/* Moves what stands still; the members of a gang stand still until all have
+   come. */
+static void
+move_still (struct cell_core *core, struct cell_worker *worker)
+{
+  for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    {
+      const Cyc__CellStep *step = cell_stage_step (
+          cell_stage_of_task (run->job, run->round, run->task));
+
+      if (run->state != CELL_RUN_RUNNING || run->percent_us == 0
+          || run->percent >= 100 || step->gang || step->long_running
+          || run->stop || run->superseded || core->move_credit < 1.0
+          || core->now_us < run->percent_us + STILL_ALONE_US)
+        continue;
+      core->move_credit -= 1.0;
+      cell_run_stop (core, run);
+      worker->bad_pauses = MAX (1, worker->bad_pauses);
+      worker->bad_until_us = core->now_us + CELL_BAD_US;
+    }
+}
+
+void
+cell_pace_worker (struct cell_core *core, struct cell_worker *worker)
+{
+  uint32_t tasks = 0;
+  uint32_t slow = 0;
+  double sum = 0;
+
+  move_still (core, worker);
+  for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    {
+      const Cyc__CellStep *step = cell_stage_step (
+          cell_stage_of_task (run->job, run->round, run->task));
+      double usual = usual_us (core, run);
+      double factor;
+
+      /* The members of a gang go on together, at the pace of the slowest. */
+      if (run->state != CELL_RUN_RUNNING || run->whole_us == 0 || usual <= 0
+          || step->gang || step->long_running || run->resumed)
+        continue;
+      factor = MIN ((double)run->whole_us / usual, FACTOR_MOST);
+      sum += factor;
+      tasks++;
+      slow += factor >= SLOW_TASK_FACTOR;
+    }
+  if (tasks < SLOW_TASKS || slow < tasks || sum < SLOW_FACTOR * (double)tasks)
+    return;
+  worker->bad_pauses = MAX (1, worker->bad_pauses);
+  worker->bad_until_us = core->now_us + CELL_BAD_US;
+  cell_place_again (core, worker->bad_until_us);
+  for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    if (run->state == CELL_RUN_RUNNING)
+      move_if_better (core, run, sum / (double)tasks);
+}
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -4,9 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** Part of the fleet that is kept for gangs at most; more would leave it
- * idle while their room comes free. The first gang may keep what it needs. */
-#define HELD_DIVISOR 4
 /** Ranks beyond those of priorities. */
 #define PRIORITY_MOST 1000
 #define RANK_OVER_RATE 4000
@@ -59,9 +56,9 @@
              || has_label (worker, cyc_str_of (step->required_label)));
 }
 
-static bool
-team_has_room (const struct cell_team *team, const struct cyc_res *size,
-               uint64_t tasks)
+bool
+cell_team_has_room (const struct cell_team *team, const struct cyc_res *size,
+                    uint64_t tasks)
 {
   const struct cyc_res *limit = &team->limit;
 
@@ -94,20 +91,14 @@
 
 /* Room for tasks of the stage, apart from what other stages keep. */
 
-static uint64_t
-left_of (uint64_t whole, uint64_t used)
-{
-  return whole > used ? whole - used : 0;
-}
-
 /* What is left of the worker when so much of it is taken. */
 static struct cell_room
 room_beside (const struct cell_worker *worker, const struct cell_room *taken)
 {
   return (struct cell_room){
-    left_of (worker->capacity.millicores, taken->millicores),
-    left_of (worker->capacity.memory_mib, taken->memory_mib),
-    left_of (worker->capacity.accelerators, taken->accelerators),
+    cell_left (worker->capacity.millicores, taken->millicores),
+    cell_left (worker->capacity.memory_mib, taken->memory_mib),
+    cell_left (worker->capacity.accelerators, taken->accelerators),
   };
 }
 
@@ -126,8 +117,8 @@
   if (size.accelerators > 0)
     slots = MIN (slots, room->accelerators / size.accelerators);
   if (step->max_per_worker > 0)
-    slots = MIN (
-        slots, left_of (step->max_per_worker, step_tasks_on (stage, worker)));
+    slots = MIN (slots, cell_left (step->max_per_worker,
+                                   step_tasks_on (stage, worker)));
   return (uint32_t)slots;
 }
 
@@ -137,9 +128,9 @@
               bool beside_held, const struct cell_room *freed)
 {
   struct cell_room taken
-      = { left_of (worker->used_millicores, freed->millicores),
-          left_of (worker->used_memory_mib, freed->memory_mib),
-          left_of (worker->used_accelerators, freed->accelerators) };
+      = { cell_left (worker->used_millicores, freed->millicores),
+          cell_left (worker->used_memory_mib, freed->memory_mib),
+          cell_left (worker->used_accelerators, freed->accelerators) };
   struct cell_room room;
 
   if (beside_held)
@@ -177,7 +168,7 @@
   struct cell_room freed = { 0 };
 
   for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
-    if (run->end_us != 0 && run->end_us <= then_us)
+    if (run->stop || (run->end_us != 0 && run->end_us <= then_us))
       {
         freed.millicores += run->size.millicores;
         freed.memory_mib += run->size.memory_mib;
@@ -196,46 +187,6 @@
   return slots_in (stage, worker, &room);
 }
 
-/* The whole gang has room now, where it holds tickets if it needs them. */
-static bool
-gang_fits (const struct cell_core *core, const struct cell_stage *stage)
-{
-  bool advised = stage->job->cfg.advice.wanted;
-  uint32_t count = advised ? cell_ticket_count (stage) : core->workers->len;
-  uint64_t slots = 0;
-
-  for (uint32_t i = 0; i < count && slots < stage->count; i++)
-    {
-      const struct cell_held_ticket *held
-          = advised ? cell_ticket_at (core, stage, i) : NULL;
-      const struct cell_worker *worker;
-
-      if (advised && held == NULL)
-        continue;
-      worker = cell_worker_at (core, held != NULL ? held->worker : i);
-      if (cell_worker_suits (core, stage, worker))
-        slots += cell_slots_now (core, stage, worker);
-    }
-  return slots >= stage->count;
-}
-
-bool
-cell_gang_fits_soon (const struct cell_core *core,
-                     const struct cell_stage *stage)
-{
-  uint64_t slots = 0;
-
-  for (guint i = 0; i < core->workers->len && slots < stage->count; i++)
-    {
-      const struct cell_worker *worker = cell_worker_at (core, i);
-
-      if (cell_worker_suits (core, stage, worker)
-          && cell_verdict_of (stage, i) == CELL_VERDICT_ALLOWED)
-        slots += cell_slots_soon (core, stage, worker);
-    }
-  return slots >= stage->count;
-}
-
 static bool
 stage_failed_on (const struct cell_stage *stage, uint32_t row)
 {
@@ -296,9 +247,9 @@
 
 /* A step that needs advice has few workers to choose from: those for which it
    holds tickets. */
-static uint32_t
-best_worker (const struct cell_core *core, const struct cell_stage *stage,
-             const struct cyc_res *size, struct cyc_str rack)
+uint32_t
+cell_best_worker (const struct cell_core *core, const struct cell_stage *stage,
+                  const struct cyc_res *size, struct cyc_str rack)
 {
   bool advised = stage->job->cfg.advice.wanted;
   uint32_t count = advised ? cell_ticket_count (stage) : core->workers->len;
@@ -324,9 +275,9 @@
   return best;
 }
 
-static struct cell_run *
-place (struct cell_core *core, struct cell_stage *stage, uint32_t task,
-       uint32_t row, uint32_t number)
+struct cell_run *
+cell_place (struct cell_core *core, struct cell_stage *stage, uint32_t task,
+            uint32_t row, uint32_t number)
 {
   struct cell_run *run
       = cell_run_new (core, stage->job, stage->round, task, row, number);
@@ -345,99 +296,6 @@
   return run;
 }
 
-/* Takes back runs that were decided in this tick and never ordered. */
-static void
-unplace (struct cell_core *core, GPtrArray *runs)
-{
-  for (guint i = 0; i < runs->len; i++)
-    {
-      struct cell_run *run = g_ptr_array_index (runs, i);
-      struct cell_task *task = &run->job->rounds[run->round].tasks[run->task];
-      struct cell_stage *stage
-          = cell_stage_of_task (run->job, run->round, run->task);
-
-      task->next_run = run->number;
-      task->state = CELL_TASK_WAITING;
-      stage->waiting++;
-      cell_run_free (core, run);
-    }
-  g_ptr_array_set_size (runs, 0);
-}
-
-/* All members of a gang at once, in one rack if they must. */
-static bool
-place_gang_in (struct cell_core *core, struct cell_stage *stage,
-               const struct cyc_res *size, struct cyc_str rack)
-{
-  struct cell_round *round = &stage->job->rounds[stage->round];
-  GPtrArray *placed = g_ptr_array_new ();
-  uint32_t number = 1;
-  bool whole = true;
-
-  for (uint32_t t = 0; t < stage->count; t++)
-    number = MAX (number, round->tasks[stage->first_task + t].next_run);
-  for (uint32_t t = 0; t < stage->count && whole; t++)
-    {
-      uint32_t row = best_worker (core, stage, size, rack);
-
-      whole = row != CELL_NO_ROW;
-      if (whole)
-        g_ptr_array_add (
-            placed, place (core, stage, stage->first_task + t, row, number));
-    }
-  if (!whole)
-    unplace (core, placed);
-  g_ptr_array_free (placed, TRUE);
-  return whole;
-}
-
-static bool
-place_gang (struct cell_core *core, struct cell_stage *stage,
-            const struct cyc_res *size)
-{
-  GPtrArray *racks;
-  bool done = false;
-
-  if (stage->waiting < stage->count
-      || !team_has_room (stage->job->team, size, stage->count))
-    return false;
-  for (uint32_t t = 0; t < stage->count; t++)
-    {
-      uint64_t at_us = stage->job->rounds[stage->round]
-                           .tasks[stage->first_task + t]
-                           .not_before_us;
-
-      if (at_us <= core->now_us)
-        continue;
-      cell_place_again (core, at_us);
-      return false;
-    }
-  if (!gang_fits (core, stage))
-    return false;
-  if (!cell_stage_step (stage)->same_rack)
-    return place_gang_in (core, stage, size, CYC_STR (""));
-  racks = g_ptr_array_new ();
-  for (guint i = 0; i < core->workers->len; i++)
-    {
-      const struct cell_worker *worker = cell_worker_at (core, i);
-
-      /* Of a worker's labels, the last one names its rack. */
-      if (worker->label_count > 1 && cell_worker_suits (core, stage, worker))
-        {
-          const char *label = worker->labels[worker->label_count - 1].data;
-
-          if (!g_ptr_array_find_with_equal_func (racks, label, g_str_equal,
-                                                 NULL))
-            g_ptr_array_add (racks, (gpointer)label);
-        }
-    }
-  for (guint i = 0; i < racks->len && !done; i++)
-    done = place_gang_in (core, stage, size,
-                          cyc_str_of (g_ptr_array_index (racks, i)));
-  g_ptr_array_free (racks, TRUE);
-  return done || place_gang_in (core, stage, size, CYC_STR (""));
-}
-
 static bool
 place_tasks (struct cell_core *core, struct cell_stage *stage,
              const struct cyc_res *size)
@@ -456,121 +314,16 @@
           cell_place_again (core, task->not_before_us);
           continue;
         }
-      if (!team_has_room (stage->job->team, size, 1))
+      if (!cell_team_has_room (stage->job->team, size, 1))
         return false;
-      row = best_worker (core, stage, size, CYC_STR (""));
+      row = cell_best_worker (core, stage, size, CYC_STR (""));
       if (row == CELL_NO_ROW)
         return false;
-      place (core, stage, stage->first_task + t, row, task->next_run);
+      cell_place (core, stage, stage->first_task + t, row, task->next_run);
     }
   return stage->waiting == 0;
 }
 
-/* A place for one member of a gang, and what has to come free for it. */
-struct place
-{
-  uint32_t row;
-  uint64_t missing_permille; /* of the resource that the worker lacks most */
-};
-
-static int
-by_missing (const void *a, const void *b)
-{
-  const struct place *left = a;
-  const struct place *right = b;
-
-  if (left->missing_permille != right->missing_permille)
-    return left->missing_permille < right->missing_permille ? -1 : 1;
-  return left->row < right->row ? -1 : left->row > right->row;
-}
-
-static uint64_t
-missing_permille (const struct cell_worker *worker, const struct cyc_res *size,
-                  uint32_t members)
-{
-  uint64_t cores = left_of (worker->used_millicores
-                                + (uint64_t)members * size->millicores,
-                            worker->capacity.millicores);
-  uint64_t memory = left_of (worker->used_memory_mib
-                                 + (uint64_t)members * size->memory_mib,
-                             worker->capacity.memory_mib);
-
-  return MAX (cores * 1000 / MAX (1, worker->capacity.millicores),
-              memory * 1000 / MAX (1, worker->capacity.memory_mib));
-}
-
-/* Gives back what is kept for the stage; NULL: for stages that no longer wait.
- */
-static void
-release_room (struct cell_core *core, struct cell_stage *stage)
-{
-  if (stage != NULL && !stage->holds)
-    return;
-  for (guint i = 0; i < core->workers->len; i++)
-    {
-      struct cell_worker *worker = cell_worker_at (core, i);
-      const struct cell_stage *of = worker->held_for;
-
-      if (of == NULL)
-        continue;
-      if (stage != NULL
-              ? of != stage
-              : of->waiting > 0 && cell_job_open (of->job) && of->holds)
-        continue;
-      worker->held_for = NULL;
-      worker->held = (struct cell_room){ 0 };
-    }
-  if (stage != NULL)
-    stage->holds = false;
-}
-
-/* Keeps room for a gang that does not fit yet, on the allowed workers where
-   least has to come free for it; stages after it pass over that room. */
-static void
-hold_room (struct cell_core *core, struct cell_stage *stage)
-{
-  bool advised = stage->job->cfg.advice.wanted;
-  struct cyc_res size = cell_step_size (cell_stage_step (stage));
-  GArray *places;
-
-  if (core->held_millicores > 0
-      && core->held_millicores + (uint64_t)stage->count * size.millicores
-             > core->usable_millicores / HELD_DIVISOR)
-    return;
-  core->held_millicores += (uint64_t)stage->count * size.millicores;
-  stage->holds = true;
-  places = g_array_new (FALSE, FALSE, sizeof (struct place));
-  for (guint i = 0; i < core->workers->len; i++)
-    {
-      const struct cell_worker *worker = cell_worker_at (core, i);
-      uint32_t slots;
-
-      if (worker->held_for != NULL || !cell_worker_suits (core, stage, worker)
-          || (advised && cell_verdict_of (stage, i) != CELL_VERDICT_ALLOWED))
-        continue;
-      slots = cell_slots_whole (stage, worker);
-      for (uint32_t k = 1; k <= slots; k++)
-        {
-          struct place place = { i, missing_permille (worker, &size, k) };
-
-          g_array_append_val (places, place);
-        }
-    }
-  if (places->len > 1)
-    qsort (places->data, places->len, sizeof (struct place), by_missing);
-  for (guint i = 0; i < places->len && i < stage->count; i++)
-    {
-      struct cell_worker *worker
-          = cell_worker_at (core, g_array_index (places, struct place, i).row);
-
-      worker->held_for = stage;
-      worker->held.millicores += size.millicores;
-      worker->held.memory_mib += size.memory_mib;
-      worker->held.accelerators += size.accelerators;
-    }
-  g_array_free (places, TRUE);
-}
-
 /* Estimates may be far off: only half of the work that is left counts against
    a stage that may still end in time. */
 static bool
@@ -590,24 +343,24 @@
 
   if (!stage->job->cfg_known)
     return;
-  release_room (core, stage);
-  if (step->gang ? place_gang (core, stage, &size)
+  if (step->gang ? cell_gang_place (core, stage)
                  : place_tasks (core, stage, &size))
     return;
-  if (!team_has_room (stage->job->team, &size, step->gang ? stage->count : 1))
+  if (!cell_team_has_room (stage->job->team, &size,
+                           step->gang ? stage->count : 1))
     return;
   if (step->gang)
-    hold_room (core, stage);
+    cell_gang_hold (core, stage);
   if (stage->job->cfg.advice.wanted && room->millicores >= size.millicores
       && room->memory_mib >= size.memory_mib)
     cell_stage_ask (core, stage);
   /* A gang that keeps no room yet does not stop what can run meanwhile. */
   if (step->gang && !stage->holds)
     return;
-  room->millicores
-      = left_of (room->millicores, (uint64_t)stage->waiting * size.millicores);
-  room->memory_mib
-      = left_of (room->memory_mib, (uint64_t)stage->waiting * size.memory_mib);
+  room->millicores = cell_left (room->millicores,
+                                (uint64_t)stage->waiting * size.millicores);
+  room->memory_mib = cell_left (room->memory_mib,
+                                (uint64_t)stage->waiting * size.memory_mib);
 }
 
 /* Stages of a lower rank come first. Work that is late yields to work of the
@@ -666,10 +419,10 @@
         continue;
       core->usable_millicores += worker->capacity.millicores;
       room.millicores
-          += left_of (worker->capacity.millicores, worker->used_millicores)
+          += cell_left (worker->capacity.millicores, worker->used_millicores)
              + worker->used_millicores / SOON_FREE_DIVISOR;
       room.memory_mib
-          += left_of (worker->capacity.memory_mib, worker->used_memory_mib)
+          += cell_left (worker->capacity.memory_mib, worker->used_memory_mib)
              + worker->used_memory_mib / SOON_FREE_DIVISOR;
     }
   return room;
@@ -698,7 +451,7 @@
   core->place_wanted = false;
   core->place_at_us = UINT64_MAX;
   core->held_millicores = 0;
-  release_room (core, NULL);
+  cell_gang_release_ended (core);
   for (guint i = 0; i < core->waiting->len;)
     {
       struct cell_stage *stage = g_ptr_array_index (core->waiting, i);
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -13,24 +13,6 @@
 /** The same while nothing of a worker is unsettled. */
 #define RUN_IDLE_TIMER_US 500000
 
-/** Weight of one sample in the pace of a worker and of all workers. */
-#define PACE_WORKER_WEIGHT 0.3
-#define PACE_CELL_WEIGHT 0.005
-/** Progress is measured over this time at least; a task without any is taken
- * to stand still after it. */
-#define PACE_LEAST_US 300000
-#define STILL_US 1200000
-/** Samples of the cell are capped at so many times the pace, so that workers
- * that stand still do not make all others look fast. */
-#define PACE_CAP 4.0
-/** Moves may make up a tenth of all starts, and so many at once. */
-#define MOVE_SHARE 0.1
-#define MOVES_MOST 20.0
-/** Time that a move costs beside the work: a stop, advice and a start; a gang
- * also waits for room. */
-#define MOVE_COST_US 700000
-#define MOVE_GANG_COST_US 3000000
-
 struct cell_run *
 cell_run_at (const struct cell_core *core, struct cyc_ref ref)
 {
@@ -117,7 +99,7 @@
   row->run = run;
   if (number >= row->next_run)
     row->next_run = number + 1;
-  core->move_credit = MIN (core->move_credit + MOVE_SHARE, MOVES_MOST);
+  cell_pace_started (core);
   return run;
 }
 
@@ -228,98 +210,6 @@
     run->stopped_sent_us = now_us;
 }
 
-/* Pace: how long tasks take on a worker, compared with their estimates.
-   Estimates may be far off, but they are off on all workers alike. */
-
-/* Microseconds that the whole task takes at its present pace; 0: not known. */
-static uint64_t
-whole_us (const struct cell_core *core, const struct cell_run *run)
-{
-  uint64_t seen_us = core->now_us - run->first_us;
-
-  if (run->first_us == 0 || run->percent >= 100)
-    return 0;
-  if (run->percent > run->first_percent)
-    return run->percent_us - run->first_us < PACE_LEAST_US
-               ? 0
-               : (run->percent_us - run->first_us) * 100
-                     / (run->percent - run->first_percent);
-  return seen_us >= STILL_US ? seen_us * 100 : 0;
-}
-
-static void
-pause_slow (struct cell_core *core, struct cell_worker *worker)
-{
-  worker->bad_pauses = MAX (1, worker->bad_pauses);
-  worker->bad_until_us = core->now_us + CELL_BAD_US;
-  cell_place_again (core, worker->bad_until_us);
-}
-
-/* Stops a run whose work would end earlier elsewhere, even from its last
-   checkpoint or its start. */
-static void
-move_if_better (struct cell_core *core, struct cell_run *run,
-                const Cyc__CellStep *step, uint64_t here_us)
-{
-  const struct cell_worker *worker = cell_worker_at (core, run->worker);
-  uint64_t left_us = here_us * (100 - run->percent) / 100;
-  uint64_t there_us = (uint64_t)((double)here_us * core->pace / worker->pace);
-
-  if (step->checkpointing)
-    there_us = there_us * (100 - run->percent) / 100;
-  there_us += step->gang ? MOVE_GANG_COST_US : MOVE_COST_US;
-  if (run->stop || run->superseded || step->long_running
-      || core->move_credit < 1.0 || left_us < 2 * there_us)
-    return;
-  core->move_credit -= 1.0;
-  cell_run_stop (core, run);
-}
-
-void
-cell_run_progress (struct cell_core *core, struct cell_run *run,
-                   uint32_t percent)
-{
-  struct cell_worker *worker = cell_worker_at (core, run->worker);
-  const Cyc__CellStep *step
-      = cell_stage_step (cell_stage_of_task (run->job, run->round, run->task));
-  uint64_t here_us;
-  double pace;
-
-  percent = MIN (percent, 100);
-  if (run->first_us == 0)
-    {
-      run->first_us = core->now_us;
-      run->first_percent = percent;
-    }
-  run->percent = percent;
-  run->percent_us = core->now_us;
-  here_us = whole_us (core, run);
-  if (here_us == 0)
-    return;
-  if (percent > run->first_percent)
-    run->end_us = core->now_us + here_us * (100 - percent) / 100;
-  if (step->estimate_ms == 0 || step->long_running)
-    return;
-  /* The members of a gang go on together, at the pace of the slowest. */
-  if (!step->gang)
-    {
-      pace = (double)here_us / ((double)step->estimate_ms * 1000);
-      worker->pace
-          = worker->pace_samples++ == 0
-                ? pace
-                : worker->pace + (pace - worker->pace) * PACE_WORKER_WEIGHT;
-      if (core->pace <= 0)
-        core->pace = pace;
-      pace = MIN (pace, core->pace * PACE_CAP);
-      core->pace += (pace - core->pace) * PACE_CELL_WEIGHT;
-    }
-  if (worker->pace_samples < CELL_SLOW_SAMPLES
-      || worker->pace < core->pace * CELL_SLOW_FACTOR)
-    return;
-  pause_slow (core, worker);
-  move_if_better (core, run, step, here_us);
-}
-
 static void
 order_stop (struct cell_core *core, struct cell_run *run)
 {
