--- /dev/null
+++ b/src/cyc_cell_batch.c
@@ -0,0 +1,201 @@
+/* Records of jobs in batches, and the orders that wait for them. */
+
+#include "cyc_cell_internal.h"
+
+#include <string.h>
+
+uint64_t
+cell_batch_close (struct cell_core *core)
+{
+  bool acks = false;
+
+  for (guint i = 0; i < core->workers->len && !acks; i++)
+    acks = cell_worker_at (core, i)->ack_batch == core->batch;
+  if (core->dirty->len == 0 && !acks)
+    return 0;
+  if (core->dirty->len == 0)
+    {
+      /* Ends that changed nothing, as a repeated one: nothing to write. */
+      uint64_t batch = core->batch++;
+
+      cell_batch_durable (core, batch, core->now_us);
+      return 0;
+    }
+  for (guint i = 0; i < core->dirty->len; i++)
+    {
+      struct cell_job *job = g_ptr_array_index (core->dirty, i);
+      struct cell_record *record = g_new0 (struct cell_record, 1);
+
+      record->job = job->id;
+      record->revision = ++core->revision;
+      cell_job_record (core, job, record);
+      job->dirty = false;
+      g_ptr_array_add (core->records, record);
+    }
+  g_ptr_array_set_size (core->dirty, 0);
+  return core->batch++;
+}
+
+bool
+cell_batch_next (struct cell_core *core, struct cell_record *out)
+{
+  struct cell_record *record;
+
+  if (core->records->len == 0)
+    return false;
+  record = g_ptr_array_index (core->records, core->records->len - 1);
+  g_ptr_array_set_size (core->records, (gint)core->records->len - 1);
+  *out = *record;
+  g_free (record);
+  return true;
+}
+
+static bool
+is_durable (const struct cell_core *core, uint64_t batch)
+{
+  if (batch <= core->durable)
+    return true;
+  for (guint i = 0; i < core->durable_later->len; i++)
+    if (g_array_index (core->durable_later, uint64_t, i) == batch)
+      return true;
+  return false;
+}
+
+static void
+note_durable (struct cell_core *core, uint64_t batch)
+{
+  g_array_append_val (core->durable_later, batch);
+  for (guint i = 0; i < core->durable_later->len;)
+    {
+      if (g_array_index (core->durable_later, uint64_t, i)
+          != core->durable + 1)
+        {
+          i++;
+          continue;
+        }
+      core->durable++;
+      g_array_remove_index_fast (core->durable_later, i);
+      i = 0;
+    }
+}
+
+static void
+show_states (struct cell_core *core)
+{
+  for (guint i = 0; i < core->shown_pending->len;)
+    {
+      struct cell_job *job = g_ptr_array_index (core->shown_pending, i);
+
+      if (!is_durable (core, job->state_batch))
+        {
+          i++;
+          continue;
+        }
+      job->shown = job->state;
+      g_ptr_array_remove_index_fast (core->shown_pending, i);
+    }
+}
+
+static void
+order_start (struct cell_core *core, struct cell_run *run)
+{
+  struct cell_order *order = g_new0 (struct cell_order, 1);
+  const struct cell_task *task
+      = &run->job->rounds[run->round].tasks[run->task];
+
+  order->kind = CELL_ORDER_START;
+  order->run = run->ref;
+  order->worker = run->worker;
+  order->number = run->number;
+  cell_task_name (run, order->task);
+  order->payload = (struct cyc_str){ (char *)run->job->spec->payload.data,
+                                     run->job->spec->payload.len };
+  memcpy (order->ticket, run->ticket, sizeof order->ticket);
+  memcpy (order->checkpoint, task->checkpoint, sizeof order->checkpoint);
+  g_queue_push_tail (&core->orders, order);
+  run->state = CELL_RUN_STARTING;
+  run->ordered_us = core->now_us;
+  run->resumed = task->checkpoint[0] != 0;
+  cell_wake (core, core->now_us + CELL_START_ANSWER_US);
+}
+
+/* The worker may still be given the run: the record took its time. */
+static bool
+may_order (const struct cell_core *core, const struct cell_run *run)
+{
+  const struct cell_worker *worker = cell_worker_at (core, run->worker);
+
+  return !run->stop && cell_job_open (run->job) && worker->listed
+         && !worker->draining
+         && (run->ticket_until_us == 0 || run->ticket_until_us > core->now_us);
+}
+
+/* Orders the runs that wait for nothing any more. */
+static void
+order_recorded (struct cell_core *core)
+{
+  GList *next;
+
+  for (GList *at = core->recording.head; at != NULL; at = next)
+    {
+      struct cell_run *run = at->data;
+
+      next = at->next;
+      run->recorded = run->recorded || is_durable (core, run->batch);
+      if (!run->recorded || !run->job->stored)
+        continue;
+      g_queue_delete_link (&core->recording, at);
+      if (may_order (core, run))
+        order_start (core, run);
+      else
+        cell_run_gone (core, run, CELL_END_STOPPED, CYC_STR (""));
+    }
+}
+
+void
+cell_batch_durable (struct cell_core *core, uint64_t batch, uint64_t now_us)
+{
+  note_durable (core, batch);
+  core->now_us = now_us;
+  for (guint i = 0; i < core->workers->len; i++)
+    {
+      struct cell_worker *worker = cell_worker_at (core, i);
+
+      /* What an end changed may stand in any batch up to this one. */
+      if (worker->ack_batch == 0 || worker->ack_batch > core->durable)
+        continue;
+      worker->ack = worker->ack_next;
+      worker->ack_batch = 0;
+      if (worker->seen_end > worker->ack)
+        {
+          worker->ack_next = worker->seen_end;
+          worker->ack_batch = core->batch;
+        }
+    }
+  order_recorded (core);
+  show_states (core);
+}
+
+void
+cell_job_stored (struct cell_core *core, uint64_t id, uint64_t now_us)
+{
+  struct cell_job *job = cell_job_find (core, id);
+
+  if (job == NULL || job->stored)
+    return;
+  core->now_us = now_us;
+  job->stored = true;
+  order_recorded (core);
+}
+
+bool
+cell_order_next (struct cell_core *core, struct cell_order *out)
+{
+  struct cell_order *order = g_queue_pop_head (&core->orders);
+
+  if (order == NULL)
+    return false;
+  *out = *order;
+  g_free (order);
+  return true;
+}
--- a/src/cyc_cell_gang.c
+++ b/src/cyc_cell_gang.c
@@ -1,5 +1,5 @@
 /* Gangs: their members start together or not at all. A gang that does not fit
-   keeps room on the workers where least has to come free for it. */
+   keeps room on the workers where it is expected to come free first. */
 
 #include "cyc_cell_internal.h"
 
@@ -8,6 +8,10 @@
 /** Part of the fleet that is kept for gangs at most; more would leave it
  * idle while their room comes free. The first gang may keep what it needs. */
 #define HELD_DIVISOR 4
+/** Workers are chosen anew so often for a gang that keeps room. */
+#define HOLD_AGAIN_US 50000
+/** Runs of a worker that are looked at when its room comes free. */
+#define RUNS_MOST 64
 
 /* The whole gang has room now, where it holds tickets if it needs them. */
 static bool
@@ -96,51 +100,107 @@
   return whole;
 }
 
-/* A place for one member of a gang, and what has to come free for it. */
+/* A place for one member of a gang, and when it is expected to be free. */
 struct place
 {
   uint32_t row;
-  uint64_t missing_permille; /* of the resource that the worker lacks most */
+  uint64_t free_us;
 };
 
 static int
-by_missing (const void *a, const void *b)
+by_free_time (const void *a, const void *b)
 {
   const struct place *left = a;
   const struct place *right = b;
 
-  if (left->missing_permille != right->missing_permille)
-    return left->missing_permille < right->missing_permille ? -1 : 1;
+  if (left->free_us != right->free_us)
+    return left->free_us < right->free_us ? -1 : 1;
   return left->row < right->row ? -1 : left->row > right->row;
 }
 
+/* What a run gives back, and when. */
+struct release
+{
+  uint64_t at_us;
+  struct cyc_res size;
+};
+
+static int
+by_time (const void *a, const void *b)
+{
+  const struct release *left = a;
+  const struct release *right = b;
+
+  return left->at_us < right->at_us ? -1 : left->at_us > right->at_us;
+}
+
 static uint64_t
-missing_permille (const struct cell_worker *worker, const struct cyc_res *size,
-                  uint32_t members)
+expected_end_us (const struct cell_core *core, const struct cell_run *run)
+{
+  const Cyc__CellStep *step
+      = cell_stage_step (cell_stage_of_task (run->job, run->round, run->task));
+
+  if (run->stop)
+    return core->now_us;
+  if (run->end_us != 0)
+    return MAX (run->end_us, core->now_us);
+  return core->now_us + (uint64_t)step->estimate_ms * 1000;
+}
+
+/* The runs of a worker by the time of their ends. */
+static uint32_t
+list_releases (const struct cell_core *core, const struct cell_worker *worker,
+               struct release out[RUNS_MOST])
 {
-  uint64_t cores = cell_left (worker->used_millicores
-                                  + (uint64_t)members * size->millicores,
-                              worker->capacity.millicores);
-  uint64_t memory = cell_left (worker->used_memory_mib
-                                   + (uint64_t)members * size->memory_mib,
-                               worker->capacity.memory_mib);
-
-  return MAX (cores * 1000 / MAX (1, worker->capacity.millicores),
-              memory * 1000 / MAX (1, worker->capacity.memory_mib));
+  uint32_t count = 0;
+
+  for (const struct cell_run *run = worker->runs;
+       run != NULL && count < RUNS_MOST; run = run->next)
+    out[count++] = (struct release){ expected_end_us (core, run), run->size };
+  if (count > 1)
+    qsort (out, count, sizeof *out, by_time);
+  return count;
 }
 
+/* Adds a place for each member that the worker can take, with the time when so
+   much has ended that it fits beside the members before it. */
 static void
 add_places (const struct cell_core *core, const struct cell_stage *stage,
             uint32_t row, GArray *places)
 {
   const struct cell_worker *worker = cell_worker_at (core, row);
   struct cyc_res size = cell_step_size (cell_stage_step (stage));
+  struct release releases[RUNS_MOST];
+  uint32_t count = list_releases (core, worker, releases);
+  struct cell_room used = { worker->used_millicores, worker->used_memory_mib,
+                            worker->used_accelerators };
   uint32_t slots = cell_slots_whole (stage, worker);
+  uint64_t free_us = core->now_us;
+  uint32_t next = 0;
 
   for (uint32_t k = 1; k <= slots; k++)
     {
-      struct place place = { row, missing_permille (worker, &size, k) };
-
+      struct place place = { .row = row };
+
+      while (next < count
+             && (used.millicores + (uint64_t)k * size.millicores
+                     > worker->capacity.millicores
+                 || used.memory_mib + (uint64_t)k * size.memory_mib
+                        > worker->capacity.memory_mib
+                 || used.accelerators + (uint64_t)k * size.accelerators
+                        > worker->capacity.accelerators))
+        {
+          const struct release *release = &releases[next++];
+
+          free_us = release->at_us;
+          used.millicores
+              = cell_left (used.millicores, release->size.millicores);
+          used.memory_mib
+              = cell_left (used.memory_mib, release->size.memory_mib);
+          used.accelerators
+              = cell_left (used.accelerators, release->size.accelerators);
+        }
+      place.free_us = free_us;
       g_array_append_val (places, place);
     }
 }
@@ -192,8 +252,11 @@
       return;
     }
   core->held_millicores += wanted;
+  if (stage->holds && core->now_us < stage->hold_again_us)
+    return;
   release_room (core, stage);
   stage->holds = true;
+  stage->hold_again_us = core->now_us + HOLD_AGAIN_US;
   places = g_array_new (FALSE, FALSE, sizeof (struct place));
   for (guint i = 0; i < core->workers->len; i++)
     {
@@ -204,7 +267,7 @@
         add_places (core, stage, i, places);
     }
   if (places->len > 1)
-    qsort (places->data, places->len, sizeof (struct place), by_missing);
+    qsort (places->data, places->len, sizeof (struct place), by_free_time);
   for (guint i = 0; i < places->len && i < stage->count; i++)
     {
       struct cell_worker *worker
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -177,11 +177,12 @@
   uint32_t count;
   uint32_t done;
   uint32_t waiting;
-  bool ready;    /**< all it depends on is done, and it is due */
-  bool listed;   /**< in the core's list of waiting stages */
-  bool holds;    /**< room is kept for it */
-  bool surveyed; /**< a question about unknown workers was answered */
-  uint64_t ask;  /**< open question; 0: none */
+  bool ready;             /**< all it depends on is done, and it is due */
+  bool listed;            /**< in the core's list of waiting stages */
+  uint64_t hold_again_us; /**< room is chosen anew from then on */
+  bool holds;             /**< room is kept for it */
+  bool surveyed;          /**< a question about unknown workers was answered */
+  uint64_t ask;           /**< open question; 0: none */
   uint64_t ask_after_us;
   uint64_t tail_us; /**< longest chain of estimates from this step on */
   uint32_t failed_on[CELL_AVOID]; /**< 1 + row; 0: none */
@@ -397,7 +398,7 @@
 /** Places all members or none. */
 bool cell_gang_place (struct cell_core *core, struct cell_stage *stage);
 /** Keeps room for a gang that does not fit yet, on the allowed workers where
- * it comes free first; stages after it pass over that room. */
+ * it it comes free first; stages after it pass over that room. */
 void cell_gang_hold (struct cell_core *core, struct cell_stage *stage);
 /** Gives back what is kept for stages that no longer wait; what is kept for
  * the others is counted anew by cell_gang_hold. */
--- a/src/entry_records.c
+++ b/src/entry_records.c
@@ -469,7 +469,8 @@
 static struct records_part *
 idle_part (struct entry_records *records, uint64_t now_us)
 {
-  uint32_t first = (uint32_t)(now_us / ROTATE_US % records->part_count);
+  uint32_t first
+      = (uint32_t)(now_us / ROTATE_US % MAX (1, records->part_count));
 
   for (uint32_t i = 0; i < records->part_count; i++)
     {
@@ -599,7 +600,7 @@
   memset (records, 0, sizeof *records);
   records->owner = owner;
   records->part_count
-      = MIN (owner->entry->desc.settings->log_parts, RECORDS_PARTS_MAX);
+      = CLAMP (owner->entry->desc.settings->log_parts, 1, RECORDS_PARTS_MAX);
   records->parts = g_new0 (struct records_part, records->part_count);
   records->loaded = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
                                            free_loaded);
--- /dev/null
+++ b/tests/test_cell_load.c
@@ -0,0 +1,318 @@
+/* The decision core of a cell under load: each test replays a load pattern in
+   which work could wait for the wrong thing, or be turned away wrongly. */
+
+#include "tst_fleet.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+/* A worker drains and leaves with a task that was to end just after. Its entry
+   goes while it is fresh, so it has left by itself, and the task starts again
+   at once. Guards against waiting for the lease of a worker that is gone. */
+static void
+test_worker_leaves (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+
+  (void)state;
+  fleet_setup (fleet, 2, 4000);
+  fleet_run (fleet, 100);
+  fleet_submit (fleet, 1,
+                &(struct fleet_job){ .tasks = { 8 }, .work_ms = 1200 });
+  fleet_run (fleet, 700);
+  fleet_drain (fleet, 0, 400);
+  fleet_run (fleet, 400);
+  fleet_leave (fleet, 0);
+  fleet_run (fleet, 1900);
+  assert_int_equal (fleet_state (fleet, 1), CELL_JOB_COMPLETE);
+  assert_int_equal (fleet->broken, 0);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+/* A silent worker's entry is removed too, when it is old: what runs there may
+   run on. Guards against a second run beside it. */
+static void
+test_removed_entry_of_a_silent_worker (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+
+  (void)state;
+  fleet_setup (fleet, 2, 4000);
+  fleet_run (fleet, 100);
+  fleet_submit (fleet, 1,
+                &(struct fleet_job){ .tasks = { 8 }, .work_ms = 5500 });
+  fleet_run (fleet, 300);
+  fleet_drain (fleet, 0, 60000);
+  fleet->workers[0].cut = true;
+  fleet_run (fleet, 3ULL * FLEET_HEARTBEAT_MS);
+  cell_worker_unlisted (fleet->core, cyc_str_of (fleet->workers[0].id),
+                        fleet->now_ms * 1000);
+  fleet_run (fleet, 9000);
+  assert_int_equal (fleet_state (fleet, 1), CELL_JOB_COMPLETE);
+  assert_int_equal (fleet->broken, 0);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+/* A worker says that it leaves long before its task can end. The task is
+   stopped in time, and goes on elsewhere from its checkpoint. Guards against
+   work that ends with its worker. */
+static void
+test_evacuation (void **state)
+{
+  static const bool gangs[] = { false, true };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof gangs / sizeof gangs[0]; i++)
+    {
+      struct fleet *fleet = calloc (1, sizeof *fleet);
+
+      fleet_setup (fleet, 2, 4000);
+      fleet_run (fleet, 100);
+      fleet_submit (fleet, 1,
+                    &(struct fleet_job){ .tasks = { 2 },
+                                         .work_ms = 6000,
+                                         .gang = gangs[i],
+                                         .checkpointing = true });
+      fleet_run (fleet, 1000);
+      fleet_drain (fleet, 0, 2500);
+      fleet_run (fleet, 1500);
+      assert_int_equal (fleet->workers[0].run_count, 0);
+      assert_true (fleet->stops >= 2);
+      assert_int_equal (fleet->resumed, 2);
+      assert_int_equal (fleet->broken, 0);
+      fleet_teardown (fleet);
+      free (fleet);
+    }
+}
+
+/* One worker takes ten times as long, or its tasks stand still, while a stream
+   of jobs lasts. What it has is moved, and it gets little new work. Guards
+   against jobs that wait for the slowest worker. */
+static void
+test_slow_worker (void **state)
+{
+  static const uint32_t slow[] = { 10, 100000 };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof slow / sizeof slow[0]; i++)
+    {
+      struct fleet *fleet = calloc (1, sizeof *fleet);
+      uint64_t id = 1;
+      uint32_t late = 0;
+
+      fleet_setup (fleet, 4, 4000);
+      fleet_run (fleet, 100);
+      for (; id <= 110; id++)
+        {
+          fleet_submit (fleet, id,
+                        &(struct fleet_job){ .tasks = { 1 }, .work_ms = 800 });
+          fleet_run (fleet, 100);
+        }
+      fleet->workers[0].slow = slow[i];
+      for (; id <= 200; id++)
+        {
+          fleet_submit (fleet, id,
+                        &(struct fleet_job){ .tasks = { 1 }, .work_ms = 800 });
+          fleet_run (fleet, 100);
+        }
+      fleet_run (fleet, 9000);
+      for (uint64_t n = 1; n < id; n++)
+        late += fleet_state (fleet, n) != CELL_JOB_COMPLETE;
+      assert_int_equal (late, 0);
+      /* It took those before it was known as slow and one after each pause. */
+      assert_in_range (fleet->starts - 200, 1, 4 + 4);
+      assert_int_equal (fleet->broken, 0);
+      fleet_teardown (fleet);
+      free (fleet);
+    }
+}
+
+/* One worker fails all that it starts for as long as a stream of small jobs
+   lasts. Guards against a worker that costs every job that meets it an
+   attempt, again and again, because each pause ends as if nothing had been
+   learned. */
+static void
+test_failing_worker_is_left_alone (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  uint64_t id = 1;
+
+  (void)state;
+  fleet_setup (fleet, 4, 4000);
+  fleet->workers[0].failing = true;
+  fleet_run (fleet, 100);
+  for (; id <= 1500; id++)
+    {
+      fleet_submit (fleet, id,
+                    &(struct fleet_job){ .tasks = { 1 }, .work_ms = 100 });
+      fleet_run (fleet, 10);
+    }
+  fleet_run (fleet, 3000);
+  for (uint64_t job = 1; job < id; job++)
+    assert_int_equal (fleet_state (fleet, job), CELL_JOB_COMPLETE);
+  /* Four at first, then one after each pause of 3, 6 and 12 s. */
+  assert_in_range (fleet->starts - 1500, 1, 4 + 3);
+  assert_int_equal (fleet->broken, 0);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+/* One team sends six times what its weight allows, more than the fleet can
+   carry, while another one sends a little. What is beyond the weight waits;
+   the other team's jobs end as on a quiet fleet, and so do as many jobs of the
+   heavy team as its weight allows. Guards against a team that makes the others
+   wait behind its backlog. */
+static void
+test_team_over_its_rate (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  uint64_t sent_ms[400] = { 0 };
+  uint64_t heavy = 100; /* ids from here on are of the heavy team */
+  uint64_t blue = 0;
+  uint32_t heavy_done = 0;
+
+  (void)state;
+  fleet_setup (fleet, 4, 4000);
+  fleet_run (fleet, 100);
+  for (uint32_t ms = 0; ms < 5000; ms += 50)
+    {
+      for (uint32_t n = 0; n < 3; n++)
+        fleet_submit (fleet, ++heavy,
+                      &(struct fleet_job){
+                          .tasks = { 1 }, .work_ms = 500, .team = "heavy" });
+      if (ms % 250 == 0)
+        {
+          sent_ms[++blue] = fleet->now_ms;
+          fleet_submit (fleet, blue,
+                        &(struct fleet_job){ .tasks = { 1 }, .work_ms = 500 });
+        }
+      fleet_run (fleet, 50);
+      for (uint64_t id = 1; id <= blue; id++)
+        if (sent_ms[id] != 0 && fleet_state (fleet, id) == CELL_JOB_COMPLETE)
+          {
+            assert_in_range (fleet->now_ms - sent_ms[id], 0, 1300);
+            sent_ms[id] = 0;
+          }
+    }
+  fleet_run (fleet, 1300);
+  for (uint64_t id = 1; id <= blue; id++)
+    assert_int_equal (fleet_state (fleet, id), CELL_JOB_COMPLETE);
+  for (uint64_t id = 101; id <= heavy; id++)
+    heavy_done += fleet_state (fleet, id) == CELL_JOB_COMPLETE;
+  assert_in_range (heavy_done, FLEET_HEAVY_WEIGHT * 5, heavy - 100);
+  assert_int_equal (fleet->broken, 0);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+/* A job that is beyond its team's rate is refused only while such work waits
+   beyond its objective: not on a fleet with room, and not for another team.
+   Guards against jobs that are accepted although they will not be served, and
+   against refusals with room free. */
+static void
+test_refusal_over_the_rate (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  struct fleet_job job = { .tasks = { 1 }, .work_ms = 3000, .team = "heavy" };
+  uint64_t id = 0;
+
+  (void)state;
+  fleet_setup (fleet, 4, 4000);
+  fleet_run (fleet, 100);
+  for (int n = 0; n < 3 * FLEET_HEAVY_WEIGHT; n++)
+    fleet_submit (fleet, ++id, &job);
+  fleet_offer (fleet, ++id, &job);
+  assert_true (cell_job_over_rate (fleet->core, id));
+  assert_false (cell_job_refusable (fleet->core, id));
+  fleet_settle (fleet, id, true);
+  for (int n = 0; n < 5 * FLEET_HEAVY_WEIGHT; n++)
+    fleet_submit (fleet, ++id, &job);
+  fleet_run (fleet, 8000);
+  for (int n = 0; n < 3 * FLEET_HEAVY_WEIGHT; n++)
+    fleet_submit (fleet, ++id, &job);
+  fleet_run (fleet, 20);
+  fleet_offer (fleet, ++id, &job);
+  assert_true (cell_job_refusable (fleet->core, id));
+  fleet_settle (fleet, id, false);
+  job.team = "blue";
+  fleet_offer (fleet, ++id, &job);
+  assert_false (cell_job_refusable (fleet->core, id));
+  fleet_settle (fleet, id, true);
+  fleet_run (fleet, 30000);
+  assert_int_equal (fleet->broken, 0);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+/* The load of a busy fleet: all workers are full, small work of the same queue
+   keeps coming, and a call for advice takes half a second. A gang learns in
+   one question which workers are allowed, keeps room there and asks again only
+   when it is free. Guards against questions about the few workers that happen
+   to have room, one after the other, while the gang's objective passes. */
+static void
+test_gang_on_a_busy_fleet (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  uint64_t id = 1;
+  uint64_t begun_ms;
+
+  (void)state;
+  fleet_setup (fleet, 12, 4000);
+  fleet_run (fleet, 100);
+  for (; id <= 24; id++)
+    {
+      fleet_submit (fleet, id,
+                    &(struct fleet_job){ .tasks = { 2 },
+                                         .work_ms = 900 + 20 * (uint32_t)id });
+      fleet_run (fleet, 20);
+    }
+  fleet->advice_deny = 3;
+  fleet->advice_ms = 450;
+  fleet_submit (fleet, 99,
+                &(struct fleet_job){ .tasks = { 4 },
+                                     .millicores = 3000,
+                                     .work_ms = 1000,
+                                     .gang = true,
+                                     .queue = "advised" });
+  begun_ms = fleet->now_ms;
+  while (fleet_state (fleet, 99) != CELL_JOB_COMPLETE
+         && fleet->now_ms < begun_ms + 8000)
+    {
+      if (id < 90)
+        fleet_submit (fleet, id++,
+                      &(struct fleet_job){ .tasks = { 2 },
+                                           .work_ms = 700,
+                                           .queue = "advised" });
+      fleet_run (fleet, 50);
+    }
+  assert_int_equal (fleet_state (fleet, 99), CELL_JOB_COMPLETE);
+  /* Advice, the longest task that runs, advice again, the work itself. */
+  assert_in_range (fleet->now_ms - begun_ms, 0, 450 + 1400 + 450 + 1000 + 300);
+  assert_in_range (fleet_asked (fleet, "0000000000000063.0.0"), 1, 3);
+  assert_int_equal (fleet->broken, 0);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_failing_worker_is_left_alone),
+    cmocka_unit_test (test_team_over_its_rate),
+    cmocka_unit_test (test_refusal_over_the_rate),
+    cmocka_unit_test (test_gang_on_a_busy_fleet),
+    cmocka_unit_test (test_worker_leaves),
+    cmocka_unit_test (test_removed_entry_of_a_silent_worker),
+    cmocka_unit_test (test_evacuation),
+    cmocka_unit_test (test_slow_worker),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/test_platform_contract.c
+++ b/tests/test_platform_contract.c
@@ -153,7 +153,7 @@
 #define KEYED PT_STREAM_JOBS
 #define EPOCH(number, seq)                                                    \
   {                                                                           \
-    .stream = PT_STREAM_CELL, .epoch = (number), .sequence = (seq)        \
+    .stream = PT_STREAM_CELL, .epoch = (number), .sequence = (seq)            \
   }
 
 static const struct append_case append_cases[] = {
--- /dev/null
+++ b/tests/tst_fleet_workers.c
@@ -0,0 +1,472 @@
+/* The workers of a fleet in memory: they take orders, run tasks under leases,
+   list ends, and report what breaks a promise. */
+
+#include "tst_fleet_internal.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HOLD_GAP_MS 20
+#define GANG_MS 3000
+
+const struct fleet_job *
+fleet_spec (const struct fleet *fleet, const char *task)
+{
+  gint64 key = (gint64)g_ascii_strtoull (task, NULL, 16);
+
+  return g_hash_table_lookup (fleet->specs, &key);
+}
+
+/* Numbers by name; 0: none. */
+uint32_t
+fleet_number (GHashTable *table, const char *name)
+{
+  const uint32_t *found = g_hash_table_lookup (table, name);
+
+  return found != NULL ? *found : 0;
+}
+
+void
+fleet_set_number (GHashTable *table, const char *name, uint32_t number)
+{
+  g_hash_table_replace (table, g_strdup (name),
+                        g_memdup2 (&number, sizeof number));
+}
+
+/* Promises that a start can break. */
+
+static void
+check_start (struct fleet *fleet, const struct fleet_worker *worker,
+             const char *task)
+{
+  const struct fleet_job *job = fleet_spec (fleet, task);
+  uint32_t millicores = job->millicores ? job->millicores : 1000;
+  uint64_t used = 0;
+  uint64_t team = 0;
+  unsigned int step = 0;
+
+  if (!fleet_stored (fleet, g_ascii_strtoull (task, NULL, 16)))
+    fleet_broken (fleet, "started before its job was stored:", task);
+  sscanf (task + 16, ".%*u.%u", &step);
+  for (uint32_t w = 0; w < fleet->worker_count; w++)
+    for (uint32_t r = 0; r < fleet->workers[w].run_count; r++)
+      {
+        const struct fleet_run *run = &fleet->workers[w].runs[r];
+        const struct fleet_job *of = fleet_spec (fleet, run->task);
+        uint32_t size = of->millicores ? of->millicores : 1000;
+
+        if (strcmp (run->task, task) == 0)
+          fleet_broken (fleet, "two runs of", task);
+        if (&fleet->workers[w] == worker)
+          used += size;
+        if (of->team != NULL && job->team != NULL
+            && strcmp (of->team, job->team) == 0)
+          team += size;
+      }
+  if (used + millicores > worker->millicores)
+    fleet_broken (fleet, "no room for", task);
+  if (job->team != NULL && strcmp (job->team, "limited") == 0
+      && team + millicores > LIMIT_MILLICORES)
+    fleet_broken (fleet, "team over its limit by", task);
+  if (g_hash_table_contains (fleet->ended, task))
+    fleet_broken (fleet, "started after its end:", task);
+  if (fleet_number (fleet->failures, task) >= 3)
+    fleet_broken (fleet, "too many attempts of", task);
+  if (job->chain && step > 0)
+    for (uint32_t t = 0; t < job->tasks[step - 1]; t++)
+      {
+        char before[64];
+
+        snprintf (before, sizeof before, "%.16s.0.%u.%u", task, step - 1, t);
+        if (!g_hash_table_contains (fleet->done, before))
+          fleet_broken (fleet, "started before its step:", task);
+      }
+}
+
+static void
+close_run (struct fleet_worker *worker, const char *task, uint32_t number)
+{
+  fleet_set_number (worker->closed, task, number);
+}
+
+static void
+add_end (struct fleet *fleet, struct fleet_worker *worker,
+         const struct fleet_run *run, enum cell_end_kind kind)
+{
+  struct fleet_end *end = &worker->ends[worker->end_count++];
+
+  end->number = worker->next_end++;
+  end->run = run->number;
+  end->kind = kind;
+  end->lapsed = false;
+  close_run (worker, run->task, run->number);
+  snprintf (end->task, sizeof end->task, "%s", run->task);
+  snprintf (end->checkpoint, sizeof end->checkpoint, "%s",
+            kind == CELL_END_STOPPED ? "saved" : run->checkpoint);
+  if (kind == CELL_END_DONE)
+    g_hash_table_add (fleet->done, g_strdup (run->task));
+}
+
+static void
+remove_run (struct fleet_worker *worker, uint32_t index)
+{
+  worker->runs[index] = worker->runs[--worker->run_count];
+}
+
+/* The worker takes an order. */
+static enum cell_start_result
+take_start (struct fleet *fleet, const struct late_order *late)
+{
+  struct fleet_worker *worker = &fleet->workers[late->order.worker];
+  const struct fleet_job *job = fleet_spec (fleet, late->order.task);
+  struct fleet_run *run;
+
+  if (!worker->up)
+    return CELL_START_UNKNOWN;
+  if (late->epoch < worker->fence)
+    return CELL_START_FENCED;
+  worker->fence = late->epoch;
+  if (late->lease_ms < fleet_clock (fleet, worker))
+    return CELL_START_REFUSED_OTHER;
+  for (uint32_t i = 0; i < worker->run_count; i++)
+    if (strcmp (worker->runs[i].task, late->order.task) == 0
+        && worker->runs[i].number >= late->order.number)
+      return worker->runs[i].number == late->order.number
+                 ? CELL_START_OK
+                 : CELL_START_REFUSED_OTHER;
+  if (fleet_number (worker->closed, late->order.task) >= late->order.number)
+    return CELL_START_REFUSED_OTHER;
+  check_start (fleet, worker, late->order.task);
+  fleet->starts++;
+  fleet->resumed += late->order.checkpoint[0] != 0;
+  run = &worker->runs[worker->run_count++];
+  memset (run, 0, sizeof *run);
+  snprintf (run->task, sizeof run->task, "%s", late->order.task);
+  snprintf (run->checkpoint, sizeof run->checkpoint, "%.30s",
+            late->order.checkpoint);
+  run->number = late->order.number;
+  run->begun_ms = fleet->now_ms;
+  run->work_ms
+      = (uint64_t)(job->work_ms ? job->work_ms : 500) * MAX (1, worker->slow);
+  run->end_ms = fleet->now_ms + run->work_ms;
+  run->fails = job->hopeless || worker->failing;
+  run->gang = job->gang;
+  run->together = !job->gang;
+  if (late->lease_ms > worker->lease_ms)
+    worker->lease_ms = late->lease_ms;
+  return CELL_START_OK;
+}
+
+/* A run that is stopped before it came is rejected later. */
+static bool
+take_stop (struct fleet *fleet, const struct late_order *late)
+{
+  struct fleet_worker *worker = &fleet->workers[late->order.worker];
+
+  if (!worker->up || late->epoch < worker->fence)
+    return false;
+  fleet->stops++;
+  if (fleet_number (worker->closed, late->order.task) < late->order.number)
+    close_run (worker, late->order.task, late->order.number);
+  for (uint32_t i = 0; i < worker->run_count; i++)
+    if (strcmp (worker->runs[i].task, late->order.task) == 0
+        && worker->runs[i].number <= late->order.number)
+      {
+        add_end (fleet, worker, &worker->runs[i], CELL_END_STOPPED);
+        remove_run (worker, i);
+        return true;
+      }
+  return true;
+}
+
+static void
+deliver (struct fleet *fleet, const struct late_order *late)
+{
+  struct fleet_worker *worker = &fleet->workers[late->order.worker];
+  bool heard = late->epoch == fleet->epoch && !worker->cut && !worker->mute;
+
+  /* A connection to a life that has ended carries nothing to the next. */
+  if (worker->cut || late->born_ms != worker->born_ms)
+    {
+      if (late->epoch == fleet->epoch && late->order.kind == CELL_ORDER_START)
+        cell_start_result (fleet->core, late->order.run, CELL_START_UNKNOWN,
+                           fleet_now_us (fleet));
+      return;
+    }
+  if (late->order.kind == CELL_ORDER_START)
+    {
+      enum cell_start_result result = take_start (fleet, late);
+
+      if (late->epoch != fleet->epoch)
+        return;
+      if (fleet->lose_start_answers > 0)
+        {
+          fleet->lose_start_answers--;
+          heard = false;
+        }
+      cell_start_result (fleet->core, late->order.run,
+                         heard ? result : CELL_START_UNKNOWN,
+                         fleet_now_us (fleet));
+      return;
+    }
+  if (take_stop (fleet, late) && heard)
+    cell_stop_result (fleet->core, late->order.run, fleet_now_us (fleet),
+                      fleet_now_us (fleet));
+}
+
+void
+fleet_deliver_late (struct fleet *fleet)
+{
+  for (guint i = 0; i < fleet->late->len;)
+    {
+      struct late_order *late = g_ptr_array_index (fleet->late, i);
+
+      if (late->at_ms > fleet->now_ms)
+        {
+          i++;
+          continue;
+        }
+      deliver (fleet, late);
+      g_ptr_array_remove_index (fleet->late, i);
+    }
+}
+
+void
+fleet_take_orders (struct fleet *fleet)
+{
+  struct cell_order order;
+
+  while (cell_order_next (fleet->core, &order))
+    {
+      struct late_order *late = g_new0 (struct late_order, 1);
+      struct cell_worker_view view;
+
+      cell_worker_view (fleet->core, order.worker, &view);
+      late->order = order;
+      late->epoch = fleet->epoch;
+      late->born_ms = fleet->workers[order.worker].born_ms;
+      late->lease_ms = view.clock_ms
+                       + (fleet_now_us (fleet) - view.clock_at_us) / 1000
+                       + FLEET_LEASE_MS;
+      if (order.kind == CELL_ORDER_START)
+        cell_worker_leased (fleet->core, order.worker, late->lease_ms);
+      late->at_ms
+          = fleet->now_ms
+            + (order.kind == CELL_ORDER_START ? fleet->delay_starts_ms : 0);
+      g_ptr_array_add (fleet->late, late);
+    }
+}
+
+static void
+end_gang (struct fleet *fleet, const struct fleet_run *ended,
+          enum cell_end_kind kind)
+{
+  for (uint32_t w = 0; w < fleet->worker_count; w++)
+    for (uint32_t r = 0; r < fleet->workers[w].run_count;)
+      {
+        struct fleet_run *run = &fleet->workers[w].runs[r];
+
+        if (strncmp (run->task, ended->task,
+                     (size_t)(strrchr (ended->task, '.') - ended->task + 1))
+                != 0
+            || run->number != ended->number)
+          {
+            r++;
+            continue;
+          }
+        add_end (fleet, &fleet->workers[w], run, kind);
+        remove_run (&fleet->workers[w], r);
+      }
+}
+
+/* The end of one member stands for all. */
+static void
+gang_done (struct fleet *fleet, const struct fleet_run *run)
+{
+  const struct fleet_job *job = fleet_spec (fleet, run->task);
+  unsigned int step = 0;
+
+  sscanf (run->task + 16, ".%*u.%u", &step);
+  for (uint32_t t = 0; t < job->tasks[step]; t++)
+    g_hash_table_add (fleet->done,
+                      g_strdup_printf ("%.16s.0.%u.%u", run->task, step, t));
+}
+
+/* The members of a gang work from the moment when all are present. */
+static void
+join_gang (struct fleet *fleet, struct fleet_worker *worker, uint32_t index)
+{
+  struct fleet_run *run = &worker->runs[index];
+  const struct fleet_job *job = fleet_spec (fleet, run->task);
+  unsigned int step = 0;
+  uint32_t present = 0;
+
+  sscanf (run->task + 16, ".%*u.%u", &step);
+  for (uint32_t w = 0; w < fleet->worker_count; w++)
+    for (uint32_t r = 0; r < fleet->workers[w].run_count; r++)
+      {
+        const struct fleet_run *other = &fleet->workers[w].runs[r];
+        unsigned int other_step = 0;
+
+        sscanf (other->task + 16, ".%*u.%u", &other_step);
+        present += strncmp (other->task, run->task, 16) == 0
+                   && other_step == step && other->number == run->number;
+      }
+  if (present == job->tasks[step])
+    {
+      run->together = true;
+      run->end_ms = fleet->now_ms + run->work_ms;
+    }
+  else if (fleet->now_ms >= run->begun_ms + GANG_MS)
+    {
+      add_end (fleet, worker, run, CELL_END_ALONE);
+      remove_run (worker, index);
+    }
+}
+
+/* Tasks end, leases lapse. */
+void
+fleet_work (struct fleet *fleet)
+{
+  for (uint32_t w = 0; w < fleet->worker_count; w++)
+    {
+      struct fleet_worker *worker = &fleet->workers[w];
+
+      if (!worker->up)
+        continue;
+      if (fleet_clock (fleet, worker) > worker->lease_ms)
+        for (uint32_t i = 0; i < worker->end_count; i++)
+          worker->ends[i].lapsed = true;
+      while (worker->run_count > 0
+             && fleet_clock (fleet, worker) > worker->lease_ms)
+        {
+          add_end (fleet, worker, &worker->runs[0], CELL_END_LAPSED);
+          remove_run (worker, 0);
+        }
+      for (uint32_t r = 0; r < worker->run_count;)
+        {
+          struct fleet_run run = worker->runs[r];
+
+          if (!run.together)
+            {
+              uint32_t before = worker->run_count;
+
+              join_gang (fleet, worker, r);
+              r += worker->run_count == before;
+              continue;
+            }
+          if (run.end_ms > fleet->now_ms)
+            {
+              r++;
+              continue;
+            }
+          add_end (fleet, worker, &run,
+                   run.fails ? CELL_END_FAILED : CELL_END_DONE);
+          remove_run (worker, r);
+          if (run.gang)
+            {
+              end_gang (fleet, &run,
+                        run.fails ? CELL_END_BROKEN : CELL_END_DONE);
+              if (!run.fails)
+                gang_done (fleet, &run);
+            }
+        }
+    }
+}
+
+uint32_t
+fleet_asked (const struct fleet *fleet, const char *step)
+{
+  return fleet_number (fleet->asked, step);
+}
+
+static void
+count_failure (struct fleet *fleet, const char *task)
+{
+  fleet_set_number (fleet->failures, task,
+                    fleet_number (fleet->failures, task) + 1);
+}
+
+static void
+forget_ends (struct fleet *fleet, struct fleet_worker *worker, uint64_t ack)
+{
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < worker->end_count; i++)
+    if (worker->ends[i].number > ack)
+      worker->ends[kept++] = worker->ends[i];
+    else if (worker->ends[i].lapsed)
+      continue;
+    else if (worker->ends[i].kind == CELL_END_DONE)
+      g_hash_table_add (fleet->ended, g_strdup (worker->ends[i].task));
+    else if (worker->ends[i].kind == CELL_END_FAILED)
+      count_failure (fleet, worker->ends[i].task);
+  worker->end_count = kept;
+}
+
+static uint32_t
+percent_of (const struct fleet *fleet, const struct fleet_run *run)
+{
+  uint64_t left_ms
+      = run->end_ms > fleet->now_ms ? run->end_ms - fleet->now_ms : 0;
+
+  if (!run->together)
+    return 0;
+  return (uint32_t)(100
+                    - MIN (left_ms, run->work_ms) * 100
+                          / MAX (1, run->work_ms));
+}
+
+void
+fleet_hold (struct fleet *fleet, uint32_t row)
+{
+  struct fleet_worker *worker = &fleet->workers[row];
+  struct cell_worker_view view;
+  struct cell_report report = { .sent_us = fleet_now_us (fleet) };
+  struct cell_running_row running[FLEET_RUNS];
+  struct cell_end_row ends[FLEET_RUNS * 4];
+
+  if (fleet->now_ms < worker->hold_at_ms)
+    return;
+  worker->hold_at_ms = fleet->now_ms + HOLD_GAP_MS;
+  cell_worker_view (fleet->core, row, &view);
+  if (!worker->up || worker->cut || worker->mute)
+    {
+      cell_worker_silent (fleet->core, row, fleet_now_us (fleet));
+      return;
+    }
+  if (fleet->epoch < worker->fence)
+    return;
+  worker->fence = fleet->epoch;
+  forget_ends (fleet, worker, view.ack);
+  if (view.clock_ms != 0)
+    {
+      worker->lease_ms = MAX (worker->lease_ms,
+                              fleet_clock (fleet, worker) + FLEET_LEASE_MS);
+      cell_worker_leased (fleet->core, row, worker->lease_ms);
+    }
+  report.born_ms = worker->born_ms;
+  report.clock_ms = fleet_clock (fleet, worker);
+  for (uint32_t i = 0; i < worker->run_count; i++)
+    running[i] = (struct cell_running_row){
+      .task = cyc_str_of (worker->runs[i].task),
+      .run = worker->runs[i].number,
+      .checkpoint = CYC_STR (""),
+      .percent = percent_of (fleet, &worker->runs[i]),
+    };
+  for (uint32_t i = 0; i < worker->end_count; i++)
+    ends[i] = (struct cell_end_row){
+      .number = worker->ends[i].number,
+      .task = cyc_str_of (worker->ends[i].task),
+      .run = worker->ends[i].run,
+      .kind = worker->ends[i].kind,
+      .checkpoint = cyc_str_of (worker->ends[i].checkpoint),
+    };
+  report.running = running;
+  report.running_count = worker->run_count;
+  report.ends = ends;
+  report.end_count = worker->end_count;
+  cell_worker_report (fleet->core, row, &report, fleet_now_us (fleet));
+}
