--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -64,7 +64,6 @@
   enum cell_run_state state;
   uint64_t batch; /**< whose record names this run */
   bool recorded; /**< that record is durable; waits for its job to be stored */
-  uint64_t decided_us;
   uint64_t ordered_us;      /**< start sent */
   uint64_t answered_us;     /**< start answered */
   uint64_t uncertain_us;    /**< the start got no answer; 0: it may yet */
--- a/src/entry_accept.c
+++ b/src/entry_accept.c
@@ -21,9 +21,6 @@
 /** A leader that has not answered for so long is not waited for: a slow log
  * takes 0.5 s. */
 #define LEADER_PATIENCE_US 1000000
-/** Callers come back after the time that the log has been down, from 1 s to
- * this: an outage that has lasted long tends to go on. */
-#define RETRY_AFTER_MOST_S 4
 
 struct accept_item
 {
@@ -66,16 +63,6 @@
   return item->key[0] == 'j' ? PT_ANSWER_ACCEPTED : PT_ANSWER_CANCELLED;
 }
 
-static uint32_t
-retry_after_s (const struct entry *entry, uint64_t now_us)
-{
-  uint64_t age_s = entry->accept_down_us != 0
-                       ? (now_us - entry->accept_down_us) / 1000000
-                       : 0;
-
-  return (uint32_t)CLAMP (age_s, 1, RETRY_AFTER_MOST_S);
-}
-
 /* When the caller of the item gives up; 0: it has gone. */
 static uint64_t
 deadline_of (const struct entry *entry, const struct accept_item *item)
@@ -93,7 +80,8 @@
   if (entry->accept_down_us != 0 && now_us < entry->accept_probe_us
       && !item->maybe)
     {
-      end_item (entry, item, PT_ANSWER_BUSY, retry_after_s (entry, now_us));
+      end_item (entry, item, PT_ANSWER_BUSY,
+                entry_retry_after_s (entry->accept_down_us, now_us));
       return;
     }
   entry->accept_probe_us = now_us + PROBE_US;
@@ -146,7 +134,8 @@
     item->first_refused_us = now_us;
   if (!item->maybe && now_us >= item->first_refused_us + REFUSED_MOST_US)
     {
-      end_item (entry, item, PT_ANSWER_BUSY, retry_after_s (entry, now_us));
+      end_item (entry, item, PT_ANSWER_BUSY,
+                entry_retry_after_s (entry->accept_down_us, now_us));
       return true;
     }
   return false;
@@ -334,7 +323,7 @@
       g_queue_delete_link (&entry->accept_waiting, at);
       end_item (entry, item,
                 item->maybe ? PT_ANSWER_NOT_KNOWN : PT_ANSWER_BUSY,
-                retry_after_s (entry, now_us));
+                entry_retry_after_s (entry->accept_down_us, now_us));
     }
   /* The append goes on; its result finds the call answered. */
   for (guint i = 0; i < entry->accept_flight->len; i++)
--- a/src/entry_records.c
+++ b/src/entry_records.c
@@ -18,9 +18,6 @@
 #define SILENT_US 900000
 /** While the log is down a submitted record tries it so often. */
 #define PROBE_US 150000
-/** Callers come back after the time that the log has been down, from 1 s to
- * this: an outage that has lasted long tends to go on. */
-#define RETRY_AFTER_MOST_S 4
 /** A team over its rate comes back after this: its backlog takes seconds. */
 #define RETRY_OVER_RATE_S 2
 /** Gap between reads of a part until it is loaded. */
@@ -207,15 +204,6 @@
 
 /* Answers to those who submitted. */
 
-static uint32_t
-retry_after_s (const struct entry_records *records, uint64_t now_us)
-{
-  uint64_t age_s
-      = records->down_us != 0 ? (now_us - records->down_us) / 1000000 : 0;
-
-  return (uint32_t)CLAMP (age_s, 1, RETRY_AFTER_MOST_S);
-}
-
 static void
 tell (struct entry_records *records, const struct records_row *row,
       enum records_outcome outcome)
@@ -226,7 +214,7 @@
   uint32_t after_s = 0;
 
   if (outcome == RECORDS_REFUSED)
-    after_s = retry_after_s (records, hc_now_us ());
+    after_s = entry_retry_after_s (records->down_us, hc_now_us ());
   else if (outcome == RECORDS_OVER_RATE)
     after_s = RETRY_OVER_RATE_S;
 
--- a/src/entry_requests.c
+++ b/src/entry_requests.c
@@ -10,8 +10,19 @@
 #define ASK_MOST_MS 2000
 /** An unanswered question is asked again after this time. */
 #define ASK_AGAIN_US 500000
-/** Callers come back after this when nobody can answer. */
+/** Callers come back after this when nobody can answer. While the log is down
+ * they come back after the time that it has been down, up to the second
+ * figure: an outage that has lasted long tends to go on. */
 #define RETRY_AFTER_S 1
+#define RETRY_AFTER_MOST_S 4
+
+uint32_t
+entry_retry_after_s (uint64_t down_us, uint64_t now_us)
+{
+  uint64_t age_s = down_us != 0 ? (now_us - down_us) / 1000000 : 0;
+
+  return (uint32_t)CLAMP (age_s, RETRY_AFTER_S, RETRY_AFTER_MOST_S);
+}
 
 void
 requests_answer (struct entry *entry, struct cyc_ref ref,
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -82,7 +82,6 @@
   X (EV_WORKER_LISTED, MESSAGE, "worker_listed")                              \
   X (EV_JOB_SEEN, INFO, "job_seen")                                           \
   X (EV_JOB_CANCELLED, INFO, "job_cancelled")                                 \
-  X (EV_JOB_STATE, INFO, "job_state")                                         \
   X (EV_RUN_START, INFO, "run_start")                                         \
   X (EV_RUN_REFUSED, MESSAGE, "run_refused")                                  \
   X (EV_RUN_STOP, INFO, "run_stop")                                           \
