Let a successor wait until the old leader's leases have ended

A leader went on extending leases for 8 s after its last renewal. Its successor claims after 2 s of silence, or 0.8 s without a link, and started runs again on unreachable workers one lease after its claim. With leases of 6 s the old leader could keep a run up until 14 s after its last renewal, the successor repeated it from 7 to 8.5 s on: two runs of one task where a worker is reached by the old leader only, which is cut off from the log and its peers.

A leader now extends leases for 2.5 s, the bound after which it answers nothing either, and a claim counts as confirmed from when it was sent. The successor counts the lease from 2.5 s after the last renewal that it read, unless the old process has certainly ended (released, or another process on its VM). Lease lapse is computed in one place; malformed progress records and submitted records are logged.

Cost: leases outlast an outage of the log for all by 8.5 s instead of 14 s (settings of the sites: outages up to 4.9 s).

--- a/fakes/fk_platform.c
+++ b/fakes/fk_platform.c
@@ -533,7 +533,7 @@
   struct json_object *root = fk_parse (call->body);
   uint64_t fence = root != NULL ? (uint64_t)fk_int (root, "fence", 0) : 0;
 
-  if (worker->platform->faults.workers_silent)
+  if (worker->platform->faults.workers_silent || worker->silent)
     ;
   else if (worker->platform->faults.other_life
            || (life.len > 0 && !cyc_str_eq (life, cyc_str_of (worker->id))))
--- a/fakes/fk_platform.h
+++ b/fakes/fk_platform.h
@@ -63,6 +63,7 @@
   uint64_t lease_ms;
   uint32_t millicores;
   bool draining;
+  bool silent; /**< answers nothing; what runs goes on */
   struct fkp_run runs[FKP_RUNS_MAX];
   uint32_t run_count;
   struct fkp_end ends[FKP_RUNS_MAX];
--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -281,6 +281,10 @@
 void cell_job_withdraw (struct cell_core *core, uint64_t id);
 /** False when the job is not known. */
 bool cell_job_cancel (struct cell_core *core, uint64_t id, uint64_t now_us);
+/** Time from which everything has certainly lapsed on a worker that does not
+ * answer, when its lease was last extended at @p extended_us. */
+uint64_t cell_lease_lapsed_us (const struct cell_core *core,
+                               uint64_t extended_us);
 /** Applies the progress record with the highest revision to a job added
  * before; @p lease_until_us: until when its runs may go on on workers that do
  * not answer. */
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -222,6 +222,21 @@
   g_queue_push_tail (&core->orders, order);
 }
 
+/* When a lease has certainly lapsed that had so long to go on the worker's
+   clock. */
+static uint64_t
+lapsed_us (uint64_t from_us, uint64_t left_ms)
+{
+  return from_us + left_ms * 1000 * 1000 / (1000 - CELL_CLOCK_SLOW_PERMILLE)
+         + CELL_LEASE_MARGIN_US;
+}
+
+uint64_t
+cell_lease_lapsed_us (const struct cell_core *core, uint64_t extended_us)
+{
+  return lapsed_us (extended_us, core->desc.lease_ms);
+}
+
 /* Time from which everything on the worker has certainly lapsed. */
 static uint64_t
 lease_end_us (const struct cell_worker *worker)
@@ -235,9 +250,7 @@
   left_ms = worker->lease_deadline_ms > worker->clock_ms
                 ? worker->lease_deadline_ms - worker->clock_ms
                 : 0;
-  return worker->clock_at_us
-         + left_ms * 1000 * 1000 / (1000 - CELL_CLOCK_SLOW_PERMILLE)
-         + CELL_LEASE_MARGIN_US;
+  return lapsed_us (worker->clock_at_us, left_ms);
 }
 
 static void
--- a/src/entry.h
+++ b/src/entry.h
@@ -97,7 +97,11 @@
   uint64_t handed_epoch;   /**< whose leader asked this VM to succeed it */
   uint64_t hand_over_us;   /**< leading and stopping: leads until then */
   bool claim_in_flight;
-  uint64_t confirmed_us; /**< when the last renewal that succeeded was sent */
+  uint64_t claim_sent_us;
+  uint64_t extended_us;  /**< until when the leader before that claim may have
+                            extended leases; 0: it had ended */
+  uint64_t confirmed_us; /**< when the last claim or renewal that succeeded was
+                            sent */
   uint64_t renew_at_us;
   bool renew_in_flight;
 
--- a/src/entry_lead.c
+++ b/src/entry_lead.c
@@ -23,7 +23,9 @@
 #define HAND_OVER_US 1500000
 /** Gap between claims of a successor that has not read the last renewal. */
 #define HAND_OVER_AGAIN_US 20000
-/** A leader that could not renew for so long speaks for nobody. */
+/** A leader that could not renew for so long speaks for nobody and extends no
+ * lease: four renewals. Leases outlast an outage of the log by their length
+ * beyond this. */
 #define CONFIRMED_US 2500000
 
 bool
@@ -171,7 +173,6 @@
                    : CLAIM_AGAIN_US);
       return;
     }
-  entry->confirmed_us = hc_now_us ();
   ev_log (EV_LEAD_CLAIMED, "epoch=%" PRIu64, result->offset + 1);
   met_add (&entry->met, MET_CLAIMS_WON, 1);
   if (result->offset + 1 <= entry->leader.epoch)
@@ -268,29 +269,44 @@
   entry_kick (entry);
 }
 
+/* The view of the leader's link; false: none. */
+static bool
+leader_view (const struct entry *entry, struct pl_peer_view *view)
+{
+  struct cyc_ref peer = pl_find (
+      &entry->links, cyc_name_str (&entry->leader.vm), SET_ROLE_ENTRY);
+
+  return peer.generation != 0 && pl_view (&entry->links, peer, view);
+}
+
+/* The process that claimed leads no more, whatever it can reach. */
+static bool
+leader_ended (const struct entry *entry)
+{
+  const struct entry_leader *leader = &entry->leader;
+  struct pl_peer_view view;
+
+  if (leader->epoch == 0 || leader->released || leader->own_past)
+    return true;
+  /* Another process runs on that VM. */
+  return leader_view (entry, &view) && view.linked
+         && memcmp (view.identity.incarnation.bytes, leader->incarnation.bytes,
+                    sizeof leader->incarnation.bytes)
+                != 0;
+}
+
 static bool
 leader_silent (const struct entry *entry, uint64_t now_us)
 {
   const struct entry_leader *leader = &entry->leader;
   struct pl_peer_view view;
-  struct cyc_ref peer;
   uint64_t age_us = now_us - leader->seen_us;
 
-  if (leader->epoch == 0 || leader->released || leader->own_past
-      || leader->epoch == entry->handed_epoch)
-    return true;
-  if (age_us >= SILENT_US)
-    return true;
-  peer = pl_find (&entry->links, cyc_name_str (&leader->vm), SET_ROLE_ENTRY);
-  if (peer.generation == 0 || !pl_view (&entry->links, peer, &view))
-    return false;
-  /* The process that claimed has ended; another one runs on that VM. */
-  if (view.linked
-      && memcmp (view.identity.incarnation.bytes, leader->incarnation.bytes,
-                 sizeof leader->incarnation.bytes)
-             != 0)
+  if (leader_ended (entry) || leader->epoch == entry->handed_epoch
+      || age_us >= SILENT_US)
     return true;
-  return age_us >= SILENT_NO_LINK_US && !view.linked;
+  return age_us >= SILENT_NO_LINK_US && leader_view (entry, &view)
+         && !view.linked;
 }
 
 /* VMs that can lead better than this one, the silent leader left out. */
@@ -338,6 +354,10 @@
     }
   if (now_us < entry->claim_at_us)
     return;
+  entry->claim_sent_us = now_us;
+  /* The claim wins only if the stream holds no renewal that is not read. */
+  entry->extended_us
+      = leader_ended (entry) ? 0 : entry->leader.seen_us + CONFIRMED_US;
   entry->claim_in_flight = append_lead (entry, 0, false, on_claim);
 }
 
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -21,9 +21,6 @@
 /** A start without answer is uncertain after this time. */
 #define START_MS 1200
 #define STOP_MS 800
-/** Leases are no longer extended when the leadership could not be confirmed
- * for so long: another leader may wait for them to lapse. */
-#define LEASE_UNCONFIRMED_US 8000000
 
 /* Holds. */
 
@@ -104,13 +101,13 @@
   owner_fed (owner);
 }
 
-/* End of a lease that begins now, on the worker's clock; 0: not known. */
+/* End of a lease that begins now, on the worker's clock; 0: not known, or the
+   leadership is not confirmed: a successor may wait for leases to lapse. */
 static uint64_t
 lease_deadline_ms (const struct entry_owner *owner,
                    const struct cell_worker_view *view, uint64_t now_us)
 {
-  if (view->clock_ms == 0
-      || owner->entry->confirmed_us + LEASE_UNCONFIRMED_US < now_us)
+  if (view->clock_ms == 0 || !lead_confirmed (owner->entry, now_us))
     return 0;
   return view->clock_ms + (now_us - view->clock_at_us) / 1000
          + owner->entry->desc.settings->lease_ms;
--- a/src/entry_records.c
+++ b/src/entry_records.c
@@ -71,7 +71,11 @@
   if (record->value.len < REVISION_BYTES
       || !cell_job_id_parse ((struct cyc_str){ record->key.data + 1, 16 },
                              &parsed))
-    return;
+    {
+      ev_log (EV_RECORD_CORRUPT, "stream=cell key=%.*s bytes=%zu",
+              CYC_FMT (record->key), record->value.len);
+      return;
+    }
   for (size_t i = 0; i < REVISION_BYTES; i++)
     revision = revision << 8 | (uint8_t)record->value.data[i];
   id = (gint64)parsed;
@@ -176,9 +180,9 @@
 void
 records_restore (struct entry_records *records)
 {
-  uint64_t lease_us = (uint64_t)records->owner->entry->desc.settings->lease_ms
-                          * 1000 * 103 / 100
-                      + 300000;
+  const struct entry_owner *owner = records->owner;
+  uint64_t lapsed_us = cell_lease_lapsed_us (
+      owner->core, MAX (owner->begun_us, owner->entry->extended_us));
   uint32_t orphans = 0;
   GHashTableIter iter;
   gpointer key;
@@ -191,14 +195,13 @@
 
       /* Progress of a job that the log refused has no job. */
       orphans += !cell_job_restore (
-          records->owner->core, (uint64_t) * (gint64 *)key,
+          owner->core, (uint64_t) * (gint64 *)key,
           (struct cyc_str){ (const char *)progress->data, progress->len },
-          records->owner->begun_us + lease_us);
+          lapsed_us);
     }
   if (orphans > 0)
     ev_log (EV_PROGRESS_ORPHANED, "epoch=%" PRIu64 " records=%u of=%u",
-            records->owner->epoch, orphans,
-            g_hash_table_size (records->loaded));
+            owner->epoch, orphans, g_hash_table_size (records->loaded));
   g_hash_table_remove_all (records->loaded);
 }
 
@@ -548,7 +551,10 @@
 
   if (key.len != CELL_KEY_BYTES - 1
       || !cell_job_id_parse ((struct cyc_str){ key.data + 1, 16 }, &id))
-    return;
+    {
+      ev_log (EV_RECORD_CORRUPT, "stream=submitted key_bytes=%zu", key.len);
+      return;
+    }
   row = g_new0 (struct records_row, 1);
   snprintf (row->key, sizeof row->key, "%.*s", CYC_FMT (key));
   row->submitted = true;
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -663,6 +663,79 @@
   free (site);
 }
 
+/* Runs that go on at the stand-in's workers. */
+static uint32_t
+running (const struct site *site)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < site->fake.worker_count; i++)
+    count += site->fake.workers[i].run_count;
+  return count;
+}
+
+/* A leader that cannot renew its claim extends leases for so long, and the
+   leases last for so long. */
+#define EXTEND_MS 2500
+#define LEASE_MS 4000
+/* A hold that began in time, and the gap between renewals. */
+#define HOLD_MS 300
+#define RENEW_MS 600
+
+/* The log stands still for all. A leader that is cut off knows no more than
+   this one, and its successor starts again what it cannot reach when the
+   leases must have ended. Guards against a leader that extends them for longer
+   than its successor waits. */
+static void
+test_leases_end_without_log (void **state)
+{
+  struct site *site = calloc (1, sizeof *site);
+
+  (void)state;
+  setup (site);
+  site->fake.work_ms = 30000;
+  assert_int_equal (
+      ask_and_wait (site, 0, "POST", "/plain/000000000000000d", JOB_BODY),
+      PT_ANSWER_ACCEPTED);
+  spin (site, 1000);
+  assert_int_equal (running (site), 2);
+  site->fake.faults.log_busy = true;
+  spin (site, EXTEND_MS + 500);
+  assert_int_equal (running (site), 2);
+  spin (site, LEASE_MS - 500 + HOLD_MS);
+  assert_int_equal (running (site), 0);
+  teardown (site);
+  free (site);
+}
+
+/* The leader and the way to its workers fail together; the next one cannot
+   tell whether the old one still extends leases. Guards against a second run
+   of a task beside one that an old leader keeps up. */
+static void
+test_successor_waits_for_leases (void **state)
+{
+  struct site *site = calloc (1, sizeof *site);
+  uint64_t before;
+
+  (void)state;
+  setup (site);
+  site->fake.work_ms = 30000;
+  assert_int_equal (
+      ask_and_wait (site, 0, "POST", "/plain/000000000000000e", JOB_BODY),
+      PT_ANSWER_ACCEPTED);
+  spin (site, 1000);
+  before = starts (site);
+  for (uint32_t i = 0; i < site->fake.worker_count; i++)
+    site->fake.workers[i].silent = site->fake.workers[i].run_count > 0;
+  kill_vm (site, leader_index (site));
+  spin (site, EXTEND_MS + LEASE_MS - RENEW_MS);
+  assert_int_equal (starts (site), before);
+  spin (site, 4000);
+  assert_int_equal (starts (site), before + 2);
+  teardown (site);
+  free (site);
+}
+
 int
 main (void)
 {
@@ -674,6 +747,8 @@
     cmocka_unit_test (test_slow_log),
     cmocka_unit_test (test_hand_over),
     cmocka_unit_test (test_final_state_needs_no_log),
+    cmocka_unit_test (test_leases_end_without_log),
+    cmocka_unit_test (test_successor_waits_for_leases),
   };
 
   signal (SIGPIPE, SIG_IGN);
