Log each conclusion that a run is over without a listed end

Now run_over names the task, run, worker, both incarnations, the reason and the age of each piece of evidence; run_over_wrong follows when the worker reports the run after all, and runs_over_wrong counts it. worker_left says with which ages a removed entry counted as an exit. No decision changes.

test_cell, test_http, test_platform_contract and test_entry pass.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -221,6 +221,40 @@
   uint32_t workers[100]; /**< rows of the workers named */
 };
 
+/** Why a run is over although its worker has listed no end of it. */
+enum cell_over
+{
+  CELL_OVER_UNORDERED, /**< its start was never ordered */
+  CELL_OVER_REFUSED,   /**< its start was refused, or certainly not sent */
+  CELL_OVER_STOPPED,   /**< a stop was answered, and a later report lacks the
+                          run */
+  CELL_OVER_MISSING,   /**< it ran, and a later report lacks it */
+  CELL_OVER_FENCED,    /**< ordered by an earlier leader, and a report under
+                          this leader's fencing token lacks it */
+  CELL_OVER_LAPSED,    /**< the worker's lease lapsed */
+  CELL_OVER_LEFT,      /**< the worker left */
+  CELL_OVER_REBORN     /**< it ran in an earlier incarnation of the worker */
+};
+
+/** The conclusion that a run is over although its worker has listed no end of
+ * it, with its evidence. Times that are unknown are 0. */
+struct cell_conclusion
+{
+  enum cell_over over;
+  bool contradicted; /**< the worker has reported the run since */
+  char task[64];
+  uint32_t run;               /**< number of the run of the task */
+  uint32_t worker;            /**< row */
+  uint64_t run_born_ms;       /**< incarnation that the order was meant for */
+  uint64_t worker_born_ms;    /**< incarnation known at the conclusion */
+  uint64_t ordered_us;        /**< when this leader ordered the start */
+  uint64_t confirmed_us;      /**< when the start was confirmed */
+  uint64_t stop_confirmed_us; /**< when a stop was answered */
+  uint64_t evidence_us;       /**< when the evidence was sent or came true */
+  uint64_t concluded_us;
+  uint64_t lease_deadline_ms; /**< of the worker, on its clock */
+};
+
 /** Progress record of a job. */
 struct cell_record
 {
@@ -278,7 +312,9 @@
   uint64_t ack;          /**< the worker may forget ends up to this number */
   uint64_t lease_deadline_ms; /**< on the worker's clock */
   uint64_t clock_ms; /**< latest reading of the worker's clock; 0 if unknown */
-  uint64_t clock_at_us; /**< when clock_ms was received */
+  uint64_t clock_at_us;     /**< when clock_ms was received */
+  uint64_t listed_after_us; /**< the entry was written later; 0 if unknown */
+  uint64_t left_us;         /**< when it has certainly left; 0 if it has not */
 };
 /** Fills @p out. Its strings are valid until the next input to the core. */
 void cell_worker_view (const struct cell_core *core, uint32_t row,
@@ -330,6 +366,11 @@
 uint32_t cell_queue_pending (const struct cell_core *core,
                              struct cyc_str queue);
 
+/** Returns the next conclusion, and later its contradiction if the worker
+ * reports the run after all; returns false if there is none. */
+bool cell_conclusion_next (struct cell_core *core,
+                           struct cell_conclusion *out);
+
 /** Reports the result of an ordered start. */
 void cell_start_result (struct cell_core *core, struct cyc_ref run,
                         enum cell_start_result result, uint64_t now_us);
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -108,6 +108,7 @@
   core->records = g_ptr_array_new ();
   g_queue_init (&core->recording);
   g_queue_init (&core->orders);
+  cell_over_setup (core);
   core->batch = 1;
   core->durable_out_of_order = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   core->revision = desc->first_revision;
@@ -170,6 +171,7 @@
   g_array_free (core->free_runs, TRUE);
   g_queue_clear (&core->recording);
   g_queue_clear_full (&core->orders, g_free);
+  cell_over_shutdown (core);
   g_free (core);
 }
 
@@ -339,7 +341,7 @@
       if (run->inherited)
         continue;
       if (run->state == CELL_RUN_RUNNING && run->confirmed_us < sent_us)
-        cell_run_ended (core, run, CELL_END_LAPSED, CYC_STR (""));
+        cell_run_conclude (core, run, CELL_OVER_REBORN, sent_us);
       else
         cell_run_stop (core, run);
     }
@@ -426,6 +428,8 @@
   out->ack = worker->ack;
   out->clock_ms = worker->clock_ms;
   out->clock_at_us = worker->clock_at_us;
+  out->listed_after_us = worker->listed_after_us;
+  out->left_us = worker->exited_us;
 }
 
 void
@@ -449,7 +453,7 @@
 
 static void
 apply_ends (struct cell_core *core, struct cell_worker *worker,
-            const struct cell_report *report)
+            uint32_t worker_row, const struct cell_report *report)
 {
   for (uint32_t i = 0; i < report->end_count; i++)
     {
@@ -468,6 +472,8 @@
         if (run->job == job && run->round == round && run->task == task
             && run->number == end->run)
           break;
+      if (run == NULL)
+        cell_over_contradict (core, worker_row, end->task, end->run);
       if (run != NULL && end->kind != CELL_END_DONE)
         {
           cell_run_ended (core, run, end->kind, end->checkpoint);
@@ -505,6 +511,7 @@
     if (run->job == job && run->round == round && run->task == task
         && run->number == row->run)
       return run;
+  cell_over_contradict (core, worker_row, row->task, row->run);
   return cell_run_adopt (core, job, round, task, worker_row, row->run);
 }
 
@@ -552,6 +559,7 @@
 
   for (struct cell_run *run = worker->runs; run != NULL; run = next)
     {
+      enum cell_over over = CELL_OVER_FENCED;
       bool gone;
 
       next = run->next;
@@ -560,12 +568,18 @@
       if (run->inherited)
         gone = true;
       else if (run->state == CELL_RUN_RUNNING)
-        gone = report->sent_us > run->confirmed_us;
+        {
+          over = CELL_OVER_MISSING;
+          gone = report->sent_us > run->confirmed_us;
+        }
       else
-        gone = run->state == CELL_RUN_STARTING && run->stop_confirmed_us != 0
-               && report->sent_us > run->stop_confirmed_us;
+        {
+          over = CELL_OVER_STOPPED;
+          gone = run->state == CELL_RUN_STARTING && run->stop_confirmed_us != 0
+                 && report->sent_us > run->stop_confirmed_us;
+        }
       if (gone)
-        cell_run_ended (core, run, CELL_END_LAPSED, CYC_STR (""));
+        cell_run_conclude (core, run, over, report->sent_us);
       else if (run->state == CELL_RUN_STARTING && run->unconfirmed_us != 0
                && report->sent_us > run->unconfirmed_us)
         cell_run_stop (core, run);
@@ -606,7 +620,7 @@
   worker->fenced = true;
   worker->reachable = true;
   worker->exited_us = 0;
-  apply_ends (core, worker, report);
+  apply_ends (core, worker, row, report);
   apply_running (core, worker, row, report, seen);
   resolve_missing (core, worker, report, seen);
   cell_pace_worker (core, worker);
--- a/src/cyc_cell_batch.c
+++ b/src/cyc_cell_batch.c
@@ -151,7 +151,7 @@
       if (may_start (core, run))
         order_start (core, run);
       else
-        cell_run_ended (core, run, CELL_END_STOPPED, CYC_STR (""));
+        cell_run_conclude (core, run, CELL_OVER_UNORDERED, core->now_us);
     }
 }
 
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -288,6 +288,10 @@
   GQueue recording;         /**< runs in the order of their batches */
   GPtrArray *state_pending; /**< jobs whose state is not yet durable */
   GQueue orders;            /**< struct cell_order * */
+  GQueue conclusions;       /**< struct cell_conclusion *, to be handed out */
+  GHashTable *concluded;    /**< struct cell_conclusion by itself; see
+                               cyc_cell_over.c */
+  GQueue concluded_by_age;  /**< the same, oldest first */
   GPtrArray *records;       /**< struct cell_record of closed batches */
   uint64_t first_end_us; /**< when the first end was received; 0 if none yet */
   GHashTable *queue_times; /**< queue name to struct cell_queue_time */
@@ -383,6 +387,19 @@
 void cell_run_ended (struct cell_core *core, struct cell_run *run,
                      enum cell_end_kind kind, struct cyc_str checkpoint);
 
+/* Runs that are over. */
+void cell_over_setup (struct cell_core *core);
+void cell_over_shutdown (struct cell_core *core);
+/** Concludes that a run is over although its worker has listed no end of it,
+ * and requeues its task. @p evidence_us: when the evidence was sent or came
+ * true. */
+void cell_run_conclude (struct cell_core *core, struct cell_run *run,
+                        enum cell_over over, uint64_t evidence_us);
+/** Notes that the worker reports a run that the core does not know. If the run
+ * was concluded to be over, the conclusion is handed out as contradicted. */
+void cell_over_contradict (struct cell_core *core, uint32_t worker,
+                           struct cyc_str task, uint32_t run);
+
 /* Placement and advice. */
 void cell_place_tick (struct cell_core *core);
 /** Requests a placement at @p at_us, even if no other event occurs then. */
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -192,7 +192,7 @@
             worker->paused_until_us = now_us + CELL_PAUSE_US / 2;
             cell_retry_placement (core, worker->paused_until_us);
           }
-        cell_run_ended (core, run, CELL_END_STOPPED, CYC_STR (""));
+        cell_run_conclude (core, run, CELL_OVER_REFUSED, now_us);
         return;
       }
     case CELL_START_UNKNOWN:
@@ -261,6 +261,8 @@
 expire_worker (struct cell_core *core, struct cell_worker *worker)
 {
   uint64_t lapse_us = lease_end_us (worker);
+  enum cell_over over
+      = worker->exited_us != 0 ? CELL_OVER_LEFT : CELL_OVER_LAPSED;
   struct cell_run *next;
 
   if (lapse_us > core->now_us)
@@ -272,7 +274,7 @@
     {
       next = run->next;
       if (run->state != CELL_RUN_RECORDING)
-        cell_run_ended (core, run, CELL_END_LAPSED, CYC_STR (""));
+        cell_run_conclude (core, run, over, lapse_us);
     }
 }
 
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -220,6 +220,47 @@
 
 /* Orders. */
 
+/* Returns how long ago a time was, or -1 if it is unknown. */
+static int64_t
+age_ms (uint64_t now_us, uint64_t at_us)
+{
+  return at_us != 0 ? (int64_t)(now_us - at_us) / 1000 : -1;
+}
+
+void
+orders_log_conclusions (struct entry_owner *owner, uint64_t now_us)
+{
+  static const char *const reasons[]
+      = { "unordered", "refused", "stopped", "missing",
+          "fenced",    "lapsed",  "left",    "reborn" };
+  struct cell_conclusion conclusion;
+  struct cell_worker_view view;
+
+  while (cell_conclusion_next (owner->core, &conclusion))
+    {
+      cell_worker_view (owner->core, conclusion.worker, &view);
+      if (conclusion.contradicted)
+        met_add (&owner->entry->met, MET_RUN_OVER_WRONG, 1);
+      ev_log (conclusion.contradicted ? EV_RUN_OVER_WRONG : EV_RUN_OVER,
+              "task=%s run=%u worker=%.*s because=%s epoch=%" PRIu64
+              " born_ms=%" PRIu64 " now_born_ms=%" PRIu64
+              " concluded_age_ms=%" PRId64 " evidence_age_ms=%" PRId64
+              " ordered_age_ms=%" PRId64 " confirmed_age_ms=%" PRId64
+              " stop_age_ms=%" PRId64 " lease_deadline_ms=%" PRIu64
+              " clock_ms=%" PRIu64 " clock_age_ms=%" PRId64,
+              conclusion.task, conclusion.run, CYC_FMT (view.id),
+              reasons[conclusion.over], owner->epoch, conclusion.run_born_ms,
+              conclusion.worker_born_ms,
+              age_ms (now_us, conclusion.concluded_us),
+              age_ms (now_us, conclusion.evidence_us),
+              age_ms (now_us, conclusion.ordered_us),
+              age_ms (now_us, conclusion.confirmed_us),
+              age_ms (now_us, conclusion.stop_confirmed_us),
+              conclusion.lease_deadline_ms, view.clock_ms,
+              age_ms (now_us, view.clock_at_us));
+    }
+}
+
 static void
 on_started (void *user, struct cyc_ref run, enum cell_start_result result,
             const char *why)
@@ -289,10 +330,10 @@
       met_add (&owner->entry->met, MET_TASK_STARTS, 1);
       ev_log (EV_RUN_START,
               "task=%s run=%u worker=%.*s epoch=%" PRIu64
-              " run_row=%u.%u checkpoint=%d",
+              " run_row=%u.%u checkpoint=%d lease_deadline_ms=%" PRIu64,
               order->task, order->number, CYC_FMT (view.id), owner->epoch,
               order->run.index, order->run.generation,
-              order->checkpoint[0] != 0);
+              order->checkpoint[0] != 0, lease_end_ms);
     }
   else
     {
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -218,6 +218,30 @@
   owner_input_added (user);
 }
 
+/* Logs that a worker's entry was removed, and whether that counts as its exit.
+   The ages tell an exit from an entry that lapsed with the worker alive. */
+static void
+log_unlisted (struct entry_owner *owner, struct cyc_str id)
+{
+  uint64_t now_us = hc_now_us ();
+  struct cell_worker_view view;
+
+  ev_log (EV_TARGET_LEAVING, "worker=%.*s unlisted=1", CYC_FMT (id));
+  for (uint32_t row = 0; row < cell_worker_count (owner->core); row++)
+    {
+      cell_worker_view (owner->core, row, &view);
+      if (view.left_us == 0 || !cyc_str_eq (view.id, id))
+        continue;
+      ev_log (EV_WORKER_LEFT,
+              "worker=%.*s runs=%u entry_age_ms=%" PRIu64
+              " answer_age_ms=%" PRIu64 " view_age_ms=%" PRIu64,
+              CYC_FMT (id), view.runs, (now_us - view.listed_after_us) / 1000,
+              (now_us - view.clock_at_us) / 1000,
+              (now_us - owner->workers_tail.prev_fresh_us) / 1000);
+      return;
+    }
+}
+
 static void
 on_worker (void *user, const struct pt_record *record, uint64_t offset)
 {
@@ -232,8 +256,7 @@
   if (record->value.len == 0)
     {
       cell_worker_unlisted (owner->core, record->key, hc_now_us ());
-      ev_log (EV_TARGET_LEAVING, "worker=%.*s unlisted=1",
-              CYC_FMT (record->key));
+      log_unlisted (owner, record->key);
       owner_input_added (owner);
       return;
     }
@@ -443,6 +466,7 @@
   records_tick (&owner->records, now_us);
   while (cell_order_next (owner->core, &order))
     orders_send (owner, &order, now_us);
+  orders_log_conclusions (owner, now_us);
   advice_tick (owner->advice, now_us);
   log_load (owner, now_us);
 }
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -27,6 +27,7 @@
   bool draining;
   bool headers_complete; /* the blank line that ends the headers arrived */
   bool length_known;     /* has Content-Length or Transfer-Encoding */
+  uint32_t attempts;
   char outcome[16];
   char error[CURL_ERROR_SIZE];
   void (*done) (void *user, const struct hc_result *result);
@@ -162,6 +163,21 @@
   return line.len;
 }
 
+/* libcurl calls this before each attempt to write the request. */
+static int
+on_attempt (void *user, char *remote, char *local, int remote_port,
+            int local_port)
+{
+  struct hc_transfer *transfer = user;
+
+  (void)remote;
+  (void)local;
+  (void)remote_port;
+  (void)local_port;
+  transfer->attempts++;
+  return CURL_PREREQFUNC_OK;
+}
+
 static void
 release_transfer (struct hc_transfer *transfer)
 {
@@ -213,10 +229,17 @@
   struct hc_client *hc = transfer->client;
   curl_off_t connect_us = 0;
   long request_bytes = 0;
+  long connections = 0;
+  long local_port = 0;
   struct hc_transfer finished;
 
   curl_easy_getinfo (transfer->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
   curl_easy_getinfo (transfer->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  curl_easy_getinfo (transfer->easy, CURLINFO_NUM_CONNECTS, &connections);
+  curl_easy_getinfo (transfer->easy, CURLINFO_LOCAL_PORT, &local_port);
+  result.attempts = transfer->attempts;
+  result.new_connection = connections > 0;
+  result.local_port = (uint16_t)local_port;
   result.sent = sent_state (transfer->easy, code);
   result.connected = connect_us > 0 || result.sent == HC_SENT_MAYBE;
   result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
@@ -466,6 +489,8 @@
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, transfer);
   curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, transfer->error);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_attempt);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, transfer);
   if (request->fresh_connection)
     {
       /* Without CURLOPT_FORBID_REUSE each such request would leave an idle
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -45,7 +45,12 @@
   long status; /**< HTTP status; 0 if no complete answer arrived */
   enum hc_sent sent;
   bool timed_out;
-  bool connected; /**< a connection was reused or established */
+  bool connected;      /**< a connection was reused or established */
+  uint32_t attempts;   /**< how often the request was about to be written:
+                          libcurl repeats it if a reused connection ends
+                          without an answer */
+  bool new_connection; /**< a connection was established for the request */
+  uint16_t local_port; /**< of the last connection; 0 if unknown */
   struct cyc_str body;
   bool not_started;       /**< header Not-Started: 1 */
   bool draining;          /**< header Draining: 1 */
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -93,6 +93,9 @@
   X (EV_RUN_REFUSED, MESSAGE, "run_refused")                                  \
   X (EV_RUN_STOP, INFO, "run_stop")                                           \
   X (EV_RUN_END, INFO, "run_end")                                             \
+  X (EV_RUN_OVER, INFO, "run_over")                                           \
+  X (EV_RUN_OVER_WRONG, WARNING, "run_over_wrong")                            \
+  X (EV_WORKER_LEFT, MESSAGE, "worker_left")                                  \
   X (EV_REQUEST_UNANSWERED, MESSAGE, "request_unanswered")                    \
   X (EV_LOAD, MESSAGE, "load")                                                \
   X (EV_LINES_DROPPED, WARNING, "lines_dropped")
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -36,6 +36,7 @@
   X (MET_TASK_STARTS, "task_starts")                                          \
   X (MET_TASK_START_REFUSED, "task_starts_refused")                           \
   X (MET_TASK_ENDS, "task_ends")                                              \
+  X (MET_RUN_OVER_WRONG, "runs_over_wrong")                                   \
   X (MET_PREEMPTED, "tasks_preempted")                                        \
   X (MET_LOG_APPENDS, "log_appends")                                          \
   X (MET_LOG_APPEND_FAILURES, "log_append_failures")                          \
