--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -241,7 +241,8 @@
 struct cell_conclusion
 {
   enum cell_over over;
-  bool contradicted; /**< the worker has reported the run since */
+  bool contradicted; /**< since then the worker has reported the run as
+                        running, done or failed */
   char task[64];
   uint32_t run;               /**< number of the run of the task */
   uint32_t worker;            /**< row */
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -472,7 +472,8 @@
         if (run->job == job && run->round == round && run->task == task
             && run->number == end->run)
           break;
-      if (run == NULL)
+      if (run == NULL
+          && (end->kind == CELL_END_DONE || end->kind == CELL_END_FAILED))
         cell_over_contradict (core, worker_row, end->task, end->run);
       if (run != NULL && end->kind != CELL_END_DONE)
         {
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -395,8 +395,9 @@
  * true. */
 void cell_run_conclude (struct cell_core *core, struct cell_run *run,
                         enum cell_over over, uint64_t evidence_us);
-/** Notes that the worker reports a run that the core does not know. If the run
- * was concluded to be over, the conclusion is handed out as contradicted. */
+/** Notes that the worker reports a run as running, done or failed that the core
+ * does not know. If the run was concluded to be over, the conclusion is handed
+ * out as contradicted. */
 void cell_over_contradict (struct cell_core *core, uint32_t worker,
                            struct cyc_str task, uint32_t run);
 
