Tests of requests of which libcurl sends two copies (red)

Faults of the fake platform: log_busy and start_error_status wait for the answers that are to be lost; stop_listening.

--- a/fakes/fk_platform.c
+++ b/fakes/fk_platform.c
@@ -363,7 +363,7 @@
       fk_close_without_answer (&platform->log, call->ref, call->connection);
       return;
     }
-  if (platform->faults.log_busy)
+  if (platform->faults.log_busy && platform->faults.lose_append_answers == 0)
     {
       fk_reply_text (&platform->log, call->ref, 503, CYC_STR ("{}"));
       return;
@@ -456,7 +456,8 @@
   uint32_t index;
   struct fkp_run *run = find_run (worker, task, &index);
 
-  if (faults->start_error_status != 0)
+  worker->start_calls++;
+  if (faults->start_error_status != 0 && faults->lose_start_answers == 0)
     {
       reply_clock (worker, call->ref, (uint32_t)faults->start_error_status,
                    faults->start_error_status == 409 ? faults->reason : NULL);
@@ -487,6 +488,8 @@
   if (faults->lose_start_answers > 0)
     {
       faults->lose_start_answers--;
+      if (faults->stop_listening)
+        hs_stop_listening (&worker->hs);
       fk_close_without_answer (&worker->hs, call->ref, call->connection);
       return;
     }
--- a/fakes/fk_platform.h
+++ b/fakes/fk_platform.h
@@ -72,10 +72,13 @@
   struct fkp_end ends[FKP_RUNS_MAX];
   uint32_t end_count;
   uint64_t next_end_number;
-  uint64_t starts; /**< runs started so far */
+  uint64_t starts;      /**< runs started so far */
+  uint64_t start_calls; /**< orders to start received so far */
 };
 
-/** Injected faults; zero is no fault. */
+/** Injected faults; zero is no fault. While answers are still to be lost,
+ * `log_busy` and `start_error_status` wait, so that they strike what comes
+ * after a lost answer. */
 struct fkp_faults
 {
   bool log_disconnects;         /**< closes connections without an answer */
@@ -88,6 +91,8 @@
   bool advisor_silent;          /**< never answers */
   uint32_t lose_start_answers;  /**< number of starts that run, but are not
                                    answered */
+  bool stop_listening;          /**< a worker that loses an answer also closes
+                                   its listening socket */
   int start_error_status;       /**< HTTP status of each start; 0: no error */
   const char *reason;           /**< reason in the body of status 409 */
   bool workers_silent;          /**< no worker answers */
--- /dev/null
+++ b/tests/test_start_copies.c
@@ -0,0 +1,185 @@
+/**
+ * @file
+ * An order to start whose first copy is executed and whose connection then
+ * ends without an answer, while later copies would be refused or not arrive.
+ * A refusal frees the task for another worker, where it runs a second time.
+ */
+#include "fk_platform.h"
+#include "pf.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define CALL_TIMEOUT_MS 500
+
+struct fixture
+{
+  struct ev_loop *loop;
+  struct fkp_platform fake;
+  struct ent_settings settings;
+  struct pf_workers workers;
+  char address[32];
+  uint32_t done; /**< number of finished calls */
+  enum cell_start_result start;
+  char why[128];
+};
+
+static void
+setup (struct fixture *f)
+{
+  struct cyc_findings findings = { 0 };
+  struct pf_desc desc;
+
+  memset (f, 0, sizeof *f);
+  f->loop = ev_default_loop (0);
+  assert_true (fkp_setup (&f->fake, f->loop, 1, &findings));
+  fkp_address (&f->fake.workers[0].hs, f->address);
+  desc = (struct pf_desc){ .loop = f->loop, .settings = &f->settings };
+  assert_true (pf_workers_setup (&f->workers, &desc, &findings));
+}
+
+static void
+teardown (struct fixture *f)
+{
+  pf_client_shutdown (&f->workers.client);
+  fkp_shutdown (&f->fake);
+}
+
+static void
+wait_done (struct fixture *f, uint32_t count)
+{
+  uint64_t end_us = hc_now_us () + 3000000;
+
+  while (f->done < count && hc_now_us () < end_us)
+    ev_run (f->loop, EVRUN_ONCE);
+  assert_int_equal (f->done, count);
+}
+
+static struct pt_target
+target (const struct fixture *f)
+{
+  return (struct pt_target){ cyc_str_of (f->fake.workers[0].id),
+                             cyc_str_of (f->address), 5 };
+}
+
+static uint64_t
+deadline_us (void)
+{
+  return hc_now_us () + CALL_TIMEOUT_MS * 1000ULL;
+}
+
+static void
+on_started (void *user, struct cyc_ref run, enum cell_start_result result,
+            const char *why)
+{
+  struct fixture *f = user;
+
+  (void)run;
+  f->start = result;
+  snprintf (f->why, sizeof f->why, "%s", why);
+  f->done++;
+}
+
+static void
+on_held (void *user, uint32_t row, enum pt_hold_outcome outcome,
+         struct cell_report *report)
+{
+  struct fixture *f = user;
+
+  (void)row;
+  (void)report;
+  assert_int_equal (outcome, PT_HOLD_OK);
+  f->done++;
+}
+
+/* Leaves an idle connection to the worker. */
+static void
+open_connection (struct fixture *f)
+{
+  assert_true (f->workers.port.vtable->hold (
+      &f->workers.port, &(struct pt_hold){ .target = target (f),
+                                           .deadline_us = deadline_us (),
+                                           .done = on_held,
+                                           .user = f }));
+  wait_done (f, f->done + 1);
+}
+
+struct copy_case
+{
+  const char *description;
+  struct fkp_faults faults;
+};
+
+static const struct copy_case copy_cases[] = {
+  { "no further fault", { .lose_start_answers = 1 } },
+  { "then status 503",
+    { .lose_start_answers = 1, .start_error_status = 503 } },
+  { "then 409 old",
+    { .lose_start_answers = 1, .start_error_status = 409, .reason = "old" } },
+  { "then 409 room",
+    { .lose_start_answers = 1, .start_error_status = 409, .reason = "room" } },
+  { "then 409 late",
+    { .lose_start_answers = 1, .start_error_status = 409, .reason = "late" } },
+  { "then 409 ticket",
+    { .lose_start_answers = 1,
+      .start_error_status = 409,
+      .reason = "ticket" } },
+  { "then nothing listens",
+    { .lose_start_answers = 1, .stop_listening = true } },
+};
+
+/* A start was called refused although the worker had executed its first
+   copy. */
+static void
+start_was_refused_though_it_ran (void **state)
+{
+  uint32_t failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < sizeof copy_cases / sizeof copy_cases[0]; i++)
+    {
+      const struct copy_case *row = &copy_cases[i];
+      const struct fkp_worker *worker;
+      struct fixture f;
+
+      setup (&f);
+      worker = &f.fake.workers[0];
+      open_connection (&f);
+      f.fake.faults = row->faults;
+      assert_true (f.workers.port.vtable->start (
+          &f.workers.port, &(struct pt_start){
+                               .target = target (&f),
+                               .task = CYC_STR ("00000000000000aa.0.0.1"),
+                               .number = 1,
+                               .payload = CYC_STR ("text"),
+                               .lease_deadline_ms = 100000,
+                               .deadline_us = deadline_us (),
+                               .done = on_started,
+                               .user = &f,
+                           }));
+      wait_done (&f, f.done + 1);
+      if (f.start != CELL_START_UNKNOWN || worker->start_calls != 1
+          || worker->starts != 1)
+        {
+          print_error ("%s: result %d (%s), %d copies, %d runs\n",
+                       row->description, (int)f.start, f.why,
+                       (int)worker->start_calls, (int)worker->starts);
+          failures++;
+        }
+      teardown (&f);
+    }
+  assert_int_equal (failures, 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (start_was_refused_though_it_ran) };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
