Write a request at most once unless it may be repeated

A start that the worker had executed was then reported as refused (503, 409 old, room, late, ticket) or, if nothing listened any more, as not sent. The leader placed the task elsewhere and it ran twice.

libcurl has no switch for it. The pre-request callback now aborts a second write, and the socket callback does so before a connection is opened for it. The transfer ends with status 0 and HC_SENT_MAYBE. HC_SENT_NO is now derived from the attempts alone: certain exactly if none was begun; before, a failed second connect counted as not sent.

hc_request.repeatable declares that a request may be written again; a GET always may. Starts are written once.

struct pt_start states that a result other than unknown speaks for every copy.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 #include <time.h>
 
 #define DEFAULT_MAX_REQUESTS 4096
@@ -27,6 +28,8 @@
   bool draining;
   bool headers_complete; /* the blank line that ends the headers arrived */
   bool length_known;     /* has Content-Length or Transfer-Encoding */
+  bool repeatable;
+  bool repeat_denied; /* libcurl was about to write it a second time */
   uint32_t attempts;
   char outcome[16];
   char error[CURL_ERROR_SIZE];
@@ -163,6 +166,17 @@
   return line.len;
 }
 
+/* libcurl sends a request again if a reused connection ends before the answer,
+   and has no option against it. */
+static bool
+may_write (struct hc_transfer *transfer)
+{
+  if (transfer->attempts == 0 || transfer->repeatable)
+    return true;
+  transfer->repeat_denied = true;
+  return false;
+}
+
 /* libcurl calls this before each attempt to write the request. */
 static int
 on_attempt (void *user, char *remote, char *local, int remote_port,
@@ -174,10 +188,24 @@
   (void)local;
   (void)remote_port;
   (void)local_port;
+  if (!may_write (transfer))
+    return CURL_PREREQFUNC_ABORT;
   transfer->attempts++;
   return CURL_PREREQFUNC_OK;
 }
 
+/* Ends a transfer that must not be repeated before it waits for a connection
+   that it would not use. */
+static curl_socket_t
+on_open_socket (void *user, curlsocktype purpose,
+                struct curl_sockaddr *address)
+{
+  (void)purpose;
+  if (!may_write (user))
+    return CURL_SOCKET_BAD;
+  return socket (address->family, address->socktype, address->protocol);
+}
+
 static void
 release_transfer (struct hc_transfer *transfer)
 {
@@ -193,25 +221,6 @@
   cyc_pool_release (&hc->pool, ref);
 }
 
-/* Returns HC_SENT_NO only if it is certain that nothing was sent. libcurl
-   reports a request size only after it has started to write the request, and
-   nothing is written before the connection is established. */
-static enum hc_sent
-sent_state (CURL *easy, CURLcode code)
-{
-  curl_off_t connect_us = 0;
-  long request_bytes = 0;
-
-  if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST
-      || code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL)
-    return HC_SENT_NO;
-  curl_easy_getinfo (easy, CURLINFO_REQUEST_SIZE, &request_bytes);
-  curl_easy_getinfo (easy, CURLINFO_PRETRANSFER_TIME_T, &connect_us);
-  if (request_bytes == 0 && connect_us == 0)
-    return HC_SENT_NO;
-  return HC_SENT_MAYBE;
-}
-
 /* libcurl also reports success for an answer with truncated headers and for a
    body that is delimited only by the end of the connection, which may be
    truncated. Both count as incomplete. */
@@ -240,7 +249,7 @@
   result.attempts = transfer->attempts;
   result.new_connection = connections > 0;
   result.local_port = (uint16_t)local_port;
-  result.sent = sent_state (transfer->easy, code);
+  result.sent = transfer->attempts == 0 ? HC_SENT_NO : HC_SENT_MAYBE;
   result.connected = connect_us > 0 || result.sent == HC_SENT_MAYBE;
   result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
   result.error = "";
@@ -248,6 +257,8 @@
     curl_easy_getinfo (transfer->easy, CURLINFO_RESPONSE_CODE, &result.status);
   else if (code == CURLE_OK)
     result.error = "answer was cut short";
+  else if (transfer->repeat_denied)
+    result.error = "the connection ended before the answer; not sent again";
   else
     result.error
         = transfer->error[0] ? transfer->error : curl_easy_strerror (code);
@@ -260,7 +271,7 @@
   /* The transfer is released before `done` is called, so that `done` can send
      a new request even if the pool was full. */
   finished = *transfer;
-  if (finished.error[0] && result.status == 0)
+  if (result.error == transfer->error)
     result.error = finished.error;
   result.outcome = cyc_str_of (finished.outcome);
   transfer->answer = NULL;
@@ -491,6 +502,8 @@
   curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, transfer->error);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_attempt);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, transfer);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, on_open_socket);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, transfer);
   if (request->fresh_connection)
     {
       /* Without CURLOPT_FORBID_REUSE each such request would leave an idle
@@ -521,6 +534,7 @@
   transfer->ref = ref;
   transfer->done = request->done;
   transfer->user = request->user;
+  transfer->repeatable = request->repeatable || request->method == HC_GET;
   transfer->easy = curl_easy_init ();
   if (transfer->easy == NULL)
     {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -16,6 +16,13 @@
  *
  * Errors: `status` is 0 if no complete answer was received; `sent` then tells
  * whether any byte of the request may have reached the server.
+ *
+ * Copies: a POST or DELETE is written at most once, unless the request is
+ * declared repeatable. If its connection ends before the answer, it fails with
+ * status 0 and HC_SENT_MAYBE. A result therefore speaks for the only copy that
+ * the server can have. A GET and a repeatable request may be written again on
+ * another connection; `status` is then the answer to the last copy, and an
+ * earlier one may have been executed or may still be.
  */
 #ifndef HTTP_CLIENT_H
 #define HTTP_CLIENT_H
@@ -33,7 +40,8 @@
 
 enum hc_sent
 {
-  HC_SENT_NO,   /**< certainly no byte of the request was sent */
+  HC_SENT_NO,   /**< certainly no byte of the request was sent: no attempt to
+                     write it was begun on any connection */
   HC_SENT_MAYBE /**< the server may have received the request */
 };
 
@@ -46,9 +54,7 @@
   enum hc_sent sent;
   bool timed_out;
   bool connected;      /**< a connection was reused or established */
-  uint32_t attempts;   /**< how often the request was about to be written:
-                          libcurl repeats it if a reused connection ends
-                          without an answer */
+  uint32_t attempts;   /**< copies of the request that the server may have */
   bool new_connection; /**< a connection was established for the request */
   uint16_t local_port; /**< of the last connection; 0 if unknown */
   struct cyc_str body;
@@ -66,9 +72,12 @@
   struct cyc_str headers[HC_MAX_HEADERS]; /**< "Name: value", copied */
   uint32_t header_count;
   uint64_t deadline_us; /**< bounds the whole exchange; monotonic */
-  /** Uses a new connection for the request and closes it afterwards. Required
-   * for requests that must not be repeated: if a reused connection turns out
-   * to be dead, libcurl may send the request a second time. */
+  /** The request may be written again if its connection ends before the
+   * answer, though the server may then execute it more than once, in any order
+   * and late. Always so for a GET. */
+  bool repeatable;
+  /** Uses a new connection for the request and closes it afterwards, as a
+   * reused one may turn out to be dead when the request has been written. */
   bool fresh_connection;
   void (*done) (void *user, const struct hc_result *result);
   void *user;
--- a/src/ports.h
+++ b/src/ports.h
@@ -136,6 +136,9 @@
   uint64_t fence;
 };
 
+/** An order to start a run. A result other than CELL_START_UNKNOWN speaks for
+ * every copy of the order: after a refusal none was executed and none will be.
+ * The adapter therefore writes an order at most once. */
 struct pt_start
 {
   struct pt_target target;
--- a/tests/test_request_copies.c
+++ b/tests/test_request_copies.c
@@ -162,7 +162,7 @@
 }
 
 static void
-send_request (struct fixture *f, enum hc_method method,
+send_request (struct fixture *f, enum hc_method method, bool repeatable,
               struct recorded *recorded)
 {
   memset (recorded, 0, sizeof *recorded);
@@ -172,6 +172,7 @@
                                              .body = CYC_STR ("order"),
                                              .deadline_us
                                              = hc_now_us () + TEST_TIMEOUT_US,
+                                             .repeatable = repeatable,
                                              .done = on_done,
                                              .user = recorded })
           .generation,
@@ -207,7 +208,7 @@
   struct recorded recorded[CONNECTIONS_MAX];
 
   for (uint32_t i = 0; i < count; i++)
-    send_request (f, HC_POST, &recorded[i]);
+    send_request (f, HC_POST, false, &recorded[i]);
   for (uint32_t i = 0; i < count; i++)
     {
       run_until_done (f, &recorded[i]);
@@ -221,6 +222,7 @@
 {
   const char *description;
   enum hc_method method;
+  bool repeatable;
   uint32_t connections; /**< idle ones before the request */
   bool stop_listening;
   uint32_t copies; /**< that the server may receive */
@@ -228,12 +230,17 @@
 };
 
 static const struct copy_case copy_cases[] = {
-  { "POST, then a new connection", HC_POST, 1, false, 1, 0 },
-  { "POST, then another idle connection", HC_POST, 2, false, 1, 0 },
-  { "POST, then nothing listens", HC_POST, 1, true, 1, 0 },
-  { "DELETE, then a new connection", HC_DELETE, 1, false, 1, 0 },
-  { "GET, then a new connection", HC_GET, 1, false, 2, 409 },
-  { "GET, then nothing listens", HC_GET, 1, true, 1, 0 },
+  { "POST, then a new connection", HC_POST, false, 1, false, 1, 0 },
+  { "POST, then another idle connection", HC_POST, false, 2, false, 1, 0 },
+  { "POST, then nothing listens", HC_POST, false, 1, true, 1, 0 },
+  { "DELETE, then a new connection", HC_DELETE, false, 1, false, 1, 0 },
+  { "repeatable POST, then a new connection", HC_POST, true, 1, false, 2,
+    409 },
+  { "repeatable POST, then another idle connection", HC_POST, true, 2, false,
+    2, 409 },
+  { "repeatable POST, then nothing listens", HC_POST, true, 1, true, 1, 0 },
+  { "GET, then a new connection", HC_GET, false, 1, false, 2, 409 },
+  { "GET, then nothing listens", HC_GET, false, 1, true, 1, 0 },
 };
 
 /* The server read a request twice and the caller took the answer to the second
@@ -255,7 +262,7 @@
       f.raw.close_next = true;
       f.raw.stop_listening = row->stop_listening;
       f.raw.answer = answer_409;
-      send_request (&f, row->method, &recorded);
+      send_request (&f, row->method, row->repeatable, &recorded);
       run_until_done (&f, &recorded);
       if (f.raw.requests != row->copies
           || recorded.result.status != row->status
