--- a/fakes/fk_platform.c
+++ b/fakes/fk_platform.c
@@ -229,6 +229,8 @@
   if (platform->faults.lose_append_answers > 0)
     {
       platform->faults.lose_append_answers--;
+      if (platform->faults.stop_listening)
+        hs_stop_listening (&platform->log);
       fk_close_without_answer (&platform->log, call->ref, call->connection);
       return;
     }
--- a/fakes/fk_platform.h
+++ b/fakes/fk_platform.h
@@ -91,8 +91,8 @@
   bool advisor_silent;          /**< never answers */
   uint32_t lose_start_answers;  /**< number of starts that run, but are not
                                    answered */
-  bool stop_listening;          /**< a worker that loses an answer also closes
-                                   its listening socket */
+  bool stop_listening;          /**< a worker or log that loses an answer also
+                                   closes its listening socket */
   int start_error_status;       /**< HTTP status of each start; 0: no error */
   const char *reason;           /**< reason in the body of status 409 */
   bool workers_silent;          /**< no worker answers */
