Append each record of the older log once

The record was stored twice, and a 4xx answer to the second copy was called 'provably not appended'. The follower reads the stream after an unknown outcome and appends again only if the record is missing, so the client need not repeat it.

Red before: append_was_repeated_by_the_http_client: listens 1: outcome 0, next 3 (expected outcome 2, next 2).

--- a/src/log_client.c
+++ b/src/log_client.c
@@ -148,7 +148,6 @@
   request.headers[request.header_count++]
       = CYC_STR ("Content-Type: application/octet-stream");
   request.deadline_us = append->deadline_us;
-  request.repeatable = true;
   request.done = on_append;
   request.user = call;
   call->transfer = hc_send (state->client, &request);
--- a/tests/test_log_contract.c
+++ b/tests/test_log_contract.c
@@ -415,6 +415,35 @@
     }
 }
 
+/* An append that the log had stored was stored again, or called certainly not
+   appended, as the HTTP client sent a second copy of it. */
+static void
+append_was_repeated_by_the_http_client (void **unused)
+{
+  (void)unused;
+  for (int listens = 0; listens < 2; listens++)
+    {
+      static struct fixture f;
+
+      setup (&f, true);
+      assert_true (begin_append (&f, CYC_STR ("abc")));
+      run_until_answered (&f, 1);
+      f.server.lost_closes = true;
+      set_fault (&f, TST_LOST_AFTER_WRITE);
+      if (!listens)
+        set_fault (&f, TST_DOWN);
+      assert_true (begin_append (&f, CYC_STR ("abc")));
+      run_until_answered (&f, 2);
+      print_message (
+          "  listens %d: outcome %d, next %u\n", listens,
+          (int)f.append.outcome,
+          (unsigned)tst_stream (store_of (&f), CYC_STR ("jobs"))->next);
+      assert_int_equal (f.append.outcome, LC_UNKNOWN);
+      assert_int_equal (tst_stream (store_of (&f), CYC_STR ("jobs"))->next, 2);
+      teardown (&f);
+    }
+}
+
 int
 main (void)
 {
@@ -422,6 +451,7 @@
     cmocka_unit_test (the_memory_log_keeps_the_contract),
     cmocka_unit_test (the_http_client_keeps_the_contract),
     cmocka_unit_test (malformed_answers_are_not_accepted),
+    cmocka_unit_test (append_was_repeated_by_the_http_client),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/tst_http_log.c
+++ b/tests/tst_http_log.c
@@ -1,5 +1,7 @@
 #include "tst_http_log.h"
 
+#include "fk_common.h"
+
 #include <inttypes.h>
 #include <setjmp.h>
 #include <sodium.h>
@@ -101,6 +103,8 @@
   if (fault == TST_REFUSED || fault == TST_LOST_BEFORE_WRITE)
     return;
   offset = tst_store_append (&log->store, stream, call->body);
+  if (fault == TST_LOST_AFTER_WRITE && log->lost_closes)
+    fk_close_without_answer (&log->server, call->ref, call->connection);
   if (fault == TST_LOST_AFTER_WRITE)
     return;
   snprintf (body, sizeof body, "{\"offset\":%" PRIu64 "}", offset);
--- a/tests/tst_http_log.h
+++ b/tests/tst_http_log.h
@@ -21,6 +21,7 @@
   struct tst_store store;
   char url[64];
   enum tst_fault fault;    /**< fault of the next append */
+  bool lost_closes;        /**< with a lost answer its connection is closed */
   const char *forced_body; /**< body of every answer unless NULL */
   struct cyc_ref poll_ref; /**< open long poll; generation 0: none */
   struct cyc_name poll_stream;
