Send starts and commands to the older workers once

Starts and commands are now written once. Heartbeats stay repeatable: leases are renewed to a fixed time, acknowledgements are cumulative, and only the refusal of the epoch is used, which holds whichever copy it answers.

Red before: executed_start_was_sent_again: the worker received two copies.

--- a/src/worker_client.c
+++ b/src/worker_client.c
@@ -285,7 +285,9 @@
     .headers = { CYC_STR ("Content-Type: application/json") },
     .header_count = 1,
     .deadline_us = deadline_us,
-    .repeatable = true,
+    /* A refusal of a start or command must answer its only copy. A later copy
+       of a heartbeat renews the same leases and lists the tasks anew. */
+    .repeatable = call->kind == CALL_HEARTBEAT,
     .fresh_connection = fresh,
     .done = on_answer,
     .user = call,
--- a/tests/test_worker_contract.c
+++ b/tests/test_worker_contract.c
@@ -354,6 +354,33 @@
     }
 }
 
+/* A start that the worker had executed was sent again by the HTTP client, so
+   that the worker's refusal of the second copy, or the failure to connect for
+   it, stood for the first. */
+static void
+executed_start_was_sent_again (void **state)
+{
+  (void)state;
+  for (int listens = 0; listens < 2; listens++)
+    {
+      struct fixture fixture;
+      struct fk_worker *worker;
+
+      fixture_setup (&fixture, true);
+      worker = fixture.fakes.workers[0];
+      call_and_wait (&fixture, CALL_HEARTBEAT, EPOCH, 0, 0);
+      fixture_set_fault (&fixture, FAULT_LOSE_ANSWER);
+      if (!listens)
+        hs_stop_listening (&worker->hs);
+      call_and_wait (&fixture, CALL_START, EPOCH, 5000, 1000);
+      assert_int_equal (worker->tasks->len, 1);
+      assert_int_equal (fixture.result.outcome, WC_UNKNOWN);
+      if (strstr (fixture.fakes.journal.lines->str, "start-refused") != NULL)
+        fail_msg ("the worker received two copies");
+      fixture_shutdown (&fixture);
+    }
+}
+
 struct answer_case
 {
   uint32_t status;
@@ -437,6 +464,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (http_client_keeps_the_contract),
     cmocka_unit_test (memory_worker_keeps_the_contract),
+    cmocka_unit_test (executed_start_was_sent_again),
     cmocka_unit_test (heartbeats_extend_leases_and_forget_acked_tasks),
     cmocka_unit_test (malformed_answers_leave_the_outcome_unknown),
   };
