--- a/tests/test_caller_contract.c
+++ b/tests/test_caller_contract.c
@@ -296,6 +296,30 @@
     run_fault_case (&fault_cases[i]);
 }
 
+/* A request that a target had started was called "not-run", as the target
+   refused a second copy that the HTTP client sent by itself. */
+static void
+started_request_was_called_not_run (void **state)
+{
+  static const struct tst_call call = { HC_POST,
+                                        TST_REQUESTS_PATH ("round-plan"),
+                                        "orders-key",
+                                        { FIRST_ATTEMPT_HEADER },
+                                        "x" };
+  struct tst_reply reply;
+
+  (void)state;
+  tst_fixture_setup (&fixture, &(struct tst_options){ .targets = 1 });
+  tst_call (&fixture, 0, &call, &reply);
+  tst_expect_reply ("before", &reply, 200, "answer");
+  fixture.faulty_requests_left = 2;
+  tst_set_behaviour (&fixture, 0, TST_DROP_ONCE);
+  tst_call (&fixture, 0, &call, &reply);
+  assert_int_equal (tst_count_starts (&fixture), 2);
+  tst_expect_reply ("dropped", &reply, 502, "unknown");
+  tst_fixture_shutdown (&fixture);
+}
+
 struct log_case
 {
   const char *label;
@@ -598,6 +622,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (input_gets_a_clear_reply),
     cmocka_unit_test (target_faults_have_true_outcomes),
+    cmocka_unit_test (started_request_was_called_not_run),
     cmocka_unit_test (log_faults_have_true_outcomes),
     cmocka_unit_test (repeated_once_only_request_runs_once),
     cmocka_unit_test (full_table_of_answers_drops_the_oldest),
--- a/tests/tst_fixture.c
+++ b/tests/tst_fixture.c
@@ -147,8 +147,10 @@
   target->running++;
   if (target->running > target->max_running)
     target->max_running = target->running;
-  if (target->behaviour == TST_DROP)
+  if (target->behaviour == TST_DROP || target->behaviour == TST_DROP_ONCE)
     {
+      if (target->behaviour == TST_DROP_ONCE)
+        target->behaviour = TST_NOT_STARTED;
       target->running--;
       fk_close_without_answer (&target->hs, call->ref, call->connection);
     }
--- a/tests/tst_fixture.h
+++ b/tests/tst_fixture.h
@@ -32,6 +32,7 @@
   TST_NOT_STARTED, /**< replies 503 with Not-Started: 1 */
   TST_ERROR,       /**< replies 500 */
   TST_DROP,        /**< starts the request, then closes the connection */
+  TST_DROP_ONCE,   /**< replies like TST_DROP, then like TST_NOT_STARTED */
   TST_SILENT,      /**< starts the request and never replies */
   TST_DRAINING,    /**< replies like TST_ANSWER, with Draining: 1 */
   TST_DOWN         /**< does not listen on its port */
