End a request at its deadline though it waits for a connection

A start, stop or hold for a worker whose four connections are silent was thus reported as failed long after its deadline. It was not sent late, since its time counts from the beginning.

A timer of each transfer now ends it at its deadline. A waiting request has no attempt and is reported as HC_SENT_NO.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -19,6 +19,8 @@
   struct hc_client *client;
   struct cyc_ref ref;
   CURL *easy;
+  struct ev_timer timer; /* of the deadline */
+  uint64_t deadline_us;
   struct curl_slist *headers;
   char *request_body;
   char *answer;
@@ -212,6 +214,7 @@
   struct hc_client *hc = transfer->client;
   struct cyc_ref ref = transfer->ref;
 
+  ev_timer_stop (hc->loop, &transfer->timer);
   curl_multi_remove_handle (hc->multi, transfer->easy);
   curl_easy_cleanup (transfer->easy);
   curl_slist_free_all (transfer->headers);
@@ -298,6 +301,33 @@
     }
 }
 
+static void
+start_deadline_timer (struct hc_transfer *transfer)
+{
+  struct ev_loop *loop = transfer->client->loop;
+  uint64_t now_us = hc_now_us ();
+  uint64_t remaining_us
+      = transfer->deadline_us > now_us ? transfer->deadline_us - now_us : 0;
+
+  ev_timer_set (&transfer->timer, (double)remaining_us / US_PER_S, 0.0);
+  ev_timer_start (loop, &transfer->timer);
+}
+
+/* libcurl checks no deadline of a transfer that waits for one of a limited
+   number of connections. */
+static void
+on_deadline (struct ev_loop *loop, struct ev_timer *timer, int events)
+{
+  struct hc_transfer *transfer = timer->data;
+
+  (void)loop;
+  (void)events;
+  if (hc_now_us () < transfer->deadline_us)
+    start_deadline_timer (transfer);
+  else
+    finish_transfer (transfer, CURLE_OPERATION_TIMEDOUT);
+}
+
 static void
 on_socket_ready (struct ev_loop *loop, struct ev_io *io, int events)
 {
@@ -535,6 +565,9 @@
   transfer->done = request->done;
   transfer->user = request->user;
   transfer->repeatable = request->repeatable || request->method == HC_GET;
+  transfer->deadline_us = request->deadline_us;
+  ev_init (&transfer->timer, on_deadline);
+  transfer->timer.data = transfer;
   transfer->easy = curl_easy_init ();
   if (transfer->easy == NULL)
     {
@@ -548,6 +581,7 @@
       release_transfer (transfer);
       return none;
     }
+  start_deadline_timer (transfer);
   return ref;
 }
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -191,6 +191,51 @@
     }
 }
 
+/* A request that waited for one of the limited connections to its host ended
+   only when one was free, however long after its deadline. */
+static void
+waiting_request_outlived_its_deadline (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct cyc_findings found = { 0 };
+  struct hc_client hc;
+  struct raw_server raw = { 0 };
+  struct recorded first = { 0 };
+  struct recorded second = { 0 };
+  struct hc_request request
+      = { .method = HC_POST, .body = CYC_STR ("payload"), .done = on_done };
+  uint64_t sent_us = hc_now_us ();
+  uint16_t port;
+  int fd = listen_any (&port);
+  char url[64];
+
+  (void)state;
+  assert_true (hc_setup (
+      &hc, &(struct hc_desc){ .loop = loop, .max_connections_per_host = 1 },
+      &found));
+  ev_io_init (&raw.io, on_raw_accept, fd, EV_READ);
+  raw.io.data = &raw;
+  ev_io_start (loop, &raw.io);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/x", port);
+  request.url = cyc_str_of (url);
+  request.deadline_us = sent_us + TEST_TIMEOUT_US / 2;
+  request.user = &first;
+  assert_int_not_equal (hc_send (&hc, &request).generation, 0);
+  request.deadline_us = sent_us + SHORT_TIMEOUT_US;
+  request.user = &second;
+  assert_int_not_equal (hc_send (&hc, &request).generation, 0);
+  run_until_called (loop, &second);
+  print_message ("ended %u ms after the deadline\n",
+                 (unsigned)((hc_now_us () - request.deadline_us) / 1000));
+  assert_true (second.timed_out);
+  assert_int_equal (second.status, 0);
+  assert_int_equal (second.sent, HC_SENT_NO);
+  assert_int_equal (first.calls, 0);
+  hc_shutdown (&hc);
+  close (fd);
+  ev_loop_destroy (loop);
+}
+
 struct pair
 {
   struct ev_loop *loop;
@@ -362,6 +407,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (
         partial_answers_are_errors_and_possible_sends_are_reported),
+    cmocka_unit_test (waiting_request_outlived_its_deadline),
     cmocka_unit_test (body_over_the_limit_never_reaches_the_handler),
     cmocka_unit_test (late_reply_reaches_its_own_call),
     cmocka_unit_test (reply_to_a_disconnected_caller_is_dropped),
