Red tests: orders executed late, twice and out of order

The simulated fleet of test_cell can now execute an order 2 to 12 s late, execute it without an answer, send a second copy, and deliver it to an incarnation that the core does not know of; reports overtake each other, holds are executed late, and an entry is read late, removed or listed again. Whenever the core hands out a conclusion that a run is over, the fleet checks that the run is not there and that no copy of its start would still be accepted.

The 409 reason `old` gets a start result of its own, CELL_START_OLD, which the core treats as a refusal, as before.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -180,7 +180,9 @@
   CELL_START_REFUSED_TICKET,
   CELL_START_REFUSED_OTHER, /**< certainly not started */
   CELL_START_FENCED,        /**< the worker obeys a newer leader */
-  CELL_START_UNKNOWN        /**< it may have started, or may start later */
+  CELL_START_UNKNOWN,       /**< it may have started, or may start later */
+  CELL_START_OLD /**< refused: the worker has ended or stopped this run or a
+                    later one of the task */
 };
 
 /** Permission to start tasks of a step on a worker. */
@@ -372,7 +374,8 @@
 bool cell_conclusion_next (struct cell_core *core,
                            struct cell_conclusion *out);
 
-/** Reports the result of an ordered start. */
+/** Reports the result of an ordered start. Every result but
+ * CELL_START_UNKNOWN holds for all copies of the order. */
 void cell_start_result (struct cell_core *core, struct cyc_ref run,
                         enum cell_start_result result, uint64_t now_us);
 /** Reports the result of a stop. @p sent_us: when the answered stop was sent;
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -184,10 +184,11 @@
     case CELL_START_REFUSED_CAPACITY:
     case CELL_START_REFUSED_OTHER:
     case CELL_START_FENCED:
+    case CELL_START_OLD:
       {
         struct cell_worker *worker = cell_worker_at (core, run->worker);
 
-        if (result == CELL_START_REFUSED_OTHER)
+        if (result == CELL_START_REFUSED_OTHER || result == CELL_START_OLD)
           {
             worker->paused_until_us = now_us + CELL_PAUSE_US / 2;
             cell_retry_placement (core, worker->paused_until_us);
--- /dev/null
+++ b/tests/test_cell_late.c
@@ -0,0 +1,635 @@
+/* Orders that are executed late, twice or out of order, between reports,
+   stops, exits, restarts and takeovers. Guards against a core that takes a run
+   for over while a copy of its start can still be executed. */
+
+#include "tst_fleet_internal.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define TASK "0000000000000001.0.0.0"
+
+/* One task whose start is under way. Its calls and reports are made by the
+   test, so the fleet does not advance in between. */
+struct started
+{
+  struct fleet *fleet;
+  struct cell_core *core;
+  struct cyc_ref run;
+  uint32_t row;
+  uint64_t born_ms;
+  uint64_t now_us;
+  uint32_t stops;
+  uint32_t last_number;
+  uint32_t over; /**< conclusions that a run is over */
+};
+
+static void
+take_order (struct started *s)
+{
+  struct order_in_flight *in_flight = g_ptr_array_index (
+      s->fleet->orders_in_flight, s->fleet->orders_in_flight->len - 1);
+
+  s->run = in_flight->order.run;
+  s->row = in_flight->order.worker;
+  s->last_number = in_flight->order.number;
+  s->born_ms = s->fleet->workers[s->row].born_ms;
+  s->now_us = s->fleet->now_ms * 1000;
+}
+
+static void
+begin (struct started *s, uint32_t workers)
+{
+  memset (s, 0, sizeof *s);
+  s->fleet = calloc (1, sizeof *s->fleet);
+  fleet_setup (s->fleet, workers, 1000);
+  fleet_run (s->fleet, 100);
+  s->fleet->delay_starts_ms = 600000;
+  fleet_submit (s->fleet, 1, &(struct fleet_job){ .tasks = { 1 } });
+  fleet_run (s->fleet, 40);
+  s->core = s->fleet->core;
+  assert_int_equal (s->fleet->orders_in_flight->len, 1);
+  take_order (s);
+}
+
+static void
+finish (struct started *s)
+{
+  fleet_teardown (s->fleet);
+  free (s->fleet);
+}
+
+static void
+tick (struct started *s, uint64_t after_ms)
+{
+  struct cell_order order;
+
+  s->now_us += after_ms * 1000;
+  cell_tick (s->core, s->now_us, s->now_us / 1000);
+  while (cell_order_next (s->core, &order))
+    s->stops += order.kind == CELL_ORDER_STOP;
+}
+
+/* Returns how many runs were concluded to be over. */
+static uint32_t
+over (struct started *s)
+{
+  struct cell_conclusion conclusion;
+
+  while (cell_conclusion_next (s->core, &conclusion))
+    s->over += !conclusion.contradicted;
+  return s->over;
+}
+
+static uint64_t
+report_after_us (const struct started *s)
+{
+  struct cell_worker_view view;
+
+  cell_worker_view (s->core, s->row, &view);
+  return view.report_after_us;
+}
+
+static void
+list_incarnation (struct started *s, uint64_t born_ms)
+{
+  struct cell_worker_entry entry
+      = { .capacity = { 1000, 1000000, 0 }, .born_ms = born_ms };
+
+  cyc_name_set (&entry.id, cyc_str_of (s->fleet->workers[s->row].id));
+  cyc_name_set (&entry.pool, CYC_STR ("pool"));
+  cyc_name_set (&entry.address, CYC_STR ("127.0.0.1:1"));
+  /* The entry was written before any of the test's calls. */
+  cell_worker_listed (s->core, &entry, 1, s->now_us);
+}
+
+/* The worker answers a hold that was sent @p age_ms ago. */
+static void
+report_at (struct started *s, uint64_t born_ms, uint64_t age_ms, bool running)
+{
+  struct cell_running_row row = { .task = CYC_STR (TASK), .run = 1 };
+  struct cell_report report = { .running = &row };
+
+  s->now_us += 1000;
+  report.running_count = running;
+  report.born_ms = born_ms;
+  report.clock_ms = s->now_us / 1000 - s->fleet->workers[0].born_ms + 1000;
+  report.sent_us = s->now_us - age_ms * 1000;
+  cell_worker_report (s->core, s->row, &report, s->now_us);
+  tick (s, 1);
+}
+
+static void
+report (struct started *s, uint64_t born_ms, bool running)
+{
+  s->now_us += 1000;
+  report_at (s, born_ms, 0, running);
+}
+
+static void
+start_result (struct started *s, enum cell_start_result result)
+{
+  s->now_us += 1000;
+  cell_start_result (s->core, s->run, result, s->now_us);
+  tick (s, 0);
+}
+
+static void
+stop_answered (struct started *s)
+{
+  s->now_us += 1000;
+  cell_stop_result (s->core, s->run, s->now_us, s->now_us);
+  tick (s, 0);
+}
+
+/* A worker restarts, executes the start and answers it before its entry is
+   read: the entry does not end the run. */
+static void
+test_entry_of_the_incarnation_that_runs_the_task (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  start_result (&s, CELL_START_OK);
+  tick (&s, 5);
+  list_incarnation (&s, s.born_ms + 5000);
+  tick (&s, 1);
+  assert_int_equal (over (&s), 0);
+  assert_true (report_after_us (&s) != 0);
+  report (&s, s.born_ms + 5000, true);
+  assert_int_equal (over (&s), 0);
+  finish (&s);
+}
+
+/* The run ends at the first report of a new incarnation that was requested
+   after the entry, without waiting for a lease. */
+static void
+test_restart_after_the_start_was_answered (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  start_result (&s, CELL_START_OK);
+  list_incarnation (&s, s.born_ms + 5000);
+  assert_true (report_after_us (&s) != 0);
+  report (&s, s.born_ms + 5000, false);
+  assert_int_equal (over (&s), 1);
+  finish (&s);
+}
+
+/* An incarnation answers a stop, the next one receives the start: the stop
+   does not hold there. */
+static void
+test_stop_answered_by_an_earlier_incarnation (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  tick (&s, 200);
+  report (&s, s.born_ms, false);
+  assert_int_equal (s.stops, 1);
+  stop_answered (&s);
+  report (&s, s.born_ms + 5000, false);
+  assert_int_equal (over (&s), 0);
+  start_result (&s, CELL_START_UNKNOWN);
+  report (&s, s.born_ms + 5000, false);
+  assert_int_equal (over (&s), 0);
+  tick (&s, 800);
+  assert_int_equal (s.stops, 2);
+  stop_answered (&s);
+  assert_int_equal (over (&s), 0);
+  report (&s, s.born_ms + 5000, false);
+  assert_int_equal (over (&s), 1);
+  finish (&s);
+}
+
+/* A stop is ordered and the worker restarts; the answer to the stop comes when
+   the next stop is due. */
+static void
+test_late_answer_to_a_stop_of_an_earlier_incarnation (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  tick (&s, 200);
+  report (&s, s.born_ms, false);
+  assert_int_equal (s.stops, 1);
+  list_incarnation (&s, s.born_ms + 5000);
+  tick (&s, 800);
+  stop_answered (&s);
+  start_result (&s, CELL_START_UNKNOWN);
+  report (&s, s.born_ms + 5000, false);
+  assert_int_equal (over (&s), 0);
+  tick (&s, 800);
+  assert_int_equal (s.stops, 2);
+  stop_answered (&s);
+  report (&s, s.born_ms + 5000, false);
+  assert_int_equal (over (&s), 1);
+  finish (&s);
+}
+
+static void
+report_end (struct started *s, uint64_t number, uint32_t run,
+            enum cell_end_kind kind)
+{
+  struct cell_end_row row = { .number = number,
+                              .task = CYC_STR (TASK),
+                              .run = run,
+                              .kind = kind,
+                              .checkpoint = CYC_STR ("") };
+  struct cell_report report = { .ends = &row, .end_count = 1 };
+
+  s->now_us = s->fleet->now_ms * 1000 + 1000;
+  report.born_ms = s->born_ms;
+  report.clock_ms = s->now_us / 1000 - s->born_ms + 1000;
+  report.sent_us = s->now_us;
+  cell_worker_report (s->core, s->row, &report, s->now_us);
+}
+
+/* A start refused as old may have been executed: only a report tells. */
+static void
+test_start_refused_as_old_has_run (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  start_result (&s, CELL_START_OLD);
+  assert_int_equal (over (&s), 0);
+  assert_true (report_after_us (&s) != 0);
+  report_at (&s, s.born_ms, 10, false);
+  assert_int_equal (over (&s), 0);
+  report (&s, s.born_ms, false);
+  assert_int_equal (over (&s), 1);
+  finish (&s);
+}
+
+/* Three runs are let go, and their worker lists each as failed afterwards: the
+   job has no attempt left. */
+static void
+test_failed_ends_of_runs_that_were_let_go (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  for (uint32_t run = 1; run <= 3; run++)
+    {
+      assert_int_equal (s.last_number, run);
+      cell_start_result (s.core, s.run, CELL_START_REFUSED_CAPACITY,
+                         s.fleet->now_ms * 1000);
+      report_end (&s, run, run, CELL_END_FAILED);
+      fleet_run (s.fleet, 60);
+      take_order (&s);
+    }
+  assert_int_equal (fleet_job_state (s.fleet, 1), CELL_JOB_FAILED);
+  finish (&s);
+}
+
+/* A failure that an earlier leader has recorded is listed again to its
+   successor. */
+static void
+test_failed_end_of_a_run_that_was_let_go_counts_once (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  for (uint32_t run = 1; run <= 2; run++)
+    {
+      cell_start_result (s.core, s.run, CELL_START_REFUSED_CAPACITY,
+                         s.fleet->now_ms * 1000);
+      report_end (&s, run, run, CELL_END_FAILED);
+      fleet_run (s.fleet, 60);
+      take_order (&s);
+    }
+  fleet_takeover (s.fleet);
+  s.core = s.fleet->core;
+  report_end (&s, 2, 2, CELL_END_FAILED);
+  fleet_run (s.fleet, 60);
+  assert_true (fleet_job_state (s.fleet, 1) < CELL_JOB_COMPLETE);
+  finish (&s);
+}
+
+/* A run that was let go is listed as done while the next run of its task
+   executes, which is then stopped. */
+static void
+test_done_end_of_a_run_that_was_let_go (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  cell_start_result (s.core, s.run, CELL_START_REFUSED_CAPACITY,
+                     s.fleet->now_ms * 1000);
+  fleet_run (s.fleet, 40);
+  take_order (&s);
+  assert_int_equal (s.last_number, 2);
+  cell_start_result (s.core, s.run, CELL_START_OK, s.now_us);
+  report_end (&s, 1, 1, CELL_END_DONE);
+  tick (&s, 1);
+  assert_int_equal (s.stops, 1);
+  fleet_run (s.fleet, 60);
+  assert_int_equal (fleet_job_state (s.fleet, 1), CELL_JOB_COMPLETE);
+  finish (&s);
+}
+
+/* The lease of a silent worker lapses, but a newer incarnation may hold the
+   start, whose deadline is on the clock of the earlier one. */
+static void
+test_lapsed_lease_of_a_start_that_a_newer_incarnation_may_hold (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  start_result (&s, CELL_START_UNKNOWN);
+  cell_worker_silent (s.core, s.row, s.now_us);
+  tick (&s, FLEET_LEASE_MS * 2);
+  assert_int_equal (over (&s), 0);
+  tick (&s, 12000);
+  assert_int_equal (over (&s), 1);
+  finish (&s);
+}
+
+/* A start whose incarnation is known is over when its deadline has passed. */
+static void
+test_lapsed_lease_of_a_start_of_a_known_incarnation (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  start_result (&s, CELL_START_UNKNOWN);
+  report (&s, s.born_ms, false);
+  cell_worker_silent (s.core, s.row, s.now_us);
+  tick (&s, FLEET_LEASE_MS - 100);
+  assert_int_equal (over (&s), 0);
+  tick (&s, 600);
+  assert_int_equal (over (&s), 1);
+  finish (&s);
+}
+
+/* The entry of a draining worker is removed and listed again: the worker has
+   not left. */
+static void
+test_entry_removed_and_listed_again (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  start_result (&s, CELL_START_OK);
+  report (&s, s.born_ms, true);
+  s.fleet->now_ms = s.now_us / 1000;
+  fleet_drain (s.fleet, s.row, 5000);
+  cell_worker_unlisted (s.core, cyc_str_of (s.fleet->workers[s.row].id),
+                        s.now_us);
+  fleet_drain (s.fleet, s.row, 5000);
+  tick (&s, 400);
+  assert_int_equal (over (&s), 0);
+  finish (&s);
+}
+
+/* A draining worker leaves while the call of a start is open: a process that
+   starts under its id may receive the order. */
+static void
+test_worker_left_with_an_open_start (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  s.fleet->now_ms = s.now_us / 1000;
+  fleet_drain (s.fleet, s.row, 5000);
+  cell_worker_unlisted (s.core, cyc_str_of (s.fleet->workers[s.row].id),
+                        s.now_us);
+  tick (&s, 400);
+  assert_int_equal (over (&s), 0);
+  finish (&s);
+}
+
+/* A leader learns of a run by a report; a report that was requested before
+   that lacks the run and arrives later. */
+static void
+test_overtaken_report_lacks_an_adopted_run (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  cell_start_result (s.core, s.run, CELL_START_REFUSED_CAPACITY, s.now_us);
+  assert_int_equal (over (&s), 1);
+  report (&s, s.born_ms, true);
+  report_at (&s, s.born_ms, 50, false);
+  assert_int_equal (over (&s), 1);
+  report (&s, s.born_ms, false);
+  assert_int_equal (over (&s), 2);
+  finish (&s);
+}
+
+/* A report shows the run before the refusal of its start arrives: it runs. */
+static void
+test_refusal_of_a_start_that_a_report_shows (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  report (&s, s.born_ms, true);
+  start_result (&s, CELL_START_REFUSED_CAPACITY);
+  assert_int_equal (over (&s), 0);
+  finish (&s);
+}
+
+/* A report whose incarnation is unknown does not end a run. */
+static void
+test_report_of_an_unknown_incarnation (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  start_result (&s, CELL_START_UNKNOWN);
+  report (&s, s.born_ms, false);
+  stop_answered (&s);
+  report (&s, 0, false);
+  assert_int_equal (over (&s), 0);
+  report (&s, s.born_ms, false);
+  assert_int_equal (over (&s), 1);
+  finish (&s);
+}
+
+/* Random orders that are executed late, twice or without an answer, with
+   restarts, removed entries, partitions and takeovers. */
+#define RANDOM_WORKERS 4
+#define RANDOM_JOBS 50
+#define RANDOM_LEASE_MS 15000
+
+static void
+random_fault (struct fleet *fleet, GRand *rand)
+{
+  uint32_t row = (uint32_t)g_rand_int_range (rand, 0, RANDOM_WORKERS);
+  guint orders = fleet->orders_in_flight->len;
+  struct fleet_worker *worker;
+
+  /* Half of the faults hit a worker to which an order is under way. */
+  if (orders > 0 && g_rand_boolean (rand))
+    row = ((struct order_in_flight *)g_ptr_array_index (
+               fleet->orders_in_flight,
+               (guint)g_rand_int_range (rand, 0, (gint)orders)))
+              ->order.worker;
+  worker = &fleet->workers[row];
+  switch (g_rand_int_range (rand, 0, 12))
+    {
+    case 0:
+    case 1:
+      fleet_crash (fleet, row);
+      fleet_restart (fleet, row);
+      break;
+    case 2:
+    case 3:
+      fleet_crash (fleet, row);
+      fleet_restart_unread (fleet, row);
+      break;
+    case 4:
+      fleet_crash (fleet, row);
+      break;
+    case 5:
+    case 6:
+      if (!worker->up)
+        fleet_restart_unread (fleet, row);
+      fleet_list (fleet, row);
+      break;
+    case 7:
+      worker->partitioned = !worker->partitioned;
+      break;
+    case 8:
+      worker->answers_lost = !worker->answers_lost;
+      break;
+    case 9:
+      fleet_takeover (fleet);
+      break;
+    case 10:
+      if (worker->up && worker->draining && g_rand_boolean (rand))
+        fleet_leave (fleet, row);
+      else if (worker->up)
+        fleet_drain (fleet, row, worker->draining ? 0 : 1500);
+      break;
+    default:
+      if (worker->listed && worker->up)
+        fleet_lapse_entry (fleet, row);
+      break;
+    }
+}
+
+static void
+run_seed (uint32_t seed)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  GRand *rand = g_rand_new_with_seed (seed);
+  uint64_t job = 0;
+
+  fleet_setup_leased (fleet, RANDOM_WORKERS, 4000, RANDOM_LEASE_MS);
+  fleet->call_faults = (struct fleet_call_faults){
+    .rand = rand,
+    .late_permille = 100,
+    .lost_permille = 100,
+    .reconnect_permille = 300,
+    .twice_permille = 100,
+    .late_hold_permille = 20,
+    .report_delay_max_ms = 80,
+  };
+  for (int step = 0; step < 150; step++)
+    {
+      fleet_run (fleet, (uint64_t)g_rand_int_range (rand, 5, 300));
+      if (job < RANDOM_JOBS && step % 3 == 0)
+        fleet_submit (
+            fleet, ++job,
+            &(struct fleet_job){
+                .tasks = { (uint32_t)g_rand_int_range (rand, 1, 5) },
+                .work_ms = (uint32_t)g_rand_int_range (rand, 100, 4000),
+                .gang = g_rand_int_range (rand, 0, 4) == 0,
+            });
+      if (g_rand_int_range (rand, 0, 2) == 0)
+        random_fault (fleet, rand);
+    }
+  for (uint32_t i = 0; i < RANDOM_WORKERS; i++)
+    {
+      fleet->workers[i].partitioned = false;
+      fleet->workers[i].answers_lost = false;
+      if (!fleet->workers[i].up)
+        fleet_restart (fleet, i);
+      fleet_drain (fleet, i, 0);
+      fleet_list (fleet, i);
+    }
+  fleet->call_faults.late_permille = 0;
+  fleet->call_faults.lost_permille = 0;
+  fleet->call_faults.twice_permille = 0;
+  fleet->call_faults.late_hold_permille = 0;
+  fleet_run (fleet, 90000);
+  if (getenv ("CELL_REASONS") != NULL)
+    for (uint32_t i = 0; i < 8; i++)
+      printf ("%u%s", fleet->conclusions[i], i < 7 ? " " : "\n");
+  if (fleet->violations > 0)
+    fail_msg ("seed %u: %u violations, first: %s", seed, fleet->violations,
+              fleet->first_violation);
+  for (uint64_t j = 1; j <= job; j++)
+    if (fleet_job_state (fleet, j) < CELL_JOB_COMPLETE)
+      fail_msg ("seed %u: job %d is in state %d at the end", seed, (int)j,
+                (int)fleet_job_state (fleet, j));
+  if (fleet_running (fleet) > 0)
+    fail_msg ("seed %u: %u runs remain at the end", seed,
+              fleet_running (fleet));
+  g_rand_free (rand);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+static void
+test_random (void **state)
+{
+  const char *seeds = getenv ("CELL_SEEDS");
+  const char *first = getenv ("CELL_SEED");
+  uint32_t begin_seed = first != NULL ? (uint32_t)atoi (first) : 1;
+  uint32_t count = seeds != NULL ? (uint32_t)atoi (seeds) : 40;
+
+  (void)state;
+  for (uint32_t seed = begin_seed; seed < begin_seed + count; seed++)
+    run_seed (seed);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_entry_of_the_incarnation_that_runs_the_task),
+    cmocka_unit_test (test_restart_after_the_start_was_answered),
+    cmocka_unit_test (test_stop_answered_by_an_earlier_incarnation),
+    cmocka_unit_test (test_late_answer_to_a_stop_of_an_earlier_incarnation),
+    cmocka_unit_test (test_start_refused_as_old_has_run),
+    cmocka_unit_test (test_failed_ends_of_runs_that_were_let_go),
+    cmocka_unit_test (test_failed_end_of_a_run_that_was_let_go_counts_once),
+    cmocka_unit_test (test_done_end_of_a_run_that_was_let_go),
+    cmocka_unit_test (
+        test_lapsed_lease_of_a_start_that_a_newer_incarnation_may_hold),
+    cmocka_unit_test (test_lapsed_lease_of_a_start_of_a_known_incarnation),
+    cmocka_unit_test (test_entry_removed_and_listed_again),
+    cmocka_unit_test (test_worker_left_with_an_open_start),
+    cmocka_unit_test (test_overtaken_report_lacks_an_adopted_run),
+    cmocka_unit_test (test_refusal_of_a_start_that_a_report_shows),
+    cmocka_unit_test (test_report_of_an_unknown_incarnation),
+    cmocka_unit_test (test_random),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -91,8 +91,10 @@
   entry.born_ms = worker->born_ms;
   entry.draining = worker->draining;
   entry.leaves_in_ms = worker->leaves_in_ms;
+  worker->written_ms = fleet->now_ms;
   cell_worker_listed (fleet->core, &entry, fleet_now_us (fleet),
                       fleet_now_us (fleet));
+  fleet_check_conclusions (fleet);
 }
 
 static void
@@ -100,14 +102,25 @@
 {
   fleet->epoch++;
   fleet->core = cell_setup (
-      &(struct cell_desc){ .lease_ms = FLEET_LEASE_MS,
+      &(struct cell_desc){ .lease_ms = fleet->lease_ms,
                            .heartbeat_ms = FLEET_HEARTBEAT_MS,
                            .ticket_margin_ms = 250,
                            .first_revision = fleet->epoch << 32 });
   cell_config_set (fleet->core, fleet->config);
+  /* Workers without an entry are listed too, so that the rows of the core are
+     those of the fleet. */
   for (uint32_t i = 0; i < fleet->worker_count; i++)
-    if (fleet->workers[i].listed)
-      list_worker (fleet, &fleet->workers[i]);
+    {
+      struct fleet_worker *worker = &fleet->workers[i];
+      bool draining = worker->draining;
+
+      worker->draining = draining && worker->listed;
+      list_worker (fleet, worker);
+      worker->draining = draining;
+      if (!worker->listed)
+        cell_worker_unlisted (fleet->core, cyc_str_of (worker->id),
+                              fleet_now_us (fleet));
+    }
 }
 
 static void
@@ -121,8 +134,16 @@
 
 void
 fleet_setup (struct fleet *fleet, uint32_t workers, uint32_t millicores)
+{
+  fleet_setup_leased (fleet, workers, millicores, FLEET_LEASE_MS);
+}
+
+void
+fleet_setup_leased (struct fleet *fleet, uint32_t workers, uint32_t millicores,
+                    uint32_t lease_ms)
 {
   memset (fleet, 0, sizeof *fleet);
+  fleet->lease_ms = lease_ms;
   fleet->now_ms = 10000;
   fleet->config = make_config ();
   fleet->worker_count = workers;
@@ -130,6 +151,7 @@
     fleet->batches[b].records = g_ptr_array_new ();
   fleet->pending_asks = g_array_new (FALSE, FALSE, sizeof (struct fleet_ask));
   fleet->orders_in_flight = g_ptr_array_new_with_free_func (g_free);
+  fleet->holds_in_flight = g_ptr_array_new_with_free_func (fleet_free_hold);
   fleet->progress = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
                                            free_record);
   fleet->unstored_jobs = g_hash_table_new_full (
@@ -190,6 +212,7 @@
     g_hash_table_destroy (fleet->workers[i].closed_runs);
   g_array_free (fleet->pending_asks, TRUE);
   g_ptr_array_free (fleet->orders_in_flight, TRUE);
+  g_ptr_array_free (fleet->holds_in_flight, TRUE);
   g_hash_table_destroy (fleet->progress);
   g_hash_table_destroy (fleet->jobs);
   g_hash_table_destroy (fleet->unstored_jobs);
@@ -428,9 +451,13 @@
       fleet->now_ms += TIME_STEP_MS;
       fleet_run_tasks (fleet);
       fleet_deliver_orders (fleet);
+      fleet_check_conclusions (fleet);
+      fleet_deliver_holds (fleet);
       for (uint32_t i = 0; i < fleet->worker_count; i++)
         fleet_hold (fleet, i);
+      fleet_check_conclusions (fleet);
       cell_tick (fleet->core, fleet_now_us (fleet), fleet->now_ms);
+      fleet_check_conclusions (fleet);
       answer_due_asks (fleet);
       write_batches (fleet);
       fleet_send_orders (fleet);
@@ -465,7 +492,7 @@
          a tenth of it. */
       cell_job_restore (fleet->core, (uint64_t) * (gint64 *)key,
                         (struct cyc_str){ data, len },
-                        fleet_now_us (fleet) + FLEET_LEASE_MS * 1100ULL);
+                        fleet_now_us (fleet) + fleet->lease_ms * 1100ULL);
     }
 }
 
@@ -480,6 +507,7 @@
       clear_batch (&fleet->batches[b]);
     }
   g_array_set_size (fleet->pending_asks, 0);
+  fleet_end_calls (fleet);
   cell_shutdown (fleet->core);
   make_core (fleet);
   reload_core (fleet);
@@ -495,7 +523,7 @@
 }
 
 void
-fleet_restart (struct fleet *fleet, uint32_t row)
+fleet_restart_unread (struct fleet *fleet, uint32_t row)
 {
   struct fleet_worker *worker = &fleet->workers[row];
 
@@ -504,7 +532,33 @@
   worker->lease_deadline_ms = 0;
   worker->next_end_number = 1;
   worker->born_ms = fleet->now_ms;
-  list_worker (fleet, worker);
+}
+
+void
+fleet_restart (struct fleet *fleet, uint32_t row)
+{
+  fleet_restart_unread (fleet, row);
+  list_worker (fleet, &fleet->workers[row]);
+}
+
+void
+fleet_list (struct fleet *fleet, uint32_t row)
+{
+  fleet->workers[row].listed = true;
+  list_worker (fleet, &fleet->workers[row]);
+}
+
+bool
+fleet_lapse_entry (struct fleet *fleet, uint32_t row)
+{
+  struct fleet_worker *worker = &fleet->workers[row];
+
+  if (fleet->now_ms < worker->written_ms + 3ULL * FLEET_HEARTBEAT_MS)
+    return false;
+  worker->listed = false;
+  cell_worker_unlisted (fleet->core, cyc_str_of (worker->id),
+                        fleet_now_us (fleet));
+  return true;
 }
 
 void
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -8,7 +8,9 @@
  * stored, the worker has the capacity, a task has one run at a time, steps run
  * in order, and quotas and attempts are within their limits. A violation is
  * counted in `violations`. A gang makes progress only once all its members are
- * present.
+ * present. When the core concludes that a run is over although its worker has
+ * listed no end, no copy of its start may be running or still be accepted by
+ * the worker.
  *
  * @code
  * fleet_setup (&fleet, 4, 8000);
@@ -77,6 +79,7 @@
   uint64_t clock_offset_ms;
   uint64_t fence; /**< fencing token: the highest epoch of a leader seen */
   uint64_t lease_deadline_ms; /**< on the worker's clock */
+  uint64_t written_ms;        /**< when its entry was last written */
   uint64_t next_end_number;
   uint64_t next_hold_ms; /**< time of the next hold call */
   struct fleet_run runs[FLEET_RUNS_MAX];
@@ -126,9 +129,32 @@
   GBytes *data;
 };
 
+struct order_in_flight;
+
+/** Faults of calls to workers, each decided by a random generator. */
+struct fleet_call_faults
+{
+  GRand *rand;            /**< NULL: no faults; owned by the test */
+  uint32_t late_permille; /**< orders without an answer that are executed 2 to
+                             12 s later */
+  uint32_t lost_permille; /**< orders that are executed, without an answer */
+  uint32_t reconnect_permille; /**< orders whose connection is made on arrival,
+                                  so that they reach a new incarnation */
+  uint32_t twice_permille; /**< orders of which a second copy is sent; their
+                              result is unknown */
+  uint32_t late_hold_permille;  /**< holds without an answer that are executed
+                                   2 to 12 s later */
+  uint32_t report_delay_max_ms; /**< reports may overtake each other */
+  /** Decides instead of the generator; NULL if none. */
+  void (*choose) (void *user, struct order_in_flight *order);
+  void *user;
+};
+
 /** A core with its workers, log and advisor. */
 struct fleet
 {
+  uint32_t lease_ms;
+  struct fleet_call_faults call_faults;
   struct cell_core *core;
   struct cell_config *config;
   struct fleet_worker workers[FLEET_WORKERS_MAX];
@@ -158,6 +184,8 @@
   uint32_t lose_start_answers; /**< number of next starts with a lost answer */
   uint32_t delay_starts_ms;    /**< delay of starts on their way to workers */
   GPtrArray *orders_in_flight; /**< of struct order_in_flight */
+  GPtrArray *holds_in_flight;  /**< of struct hold_in_flight */
+  uint32_t conclusions[8];     /**< runs concluded to be over, by reason */
   uint32_t starts;             /**< number of runs that began */
   uint32_t resumed;    /**< number of these that began from a checkpoint */
   uint32_t stops;      /**< number of stop orders carried out */
@@ -168,6 +196,9 @@
 /** Sets up a fleet of @p workers equal workers; @p millicores is the capacity
  * of each. */
 void fleet_setup (struct fleet *fleet, uint32_t workers, uint32_t millicores);
+/** As fleet_setup, with leases of @p lease_ms instead of FLEET_LEASE_MS. */
+void fleet_setup_leased (struct fleet *fleet, uint32_t workers,
+                         uint32_t millicores, uint32_t lease_ms);
 void fleet_teardown (struct fleet *fleet);
 /** Submits a job that the log holds already. */
 void fleet_submit (struct fleet *fleet, uint64_t id,
@@ -194,6 +225,13 @@
 void fleet_leave (struct fleet *fleet, uint32_t worker);
 /** Starts a crashed worker again, as a new incarnation with the same id. */
 void fleet_restart (struct fleet *fleet, uint32_t worker);
+/** As fleet_restart, but its entry is not read before fleet_list. */
+void fleet_restart_unread (struct fleet *fleet, uint32_t worker);
+/** The core reads the worker's entry. */
+void fleet_list (struct fleet *fleet, uint32_t worker);
+/** The worker's entry lapses, although the worker lives on. Returns false if
+ * the entry is too new for that. */
+bool fleet_lapse_entry (struct fleet *fleet, uint32_t worker);
 enum cell_job_state fleet_job_state (const struct fleet *fleet, uint64_t id);
 /** Returns the number of questions to the advisor about a step, written
  * "ID.K.STEP". */
--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -11,6 +11,10 @@
 #define HOLD_INTERVAL_MS 20
 /* A member of a gang ends if the others are not present within this time. */
 #define GANG_JOIN_TIMEOUT_MS 3000
+/* A call without an answer ends after this time. */
+#define CALL_TIMEOUT_MS 1200
+/* Orders that are slow on their way. */
+#define SLOW_PERMILLE 100
 
 const struct fleet_job *
 fleet_job_of_task (const struct fleet *fleet, const char *task)
@@ -117,6 +121,27 @@
   worker->runs[index] = worker->runs[--worker->run_count];
 }
 
+/* Extends the lease of everything on the worker; a longer lease is shortened
+   to the maximum. */
+static void
+extend_lease (const struct fleet *fleet, struct fleet_worker *worker,
+              uint64_t deadline_ms)
+{
+  uint64_t latest_ms = fleet_clock (fleet, worker) + fleet->lease_ms;
+
+  worker->lease_deadline_ms
+      = MAX (worker->lease_deadline_ms, MIN (deadline_ms, latest_ms));
+}
+
+/* Returns the end of a lease that begins now, on the worker's clock as far as
+   the core knows it. */
+static uint64_t
+lease_deadline (const struct fleet *fleet, const struct cell_worker_view *view)
+{
+  return view->clock_ms + (fleet_now_us (fleet) - view->clock_at_us) / 1000
+         + fleet->lease_ms;
+}
+
 /* Carries out a start order and returns the worker's answer. */
 static enum cell_start_result
 handle_start (struct fleet *fleet, const struct order_in_flight *in_flight)
@@ -133,15 +158,16 @@
   worker->fence = in_flight->epoch;
   if (in_flight->lease_deadline_ms < fleet_clock (fleet, worker))
     return CELL_START_REFUSED_OTHER;
+  extend_lease (fleet, worker, in_flight->lease_deadline_ms);
   for (uint32_t i = 0; i < worker->run_count; i++)
     if (strcmp (worker->runs[i].task, in_flight->order.task) == 0
         && worker->runs[i].number >= in_flight->order.number)
       return worker->runs[i].number == in_flight->order.number
                  ? CELL_START_OK
-                 : CELL_START_REFUSED_OTHER;
+                 : CELL_START_OLD;
   if (fleet_lookup_number (worker->closed_runs, in_flight->order.task)
       >= in_flight->order.number)
-    return CELL_START_REFUSED_OTHER;
+    return CELL_START_OLD;
   check_start (fleet, worker, in_flight->order.task);
   fleet->starts++;
   fleet->resumed += in_flight->order.checkpoint[0] != 0;
@@ -158,8 +184,6 @@
   run->fails = job->always_fails || worker->failing;
   run->gang = job->gang;
   run->gang_complete = !job->gang;
-  if (in_flight->lease_deadline_ms > worker->lease_deadline_ms)
-    worker->lease_deadline_ms = in_flight->lease_deadline_ms;
   return CELL_START_OK;
 }
 
@@ -187,42 +211,83 @@
   return true;
 }
 
+static bool
+happens (const struct fleet *fleet, uint32_t permille)
+{
+  return fleet->call_faults.rand != NULL
+         && (uint32_t)g_rand_int_range (fleet->call_faults.rand, 0, 1000)
+                < permille;
+}
+
+/* Passes the core the result of an order, once. */
 static void
-deliver_order (struct fleet *fleet, const struct order_in_flight *in_flight)
+answer_order (struct fleet *fleet, struct order_in_flight *in_flight,
+              enum cell_start_result result, bool stopped)
 {
-  struct fleet_worker *worker = &fleet->workers[in_flight->order.worker];
-  bool answer_received = in_flight->epoch == fleet->epoch
-                         && !worker->partitioned && !worker->answers_lost;
+  uint64_t now_us = fleet_now_us (fleet);
 
+  if (in_flight->answered)
+    return;
+  in_flight->answered = true;
+  if (in_flight->epoch != fleet->epoch)
+    return;
+  if (in_flight->order.kind == CELL_ORDER_START)
+    cell_start_result (fleet->core, in_flight->order.run, result, now_us);
+  else
+    cell_stop_result (fleet->core, in_flight->order.run, stopped ? now_us : 0,
+                      now_us);
+}
+
+static void
+receive_order (struct fleet *fleet, struct order_in_flight *in_flight)
+{
+  const struct fleet_worker *worker = &fleet->workers[in_flight->order.worker];
+
+  if (worker->up && in_flight->reconnects)
+    in_flight->born_ms = worker->born_ms;
   /* A connection ends with its incarnation, so an order sent to an earlier
      incarnation does not reach the current one. */
-  if (worker->partitioned || in_flight->born_ms != worker->born_ms)
+  if (!worker->up || worker->partitioned
+      || in_flight->born_ms != worker->born_ms)
     {
-      if (in_flight->epoch == fleet->epoch
-          && in_flight->order.kind == CELL_ORDER_START)
-        cell_start_result (fleet->core, in_flight->order.run,
-                           CELL_START_UNKNOWN, fleet_now_us (fleet));
+      in_flight->executed = true;
+      answer_order (fleet, in_flight, CELL_START_UNKNOWN, false);
       return;
     }
-  if (in_flight->order.kind == CELL_ORDER_START)
-    {
-      enum cell_start_result result = handle_start (fleet, in_flight);
+  in_flight->received = true;
+  in_flight->execute_ms = fleet->now_ms + in_flight->late_ms;
+}
 
-      if (in_flight->epoch != fleet->epoch)
-        return;
-      if (fleet->lose_start_answers > 0)
+static void
+execute_order (struct fleet *fleet, struct order_in_flight *in_flight)
+{
+  struct fleet_worker *worker = &fleet->workers[in_flight->order.worker];
+  enum cell_start_result result = CELL_START_UNKNOWN;
+  bool lost = in_flight->answer_lost || in_flight->late_ms > 0;
+  bool stopped = false;
+
+  in_flight->executed = true;
+  /* An order dies with the process that received it. */
+  if (!worker->up || in_flight->born_ms != worker->born_ms)
+    {
+      answer_order (fleet, in_flight, CELL_START_UNKNOWN, false);
+      return;
+    }
+  if (in_flight->order.kind == CELL_ORDER_STOP)
+    stopped = handle_stop (fleet, in_flight);
+  else
+    {
+      result = handle_start (fleet, in_flight);
+      if (in_flight->epoch == fleet->epoch && fleet->lose_start_answers > 0)
         {
           fleet->lose_start_answers--;
-          answer_received = false;
+          result = CELL_START_UNKNOWN;
         }
-      cell_start_result (fleet->core, in_flight->order.run,
-                         answer_received ? result : CELL_START_UNKNOWN,
-                         fleet_now_us (fleet));
-      return;
     }
-  if (handle_stop (fleet, in_flight) && answer_received)
-    cell_stop_result (fleet->core, in_flight->order.run, fleet_now_us (fleet),
-                      fleet_now_us (fleet));
+  if (worker->partitioned || worker->answers_lost)
+    answer_order (fleet, in_flight, CELL_START_UNKNOWN, false);
+  else if (!lost)
+    answer_order (fleet, in_flight, result, stopped);
 }
 
 void
@@ -233,16 +298,71 @@
       struct order_in_flight *in_flight
           = g_ptr_array_index (fleet->orders_in_flight, i);
 
-      if (in_flight->due_ms > fleet->now_ms)
-        {
-          i++;
-          continue;
-        }
-      deliver_order (fleet, in_flight);
-      g_ptr_array_remove_index (fleet->orders_in_flight, i);
+      if (!in_flight->received && !in_flight->executed
+          && in_flight->due_ms <= fleet->now_ms)
+        receive_order (fleet, in_flight);
+      if (in_flight->received && !in_flight->executed
+          && in_flight->execute_ms <= fleet->now_ms)
+        execute_order (fleet, in_flight);
+      if (in_flight->received && in_flight->call_end_ms <= fleet->now_ms
+          && (in_flight->answer_lost || in_flight->late_ms > 0))
+        answer_order (fleet, in_flight, CELL_START_UNKNOWN, false);
+      if (in_flight->executed && in_flight->answered)
+        g_ptr_array_remove_index (fleet->orders_in_flight, i);
+      else
+        i++;
     }
 }
 
+void
+fleet_end_calls (struct fleet *fleet)
+{
+  for (guint i = 0; i < fleet->orders_in_flight->len; i++)
+    {
+      struct order_in_flight *in_flight
+          = g_ptr_array_index (fleet->orders_in_flight, i);
+
+      if (!in_flight->received)
+        in_flight->reconnects = false;
+    }
+}
+
+/* Decides what happens to an order on its way. */
+static void
+choose_fate (const struct fleet *fleet, struct order_in_flight *in_flight)
+{
+  const struct fleet_call_faults *faults = &fleet->call_faults;
+
+  if (faults->choose != NULL)
+    faults->choose (faults->user, in_flight);
+  if (faults->rand == NULL)
+    return;
+  in_flight->due_ms += (uint64_t)g_rand_int_range (
+      faults->rand, 0, happens (fleet, SLOW_PERMILLE) ? 1000 : 60);
+  in_flight->reconnects = happens (fleet, faults->reconnect_permille);
+  if (happens (fleet, faults->late_permille))
+    in_flight->late_ms
+        = (uint32_t)g_rand_int_range (faults->rand, 2000, 12000);
+  else
+    in_flight->answer_lost = happens (fleet, faults->lost_permille);
+  in_flight->call_end_ms
+      = in_flight->due_ms
+        + (g_rand_boolean (faults->rand) ? 0 : CALL_TIMEOUT_MS);
+}
+
+/* Sends a second copy of an order; the result of both is unknown. */
+static void
+send_copy (struct fleet *fleet, struct order_in_flight *first)
+{
+  struct order_in_flight *copy = g_memdup2 (first, sizeof *first);
+
+  choose_fate (fleet, copy);
+  copy->answered = true;
+  first->answer_lost = true;
+  first->call_end_ms = MAX (first->call_end_ms, copy->due_ms);
+  g_ptr_array_add (fleet->orders_in_flight, copy);
+}
+
 void
 fleet_send_orders (struct fleet *fleet)
 {
@@ -250,23 +370,94 @@
 
   while (cell_order_next (fleet->core, &order))
     {
-      struct order_in_flight *in_flight = g_new0 (struct order_in_flight, 1);
+      struct order_in_flight *in_flight;
       struct cell_worker_view view;
 
       cell_worker_view (fleet->core, order.worker, &view);
+      if (order.kind == CELL_ORDER_START && view.clock_ms == 0)
+        {
+          cell_start_result (fleet->core, order.run, CELL_START_REFUSED_OTHER,
+                             fleet_now_us (fleet));
+          continue;
+        }
+      in_flight = g_new0 (struct order_in_flight, 1);
       in_flight->order = order;
       in_flight->epoch = fleet->epoch;
       in_flight->born_ms = fleet->workers[order.worker].born_ms;
-      in_flight->lease_deadline_ms
-          = view.clock_ms + (fleet_now_us (fleet) - view.clock_at_us) / 1000
-            + FLEET_LEASE_MS;
+      in_flight->lease_deadline_ms = lease_deadline (fleet, &view);
       if (order.kind == CELL_ORDER_START)
         cell_worker_leased (fleet->core, order.worker,
                             in_flight->lease_deadline_ms);
       in_flight->due_ms
           = fleet->now_ms
             + (order.kind == CELL_ORDER_START ? fleet->delay_starts_ms : 0);
+      choose_fate (fleet, in_flight);
       g_ptr_array_add (fleet->orders_in_flight, in_flight);
+      if (happens (fleet, fleet->call_faults.twice_permille))
+        send_copy (fleet, in_flight);
+    }
+}
+
+/* Returns whether a copy of the run's start may still be executed. */
+static bool
+start_pending (const struct fleet *fleet, const struct cell_conclusion *run)
+{
+  const struct fleet_worker *worker = &fleet->workers[run->worker];
+
+  if (!worker->up
+      || fleet_lookup_number (worker->closed_runs, run->task) >= run->run)
+    return false;
+  for (guint i = 0; i < fleet->orders_in_flight->len; i++)
+    {
+      const struct order_in_flight *in_flight
+          = g_ptr_array_index (fleet->orders_in_flight, i);
+      uint64_t execute_ms = in_flight->received
+                                ? in_flight->execute_ms
+                                : in_flight->due_ms + in_flight->late_ms;
+      uint64_t delay_ms
+          = execute_ms > fleet->now_ms ? execute_ms - fleet->now_ms : 0;
+
+      if (in_flight->executed || in_flight->order.kind != CELL_ORDER_START
+          || in_flight->order.worker != run->worker
+          || in_flight->order.number != run->run
+          || strcmp (in_flight->order.task, run->task) != 0
+          || in_flight->epoch < worker->fence
+          || (in_flight->born_ms != worker->born_ms
+              && (in_flight->received || !in_flight->reconnects))
+          || in_flight->lease_deadline_ms
+                 < fleet_clock (fleet, worker) + delay_ms)
+        continue;
+      return true;
+    }
+  return false;
+}
+
+void
+fleet_check_conclusions (struct fleet *fleet)
+{
+  static const char *const reasons[]
+      = { "unordered", "refused", "stopped", "missing",
+          "fenced",    "lapsed",  "left",    "reborn" };
+  struct cell_conclusion run;
+
+  while (cell_conclusion_next (fleet->core, &run))
+    {
+      const struct fleet_worker *worker = &fleet->workers[run.worker];
+      bool there = false;
+      char what[64];
+
+      if (run.contradicted)
+        continue;
+      fleet->conclusions[run.over]++;
+      for (uint32_t i = 0; i < worker->run_count; i++)
+        there = there
+                || (worker->runs[i].number == run.run
+                    && strcmp (worker->runs[i].task, run.task) == 0);
+      if (!there && !start_pending (fleet, &run))
+        continue;
+      snprintf (what, sizeof what, "concluded too early: %s, run %u of",
+                reasons[run.over], run.run);
+      fleet_violation (fleet, what, run.task);
     }
 }
 
@@ -435,14 +626,105 @@
                           / MAX (1, run->work_ms));
 }
 
+void
+fleet_free_hold (gpointer data)
+{
+  struct hold_in_flight *hold = data;
+
+  if (hold->texts != NULL)
+    g_string_chunk_free (hold->texts);
+  g_free (hold->report.running);
+  g_free (hold->report.ends);
+  g_free (hold);
+}
+
+static void
+execute_hold (struct fleet *fleet, const struct hold_in_flight *hold)
+{
+  struct fleet_worker *worker = &fleet->workers[hold->row];
+
+  worker->fence = hold->epoch;
+  acknowledge_ends (fleet, worker, hold->ack);
+  if (hold->lease_deadline_ms != 0)
+    extend_lease (fleet, worker, hold->lease_deadline_ms);
+}
+
+/* Fills the report with copies of the worker's lists. */
+static void
+fill_report (const struct fleet *fleet, struct hold_in_flight *hold)
+{
+  const struct fleet_worker *worker = &fleet->workers[hold->row];
+  struct cell_report *report = &hold->report;
+
+  hold->texts = g_string_chunk_new (256);
+  report->born_ms = worker->born_ms;
+  report->clock_ms = fleet_clock (fleet, worker);
+  report->running_count = worker->run_count;
+  report->running = g_new0 (struct cell_running_row, worker->run_count + 1);
+  for (uint32_t i = 0; i < worker->run_count; i++)
+    report->running[i] = (struct cell_running_row){
+      .task
+      = cyc_str_of (g_string_chunk_insert (hold->texts, worker->runs[i].task)),
+      .run = worker->runs[i].number,
+      .checkpoint = CYC_STR (""),
+      .percent = progress_percent (fleet, &worker->runs[i]),
+    };
+  report->end_count = worker->end_count;
+  report->ends = g_new0 (struct cell_end_row, worker->end_count + 1);
+  for (uint32_t i = 0; i < worker->end_count; i++)
+    report->ends[i] = (struct cell_end_row){
+      .number = worker->ends[i].number,
+      .task
+      = cyc_str_of (g_string_chunk_insert (hold->texts, worker->ends[i].task)),
+      .run = worker->ends[i].run,
+      .kind = worker->ends[i].kind,
+      .checkpoint = cyc_str_of (
+          g_string_chunk_insert (hold->texts, worker->ends[i].checkpoint)),
+    };
+}
+
+static void
+deliver_hold (struct fleet *fleet, const struct hold_in_flight *hold)
+{
+  struct fleet_worker *worker = &fleet->workers[hold->row];
+
+  if (hold->late)
+    {
+      if (worker->up && worker->born_ms == hold->born_ms
+          && hold->epoch >= worker->fence)
+        execute_hold (fleet, hold);
+    }
+  else if (hold->epoch == fleet->epoch && !worker->partitioned
+           && !worker->answers_lost)
+    cell_worker_report (fleet->core, hold->row, &hold->report,
+                        fleet_now_us (fleet));
+}
+
+void
+fleet_deliver_holds (struct fleet *fleet)
+{
+  for (guint i = 0; i < fleet->holds_in_flight->len;)
+    {
+      struct hold_in_flight *hold
+          = g_ptr_array_index (fleet->holds_in_flight, i);
+
+      if (hold->due_ms > fleet->now_ms)
+        {
+          i++;
+          continue;
+        }
+      deliver_hold (fleet, hold);
+      g_ptr_array_remove_index (fleet->holds_in_flight, i);
+    }
+}
+
 void
 fleet_hold (struct fleet *fleet, uint32_t row)
 {
   struct fleet_worker *worker = &fleet->workers[row];
+  const struct fleet_call_faults *faults = &fleet->call_faults;
+  struct hold_in_flight *hold;
   struct cell_worker_view view;
-  struct cell_report report = { .sent_us = fleet_now_us (fleet) };
-  struct cell_running_row running[FLEET_RUNS_MAX];
-  struct cell_end_row ends[FLEET_RUNS_MAX * 4];
 
   if (fleet->now_ms < worker->next_hold_ms)
     return;
@@ -455,35 +737,34 @@
     }
   if (fleet->epoch < worker->fence)
     return;
-  worker->fence = fleet->epoch;
-  acknowledge_ends (fleet, worker, view.ack);
+  hold = g_new0 (struct hold_in_flight, 1);
+  hold->row = row;
+  hold->due_ms = fleet->now_ms;
+  hold->epoch = fleet->epoch;
+  hold->born_ms = worker->born_ms;
+  hold->ack = view.ack;
+  hold->report.sent_us = fleet_now_us (fleet);
   if (view.clock_ms != 0)
     {
-      worker->lease_deadline_ms
-          = MAX (worker->lease_deadline_ms,
-                 fleet_clock (fleet, worker) + FLEET_LEASE_MS);
-      cell_worker_leased (fleet->core, row, worker->lease_deadline_ms);
+      hold->lease_deadline_ms = lease_deadline (fleet, &view);
+      cell_worker_leased (fleet->core, row, hold->lease_deadline_ms);
     }
-  report.born_ms = worker->born_ms;
-  report.clock_ms = fleet_clock (fleet, worker);
-  for (uint32_t i = 0; i < worker->run_count; i++)
-    running[i] = (struct cell_running_row){
-      .task = cyc_str_of (worker->runs[i].task),
-      .run = worker->runs[i].number,
-      .checkpoint = CYC_STR (""),
-      .percent = progress_percent (fleet, &worker->runs[i]),
-    };
-  for (uint32_t i = 0; i < worker->end_count; i++)
-    ends[i] = (struct cell_end_row){
-      .number = worker->ends[i].number,
-      .task = cyc_str_of (worker->ends[i].task),
-      .run = worker->ends[i].run,
-      .kind = worker->ends[i].kind,
-      .checkpoint = cyc_str_of (worker->ends[i].checkpoint),
-    };
-  report.running = running;
-  report.running_count = worker->run_count;
-  report.ends = ends;
-  report.end_count = worker->end_count;
-  cell_worker_report (fleet->core, row, &report, fleet_now_us (fleet));
+  hold->late = happens (fleet, faults->late_hold_permille);
+  if (!hold->late)
+    {
+      execute_hold (fleet, hold);
+      fill_report (fleet, hold);
+    }
+  if (hold->late)
+    hold->due_ms += (uint64_t)g_rand_int_range (faults->rand, 2000, 12000);
+  else if (faults->rand != NULL && faults->report_delay_max_ms > 0)
+    hold->due_ms += (uint64_t)g_rand_int_range (
+        faults->rand, 0, (gint)faults->report_delay_max_ms);
+  if (!hold->late && hold->due_ms == fleet->now_ms)
+    {
+      deliver_hold (fleet, hold);
+      fleet_free_hold (hold);
+    }
+  else
+    g_ptr_array_add (fleet->holds_in_flight, hold);
 }
