Count listed ends of runs that were let go

Callers saw one start too many (BUDGET): a worker listed a failed end 1 ms after the core had concluded that the run was over, apply_ends found no run and dropped it. A failed end of a run that this leader concluded to be over now counts as an attempt, once: the conclusion is forgotten with it, and the end's number is not read again. A successor does not know the conclusion, so a failure that is listed to it again is not counted twice. Failed ends of runs that a leader adopted beside the task's current run count too.

A done end of such a run stops the newer run of its task, which did go on.

test_cell_late before: test_failed_ends_of_runs_that_were_let_go "0x2 != 0x4" (job active instead of failed), test_done_end_of_a_run_that_was_let_go "0 != 0x1" (no stop).

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -451,6 +451,75 @@
   cell_wake (core, now_us);
 }
 
+static struct cell_run *
+find_run (const struct cell_worker *worker, const struct cell_job *job,
+          uint32_t round, uint32_t task, uint32_t number)
+{
+  for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    if (run->job == job && run->round == round && run->task == task
+        && run->number == number)
+      return run;
+  return NULL;
+}
+
+/* Stops the runs of a task or gang that is done, except number @p number,
+   which ended as done. */
+static void
+stop_other_runs (struct cell_core *core, struct cell_job *job, uint32_t round,
+                 uint32_t task, uint32_t number)
+{
+  const struct cell_stage *stage = cell_stage_of_task (job, round, task);
+  bool gang = cell_stage_step (stage)->gang;
+  uint32_t first = gang ? stage->first_task : task;
+  uint32_t count = gang ? stage->count : 1;
+
+  for (uint32_t t = first; t < first + count; t++)
+    {
+      struct cell_run *run = job->rounds[round].tasks[t].run;
+
+      if (run != NULL && run->number != number)
+        cell_run_stop (core, run);
+    }
+}
+
+static void
+apply_end (struct cell_core *core, struct cell_worker *worker,
+           uint32_t worker_row, const struct cell_end_row *end)
+{
+  struct cell_job *job;
+  struct cell_run *run;
+  uint32_t round;
+  uint32_t task;
+
+  if (!cell_task_parse (core, end->task, &job, &round, &task))
+    return;
+  run = find_run (worker, job, round, task, end->run);
+  if (run != NULL && end->kind != CELL_END_DONE)
+    {
+      cell_run_ended (core, run, end->kind, end->checkpoint);
+      return;
+    }
+  /* An earlier leader has counted the failures of runs that this one does not
+     know. */
+  if (end->kind == CELL_END_FAILED
+      && cell_over_contradict (core, worker_row, end->task, end->run))
+    cell_task_failed (core, job, round, task, worker_row);
+  if (end->kind != CELL_END_DONE)
+    return;
+  if (run != NULL)
+    {
+      worker->consecutive_failures = 0;
+      worker->pause_count = 0;
+      cell_pace_done (core, run);
+      cell_run_free (core, run);
+    }
+  else
+    cell_over_contradict (core, worker_row, end->task, end->run);
+  if (!cell_stage_step (cell_stage_of_task (job, round, task))->long_running)
+    stop_other_runs (core, job, round, task, end->run);
+  cell_task_done (core, job, round, task);
+}
+
 static void
 apply_ends (struct cell_core *core, struct cell_worker *worker,
             uint32_t worker_row, const struct cell_report *report)
@@ -458,38 +527,11 @@
   for (uint32_t i = 0; i < report->end_count; i++)
     {
       const struct cell_end_row *end = &report->ends[i];
-      struct cell_job *job;
-      uint32_t round;
-      uint32_t task;
-      struct cell_run *run = NULL;
 
       if (end->number <= worker->received_end)
         continue;
       worker->received_end = end->number;
-      if (!cell_task_parse (core, end->task, &job, &round, &task))
-        continue;
-      for (run = worker->runs; run != NULL; run = run->next)
-        if (run->job == job && run->round == round && run->task == task
-            && run->number == end->run)
-          break;
-      if (run == NULL
-          && (end->kind == CELL_END_DONE || end->kind == CELL_END_FAILED))
-        cell_over_contradict (core, worker_row, end->task, end->run);
-      if (run != NULL && end->kind != CELL_END_DONE)
-        {
-          cell_run_ended (core, run, end->kind, end->checkpoint);
-          continue;
-        }
-      if (end->kind != CELL_END_DONE)
-        continue;
-      if (run != NULL)
-        {
-          worker->consecutive_failures = 0;
-          worker->pause_count = 0;
-          cell_pace_done (core, run);
-          cell_run_free (core, run);
-        }
-      cell_task_done (core, job, round, task);
+      apply_end (core, worker, worker_row, end);
     }
   if (worker->ack_batch == 0 && worker->received_end > worker->ack)
     {
@@ -503,15 +545,15 @@
               uint32_t worker_row, const struct cell_running_row *row)
 {
   struct cell_job *job;
+  struct cell_run *run;
   uint32_t round;
   uint32_t task;
 
   if (!cell_task_parse (core, row->task, &job, &round, &task))
     return NULL;
-  for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
-    if (run->job == job && run->round == round && run->task == task
-        && run->number == row->run)
-      return run;
+  run = find_run (worker, job, round, task, row->run);
+  if (run != NULL)
+    return run;
   cell_over_contradict (core, worker_row, row->task, row->run);
   return cell_run_adopt (core, job, round, task, worker_row, row->run);
 }
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -344,6 +344,10 @@
                         uint32_t round, uint32_t task, uint64_t at_us);
 void cell_task_done (struct cell_core *core, struct cell_job *job,
                      uint32_t round, uint32_t task);
+/** Counts a failed run of the task; a gang's failures are counted at its first
+ * task. */
+void cell_task_failed (struct cell_core *core, struct cell_job *job,
+                       uint32_t round, uint32_t index, uint32_t worker_row);
 bool cell_job_open (const struct cell_job *job);
 void cell_task_name (const struct cell_run *run, char out[64]);
 bool cell_task_parse (struct cell_core *core, struct cyc_str name,
@@ -395,10 +399,10 @@
  * true. */
 void cell_run_conclude (struct cell_core *core, struct cell_run *run,
                         enum cell_over over, uint64_t evidence_us);
-/** Notes that the worker reports a run as running, done or failed that the core
- * does not know. If the run was concluded to be over, the conclusion is handed
- * out as contradicted. */
-void cell_over_contradict (struct cell_core *core, uint32_t worker,
+/** Notes that the worker reports a run as running, done or failed that the
+ * core does not know. If the run was concluded to be over, the conclusion is
+ * handed out as contradicted. Returns whether it was. */
+bool cell_over_contradict (struct cell_core *core, uint32_t worker,
                            struct cyc_str task, uint32_t run);
 
 /* Placement and advice. */
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -562,17 +562,19 @@
   stop_runs (core, job);
 }
 
-/* Counts a failure; a gang's failures are counted at its first task. */
-static void
-count_failure (struct cell_core *core, struct cell_run *run)
+void
+cell_task_failed (struct cell_core *core, struct cell_job *job, uint32_t round,
+                  uint32_t index, uint32_t worker_row)
 {
-  struct cell_job *job = run->job;
-  struct cell_stage *stage = cell_stage_of_task (job, run->round, run->task);
+  struct cell_stage *stage = cell_stage_of_task (job, round, index);
   const Cyc__CellStep *step = cell_stage_step (stage);
-  uint32_t at = step->gang ? stage->first_task : run->task;
-  struct cell_task *task = &job->rounds[run->round].tasks[at];
-  struct cell_worker *worker = cell_worker_at (core, run->worker);
+  uint32_t at = step->gang ? stage->first_task : index;
+  struct cell_task *task = &job->rounds[round].tasks[at];
+  struct cell_worker *worker = cell_worker_at (core, worker_row);
 
+  if (job->rounds[round].tasks[index].state == CELL_TASK_DONE)
+    return;
+  job->begun = true;
   if (worker->last_failed_job != job->id)
     worker->consecutive_failures++;
   worker->last_failed_job = job->id;
@@ -586,7 +588,7 @@
       cell_retry_placement (core, worker->paused_until_us);
     }
   stage->failed_on[stage->failed_next++ % CELL_AVOIDED_WORKERS_MAX]
-      = run->worker + 1;
+      = worker_row + 1;
   if (step->long_running)
     return;
   task->failures++;
@@ -608,9 +610,7 @@
   uint64_t at_us = core->now_us;
 
   if (kind == CELL_END_FAILED)
-    job->begun = true;
-  if (kind == CELL_END_FAILED && current)
-    count_failure (core, run);
+    cell_task_failed (core, job, round, task, run->worker);
   if (kind == CELL_END_ALONE)
     at_us += CELL_RETRY_US;
   if (current && checkpoint.len > 0 && checkpoint.len < sizeof row->checkpoint)
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -115,7 +115,7 @@
                   CYC_STR (""));
 }
 
-void
+bool
 cell_over_contradict (struct cell_core *core, uint32_t worker,
                       struct cyc_str task, uint32_t run)
 {
@@ -125,10 +125,11 @@
   snprintf (wanted.task, sizeof wanted.task, "%.*s", CYC_FMT (task));
   found = g_hash_table_lookup (core->concluded, &wanted);
   if (found == NULL)
-    return;
+    return false;
   found->contradicted = true;
   hand_out (core, found);
   forget (core, found);
+  return true;
 }
 
 bool
--- a/tests/test_cell_late.c
+++ b/tests/test_cell_late.c
@@ -237,16 +237,22 @@
   finish (&s);
 }
 
+/* Reports an end of the task's run @p run, and run @p running as running; 0 if
+   none is. */
 static void
 report_end (struct started *s, uint64_t number, uint32_t run,
-            enum cell_end_kind kind)
+            enum cell_end_kind kind, uint32_t running)
 {
-  struct cell_end_row row = { .number = number,
+  struct cell_running_row row = { .task = CYC_STR (TASK), .run = running };
+  struct cell_end_row end = { .number = number,
                               .task = CYC_STR (TASK),
                               .run = run,
                               .kind = kind,
                               .checkpoint = CYC_STR ("") };
-  struct cell_report report = { .ends = &row, .end_count = 1 };
+  struct cell_report report = { .ends = &end,
+                                .end_count = 1,
+                                .running = &row,
+                                .running_count = running != 0 };
 
   s->now_us = s->fleet->now_ms * 1000 + 1000;
   report.born_ms = s->born_ms;
@@ -287,7 +293,7 @@
       assert_int_equal (s.last_number, run);
       cell_start_result (s.core, s.run, CELL_START_REFUSED_CAPACITY,
                          s.fleet->now_ms * 1000);
-      report_end (&s, run, run, CELL_END_FAILED);
+      report_end (&s, run, run, CELL_END_FAILED, 0);
       fleet_run (s.fleet, 60);
       take_order (&s);
     }
@@ -308,13 +314,13 @@
     {
       cell_start_result (s.core, s.run, CELL_START_REFUSED_CAPACITY,
                          s.fleet->now_ms * 1000);
-      report_end (&s, run, run, CELL_END_FAILED);
+      report_end (&s, run, run, CELL_END_FAILED, 0);
       fleet_run (s.fleet, 60);
       take_order (&s);
     }
   fleet_takeover (s.fleet);
   s.core = s.fleet->core;
-  report_end (&s, 2, 2, CELL_END_FAILED);
+  report_end (&s, 2, 2, CELL_END_FAILED, 0);
   fleet_run (s.fleet, 60);
   assert_true (fleet_job_state (s.fleet, 1) < CELL_JOB_COMPLETE);
   finish (&s);
@@ -335,7 +341,7 @@
   take_order (&s);
   assert_int_equal (s.last_number, 2);
   cell_start_result (s.core, s.run, CELL_START_OK, s.now_us);
-  report_end (&s, 1, 1, CELL_END_DONE);
+  report_end (&s, 1, 1, CELL_END_DONE, 2);
   tick (&s, 1);
   assert_int_equal (s.stops, 1);
   fleet_run (s.fleet, 60);
