Do not end an adopted run by an overtaken report

A leader adopts a run that a report shows and that it does not know. The run had no time of confirmation, so a report that had been requested before the run started, but arrived later, ended it while it ran, and its task was started again. An adopted run is now confirmed when its report arrives.

test_overtaken_report_lacks_an_adopted_run before: "0x2 != 0x1" (concluded by the overtaken report); passes now.

--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -85,7 +85,8 @@
   uint32_t first_percent;      /**< in the first report that showed the run */
   uint64_t projected_total_us; /**< total duration projected from progress; 0
                                   if unknown */
-  bool resumed;                /**< started from a checkpoint */
+  bool resumed;                /**< started from a checkpoint, or adopted: its
+                                  duration is not that of the task */
   uint64_t first_report_us;    /**< when the first report that showed the run
                                   arrived; 0 if none has */
   uint64_t projected_end_us;   /**< projected end; 0 if unknown */
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -126,6 +126,8 @@
       cell_run_stop (core, run);
     }
   run->state = CELL_RUN_RUNNING;
+  run->confirmed_us = core->now_us;
+  run->resumed = true;
   return run;
 }
 
