A worker whose entry is listed again has not left

The removal of a draining worker's entry counts as its exit if it comes soon after the last update, and 0.3 s later all runs on it were over, also when the entry had been listed again in between. A new listing now takes the exit back, as a report does.

test_entry_removed_and_listed_again before: "0x1 != 0" (concluded: left); passes now.

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -363,6 +363,7 @@
       cell_wake (core, now_us);
     }
   worker->listed = true;
+  worker->exited_us = 0;
   worker->draining = entry->draining;
   worker->listed_after_us = entry_after_us;
   worker->stays_until_us
