Red test: a start is sent after its run was taken for over

The record of the runs was durable only after the lease of the silent worker had lapsed. The start was queued, the next tick ended the run by that older lease, and the queued start was sent afterwards with a lease of its own.

--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -160,8 +160,9 @@
   struct fleet_worker workers[FLEET_WORKERS_MAX];
   uint32_t worker_count;
   uint64_t now_ms;
-  uint64_t epoch; /**< of the current leader */
-  bool log_down;  /**< no batch is stored */
+  uint64_t epoch;   /**< of the current leader */
+  bool log_down;    /**< no batch is stored */
+  bool orders_held; /**< the core's orders are taken and sent later */
   struct fleet_batch batches[FLEET_BATCHES_MAX];
   /** Added to the duration of appends FLEET_BATCHES_MAX - 1 - b times for
    * batches[b], so that batches become durable out of order. */
--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -368,7 +368,7 @@
 {
   struct cell_order order;
 
-  while (cell_order_next (fleet->core, &order))
+  while (!fleet->orders_held && cell_order_next (fleet->core, &order))
     {
       struct order_in_flight *in_flight;
       struct cell_worker_view view;
