Send no start whose run is already over

When the record became durable their starts were queued, the next tick took the runs for over by the lease from before, and the queued starts were sent afterwards with a fresh lease, after their tasks had been placed elsewhere.

A start is now an order only when it is handed out: cell_order_next drops one whose run is over, and its answer is awaited from then on, not from the time in the queue. A run whose worker fell silent while the record was written is placed again at once instead of being ordered there.

--- a/src/cyc_cell_batch.c
+++ b/src/cyc_cell_batch.c
@@ -116,9 +116,7 @@
   memcpy (order->checkpoint, task->checkpoint, sizeof order->checkpoint);
   g_queue_push_tail (&core->orders, order);
   run->state = CELL_RUN_STARTING;
-  run->ordered_us = core->now_us;
   run->resumed = task->checkpoint[0] != 0;
-  cell_wake (core, core->now_us + CELL_START_TIMEOUT_US);
 }
 
 /* Returns whether the run may still be started: while its record was written,
@@ -129,7 +127,7 @@
   const struct cell_worker *worker = cell_worker_at (core, run->worker);
 
   return !run->stop_requested && cell_job_open (run->job) && worker->listed
-         && !worker->draining
+         && !worker->draining && worker->reachable
          && (run->ticket_until_us == 0 || run->ticket_until_us > core->now_us);
 }
 
@@ -194,11 +192,23 @@
 bool
 cell_order_next (struct cell_core *core, struct cell_order *out)
 {
-  struct cell_order *order = g_queue_pop_head (&core->orders);
+  struct cell_order *order;
 
-  if (order == NULL)
-    return false;
-  *out = *order;
-  g_free (order);
-  return true;
+  while ((order = g_queue_pop_head (&core->orders)) != NULL)
+    {
+      /* The run may have been taken for over since the order was queued. */
+      struct cell_run *run = cell_run_at (core, order->run);
+
+      *out = *order;
+      g_free (order);
+      if (run == NULL)
+        continue;
+      if (out->kind == CELL_ORDER_START)
+        {
+          run->ordered_us = core->now_us;
+          cell_wake (core, core->now_us + CELL_START_TIMEOUT_US);
+        }
+      return true;
+    }
+  return false;
 }
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -71,7 +71,8 @@
   uint64_t batch; /**< batch with the record that names this run */
   bool recorded;  /**< that record is durable; the start waits until the job is
                      stored */
-  uint64_t ordered_us;   /**< when the start was ordered */
+  uint64_t ordered_us; /**< when the start was handed out as an order; 0 if it
+                          was not */
   uint64_t confirmed_us; /**< when the start was confirmed; 0 if unconfirmed */
   uint64_t unconfirmed_us;    /**< when the start became unconfirmed; 0 if its
                                  answer is still awaited */
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -352,6 +352,7 @@
           if (run->state == CELL_RUN_RECORDING)
             continue;
           if (run->state == CELL_RUN_STARTING && run->unconfirmed_us == 0
+              && (run->ordered_us != 0 || run->inherited)
               && run->ordered_us + CELL_START_TIMEOUT_US <= core->now_us)
             run->unconfirmed_us = core->now_us;
           if (!run->stop_requested || run->stop_confirmed_us != 0
