--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -71,7 +71,8 @@
   uint64_t batch; /**< batch with the record that names this run */
   bool recorded;  /**< that record is durable; the start waits until the job is
                      stored */
-  uint64_t ordered_us;   /**< when the start was ordered */
+  uint64_t ordered_us; /**< when the start was handed out as an order; 0 if it
+                          was not */
   uint64_t confirmed_us; /**< when the start was confirmed; 0 if unconfirmed */
   uint64_t unconfirmed_us;    /**< when the start became unconfirmed; 0 if its
                                  answer is still awaited */
@@ -85,7 +86,8 @@
   uint32_t first_percent;      /**< in the first report that showed the run */
   uint64_t projected_total_us; /**< total duration projected from progress; 0
                                   if unknown */
-  bool resumed;                /**< started from a checkpoint */
+  bool resumed;                /**< started from a checkpoint, or adopted: its
+                                  duration is not that of the task */
   uint64_t first_report_us;    /**< when the first report that showed the run
                                   arrived; 0 if none has */
   uint64_t projected_end_us;   /**< projected end; 0 if unknown */
@@ -344,6 +346,10 @@
                         uint32_t round, uint32_t task, uint64_t at_us);
 void cell_task_done (struct cell_core *core, struct cell_job *job,
                      uint32_t round, uint32_t task);
+/** Counts a failed run of the task; a gang's failures are counted at its first
+ * task. */
+void cell_task_failed (struct cell_core *core, struct cell_job *job,
+                       uint32_t round, uint32_t index, uint32_t worker_row);
 bool cell_job_open (const struct cell_job *job);
 void cell_task_name (const struct cell_run *run, char out[64]);
 bool cell_task_parse (struct cell_core *core, struct cyc_str name,
@@ -395,10 +401,10 @@
  * true. */
 void cell_run_conclude (struct cell_core *core, struct cell_run *run,
                         enum cell_over over, uint64_t evidence_us);
-/** Notes that the worker reports a run as running, done or failed that the core
- * does not know. If the run was concluded to be over, the conclusion is handed
- * out as contradicted. */
-void cell_over_contradict (struct cell_core *core, uint32_t worker,
+/** Notes that the worker reports a run as running, done or failed that the
+ * core does not know. If the run was concluded to be over, the conclusion is
+ * handed out as contradicted. Returns whether it was. */
+bool cell_over_contradict (struct cell_core *core, uint32_t worker,
                            struct cyc_str task, uint32_t run);
 
 /* Placement and advice. */
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -126,6 +126,8 @@
       cell_run_stop (core, run);
     }
   run->state = CELL_RUN_RUNNING;
+  run->confirmed_us = core->now_us;
+  run->resumed = true;
   return run;
 }
 
@@ -184,10 +186,11 @@
     case CELL_START_REFUSED_CAPACITY:
     case CELL_START_REFUSED_OTHER:
     case CELL_START_FENCED:
+    case CELL_START_OLD:
       {
         struct cell_worker *worker = cell_worker_at (core, run->worker);
 
-        if (result == CELL_START_REFUSED_OTHER)
+        if (result == CELL_START_REFUSED_OTHER || result == CELL_START_OLD)
           {
             worker->paused_until_us = now_us + CELL_PAUSE_US / 2;
             cell_retry_placement (core, worker->paused_until_us);
@@ -349,6 +352,7 @@
           if (run->state == CELL_RUN_RECORDING)
             continue;
           if (run->state == CELL_RUN_STARTING && run->unconfirmed_us == 0
+              && (run->ordered_us != 0 || run->inherited)
               && run->ordered_us + CELL_START_TIMEOUT_US <= core->now_us)
             run->unconfirmed_us = core->now_us;
           if (!run->stop_requested || run->stop_confirmed_us != 0
