--- a/tests/test_cell_silent.c
+++ b/tests/test_cell_silent.c
@@ -20,7 +20,7 @@
   uint32_t max_starts; /**< of all tasks */
 };
 
-static const struct silent_case cases[] = {
+static struct silent_case cases[] = {
   { "order sent at once", 2, false, 0, 2 },
   { "tick between record and order", 2, false, 20, 2 },
   { "several ticks between record and order", 2, false, 400, 2 },
@@ -80,7 +80,7 @@
     tests[i] = (struct CMUnitTest){
       .name = cases[i].name,
       .test_func = test_start_sent_after_its_run_was_over,
-      .initial_state = (void *)(uintptr_t)&cases[i],
+      .initial_state = &cases[i],
     };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
