Place tasks again at the end of each worker's pause

The core remembers one time of the next placement. When several workers are paused, the placement at the end of the first pause dropped the later times; if the first worker could not be used then, nothing placed the waiting tasks until some other event did. Each placement now asks for the next one at the end of every pause that is left.

--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -424,7 +424,8 @@
 }
 
 /* Returns the capacity that is free or comes free during a call to the
-   advisor. Also updates usable_millicores. */
+   advisor. Also updates usable_millicores and requests a placement at the end
+   of each worker's pause. */
 static struct cell_resources
 capacity_soon (struct cell_core *core)
 {
@@ -435,6 +436,8 @@
     {
       const struct cell_worker *worker = cell_worker_at (core, i);
 
+      if (worker->listed && worker->paused_until_us > core->now_us)
+        cell_retry_placement (core, worker->paused_until_us);
       if (!cell_worker_usable (core, worker))
         continue;
       core->usable_millicores += worker->capacity.millicores;
--- a/tests/test_cell_late.c
+++ b/tests/test_cell_late.c
@@ -360,7 +360,7 @@
   begin (&s, 1);
   start_result (&s, CELL_START_UNKNOWN);
   cell_worker_silent (s.core, s.row, s.now_us);
-  tick (&s, FLEET_LEASE_MS * 2);
+  tick (&s, 2ULL * FLEET_LEASE_MS);
   assert_int_equal (over (&s), 0);
   tick (&s, 12000);
   assert_int_equal (over (&s), 1);
@@ -475,6 +475,27 @@
   finish (&s);
 }
 
+/* Two workers are paused; the first one drains when its pause ends, so its
+   task waits for the second one. Guards against a placement that is not
+   retried at the end of the later pause. */
+static void
+test_placement_after_the_later_of_two_pauses (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 2);
+  cell_start_result (s.core, s.run, CELL_START_REFUSED_OTHER, s.now_us);
+  fleet_run (s.fleet, 500);
+  assert_int_equal (s.fleet->orders_in_flight->len, 2);
+  fleet_drain (s.fleet, s.row, 60000);
+  take_order (&s);
+  cell_start_result (s.core, s.run, CELL_START_REFUSED_OTHER, s.now_us);
+  fleet_run (s.fleet, 1700);
+  assert_int_equal (s.fleet->orders_in_flight->len, 3);
+  finish (&s);
+}
+
 /* Random orders that are executed late, twice or without an answer, with
    restarts, removed entries, partitions and takeovers. */
 #define RANDOM_WORKERS 4
@@ -634,6 +655,7 @@
     cmocka_unit_test (test_overtaken_report_lacks_an_adopted_run),
     cmocka_unit_test (test_refusal_of_a_start_that_a_report_shows),
     cmocka_unit_test (test_report_of_an_unknown_incarnation),
+    cmocka_unit_test (test_placement_after_the_later_of_two_pauses),
     cmocka_unit_test (test_random),
   };
 
