An end listed after a lapsed lease does not contradict the lapse

Such an end no longer hands out the conclusion as contradicted; a run that is still reported as running does. Failed ends count as before.

Two cases more in test_cell_late: that one, which was red ("conclusion_next" true), and the refusal of a start after a stop was ordered.

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -473,7 +473,7 @@
   /* An earlier leader has counted the failures of runs that this one does not
      know. */
   if (end->kind == CELL_END_FAILED
-      && cell_over_contradict (core, worker_row, end->task, end->run))
+      && cell_over_contradict (core, worker_row, end->task, end->run, true))
     cell_task_failed (core, job, round, task, worker_row);
   if (end->kind != CELL_END_DONE)
     return;
@@ -485,7 +485,7 @@
       cell_run_free (core, run);
     }
   else
-    cell_over_contradict (core, worker_row, end->task, end->run);
+    cell_over_contradict (core, worker_row, end->task, end->run, true);
   if (!cell_stage_step (cell_stage_of_task (job, round, task))->long_running)
     stop_other_runs (core, job, round, task, end->run);
   cell_task_done (core, job, round, task);
@@ -525,7 +525,7 @@
   run = find_run (worker, job, round, task, row->run);
   if (run != NULL)
     return run;
-  cell_over_contradict (core, worker_row, row->task, row->run);
+  cell_over_contradict (core, worker_row, row->task, row->run, false);
   return cell_run_adopt (core, job, round, task, worker_row, row->run);
 }
 
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -441,11 +441,12 @@
  * 0 if it needs none. */
 uint64_t cell_over_report_after_us (const struct cell_worker *worker,
                                     const struct cell_run *run);
-/** Notes that the worker reports a run as running, done or failed that the
- * core does not know. If the run was concluded to be over, the conclusion is
- * handed out as contradicted. Returns whether it was. */
+/** Notes that the worker reports a run that the core does not know as running,
+ * or lists its end as done or failed (@p ended). If the run was concluded to
+ * be over, the conclusion is handed out as contradicted, unless the run may
+ * have ended before it. Returns whether it was concluded to be over. */
 bool cell_over_contradict (struct cell_core *core, uint32_t worker,
-                           struct cyc_str task, uint32_t run);
+                           struct cyc_str task, uint32_t run, bool ended);
 
 /* Placement and advice. */
 void cell_place_tick (struct cell_core *core);
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -399,7 +399,7 @@
 
 bool
 cell_over_contradict (struct cell_core *core, uint32_t worker,
-                      struct cyc_str task, uint32_t run)
+                      struct cyc_str task, uint32_t run, bool ended)
 {
   struct cell_conclusion wanted = { .worker = worker, .run = run };
   struct cell_conclusion *found;
@@ -408,8 +408,12 @@
   found = g_hash_table_lookup (core->concluded, &wanted);
   if (found == NULL)
     return false;
-  found->contradicted = true;
-  hand_out (core, found);
+  /* A silent worker lists later what ended before its lease lapsed. */
+  found->contradicted = !(
+      ended
+      && (found->over == CELL_OVER_LAPSED || found->over == CELL_OVER_LEFT));
+  if (found->contradicted)
+    hand_out (core, found);
   forget (core, found);
   return true;
 }
--- a/tests/test_cell_late.c
+++ b/tests/test_cell_late.c
@@ -457,6 +457,46 @@
   finish (&s);
 }
 
+/* The refusal of a start arrives after a stop was ordered: the order was not
+   carried out, so no stop is awaited. */
+static void
+test_refusal_after_a_stop_was_ordered (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  tick (&s, 200);
+  report (&s, s.born_ms, false);
+  assert_int_equal (s.stops, 1);
+  start_result (&s, CELL_START_REFUSED_CAPACITY);
+  assert_int_equal (over (&s), 1);
+  finish (&s);
+}
+
+/* A silent worker lists a run as done that ended before its lease lapsed: the
+   conclusion was right, and the task is done. */
+static void
+test_done_end_after_a_lapsed_lease (void **state)
+{
+  struct started s;
+  struct cell_conclusion conclusion;
+
+  (void)state;
+  begin (&s, 1);
+  start_result (&s, CELL_START_OK);
+  report (&s, s.born_ms, true);
+  cell_worker_silent (s.core, s.row, s.now_us);
+  tick (&s, FLEET_LEASE_MS + 500);
+  assert_int_equal (over (&s), 1);
+  s.fleet->now_ms = s.now_us / 1000;
+  report_end (&s, 1, 1, CELL_END_DONE, 0);
+  assert_false (cell_conclusion_next (s.core, &conclusion));
+  fleet_run (s.fleet, 60);
+  assert_int_equal (fleet_job_state (s.fleet, 1), CELL_JOB_COMPLETE);
+  finish (&s);
+}
+
 /* A report whose incarnation is unknown does not end a run. */
 static void
 test_report_of_an_unknown_incarnation (void **state)
@@ -654,6 +694,8 @@
     cmocka_unit_test (test_worker_left_with_an_open_start),
     cmocka_unit_test (test_overtaken_report_lacks_an_adopted_run),
     cmocka_unit_test (test_refusal_of_a_start_that_a_report_shows),
+    cmocka_unit_test (test_refusal_after_a_stop_was_ordered),
+    cmocka_unit_test (test_done_end_after_a_lapsed_lease),
     cmocka_unit_test (test_report_of_an_unknown_incarnation),
     cmocka_unit_test (test_placement_after_the_later_of_two_pauses),
     cmocka_unit_test (test_random),
