--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -73,7 +73,8 @@
   uint64_t batch; /**< batch with the record that names this run */
   bool recorded;  /**< that record is durable; the start waits until the job is
                      stored */
-  uint64_t ordered_us;      /**< when the start was ordered */
+  uint64_t ordered_us; /**< when the start was handed out as an order; 0 if it
+                          was not */
   uint64_t ordered_born_ms; /**< incarnation on whose clock the start's
                                deadline is; 0 if unknown */
   uint64_t call_ended_us;   /**< when the call of the start ended: a process
