Count a silent worker without an entry as gone after its lease

A start without an answer on a worker that crashed for good was resolved 22 s after the crash (12 s for a late call and 10 s of lease), since a newer incarnation might hold the order. A task whose turn has come would stand still that long (LOST). The platform lists a worker that is alive within two seconds of the removal of its entry, and one that is still missing counts as gone, so such a start is over when its own lease has lapsed.

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -373,6 +373,8 @@
       worker->exited_us = now_us + CELL_EXIT_MARGIN_US;
       cell_wake (core, worker->exited_us);
     }
+  if (worker->listed)
+    worker->unlisted_us = now_us;
   worker->listed = false;
 }
 
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -32,6 +32,9 @@
 #define CELL_EXIT_MARGIN_US 300000
 /** A call without an answer may be executed this long after it has ended. */
 #define CELL_CALL_LATE_MAX_US 12000000
+/** A worker that is alive and reaches the service discovery has its entry
+ * again this soon after it was removed. */
+#define CELL_RELISTED_US 2000000
 /** Interval between repeated stops of one run. */
 #define CELL_STOP_REPEAT_US 700000
 /** Delay before a task is retried whose gang did not start completely. */
@@ -141,8 +144,9 @@
   bool draining;
   uint64_t listed_after_us; /**< its entry was written later than this; 0 if
                                unknown */
-  uint64_t stays_until_us;  /**< earliest time a draining worker leaves; 0 if
-                               unknown */
+  uint64_t unlisted_us; /**< when its entry was removed; 0 if it never was */
+  uint64_t stays_until_us; /**< earliest time a draining worker leaves; 0 if
+                              unknown */
   uint64_t exited_us; /**< the worker has left and runs nothing from this time
                          on; 0 if unknown */
   bool fenced;        /**< has answered a hold call of this leader */
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -159,21 +159,35 @@
   return cell_lease_lapsed_us (core, call_us + CELL_CALL_LATE_MAX_US);
 }
 
+/* Returns when everything of a call that ended at @p call_us has ended because
+   the worker is gone: the platform lists a worker that is alive again within
+   CELL_RELISTED_US. */
+static uint64_t
+gone_us (const struct cell_core *core, const struct cell_worker *worker,
+         uint64_t call_us)
+{
+  if (worker->listed || worker->unlisted_us == 0)
+    return UINT64_MAX;
+  return MAX (worker->unlisted_us + CELL_RELISTED_US,
+              cell_lease_lapsed_us (core, call_us));
+}
+
 /* Returns when no copy of the run's start is left on a worker that is silent
    or has left, whose lease lapses or which left at @p worker_us. */
 static uint64_t
 lapse_us (const struct cell_core *core, const struct cell_worker *worker,
           const struct cell_run *run, uint64_t worker_us)
 {
+  uint64_t last_us
+      = worker->exited_us != 0 ? worker->exited_us : worker->silent_us;
+
   if (lease_covers (worker, run))
     return worker_us;
   if (run->call_ended_us == 0)
     return UINT64_MAX;
+  last_us = late_calls_lapse_us (core, MAX (run->call_ended_us, last_us));
   return MAX (worker_us,
-              late_calls_lapse_us (
-                  core, MAX (run->call_ended_us, worker->exited_us != 0
-                                                     ? worker->exited_us
-                                                     : worker->silent_us)));
+              MIN (last_us, gone_us (core, worker, run->call_ended_us)));
 }
 
 /* Returns whether no copy of the run's start is running or can be executed any
@@ -195,8 +209,8 @@
               requested after the answer and after the call had ended lacks the
               run: until then a new incarnation may receive the order
    lapsed     the lease has lapsed of the only incarnation that may have
-              received the order; else the longest delay of a late call and the
-              longest lease have passed
+              received the order; else the worker has lost its entry, or the
+              longest delay of a late call and the longest lease have passed
    left       as lapsed, with the exit of the process instead of the lease */
 static bool
 is_over (const struct cell_core *core, const struct cell_run *run,
--- a/tests/test_cell_late.c
+++ b/tests/test_cell_late.c
@@ -367,6 +367,27 @@
   finish (&s);
 }
 
+/* The same worker loses its entry: it is gone, not a newer incarnation. Guards
+   against a task that waits for it much longer than a lease. */
+static void
+test_lapsed_lease_of_a_worker_without_an_entry (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  start_result (&s, CELL_START_UNKNOWN);
+  cell_worker_silent (s.core, s.row, s.now_us);
+  tick (&s, 3ULL * FLEET_HEARTBEAT_MS);
+  cell_worker_unlisted (s.core, cyc_str_of (s.fleet->workers[s.row].id),
+                        s.now_us);
+  tick (&s, 1900);
+  assert_int_equal (over (&s), 0);
+  tick (&s, 200);
+  assert_int_equal (over (&s), 1);
+  finish (&s);
+}
+
 /* A start whose incarnation is known is over when its deadline has passed. */
 static void
 test_lapsed_lease_of_a_start_of_a_known_incarnation (void **state)
@@ -689,6 +710,7 @@
     cmocka_unit_test (test_done_end_of_a_run_that_was_let_go),
     cmocka_unit_test (
         test_lapsed_lease_of_a_start_that_a_newer_incarnation_may_hold),
+    cmocka_unit_test (test_lapsed_lease_of_a_worker_without_an_entry),
     cmocka_unit_test (test_lapsed_lease_of_a_start_of_a_known_incarnation),
     cmocka_unit_test (test_entry_removed_and_listed_again),
     cmocka_unit_test (test_worker_left_with_an_open_start),
