--- a/tests/test_cell_late.c
+++ b/tests/test_cell_late.c
@@ -360,13 +360,34 @@
   begin (&s, 1);
   start_result (&s, CELL_START_UNKNOWN);
   cell_worker_silent (s.core, s.row, s.now_us);
-  tick (&s, FLEET_LEASE_MS * 2);
+  tick (&s, 2ULL * FLEET_LEASE_MS);
   assert_int_equal (over (&s), 0);
   tick (&s, 12000);
   assert_int_equal (over (&s), 1);
   finish (&s);
 }
 
+/* The same worker loses its entry: it is gone, not a newer incarnation. Guards
+   against a task that waits for it much longer than a lease. */
+static void
+test_lapsed_lease_of_a_worker_without_an_entry (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  start_result (&s, CELL_START_UNKNOWN);
+  cell_worker_silent (s.core, s.row, s.now_us);
+  tick (&s, 3ULL * FLEET_HEARTBEAT_MS);
+  cell_worker_unlisted (s.core, cyc_str_of (s.fleet->workers[s.row].id),
+                        s.now_us);
+  tick (&s, 1900);
+  assert_int_equal (over (&s), 0);
+  tick (&s, 200);
+  assert_int_equal (over (&s), 1);
+  finish (&s);
+}
+
 /* A start whose incarnation is known is over when its deadline has passed. */
 static void
 test_lapsed_lease_of_a_start_of_a_known_incarnation (void **state)
@@ -457,6 +478,46 @@
   finish (&s);
 }
 
+/* The refusal of a start arrives after a stop was ordered: the order was not
+   carried out, so no stop is awaited. */
+static void
+test_refusal_after_a_stop_was_ordered (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  tick (&s, 200);
+  report (&s, s.born_ms, false);
+  assert_int_equal (s.stops, 1);
+  start_result (&s, CELL_START_REFUSED_CAPACITY);
+  assert_int_equal (over (&s), 1);
+  finish (&s);
+}
+
+/* A silent worker lists a run as done that ended before its lease lapsed: the
+   conclusion was right, and the task is done. */
+static void
+test_done_end_after_a_lapsed_lease (void **state)
+{
+  struct started s;
+  struct cell_conclusion conclusion;
+
+  (void)state;
+  begin (&s, 1);
+  start_result (&s, CELL_START_OK);
+  report (&s, s.born_ms, true);
+  cell_worker_silent (s.core, s.row, s.now_us);
+  tick (&s, FLEET_LEASE_MS + 500);
+  assert_int_equal (over (&s), 1);
+  s.fleet->now_ms = s.now_us / 1000;
+  report_end (&s, 1, 1, CELL_END_DONE, 0);
+  assert_false (cell_conclusion_next (s.core, &conclusion));
+  fleet_run (s.fleet, 60);
+  assert_int_equal (fleet_job_state (s.fleet, 1), CELL_JOB_COMPLETE);
+  finish (&s);
+}
+
 /* A report whose incarnation is unknown does not end a run. */
 static void
 test_report_of_an_unknown_incarnation (void **state)
@@ -475,6 +536,27 @@
   finish (&s);
 }
 
+/* Two workers are paused; the first one drains when its pause ends, so its
+   task waits for the second one. Guards against a placement that is not
+   retried at the end of the later pause. */
+static void
+test_placement_after_the_later_of_two_pauses (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 2);
+  cell_start_result (s.core, s.run, CELL_START_REFUSED_OTHER, s.now_us);
+  fleet_run (s.fleet, 500);
+  assert_int_equal (s.fleet->orders_in_flight->len, 2);
+  fleet_drain (s.fleet, s.row, 60000);
+  take_order (&s);
+  cell_start_result (s.core, s.run, CELL_START_REFUSED_OTHER, s.now_us);
+  fleet_run (s.fleet, 1700);
+  assert_int_equal (s.fleet->orders_in_flight->len, 3);
+  finish (&s);
+}
+
 /* Random orders that are executed late, twice or without an answer, with
    restarts, removed entries, partitions and takeovers. */
 #define RANDOM_WORKERS 4
@@ -628,12 +710,16 @@
     cmocka_unit_test (test_done_end_of_a_run_that_was_let_go),
     cmocka_unit_test (
         test_lapsed_lease_of_a_start_that_a_newer_incarnation_may_hold),
+    cmocka_unit_test (test_lapsed_lease_of_a_worker_without_an_entry),
     cmocka_unit_test (test_lapsed_lease_of_a_start_of_a_known_incarnation),
     cmocka_unit_test (test_entry_removed_and_listed_again),
     cmocka_unit_test (test_worker_left_with_an_open_start),
     cmocka_unit_test (test_overtaken_report_lacks_an_adopted_run),
     cmocka_unit_test (test_refusal_of_a_start_that_a_report_shows),
+    cmocka_unit_test (test_refusal_after_a_stop_was_ordered),
+    cmocka_unit_test (test_done_end_after_a_lapsed_lease),
     cmocka_unit_test (test_report_of_an_unknown_incarnation),
+    cmocka_unit_test (test_placement_after_the_later_of_two_pauses),
     cmocka_unit_test (test_random),
   };
 
