End the call of a start when its stop is answered

A start without an answer was resolved only when its call ended, after 1.2 s: until then a process that takes the worker's place may receive the order.

The workers port can now end the call of a start (abandon_start). The entry process does so when a stop of the run is answered: the connection is closed, no process receives the order any more, and the report that follows resolves the run, as fast as before.

--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -288,6 +288,11 @@
   if (!owner_call_ended (owner))
     return;
   cell_stop_result (owner->core, run, answered ? now_us : 0, now_us);
+  /* The worker refuses the start from now on, but a process that takes its
+     place would not. */
+  if (answered)
+    owner->entry->desc.ports->workers->vtable->abandon_start (
+        owner->entry->desc.ports->workers, owner, run);
   owner_input_added (owner);
 }
 
--- a/src/ports.h
+++ b/src/ports.h
@@ -195,6 +195,10 @@
   bool (*start) (struct pt_workers *workers, const struct pt_start *start);
   bool (*stop) (struct pt_workers *workers, const struct pt_stop *stop);
   bool (*hold) (struct pt_workers *workers, const struct pt_hold *hold);
+  /** Ends the call of a start that has no result yet: from then on no worker
+   * receives the order, and its result is CELL_START_UNKNOWN. */
+  void (*abandon_start) (struct pt_workers *workers, void *user,
+                         struct cyc_ref run);
 };
 struct pt_workers
 {
