--- a/src/http_client.c
+++ b/src/http_client.c
@@ -239,13 +239,11 @@
 {
   struct hc_result result = { 0 };
   struct hc_client *hc = transfer->client;
-  curl_off_t connect_us = 0;
   long request_bytes = 0;
   long connections = 0;
   long local_port = 0;
   struct hc_transfer finished;
 
-  curl_easy_getinfo (transfer->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
   curl_easy_getinfo (transfer->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   curl_easy_getinfo (transfer->easy, CURLINFO_NUM_CONNECTS, &connections);
   curl_easy_getinfo (transfer->easy, CURLINFO_LOCAL_PORT, &local_port);
@@ -253,7 +251,6 @@
   result.new_connection = connections > 0;
   result.local_port = (uint16_t)local_port;
   result.sent = transfer->attempts == 0 ? HC_SENT_NO : HC_SENT_MAYBE;
-  result.connected = connect_us > 0 || result.sent == HC_SENT_MAYBE;
   result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
   result.error = "";
   if (answer_is_complete (transfer, code))
