--- a/tests/test_cell_late.c
+++ b/tests/test_cell_late.c
@@ -237,6 +237,87 @@
   finish (&s);
 }
 
+/* A stop is answered while the call of the start is open: a process that takes
+   the worker's place may still receive the order. */
+static void
+test_stop_answered_while_the_call_is_open (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  tick (&s, 200);
+  report (&s, s.born_ms, false);
+  stop_answered (&s);
+  report (&s, s.born_ms, false);
+  assert_int_equal (over (&s), 0);
+  start_result (&s, CELL_START_UNKNOWN);
+  assert_true (report_after_us (&s) == s.now_us);
+  report (&s, s.born_ms, false);
+  assert_int_equal (over (&s), 1);
+  finish (&s);
+}
+
+/* A report that was requested before a stop was answered arrives after the
+   answer: the start may have been executed in between. */
+static void
+test_overtaken_report_after_an_answered_stop (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  start_result (&s, CELL_START_UNKNOWN);
+  tick (&s, 100);
+  report (&s, s.born_ms, false);
+  assert_int_equal (s.stops, 1);
+  stop_answered (&s);
+  report_at (&s, s.born_ms, 50, false);
+  assert_int_equal (over (&s), 0);
+  report (&s, s.born_ms, false);
+  assert_int_equal (over (&s), 1);
+  finish (&s);
+}
+
+/* A worker restarts, reports the run and falls silent: a hold with a deadline
+   on its earlier clock may be executed late and extend the lease. */
+static void
+test_lapsed_lease_after_a_restart (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  start_result (&s, CELL_START_OK);
+  report (&s, s.born_ms + 5000, true);
+  cell_worker_silent (s.core, s.row, s.now_us);
+  tick (&s, 2ULL * FLEET_LEASE_MS);
+  assert_int_equal (over (&s), 0);
+  tick (&s, 12000);
+  assert_int_equal (over (&s), 1);
+  finish (&s);
+}
+
+/* A report that does not list all ends lacks the run: its end may be one of
+   the others. */
+static void
+test_report_without_all_ends (void **state)
+{
+  struct started s;
+  struct cell_report partial = { .ends_truncated = true };
+
+  (void)state;
+  begin (&s, 1);
+  start_result (&s, CELL_START_OK);
+  s.now_us += 1000;
+  partial.born_ms = s.born_ms;
+  partial.clock_ms = s.now_us / 1000 - s.born_ms + 1000;
+  partial.sent_us = s.now_us;
+  cell_worker_report (s.core, s.row, &partial, s.now_us);
+  assert_int_equal (over (&s), 0);
+  finish (&s);
+}
+
 /* Reports an end of the task's run @p run, and run @p running as running; 0 if
    none is. */
 static void
@@ -683,6 +764,10 @@
     cmocka_unit_test (test_restart_after_the_start_was_answered),
     cmocka_unit_test (test_stop_answered_by_an_earlier_incarnation),
     cmocka_unit_test (test_late_answer_to_a_stop_of_an_earlier_incarnation),
+    cmocka_unit_test (test_stop_answered_while_the_call_is_open),
+    cmocka_unit_test (test_overtaken_report_after_an_answered_stop),
+    cmocka_unit_test (test_lapsed_lease_after_a_restart),
+    cmocka_unit_test (test_report_without_all_ends),
     cmocka_unit_test (test_start_refused_as_old_has_run),
     cmocka_unit_test (test_failed_ends_of_runs_that_were_let_go),
     cmocka_unit_test (test_failed_end_of_a_run_that_was_let_go_counts_once),
