--- /dev/null
+++ b/fakes/fk_platform_internal.h
@@ -0,0 +1,23 @@
+/**
+ * @file
+ * Functions that fk_platform.c and fk_platform_workers.c call in each other.
+ */
+#ifndef FK_PLATFORM_INTERNAL_H
+#define FK_PLATFORM_INTERNAL_H
+
+#include "fk_platform.h"
+
+/** Returns the monotonic time in milliseconds. */
+uint64_t fkp_now_ms (void);
+
+/* fk_platform_workers.c */
+/** Handles a call to a worker; @p user is the worker. */
+void fkp_on_worker_call (void *user, const struct hs_call *call);
+/** Answers a hold with the worker's runs and ends. */
+void fkp_reply_hold (struct fkp_worker *worker, struct cyc_ref call);
+/** Ends runs whose work is done or whose lease has lapsed. */
+void fkp_workers_tick (struct fkp_platform *platform, uint64_t now);
+/** Writes the entry of each worker. */
+void fkp_publish_workers (struct fkp_platform *platform);
+
+#endif
