--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -2,10 +2,7 @@
    any VM while VMs, the log, workers or the advisor fail. Every accepted job
    must complete, with each of its tasks started exactly once. */
 
-#include "entry_internal.h"
-#include "fk_platform.h"
-#include "pf.h"
-#include "tst_sched.h"
+#include "tst_cluster.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -16,206 +13,6 @@
 
 #include <cmocka.h>
 
-#define VM_COUNT 3
-#define ANSWERS_MAX 64
-#define TEAM_KEY "key-blue"
-
-struct vm
-{
-  struct pt_callers callers; /* first member: on_answer() casts it to vm */
-  struct cluster *cluster;
-  struct ent_settings settings;
-  struct pf_desc desc;
-  struct pf_log log;
-  struct pf_workers workers;
-  struct pf_advisor advisor;
-  struct pt_ports ports;
-  struct entry entry;
-  bool up;
-  bool stopped; /**< a planned stop has ended */
-};
-
-struct cluster
-{
-  struct ev_loop *loop;
-  struct fkp_platform fake;
-  struct vm vms[VM_COUNT];
-  struct pt_answer answers[ANSWERS_MAX]; /**< newest answer, by call index */
-  uint32_t answer_counts[ANSWERS_MAX];   /**< by call index */
-  uint32_t next_call;                    /**< index of the next call */
-};
-
-static void
-on_answer (struct pt_callers *port, struct cyc_ref call,
-           const struct pt_answer *answer)
-{
-  struct cluster *cluster = ((struct vm *)port)->cluster;
-
-  assert_in_range (call.index, 0, ANSWERS_MAX - 1);
-  cluster->answers[call.index] = *answer;
-  cluster->answer_counts[call.index]++;
-}
-
-static uint32_t
-count_open_calls (const struct pt_callers *port)
-{
-  (void)port;
-  return 0;
-}
-
-static const struct pt_callers_vtable callers_vtable = {
-  .answer = on_answer, .job = pf_job_decode, .open_count = count_open_calls
-};
-
-static void
-on_stopped (void *user)
-{
-  ((struct vm *)user)->stopped = true;
-}
-
-static void
-start_vm (struct cluster *cluster, uint32_t index)
-{
-  struct vm *vm = &cluster->vms[index];
-  struct cyc_findings findings = { 0 };
-  char name[16];
-  char log_address[64];
-
-  memcpy (log_address, vm->settings.log_address, sizeof log_address);
-  memset (vm, 0, sizeof *vm);
-  vm->callers.vtable = &callers_vtable;
-  vm->cluster = cluster;
-  snprintf (name, sizeof name, "vm-%u", index);
-  cyc_name_set (&vm->settings.vm, cyc_str_of (name));
-  cyc_name_set (&vm->settings.domain, CYC_STR ("north"));
-  cyc_name_set (&vm->settings.region, CYC_STR ("north"));
-  vm->settings.peers
-      = (struct set_address){ "127.0.0.1", tst_sched_free_port () };
-  vm->settings.lease_ms = 4000;
-  vm->settings.grace_ms = 6000;
-  vm->settings.log_parts = 2;
-  fkp_address (&cluster->fake.log, vm->settings.log_address);
-  if (log_address[0] != 0)
-    memcpy (vm->settings.log_address, log_address, sizeof log_address);
-  fkp_address (&cluster->fake.advisor, vm->settings.advisor_address);
-  vm->desc
-      = (struct pf_desc){ .loop = cluster->loop, .settings = &vm->settings };
-  assert_true (pf_log_setup (&vm->log, &vm->desc, &findings));
-  assert_true (pf_workers_setup (&vm->workers, &vm->desc, &findings));
-  assert_true (pf_advisor_setup (&vm->advisor, &vm->desc, &findings));
-  vm->ports
-      = (struct pt_ports){ &vm->log.port, &vm->workers.port, &vm->advisor.port,
-                           &vm->callers, &pf_records };
-  assert_true (entry_setup (&vm->entry,
-                            &(struct entry_desc){ .loop = cluster->loop,
-                                                  .settings = &vm->settings,
-                                                  .ports = &vm->ports,
-                                                  .stopped = on_stopped,
-                                                  .user = vm },
-                            &findings));
-  vm->up = true;
-}
-
-/* Ends a VM abruptly, as a kill does: it releases and announces nothing. */
-static void
-kill_vm (struct cluster *cluster, uint32_t index)
-{
-  struct vm *vm = &cluster->vms[index];
-
-  if (!vm->up)
-    return;
-  entry_shutdown (&vm->entry);
-  pf_client_shutdown (&vm->log.client);
-  pf_client_shutdown (&vm->workers.client);
-  pf_client_shutdown (&vm->advisor.client);
-  vm->up = false;
-}
-
-static void
-run_loop_ms (struct cluster *cluster, uint32_t ms)
-{
-  uint64_t end_us = hc_now_us () + ms * 1000ULL;
-
-  while (hc_now_us () < end_us)
-    ev_run (cluster->loop, EVRUN_ONCE);
-}
-
-static struct vm *
-find_leader (struct cluster *cluster)
-{
-  for (uint32_t i = 0; i < VM_COUNT; i++)
-    if (cluster->vms[i].up && cluster->vms[i].entry.owner != NULL)
-      return &cluster->vms[i];
-  return NULL;
-}
-
-static const char config_text[]
-    = "{\"version\":1,\"routes\":[{\"name\":\"plain\",\"host\":\"h\","
-      "\"path_prefix\":\"/plain/\",\"service\":\"pool\",\"priority\":1,"
-      "\"max_attempts\":3,\"slack_factor\":2,\"target_latency_ms\":1000},"
-      "{\"name\":\"advised\",\"host\":\"h\",\"path_prefix\":\"/advised/\","
-      "\"service\":\"pool\",\"priority\":0,\"max_attempts\":3,"
-      "\"slack_factor\":2,\"target_latency_ms\":1000,\"advisor\":{"
-      "\"decision_ms\":5,\"period_ms\":0.1,\"valid_ms\":2500}}],"
-      "\"services\":[{\"name\":\"pool\"}],\"tenants\":[{\"name\":\"blue\","
-      "\"api_keys\":[\"" TEAM_KEY "\"],\"weight\":1}]}";
-
-static void
-setup (struct cluster *cluster)
-{
-  struct cyc_findings findings = { 0 };
-
-  memset (cluster, 0, sizeof *cluster);
-  cluster->loop = ev_default_loop (0);
-  assert_true (fkp_setup (&cluster->fake, cluster->loop, 4, &findings));
-  fkp_put (&cluster->fake, "keyed.op", "config", config_text);
-  for (uint32_t i = 0; i < VM_COUNT; i++)
-    start_vm (cluster, i);
-  for (int i = 0; i < 60 && find_leader (cluster) == NULL; i++)
-    run_loop_ms (cluster, 50);
-  run_loop_ms (cluster, 900);
-  assert_non_null (find_leader (cluster));
-}
-
-static void
-teardown (struct cluster *cluster)
-{
-  for (uint32_t i = 0; i < VM_COUNT; i++)
-    kill_vm (cluster, i);
-  fkp_shutdown (&cluster->fake);
-}
-
-static uint32_t
-send_request (struct cluster *cluster, uint32_t vm, const char *method,
-              const char *path, const char *key, const char *body)
-{
-  struct pt_request request = {
-    .call = { cluster->next_call, 1 },
-    .method = cyc_str_of (method),
-    .host = CYC_STR ("h"),
-    .path = cyc_str_of (path),
-    .key = cyc_str_of (key),
-    .body = cyc_str_of (body),
-    .wait_ms = 3000,
-  };
-
-  cluster->answer_counts[cluster->next_call] = 0;
-  entry_request (&cluster->vms[vm].entry, &request);
-  return cluster->next_call++;
-}
-
-static enum pt_answer_kind
-request_and_wait (struct cluster *cluster, uint32_t vm, const char *method,
-                  const char *path, const char *body)
-{
-  uint32_t call = send_request (cluster, vm, method, path, TEAM_KEY, body);
-
-  for (int i = 0; i < 350 && cluster->answer_counts[call] == 0; i++)
-    run_loop_ms (cluster, 10);
-  assert_int_equal (cluster->answer_counts[call], 1);
-  return cluster->answers[call].kind;
-}
-
 #define JOB_COUNT 4
 #define TASKS_PER_JOB 3
 #define JOB_BODY                                                              \
@@ -224,7 +21,7 @@
   "\"estimate_ms\":200,\"depends_on\":[0]}]}"
 
 static uint32_t
-count_complete_jobs (struct cluster *cluster, uint32_t vm)
+count_complete_jobs (struct tst_cluster *cluster, uint32_t vm)
 {
   uint32_t complete = 0;
 
@@ -235,10 +32,10 @@
 
       snprintf (path, sizeof path, "/%s/%016x", j % 2 ? "plain" : "advised",
                 j + 1);
-      complete
-          += request_and_wait (cluster, vm, "GET", path, "") == PT_ANSWER_STATE
-             && cluster->answers[cluster->next_call - 1].state
-                    == CELL_JOB_COMPLETE;
+      complete += tst_cluster_request (cluster, vm, "GET", path, "")
+                      == PT_ANSWER_STATE
+                  && cluster->answers[cluster->next_call - 1].state
+                         == CELL_JOB_COMPLETE;
     }
   return complete;
 }
@@ -247,91 +44,85 @@
 {
   const char *name;
   /** Injects a fault before the jobs are submitted; or NULL. */
-  void (*before_submit) (struct cluster *cluster);
+  void (*before_submit) (struct tst_cluster *cluster);
   /** Injects a fault after all jobs were accepted; or NULL. */
-  void (*after_submit) (struct cluster *cluster);
+  void (*after_submit) (struct tst_cluster *cluster);
   uint32_t task_duration_ms;
   uint32_t timeout_ms; /**< until all jobs are complete */
   bool exactly_once;   /**< each task must be started once */
 };
 
-static uint32_t
-leader_index (struct cluster *cluster)
-{
-  return (uint32_t)(find_leader (cluster) - cluster->vms);
-}
-
 static void
-kill_leader (struct cluster *cluster)
+kill_leader (struct tst_cluster *cluster)
 {
-  run_loop_ms (cluster, 250);
-  kill_vm (cluster, leader_index (cluster));
+  tst_cluster_run (cluster, 250);
+  tst_cluster_kill_vm (cluster, tst_cluster_leader_index (cluster));
 }
 
 static void
-stop_leader (struct cluster *cluster)
+stop_leader (struct tst_cluster *cluster)
 {
-  run_loop_ms (cluster, 250);
-  entry_stop (&find_leader (cluster)->entry);
+  tst_cluster_run (cluster, 250);
+  entry_stop (&tst_cluster_leader (cluster)->entry);
 }
 
 static void
-kill_all_and_restart (struct cluster *cluster)
+kill_all_and_restart (struct tst_cluster *cluster)
 {
-  run_loop_ms (cluster, 300);
-  for (uint32_t i = 0; i < VM_COUNT; i++)
-    kill_vm (cluster, i);
-  for (uint32_t i = 0; i < VM_COUNT; i++)
-    start_vm (cluster, i);
+  tst_cluster_run (cluster, 300);
+  for (uint32_t i = 0; i < TST_CLUSTER_VMS; i++)
+    tst_cluster_kill_vm (cluster, i);
+  for (uint32_t i = 0; i < TST_CLUSTER_VMS; i++)
+    tst_cluster_start_vm (cluster, i);
 }
 
 static void
-log_busy (struct cluster *cluster)
+log_busy (struct tst_cluster *cluster)
 {
-  run_loop_ms (cluster, 200);
+  tst_cluster_run (cluster, 200);
   cluster->fake.faults.log_busy = true;
-  run_loop_ms (cluster, 1500);
+  tst_cluster_run (cluster, 1500);
   cluster->fake.faults.log_busy = false;
 }
 
 static void
-log_silent (struct cluster *cluster)
+log_silent (struct tst_cluster *cluster)
 {
-  run_loop_ms (cluster, 200);
+  tst_cluster_run (cluster, 200);
   cluster->fake.faults.log_silent = true;
-  run_loop_ms (cluster, 1500);
+  tst_cluster_run (cluster, 1500);
   cluster->fake.faults.log_silent = false;
 }
 
 static void
-lose_answers_of_appends (struct cluster *cluster)
+lose_answers_of_appends (struct tst_cluster *cluster)
 {
   cluster->fake.faults.lose_append_answers = 4;
 }
 
 static void
-lose_start_answers (struct cluster *cluster)
+lose_start_answers (struct tst_cluster *cluster)
 {
   cluster->fake.faults.lose_start_answers = 6;
 }
 
 static void
-advisor_busy (struct cluster *cluster)
+advisor_busy (struct tst_cluster *cluster)
 {
   cluster->fake.faults.advisor_busy = true;
-  run_loop_ms (cluster, 700);
+  tst_cluster_run (cluster, 700);
   cluster->fake.faults.advisor_busy = false;
 }
 
 /* A follower cannot reach the log: its calls go through another VM. */
 static void
-disconnect_follower_from_log (struct cluster *cluster)
+disconnect_follower_from_log (struct tst_cluster *cluster)
 {
-  uint32_t index = (leader_index (cluster) + 1) % VM_COUNT;
+  uint32_t index = (tst_cluster_leader_index (cluster) + 1) % TST_CLUSTER_VMS;
 
   g_strlcpy (cluster->vms[index].log.address, "127.0.0.1:1",
              sizeof cluster->vms[index].log.address);
-  run_loop_ms (cluster, 1500);
+  tst_cluster_run (cluster, 1500);
 }
 
 static void
@@ -342,16 +133,16 @@
 }
 
 static void
-disconnect_leader_from_log (struct cluster *cluster)
+disconnect_leader_from_log (struct tst_cluster *cluster)
 {
-  g_strlcpy (find_leader (cluster)->log.address, "127.0.0.1:1",
+  g_strlcpy (tst_cluster_leader (cluster)->log.address, "127.0.0.1:1",
              sizeof cluster->vms[0].log.address);
 }
 
 /* Replaces the leader's log by a port that accepts connections and never
    answers. */
 static void
-mute_log_of_leader (struct cluster *cluster)
+mute_log_of_leader (struct tst_cluster *cluster)
 {
   static struct hs_server mute;
   struct cyc_findings findings = { 0 };
@@ -362,7 +153,7 @@
                                               .address = "127.0.0.1",
                                               .handle = ignore_call },
                            &findings));
-  fkp_address (&mute, find_leader (cluster)->log.address);
+  fkp_address (&mute, tst_cluster_leader (cluster)->log.address);
 }
 
 static const struct fault_case cases[] = {
@@ -386,7 +177,7 @@
 };
 
 static uint64_t
-count_starts (const struct cluster *cluster)
+count_starts (const struct tst_cluster *cluster)
 {
   uint64_t count = 0;
 
@@ -396,23 +187,23 @@
 }
 
 static uint32_t
-find_running_vm (const struct cluster *cluster, uint32_t from)
+find_running_vm (const struct tst_cluster *cluster, uint32_t from)
 {
-  for (uint32_t i = 0; i < VM_COUNT; i++)
-    if (cluster->vms[(from + i) % VM_COUNT].up
-        && !cluster->vms[(from + i) % VM_COUNT].entry.stopping)
-      return (from + i) % VM_COUNT;
+  for (uint32_t i = 0; i < TST_CLUSTER_VMS; i++)
+    if (cluster->vms[(from + i) % TST_CLUSTER_VMS].up
+        && !cluster->vms[(from + i) % TST_CLUSTER_VMS].entry.stopping)
+      return (from + i) % TST_CLUSTER_VMS;
   return 0;
 }
 
 static void
 run_case (const struct fault_case *row)
 {
-  struct cluster *cluster = calloc (1, sizeof *cluster);
+  struct tst_cluster *cluster = calloc (1, sizeof *cluster);
   uint32_t complete = 0;
   uint64_t end_us;
 
-  setup (cluster);
+  tst_cluster_setup (cluster);
   cluster->fake.task_duration_ms = row->task_duration_ms;
   if (row->before_submit != NULL)
     row->before_submit (cluster);
@@ -423,7 +214,8 @@
       snprintf (path, sizeof path, "/%s/%016x", j % 2 ? "plain" : "advised",
                 j + 1);
       cluster->next_call = j;
-      if (request_and_wait (cluster, j % VM_COUNT, "POST", path, JOB_BODY)
+      if (tst_cluster_request (cluster, j % TST_CLUSTER_VMS, "POST", path,
+                               JOB_BODY)
           != PT_ANSWER_ACCEPTED)
         fail_msg ("%s: job %u got answer %d", row->name, j + 1,
                   (int)cluster->answers[j].kind);
@@ -433,7 +225,7 @@
   end_us = hc_now_us () + row->timeout_ms * 1000ULL;
   while (complete < JOB_COUNT && hc_now_us () < end_us)
     {
-      run_loop_ms (cluster, 100);
+      tst_cluster_run (cluster, 100);
       complete = count_complete_jobs (cluster, find_running_vm (cluster, 1));
     }
   if (complete < JOB_COUNT)
@@ -443,7 +235,7 @@
       && count_starts (cluster) != (uint64_t)JOB_COUNT * TASKS_PER_JOB)
     fail_msg ("%s: %d starts of %d tasks", row->name,
               (int)count_starts (cluster), JOB_COUNT * TASKS_PER_JOB);
-  teardown (cluster);
+  tst_cluster_teardown (cluster);
   free (cluster);
 }
 
@@ -466,57 +258,57 @@
 };
 
 static const struct answer_case answer_cases[] = {
-  { "unknown queue", "POST", "/none/0000000000000009", TEAM_KEY, JOB_BODY,
-    PT_ANSWER_NO_QUEUE },
+  { "unknown queue", "POST", "/none/0000000000000009", TST_CLUSTER_KEY,
+    JOB_BODY, PT_ANSWER_NO_QUEUE },
   { "unknown key", "POST", "/plain/0000000000000009", "other", JOB_BODY,
     PT_ANSWER_BAD_KEY },
   { "no key", "GET", "/plain/0000000000000009", "", "", PT_ANSWER_BAD_KEY },
-  { "an invalid job id", "POST", "/plain/xyz", TEAM_KEY, JOB_BODY,
+  { "an invalid job id", "POST", "/plain/xyz", TST_CLUSTER_KEY, JOB_BODY,
     PT_ANSWER_BAD_REQUEST },
-  { "a body that is not a job", "POST", "/plain/0000000000000009", TEAM_KEY,
-    "{}", PT_ANSWER_BAD_REQUEST },
-  { "an unknown job", "GET", "/plain/0000000000000009", TEAM_KEY, "",
+  { "a body that is not a job", "POST", "/plain/0000000000000009",
+    TST_CLUSTER_KEY, "{}", PT_ANSWER_BAD_REQUEST },
+  { "an unknown job", "GET", "/plain/0000000000000009", TST_CLUSTER_KEY, "",
     PT_ANSWER_NO_JOB },
-  { "cancelling an unknown job", "DELETE", "/plain/0000000000000009", TEAM_KEY,
-    "", PT_ANSWER_NO_JOB },
-  { "the backlog of a queue", "GET", "/plain/", TEAM_KEY, "",
+  { "cancelling an unknown job", "DELETE", "/plain/0000000000000009",
+    TST_CLUSTER_KEY, "", PT_ANSWER_NO_JOB },
+  { "the backlog of a queue", "GET", "/plain/", TST_CLUSTER_KEY, "",
     PT_ANSWER_PENDING },
-  { "a job", "POST", "/plain/000000000000000a", TEAM_KEY, JOB_BODY,
+  { "a job", "POST", "/plain/000000000000000a", TST_CLUSTER_KEY, JOB_BODY,
     PT_ANSWER_ACCEPTED },
-  { "the same job again", "POST", "/plain/000000000000000a", TEAM_KEY,
+  { "the same job again", "POST", "/plain/000000000000000a", TST_CLUSTER_KEY,
     JOB_BODY, PT_ANSWER_ACCEPTED },
-  { "the state of the job", "GET", "/plain/000000000000000a", TEAM_KEY, "",
-    PT_ANSWER_STATE },
-  { "cancelling the job", "DELETE", "/plain/000000000000000a", TEAM_KEY, "",
-    PT_ANSWER_CANCELLED },
+  { "the state of the job", "GET", "/plain/000000000000000a", TST_CLUSTER_KEY,
+    "", PT_ANSWER_STATE },
+  { "cancelling the job", "DELETE", "/plain/000000000000000a", TST_CLUSTER_KEY,
+    "", PT_ANSWER_CANCELLED },
 };
 
 /* Leader and followers give the same answer to a request. */
 static void
 test_answers (void **state)
 {
-  struct cluster *cluster = calloc (1, sizeof *cluster);
+  struct tst_cluster *cluster = calloc (1, sizeof *cluster);
 
   (void)state;
-  setup (cluster);
+  tst_cluster_setup (cluster);
   cluster->fake.task_duration_ms = 30000;
-  for (uint32_t vm = 0; vm < VM_COUNT; vm++)
+  for (uint32_t vm = 0; vm < TST_CLUSTER_VMS; vm++)
     for (size_t i = 0; i < sizeof answer_cases / sizeof answer_cases[0]; i++)
       {
         const struct answer_case *row = &answer_cases[i];
         uint32_t call;
 
         cluster->next_call = 0;
-        call = send_request (cluster, vm, row->method, row->path, row->key,
-                             row->body);
+        call = tst_cluster_send (cluster, vm, row->method, row->path, row->key,
+                                 row->body);
         for (int w = 0; w < 300 && cluster->answer_counts[call] == 0; w++)
-          run_loop_ms (cluster, 10);
+          tst_cluster_run (cluster, 10);
         if (cluster->answer_counts[call] != 1
             || cluster->answers[call].kind != row->kind)
           fail_msg ("%s at vm-%u: answer %d, expected %d", row->name, vm,
                     (int)cluster->answers[call].kind, (int)row->kind);
       }
-  teardown (cluster);
+  tst_cluster_teardown (cluster);
   free (cluster);
 }
 
@@ -526,20 +318,20 @@
 static void
 test_refusal_is_quick (void **state)
 {
-  struct cluster *cluster = calloc (1, sizeof *cluster);
+  struct tst_cluster *cluster = calloc (1, sizeof *cluster);
   uint64_t start_us;
 
   (void)state;
-  setup (cluster);
+  tst_cluster_setup (cluster);
   cluster->fake.faults.log_busy = true;
-  run_loop_ms (cluster, 500);
+  tst_cluster_run (cluster, 500);
   start_us = hc_now_us ();
-  assert_int_equal (request_and_wait (cluster, 0, "POST",
-                                      "/plain/000000000000000b", JOB_BODY),
+  assert_int_equal (tst_cluster_request (cluster, 0, "POST",
+                                         "/plain/000000000000000b", JOB_BODY),
                     PT_ANSWER_BUSY);
   assert_true (hc_now_us () - start_us < 400000);
   assert_int_equal (cluster->answers[0].retry_after_s, 1);
-  teardown (cluster);
+  tst_cluster_teardown (cluster);
   free (cluster);
 }
 
@@ -552,37 +344,37 @@
 static void
 test_slow_log (void **state)
 {
-  struct cluster *cluster = calloc (1, sizeof *cluster);
+  struct tst_cluster *cluster = calloc (1, sizeof *cluster);
 
   (void)state;
-  setup (cluster);
+  tst_cluster_setup (cluster);
   cluster->fake.faults.log_delay_ms = SLOW_LOG_DELAY_MS;
-  run_loop_ms (cluster, 2 * SLOW_LOG_DELAY_MS);
-  for (uint32_t vm = 0; vm < VM_COUNT; vm++)
+  tst_cluster_run (cluster, 2 * SLOW_LOG_DELAY_MS);
+  for (uint32_t vm = 0; vm < TST_CLUSTER_VMS; vm++)
     {
       char path[64];
       uint64_t before = count_starts (cluster);
       uint64_t start_us = hc_now_us ();
 
       snprintf (path, sizeof path, "/plain/%016x", 0x20 + vm);
-      send_request (cluster, vm, "POST", path, TEAM_KEY,
-                    "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"cpu\":1000,"
-                    "\"mem_mb\":10,\"estimate_ms\":200}]}");
+      tst_cluster_send (cluster, vm, "POST", path, TST_CLUSTER_KEY,
+                        "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"cpu\":1000,"
+                        "\"mem_mb\":10,\"estimate_ms\":200}]}");
       while (count_starts (cluster) == before
              && hc_now_us () < start_us + 2000000)
-        run_loop_ms (cluster, 5);
+        tst_cluster_run (cluster, 5);
       assert_in_range ((hc_now_us () - start_us) / 1000, SLOW_LOG_DELAY_MS,
                        2 * SLOW_LOG_DELAY_MS - 50);
     }
-  run_loop_ms (cluster, 1500);
-  teardown (cluster);
+  tst_cluster_run (cluster, 1500);
+  tst_cluster_teardown (cluster);
   free (cluster);
 }
 
 static bool
-has_answering_leader (const struct cluster *cluster)
+has_answering_leader (const struct tst_cluster *cluster)
 {
-  for (uint32_t i = 0; i < VM_COUNT; i++)
+  for (uint32_t i = 0; i < TST_CLUSTER_VMS; i++)
     if (cluster->vms[i].up && owner_can_answer (&cluster->vms[i].entry))
       return true;
   return false;
@@ -597,30 +389,30 @@
 static void
 test_hand_over (void **state)
 {
-  struct cluster *cluster = calloc (1, sizeof *cluster);
-  struct vm *old_leader;
+  struct tst_cluster *cluster = calloc (1, sizeof *cluster);
+  struct tst_cluster_vm *old_leader;
   uint64_t end_us;
   uint64_t gap_us = 0;
 
   (void)state;
-  setup (cluster);
+  tst_cluster_setup (cluster);
   cluster->fake.faults.log_delay_ms = HANDOVER_LOG_DELAY_MS;
-  run_loop_ms (cluster, 1500);
-  old_leader = find_leader (cluster);
+  tst_cluster_run (cluster, 1500);
+  old_leader = tst_cluster_leader (cluster);
   entry_stop (&old_leader->entry);
   end_us = hc_now_us () + 2500000;
   while (hc_now_us () < end_us)
     {
       uint64_t start_us = hc_now_us ();
 
-      run_loop_ms (cluster, 5);
+      tst_cluster_run (cluster, 5);
       if (!has_answering_leader (cluster))
         gap_us += hc_now_us () - start_us;
     }
   assert_true (has_answering_leader (cluster));
-  assert_ptr_not_equal (find_leader (cluster), old_leader);
+  assert_ptr_not_equal (tst_cluster_leader (cluster), old_leader);
   assert_in_range (gap_us / 1000, 0, 2 * HANDOVER_LOG_DELAY_MS + 100);
-  teardown (cluster);
+  tst_cluster_teardown (cluster);
   free (cluster);
 }
 
@@ -631,23 +423,23 @@
 static void
 test_quiet_view_is_fresh (void **state)
 {
-  struct cluster *cluster = calloc (1, sizeof *cluster);
+  struct tst_cluster *cluster = calloc (1, sizeof *cluster);
 
   (void)state;
-  setup (cluster);
+  tst_cluster_setup (cluster);
   for (int i = 0; i < 24; i++)
     {
       uint64_t start_us = hc_now_us ();
 
       cluster->next_call = 0;
-      assert_int_equal (
-          request_and_wait (cluster, (uint32_t)i % VM_COUNT, "GET",
+      assert_int_equal (tst_cluster_request (
+                            cluster, (uint32_t)i % TST_CLUSTER_VMS, "GET",
                             i % 2 ? "/plain/" : "/plain/0000000000000099", ""),
-          i % 2 ? PT_ANSWER_PENDING : PT_ANSWER_NO_JOB);
+                        i % 2 ? PT_ANSWER_PENDING : PT_ANSWER_NO_JOB);
       assert_true (hc_now_us () - start_us < 400000);
-      run_loop_ms (cluster, 200);
+      tst_cluster_run (cluster, 200);
     }
-  teardown (cluster);
+  tst_cluster_teardown (cluster);
   free (cluster);
 }
 
@@ -656,33 +448,33 @@
 static void
 test_final_state_needs_no_log (void **state)
 {
-  struct cluster *cluster = calloc (1, sizeof *cluster);
+  struct tst_cluster *cluster = calloc (1, sizeof *cluster);
   const char *path = "/plain/000000000000000c";
 
   (void)state;
-  setup (cluster);
-  assert_int_equal (request_and_wait (cluster, 0, "POST", path, JOB_BODY),
+  tst_cluster_setup (cluster);
+  assert_int_equal (tst_cluster_request (cluster, 0, "POST", path, JOB_BODY),
                     PT_ANSWER_ACCEPTED);
-  run_loop_ms (cluster, 1500);
+  tst_cluster_run (cluster, 1500);
   cluster->fake.faults.log_busy = true;
-  run_loop_ms (cluster, 3000);
-  for (uint32_t vm = 0; vm < VM_COUNT; vm++)
+  tst_cluster_run (cluster, 3000);
+  for (uint32_t vm = 0; vm < TST_CLUSTER_VMS; vm++)
     {
       uint64_t start_us = hc_now_us ();
 
-      assert_int_equal (request_and_wait (cluster, vm, "GET", path, ""),
+      assert_int_equal (tst_cluster_request (cluster, vm, "GET", path, ""),
                         PT_ANSWER_STATE);
       assert_int_equal (cluster->answers[cluster->next_call - 1].state,
                         CELL_JOB_COMPLETE);
       assert_true (hc_now_us () - start_us < 400000);
     }
-  teardown (cluster);
+  tst_cluster_teardown (cluster);
   free (cluster);
 }
 
 /* Counts the runs in progress at the fake workers. */
 static uint32_t
-count_runs (const struct cluster *cluster)
+count_runs (const struct tst_cluster *cluster)
 {
   uint32_t count = 0;
 
@@ -707,22 +499,22 @@
 static void
 test_leases_end_without_log (void **state)
 {
-  struct cluster *cluster = calloc (1, sizeof *cluster);
+  struct tst_cluster *cluster = calloc (1, sizeof *cluster);
 
   (void)state;
-  setup (cluster);
+  tst_cluster_setup (cluster);
   cluster->fake.task_duration_ms = 30000;
-  assert_int_equal (request_and_wait (cluster, 0, "POST",
-                                      "/plain/000000000000000d", JOB_BODY),
+  assert_int_equal (tst_cluster_request (cluster, 0, "POST",
+                                         "/plain/000000000000000d", JOB_BODY),
                     PT_ANSWER_ACCEPTED);
-  run_loop_ms (cluster, 1000);
+  tst_cluster_run (cluster, 1000);
   assert_int_equal (count_runs (cluster), 2);
   cluster->fake.faults.log_busy = true;
-  run_loop_ms (cluster, LEASE_EXTENSION_MS + 500);
+  tst_cluster_run (cluster, LEASE_EXTENSION_MS + 500);
   assert_int_equal (count_runs (cluster), 2);
-  run_loop_ms (cluster, LEASE_MS - 500 + IN_FLIGHT_HOLD_MS);
+  tst_cluster_run (cluster, LEASE_MS - 500 + IN_FLIGHT_HOLD_MS);
   assert_int_equal (count_runs (cluster), 0);
-  teardown (cluster);
+  tst_cluster_teardown (cluster);
   free (cluster);
 }
 
@@ -733,25 +525,26 @@
 static void
 test_successor_waits_for_leases (void **state)
 {
-  struct cluster *cluster = calloc (1, sizeof *cluster);
+  struct tst_cluster *cluster = calloc (1, sizeof *cluster);
   uint64_t before;
 
   (void)state;
-  setup (cluster);
+  tst_cluster_setup (cluster);
   cluster->fake.task_duration_ms = 30000;
-  assert_int_equal (request_and_wait (cluster, 0, "POST",
-                                      "/plain/000000000000000e", JOB_BODY),
+  assert_int_equal (tst_cluster_request (cluster, 0, "POST",
+                                         "/plain/000000000000000e", JOB_BODY),
                     PT_ANSWER_ACCEPTED);
-  run_loop_ms (cluster, 1000);
+  tst_cluster_run (cluster, 1000);
   before = count_starts (cluster);
   for (uint32_t i = 0; i < cluster->fake.worker_count; i++)
     cluster->fake.workers[i].silent = cluster->fake.workers[i].run_count > 0;
-  kill_vm (cluster, leader_index (cluster));
-  run_loop_ms (cluster, LEASE_EXTENSION_MS + LEASE_MS - RENEWAL_INTERVAL_MS);
+  tst_cluster_kill_vm (cluster, tst_cluster_leader_index (cluster));
+  tst_cluster_run (cluster,
+                   LEASE_EXTENSION_MS + LEASE_MS - RENEWAL_INTERVAL_MS);
   assert_int_equal (count_starts (cluster), before);
-  run_loop_ms (cluster, 4000);
+  tst_cluster_run (cluster, 4000);
   assert_int_equal (count_starts (cluster), before + 2);
-  teardown (cluster);
+  tst_cluster_teardown (cluster);
   free (cluster);
 }
 
