--- a/fakes/fk_platform.c
+++ b/fakes/fk_platform.c
@@ -7,7 +7,6 @@
 
 #define TICK_S 0.005
 #define NEWEST_ITEMS_PER_PAGE 3
-#define ENTRY_INTERVAL_MS 500
 
 void
 fkp_address (const struct hs_server *hs, char out[32])
@@ -411,7 +410,7 @@
 
 /* Timer. */
 
-/* Returns true if the call was answered. */
+/* Returns true if the call was answered or will never be. */
 static bool
 answer_if_due (struct fkp_platform *platform, struct fkp_pending_reply *reply,
                uint64_t now)
@@ -428,6 +427,8 @@
       g_bytes_unref (reply->body);
       return true;
     }
+  if (reply->worker != NULL && (reply->worker->silent || reply->worker->down))
+    return true;
   if (reply->worker != NULL)
     {
       if (reply->worker->end_count == 0 && now < reply->due_ms)
@@ -462,7 +463,7 @@
     }
   if (now >= platform->next_entries_ms)
     {
-      platform->next_entries_ms = now + ENTRY_INTERVAL_MS;
+      platform->next_entries_ms = now + FKP_HEARTBEAT_MS;
       fkp_publish_workers (platform);
     }
 }
@@ -490,6 +491,7 @@
   platform->parts = g_ptr_array_new ();
   platform->pending_replies
       = g_array_new (FALSE, TRUE, sizeof (struct fkp_pending_reply));
+  fkp_workers_setup (platform);
   if (!listen_on (&platform->log, loop, on_log_call, platform, findings)
       || !listen_on (&platform->advisor, loop, on_advise, platform, findings))
     return false;
@@ -502,6 +504,8 @@
       worker->born_ms = fkp_now_ms () - 1000;
       worker->millicores = 8000;
       worker->next_end_number = 1;
+      worker->over
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
       if (!listen_on (&worker->hs, loop, fkp_on_worker_call, worker, findings))
         return false;
       platform->worker_count++;
@@ -531,4 +535,5 @@
     }
   g_ptr_array_free (platform->parts, TRUE);
   g_array_free (platform->pending_replies, TRUE);
+  fkp_workers_shutdown (platform);
 }
--- a/fakes/fk_platform.h
+++ b/fakes/fk_platform.h
@@ -18,6 +18,8 @@
 
 #define FKP_WORKERS_MAX 8
 #define FKP_RUNS_MAX 256
+/** Interval between two entries of a worker. */
+#define FKP_HEARTBEAT_MS 500
 
 /** A partition of a topic. */
 struct fkp_part
@@ -54,6 +56,47 @@
   const char *outcome;
 };
 
+/** What a worker does with the orders to start that it receives. */
+enum fkp_start_fault
+{
+  FKP_START_EXECUTED,
+  FKP_START_LATE,       /**< gives no answer and executes the order later */
+  FKP_START_TWICE,      /**< executes and answers it, and again later */
+  FKP_START_CLOSED,     /**< closes the connection and executes it later */
+  FKP_START_CLOSED_BUSY /**< the same; refuses its next copy with 503 */
+};
+
+/** An order to start that is executed later. */
+struct fkp_late_start
+{
+  struct fkp_worker *worker;
+  char task[64];
+  char checkpoint[32];
+  uint32_t run;
+  uint64_t fence;
+  uint64_t deadline_ms; /**< on the worker's clock */
+  uint64_t due_ms;
+  uint64_t born_ms; /**< incarnation that received it */
+  bool refuse_copy; /**< the next copy is answered with 503 */
+};
+
+/** What happened to a run, kept after its worker has forgotten it. */
+struct fkp_history
+{
+  const struct fkp_worker *worker;
+  uint64_t born_ms;
+  char task[64];
+  uint32_t run;
+  uint64_t begin_ms;
+  uint64_t end_ms;     /**< 0: has not ended */
+  uint64_t number;     /**< of its end; 0: none was listed */
+  const char *outcome; /**< "lost" if it ended with its worker */
+  bool late;           /**< began by an order that was executed late */
+  bool acknowledged;   /**< its end was acknowledged */
+  bool lapsed;         /**< the worker's lease lapsed after the end and before
+                            the acknowledgement */
+};
+
 struct fkp_platform;
 
 struct fkp_worker
@@ -66,13 +109,16 @@
   uint64_t lease_ms; /**< end of the lease on the worker's clock */
   uint32_t millicores;
   bool draining;
-  bool silent; /**< sends no answers; its runs continue */
+  bool silent;   /**< sends no answers; its runs continue */
+  bool unlisted; /**< writes no entry */
+  bool down;     /**< closes each connection without an answer */
   struct fkp_run runs[FKP_RUNS_MAX];
   uint32_t run_count;
   struct fkp_end ends[FKP_RUNS_MAX];
   uint32_t end_count;
   uint64_t next_end_number;
-  uint64_t starts; /**< runs started so far */
+  uint64_t starts;  /**< runs started so far */
+  GHashTable *over; /**< task to the highest run stopped or ended here */
 };
 
 /** Injected faults; zero is no fault. */
@@ -92,6 +138,11 @@
   const char *reason;           /**< reason in the body of status 409 */
   bool workers_silent;          /**< no worker answers */
   bool other_incarnation;       /**< answers with status 421 */
+  enum fkp_start_fault start;
+  uint32_t start_count;       /**< orders that `start` still applies to */
+  uint32_t start_delay_ms[4]; /**< of the orders executed later, in turn */
+  bool orders_outlive_worker; /**< a late order is executed by the next
+                                 incarnation too */
 };
 
 /** A call that is answered later. */
@@ -119,6 +170,8 @@
   struct ev_timer timer;
   struct fkp_faults faults;
   uint32_t task_duration_ms; /**< of each run; 0: 200 */
+  GArray *late_starts;       /**< struct fkp_late_start */
+  GArray *history;           /**< struct fkp_history, in order of begin */
   uint64_t calls;
   uint64_t advice_requests;
   uint64_t entry_seq;
@@ -137,6 +190,13 @@
 /** Drops the records of part 0 whose offset is below @p before. */
 void fkp_trim (struct fkp_platform *platform, const char *topic,
                uint64_t before);
+/** Ends all runs of a worker and starts its next incarnation, which knows
+ * nothing of the earlier one. */
+void fkp_restart_worker (struct fkp_worker *worker);
+/** Ends the worker with all its runs and removes its entry. */
+void fkp_remove_worker (struct fkp_worker *worker);
+/** Removes the worker's entry; the worker goes on. */
+void fkp_unlist_worker (struct fkp_worker *worker);
 /** Writes the address of a server as "127.0.0.1:PORT". */
 void fkp_address (const struct hs_server *hs, char out[32]);
 
--- a/fakes/fk_platform_internal.h
+++ b/fakes/fk_platform_internal.h
@@ -15,7 +15,10 @@
 void fkp_on_worker_call (void *user, const struct hs_call *call);
 /** Answers a hold with the worker's runs and ends. */
 void fkp_reply_hold (struct fkp_worker *worker, struct cyc_ref call);
-/** Ends runs whose work is done or whose lease has lapsed. */
+void fkp_workers_setup (struct fkp_platform *platform);
+void fkp_workers_shutdown (struct fkp_platform *platform);
+/** Executes late orders and ends runs whose work is done or whose lease has
+ * lapsed. */
 void fkp_workers_tick (struct fkp_platform *platform, uint64_t now);
 /** Writes the entry of each worker. */
 void fkp_publish_workers (struct fkp_platform *platform);
--- a/fakes/fk_platform_workers.c
+++ b/fakes/fk_platform_workers.c
@@ -12,15 +12,48 @@
   return fkp_now_ms () - worker->born_ms + 1;
 }
 
+static struct fkp_history *
+find_history (const struct fkp_worker *worker, const char *task, uint32_t run)
+{
+  GArray *history = worker->platform->history;
+
+  for (guint i = history->len; i > 0; i--)
+    {
+      struct fkp_history *row
+          = &g_array_index (history, struct fkp_history, i - 1);
+
+      if (row->worker == worker && row->born_ms == worker->born_ms
+          && row->run == run && strcmp (row->task, task) == 0)
+        return row;
+    }
+  return NULL;
+}
+
+/* Notes that @p run and earlier ones of the task can no longer start here. */
+static void
+note_over (struct fkp_worker *worker, const char *task, uint32_t run)
+{
+  uint32_t known = GPOINTER_TO_UINT (g_hash_table_lookup (worker->over, task));
+
+  g_hash_table_replace (worker->over, g_strdup (task),
+                        GUINT_TO_POINTER (MAX (known, run)));
+}
+
 static void
 end_run (struct fkp_worker *worker, uint32_t index, const char *outcome)
 {
+  struct fkp_run *run = &worker->runs[index];
   struct fkp_end *end = &worker->ends[worker->end_count++];
+  struct fkp_history *history = find_history (worker, run->task, run->number);
 
   end->number = worker->next_end_number++;
-  end->run = worker->runs[index].number;
+  end->run = run->number;
   end->outcome = outcome;
-  memcpy (end->task, worker->runs[index].task, sizeof end->task);
+  memcpy (end->task, run->task, sizeof end->task);
+  note_over (worker, run->task, run->number);
+  history->end_ms = fkp_now_ms ();
+  history->number = end->number;
+  history->outcome = outcome;
   worker->runs[index] = worker->runs[--worker->run_count];
 }
 
@@ -72,61 +105,157 @@
   return NULL;
 }
 
+/* Returns why the worker refuses a start, NULL if it executes it or the run is
+   there. */
+static const char *
+start_refusal (struct fkp_worker *worker, const struct fkp_late_start *start)
+{
+  uint32_t index;
+  const struct fkp_run *run = find_run (worker, start->task, &index);
+  uint32_t over
+      = GPOINTER_TO_UINT (g_hash_table_lookup (worker->over, start->task));
+
+  if (start->fence < worker->fence)
+    return "fence";
+  if (start->deadline_ms != 0 && start->deadline_ms < worker_clock (worker))
+    return "late";
+  if (start->run <= over || (run != NULL && run->number != start->run))
+    return "old";
+  return NULL;
+}
+
+/* Executes a start. Returns why it was refused, or NULL. */
+static const char *
+execute_start (struct fkp_worker *worker, const struct fkp_late_start *start,
+               bool late)
+{
+  struct fkp_platform *platform = worker->platform;
+  const char *refusal = start_refusal (worker, start);
+  uint32_t index;
+  struct fkp_run *run = find_run (worker, start->task, &index);
+  struct fkp_history history = { .worker = worker,
+                                 .born_ms = worker->born_ms,
+                                 .run = start->run,
+                                 .begin_ms = fkp_now_ms (),
+                                 .late = late };
+
+  if (refusal == NULL || strcmp (refusal, "old") == 0)
+    worker->lease_ms = MAX (worker->lease_ms, start->deadline_ms);
+  if (refusal != NULL || run != NULL || worker->run_count == FKP_RUNS_MAX)
+    return refusal;
+  worker->fence = MAX (worker->fence, start->fence);
+  run = &worker->runs[worker->run_count++];
+  memset (run, 0, sizeof *run);
+  memcpy (run->task, start->task, sizeof run->task);
+  memcpy (run->checkpoint, start->checkpoint, sizeof run->checkpoint);
+  run->number = start->run;
+  run->start_ms = history.begin_ms;
+  run->end_ms
+      = run->start_ms
+        + (platform->task_duration_ms ? platform->task_duration_ms : 200);
+  worker->starts++;
+  memcpy (history.task, start->task, sizeof history.task);
+  g_array_append_val (platform->history, history);
+  return NULL;
+}
+
+/* Returns true if this order is a further copy of one that is to be refused;
+   only the first further copy is. */
+static bool
+is_refused_copy (struct fkp_worker *worker, const struct fkp_late_start *start)
+{
+  GArray *late = worker->platform->late_starts;
+
+  for (guint i = 0; i < late->len; i++)
+    {
+      struct fkp_late_start *row
+          = &g_array_index (late, struct fkp_late_start, i);
+
+      if (row->worker != worker || !row->refuse_copy || row->run != start->run
+          || strcmp (row->task, start->task) != 0)
+        continue;
+      row->refuse_copy = false;
+      return true;
+    }
+  return false;
+}
+
+/* Applies the fault of starts. Returns true if the order was dealt with. */
+static bool
+apply_start_fault (struct fkp_worker *worker, const struct hs_call *call,
+                   struct fkp_late_start *start)
+{
+  struct fkp_platform *platform = worker->platform;
+  struct fkp_faults *faults = &platform->faults;
+  enum fkp_start_fault fault = faults->start;
+
+  if (is_refused_copy (worker, start))
+    {
+      reply_clock (worker, call->ref, 503, NULL);
+      return true;
+    }
+  if (fault == FKP_START_EXECUTED || faults->start_count == 0)
+    return false;
+  faults->start_count--;
+  start->due_ms
+      = fkp_now_ms ()
+        + faults->start_delay_ms[faults->start_count
+                                 % G_N_ELEMENTS (faults->start_delay_ms)];
+  start->refuse_copy = fault == FKP_START_CLOSED_BUSY;
+  g_array_append_val (platform->late_starts, *start);
+  if (fault == FKP_START_CLOSED || fault == FKP_START_CLOSED_BUSY)
+    fk_close_without_answer (&worker->hs, call->ref, call->connection);
+  return fault != FKP_START_TWICE;
+}
+
 static void
 on_start (struct fkp_worker *worker, const struct hs_call *call,
           struct json_object *root)
 {
   struct fkp_faults *faults = &worker->platform->faults;
-  const char *task = fk_text (root, "task", "");
-  uint32_t number = (uint32_t)fk_int (root, "run", 0);
-  uint32_t index;
-  struct fkp_run *run = find_run (worker, task, &index);
+  struct fkp_late_start start = {
+    .worker = worker,
+    .run = (uint32_t)fk_int (root, "run", 0),
+    .fence = (uint64_t)fk_int (root, "fence", 0),
+    .deadline_ms = (uint64_t)fk_int (root, "deadline_ms", 0),
+    .born_ms = worker->born_ms,
+  };
+  const char *refusal;
 
+  snprintf (start.task, sizeof start.task, "%s", fk_text (root, "task", ""));
+  snprintf (start.checkpoint, sizeof start.checkpoint, "%s",
+            fk_text (root, "checkpoint", ""));
   if (faults->start_error_status != 0)
     {
       reply_clock (worker, call->ref, (uint32_t)faults->start_error_status,
                    faults->start_error_status == 409 ? faults->reason : NULL);
       return;
     }
-  if (run != NULL && run->number != number)
-    {
-      reply_clock (worker, call->ref, 409, "old");
-      return;
-    }
-  if (run == NULL && worker->run_count < FKP_RUNS_MAX)
-    {
-      uint32_t task_duration_ms = worker->platform->task_duration_ms;
-
-      run = &worker->runs[worker->run_count++];
-      memset (run, 0, sizeof *run);
-      snprintf (run->task, sizeof run->task, "%s", task);
-      snprintf (run->checkpoint, sizeof run->checkpoint, "%s",
-                fk_text (root, "checkpoint", ""));
-      run->number = number;
-      run->start_ms = fkp_now_ms ();
-      run->end_ms
-          = run->start_ms + (task_duration_ms ? task_duration_ms : 200);
-      worker->starts++;
-    }
-  worker->lease_ms
-      = MAX (worker->lease_ms, (uint64_t)fk_int (root, "deadline_ms", 0));
-  if (faults->lose_start_answers > 0)
+  if (apply_start_fault (worker, call, &start))
+    return;
+  refusal = execute_start (worker, &start, false);
+  if (refusal == NULL && faults->lose_start_answers > 0)
     {
       faults->lose_start_answers--;
       fk_close_without_answer (&worker->hs, call->ref, call->connection);
       return;
     }
-  reply_clock (worker, call->ref, 200, NULL);
+  reply_clock (worker, call->ref, refusal == NULL ? 200 : 409, refusal);
 }
 
 static void
 on_stop (struct fkp_worker *worker, const struct hs_call *call,
          struct json_object *root)
 {
+  const char *task = fk_text (root, "task", "");
+  uint32_t number = (uint32_t)fk_int (root, "run", 0);
   uint32_t index;
+  const struct fkp_run *run = find_run (worker, task, &index);
 
-  if (find_run (worker, fk_text (root, "task", ""), &index) != NULL)
+  if (run != NULL && run->number == number)
     end_run (worker, index, "stopped");
+  else
+    note_over (worker, task, number);
   reply_clock (worker, call->ref, 200, NULL);
 }
 
@@ -141,6 +270,10 @@
   for (uint32_t i = 0; i < worker->end_count; i++)
     if (worker->ends[i].number > ack)
       worker->ends[kept++] = worker->ends[i];
+    else
+      find_history (worker, worker->ends[i].task, worker->ends[i].run)
+          ->acknowledged
+          = true;
   worker->end_count = kept;
   worker->lease_ms
       = MAX (worker->lease_ms, (uint64_t)fk_int (root, "deadline_ms", 0));
@@ -168,6 +301,8 @@
 
   if (worker->platform->faults.workers_silent || worker->silent)
     ;
+  else if (worker->down)
+    fk_close_without_answer (&worker->hs, call->ref, call->connection);
   else if (worker->platform->faults.other_incarnation
            || (incarnation.len > 0
                && !cyc_str_eq (incarnation, cyc_str_of (worker->id))))
@@ -200,6 +335,8 @@
       char value[512];
       char address[32];
 
+      if (worker->unlisted || worker->down)
+        continue;
       fkp_address (&worker->hs, address);
       snprintf (value, sizeof value,
                 "{\"service\":\"pool\",\"address\":\"%s\",\"zone\":\"north\","
@@ -215,9 +352,40 @@
     }
 }
 
+static void
+execute_late_starts (struct fkp_platform *platform, uint64_t now)
+{
+  for (guint i = 0; i < platform->late_starts->len;)
+    {
+      struct fkp_late_start start
+          = g_array_index (platform->late_starts, struct fkp_late_start, i);
+
+      if (now < start.due_ms)
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index (platform->late_starts, i);
+      if (!start.worker->down
+          && (start.born_ms == start.worker->born_ms
+              || platform->faults.orders_outlive_worker))
+        execute_start (start.worker, &start, true);
+    }
+}
+
+/* Notes that the worker's lease lapsed before these ends were acknowledged. */
+static void
+mark_lapsed_ends (struct fkp_worker *worker)
+{
+  for (uint32_t i = 0; i < worker->end_count; i++)
+    find_history (worker, worker->ends[i].task, worker->ends[i].run)->lapsed
+        = true;
+}
+
 void
 fkp_workers_tick (struct fkp_platform *platform, uint64_t now)
 {
+  execute_late_starts (platform, now);
   for (uint32_t w = 0; w < platform->worker_count; w++)
     {
       struct fkp_worker *worker = &platform->workers[w];
@@ -229,5 +397,76 @@
           end_run (worker, r, "lapsed");
         else
           r++;
+      if (worker->lease_ms < worker_clock (worker))
+        mark_lapsed_ends (worker);
     }
 }
+
+/* Ends all runs and drops the holds that wait. */
+static void
+lose_runs (struct fkp_worker *worker)
+{
+  GArray *waiting = worker->platform->pending_replies;
+
+  for (uint32_t i = 0; i < worker->run_count; i++)
+    {
+      struct fkp_history *history = find_history (worker, worker->runs[i].task,
+                                                  worker->runs[i].number);
+
+      history->end_ms = fkp_now_ms ();
+      history->outcome = "lost";
+    }
+  worker->run_count = 0;
+  worker->end_count = 0;
+  for (guint i = 0; i < waiting->len;)
+    if (g_array_index (waiting, struct fkp_pending_reply, i).worker == worker)
+      g_array_remove_index (waiting, i);
+    else
+      i++;
+}
+
+void
+fkp_restart_worker (struct fkp_worker *worker)
+{
+  lose_runs (worker);
+  g_hash_table_remove_all (worker->over);
+  worker->born_ms = fkp_now_ms ();
+  worker->fence = 0;
+  worker->lease_ms = 0;
+  worker->next_end_number = 1;
+  worker->draining = false;
+  worker->unlisted = false;
+  worker->down = false;
+}
+
+void
+fkp_unlist_worker (struct fkp_worker *worker)
+{
+  worker->unlisted = true;
+  fkp_put (worker->platform, "keyed.servers", worker->id, "");
+}
+
+void
+fkp_remove_worker (struct fkp_worker *worker)
+{
+  lose_runs (worker);
+  worker->down = true;
+  fkp_unlist_worker (worker);
+}
+
+void
+fkp_workers_setup (struct fkp_platform *platform)
+{
+  platform->late_starts
+      = g_array_new (FALSE, FALSE, sizeof (struct fkp_late_start));
+  platform->history = g_array_new (FALSE, FALSE, sizeof (struct fkp_history));
+}
+
+void
+fkp_workers_shutdown (struct fkp_platform *platform)
+{
+  for (uint32_t i = 0; i < platform->worker_count; i++)
+    g_hash_table_destroy (platform->workers[i].over);
+  g_array_free (platform->late_starts, TRUE);
+  g_array_free (platform->history, TRUE);
+}
