Step down for a newer claim whose address cannot be used

Callers could see a task run twice: apply_claim returned when the address of a newer claim did not parse, before the old leader stepped down. It went on with orders and leases although the log names another leader; a claim of this process with such an address did not begin to lead.

The address is needed only to link to the leader, so it is now parsed last.

test_entry_lead, before: "address \"\": the old leader goes on"; passes now.

--- a/fakes/fk_platform.c
+++ b/fakes/fk_platform.c
@@ -98,6 +98,13 @@
   g_byte_array_free (record, TRUE);
 }
 
+void
+fkp_append (struct fkp_platform *platform, const char *topic,
+            const uint8_t *data, size_t len)
+{
+  add_record (find_part (platform, topic, 0), data, len);
+}
+
 void
 fkp_trim (struct fkp_platform *platform, const char *topic, uint64_t before)
 {
--- a/fakes/fk_platform.h
+++ b/fakes/fk_platform.h
@@ -187,6 +187,9 @@
 /** Appends a record to part 0 of a keyed topic. */
 void fkp_put (struct fkp_platform *platform, const char *topic,
               const char *key, const char *value);
+/** Appends a record to part 0 of a topic. */
+void fkp_append (struct fkp_platform *platform, const char *topic,
+                 const uint8_t *data, size_t len);
 /** Drops the records of part 0 whose offset is below @p before. */
 void fkp_trim (struct fkp_platform *platform, const char *topic,
                uint64_t before);
--- a/src/entry_lead.c
+++ b/src/entry_lead.c
@@ -67,8 +67,6 @@
     memcpy (leader->incarnation.bytes, lead->incarnation.data,
             sizeof leader->incarnation.bytes);
   cyc_name_set (&leader->vm, cyc_str_of (lead->vm));
-  if (!set_address_parse (cyc_str_of (lead->address), &leader->address))
-    return;
   ev_log (EV_LEAD_SEEN, "leader=%s epoch=%" PRIu64 " self=%d", lead->vm, epoch,
           own);
   if (!own && entry->owner != NULL)
@@ -79,6 +77,8 @@
         owner_begin (entry, epoch);
       return;
     }
+  if (!set_address_parse (cyc_str_of (lead->address), &leader->address))
+    return;
   peer.vm = leader->vm;
   peer.address = leader->address;
   pl_peer_add (&entry->links, &peer);
--- /dev/null
+++ b/tests/test_entry_lead.c
@@ -0,0 +1,64 @@
+/* Leadership of whole VMs against the fake platform: claims that a leader
+   reads late or cannot use. A leader that goes on after a newer claim extends
+   leases that its successor takes for lapsed, and tasks run twice. */
+
+#include "tst_cluster.h"
+
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#define LEAD_TOPIC "cyc-lead"
+
+/* Appends the claim of a process that is not one of the VMs. */
+static void
+append_foreign_claim (struct tst_cluster *cluster, const char *address)
+{
+  Cyc__CellLead lead = CYC__CELL_LEAD__INIT;
+  uint8_t incarnation[16] = { 1 };
+  uint8_t data[256];
+
+  lead.vm = (char *)"vm-other";
+  lead.address = (char *)address;
+  lead.incarnation = (ProtobufCBinaryData){ sizeof incarnation, incarnation };
+  fkp_append (&cluster->fake, LEAD_TOPIC, data,
+              cyc__cell_lead__pack (&lead, data));
+}
+
+/* A leader that reads a newer claim stops leading, also if the claim has an
+   address that it cannot use. */
+static void
+test_claim_with_unusable_address (void **state)
+{
+  static const char *const addresses[] = { "127.0.0.1:1", "", "nonsense" };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (addresses); i++)
+    {
+      struct tst_cluster *cluster = calloc (1, sizeof *cluster);
+
+      tst_cluster_setup (cluster);
+      append_foreign_claim (cluster, addresses[i]);
+      tst_cluster_run (cluster, 300);
+      if (tst_cluster_leader (cluster) != NULL)
+        fail_msg ("address \"%s\": the old leader goes on", addresses[i]);
+      tst_cluster_teardown (cluster);
+      free (cluster);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_claim_with_unusable_address),
+  };
+
+  signal (SIGPIPE, SIG_IGN);
+  if (getenv ("TEST_FILTER") != NULL)
+    cmocka_set_test_filter (getenv ("TEST_FILTER"));
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
