A renewal after an unread claim does not confirm the leadership

Callers could see a task run twice: renewals are appended without a condition, so those of a leader whose reads fail or hang succeed after its successor's claim, and each of them let it extend leases for 2.5 s more. The successor counts these 2.5 s from the last renewal before its claim and takes the leases of workers that it cannot reach for lapsed while the old leader extends them.

A renewal now confirms only if the leader knows every record before it: its own last record or what it has read. A renewal whose answer was lost leaves the leader unconfirmed until the next one or the read. on_renewed also took the answer to a renewal of an earlier epoch, with a time computed from the schedule of renewals; it now keeps the epoch and the send time.

--- a/fakes/fk_platform.c
+++ b/fakes/fk_platform.c
@@ -286,6 +286,9 @@
   uint64_t from = query_u64 (call, "from", 0);
   uint64_t wait = query_u64 (call, "wait_ms", 0);
 
+  if (platform->faults.unread_topic != NULL
+      && cyc_str_eq (topic, cyc_str_of (platform->faults.unread_topic)))
+    return;
   if (from < part->first)
     {
       reply_json (platform, call->ref, 410, "{\"first_offset\":%" PRIu64 "}",
--- a/fakes/fk_platform.h
+++ b/fakes/fk_platform.h
@@ -130,6 +130,7 @@
   uint32_t lose_append_answers; /**< number of appends that are stored, but not
                                    answered */
   uint32_t log_delay_ms;        /**< delay of each answer */
+  const char *unread_topic;     /**< its reads are not answered; or NULL */
   bool advisor_busy;            /**< answers with status 429 */
   bool advisor_silent;          /**< never answers */
   uint32_t lose_start_answers;  /**< number of starts that run, but are not
--- a/src/entry.h
+++ b/src/entry.h
@@ -110,6 +110,10 @@
   uint64_t confirmed_us;       /**< send time of the last claim or renewal that
                                        succeeded */
   uint64_t renew_at_us;
+  uint64_t renew_sent_us; /**< of the last renewal */
+  uint64_t renew_epoch;   /**< epoch of the last renewal */
+  uint64_t known_end;     /**< this leader knows all records before this offset
+                               of the stream of claims; see also lead_tail */
   bool renew_in_flight;
 
   struct entry_owner *owner; /**< state as the leader; NULL if not leading */
--- a/src/entry_lead.c
+++ b/src/entry_lead.c
@@ -181,21 +181,32 @@
   met_add (&entry->met, MET_CLAIMS_WON, 1);
   if (result->offset + 1 <= entry->leader.epoch)
     return;
+  entry->known_end = result->offset + 1;
   fill_own_lead (entry, &lead, address);
   apply_claim (entry, &lead, result->offset + 1);
   entry->leader.seen_us = hc_now_us ();
 }
 
+/* A renewal confirms the leadership only if no newer claim precedes it in the
+   stream. A leader whose reads fail may not have read such a claim. */
 static void
 on_renewed (void *user, const struct pt_append_result *result)
 {
   struct entry *entry = user;
+  uint64_t known_end = MAX (entry->known_end, entry->lead_tail.next);
 
   entry->renew_in_flight = false;
-  if (result->outcome == PT_OK)
-    entry->confirmed_us = entry->renew_at_us - RENEW_PERIOD_US;
-  else
-    entry->renew_at_us = hc_now_us () + RENEW_PERIOD_US / 4;
+  if (entry->owner == NULL || entry->renew_epoch != entry->leader.epoch)
+    return;
+  if (result->outcome != PT_OK)
+    {
+      entry->renew_at_us = hc_now_us () + RENEW_PERIOD_US / 4;
+      return;
+    }
+  if (result->offset > known_end)
+    return;
+  entry->known_end = MAX (known_end, result->offset + 1);
+  entry->confirmed_us = entry->renew_sent_us;
 }
 
 static void
@@ -387,6 +398,8 @@
   if (entry->renew_in_flight || now_us < entry->renew_at_us)
     return;
   entry->renew_at_us = now_us + RENEW_PERIOD_US;
+  entry->renew_sent_us = now_us;
+  entry->renew_epoch = entry->leader.epoch;
   entry->renew_in_flight
       = append_lead (entry, entry->leader.epoch, false, on_renewed);
 }
--- a/tests/test_entry_lead.c
+++ b/tests/test_entry_lead.c
@@ -12,6 +12,8 @@
 #include <cmocka.h>
 
 #define LEAD_TOPIC "cyc-lead"
+/** How long a leader extends leases after its last confirmation. */
+#define CONFIRMATION_MS 2500
 
 /* Appends the claim of a process that is not one of the VMs. */
 static void
@@ -50,11 +52,33 @@
     }
 }
 
+/* The leader's appends work, but its reads get no answers. Its renewals do not
+   confirm a leadership that a claim which it has not read has ended. */
+static void
+test_renewal_after_an_unread_claim (void **state)
+{
+  struct tst_cluster *cluster = calloc (1, sizeof *cluster);
+  const struct entry *leader;
+
+  (void)state;
+  tst_cluster_setup (cluster);
+  leader = &tst_cluster_leader (cluster)->entry;
+  cluster->fake.faults.unread_topic = LEAD_TOPIC;
+  tst_cluster_run (cluster, CONFIRMATION_MS + 1000);
+  assert_true (lead_confirmed (leader, hc_now_us ()));
+  append_foreign_claim (cluster, "127.0.0.1:1");
+  tst_cluster_run (cluster, CONFIRMATION_MS + 100);
+  assert_false (lead_confirmed (leader, hc_now_us ()));
+  tst_cluster_teardown (cluster);
+  free (cluster);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_claim_with_unusable_address),
+    cmocka_unit_test (test_renewal_after_an_unread_claim),
   };
 
   signal (SIGPIPE, SIG_IGN);
