--- a/fakes/fk_platform.c
+++ b/fakes/fk_platform.c
@@ -515,7 +515,7 @@
       worker->millicores = 8000;
       worker->next_end_number = 1;
       worker->over
-          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
       if (!listen_on (&worker->hs, loop, fkp_on_worker_call, worker, findings))
         return false;
       platform->worker_count++;
--- /dev/null
+++ b/tests/test_entry_outlive.c
@@ -0,0 +1,36 @@
+/* Whole VMs against workers whose next incarnation executes the orders of the
+   earlier one, of which it knows no stop, fencing token or run number. */
+
+#include "tst_late.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+
+#include <cmocka.h>
+
+static void
+test_orders_outlive_their_worker (void **state)
+{
+  GArray *cases = tst_late_cases ();
+
+  (void)state;
+  for (size_t i = 0; i < TST_LATE_START_FAULTS; i++)
+    for (size_t o = 0; o < TST_LATE_OFFSETS; o++)
+      tst_late_add (cases,
+                    (struct tst_late_case){ { &tst_late_start_faults[i],
+                                              &tst_late_worker_faults[0] },
+                                            { 0, tst_late_offsets_ms[o] },
+                                            .orders_outlive_worker = true });
+  tst_late_play_cases (cases);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_orders_outlive_their_worker),
+  };
+
+  tst_late_setup ();
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
