Take a worker for gone only if it removed its entry and is absent

The platform resets a connection to an address at which nothing listens, so a hold that is refused tells that the process is gone; alone it is no proof either, as a cut may refuse calls. Both together count, in either order, if no report or new entry came since.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -329,6 +329,9 @@
 /** Reports that the worker failed to answer several calls in a row. */
 void cell_worker_silent (struct cell_core *core, uint32_t row,
                          uint64_t now_us);
+/** Reports that no process listens at the worker's address. */
+void cell_worker_absent (struct cell_core *core, uint32_t row,
+                         uint64_t now_us);
 /** Records that the worker was asked to extend its lease to @p deadline_ms on
  * its own clock. */
 void cell_worker_leased (struct cell_core *core, uint32_t row,
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -301,6 +301,27 @@
          && (worker->pause_count == 0 || worker->run_count == 0);
 }
 
+/* Drops the evidence that the worker has left. */
+static void
+still_there (struct cell_worker *worker)
+{
+  worker->entry_left_us = 0;
+  worker->absent_us = 0;
+  worker->exited_us = 0;
+}
+
+/* A draining worker has left if it removed its entry and its process is gone.
+   Neither is enough alone: an entry may lapse, and a cut may refuse calls. */
+static void
+check_exit (struct cell_core *core, struct cell_worker *worker)
+{
+  if (worker->entry_left_us == 0 || worker->absent_us == 0
+      || worker->exited_us != 0)
+    return;
+  worker->exited_us = core->now_us;
+  cell_wake (core, core->now_us);
+}
+
 /* Resets what depends on the worker's earlier incarnation. */
 static void
 start_incarnation (struct cell_core *core, struct cell_worker *worker,
@@ -311,7 +332,7 @@
   worker->clock_ms = 0;
   worker->lease_deadline_ms = 0;
   worker->lease_until_us = cell_lease_lapsed_us (core, core->now_us);
-  worker->exited_us = 0;
+  still_there (worker);
   worker->received_end = 0;
   worker->ack = 0;
   worker->ack_next = 0;
@@ -338,7 +359,7 @@
       cell_wake (core, now_us);
     }
   worker->listed = true;
-  worker->exited_us = 0;
+  still_there (worker);
   worker->draining = entry->draining;
   worker->listed_after_us = entry_after_us;
   worker->stays_until_us
@@ -369,10 +390,8 @@
   core->now_us = now_us;
   if (worker->listed && worker->draining && worker->listed_after_us != 0
       && now_us < worker->listed_after_us + silence_us)
-    {
-      worker->exited_us = now_us + CELL_EXIT_MARGIN_US;
-      cell_wake (core, worker->exited_us);
-    }
+    worker->entry_left_us = now_us;
+  check_exit (core, worker);
   if (worker->listed)
     worker->unlisted_us = now_us;
   worker->listed = false;
@@ -412,6 +431,16 @@
     worker->lease_deadline_ms = deadline_ms;
 }
 
+void
+cell_worker_absent (struct cell_core *core, uint32_t row, uint64_t now_us)
+{
+  struct cell_worker *worker = cell_worker_at (core, row);
+
+  core->now_us = now_us;
+  worker->absent_us = now_us;
+  check_exit (core, worker);
+}
+
 void
 cell_worker_silent (struct cell_core *core, uint32_t row, uint64_t now_us)
 {
@@ -591,7 +620,7 @@
     cell_worker_leased (core, row, report->clock_ms + core->desc.lease_ms);
   worker->fenced = true;
   worker->reachable = true;
-  worker->exited_us = 0;
+  still_there (worker);
   apply_ends (core, worker, row, report);
   apply_running (core, worker, row, report, seen);
   cell_over_reported (core, worker, report, seen);
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -28,8 +28,6 @@
  * last update has left by itself: a silent worker's entry is removed only
  * after three. */
 #define CELL_EXIT_HEARTBEATS_PERMILLE 2700
-/** Time that the worker's process may outlive its entry. */
-#define CELL_EXIT_MARGIN_US 300000
 /** A call without an answer may be executed this long after it has ended. */
 #define CELL_CALL_LATE_MAX_US 12000000
 /** A worker that is alive and reaches the service discovery has its entry
@@ -147,6 +145,10 @@
   uint64_t unlisted_us; /**< when its entry was removed; 0 if it never was */
   uint64_t stays_until_us; /**< earliest time a draining worker leaves; 0 if
                               unknown */
+  uint64_t entry_left_us;  /**< when the worker itself removed its entry; 0 if
+                              it  did not */
+  uint64_t absent_us; /**< when nothing listened at its address; 0 if a report
+                         has come since */
   uint64_t exited_us; /**< the worker has left and runs nothing from this time
                          on; 0 if unknown */
   bool fenced;        /**< has answered a hold call of this leader */
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -125,7 +125,7 @@
   EVIDENCE_REPORT,    /* a report neither shows the run nor lists its end */
   EVIDENCE_ENTRY,     /* the worker's entry was written */
   EVIDENCE_LAPSE,     /* the worker is silent and its leases have lapsed */
-  EVIDENCE_EXIT       /* the worker's entry was removed when it left */
+  EVIDENCE_EXIT       /* the worker has left: see check_exit */
 };
 
 struct evidence
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -83,6 +83,8 @@
       owner_input_added (owner);
       return;
     }
+  if (outcome == PT_HOLD_ABSENT)
+    cell_worker_absent (owner->core, row, now_us);
   slot->failures++;
   slot->next_hold_us
       = now_us + (slot->failures < HOLD_FAILURES_SILENT ? 0 : HOLD_RETRY_US);
@@ -126,6 +128,8 @@
   if (!owner_call_ended (owner))
     return;
   worker_slot (owner, row)->report_in_flight = false;
+  if (outcome == PT_HOLD_ABSENT)
+    cell_worker_absent (owner->core, row, hc_now_us ());
   if (outcome != PT_HOLD_OK)
     return;
   log_ends (owner, row, report);
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -1,6 +1,7 @@
 #include "http_client.h"
 
 #include <assert.h>
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -241,6 +242,7 @@
   struct hc_client *hc = transfer->client;
   long request_bytes = 0;
   long connections = 0;
+  long os_error = 0;
   long local_port = 0;
   struct hc_transfer finished;
 
@@ -252,6 +254,8 @@
   result.local_port = (uint16_t)local_port;
   result.sent = transfer->attempts == 0 ? HC_SENT_NO : HC_SENT_MAYBE;
   result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
+  curl_easy_getinfo (transfer->easy, CURLINFO_OS_ERRNO, &os_error);
+  result.refused = code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED;
   result.error = "";
   if (answer_is_complete (transfer, code))
     curl_easy_getinfo (transfer->easy, CURLINFO_RESPONSE_CODE, &result.status);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -53,6 +53,7 @@
   long status; /**< HTTP status; 0 if no complete answer arrived */
   enum hc_sent sent;
   bool timed_out;
+  bool refused;        /**< nothing listens at the address */
   uint32_t attempts;   /**< copies of the request that the server may have */
   bool new_connection; /**< a connection was established for the request */
   uint16_t local_port; /**< of the last connection; 0 if unknown */
--- a/src/ports.h
+++ b/src/ports.h
@@ -173,6 +173,7 @@
 {
   PT_HOLD_OK,
   PT_HOLD_OTHER_INCARNATION, /**< another incarnation of the worker answered */
+  PT_HOLD_ABSENT,            /**< no process listens at the worker's address */
   PT_HOLD_NO_ANSWER
 };
 
--- a/tests/test_cell_late.c
+++ b/tests/test_cell_late.c
@@ -508,6 +508,39 @@
   finish (&s);
 }
 
+/* A draining worker's entry is removed, or a call to it is refused, while it
+   goes on; it has left only if both are so. */
+static void
+test_removed_entry_of_a_draining_worker_that_goes_on (void **state)
+{
+  (void)state;
+  for (int refused_first = 0; refused_first < 2; refused_first++)
+    {
+      struct started s;
+
+      begin (&s, 1);
+      start_result (&s, CELL_START_OK);
+      report (&s, s.born_ms, true);
+      s.fleet->now_ms = s.now_us / 1000;
+      fleet_drain (s.fleet, s.row, 5000);
+      if (refused_first)
+        cell_worker_absent (s.core, s.row, s.now_us);
+      else
+        cell_worker_unlisted (s.core, cyc_str_of (s.fleet->workers[s.row].id),
+                              s.now_us);
+      tick (&s, 400);
+      assert_int_equal (over (&s), 0);
+      if (refused_first)
+        cell_worker_unlisted (s.core, cyc_str_of (s.fleet->workers[s.row].id),
+                              s.now_us);
+      else
+        cell_worker_absent (s.core, s.row, s.now_us);
+      tick (&s, 10);
+      assert_int_equal (over (&s), 1);
+      finish (&s);
+    }
+}
+
 /* A draining worker leaves while the call of a start is open: a process that
    starts under its id may receive the order. */
 static void
@@ -798,6 +831,7 @@
     cmocka_unit_test (test_lapsed_lease_of_a_worker_without_an_entry),
     cmocka_unit_test (test_lapsed_lease_of_a_start_of_a_known_incarnation),
     cmocka_unit_test (test_entry_removed_and_listed_again),
+    cmocka_unit_test (test_removed_entry_of_a_draining_worker_that_goes_on),
     cmocka_unit_test (test_worker_left_with_an_open_start),
     cmocka_unit_test (test_overtaken_report_lacks_an_adopted_run),
     cmocka_unit_test (test_refusal_of_a_start_that_a_report_shows),
--- a/tests/test_platform_contract.c
+++ b/tests/test_platform_contract.c
@@ -623,6 +623,9 @@
   f.fake.faults.workers_silent = true;
   hold_and_wait (&f, 5, 0);
   assert_int_equal (f.hold, PT_HOLD_NO_ANSWER);
+  hs_stop_listening (&f.fake.workers[0].hs);
+  hold_and_wait (&f, 5, 0);
+  assert_int_equal (f.hold, PT_HOLD_ABSENT);
   teardown (&f);
 }
 
--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -760,6 +760,8 @@
   cell_worker_view (fleet->core, row, &view);
   if (!worker->up || worker->partitioned || worker->answers_lost)
     {
+      if (!worker->up && !worker->partitioned)
+        cell_worker_absent (fleet->core, row, fleet_now_us (fleet));
       cell_worker_silent (fleet->core, row, fleet_now_us (fleet));
       return;
     }
