Acknowledge ends only while the worker lists them

Each hold repeated the number of the last acknowledged end. A worker restarted under its id, and a hold sent before its birth was known carried the number of the incarnation before; executed late, it made the new incarnation forget its ends 1 to 3, which no leader had read.

The number is now sent only if the last report listed ends up to it, so a worker that has forgotten its ends gets none. What is left: a restart between a report of ends and the hold that acknowledges them; the calls name the worker, not its incarnation.

test_acknowledgement_reaches_a_new_incarnation before: "0x4 != 0".

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -312,7 +312,10 @@
    * there is none. */
   uint64_t report_after_us;
   uint64_t received_end; /**< highest number of an end received */
-  uint64_t ack;          /**< the worker may forget ends up to this number */
+  bool ends_pending; /**< the effect of a received end is not durable yet */
+  uint64_t ack; /**< the worker may forget ends up to this number; 0 if its
+                   last report listed none of these, as a number is not to
+                   reach an incarnation that starts to count anew */
   uint64_t lease_deadline_ms; /**< on the worker's clock */
   uint64_t clock_ms; /**< latest reading of the worker's clock; 0 if unknown */
   uint64_t clock_at_us;     /**< when clock_ms was received */
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -313,6 +313,7 @@
   worker->lease_until_us = cell_lease_lapsed_us (core, core->now_us);
   worker->exited_us = 0;
   worker->received_end = 0;
+  worker->first_listed_end = 0;
   worker->ack = 0;
   worker->ack_next = 0;
   worker->ack_batch = 0;
@@ -394,7 +395,11 @@
         = MAX (out->report_after_us, cell_over_report_after_us (worker, run));
   out->received_end = worker->received_end;
   out->lease_deadline_ms = worker->lease_deadline_ms;
-  out->ack = worker->ack;
+  out->ends_pending = worker->ack < worker->received_end;
+  out->ack = worker->first_listed_end != 0
+                     && worker->first_listed_end <= worker->ack
+                 ? worker->ack
+                 : 0;
   out->clock_ms = worker->clock_ms;
   out->clock_at_us = worker->clock_at_us;
   out->listed_after_us = worker->listed_after_us;
@@ -495,10 +500,14 @@
 apply_ends (struct cell_core *core, struct cell_worker *worker,
             uint32_t worker_row, const struct cell_report *report)
 {
+  worker->first_listed_end = 0;
   for (uint32_t i = 0; i < report->end_count; i++)
     {
       const struct cell_end_row *end = &report->ends[i];
 
+      if (worker->first_listed_end == 0
+          || end->number < worker->first_listed_end)
+        worker->first_listed_end = end->number;
       if (end->number <= worker->received_end)
         continue;
       worker->received_end = end->number;
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -163,6 +163,8 @@
   uint64_t lease_until_us;    /**< certain end of all leases while clock_ms is
                                  unknown */
   uint64_t received_end;      /**< highest number of an end received */
+  uint64_t first_listed_end; /**< lowest number of an end in the last report; 0
+                                if it listed none */
   uint64_t ack;       /**< highest number of an end whose effect is durable */
   uint64_t ack_next;  /**< value of ack once ack_batch is durable */
   uint64_t ack_batch; /**< 0 if none is pending */
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -185,7 +185,7 @@
       entry_wake_at (owner->entry, slot->next_hold_us);
       return;
     }
-  if (view.report_after_us == 0 && view.ack < view.received_end
+  if (view.report_after_us == 0 && view.ends_pending
       && now_us < slot->ack_deadline_us)
     return;
   /* A worker that did not answer gets no new lease, so the time by which
--- a/tests/test_cell_load.c
+++ b/tests/test_cell_load.c
@@ -306,10 +306,33 @@
   free (fleet);
 }
 
+/* A worker has forgotten the ends that were acknowledged: the number is not
+   sent again, as a new incarnation would forget its own ends by it. */
+static void
+test_acknowledgement_reaches_a_new_incarnation (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  struct cell_worker_view view;
+
+  (void)state;
+  fleet_setup (fleet, 1, 4000);
+  fleet_submit (fleet, 1,
+                &(struct fleet_job){ .tasks = { 4 }, .work_ms = 100 });
+  fleet_run (fleet, 1000);
+  assert_int_equal (fleet_job_state (fleet, 1), CELL_JOB_COMPLETE);
+  assert_int_equal (fleet->workers[0].end_count, 0);
+  cell_worker_view (fleet->core, 0, &view);
+  assert_int_equal (view.received_end, 4);
+  assert_int_equal (view.ack, 0);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_acknowledgement_reaches_a_new_incarnation),
     cmocka_unit_test (test_failing_worker_is_left_alone),
     cmocka_unit_test (test_team_over_its_rate),
     cmocka_unit_test (test_refusal_over_the_rate),
