--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -213,10 +213,9 @@
       *over = CELL_OVER_REFUSED;
       return run->state == CELL_RUN_STARTING;
     case EVIDENCE_LAPSE:
-      *over = CELL_OVER_LAPSED;
-      return lapse_us (core, worker, run, evidence->since_us) <= core->now_us;
     case EVIDENCE_EXIT:
-      *over = CELL_OVER_LEFT;
+      *over = evidence->kind == EVIDENCE_EXIT ? CELL_OVER_LEFT
+                                              : CELL_OVER_LAPSED;
       return lapse_us (core, worker, run, evidence->since_us) <= core->now_us;
     case EVIDENCE_ENTRY:
       *over = CELL_OVER_REBORN;
