Keep the lease of an earlier leader when a worker's entry is read late

What callers would see: a task runs twice at the same time for up to 2 s around a takeover. Not observed; found by reading.

Cause: a new leader sets a worker's lease end from the time until which the earlier leader may still extend leases (2.5 s after its last renewal), when it loads the records. If the worker's entry is read only after that, or read by a slower call, start_incarnation replaced this by a lease from now, which is up to 2.5 s shorter. If the worker is then silent to the new leader but not to the earlier one, its runs count as lapsed before their leases end.

The lease end is now never moved back. Before: test_cell_takeover.c:91, "0x1 != 0" (one conclusion 1 ms before the end of the lease).

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -310,7 +310,9 @@
   worker->born_ms = born_ms;
   worker->clock_ms = 0;
   worker->lease_deadline_ms = 0;
-  worker->lease_until_us = cell_lease_lapsed_us (core, core->now_us);
+  /* An earlier leader may extend leases for longer than from now. */
+  worker->lease_until_us = MAX (worker->lease_until_us,
+                                cell_lease_lapsed_us (core, core->now_us));
   worker->exited_us = 0;
   worker->received_end = 0;
   worker->ack = 0;
