Number the questions for the advisor apart in each term of a leader

What callers would see: a task that may use a worker is never placed there, or starts are refused for want of a ticket. Not observed; found by reading.

Cause: the answer of a VM that asks for the leader carries only the number of the question, and each term numbered its questions from 1. If a VM leads again within the time of a question, an answer for its earlier term settles another question: the workers that it does not name count as denied, which does not change, and the tickets are those of another step.

The numbers now begin above the first revision of the term, which no other term shares. Before: test_cell_takeover.c:164, "0x1 == 0x1".

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -112,7 +112,7 @@
   core->batch = 1;
   core->durable_out_of_order = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   core->revision = desc->first_revision;
-  core->next_ask = 1;
+  core->next_ask = desc->first_revision + 1;
   core->next_us = UINT64_MAX;
   core->next_placement_us = UINT64_MAX;
   return core;
