Remember until when each replaced leader may extend leases

What callers would see: a task runs twice at the same time around two takeovers in quick succession. Not observed; found by reading, without a test.

Cause: a new leader counts leases as lapsed from the end of the confirmation of the leader before it, or from its own claim if that one has ended. If leader A is cut off with some workers, B replaces it and is released or restarted within 2.5 s of A's last renewal, C takes leases for lapsed from its claim, though A may extend them until the end of its own confirmation.

Each VM now keeps the latest end of the confirmations of leaders that were replaced without having ended. test_entry passes (9 tests).

--- a/src/entry.h
+++ b/src/entry.h
@@ -104,9 +104,12 @@
                                     0: none */
   bool claim_in_flight;
   uint64_t claim_sent_us;      /**< send time of the newest claim */
-  uint64_t predecessor_end_us; /**< until when the leader before this process
-                                    may have extended leases; 0 if it had
+  uint64_t predecessor_end_us; /**< until when the leaders before this process
+                                    may have extended leases; 0 if they had
                                     ended */
+  uint64_t replaced_end_us;    /**< until when a leader that another one has
+                                    replaced may extend leases; 0 if none
+                                    may */
   uint64_t confirmed_us;       /**< send time of the last claim or renewal that
                                        succeeded */
   uint64_t renew_at_us;
--- a/src/entry_lead.c
+++ b/src/entry_lead.c
@@ -47,6 +47,42 @@
   owner_end (entry);
 }
 
+/* Gets the view of the link to the leader. Returns false if there is none. */
+static bool
+leader_view (const struct entry *entry, struct pl_peer_view *view)
+{
+  struct cyc_ref peer = pl_find (
+      &entry->links, cyc_name_str (&entry->leader.vm), SET_ROLE_ENTRY);
+
+  return peer.generation != 0 && pl_view (&entry->links, peer, view);
+}
+
+/* Returns true if the process that claimed certainly no longer leads,
+   whichever peers it can reach. */
+static bool
+leader_ended (const struct entry *entry)
+{
+  const struct entry_leader *leader = &entry->leader;
+  struct pl_peer_view view;
+
+  if (leader->epoch == 0 || leader->released || leader->by_previous_process)
+    return true;
+  /* Another process runs on the VM of the leader. */
+  return leader_view (entry, &view) && view.linked
+         && memcmp (view.identity.incarnation.bytes, leader->incarnation.bytes,
+                    sizeof leader->incarnation.bytes)
+                != 0;
+}
+
+/* Returns until when the leader may extend leases; 0 if it has ended. */
+static uint64_t
+leader_end_us (const struct entry *entry)
+{
+  return leader_ended (entry)
+             ? 0
+             : entry->leader.seen_us + CONFIRMATION_MAX_AGE_US;
+}
+
 static void
 apply_claim (struct entry *entry, const Cyc__CellLead *lead, uint64_t epoch)
 {
@@ -58,6 +94,9 @@
         && memcmp (lead->incarnation.data, entry->incarnation.bytes, 16) == 0;
   struct set_peer peer = { .role = SET_ROLE_ENTRY };
 
+  if (!leader->self)
+    entry->replaced_end_us
+        = MAX (entry->replaced_end_us, leader_end_us (entry));
   memset (leader, 0, sizeof *leader);
   leader->epoch = epoch;
   leader->self = own;
@@ -273,33 +312,6 @@
   entry_wake (entry);
 }
 
-/* Gets the view of the link to the leader. Returns false if there is none. */
-static bool
-leader_view (const struct entry *entry, struct pl_peer_view *view)
-{
-  struct cyc_ref peer = pl_find (
-      &entry->links, cyc_name_str (&entry->leader.vm), SET_ROLE_ENTRY);
-
-  return peer.generation != 0 && pl_view (&entry->links, peer, view);
-}
-
-/* Returns true if the process that claimed certainly no longer leads,
-   whichever peers it can reach. */
-static bool
-leader_ended (const struct entry *entry)
-{
-  const struct entry_leader *leader = &entry->leader;
-  struct pl_peer_view view;
-
-  if (leader->epoch == 0 || leader->released || leader->by_previous_process)
-    return true;
-  /* Another process runs on the VM of the leader. */
-  return leader_view (entry, &view) && view.linked
-         && memcmp (view.identity.incarnation.bytes, leader->incarnation.bytes,
-                    sizeof leader->incarnation.bytes)
-                != 0;
-}
-
 static bool
 leader_silent (const struct entry *entry, uint64_t now_us)
 {
@@ -364,8 +376,7 @@
   entry->claim_sent_us = now_us;
   /* The claim succeeds only if the stream holds no unread renewal. */
   entry->predecessor_end_us
-      = leader_ended (entry) ? 0
-                             : entry->leader.seen_us + CONFIRMATION_MAX_AGE_US;
+      = MAX (entry->replaced_end_us, leader_end_us (entry));
   entry->claim_in_flight = append_lead (entry, 0, false, on_claim);
 }
 
