Restart a lasting task only if it has no run

What callers would see: a task that lasts until its job is cancelled runs twice. Not observed; found by reading.

Cause: a listed end "done" of such a task queued it again, also if the end is that of an earlier run and a later one is at work. Ends are listed until they are acknowledged, so a new leader is told again of an end that the earlier one has applied; the same holds for an end of a run that was let go.

The task is now queued only if it has no current run.

--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -527,7 +527,9 @@
 
   if (cell_stage_step (stage)->long_running)
     {
-      cell_task_requeue (core, job, round, task, core->now_us);
+      /* A later run may have been started already. */
+      if (round_row->tasks[task].run == NULL)
+        cell_task_requeue (core, job, round, task, core->now_us);
       return;
     }
   if (cell_stage_step (stage)->gang)
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -244,6 +244,7 @@
       step->estimate_ms = job->work_ms ? job->work_ms : 500;
       step->gang = job->gang;
       step->checkpointing = job->checkpointing;
+      step->long_running = job->long_running;
       step->max_per_worker = job->max_per_worker;
       if (job->label != NULL)
         step->required_label = strdup (job->label);
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -101,6 +101,7 @@
   bool gang;
   bool sequential; /**< each step depends on the previous one */
   bool checkpointing;
+  bool long_running;
   bool always_fails; /**< every run fails */
   const char *team;  /**< default "blue" */
   const char *queue; /**< default "batch" */
