--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -112,7 +112,7 @@
   core->batch = 1;
   core->durable_out_of_order = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   core->revision = desc->first_revision;
-  core->next_ask = 1;
+  core->next_ask = desc->first_revision + 1;
   core->next_us = UINT64_MAX;
   core->next_placement_us = UINT64_MAX;
   return core;
@@ -331,7 +331,9 @@
   worker->born_ms = born_ms;
   worker->clock_ms = 0;
   worker->lease_deadline_ms = 0;
-  worker->lease_until_us = cell_lease_lapsed_us (core, core->now_us);
+  /* An earlier leader may extend leases for longer than from now. */
+  worker->lease_until_us = MAX (worker->lease_until_us,
+                                cell_lease_lapsed_us (core, core->now_us));
   still_there (worker);
   worker->received_end = 0;
   worker->first_listed_end = 0;
