--- a/src/cyc_cell_batch.c
+++ b/src/cyc_cell_batch.c
@@ -149,7 +149,7 @@
       if (may_start (core, run))
         order_start (core, run);
       else
-        cell_run_conclude (core, run, CELL_OVER_UNORDERED, core->now_us);
+        cell_over_unordered (core, run);
     }
 }
 
@@ -206,6 +206,7 @@
       if (out->kind == CELL_ORDER_START)
         {
           run->ordered_us = core->now_us;
+          run->ordered_born_ms = cell_worker_at (core, run->worker)->born_ms;
           cell_wake (core, core->now_us + CELL_START_TIMEOUT_US);
         }
       return true;
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -288,6 +288,11 @@
   if (!owner_call_ended (owner))
     return;
   cell_stop_result (owner->core, run, answered ? now_us : 0, now_us);
+  /* The worker refuses the start from now on, but a process that takes its
+     place would not. */
+  if (answered)
+    owner->entry->desc.ports->workers->vtable->abandon_start (
+        owner->entry->desc.ports->workers, owner, run);
   owner_input_added (owner);
 }
 
@@ -347,6 +352,8 @@
                     .user = owner,
                     .run = order->run,
                 });
+      if (!begun)
+        cell_stop_result (owner->core, order->run, 0, now_us);
       ev_log (EV_RUN_STOP, "task=%s run=%u worker=%.*s", order->task,
               order->number, CYC_FMT (view.id));
     }
