Do not use a ticket again that its worker has refused

What callers would see: starts refused for want of a ticket, one after the other, and a task that waits until the ticket expires. Not observed; found by reading.

Cause: a ticket is kept for the incarnation that the worker has when the advisor's answer arrives, and for its lifetime from then on. If the worker restarted, or the answer was relayed slowly, in between, the worker refuses it; the core placed the task again with the same ticket at once.

A refused ticket has expired, so the advisor is asked again. Before: test_cell_ticket.c:41, "0x1 != 0x2" (one question, two starts).

--- a/src/cyc_cell_advice.c
+++ b/src/cyc_cell_advice.c
@@ -96,6 +96,22 @@
   return NULL;
 }
 
+void
+cell_ticket_refused (const struct cell_run *run)
+{
+  const struct cell_stage *stage
+      = cell_stage_of_task (run->job, run->round, run->task);
+
+  for (guint i = 0; i < cell_ticket_count (stage); i++)
+    {
+      struct cell_held_ticket *held
+          = &g_array_index (stage->tickets, struct cell_held_ticket, i);
+
+      if (held->worker == run->worker && strcmp (held->text, run->ticket) == 0)
+        held->until_us = 0;
+    }
+}
+
 struct candidate
 {
   uint32_t row;
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -521,6 +521,8 @@
 const struct cell_held_ticket *cell_ticket_at (const struct cell_core *core,
                                                const struct cell_stage *stage,
                                                uint32_t index);
+/** The worker has refused the ticket of the run, which is not used again. */
+void cell_ticket_refused (const struct cell_run *run);
 /** Returns NULL if the stage holds no ticket that is valid for this
  * incarnation of the worker. */
 const struct cell_held_ticket *cell_ticket_for (const struct cell_core *core,
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -201,6 +201,9 @@
         return;
       }
     case CELL_START_REFUSED_TICKET:
+      cell_ticket_refused (run);
+      cell_over_refused (core, run);
+      return;
     case CELL_START_REFUSED_CAPACITY:
     case CELL_START_FENCED:
       cell_over_refused (core, run);
