Ask for a shorter answer after a read of a stream has failed

From 20.3 s to 45 s the leader listed no worker: each read of their entries asked for 512 KiB within 0.9 s, failed as a whole, and the next one asked for the same again (log_unreachable stream=1).

A read that fails now halves what the next one asks for, down to 16 KiB; a read that succeeds doubles it. It stays open that a narrow VM leads at all.

test_reads_on_a_narrow_link is new; without the change its sizes stay 0 and no read asks for less.

--- a/src/ports.h
+++ b/src/ports.h
@@ -89,6 +89,7 @@
   uint32_t part;
   uint64_t from;
   uint32_t wait_ms; /**< longest wait for the first record */
+  uint32_t max_kib; /**< longest answer; 0: the adapter's limit */
   uint64_t deadline_us;
   void (*done) (void *user, const struct pt_read_result *result);
   void *user;
--- a/src/tail.c
+++ b/src/tail.c
@@ -10,6 +10,11 @@
  * poll. A connection that went silent can hide changes for this long. */
 #define ANSWER_TIMEOUT_MS 900
 #define RETRY_FIRST_MS 50
+/** Longest answers to a read. A read that fails asks for less the next time:
+ * on a narrow link an answer that does not arrive in time is lost as a whole.
+ */
+#define READ_MAX_KIB 512
+#define READ_MIN_KIB 16
 #define RETRY_MAX_MS 400
 #define US_PER_MS 1000
 
@@ -119,9 +124,11 @@
     }
   if (result->outcome != PT_OK)
     {
+      tail->read_max_kib = MAX (tail->read_max_kib / 2, READ_MIN_KIB);
       retry_read_later (tail);
       return;
     }
+  tail->read_max_kib = MIN (tail->read_max_kib * 2, READ_MAX_KIB);
   reset_failures (tail);
   tail->prev_fresh_us = tail->fresh_us;
   tail->fresh_us = tail->sent_us;
@@ -174,6 +181,7 @@
             .part = tail->desc.part,
             .from = tail->next,
             .wait_ms = tail->desc.wait_ms,
+            .max_kib = tail->read_max_kib,
             .deadline_us
             = tail->sent_us
               + (uint64_t)(tail->desc.wait_ms + ANSWER_TIMEOUT_MS) * US_PER_MS,
@@ -189,6 +197,7 @@
 {
   memset (tail, 0, sizeof *tail);
   tail->desc = *desc;
+  tail->read_max_kib = READ_MAX_KIB;
   tail->loaded = !desc->keyed;
   ev_init (&tail->timer, on_timer);
   tail->timer.data = tail;
--- a/tests/test_tail.c
+++ b/tests/test_tail.c
@@ -1,5 +1,6 @@
-/* The age of a view that is loaded in several pages. Pages are not a snapshot:
-   a record that is appended between two pages is read after the load. */
+/* The view of a stream: its age when it is loaded in several pages, and its
+   reads on a narrow link. Pages are not a snapshot: a record that is appended
+   between two pages is read after the load. */
 
 #include "http_client.h"
 #include "tail.h"
@@ -110,11 +111,47 @@
   tail_stop (&h.tail);
 }
 
+/* Answers above a size do not arrive in time. Guards against a view that falls
+   ever further behind, as each read asks for the same answer again. */
+static void
+test_reads_on_a_narrow_link (void **state)
+{
+  struct harness h = { .log = { &log_vtable } };
+  uint32_t first_kib;
+
+  (void)state;
+  tail_setup (&h.tail, &(struct tail_desc){ .loop = ev_default_loop (0),
+                                            .log = &h.log,
+                                            .record = on_record,
+                                            .user = &h });
+  tail_start (&h.tail);
+  first_kib = h.read.max_kib;
+  for (uint32_t reads = 0; h.read.max_kib > 100; reads++)
+    {
+      assert_true (reads < 5);
+      h.read.done (h.read.user,
+                   &(struct pt_read_result){ .outcome = PT_UNKNOWN });
+      h.read.done = NULL;
+      while (h.read.done == NULL)
+        ev_run (ev_default_loop (0), EVRUN_ONCE);
+    }
+  for (uint32_t reads = 0; h.read.max_kib < first_kib; reads++)
+    {
+      assert_true (reads < 5);
+      h.read.done (h.read.user, &(struct pt_read_result){ .next = 1 });
+      h.read.done = NULL;
+      while (h.read.done == NULL)
+        ev_run (ev_default_loop (0), EVRUN_ONCE);
+    }
+  tail_stop (&h.tail);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_age_of_a_view_loaded_in_pages),
+    cmocka_unit_test (test_reads_on_a_narrow_link),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
