--- a/tests/test_platform_contract.c
+++ b/tests/test_platform_contract.c
@@ -538,45 +538,6 @@
     }
 }
 
-/* The call of a start that is abandoned has one result, at once. */
-static void
-test_abandoned_start (void **state)
-{
-  struct cyc_ref run = { 3, 7 };
-  struct fixture f;
-  char address[32];
-
-  (void)state;
-  setup (&f);
-  hold_and_wait (&f, 5, 0);
-  f.fake.faults.workers_silent = true;
-  f.done = 0;
-  assert_true (f.workers.port.vtable->start (
-      &f.workers.port, &(struct pt_start){
-                           .target = make_target (&f, address, 5),
-                           .task = CYC_STR (TASK),
-                           .number = 1,
-                           .payload = CYC_STR ("text"),
-                           .lease_deadline_ms = 100000,
-                           .deadline_us = hc_now_us () + 100000,
-                           .done = on_started,
-                           .user = &f,
-                           .run = run,
-                       }));
-  f.workers.port.vtable->abandon_start (&f.workers.port, &f,
-                                        (struct cyc_ref){ 3, 8 });
-  assert_int_equal (f.done, 0);
-  f.start = CELL_START_OK;
-  f.workers.port.vtable->abandon_start (&f.workers.port, &f, run);
-  assert_int_equal (f.done, 1);
-  assert_int_equal (f.start, CELL_START_UNKNOWN);
-  f.workers.port.vtable->abandon_start (&f.workers.port, &f, run);
-  for (uint64_t end_us = hc_now_us () + 200000; hc_now_us () < end_us;)
-    ev_run (f.loop, EVRUN_ONCE);
-  assert_int_equal (f.done, 1);
-  teardown (&f);
-}
-
 /* A worker reports its clock, its incarnation and its running and ended runs.
    An ended run is reported again until it is acknowledged. */
 static void
@@ -820,10 +781,9 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_appends), cmocka_unit_test (test_reads),
-    cmocka_unit_test (test_starts),  cmocka_unit_test (test_abandoned_start),
-    cmocka_unit_test (test_holds),   cmocka_unit_test (test_advice),
-    cmocka_unit_test (test_entries), cmocka_unit_test (test_config),
-    cmocka_unit_test (test_job),
+    cmocka_unit_test (test_starts),  cmocka_unit_test (test_holds),
+    cmocka_unit_test (test_advice),  cmocka_unit_test (test_entries),
+    cmocka_unit_test (test_config),  cmocka_unit_test (test_job),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_start_copies.c
+++ b/tests/test_start_copies.c
@@ -175,11 +175,51 @@
   assert_int_equal (failures, 0);
 }
 
+/* The call of a start that is abandoned has one result, at once. */
+static void
+test_abandoned_start (void **state)
+{
+  struct cyc_ref run = { 3, 7 };
+  struct fixture f;
+
+  (void)state;
+  setup (&f);
+  open_connection (&f);
+  f.fake.faults.workers_silent = true;
+  f.done = 0;
+  assert_true (f.workers.port.vtable->start (
+      &f.workers.port, &(struct pt_start){
+                           .target = target (&f),
+                           .task = CYC_STR ("0000000000000001.0.0.0"),
+                           .number = 1,
+                           .payload = CYC_STR ("text"),
+                           .lease_deadline_ms = 100000,
+                           .deadline_us = hc_now_us () + 100000,
+                           .done = on_started,
+                           .user = &f,
+                           .run = run,
+                       }));
+  f.workers.port.vtable->abandon_start (&f.workers.port, &f,
+                                        (struct cyc_ref){ 3, 8 });
+  assert_int_equal (f.done, 0);
+  f.start = CELL_START_OK;
+  f.workers.port.vtable->abandon_start (&f.workers.port, &f, run);
+  assert_int_equal (f.done, 1);
+  assert_int_equal (f.start, CELL_START_UNKNOWN);
+  f.workers.port.vtable->abandon_start (&f.workers.port, &f, run);
+  for (uint64_t end_us = hc_now_us () + 200000; hc_now_us () < end_us;)
+    ev_run (f.loop, EVRUN_ONCE);
+  assert_int_equal (f.done, 1);
+  teardown (&f);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (start_was_refused_though_it_ran) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (start_was_refused_though_it_ran),
+    cmocka_unit_test (test_abandoned_start),
+  };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
