A worker whose entry was removed has left only if it does not answer

Callers could see two runs of a task: the removed entry of a draining worker counted as its exit if it came soon after the last update, and 0.3 s later all its runs were over, also while the worker went on and answered. Its runs are now over only if the worker is silent as well (two calls without an answer since its last report); a worker that has really exited refuses connections, so that costs milliseconds. If its machine is gone without a trace, it costs the timeouts of two calls; the lease remains the upper bound.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -234,7 +234,7 @@
   CELL_OVER_FENCED,    /**< ordered by an earlier leader, and a report under
                           this leader's fencing token lacks it */
   CELL_OVER_LAPSED,    /**< the worker's lease lapsed */
-  CELL_OVER_LEFT,      /**< the worker left */
+  CELL_OVER_LEFT,      /**< the worker left and does not answer */
   CELL_OVER_REBORN     /**< it ran in an earlier incarnation of the worker */
 };
 
@@ -320,7 +320,8 @@
   uint64_t clock_ms; /**< latest reading of the worker's clock; 0 if unknown */
   uint64_t clock_at_us;     /**< when clock_ms was received */
   uint64_t listed_after_us; /**< the entry was written later; 0 if unknown */
-  uint64_t left_us;         /**< when it has certainly left; 0 if it has not */
+  uint64_t left_us; /**< when it has left, by its removed entry; 0 if it has
+                       not */
 };
 /** Fills @p out. Its strings are valid until the next input to the core. */
 void cell_worker_view (const struct cell_core *core, uint32_t row,
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -125,7 +125,8 @@
   EVIDENCE_REPORT,    /* a report neither shows the run nor lists its end */
   EVIDENCE_ENTRY,     /* the worker's entry was written */
   EVIDENCE_LAPSE,     /* the worker is silent and its leases have lapsed */
-  EVIDENCE_EXIT       /* the worker's entry was removed when it left */
+  EVIDENCE_EXIT       /* the worker is silent and its entry was removed as if
+                         it had left */
 };
 
 struct evidence
@@ -211,7 +212,8 @@
    lapsed     the lease has lapsed of the only incarnation that may have
               received the order; else the worker has lost its entry, or the
               longest delay of a late call and the longest lease have passed
-   left       as lapsed, with the exit of the process instead of the lease */
+   left       as lapsed, with the exit of the process instead of the lease: its
+              entry was removed and it does not answer */
 static bool
 is_over (const struct cell_core *core, const struct cell_run *run,
          const struct evidence *evidence, enum cell_over *over)
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -321,7 +321,7 @@
 
       if (worker->runs == NULL)
         continue;
-      if (!worker->reachable || worker->exited_us != 0)
+      if (!worker->reachable)
         cell_over_expire (core, worker);
       if (worker->stays_until_us != 0 && worker->exited_us == 0)
         evacuate (core, worker);
