--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -234,7 +234,8 @@
   CELL_OVER_FENCED,    /**< ordered by an earlier leader, and a report under
                           this leader's fencing token lacks it */
   CELL_OVER_LAPSED,    /**< the worker's lease lapsed */
-  CELL_OVER_LEFT,      /**< the worker left */
+  CELL_OVER_LEFT,      /**< the worker removed its entry, and nothing
+                          listens at its address */
   CELL_OVER_REBORN     /**< it ran in an earlier incarnation of the worker */
 };
 
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -211,7 +211,8 @@
    lapsed     the lease has lapsed of the only incarnation that may have
               received the order; else the worker has lost its entry, or the
               longest delay of a late call and the longest lease have passed
-   left       as lapsed, with the exit of the process instead of the lease */
+   left       as lapsed, with the exit of the process instead of the lease: its
+              entry was removed and it does not answer */
 static bool
 is_over (const struct cell_core *core, const struct cell_run *run,
          const struct evidence *evidence, enum cell_over *over)
