--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -312,7 +312,10 @@
    * there is none. */
   uint64_t report_after_us;
   uint64_t received_end; /**< highest number of an end received */
-  uint64_t ack;          /**< the worker may forget ends up to this number */
+  bool ends_pending; /**< the effect of a received end is not durable yet */
+  uint64_t ack; /**< the worker may forget ends up to this number; 0 if its
+                   last report listed none of these, as a number is not to
+                   reach an incarnation that starts to count anew */
   uint64_t lease_deadline_ms; /**< on the worker's clock */
   uint64_t clock_ms; /**< latest reading of the worker's clock; 0 if unknown */
   uint64_t clock_at_us;     /**< when clock_ms was received */
@@ -329,6 +332,9 @@
 /** Reports that the worker failed to answer several calls in a row. */
 void cell_worker_silent (struct cell_core *core, uint32_t row,
                          uint64_t now_us);
+/** Reports that no process listens at the worker's address. */
+void cell_worker_absent (struct cell_core *core, uint32_t row,
+                         uint64_t now_us);
 /** Records that the worker was asked to extend its lease to @p deadline_ms on
  * its own clock. */
 void cell_worker_leased (struct cell_core *core, uint32_t row,
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -112,7 +112,7 @@
   core->batch = 1;
   core->durable_out_of_order = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   core->revision = desc->first_revision;
-  core->next_ask = 1;
+  core->next_ask = desc->first_revision + 1;
   core->next_us = UINT64_MAX;
   core->next_placement_us = UINT64_MAX;
   return core;
@@ -301,6 +301,27 @@
          && (worker->pause_count == 0 || worker->run_count == 0);
 }
 
+/* Drops the evidence that the worker has left. */
+static void
+still_there (struct cell_worker *worker)
+{
+  worker->entry_left_us = 0;
+  worker->absent_us = 0;
+  worker->exited_us = 0;
+}
+
+/* A draining worker has left if it removed its entry and its process is gone.
+   Neither is enough alone: an entry may lapse, and a cut may refuse calls. */
+static void
+check_exit (struct cell_core *core, struct cell_worker *worker)
+{
+  if (worker->entry_left_us == 0 || worker->absent_us == 0
+      || worker->exited_us != 0)
+    return;
+  worker->exited_us = core->now_us;
+  cell_wake (core, core->now_us);
+}
+
 /* Resets what depends on the worker's earlier incarnation. */
 static void
 start_incarnation (struct cell_core *core, struct cell_worker *worker,
@@ -310,9 +331,12 @@
   worker->born_ms = born_ms;
   worker->clock_ms = 0;
   worker->lease_deadline_ms = 0;
-  worker->lease_until_us = cell_lease_lapsed_us (core, core->now_us);
-  worker->exited_us = 0;
+  /* An earlier leader may extend leases for longer than from now. */
+  worker->lease_until_us = MAX (worker->lease_until_us,
+                                cell_lease_lapsed_us (core, core->now_us));
+  still_there (worker);
   worker->received_end = 0;
+  worker->first_listed_end = 0;
   worker->ack = 0;
   worker->ack_next = 0;
   worker->ack_batch = 0;
@@ -338,7 +362,7 @@
       cell_wake (core, now_us);
     }
   worker->listed = true;
-  worker->exited_us = 0;
+  still_there (worker);
   worker->draining = entry->draining;
   worker->listed_after_us = entry_after_us;
   worker->stays_until_us
@@ -369,10 +393,8 @@
   core->now_us = now_us;
   if (worker->listed && worker->draining && worker->listed_after_us != 0
       && now_us < worker->listed_after_us + silence_us)
-    {
-      worker->exited_us = now_us + CELL_EXIT_MARGIN_US;
-      cell_wake (core, worker->exited_us);
-    }
+    worker->entry_left_us = now_us;
+  check_exit (core, worker);
   if (worker->listed)
     worker->unlisted_us = now_us;
   worker->listed = false;
@@ -396,7 +418,11 @@
         = MAX (out->report_after_us, cell_over_report_after_us (worker, run));
   out->received_end = worker->received_end;
   out->lease_deadline_ms = worker->lease_deadline_ms;
-  out->ack = worker->ack;
+  out->ends_pending = worker->ack < worker->received_end;
+  out->ack = worker->first_listed_end != 0
+                     && worker->first_listed_end <= worker->ack
+                 ? worker->ack
+                 : 0;
   out->clock_ms = worker->clock_ms;
   out->clock_at_us = worker->clock_at_us;
   out->listed_after_us = worker->listed_after_us;
@@ -412,6 +438,16 @@
     worker->lease_deadline_ms = deadline_ms;
 }
 
+void
+cell_worker_absent (struct cell_core *core, uint32_t row, uint64_t now_us)
+{
+  struct cell_worker *worker = cell_worker_at (core, row);
+
+  core->now_us = now_us;
+  worker->absent_us = now_us;
+  check_exit (core, worker);
+}
+
 void
 cell_worker_silent (struct cell_core *core, uint32_t row, uint64_t now_us)
 {
@@ -497,10 +533,14 @@
 apply_ends (struct cell_core *core, struct cell_worker *worker,
             uint32_t worker_row, const struct cell_report *report)
 {
+  worker->first_listed_end = 0;
   for (uint32_t i = 0; i < report->end_count; i++)
     {
       const struct cell_end_row *end = &report->ends[i];
 
+      if (worker->first_listed_end == 0
+          || end->number < worker->first_listed_end)
+        worker->first_listed_end = end->number;
       if (end->number <= worker->received_end)
         continue;
       worker->received_end = end->number;
@@ -591,7 +631,7 @@
     cell_worker_leased (core, row, report->clock_ms + core->desc.lease_ms);
   worker->fenced = true;
   worker->reachable = true;
-  worker->exited_us = 0;
+  still_there (worker);
   apply_ends (core, worker, row, report);
   apply_running (core, worker, row, report, seen);
   cell_over_reported (core, worker, report, seen);
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -28,8 +28,6 @@
  * last update has left by itself: a silent worker's entry is removed only
  * after three. */
 #define CELL_EXIT_HEARTBEATS_PERMILLE 2700
-/** Time that the worker's process may outlive its entry. */
-#define CELL_EXIT_MARGIN_US 300000
 /** A call without an answer may be executed this long after it has ended. */
 #define CELL_CALL_LATE_MAX_US 12000000
 /** A worker that is alive and reaches the service discovery has its entry
@@ -147,6 +145,10 @@
   uint64_t unlisted_us; /**< when its entry was removed; 0 if it never was */
   uint64_t stays_until_us; /**< earliest time a draining worker leaves; 0 if
                               unknown */
+  uint64_t entry_left_us;  /**< when the worker itself removed its entry; 0 if
+                              it  did not */
+  uint64_t absent_us; /**< when nothing listened at its address; 0 if a report
+                         has come since */
   uint64_t exited_us; /**< the worker has left and runs nothing from this time
                          on; 0 if unknown */
   bool fenced;        /**< has answered a hold call of this leader */
@@ -167,6 +169,8 @@
   uint64_t lease_until_us;    /**< certain end of all leases while clock_ms is
                                  unknown */
   uint64_t received_end;      /**< highest number of an end received */
+  uint64_t first_listed_end; /**< lowest number of an end in the last report; 0
+                                if it listed none */
   uint64_t ack;       /**< highest number of an end whose effect is durable */
   uint64_t ack_next;  /**< value of ack once ack_batch is durable */
   uint64_t ack_batch; /**< 0 if none is pending */
@@ -521,6 +525,8 @@
 const struct cell_held_ticket *cell_ticket_at (const struct cell_core *core,
                                                const struct cell_stage *stage,
                                                uint32_t index);
+/** The worker has refused the ticket of the run, which is not used again. */
+void cell_ticket_refused (const struct cell_run *run);
 /** Returns NULL if the stage holds no ticket that is valid for this
  * incarnation of the worker. */
 const struct cell_held_ticket *cell_ticket_for (const struct cell_core *core,
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -125,7 +125,7 @@
   EVIDENCE_REPORT,    /* a report neither shows the run nor lists its end */
   EVIDENCE_ENTRY,     /* the worker's entry was written */
   EVIDENCE_LAPSE,     /* the worker is silent and its leases have lapsed */
-  EVIDENCE_EXIT       /* the worker's entry was removed when it left */
+  EVIDENCE_EXIT       /* the worker has left: see check_exit */
 };
 
 struct evidence
@@ -227,10 +227,9 @@
       *over = CELL_OVER_REFUSED;
       return run->state == CELL_RUN_STARTING;
     case EVIDENCE_LAPSE:
-      *over = CELL_OVER_LAPSED;
-      return lapse_us (core, worker, run, evidence->since_us) <= core->now_us;
     case EVIDENCE_EXIT:
-      *over = CELL_OVER_LEFT;
+      *over = evidence->kind == EVIDENCE_EXIT ? CELL_OVER_LEFT
+                                              : CELL_OVER_LAPSED;
       return lapse_us (core, worker, run, evidence->since_us) <= core->now_us;
     case EVIDENCE_ENTRY:
       *over = CELL_OVER_REBORN;
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -83,6 +83,8 @@
       owner_input_added (owner);
       return;
     }
+  if (outcome == PT_HOLD_ABSENT)
+    cell_worker_absent (owner->core, row, now_us);
   slot->failures++;
   slot->next_hold_us
       = now_us + (slot->failures < HOLD_FAILURES_SILENT ? 0 : HOLD_RETRY_US);
@@ -126,6 +128,8 @@
   if (!owner_call_ended (owner))
     return;
   worker_slot (owner, row)->report_in_flight = false;
+  if (outcome == PT_HOLD_ABSENT)
+    cell_worker_absent (owner->core, row, hc_now_us ());
   if (outcome != PT_HOLD_OK)
     return;
   log_ends (owner, row, report);
@@ -185,7 +189,7 @@
       entry_wake_at (owner->entry, slot->next_hold_us);
       return;
     }
-  if (view.report_after_us == 0 && view.ack < view.received_end
+  if (view.report_after_us == 0 && view.ends_pending
       && now_us < slot->ack_deadline_us)
     return;
   /* A worker that did not answer gets no new lease, so the time by which
--- a/src/ports.h
+++ b/src/ports.h
@@ -89,6 +89,7 @@
   uint32_t part;
   uint64_t from;
   uint32_t wait_ms; /**< longest wait for the first record */
+  uint32_t max_kib; /**< longest answer; 0: the adapter's limit */
   uint64_t deadline_us;
   void (*done) (void *user, const struct pt_read_result *result);
   void *user;
@@ -173,6 +174,7 @@
 {
   PT_HOLD_OK,
   PT_HOLD_OTHER_INCARNATION, /**< another incarnation of the worker answered */
+  PT_HOLD_ABSENT,            /**< no process listens at the worker's address */
   PT_HOLD_NO_ANSWER
 };
 
