Do not take up a run again that a worker has listed as ended

Callers saw a job shown as failed after one failure of two allowed (LOST): a hold and a report were under way to one worker, and the answer that still showed the run arrived after the one that listed its failed end. The run was adopted and recorded beside the failure; after a takeover the end was listed again and counted again.

A task now keeps the number of the run that was listed as ended last, and a report that shows this run does not adopt it.

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -502,6 +502,7 @@
 
   if (!cell_task_parse (core, end->task, &job, &round, &task))
     return;
+  job->rounds[round].tasks[task].ended_run = end->run;
   run = find_run (worker, job, round, task, end->run);
   if (run != NULL && end->kind != CELL_END_DONE)
     {
@@ -567,6 +568,9 @@
   run = find_run (worker, job, round, task, row->run);
   if (run != NULL)
     return run;
+  /* The report was overtaken by one that listed the end of the run. */
+  if (row->run == job->rounds[round].tasks[task].ended_run)
+    return NULL;
   cell_over_contradict (core, worker_row, row->task, row->run, false);
   return cell_run_adopt (core, job, round, task, worker_row, row->run);
 }
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -188,7 +188,9 @@
 struct cell_task
 {
   enum cell_task_state state;
-  uint32_t next_run; /**< 1 + the highest run number used */
+  uint32_t next_run;  /**< 1 + the highest run number used */
+  uint32_t ended_run; /**< number of the run that a worker listed as ended
+                         last; 0 if none */
   uint32_t failures;
   uint64_t not_before_us; /**< earliest time of the next placement */
   struct cell_run *run;   /**< NULL unless placed */
--- a/tests/test_cell_late.c
+++ b/tests/test_cell_late.c
@@ -579,6 +579,38 @@
   finish (&s);
 }
 
+/* A report that was overtaken by the one that listed the end of a run still
+   shows it. The run was taken up again, and a successor, to which its failure
+   is listed again, counted it twice. */
+static void
+test_overtaken_report_shows_a_run_that_has_ended (void **state)
+{
+  struct cell_running_row row = { .task = CYC_STR (TASK), .run = 1 };
+  struct cell_report overtaken = { .running = &row, .running_count = 1 };
+  struct started s;
+  struct cell_totals totals;
+
+  (void)state;
+  begin (&s, 1);
+  report (&s, s.born_ms, true);
+  s.fleet->workers[0].up = false;
+  for (uint32_t leader = 0; leader < 3; leader++)
+    {
+      report_end (&s, 1, 1, CELL_END_FAILED, 0);
+      overtaken.born_ms = s.born_ms;
+      overtaken.clock_ms = s.now_us / 1000 - s.born_ms + 990;
+      overtaken.sent_us = s.now_us - 10000;
+      cell_worker_report (s.core, s.row, &overtaken, s.now_us);
+      cell_totals (s.core, &totals);
+      assert_int_equal (totals.runs, 0);
+      fleet_run (s.fleet, 100);
+      fleet_takeover (s.fleet);
+      s.core = s.fleet->core;
+    }
+  assert_true (fleet_job_state (s.fleet, 1) < CELL_JOB_COMPLETE);
+  finish (&s);
+}
+
 /* A report shows the run before the refusal of its start arrives: it runs. */
 static void
 test_refusal_of_a_start_that_a_report_shows (void **state)
@@ -696,6 +728,7 @@
     cmocka_unit_test (test_removed_entry_of_a_draining_worker_that_goes_on),
     cmocka_unit_test (test_worker_left_with_an_open_start),
     cmocka_unit_test (test_overtaken_report_lacks_an_adopted_run),
+    cmocka_unit_test (test_overtaken_report_shows_a_run_that_has_ended),
     cmocka_unit_test (test_refusal_of_a_start_that_a_report_shows),
     cmocka_unit_test (test_refusal_after_a_stop_was_ordered),
     cmocka_unit_test (test_done_end_after_a_lapsed_lease),
