Tell an overtaken report by the worker's clock

A run that a report still shows after its end was listed is not taken up again only if the worker made that report before it listed the end: same worker, same incarnation, earlier clock.

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -493,16 +493,22 @@
 
 static void
 apply_end (struct cell_core *core, struct cell_worker *worker,
-           uint32_t worker_row, const struct cell_end_row *end)
+           uint32_t worker_row, const struct cell_end_row *end,
+           uint64_t clock_ms)
 {
   struct cell_job *job;
   struct cell_run *run;
+  struct cell_task *task_row;
   uint32_t round;
   uint32_t task;
 
   if (!cell_task_parse (core, end->task, &job, &round, &task))
     return;
-  job->rounds[round].tasks[task].ended_run = end->run;
+  task_row = &job->rounds[round].tasks[task];
+  task_row->ended_run = end->run;
+  task_row->ended_worker = worker_row;
+  task_row->ended_born_ms = worker->born_ms;
+  task_row->ended_clock_ms = clock_ms;
   run = find_run (worker, job, round, task, end->run);
   if (run != NULL && end->kind != CELL_END_DONE)
     {
@@ -545,7 +551,7 @@
       if (end->number <= worker->received_end)
         continue;
       worker->received_end = end->number;
-      apply_end (core, worker, worker_row, end);
+      apply_end (core, worker, worker_row, end, report->clock_ms);
     }
   if (worker->ack_batch == 0 && worker->received_end > worker->ack)
     {
@@ -554,9 +560,21 @@
     }
 }
 
+/* Returns whether the worker had listed the end of the run already when it
+   made the report, which a later report has overtaken. */
+static bool
+had_ended (const struct cell_task *task, uint32_t worker_row,
+           const struct cell_report *report, uint32_t run)
+{
+  return run == task->ended_run && worker_row == task->ended_worker
+         && report->born_ms == task->ended_born_ms
+         && report->clock_ms <= task->ended_clock_ms;
+}
+
 static struct cell_run *
 find_running (struct cell_core *core, struct cell_worker *worker,
-              uint32_t worker_row, const struct cell_running_row *row)
+              uint32_t worker_row, const struct cell_report *report,
+              const struct cell_running_row *row)
 {
   struct cell_job *job;
   struct cell_run *run;
@@ -568,8 +586,8 @@
   run = find_run (worker, job, round, task, row->run);
   if (run != NULL)
     return run;
-  /* The report was overtaken by one that listed the end of the run. */
-  if (row->run == job->rounds[round].tasks[task].ended_run)
+  if (had_ended (&job->rounds[round].tasks[task], worker_row, report,
+                 row->run))
     return NULL;
   cell_over_contradict (core, worker_row, row->task, row->run, false);
   return cell_run_adopt (core, job, round, task, worker_row, row->run);
@@ -583,7 +601,8 @@
   for (uint32_t i = 0; i < report->running_count; i++)
     {
       const struct cell_running_row *row = &report->running[i];
-      struct cell_run *run = find_running (core, worker, worker_row, row);
+      struct cell_run *run
+          = find_running (core, worker, worker_row, report, row);
       struct cell_task *task;
 
       if (run == NULL)
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -188,9 +188,12 @@
 struct cell_task
 {
   enum cell_task_state state;
-  uint32_t next_run;  /**< 1 + the highest run number used */
-  uint32_t ended_run; /**< number of the run that a worker listed as ended
-                         last; 0 if none */
+  uint32_t next_run;       /**< 1 + the highest run number used */
+  uint32_t ended_run;      /**< number of the run that a worker listed as ended
+                              last; 0 if none */
+  uint32_t ended_worker;   /**< row of that worker */
+  uint64_t ended_born_ms;  /**< its incarnation */
+  uint64_t ended_clock_ms; /**< its clock when it listed the end */
   uint32_t failures;
   uint64_t not_before_us; /**< earliest time of the next placement */
   struct cell_run *run;   /**< NULL unless placed */
