Log the exit of a worker whichever of its two signs comes last

worker_left was written only if the entry was removed after a call had found nothing listening; in the other order the exit left no line.

--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -51,6 +51,13 @@
               report->ends[i].number);
 }
 
+static void
+worker_absent (struct entry_owner *owner, uint32_t row, uint64_t now_us)
+{
+  cell_worker_absent (owner->core, row, now_us);
+  owner_log_left (owner, row, now_us);
+}
+
 static void
 on_held (void *user, uint32_t row, enum pt_hold_outcome outcome,
          struct cell_report *report)
@@ -84,7 +91,7 @@
       return;
     }
   if (outcome == PT_HOLD_ABSENT)
-    cell_worker_absent (owner->core, row, now_us);
+    worker_absent (owner, row, now_us);
   slot->failures++;
   slot->next_hold_us
       = now_us + (slot->failures < HOLD_FAILURES_SILENT ? 0 : HOLD_RETRY_US);
@@ -129,7 +136,7 @@
     return;
   worker_slot (owner, row)->report_in_flight = false;
   if (outcome == PT_HOLD_ABSENT)
-    cell_worker_absent (owner->core, row, hc_now_us ());
+    worker_absent (owner, row, hc_now_us ());
   if (outcome != PT_HOLD_OK)
     return;
   log_ends (owner, row, report);
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -218,28 +218,33 @@
   owner_input_added (user);
 }
 
-/* Logs that a worker's entry was removed, and whether that counts as its exit.
-   The ages tell an exit from an entry that lapsed with the worker alive. */
+void
+owner_log_left (struct entry_owner *owner, uint32_t row, uint64_t now_us)
+{
+  struct cell_worker_view view;
+
+  cell_worker_view (owner->core, row, &view);
+  if (view.left_us != now_us)
+    return;
+  ev_log (EV_WORKER_LEFT,
+          "worker=%.*s runs=%u entry_age_ms=%" PRIu64 " answer_age_ms=%" PRIu64
+          " view_age_ms=%" PRIu64,
+          CYC_FMT (view.id), view.runs, (now_us - view.listed_after_us) / 1000,
+          (now_us - view.clock_at_us) / 1000,
+          (now_us - owner->workers_tail.prev_fresh_us) / 1000);
+}
+
+/* Applies that a worker's entry was removed. */
 static void
-log_unlisted (struct entry_owner *owner, struct cyc_str id)
+on_unlisted (struct entry_owner *owner, struct cyc_str id)
 {
   uint64_t now_us = hc_now_us ();
-  struct cell_worker_view view;
 
+  cell_worker_unlisted (owner->core, id, now_us);
   ev_log (EV_TARGET_LEAVING, "worker=%.*s unlisted=1", CYC_FMT (id));
   for (uint32_t row = 0; row < cell_worker_count (owner->core); row++)
-    {
-      cell_worker_view (owner->core, row, &view);
-      if (view.left_us == 0 || !cyc_str_eq (view.id, id))
-        continue;
-      ev_log (EV_WORKER_LEFT,
-              "worker=%.*s runs=%u entry_age_ms=%" PRIu64
-              " answer_age_ms=%" PRIu64 " view_age_ms=%" PRIu64,
-              CYC_FMT (id), view.runs, (now_us - view.listed_after_us) / 1000,
-              (now_us - view.clock_at_us) / 1000,
-              (now_us - owner->workers_tail.prev_fresh_us) / 1000);
-      return;
-    }
+    owner_log_left (owner, row, now_us);
+  owner_input_added (owner);
 }
 
 static void
@@ -255,9 +260,7 @@
     return;
   if (record->value.len == 0)
     {
-      cell_worker_unlisted (owner->core, record->key, hc_now_us ());
-      log_unlisted (owner, record->key);
-      owner_input_added (owner);
+      on_unlisted (owner, record->key);
       return;
     }
   if (owner->entry->desc.ports->records->worker (record->key, record->value,
--- a/src/entry_owner_internal.h
+++ b/src/entry_owner_internal.h
@@ -69,6 +69,9 @@
 /** Sends the next hold of a worker when it is due: extends its lease and asks
  * which runs it has. */
 void orders_hold (struct entry_owner *owner, uint32_t row, uint64_t now_us);
+/** Logs that a worker has left, if the input of @p now_us showed it. The ages
+ * in the line tell an exit from an entry that lapsed with the worker alive. */
+void owner_log_left (struct entry_owner *owner, uint32_t row, uint64_t now_us);
 /** Logs which runs the core has concluded to be over without a listed end, and
  * which of these conclusions were wrong. */
 void orders_log_conclusions (struct entry_owner *owner, uint64_t now_us);
