--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -28,7 +28,8 @@
  * last update has left by itself: a silent worker's entry is removed only
  * after three. */
 #define CELL_EXIT_HEARTBEATS_PERMILLE 2700
-/** A call without an answer may be executed this long after it has ended. */
+/** A call without an answer may be executed this long after it has ended, as
+ * far as is known: the platform states no bound. */
 #define CELL_CALL_LATE_MAX_US 12000000
 /** A worker that is alive and reaches the service discovery has its entry
  * again this soon after it was removed. */
@@ -146,7 +147,7 @@
   uint64_t stays_until_us; /**< earliest time a draining worker leaves; 0 if
                               unknown */
   uint64_t entry_left_us;  /**< when the worker itself removed its entry; 0 if
-                              it  did not */
+                              it did not */
   uint64_t absent_us; /**< when nothing listened at its address; 0 if a report
                          has come since */
   uint64_t exited_us; /**< the worker has left and runs nothing from this time
--- a/src/tail.h
+++ b/src/tail.h
@@ -61,7 +61,7 @@
   uint32_t failures;      /**< consecutive failed reads */
   uint32_t read_max_kib;  /**< longest answer to the next read */
   uint64_t sent_us;       /**< time at which the last read was sent */
-  uint64_t load_sent_us;  /**< time at which the load's first page was */
+  uint64_t load_sent_us;  /**< time at which the load began */
   uint32_t load_round_trip_us; /**< round trip of the last page of a load */
 };
 
