Log how calls to a worker end, and that it answers again

Callers saw tasks crash worker after worker; the logs did not tell a crash from a cut, a flap or silence: a hold without an answer was one outcome, and worker_silent came only after the second one.

A hold now tells a connection that ended (PT_HOLD_BROKEN) from silence, and the core keeps when and how the first call to an incarnation ended other than by silence since its last report (cyc_cell_blame.c). Events worker_broken and worker_alive; the events for suspicion and giving up are declared for what follows. No decision reads any of this yet.

test_platform_contract has a case for a connection that ends.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -259,6 +259,42 @@
   uint64_t lease_deadline_ms; /**< of the worker, on its clock */
 };
 
+/** How a call to a worker ended without an answer. */
+enum cell_call_end
+{
+  CELL_CALL_SILENT,  /**< timed out: the worker or the path to it is silent */
+  CELL_CALL_BROKEN,  /**< its connection ended */
+  CELL_CALL_REFUSED, /**< no process listens at the address */
+  CELL_CALL_OTHER_INCARNATION /**< another incarnation answered */
+};
+
+enum cell_blame_kind
+{
+  CELL_BLAME_BROKEN,    /**< the connections of a worker with runs ended */
+  CELL_BLAME_CRASHED,   /**< it has crashed: its runs ended with it */
+  CELL_BLAME_ALIVE,     /**< it has not crashed: it has answered again */
+  CELL_BLAME_SUSPECTED, /**< a crash counts against the task */
+  CELL_BLAME_CLEARED,   /**< a crash no longer counts against the task */
+  CELL_BLAME_GIVEN_UP   /**< the task's job has failed for its crashes */
+};
+
+/** A step in finding the task that crashes workers, with its evidence. Times
+ * that are unknown are 0. */
+struct cell_blame
+{
+  enum cell_blame_kind kind;
+  char task[64];   /**< empty if the step is about a worker */
+  uint32_t run;    /**< number of the run of the task; 0 if about a worker */
+  uint32_t worker; /**< row */
+  uint64_t worker_born_ms;      /**< the incarnation that broke */
+  enum cell_call_end first_end; /**< how the first call ended */
+  uint64_t broken_us;           /**< when that was */
+  uint64_t started_us;          /**< when the run's start was confirmed, or
+                                     else ordered */
+  uint32_t suspects;            /**< runs that the crash counts against */
+  uint32_t crashes;             /**< crashes that count against the task */
+};
+
 /** Progress record of a job. */
 struct cell_record
 {
@@ -333,9 +369,9 @@
 /** Reports that the worker failed to answer several calls in a row. */
 void cell_worker_silent (struct cell_core *core, uint32_t row,
                          uint64_t now_us);
-/** Reports that no process listens at the worker's address. */
-void cell_worker_absent (struct cell_core *core, uint32_t row,
-                         uint64_t now_us);
+/** Reports that a call to the worker ended without an answer. */
+void cell_worker_unanswered (struct cell_core *core, uint32_t row,
+                             enum cell_call_end end, uint64_t now_us);
 /** Records that the worker was asked to extend its lease to @p deadline_ms on
  * its own clock. */
 void cell_worker_leased (struct cell_core *core, uint32_t row,
@@ -381,6 +417,10 @@
 bool cell_conclusion_next (struct cell_core *core,
                            struct cell_conclusion *out);
 
+/** Returns the next step in finding the task that crashes workers; returns
+ * false if there is none. */
+bool cell_blame_next (struct cell_core *core, struct cell_blame *out);
+
 /** Reports the result of an ordered start. Every result but
  * CELL_START_UNKNOWN holds for all copies of the order. */
 void cell_start_result (struct cell_core *core, struct cyc_ref run,
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -109,6 +109,7 @@
   g_queue_init (&core->recording);
   g_queue_init (&core->orders);
   cell_over_setup (core);
+  cell_blame_setup (core);
   core->batch = 1;
   core->durable_out_of_order = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   core->revision = desc->first_revision;
@@ -172,6 +173,7 @@
   g_queue_clear (&core->recording);
   g_queue_clear_full (&core->orders, g_free);
   cell_over_shutdown (core);
+  cell_blame_shutdown (core);
   g_free (core);
 }
 
@@ -335,6 +337,7 @@
   worker->lease_until_us = MAX (worker->lease_until_us,
                                 cell_lease_lapsed_us (core, core->now_us));
   still_there (worker);
+  worker->broken_us = 0;
   worker->received_end = 0;
   worker->first_listed_end = 0;
   worker->ack = 0;
@@ -439,11 +442,15 @@
 }
 
 void
-cell_worker_absent (struct cell_core *core, uint32_t row, uint64_t now_us)
+cell_worker_unanswered (struct cell_core *core, uint32_t row,
+                        enum cell_call_end end, uint64_t now_us)
 {
   struct cell_worker *worker = cell_worker_at (core, row);
 
   core->now_us = now_us;
+  cell_blame_broken (core, row, end);
+  if (end != CELL_CALL_REFUSED)
+    return;
   worker->absent_us = now_us;
   check_exit (core, worker);
 }
@@ -643,6 +650,7 @@
     }
   if (report->born_ms > worker->born_ms)
     start_incarnation (core, worker, report->born_ms);
+  cell_blame_answered (core, row);
   if (report->clock_ms > worker->clock_ms)
     {
       worker->clock_ms = report->clock_ms;
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -161,8 +161,12 @@
                            any gets one task at a time */
   uint64_t silent_us;   /**< when it was first reported silent since its last
                            report */
-  uint64_t reborn_us;   /**< when its current incarnation became known; 0 if no
-                           earlier one was known */
+  uint64_t broken_us;   /**< when a call to this incarnation first ended other
+                           than by silence since its last report; 0 if none
+                           did */
+  enum cell_call_end broken_end; /**< how that call ended */
+  uint64_t reborn_us; /**< when its current incarnation became known; 0 if no
+                         earlier one was known */
   uint64_t clock_ms;
   uint64_t clock_at_us;
   uint64_t lease_deadline_ms; /**< latest extension requested, on the worker's
@@ -328,6 +332,7 @@
   GHashTable *concluded;    /**< struct cell_conclusion by itself; see
                                cyc_cell_over.c */
   GQueue concluded_by_age;  /**< the same, oldest first */
+  GQueue blames;            /**< struct cell_blame *, to be handed out */
   GPtrArray *records;       /**< struct cell_record of closed batches */
   uint64_t first_end_us; /**< when the first end was received; 0 if none yet */
   GHashTable *queue_times; /**< queue name to struct cell_queue_time */
@@ -431,6 +436,17 @@
                      enum cell_end_kind kind, struct cyc_str checkpoint);
 
 /* Runs that are over. */
+/* cyc_cell_blame.c: the only place that decides which task a worker's crash
+   counts against, and when a task is given up for its crashes. */
+
+void cell_blame_setup (struct cell_core *core);
+void cell_blame_shutdown (struct cell_core *core);
+/** A call to the worker ended without an answer. */
+void cell_blame_broken (struct cell_core *core, uint32_t row,
+                        enum cell_call_end end);
+/** The worker has answered: its incarnation has not crashed. */
+void cell_blame_answered (struct cell_core *core, uint32_t row);
+
 void cell_over_setup (struct cell_core *core);
 void cell_over_shutdown (struct cell_core *core);
 /** Ends a run whose start was not ordered. */
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -51,10 +51,19 @@
               report->ends[i].number);
 }
 
+/* Passes on how a hold without an answer ended. */
 static void
-worker_absent (struct entry_owner *owner, uint32_t row, uint64_t now_us)
+hold_unanswered (struct entry_owner *owner, uint32_t row,
+                 enum pt_hold_outcome outcome, uint64_t now_us)
 {
-  cell_worker_absent (owner->core, row, now_us);
+  static const enum cell_call_end ends[] = {
+    [PT_HOLD_OTHER_INCARNATION] = CELL_CALL_OTHER_INCARNATION,
+    [PT_HOLD_ABSENT] = CELL_CALL_REFUSED,
+    [PT_HOLD_BROKEN] = CELL_CALL_BROKEN,
+    [PT_HOLD_NO_ANSWER] = CELL_CALL_SILENT,
+  };
+
+  cell_worker_unanswered (owner->core, row, ends[outcome], now_us);
   owner_log_left (owner, row, now_us);
 }
 
@@ -90,8 +99,7 @@
       owner_input_added (owner);
       return;
     }
-  if (outcome == PT_HOLD_ABSENT)
-    worker_absent (owner, row, now_us);
+  hold_unanswered (owner, row, outcome, now_us);
   slot->failures++;
   slot->next_hold_us
       = now_us + (slot->failures < HOLD_FAILURES_SILENT ? 0 : HOLD_RETRY_US);
@@ -135,10 +143,11 @@
   if (!owner_call_ended (owner))
     return;
   worker_slot (owner, row)->report_in_flight = false;
-  if (outcome == PT_HOLD_ABSENT)
-    worker_absent (owner, row, hc_now_us ());
   if (outcome != PT_HOLD_OK)
-    return;
+    {
+      hold_unanswered (owner, row, outcome, hc_now_us ());
+      return;
+    }
   log_ends (owner, row, report);
   cell_worker_report (owner->core, row, report, hc_now_us ());
   owner_input_added (owner);
@@ -272,6 +281,39 @@
     }
 }
 
+void
+orders_log_blames (struct entry_owner *owner, uint64_t now_us)
+{
+  static const enum ev_code events[] = {
+    [CELL_BLAME_BROKEN] = EV_WORKER_BROKEN,
+    [CELL_BLAME_CRASHED] = EV_WORKER_CRASHED,
+    [CELL_BLAME_ALIVE] = EV_WORKER_ALIVE,
+    [CELL_BLAME_SUSPECTED] = EV_TASK_SUSPECTED,
+    [CELL_BLAME_CLEARED] = EV_TASK_CLEARED,
+    [CELL_BLAME_GIVEN_UP] = EV_TASK_GIVEN_UP,
+  };
+  static const char *const ends[]
+      = { "silent", "broken", "refused", "other-incarnation" };
+  struct cell_blame blame;
+  struct cell_worker_view view;
+
+  while (cell_blame_next (owner->core, &blame))
+    {
+      cell_worker_view (owner->core, blame.worker, &view);
+      ev_log (events[blame.kind],
+              "task=%s run=%u worker=%.*s epoch=%" PRIu64 " born_ms=%" PRIu64
+              " first_end=%s broken_age_ms=%" PRId64 " started_age_ms=%" PRId64
+              " suspects=%u crashes=%u runs=%u listed=%d draining=%d"
+              " entry_age_ms=%" PRId64,
+              blame.task, blame.run, CYC_FMT (view.id), owner->epoch,
+              blame.worker_born_ms, ends[blame.first_end],
+              age_ms (now_us, blame.broken_us),
+              age_ms (now_us, blame.started_us), blame.suspects, blame.crashes,
+              view.runs, view.listed, view.draining,
+              age_ms (now_us, view.listed_after_us));
+    }
+}
+
 static void
 on_started (void *user, struct cyc_ref run, enum cell_start_result result,
             const char *why)
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -470,6 +470,7 @@
   while (cell_order_next (owner->core, &order))
     orders_send (owner, &order, now_us);
   orders_log_conclusions (owner, now_us);
+  orders_log_blames (owner, now_us);
   advice_tick (owner->advice, now_us);
   log_load (owner, now_us);
 }
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -96,6 +96,12 @@
   X (EV_RUN_OVER, INFO, "run_over")                                           \
   X (EV_RUN_OVER_WRONG, WARNING, "run_over_wrong")                            \
   X (EV_WORKER_LEFT, MESSAGE, "worker_left")                                  \
+  X (EV_WORKER_BROKEN, MESSAGE, "worker_broken")                              \
+  X (EV_WORKER_CRASHED, WARNING, "worker_crashed")                            \
+  X (EV_WORKER_ALIVE, MESSAGE, "worker_alive")                                \
+  X (EV_TASK_SUSPECTED, MESSAGE, "task_suspected")                            \
+  X (EV_TASK_CLEARED, MESSAGE, "task_cleared")                                \
+  X (EV_TASK_GIVEN_UP, WARNING, "task_given_up")                              \
   X (EV_REQUEST_UNANSWERED, MESSAGE, "request_unanswered")                    \
   X (EV_LOAD, MESSAGE, "load")                                                \
   X (EV_LINES_DROPPED, WARNING, "lines_dropped")
--- a/src/ports.h
+++ b/src/ports.h
@@ -175,7 +175,8 @@
   PT_HOLD_OK,
   PT_HOLD_OTHER_INCARNATION, /**< another incarnation of the worker answered */
   PT_HOLD_ABSENT,            /**< no process listens at the worker's address */
-  PT_HOLD_NO_ANSWER
+  PT_HOLD_BROKEN,            /**< the connection ended before the answer */
+  PT_HOLD_NO_ANSWER          /**< silent until the deadline */
 };
 
 struct pt_hold
--- a/tests/test_platform_contract.c
+++ b/tests/test_platform_contract.c
@@ -581,6 +581,10 @@
   f.fake.faults.other_incarnation = true;
   hold_and_wait (&f, 5, 0);
   assert_int_equal (f.hold, PT_HOLD_OTHER_INCARNATION);
+  f.fake.workers[0].down = true;
+  hold_and_wait (&f, 5, 0);
+  assert_int_equal (f.hold, PT_HOLD_BROKEN);
+  f.fake.workers[0].down = false;
   f.fake.faults.workers_silent = true;
   hold_and_wait (&f, 5, 0);
   assert_int_equal (f.hold, PT_HOLD_NO_ANSWER);
--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -761,7 +761,8 @@
   if (!worker->up || worker->partitioned || worker->answers_lost)
     {
       if (!worker->up && !worker->partitioned)
-        cell_worker_absent (fleet->core, row, fleet_now_us (fleet));
+        cell_worker_unanswered (fleet->core, row, CELL_CALL_REFUSED,
+                                fleet_now_us (fleet));
       cell_worker_silent (fleet->core, row, fleet_now_us (fleet));
       return;
     }
