Log the address and incarnation of listed workers

A worker that comes back after a crash, under another id or the same one, could not be told in the log: worker_listed lacked the address and the incarnation, and was written only for workers not seen before. cell_worker_listed now says whether the entry shows something new. No decision reads it.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -325,8 +325,9 @@
 void cell_config_set (struct cell_core *core,
                       const struct cell_config *config);
 /** Adds or updates a worker. The entry was written later than @p
- * entry_after_us; 0 if unknown. */
-void cell_worker_listed (struct cell_core *core,
+ * entry_after_us; 0 if unknown. Returns true if the worker, its incarnation or
+ * its address is new, or it is listed again. */
+bool cell_worker_listed (struct cell_core *core,
                          const struct cell_worker_entry *entry,
                          uint64_t entry_after_us, uint64_t now_us);
 /** Reports that the worker's entry was removed: the worker has left, or missed
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -349,13 +349,16 @@
   worker->pause_count = 0;
 }
 
-void
+bool
 cell_worker_listed (struct cell_core *core,
                     const struct cell_worker_entry *entry,
                     uint64_t entry_after_us, uint64_t now_us)
 {
   struct cell_worker *worker = cell_worker_at (
       core, cell_worker_row (core, cyc_name_str (&entry->id)));
+  bool is_new = !worker->listed || entry->born_ms > worker->born_ms
+                || !cyc_str_eq (cyc_name_str (&worker->address),
+                                cyc_name_str (&entry->address));
 
   core->now_us = now_us;
   if (!worker->listed || worker->draining != entry->draining
@@ -382,6 +385,7 @@
     start_incarnation (core, worker, entry->born_ms);
   if (entry->born_ms != 0 && entry->born_ms == worker->born_ms)
     cell_over_listed (core, worker, entry_after_us);
+  return is_new;
 }
 
 void
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -266,15 +266,17 @@
   if (owner->entry->desc.ports->records->worker (record->key, record->value,
                                                  &entry, &findings))
     {
-      uint32_t before = cell_worker_count (owner->core);
+      bool is_new = cell_worker_listed (owner->core, &entry,
+                                        owner->workers_tail.prev_fresh_us,
+                                        hc_now_us ());
 
-      cell_worker_listed (owner->core, &entry,
-                          owner->workers_tail.prev_fresh_us, hc_now_us ());
-      if (cell_worker_count (owner->core) > before || entry.draining)
+      if (is_new || entry.draining)
         ev_log (EV_WORKER_LISTED,
-                "worker=%s pool=%s domain=%s draining=%d millicores=%u",
+                "worker=%s pool=%s domain=%s address=%s born_ms=%" PRIu64
+                " draining=%d millicores=%u",
                 entry.id.data, entry.pool.data, entry.domain.data,
-                entry.draining, entry.capacity.millicores);
+                entry.address.data, entry.born_ms, entry.draining,
+                entry.capacity.millicores);
       return;
     }
   id = g_strndup (record->key.data, record->key.len);
