Fake workers that crash, come back and refuse calls

fkp_crash_worker ends a worker's process as the platform does: connections close, nothing listens, the runs are lost, the entry lapses after three heartbeats, and a new process comes back at the same address under another id or the old one. Tasks whose name begins as faults.deadly_task crash each worker that starts them. fkp_refuse_calls cuts a worker off with refusals while it goes on. The address is kept bound meanwhile, so that no other socket takes it.

--- a/fakes/fk_platform.c
+++ b/fakes/fk_platform.c
@@ -480,17 +480,21 @@
     }
 }
 
-static bool
-listen_on (struct hs_server *hs, struct ev_loop *loop,
-           void (*handle) (void *user, const struct hs_call *call), void *user,
-           struct cyc_findings *findings)
+bool
+fkp_listen (struct hs_server *hs, struct ev_loop *loop, const char *address,
+            void (*handle) (void *user, const struct hs_call *call),
+            void *user, struct cyc_findings *findings)
 {
+  const char *colon = strchr (address, ':');
+
   return hs_setup (hs,
-                   &(struct hs_desc){ .loop = loop,
-                                      .address = "127.0.0.1",
-                                      .max_body_bytes = 4U << 20,
-                                      .handle = handle,
-                                      .user = user },
+                   &(struct hs_desc){
+                       .loop = loop,
+                       .address = "127.0.0.1",
+                       .port = colon != NULL ? (uint16_t)atoi (colon + 1) : 0,
+                       .max_body_bytes = 4U << 20,
+                       .handle = handle,
+                       .user = user },
                    findings);
 }
 
@@ -504,8 +508,9 @@
   platform->pending_replies
       = g_array_new (FALSE, TRUE, sizeof (struct fkp_pending_reply));
   fkp_workers_setup (platform);
-  if (!listen_on (&platform->log, loop, on_log_call, platform, findings)
-      || !listen_on (&platform->advisor, loop, on_advise, platform, findings))
+  if (!fkp_listen (&platform->log, loop, "", on_log_call, platform, findings)
+      || !fkp_listen (&platform->advisor, loop, "", on_advise, platform,
+                      findings))
     return false;
   for (uint32_t i = 0; i < workers; i++)
     {
@@ -518,8 +523,11 @@
       worker->next_end_number = 1;
       worker->over
           = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-      if (!listen_on (&worker->hs, loop, fkp_on_worker_call, worker, findings))
+      worker->reserved_fd = -1;
+      if (!fkp_listen (&worker->hs, loop, "", fkp_on_worker_call, worker,
+                       findings))
         return false;
+      fkp_address (&worker->hs, worker->address);
       platform->worker_count++;
     }
   ev_timer_init (&platform->timer, on_tick, TICK_S, TICK_S);
--- a/fakes/fk_platform.h
+++ b/fakes/fk_platform.h
@@ -102,16 +102,24 @@
 struct fkp_worker
 {
   struct fkp_platform *platform;
-  struct hs_server hs;
+  struct hs_server hs; /**< zeroed while nothing listens */
+  char address[32];
+  int reserved_fd; /**< keeps the address while nothing listens; else -1 */
   char id[24];
   uint64_t born_ms;  /**< start of this incarnation */
   uint64_t fence;    /**< highest fencing token seen */
   uint64_t lease_ms; /**< end of the lease on the worker's clock */
   uint32_t millicores;
   bool draining;
-  bool silent;   /**< sends no answers; its runs continue */
-  bool unlisted; /**< writes no entry */
-  bool down;     /**< closes each connection without an answer */
+  bool silent;             /**< sends no answers; its runs continue */
+  bool unlisted;           /**< writes no entry */
+  bool down;               /**< closes each connection without an answer */
+  bool crashed;            /**< its process is gone; nothing listens */
+  uint64_t crash_ms;       /**< when its process goes away; 0: not planned */
+  uint64_t back_ms;        /**< when its next process begins; 0: never */
+  uint64_t entry_lapse_ms; /**< when the entry of the process that is gone is
+                              removed; 0: none is left */
+  uint32_t crashes;
   struct fkp_run runs[FKP_RUNS_MAX];
   uint32_t run_count;
   struct fkp_end ends[FKP_RUNS_MAX];
@@ -149,6 +157,12 @@
   uint32_t start_delay_ms[4]; /**< of the orders executed later, in turn */
   bool orders_outlive_worker; /**< a late order is executed by the next
                                  incarnation too */
+  const char *deadly_task;    /**< names of tasks that end the process of each
+                                 worker that starts them begin so; or NULL */
+  uint32_t deadly_after_ms;   /**< from the start to the end of the process */
+  bool deadly_unanswered;     /**< such a start gets no answer */
+  uint32_t back_after_ms; /**< time until a crashed worker is back; 0: 600 */
+  bool back_under_old_id; /**< it is back under its id, not a new one */
 };
 
 /** A call that is answered later. */
@@ -204,6 +218,15 @@
 void fkp_restart_worker (struct fkp_worker *worker);
 /** Ends the worker with all its runs and removes its entry. */
 void fkp_remove_worker (struct fkp_worker *worker);
+/** Ends the worker's process with all its runs: its connections close, nothing
+ * listens at its address, and its entry is removed after three heartbeats. It
+ * is back at the same address after `back_after_ms`. */
+void fkp_crash_worker (struct fkp_worker *worker);
+/** Cuts the worker off in a way that refuses calls: its connections close and
+ * nothing listens; the worker goes on. */
+void fkp_refuse_calls (struct fkp_worker *worker);
+/** Ends the cut. */
+void fkp_accept_calls (struct fkp_worker *worker);
 /** Removes the worker's entry; the worker goes on. */
 void fkp_unlist_worker (struct fkp_worker *worker);
 /** Writes the address of a server as "127.0.0.1:PORT". */
--- a/fakes/fk_platform_internal.h
+++ b/fakes/fk_platform_internal.h
@@ -10,6 +10,13 @@
 /** Returns the monotonic time in milliseconds. */
 uint64_t fkp_now_ms (void);
 
+/** Listens at @p address of the form "127.0.0.1:PORT"; at a free port if it is
+ * empty. */
+bool fkp_listen (struct hs_server *hs, struct ev_loop *loop,
+                 const char *address,
+                 void (*handle) (void *user, const struct hs_call *call),
+                 void *user, struct cyc_findings *findings);
+
 /* fk_platform_workers.c */
 /** Handles a call to a worker; @p user is the worker. */
 void fkp_on_worker_call (void *user, const struct hs_call *call);
--- a/fakes/fk_platform_workers.c
+++ b/fakes/fk_platform_workers.c
@@ -2,9 +2,12 @@
 
 #include "fk_platform_internal.h"
 
+#include <arpa/inet.h>
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 static uint64_t
 worker_clock (const struct fkp_worker *worker)
@@ -132,6 +135,13 @@
   return NULL;
 }
 
+static bool
+is_deadly (const struct fkp_platform *platform, const char *task)
+{
+  return platform->faults.deadly_task != NULL
+         && g_str_has_prefix (task, platform->faults.deadly_task);
+}
+
 /* Executes a start. Returns why it was refused, or NULL. */
 static const char *
 execute_start (struct fkp_worker *worker, const struct fkp_late_start *start,
@@ -164,6 +174,9 @@
   worker->starts++;
   memcpy (history.task, start->task, sizeof history.task);
   g_array_append_val (platform->history, history);
+  if (is_deadly (platform, start->task))
+    worker->crash_ms
+        = history.begin_ms + MAX (platform->faults.deadly_after_ms, 1);
   return NULL;
 }
 
@@ -251,6 +264,9 @@
       fk_close_without_answer (&worker->hs, call->ref, call->connection);
       return;
     }
+  if (refusal == NULL && faults->deadly_unanswered
+      && is_deadly (worker->platform, start.task))
+    return;
   reply_clock (worker, call->ref, refusal == NULL ? 200 : 409, refusal);
 }
 
@@ -344,11 +360,9 @@
     {
       struct fkp_worker *worker = &platform->workers[i];
       char value[512];
-      char address[32];
 
-      if (worker->unlisted || worker->down)
+      if (worker->unlisted || worker->down || worker->crashed)
         continue;
-      fkp_address (&worker->hs, address);
       snprintf (value, sizeof value,
                 "{\"service\":\"pool\",\"address\":\"%s\",\"zone\":\"north\","
                 "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
@@ -356,7 +370,7 @@
                 "\"mem_mb\":100000,\"gpu\":0},\"labels\":[\"a\",\"r%u\"],"
                 "\"clock_ms\":%" PRIu64 ",\"born\":%" PRIu64
                 ",\"seq\":%" PRIu64 "}",
-                address, worker->draining ? "draining" : "ready",
+                worker->address, worker->draining ? "draining" : "ready",
                 worker->millicores, i / 2, worker_clock (worker),
                 worker->born_ms, platform->entry_seq++);
       fkp_put (platform, "keyed.servers", worker->id, value);
@@ -377,7 +391,7 @@
           continue;
         }
       g_array_remove_index (platform->late_starts, i);
-      if (!start.worker->down
+      if (!start.worker->down && !start.worker->crashed
           && (start.born_ms == start.worker->born_ms
               || platform->faults.orders_outlive_worker))
         execute_start (start.worker, &start, true);
@@ -393,32 +407,22 @@
         = true;
 }
 
-void
-fkp_workers_tick (struct fkp_platform *platform, uint64_t now)
+static void
+drop_waiting_holds (struct fkp_worker *worker)
 {
-  execute_late_starts (platform, now);
-  for (uint32_t w = 0; w < platform->worker_count; w++)
-    {
-      struct fkp_worker *worker = &platform->workers[w];
+  GArray *waiting = worker->platform->pending_replies;
 
-      for (uint32_t r = 0; r < worker->run_count;)
-        if (worker->runs[r].end_ms <= now)
-          end_run (worker, r, "done");
-        else if (worker->lease_ms < worker_clock (worker))
-          end_run (worker, r, "lapsed");
-        else
-          r++;
-      if (worker->lease_ms < worker_clock (worker))
-        mark_lapsed_ends (worker);
-    }
+  for (guint i = 0; i < waiting->len;)
+    if (g_array_index (waiting, struct fkp_pending_reply, i).worker == worker)
+      g_array_remove_index (waiting, i);
+    else
+      i++;
 }
 
 /* Ends all runs and drops the holds that wait. */
 static void
 lose_runs (struct fkp_worker *worker)
 {
-  GArray *waiting = worker->platform->pending_replies;
-
   for (uint32_t i = 0; i < worker->run_count; i++)
     {
       struct fkp_history *history = find_history (worker, worker->runs[i].task,
@@ -429,11 +433,108 @@
     }
   worker->run_count = 0;
   worker->end_count = 0;
-  for (guint i = 0; i < waiting->len;)
-    if (g_array_index (waiting, struct fkp_pending_reply, i).worker == worker)
-      g_array_remove_index (waiting, i);
-    else
-      i++;
+  drop_waiting_holds (worker);
+}
+
+void
+fkp_refuse_calls (struct fkp_worker *worker)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int on = 1;
+
+  if (worker->reserved_fd >= 0)
+    return;
+  drop_waiting_holds (worker);
+  hs_shutdown (&worker->hs);
+  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  address.sin_port
+      = htons ((uint16_t)atoi (strchr (worker->address, ':') + 1));
+  worker->reserved_fd = socket (AF_INET, SOCK_STREAM, 0);
+  setsockopt (worker->reserved_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (worker->reserved_fd, (struct sockaddr *)&address, sizeof address)
+      != 0)
+    g_error ("cannot keep the address %s", worker->address);
+}
+
+void
+fkp_accept_calls (struct fkp_worker *worker)
+{
+  struct cyc_findings findings = { 0 };
+
+  if (worker->reserved_fd < 0)
+    return;
+  close (worker->reserved_fd);
+  worker->reserved_fd = -1;
+  if (!fkp_listen (&worker->hs, worker->platform->loop, worker->address,
+                   fkp_on_worker_call, worker, &findings))
+    g_error ("cannot listen at %s", worker->address);
+}
+
+void
+fkp_crash_worker (struct fkp_worker *worker)
+{
+  uint32_t back_after_ms = worker->platform->faults.back_after_ms;
+  uint64_t now = fkp_now_ms ();
+
+  lose_runs (worker);
+  fkp_refuse_calls (worker);
+  worker->crashed = true;
+  worker->crashes++;
+  worker->crash_ms = 0;
+  worker->back_ms = now + (back_after_ms != 0 ? back_after_ms : 600);
+  worker->entry_lapse_ms
+      = worker->unlisted ? 0 : now + 3ULL * FKP_HEARTBEAT_MS;
+}
+
+/* Begins the next process at the address of one that crashed. */
+static void
+bring_back (struct fkp_worker *worker)
+{
+  if (!worker->platform->faults.back_under_old_id)
+    {
+      fkp_unlist_worker (worker);
+      g_strlcat (worker->id, "n", sizeof worker->id);
+    }
+  worker->crashed = false;
+  worker->back_ms = 0;
+  worker->entry_lapse_ms = 0;
+  fkp_restart_worker (worker);
+  fkp_accept_calls (worker);
+}
+
+static void
+crash_if_due (struct fkp_worker *worker, uint64_t now)
+{
+  if (worker->crash_ms != 0 && now >= worker->crash_ms)
+    fkp_crash_worker (worker);
+  if (worker->entry_lapse_ms != 0 && now >= worker->entry_lapse_ms)
+    {
+      worker->entry_lapse_ms = 0;
+      fkp_unlist_worker (worker);
+    }
+  if (worker->crashed && now >= worker->back_ms)
+    bring_back (worker);
+}
+
+void
+fkp_workers_tick (struct fkp_platform *platform, uint64_t now)
+{
+  execute_late_starts (platform, now);
+  for (uint32_t w = 0; w < platform->worker_count; w++)
+    {
+      struct fkp_worker *worker = &platform->workers[w];
+
+      crash_if_due (worker, now);
+      for (uint32_t r = 0; r < worker->run_count;)
+        if (worker->runs[r].end_ms <= now)
+          end_run (worker, r, "done");
+        else if (worker->lease_ms < worker_clock (worker))
+          end_run (worker, r, "lapsed");
+        else
+          r++;
+      if (worker->lease_ms < worker_clock (worker))
+        mark_lapsed_ends (worker);
+    }
 }
 
 void
@@ -477,7 +578,11 @@
 fkp_workers_shutdown (struct fkp_platform *platform)
 {
   for (uint32_t i = 0; i < platform->worker_count; i++)
-    g_hash_table_destroy (platform->workers[i].over);
+    {
+      g_hash_table_destroy (platform->workers[i].over);
+      if (platform->workers[i].reserved_fd >= 0)
+        close (platform->workers[i].reserved_fd);
+    }
   g_array_free (platform->late_starts, TRUE);
   g_array_free (platform->history, TRUE);
 }
