Report how each call to a worker ends, with the time of its first break

The logs of crashed workers showed a hold as refused although the first copy of it had been cut off by the crash: holds and stops are repeatable, and the HTTP client told only the end of the last copy. Starts and stops told the core nothing, although the start of a task that crashes its worker is often the first call to end.

hc_result keeps when the connection of a copy first ended (broken_us), every call to a worker passes on how it ended (struct pt_call_end), and the core gets the break at its own time (cell_worker_broken), ignored if the worker has reported since. run_refused names task, run and worker; worker_silent says how the last two holds ended. No decision changes.

test_platform_contract has a table of calls by what the worker does: broken then refused (crash), refused at once, broken, silent, another incarnation.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -373,6 +373,10 @@
 /** Reports that a call to the worker ended without an answer. */
 void cell_worker_unanswered (struct cell_core *core, uint32_t row,
                              enum cell_call_end end, uint64_t now_us);
+/** Reports that the connection of a call to the worker ended at @p broken_us,
+ * before the answer. */
+void cell_worker_broken (struct cell_core *core, uint32_t row,
+                         uint64_t broken_us, uint64_t now_us);
 /** Records that the worker was asked to extend its lease to @p deadline_ms on
  * its own clock. */
 void cell_worker_leased (struct cell_core *core, uint32_t row,
@@ -422,6 +426,10 @@
  * false if there is none. */
 bool cell_blame_next (struct cell_core *core, struct cell_blame *out);
 
+/** Fills @p out with the names of a run that was ordered. Returns false if the
+ * run is over. */
+bool cell_run_describe (const struct cell_core *core, struct cyc_ref run,
+                        struct cell_order *out);
 /** Reports the result of an ordered start. Every result but
  * CELL_START_UNKNOWN holds for all copies of the order. */
 void cell_start_result (struct cell_core *core, struct cyc_ref run,
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -452,13 +452,21 @@
   struct cell_worker *worker = cell_worker_at (core, row);
 
   core->now_us = now_us;
-  cell_blame_broken (core, row, end);
+  cell_blame_broken (core, row, end, now_us);
   if (end != CELL_CALL_REFUSED)
     return;
   worker->absent_us = now_us;
   check_exit (core, worker);
 }
 
+void
+cell_worker_broken (struct cell_core *core, uint32_t row, uint64_t broken_us,
+                    uint64_t now_us)
+{
+  core->now_us = now_us;
+  cell_blame_broken (core, row, CELL_CALL_BROKEN, broken_us);
+}
+
 void
 cell_worker_silent (struct cell_core *core, uint32_t row, uint64_t now_us)
 {
--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -33,13 +33,14 @@
 
 void
 cell_blame_broken (struct cell_core *core, uint32_t row,
-                   enum cell_call_end end)
+                   enum cell_call_end end, uint64_t broken_us)
 {
   struct cell_worker *worker = cell_worker_at (core, row);
 
-  if (end == CELL_CALL_SILENT || worker->broken_us != 0)
+  if (end == CELL_CALL_SILENT || worker->broken_us != 0
+      || broken_us <= worker->clock_at_us)
     return;
-  worker->broken_us = core->now_us;
+  worker->broken_us = broken_us;
   worker->broken_end = end;
   if (worker->runs != NULL)
     report_worker (core, CELL_BLAME_BROKEN, row);
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -441,9 +441,10 @@
 
 void cell_blame_setup (struct cell_core *core);
 void cell_blame_shutdown (struct cell_core *core);
-/** A call to the worker ended without an answer. */
+/** A call to the worker ended without an answer at @p broken_us. Ignored if
+ * the worker has answered since. */
 void cell_blame_broken (struct cell_core *core, uint32_t row,
-                        enum cell_call_end end);
+                        enum cell_call_end end, uint64_t broken_us);
 /** The worker has answered: its incarnation has not crashed. */
 void cell_blame_answered (struct cell_core *core, uint32_t row);
 
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -167,6 +167,22 @@
   cell_wake (core, core->now_us);
 }
 
+bool
+cell_run_describe (const struct cell_core *core, struct cyc_ref ref,
+                   struct cell_order *out)
+{
+  const struct cell_run *run = cell_run_at (core, ref);
+
+  memset (out, 0, sizeof *out);
+  if (run == NULL)
+    return false;
+  out->run = ref;
+  out->worker = run->worker;
+  out->number = run->number;
+  cell_task_name (run, out->task);
+  return true;
+}
+
 void
 cell_start_result (struct cell_core *core, struct cyc_ref ref,
                    enum cell_start_result result, uint64_t now_us)
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -25,6 +25,13 @@
 
 /* Holds. */
 
+/* Returns how long ago a time was, or -1 if it is unknown. */
+static int64_t
+age_ms (uint64_t now_us, uint64_t at_us)
+{
+  return at_us != 0 ? (int64_t)(now_us - at_us) / 1000 : -1;
+}
+
 static struct owner_worker *
 worker_slot (struct entry_owner *owner, uint32_t row)
 {
@@ -51,24 +58,43 @@
               report->ends[i].number);
 }
 
-/* Passes on how a hold without an answer ended. */
+/* Passes on how a call without an answer ended. */
 static void
-hold_unanswered (struct entry_owner *owner, uint32_t row,
-                 enum pt_hold_outcome outcome, uint64_t now_us)
+call_unanswered (struct entry_owner *owner, uint32_t row,
+                 const struct pt_call_end *end, uint64_t now_us)
 {
-  static const enum cell_call_end ends[] = {
-    [PT_HOLD_OTHER_INCARNATION] = CELL_CALL_OTHER_INCARNATION,
-    [PT_HOLD_ABSENT] = CELL_CALL_REFUSED,
-    [PT_HOLD_BROKEN] = CELL_CALL_BROKEN,
-    [PT_HOLD_NO_ANSWER] = CELL_CALL_SILENT,
-  };
-
-  cell_worker_unanswered (owner->core, row, ends[outcome], now_us);
+  if (end->broken_us != 0)
+    cell_worker_broken (owner->core, row, end->broken_us, now_us);
+  cell_worker_unanswered (owner->core, row, end->end, now_us);
   owner_log_left (owner, row, now_us);
 }
 
+static const char *const call_ends[]
+    = { "silent", "broken", "refused", "other-incarnation" };
+
 static void
-on_held (void *user, uint32_t row, enum pt_hold_outcome outcome,
+log_silent (struct entry_owner *owner, uint32_t row,
+            const struct pt_call_end *end, uint64_t now_us)
+{
+  const struct pt_call_end *before = &worker_slot (owner, row)->unanswered;
+  struct cell_worker_view view;
+
+  cell_worker_view (owner->core, row, &view);
+  ev_log (EV_WORKER_SILENT,
+          "worker=%.*s runs=%u lease_left_ms=%" PRId64
+          " first_end=%s first_broken_age_ms=%" PRId64
+          " end=%s broken_age_ms=%" PRId64,
+          CYC_FMT (view.id), view.runs,
+          view.clock_ms == 0
+              ? 0
+              : (int64_t)(view.lease_deadline_ms - view.clock_ms)
+                    - (int64_t)((now_us - view.clock_at_us) / 1000),
+          call_ends[before->end], age_ms (now_us, before->broken_us),
+          call_ends[end->end], age_ms (now_us, end->broken_us));
+}
+
+static void
+on_held (void *user, uint32_t row, const struct pt_call_end *unanswered,
          struct cell_report *report)
 {
   struct entry_owner *owner = user;
@@ -79,7 +105,7 @@
     return;
   slot = worker_slot (owner, row);
   slot->hold_in_flight = false;
-  if (outcome == PT_HOLD_OK)
+  if (unanswered == NULL)
     {
       struct cell_worker_view view;
 
@@ -99,25 +125,16 @@
       owner_input_added (owner);
       return;
     }
-  hold_unanswered (owner, row, outcome, now_us);
+  call_unanswered (owner, row, unanswered, now_us);
   slot->failures++;
   slot->next_hold_us
       = now_us + (slot->failures < HOLD_FAILURES_SILENT ? 0 : HOLD_RETRY_US);
   if (slot->failures == HOLD_FAILURES_SILENT)
     {
-      struct cell_worker_view view;
-
-      cell_worker_view (owner->core, row, &view);
       cell_worker_silent (owner->core, row, now_us);
-      ev_log (EV_WORKER_SILENT,
-              "worker=%.*s runs=%u other_life=%d lease_left_ms=%" PRId64,
-              CYC_FMT (view.id), view.runs,
-              outcome == PT_HOLD_OTHER_INCARNATION,
-              view.clock_ms == 0
-                  ? 0
-                  : (int64_t)(view.lease_deadline_ms - view.clock_ms)
-                        - (int64_t)((now_us - view.clock_at_us) / 1000));
+      log_silent (owner, row, unanswered, now_us);
     }
+  slot->unanswered = *unanswered;
   owner_input_added (owner);
 }
 
@@ -135,7 +152,7 @@
 }
 
 static void
-on_report (void *user, uint32_t row, enum pt_hold_outcome outcome,
+on_report (void *user, uint32_t row, const struct pt_call_end *unanswered,
            struct cell_report *report)
 {
   struct entry_owner *owner = user;
@@ -143,9 +160,9 @@
   if (!owner_call_ended (owner))
     return;
   worker_slot (owner, row)->report_in_flight = false;
-  if (outcome != PT_HOLD_OK)
+  if (unanswered != NULL)
     {
-      hold_unanswered (owner, row, outcome, hc_now_us ());
+      call_unanswered (owner, row, unanswered, hc_now_us ());
       return;
     }
   log_ends (owner, row, report);
@@ -240,13 +257,6 @@
 
 /* Orders. */
 
-/* Returns how long ago a time was, or -1 if it is unknown. */
-static int64_t
-age_ms (uint64_t now_us, uint64_t at_us)
-{
-  return at_us != 0 ? (int64_t)(now_us - at_us) / 1000 : -1;
-}
-
 void
 orders_log_conclusions (struct entry_owner *owner, uint64_t now_us)
 {
@@ -292,8 +302,6 @@
     [CELL_BLAME_CLEARED] = EV_TASK_CLEARED,
     [CELL_BLAME_GIVEN_UP] = EV_TASK_GIVEN_UP,
   };
-  static const char *const ends[]
-      = { "silent", "broken", "refused", "other-incarnation" };
   struct cell_blame blame;
   struct cell_worker_view view;
 
@@ -306,7 +314,7 @@
               " suspects=%u crashes=%u runs=%u listed=%d draining=%d"
               " entry_age_ms=%" PRId64,
               blame.task, blame.run, CYC_FMT (view.id), owner->epoch,
-              blame.worker_born_ms, ends[blame.first_end],
+              blame.worker_born_ms, call_ends[blame.first_end],
               age_ms (now_us, blame.broken_us),
               age_ms (now_us, blame.started_us), blame.suspects, blame.crashes,
               view.runs, view.listed, view.draining,
@@ -314,9 +322,35 @@
     }
 }
 
+/* Passes on how a call that orders a run ended, if without an answer. */
+static void
+order_unanswered (struct entry_owner *owner, struct cyc_ref run,
+                  const struct pt_call_end *unanswered)
+{
+  struct cell_order order;
+
+  if (unanswered != NULL && cell_run_describe (owner->core, run, &order))
+    call_unanswered (owner, order.worker, unanswered, hc_now_us ());
+}
+
+static void
+log_refused (struct entry_owner *owner, struct cyc_ref run,
+             enum cell_start_result result, const char *why)
+{
+  struct cell_order order;
+  struct cell_worker_view view = { 0 };
+
+  if (cell_run_describe (owner->core, run, &order))
+    cell_worker_view (owner->core, order.worker, &view);
+  ev_log (EV_RUN_REFUSED,
+          "task=%s run=%u worker=%.*s run_row=%u.%u result=%d why=%s",
+          order.task, order.number, CYC_FMT (view.id), run.index,
+          run.generation, (int)result, why);
+}
+
 static void
 on_started (void *user, struct cyc_ref run, enum cell_start_result result,
-            const char *why)
+            const struct pt_call_end *unanswered, const char *why)
 {
   struct entry_owner *owner = user;
 
@@ -325,21 +359,23 @@
   if (result != CELL_START_OK)
     {
       met_add (&owner->entry->met, MET_TASK_START_REFUSED, 1);
-      ev_log (EV_RUN_REFUSED, "run_row=%u.%u result=%d why=%s", run.index,
-              run.generation, (int)result, why);
+      log_refused (owner, run, result, why);
     }
+  order_unanswered (owner, run, unanswered);
   cell_start_result (owner->core, run, result, hc_now_us ());
   owner_input_added (owner);
 }
 
 static void
-on_stopped (void *user, struct cyc_ref run, bool answered)
+on_stopped (void *user, struct cyc_ref run, bool answered,
+            const struct pt_call_end *unanswered)
 {
   struct entry_owner *owner = user;
   uint64_t now_us = hc_now_us ();
 
   if (!owner_call_ended (owner))
     return;
+  order_unanswered (owner, run, unanswered);
   cell_stop_result (owner->core, run, answered ? now_us : 0, now_us);
   /* The worker refuses the start from now on, but a process that takes its
      place would not. */
--- a/src/entry_owner_internal.h
+++ b/src/entry_owner_internal.h
@@ -16,6 +16,7 @@
   bool report_in_flight; /**< a further hold without wait is in flight */
   uint64_t hold_sent_us; /**< send time of the last hold of either kind */
   uint32_t failures;
+  struct pt_call_end unanswered; /**< end of the last hold without an answer */
   uint64_t next_hold_us;
   uint64_t ack_deadline_us; /**< the next hold does not wait for
                                  acknowledgements beyond this time */
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -34,6 +34,7 @@
   bool repeatable;
   bool repeat_denied; /* libcurl was about to write it a second time */
   uint32_t attempts;
+  uint64_t broken_us; /* as in hc_result */
   char outcome[16];
   char error[CURL_ERROR_SIZE];
   void (*done) (void *user, const struct hc_result *result);
@@ -169,12 +170,22 @@
   return line.len;
 }
 
+static void
+note_broken (struct hc_transfer *transfer)
+{
+  if (transfer->broken_us == 0)
+    transfer->broken_us = hc_now_us ();
+}
+
 /* libcurl sends a request again if a reused connection ends before the answer,
    and has no option against it. */
 static bool
 may_write (struct hc_transfer *transfer)
 {
-  if (transfer->attempts == 0 || transfer->repeatable)
+  if (transfer->attempts == 0)
+    return true;
+  note_broken (transfer);
+  if (transfer->repeatable)
     return true;
   transfer->repeat_denied = true;
   return false;
@@ -235,6 +246,22 @@
          && transfer->length_known;
 }
 
+static bool
+connection_ended (const struct hc_transfer *transfer, CURLcode code)
+{
+  switch (code)
+    {
+    case CURLE_OK:
+    case CURLE_GOT_NOTHING:
+    case CURLE_PARTIAL_FILE:
+    case CURLE_RECV_ERROR:
+    case CURLE_SEND_ERROR:
+      return transfer->attempts > 0 && !answer_is_complete (transfer, code);
+    default:
+      return false;
+    }
+}
+
 static void
 finish_transfer (struct hc_transfer *transfer, CURLcode code)
 {
@@ -249,7 +276,10 @@
   curl_easy_getinfo (transfer->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   curl_easy_getinfo (transfer->easy, CURLINFO_NUM_CONNECTS, &connections);
   curl_easy_getinfo (transfer->easy, CURLINFO_LOCAL_PORT, &local_port);
+  if (connection_ended (transfer, code))
+    note_broken (transfer);
   result.attempts = transfer->attempts;
+  result.broken_us = transfer->broken_us;
   result.new_connection = connections > 0;
   result.local_port = (uint16_t)local_port;
   result.sent = transfer->attempts == 0 ? HC_SENT_NO : HC_SENT_MAYBE;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -22,7 +22,8 @@
  * status 0 and HC_SENT_MAYBE. A result therefore speaks for the only copy that
  * the server can have. A GET and a repeatable request may be written again on
  * another connection; `status` is then the answer to the last copy, and an
- * earlier one may have been executed or may still be.
+ * earlier one may have been executed or may still be. `broken_us` tells when
+ * the connection of the first one ended.
  */
 #ifndef HTTP_CLIENT_H
 #define HTTP_CLIENT_H
@@ -55,6 +56,8 @@
   bool timed_out;
   bool refused;        /**< nothing listens at the address */
   uint32_t attempts;   /**< copies of the request that the server may have */
+  uint64_t broken_us;  /**< when the connection of a copy first ended before
+                            the answer; 0 if none did */
   bool new_connection; /**< a connection was established for the request */
   uint16_t local_port; /**< of the last connection; 0 if unknown */
   struct cyc_str body;
--- a/src/ports.h
+++ b/src/ports.h
@@ -137,6 +137,16 @@
   uint64_t fence;
 };
 
+/** How a call to a worker ended without an answer. A copy that was written may
+ * have ended before the last one: `broken_us` tells a process or path that
+ * went away during the call from one that was gone before. */
+struct pt_call_end
+{
+  enum cell_call_end end; /**< of the last copy */
+  uint64_t broken_us; /**< when the connection of a copy first ended; 0 if none
+                           did */
+};
+
 /** An order to start a run. A result other than CELL_START_UNKNOWN speaks for
  * every copy of the order: after a refusal none was executed and none will be.
  * The adapter therefore writes an order at most once. */
@@ -150,8 +160,9 @@
   struct cyc_str checkpoint;
   struct cyc_str ticket;
   uint64_t deadline_us;
+  /** @p unanswered: NULL if the worker answered or the start was abandoned. */
   void (*done) (void *user, struct cyc_ref run, enum cell_start_result result,
-                const char *why);
+                const struct pt_call_end *unanswered, const char *why);
   void *user;
   struct cyc_ref run;
 };
@@ -163,22 +174,14 @@
   uint32_t number; /**< number of the run of the task */
   uint64_t deadline_us;
   /** @p answered true: the worker will not accept a start of this run or an
-   * earlier one. */
-  void (*done) (void *user, struct cyc_ref run, bool answered);
+   * earlier one. @p unanswered: NULL if the worker answered, also with a
+   * refusal. */
+  void (*done) (void *user, struct cyc_ref run, bool answered,
+                const struct pt_call_end *unanswered);
   void *user;
   struct cyc_ref run;
 };
 
-/** Outcome of a hold. */
-enum pt_hold_outcome
-{
-  PT_HOLD_OK,
-  PT_HOLD_OTHER_INCARNATION, /**< another incarnation of the worker answered */
-  PT_HOLD_ABSENT,            /**< no process listens at the worker's address */
-  PT_HOLD_BROKEN,            /**< the connection ended before the answer */
-  PT_HOLD_NO_ANSWER          /**< silent until the deadline */
-};
-
 struct pt_hold
 {
   struct pt_target target;
@@ -186,7 +189,8 @@
   uint64_t ack;     /**< run ends up to this number may be forgotten */
   uint32_t wait_ms; /**< longest wait for a run to end */
   uint64_t deadline_us;
-  void (*done) (void *user, uint32_t row, enum pt_hold_outcome outcome,
+  /** One of @p unanswered and @p report is NULL. */
+  void (*done) (void *user, uint32_t row, const struct pt_call_end *unanswered,
                 struct cell_report *report);
   void *user;
   uint32_t row;
--- a/tests/test_platform_contract.c
+++ b/tests/test_platform_contract.c
@@ -33,7 +33,8 @@
   char values[16][32];
   enum cell_start_result start;
   bool stop_answered;
-  enum pt_hold_outcome hold;
+  struct pt_call_end unanswered; /* of the last call */
+  bool answered;                 /* the last call got an answer */
   struct cell_report report;
   char running_task[64];
   char end_task[64];
@@ -361,36 +362,47 @@
 
 /* Workers. */
 
+static void
+note_call_end (struct fixture *f, const struct pt_call_end *unanswered)
+{
+  f->answered = unanswered == NULL;
+  if (unanswered != NULL)
+    f->unanswered = *unanswered;
+}
+
 static void
 on_started (void *user, struct cyc_ref run, enum cell_start_result result,
-            const char *why)
+            const struct pt_call_end *unanswered, const char *why)
 {
   struct fixture *f = user;
 
   (void)run;
   (void)why;
+  note_call_end (f, unanswered);
   f->start = result;
   f->done++;
 }
 
 static void
-on_stopped (void *user, struct cyc_ref run, bool answered)
+on_stopped (void *user, struct cyc_ref run, bool answered,
+            const struct pt_call_end *unanswered)
 {
   struct fixture *f = user;
 
   (void)run;
+  note_call_end (f, unanswered);
   f->stop_answered = answered;
   f->done++;
 }
 
 static void
-on_held (void *user, uint32_t row, enum pt_hold_outcome outcome,
+on_held (void *user, uint32_t row, const struct pt_call_end *unanswered,
          struct cell_report *report)
 {
   struct fixture *f = user;
 
   (void)row;
-  f->hold = outcome;
+  note_call_end (f, unanswered);
   f->done++;
   if (report == NULL)
     return;
@@ -411,7 +423,7 @@
 static struct pt_target
 make_target (const struct fixture *f, char address[32], uint64_t fence)
 {
-  fkp_address (&f->fake.workers[0].hs, address);
+  memcpy (address, f->fake.workers[0].address, 32);
   return (struct pt_target){ cyc_str_of (f->fake.workers[0].id),
                              cyc_str_of (address), fence };
 }
@@ -454,6 +466,23 @@
   wait_done (f, before + 1);
 }
 
+static void
+stop_and_wait (struct fixture *f, uint32_t number, uint64_t fence)
+{
+  char address[32];
+  uint32_t before = f->done;
+
+  assert_true (f->workers.port.vtable->stop (
+      &f->workers.port,
+      &(struct pt_stop){ .target = make_target (f, address, fence),
+                         .task = CYC_STR (TASK),
+                         .number = number,
+                         .deadline_us = deadline_us (),
+                         .done = on_stopped,
+                         .user = f }));
+  wait_done (f, before + 1);
+}
+
 struct start_case
 {
   const char *description;
@@ -544,13 +573,12 @@
 test_holds (void **state)
 {
   struct fixture f;
-  char address[32];
 
   (void)state;
   setup (&f);
   f.fake.task_duration_ms = 60;
   hold_and_wait (&f, 5, 0);
-  assert_int_equal (f.hold, PT_HOLD_OK);
+  assert_true (f.answered);
   assert_int_equal (f.report.born_ms, f.fake.workers[0].born_ms);
   assert_true (f.report.clock_ms > 0);
   start_and_wait (&f, 1, 5);
@@ -567,33 +595,115 @@
     }
   hold_and_wait (&f, 5, 1);
   assert_int_equal (f.report.end_count, 0);
-  f.done = 0;
-  f.workers.port.vtable->stop (
-      &f.workers.port,
-      &(struct pt_stop){ .target = make_target (&f, address, 5),
-                         .task = CYC_STR (TASK),
-                         .number = 2,
-                         .deadline_us = deadline_us (),
-                         .done = on_stopped,
-                         .user = &f });
-  wait_done (&f, 1);
+  stop_and_wait (&f, 2, 5);
   assert_true (f.stop_answered);
-  f.fake.faults.other_incarnation = true;
-  hold_and_wait (&f, 5, 0);
-  assert_int_equal (f.hold, PT_HOLD_OTHER_INCARNATION);
-  f.fake.workers[0].down = true;
-  hold_and_wait (&f, 5, 0);
-  assert_int_equal (f.hold, PT_HOLD_BROKEN);
-  f.fake.workers[0].down = false;
-  f.fake.faults.workers_silent = true;
-  hold_and_wait (&f, 5, 0);
-  assert_int_equal (f.hold, PT_HOLD_NO_ANSWER);
-  hs_stop_listening (&f.fake.workers[0].hs);
-  hold_and_wait (&f, 5, 0);
-  assert_int_equal (f.hold, PT_HOLD_ABSENT);
   teardown (&f);
 }
 
+static void
+call_another_incarnation (struct fixture *f)
+{
+  f->fake.faults.other_incarnation = true;
+}
+
+static void
+call_silent (struct fixture *f)
+{
+  f->fake.faults.workers_silent = true;
+}
+
+static void
+call_closing (struct fixture *f)
+{
+  f->fake.workers[0].down = true;
+}
+
+static void
+call_crashing (struct fixture *f)
+{
+  f->fake.faults.workers_silent = true;
+  f->fake.workers[0].crash_ms = hc_now_us () / 1000 + 20;
+}
+
+static void
+call_absent (struct fixture *f)
+{
+  fkp_refuse_calls (&f->fake.workers[0]);
+}
+
+struct call_end_case
+{
+  const char *description;
+  void (*prepare) (struct fixture *f);
+  enum cell_call_end start; /**< end of a call that is written once */
+  enum cell_call_end other; /**< end of a call that may be repeated */
+  bool broken;
+};
+
+static const struct call_end_case call_end_cases[] = {
+  { "another incarnation answers", call_another_incarnation,
+    CELL_CALL_OTHER_INCARNATION, CELL_CALL_OTHER_INCARNATION, false },
+  { "the worker is silent", call_silent, CELL_CALL_SILENT, CELL_CALL_SILENT,
+    false },
+  { "the worker closes its connections", call_closing, CELL_CALL_BROKEN,
+    CELL_CALL_BROKEN, true },
+  { "the worker crashes during the call", call_crashing, CELL_CALL_BROKEN,
+    CELL_CALL_REFUSED, true },
+  { "the worker crashed before the call", call_absent, CELL_CALL_REFUSED,
+    CELL_CALL_REFUSED, false },
+};
+
+static void
+start_first (struct fixture *f)
+{
+  start_and_wait (f, 1, 5);
+}
+
+static void
+stop_first (struct fixture *f)
+{
+  stop_and_wait (f, 1, 5);
+}
+
+static void
+hold_once (struct fixture *f)
+{
+  hold_and_wait (f, 5, 0);
+}
+
+/* Each call tells how it ended without an answer: a process that goes away
+   during the call, one that was gone before and a silent one differ. */
+static void
+test_ends_of_calls (void **state)
+{
+  static void (*const calls[]) (struct fixture *)
+      = { start_first, stop_first, hold_once };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (call_end_cases); i++)
+    for (size_t c = 0; c < G_N_ELEMENTS (calls); c++)
+      {
+        const struct call_end_case *row = &call_end_cases[i];
+        uint64_t before_us;
+        struct fixture f;
+
+        setup (&f);
+        hold_and_wait (&f, 5, 0);
+        assert_true (f.answered);
+        row->prepare (&f);
+        before_us = hc_now_us ();
+        calls[c](&f);
+        if (f.answered
+            || f.unanswered.end != (c == 0 ? row->start : row->other)
+            || (f.unanswered.broken_us > before_us) != row->broken
+            || f.unanswered.broken_us > hc_now_us ())
+          fail_msg ("%s, call %d: answered %d, end %d, broken %d",
+                    row->description, (int)c, f.answered,
+                    (int)f.unanswered.end, f.unanswered.broken_us != 0);
+        teardown (&f);
+      }
+}
+
 /* Advice. */
 
 static void
@@ -784,10 +894,11 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_appends), cmocka_unit_test (test_reads),
-    cmocka_unit_test (test_starts),  cmocka_unit_test (test_holds),
-    cmocka_unit_test (test_advice),  cmocka_unit_test (test_entries),
-    cmocka_unit_test (test_config),  cmocka_unit_test (test_job),
+    cmocka_unit_test (test_appends),       cmocka_unit_test (test_reads),
+    cmocka_unit_test (test_starts),        cmocka_unit_test (test_holds),
+    cmocka_unit_test (test_ends_of_calls), cmocka_unit_test (test_advice),
+    cmocka_unit_test (test_entries),       cmocka_unit_test (test_config),
+    cmocka_unit_test (test_job),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_start_copies.c
+++ b/tests/test_start_copies.c
@@ -74,25 +74,26 @@
 
 static void
 on_started (void *user, struct cyc_ref run, enum cell_start_result result,
-            const char *why)
+            const struct pt_call_end *unanswered, const char *why)
 {
   struct fixture *f = user;
 
   (void)run;
+  (void)unanswered;
   f->start = result;
   snprintf (f->why, sizeof f->why, "%s", why);
   f->done++;
 }
 
 static void
-on_held (void *user, uint32_t row, enum pt_hold_outcome outcome,
+on_held (void *user, uint32_t row, const struct pt_call_end *unanswered,
          struct cell_report *report)
 {
   struct fixture *f = user;
 
   (void)row;
   (void)report;
-  assert_int_equal (outcome, PT_HOLD_OK);
+  assert_null (unanswered);
   f->done++;
 }
 
