End the runs of a worker when another one answers at its address

Callers saw work wait about 6 s for a lease after one task had crashed its worker, although the machine was back after 3 s.

A worker is one life of a machine, and the lives at one address follow each other: if the worker had reported at the address before the call was sent, its process and all that it ran are gone. This is a further sign of an exit with a reason of its own (replaced). As after an exit, a start of which a copy may be left waits. An address that this incarnation has not reported from proves nothing, since an entry may come from another writer; so a new leader that never reached the worker waits for the lease as before.

test_another_worker_at_the_address was red before in its first case (0 runs over); its four other cases say what is no evidence.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -236,7 +236,9 @@
   CELL_OVER_LAPSED,    /**< the worker's lease lapsed */
   CELL_OVER_LEFT,      /**< the worker removed its entry, and nothing
                           listens at its address */
-  CELL_OVER_REBORN     /**< it ran in an earlier incarnation of the worker */
+  CELL_OVER_REBORN,    /**< it ran in an earlier incarnation of the worker */
+  CELL_OVER_REPLACED   /**< another worker answers at the address at which its
+                          worker had reported */
 };
 
 /** The conclusion that a run is over although its worker has listed no end of
@@ -377,6 +379,11 @@
  * before the answer. */
 void cell_worker_broken (struct cell_core *core, uint32_t row,
                          uint64_t broken_us, uint64_t now_us);
+/** Reports that another worker answered a call to this one that was sent at
+ * @p sent_us. The worker's process has ended if it had reported at the same
+ * address before that. */
+void cell_worker_replaced (struct cell_core *core, uint32_t row,
+                           uint64_t sent_us, uint64_t now_us);
 /** Records that the worker was asked to extend its lease to @p deadline_ms on
  * its own clock. */
 void cell_worker_leased (struct cell_core *core, uint32_t row,
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -310,6 +310,7 @@
   worker->entry_left_us = 0;
   worker->absent_us = 0;
   worker->exited_us = 0;
+  worker->replaced = false;
 }
 
 /* A draining worker has left if it removed its entry and its process is gone.
@@ -337,6 +338,7 @@
   worker->lease_until_us = MAX (worker->lease_until_us,
                                 cell_lease_lapsed_us (core, core->now_us));
   still_there (worker);
+  worker->address_reported_us = 0;
   worker->broken_us = 0;
   worker->received_end = 0;
   worker->first_listed_end = 0;
@@ -356,9 +358,9 @@
 {
   struct cell_worker *worker = cell_worker_at (
       core, cell_worker_row (core, cyc_name_str (&entry->id)));
-  bool is_new = !worker->listed || entry->born_ms > worker->born_ms
-                || !cyc_str_eq (cyc_name_str (&worker->address),
-                                cyc_name_str (&entry->address));
+  bool moved = !cyc_str_eq (cyc_name_str (&worker->address),
+                            cyc_name_str (&entry->address));
+  bool is_new = !worker->listed || entry->born_ms > worker->born_ms || moved;
 
   core->now_us = now_us;
   if (!worker->listed || worker->draining != entry->draining
@@ -378,6 +380,11 @@
   worker->pool = entry->pool;
   worker->domain = entry->domain;
   worker->address = entry->address;
+  if (moved)
+    {
+      worker->address_since_us = now_us;
+      worker->address_reported_us = 0;
+    }
   worker->capacity = entry->capacity;
   memcpy (worker->labels, entry->labels, sizeof worker->labels);
   worker->label_count = entry->label_count;
@@ -467,6 +474,23 @@
   cell_blame_broken (core, row, CELL_CALL_BROKEN, broken_us);
 }
 
+/* Another writer may give a worker a wrong address. An answer from there says
+   nothing of the worker, unless it had reported at that address. */
+void
+cell_worker_replaced (struct cell_core *core, uint32_t row, uint64_t sent_us,
+                      uint64_t now_us)
+{
+  struct cell_worker *worker = cell_worker_at (core, row);
+
+  core->now_us = now_us;
+  if (worker->address_reported_us == 0
+      || sent_us <= worker->address_reported_us || worker->exited_us != 0)
+    return;
+  worker->exited_us = now_us;
+  worker->replaced = true;
+  cell_wake (core, now_us);
+}
+
 void
 cell_worker_silent (struct cell_core *core, uint32_t row, uint64_t now_us)
 {
@@ -674,6 +698,8 @@
     cell_worker_leased (core, row, report->clock_ms + core->desc.lease_ms);
   worker->fenced = true;
   worker->reachable = true;
+  if (report->sent_us >= worker->address_since_us)
+    worker->address_reported_us = now_us;
   still_there (worker);
   apply_ends (core, worker, row, report);
   apply_running (core, worker, row, report, seen);
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -152,8 +152,12 @@
                          has come since */
   uint64_t exited_us; /**< the worker has left and runs nothing from this time
                          on; 0 if unknown */
-  bool fenced;        /**< has answered a hold call of this leader */
-  bool reachable;     /**< not reported silent since its last report */
+  bool replaced; /**< that is known because another worker has its address */
+  uint64_t address_since_us;    /**< when its address became known */
+  uint64_t address_reported_us; /**< when it last reported at that address; 0
+                                   if this incarnation has not */
+  bool fenced;                  /**< has answered a hold call of this leader */
+  bool reachable; /**< not reported silent since its last report */
   uint32_t consecutive_failures;
   uint64_t last_failed_job;
   uint64_t paused_until_us;
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -212,7 +212,10 @@
               received the order; else the worker has lost its entry, or the
               longest delay of a late call and the longest lease have passed
    left       as lapsed, with the exit of the process instead of the lease: its
-              entry was removed and it does not answer */
+              entry was removed and it does not answer
+   replaced   as left; the sign of the exit is that another worker answers a
+              call at the address at which this incarnation had reported before
+              the call was sent */
 static bool
 is_over (const struct cell_core *core, const struct cell_run *run,
          const struct evidence *evidence, enum cell_over *over)
@@ -229,8 +232,9 @@
       return run->state == CELL_RUN_STARTING;
     case EVIDENCE_LAPSE:
     case EVIDENCE_EXIT:
-      *over = evidence->kind == EVIDENCE_EXIT ? CELL_OVER_LEFT
-                                              : CELL_OVER_LAPSED;
+      *over = evidence->kind == EVIDENCE_LAPSE ? CELL_OVER_LAPSED
+              : worker->replaced               ? CELL_OVER_REPLACED
+                                               : CELL_OVER_LEFT;
       return lapse_us (core, worker, run, evidence->since_us) <= core->now_us;
     case EVIDENCE_ENTRY:
       *over = CELL_OVER_REBORN;
--- a/src/ports.h
+++ b/src/ports.h
@@ -143,6 +143,7 @@
 struct pt_call_end
 {
   enum cell_call_end end; /**< of the last copy */
+  uint64_t sent_us;       /**< when the call was sent */
   uint64_t broken_us; /**< when the connection of a copy first ended; 0 if none
                            did */
 };
--- a/tests/test_cell_late.c
+++ b/tests/test_cell_late.c
@@ -26,7 +26,8 @@
   uint64_t now_us;
   uint32_t stops;
   uint32_t last_number;
-  uint32_t over; /**< conclusions that a run is over */
+  uint32_t over;    /**< conclusions that a run is over */
+  char address[32]; /**< that the test's entries give */
 };
 
 static void
@@ -53,6 +54,7 @@
   fleet_submit (s->fleet, 1, &(struct fleet_job){ .tasks = { 1 } });
   fleet_run (s->fleet, 40);
   s->core = s->fleet->core;
+  snprintf (s->address, sizeof s->address, "127.0.0.1:1");
   assert_int_equal (s->fleet->orders_in_flight->len, 1);
   take_order (s);
 }
@@ -103,7 +105,7 @@
 
   cyc_name_set (&entry.id, cyc_str_of (s->fleet->workers[s->row].id));
   cyc_name_set (&entry.pool, CYC_STR ("pool"));
-  cyc_name_set (&entry.address, CYC_STR ("127.0.0.1:1"));
+  cyc_name_set (&entry.address, cyc_str_of (s->address));
   /* The entry was written before any of the test's calls. */
   cell_worker_listed (s->core, &entry, 1, s->now_us);
 }
@@ -541,6 +543,66 @@
     }
 }
 
+struct replaced_case
+{
+  const char *description;
+  bool reported;    /* the worker has reported at its address */
+  bool moved;       /* its entry then named another address */
+  bool sent_before; /* the call was sent before the report */
+  bool seen;        /* that report showed the run */
+  uint32_t over;
+};
+
+static const struct replaced_case replaced_cases[] = {
+  { "the worker had reported", true, false, false, true, 1 },
+  { "the worker has never reported", false, false, false, false, 0 },
+  { "the address is another one since", true, true, false, true, 0 },
+  { "the call is older than the report", true, false, true, true, 0 },
+  { "the start has no answer yet", true, false, false, false, 0 },
+};
+
+/* Another worker answers at the address of one that crashed. Its runs waited
+   for the lease; they are over at once, but only if the address was its own
+   and no copy of their start is left. */
+static void
+test_another_worker_at_the_address (void **state)
+{
+  uint32_t failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < sizeof replaced_cases / sizeof replaced_cases[0]; i++)
+    {
+      const struct replaced_case *row = &replaced_cases[i];
+      struct started s;
+      uint64_t sent_us;
+
+      begin (&s, 1);
+      list_incarnation (&s, s.born_ms + 5000);
+      if (row->seen)
+        start_result (&s, CELL_START_OK);
+      sent_us = s.now_us;
+      if (row->reported)
+        report (&s, s.born_ms + 5000, row->seen);
+      if (row->moved)
+        {
+          snprintf (s.address, sizeof s.address, "127.0.0.1:2");
+          list_incarnation (&s, s.born_ms + 5000);
+        }
+      tick (&s, 100);
+      cell_worker_replaced (s.core, s.row,
+                            row->sent_before ? sent_us : s.now_us - 1000,
+                            s.now_us);
+      tick (&s, 10);
+      if (over (&s) != row->over)
+        {
+          print_error ("%s: %u runs over\n", row->description, s.over);
+          failures++;
+        }
+      finish (&s);
+    }
+  assert_int_equal (failures, 0);
+}
+
 /* A draining worker leaves while the call of a start is open: a process that
    starts under its id may receive the order. */
 static void
@@ -727,6 +789,7 @@
     cmocka_unit_test (test_entry_removed_and_listed_again),
     cmocka_unit_test (test_removed_entry_of_a_draining_worker_that_goes_on),
     cmocka_unit_test (test_worker_left_with_an_open_start),
+    cmocka_unit_test (test_another_worker_at_the_address),
     cmocka_unit_test (test_overtaken_report_lacks_an_adopted_run),
     cmocka_unit_test (test_overtaken_report_shows_a_run_that_has_ended),
     cmocka_unit_test (test_refusal_of_a_start_that_a_report_shows),
