--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -138,6 +138,20 @@
   fleet_setup_leased (fleet, workers, millicores, FLEET_LEASE_MS);
 }
 
+static void
+setup_worker (struct fleet_worker *worker, uint32_t row, uint32_t millicores,
+              uint64_t born_ms)
+{
+  snprintf (worker->id, sizeof worker->id, "w%u", row);
+  worker->millicores = millicores;
+  worker->up = true;
+  worker->listed = true;
+  worker->born_ms = born_ms;
+  worker->next_end_number = 1;
+  worker->closed_runs
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
 void
 fleet_setup_leased (struct fleet *fleet, uint32_t workers, uint32_t millicores,
                     uint32_t lease_ms)
@@ -168,19 +182,10 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   fleet->failures
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  fleet->deadly_starts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   for (uint32_t i = 0; i < workers; i++)
-    {
-      struct fleet_worker *worker = &fleet->workers[i];
-
-      snprintf (worker->id, sizeof worker->id, "w%u", i);
-      worker->millicores = millicores;
-      worker->up = true;
-      worker->listed = true;
-      worker->born_ms = 5000 + i;
-      worker->next_end_number = 1;
-      worker->closed_runs
-          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-    }
+    setup_worker (&fleet->workers[i], i, millicores, 5000 + i);
   make_core (fleet);
 }
 
@@ -220,6 +225,7 @@
   g_hash_table_destroy (fleet->acknowledged_done);
   g_hash_table_destroy (fleet->done_tasks);
   g_hash_table_destroy (fleet->failures);
+  g_hash_table_destroy (fleet->deadly_starts);
   g_hash_table_destroy (fleet->ask_counts);
 }
 
@@ -442,6 +448,36 @@
     }
 }
 
+/* Starts the worker again, or another one in its place. */
+static void
+return_worker (struct fleet *fleet, uint32_t row)
+{
+  uint32_t added = fleet->worker_count;
+
+  fleet->workers[row].back_ms = 0;
+  if (!fleet->replace_crashed || added == FLEET_WORKERS_MAX)
+    {
+      fleet_restart (fleet, row);
+      return;
+    }
+  fleet->workers[row].listed = false;
+  cell_worker_unlisted (fleet->core, cyc_str_of (fleet->workers[row].id),
+                        fleet_now_us (fleet));
+  setup_worker (&fleet->workers[added], added, fleet->workers[row].millicores,
+                fleet->now_ms);
+  fleet->worker_count++;
+  list_worker (fleet, &fleet->workers[added]);
+}
+
+static void
+return_workers (struct fleet *fleet)
+{
+  for (uint32_t i = 0; i < fleet->worker_count; i++)
+    if (!fleet->workers[i].up && fleet->workers[i].back_ms != 0
+        && fleet->now_ms >= fleet->workers[i].back_ms)
+      return_worker (fleet, i);
+}
+
 void
 fleet_run (struct fleet *fleet, uint64_t ms)
 {
@@ -450,6 +486,7 @@
   while (fleet->now_ms < end_ms)
     {
       fleet->now_ms += TIME_STEP_MS;
+      return_workers (fleet);
       fleet_run_tasks (fleet);
       fleet_deliver_orders (fleet);
       fleet_check_conclusions (fleet);
@@ -518,6 +555,8 @@
 fleet_crash (struct fleet *fleet, uint32_t worker)
 {
   fleet->workers[worker].up = false;
+  fleet->workers[worker].crash_ms = 0;
+  fleet->workers[worker].back_ms = 0;
   fleet->workers[worker].run_count = 0;
   fleet->workers[worker].end_count = 0;
   g_hash_table_remove_all (fleet->workers[worker].closed_runs);
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -25,7 +25,14 @@
 #include <cyclamendrum/cell.h>
 #include <glib.h>
 
-#define FLEET_WORKERS_MAX 16
+#define FLEET_WORKERS_MAX 96
+/** From the start of a deadly task to the crash of its worker. */
+#define FLEET_DEADLY_MS 10
+/** Until a crashed worker is back. */
+#define FLEET_BACK_MS 3200
+/** Starts of a task that crashes each worker: three until enough workers have
+ * crashed, and fewer than three more. */
+#define FLEET_DEADLY_STARTS_MAX 5
 #define FLEET_RUNS_MAX 256
 #define FLEET_LEASE_MS 4000
 #define FLEET_HEARTBEAT_MS 1500
@@ -68,6 +75,9 @@
   uint32_t millicores; /**< capacity */
   bool up;             /**< the process runs */
   bool partitioned;    /**< runs its tasks, but no call reaches it */
+  bool refusing;       /**< with partitioned: calls are refused */
+  uint64_t crash_ms;   /**< when a deadly task ends the process; 0: never */
+  uint64_t back_ms;    /**< when the crashed worker is back; 0: never */
   bool answers_lost;   /**< carries out orders, but its answers are lost */
   bool listed;         /**< has an entry in the service discovery */
   bool draining;
@@ -103,6 +113,8 @@
   bool checkpointing;
   bool long_running;
   bool always_fails; /**< every run fails */
+  uint32_t deadly;   /**< first tasks of the first step that crash each worker
+                        that starts them */
   const char *team;  /**< default "blue" */
   const char *queue; /**< default "batch" */
   const char *label; /**< that the worker must have; NULL if none */
@@ -178,11 +190,16 @@
   GHashTable *failures;       /**< task name to number of failed runs that were
                                  acknowledged before a lapse */
   GHashTable *submitted_jobs; /**< job id to struct fleet_job */
-  bool advice_down;           /**< the advisor does not answer */
-  uint32_t advice_ms;         /**< delay of the advisor's answers */
-  GArray *pending_asks;       /**< of struct fleet_ask */
-  GHashTable *ask_counts;     /**< step to number of questions about it */
-  uint32_t deny_every_nth;    /**< every n-th worker is denied; 0: none */
+  GHashTable *deadly_starts;  /**< deadly task to its starts on workers whose
+                                 answers arrive */
+  bool replace_crashed;    /**< a worker that a deadly task has crashed is back
+                              under another id */
+  uint32_t crashes;        /**< of workers, by deadly tasks */
+  bool advice_down;        /**< the advisor does not answer */
+  uint32_t advice_ms;      /**< delay of the advisor's answers */
+  GArray *pending_asks;    /**< of struct fleet_ask */
+  GHashTable *ask_counts;  /**< step to number of questions about it */
+  uint32_t deny_every_nth; /**< every n-th worker is denied; 0: none */
   uint32_t lose_start_answers; /**< number of next starts with a lost answer */
   uint32_t delay_starts_ms;    /**< delay of starts on their way to workers */
   GPtrArray *orders_in_flight; /**< of struct order_in_flight */
--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -142,6 +142,33 @@
          + fleet->lease_ms;
 }
 
+static bool
+is_deadly (const struct fleet_job *job, const char *task)
+{
+  unsigned int step = 0;
+  unsigned int index = 0;
+
+  sscanf (task + 16, ".%*u.%u.%u", &step, &index);
+  return step == 0 && index < job->deadly;
+}
+
+/* Counts the start of a deadly task, which will crash the worker. */
+static void
+note_deadly (struct fleet *fleet, struct fleet_worker *worker,
+             const char *task)
+{
+  uint32_t starts = fleet_lookup_number (fleet->deadly_starts, task) + 1;
+
+  if (worker->crash_ms == 0)
+    worker->crash_ms = fleet->now_ms + FLEET_DEADLY_MS;
+  /* The crash of a worker whose answers are lost is not seen. */
+  if (worker->partitioned || worker->answers_lost)
+    return;
+  fleet_set_number (fleet->deadly_starts, task, starts);
+  if (starts > FLEET_DEADLY_STARTS_MAX)
+    fleet_violation (fleet, "started again after its crashes:", task);
+}
+
 /* Carries out a start order and returns the worker's answer. */
 static enum cell_start_result
 handle_start (struct fleet *fleet, const struct order_in_flight *in_flight)
@@ -184,6 +211,8 @@
   run->fails = job->always_fails || worker->failing;
   run->gang = job->gang;
   run->gang_complete = !job->gang;
+  if (is_deadly (job, run->task))
+    note_deadly (fleet, worker, run->task);
   return CELL_START_OK;
 }
 
@@ -567,6 +596,13 @@
 
       if (!worker->up)
         continue;
+      if (worker->crash_ms != 0 && fleet->now_ms >= worker->crash_ms)
+        {
+          fleet_crash (fleet, w);
+          worker->back_ms = fleet->now_ms + FLEET_BACK_MS;
+          fleet->crashes++;
+          continue;
+        }
       if (fleet_clock (fleet, worker) > worker->lease_deadline_ms)
         for (uint32_t i = 0; i < worker->end_count; i++)
           worker->ends[i].lapsed = true;
@@ -760,7 +796,7 @@
   cell_worker_view (fleet->core, row, &view);
   if (!worker->up || worker->partitioned || worker->answers_lost)
     {
-      if (!worker->up && !worker->partitioned)
+      if (worker->partitioned ? worker->refusing : !worker->up)
         cell_worker_unanswered (fleet->core, row, CELL_CALL_REFUSED,
                                 fleet_now_us (fleet));
       cell_worker_silent (fleet->core, row, fleet_now_us (fleet));
