--- a/src/cell.pb-c.c
+++ b/src/cell.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &cyc__cell_run__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cyc__cell_crash__init
+                     (Cyc__CellCrash         *message)
+{
+  static const Cyc__CellCrash init_value = CYC__CELL_CRASH__INIT;
+  *message = init_value;
+}
+size_t cyc__cell_crash__get_packed_size
+                     (const Cyc__CellCrash *message)
+{
+  assert(message->base.descriptor == &cyc__cell_crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cyc__cell_crash__pack
+                     (const Cyc__CellCrash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cyc__cell_crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cyc__cell_crash__pack_to_buffer
+                     (const Cyc__CellCrash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cyc__cell_crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cyc__CellCrash *
+       cyc__cell_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cyc__CellCrash *)
+     protobuf_c_message_unpack (&cyc__cell_crash__descriptor,
+                                allocator, len, data);
+}
+void   cyc__cell_crash__free_unpacked
+                     (Cyc__CellCrash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cyc__cell_crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cyc__cell_round__init
                      (Cyc__CellRound         *message)
 {
@@ -723,7 +768,7 @@
   (ProtobufCMessageInit) cyc__cell_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cyc__cell_run__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cyc__cell_run__field_descriptors[5] =
 {
   {
     "task",
@@ -773,9 +818,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "placed_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellRun, placed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cyc__cell_run__field_indices_by_name[] = {
   1,   /* field[1] = number */
+  4,   /* field[4] = placed_ms */
   0,   /* field[0] = task */
   2,   /* field[2] = worker */
   3,   /* field[3] = worker_born_ms */
@@ -783,7 +841,7 @@
 static const ProtobufCIntRange cyc__cell_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cyc__cell_run__descriptor =
 {
@@ -793,14 +851,91 @@
   "Cyc__CellRun",
   "cyc",
   sizeof(Cyc__CellRun),
-  4,
+  5,
   cyc__cell_run__field_descriptors,
   cyc__cell_run__field_indices_by_name,
   1,  cyc__cell_run__number_ranges,
   (ProtobufCMessageInit) cyc__cell_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cyc__cell_round__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cyc__cell_crash__field_descriptors[4] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellCrash, task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellCrash, worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker_born_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellCrash, worker_born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sole",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellCrash, sole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cyc__cell_crash__field_indices_by_name[] = {
+  3,   /* field[3] = sole */
+  0,   /* field[0] = task */
+  1,   /* field[1] = worker */
+  2,   /* field[2] = worker_born_ms */
+};
+static const ProtobufCIntRange cyc__cell_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cyc__cell_crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cyc.CellCrash",
+  "CellCrash",
+  "Cyc__CellCrash",
+  "cyc",
+  sizeof(Cyc__CellCrash),
+  4,
+  cyc__cell_crash__field_descriptors,
+  cyc__cell_crash__field_indices_by_name,
+  1,  cyc__cell_crash__number_ranges,
+  (ProtobufCMessageInit) cyc__cell_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cyc__cell_round__field_descriptors[7] =
 {
   {
     "index",
@@ -874,9 +1009,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cyc__CellRound, n_crashes),
+    offsetof(Cyc__CellRound, crashes),
+    &cyc__cell_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cyc__cell_round__field_indices_by_name[] = {
   5,   /* field[5] = checkpoints */
+  6,   /* field[6] = crashes */
   1,   /* field[1] = done */
   3,   /* field[3] = failures */
   0,   /* field[0] = index */
@@ -886,7 +1034,7 @@
 static const ProtobufCIntRange cyc__cell_round__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cyc__cell_round__descriptor =
 {
@@ -896,7 +1044,7 @@
   "Cyc__CellRound",
   "cyc",
   sizeof(Cyc__CellRound),
-  6,
+  7,
   cyc__cell_round__field_descriptors,
   cyc__cell_round__field_indices_by_name,
   1,  cyc__cell_round__number_ranges,
--- a/src/cell.pb-c.h
+++ b/src/cell.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Cyc__CellStep Cyc__CellStep;
 typedef struct Cyc__CellJob Cyc__CellJob;
 typedef struct Cyc__CellRun Cyc__CellRun;
+typedef struct Cyc__CellCrash Cyc__CellCrash;
 typedef struct Cyc__CellRound Cyc__CellRound;
 typedef struct Cyc__CellProgress Cyc__CellProgress;
 typedef struct Cyc__CellLead Cyc__CellLead;
@@ -110,10 +111,36 @@
   uint32_t number;
   char *worker;
   uint64_t worker_born_ms;
+  /*
+   * Unix time
+   */
+  uint64_t placed_ms;
 };
 #define CYC__CELL_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cyc__cell_run__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * A crash of a worker that counts against a task.
+ */
+struct  Cyc__CellCrash
+{
+  ProtobufCMessage base;
+  /*
+   * position in the round's list of tasks
+   */
+  uint32_t task;
+  char *worker;
+  uint64_t worker_born_ms;
+  /*
+   * no other job was suspected
+   */
+  protobuf_c_boolean sole;
+};
+#define CYC__CELL_CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cyc__cell_crash__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Cyc__CellRound
@@ -141,10 +168,15 @@
    */
   size_t n_checkpoints;
   char **checkpoints;
+  /*
+   * in ascending order of tasks, oldest first
+   */
+  size_t n_crashes;
+  Cyc__CellCrash **crashes;
 };
 #define CYC__CELL_ROUND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cyc__cell_round__descriptor) \
-    , 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -280,6 +312,25 @@
 void   cyc__cell_run__free_unpacked
                      (Cyc__CellRun *message,
                       ProtobufCAllocator *allocator);
+/* Cyc__CellCrash methods */
+void   cyc__cell_crash__init
+                     (Cyc__CellCrash         *message);
+size_t cyc__cell_crash__get_packed_size
+                     (const Cyc__CellCrash   *message);
+size_t cyc__cell_crash__pack
+                     (const Cyc__CellCrash   *message,
+                      uint8_t             *out);
+size_t cyc__cell_crash__pack_to_buffer
+                     (const Cyc__CellCrash   *message,
+                      ProtobufCBuffer     *buffer);
+Cyc__CellCrash *
+       cyc__cell_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cyc__cell_crash__free_unpacked
+                     (Cyc__CellCrash *message,
+                      ProtobufCAllocator *allocator);
 /* Cyc__CellRound methods */
 void   cyc__cell_round__init
                      (Cyc__CellRound         *message);
@@ -367,6 +418,9 @@
 typedef void (*Cyc__CellRun_Closure)
                  (const Cyc__CellRun *message,
                   void *closure_data);
+typedef void (*Cyc__CellCrash_Closure)
+                 (const Cyc__CellCrash *message,
+                  void *closure_data);
 typedef void (*Cyc__CellRound_Closure)
                  (const Cyc__CellRound *message,
                   void *closure_data);
@@ -388,6 +442,7 @@
 extern const ProtobufCMessageDescriptor cyc__cell_step__descriptor;
 extern const ProtobufCMessageDescriptor cyc__cell_job__descriptor;
 extern const ProtobufCMessageDescriptor cyc__cell_run__descriptor;
+extern const ProtobufCMessageDescriptor cyc__cell_crash__descriptor;
 extern const ProtobufCMessageDescriptor cyc__cell_round__descriptor;
 extern const ProtobufCMessageDescriptor cyc__cell_progress__descriptor;
 extern const ProtobufCMessageDescriptor cyc__cell_lead__descriptor;
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -126,6 +126,8 @@
     {
       for (size_t s = 0; s < job->spec->n_steps; s++)
         cell_stage_release (&job->rounds[r].stages[s]);
+      for (uint32_t t = 0; t < job->task_count; t++)
+        g_free (job->rounds[r].tasks[t].crashes);
       g_free (job->rounds[r].stages);
       g_free (job->rounds[r].tasks);
     }
@@ -326,9 +328,12 @@
 
 /* Resets what depends on the worker's earlier incarnation. */
 static void
-start_incarnation (struct cell_core *core, struct cell_worker *worker,
-                   uint64_t born_ms)
+start_incarnation (struct cell_core *core, uint32_t row, uint64_t born_ms)
 {
+  struct cell_worker *worker = cell_worker_at (core, row);
+
+  if (worker->born_ms != 0)
+    cell_blame_reborn (core, row);
   worker->reborn_us = worker->born_ms != 0 ? core->now_us : 0;
   worker->born_ms = born_ms;
   worker->clock_ms = 0;
@@ -354,8 +359,8 @@
                     const struct cell_worker_entry *entry,
                     uint64_t entry_after_us, uint64_t now_us)
 {
-  struct cell_worker *worker = cell_worker_at (
-      core, cell_worker_row (core, cyc_name_str (&entry->id)));
+  uint32_t row = cell_worker_row (core, cyc_name_str (&entry->id));
+  struct cell_worker *worker = cell_worker_at (core, row);
 
   core->now_us = now_us;
   if (!worker->listed || worker->draining != entry->draining
@@ -379,7 +384,7 @@
   memcpy (worker->labels, entry->labels, sizeof worker->labels);
   worker->label_count = entry->label_count;
   if (entry->born_ms > worker->born_ms)
-    start_incarnation (core, worker, entry->born_ms);
+    start_incarnation (core, row, entry->born_ms);
   if (entry->born_ms != 0 && entry->born_ms == worker->born_ms)
     cell_over_listed (core, worker, entry_after_us);
 }
@@ -419,6 +424,8 @@
   for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
     out->report_after_us
         = MAX (out->report_after_us, cell_over_report_after_us (worker, run));
+  out->report_after_us
+      = MAX (out->report_after_us, cell_blame_report_after_us (core, worker));
   out->received_end = worker->received_end;
   out->lease_deadline_ms = worker->lease_deadline_ms;
   out->ends_pending = worker->ack < worker->received_end;
@@ -517,6 +524,9 @@
   task_row->ended_born_ms = worker->born_ms;
   task_row->ended_clock_ms = clock_ms;
   run = find_run (worker, job, round, task, end->run);
+  if (run != NULL
+      && (end->kind == CELL_END_DONE || end->kind == CELL_END_FAILED))
+    cell_blame_survived (core, run);
   if (run != NULL && end->kind != CELL_END_DONE)
     {
       cell_run_ended (core, run, end->kind, end->checkpoint);
@@ -627,6 +637,7 @@
               && cell_job_open (run->job))
             run->stop_requested = false;
         }
+      cell_blame_seen (core, run, report);
       task = &run->job->rounds[run->round].tasks[run->task];
       if (task->run == run && row->checkpoint.len > 0
           && row->checkpoint.len < sizeof task->checkpoint)
@@ -649,8 +660,8 @@
       return; /* of an earlier incarnation */
     }
   if (report->born_ms > worker->born_ms)
-    start_incarnation (core, worker, report->born_ms);
-  cell_blame_answered (core, row);
+    start_incarnation (core, row, report->born_ms);
+  cell_blame_answered (core, row, report->sent_us);
   if (report->clock_ms > worker->clock_ms)
     {
       worker->clock_ms = report->clock_ms;
--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -1,9 +1,42 @@
-/* Which task is to blame for the crash of a worker. */
+/* Which task is to blame for the crash of a worker: the only place that
+   decides it.
+
+   A task that crashes its workers does so right after its start, and every
+   time. A run is unproven until its worker has shown that it survived the
+   start. When the connections of a worker break, its unproven runs are
+   suspected; silence tells nothing, as a worker that is cut off, frozen or
+   without power is silent too. The crash counts once the runs are over
+   because that incarnation is gone, and against all suspects. A task with a
+   crash that counts is on trial at its next start: no other job's task is
+   started beside it, so a further crash has one suspect only, and a task that
+   survives is cleared.
+
+   A crash is weak evidence if several jobs were suspected, if the worker had
+   been started just before, or if an earlier leader has seen its beginning. A
+   task is given up for two crashes that are not weak, for three of which the
+   last is not, or for CELL_CRASHES_MAX. */
 
 #include "cyc_cell_internal.h"
 
 #include <string.h>
 
+/** A worker that has run for less time than this may crash by itself again. */
+#define YOUNG_MS 10000
+/** An inherited run is suspected if its placement was recorded at most this
+ * long before the last one of the earlier leaders. */
+#define INHERITED_FRESH_MS 1000
+/** A trial takes a worker with other runs if none without runs has been found
+ * for this time. */
+#define TRIAL_WAIT_US 3000000
+/** Workers with trials at a time: this fraction of those usable. */
+#define TRIAL_DIVISOR 16
+/** Interval at which a trial that waits is tried to be placed. */
+#define TRIAL_RETRY_US 100000
+/** Added cost of a worker for a trial, above all costs of the best fit: for
+ * one that was started just before, and for each run on it. */
+#define TRIAL_YOUNG_COST 20000
+#define TRIAL_RUN_COST 40000
+
 void
 cell_blame_setup (struct cell_core *core)
 {
@@ -16,8 +49,25 @@
   g_queue_clear_full (&core->blames, g_free);
 }
 
+static struct cell_stage *
+stage_of (const struct cell_run *run)
+{
+  return cell_stage_of_task (run->job, run->round, run->task);
+}
+
+/* Returns the task whose crashes are counted for the run. */
+static struct cell_task *
+accountable (const struct cell_run *run)
+{
+  const struct cell_stage *stage = stage_of (run);
+  uint32_t task
+      = cell_stage_step (stage)->gang ? stage->first_task : run->task;
+
+  return &run->job->rounds[run->round].tasks[task];
+}
+
 /* Queues a step about a worker, to be handed out. */
-static void
+static struct cell_blame *
 report_worker (struct cell_core *core, enum cell_blame_kind kind, uint32_t row)
 {
   const struct cell_worker *worker = cell_worker_at (core, row);
@@ -29,6 +79,61 @@
   blame->first_end = worker->broken_end;
   blame->broken_us = worker->broken_us;
   g_queue_push_tail (&core->blames, blame);
+  return blame;
+}
+
+/* Queues a step about the task of a run. */
+static void
+report_task (struct cell_core *core, enum cell_blame_kind kind,
+             const struct cell_run *run)
+{
+  struct cell_blame *blame = report_worker (core, kind, run->worker);
+  const struct cell_task *task = accountable (run);
+
+  cell_task_name (run, blame->task);
+  blame->run = run->number;
+  blame->started_us
+      = run->confirmed_us != 0 ? run->confirmed_us : run->ordered_us;
+  blame->crashes = task->crashes != NULL ? task->crashes->count : 0;
+  if (run->broken_us == 0)
+    return;
+  blame->worker_born_ms = run->broken_born_ms;
+  blame->broken_us = run->broken_us;
+  blame->suspects = cell_worker_at (core, run->worker)->suspects;
+}
+
+static bool
+is_young (const struct cell_core *core, const struct cell_worker *worker)
+{
+  return worker->born_ms != 0 && core->now_ms < worker->born_ms + YOUNG_MS;
+}
+
+/* Returns whether the run may have crashed its worker just now. */
+static bool
+is_unproven (const struct cell_core *core, const struct cell_run *run)
+{
+  if (run->proven || run->state == CELL_RUN_RECORDING)
+    return false;
+  if (run->inherited)
+    return accountable (run)->crashes != NULL
+           || (run->placed_ms != 0
+               && run->placed_ms + INHERITED_FRESH_MS >= core->last_placed_ms);
+  return run->ordered_us != 0;
+}
+
+/* Suspects the unproven runs of the worker's incarnation. */
+static void
+suspect_runs (const struct cell_core *core, const struct cell_worker *worker)
+{
+  if (worker->muted || worker->draining)
+    return;
+  for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    if (run->broken_us == 0 && is_unproven (core, run))
+      {
+        run->broken_us = core->now_us;
+        run->broken_born_ms = worker->born_ms;
+        run->broken_weakly = run->inherited || is_young (core, worker);
+      }
 }
 
 void
@@ -37,24 +142,369 @@
 {
   struct cell_worker *worker = cell_worker_at (core, row);
 
-  if (end == CELL_CALL_SILENT || worker->broken_us != 0)
+  if (worker->broken_us != 0)
     return;
+  if (end == CELL_CALL_SILENT)
+    {
+      worker->muted = true;
+      return;
+    }
   worker->broken_us = core->now_us;
   worker->broken_end = end;
-  if (worker->runs != NULL)
-    report_worker (core, CELL_BLAME_BROKEN, row);
+  if (worker->runs == NULL)
+    return;
+  report_worker (core, CELL_BLAME_BROKEN, row);
+  suspect_runs (core, worker);
+}
+
+void
+cell_blame_reborn (struct cell_core *core, uint32_t row)
+{
+  struct cell_worker *worker = cell_worker_at (core, row);
+
+  cell_blame_broken (core, row, CELL_CALL_OTHER_INCARNATION);
+  worker->broken_us = 0;
+  worker->muted = false;
+}
+
+static void
+clear_crashes (struct cell_core *core, struct cell_task *task,
+               struct cell_job *job)
+{
+  g_free (task->crashes);
+  task->crashes = NULL;
+  cell_job_mark_dirty (core, job);
+}
+
+/* Takes back the crash of an incarnation that answers after all. */
+static void
+take_back (struct cell_core *core, uint32_t row, uint64_t born_ms,
+           struct cell_job *job, struct cell_task *task)
+{
+  struct cell_crashes *crashes = task->crashes;
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < crashes->count; i++)
+    if (crashes->rows[i].worker != row || crashes->rows[i].born_ms != born_ms)
+      crashes->rows[kept++] = crashes->rows[i];
+  if (kept == crashes->count)
+    return;
+  crashes->count = kept;
+  cell_job_mark_dirty (core, job);
+  report_worker (core, CELL_BLAME_CLEARED, row)->crashes = kept;
+  if (kept == 0)
+    clear_crashes (core, task, job);
+}
+
+static void
+take_back_all (struct cell_core *core, uint32_t row, uint64_t born_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct cell_job *job = value;
+
+      for (uint32_t r = 0; r < job->round_count && cell_job_open (job); r++)
+        for (uint32_t t = 0; t < job->task_count; t++)
+          if (job->rounds[r].tasks[t].crashes != NULL)
+            take_back (core, row, born_ms, job, &job->rounds[r].tasks[t]);
+    }
 }
 
 void
-cell_blame_answered (struct cell_core *core, uint32_t row)
+cell_blame_answered (struct cell_core *core, uint32_t row, uint64_t sent_us)
 {
   struct cell_worker *worker = cell_worker_at (core, row);
 
-  if (worker->broken_us == 0)
+  worker->muted = false;
+  if (worker->crashed_us != 0 && worker->crashed_born_ms == worker->born_ms
+      && sent_us > worker->crashed_us)
+    {
+      take_back_all (core, row, worker->born_ms);
+      worker->crashed_us = 0;
+    }
+  if (worker->broken_us == 0 || sent_us <= worker->broken_us)
     return;
   if (worker->runs != NULL)
     report_worker (core, CELL_BLAME_ALIVE, row);
   worker->broken_us = 0;
+  for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    if (run->broken_born_ms == worker->born_ms)
+      run->broken_us = 0;
+}
+
+static void
+end_trial (struct cell_core *core, struct cell_run *run)
+{
+  if (!run->on_trial)
+    return;
+  run->on_trial = false;
+  cell_worker_at (core, run->worker)->trial_count--;
+  core->placement_pending = true;
+  cell_wake (core, core->now_us);
+}
+
+/* Returns whether all runs of the task, or of its gang, are proven. */
+static bool
+all_proven (const struct cell_run *run)
+{
+  const struct cell_stage *stage = stage_of (run);
+  const struct cell_task *tasks = run->job->rounds[run->round].tasks;
+
+  for (uint32_t t = 0; t < stage->count && cell_stage_step (stage)->gang; t++)
+    {
+      const struct cell_run *member = tasks[stage->first_task + t].run;
+
+      if (member == NULL || !member->proven)
+        return false;
+    }
+  return true;
+}
+
+void
+cell_blame_survived (struct cell_core *core, struct cell_run *run)
+{
+  struct cell_task *task = accountable (run);
+
+  run->proven = true;
+  run->broken_us = 0;
+  end_trial (core, run);
+  if (task->crashes == NULL || !all_proven (run))
+    return;
+  report_task (core, CELL_BLAME_CLEARED, run);
+  clear_crashes (core, task, run->job);
+}
+
+void
+cell_blame_seen (struct cell_core *core, struct cell_run *run,
+                 const struct cell_report *report)
+{
+  if (run->proven)
+    return;
+  if (run->proof_clock_ms == 0 || run->proof_born_ms != report->born_ms)
+    {
+      run->proof_born_ms = report->born_ms;
+      run->proof_clock_ms = report->clock_ms;
+    }
+  if (report->sent_us >= run->confirmed_us + CELL_TRIAL_US
+      || report->clock_ms >= run->proof_clock_ms + CELL_TRIAL_US / 1000)
+    cell_blame_survived (core, run);
+}
+
+/* Returns whether the suspected incarnation of the run's worker is gone.
+   @p weak: set if its entry may only be out of date. */
+static bool
+is_gone (const struct cell_worker *worker, const struct cell_run *run,
+         bool *weak)
+{
+  if (worker->born_ms != run->broken_born_ms)
+    return true;
+  if (worker->draining || worker->exited_us != 0)
+    return false;
+  if (!worker->listed)
+    return true;
+  *weak = true;
+  return worker->listed_after_us <= run->broken_us;
+}
+
+/* Counts the jobs that are suspected of the crash of an incarnation. */
+static uint32_t
+count_suspects (const struct cell_worker *worker, uint64_t born_ms)
+{
+  uint32_t count = 0;
+
+  for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    {
+      const struct cell_run *earlier = worker->runs;
+
+      if (run->broken_us == 0 || run->broken_born_ms != born_ms)
+        continue;
+      while (earlier != run
+             && (earlier->job != run->job || earlier->broken_us == 0
+                 || earlier->broken_born_ms != born_ms))
+        earlier = earlier->next;
+      count += earlier == run;
+    }
+  return count;
+}
+
+/* Notes the crash of the incarnation that broke under the run, once. */
+static void
+note_crash (struct cell_core *core, const struct cell_run *run)
+{
+  struct cell_worker *worker = cell_worker_at (core, run->worker);
+  struct cell_blame *blame;
+
+  if (worker->crashed_us != 0
+      && worker->crashed_born_ms == run->broken_born_ms)
+    return;
+  worker->crashed_born_ms = run->broken_born_ms;
+  worker->crashed_us = run->broken_us;
+  worker->suspects = count_suspects (worker, run->broken_born_ms);
+  blame = report_worker (core, CELL_BLAME_CRASHED, run->worker);
+  blame->worker_born_ms = run->broken_born_ms;
+  blame->broken_us = run->broken_us;
+  blame->suspects = worker->suspects;
+}
+
+static bool
+is_counted (const struct cell_crashes *crashes, const struct cell_run *run)
+{
+  for (uint32_t i = 0; i < crashes->count; i++)
+    if (crashes->rows[i].worker == run->worker
+        && crashes->rows[i].born_ms == run->broken_born_ms)
+      return true;
+  return crashes->count == CELL_CRASHES_MAX;
+}
+
+static bool
+is_hopeless (const struct cell_crashes *crashes)
+{
+  uint32_t sole = 0;
+
+  for (uint32_t i = 0; i < crashes->count; i++)
+    sole += crashes->rows[i].sole;
+  return sole >= 2 || crashes->count == CELL_CRASHES_MAX
+         || (crashes->count >= 3 && crashes->rows[crashes->count - 1].sole);
+}
+
+void
+cell_blame_over (struct cell_core *core, struct cell_run *run,
+                 enum cell_over over)
+{
+  const struct cell_worker *worker = cell_worker_at (core, run->worker);
+  struct cell_task *task = accountable (run);
+  bool weak = run->broken_weakly;
+
+  if (over == CELL_OVER_UNORDERED || over == CELL_OVER_REFUSED
+      || run->broken_us == 0 || !is_gone (worker, run, &weak))
+    return;
+  note_crash (core, run);
+  if (run->superseded || task->state == CELL_TASK_DONE
+      || !cell_job_open (run->job))
+    return;
+  if (task->crashes == NULL)
+    task->crashes = g_new0 (struct cell_crashes, 1);
+  if (is_counted (task->crashes, run))
+    return;
+  task->crashes->counted_us = core->now_us;
+  task->crashes->rows[task->crashes->count++] = (struct cell_crash){
+    .worker = run->worker,
+    .born_ms = run->broken_born_ms,
+    .sole = !weak && worker->suspects == 1,
+  };
+  cell_job_mark_dirty (core, run->job);
+  report_task (core, CELL_BLAME_SUSPECTED, run);
+  if (!is_hopeless (task->crashes))
+    return;
+  report_task (core, CELL_BLAME_GIVEN_UP, run);
+  cell_job_fail (core, run->job);
+}
+
+const struct cell_crashes *
+cell_blame_trial (const struct cell_stage *stage, uint32_t task)
+{
+  uint32_t at = cell_stage_step (stage)->gang ? stage->first_task : task;
+
+  return stage->job->rounds[stage->round].tasks[at].crashes;
+}
+
+bool
+cell_blame_trial_allowed (struct cell_core *core)
+{
+  cell_retry_placement (core, core->now_us + TRIAL_RETRY_US);
+  return core->trial_workers < MAX (1, core->usable_workers / TRIAL_DIVISOR);
+}
+
+void
+cell_blame_placed (struct cell_core *core, struct cell_run *run)
+{
+  struct cell_worker *worker = cell_worker_at (core, run->worker);
+
+  run->placed_ms = core->now_ms;
+  if (accountable (run)->crashes == NULL)
+    return;
+  run->on_trial = true;
+  if (worker->trial_count++ == 0)
+    core->trial_workers++;
+}
+
+void
+cell_blame_freed (struct cell_core *core, const struct cell_run *run)
+{
+  if (run->on_trial)
+    cell_worker_at (core, run->worker)->trial_count--;
+}
+
+uint64_t
+cell_blame_cost (const struct cell_core *core, const struct cell_stage *stage,
+                 uint32_t row, const struct cell_crashes *trial)
+{
+  const struct cell_worker *worker = cell_worker_at (core, row);
+  uint64_t others = 0;
+
+  if (trial == NULL && worker->trial_count == 0)
+    return 0;
+  for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    if (run->job != stage->job)
+      {
+        others++;
+        if (run->on_trial || (trial != NULL && !run->proven))
+          return UINT64_MAX;
+      }
+    else if (run->on_trial && !cell_stage_step (stage)->gang)
+      return UINT64_MAX;
+  if (trial == NULL)
+    return 0;
+  if (others > 0 && core->now_us < trial->counted_us + TRIAL_WAIT_US)
+    return UINT64_MAX;
+  return others * TRIAL_RUN_COST
+         + (is_young (core, worker) ? TRIAL_YOUNG_COST : 0);
+}
+
+uint64_t
+cell_blame_report_after_us (const struct cell_core *core,
+                            const struct cell_worker *worker)
+{
+  uint64_t after_us = 0;
+
+  if (worker->trial_count == 0)
+    return 0;
+  for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    if (run->on_trial && run->confirmed_us != 0
+        && run->confirmed_us + CELL_TRIAL_US <= core->now_us)
+      after_us = MAX (after_us, run->confirmed_us + CELL_TRIAL_US);
+  return after_us;
+}
+
+void
+cell_blame_tick (struct cell_core *core, const struct cell_worker *worker)
+{
+  if (worker->trial_count == 0)
+    return;
+  for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    if (run->on_trial && run->confirmed_us != 0
+        && run->confirmed_us + CELL_TRIAL_US > core->now_us)
+      cell_wake (core, run->confirmed_us + CELL_TRIAL_US);
+}
+
+void
+cell_blame_restore (struct cell_core *core, struct cell_task *task,
+                    const Cyc__CellCrash *from)
+{
+  if (task->crashes == NULL)
+    task->crashes = g_new0 (struct cell_crashes, 1);
+  if (task->crashes->count == CELL_CRASHES_MAX)
+    return;
+  task->crashes->counted_us = core->now_us;
+  task->crashes->rows[task->crashes->count++] = (struct cell_crash){
+    .worker = cell_worker_row (core, cyc_str_of (from->worker)),
+    .born_ms = from->worker_born_ms,
+    .sole = from->sole,
+  };
 }
 
 bool
--- a/src/cyc_cell_gang.c
+++ b/src/cyc_cell_gang.c
@@ -83,13 +83,15 @@
   struct cell_round *round = &stage->job->rounds[stage->round];
   GPtrArray *placed = g_ptr_array_new ();
   uint32_t number = 1;
+  const struct cell_crashes *trial
+      = cell_blame_trial (stage, stage->first_task);
   bool complete = true;
 
   for (uint32_t t = 0; t < stage->count; t++)
     number = MAX (number, round->tasks[stage->first_task + t].next_run);
   for (uint32_t t = 0; t < stage->count && complete; t++)
     {
-      uint32_t row = cell_best_worker (core, stage, size, rack);
+      uint32_t row = cell_best_worker (core, stage, size, rack, trial);
 
       complete = row != CELL_NO_ROW;
       if (complete)
@@ -310,7 +312,9 @@
       cell_retry_placement (core, at_us);
       return false;
     }
-  if (!gang_fits (core, stage))
+  if (!gang_fits (core, stage)
+      || (cell_blame_trial (stage, stage->first_task) != NULL
+          && !cell_blame_trial_allowed (core)))
     return false;
   if (!cell_stage_step (stage)->same_rack)
     return place_gang_in_rack (core, stage, &size, CYC_STR (""));
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -54,6 +54,14 @@
  * workers again. */
 #define CELL_GANG_RESURVEY_FACTOR 3
 
+/** A run that its worker still shows this long after its start was confirmed
+ * has not crashed it: a task that does crash it does so within milliseconds.
+ */
+#define CELL_TRIAL_US 200000
+/** Crashes remembered for a task. A task is given up with the last of them,
+ * whatever else was suspected. */
+#define CELL_CRASHES_MAX 4
+
 enum cell_run_state
 {
   CELL_RUN_RECORDING, /**< waits until its record is durable */
@@ -99,6 +107,15 @@
   bool stop_requested;   /**< the run is to be stopped */
   bool superseded;       /**< the task was done by another run or requeued */
   bool inherited;        /**< started by an earlier leader */
+  uint64_t placed_ms;    /**< Unix time of the placement; 0 if unknown */
+  bool proven; /**< its worker has survived its start: see cyc_cell_blame.c */
+  bool on_trial; /**< no other job's task is started beside it until then */
+  uint64_t broken_us; /**< when its incarnation of the worker broke under it,
+                         as it was unproven; 0 if it did not */
+  uint64_t broken_born_ms; /**< that incarnation */
+  bool broken_weakly;      /**< the break is weak evidence against it */
+  uint64_t proof_born_ms;  /**< incarnation that has shown it first */
+  uint64_t proof_clock_ms; /**< clock of the worker when it did */
   uint32_t percent;
   uint64_t percent_changed_us; /**< when the percentage last changed */
   uint32_t first_percent;      /**< in the first report that showed the run */
@@ -165,6 +182,12 @@
                            than by silence since its last report; 0 if none
                            did */
   enum cell_call_end broken_end; /**< how that call ended */
+  bool muted;               /**< a call has timed out since its last report */
+  uint64_t crashed_born_ms; /**< last incarnation that has crashed under
+                               unproven runs */
+  uint64_t crashed_us;      /**< when it broke; 0 if none did */
+  uint32_t suspects;        /**< jobs with unproven runs in that crash */
+  uint32_t trial_count;     /**< runs on trial */
   uint64_t reborn_us; /**< when its current incarnation became known; 0 if no
                          earlier one was known */
   uint64_t clock_ms;
@@ -190,6 +213,22 @@
   CELL_TASK_DONE
 };
 
+/** A crash that counts against a task. */
+struct cell_crash
+{
+  uint32_t worker;  /**< row */
+  uint64_t born_ms; /**< incarnation that crashed */
+  bool sole;        /**< no other job was suspected, and no other reason is
+                       near */
+};
+
+struct cell_crashes
+{
+  uint32_t count;
+  uint64_t counted_us; /**< when the last one was counted */
+  struct cell_crash rows[CELL_CRASHES_MAX];
+};
+
 struct cell_task
 {
   enum cell_task_state state;
@@ -200,8 +239,10 @@
   uint64_t ended_born_ms;  /**< its incarnation */
   uint64_t ended_clock_ms; /**< its clock when it listed the end */
   uint32_t failures;
-  uint64_t not_before_us; /**< earliest time of the next placement */
-  struct cell_run *run;   /**< NULL unless placed */
+  uint64_t not_before_us;       /**< earliest time of the next placement */
+  struct cell_run *run;         /**< NULL unless placed */
+  struct cell_crashes *crashes; /**< NULL if none; a gang's are at its first
+                                   task */
   char checkpoint[CELL_CHECKPOINT_BYTES];
 };
 
@@ -353,6 +394,10 @@
   double move_credit; /**< runs that may be moved from slow workers now */
   uint64_t reserved_millicores; /**< reserved for gangs in this tick */
   uint64_t usable_millicores;   /**< capacity of all usable workers */
+  uint32_t usable_workers;      /**< in this tick */
+  uint32_t trial_workers;       /**< with runs on trial, in this tick */
+  uint64_t last_placed_ms;      /**< Unix time of the last placement of earlier
+                                   leaders */
 };
 
 static inline uint64_t
@@ -381,6 +426,8 @@
 void cell_job_set_state (struct cell_core *core, struct cell_job *job,
                          enum cell_job_state state);
 void cell_job_activate (struct cell_core *core, struct cell_job *job);
+/** Fails a job that is open, and stops its runs. */
+void cell_job_fail (struct cell_core *core, struct cell_job *job);
 void cell_task_requeue (struct cell_core *core, struct cell_job *job,
                         uint32_t round, uint32_t task, uint64_t at_us);
 void cell_task_done (struct cell_core *core, struct cell_job *job,
@@ -444,8 +491,47 @@
 /** A call to the worker ended without an answer. */
 void cell_blame_broken (struct cell_core *core, uint32_t row,
                         enum cell_call_end end);
-/** The worker has answered: its incarnation has not crashed. */
-void cell_blame_answered (struct cell_core *core, uint32_t row);
+/** A newer incarnation of the worker was found. */
+void cell_blame_reborn (struct cell_core *core, uint32_t row);
+/** The worker has answered a call that was sent at @p sent_us: its incarnation
+ * has not crashed before. */
+void cell_blame_answered (struct cell_core *core, uint32_t row,
+                          uint64_t sent_us);
+/** A report of the worker shows the run. */
+void cell_blame_seen (struct cell_core *core, struct cell_run *run,
+                      const struct cell_report *report);
+/** The worker has listed that the run was done or failed. */
+void cell_blame_survived (struct cell_core *core, struct cell_run *run);
+/** The run was concluded to be over. Counts the crash that has ended it, and
+ * gives up its task if it has crashed enough workers. */
+void cell_blame_over (struct cell_core *core, struct cell_run *run,
+                      enum cell_over over);
+/** The run was placed; cell_blame_freed: it is removed. */
+void cell_blame_placed (struct cell_core *core, struct cell_run *run);
+void cell_blame_freed (struct cell_core *core, const struct cell_run *run);
+/** Returns the crashes for which the next run of the task is a trial; NULL if
+ * it is none. */
+const struct cell_crashes *cell_blame_trial (const struct cell_stage *stage,
+                                             uint32_t task);
+/** Returns whether a further worker may be used for a trial. If not, a later
+ * placement is requested. */
+bool cell_blame_trial_allowed (struct cell_core *core);
+/** Returns the added cost of placing a task of the stage on the worker, with
+ * regard to trials; UINT64_MAX if impossible. @p trial: see cell_blame_trial.
+ */
+uint64_t cell_blame_cost (const struct cell_core *core,
+                          const struct cell_stage *stage, uint32_t row,
+                          const struct cell_crashes *trial);
+/** Returns the time after which a report must be requested to end the trials
+ * on the worker; 0 if it needs none now. */
+uint64_t cell_blame_report_after_us (const struct cell_core *core,
+                                     const struct cell_worker *worker);
+/** Requests ticks for the ends of trials on the worker. */
+void cell_blame_tick (struct cell_core *core,
+                      const struct cell_worker *worker);
+/** Restores a crash of an earlier incarnation of a worker from a record. */
+void cell_blame_restore (struct cell_core *core, struct cell_task *task,
+                         const Cyc__CellCrash *from);
 
 void cell_over_setup (struct cell_core *core);
 void cell_over_shutdown (struct cell_core *core);
@@ -512,11 +598,12 @@
                           const struct cyc_resources *size, uint64_t tasks);
 /** Returns the row of the best worker, or CELL_NO_ROW if no allowed worker has
  * capacity. If @p rack is not empty, only workers in that rack are
- * considered. */
+ * considered. @p trial: see cell_blame_trial. */
 uint32_t cell_best_worker (const struct cell_core *core,
                            const struct cell_stage *stage,
                            const struct cyc_resources *size,
-                           struct cyc_str rack);
+                           struct cyc_str rack,
+                           const struct cell_crashes *trial);
 struct cell_run *cell_place (struct cell_core *core, struct cell_stage *stage,
                              uint32_t task, uint32_t row, uint32_t number);
 
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -555,8 +555,8 @@
     cell_job_set_state (core, job, CELL_JOB_ACTIVE);
 }
 
-static void
-fail_job (struct cell_core *core, struct cell_job *job)
+void
+cell_job_fail (struct cell_core *core, struct cell_job *job)
 {
   if (!cell_job_open (job))
     return;
@@ -596,7 +596,7 @@
   task->failures++;
   cell_job_mark_dirty (core, job);
   if (task->failures >= MAX (1, job->cfg.max_attempts) && job->cfg_known)
-    fail_job (core, job);
+    cell_job_fail (core, job);
 }
 
 void
@@ -637,6 +637,35 @@
 
 /* Records. */
 
+/* Adds the crashes that count against the tasks of the round. */
+static void
+record_crashes (const struct cell_core *core, const struct cell_round *from,
+                uint32_t task_count, Cyc__CellRound *out, GPtrArray *arrays)
+{
+  GPtrArray *crashes = g_ptr_array_new ();
+
+  for (uint32_t t = 0; t < task_count; t++)
+    for (uint32_t i = 0;
+         from->tasks[t].crashes != NULL && i < from->tasks[t].crashes->count;
+         i++)
+      {
+        const struct cell_crash *row = &from->tasks[t].crashes->rows[i];
+        Cyc__CellCrash *crash = g_new0 (Cyc__CellCrash, 1);
+
+        cyc__cell_crash__init (crash);
+        crash->task = t;
+        crash->worker = cell_worker_at (core, row->worker)->id.data;
+        crash->worker_born_ms = row->born_ms;
+        crash->sole = row->sole;
+        g_ptr_array_add (crashes, crash);
+        g_ptr_array_add (arrays, crash);
+      }
+  out->n_crashes = crashes->len;
+  out->crashes = (Cyc__CellCrash **)g_ptr_array_free (crashes, FALSE);
+  if (out->crashes != NULL)
+    g_ptr_array_add (arrays, out->crashes);
+}
+
 void
 cell_job_record (struct cell_core *core, const struct cell_job *job,
                  struct cell_record *out)
@@ -681,9 +710,11 @@
           runs[round->n_runs]->worker
               = cell_worker_at (core, task->run->worker)->id.data;
           runs[round->n_runs]->worker_born_ms = task->run->worker_born_ms;
+          runs[round->n_runs]->placed_ms = task->run->placed_ms;
           g_ptr_array_add (arrays, runs[round->n_runs]);
           round->n_runs++;
         }
+      record_crashes (core, from, job->task_count, round, arrays);
       round->done = (ProtobufCBinaryData){ job->task_count / 8 + 1, done };
       round->n_next_run = job->task_count;
       round->next_run = next_run;
@@ -732,6 +763,10 @@
       if (t / 8 < from->done.len && (from->done.data[t / 8] >> (t % 8) & 1))
         mark_done (core, job, from->index, t);
     }
+  for (size_t i = 0; i < from->n_crashes; i++)
+    if (from->crashes[i]->task < job->task_count)
+      cell_blame_restore (core, &round->tasks[from->crashes[i]->task],
+                          from->crashes[i]);
   for (size_t i = 0; i < from->n_runs; i++)
     {
       const Cyc__CellRun *run = from->runs[i];
@@ -752,6 +787,8 @@
       made->inherited = true;
       made->call_ended_us = core->now_us;
       made->worker_born_ms = run->worker_born_ms;
+      made->placed_ms = run->placed_ms;
+      core->last_placed_ms = MAX (core->last_placed_ms, run->placed_ms);
     }
   if (round->tasks_done == job->task_count && !round->finished)
     {
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -110,6 +110,7 @@
       hand_out (core, &conclusion);
       remember (core, &conclusion);
     }
+  cell_blame_over (core, run, over);
   cell_run_ended (core, run,
                   over == CELL_OVER_UNORDERED || over == CELL_OVER_REFUSED
                       ? CELL_END_STOPPED
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -230,11 +230,12 @@
 static uint64_t
 placement_cost (const struct cell_core *core, const struct cell_stage *stage,
                 uint32_t row, const struct cyc_resources *size,
-                struct cyc_str rack)
+                struct cyc_str rack, const struct cell_crashes *trial)
 {
   const struct cell_worker *worker = cell_worker_at (core, row);
   const Cyc__CellStep *step = cell_stage_step (stage);
   bool reserved_for_later = false; /* reserved for a stage after this one */
+  uint64_t trial_cost;
   uint64_t cost;
 
   if (!cell_worker_eligible (core, stage, worker)
@@ -251,7 +252,10 @@
   if (step->max_per_worker > 0
       && step_tasks_on (stage, worker) >= step->max_per_worker)
     return UINT64_MAX;
-  cost = remaining_permille (worker, size)
+  trial_cost = cell_blame_cost (core, stage, row, trial);
+  if (trial_cost == UINT64_MAX)
+    return UINT64_MAX;
+  cost = remaining_permille (worker, size) + trial_cost
          + (reserved_for_later ? RESERVED_COST : 0);
   if (step->data_rack[0] != 0
       && !has_label (worker, cyc_str_of (step->data_rack)))
@@ -265,7 +269,8 @@
    tickets. */
 uint32_t
 cell_best_worker (const struct cell_core *core, const struct cell_stage *stage,
-                  const struct cyc_resources *size, struct cyc_str rack)
+                  const struct cyc_resources *size, struct cyc_str rack,
+                  const struct cell_crashes *trial)
 {
   bool advised = stage->job->cfg.advice.required;
   uint32_t count = advised ? cell_ticket_count (stage) : core->workers->len;
@@ -281,7 +286,7 @@
 
       if (advised && ticket == NULL)
         continue;
-      cost = placement_cost (core, stage, row, size, rack);
+      cost = placement_cost (core, stage, row, size, rack, trial);
       if (cost < best_cost)
         {
           best_cost = cost;
@@ -306,6 +311,7 @@
       memcpy (run->ticket, ticket->text, sizeof run->ticket);
       run->ticket_until_us = ticket->until_us;
     }
+  cell_blame_placed (core, run);
   g_queue_push_tail (&core->recording, run);
   cell_job_activate (core, stage->job);
   cell_job_mark_dirty (core, stage->job);
@@ -321,6 +327,7 @@
   for (uint32_t t = 0; t < stage->count && stage->waiting > 0; t++)
     {
       struct cell_task *task = &round->tasks[stage->first_task + t];
+      const struct cell_crashes *trial;
       uint32_t row;
 
       if (task->state != CELL_TASK_WAITING)
@@ -332,7 +339,12 @@
         }
       if (!cell_team_has_quota (stage->job->team, size, 1))
         return false;
-      row = cell_best_worker (core, stage, size, CYC_STR (""));
+      trial = cell_blame_trial (stage, stage->first_task + t);
+      if (trial != NULL && !cell_blame_trial_allowed (core))
+        continue;
+      row = cell_best_worker (core, stage, size, CYC_STR (""), trial);
+      if (row == CELL_NO_ROW && trial != NULL)
+        continue;
       if (row == CELL_NO_ROW)
         return false;
       cell_place (core, stage, stage->first_task + t, row, task->next_run);
@@ -432,14 +444,18 @@
   struct cell_resources capacity = { 0 };
 
   core->usable_millicores = 0;
+  core->usable_workers = 0;
+  core->trial_workers = 0;
   for (guint i = 0; i < core->workers->len; i++)
     {
       const struct cell_worker *worker = cell_worker_at (core, i);
 
       if (worker->listed && worker->paused_until_us > core->now_us)
         cell_retry_placement (core, worker->paused_until_us);
+      core->trial_workers += worker->trial_count > 0;
       if (!cell_worker_usable (core, worker))
         continue;
+      core->usable_workers++;
       core->usable_millicores += worker->capacity.millicores;
       capacity.millicores += cell_remaining (worker->capacity.millicores,
                                              worker->used_millicores)
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -138,6 +138,7 @@
   struct cell_worker *worker = cell_worker_at (core, run->worker);
   struct cell_task *task = &run->job->rounds[run->round].tasks[run->task];
 
+  cell_blame_freed (core, run);
   if (task->run == run)
     task->run = NULL;
   if (run->state == CELL_RUN_RECORDING)
@@ -328,6 +329,7 @@
         cell_over_expire (core, worker);
       if (worker->stays_until_us != 0 && worker->exited_us == 0)
         evacuate (core, worker);
+      cell_blame_tick (core, worker);
       for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
         {
           if (run->state == CELL_RUN_RECORDING)
