Whole VMs against tasks that crash their workers (BUDGET)

34 cases: a deadly task among other jobs, with answered and unanswered starts and workers that come back under another id or their own, alone and beside a leader killed right after it gave the order, cuts that refuse calls, a flapping worker and a loss of power; and the same faults without a deadly task.

--- a/fakes/fk_platform.h
+++ b/fakes/fk_platform.h
@@ -222,6 +222,9 @@
  * listens at its address, and its entry is removed after three heartbeats. It
  * is back at the same address after `back_after_ms`. */
 void fkp_crash_worker (struct fkp_worker *worker);
+/** Does the same without a sign on the network, as a loss of power does: calls
+ * get no answer. */
+void fkp_power_off (struct fkp_worker *worker);
 /** Cuts the worker off in a way that refuses calls: its connections close and
  * nothing listens; the worker goes on. */
 void fkp_refuse_calls (struct fkp_worker *worker);
--- a/fakes/fk_platform_workers.c
+++ b/fakes/fk_platform_workers.c
@@ -470,14 +470,14 @@
     g_error ("cannot listen at %s", worker->address);
 }
 
-void
-fkp_crash_worker (struct fkp_worker *worker)
+/* Ends the worker's process until it is brought back. */
+static void
+end_process (struct fkp_worker *worker)
 {
   uint32_t back_after_ms = worker->platform->faults.back_after_ms;
   uint64_t now = fkp_now_ms ();
 
   lose_runs (worker);
-  fkp_refuse_calls (worker);
   worker->crashed = true;
   worker->crashes++;
   worker->crash_ms = 0;
@@ -486,6 +486,20 @@
       = worker->unlisted ? 0 : now + 3ULL * FKP_HEARTBEAT_MS;
 }
 
+void
+fkp_crash_worker (struct fkp_worker *worker)
+{
+  end_process (worker);
+  fkp_refuse_calls (worker);
+}
+
+void
+fkp_power_off (struct fkp_worker *worker)
+{
+  end_process (worker);
+  worker->silent = true;
+}
+
 /* Begins the next process at the address of one that crashed. */
 static void
 bring_back (struct fkp_worker *worker)
@@ -499,6 +513,9 @@
   worker->back_ms = 0;
   worker->entry_lapse_ms = 0;
   fkp_restart_worker (worker);
+  worker->silent = false;
+  /* Connections to the earlier process are reset. */
+  fkp_refuse_calls (worker);
   fkp_accept_calls (worker);
 }
 
--- a/tests/tst_late.c
+++ b/tests/tst_late.c
@@ -21,6 +21,12 @@
 #define COMPLETE_TIMEOUT_MS 40000
 /** After the last job is complete, for orders that are still late. */
 #define AFTER_MS 1500
+/** A task may be started fewer times than this after as many workers have
+ * crashed under it. */
+#define STARTS_AFTER_CRASHES 3
+#define CRASHES_BEFORE_BUDGET 3
+/** Crashes under a task that must precede giving it up. */
+#define CRASHES_TO_GIVE_UP 2
 /** Starts that the fault of orders applies to. */
 #define FAULTY_STARTS 6
 #define VICTIMS 2
@@ -46,7 +52,7 @@
   enum phase phase;
   uint64_t phase_us;      /**< when the phase began */
   uint64_t submitted_ms;  /**< on the clock of the fake platform */
-  uint64_t complete_us;   /**< when all jobs were first seen complete */
+  uint64_t ended_us;      /**< when all jobs were first seen to have ended */
   uint32_t steps_done[2]; /**< of the first and the second fault */
   struct fkp_worker *victims[VICTIMS];
   char failure[512]; /**< empty: none so far */
@@ -73,6 +79,18 @@
   va_end (args);
 }
 
+struct tst_cluster *
+tst_late_cluster (struct tst_late_play *play)
+{
+  return &play->cluster;
+}
+
+struct fkp_worker *
+tst_late_victim (struct tst_late_play *play, uint32_t index)
+{
+  return play->victims[index];
+}
+
 /* Faults of orders. */
 
 static void
@@ -126,8 +144,8 @@
 }
 
 /* Chooses the workers with the most runs and late orders. */
-static void
-choose_victims (struct tst_late_play *play)
+void
+tst_late_choose_victims (struct tst_late_play *play)
 {
   struct fkp_platform *fake = &play->cluster.fake;
 
@@ -148,7 +166,7 @@
 static void
 workers_crash (struct tst_late_play *play)
 {
-  choose_victims (play);
+  tst_late_choose_victims (play);
   for (uint32_t v = 0; v < VICTIMS; v++)
     play->victims[v]->down = true;
 }
@@ -163,7 +181,7 @@
 static void
 workers_drain (struct tst_late_play *play)
 {
-  choose_victims (play);
+  tst_late_choose_victims (play);
   for (uint32_t v = 0; v < VICTIMS; v++)
     play->victims[v]->draining = true;
 }
@@ -192,14 +210,14 @@
 static void
 unlist_now (struct tst_late_play *play)
 {
-  choose_victims (play);
+  tst_late_choose_victims (play);
   workers_unlisted (play);
 }
 
 static void
 workers_silent (struct tst_late_play *play)
 {
-  choose_victims (play);
+  tst_late_choose_victims (play);
   for (uint32_t v = 0; v < VICTIMS; v++)
     play->victims[v]->silent = true;
 }
@@ -213,8 +231,8 @@
 
 /* Faults of the leader and the log. */
 
-static void
-kill_leader (struct tst_late_play *play)
+void
+tst_late_kill_leader (struct tst_late_play *play)
 {
   if (tst_cluster_leader (&play->cluster) != NULL)
     tst_cluster_kill_vm (&play->cluster,
@@ -262,7 +280,7 @@
 };
 
 const struct tst_late_fault tst_late_leader_faults[TST_LATE_LEADER_FAULTS] = {
-  { "the leader is killed", { { 0, kill_leader } } },
+  { "the leader is killed", { { 0, tst_late_kill_leader } } },
   { "the leader hands over", { { 0, hand_over } } },
   { "the log is down for 3 s", { { 0, log_down }, { 3000, log_up } } },
 };
@@ -297,6 +315,44 @@
                (int)(first->end_ms - zero_ms));
 }
 
+/* After three workers have crashed under a task, it is started at most twice
+   more (RULES.md, BUDGET). */
+static void
+check_crashes (struct tst_late_play *play, guint from)
+{
+  const GArray *history = play->cluster.fake.history;
+  const char *task = g_array_index (history, struct fkp_history, from).task;
+  uint32_t crashes = 0;
+  uint32_t starts_after = 0;
+
+  for (guint i = from; i < history->len; i++)
+    {
+      const struct fkp_history *row
+          = &g_array_index (history, struct fkp_history, i);
+
+      if (strcmp (row->task, task) != 0)
+        continue;
+      starts_after += crashes >= CRASHES_BEFORE_BUDGET;
+      crashes += row->outcome != NULL && strcmp (row->outcome, "lost") == 0;
+    }
+  if (starts_after >= STARTS_AFTER_CRASHES)
+    fail_play (play, "%s was started %u times after %d crashes", task,
+               starts_after, CRASHES_BEFORE_BUDGET);
+}
+
+/* A play in which the task crashed no workers shows nothing. */
+static void
+check_crash_count (struct tst_late_play *play)
+{
+  const struct fkp_platform *fake = &play->cluster.fake;
+  uint32_t crashes = 0;
+
+  for (uint32_t i = 0; i < fake->worker_count; i++)
+    crashes += fake->workers[i].crashes;
+  if (play->row.deadly_jobs > 0 && crashes < CRASHES_TO_GIVE_UP)
+    fail_play (play, "only %u workers crashed", crashes);
+}
+
 /* No task has two runs at a time, and none starts after an end `done` that was
    acknowledged. An end does not count as acknowledged if the worker's lease
    lapsed before (RULES.md, TWICE). */
@@ -306,9 +362,12 @@
   const GArray *history = play->cluster.fake.history;
 
   for (guint i = 0; i < history->len; i++)
-    for (guint k = i + 1; k < history->len; k++)
-      check_pair (play, &g_array_index (history, struct fkp_history, i),
-                  &g_array_index (history, struct fkp_history, k));
+    {
+      for (guint k = i + 1; k < history->len; k++)
+        check_pair (play, &g_array_index (history, struct fkp_history, i),
+                    &g_array_index (history, struct fkp_history, k));
+      check_crashes (play, i);
+    }
 }
 
 /* Playing. */
@@ -330,25 +389,32 @@
     }
 }
 
+/* Returns how many jobs have ended as they should. */
 static uint32_t
-count_complete (const struct tst_late_play *play)
+count_ended (struct tst_late_play *play)
 {
   uint32_t most = 0;
 
   for (uint32_t i = 0; i < TST_CLUSTER_VMS; i++)
     {
-      uint32_t complete = 0;
+      uint32_t ended = 0;
 
       for (uint64_t job = 1; job <= JOB_COUNT; job++)
         {
+          enum cell_job_state wanted = job <= play->row.deadly_jobs
+                                           ? CELL_JOB_FAILED
+                                           : CELL_JOB_COMPLETE;
           enum cell_job_state state = 0;
 
-          complete
-              += play->cluster.vms[i].up
-                 && owner_job_state (&play->cluster.vms[i].entry, job, &state)
-                 && state == CELL_JOB_COMPLETE;
+          if (!play->cluster.vms[i].up
+              || !owner_job_state (&play->cluster.vms[i].entry, job, &state))
+            continue;
+          ended += state == wanted;
+          if (state != wanted
+              && (state == CELL_JOB_COMPLETE || state == CELL_JOB_FAILED))
+            fail_play (play, "job %d has state %d", (int)job, (int)state);
         }
-      most = MAX (most, complete);
+      most = MAX (most, ended);
     }
   return most;
 }
@@ -376,7 +442,8 @@
           const struct tst_late_step *step
               = &fault->steps[play->steps_done[f]];
 
-          if (age_ms (play) < step->at_ms + play->row.offsets_ms[f])
+          if (age_ms (play) < step->at_ms + play->row.offsets_ms[f]
+              || (step->ready != NULL && !step->ready (play)))
             {
               left = true;
               break;
@@ -392,6 +459,7 @@
 end_play (struct tst_late_play *play)
 {
   check_history (play);
+  check_crash_count (play);
   tst_cluster_teardown (&play->cluster);
   begin_phase (play, PHASE_ENDED);
 }
@@ -431,17 +499,18 @@
       char vms[400];
 
       describe_vms (play, vms);
-      fail_play (play, "%u of %d jobs are complete after %d ms;%s",
-                 count_complete (play), JOB_COUNT, COMPLETE_TIMEOUT_MS, vms);
+      fail_play (play,
+                 "%u of %d jobs have ended as they should after %d ms;%s",
+                 count_ended (play), JOB_COUNT, COMPLETE_TIMEOUT_MS, vms);
       end_play (play);
       return;
     }
-  if (count_complete (play) < JOB_COUNT)
+  if (count_ended (play) < JOB_COUNT)
     return;
-  if (play->complete_us == 0)
-    play->complete_us = hc_now_us ();
+  if (play->ended_us == 0)
+    play->ended_us = hc_now_us ();
   if (steps_taken && play->cluster.fake.late_starts->len == 0
-      && hc_now_us () > play->complete_us + AFTER_MS * 1000ULL)
+      && hc_now_us () > play->ended_us + AFTER_MS * 1000ULL)
     end_play (play);
 }
 
@@ -478,7 +547,8 @@
 static void
 case_name (const struct tst_late_case *row, char out[200])
 {
-  int length = snprintf (out, 200, "%s", row->faults[0]->name);
+  int length = snprintf (out, 200, "%s%s%s", row->kind ? row->kind : "",
+                         row->kind ? ", " : "", row->faults[0]->name);
 
   if (row->offsets_ms[0] > 0)
     length += snprintf (out + length, 200 - (size_t)length, " at %u ms",
@@ -502,6 +572,7 @@
       plays[i]->row = rows[i];
       tst_cluster_begin (&plays[i]->cluster);
       plays[i]->cluster.fake.task_duration_ms = TASK_DURATION_MS;
+      plays[i]->cluster.fake.faults = rows[i].crashes;
       plays[i]->cluster.fake.faults.orders_outlive_worker
           = rows[i].orders_outlive_worker;
       begin_phase (plays[i], PHASE_ELECTION);
--- a/tests/tst_late.h
+++ b/tests/tst_late.h
@@ -1,8 +1,9 @@
 /**
  * @file
- * Plays cases of whole VMs against workers that execute orders late, and
- * checks that no task has two runs at a time and none starts after an
- * acknowledged end. Several cases run at the same time.
+ * Plays cases of whole VMs against workers that execute orders late or crash,
+ * and checks that no task has two runs at a time, none starts after an
+ * acknowledged end, and none goes on crashing workers. Several cases run at
+ * the same time.
  *
  * @code
  * cases = tst_late_cases ();
@@ -20,12 +21,14 @@
 
 struct tst_late_play;
 
-#define TST_LATE_STEPS 3
+#define TST_LATE_STEPS 6
 
 struct tst_late_step
 {
   uint32_t at_ms; /**< after the submission */
   void (*act) (struct tst_late_play *play);
+  /** The step waits until this returns true; NULL: it does not wait. */
+  bool (*ready) (struct tst_late_play *play);
 };
 
 struct tst_late_fault
@@ -39,6 +42,10 @@
   const struct tst_late_fault *faults[2]; /**< the second may be NULL */
   uint32_t offsets_ms[2];     /**< added to the times of their steps */
   bool orders_outlive_worker; /**< see struct fkp_faults */
+  const char *kind;           /**< begins the name of the case; or NULL */
+  uint64_t deadly_jobs;       /**< jobs 1 to this number have a task that
+                                 crashes its workers: they are to fail */
+  struct fkp_faults crashes;  /**< what such tasks and crashes are like */
 };
 
 /** What workers do with orders to start. */
@@ -64,6 +71,14 @@
  * leader has given them up but some are still to be executed. */
 extern const uint32_t tst_late_offsets_ms[TST_LATE_OFFSETS];
 
+/** Returns the cluster of a play, for steps. */
+struct tst_cluster *tst_late_cluster (struct tst_late_play *play);
+/** Chooses the two workers with the most runs as the victims. */
+void tst_late_choose_victims (struct tst_late_play *play);
+/** Returns victim 0 or 1. */
+struct fkp_worker *tst_late_victim (struct tst_late_play *play,
+                                    uint32_t index);
+void tst_late_kill_leader (struct tst_late_play *play);
 /** Prepares the process; called once. */
 void tst_late_setup (void);
 /** Returns an empty table of struct tst_late_case. */
