--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -304,11 +304,16 @@
     [CELL_BLAME_CLEARED] = EV_TASK_CLEARED,
     [CELL_BLAME_GIVEN_UP] = EV_TASK_GIVEN_UP,
   };
+  struct met_set *met = &owner->entry->met;
   struct cell_blame blame;
   struct cell_worker_view view;
 
   while (cell_blame_next (owner->core, &blame))
     {
+      met_add (met, MET_WORKERS_CRASHED, blame.kind == CELL_BLAME_CRASHED);
+      met_add (met, MET_TASKS_SUSPECTED, blame.kind == CELL_BLAME_SUSPECTED);
+      met_add (met, MET_TASKS_CLEARED, blame.kind == CELL_BLAME_CLEARED);
+      met_add (met, MET_TASKS_GIVEN_UP, blame.kind == CELL_BLAME_GIVEN_UP);
       cell_worker_view (owner->core, blame.worker, &view);
       ev_log (events[blame.kind],
               "task=%s run=%u worker=%.*s epoch=%" PRIu64 " born_ms=%" PRIu64
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -37,6 +37,10 @@
   X (MET_TASK_START_REFUSED, "task_starts_refused")                           \
   X (MET_TASK_ENDS, "task_ends")                                              \
   X (MET_RUN_OVER_WRONG, "runs_over_wrong")                                   \
+  X (MET_WORKERS_CRASHED, "workers_crashed")                                  \
+  X (MET_TASKS_SUSPECTED, "tasks_suspected")                                  \
+  X (MET_TASKS_CLEARED, "tasks_cleared")                                      \
+  X (MET_TASKS_GIVEN_UP, "tasks_given_up")                                    \
   X (MET_PREEMPTED, "tasks_preempted")                                        \
   X (MET_LOG_APPENDS, "log_appends")                                          \
   X (MET_LOG_APPEND_FAILURES, "log_append_failures")                          \
