--- a/fakes/fk_platform.c
+++ b/fakes/fk_platform.c
@@ -335,6 +335,7 @@
     {
       gsize len;
       const uint8_t *data;
+      struct json_object *key;
       char *text;
 
       if (after.len > 0 && strcmp (at->data, after.data) <= 0)
@@ -347,10 +348,12 @@
       data = g_bytes_get_data (g_hash_table_lookup (part->newest, at->data),
                                &len);
       text = g_base64_encode (data, len);
+      key = json_object_new_string (at->data);
       g_string_append_printf (
-          out, "%s{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%" PRIu64 "}",
-          count > 0 ? "," : "", (const char *)at->data, text,
+          out, "%s{\"key\":%s,\"value\":\"%s\",\"offset\":%" PRIu64 "}",
+          count > 0 ? "," : "", json_object_to_json_string (key), text,
           *(uint64_t *)g_hash_table_lookup (part->offsets, at->data));
+      json_object_put (key);
       g_free (text);
       count++;
     }
