Failing tests: workers whose capacity shrinks and grows

A worker's capacity may shrink and grow again while it runs (LIMIT). In the simulated fleet a worker can now be resized; a start is checked against the larger of the capacity that the worker's entry showed when the order was sent and the present one.

test_cell_capacity, on the current code: - "none fits": a start that waited for its record is ordered although the entry has shown a smaller capacity since; - a task waits on although its worker has grown, if nothing else happens; - an entry of an earlier incarnation brings back the capacity of that one. Runs above the capacity go on and count, also after a takeover: passes.

--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -555,6 +555,7 @@
    are cancelled. No invariant may be violated, and all jobs that the log holds
    end once the faults have ended. */
 #define RANDOM_WORKERS 6
+#define RANDOM_MILLICORES 4000
 #define RANDOM_JOBS 40
 
 static void
@@ -655,15 +656,17 @@
   fleet->lose_start_answers = 0;
 }
 
+/* @p resize: workers also shrink and grow, by draws of their own. */
 static void
-run_seed (uint32_t seed)
+run_seed (uint32_t seed, bool resize)
 {
   struct fleet *fleet = calloc (1, sizeof *fleet);
   GRand *rand = g_rand_new_with_seed (seed);
+  GRand *sizes = g_rand_new_with_seed (~seed);
   uint64_t job = 0;
   uint64_t unstored = 0;
 
-  fleet_setup (fleet, RANDOM_WORKERS, 4000);
+  fleet_setup (fleet, RANDOM_WORKERS, RANDOM_MILLICORES);
   fleet->advice_ms = (uint32_t)g_rand_int_range (rand, 0, 800);
   for (int step = 0; step < 60; step++)
     {
@@ -687,9 +690,15 @@
         fleet_cancel (fleet, job);
       if (g_rand_int_range (rand, 0, 3) == 0)
         random_fault (fleet, rand);
+      if (resize && g_rand_boolean (sizes))
+        fleet_resize (
+            fleet, (uint32_t)g_rand_int_range (sizes, 0, RANDOM_WORKERS),
+            (uint32_t)g_rand_int_range (sizes, 1, RANDOM_MILLICORES + 1));
     }
   if (unstored != 0)
     fleet_finish_submit (fleet, unstored, true);
+  for (uint32_t i = 0; i < RANDOM_WORKERS; i++)
+    fleet->workers[i].millicores = RANDOM_MILLICORES;
   clear_faults (fleet);
   fleet_run (fleet, 60000);
   if (fleet->violations > 0)
@@ -703,22 +712,37 @@
   if (fleet_running (fleet) > 0)
     fail_msg ("seed %u: %u runs remain at the end", seed,
               fleet_running (fleet));
+  g_rand_free (sizes);
   g_rand_free (rand);
   fleet_teardown (fleet);
   free (fleet);
 }
 
 static void
-test_random (void **state)
+run_seeds (bool resize)
 {
   const char *seeds = getenv ("CELL_SEEDS");
   const char *first = getenv ("CELL_SEED");
   uint32_t begin = first != NULL ? (uint32_t)atoi (first) : 1;
   uint32_t count = seeds != NULL ? (uint32_t)atoi (seeds) : 40;
 
-  (void)state;
   for (uint32_t seed = begin; seed < begin + count; seed++)
-    run_seed (seed);
+    run_seed (seed, resize);
+}
+
+static void
+test_random (void **state)
+{
+  (void)state;
+  run_seeds (false);
+}
+
+/* Guards against starts beyond the capacity that a worker shows. */
+static void
+test_random_capacity (void **state)
+{
+  (void)state;
+  run_seeds (true);
 }
 
 int
@@ -731,6 +755,7 @@
     cmocka_unit_test (test_overtaking_reports),
     cmocka_unit_test (test_silent_worker_expires),
     cmocka_unit_test (test_random),
+    cmocka_unit_test (test_random_capacity),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- /dev/null
+++ b/tests/test_cell_capacity.c
@@ -0,0 +1,194 @@
+/* The capacity of a worker shrinks and grows while it runs. Guards against
+   starts beyond the capacity that its entry shows, and against tasks that keep
+   waiting although it has grown again. */
+
+#include "tst_fleet_internal.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#define MILLICORES 4000
+/* A worker that has grown again starts a task within this time. */
+#define START_MAX_MS 200
+#define COMPLETE_MAX_MS 10000
+
+/* A job is placed on workers of MILLICORES. Before its starts are ordered, the
+   entries of all workers show `shrunk_millicores`; later they grow again. */
+struct shrink_case
+{
+  const char *description;
+  struct fleet_job job;
+  uint32_t workers;
+  uint32_t shrunk_millicores;
+  uint32_t running; /**< while the workers are small */
+  bool unstored;    /**< the starts wait for the job, not for their record */
+  bool takeover;    /**< the leader changes while they are small */
+};
+
+static const struct shrink_case shrink_cases[] = {
+  { "none fits", { .tasks = { 4 } }, 1, 500, 0 },
+  { "one of two fits", { .tasks = { 2 }, .millicores = 2000 }, 1, 3000, 1 },
+  { "two of four fit", { .tasks = { 4 } }, 1, 2000, 2 },
+  { "three of four fit", { .tasks = { 4 } }, 1, 3999, 3 },
+  { "all fit", { .tasks = { 4 } }, 1, 4000, 4 },
+  { "two on each of two", { .tasks = { 8 } }, 2, 2000, 4 },
+  { "waits for its job", { .tasks = { 4 } }, 1, 2000, 2, .unstored = true },
+  { "another leader", { .tasks = { 4 } }, 1, 2000, 2, .takeover = true },
+  { "a gang", { .tasks = { 4 }, .gang = true }, 1, 3000, 0 },
+  { "a gang on two", { .tasks = { 8 }, .gang = true }, 2, 3000, 0 },
+};
+
+static void
+resize_all (struct fleet *fleet, uint32_t millicores)
+{
+  for (uint32_t w = 0; w < fleet->worker_count; w++)
+    fleet_resize (fleet, w, millicores);
+}
+
+static void
+play_shrink (const struct shrink_case *row)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  struct fleet_job job = row->job;
+
+  job.work_ms = 1500;
+  fleet_setup (fleet, row->workers, MILLICORES);
+  fleet_run (fleet, 100);
+  fleet->log_down = !row->unstored;
+  if (row->unstored)
+    fleet_submit_unstored (fleet, 1, &job);
+  else
+    fleet_submit (fleet, 1, &job);
+  fleet_run (fleet, 100);
+  assert_int_equal (fleet->starts, 0);
+  resize_all (fleet, row->shrunk_millicores);
+  fleet->log_down = false;
+  if (row->takeover)
+    fleet_takeover (fleet);
+  fleet_finish_submit (fleet, 1, true);
+  fleet_run (fleet, 1000);
+  if (fleet->violations > 0)
+    fail_msg ("%s: %s", row->description, fleet->first_violation);
+  if (fleet_running (fleet) != row->running)
+    fail_msg ("%s: %u runs, expected %u", row->description,
+              fleet_running (fleet), row->running);
+  fleet_run (fleet, 5000);
+  resize_all (fleet, MILLICORES);
+  if (row->running == 0)
+    {
+      fleet_run (fleet, START_MAX_MS);
+      if (fleet_running (fleet) == 0)
+        fail_msg ("%s: no start after the workers have grown",
+                  row->description);
+    }
+  fleet_run (fleet, COMPLETE_MAX_MS);
+  if (fleet->violations > 0)
+    fail_msg ("%s: %s", row->description, fleet->first_violation);
+  if (fleet_job_state (fleet, 1) != CELL_JOB_COMPLETE)
+    fail_msg ("%s: the job is not complete", row->description);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+static void
+test_capacity_shrinks_before_the_start (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (shrink_cases); i++)
+    play_shrink (&shrink_cases[i]);
+}
+
+/* Nothing else happens when the worker grows: no run ends and no job comes. */
+static void
+test_waiting_task_starts_when_its_worker_grows (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+
+  (void)state;
+  fleet_setup (fleet, 1, 500);
+  fleet_run (fleet, 100);
+  fleet_submit (fleet, 1, &(struct fleet_job){ .tasks = { 1 } });
+  fleet_run (fleet, 5000);
+  assert_int_equal (fleet->starts, 0);
+  fleet_resize (fleet, 0, 1000);
+  fleet_run (fleet, START_MAX_MS);
+  assert_int_equal (fleet->starts, 1);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+/* Runs that no longer fit go on, and count until their ends are listed. */
+static void
+test_runs_above_the_capacity_go_on (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+
+  (void)state;
+  fleet_setup (fleet, 1, MILLICORES);
+  fleet_run (fleet, 100);
+  fleet_submit (fleet, 1,
+                &(struct fleet_job){ .tasks = { 4 }, .work_ms = 3000 });
+  fleet_run (fleet, 500);
+  assert_int_equal (fleet_running (fleet), 4);
+  fleet_resize (fleet, 0, 1500);
+  fleet_submit (fleet, 2, &(struct fleet_job){ .tasks = { 2 } });
+  fleet_run (fleet, 1000);
+  fleet_takeover (fleet);
+  fleet_run (fleet, 1000);
+  assert_int_equal (fleet_running (fleet), 4);
+  assert_int_equal (fleet->stops, 0);
+  fleet_run (fleet, COMPLETE_MAX_MS);
+  if (fleet->violations > 0)
+    fail_msg ("%s", fleet->first_violation);
+  assert_int_equal (fleet->starts, 6);
+  assert_int_equal (fleet_job_state (fleet, 2), CELL_JOB_COMPLETE);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+/* An earlier incarnation's entry is read after the worker is known to have
+   started again, smaller. Guards against its capacity coming back. */
+static void
+test_entry_of_an_earlier_incarnation (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  struct fleet_worker *worker;
+  uint64_t born_ms;
+
+  (void)state;
+  fleet_setup (fleet, 1, MILLICORES);
+  worker = &fleet->workers[0];
+  fleet_run (fleet, 100);
+  fleet_crash (fleet, 0);
+  fleet_restart (fleet, 0);
+  fleet_resize (fleet, 0, 1000);
+  fleet_run (fleet, 4000);
+  born_ms = worker->born_ms;
+  worker->born_ms = 1;
+  fleet_resize (fleet, 0, MILLICORES);
+  worker->born_ms = born_ms;
+  worker->millicores = 1000;
+  fleet_submit (fleet, 1, &(struct fleet_job){ .tasks = { 4 } });
+  fleet_run (fleet, COMPLETE_MAX_MS);
+  if (fleet->violations > 0)
+    fail_msg ("%s", fleet->first_violation);
+  assert_int_equal (fleet_job_state (fleet, 1), CELL_JOB_COMPLETE);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_capacity_shrinks_before_the_start),
+    cmocka_unit_test (test_waiting_task_starts_when_its_worker_grows),
+    cmocka_unit_test (test_runs_above_the_capacity_go_on),
+    cmocka_unit_test (test_entry_of_an_earlier_incarnation),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -549,6 +549,14 @@
   list_worker (fleet, &fleet->workers[row]);
 }
 
+void
+fleet_resize (struct fleet *fleet, uint32_t row, uint32_t millicores)
+{
+  fleet->workers[row].millicores = millicores;
+  if (fleet->workers[row].listed)
+    list_worker (fleet, &fleet->workers[row]);
+}
+
 bool
 fleet_lapse_entry (struct fleet *fleet, uint32_t row)
 {
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -231,6 +231,8 @@
 void fleet_restart_unread (struct fleet *fleet, uint32_t worker);
 /** The core reads the worker's entry. */
 void fleet_list (struct fleet *fleet, uint32_t worker);
+/** The worker's capacity becomes @p millicores, as its entry shows at once. */
+void fleet_resize (struct fleet *fleet, uint32_t worker, uint32_t millicores);
 /** The worker's entry lapses, although the worker lives on. Returns false if
  * the entry is too new for that. */
 bool fleet_lapse_entry (struct fleet *fleet, uint32_t worker);
--- a/tests/tst_fleet_internal.h
+++ b/tests/tst_fleet_internal.h
@@ -19,6 +19,7 @@
   uint64_t epoch;             /**< of the leader that sent it */
   uint64_t lease_deadline_ms; /**< of the order, on the worker's clock */
   uint64_t born_ms;           /**< of the incarnation that it was sent to */
+  uint32_t millicores;        /**< capacity of the worker when it was sent */
   bool reconnects;            /**< reaches the incarnation at its arrival */
   bool received;              /**< the worker's process has it */
   bool executed;              /**< or it never will be */
--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -39,11 +39,13 @@
                         g_memdup2 (&number, sizeof number));
 }
 
-/* Checks the invariants that a start can violate. */
+/* Checks the invariants that a start can violate. A worker may have shrunk
+   since the order was sent. */
 static void
-check_start (struct fleet *fleet, const struct fleet_worker *worker,
-             const char *task)
+check_start (struct fleet *fleet, const struct order_in_flight *in_flight)
 {
+  const struct fleet_worker *worker = &fleet->workers[in_flight->order.worker];
+  const char *task = in_flight->order.task;
   const struct fleet_job *job = fleet_job_of_task (fleet, task);
   uint32_t millicores = job->millicores ? job->millicores : 1000;
   uint64_t worker_used = 0;
@@ -70,7 +72,8 @@
             && strcmp (other_job->team, job->team) == 0)
           team_used += other_millicores;
       }
-  if (worker_used + millicores > worker->millicores)
+  if (worker_used + millicores
+      > MAX (worker->millicores, in_flight->millicores))
     fleet_violation (fleet, "no capacity for", task);
   if (job->team != NULL && strcmp (job->team, "limited") == 0
       && team_used + millicores > TEAM_LIMIT_MILLICORES)
@@ -168,7 +171,7 @@
   if (fleet_lookup_number (worker->closed_runs, in_flight->order.task)
       >= in_flight->order.number)
     return CELL_START_OLD;
-  check_start (fleet, worker, in_flight->order.task);
+  check_start (fleet, in_flight);
   fleet->starts++;
   fleet->resumed += in_flight->order.checkpoint[0] != 0;
   run = &worker->runs[worker->run_count++];
@@ -412,6 +415,7 @@
       in_flight->order = order;
       in_flight->epoch = fleet->epoch;
       in_flight->born_ms = fleet->workers[order.worker].born_ms;
+      in_flight->millicores = fleet->workers[order.worker].millicores;
       in_flight->lease_deadline_ms = lease_deadline (fleet, &view);
       if (order.kind == CELL_ORDER_START)
         cell_worker_leased (fleet->core, order.worker,
