Keep the suspicion of a broken worker across takeovers

A task that crashed its workers was started six and seven times when the leader changed within the seconds between a crash and its verdict: the new leader saw no break, or only one that it could not tell from an old one. An innocent task was given up when its worker lost power and the first call that ended otherwise reached the next incarnation.

Cause: the break was kept in memory only, and a worker reported silent without a timed-out call was not taken for silent.

Fix: the run's record says that its worker broke before it was proven, and how strong that evidence is. A crash with another reason near has half the weight of one without, and a task is given up at two full ones: three crashes of which one has a full weight now suffice, in any order.

Evidence: seeds of test_cell_blame with crashes, cuts that refuse or are silent, power losses, exits, lapsed entries, takeovers and late orders. When the worker of a gang's member crashes, the simulated fleet ends the other members as broken, as the platform does: before, the gang could end as done without the member.

--- a/src/cell.pb-c.c
+++ b/src/cell.pb-c.c
@@ -768,7 +768,7 @@
   (ProtobufCMessageInit) cyc__cell_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cyc__cell_run__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cyc__cell_run__field_descriptors[6] =
 {
   {
     "task",
@@ -830,10 +830,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspicion",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellRun, suspicion),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cyc__cell_run__field_indices_by_name[] = {
   1,   /* field[1] = number */
   4,   /* field[4] = placed_ms */
+  5,   /* field[5] = suspicion */
   0,   /* field[0] = task */
   2,   /* field[2] = worker */
   3,   /* field[3] = worker_born_ms */
@@ -841,7 +854,7 @@
 static const ProtobufCIntRange cyc__cell_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cyc__cell_run__descriptor =
 {
@@ -851,7 +864,7 @@
   "Cyc__CellRun",
   "cyc",
   sizeof(Cyc__CellRun),
-  5,
+  6,
   cyc__cell_run__field_descriptors,
   cyc__cell_run__field_indices_by_name,
   1,  cyc__cell_run__number_ranges,
--- a/src/cell.pb-c.h
+++ b/src/cell.pb-c.h
@@ -115,10 +115,14 @@
    * Unix time
    */
   uint64_t placed_ms;
+  /*
+   * of the worker's crash; 1: weak, 2: strong
+   */
+  uint32_t suspicion;
 };
 #define CYC__CELL_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cyc__cell_run__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -13,8 +13,8 @@
 
    A crash is weak evidence if several jobs were suspected, if the worker had
    been started just before, or if an earlier leader has seen its beginning. A
-   task is given up for two crashes that are not weak, for three of which the
-   last is not, or for CELL_CRASHES_MAX. */
+   task is given up for two crashes that are not weak, for three of which one
+   is not, or for four. */
 
 #include "cyc_cell_internal.h"
 
@@ -30,6 +30,13 @@
 #define TRIAL_WAIT_US 3000000
 /** Workers with trials at a time: this fraction of those usable. */
 #define TRIAL_DIVISOR 16
+/** A task is given up when the weights of its crashes reach HOPELESS_WEIGHT; a
+ * weak one has the weight 1. */
+#define SOLE_WEIGHT 2
+#define HOPELESS_WEIGHT CELL_CRASHES_MAX
+/** Values of CellRun.suspicion. */
+#define SUSPICION_WEAK 1
+#define SUSPICION_STRONG 2
 /** Interval at which a trial that waits is tried to be placed. */
 #define TRIAL_RETRY_US 100000
 /** Added cost of a worker for a trial, above all costs of the best fit: for
@@ -123,7 +130,7 @@
 
 /* Suspects the unproven runs of the worker's incarnation. */
 static void
-suspect_runs (const struct cell_core *core, const struct cell_worker *worker)
+suspect_runs (struct cell_core *core, const struct cell_worker *worker)
 {
   if (worker->muted || worker->draining)
     return;
@@ -133,6 +140,7 @@
         run->broken_us = core->now_us;
         run->broken_born_ms = worker->born_ms;
         run->broken_weakly = run->inherited || is_young (core, worker);
+        cell_job_mark_dirty (core, run->job);
       }
 }
 
@@ -226,14 +234,18 @@
       take_back_all (core, row, worker->born_ms);
       worker->crashed_us = 0;
     }
+  for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    if (run->broken_us != 0 && run->broken_born_ms == worker->born_ms
+        && sent_us > run->broken_us)
+      {
+        run->broken_us = 0;
+        cell_job_mark_dirty (core, run->job);
+      }
   if (worker->broken_us == 0 || sent_us <= worker->broken_us)
     return;
   if (worker->runs != NULL)
     report_worker (core, CELL_BLAME_ALIVE, row);
   worker->broken_us = 0;
-  for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
-    if (run->broken_born_ms == worker->born_ms)
-      run->broken_us = 0;
 }
 
 static void
@@ -363,12 +375,11 @@
 static bool
 is_hopeless (const struct cell_crashes *crashes)
 {
-  uint32_t sole = 0;
+  uint32_t weight = 0;
 
   for (uint32_t i = 0; i < crashes->count; i++)
-    sole += crashes->rows[i].sole;
-  return sole >= 2 || crashes->count == CELL_CRASHES_MAX
-         || (crashes->count >= 3 && crashes->rows[crashes->count - 1].sole);
+    weight += crashes->rows[i].sole ? SOLE_WEIGHT : 1;
+  return weight >= HOPELESS_WEIGHT;
 }
 
 void
@@ -507,6 +518,27 @@
   };
 }
 
+uint32_t
+cell_blame_suspicion (const struct cell_run *run)
+{
+  if (run->broken_us == 0)
+    return 0;
+  return run->broken_weakly ? SUSPICION_WEAK : SUSPICION_STRONG;
+}
+
+void
+cell_blame_restore_run (struct cell_core *core, struct cell_run *run,
+                        const Cyc__CellRun *from)
+{
+  run->placed_ms = from->placed_ms;
+  core->last_placed_ms = MAX (core->last_placed_ms, from->placed_ms);
+  if (from->suspicion == 0)
+    return;
+  run->broken_us = core->now_us;
+  run->broken_born_ms = from->worker_born_ms;
+  run->broken_weakly = from->suspicion != SUSPICION_STRONG;
+}
+
 bool
 cell_blame_next (struct cell_core *core, struct cell_blame *out)
 {
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -58,8 +58,7 @@
  * has not crashed it: a task that does crash it does so within milliseconds.
  */
 #define CELL_TRIAL_US 200000
-/** Crashes remembered for a task. A task is given up with the last of them,
- * whatever else was suspected. */
+/** Crashes for which a task is given up, even if each is weak evidence. */
 #define CELL_CRASHES_MAX 4
 
 enum cell_run_state
@@ -529,6 +528,10 @@
 /** Requests ticks for the ends of trials on the worker. */
 void cell_blame_tick (struct cell_core *core,
                       const struct cell_worker *worker);
+/** Returns what is recorded of the suspicion against the run. */
+uint32_t cell_blame_suspicion (const struct cell_run *run);
+void cell_blame_restore_run (struct cell_core *core, struct cell_run *run,
+                             const Cyc__CellRun *from);
 /** Restores a crash of an earlier incarnation of a worker from a record. */
 void cell_blame_restore (struct cell_core *core, struct cell_task *task,
                          const Cyc__CellCrash *from);
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -711,6 +711,7 @@
               = cell_worker_at (core, task->run->worker)->id.data;
           runs[round->n_runs]->worker_born_ms = task->run->worker_born_ms;
           runs[round->n_runs]->placed_ms = task->run->placed_ms;
+          runs[round->n_runs]->suspicion = cell_blame_suspicion (task->run);
           g_ptr_array_add (arrays, runs[round->n_runs]);
           round->n_runs++;
         }
@@ -787,8 +788,7 @@
       made->inherited = true;
       made->call_ended_us = core->now_us;
       made->worker_born_ms = run->worker_born_ms;
-      made->placed_ms = run->placed_ms;
-      core->last_placed_ms = MAX (core->last_placed_ms, run->placed_ms);
+      cell_blame_restore_run (core, made, run);
     }
   if (round->tasks_done == job->task_count && !round->finished)
     {
--- a/tests/test_cell_blame.c
+++ b/tests/test_cell_blame.c
@@ -13,7 +13,6 @@
 #include <cmocka.h>
 
 #define JOBS_MAX 6
-#define FAULT_PERIOD_MS 1500
 
 struct blame_case
 {
@@ -278,10 +277,153 @@
   free (fleet);
 }
 
+#define SEED_WORKERS 10
+#define SEED_JOBS 40
+#define SEED_FAULT_STEPS 160
+
+/* A worker crashes by itself, is cut off, leaves or loses its entry, or the
+   leader changes. */
+static void
+random_fault (struct fleet *fleet, GRand *rand)
+{
+  uint32_t row
+      = (uint32_t)g_rand_int_range (rand, 0, (gint)fleet->worker_count);
+  struct fleet_worker *worker = &fleet->workers[row];
+
+  if (!worker->up || !worker->listed)
+    return;
+  switch (g_rand_int_range (rand, 0, 8))
+    {
+    case 0:
+      fleet_crash (fleet, row);
+      worker->back_ms = fleet->now_ms + FLEET_BACK_MS;
+      break;
+    case 1:
+    case 2:
+      worker->refusing = g_rand_boolean (rand);
+      worker->partitioned = !worker->partitioned;
+      break;
+    case 3:
+      worker->answers_lost = !worker->answers_lost;
+      break;
+    case 4:
+      fleet_takeover (fleet);
+      break;
+    case 5:
+      if (worker->draining && !worker->partitioned)
+        {
+          fleet_leave (fleet, row);
+          worker->draining = false;
+          worker->back_ms = fleet->now_ms + FLEET_BACK_MS;
+        }
+      else
+        fleet_drain (fleet, row, worker->draining ? 0 : 1500);
+      break;
+    case 6:
+      /* Power loss. */
+      worker->partitioned = true;
+      worker->refusing = false;
+      fleet_crash (fleet, row);
+      worker->back_ms = fleet->now_ms + FLEET_BACK_MS;
+      break;
+    default:
+      fleet_lapse_entry (fleet, row);
+      break;
+    }
+}
+
+static struct fleet_job
+random_job (GRand *rand)
+{
+  struct fleet_job job = {
+    .tasks = { (uint32_t)g_rand_int_range (rand, 1, 5) },
+    .work_ms = (uint32_t)g_rand_int_range (rand, 100, 4000),
+    .gang = g_rand_int_range (rand, 0, 5) == 0,
+    .deadly = g_rand_int_range (rand, 0, 6) == 0,
+    .checkpointing = g_rand_boolean (rand),
+  };
+
+  if (g_rand_int_range (rand, 0, 4) == 0)
+    job.queue = "advised";
+  return job;
+}
+
+/* Ends all faults but those of deadly tasks. */
+static void
+heal (struct fleet *fleet)
+{
+  for (uint32_t w = 0; w < fleet->worker_count; w++)
+    {
+      struct fleet_worker *worker = &fleet->workers[w];
+
+      worker->partitioned = worker->refusing = worker->answers_lost = false;
+      if (!worker->up)
+        continue;
+      if (worker->draining)
+        fleet_drain (fleet, w, 0);
+      fleet_list (fleet, w);
+    }
+  fleet->call_faults.late_permille = 0;
+  fleet->call_faults.lost_permille = 0;
+}
+
+static void
+run_seed (uint32_t seed)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  GRand *rand = g_rand_new_with_seed (seed);
+  struct fleet_job jobs[SEED_JOBS];
+  char name[24];
+
+  snprintf (name, sizeof name, "seed %u", seed);
+  fleet_setup (fleet, SEED_WORKERS, 4000);
+  fleet->now_ms = 30000;
+  fleet->replace_crashed = g_rand_boolean (rand);
+  fleet->call_faults = (struct fleet_call_faults){
+    .rand = rand,
+    .late_permille = 30,
+    .lost_permille = 30,
+    .report_delay_max_ms = 60,
+  };
+  for (uint32_t step = 0; step < SEED_FAULT_STEPS; step++)
+    {
+      fleet_run (fleet, (uint64_t)g_rand_int_range (rand, 10, 600));
+      if (step % 4 == 0)
+        {
+          jobs[step / 4] = random_job (rand);
+          fleet_submit (fleet, step / 4 + 1, &jobs[step / 4]);
+        }
+      if (g_rand_int_range (rand, 0, 3) == 0)
+        random_fault (fleet, rand);
+    }
+  heal (fleet);
+  fleet_run (fleet, 120000);
+  fail_on_violation (fleet, name);
+  for (uint64_t j = 0; j < SEED_JOBS; j++)
+    check_job (fleet, name, j + 1, &jobs[j]);
+  g_rand_free (rand);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
+static void
+test_seeds (void **state)
+{
+  const char *seeds = getenv ("BLAME_SEEDS");
+  const char *first = getenv ("BLAME_SEED");
+  uint32_t begin_seed = first != NULL ? (uint32_t)atoi (first) : 1;
+  uint32_t count = seeds != NULL ? (uint32_t)atoi (seeds) : 40;
+
+  (void)state;
+  for (uint32_t seed = begin_seed; seed < begin_seed + count; seed++)
+    run_seed (seed);
+}
+
 int
 main (void)
 {
-  struct CMUnitTest tests[sizeof cases / sizeof cases[0]];
+  struct CMUnitTest tests[sizeof cases / sizeof cases[0] + 1]
+      = { [sizeof cases / sizeof cases[0]] = cmocka_unit_test (test_seeds) };
 
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     tests[i] = (struct CMUnitTest){
--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -598,6 +598,15 @@
         continue;
       if (worker->crash_ms != 0 && fleet->now_ms >= worker->crash_ms)
         {
+          for (uint32_t r = 0; r < worker->run_count;)
+            if (worker->runs[r].gang)
+              {
+                struct fleet_run member = worker->runs[r];
+
+                end_gang (fleet, &member, CELL_END_BROKEN);
+              }
+            else
+              r++;
           fleet_crash (fleet, w);
           worker->back_ms = fleet->now_ms + FLEET_BACK_MS;
           fleet->crashes++;
