End inherited runs only when earlier leaders write no start any more

What callers could see: a task ran twice (TWICE).

Cause: a start of an earlier leader waits for a connection. Its successor gets a report without the run under its own fencing token and places the task again. The worker restarts under its id, knows no token and no run, and executes the start that now gets its connection. The evidence speaks for one incarnation, the open call reaches another.

Ruled out: waiting until all calls have timed out.

Why this works: a connection belongs to one incarnation, so only a start that is not yet written can reach a later one. A start is now written only while its leader's confirmation lasts (checked by libcurl's callback right before the request is written), which is the time that successors already assume for leases. A leader that steps down abandons its open starts and then appends a released record for its epoch. An inherited run that is not shown ends at a report requested after that. A run that a report shows, and a worker that does not answer, are treated as before.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -396,10 +396,16 @@
                                uint64_t extended_us);
 /** Applies the progress record with the highest revision to a job added
  * before. @p lease_until_us: until when its runs may continue on workers that
- * do not answer. Returns false if the job is unknown or the record is
+ * do not answer; @p write_until_us: until when earlier leaders may write
+ * starts of them. Returns false if the job is unknown or the record is
  * malformed. */
 bool cell_job_restore (struct cell_core *core, uint64_t id,
-                       struct cyc_str record, uint64_t lease_until_us);
+                       struct cyc_str record, uint64_t lease_until_us,
+                       uint64_t write_until_us);
+/** Earlier leaders write no start after @p until_us, which is earlier than
+ * assumed by cell_job_restore. */
+void cell_earlier_ended (struct cell_core *core, uint64_t until_us,
+                         uint64_t now_us);
 /** Returns the durable state of the job; 0 if the job is unknown or not
  * stored. */
 enum cell_job_state cell_job_state (const struct cell_core *core, uint64_t id);
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -417,8 +417,8 @@
   out->fenced = worker->fenced;
   out->report_after_us = 0;
   for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
-    out->report_after_us
-        = MAX (out->report_after_us, cell_over_report_after_us (worker, run));
+    out->report_after_us = MAX (out->report_after_us,
+                                cell_over_report_after_us (core, worker, run));
   out->received_end = worker->received_end;
   out->lease_deadline_ms = worker->lease_deadline_ms;
   out->ends_pending = worker->ack < worker->received_end;
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -81,7 +81,8 @@
                                deadline is; 0 if unknown */
   uint64_t call_ended_us;   /**< when the call of the start ended: a process
                                that starts later cannot receive the order;
-                               0 if it has not */
+                               0 if it has not. Of an inherited run: until
+                               when an earlier leader may write the start */
   uint64_t answered_us; /**< when the start was answered, so that no other copy
                            of the order is left; 0 if it was not */
   uint64_t last_born_ms; /**< last incarnation that may have received the
@@ -470,7 +471,8 @@
 void cell_over_expire (struct cell_core *core, struct cell_worker *worker);
 /** Returns the time after which a report must be requested to resolve the run;
  * 0 if it needs none. */
-uint64_t cell_over_report_after_us (const struct cell_worker *worker,
+uint64_t cell_over_report_after_us (const struct cell_core *core,
+                                    const struct cell_worker *worker,
                                     const struct cell_run *run);
 /** Notes that the worker reports a run that the core does not know as running,
  * or lists its end as done or failed (@p ended). If the run was concluded to
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -713,7 +713,8 @@
 
 static void
 restore_round (struct cell_core *core, struct cell_job *job,
-               const Cyc__CellRound *from, uint64_t lease_until_us)
+               const Cyc__CellRound *from, uint64_t lease_until_us,
+               uint64_t write_until_us)
 {
   struct cell_round *round = &job->rounds[from->index];
 
@@ -750,7 +751,9 @@
           = cell_run_new (core, job, from->index, run->task, row, run->number);
       made->state = CELL_RUN_STARTING;
       made->inherited = true;
-      made->call_ended_us = core->now_us;
+      /* A connection belongs to one incarnation: none that starts after the
+         last write receives the order. */
+      made->call_ended_us = write_until_us;
       made->worker_born_ms = run->worker_born_ms;
     }
   if (round->tasks_done == job->task_count && !round->finished)
@@ -762,7 +765,7 @@
 
 bool
 cell_job_restore (struct cell_core *core, uint64_t id, struct cyc_str record,
-                  uint64_t lease_until_us)
+                  uint64_t lease_until_us, uint64_t write_until_us)
 {
   struct cell_job *job = cell_job_find (core, id);
   Cyc__CellProgress *progress;
@@ -775,7 +778,8 @@
     return false;
   for (size_t r = 0; r < progress->n_rounds; r++)
     if (progress->rounds[r]->index < job->round_count)
-      restore_round (core, job, progress->rounds[r], lease_until_us);
+      restore_round (core, job, progress->rounds[r], lease_until_us,
+                     write_until_us);
   if (cell_job_open (job) && progress->state != 0)
     job->state = job->durable_state = progress->state;
   job->ended_ms = progress->ended_ms;
@@ -786,3 +790,17 @@
   cyc__cell_progress__free_unpacked (progress, NULL);
   return true;
 }
+
+void
+cell_earlier_ended (struct cell_core *core, uint64_t until_us, uint64_t now_us)
+{
+  core->now_us = now_us;
+  for (guint i = 0; i < core->runs->len; i++)
+    {
+      struct cell_run *run = g_ptr_array_index (core->runs, i);
+
+      if (run != NULL && run->inherited)
+        run->call_ended_us = MIN (run->call_ended_us, until_us);
+    }
+  cell_wake (core, now_us);
+}
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -198,8 +198,9 @@
    unordered  the start was not ordered
    refused    the result of the start, which holds for all copies of the order,
               and no report shows the run
-   fenced     the run was started by an earlier leader, whose calls have ended,
-              and a report under this leader's fencing token lacks it
+   fenced     the run was started by an earlier leader, and a report under this
+              leader's fencing token, requested when that leader no longer
+              wrote starts, lacks it
    reborn     a later incarnation than the last one that may have received the
               order: an incarnation that was alive after the call ended
    missing    the start was answered, so no other copy is left, and a report
@@ -242,7 +243,7 @@
     return false;
   *over = CELL_OVER_FENCED;
   if (run->inherited)
-    return true;
+    return evidence->since_us > run->call_ended_us;
   *over = CELL_OVER_REBORN;
   if (run->last_born_ms != 0 && evidence->born_ms > run->last_born_ms)
     return true;
@@ -327,8 +328,8 @@
         continue;
       if (report->born_ms != 0)
         note_alive (run, report->born_ms, report->sent_us);
-      if (run->state == CELL_RUN_STARTING && run->unconfirmed_us != 0
-          && report->sent_us > run->unconfirmed_us)
+      if (run->state == CELL_RUN_STARTING && !run->inherited
+          && run->unconfirmed_us != 0 && report->sent_us > run->unconfirmed_us)
         cell_run_stop (core, run);
       if (run->state == CELL_RUN_RUNNING
           && run->seen_born_ms != worker->born_ms && run->call_ended_us != 0
@@ -393,14 +394,17 @@
 }
 
 uint64_t
-cell_over_report_after_us (const struct cell_worker *worker,
+cell_over_report_after_us (const struct cell_core *core,
+                           const struct cell_worker *worker,
                            const struct cell_run *run)
 {
   bool reborn = run->worker_born_ms != worker->born_ms;
   uint64_t after_us = 0;
 
-  if (run->state == CELL_RUN_RECORDING || run->inherited)
+  if (run->state == CELL_RUN_RECORDING)
     return 0;
+  if (run->inherited)
+    return run->call_ended_us <= core->now_us ? run->call_ended_us : 0;
   if (run->state == CELL_RUN_STARTING && run->unconfirmed_us != 0)
     after_us = MAX (run->unconfirmed_us, run->call_ended_us);
   if (reborn && worker->reborn_us != 0)
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -332,6 +332,8 @@
         {
           if (run->state == CELL_RUN_RECORDING)
             continue;
+          if (run->inherited && run->call_ended_us > core->now_us)
+            cell_wake (core, run->call_ended_us);
           if (run->state == CELL_RUN_STARTING && run->unconfirmed_us == 0
               && (run->ordered_us != 0 || run->inherited)
               && run->ordered_us + CELL_START_TIMEOUT_US <= core->now_us)
--- a/src/entry.h
+++ b/src/entry.h
@@ -105,11 +105,13 @@
   bool claim_in_flight;
   uint64_t claim_sent_us;      /**< send time of the newest claim */
   uint64_t predecessor_end_us; /**< until when the leaders before this process
-                                    may have extended leases; 0 if they had
-                                    ended */
+                                    may extend leases and write starts; 0 if
+                                    they had ended */
   uint64_t replaced_end_us;    /**< until when a leader that another one has
-                                    replaced may extend leases; 0 if none
-                                    may */
+                                    replaced may extend leases and write starts;
+                                    0 if none may */
+  uint64_t replaced_before_us; /**< the same, without the one replaced last */
+  uint64_t replaced_epoch;     /**< of the leader replaced last; 0 if none */
   uint64_t confirmed_us;       /**< send time of the last claim or renewal that
                                        succeeded */
   uint64_t renew_at_us;
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -75,8 +75,16 @@
 /** Returns true if the last successful claim or renewal is recent enough to
  * answer for the cell. */
 bool lead_confirmed (const struct entry *entry, uint64_t now_us);
+/** Returns until when lead_confirmed is true without a further renewal: a
+ * successor assumes that this VM extends no lease and writes no start later.
+ */
+uint64_t lead_confirmed_until_us (const struct entry *entry);
 
 /* entry_owner.c */
+/** Returns the epoch under which the owner leads. */
+uint64_t owner_epoch (const struct entry_owner *owner);
+/** Earlier leaders write no start after @p until_us. */
+void owner_earlier_ended (struct entry_owner *owner, uint64_t until_us);
 void owner_begin (struct entry *entry, uint64_t epoch);
 void owner_end (struct entry *entry);
 void owner_tick (struct entry *entry, uint64_t now_us);
--- a/src/entry_lead.c
+++ b/src/entry_lead.c
@@ -25,26 +25,21 @@
 /** Delay between claims of a successor that has not read the last renewal. */
 #define HANDOVER_CLAIM_RETRY_US 20000
 /** A leader without a successful renewal for this long, four periods, extends
- * no lease and answers no question about the backlog of a queue or the state
- * of a job that has not ended. During an outage of the log leases therefore
- * last this time plus their own length. */
+ * no lease, writes no start and answers no question about the backlog of a
+ * queue or the state of a job that has not ended. During an outage of the log
+ * leases therefore last this time plus their own length. */
 #define CONFIRMATION_MAX_AGE_US 2500000
 
-bool
-lead_confirmed (const struct entry *entry, uint64_t now_us)
+uint64_t
+lead_confirmed_until_us (const struct entry *entry)
 {
-  return entry->confirmed_us + CONFIRMATION_MAX_AGE_US > now_us;
+  return entry->confirmed_us + CONFIRMATION_MAX_AGE_US;
 }
 
-void
-lead_step_down (struct entry *entry, const char *why)
+bool
+lead_confirmed (const struct entry *entry, uint64_t now_us)
 {
-  if (entry->owner == NULL)
-    return;
-  ev_log (EV_LEAD_LOST, "why=\"%s\" leader=%s epoch=%" PRIu64, why,
-          entry->leader.vm.data, entry->leader.epoch);
-  met_add (&entry->met, MET_CLAIMS_LOST, 1);
-  owner_end (entry);
+  return lead_confirmed_until_us (entry) > now_us;
 }
 
 /* Gets the view of the link to the leader. Returns false if there is none. */
@@ -83,6 +78,74 @@
              : entry->leader.seen_us + CONFIRMATION_MAX_AGE_US;
 }
 
+/* Fills in a record of this process; @p address provides the memory of its
+   address. */
+static void
+fill_own_lead (struct entry *entry, Cyc__CellLead *lead, char address[64])
+{
+  const struct ent_settings *settings = entry->desc.settings;
+
+  snprintf (address, 64, "%s:%u", settings->peers.host, settings->peers.port);
+  lead->vm = (char *)settings->vm.data;
+  lead->address = address;
+  lead->incarnation.len = sizeof entry->incarnation.bytes;
+  lead->incarnation.data = entry->incarnation.bytes;
+}
+
+static bool
+append_lead (struct entry *entry, uint64_t epoch, bool released,
+             void (*done) (void *user, const struct pt_append_result *result))
+{
+  Cyc__CellLead lead = CYC__CELL_LEAD__INIT;
+  uint8_t data[256];
+  char address[64];
+  struct pt_record record = { 0 };
+
+  fill_own_lead (entry, &lead, address);
+  lead.epoch = epoch;
+  lead.released = released;
+  if (cyc__cell_lead__get_packed_size (&lead) > sizeof data)
+    return false;
+  record.value = (struct cyc_str){ (const char *)data,
+                                   cyc__cell_lead__pack (&lead, data) };
+  return entry->relay.log.vtable->append (
+      &entry->relay.log,
+      &(struct pt_append){
+          .stream = PT_STREAM_LEAD,
+          .records = &record,
+          .count = 1,
+          .at_end = epoch == 0,
+          .end = entry->lead_tail.next,
+          .deadline_us
+          = hc_now_us () + (uint64_t)ENTRY_APPEND_TIMEOUT_MS * 1000,
+          .done = done,
+          .user = entry,
+      });
+}
+
+static void
+on_released (void *user, const struct pt_append_result *result)
+{
+  (void)user;
+  ev_log (EV_CLAIM_RELEASED, "fate=%d", (int)result->outcome);
+}
+
+void
+lead_step_down (struct entry *entry, const char *why)
+{
+  uint64_t epoch;
+
+  if (entry->owner == NULL)
+    return;
+  epoch = owner_epoch (entry->owner);
+  ev_log (EV_LEAD_LOST, "why=\"%s\" leader=%s epoch=%" PRIu64, why,
+          entry->leader.vm.data, entry->leader.epoch);
+  met_add (&entry->met, MET_CLAIMS_LOST, 1);
+  owner_end (entry);
+  /* The successor waits for starts that this VM may still write. */
+  append_lead (entry, epoch, true, on_released);
+}
+
 static void
 apply_claim (struct entry *entry, const Cyc__CellLead *lead, uint64_t epoch)
 {
@@ -94,6 +157,8 @@
         && memcmp (lead->incarnation.data, entry->incarnation.bytes, 16) == 0;
   struct set_peer peer = { .role = SET_ROLE_ENTRY };
 
+  entry->replaced_epoch = leader->epoch;
+  entry->replaced_before_us = entry->replaced_end_us;
   if (!leader->self)
     entry->replaced_end_us
         = MAX (entry->replaced_end_us, leader_end_us (entry));
@@ -123,6 +188,17 @@
   pl_peer_add (&entry->links, &peer);
 }
 
+/* The leader that was replaced last has ended its calls. */
+static void
+on_replaced_ended (struct entry *entry)
+{
+  entry->replaced_end_us = entry->replaced_before_us;
+  if (entry->owner == NULL)
+    return;
+  entry->predecessor_end_us = MAX (hc_now_us (), entry->replaced_before_us);
+  owner_earlier_ended (entry->owner, entry->predecessor_end_us);
+}
+
 void
 lead_on_record (void *user, const struct pt_record *record, uint64_t offset)
 {
@@ -139,6 +215,9 @@
   epoch = lead->epoch != 0 ? lead->epoch : offset + 1;
   if (epoch > entry->leader.epoch)
     apply_claim (entry, lead, epoch);
+  else if (lead->released && epoch == entry->replaced_epoch
+           && epoch != entry->leader.epoch)
+    on_replaced_ended (entry);
   if (epoch == entry->leader.epoch)
     {
       entry->leader.seen_us = hc_now_us ();
@@ -149,51 +228,6 @@
   entry_wake (entry);
 }
 
-/* Fills in a record of this process; @p address provides the memory of its
-   address. */
-static void
-fill_own_lead (struct entry *entry, Cyc__CellLead *lead, char address[64])
-{
-  const struct ent_settings *settings = entry->desc.settings;
-
-  snprintf (address, 64, "%s:%u", settings->peers.host, settings->peers.port);
-  lead->vm = (char *)settings->vm.data;
-  lead->address = address;
-  lead->incarnation.len = sizeof entry->incarnation.bytes;
-  lead->incarnation.data = entry->incarnation.bytes;
-}
-
-static bool
-append_lead (struct entry *entry, uint64_t epoch, bool released,
-             void (*done) (void *user, const struct pt_append_result *result))
-{
-  Cyc__CellLead lead = CYC__CELL_LEAD__INIT;
-  uint8_t data[256];
-  char address[64];
-  struct pt_record record = { 0 };
-
-  fill_own_lead (entry, &lead, address);
-  lead.epoch = epoch;
-  lead.released = released;
-  if (cyc__cell_lead__get_packed_size (&lead) > sizeof data)
-    return false;
-  record.value = (struct cyc_str){ (const char *)data,
-                                   cyc__cell_lead__pack (&lead, data) };
-  return entry->relay.log.vtable->append (
-      &entry->relay.log,
-      &(struct pt_append){
-          .stream = PT_STREAM_LEAD,
-          .records = &record,
-          .count = 1,
-          .at_end = epoch == 0,
-          .end = entry->lead_tail.next,
-          .deadline_us
-          = hc_now_us () + (uint64_t)ENTRY_APPEND_TIMEOUT_MS * 1000,
-          .done = done,
-          .user = entry,
-      });
-}
-
 /* Applies a successful claim at once, as this VM's read of the stream may
    deliver it much later when the log is slow. A claim whose answer was lost
    is applied when the stream delivers it. */
@@ -248,13 +282,6 @@
   entry->confirmed_us = entry->renew_sent_us;
 }
 
-static void
-on_released (void *user, const struct pt_append_result *result)
-{
-  (void)user;
-  ev_log (EV_CLAIM_RELEASED, "fate=%d", (int)result->outcome);
-}
-
 void
 lead_release (struct entry *entry)
 {
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -364,6 +364,7 @@
   if (order->kind == CELL_ORDER_START)
     {
       uint64_t lease_end_ms = lease_deadline_ms (owner, &view, now_us);
+      uint64_t until_us = lead_confirmed_until_us (owner->entry);
 
       begun = lease_end_ms != 0
               && port->vtable->start (
@@ -376,6 +377,7 @@
                             .checkpoint = cyc_str_of (order->checkpoint),
                             .ticket = cyc_str_of (order->ticket),
                             .deadline_us = now_us + START_TIMEOUT_MS * 1000ULL,
+                            .write_until_us = until_us,
                             .done = on_started,
                             .user = owner,
                             .run = order->run,
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -360,10 +360,26 @@
   records_end (&owner->records);
   advice_end (owner->advice);
   owner->advice = NULL;
+  /* A successor ends the runs of starts that are not written yet. */
+  entry->desc.ports->workers->vtable->abandon_starts (
+      entry->desc.ports->workers, owner);
   /* The calls in flight still refer to the owner. */
   g_ptr_array_add (entry->ended_owners, owner);
 }
 
+uint64_t
+owner_epoch (const struct entry_owner *owner)
+{
+  return owner->epoch;
+}
+
+void
+owner_earlier_ended (struct entry_owner *owner, uint64_t until_us)
+{
+  cell_earlier_ended (owner->core, until_us, hc_now_us ());
+  owner_input_added (owner);
+}
+
 void
 owner_apply_config (struct entry *entry)
 {
--- a/src/entry_records.c
+++ b/src/entry_records.c
@@ -183,8 +183,9 @@
 records_restore (struct entry_records *records)
 {
   const struct entry_owner *owner = records->owner;
-  uint64_t lapsed_us = cell_lease_lapsed_us (
-      owner->core, MAX (owner->begun_us, owner->entry->predecessor_end_us));
+  uint64_t earlier_until_us
+      = MAX (owner->begun_us, owner->entry->predecessor_end_us);
+  uint64_t lapsed_us = cell_lease_lapsed_us (owner->core, earlier_until_us);
   uint32_t orphans = 0;
   GHashTableIter iter;
   gpointer key;
@@ -199,7 +200,7 @@
       orphans += !cell_job_restore (
           owner->core, (uint64_t) * (gint64 *)key,
           (struct cyc_str){ (const char *)progress->data, progress->len },
-          lapsed_us);
+          lapsed_us, earlier_until_us);
     }
   if (orphans > 0)
     ev_log (EV_PROGRESS_ORPHANED, "epoch=%" PRIu64 " records=%u of=%u",
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -22,6 +22,7 @@
   CURL *easy;
   struct ev_timer timer; /* of the deadline */
   uint64_t deadline_us;
+  uint64_t write_until_us; /* 0: only the deadline counts */
   struct curl_slist *headers;
   char *request_body;
   char *answer;
@@ -174,6 +175,8 @@
 static bool
 may_write (struct hc_transfer *transfer)
 {
+  if (transfer->write_until_us != 0 && hc_now_us () > transfer->write_until_us)
+    return false;
   if (transfer->attempts == 0 || transfer->repeatable)
     return true;
   transfer->repeat_denied = true;
@@ -567,6 +570,7 @@
   transfer->user = request->user;
   transfer->repeatable = request->repeatable || request->method == HC_GET;
   transfer->deadline_us = request->deadline_us;
+  transfer->write_until_us = request->write_until_us;
   ev_init (&transfer->timer, on_deadline);
   transfer->timer.data = transfer;
   transfer->easy = curl_easy_init ();
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -76,6 +76,9 @@
    * answer, though the server may then execute it more than once, in any order
    * and late. Always so for a GET. */
   bool repeatable;
+  uint64_t write_until_us; /**< monotonic; a request that has not got its
+                              connection by then is not written, and fails with
+                              HC_SENT_NO; 0: only the deadline counts */
   /** Uses a new connection for the request and closes it afterwards, as a
    * reused one may turn out to be dead when the request has been written. */
   bool fresh_connection;
--- a/src/ports.h
+++ b/src/ports.h
@@ -150,6 +150,8 @@
   struct cyc_str checkpoint;
   struct cyc_str ticket;
   uint64_t deadline_us;
+  uint64_t write_until_us; /**< the order is not written later: another leader
+                              may have replaced the one that gave it */
   void (*done) (void *user, struct cyc_ref run, enum cell_start_result result,
                 const char *why);
   void *user;
@@ -198,6 +200,9 @@
   bool (*start) (struct pt_workers *workers, const struct pt_start *start);
   bool (*stop) (struct pt_workers *workers, const struct pt_stop *stop);
   bool (*hold) (struct pt_workers *workers, const struct pt_hold *hold);
+  /** Ends the calls of all starts of the user that have no result yet, as
+   * abandon_start does. */
+  void (*abandon_starts) (struct pt_workers *workers, void *user);
   /** Ends the call of a start that has no result yet: from then on no worker
    * receives the order, and its result is CELL_START_UNKNOWN. */
   void (*abandon_start) (struct pt_workers *workers, void *user,
--- a/tests/test_cell_late_seeds.c
+++ b/tests/test_cell_late_seeds.c
@@ -60,6 +60,7 @@
       worker->answers_lost = !worker->answers_lost;
       break;
     case 9:
+      fleet->open_calls_ms = (uint32_t)g_rand_int_range (rand, 0, 2500);
       fleet_takeover (fleet);
       break;
     case 10:
--- a/tests/test_cell_open_start.c
+++ b/tests/test_cell_open_start.c
@@ -9,6 +9,8 @@
 
 #include <cmocka.h>
 
+#define OPEN_CALLS_MS 1200
+
 /* A start of the earlier leader waits for a connection while the successor
    gets a report without its run; the worker restarts before it arrives. */
 static void
@@ -30,6 +32,7 @@
   start = g_ptr_array_index (fleet->orders_in_flight, 0);
   row = start->order.worker;
   fleet_drain (fleet, row, 60000);
+  fleet->open_calls_ms = OPEN_CALLS_MS;
   fleet_takeover (fleet);
   start->reconnects = true;
   fleet_run (fleet, 400);
@@ -44,12 +47,41 @@
   free (fleet);
 }
 
+/* An inherited run whose start was not executed waits for the earlier leader's
+   open calls, and no longer once that leader says that it has ended. */
+static void
+test_inherited_run_waits_for_open_starts (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+
+  (void)state;
+  fleet_setup (fleet, 2, 1000);
+  fleet_run (fleet, 100);
+  fleet->delay_starts_ms = 60000;
+  fleet_submit (fleet, 1, &(struct fleet_job){ .tasks = { 1 } });
+  fleet_run (fleet, 40);
+  fleet->delay_starts_ms = 0;
+  fleet->open_calls_ms = 60000;
+  fleet_takeover (fleet);
+  fleet_run (fleet, 1000);
+  assert_int_equal (fleet->starts, 0);
+  fleet_end_calls (fleet);
+  cell_earlier_ended (fleet->core, fleet_now_us (fleet), fleet_now_us (fleet));
+  fleet_run (fleet, 100);
+  assert_int_equal (fleet->starts, 1);
+  fleet_run (fleet, 1000);
+  assert_int_equal (fleet_job_state (fleet, 1), CELL_JOB_COMPLETE);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (
         test_open_start_of_an_earlier_leader_reaches_a_restarted_worker),
+    cmocka_unit_test (test_inherited_run_waits_for_open_starts),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_cell_takeover.c
+++ b/tests/test_cell_takeover.c
@@ -41,7 +41,7 @@
                     fleet_now_us (fleet), fleet->now_ms);
       data = g_bytes_get_data (record->data, &len);
       cell_job_restore (core, id, (struct cyc_str){ (const char *)data, len },
-                        lease_until_us);
+                        lease_until_us, fleet_now_us (fleet));
     }
   return core;
 }
--- a/tests/test_entry_lead.c
+++ b/tests/test_entry_lead.c
@@ -73,12 +73,34 @@
   free (cluster);
 }
 
+/* A leader that hands over says when it has ended its calls: its successor
+   does not wait until the last renewal has become too old. */
+static void
+test_successor_learns_that_the_leader_has_ended (void **state)
+{
+  struct tst_cluster *cluster = calloc (1, sizeof *cluster);
+  const struct tst_cluster_vm *old_leader;
+
+  (void)state;
+  tst_cluster_setup (cluster);
+  old_leader = tst_cluster_leader (cluster);
+  entry_stop (&tst_cluster_leader (cluster)->entry);
+  tst_cluster_run (cluster, CONFIRMATION_MS / 4);
+  assert_non_null (tst_cluster_leader (cluster));
+  assert_ptr_not_equal (tst_cluster_leader (cluster), old_leader);
+  assert_true (tst_cluster_leader (cluster)->entry.predecessor_end_us
+               < hc_now_us ());
+  tst_cluster_teardown (cluster);
+  free (cluster);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_claim_with_unusable_address),
     cmocka_unit_test (test_renewal_after_an_unread_claim),
+    cmocka_unit_test (test_successor_learns_that_the_leader_has_ended),
   };
 
   signal (SIGPIPE, SIG_IGN);
--- a/tests/test_start_copies.c
+++ b/tests/test_start_copies.c
@@ -15,6 +15,9 @@
 #include <cmocka.h>
 
 #define CALL_TIMEOUT_MS 500
+/* Of one worker, as in platform/pf_workers.c. */
+#define CONNECTIONS_PER_WORKER 4
+#define QUEUED_US 150000ULL
 
 struct fixture
 {
@@ -213,12 +216,114 @@
   teardown (&f);
 }
 
+static void
+on_unanswered (void *user, uint32_t row, enum pt_hold_outcome outcome,
+               struct cell_report *report)
+{
+  struct fixture *f = user;
+
+  (void)row;
+  (void)report;
+  assert_int_equal (outcome, PT_HOLD_NO_ANSWER);
+  f->done++;
+}
+
+/* Sends a start that waits until a call without an answer ends. */
+static void
+queue_start (struct fixture *f, struct cyc_ref run, uint64_t write_until_us)
+{
+  f->fake.faults.workers_silent = true;
+  for (uint32_t i = 0; i < CONNECTIONS_PER_WORKER; i++)
+    assert_true (f->workers.port.vtable->hold (
+        &f->workers.port,
+        &(struct pt_hold){ .target = target (f),
+                           .deadline_us = hc_now_us () + QUEUED_US,
+                           .done = on_unanswered,
+                           .user = f }));
+  assert_true (f->workers.port.vtable->start (
+      &f->workers.port, &(struct pt_start){
+                            .target = target (f),
+                            .task = CYC_STR ("0000000000000001.0.0.0"),
+                            .number = 1,
+                            .payload = CYC_STR ("text"),
+                            .lease_deadline_ms = 100000,
+                            .deadline_us = deadline_us (),
+                            .write_until_us = write_until_us,
+                            .done = on_started,
+                            .user = f,
+                            .run = run,
+                        }));
+}
+
+static void
+end_holds (struct fixture *f)
+{
+  while (f->done < CONNECTIONS_PER_WORKER)
+    ev_run (f->loop, EVRUN_ONCE);
+  f->fake.faults.workers_silent = false;
+}
+
+/* A start that waited for a connection was written when its leader had been
+   replaced, and reached a process that knew nothing of the successor. */
+static void
+start_was_written_after_its_leader_had_been_replaced (void **state)
+{
+  static const struct
+  {
+    uint64_t write_us; /* from the call on */
+    enum cell_start_result result;
+    uint64_t starts;
+  } cases[] = {
+    { QUEUED_US / 2, CELL_START_REFUSED_OTHER, 0 },
+    { QUEUED_US * 2, CELL_START_OK, 1 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct fixture f;
+
+      setup (&f);
+      queue_start (&f, (struct cyc_ref){ 3, 7 },
+                   hc_now_us () + cases[i].write_us);
+      end_holds (&f);
+      wait_done (&f, CONNECTIONS_PER_WORKER + 1);
+      assert_int_equal (f.start, cases[i].result);
+      assert_int_equal (f.fake.workers[0].starts, cases[i].starts);
+      teardown (&f);
+    }
+}
+
+/* A leader that ends leaves no start behind that waits for a connection. */
+static void
+test_abandoned_starts_of_a_leader (void **state)
+{
+  struct fixture f;
+  int other;
+
+  (void)state;
+  setup (&f);
+  queue_start (&f, (struct cyc_ref){ 3, 7 }, UINT64_MAX);
+  f.workers.port.vtable->abandon_starts (&f.workers.port, &other);
+  assert_int_equal (f.done, 0);
+  f.workers.port.vtable->abandon_starts (&f.workers.port, &f);
+  assert_int_equal (f.done, 1);
+  assert_int_equal (f.start, CELL_START_UNKNOWN);
+  end_holds (&f);
+  for (uint64_t end_us = hc_now_us () + 200000; hc_now_us () < end_us;)
+    ev_run (f.loop, EVRUN_ONCE);
+  assert_int_equal (f.fake.workers[0].starts, 0);
+  teardown (&f);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (start_was_refused_though_it_ran),
     cmocka_unit_test (test_abandoned_start),
+    cmocka_unit_test (start_was_written_after_its_leader_had_been_replaced),
+    cmocka_unit_test (test_abandoned_starts_of_a_leader),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -451,6 +451,8 @@
     {
       fleet->now_ms += TIME_STEP_MS;
       fleet_run_tasks (fleet);
+      if (fleet->now_ms > fleet->calls_end_ms)
+        fleet_end_calls (fleet);
       fleet_deliver_orders (fleet);
       fleet_check_conclusions (fleet);
       fleet_deliver_holds (fleet);
@@ -490,10 +492,12 @@
       const char *data = g_bytes_get_data (record->data, &len);
 
       /* Runs on workers that do not answer count as ended after the lease and
-         a tenth of it. */
+         a tenth of it, from the last start on. */
       cell_job_restore (fleet->core, (uint64_t) * (gint64 *)key,
                         (struct cyc_str){ data, len },
-                        fleet_now_us (fleet) + fleet->lease_ms * 1100ULL);
+                        fleet->calls_end_ms * 1000ULL
+                            + fleet->lease_ms * 1100ULL,
+                        fleet->calls_end_ms * 1000ULL);
     }
 }
 
@@ -508,7 +512,7 @@
       clear_batch (&fleet->batches[b]);
     }
   g_array_set_size (fleet->pending_asks, 0);
-  fleet_end_calls (fleet);
+  fleet->calls_end_ms = fleet->now_ms + fleet->open_calls_ms;
   cell_shutdown (fleet->core);
   make_core (fleet);
   reload_core (fleet);
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -161,9 +161,12 @@
   struct fleet_worker workers[FLEET_WORKERS_MAX];
   uint32_t worker_count;
   uint64_t now_ms;
-  uint64_t epoch;   /**< of the current leader */
-  bool log_down;    /**< no batch is stored */
-  bool orders_held; /**< the core's orders are taken and sent later */
+  uint64_t epoch;         /**< of the current leader */
+  uint32_t open_calls_ms; /**< how long after a takeover the calls of the
+                             earlier leader may still get a connection */
+  uint64_t calls_end_ms;  /**< until when they may */
+  bool log_down;          /**< no batch is stored */
+  bool orders_held;       /**< the core's orders are taken and sent later */
   struct fleet_batch batches[FLEET_BATCHES_MAX];
   /** Added to the duration of appends FLEET_BATCHES_MAX - 1 - b times for
    * batches[b], so that batches become durable out of order. */
--- a/tests/tst_fleet_internal.h
+++ b/tests/tst_fleet_internal.h
@@ -52,7 +52,7 @@
 /** Checks the conclusions that the core hands out. */
 void fleet_check_conclusions (struct fleet *fleet);
 void fleet_free_hold (gpointer data);
-/** Ends the calls of a leader that is replaced: those that have no connection
+/** Ends the calls of leaders that are replaced: those that have no connection
  * yet cannot reach a new incarnation. */
 void fleet_end_calls (struct fleet *fleet);
 /** Returns the submitted job that the task belongs to. */
--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -350,7 +350,7 @@
       struct order_in_flight *in_flight
           = g_ptr_array_index (fleet->orders_in_flight, i);
 
-      if (!in_flight->received)
+      if (!in_flight->received && in_flight->epoch < fleet->epoch)
         in_flight->reconnects = false;
     }
 }
