--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -126,6 +126,8 @@
     {
       for (size_t s = 0; s < job->spec->n_steps; s++)
         cell_stage_release (&job->rounds[r].stages[s]);
+      for (uint32_t t = 0; t < job->task_count; t++)
+        g_free (job->rounds[r].tasks[t].crashes);
       g_free (job->rounds[r].stages);
       g_free (job->rounds[r].tasks);
     }
@@ -310,6 +312,7 @@
   worker->entry_left_us = 0;
   worker->absent_us = 0;
   worker->exited_us = 0;
+  worker->replaced = false;
 }
 
 /* A draining worker has left if it removed its entry and its process is gone.
@@ -326,9 +329,12 @@
 
 /* Resets what depends on the worker's earlier incarnation. */
 static void
-start_incarnation (struct cell_core *core, struct cell_worker *worker,
-                   uint64_t born_ms)
+start_incarnation (struct cell_core *core, uint32_t row, uint64_t born_ms)
 {
+  struct cell_worker *worker = cell_worker_at (core, row);
+
+  if (worker->born_ms != 0)
+    cell_blame_reborn (core, row);
   worker->reborn_us = worker->born_ms != 0 ? core->now_us : 0;
   worker->born_ms = born_ms;
   worker->clock_ms = 0;
@@ -337,6 +343,7 @@
   worker->lease_until_us = MAX (worker->lease_until_us,
                                 cell_lease_lapsed_us (core, core->now_us));
   still_there (worker);
+  worker->address_reported_us = 0;
   worker->broken_us = 0;
   worker->received_end = 0;
   worker->first_listed_end = 0;
@@ -349,13 +356,16 @@
   worker->pause_count = 0;
 }
 
-void
+bool
 cell_worker_listed (struct cell_core *core,
                     const struct cell_worker_entry *entry,
                     uint64_t entry_after_us, uint64_t now_us)
 {
-  struct cell_worker *worker = cell_worker_at (
-      core, cell_worker_row (core, cyc_name_str (&entry->id)));
+  uint32_t row = cell_worker_row (core, cyc_name_str (&entry->id));
+  struct cell_worker *worker = cell_worker_at (core, row);
+  bool moved = !cyc_str_eq (cyc_name_str (&worker->address),
+                            cyc_name_str (&entry->address));
+  bool is_new = !worker->listed || entry->born_ms > worker->born_ms || moved;
 
   core->now_us = now_us;
   if (!worker->listed || worker->draining != entry->draining
@@ -375,13 +385,19 @@
   worker->pool = entry->pool;
   worker->domain = entry->domain;
   worker->address = entry->address;
+  if (moved)
+    {
+      worker->address_since_us = now_us;
+      worker->address_reported_us = 0;
+    }
   worker->capacity = entry->capacity;
   memcpy (worker->labels, entry->labels, sizeof worker->labels);
   worker->label_count = entry->label_count;
   if (entry->born_ms > worker->born_ms)
-    start_incarnation (core, worker, entry->born_ms);
+    start_incarnation (core, row, entry->born_ms);
   if (entry->born_ms != 0 && entry->born_ms == worker->born_ms)
     cell_over_listed (core, worker, entry_after_us);
+  return is_new;
 }
 
 void
@@ -419,6 +435,8 @@
   for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
     out->report_after_us = MAX (out->report_after_us,
                                 cell_over_report_after_us (core, worker, run));
+  out->report_after_us
+      = MAX (out->report_after_us, cell_blame_report_after_us (core, worker));
   out->received_end = worker->received_end;
   out->lease_deadline_ms = worker->lease_deadline_ms;
   out->ends_pending = worker->ack < worker->received_end;
@@ -448,13 +466,38 @@
   struct cell_worker *worker = cell_worker_at (core, row);
 
   core->now_us = now_us;
-  cell_blame_broken (core, row, end);
+  cell_blame_broken (core, row, end, now_us);
   if (end != CELL_CALL_REFUSED)
     return;
   worker->absent_us = now_us;
   check_exit (core, worker);
 }
 
+void
+cell_worker_broken (struct cell_core *core, uint32_t row, uint64_t broken_us,
+                    uint64_t now_us)
+{
+  core->now_us = now_us;
+  cell_blame_broken (core, row, CELL_CALL_BROKEN, broken_us);
+}
+
+/* Another writer may give a worker a wrong address. An answer from there says
+   nothing of the worker, unless it had reported at that address. */
+void
+cell_worker_replaced (struct cell_core *core, uint32_t row, uint64_t sent_us,
+                      uint64_t now_us)
+{
+  struct cell_worker *worker = cell_worker_at (core, row);
+
+  core->now_us = now_us;
+  if (worker->address_reported_us == 0
+      || sent_us <= worker->address_reported_us || worker->exited_us != 0)
+    return;
+  worker->exited_us = now_us;
+  worker->replaced = true;
+  cell_wake (core, now_us);
+}
+
 void
 cell_worker_silent (struct cell_core *core, uint32_t row, uint64_t now_us)
 {
@@ -517,6 +560,9 @@
   task_row->ended_born_ms = worker->born_ms;
   task_row->ended_clock_ms = clock_ms;
   run = find_run (worker, job, round, task, end->run);
+  if (run != NULL
+      && (end->kind == CELL_END_DONE || end->kind == CELL_END_FAILED))
+    cell_blame_survived (core, run);
   if (run != NULL && end->kind != CELL_END_DONE)
     {
       cell_run_ended (core, run, end->kind, end->checkpoint);
@@ -627,6 +673,7 @@
               && cell_job_open (run->job))
             run->stop_requested = false;
         }
+      cell_blame_seen (core, run, report);
       task = &run->job->rounds[run->round].tasks[run->task];
       if (task->run == run && row->checkpoint.len > 0
           && row->checkpoint.len < sizeof task->checkpoint)
@@ -649,8 +696,8 @@
       return; /* of an earlier incarnation */
     }
   if (report->born_ms > worker->born_ms)
-    start_incarnation (core, worker, report->born_ms);
-  cell_blame_answered (core, row);
+    start_incarnation (core, row, report->born_ms);
+  cell_blame_answered (core, row, report->sent_us);
   if (report->clock_ms > worker->clock_ms)
     {
       worker->clock_ms = report->clock_ms;
@@ -662,6 +709,8 @@
     cell_worker_leased (core, row, report->clock_ms + core->desc.lease_ms);
   worker->fenced = true;
   worker->reachable = true;
+  if (report->sent_us >= worker->address_since_us)
+    worker->address_reported_us = now_us;
   still_there (worker);
   apply_ends (core, worker, row, report);
   apply_running (core, worker, row, report, seen);
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -138,6 +138,7 @@
   struct cell_worker *worker = cell_worker_at (core, run->worker);
   struct cell_task *task = &run->job->rounds[run->round].tasks[run->task];
 
+  cell_blame_freed (core, run);
   if (task->run == run)
     task->run = NULL;
   if (run->state == CELL_RUN_RECORDING)
@@ -167,6 +168,22 @@
   cell_wake (core, core->now_us);
 }
 
+bool
+cell_run_describe (const struct cell_core *core, struct cyc_ref ref,
+                   struct cell_order *out)
+{
+  const struct cell_run *run = cell_run_at (core, ref);
+
+  memset (out, 0, sizeof *out);
+  if (run == NULL)
+    return false;
+  out->run = ref;
+  out->worker = run->worker;
+  out->number = run->number;
+  cell_task_name (run, out->task);
+  return true;
+}
+
 void
 cell_start_result (struct cell_core *core, struct cyc_ref ref,
                    enum cell_start_result result, uint64_t now_us)
@@ -328,6 +345,7 @@
         cell_over_expire (core, worker);
       if (worker->stays_until_us != 0 && worker->exited_us == 0)
         evacuate (core, worker);
+      cell_blame_tick (core, worker);
       for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
         {
           if (run->state == CELL_RUN_RECORDING)
