Decide on a start when it is handed out, by the capacity shown then

By LIMIT no start may bring a worker over its capacity, which may shrink while the start waits for its record, or for its job to be stored; with a slow log that takes seconds.

Cause: capacity was checked when a task was placed and never again. An order was also made as soon as its record was durable, and handed out later, so that an entry read in between (drain, removal, capacity) was not heeded.

Recorded runs are now released when orders are taken, and each must fit beside the runs that were ordered; one that does not is placed again. The leader reads the core's next wake-up after it has taken the orders.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -456,7 +456,9 @@
  * durable in any order. */
 void cell_batch_durable (struct cell_core *core, uint64_t batch,
                          uint64_t now_us);
-/** Returns the next order to carry out; false if there is none. */
+/** Returns the next order to carry out; false if there is none. Starts whose
+ * worker can no longer take them, such as one that has shrunk since they were
+ * placed, are placed again instead. */
 bool cell_order_next (struct cell_core *core, struct cell_order *out);
 
 struct cell_totals
--- a/src/cyc_cell_batch.c
+++ b/src/cyc_cell_batch.c
@@ -119,6 +119,27 @@
   run->resumed = task->checkpoint[0] != 0;
 }
 
+/* Returns whether the run fits beside those that were ordered. The worker may
+   have shrunk since the run was placed. */
+static bool
+still_fits (const struct cell_worker *worker, const struct cell_run *run)
+{
+  struct cell_resources used
+      = { run->size.millicores, run->size.memory_mib, run->size.accelerators };
+
+  for (const struct cell_run *other = worker->runs; other != NULL;
+       other = other->next)
+    if (other->state != CELL_RUN_RECORDING)
+      {
+        used.millicores += other->size.millicores;
+        used.memory_mib += other->size.memory_mib;
+        used.accelerators += other->size.accelerators;
+      }
+  return used.millicores <= worker->capacity.millicores
+         && used.memory_mib <= worker->capacity.memory_mib
+         && used.accelerators <= worker->capacity.accelerators;
+}
+
 /* Returns whether the run may still be started: while its record was written,
    the run, its worker or its ticket may have become invalid. */
 static bool
@@ -127,7 +148,7 @@
   const struct cell_worker *worker = cell_worker_at (core, run->worker);
 
   return !run->stop_requested && cell_job_open (run->job) && worker->listed
-         && !worker->draining && worker->reachable
+         && !worker->draining && worker->reachable && still_fits (worker, run)
          && (run->ticket_until_us == 0 || run->ticket_until_us > core->now_us);
 }
 
@@ -173,7 +194,6 @@
           worker->ack_batch = core->batch;
         }
     }
-  order_recorded (core);
   publish_states (core);
 }
 
@@ -186,7 +206,6 @@
     return;
   core->now_us = now_us;
   job->stored = true;
-  order_recorded (core);
 }
 
 bool
@@ -194,6 +213,10 @@
 {
   struct cell_order *order;
 
+  /* Starts are decided when they are handed out: until then an entry may show
+     that the worker has shrunk or drains. */
+  if (g_queue_is_empty (&core->orders))
+    order_recorded (core);
   while ((order = g_queue_pop_head (&core->orders)) != NULL)
     {
       /* The run may have been taken for over since the order was queued. */
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -464,11 +464,11 @@
       owner->last_tick_us = now_us;
       cell_tick (owner->core, now_us, hc_wall_ms ());
     }
-  if (cell_next_us (owner->core) != UINT64_MAX)
-    entry_wake_at (entry, cell_next_us (owner->core));
   records_tick (&owner->records, now_us);
   while (cell_order_next (owner->core, &order))
     orders_send (owner, &order, now_us);
+  if (cell_next_us (owner->core) != UINT64_MAX)
+    entry_wake_at (entry, cell_next_us (owner->core));
   orders_log_conclusions (owner, now_us);
   orders_log_blames (owner, now_us);
   advice_tick (owner->advice, now_us);
