Place waiting tasks when a worker's capacity grows

Callers saw nothing yet. A worker may shrink and grow again while it runs.

Cause: the entry of a worker led to a placement if the worker was new, drained or had started again, but not if its capacity changed. If no run ended and no job came, a task waited on: in the test for as long as it ran.

An entry that shows another capacity or pool now leads to a placement.

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -349,6 +349,17 @@
   worker->pause_count = 0;
 }
 
+/* Returns whether the entry shows the pool and the capacity that are known. */
+static bool
+offers_the_same (const struct cell_worker *worker,
+                 const struct cell_worker_entry *entry)
+{
+  return worker->capacity.millicores == entry->capacity.millicores
+         && worker->capacity.memory_mib == entry->capacity.memory_mib
+         && worker->capacity.accelerators == entry->capacity.accelerators
+         && cyc_name_eq (&worker->pool, &entry->pool);
+}
+
 void
 cell_worker_listed (struct cell_core *core,
                     const struct cell_worker_entry *entry,
@@ -359,6 +370,7 @@
 
   core->now_us = now_us;
   if (!worker->listed || worker->draining != entry->draining
+      || !offers_the_same (worker, entry)
       || (entry->born_ms != 0 && worker->born_ms != entry->born_ms))
     {
       core->placement_pending = true;
