Ignore entries of an earlier incarnation of a worker

Callers saw nothing yet.

Cause: an entry was applied whatever incarnation wrote it, so one of an earlier incarnation (read after a report of the present one, or when the list is loaded again) brought back its capacity, address, labels and drain. Only its incarnation was not applied.

Such an entry is now ignored, as the reports of an earlier incarnation are.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -325,7 +325,8 @@
 void cell_config_set (struct cell_core *core,
                       const struct cell_config *config);
 /** Adds or updates a worker. The entry was written later than @p
- * entry_after_us; 0 if unknown. */
+ * entry_after_us; 0 if unknown. An entry of an earlier incarnation than the
+ * known one is ignored. */
 void cell_worker_listed (struct cell_core *core,
                          const struct cell_worker_entry *entry,
                          uint64_t entry_after_us, uint64_t now_us);
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -369,6 +369,8 @@
       core, cell_worker_row (core, cyc_name_str (&entry->id)));
 
   core->now_us = now_us;
+  if (entry->born_ms != 0 && entry->born_ms < worker->born_ms)
+    return; /* of an earlier incarnation */
   if (!worker->listed || worker->draining != entry->draining
       || !offers_the_same (worker, entry)
       || (entry->born_ms != 0 && worker->born_ms != entry->born_ms))
