Failing test: a restarted worker with less capacity

By the platform's pages a worker may start again under its id and be of another kind. If it answers before its entry is read, it gets starts by the capacity and the labels of its earlier incarnation (LIMIT, ROUTE).

--- a/tests/test_cell_capacity.c
+++ b/tests/test_cell_capacity.c
@@ -180,6 +180,30 @@
   free (fleet);
 }
 
+/* A worker starts again with less capacity, and answers before its entry is
+   read. Guards against starts by the capacity of the earlier incarnation. */
+static void
+test_restarted_worker_is_smaller (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+
+  (void)state;
+  fleet_setup (fleet, 1, MILLICORES);
+  fleet_run (fleet, 100);
+  fleet_crash (fleet, 0);
+  fleet_restart_unread (fleet, 0);
+  fleet->workers[0].millicores = 1000;
+  fleet_submit (fleet, 1, &(struct fleet_job){ .tasks = { 4 } });
+  fleet_run (fleet, 4000);
+  fleet_list (fleet, 0);
+  fleet_run (fleet, COMPLETE_MAX_MS);
+  if (fleet->violations > 0)
+    fail_msg ("%s", fleet->first_violation);
+  assert_int_equal (fleet_job_state (fleet, 1), CELL_JOB_COMPLETE);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
 int
 main (void)
 {
@@ -188,6 +212,7 @@
     cmocka_unit_test (test_waiting_task_starts_when_its_worker_grows),
     cmocka_unit_test (test_runs_above_the_capacity_go_on),
     cmocka_unit_test (test_entry_of_an_earlier_incarnation),
+    cmocka_unit_test (test_restarted_worker_is_smaller),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
