Use a restarted worker once its new entry is known

Callers saw nothing yet. By the platform's pages a worker may start again under its id, and be of another kind then.

Cause: a report makes a new incarnation known and usable at once, but the capacity and the labels come with its entry, which is read every 400 ms. Until then tasks were placed by those of the earlier incarnation (LIMIT, ROUTE). Both are now needed, for a placement and for a start that waits; an entry without an incarnation counts as current.

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -293,13 +293,21 @@
   return row;
 }
 
+bool
+cell_entry_current (const struct cell_worker *worker)
+{
+  return worker->entry_born_ms == 0
+         || worker->entry_born_ms == worker->born_ms;
+}
+
 bool
 cell_worker_usable (const struct cell_core *core,
                     const struct cell_worker *worker)
 {
   /* After a pause a worker gets one task at a time until a task succeeds. */
-  return worker->listed && !worker->draining && worker->fenced
-         && worker->reachable && worker->paused_until_us <= core->now_us
+  return worker->listed && cell_entry_current (worker) && !worker->draining
+         && worker->fenced && worker->reachable
+         && worker->paused_until_us <= core->now_us
          && (worker->pause_count == 0 || worker->run_count == 0);
 }
 
@@ -373,7 +381,7 @@
     return; /* of an earlier incarnation */
   if (!worker->listed || worker->draining != entry->draining
       || !offers_the_same (worker, entry)
-      || (entry->born_ms != 0 && worker->born_ms != entry->born_ms))
+      || worker->entry_born_ms != entry->born_ms)
     {
       core->placement_pending = true;
       cell_wake (core, now_us);
@@ -390,6 +398,7 @@
   worker->domain = entry->domain;
   worker->address = entry->address;
   worker->capacity = entry->capacity;
+  worker->entry_born_ms = entry->born_ms;
   memcpy (worker->labels, entry->labels, sizeof worker->labels);
   worker->label_count = entry->label_count;
   if (entry->born_ms > worker->born_ms)
--- a/src/cyc_cell_batch.c
+++ b/src/cyc_cell_batch.c
@@ -148,7 +148,8 @@
   const struct cell_worker *worker = cell_worker_at (core, run->worker);
 
   return !run->stop_requested && cell_job_open (run->job) && worker->listed
-         && !worker->draining && worker->reachable && still_fits (worker, run)
+         && cell_entry_current (worker) && !worker->draining
+         && worker->reachable && still_fits (worker, run)
          && (run->ticket_until_us == 0 || run->ticket_until_us > core->now_us);
 }
 
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -139,6 +139,8 @@
   struct cell_resources reserved; /**< for a gang; may still be in use */
   const struct cell_stage *reserved_for; /**< NULL if nothing is reserved */
   uint64_t born_ms;
+  uint64_t entry_born_ms; /**< incarnation that wrote its entry; 0 if unknown
+                           */
   bool listed;
   bool draining;
   uint64_t listed_after_us; /**< its entry was written later than this; 0 if
@@ -483,6 +485,9 @@
 void cell_place_tick (struct cell_core *core);
 /** Requests a placement at @p at_us, even if no other event occurs then. */
 void cell_retry_placement (struct cell_core *core, uint64_t at_us);
+/** Returns whether the worker's entry, with its capacity and labels, is that
+ * of its current incarnation, as far as is known. */
+bool cell_entry_current (const struct cell_worker *worker);
 bool cell_res_fits (const struct cell_worker *worker,
                     const struct cyc_resources *size);
 struct cyc_resources cell_step_size (const Cyc__CellStep *step);
