--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -206,9 +206,10 @@
   GPtrArray *holds_in_flight;  /**< of struct hold_in_flight */
   uint32_t conclusions[8];     /**< runs concluded to be over, by reason */
   uint32_t starts;             /**< number of runs that began */
-  uint32_t resumed;    /**< number of these that began from a checkpoint */
-  uint32_t stops;      /**< number of stop orders carried out */
-  uint32_t violations; /**< of the cell's invariants */
+  uint32_t resumed;       /**< number of these that began from a checkpoint */
+  uint32_t stops;         /**< number of stop orders carried out */
+  uint32_t stops_ordered; /**< number of stop orders handed out */
+  uint32_t violations;    /**< of the cell's invariants */
   char first_violation[160];
 };
 
--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -440,6 +440,7 @@
                              fleet_now_us (fleet));
           continue;
         }
+      fleet->stops_ordered += order.kind == CELL_ORDER_STOP;
       in_flight = g_new0 (struct order_in_flight, 1);
       in_flight->order = order;
       in_flight->epoch = fleet->epoch;
