--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -707,6 +707,8 @@
     core->placement_pending = true;
   if (!worker->fenced)
     cell_worker_leased (core, row, report->clock_ms + core->desc.lease_ms);
+  if (!worker->reachable)
+    cell_runs_reached (core, worker);
   worker->fenced = true;
   worker->reachable = true;
   if (report->sent_us >= worker->address_since_us)
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -36,6 +36,9 @@
 #define CELL_RELISTED_US 2000000
 /** Interval between repeated stops of one run. */
 #define CELL_STOP_REPEAT_US 700000
+/** Same while its worker is silent: its next report brings the stop
+ * forward. */
+#define CELL_STOP_SILENT_REPEAT_US 3000000
 /** Delay before a task is retried whose gang did not start completely. */
 #define CELL_RETRY_US 150000
 /** Number of workers that a stage avoids because its runs failed there. */
@@ -464,6 +467,10 @@
 struct cell_run *cell_run_at (const struct cell_core *core,
                               struct cyc_ref ref);
 void cell_run_stop (struct cell_core *core, struct cell_run *run);
+/** Brings the stops of the worker's runs forward, which waited while it was
+ * silent. */
+void cell_runs_reached (struct cell_core *core,
+                        const struct cell_worker *worker);
 void cell_runs_tick (struct cell_core *core);
 /** Returns when a lease has certainly lapsed that had @p remaining_ms left on
  * the worker's clock at @p from_us. */
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -248,15 +248,25 @@
   cell_wake (core, now_us);
 }
 
+void
+cell_runs_reached (struct cell_core *core, const struct cell_worker *worker)
+{
+  for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    run->stop_next_us = MIN (run->stop_next_us, core->now_us);
+}
+
 static void
 order_stop (struct cell_core *core, struct cell_run *run)
 {
+  const struct cell_worker *worker = cell_worker_at (core, run->worker);
   struct cell_order *order = g_new0 (struct cell_order, 1);
 
   run->stop_in_flight = true;
   run->stop_confirmed_us = 0;
-  run->stop_born_ms = cell_worker_at (core, run->worker)->born_ms;
-  run->stop_next_us = core->now_us + CELL_STOP_REPEAT_US;
+  run->stop_born_ms = worker->born_ms;
+  run->stop_next_us = core->now_us
+                      + (worker->reachable ? CELL_STOP_REPEAT_US
+                                           : CELL_STOP_SILENT_REPEAT_US);
   order->kind = CELL_ORDER_STOP;
   order->run = run->ref;
   order->worker = run->worker;
