--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -507,7 +507,7 @@
   if (worker->reachable || worker->silent_us == 0)
     worker->silent_us = now_us;
   worker->reachable = false;
-  cell_blame_broken (core, row, CELL_CALL_SILENT);
+  cell_blame_broken (core, row, CELL_CALL_SILENT, now_us);
   cell_wake (core, now_us);
 }
 
