--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -295,13 +295,21 @@
   return row;
 }
 
+bool
+cell_entry_current (const struct cell_worker *worker)
+{
+  return worker->entry_born_ms == 0
+         || worker->entry_born_ms == worker->born_ms;
+}
+
 bool
 cell_worker_usable (const struct cell_core *core,
                     const struct cell_worker *worker)
 {
   /* After a pause a worker gets one task at a time until a task succeeds. */
-  return worker->listed && !worker->draining && worker->fenced
-         && worker->reachable && worker->paused_until_us <= core->now_us
+  return worker->listed && cell_entry_current (worker) && !worker->draining
+         && worker->fenced && worker->reachable
+         && worker->paused_until_us <= core->now_us
          && (worker->pause_count == 0 || worker->run_count == 0);
 }
 
@@ -356,6 +364,17 @@
   worker->pause_count = 0;
 }
 
+/* Returns whether the entry shows the pool and the capacity that are known. */
+static bool
+offers_the_same (const struct cell_worker *worker,
+                 const struct cell_worker_entry *entry)
+{
+  return worker->capacity.millicores == entry->capacity.millicores
+         && worker->capacity.memory_mib == entry->capacity.memory_mib
+         && worker->capacity.accelerators == entry->capacity.accelerators
+         && cyc_name_eq (&worker->pool, &entry->pool);
+}
+
 bool
 cell_worker_listed (struct cell_core *core,
                     const struct cell_worker_entry *entry,
@@ -368,8 +387,11 @@
   bool is_new = !worker->listed || entry->born_ms > worker->born_ms || moved;
 
   core->now_us = now_us;
+  if (entry->born_ms != 0 && entry->born_ms < worker->born_ms)
+    return false; /* of an earlier incarnation */
   if (!worker->listed || worker->draining != entry->draining
-      || (entry->born_ms != 0 && worker->born_ms != entry->born_ms))
+      || !offers_the_same (worker, entry)
+      || worker->entry_born_ms != entry->born_ms)
     {
       core->placement_pending = true;
       cell_wake (core, now_us);
@@ -391,6 +413,7 @@
       worker->address_reported_us = 0;
     }
   worker->capacity = entry->capacity;
+  worker->entry_born_ms = entry->born_ms;
   memcpy (worker->labels, entry->labels, sizeof worker->labels);
   worker->label_count = entry->label_count;
   if (entry->born_ms > worker->born_ms)
@@ -433,8 +456,8 @@
   out->fenced = worker->fenced;
   out->report_after_us = 0;
   for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
-    out->report_after_us
-        = MAX (out->report_after_us, cell_over_report_after_us (worker, run));
+    out->report_after_us = MAX (out->report_after_us,
+                                cell_over_report_after_us (core, worker, run));
   out->report_after_us
       = MAX (out->report_after_us, cell_blame_report_after_us (core, worker));
   out->received_end = worker->received_end;
@@ -708,6 +731,8 @@
     core->placement_pending = true;
   if (!worker->fenced)
     cell_worker_leased (core, row, report->clock_ms + core->desc.lease_ms);
+  if (!worker->reachable)
+    cell_runs_reached (core, worker);
   worker->fenced = true;
   worker->reachable = true;
   if (report->sent_us >= worker->address_since_us)
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -362,10 +362,26 @@
   records_end (&owner->records);
   advice_end (owner->advice);
   owner->advice = NULL;
+  /* A successor ends the runs of starts that are not written yet. */
+  entry->desc.ports->workers->vtable->abandon_starts (
+      entry->desc.ports->workers, owner);
   /* The calls in flight still refer to the owner. */
   g_ptr_array_add (entry->ended_owners, owner);
 }
 
+uint64_t
+owner_epoch (const struct entry_owner *owner)
+{
+  return owner->epoch;
+}
+
+void
+owner_earlier_ended (struct entry_owner *owner, uint64_t until_us)
+{
+  cell_earlier_ended (owner->core, until_us, hc_now_us ());
+  owner_input_added (owner);
+}
+
 void
 owner_apply_config (struct entry *entry)
 {
@@ -466,11 +482,11 @@
       owner->last_tick_us = now_us;
       cell_tick (owner->core, now_us, hc_wall_ms ());
     }
-  if (cell_next_us (owner->core) != UINT64_MAX)
-    entry_wake_at (entry, cell_next_us (owner->core));
   records_tick (&owner->records, now_us);
   while (cell_order_next (owner->core, &order))
     orders_send (owner, &order, now_us);
+  if (cell_next_us (owner->core) != UINT64_MAX)
+    entry_wake_at (entry, cell_next_us (owner->core));
   orders_log_conclusions (owner, now_us);
   orders_log_blames (owner, now_us);
   advice_tick (owner->advice, now_us);
--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -382,7 +382,7 @@
       struct order_in_flight *in_flight
           = g_ptr_array_index (fleet->orders_in_flight, i);
 
-      if (!in_flight->received)
+      if (!in_flight->received && in_flight->epoch < fleet->epoch)
         in_flight->reconnects = false;
     }
 }
@@ -440,6 +440,7 @@
                              fleet_now_us (fleet));
           continue;
         }
+      fleet->stops_ordered += order.kind == CELL_ORDER_STOP;
       in_flight = g_new0 (struct order_in_flight, 1);
       in_flight->order = order;
       in_flight->epoch = fleet->epoch;
