A start without an answer ends with a worker that was replaced

Jobs with a task that had crashed its worker waited for the longest lease (6.3 s) before the crash counted: the crash cut off the answer to its start, and such a start waited as if a copy could be left.

When another worker answers at the address, the process that received the order is gone and its order with it, and the other worker refuses an order that names the earlier one. So the run is over once its call has ended, as the other runs are; an open call still waits. The case was red before in test_another_worker_at_the_address (0 runs over).

--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -186,6 +186,9 @@
     return worker_us;
   if (run->call_ended_us == 0)
     return UINT64_MAX;
+  /* The order has died with the process, and another worker refuses it. */
+  if (worker->replaced)
+    return worker_us;
   last_us = late_calls_lapse_us (core, MAX (run->call_ended_us, last_us));
   return MAX (worker_us,
               MIN (last_us, gone_us (core, worker, run->call_ended_us)));
@@ -215,9 +218,9 @@
               longest delay of a late call and the longest lease have passed
    left       as lapsed, with the exit of the process instead of the lease: its
               entry was removed and it does not answer
-   replaced   as left; the sign of the exit is that another worker answers a
-              call at the address at which this incarnation had reported before
-              the call was sent */
+   replaced   another worker answers a call at the address at which this
+              incarnation had reported before the call was sent, and the call
+   of the start has ended */
 static bool
 is_over (const struct cell_core *core, const struct cell_run *run,
          const struct evidence *evidence, enum cell_over *over)
--- a/tests/test_cell_late.c
+++ b/tests/test_cell_late.c
@@ -550,15 +550,19 @@
   bool moved;       /* its entry then named another address */
   bool sent_before; /* the call was sent before the report */
   bool seen;        /* that report showed the run */
+  bool unanswered;  /* the call of the start then ended without an answer */
   uint32_t over;
 };
 
 static const struct replaced_case replaced_cases[] = {
-  { "the worker had reported", true, false, false, true, 1 },
-  { "the worker has never reported", false, false, false, false, 0 },
-  { "the address is another one since", true, true, false, true, 0 },
-  { "the call is older than the report", true, false, true, true, 0 },
-  { "the start has no answer yet", true, false, false, false, 0 },
+  { "the worker had reported", true, false, false, true, false, 1 },
+  { "the worker has never reported", false, false, false, false, false, 0 },
+  { "the address is another one since", true, true, false, true, false, 0 },
+  { "the call is older than the report", true, false, true, true, false, 0 },
+  { "the start has no answer yet", true, false, false, false, false, 0 },
+  { "the start got no answer", true, false, false, false, true, 1 },
+  { "the start got no answer, and the worker has never reported", false, false,
+    false, false, true, 0 },
 };
 
 /* Another worker answers at the address of one that crashed. Its runs waited
@@ -583,6 +587,8 @@
       sent_us = s.now_us;
       if (row->reported)
         report (&s, s.born_ms + 5000, row->seen);
+      if (row->unanswered)
+        start_result (&s, CELL_START_UNKNOWN);
       if (row->moved)
         {
           snprintf (s.address, sizeof s.address, "127.0.0.1:2");
