--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -30,6 +30,11 @@
 #define TRIAL_WAIT_US 3000000
 /** Workers with trials at a time: this fraction of those usable. */
 #define TRIAL_DIVISOR 16
+/** Workers that crashed under trials which are not over yet: this fraction,
+ * and at least this many. They must not hold up the trials of innocent tasks,
+ * nor may all workers crash at once. */
+#define CRASHED_TRIAL_DIVISOR 4
+#define CRASHED_TRIALS_MIN 2
 /** A task is given up when the weights of its crashes reach HOPELESS_WEIGHT; a
  * weak one has the weight 1. */
 #define SOLE_WEIGHT 2
@@ -423,11 +428,26 @@
   return stage->job->rounds[stage->round].tasks[at].crashes;
 }
 
+void
+cell_blame_count_trial (struct cell_core *core,
+                        const struct cell_worker *worker)
+{
+  bool up = worker->broken_us == 0 && worker->reachable;
+
+  if (worker->trial_count == 0)
+    return;
+  core->trial_workers += up;
+  core->crashed_trial_workers += !up;
+}
+
 bool
 cell_blame_trial_allowed (struct cell_core *core)
 {
   cell_retry_placement (core, core->now_us + TRIAL_RETRY_US);
-  return core->trial_workers < MAX (1, core->usable_workers / TRIAL_DIVISOR);
+  return core->trial_workers < MAX (1, core->usable_workers / TRIAL_DIVISOR)
+         && core->crashed_trial_workers
+                < MAX (CRASHED_TRIALS_MIN,
+                       core->usable_workers / CRASHED_TRIAL_DIVISOR);
 }
 
 void
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -398,12 +398,15 @@
   uint64_t over_rate_late_us; /**< when work over a team's rate was last late;
                                  0 if never */
   double move_credit; /**< runs that may be moved from slow workers now */
-  uint64_t reserved_millicores; /**< reserved for gangs in this tick */
-  uint64_t usable_millicores;   /**< capacity of all usable workers */
-  uint32_t usable_workers;      /**< in this tick */
-  uint32_t trial_workers;       /**< with runs on trial, in this tick */
-  uint64_t last_placed_ms;      /**< Unix time of the last placement of earlier
-                                   leaders */
+  uint64_t reserved_millicores;   /**< reserved for gangs in this tick */
+  uint64_t usable_millicores;     /**< capacity of all usable workers */
+  uint32_t usable_workers;        /**< in this tick */
+  uint32_t trial_workers;         /**< with runs on trial, in this tick */
+  uint32_t crashed_trial_workers; /**< that broke or fell silent under runs on
+                                     trial, which are not over yet; in this
+                                     tick */
+  uint64_t last_placed_ms; /**< Unix time of the last placement of earlier
+                              leaders */
 };
 
 static inline uint64_t
@@ -524,6 +527,9 @@
  * it is none. */
 const struct cell_crashes *cell_blame_trial (const struct cell_stage *stage,
                                              uint32_t task);
+/** Adds the worker to the core's counts of workers with trials. */
+void cell_blame_count_trial (struct cell_core *core,
+                             const struct cell_worker *worker);
 /** Returns whether a further worker may be used for a trial. If not, a later
  * placement is requested. */
 bool cell_blame_trial_allowed (struct cell_core *core);
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -446,13 +446,14 @@
   core->usable_millicores = 0;
   core->usable_workers = 0;
   core->trial_workers = 0;
+  core->crashed_trial_workers = 0;
   for (guint i = 0; i < core->workers->len; i++)
     {
       const struct cell_worker *worker = cell_worker_at (core, i);
 
       if (worker->listed && worker->paused_until_us > core->now_us)
         cell_retry_placement (core, worker->paused_until_us);
-      core->trial_workers += worker->trial_count > 0;
+      cell_blame_count_trial (core, worker);
       if (!cell_worker_usable (core, worker))
         continue;
       core->usable_workers++;
