Count one crash for the placement of a gang (BUDGET)

Cause: each member whose worker crashed was counted as a crash of its own, without another suspect. Two of them were enough to give the gang up. Evidence: task_suspected of members 0.0.4 (crashes=1) and 0.0.6 (crashes=2), both run 2, at the same moment; then task_given_up. Fix: the members share the number of their run, and a run counts once. A gang with a deadly member crashes a worker at each placement and is still given up after two. The number is not in the record: after a takeover between the verdicts on two members, both may count (not seen).

--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -367,12 +367,15 @@
   blame->suspects = worker->suspects;
 }
 
+/* The members of a gang have the same number of the run: workers that crash
+   under one placement count once, as only one member may be deadly. */
 static bool
 is_counted (const struct cell_crashes *crashes, const struct cell_run *run)
 {
   for (uint32_t i = 0; i < crashes->count; i++)
-    if (crashes->rows[i].worker == run->worker
-        && crashes->rows[i].born_ms == run->broken_born_ms)
+    if (crashes->rows[i].run == run->number
+        || (crashes->rows[i].worker == run->worker
+            && crashes->rows[i].born_ms == run->broken_born_ms))
       return true;
   return crashes->count == CELL_CRASHES_MAX;
 }
@@ -410,6 +413,7 @@
   task->crashes->rows[task->crashes->count++] = (struct cell_crash){
     .worker = run->worker,
     .born_ms = run->broken_born_ms,
+    .run = run->number,
     .sole = !weak && worker->suspects == 1,
   };
   cell_job_mark_dirty (core, run->job);
