--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -327,8 +327,9 @@
 void cell_config_set (struct cell_core *core,
                       const struct cell_config *config);
 /** Adds or updates a worker. The entry was written later than @p
- * entry_after_us; 0 if unknown. Returns true if the worker, its incarnation or
- * its address is new, or it is listed again. */
+ * entry_after_us; 0 if unknown. An entry of an earlier incarnation than the
+ * known one is ignored. Returns true if the worker, its incarnation or its
+ * address is new, or it is listed again. */
 bool cell_worker_listed (struct cell_core *core,
                          const struct cell_worker_entry *entry,
                          uint64_t entry_after_us, uint64_t now_us);
@@ -408,10 +409,16 @@
                                uint64_t extended_us);
 /** Applies the progress record with the highest revision to a job added
  * before. @p lease_until_us: until when its runs may continue on workers that
- * do not answer. Returns false if the job is unknown or the record is
+ * do not answer; @p write_until_us: until when earlier leaders may write
+ * starts of them. Returns false if the job is unknown or the record is
  * malformed. */
 bool cell_job_restore (struct cell_core *core, uint64_t id,
-                       struct cyc_str record, uint64_t lease_until_us);
+                       struct cyc_str record, uint64_t lease_until_us,
+                       uint64_t write_until_us);
+/** Earlier leaders write no start after @p until_us, which is earlier than
+ * assumed by cell_job_restore. */
+void cell_earlier_ended (struct cell_core *core, uint64_t until_us,
+                         uint64_t now_us);
 /** Returns the durable state of the job; 0 if the job is unknown or not
  * stored. */
 enum cell_job_state cell_job_state (const struct cell_core *core, uint64_t id);
@@ -472,7 +479,9 @@
  * durable in any order. */
 void cell_batch_durable (struct cell_core *core, uint64_t batch,
                          uint64_t now_us);
-/** Returns the next order to carry out; false if there is none. */
+/** Returns the next order to carry out; false if there is none. Starts whose
+ * worker can no longer take them, such as one that has shrunk since they were
+ * placed, are placed again instead. */
 bool cell_order_next (struct cell_core *core, struct cell_order *out);
 
 struct cell_totals
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -91,7 +91,8 @@
                                deadline is; 0 if unknown */
   uint64_t call_ended_us;   /**< when the call of the start ended: a process
                                that starts later cannot receive the order;
-                               0 if it has not */
+                               0 if it has not. Of an inherited run: until
+                               when an earlier leader may write the start */
   uint64_t answered_us; /**< when the start was answered, so that no other copy
                            of the order is left; 0 if it was not */
   uint64_t last_born_ms; /**< last incarnation that may have received the
@@ -158,6 +159,8 @@
   struct cell_resources reserved; /**< for a gang; may still be in use */
   const struct cell_stage *reserved_for; /**< NULL if nothing is reserved */
   uint64_t born_ms;
+  uint64_t entry_born_ms; /**< incarnation that wrote its entry; 0 if unknown
+                           */
   bool listed;
   bool draining;
   uint64_t listed_after_us; /**< its entry was written later than this; 0 if
@@ -578,7 +581,8 @@
 void cell_over_expire (struct cell_core *core, struct cell_worker *worker);
 /** Returns the time after which a report must be requested to resolve the run;
  * 0 if it needs none. */
-uint64_t cell_over_report_after_us (const struct cell_worker *worker,
+uint64_t cell_over_report_after_us (const struct cell_core *core,
+                                    const struct cell_worker *worker,
                                     const struct cell_run *run);
 /** Notes that the worker reports a run that the core does not know as running,
  * or lists its end as done or failed (@p ended). If the run was concluded to
@@ -591,6 +595,9 @@
 void cell_place_tick (struct cell_core *core);
 /** Requests a placement at @p at_us, even if no other event occurs then. */
 void cell_retry_placement (struct cell_core *core, uint64_t at_us);
+/** Returns whether the worker's entry, with its capacity and labels, is that
+ * of its current incarnation, as far as is known. */
+bool cell_entry_current (const struct cell_worker *worker);
 bool cell_res_fits (const struct cell_worker *worker,
                     const struct cyc_resources *size);
 struct cyc_resources cell_step_size (const Cyc__CellStep *step);
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -304,11 +304,16 @@
     [CELL_BLAME_CLEARED] = EV_TASK_CLEARED,
     [CELL_BLAME_GIVEN_UP] = EV_TASK_GIVEN_UP,
   };
+  struct met_set *met = &owner->entry->met;
   struct cell_blame blame;
   struct cell_worker_view view;
 
   while (cell_blame_next (owner->core, &blame))
     {
+      met_add (met, MET_WORKERS_CRASHED, blame.kind == CELL_BLAME_CRASHED);
+      met_add (met, MET_TASKS_SUSPECTED, blame.kind == CELL_BLAME_SUSPECTED);
+      met_add (met, MET_TASKS_CLEARED, blame.kind == CELL_BLAME_CLEARED);
+      met_add (met, MET_TASKS_GIVEN_UP, blame.kind == CELL_BLAME_GIVEN_UP);
       cell_worker_view (owner->core, blame.worker, &view);
       ev_log (events[blame.kind],
               "task=%s run=%u worker=%.*s epoch=%" PRIu64 " born_ms=%" PRIu64
@@ -402,6 +407,7 @@
   if (order->kind == CELL_ORDER_START)
     {
       uint64_t lease_end_ms = lease_deadline_ms (owner, &view, now_us);
+      uint64_t until_us = lead_confirmed_until_us (owner->entry);
 
       begun = lease_end_ms != 0
               && port->vtable->start (
@@ -414,6 +420,7 @@
                             .checkpoint = cyc_str_of (order->checkpoint),
                             .ticket = cyc_str_of (order->ticket),
                             .deadline_us = now_us + START_TIMEOUT_MS * 1000ULL,
+                            .write_until_us = until_us,
                             .done = on_started,
                             .user = owner,
                             .run = order->run,
