Remove only entries of known workers, by their whole id

Callers saw nothing yet. A record without a value, which another writer may leave under any key, removes an entry.

Cause: the key was cut at a zero byte and at 62 bytes and then looked up, so that a removal under an odd key removed the entry of the worker whose id its beginning is; a removal of an unknown id added a row.

The id is now compared as a whole, and unknown ones are ignored.

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -293,6 +293,21 @@
   return row;
 }
 
+/* Returns NULL if no worker has this id, which may be any bytes. */
+static struct cell_worker *
+find_worker (const struct cell_core *core, struct cyc_str id)
+{
+  struct cyc_name name;
+  const uint32_t *row;
+  struct cell_worker *worker;
+
+  if (!cyc_name_set (&name, id))
+    return NULL;
+  row = g_hash_table_lookup (core->worker_rows, name.data);
+  worker = row != NULL ? cell_worker_at (core, *row) : NULL;
+  return worker != NULL && cyc_name_eq (&worker->id, &name) ? worker : NULL;
+}
+
 bool
 cell_entry_current (const struct cell_worker *worker)
 {
@@ -411,12 +426,13 @@
 cell_worker_unlisted (struct cell_core *core, struct cyc_str id,
                       uint64_t now_us)
 {
-  struct cell_worker *worker
-      = cell_worker_at (core, cell_worker_row (core, id));
+  struct cell_worker *worker = find_worker (core, id);
   uint64_t silence_us
       = (uint64_t)core->desc.heartbeat_ms * CELL_EXIT_HEARTBEATS_PERMILLE;
 
   core->now_us = now_us;
+  if (worker == NULL)
+    return;
   if (worker->listed && worker->draining && worker->listed_after_us != 0
       && now_us < worker->listed_after_us + silence_us)
     worker->entry_left_us = now_us;
