Keep a worker in its pool when an entry names an unknown service

Callers saw nothing yet. An entry with a service that isn't named names no worker to use, and the others hold.

Cause: such an entry under the id of a worker moved the worker to a pool that no queue uses, until its next heartbeat.

It is now ignored if the worker's pool is in the configuration and the entry's is not. A new worker may still be listed before the configuration that names its service is read.

test_entry_of_an_unknown_service of test_cell_entries was red before and passes, as do the other tests of the core.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -325,8 +325,9 @@
 void cell_config_set (struct cell_core *core,
                       const struct cell_config *config);
 /** Adds or updates a worker. The entry was written later than @p
- * entry_after_us; 0 if unknown. An entry of an earlier incarnation than the
- * known one is ignored. */
+ * entry_after_us; 0 if unknown. An entry is ignored that is of an earlier
+ * incarnation than the known one, or that would move the worker to a pool of
+ * no configuration. */
 void cell_worker_listed (struct cell_core *core,
                          const struct cell_worker_entry *entry,
                          uint64_t entry_after_us, uint64_t now_us);
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -372,6 +372,29 @@
   worker->pause_count = 0;
 }
 
+static bool
+is_configured_pool (const struct cell_core *core, const struct cyc_name *pool)
+{
+  for (uint32_t i = 0; core->config != NULL && i < core->config->pool_count;
+       i++)
+    if (cyc_name_eq (&core->config->pools[i].name, pool))
+      return true;
+  return false;
+}
+
+/* Returns whether the entry is to be ignored: it is of an earlier incarnation,
+   or would move a worker to a pool of no configuration. */
+static bool
+is_odd_entry (const struct cell_core *core, const struct cell_worker *worker,
+              const struct cell_worker_entry *entry)
+{
+  if (entry->born_ms != 0 && entry->born_ms < worker->born_ms)
+    return true;
+  return worker->listed && !cyc_name_eq (&worker->pool, &entry->pool)
+         && is_configured_pool (core, &worker->pool)
+         && !is_configured_pool (core, &entry->pool);
+}
+
 /* Returns whether the entry shows the pool and the capacity that are known. */
 static bool
 offers_the_same (const struct cell_worker *worker,
@@ -392,8 +415,8 @@
       core, cell_worker_row (core, cyc_name_str (&entry->id)));
 
   core->now_us = now_us;
-  if (entry->born_ms != 0 && entry->born_ms < worker->born_ms)
-    return; /* of an earlier incarnation */
+  if (is_odd_entry (core, worker, entry))
+    return;
   if (!worker->listed || worker->draining != entry->draining
       || !offers_the_same (worker, entry)
       || worker->entry_born_ms != entry->born_ms)
