Failing test: starts refused for want of room, again and again

A worker that guards its capacity refuses starts once it has shrunk, and its entry shows that up to a heartbeat later. Meanwhile its capacity still counts as free: 100 starts of one task are recorded, sent and refused within 1.5 s.

--- a/tests/test_cell_capacity.c
+++ b/tests/test_cell_capacity.c
@@ -14,6 +14,9 @@
 /* A worker that has grown again starts a task within this time. */
 #define START_MAX_MS 200
 #define COMPLETE_MAX_MS 10000
+/* Starts that a worker refuses within one heartbeat, after which its entry
+   shows its capacity. */
+#define REFUSED_MAX 4
 
 /* A job is placed on workers of MILLICORES. Before its starts are ordered, the
    entries of all workers show `shrunk_millicores`; later they grow again. */
@@ -204,6 +207,40 @@
   free (fleet);
 }
 
+/* A worker that guards its capacity has shrunk and refuses starts before its
+   entry shows why. Guards against starts that are refused again and again. */
+static void
+test_worker_refuses_starts_for_want_of_room (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  uint32_t refused = 0;
+
+  (void)state;
+  fleet_setup (fleet, 1, MILLICORES);
+  fleet_run (fleet, 100);
+  fleet->delay_starts_ms = 600000;
+  fleet_submit (fleet, 1, &(struct fleet_job){ .tasks = { 1 } });
+  for (uint32_t ms = 0; ms < FLEET_HEARTBEAT_MS; ms += 5)
+    {
+      fleet_run (fleet, 5);
+      for (; refused < fleet->orders_in_flight->len; refused++)
+        {
+          const struct order_in_flight *start
+              = g_ptr_array_index (fleet->orders_in_flight, refused);
+
+          cell_start_result (fleet->core, start->order.run,
+                             CELL_START_REFUSED_CAPACITY,
+                             fleet_now_us (fleet));
+        }
+    }
+  assert_in_range (refused, 1, REFUSED_MAX);
+  fleet->delay_starts_ms = 0;
+  fleet_run (fleet, COMPLETE_MAX_MS);
+  assert_int_equal (fleet_job_state (fleet, 1), CELL_JOB_COMPLETE);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
 int
 main (void)
 {
@@ -213,6 +250,7 @@
     cmocka_unit_test (test_runs_above_the_capacity_go_on),
     cmocka_unit_test (test_entry_of_an_earlier_incarnation),
     cmocka_unit_test (test_restarted_worker_is_smaller),
+    cmocka_unit_test (test_worker_refuses_starts_for_want_of_room),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
