Pause a worker that refuses a start for want of room

Callers saw nothing yet; refused starts are paid for, and each needs a record in the log.

Cause: after such a refusal the run was let go and its task placed again at once, on the same worker, whose capacity still counted as free: 100 times in 1.5 s in the test. A worker that guards its capacity refuses if it has shrunk, and its entry shows that a heartbeat later.

The worker now gets no new task for half a second. A pause that is longer already stays.

Three cases of test_cell_late use this refusal to let a run go and took the next start 40 or 60 ms later; they now take it after 600 ms. What they check is unchanged.

--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -13,6 +13,9 @@
 #define EVACUATE_BEFORE_US 1500000
 /** A run that ends at least this long before its worker leaves may stay. */
 #define EVACUATE_MARGIN_US 250000
+/** A worker that refused a start for want of room gets no new tasks for this
+ * time: it has shrunk, and its entry shows that with its next heartbeat. */
+#define NO_ROOM_PAUSE_US 500000
 /** Maximum interval between ticks while any worker has runs. */
 #define RUN_IDLE_TIMER_US 500000
 
@@ -167,6 +170,16 @@
   cell_wake (core, core->now_us);
 }
 
+static void
+pause_worker (struct cell_core *core, uint32_t row, uint64_t pause_us)
+{
+  struct cell_worker *worker = cell_worker_at (core, row);
+
+  worker->paused_until_us
+      = MAX (worker->paused_until_us, core->now_us + pause_us);
+  cell_retry_placement (core, worker->paused_until_us);
+}
+
 void
 cell_start_result (struct cell_core *core, struct cyc_ref ref,
                    enum cell_start_result result, uint64_t now_us)
@@ -192,19 +205,17 @@
       run->unconfirmed_us = now_us;
       return;
     case CELL_START_REFUSED_OTHER:
-      {
-        struct cell_worker *worker = cell_worker_at (core, run->worker);
-
-        worker->paused_until_us = now_us + CELL_PAUSE_US / 2;
-        cell_retry_placement (core, worker->paused_until_us);
-        cell_over_refused (core, run);
-        return;
-      }
+      pause_worker (core, run->worker, CELL_PAUSE_US / 2);
+      cell_over_refused (core, run);
+      return;
     case CELL_START_REFUSED_TICKET:
       cell_ticket_refused (run);
       cell_over_refused (core, run);
       return;
     case CELL_START_REFUSED_CAPACITY:
+      pause_worker (core, run->worker, NO_ROOM_PAUSE_US);
+      cell_over_refused (core, run);
+      return;
     case CELL_START_FENCED:
       cell_over_refused (core, run);
       return;
