--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -141,6 +141,7 @@
   struct cell_worker *worker = cell_worker_at (core, run->worker);
   struct cell_task *task = &run->job->rounds[run->round].tasks[run->task];
 
+  cell_blame_freed (core, run);
   if (task->run == run)
     task->run = NULL;
   if (run->state == CELL_RUN_RECORDING)
@@ -180,6 +181,22 @@
   cell_retry_placement (core, worker->paused_until_us);
 }
 
+bool
+cell_run_describe (const struct cell_core *core, struct cyc_ref ref,
+                   struct cell_order *out)
+{
+  const struct cell_run *run = cell_run_at (core, ref);
+
+  memset (out, 0, sizeof *out);
+  if (run == NULL)
+    return false;
+  out->run = ref;
+  out->worker = run->worker;
+  out->number = run->number;
+  cell_task_name (run, out->task);
+  return true;
+}
+
 void
 cell_start_result (struct cell_core *core, struct cyc_ref ref,
                    enum cell_start_result result, uint64_t now_us)
@@ -242,15 +259,25 @@
   cell_wake (core, now_us);
 }
 
+void
+cell_runs_reached (struct cell_core *core, const struct cell_worker *worker)
+{
+  for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    run->stop_next_us = MIN (run->stop_next_us, core->now_us);
+}
+
 static void
 order_stop (struct cell_core *core, struct cell_run *run)
 {
+  const struct cell_worker *worker = cell_worker_at (core, run->worker);
   struct cell_order *order = g_new0 (struct cell_order, 1);
 
   run->stop_in_flight = true;
   run->stop_confirmed_us = 0;
-  run->stop_born_ms = cell_worker_at (core, run->worker)->born_ms;
-  run->stop_next_us = core->now_us + CELL_STOP_REPEAT_US;
+  run->stop_born_ms = worker->born_ms;
+  run->stop_next_us = core->now_us
+                      + (worker->reachable ? CELL_STOP_REPEAT_US
+                                           : CELL_STOP_SILENT_REPEAT_US);
   order->kind = CELL_ORDER_STOP;
   order->run = run->ref;
   order->worker = run->worker;
@@ -339,10 +366,13 @@
         cell_over_expire (core, worker);
       if (worker->stays_until_us != 0 && worker->exited_us == 0)
         evacuate (core, worker);
+      cell_blame_tick (core, worker);
       for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
         {
           if (run->state == CELL_RUN_RECORDING)
             continue;
+          if (run->inherited && run->call_ended_us > core->now_us)
+            cell_wake (core, run->call_ended_us);
           if (run->state == CELL_RUN_STARTING && run->unconfirmed_us == 0
               && (run->ordered_us != 0 || run->inherited)
               && run->ordered_us + CELL_START_TIMEOUT_US <= core->now_us)
