Red test: a leadership is confirmed from a claim that failed

A VM repeats a claim whose answer was lost and then reads that the first one was stored. It counts its leadership as confirmed from the second claim, while other VMs count from the first: for the time between them it extends leases that its successor takes for lapsed (TWICE).

The fake platform's fault unread_topic now also leaves reads unanswered that were waiting when it was set.

--- a/fakes/fk_platform.c
+++ b/fakes/fk_platform.c
@@ -451,6 +451,9 @@
       fkp_reply_hold (reply->worker, reply->call);
       return true;
     }
+  if (platform->faults.unread_topic != NULL
+      && g_str_has_prefix (reply->part->name, platform->faults.unread_topic))
+    return true;
   if (part_end (reply->part) <= reply->from && now < reply->due_ms)
     return false;
   reply_read (platform, reply->call, reply->part, reply->from);
