Confirm a leadership from the oldest claim that may have been stored

Cause: a claim is repeated when its answer is lost. If the first one was stored, the second one fails, the VM reads the first one from the stream and took the send time of the second one for its confirmation. Others count from the stored claim and may replace the leader, and take its leases for lapsed, up to the time between the two claims too early.

Why this works: the send time of the oldest claim without a known outcome is kept until a claim is read or answered. It is never later than the time from which others count.

--- a/src/entry.h
+++ b/src/entry.h
@@ -104,6 +104,9 @@
                                     0: none */
   bool claim_in_flight;
   uint64_t claim_sent_us;      /**< send time of the newest claim */
+  uint64_t claim_unknown_us;   /**< send time of the oldest claim that may be
+                                    stored, unread; 0 if none is but the
+                                    newest */
   uint64_t predecessor_end_us; /**< until when the leaders before this process
                                     may extend leases and write starts; 0 if
                                     they had ended */
--- a/src/entry_lead.c
+++ b/src/entry_lead.c
@@ -155,8 +155,12 @@
   bool own
       = own_vm && lead->incarnation.len == 16
         && memcmp (lead->incarnation.data, entry->incarnation.bytes, 16) == 0;
+  /* An own claim that is read may be an earlier one than the newest. */
+  uint64_t claimed_us = entry->claim_unknown_us != 0 ? entry->claim_unknown_us
+                                                     : entry->claim_sent_us;
   struct set_peer peer = { .role = SET_ROLE_ENTRY };
 
+  entry->claim_unknown_us = 0;
   entry->replaced_epoch = leader->epoch;
   entry->replaced_before_us = entry->replaced_end_us;
   if (!leader->self)
@@ -178,7 +182,10 @@
   if (own)
     {
       if (entry->owner == NULL)
-        owner_begin (entry, epoch);
+        {
+          entry->confirmed_us = claimed_us;
+          owner_begin (entry, epoch);
+        }
       return;
     }
   if (!set_address_parse (cyc_str_of (lead->address), &leader->address))
@@ -242,6 +249,8 @@
   entry->claim_at_us = 0;
   if (result->outcome != PT_OK)
     {
+      if (result->outcome == PT_UNKNOWN && entry->claim_unknown_us == 0)
+        entry->claim_unknown_us = entry->claim_sent_us;
       entry->claim_not_before_us
           = hc_now_us ()
             + (result->outcome == PT_CONFLICT
@@ -254,6 +263,7 @@
   met_add (&entry->met, MET_CLAIMS_WON, 1);
   if (result->offset + 1 <= entry->leader.epoch)
     return;
+  entry->claim_unknown_us = 0;
   entry->known_end = result->offset + 1;
   fill_own_lead (entry, &lead, address);
   apply_claim (entry, &lead, result->offset + 1);
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -345,7 +345,6 @@
     tail_start (&owner->jobs_tails[i]);
   entry->owner = owner;
   entry->renew_at_us = owner->begun_us;
-  entry->confirmed_us = entry->claim_sent_us;
   entry_wake (entry);
 }
 
