Let the leases of open starts of earlier leaders lapse too (TWICE)

Callers saw nothing yet; by reading, a task could run twice.

Cause: a leader that got one report of a worker knows its lease and takes an inherited run for over when that lease has lapsed. Earlier leaders may write the start for some time after the report, to an incarnation that has replaced the one that reported and is silent to the new leader; its lease ends later. Without any report the time of the last write was heeded already.

Fix: the lease of what an earlier leader may still write counts as well. A worker that has left or was replaced is treated as before. Not covered, as before: such a start that a later incarnation executes seconds after it was received.

--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -182,6 +182,11 @@
   uint64_t last_us
       = worker->exited_us != 0 ? worker->exited_us : worker->silent_us;
 
+  /* An earlier leader may write the start to an incarnation that is later than
+     the one whose lease is known. */
+  if (run->inherited && worker->exited_us == 0)
+    worker_us
+        = MAX (worker_us, cell_lease_lapsed_us (core, run->call_ended_us));
   if (lease_covers (worker, run))
     return worker_us;
   if (run->call_ended_us == 0)
@@ -211,7 +216,8 @@
               requested after the answer and after the call had ended lacks the
               run: until then a new incarnation may receive the order
    lapsed     the lease has lapsed of the only incarnation that may have
-              received the order; else the worker has lost its entry, or the
+              received the order, and that of a start which an earlier leader
+              may still write; else the worker has lost its entry, or the
               longest delay of a late call and the longest lease have passed
    left       as lapsed, with the exit of the process instead of the lease: its
               entry was removed and it does not answer
