--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -224,9 +224,9 @@
               longest delay of a late call and the longest lease have passed
    left       as lapsed, with the exit of the process instead of the lease: its
               entry was removed and it does not answer
-   replaced   another worker answers a call at the address at which this
-              incarnation had reported before the call was sent, and the call
-   of the start has ended */
+   replaced   the call of the start has ended, and another worker answers a
+              call at the address at which this incarnation had reported before
+              that call was sent */
 static bool
 is_over (const struct cell_core *core, const struct cell_run *run,
          const struct evidence *evidence, enum cell_over *over)
