--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -327,8 +327,10 @@
 void cell_config_set (struct cell_core *core,
                       const struct cell_config *config);
 /** Adds or updates a worker. The entry was written later than @p
- * entry_after_us; 0 if unknown. Returns true if the worker, its incarnation or
- * its address is new, or it is listed again. */
+ * entry_after_us; 0 if unknown. An entry is ignored that is of an earlier
+ * incarnation than the known one, or that would move the worker to a pool of
+ * no configuration. Returns true if the worker, its incarnation or its address
+ * is new, or it is listed again. */
 bool cell_worker_listed (struct cell_core *core,
                          const struct cell_worker_entry *entry,
                          uint64_t entry_after_us, uint64_t now_us);
@@ -478,7 +480,9 @@
  * durable in any order. */
 void cell_batch_durable (struct cell_core *core, uint64_t batch,
                          uint64_t now_us);
-/** Returns the next order to carry out; false if there is none. */
+/** Returns the next order to carry out; false if there is none. Starts whose
+ * worker can no longer take them, such as one that has shrunk since they were
+ * placed, are placed again instead. */
 bool cell_order_next (struct cell_core *core, struct cell_order *out);
 
 struct cell_totals
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -295,13 +295,36 @@
   return row;
 }
 
+/* Returns NULL if no worker has this id, which may be any bytes. */
+static struct cell_worker *
+find_worker (const struct cell_core *core, struct cyc_str id)
+{
+  struct cyc_name name;
+  const uint32_t *row;
+  struct cell_worker *worker;
+
+  if (!cyc_name_set (&name, id))
+    return NULL;
+  row = g_hash_table_lookup (core->worker_rows, name.data);
+  worker = row != NULL ? cell_worker_at (core, *row) : NULL;
+  return worker != NULL && cyc_name_eq (&worker->id, &name) ? worker : NULL;
+}
+
+bool
+cell_entry_current (const struct cell_worker *worker)
+{
+  return worker->entry_born_ms == 0
+         || worker->entry_born_ms == worker->born_ms;
+}
+
 bool
 cell_worker_usable (const struct cell_core *core,
                     const struct cell_worker *worker)
 {
   /* After a pause a worker gets one task at a time until a task succeeds. */
-  return worker->listed && !worker->draining && worker->fenced
-         && worker->reachable && worker->paused_until_us <= core->now_us
+  return worker->listed && cell_entry_current (worker) && !worker->draining
+         && worker->fenced && worker->reachable
+         && worker->paused_until_us <= core->now_us
          && (worker->pause_count == 0 || worker->run_count == 0);
 }
 
@@ -356,6 +379,40 @@
   worker->pause_count = 0;
 }
 
+static bool
+is_configured_pool (const struct cell_core *core, const struct cyc_name *pool)
+{
+  for (uint32_t i = 0; core->config != NULL && i < core->config->pool_count;
+       i++)
+    if (cyc_name_eq (&core->config->pools[i].name, pool))
+      return true;
+  return false;
+}
+
+/* Returns whether the entry is to be ignored: it is of an earlier incarnation,
+   or would move a worker to a pool of no configuration. */
+static bool
+is_odd_entry (const struct cell_core *core, const struct cell_worker *worker,
+              const struct cell_worker_entry *entry)
+{
+  if (entry->born_ms != 0 && entry->born_ms < worker->born_ms)
+    return true;
+  return worker->listed && !cyc_name_eq (&worker->pool, &entry->pool)
+         && is_configured_pool (core, &worker->pool)
+         && !is_configured_pool (core, &entry->pool);
+}
+
+/* Returns whether the entry shows the pool and the capacity that are known. */
+static bool
+offers_the_same (const struct cell_worker *worker,
+                 const struct cell_worker_entry *entry)
+{
+  return worker->capacity.millicores == entry->capacity.millicores
+         && worker->capacity.memory_mib == entry->capacity.memory_mib
+         && worker->capacity.accelerators == entry->capacity.accelerators
+         && cyc_name_eq (&worker->pool, &entry->pool);
+}
+
 bool
 cell_worker_listed (struct cell_core *core,
                     const struct cell_worker_entry *entry,
@@ -368,8 +425,11 @@
   bool is_new = !worker->listed || entry->born_ms > worker->born_ms || moved;
 
   core->now_us = now_us;
+  if (is_odd_entry (core, worker, entry))
+    return false;
   if (!worker->listed || worker->draining != entry->draining
-      || (entry->born_ms != 0 && worker->born_ms != entry->born_ms))
+      || !offers_the_same (worker, entry)
+      || worker->entry_born_ms != entry->born_ms)
     {
       core->placement_pending = true;
       cell_wake (core, now_us);
@@ -391,6 +451,7 @@
       worker->address_reported_us = 0;
     }
   worker->capacity = entry->capacity;
+  worker->entry_born_ms = entry->born_ms;
   memcpy (worker->labels, entry->labels, sizeof worker->labels);
   worker->label_count = entry->label_count;
   if (entry->born_ms > worker->born_ms)
@@ -404,12 +465,13 @@
 cell_worker_unlisted (struct cell_core *core, struct cyc_str id,
                       uint64_t now_us)
 {
-  struct cell_worker *worker
-      = cell_worker_at (core, cell_worker_row (core, id));
+  struct cell_worker *worker = find_worker (core, id);
   uint64_t silence_us
       = (uint64_t)core->desc.heartbeat_ms * CELL_EXIT_HEARTBEATS_PERMILLE;
 
   core->now_us = now_us;
+  if (worker == NULL)
+    return;
   if (worker->listed && worker->draining && worker->listed_after_us != 0
       && now_us < worker->listed_after_us + silence_us)
     worker->entry_left_us = now_us;
@@ -507,6 +569,7 @@
   if (worker->reachable || worker->silent_us == 0)
     worker->silent_us = now_us;
   worker->reachable = false;
+  cell_blame_broken (core, row, CELL_CALL_SILENT, now_us);
   cell_wake (core, now_us);
 }
 
@@ -707,6 +770,8 @@
     core->placement_pending = true;
   if (!worker->fenced)
     cell_worker_leased (core, row, report->clock_ms + core->desc.lease_ms);
+  if (!worker->reachable)
+    cell_runs_reached (core, worker);
   worker->fenced = true;
   worker->reachable = true;
   if (report->sent_us >= worker->address_since_us)
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -36,6 +36,9 @@
 #define CELL_RELISTED_US 2000000
 /** Interval between repeated stops of one run. */
 #define CELL_STOP_REPEAT_US 700000
+/** Same while its worker is silent: its next report brings the stop
+ * forward. */
+#define CELL_STOP_SILENT_REPEAT_US 3000000
 /** Delay before a task is retried whose gang did not start completely. */
 #define CELL_RETRY_US 150000
 /** Number of workers that a stage avoids because its runs failed there. */
@@ -58,8 +61,7 @@
  * has not crashed it: a task that does crash it does so within milliseconds.
  */
 #define CELL_TRIAL_US 200000
-/** Crashes remembered for a task. A task is given up with the last of them,
- * whatever else was suspected. */
+/** Crashes for which a task is given up, even if each is weak evidence. */
 #define CELL_CRASHES_MAX 4
 
 enum cell_run_state
@@ -157,6 +159,8 @@
   struct cell_resources reserved; /**< for a gang; may still be in use */
   const struct cell_stage *reserved_for; /**< NULL if nothing is reserved */
   uint64_t born_ms;
+  uint64_t entry_born_ms; /**< incarnation that wrote its entry; 0 if unknown
+                           */
   bool listed;
   bool draining;
   uint64_t listed_after_us; /**< its entry was written later than this; 0 if
@@ -223,8 +227,9 @@
 {
   uint32_t worker;  /**< row */
   uint64_t born_ms; /**< incarnation that crashed */
-  bool sole;        /**< no other job was suspected, and no other reason is
-                       near */
+  uint32_t run; /**< number of the run; 0 if an earlier leader counted it */
+  bool sole;    /**< no other job was suspected, and no other reason is
+                   near */
 };
 
 struct cell_crashes
@@ -397,12 +402,15 @@
   uint64_t over_rate_late_us; /**< when work over a team's rate was last late;
                                  0 if never */
   double move_credit; /**< runs that may be moved from slow workers now */
-  uint64_t reserved_millicores; /**< reserved for gangs in this tick */
-  uint64_t usable_millicores;   /**< capacity of all usable workers */
-  uint32_t usable_workers;      /**< in this tick */
-  uint32_t trial_workers;       /**< with runs on trial, in this tick */
-  uint64_t last_placed_ms;      /**< Unix time of the last placement of earlier
-                                   leaders */
+  uint64_t reserved_millicores;   /**< reserved for gangs in this tick */
+  uint64_t usable_millicores;     /**< capacity of all usable workers */
+  uint32_t usable_workers;        /**< in this tick */
+  uint32_t trial_workers;         /**< with runs on trial, in this tick */
+  uint32_t crashed_trial_workers; /**< that broke or fell silent under runs on
+                                     trial, which are not over yet; in this
+                                     tick */
+  uint64_t last_placed_ms; /**< Unix time of the last placement of earlier
+                              leaders */
 };
 
 static inline uint64_t
@@ -465,6 +473,10 @@
 struct cell_run *cell_run_at (const struct cell_core *core,
                               struct cyc_ref ref);
 void cell_run_stop (struct cell_core *core, struct cell_run *run);
+/** Brings the stops of the worker's runs forward, which waited while it was
+ * silent. */
+void cell_runs_reached (struct cell_core *core,
+                        const struct cell_worker *worker);
 void cell_runs_tick (struct cell_core *core);
 /** Returns when a lease has certainly lapsed that had @p remaining_ms left on
  * the worker's clock at @p from_us. */
@@ -519,6 +531,9 @@
  * it is none. */
 const struct cell_crashes *cell_blame_trial (const struct cell_stage *stage,
                                              uint32_t task);
+/** Adds the worker to the core's counts of workers with trials. */
+void cell_blame_count_trial (struct cell_core *core,
+                             const struct cell_worker *worker);
 /** Returns whether a further worker may be used for a trial. If not, a later
  * placement is requested. */
 bool cell_blame_trial_allowed (struct cell_core *core);
@@ -535,6 +550,10 @@
 /** Requests ticks for the ends of trials on the worker. */
 void cell_blame_tick (struct cell_core *core,
                       const struct cell_worker *worker);
+/** Returns what is recorded of the suspicion against the run. */
+uint32_t cell_blame_suspicion (const struct cell_run *run);
+void cell_blame_restore_run (struct cell_core *core, struct cell_run *run,
+                             const Cyc__CellRun *from);
 /** Restores a crash of an earlier incarnation of a worker from a record. */
 void cell_blame_restore (struct cell_core *core, struct cell_task *task,
                          const Cyc__CellCrash *from);
@@ -576,6 +595,9 @@
 void cell_place_tick (struct cell_core *core);
 /** Requests a placement at @p at_us, even if no other event occurs then. */
 void cell_retry_placement (struct cell_core *core, uint64_t at_us);
+/** Returns whether the worker's entry, with its capacity and labels, is that
+ * of its current incarnation, as far as is known. */
+bool cell_entry_current (const struct cell_worker *worker);
 bool cell_res_fits (const struct cell_worker *worker,
                     const struct cyc_resources *size);
 struct cyc_resources cell_step_size (const Cyc__CellStep *step);
