Failing test: a capacity that has shrunk to nothing

A worker whose entry shows a cpu of 0 keeps its earlier capacity, as the entry is not used; so it was before the entries were checked. By LIMIT nothing may start there. test_cell_capacity shows that the core handles a capacity of 0.

--- a/tests/test_cell_capacity.c
+++ b/tests/test_cell_capacity.c
@@ -32,6 +32,7 @@
 };
 
 static const struct shrink_case shrink_cases[] = {
+  { "nothing is left", { .tasks = { 4 } }, 1, 0, 0 },
   { "none fits", { .tasks = { 4 } }, 1, 500, 0 },
   { "one of two fits", { .tasks = { 2 }, .millicores = 2000 }, 1, 3000, 1 },
   { "two of four fit", { .tasks = { 4 } }, 1, 2000, 2 },
