--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -687,6 +687,10 @@
       g_hash_table_add (seen, run);
       cell_pace_progress (core, run, row->percent);
       run->job->begun = true;
+      /* No start that is yet to be written can be that of a run that is
+         shown. */
+      if (run->inherited)
+        run->call_ended_us = MIN (run->call_ended_us, core->now_us);
       run->inherited = false;
       cell_over_seen (core, worker, run, report->sent_us);
       if (run->state == CELL_RUN_STARTING)
