Check the pool and the labels of a worker again before a start

Callers saw nothing yet.

Cause: a start that waits for its record was checked again for capacity and drain only. An entry that showed other labels or another pool meanwhile, as after a restart, or a configuration that routes the queue to another pool, was not heeded.

--- a/src/cyc_cell_batch.c
+++ b/src/cyc_cell_batch.c
@@ -150,6 +150,8 @@
   return !run->stop_requested && cell_job_open (run->job) && worker->listed
          && cell_entry_current (worker) && !worker->draining
          && worker->reachable && still_fits (worker, run)
+         && cell_worker_suits (
+             cell_stage_of_task (run->job, run->round, run->task), worker)
          && (run->ticket_until_us == 0 || run->ticket_until_us > core->now_us);
 }
 
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -594,6 +594,10 @@
 bool cell_res_fits (const struct cell_worker *worker,
                     const struct cyc_resources *size);
 struct cyc_resources cell_step_size (const Cyc__CellStep *step);
+/** Returns whether the worker's pool and labels are those that the stage
+ * needs. */
+bool cell_worker_suits (const struct cell_stage *stage,
+                        const struct cell_worker *worker);
 /** Returns whether the worker may run tasks of the stage, regardless of advice
  * and capacity. */
 bool cell_worker_eligible (const struct cell_core *core,
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -47,18 +47,25 @@
 }
 
 bool
-cell_worker_eligible (const struct cell_core *core,
-                      const struct cell_stage *stage,
-                      const struct cell_worker *worker)
+cell_worker_suits (const struct cell_stage *stage,
+                   const struct cell_worker *worker)
 {
   const Cyc__CellStep *step = cell_stage_step (stage);
 
-  return cell_worker_usable (core, worker)
-         && cyc_name_eq (&worker->pool, &stage->job->cfg.pool)
+  return cyc_name_eq (&worker->pool, &stage->job->cfg.pool)
          && (step->required_label[0] == 0
              || has_label (worker, cyc_str_of (step->required_label)));
 }
 
+bool
+cell_worker_eligible (const struct cell_core *core,
+                      const struct cell_stage *stage,
+                      const struct cell_worker *worker)
+{
+  return cell_worker_usable (core, worker)
+         && cell_worker_suits (stage, worker);
+}
+
 bool
 cell_team_has_quota (const struct cell_team *team,
                      const struct cyc_resources *size, uint64_t tasks)
--- a/tests/test_cell_capacity.c
+++ b/tests/test_cell_capacity.c
@@ -204,6 +204,54 @@
   free (fleet);
 }
 
+struct kind_case
+{
+  const char *description;
+  const char *pool;
+  const char *label;
+  uint32_t starts;
+};
+
+static const struct kind_case kind_cases[]
+    = { { "the same kind", "pool", "odd", 1 },
+        { "without the label", "pool", "even", 0 },
+        { "of another pool", "other", "odd", 0 } };
+
+/* While a start waits for its record, the worker's entry shows another kind.
+   Guards against a start by the kind that it had. */
+static void
+test_worker_is_of_another_kind_before_the_start (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (kind_cases); i++)
+    {
+      const struct kind_case *row = &kind_cases[i];
+      struct fleet *fleet = calloc (1, sizeof *fleet);
+      struct cell_worker_entry entry
+          = { .capacity = { MILLICORES, 1000000, 0 }, .label_count = 1 };
+
+      fleet_setup (fleet, 1, MILLICORES);
+      fleet_run (fleet, 100);
+      fleet->log_down = true;
+      fleet_submit (fleet, 1,
+                    &(struct fleet_job){ .tasks = { 1 }, .label = "odd" });
+      fleet_run (fleet, 100);
+      cyc_name_set (&entry.id, cyc_str_of (fleet->workers[0].id));
+      cyc_name_set (&entry.address, CYC_STR ("127.0.0.1:1"));
+      cyc_name_set (&entry.pool, cyc_str_of (row->pool));
+      cyc_name_set (&entry.labels[0], cyc_str_of (row->label));
+      entry.born_ms = fleet->workers[0].born_ms;
+      cell_worker_listed (fleet->core, &entry, fleet_now_us (fleet),
+                          fleet_now_us (fleet));
+      fleet->log_down = false;
+      fleet_run (fleet, 2000);
+      if (fleet->starts != row->starts)
+        fail_msg ("%s: %u starts", row->description, fleet->starts);
+      fleet_teardown (fleet);
+      free (fleet);
+    }
+}
+
 int
 main (void)
 {
@@ -213,6 +261,7 @@
     cmocka_unit_test (test_runs_above_the_capacity_go_on),
     cmocka_unit_test (test_entry_of_an_earlier_incarnation),
     cmocka_unit_test (test_restarted_worker_is_smaller),
+    cmocka_unit_test (test_worker_is_of_another_kind_before_the_start),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
