--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -30,6 +30,11 @@
 #define TRIAL_WAIT_US 3000000
 /** Workers with trials at a time: this fraction of those usable. */
 #define TRIAL_DIVISOR 16
+/** Workers that crashed under trials which are not over yet: this fraction,
+ * and at least this many. They must not hold up the trials of innocent tasks,
+ * nor may all workers crash at once. */
+#define CRASHED_TRIAL_DIVISOR 4
+#define CRASHED_TRIALS_MIN 2
 /** A task is given up when the weights of its crashes reach HOPELESS_WEIGHT; a
  * weak one has the weight 1. */
 #define SOLE_WEIGHT 2
@@ -362,12 +367,15 @@
   blame->suspects = worker->suspects;
 }
 
+/* The members of a gang have the same number of the run: workers that crash
+   under one placement count once, as only one member may be deadly. */
 static bool
 is_counted (const struct cell_crashes *crashes, const struct cell_run *run)
 {
   for (uint32_t i = 0; i < crashes->count; i++)
-    if (crashes->rows[i].worker == run->worker
-        && crashes->rows[i].born_ms == run->broken_born_ms)
+    if (crashes->rows[i].run == run->number
+        || (crashes->rows[i].worker == run->worker
+            && crashes->rows[i].born_ms == run->broken_born_ms))
       return true;
   return crashes->count == CELL_CRASHES_MAX;
 }
@@ -405,6 +413,7 @@
   task->crashes->rows[task->crashes->count++] = (struct cell_crash){
     .worker = run->worker,
     .born_ms = run->broken_born_ms,
+    .run = run->number,
     .sole = !weak && worker->suspects == 1,
   };
   cell_job_mark_dirty (core, run->job);
@@ -423,11 +432,26 @@
   return stage->job->rounds[stage->round].tasks[at].crashes;
 }
 
+void
+cell_blame_count_trial (struct cell_core *core,
+                        const struct cell_worker *worker)
+{
+  bool up = worker->broken_us == 0 && worker->reachable;
+
+  if (worker->trial_count == 0)
+    return;
+  core->trial_workers += up;
+  core->crashed_trial_workers += !up;
+}
+
 bool
 cell_blame_trial_allowed (struct cell_core *core)
 {
   cell_retry_placement (core, core->now_us + TRIAL_RETRY_US);
-  return core->trial_workers < MAX (1, core->usable_workers / TRIAL_DIVISOR);
+  return core->trial_workers < MAX (1, core->usable_workers / TRIAL_DIVISOR)
+         && core->crashed_trial_workers
+                < MAX (CRASHED_TRIALS_MIN,
+                       core->usable_workers / CRASHED_TRIAL_DIVISOR);
 }
 
 void
