Test another pool of a worker with two configured pools

An entry that names a pool of no configuration is ignored by now, so the case of another pool has to name a configured one. It fails without the check of the pool before a start ("of another pool: 1 starts") and passes with it.

--- a/tests/test_cell_capacity.c
+++ b/tests/test_cell_capacity.c
@@ -234,6 +234,11 @@
           = { .capacity = { MILLICORES, 1000000, 0 }, .label_count = 1 };
 
       fleet_setup (fleet, 1, MILLICORES);
+      fleet->config->pools
+          = realloc (fleet->config->pools, 2 * sizeof *fleet->config->pools);
+      fleet->config->pools[1] = fleet->config->pools[0];
+      cyc_name_set (&fleet->config->pools[1].name, CYC_STR ("other"));
+      fleet->config->pool_count = 2;
       fleet_run (fleet, 100);
       fleet->log_down = true;
       fleet_submit (fleet, 1,
