--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -236,7 +236,9 @@
   CELL_OVER_LAPSED,    /**< the worker's lease lapsed */
   CELL_OVER_LEFT,      /**< the worker removed its entry, and nothing
                           listens at its address */
-  CELL_OVER_REBORN     /**< it ran in an earlier incarnation of the worker */
+  CELL_OVER_REBORN,    /**< it ran in an earlier incarnation of the worker */
+  CELL_OVER_REPLACED   /**< another worker answers at the address at which its
+                          worker had reported */
 };
 
 /** The conclusion that a run is over although its worker has listed no end of
@@ -325,8 +327,11 @@
 void cell_config_set (struct cell_core *core,
                       const struct cell_config *config);
 /** Adds or updates a worker. The entry was written later than @p
- * entry_after_us; 0 if unknown. */
-void cell_worker_listed (struct cell_core *core,
+ * entry_after_us; 0 if unknown. An entry is ignored that is of an earlier
+ * incarnation than the known one, or that would move the worker to a pool of
+ * no configuration. Returns true if the worker, its incarnation or its address
+ * is new, or it is listed again. */
+bool cell_worker_listed (struct cell_core *core,
                          const struct cell_worker_entry *entry,
                          uint64_t entry_after_us, uint64_t now_us);
 /** Reports that the worker's entry was removed: the worker has left, or missed
@@ -372,6 +377,15 @@
 /** Reports that a call to the worker ended without an answer. */
 void cell_worker_unanswered (struct cell_core *core, uint32_t row,
                              enum cell_call_end end, uint64_t now_us);
+/** Reports that the connection of a call to the worker ended at @p broken_us,
+ * before the answer. */
+void cell_worker_broken (struct cell_core *core, uint32_t row,
+                         uint64_t broken_us, uint64_t now_us);
+/** Reports that another worker answered a call to this one that was sent at
+ * @p sent_us. The worker's process has ended if it had reported at the same
+ * address before that. */
+void cell_worker_replaced (struct cell_core *core, uint32_t row,
+                           uint64_t sent_us, uint64_t now_us);
 /** Records that the worker was asked to extend its lease to @p deadline_ms on
  * its own clock. */
 void cell_worker_leased (struct cell_core *core, uint32_t row,
@@ -396,10 +410,16 @@
                                uint64_t extended_us);
 /** Applies the progress record with the highest revision to a job added
  * before. @p lease_until_us: until when its runs may continue on workers that
- * do not answer. Returns false if the job is unknown or the record is
+ * do not answer; @p write_until_us: until when earlier leaders may write
+ * starts of them. Returns false if the job is unknown or the record is
  * malformed. */
 bool cell_job_restore (struct cell_core *core, uint64_t id,
-                       struct cyc_str record, uint64_t lease_until_us);
+                       struct cyc_str record, uint64_t lease_until_us,
+                       uint64_t write_until_us);
+/** Earlier leaders write no start after @p until_us, which is earlier than
+ * assumed by cell_job_restore. */
+void cell_earlier_ended (struct cell_core *core, uint64_t until_us,
+                         uint64_t now_us);
 /** Returns the durable state of the job; 0 if the job is unknown or not
  * stored. */
 enum cell_job_state cell_job_state (const struct cell_core *core, uint64_t id);
@@ -421,6 +441,10 @@
  * false if there is none. */
 bool cell_blame_next (struct cell_core *core, struct cell_blame *out);
 
+/** Fills @p out with the names of a run that was ordered. Returns false if the
+ * run is over. */
+bool cell_run_describe (const struct cell_core *core, struct cyc_ref run,
+                        struct cell_order *out);
 /** Reports the result of an ordered start. Every result but
  * CELL_START_UNKNOWN holds for all copies of the order. */
 void cell_start_result (struct cell_core *core, struct cyc_ref run,
@@ -456,7 +480,9 @@
  * durable in any order. */
 void cell_batch_durable (struct cell_core *core, uint64_t batch,
                          uint64_t now_us);
-/** Returns the next order to carry out; false if there is none. */
+/** Returns the next order to carry out; false if there is none. Starts whose
+ * worker can no longer take them, such as one that has shrunk since they were
+ * placed, are placed again instead. */
 bool cell_order_next (struct cell_core *core, struct cell_order *out);
 
 struct cell_totals
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -295,13 +295,36 @@
   return row;
 }
 
+/* Returns NULL if no worker has this id, which may be any bytes. */
+static struct cell_worker *
+find_worker (const struct cell_core *core, struct cyc_str id)
+{
+  struct cyc_name name;
+  const uint32_t *row;
+  struct cell_worker *worker;
+
+  if (!cyc_name_set (&name, id))
+    return NULL;
+  row = g_hash_table_lookup (core->worker_rows, name.data);
+  worker = row != NULL ? cell_worker_at (core, *row) : NULL;
+  return worker != NULL && cyc_name_eq (&worker->id, &name) ? worker : NULL;
+}
+
+bool
+cell_entry_current (const struct cell_worker *worker)
+{
+  return worker->entry_born_ms == 0
+         || worker->entry_born_ms == worker->born_ms;
+}
+
 bool
 cell_worker_usable (const struct cell_core *core,
                     const struct cell_worker *worker)
 {
   /* After a pause a worker gets one task at a time until a task succeeds. */
-  return worker->listed && !worker->draining && worker->fenced
-         && worker->reachable && worker->paused_until_us <= core->now_us
+  return worker->listed && cell_entry_current (worker) && !worker->draining
+         && worker->fenced && worker->reachable
+         && worker->paused_until_us <= core->now_us
          && (worker->pause_count == 0 || worker->run_count == 0);
 }
 
@@ -312,6 +335,7 @@
   worker->entry_left_us = 0;
   worker->absent_us = 0;
   worker->exited_us = 0;
+  worker->replaced = false;
 }
 
 /* A draining worker has left if it removed its entry and its process is gone.
@@ -342,6 +366,7 @@
   worker->lease_until_us = MAX (worker->lease_until_us,
                                 cell_lease_lapsed_us (core, core->now_us));
   still_there (worker);
+  worker->address_reported_us = 0;
   worker->broken_us = 0;
   worker->received_end = 0;
   worker->first_listed_end = 0;
@@ -354,17 +379,57 @@
   worker->pause_count = 0;
 }
 
-void
+static bool
+is_configured_pool (const struct cell_core *core, const struct cyc_name *pool)
+{
+  for (uint32_t i = 0; core->config != NULL && i < core->config->pool_count;
+       i++)
+    if (cyc_name_eq (&core->config->pools[i].name, pool))
+      return true;
+  return false;
+}
+
+/* Returns whether the entry is to be ignored: it is of an earlier incarnation,
+   or would move a worker to a pool of no configuration. */
+static bool
+is_odd_entry (const struct cell_core *core, const struct cell_worker *worker,
+              const struct cell_worker_entry *entry)
+{
+  if (entry->born_ms != 0 && entry->born_ms < worker->born_ms)
+    return true;
+  return worker->listed && !cyc_name_eq (&worker->pool, &entry->pool)
+         && is_configured_pool (core, &worker->pool)
+         && !is_configured_pool (core, &entry->pool);
+}
+
+/* Returns whether the entry shows the pool and the capacity that are known. */
+static bool
+offers_the_same (const struct cell_worker *worker,
+                 const struct cell_worker_entry *entry)
+{
+  return worker->capacity.millicores == entry->capacity.millicores
+         && worker->capacity.memory_mib == entry->capacity.memory_mib
+         && worker->capacity.accelerators == entry->capacity.accelerators
+         && cyc_name_eq (&worker->pool, &entry->pool);
+}
+
+bool
 cell_worker_listed (struct cell_core *core,
                     const struct cell_worker_entry *entry,
                     uint64_t entry_after_us, uint64_t now_us)
 {
   uint32_t row = cell_worker_row (core, cyc_name_str (&entry->id));
   struct cell_worker *worker = cell_worker_at (core, row);
+  bool moved = !cyc_str_eq (cyc_name_str (&worker->address),
+                            cyc_name_str (&entry->address));
+  bool is_new = !worker->listed || entry->born_ms > worker->born_ms || moved;
 
   core->now_us = now_us;
+  if (is_odd_entry (core, worker, entry))
+    return false;
   if (!worker->listed || worker->draining != entry->draining
-      || (entry->born_ms != 0 && worker->born_ms != entry->born_ms))
+      || !offers_the_same (worker, entry)
+      || worker->entry_born_ms != entry->born_ms)
     {
       core->placement_pending = true;
       cell_wake (core, now_us);
@@ -380,25 +445,33 @@
   worker->pool = entry->pool;
   worker->domain = entry->domain;
   worker->address = entry->address;
+  if (moved)
+    {
+      worker->address_since_us = now_us;
+      worker->address_reported_us = 0;
+    }
   worker->capacity = entry->capacity;
+  worker->entry_born_ms = entry->born_ms;
   memcpy (worker->labels, entry->labels, sizeof worker->labels);
   worker->label_count = entry->label_count;
   if (entry->born_ms > worker->born_ms)
     start_incarnation (core, row, entry->born_ms);
   if (entry->born_ms != 0 && entry->born_ms == worker->born_ms)
     cell_over_listed (core, worker, entry_after_us);
+  return is_new;
 }
 
 void
 cell_worker_unlisted (struct cell_core *core, struct cyc_str id,
                       uint64_t now_us)
 {
-  struct cell_worker *worker
-      = cell_worker_at (core, cell_worker_row (core, id));
+  struct cell_worker *worker = find_worker (core, id);
   uint64_t silence_us
       = (uint64_t)core->desc.heartbeat_ms * CELL_EXIT_HEARTBEATS_PERMILLE;
 
   core->now_us = now_us;
+  if (worker == NULL)
+    return;
   if (worker->listed && worker->draining && worker->listed_after_us != 0
       && now_us < worker->listed_after_us + silence_us)
     worker->entry_left_us = now_us;
@@ -422,8 +495,8 @@
   out->fenced = worker->fenced;
   out->report_after_us = 0;
   for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
-    out->report_after_us
-        = MAX (out->report_after_us, cell_over_report_after_us (worker, run));
+    out->report_after_us = MAX (out->report_after_us,
+                                cell_over_report_after_us (core, worker, run));
   out->report_after_us
       = MAX (out->report_after_us, cell_blame_report_after_us (core, worker));
   out->received_end = worker->received_end;
@@ -455,13 +528,38 @@
   struct cell_worker *worker = cell_worker_at (core, row);
 
   core->now_us = now_us;
-  cell_blame_broken (core, row, end);
+  cell_blame_broken (core, row, end, now_us);
   if (end != CELL_CALL_REFUSED)
     return;
   worker->absent_us = now_us;
   check_exit (core, worker);
 }
 
+void
+cell_worker_broken (struct cell_core *core, uint32_t row, uint64_t broken_us,
+                    uint64_t now_us)
+{
+  core->now_us = now_us;
+  cell_blame_broken (core, row, CELL_CALL_BROKEN, broken_us);
+}
+
+/* Another writer may give a worker a wrong address. An answer from there says
+   nothing of the worker, unless it had reported at that address. */
+void
+cell_worker_replaced (struct cell_core *core, uint32_t row, uint64_t sent_us,
+                      uint64_t now_us)
+{
+  struct cell_worker *worker = cell_worker_at (core, row);
+
+  core->now_us = now_us;
+  if (worker->address_reported_us == 0
+      || sent_us <= worker->address_reported_us || worker->exited_us != 0)
+    return;
+  worker->exited_us = now_us;
+  worker->replaced = true;
+  cell_wake (core, now_us);
+}
+
 void
 cell_worker_silent (struct cell_core *core, uint32_t row, uint64_t now_us)
 {
@@ -471,7 +569,7 @@
   if (worker->reachable || worker->silent_us == 0)
     worker->silent_us = now_us;
   worker->reachable = false;
-  cell_blame_broken (core, row, CELL_CALL_SILENT);
+  cell_blame_broken (core, row, CELL_CALL_SILENT, now_us);
   cell_wake (core, now_us);
 }
 
@@ -672,8 +770,12 @@
     core->placement_pending = true;
   if (!worker->fenced)
     cell_worker_leased (core, row, report->clock_ms + core->desc.lease_ms);
+  if (!worker->reachable)
+    cell_runs_reached (core, worker);
   worker->fenced = true;
   worker->reachable = true;
+  if (report->sent_us >= worker->address_since_us)
+    worker->address_reported_us = now_us;
   still_there (worker);
   apply_ends (core, worker, row, report);
   apply_running (core, worker, row, report, seen);
--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -34,6 +34,11 @@
 #define TRIAL_SOLE_WAIT_US 15000000
 /** Workers with trials at a time: this fraction of those usable. */
 #define TRIAL_DIVISOR 8
+/** Workers that crashed under trials which are not over yet: this fraction,
+ * and at least this many. They must not hold up the trials of innocent tasks,
+ * nor may all workers crash at once. */
+#define CRASHED_TRIAL_DIVISOR 4
+#define CRASHED_TRIALS_MIN 2
 /** A task is given up when the weights of its crashes reach HOPELESS_WEIGHT; a
  * weak one has the weight 1. */
 #define SOLE_WEIGHT 2
@@ -159,18 +164,18 @@
 
 void
 cell_blame_broken (struct cell_core *core, uint32_t row,
-                   enum cell_call_end end)
+                   enum cell_call_end end, uint64_t broken_us)
 {
   struct cell_worker *worker = cell_worker_at (core, row);
 
-  if (worker->broken_us != 0)
+  if (worker->broken_us != 0 || broken_us < worker->clock_at_us)
     return;
   if (end == CELL_CALL_SILENT)
     {
       worker->muted = true;
       return;
     }
-  worker->broken_us = core->now_us;
+  worker->broken_us = broken_us;
   worker->broken_end = end;
   if (worker->runs == NULL)
     return;
@@ -183,7 +188,7 @@
 {
   struct cell_worker *worker = cell_worker_at (core, row);
 
-  cell_blame_broken (core, row, CELL_CALL_OTHER_INCARNATION);
+  cell_blame_broken (core, row, CELL_CALL_OTHER_INCARNATION, core->now_us);
   worker->broken_us = 0;
   worker->muted = false;
 }
@@ -327,9 +332,9 @@
 {
   if (worker->born_ms != run->broken_born_ms)
     return true;
-  if (worker->draining || worker->exited_us != 0)
+  if (worker->draining || (worker->exited_us != 0 && !worker->replaced))
     return false;
-  if (!worker->listed)
+  if (!worker->listed || worker->replaced)
     return true;
   *weak = true;
   return worker->listed_after_us <= run->broken_us;
@@ -375,12 +380,15 @@
   blame->suspects = worker->suspects;
 }
 
+/* The members of a gang have the same number of the run: workers that crash
+   under one placement count once, as only one member may be deadly. */
 static bool
 is_counted (const struct cell_crashes *crashes, const struct cell_run *run)
 {
   for (uint32_t i = 0; i < crashes->count; i++)
-    if (crashes->rows[i].worker == run->worker
-        && crashes->rows[i].born_ms == run->broken_born_ms)
+    if (crashes->rows[i].run == run->number
+        || (crashes->rows[i].worker == run->worker
+            && crashes->rows[i].born_ms == run->broken_born_ms))
       return true;
   return crashes->count == CELL_CRASHES_MAX;
 }
@@ -418,6 +426,7 @@
   task->crashes->rows[task->crashes->count++] = (struct cell_crash){
     .worker = run->worker,
     .born_ms = run->broken_born_ms,
+    .run = run->number,
     .sole = !weak && worker->suspects == 1,
   };
   cell_job_mark_dirty (core, run->job);
@@ -436,11 +445,26 @@
   return stage->job->rounds[stage->round].tasks[at].crashes;
 }
 
+void
+cell_blame_count_trial (struct cell_core *core,
+                        const struct cell_worker *worker)
+{
+  bool up = worker->broken_us == 0 && worker->reachable;
+
+  if (worker->trial_count == 0)
+    return;
+  core->trial_workers += up;
+  core->crashed_trial_workers += !up;
+}
+
 bool
 cell_blame_trial_allowed (struct cell_core *core)
 {
   cell_retry_placement (core, core->now_us + TRIAL_RETRY_US);
-  return core->trial_workers < MAX (1, core->usable_workers / TRIAL_DIVISOR);
+  return core->trial_workers < MAX (1, core->usable_workers / TRIAL_DIVISOR)
+         && core->crashed_trial_workers
+                < MAX (CRASHED_TRIALS_MIN,
+                       core->usable_workers / CRASHED_TRIAL_DIVISOR);
 }
 
 void
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -36,6 +36,9 @@
 #define CELL_RELISTED_US 2000000
 /** Interval between repeated stops of one run. */
 #define CELL_STOP_REPEAT_US 700000
+/** Same while its worker is silent: its next report brings the stop
+ * forward. */
+#define CELL_STOP_SILENT_REPEAT_US 3000000
 /** Delay before a task is retried whose gang did not start completely. */
 #define CELL_RETRY_US 150000
 /** Number of workers that a stage avoids because its runs failed there. */
@@ -88,7 +91,8 @@
                                deadline is; 0 if unknown */
   uint64_t call_ended_us;   /**< when the call of the start ended: a process
                                that starts later cannot receive the order;
-                               0 if it has not */
+                               0 if it has not. Of an inherited run: until
+                               when an earlier leader may write the start */
   uint64_t answered_us; /**< when the start was answered, so that no other copy
                            of the order is left; 0 if it was not */
   uint64_t last_born_ms; /**< last incarnation that may have received the
@@ -155,6 +159,8 @@
   struct cell_resources reserved; /**< for a gang; may still be in use */
   const struct cell_stage *reserved_for; /**< NULL if nothing is reserved */
   uint64_t born_ms;
+  uint64_t entry_born_ms; /**< incarnation that wrote its entry; 0 if unknown
+                           */
   bool listed;
   bool draining;
   uint64_t listed_after_us; /**< its entry was written later than this; 0 if
@@ -168,8 +174,12 @@
                          has come since */
   uint64_t exited_us; /**< the worker has left and runs nothing from this time
                          on; 0 if unknown */
-  bool fenced;        /**< has answered a hold call of this leader */
-  bool reachable;     /**< not reported silent since its last report */
+  bool replaced; /**< that is known because another worker has its address */
+  uint64_t address_since_us;    /**< when its address became known */
+  uint64_t address_reported_us; /**< when it last reported at that address; 0
+                                   if this incarnation has not */
+  bool fenced;                  /**< has answered a hold call of this leader */
+  bool reachable; /**< not reported silent since its last report */
   uint32_t consecutive_failures;
   uint64_t last_failed_job;
   uint64_t paused_until_us;
@@ -217,8 +227,9 @@
 {
   uint32_t worker;  /**< row */
   uint64_t born_ms; /**< incarnation that crashed */
-  bool sole;        /**< no other job was suspected, and no other reason is
-                       near */
+  uint32_t run; /**< number of the run; 0 if an earlier leader counted it */
+  bool sole;    /**< no other job was suspected, and no other reason is
+                   near */
 };
 
 struct cell_crashes
@@ -391,12 +402,15 @@
   uint64_t over_rate_late_us; /**< when work over a team's rate was last late;
                                  0 if never */
   double move_credit; /**< runs that may be moved from slow workers now */
-  uint64_t reserved_millicores; /**< reserved for gangs in this tick */
-  uint64_t usable_millicores;   /**< capacity of all usable workers */
-  uint32_t usable_workers;      /**< in this tick */
-  uint32_t trial_workers;       /**< with runs on trial, in this tick */
-  uint64_t last_placed_ms;      /**< Unix time of the last placement of earlier
-                                   leaders */
+  uint64_t reserved_millicores;   /**< reserved for gangs in this tick */
+  uint64_t usable_millicores;     /**< capacity of all usable workers */
+  uint32_t usable_workers;        /**< in this tick */
+  uint32_t trial_workers;         /**< with runs on trial, in this tick */
+  uint32_t crashed_trial_workers; /**< that broke or fell silent under runs on
+                                     trial, which are not over yet; in this
+                                     tick */
+  uint64_t last_placed_ms; /**< Unix time of the last placement of earlier
+                              leaders */
 };
 
 static inline uint64_t
@@ -459,6 +473,10 @@
 struct cell_run *cell_run_at (const struct cell_core *core,
                               struct cyc_ref ref);
 void cell_run_stop (struct cell_core *core, struct cell_run *run);
+/** Brings the stops of the worker's runs forward, which waited while it was
+ * silent. */
+void cell_runs_reached (struct cell_core *core,
+                        const struct cell_worker *worker);
 void cell_runs_tick (struct cell_core *core);
 /** Returns when a lease has certainly lapsed that had @p remaining_ms left on
  * the worker's clock at @p from_us. */
@@ -487,9 +505,10 @@
 
 void cell_blame_setup (struct cell_core *core);
 void cell_blame_shutdown (struct cell_core *core);
-/** A call to the worker ended without an answer. */
+/** A call to the worker ended without an answer at @p broken_us. Ignored if
+ * the worker has answered since. */
 void cell_blame_broken (struct cell_core *core, uint32_t row,
-                        enum cell_call_end end);
+                        enum cell_call_end end, uint64_t broken_us);
 /** A newer incarnation of the worker was found. */
 void cell_blame_reborn (struct cell_core *core, uint32_t row);
 /** The worker has answered a call that was sent at @p sent_us: its incarnation
@@ -512,6 +531,9 @@
  * it is none. */
 const struct cell_crashes *cell_blame_trial (const struct cell_stage *stage,
                                              uint32_t task);
+/** Adds the worker to the core's counts of workers with trials. */
+void cell_blame_count_trial (struct cell_core *core,
+                             const struct cell_worker *worker);
 /** Returns whether a further worker may be used for a trial. If not, a later
  * placement is requested. */
 bool cell_blame_trial_allowed (struct cell_core *core);
@@ -559,7 +581,8 @@
 void cell_over_expire (struct cell_core *core, struct cell_worker *worker);
 /** Returns the time after which a report must be requested to resolve the run;
  * 0 if it needs none. */
-uint64_t cell_over_report_after_us (const struct cell_worker *worker,
+uint64_t cell_over_report_after_us (const struct cell_core *core,
+                                    const struct cell_worker *worker,
                                     const struct cell_run *run);
 /** Notes that the worker reports a run that the core does not know as running,
  * or lists its end as done or failed (@p ended). If the run was concluded to
@@ -572,6 +595,9 @@
 void cell_place_tick (struct cell_core *core);
 /** Requests a placement at @p at_us, even if no other event occurs then. */
 void cell_retry_placement (struct cell_core *core, uint64_t at_us);
+/** Returns whether the worker's entry, with its capacity and labels, is that
+ * of its current incarnation, as far as is known. */
+bool cell_entry_current (const struct cell_worker *worker);
 bool cell_res_fits (const struct cell_worker *worker,
                     const struct cyc_resources *size);
 struct cyc_resources cell_step_size (const Cyc__CellStep *step);
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -13,6 +13,9 @@
 #define EVACUATE_BEFORE_US 1500000
 /** A run that ends at least this long before its worker leaves may stay. */
 #define EVACUATE_MARGIN_US 250000
+/** A worker that refused a start for want of room gets no new tasks for this
+ * time: it has shrunk, and its entry shows that with its next heartbeat. */
+#define NO_ROOM_PAUSE_US 500000
 /** Maximum interval between ticks while any worker has runs. */
 #define RUN_IDLE_TIMER_US 500000
 
@@ -168,6 +171,32 @@
   cell_wake (core, core->now_us);
 }
 
+static void
+pause_worker (struct cell_core *core, uint32_t row, uint64_t pause_us)
+{
+  struct cell_worker *worker = cell_worker_at (core, row);
+
+  worker->paused_until_us
+      = MAX (worker->paused_until_us, core->now_us + pause_us);
+  cell_retry_placement (core, worker->paused_until_us);
+}
+
+bool
+cell_run_describe (const struct cell_core *core, struct cyc_ref ref,
+                   struct cell_order *out)
+{
+  const struct cell_run *run = cell_run_at (core, ref);
+
+  memset (out, 0, sizeof *out);
+  if (run == NULL)
+    return false;
+  out->run = ref;
+  out->worker = run->worker;
+  out->number = run->number;
+  cell_task_name (run, out->task);
+  return true;
+}
+
 void
 cell_start_result (struct cell_core *core, struct cyc_ref ref,
                    enum cell_start_result result, uint64_t now_us)
@@ -193,19 +222,17 @@
       run->unconfirmed_us = now_us;
       return;
     case CELL_START_REFUSED_OTHER:
-      {
-        struct cell_worker *worker = cell_worker_at (core, run->worker);
-
-        worker->paused_until_us = now_us + CELL_PAUSE_US / 2;
-        cell_retry_placement (core, worker->paused_until_us);
-        cell_over_refused (core, run);
-        return;
-      }
+      pause_worker (core, run->worker, CELL_PAUSE_US / 2);
+      cell_over_refused (core, run);
+      return;
     case CELL_START_REFUSED_TICKET:
       cell_ticket_refused (run);
       cell_over_refused (core, run);
       return;
     case CELL_START_REFUSED_CAPACITY:
+      pause_worker (core, run->worker, NO_ROOM_PAUSE_US);
+      cell_over_refused (core, run);
+      return;
     case CELL_START_FENCED:
       cell_over_refused (core, run);
       return;
@@ -232,15 +259,25 @@
   cell_wake (core, now_us);
 }
 
+void
+cell_runs_reached (struct cell_core *core, const struct cell_worker *worker)
+{
+  for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    run->stop_next_us = MIN (run->stop_next_us, core->now_us);
+}
+
 static void
 order_stop (struct cell_core *core, struct cell_run *run)
 {
+  const struct cell_worker *worker = cell_worker_at (core, run->worker);
   struct cell_order *order = g_new0 (struct cell_order, 1);
 
   run->stop_in_flight = true;
   run->stop_confirmed_us = 0;
-  run->stop_born_ms = cell_worker_at (core, run->worker)->born_ms;
-  run->stop_next_us = core->now_us + CELL_STOP_REPEAT_US;
+  run->stop_born_ms = worker->born_ms;
+  run->stop_next_us = core->now_us
+                      + (worker->reachable ? CELL_STOP_REPEAT_US
+                                           : CELL_STOP_SILENT_REPEAT_US);
   order->kind = CELL_ORDER_STOP;
   order->run = run->ref;
   order->worker = run->worker;
@@ -334,6 +371,8 @@
         {
           if (run->state == CELL_RUN_RECORDING)
             continue;
+          if (run->inherited && run->call_ended_us > core->now_us)
+            cell_wake (core, run->call_ended_us);
           if (run->state == CELL_RUN_STARTING && run->unconfirmed_us == 0
               && (run->ordered_us != 0 || run->inherited)
               && run->ordered_us + CELL_START_TIMEOUT_US <= core->now_us)
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -263,18 +263,20 @@
       on_unlisted (owner, record->key);
       return;
     }
-  if (owner->entry->desc.ports->records->worker (record->key, record->value,
-                                                 &entry, &findings))
+  if (owner->entry->desc.ports->records->worker (
+          record->key, record->value, hc_wall_ms (), &entry, &findings))
     {
-      uint32_t before = cell_worker_count (owner->core);
+      bool is_new = cell_worker_listed (owner->core, &entry,
+                                        owner->workers_tail.prev_fresh_us,
+                                        hc_now_us ());
 
-      cell_worker_listed (owner->core, &entry,
-                          owner->workers_tail.prev_fresh_us, hc_now_us ());
-      if (cell_worker_count (owner->core) > before || entry.draining)
+      if (is_new || entry.draining)
         ev_log (EV_WORKER_LISTED,
-                "worker=%s pool=%s domain=%s draining=%d millicores=%u",
+                "worker=%s pool=%s domain=%s address=%s born_ms=%" PRIu64
+                " draining=%d millicores=%u",
                 entry.id.data, entry.pool.data, entry.domain.data,
-                entry.draining, entry.capacity.millicores);
+                entry.address.data, entry.born_ms, entry.draining,
+                entry.capacity.millicores);
       return;
     }
   id = g_strndup (record->key.data, record->key.len);
@@ -343,7 +345,6 @@
     tail_start (&owner->jobs_tails[i]);
   entry->owner = owner;
   entry->renew_at_us = owner->begun_us;
-  entry->confirmed_us = entry->claim_sent_us;
   entry_wake (entry);
 }
 
@@ -360,10 +361,26 @@
   records_end (&owner->records);
   advice_end (owner->advice);
   owner->advice = NULL;
+  /* A successor ends the runs of starts that are not written yet. */
+  entry->desc.ports->workers->vtable->abandon_starts (
+      entry->desc.ports->workers, owner);
   /* The calls in flight still refer to the owner. */
   g_ptr_array_add (entry->ended_owners, owner);
 }
 
+uint64_t
+owner_epoch (const struct entry_owner *owner)
+{
+  return owner->epoch;
+}
+
+void
+owner_earlier_ended (struct entry_owner *owner, uint64_t until_us)
+{
+  cell_earlier_ended (owner->core, until_us, hc_now_us ());
+  owner_input_added (owner);
+}
+
 void
 owner_apply_config (struct entry *entry)
 {
@@ -464,11 +481,11 @@
       owner->last_tick_us = now_us;
       cell_tick (owner->core, now_us, hc_wall_ms ());
     }
-  if (cell_next_us (owner->core) != UINT64_MAX)
-    entry_wake_at (entry, cell_next_us (owner->core));
   records_tick (&owner->records, now_us);
   while (cell_order_next (owner->core, &order))
     orders_send (owner, &order, now_us);
+  if (cell_next_us (owner->core) != UINT64_MAX)
+    entry_wake_at (entry, cell_next_us (owner->core));
   orders_log_conclusions (owner, now_us);
   orders_log_blames (owner, now_us);
   advice_tick (owner->advice, now_us);
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -173,9 +173,12 @@
   struct fleet_worker workers[FLEET_WORKERS_MAX];
   uint32_t worker_count;
   uint64_t now_ms;
-  uint64_t epoch;   /**< of the current leader */
-  bool log_down;    /**< no batch is stored */
-  bool orders_held; /**< the core's orders are taken and sent later */
+  uint64_t epoch;         /**< of the current leader */
+  uint32_t open_calls_ms; /**< how long after a takeover the calls of the
+                             earlier leader may still get a connection */
+  uint64_t calls_end_ms;  /**< until when they may */
+  bool log_down;          /**< no batch is stored */
+  bool orders_held;       /**< the core's orders are taken and sent later */
   struct fleet_batch batches[FLEET_BATCHES_MAX];
   /** Added to the duration of appends FLEET_BATCHES_MAX - 1 - b times for
    * batches[b], so that batches become durable out of order. */
@@ -206,9 +209,10 @@
   GPtrArray *holds_in_flight;  /**< of struct hold_in_flight */
   uint32_t conclusions[8];     /**< runs concluded to be over, by reason */
   uint32_t starts;             /**< number of runs that began */
-  uint32_t resumed;    /**< number of these that began from a checkpoint */
-  uint32_t stops;      /**< number of stop orders carried out */
-  uint32_t violations; /**< of the cell's invariants */
+  uint32_t resumed;       /**< number of these that began from a checkpoint */
+  uint32_t stops;         /**< number of stop orders carried out */
+  uint32_t stops_ordered; /**< number of stop orders handed out */
+  uint32_t violations;    /**< of the cell's invariants */
   char first_violation[160];
 };
 
@@ -248,6 +252,8 @@
 void fleet_restart_unread (struct fleet *fleet, uint32_t worker);
 /** The core reads the worker's entry. */
 void fleet_list (struct fleet *fleet, uint32_t worker);
+/** The worker's capacity becomes @p millicores, as its entry shows at once. */
+void fleet_resize (struct fleet *fleet, uint32_t worker, uint32_t millicores);
 /** The worker's entry lapses, although the worker lives on. Returns false if
  * the entry is too new for that. */
 bool fleet_lapse_entry (struct fleet *fleet, uint32_t worker);
--- a/tests/tst_fleet_internal.h
+++ b/tests/tst_fleet_internal.h
@@ -19,6 +19,7 @@
   uint64_t epoch;             /**< of the leader that sent it */
   uint64_t lease_deadline_ms; /**< of the order, on the worker's clock */
   uint64_t born_ms;           /**< of the incarnation that it was sent to */
+  uint32_t millicores;        /**< capacity of the worker when it was sent */
   bool reconnects;            /**< reaches the incarnation at its arrival */
   bool received;              /**< the worker's process has it */
   bool executed;              /**< or it never will be */
@@ -52,7 +53,7 @@
 /** Checks the conclusions that the core hands out. */
 void fleet_check_conclusions (struct fleet *fleet);
 void fleet_free_hold (gpointer data);
-/** Ends the calls of a leader that is replaced: those that have no connection
+/** Ends the calls of leaders that are replaced: those that have no connection
  * yet cannot reach a new incarnation. */
 void fleet_end_calls (struct fleet *fleet);
 /** Returns the submitted job that the task belongs to. */
