--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -3,13 +3,13 @@
 
    A task that crashes its workers does so right after its start, and every
    time. A run is unproven until its worker has shown that it survived the
-   start. When the connections of a worker break, the unproven runs that were
-   started just before are suspected; silence tells nothing, as a worker that
-   is cut off, frozen or without power is silent too. The crash counts once the
-   runs are over because that incarnation is gone, and against all suspects. A
-   task with a crash that counts is on trial at its next start: no other job's
-   task is started beside it, so a further crash has one suspect only, and a
-   task that survives is cleared.
+   start. When the connections of a worker break, its unproven runs are
+   suspected; silence tells nothing, as a worker that is cut off, frozen or
+   without power is silent too. The crash counts once the runs are over
+   because that incarnation is gone, and against all suspects. A task with a
+   crash that counts is on trial at its next start: no other job's task is
+   started beside it, so a further crash has one suspect only, and a task that
+   survives is cleared.
 
    A crash is weak evidence if several jobs were suspected, if the worker had
    been started just before, or if an earlier leader has seen its beginning. A
@@ -25,15 +25,11 @@
 /** An inherited run is suspected if its placement was recorded at most this
  * long before the last one of the earlier leaders. */
 #define INHERITED_FRESH_MS 1000
-/** A run is suspected if its start was confirmed at most this long before. */
-#define SUSPECT_US 500000
 /** A trial takes a worker with other runs if none without runs has been found
- * for this time, or the longer one after a crash of which its task was the
- * only suspect: the trial will most probably end the other runs. */
+ * for this time. */
 #define TRIAL_WAIT_US 3000000
-#define TRIAL_SOLE_WAIT_US 15000000
 /** Workers with trials at a time: this fraction of those usable. */
-#define TRIAL_DIVISOR 8
+#define TRIAL_DIVISOR 16
 /** Workers that crashed under trials which are not over yet: this fraction,
  * and at least this many. They must not hold up the trials of innocent tasks,
  * nor may all workers crash at once. */
@@ -124,20 +120,11 @@
   return worker->born_ms != 0 && core->now_ms < worker->born_ms + YOUNG_MS;
 }
 
-/* Returns whether the run may crash its worker now. */
-static bool
-is_fresh (const struct cell_core *core, const struct cell_run *run)
-{
-  return !run->proven
-         && (run->confirmed_us == 0
-             || core->now_us <= run->confirmed_us + SUSPECT_US);
-}
-
 /* Returns whether the run may have crashed its worker just now. */
 static bool
-is_suspect (const struct cell_core *core, const struct cell_run *run)
+is_unproven (const struct cell_core *core, const struct cell_run *run)
 {
-  if (!is_fresh (core, run) || run->state == CELL_RUN_RECORDING)
+  if (run->proven || run->state == CELL_RUN_RECORDING)
     return false;
   if (run->inherited)
     return accountable (run)->crashes != NULL
@@ -153,7 +140,7 @@
   if (worker->muted || worker->draining)
     return;
   for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
-    if (run->broken_us == 0 && is_suspect (core, run))
+    if (run->broken_us == 0 && is_unproven (core, run))
       {
         run->broken_us = core->now_us;
         run->broken_born_ms = worker->born_ms;
@@ -487,16 +474,6 @@
     cell_worker_at (core, run->worker)->trial_count--;
 }
 
-/* Returns the time until which a trial waits for a worker without runs. */
-static uint64_t
-alone_until_us (const struct cell_crashes *crashes)
-{
-  for (uint32_t i = 0; i < crashes->count; i++)
-    if (crashes->rows[i].sole)
-      return crashes->counted_us + TRIAL_SOLE_WAIT_US;
-  return crashes->counted_us + TRIAL_WAIT_US;
-}
-
 uint64_t
 cell_blame_cost (const struct cell_core *core, const struct cell_stage *stage,
                  uint32_t row, const struct cell_crashes *trial)
@@ -510,14 +487,14 @@
     if (run->job != stage->job)
       {
         others++;
-        if (run->on_trial || (trial != NULL && is_fresh (core, run)))
+        if (run->on_trial || (trial != NULL && !run->proven))
           return UINT64_MAX;
       }
     else if (run->on_trial && !cell_stage_step (stage)->gang)
       return UINT64_MAX;
   if (trial == NULL)
     return 0;
-  if (others > 0 && core->now_us < alone_until_us (trial))
+  if (others > 0 && core->now_us < trial->counted_us + TRIAL_WAIT_US)
     return UINT64_MAX;
   return others * TRIAL_RUN_COST
          + (is_young (core, worker) ? TRIAL_YOUNG_COST : 0);
--- a/src/cyc_cell_gang.c
+++ b/src/cyc_cell_gang.c
@@ -312,7 +312,9 @@
       cell_retry_placement (core, at_us);
       return false;
     }
-  if (!gang_fits (core, stage))
+  if (!gang_fits (core, stage)
+      || (cell_blame_trial (stage, stage->first_task) != NULL
+          && !cell_blame_trial_allowed (core)))
     return false;
   if (!cell_stage_step (stage)->same_rack)
     return place_gang_in_rack (core, stage, &size, CYC_STR (""));
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -318,11 +318,9 @@
   return run;
 }
 
-/* Returns whether all tasks are placed. @p held: the number of those that wait
-   until further trials are allowed. */
 static bool
 place_tasks (struct cell_core *core, struct cell_stage *stage,
-             const struct cyc_resources *size, uint32_t *held)
+             const struct cyc_resources *size)
 {
   struct cell_round *round = &stage->job->rounds[stage->round];
 
@@ -343,10 +341,7 @@
         return false;
       trial = cell_blame_trial (stage, stage->first_task + t);
       if (trial != NULL && !cell_blame_trial_allowed (core))
-        {
-          (*held)++;
-          continue;
-        }
+        continue;
       row = cell_best_worker (core, stage, size, CYC_STR (""), trial);
       if (row == CELL_NO_ROW && trial != NULL)
         continue;
@@ -373,17 +368,11 @@
 {
   const Cyc__CellStep *step = cell_stage_step (stage);
   struct cyc_resources size = cell_step_size (step);
-  uint32_t held = 0;
 
-  if (!stage->job->cfg_known
-      || (step->gang && cell_blame_trial (stage, stage->first_task) != NULL
-          && !cell_blame_trial_allowed (core)))
+  if (!stage->job->cfg_known)
     return;
   if (step->gang ? cell_gang_place (core, stage)
-                 : place_tasks (core, stage, &size, &held))
-    return;
-  /* Tasks that are held back claim no capacity and need no advice. */
-  if (held == stage->waiting)
+                 : place_tasks (core, stage, &size))
     return;
   if (!cell_team_has_quota (stage->job->team, &size,
                             step->gang ? stage->count : 1))
@@ -398,12 +387,10 @@
      meanwhile. */
   if (step->gang && !stage->has_reservation)
     return;
-  capacity->millicores
-      = cell_remaining (capacity->millicores,
-                        (uint64_t)(stage->waiting - held) * size.millicores);
-  capacity->memory_mib
-      = cell_remaining (capacity->memory_mib,
-                        (uint64_t)(stage->waiting - held) * size.memory_mib);
+  capacity->millicores = cell_remaining (
+      capacity->millicores, (uint64_t)stage->waiting * size.millicores);
+  capacity->memory_mib = cell_remaining (
+      capacity->memory_mib, (uint64_t)stage->waiting * size.memory_mib);
 }
 
 /* Returns the rank of a stage; lower ranks come first. Late work yields to
