Log that a replaced leader has ended

A successor ends inherited runs and leases earlier when it reads the released record of the leader it has replaced; no line of the log told that. lead_ended gives the epoch and how long starts were assumed to be written otherwise. test_entry_lead passes; its log shows assumed_left_ms=2173 for a hand-over.

--- a/src/entry_lead.c
+++ b/src/entry_lead.c
@@ -195,14 +195,28 @@
   pl_peer_add (&entry->links, &peer);
 }
 
+static uint64_t
+left_ms (uint64_t until_us, uint64_t now_us)
+{
+  return until_us > now_us ? (until_us - now_us) / 1000 : 0;
+}
+
 /* The leader that was replaced last has ended its calls. */
 static void
 on_replaced_ended (struct entry *entry)
 {
+  uint64_t now_us = hc_now_us ();
+
+  ev_log (EV_LEAD_ENDED,
+          "epoch=%" PRIu64 " leader_epoch=%" PRIu64 " self=%d"
+          " assumed_left_ms=%" PRIu64 " left_ms=%" PRIu64,
+          entry->replaced_epoch, entry->leader.epoch, entry->owner != NULL,
+          left_ms (entry->replaced_end_us, now_us),
+          left_ms (entry->replaced_before_us, now_us));
   entry->replaced_end_us = entry->replaced_before_us;
   if (entry->owner == NULL)
     return;
-  entry->predecessor_end_us = MAX (hc_now_us (), entry->replaced_before_us);
+  entry->predecessor_end_us = MAX (now_us, entry->replaced_before_us);
   owner_earlier_ended (entry->owner, entry->predecessor_end_us);
 }
 
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -84,6 +84,7 @@
   X (EV_LEAD_CLAIMED, MESSAGE, "lead_claimed")                                \
   X (EV_LEAD_HANDED_OVER, MESSAGE, "lead_handed_over")                        \
   X (EV_LEAD_LOST, WARNING, "lead_lost")                                      \
+  X (EV_LEAD_ENDED, MESSAGE, "lead_ended")                                    \
   X (EV_LEAD_LOADED, MESSAGE, "lead_loaded")                                  \
   X (EV_PROGRESS_ORPHANED, MESSAGE, "progress_orphaned")                      \
   X (EV_WORKER_LISTED, MESSAGE, "worker_listed")                              \
