Count runs over by replacement in the simulated fleet

The fleet's count of conclusions and the names of their reasons ended before CELL_OVER_REPLACED: the first fleet test that replaces a worker would write past the array. Also two comments in the wrong place or with the wrong word.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -293,7 +293,7 @@
   uint64_t broken_us;           /**< when that was */
   uint64_t started_us;          /**< when the run's start was confirmed, or
                                      else ordered */
-  uint32_t suspects;            /**< runs that the crash counts against */
+  uint32_t suspects;            /**< jobs that are suspected of the crash */
   uint32_t crashes;             /**< crashes that count against the task */
 };
 
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -499,9 +499,8 @@
 void cell_run_ended (struct cell_core *core, struct cell_run *run,
                      enum cell_end_kind kind, struct cyc_str checkpoint);
 
-/* Runs that are over. */
-/* cyc_cell_blame.c: the only place that decides which task a worker's crash
-   counts against, and when a task is given up for its crashes. */
+/* Blame: the only place that decides which task a worker's crash counts
+   against, and when a task is given up for its crashes. */
 
 void cell_blame_setup (struct cell_core *core);
 void cell_blame_shutdown (struct cell_core *core);
@@ -558,6 +557,8 @@
 void cell_blame_restore (struct cell_core *core, struct cell_task *task,
                          const Cyc__CellCrash *from);
 
+/* Runs that are over. */
+
 void cell_over_setup (struct cell_core *core);
 void cell_over_shutdown (struct cell_core *core);
 /** Ends a run whose start was not ordered. */
--- a/tests/test_cell_late_seeds.c
+++ b/tests/test_cell_late_seeds.c
@@ -122,8 +122,9 @@
   fleet->call_faults.late_hold_permille = 0;
   fleet_run (fleet, 90000);
   if (getenv ("CELL_REASONS") != NULL)
-    for (uint32_t i = 0; i < 8; i++)
-      printf ("%u%s", fleet->conclusions[i], i < 7 ? " " : "\n");
+    for (uint32_t i = 0; i < G_N_ELEMENTS (fleet->conclusions); i++)
+      printf ("%u%s", fleet->conclusions[i],
+              i + 1 < G_N_ELEMENTS (fleet->conclusions) ? " " : "\n");
   if (fleet->violations > 0)
     fail_msg ("seed %u: %u violations, first: %s", seed, fleet->violations,
               fleet->first_violation);
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -207,8 +207,9 @@
   uint32_t delay_starts_ms;    /**< delay of starts on their way to workers */
   GPtrArray *orders_in_flight; /**< of struct order_in_flight */
   GPtrArray *holds_in_flight;  /**< of struct hold_in_flight */
-  uint32_t conclusions[8];     /**< runs concluded to be over, by reason */
-  uint32_t starts;             /**< number of runs that began */
+  /** Runs concluded to be over, by reason. */
+  uint32_t conclusions[CELL_OVER_REPLACED + 1];
+  uint32_t starts;        /**< number of runs that began */
   uint32_t resumed;       /**< number of these that began from a checkpoint */
   uint32_t stops;         /**< number of stop orders carried out */
   uint32_t stops_ordered; /**< number of stop orders handed out */
--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -498,8 +498,8 @@
 fleet_check_conclusions (struct fleet *fleet)
 {
   static const char *const reasons[]
-      = { "unordered", "refused", "stopped", "missing",
-          "fenced",    "lapsed",  "left",    "reborn" };
+      = { "unordered", "refused", "stopped", "missing", "fenced",
+          "lapsed",    "left",    "reborn",  "replaced" };
   struct cell_conclusion run;
 
   while (cell_conclusion_next (fleet->core, &run))
