--- a/tests/test_cell_trials.c
+++ b/tests/test_cell_trials.c
@@ -71,6 +71,42 @@
   free (fleet);
 }
 
+/* Tasks that wait for a trial ask the advisor, which answers one question at a
+   time, again and again; innocent work of other queues waits behind them. */
+static void
+test_waiting_trials_ask_for_advice (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  struct cell_totals totals;
+  uint32_t questions = 0;
+
+  (void)state;
+  fleet_setup (fleet, 48, 8000);
+  fleet->now_ms = 30000;
+  fleet->replace_crashed = true;
+  fleet->advice_ms = 100;
+  fleet_run (fleet, 100);
+  for (uint64_t j = 0; j < 240; j++)
+    {
+      fleet_submit (fleet, j + 1,
+                    &(struct fleet_job){ .tasks = { 2 },
+                                         .work_ms = 800,
+                                         .deadly = j % 2 == 0,
+                                         .queue = "advised" });
+      fleet_run (fleet, 50);
+    }
+  for (uint32_t ms = 0; ms < FINISH_MS; ms += 10)
+    {
+      fleet_run (fleet, 10);
+      cell_totals (fleet->core, &totals);
+      questions = MAX (questions, totals.asks_waiting);
+    }
+  if (questions > fleet->worker_count)
+    fail_msg ("%u open questions", questions);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
 /* A rack fails just after a gang has started on two of its workers. */
 static void
 test_gang_on_a_rack_that_fails (void **state)
@@ -106,7 +142,7 @@
 int
 main (void)
 {
-  struct CMUnitTest tests[sizeof cases / sizeof cases[0] + 1];
+  struct CMUnitTest tests[sizeof cases / sizeof cases[0] + 2];
   size_t count = sizeof cases / sizeof cases[0];
 
   for (size_t i = 0; i < count; i++)
@@ -117,5 +153,7 @@
     };
   tests[count]
       = (struct CMUnitTest)cmocka_unit_test (test_gang_on_a_rack_that_fails);
+  tests[count + 1] = (struct CMUnitTest)cmocka_unit_test (
+      test_waiting_trials_ask_for_advice);
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
