Do not count undone placements of a gang as trials (BUDGET)

Callers saw a suspected task wait 3 s beside free workers.

Cause: the members of a suspected gang that does not fit are placed and taken back within one tick; each had raised the count of workers with trials, which was lowered only at the next tick. The bound on trials then held up the next task.

A trial that is taken back before its start was recorded lowers the count. test_cell_undone_trials was red before and is green; test_cell_blame, test_cell_trials and test_cell_suspects stay green.

--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -470,8 +470,15 @@
 void
 cell_blame_freed (struct cell_core *core, const struct cell_run *run)
 {
-  if (run->on_trial)
-    cell_worker_at (core, run->worker)->trial_count--;
+  struct cell_worker *worker = cell_worker_at (core, run->worker);
+
+  if (!run->on_trial)
+    return;
+  worker->trial_count--;
+  /* A placement of this tick that is undone has used no worker. */
+  if (worker->trial_count == 0 && run->state == CELL_RUN_RECORDING
+      && core->trial_workers > 0)
+    core->trial_workers--;
 }
 
 uint64_t
