Take back a crash counted by an earlier leader when the worker answers (BUDGET)

Callers could see an innocent task given up after one real coincidence: a crash that was counted before a takeover, for a worker that had only been cut off, went on counting although the worker answered the successor.

Cause: the crashes of a task are restored from its record, but the worker row of the new leader did not know that this incarnation counts as crashed, so its answer took nothing back.

Restoring a crash now notes it at the worker.

--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -537,13 +537,20 @@
 cell_blame_restore (struct cell_core *core, struct cell_task *task,
                     const Cyc__CellCrash *from)
 {
+  uint32_t row = cell_worker_row (core, cyc_str_of (from->worker));
+  struct cell_worker *worker = cell_worker_at (core, row);
+
+  /* The crash is taken back if that incarnation answers after all. */
+  worker->crashed_born_ms
+      = MAX (worker->crashed_born_ms, from->worker_born_ms);
+  worker->crashed_us = core->now_us;
   if (task->crashes == NULL)
     task->crashes = g_new0 (struct cell_crashes, 1);
   if (task->crashes->count == CELL_CRASHES_MAX)
     return;
   task->crashes->counted_us = core->now_us;
   task->crashes->rows[task->crashes->count++] = (struct cell_crash){
-    .worker = cell_worker_row (core, cyc_str_of (from->worker)),
+    .worker = row,
     .born_ms = from->worker_born_ms,
     .sole = from->sole,
   };
