Log whether a crash that counts against a task has one suspect only (BUDGET)

task_suspected and task_given_up did not show the weight of the last crash, so a log could not tell why a task was given up after two crashes or after four. No decision changes; test_cell_blame passes.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -294,7 +294,9 @@
   uint64_t started_us;          /**< when the run's start was confirmed, or
                                      else ordered */
   uint32_t suspects;            /**< jobs that are suspected of the crash */
-  uint32_t crashes;             /**< crashes that count against the task */
+  bool sole; /**< the last of them has no other suspect and no other reason
+                near */
+  uint32_t crashes; /**< crashes that count against the task */
 };
 
 /** Progress record of a job. */
--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -106,7 +106,11 @@
   blame->run = run->number;
   blame->started_us
       = run->confirmed_us != 0 ? run->confirmed_us : run->ordered_us;
-  blame->crashes = task->crashes != NULL ? task->crashes->count : 0;
+  if (task->crashes != NULL && task->crashes->count > 0)
+    {
+      blame->crashes = task->crashes->count;
+      blame->sole = task->crashes->rows[task->crashes->count - 1].sole;
+    }
   if (run->broken_us == 0)
     return;
   blame->worker_born_ms = run->broken_born_ms;
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -318,13 +318,13 @@
       ev_log (events[blame.kind],
               "task=%s run=%u worker=%.*s epoch=%" PRIu64 " born_ms=%" PRIu64
               " first_end=%s broken_age_ms=%" PRId64 " started_age_ms=%" PRId64
-              " suspects=%u crashes=%u runs=%u listed=%d draining=%d"
+              " suspects=%u crashes=%u sole=%d runs=%u listed=%d draining=%d"
               " entry_age_ms=%" PRId64,
               blame.task, blame.run, CYC_FMT (view.id), owner->epoch,
               blame.worker_born_ms, call_ends[blame.first_end],
               age_ms (now_us, blame.broken_us),
               age_ms (now_us, blame.started_us), blame.suspects, blame.crashes,
-              view.runs, view.listed, view.draining,
+              blame.sole, view.runs, view.listed, view.draining,
               age_ms (now_us, view.listed_after_us));
     }
 }
