--- a/tests/test_cell_suspects.c
+++ b/tests/test_cell_suspects.c
@@ -73,7 +73,7 @@
   fleet->workers[0].partitioned = fleet->workers[0].refusing = true;
   fleet_run (fleet, 1000);
   assert_true (fleet_lapse_entry (fleet, 0));
-  fleet_run (fleet, 3 * FLEET_LEASE_MS);
+  fleet_run (fleet, 3ULL * FLEET_LEASE_MS);
   fleet_takeover (fleet);
   fleet->workers[0].partitioned = fleet->workers[0].refusing = false;
   fleet_list (fleet, 0);
