Hand over from a leader that falls behind

Evidence: the new fields of the line 'load'. The shortest round trip to any worker is 0 to 14 ms until 6 s and 101 to 288 ms from 7 s on; 0 to 1 ms on the wide link that takes over.

Fix: a leader whose fastest call to any worker takes longer than an unconfirmed start for three seconds, or that has not loaded its state after 1.5 s, asks a VM to claim that is at least twice as suitable and has read the log just now. It goes on leading if that VM does not claim.

--- a/fakes/fk_platform.c
+++ b/fakes/fk_platform.c
@@ -117,14 +117,15 @@
     }
 }
 
-static void
-delay_reply (struct fkp_platform *platform, struct hs_server *hs,
-             struct cyc_ref call, uint32_t status, struct cyc_str body)
+void
+fkp_delay_reply (struct fkp_platform *platform, struct hs_server *hs,
+                 struct cyc_ref call, uint32_t status, struct cyc_str body,
+                 uint32_t delay_ms)
 {
   struct fkp_pending_reply reply = {
     .hs = hs,
     .call = call,
-    .due_ms = fkp_now_ms () + platform->faults.log_delay_ms,
+    .due_ms = fkp_now_ms () + delay_ms,
     .body = g_bytes_new (body.data, body.len),
     .status = status,
   };
@@ -137,7 +138,8 @@
            struct cyc_str body)
 {
   if (platform->faults.log_delay_ms > 0)
-    delay_reply (platform, &platform->log, call, status, body);
+    fkp_delay_reply (platform, &platform->log, call, status, body,
+                     platform->faults.log_delay_ms);
   else
     fk_reply_text (&platform->log, call, status, body);
 }
@@ -325,12 +327,17 @@
   struct cyc_str after = hs_query (call, "depends_on");
   struct fkp_part *part = find_part (platform, topic.data,
                                      (uint32_t)query_u64 (call, "part", 0));
-  GList *keys
-      = g_list_sort (g_hash_table_get_keys (part->newest), compare_keys);
-  GString *out = g_string_new ("{\"items\":[");
+  GList *keys;
+  GString *out;
   uint32_t count = 0;
   bool more = false;
 
+  if (platform->faults.unloaded_topic != NULL
+      && cyc_str_eq (topic, cyc_str_of (platform->faults.unloaded_topic)))
+    return;
+  keys = g_list_sort (g_hash_table_get_keys (part->newest), compare_keys);
+  out = g_string_new ("{\"items\":[");
+
   for (GList *at = keys; at != NULL; at = at->next)
     {
       gsize len;
--- a/fakes/fk_platform.h
+++ b/fakes/fk_platform.h
@@ -110,6 +110,8 @@
   uint64_t fence;    /**< highest fencing token seen */
   uint64_t lease_ms; /**< end of the lease on the worker's clock */
   uint32_t millicores;
+  uint32_t answer_delay_ms; /**< of each answer that does not wait for an end
+                             */
   bool draining;
   bool silent;             /**< sends no answers; its runs continue */
   bool unlisted;           /**< writes no entry */
@@ -142,6 +144,8 @@
                                    answered */
   uint32_t log_delay_ms;        /**< delay of each answer */
   const char *unread_topic;     /**< its reads are not answered; or NULL */
+  const char *unloaded_topic;   /**< its newest records are not given; or NULL
+                                 */
   bool advisor_busy;            /**< answers with status 429 */
   bool advisor_silent;          /**< never answers */
   uint32_t lose_start_answers;  /**< number of starts that run, but are not
--- a/fakes/fk_platform_internal.h
+++ b/fakes/fk_platform_internal.h
@@ -17,6 +17,11 @@
                  void (*handle) (void *user, const struct hs_call *call),
                  void *user, struct cyc_findings *findings);
 
+/** Answers a call after @p delay_ms. */
+void fkp_delay_reply (struct fkp_platform *platform, struct hs_server *hs,
+                      struct cyc_ref call, uint32_t status,
+                      struct cyc_str body, uint32_t delay_ms);
+
 /* fk_platform_workers.c */
 /** Handles a call to a worker; @p user is the worker. */
 void fkp_on_worker_call (void *user, const struct hs_call *call);
--- a/fakes/fk_platform_workers.c
+++ b/fakes/fk_platform_workers.c
@@ -69,6 +69,17 @@
   worker->runs[index] = worker->runs[--worker->run_count];
 }
 
+static void
+reply (struct fkp_worker *worker, struct cyc_ref call, uint32_t status,
+       struct cyc_str body)
+{
+  if (worker->answer_delay_ms > 0)
+    fkp_delay_reply (worker->platform, &worker->hs, call, status, body,
+                     worker->answer_delay_ms);
+  else
+    fk_reply_text (&worker->hs, call, status, body);
+}
+
 void
 fkp_reply_hold (struct fkp_worker *worker, struct cyc_ref call)
 {
@@ -88,8 +99,7 @@
                             worker->ends[i].task, worker->ends[i].run,
                             worker->ends[i].outcome);
   g_string_append (out, "]}");
-  fk_reply_text (&worker->hs, call, 200,
-                 (struct cyc_str){ out->str, out->len });
+  reply (worker, call, 200, (struct cyc_str){ out->str, out->len });
   g_string_free (out, TRUE);
 }
 
@@ -102,7 +112,7 @@
   snprintf (body, sizeof body, "{\"clock_ms\":%" PRIu64 "%s%s%s}",
             worker_clock (worker), reason ? ",\"reason\":\"" : "",
             reason ? reason : "", reason ? "\"" : "");
-  fk_reply_text (&worker->hs, call, status, cyc_str_of (body));
+  reply (worker, call, status, cyc_str_of (body));
 }
 
 static struct fkp_run *
--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -206,7 +206,8 @@
   struct cyc_ref run;
   uint32_t worker;
   char task[64];
-  uint32_t number; /**< number of the run of the task */
+  uint32_t number;     /**< number of the run of the task */
+  uint64_t ordered_us; /**< when a start was handed out; 0 if it was not */
   struct cyc_str payload;
   char ticket[CELL_TICKET_BYTES];
   char checkpoint[CELL_CHECKPOINT_BYTES];
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -193,6 +193,7 @@
   out->run = ref;
   out->worker = run->worker;
   out->number = run->number;
+  out->ordered_us = run->ordered_us;
   cell_task_name (run, out->task);
   return true;
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -100,8 +100,10 @@
                                      claim is planned */
   uint64_t claim_not_before_us; /**< earliest time of the next claim */
   uint64_t handover_epoch;      /**< epoch that this VM was asked to succeed */
-  uint64_t handover_deadline_us; /**< handover: when this leader stops leading;
-                                    0: none */
+  uint64_t handover_deadline_us; /**< handover: until when this leader waits
+                                    for the claim of its successor; 0: none */
+  uint64_t handover_again_us;    /**< earliest time of the next handover by a
+                                    leader that falls behind */
   bool claim_in_flight;
   uint64_t claim_sent_us;      /**< send time of the newest claim */
   uint64_t claim_unknown_us;   /**< send time of the oldest claim that may be
@@ -119,6 +121,7 @@
                                        succeeded */
   uint64_t renew_at_us;
   uint64_t renew_sent_us; /**< of the last renewal */
+  uint64_t renewal_us;    /**< how long the last renewal took */
   uint64_t renew_epoch;   /**< epoch of the last renewal */
   uint64_t known_end;     /**< this leader knows all records before this offset
                                of the stream of claims; see also lead_tail */
--- a/src/entry_lead.c
+++ b/src/entry_lead.c
@@ -22,6 +22,11 @@
 #define CLAIM_RETRY_US 600000
 /** How long a stopping leader keeps leading while its successor claims. */
 #define HANDOVER_TIMEOUT_US 1500000
+/** A leader that falls behind hands over only to a VM that is this many times
+ * as suitable: one that is no better would fall behind in its turn. */
+#define HANDOVER_SCORE_FACTOR 2
+/** Delay after a hand-over for which no VM has claimed. */
+#define HANDOVER_RETRY_US 5000000
 /** Delay between claims of a successor that has not read the last renewal. */
 #define HANDOVER_CLAIM_RETRY_US 20000
 /** A leader without a successful renewal for this long, four periods, extends
@@ -183,6 +188,7 @@
     {
       if (entry->owner == NULL)
         {
+          entry->handover_deadline_us = 0;
           entry->confirmed_us = claimed_us;
           owner_begin (entry, epoch);
         }
@@ -293,6 +299,7 @@
   uint64_t known_end = MAX (entry->known_end, entry->lead_tail.next);
 
   entry->renew_in_flight = false;
+  entry->renewal_us = hc_now_us () - entry->renew_sent_us;
   if (entry->owner == NULL || entry->renew_epoch != entry->leader.epoch)
     return;
   if (result->outcome != PT_OK)
@@ -316,9 +323,20 @@
   owner_end (entry);
 }
 
-/* Returns the linked VM with the highest score; generation 0 if none. */
+/* Returns the score of a VM as a leader; 0 if it is unknown. */
+static uint64_t
+score_of (const struct entry *entry, const char *vm)
+{
+  const struct entry_vm *row = g_hash_table_lookup (entry->vms, vm);
+
+  return row != NULL ? row->lead_score : 0;
+}
+
+/* Returns the linked VM with the highest score of at least @p score_min that
+   has read the log at or after @p fresh_us; generation 0 if there is none. */
 static struct cyc_ref
-find_successor (const struct entry *entry, struct cyc_name *name)
+find_successor (const struct entry *entry, uint64_t score_min,
+                uint64_t fresh_us, struct cyc_name *name)
 {
   struct cyc_ref best = { 0 };
   uint64_t best_score = 0;
@@ -332,7 +350,8 @@
           = g_hash_table_lookup (entry->vms, view.identity.vm.data);
 
       if (vm == NULL || !view.linked || view.draining
-          || view.health != PL_ALIVE
+          || view.health != PL_ALIVE || vm->lead_score < score_min
+          || view.fresh_us < fresh_us
           || (best.generation != 0 && vm->lead_score <= best_score))
         continue;
       best = ref;
@@ -342,28 +361,51 @@
   return best;
 }
 
-void
-lead_hand_over (struct entry *entry)
+/* Asks the most suitable VM to claim the leadership. Returns false if no VM
+   can be asked. */
+static bool
+ask_successor (struct entry *entry, uint64_t score_min, uint64_t fresh_us,
+               const char *why)
 {
   Cyc__Peer message = CYC__PEER__INIT;
   Cyc__CellHandOver hand_over = CYC__CELL_HAND_OVER__INIT;
   struct cyc_name name = { 0 };
-  struct cyc_ref peer;
+  struct cyc_ref peer = find_successor (entry, score_min, fresh_us, &name);
 
-  if (entry->owner == NULL)
-    return;
-  peer = find_successor (entry, &name);
   message.body_case = CYC__PEER__BODY_CELL_HAND_OVER;
   message.cell_hand_over = &hand_over;
   hand_over.epoch = entry->leader.epoch;
   if (peer.generation == 0 || !pl_send (&entry->links, peer, &message))
-    {
-      lead_release (entry);
-      return;
-    }
+    return false;
   entry->handover_deadline_us = hc_now_us () + HANDOVER_TIMEOUT_US;
-  ev_log (EV_LEAD_HANDED_OVER, "epoch=%" PRIu64 " to=%s", entry->leader.epoch,
-          name.data);
+  ev_log (EV_LEAD_HANDED_OVER, "epoch=%" PRIu64 " to=%s why=%s",
+          entry->leader.epoch, name.data, why);
+  return true;
+}
+
+void
+lead_hand_over (struct entry *entry)
+{
+  if (entry->owner != NULL && !ask_successor (entry, 0, 0, "stopping"))
+    lead_release (entry);
+}
+
+/* Hands over to a VM that is much more suitable if this leader cannot keep
+   up. */
+static void
+hand_over_if_behind (struct entry *entry, uint64_t now_us)
+{
+  uint64_t own_score = score_of (entry, entry->desc.settings->vm.data);
+  const char *why;
+
+  if (entry->stopping || own_score == 0 || now_us < entry->handover_again_us)
+    return;
+  why = owner_behind (entry, now_us);
+  if (why == NULL)
+    return;
+  entry->handover_again_us = now_us + HANDOVER_RETRY_US;
+  ask_successor (entry, own_score * HANDOVER_SCORE_FACTOR,
+                 now_us - VIEW_MAX_AGE_US, why);
 }
 
 void
@@ -451,13 +493,17 @@
       return;
     }
   /* A renewal would make the successor's claim fail. */
-  if (entry->handover_deadline_us != 0)
+  if (entry->handover_deadline_us > now_us)
+    return;
+  if (entry->handover_deadline_us != 0 && entry->stopping)
     {
-      if (now_us >= entry->handover_deadline_us)
-        lead_release (entry);
+      lead_release (entry);
       return;
     }
-  if (entry->renew_in_flight || now_us < entry->renew_at_us)
+  entry->handover_deadline_us = 0;
+  hand_over_if_behind (entry, now_us);
+  if (entry->handover_deadline_us != 0 || entry->renew_in_flight
+      || now_us < entry->renew_at_us)
     return;
   entry->renew_at_us = now_us + RENEW_PERIOD_US;
   entry->renew_sent_us = now_us;
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -118,6 +118,8 @@
                   slot->failures);
         }
       slot->failures = 0;
+      if (!slot->hold_waits)
+        lag_answered (&owner->lag, now_us - report->sent_us, now_us);
       log_ends (owner, row, report);
       cell_worker_report (owner->core, row, report, now_us);
       cell_worker_view (owner->core, row, &view);
@@ -158,17 +160,19 @@
            struct cell_report *report)
 {
   struct entry_owner *owner = user;
+  uint64_t now_us = hc_now_us ();
 
   if (!owner_call_ended (owner))
     return;
   worker_slot (owner, row)->report_in_flight = false;
   if (unanswered != NULL)
     {
-      call_unanswered (owner, row, unanswered, hc_now_us ());
+      call_unanswered (owner, row, unanswered, now_us);
       return;
     }
+  lag_answered (&owner->lag, now_us - report->sent_us, now_us);
   log_ends (owner, row, report);
-  cell_worker_report (owner->core, row, report, hc_now_us ());
+  cell_worker_report (owner->core, row, report, now_us);
   owner_input_added (owner);
 }
 
@@ -237,6 +241,7 @@
   if (lease_end_ms != 0)
     cell_worker_leased (owner->core, row, lease_end_ms);
   slot->ack_sent = view.ack;
+  slot->hold_waits = wait_ms > 0;
   slot->hold_in_flight = owner->entry->desc.ports->workers->vtable->hold (
       owner->entry->desc.ports->workers,
       &(struct pt_hold){
@@ -360,16 +365,21 @@
             const struct pt_call_end *unanswered, const char *why)
 {
   struct entry_owner *owner = user;
+  struct cell_order order;
+  uint64_t now_us = hc_now_us ();
 
   if (!owner_call_ended (owner))
     return;
+  if (unanswered == NULL && result != CELL_START_UNKNOWN
+      && cell_run_describe (owner->core, run, &order) && order.ordered_us != 0)
+    lag_answered (&owner->lag, now_us - order.ordered_us, now_us);
   if (result != CELL_START_OK)
     {
       met_add (&owner->entry->met, MET_TASK_START_REFUSED, 1);
       log_refused (owner, run, result, why);
     }
   order_unanswered (owner, run, unanswered);
-  cell_start_result (owner->core, run, result, hc_now_us ());
+  cell_start_result (owner->core, run, result, now_us);
   owner_input_added (owner);
 }
 
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -24,6 +24,9 @@
 /** Bits of a revision below the epoch: one epoch has more revisions than a
  * leader can write records. */
 #define REVISION_EPOCH_SHIFT 36
+/** A leader that takes longer to load its state is behind: callers wait for
+ * their answers meanwhile. */
+#define LOAD_MAX_US 1500000
 /** Longest interval between two ticks of the core. */
 #define CORE_TICK_MAX_US 200000
 
@@ -374,6 +377,16 @@
   return owner->epoch;
 }
 
+const char *
+owner_behind (const struct entry *entry, uint64_t now_us)
+{
+  struct entry_owner *owner = entry->owner;
+
+  if (owner->phase == OWNER_LOADING)
+    return now_us >= owner->begun_us + LOAD_MAX_US ? "loading" : NULL;
+  return lag_is_behind (&owner->lag, now_us) ? "lagging" : NULL;
+}
+
 void
 owner_earlier_ended (struct entry_owner *owner, uint64_t until_us)
 {
@@ -448,11 +461,15 @@
   cell_totals (owner->core, &totals);
   ev_log (EV_LOAD,
           "jobs=%u open=%u stages_waiting=%u asks_waiting=%u runs=%u "
-          "workers=%u used_millicores=%" PRIu64
-          " capacity_millicores=%" PRIu64,
+          "workers=%u used_millicores=%" PRIu64 " capacity_millicores=%" PRIu64
+          " renewal_ms=%" PRIu64 " view_age_ms=%" PRIu64
+          " fastest_ms=%" PRIu64,
           totals.jobs, totals.jobs_open, totals.stages_waiting,
           totals.asks_waiting, totals.runs, totals.workers_usable,
-          totals.used_millicores, totals.capacity_millicores);
+          totals.used_millicores, totals.capacity_millicores,
+          owner->entry->renewal_us / 1000,
+          (now_us - owner->workers_tail.fresh_us) / 1000,
+          owner->lag.last_fastest_us / 1000);
 }
 
 void
--- a/src/entry_owner_internal.h
+++ b/src/entry_owner_internal.h
@@ -9,10 +9,12 @@
 #define ENTRY_OWNER_INTERNAL_H
 
 #include "entry_records.h"
+#include "lead_lag.h"
 
 struct owner_worker
 {
   bool hold_in_flight;
+  bool hold_waits;       /**< it asks the worker to wait for an end */
   bool report_in_flight; /**< a further hold without wait is in flight */
   uint64_t hold_sent_us; /**< send time of the last hold of either kind */
   uint32_t failures;
@@ -49,6 +51,7 @@
   uint64_t begun_us;
   uint64_t next_load_log_us;
   uint64_t last_tick_us;
+  struct lead_lag lag;
   bool core_has_input; /**< the core got input since its last tick */
   bool ended;          /**< no longer leads; freed when no call is in flight */
   uint32_t calls_in_flight; /**< port calls in flight */
--- /dev/null
+++ b/tests/test_entry_lag.c
@@ -0,0 +1,202 @@
+/* A leader that cannot keep up with its workers: jobs wait although workers
+   are free, and questions get no answer in time. It must hand over to a VM
+   that can, and only then. */
+
+#include "lead_lag.h"
+#include "tst_cluster.h"
+
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#define US_PER_MS 1000ULL
+/** One answer each so often in the cases of test_evidence. */
+#define ANSWER_GAP_MS 50
+
+struct lag_case
+{
+  const char *description;
+  uint32_t round_trip_ms;                /* of most answers */
+  uint32_t other_ms;                     /* of one answer in each... */
+  uint32_t other_gap_ms;                 /* ...so many ms; 0: of none */
+  uint32_t silent_from_ms, silent_to_ms; /* no answers between these */
+  uint32_t length_ms;
+  bool behind;
+};
+
+static const struct lag_case lag_cases[] = {
+  { "prompt answers", 20, 0, 0, 0, 0, 10000, false },
+  { "answers between regions", 90, 0, 0, 0, 0, 10000, false },
+  { "all answers are slow", 200, 0, 0, 0, 0, 5000, true },
+  { "all are slow for two seconds", 200, 0, 0, 0, 0, 2500, false },
+  { "some workers are slow", 200, 20, 500, 0, 0, 10000, false },
+  { "a cut between", 200, 0, 0, 2000, 4500, 6000, false },
+  { "too few answers", 200, 0, 0, 100, 9900, 10000, false },
+};
+
+static void
+test_evidence (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (lag_cases); i++)
+    {
+      const struct lag_case *c = &lag_cases[i];
+      struct lead_lag lag = { 0 };
+      uint64_t now_us = 0;
+
+      for (uint32_t ms = 1; ms <= c->length_ms; ms++)
+        {
+          now_us = (1000 + ms) * US_PER_MS;
+          if (c->other_gap_ms > 0 && ms % c->other_gap_ms == 0)
+            lag_answered (&lag, c->other_ms * US_PER_MS, now_us);
+          else if (ms % ANSWER_GAP_MS == 0
+                   && (ms < c->silent_from_ms || ms >= c->silent_to_ms))
+            lag_answered (&lag, c->round_trip_ms * US_PER_MS, now_us);
+        }
+      if (lag_is_behind (&lag, now_us) != c->behind)
+        fail_msg ("%s", c->description);
+    }
+}
+
+struct leader_case
+{
+  const char *description;
+  uint64_t own_score;      /* of the leader; the others have 100 */
+  uint32_t delayed;        /* workers that answer late, of four */
+  bool jobs_unloaded;      /* the leader cannot load the jobs */
+  bool successor_is_stuck; /* the others do not claim */
+  bool hands_over;
+};
+
+static const struct leader_case leader_cases[] = {
+  { "all calls take long", 50, 4, false, false, true },
+  { "calls to three workers take long", 50, 3, false, false, false },
+  { "calls take long, but no VM is much better", 51, 4, false, false, false },
+  { "the calls are prompt", 50, 0, false, false, false },
+  { "it does not load", 50, 0, true, false, true },
+  { "it does not load, and no VM is much better", 51, 0, true, false, false },
+  { "no VM claims: it goes on", 50, 4, false, true, false },
+};
+
+static void
+set_scores (struct tst_cluster *cluster, const char *leader, uint64_t score)
+{
+  for (uint32_t i = 0; i < TST_CLUSTER_VMS; i++)
+    {
+      GHashTableIter iter;
+      gpointer name;
+      gpointer row;
+
+      g_hash_table_iter_init (&iter, cluster->vms[i].entry.vms);
+      while (g_hash_table_iter_next (&iter, &name, &row))
+        ((struct entry_vm *)row)->lead_score
+            = strcmp (name, leader) == 0 ? score : 100;
+    }
+}
+
+/* Submits a job, so that workers are called all the time. */
+static void
+submit_job (struct tst_cluster *cluster, uint32_t number)
+{
+  char path[64];
+
+  snprintf (path, sizeof path, "/plain/%016x", number);
+  cluster->next_call = 0;
+  tst_cluster_send (cluster, 0, "POST", path, TST_CLUSTER_KEY,
+                    "{\"spec\":\"s\",\"steps\":[{\"count\":120,"
+                    "\"cpu\":250,\"mem_mb\":10,\"estimate_ms\":200}]}");
+}
+
+struct play
+{
+  const struct leader_case *c;
+  struct tst_cluster *cluster;
+  const struct tst_cluster_vm *leader; /* before the case */
+};
+
+/* Has another VM lead that cannot load its jobs. */
+static void
+unload_jobs (struct tst_cluster *cluster)
+{
+  uint64_t end_us = hc_now_us () + 5000 * US_PER_MS;
+
+  cluster->fake.faults.unloaded_topic = "keyed.cyc-jobs";
+  lead_step_down (&tst_cluster_leader (cluster)->entry, "test");
+  while (tst_cluster_leader (cluster) == NULL)
+    {
+      assert_true (hc_now_us () < end_us);
+      tst_cluster_run (cluster, 10);
+    }
+}
+
+static void
+begin_play (struct play *play, const struct leader_case *c)
+{
+  struct tst_cluster *cluster = calloc (1, sizeof *cluster);
+
+  play->c = c;
+  play->cluster = cluster;
+  tst_cluster_setup (cluster);
+  if (c->jobs_unloaded)
+    unload_jobs (cluster);
+  play->leader = tst_cluster_leader (cluster);
+  set_scores (cluster, play->leader->settings.vm.data, c->own_score);
+  for (uint32_t i = 0; i < TST_CLUSTER_VMS; i++)
+    if (c->successor_is_stuck && &cluster->vms[i] != play->leader)
+      cluster->vms[i].entry.claim_in_flight = true;
+  for (uint32_t i = 0; i < c->delayed; i++)
+    cluster->fake.workers[i].answer_delay_ms = 150;
+}
+
+static void
+end_play (const struct play *play)
+{
+  const struct leader_case *c = play->c;
+  struct tst_cluster_vm *leader = tst_cluster_leader (play->cluster);
+
+  if (leader == NULL)
+    fail_msg ("%s: nobody leads", c->description);
+  if ((leader != play->leader) != c->hands_over)
+    fail_msg ("%s: the leader %s", c->description,
+              c->hands_over ? "stayed" : "changed");
+  if (!lead_confirmed (&leader->entry, hc_now_us ()))
+    fail_msg ("%s: the leader is not confirmed", c->description);
+  tst_cluster_teardown (play->cluster);
+  free (play->cluster);
+}
+
+static void
+test_leader_that_falls_behind (void **state)
+{
+  struct play plays[G_N_ELEMENTS (leader_cases)];
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (plays); i++)
+    begin_play (&plays[i], &leader_cases[i]);
+  for (uint32_t round = 1; round <= 12; round++)
+    {
+      for (size_t i = 0; i < G_N_ELEMENTS (plays); i++)
+        submit_job (plays[i].cluster, round);
+      tst_cluster_run (plays[0].cluster, 600);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (plays); i++)
+    end_play (&plays[i]);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_evidence),
+    cmocka_unit_test (test_leader_that_falls_behind),
+  };
+
+  signal (SIGPIPE, SIG_IGN);
+  if (getenv ("TEST_FILTER") != NULL)
+    cmocka_set_test_filter (getenv ("TEST_FILTER"));
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
