Let a higher fencing token outdate calls that may be executed late

Cause: such a process knows no stop, no run number and no fencing token of before, and the late call carries the leader's only token. The incarnation cannot be named in a call: the id stays the same.

Why it works: after a call without an answer, and for a new incarnation, later calls to the worker carry the offset after the leader's last confirmed renewal as their token. It is higher than all tokens before it and lower than the epoch of each later leader, whose claim is stored after that renewal. A process that one of these calls has reached refuses the late one. A new incarnation is called at once; a worker without runs is called each 0.4 s instead of 2.5 s for 12 s after a start without an answer.

What is left: an order that is executed before the leader's first call to the new process (0.4 s, longer if it cannot be reached).

--- a/fakes/fk_platform.h
+++ b/fakes/fk_platform.h
@@ -80,6 +80,15 @@
   bool refuse_copy; /**< the next copy is answered with 503 */
 };
 
+/** A hold that is executed later, by the process that then has the worker's
+ * place. */
+struct fkp_late_hold
+{
+  struct fkp_worker *worker;
+  uint64_t fence;
+  uint64_t ack;
+};
+
 /** What happened to a run, kept after its worker has forgotten it. */
 struct fkp_history
 {
@@ -157,6 +166,8 @@
   uint32_t start_delay_ms[4]; /**< of the orders executed later, in turn */
   bool orders_outlive_worker; /**< a late order is executed by the next
                                  incarnation too */
+  uint32_t late_holds;        /**< number of holds with an acknowledgement that
+                                 get no answer: see fkp_execute_late_holds */
   const char *deadly_task;    /**< names of tasks that end the process of each
                                  worker that starts them begin so; or NULL */
   uint32_t deadly_after_ms;   /**< from the start to the end of the process */
@@ -191,6 +202,7 @@
   struct fkp_faults faults;
   uint32_t task_duration_ms; /**< of each run; 0: 200 */
   GArray *late_starts;       /**< struct fkp_late_start */
+  GArray *late_holds;        /**< struct fkp_late_hold */
   GArray *history;           /**< struct fkp_history, in order of begin */
   uint64_t calls;
   uint64_t advice_requests;
@@ -216,6 +228,8 @@
 /** Ends all runs of a worker and starts its next incarnation, which knows
  * nothing of the earlier one. */
 void fkp_restart_worker (struct fkp_worker *worker);
+/** Executes the holds that were kept for later. */
+void fkp_execute_late_holds (struct fkp_platform *platform);
 /** Ends the worker with all its runs and removes its entry. */
 void fkp_remove_worker (struct fkp_worker *worker);
 /** Ends the worker's process with all its runs: its connections close, nothing
--- a/fakes/fk_platform_workers.c
+++ b/fakes/fk_platform_workers.c
@@ -286,12 +286,10 @@
   reply_clock (worker, call->ref, 200, NULL);
 }
 
-static void
-on_hold (struct fkp_worker *worker, const struct hs_call *call,
-         struct json_object *root)
+/* Forgets the ends up to number @p ack. Returns how many are left. */
+static uint32_t
+acknowledge (struct fkp_worker *worker, uint64_t ack)
 {
-  uint64_t ack = (uint64_t)fk_int (root, "ack_cursor", 0);
-  int64_t wait = fk_int (root, "wait_ms", 0);
   uint32_t kept = 0;
 
   for (uint32_t i = 0; i < worker->end_count; i++)
@@ -302,6 +300,42 @@
           ->acknowledged
           = true;
   worker->end_count = kept;
+  return kept;
+}
+
+void
+fkp_execute_late_holds (struct fkp_platform *platform)
+{
+  for (guint i = 0; i < platform->late_holds->len; i++)
+    {
+      const struct fkp_late_hold *hold
+          = &g_array_index (platform->late_holds, struct fkp_late_hold, i);
+
+      if (hold->fence >= hold->worker->fence)
+        acknowledge (hold->worker, hold->ack);
+    }
+  g_array_set_size (platform->late_holds, 0);
+}
+
+static void
+on_hold (struct fkp_worker *worker, const struct hs_call *call,
+         struct json_object *root)
+{
+  struct fkp_faults *faults = &worker->platform->faults;
+  struct fkp_late_hold late
+      = { .worker = worker,
+          .fence = (uint64_t)fk_int (root, "fence", 0),
+          .ack = (uint64_t)fk_int (root, "ack_cursor", 0) };
+  int64_t wait = fk_int (root, "wait_ms", 0);
+  uint32_t kept;
+
+  if (late.ack > 0 && faults->late_holds > 0)
+    {
+      faults->late_holds--;
+      g_array_append_val (worker->platform->late_holds, late);
+      return;
+    }
+  kept = acknowledge (worker, late.ack);
   worker->lease_ms
       = MAX (worker->lease_ms, (uint64_t)fk_int (root, "deadline_ms", 0));
   if (kept > 0 || wait == 0)
@@ -588,6 +622,8 @@
 {
   platform->late_starts
       = g_array_new (FALSE, FALSE, sizeof (struct fkp_late_start));
+  platform->late_holds
+      = g_array_new (FALSE, FALSE, sizeof (struct fkp_late_hold));
   platform->history = g_array_new (FALSE, FALSE, sizeof (struct fkp_history));
 }
 
@@ -601,5 +637,6 @@
         close (platform->workers[i].reserved_fd);
     }
   g_array_free (platform->late_starts, TRUE);
+  g_array_free (platform->late_holds, TRUE);
   g_array_free (platform->history, TRUE);
 }
--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -34,6 +34,9 @@
 #define CELL_CHECKPOINT_BYTES 40
 #define CELL_LABELS_MAX 8
 #define CELL_STEPS_MAX 64
+/** A call without an answer may be executed this long after it has ended, as
+ * far as is known: the platform states no bound. */
+#define CELL_CALL_LATE_MAX_US 12000000
 /** Row of no worker. */
 #define CELL_NO_ROW UINT32_MAX
 
@@ -351,7 +354,8 @@
   bool listed;
   bool draining;
   uint32_t runs;
-  bool fenced; /**< has answered a hold call of this leader */
+  uint64_t born_ms; /**< its incarnation; 0 if unknown */
+  bool fenced;      /**< has answered a hold call of this leader */
   /** A report requested after this time resolves every unconfirmed start; 0 if
    * there is none. */
   uint64_t report_after_us;
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -492,6 +492,7 @@
   out->listed = worker->listed;
   out->draining = worker->draining;
   out->runs = worker->run_count;
+  out->born_ms = worker->born_ms;
   out->fenced = worker->fenced;
   out->report_after_us = 0;
   for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -28,9 +28,6 @@
  * last update has left by itself: a silent worker's entry is removed only
  * after three. */
 #define CELL_EXIT_HEARTBEATS_PERMILLE 2700
-/** A call without an answer may be executed this long after it has ended, as
- * far as is known: the platform states no bound. */
-#define CELL_CALL_LATE_MAX_US 12000000
 /** A worker that is alive and reaches the service discovery has its entry
  * again this soon after it was removed. */
 #define CELL_RELISTED_US 2000000
--- a/src/entry.h
+++ b/src/entry.h
@@ -122,6 +122,8 @@
   uint64_t renew_epoch;   /**< epoch of the last renewal */
   uint64_t known_end;     /**< this leader knows all records before this offset
                                of the stream of claims; see also lead_tail */
+  uint64_t renewed_end;   /**< offset after the last renewal that confirmed
+                               this VM's leadership; 0 if none has */
   bool renew_in_flight;
 
   struct entry_owner *owner; /**< state as the leader; NULL if not leading */
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -80,6 +80,11 @@
  */
 uint64_t lead_confirmed_until_us (const struct entry *entry);
 
+/** Returns the highest fencing token of this leader: higher than those that it
+ * returned before the last renewal, and lower than the epoch of each leader
+ * that follows, whose claim is stored after that renewal. */
+uint64_t lead_fence (const struct entry *entry);
+
 /* entry_owner.c */
 /** Returns the epoch under which the owner leads. */
 uint64_t owner_epoch (const struct entry_owner *owner);
--- a/src/entry_lead.c
+++ b/src/entry_lead.c
@@ -42,6 +42,12 @@
   return lead_confirmed_until_us (entry) > now_us;
 }
 
+uint64_t
+lead_fence (const struct entry *entry)
+{
+  return MAX (entry->leader.epoch, entry->renewed_end);
+}
+
 /* Gets the view of the link to the leader. Returns false if there is none. */
 static bool
 leader_view (const struct entry *entry, struct pl_peer_view *view)
@@ -303,6 +309,7 @@
   if (result->offset > known_end)
     return;
   entry->known_end = MAX (known_end, result->offset + 1);
+  entry->renewed_end = result->offset + 1;
   entry->confirmed_us = entry->renew_sent_us;
 }
 
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -15,6 +15,9 @@
 #define HOLD_ACK_WAIT_MAX_US 150000
 /** Interval between holds of a worker without runs. */
 #define HOLD_IDLE_US 2500000
+/** The same while a start may be executed late: a new process in the worker's
+ * place is to get a higher fencing token first. */
+#define HOLD_LATE_START_US 400000
 /** Delay after a hold without an answer. */
 #define HOLD_RETRY_US 400000
 /** Consecutive unanswered holds after which a worker counts as silent. */
@@ -40,6 +43,39 @@
   return &g_array_index (owner->workers, struct owner_worker, row);
 }
 
+/* Returns whether the worker has another incarnation than at the last call. */
+static bool
+is_reborn (const struct owner_worker *slot,
+           const struct cell_worker_view *view)
+{
+  return slot->born_ms != 0 && slot->born_ms != view->born_ms;
+}
+
+/* Returns the target of a call to a worker. A call without an answer may be
+   executed seconds later, by a process that has taken the worker's place and
+   knows of no stop and no lease. Calls after it, and those to a new
+   incarnation, therefore carry a higher fencing token: a process that has got
+   one of them refuses the late call. */
+static struct pt_target
+call_target (struct entry_owner *owner, uint32_t row,
+             const struct cell_worker_view *view)
+{
+  struct owner_worker *slot = worker_slot (owner, row);
+  uint64_t fence = lead_fence (owner->entry);
+
+  if (slot->fence == 0)
+    slot->fence = owner->epoch;
+  if (is_reborn (slot, view))
+    slot->fence_outdated = true;
+  slot->born_ms = view->born_ms;
+  if (slot->fence_outdated && fence > slot->fence)
+    {
+      slot->fence = fence;
+      slot->fence_outdated = false;
+    }
+  return (struct pt_target){ view->id, view->address, slot->fence };
+}
+
 static void
 log_ends (const struct entry_owner *owner, uint32_t row,
           const struct cell_report *report)
@@ -63,6 +99,7 @@
 call_unanswered (struct entry_owner *owner, uint32_t row,
                  const struct pt_call_end *end, uint64_t now_us)
 {
+  worker_slot (owner, row)->fence_outdated = true;
   if (end->broken_us != 0)
     cell_worker_broken (owner->core, row, end->broken_us, now_us);
   cell_worker_unanswered (owner->core, row, end->end, now_us);
@@ -121,8 +158,10 @@
       log_ends (owner, row, report);
       cell_worker_report (owner->core, row, report, now_us);
       cell_worker_view (owner->core, row, &view);
-      slot->next_hold_us
-          = now_us + (view.runs > 0 ? HOLD_GAP_US : HOLD_IDLE_US);
+      slot->next_hold_us = now_us
+                           + (view.runs > 0                ? HOLD_GAP_US
+                              : now_us < slot->late_end_us ? HOLD_LATE_START_US
+                                                           : HOLD_IDLE_US);
       slot->ack_deadline_us = now_us + HOLD_ACK_WAIT_MAX_US;
       owner_input_added (owner);
       return;
@@ -186,7 +225,7 @@
   slot->report_in_flight = owner->entry->desc.ports->workers->vtable->hold (
       owner->entry->desc.ports->workers,
       &(struct pt_hold){
-          .target = { view->id, view->address, owner->epoch },
+          .target = call_target (owner, row, view),
           .ack = view->ack,
           .deadline_us = now_us + HOLD_ANSWER_TIMEOUT_MS * 1000ULL,
           .done = on_report,
@@ -217,7 +256,8 @@
     return;
   if (view.ack > slot->ack_sent && slot->next_hold_us > now_us + HOLD_RETRY_US)
     slot->next_hold_us = now_us + HOLD_RETRY_US;
-  if (view.report_after_us != 0 && view.report_after_us >= slot->hold_sent_us)
+  if ((view.report_after_us != 0 && view.report_after_us >= slot->hold_sent_us)
+      || is_reborn (slot, &view))
     slot->next_hold_us = now_us;
   if (now_us < slot->next_hold_us)
     {
@@ -240,7 +280,7 @@
   slot->hold_in_flight = owner->entry->desc.ports->workers->vtable->hold (
       owner->entry->desc.ports->workers,
       &(struct pt_hold){
-          .target = { view.id, view.address, owner->epoch },
+          .target = call_target (owner, row, &view),
           .lease_deadline_ms = lease_end_ms,
           .ack = view.ack,
           .wait_ms = wait_ms,
@@ -355,6 +395,20 @@
           run.generation, (int)result, why);
 }
 
+/* Notes that the worker may execute a start of the run later. */
+static void
+note_late_start (struct entry_owner *owner, struct cyc_ref run)
+{
+  struct cell_order order;
+  struct owner_worker *slot;
+
+  if (!cell_run_describe (owner->core, run, &order))
+    return;
+  slot = worker_slot (owner, order.worker);
+  slot->fence_outdated = true;
+  slot->late_end_us = hc_now_us () + CELL_CALL_LATE_MAX_US;
+}
+
 static void
 on_started (void *user, struct cyc_ref run, enum cell_start_result result,
             const struct pt_call_end *unanswered, const char *why)
@@ -368,6 +422,8 @@
       met_add (&owner->entry->met, MET_TASK_START_REFUSED, 1);
       log_refused (owner, run, result, why);
     }
+  if (result == CELL_START_UNKNOWN)
+    note_late_start (owner, run);
   order_unanswered (owner, run, unanswered);
   cell_start_result (owner->core, run, result, hc_now_us ());
   owner_input_added (owner);
@@ -403,7 +459,7 @@
   bool begun;
 
   cell_worker_view (owner->core, order->worker, &view);
-  target = (struct pt_target){ view.id, view.address, owner->epoch };
+  target = call_target (owner, order->worker, &view);
   if (order->kind == CELL_ORDER_START)
     {
       uint64_t lease_end_ms = lease_deadline_ms (owner, &view, now_us);
