Raise the fencing token for a new incarnation only

The token was also raised after each call without an answer.

A new incarnation is called as soon as it is known, so the token of calls to an earlier one need not change. test_entry_outlive: 0 of 8 cases red in 4 runs; test_entry_fence passes.

--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -15,8 +15,8 @@
 #define HOLD_ACK_WAIT_MAX_US 150000
 /** Interval between holds of a worker without runs. */
 #define HOLD_IDLE_US 2500000
-/** The same while a start may be executed late: a new process in the worker's
- * place is to get a higher fencing token first. */
+/** The same while a start may be executed late: a process that takes the
+ * worker's place is to get a higher fencing token first. */
 #define HOLD_LATE_START_US 400000
 /** Delay after a hold without an answer. */
 #define HOLD_RETRY_US 400000
@@ -53,9 +53,10 @@
 
 /* Returns the target of a call to a worker. A call without an answer may be
    executed seconds later, by a process that has taken the worker's place and
-   knows of no stop and no lease. Calls after it, and those to a new
-   incarnation, therefore carry a higher fencing token: a process that has got
-   one of them refuses the late call. */
+   knows of no stop and no lease. Calls to a new incarnation therefore carry a
+   higher fencing token, and once it has got one of them it refuses all calls
+   that were made before. Others keep their token, as a start in flight would
+   be refused. */
 static struct pt_target
 call_target (struct entry_owner *owner, uint32_t row,
              const struct cell_worker_view *view)
@@ -99,7 +100,6 @@
 call_unanswered (struct entry_owner *owner, uint32_t row,
                  const struct pt_call_end *end, uint64_t now_us)
 {
-  worker_slot (owner, row)->fence_outdated = true;
   if (end->broken_us != 0)
     cell_worker_broken (owner->core, row, end->broken_us, now_us);
   cell_worker_unanswered (owner->core, row, end->end, now_us);
@@ -400,13 +400,10 @@
 note_late_start (struct entry_owner *owner, struct cyc_ref run)
 {
   struct cell_order order;
-  struct owner_worker *slot;
 
-  if (!cell_run_describe (owner->core, run, &order))
-    return;
-  slot = worker_slot (owner, order.worker);
-  slot->fence_outdated = true;
-  slot->late_end_us = hc_now_us () + CELL_CALL_LATE_MAX_US;
+  if (cell_run_describe (owner->core, run, &order))
+    worker_slot (owner, order.worker)->late_end_us
+        = hc_now_us () + CELL_CALL_LATE_MAX_US;
 }
 
 static void
--- a/src/entry_owner_internal.h
+++ b/src/entry_owner_internal.h
@@ -22,9 +22,8 @@
                                  acknowledgements beyond this time */
   uint64_t ack_sent;
   uint64_t fence;       /**< fencing token of the newest calls; 0: the epoch */
-  bool fence_outdated;  /**< calls under this token may be executed late by a
-                           process that they were not meant for: later calls
-                           carry a higher one */
+  bool fence_outdated;  /**< calls under this token were made to an earlier
+                           incarnation: later calls carry a higher one */
   uint64_t born_ms;     /**< incarnation known at the newest call */
   uint64_t late_end_us; /**< until when a start without an answer may be
                            executed */
