Number questions to other VMs anew in each process

What callers could see: 410 or a wrong state for an accepted job, or a job said to be stored that is not, after a VM was restarted: the number of a relayed call of the log (from 1) or of a question to the leader (row and generation of the request) is used again by the next process of the VM, and a late answer to its predecessor was taken for an answer to another call.

Numbers now begin at, or are mixed with, the random incarnation of the process.

--- a/src/entry.c
+++ b/src/entry.c
@@ -391,6 +391,15 @@
                    findings);
 }
 
+uint64_t
+entry_number (const struct entry *entry)
+{
+  uint64_t number;
+
+  memcpy (&number, entry->incarnation.bytes, sizeof number);
+  return number;
+}
+
 bool
 entry_setup (struct entry *entry, const struct entry_desc *desc,
              struct cyc_findings *findings)
@@ -409,8 +418,10 @@
                      findings)
       || !setup_links (entry, findings))
     return false;
-  relay_setup (&entry->relay, &(struct relay_desc){ .direct = desc->ports->log,
-                                                    .links = &entry->links });
+  relay_setup (&entry->relay,
+               &(struct relay_desc){ .direct = desc->ports->log,
+                                     .links = &entry->links,
+                                     .first_call = entry_number (entry) });
   tail_setup (&entry->config_tail, &(struct tail_desc){
                                        .loop = desc->loop,
                                        .log = &entry->relay.log,
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -42,6 +42,11 @@
  * the log's outage, which began at @p down_since_us; 0 if the log is up. */
 uint32_t entry_retry_after_s (uint64_t down_since_us, uint64_t now_us);
 
+/** Returns a number that no other process has, for what this one asks of other
+ * VMs: an answer to an earlier process of the VM fits none of its questions.
+ */
+uint64_t entry_number (const struct entry *entry);
+
 /* entry_accept.c */
 /** Handles the leader's answer for a record that this VM submitted to it. */
 void accept_on_stored (struct entry *entry, struct cyc_str key,
--- a/src/entry_requests.c
+++ b/src/entry_requests.c
@@ -109,6 +109,13 @@
   accept_add (entry, ref, 'c', call->job, data, len);
 }
 
+/* The rows and generations of requests begin anew in each process. */
+static uint64_t
+ask_number (const struct entry *entry, struct cyc_ref call)
+{
+  return ((uint64_t)call.generation << 32 | call.index) ^ entry_number (entry);
+}
+
 static void
 ask_leader (struct entry *entry, struct cyc_ref ref, uint64_t now_us)
 {
@@ -140,7 +147,7 @@
                   SET_ROLE_ENTRY);
   message.body_case = CYC__PEER__BODY_CELL_ASK;
   message.cell_ask = &ask;
-  ask.ask = (uint64_t)ref.generation << 32 | ref.index;
+  ask.ask = ask_number (entry, ref);
   if (call->verb == PT_VERB_PENDING)
     ask.queue = call->queue.data;
   else
@@ -152,8 +159,8 @@
 void
 requests_on_answer (struct entry *entry, const Cyc__CellAnswer *answer)
 {
-  struct cyc_ref ref
-      = { (uint32_t)answer->ask, (uint32_t)(answer->ask >> 32) };
+  uint64_t number = answer->ask ^ entry_number (entry);
+  struct cyc_ref ref = { (uint32_t)number, (uint32_t)(number >> 32) };
   struct entry_call *call;
 
   if (!answer->leading || !cyc_pool_live (&entry->call_pool, ref))
--- a/src/log_relay.c
+++ b/src/log_relay.c
@@ -680,7 +680,7 @@
   memset (relay, 0, sizeof *relay);
   relay->log.vtable = &relay_vtable;
   relay->desc = *desc;
-  relay->next_call = 1;
+  relay->next_call = desc->first_call;
   relay->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                         (GDestroyNotify)free_call);
 }
--- a/src/log_relay.h
+++ b/src/log_relay.h
@@ -28,6 +28,8 @@
 {
   struct pt_log *direct; /**< log port that makes the direct calls */
   struct pl_links *links;
+  uint64_t first_call; /**< number of the first call; an earlier process of the
+                            VM has used none from here on */
 };
 
 struct relay_call;
