Believe a refusal of a job only when all its copies are refused

What callers could see: 503 for a job that runs (REFUSED). A caller who tries again at the same VM while the first attempt waits at the leader has two copies of the job submitted. The leader's answer names the job, not the copy; a refusal of one ended both, while the other one was stored. The same held for an answer that came after its copy had been given up.

The VM counts the copies of a record that it has submitted and that are not answered. A refusal counts when it is the last answer; until then the callers wait, and after a second the outcome is unknown, as before. A copy without an answer is forgotten after 10 s.

--- a/src/entry.c
+++ b/src/entry.c
@@ -410,6 +410,8 @@
   entry->calls = calloc (CALLS_MAX, sizeof *entry->calls);
   entry->accept_in_flight = g_ptr_array_new ();
   entry->accept_at_leader = g_ptr_array_new ();
+  entry->accept_copies
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   entry->ended_owners = g_ptr_array_new ();
   g_queue_init (&entry->accept_waiting);
   if (entry->calls == NULL
--- a/src/entry.h
+++ b/src/entry.h
@@ -88,6 +88,9 @@
   GQueue accept_waiting;       /**< struct accept_item not appended yet */
   GPtrArray *accept_in_flight; /**< struct accept_item being appended */
   GPtrArray *accept_at_leader; /**< struct accept_item handed to the leader */
+  GHashTable *accept_copies;   /**< key of a record to struct accept_copies */
+  uint64_t accept_forget_us;   /**< when old rows of accept_copies are dropped
+                                    next */
   uint64_t accept_retry_us;    /**< earliest time of the next append */
   uint64_t accept_down_since_us; /**< when appends began to be refused; 0 if
                                     the log is up */
--- a/src/entry_accept.c
+++ b/src/entry_accept.c
@@ -22,6 +22,18 @@
 /** Timeout of an answer of the leader; a slow log takes 0.5 s. */
 #define LEADER_TIMEOUT_US 1000000
 
+/** An answer of a leader that takes longer belongs to no record any more. */
+#define COPY_KEPT_US 10000000
+/** Interval at which copies without an answer are forgotten. */
+#define FORGET_INTERVAL_US 1000000
+
+/* Copies of a record that were submitted to leaders and are not answered. */
+struct accept_copies
+{
+  uint32_t open;
+  uint64_t submitted_us; /* the last one */
+};
+
 /* A job or cancellation that a caller waits to be stored. */
 struct accept_item
 {
@@ -216,6 +228,56 @@
 
 /* Submission to the leader. */
 
+static void
+count_submitted (struct entry *entry, const char *key)
+{
+  struct accept_copies *copies
+      = g_hash_table_lookup (entry->accept_copies, key);
+
+  if (copies == NULL)
+    {
+      copies = g_new0 (struct accept_copies, 1);
+      g_hash_table_insert (entry->accept_copies, g_strdup (key), copies);
+    }
+  copies->open++;
+  copies->submitted_us = hc_now_us ();
+}
+
+/* Counts an answer. Returns whether a copy of the
+   record may still be stored. */
+static bool
+count_answered (struct entry *entry, const char *key)
+{
+  struct accept_copies *copies
+      = g_hash_table_lookup (entry->accept_copies, key);
+
+  if (copies == NULL)
+    return false;
+  if (--copies->open > 0)
+    return true;
+  g_hash_table_remove (entry->accept_copies, key);
+  return false;
+}
+
+static gboolean
+is_forgotten (gpointer key, gpointer value, gpointer user)
+{
+  const struct accept_copies *copies = value;
+  const uint64_t *now_us = user;
+
+  (void)key;
+  return copies->submitted_us + COPY_KEPT_US < *now_us;
+}
+
+static void
+forget_copies (struct entry *entry, uint64_t now_us)
+{
+  if (now_us < entry->accept_forget_us)
+    return;
+  entry->accept_forget_us = now_us + FORGET_INTERVAL_US;
+  g_hash_table_foreach_remove (entry->accept_copies, is_forgotten, &now_us);
+}
+
 /* Returns true if the item was submitted to the leader. */
 static bool
 submit_to_leader (struct entry *entry, struct accept_item *item)
@@ -232,6 +294,7 @@
   if (entry->owner != NULL)
     {
       g_ptr_array_add (entry->accept_at_leader, item);
+      count_submitted (entry, item->key);
       owner_submit (entry, cyc_str_of (item->key),
                     (struct cyc_str){ (const char *)item->data, item->len },
                     (struct cyc_ref){ 0 });
@@ -249,6 +312,7 @@
   submit.value = (ProtobufCBinaryData){ item->len, item->data };
   if (!pl_send (&entry->links, peer, &message))
     return false;
+  count_submitted (entry, item->key);
   g_ptr_array_add (entry->accept_at_leader, item);
   return true;
 }
@@ -272,7 +336,14 @@
                   enum records_outcome outcome, uint32_t retry_after_s)
 {
   uint64_t now_us = hc_now_us ();
+  char name[CELL_KEY_BYTES];
+  bool copies_left;
 
+  snprintf (name, sizeof name, "%.*s", CYC_FMT (key));
+  copies_left = count_answered (entry, name);
+  if (copies_left
+      && (outcome == RECORDS_REFUSED || outcome == RECORDS_OVER_RATE))
+    return;
   for (guint i = 0; i < entry->accept_at_leader->len;)
     {
       struct accept_item *item
@@ -381,6 +452,7 @@
       g_ptr_array_remove_index_fast (entry->accept_at_leader, i);
       fall_back (entry, item, RECORDS_UNKNOWN, 0, now_us);
     }
+  forget_copies (entry, now_us);
   expire_items (entry, now_us);
   append_waiting (entry, now_us);
 }
@@ -398,4 +470,5 @@
     free_item (g_ptr_array_index (entry->accept_at_leader, i));
   g_ptr_array_free (entry->accept_in_flight, TRUE);
   g_ptr_array_free (entry->accept_at_leader, TRUE);
+  g_hash_table_destroy (entry->accept_copies);
 }
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -48,7 +48,9 @@
 uint64_t entry_number (const struct entry *entry);
 
 /* entry_accept.c */
-/** Handles the leader's answer for a record that this VM submitted to it. */
+/** Handles a leader's answer for a record that this VM submitted. A refusal
+ * counts once every copy of the record that was submitted is refused: the
+ * answer does not tell which copy it is for. */
 void accept_on_stored (struct entry *entry, struct cyc_str key,
                        enum records_outcome outcome, uint32_t retry_after_s);
 /** Has a record stored, by the leader or by an append of this VM. Answers @p
--- a/tests/test_entry_copies.c
+++ b/tests/test_entry_copies.c
@@ -1,6 +1,7 @@
-/* Answers between VMs that were meant for an earlier process of the VM. Guards
-   against callers who are told that a job was stored or never existed by an
-   answer that does not speak for it. */
+/* Answers between VMs that belong to another request than the one that waits:
+   to an earlier copy of a submitted job, or to an earlier process of the VM.
+   Guards against callers who are told that a job was refused, stored or never
+   existed by an answer that does not speak for it. */
 
 #include "tst_cluster.h"
 
@@ -14,6 +15,7 @@
 #include <cmocka.h>
 
 #define JOB_PATH "/plain/0000000000000001"
+#define JOB_KEY "j0000000000000001"
 #define JOB_BODY                                                              \
   "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":10,"       \
   "\"estimate_ms\":200}]}"
@@ -63,6 +65,82 @@
   assert_true (pl_send (&f->leader->links, peer, message));
 }
 
+static uint32_t
+submit (struct fixture *f)
+{
+  return tst_cluster_send (&f->cluster, f->follower_index, "POST", JOB_PATH,
+                           TST_CLUSTER_KEY, JOB_BODY);
+}
+
+static void
+send_outcome (struct fixture *f, enum records_outcome outcome)
+{
+  Cyc__Peer message = CYC__PEER__INIT;
+  Cyc__CellStored stored = CYC__CELL_STORED__INIT;
+
+  message.body_case = CYC__PEER__BODY_CELL_STORED;
+  message.cell_stored = &stored;
+  stored.key = (ProtobufCBinaryData){ strlen (JOB_KEY), (uint8_t *)JOB_KEY };
+  stored.outcome = outcome;
+  send_from_leader (f, &message);
+  tst_cluster_run (&f->cluster, 50);
+}
+
+struct copies_case
+{
+  const char *description;
+  enum records_outcome outcomes[2];
+  uint32_t outcome_count;
+  bool answered; /* the second request then has its answer */
+};
+
+static const struct copies_case copies_cases[] = {
+  { "one copy refused", { RECORDS_REFUSED }, 1, false },
+  { "one copy over the rate", { RECORDS_OVER_RATE }, 1, false },
+  { "both copies refused", { RECORDS_REFUSED, RECORDS_REFUSED }, 2, true },
+  { "both copies over the rate",
+    { RECORDS_OVER_RATE, RECORDS_OVER_RATE },
+    2,
+    true },
+  { "one copy stored", { RECORDS_STORED }, 1, true },
+};
+
+/* A job is submitted to the leader twice, and one of the copies is refused:
+   the other one may be stored. */
+static void
+test_refusal_of_another_copy_of_a_job (void **state)
+{
+  uint32_t failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (copies_cases); i++)
+    {
+      const struct copies_case *row = &copies_cases[i];
+      struct fixture *f = setup ();
+      uint32_t second;
+
+      f->cluster.fake.faults.log_silent = true;
+      submit (f);
+      tst_cluster_run (&f->cluster, 100);
+      second = submit (f);
+      tst_cluster_run (&f->cluster, 100);
+      /* The VM's own appends are refused; the leader's has no answer yet. */
+      f->cluster.fake.faults.log_silent = false;
+      f->cluster.fake.faults.log_busy = true;
+      for (uint32_t k = 0; k < row->outcome_count; k++)
+        send_outcome (f, row->outcomes[k]);
+      tst_cluster_run (&f->cluster, 150);
+      if ((f->cluster.answer_counts[second] > 0) != row->answered)
+        {
+          print_error ("%s: %u answers\n", row->description,
+                       f->cluster.answer_counts[second]);
+          failures++;
+        }
+      teardown (f);
+    }
+  assert_int_equal (failures, 0);
+}
+
 /* A VM relays its reads of the log. An answer to a read that an earlier
    process of the VM relayed is not taken for one of them. */
 static void
@@ -133,6 +211,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_refusal_of_another_copy_of_a_job),
     cmocka_unit_test (test_relayed_answer_to_an_earlier_process),
     cmocka_unit_test (test_state_of_a_job_of_an_earlier_process),
   };
