Take a worker for gone only by entries that were read since

What callers could see: a task runs twice at the same time.

The run of a start without an answer ended 2 s after its worker's entry was removed, as a worker that is alive is listed again by then. Nobody asked whether entries had been read in that time; a leader whose reads fail does not see the worker come back. 2. An inherited run counted as covered by its lease while its worker's incarnation was unknown. A worker that lost its entry before the takeover may have restarted under its id, and its lease is another one.

The core is now told until when entries have been read. A worker is gone if it is still missing from entries that were read 2 s after the removal, or 2 s after the first load if it was not listed then; an unknown incarnation counts as another one. So an inherited run on a worker that is gone waits for its lease as before, not for the 12 s of a late call.

Shown by test_cell_lapse: both cases red before, green after.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -343,6 +343,10 @@
  * three heartbeats. */
 void cell_worker_unlisted (struct cell_core *core, struct cyc_str id,
                            uint64_t now_us);
+/** All entries that were written or removed until @p until_us have been
+ * passed.
+ */
+void cell_entries_read (struct cell_core *core, uint64_t until_us);
 /** Returns the number of worker rows. A worker keeps its row for the lifetime
  * of the core, also when it is no longer listed. */
 uint32_t cell_worker_count (const struct cell_core *core);
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -481,6 +481,14 @@
   worker->listed = false;
 }
 
+void
+cell_entries_read (struct cell_core *core, uint64_t until_us)
+{
+  if (core->entries_first_us == 0)
+    core->entries_first_us = until_us;
+  core->entries_read_us = MAX (core->entries_read_us, until_us);
+}
+
 void
 cell_worker_view (const struct cell_core *core, uint32_t row,
                   struct cell_worker_view *out)
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -373,15 +373,18 @@
   GPtrArray *runs;           /**< by ref.index; NULL if unused */
   GArray *run_generations;
   GArray *free_runs;
-  GQueue recording;         /**< runs in the order of their batches */
-  GPtrArray *state_pending; /**< jobs whose state is not yet durable */
-  GQueue orders;            /**< struct cell_order * */
-  GQueue conclusions;       /**< struct cell_conclusion *, to be handed out */
-  GHashTable *concluded;    /**< struct cell_conclusion by itself; see
-                               cyc_cell_over.c */
-  GQueue concluded_by_age;  /**< the same, oldest first */
-  GQueue blames;            /**< struct cell_blame *, to be handed out */
-  GPtrArray *records;       /**< struct cell_record of closed batches */
+  GQueue recording;          /**< runs in the order of their batches */
+  GPtrArray *state_pending;  /**< jobs whose state is not yet durable */
+  GQueue orders;             /**< struct cell_order * */
+  GQueue conclusions;        /**< struct cell_conclusion *, to be handed out */
+  GHashTable *concluded;     /**< struct cell_conclusion by itself; see
+                                cyc_cell_over.c */
+  GQueue concluded_by_age;   /**< the same, oldest first */
+  GQueue blames;             /**< struct cell_blame *, to be handed out */
+  GPtrArray *records;        /**< struct cell_record of closed batches */
+  uint64_t entries_read_us;  /**< the entries that were written until then are
+                                known; 0 if they are not loaded */
+  uint64_t entries_first_us; /**< the same after the load */
   uint64_t first_end_us; /**< when the first end was received; 0 if none yet */
   GHashTable *queue_times; /**< queue name to struct cell_queue_time */
   GHashTable *queue_allowed_permille; /**< by queue name */
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -145,8 +145,7 @@
 lease_covers (const struct cell_worker *worker, const struct cell_run *run)
 {
   if (run->inherited)
-    return run->worker_born_ms == 0 || worker->born_ms == 0
-           || run->worker_born_ms == worker->born_ms;
+    return run->worker_born_ms != 0 && run->worker_born_ms == worker->born_ms;
   return run->last_born_ms != 0 && run->last_born_ms == worker->born_ms
          && (run->ordered_born_ms == run->last_born_ms
              || run->seen_born_ms == run->last_born_ms);
@@ -162,14 +161,18 @@
 
 /* Returns when everything of a call that ended at @p call_us has ended because
    the worker is gone: the platform lists a worker that is alive again within
-   CELL_RELISTED_US. */
+   CELL_RELISTED_US, and the entries of that time have been read. */
 static uint64_t
 gone_us (const struct cell_core *core, const struct cell_worker *worker,
          uint64_t call_us)
 {
-  if (worker->listed || worker->unlisted_us == 0)
+  uint64_t unlisted_us = worker->unlisted_us != 0 ? worker->unlisted_us
+                                                  : core->entries_first_us;
+
+  if (worker->listed || unlisted_us == 0
+      || core->entries_read_us < unlisted_us + CELL_RELISTED_US)
     return UINT64_MAX;
-  return MAX (worker->unlisted_us + CELL_RELISTED_US,
+  return MAX (unlisted_us + CELL_RELISTED_US,
               cell_lease_lapsed_us (core, call_us));
 }
 
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -472,6 +472,8 @@
       records_tick (&owner->records, now_us);
       return;
     }
+  if (owner->workers_tail.fresh_us != 0)
+    cell_entries_read (owner->core, owner->workers_tail.fresh_us);
   for (uint32_t row = 0; row < cell_worker_count (owner->core); row++)
     orders_hold (owner, row, now_us);
   if (owner->core_has_input || now_us >= cell_next_us (owner->core)
--- /dev/null
+++ b/tests/test_cell_lapse.c
@@ -0,0 +1,140 @@
+/* When the last copy of a start has certainly ended on a worker that is
+   silent. Guards against bounds that leave out an incarnation that is not
+   known or entries that are not read: the task is then started again while the
+   worker may still run it. */
+
+#include "tst_fleet_internal.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+/** Allowance for a slow clock and for the transit of messages. */
+#define MARGIN_MS 500
+#define LATE_MS 12000
+/** A worker that is alive has its entry again after this time. */
+#define RELISTED_MS 2000
+
+/* A task whose start is under way. */
+struct fixture
+{
+  struct fleet *fleet;
+  struct cell_core *core;
+  struct cyc_ref run;
+  uint32_t row;
+  uint64_t born_ms;
+  uint64_t now_us;
+  bool entries_unread;
+  uint32_t over; /* conclusions that a run is over */
+};
+
+static struct fixture
+setup (void)
+{
+  struct fixture f = { .fleet = calloc (1, sizeof *f.fleet) };
+  const struct order_in_flight *start;
+
+  fleet_setup (f.fleet, 1, 1000);
+  fleet_run (f.fleet, 100);
+  f.fleet->delay_starts_ms = 600000;
+  fleet_submit (f.fleet, 1, &(struct fleet_job){ .tasks = { 1 } });
+  fleet_run (f.fleet, 40);
+  assert_int_equal (f.fleet->orders_in_flight->len, 1);
+  start = g_ptr_array_index (f.fleet->orders_in_flight, 0);
+  f.core = f.fleet->core;
+  f.run = start->order.run;
+  f.row = start->order.worker;
+  f.born_ms = f.fleet->workers[f.row].born_ms;
+  f.now_us = f.fleet->now_ms * 1000;
+  return f;
+}
+
+static void
+teardown (struct fixture *f)
+{
+  fleet_teardown (f->fleet);
+  free (f->fleet);
+}
+
+static void
+advance (struct fixture *f, uint64_t ms)
+{
+  struct cell_conclusion conclusion;
+
+  f->now_us += ms * 1000;
+  if (!f->entries_unread)
+    cell_entries_read (f->core, f->now_us);
+  cell_tick (f->core, f->now_us, f->now_us / 1000);
+  while (cell_conclusion_next (f->core, &conclusion))
+    f->over += !conclusion.contradicted;
+}
+
+static void
+unlist (struct fixture *f)
+{
+  cell_worker_unlisted (f->core, cyc_str_of (f->fleet->workers[f->row].id),
+                        f->now_us);
+}
+
+/* The entry of a silent worker was removed. It is gone only if the entries of
+   the time in which it would be listed again have been read. */
+static void
+test_worker_is_not_gone_while_no_entries_are_read (void **state)
+{
+  struct fixture f = setup ();
+
+  (void)state;
+  cell_start_result (f.core, f.run, CELL_START_UNKNOWN, f.now_us);
+  cell_worker_silent (f.core, f.row, f.now_us);
+  advance (&f, FLEET_LEASE_MS + MARGIN_MS);
+  f.entries_unread = true;
+  unlist (&f);
+  advance (&f, RELISTED_MS + MARGIN_MS);
+  assert_int_equal (f.over, 0);
+  f.entries_unread = false;
+  advance (&f, MARGIN_MS);
+  assert_int_equal (f.over, 1);
+  teardown (&f);
+}
+
+/* The worker of an inherited run had lost its entry before the takeover, so it
+   may have restarted meanwhile: its lease is not that of the run. It is gone
+   if it is not listed either when the entries are read. */
+static void
+test_inherited_run_of_an_unknown_incarnation (void **state)
+{
+  (void)state;
+  for (int entries_read = 0; entries_read < 2; entries_read++)
+    {
+      struct fixture f = setup ();
+      struct fleet_worker *worker = &f.fleet->workers[f.row];
+
+      worker->listed = false;
+      worker->born_ms = 0;
+      fleet_takeover (f.fleet);
+      f.core = f.fleet->core;
+      f.entries_unread = true;
+      advance (&f, FLEET_LEASE_MS * 11 / 10 + MARGIN_MS);
+      assert_int_equal (f.over, 0);
+      f.entries_unread = !entries_read;
+      advance (&f, entries_read ? 1 : LATE_MS - 2 * MARGIN_MS);
+      assert_int_equal (f.over, entries_read);
+      if (!entries_read)
+        advance (&f, FLEET_LEASE_MS);
+      assert_int_equal (f.over, 1);
+      teardown (&f);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_worker_is_not_gone_while_no_entries_are_read),
+    cmocka_unit_test (test_inherited_run_of_an_unknown_incarnation),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/test_cell_late.c
+++ b/tests/test_cell_late.c
@@ -72,6 +72,7 @@
   struct cell_order order;
 
   s->now_us += after_ms * 1000;
+  cell_entries_read (s->core, s->now_us);
   cell_tick (s->core, s->now_us, s->now_us / 1000);
   while (cell_order_next (s->core, &order))
     s->stops += order.kind == CELL_ORDER_STOP;
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -487,6 +487,7 @@
     {
       fleet->now_ms += TIME_STEP_MS;
       return_workers (fleet);
+      cell_entries_read (fleet->core, fleet_now_us (fleet));
       fleet_run_tasks (fleet);
       if (fleet->now_ms > fleet->calls_end_ms)
         fleet_end_calls (fleet);
