Count the longest lease and open holds in the bounds of late calls

What callers could see: a task runs twice, when a call to an earlier incarnation is executed late by the next one and that falls silent.

The bound began when the new incarnation became known. A hold to the earlier one may be open then, and ends up to 1.8 s later.

Both only apply to a worker that restarts under its id and is then silent but listed, or to a start without an answer on such a worker: its task now waits 4 and 5.8 s longer. Other runs are not concerned.

Shown by test_cell_lapse: each case red with its part taken back, green with it; test_cell* as before.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -313,7 +313,10 @@
 
 struct cell_desc
 {
-  uint32_t lease_ms;         /**< longest lease that workers grant */
+  uint32_t lease_ms;         /**< longest lease that leaders ask for */
+  uint32_t lease_max_ms;     /**< longest lease that workers grant, as to a
+                                deadline on the clock of an earlier
+                                incarnation; 0: lease_ms */
   uint32_t heartbeat_ms;     /**< interval between a worker's heartbeats; 0 if
                                 unknown */
   uint32_t ticket_margin_ms; /**< a ticket is not used in this last part of its
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -87,6 +87,7 @@
   struct cell_core *core = g_new0 (struct cell_core, 1);
 
   core->desc = *desc;
+  core->desc.lease_max_ms = MAX (desc->lease_max_ms, desc->lease_ms);
   core->workers = g_ptr_array_new_with_free_func (g_free);
   core->worker_rows
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -28,6 +28,9 @@
  * last update has left by itself: a silent worker's entry is removed only
  * after three. */
 #define CELL_EXIT_HEARTBEATS_PERMILLE 2700
+/** A call that extends a lease ends within this time, without an answer at the
+ * latest. */
+#define CELL_CALL_MAX_US 1800000
 /** A worker that is alive and reaches the service discovery has its entry
  * again this soon after it was removed. */
 #define CELL_RELISTED_US 2000000
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -152,11 +152,13 @@
 }
 
 /* Returns when everything has certainly ended that calls without an answer
-   may do on a worker, the last of which ended at @p call_us. */
+   may do on a worker, the last of which ended at @p call_us. An incarnation to
+   whose clock their deadline does not belong grants the longest lease. */
 static uint64_t
 late_calls_lapse_us (const struct cell_core *core, uint64_t call_us)
 {
-  return cell_lease_lapsed_us (core, call_us + CELL_CALL_LATE_MAX_US);
+  return cell_lease_end_us (call_us + CELL_CALL_LATE_MAX_US,
+                            core->desc.lease_max_ms);
 }
 
 /* Returns when everything of a call that ended at @p call_us has ended because
@@ -382,9 +384,11 @@
   if (worker->clock_ms != 0)
     end_us = cell_lease_end_us (worker->clock_at_us, remaining_ms);
   /* A late hold whose deadline is on the clock of an earlier incarnation
-     extends the lease by its maximum. */
+     extends the lease by its maximum. It may have been open when the new one
+     became known. */
   return worker->reborn_us != 0
-             ? MAX (end_us, late_calls_lapse_us (core, worker->reborn_us))
+             ? MAX (end_us, late_calls_lapse_us (core, worker->reborn_us
+                                                           + CELL_CALL_MAX_US))
              : end_us;
 }
 
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -320,6 +320,7 @@
   owner->begun_us = hc_now_us ();
   owner->core = cell_setup (
       &(struct cell_desc){ .lease_ms = entry->desc.settings->lease_ms,
+                           .lease_max_ms = entry->desc.settings->lease_max_ms,
                            .heartbeat_ms = entry->desc.settings->heartbeat_ms,
                            .ticket_margin_ms = TICKET_MARGIN_MS,
                            .first_revision = epoch << REVISION_EPOCH_SHIFT });
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -201,6 +201,7 @@
   for (size_t i = 0; i < SETTING_COUNT; i++)
     read_setting (&settings_table[i], root, place, out, findings);
   json_object_put (root);
+  out->lease_max_ms = out->lease_ms;
   out->lease_ms = MIN (out->lease_ms, LEASE_MAX_MS);
   return findings->count == before;
 }
--- a/tests/test_cell_lapse.c
+++ b/tests/test_cell_lapse.c
@@ -1,8 +1,9 @@
 /* When the last copy of a start has certainly ended on a worker that is
-   silent. Guards against bounds that leave out an incarnation that is not
-   known or entries that are not read: the task is then started again while the
-   worker may still run it. */
+   silent. Guards against bounds that leave out a call which is still open, a
+   longer lease, an incarnation that is not known or entries that are not read:
+   the task is then started again while the worker may still run it. */
 
+#include "cyc_cell_internal.h"
 #include "tst_fleet_internal.h"
 
 #include <setjmp.h>
@@ -11,11 +12,13 @@
 
 #include <cmocka.h>
 
+#define LEASE_MAX_MS 10000
 /** Allowance for a slow clock and for the transit of messages. */
 #define MARGIN_MS 500
 #define LATE_MS 12000
 /** A worker that is alive has its entry again after this time. */
 #define RELISTED_MS 2000
+#define CALL_MAX_MS 1800
 
 /* A task whose start is under way. */
 struct fixture
@@ -78,6 +81,39 @@
                         f->now_us);
 }
 
+/* An incarnation that the leader did not know shows the run. */
+static void
+report_reborn (struct fixture *f)
+{
+  struct cell_running_row row
+      = { .task = CYC_STR ("0000000000000001.0.0.0"), .run = 1 };
+  struct cell_report report = { .running = &row,
+                                .running_count = 1,
+                                .born_ms = f->born_ms + 1000,
+                                .clock_ms = 500,
+                                .sent_us = f->now_us };
+
+  cell_worker_report (f->core, f->row, &report, f->now_us);
+}
+
+/* The start got no answer and its worker is silent, but listed. A later
+   incarnation may execute it, and grants more than the lease of the order. */
+static void
+test_late_start_under_the_longest_lease (void **state)
+{
+  struct fixture f = setup ();
+
+  (void)state;
+  f.core->desc.lease_max_ms = LEASE_MAX_MS;
+  cell_start_result (f.core, f.run, CELL_START_UNKNOWN, f.now_us);
+  cell_worker_silent (f.core, f.row, f.now_us);
+  advance (&f, LATE_MS + LEASE_MAX_MS - 1);
+  assert_int_equal (f.over, 0);
+  advance (&f, MARGIN_MS);
+  assert_int_equal (f.over, 1);
+  teardown (&f);
+}
+
 /* The entry of a silent worker was removed. It is gone only if the entries of
    the time in which it would be listed again have been read. */
 static void
@@ -99,6 +135,24 @@
   teardown (&f);
 }
 
+/* A worker has restarted and falls silent. A hold to its earlier incarnation
+   was open then, and may be executed after the longest delay. */
+static void
+test_lapsed_lease_after_a_restart_with_an_open_hold (void **state)
+{
+  struct fixture f = setup ();
+
+  (void)state;
+  cell_start_result (f.core, f.run, CELL_START_OK, f.now_us);
+  report_reborn (&f);
+  cell_worker_silent (f.core, f.row, f.now_us);
+  advance (&f, CALL_MAX_MS + LATE_MS + FLEET_LEASE_MS - 1);
+  assert_int_equal (f.over, 0);
+  advance (&f, MARGIN_MS);
+  assert_int_equal (f.over, 1);
+  teardown (&f);
+}
+
 /* The worker of an inherited run had lost its entry before the takeover, so it
    may have restarted meanwhile: its lease is not that of the run. It is gone
    if it is not listed either when the entries are read. */
@@ -132,7 +186,9 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_late_start_under_the_longest_lease),
     cmocka_unit_test (test_worker_is_not_gone_while_no_entries_are_read),
+    cmocka_unit_test (test_lapsed_lease_after_a_restart_with_an_open_hold),
     cmocka_unit_test (test_inherited_run_of_an_unknown_incarnation),
   };
 
