Count the time of a suspension in all deadlines

What callers could see: two runs of a task. A leader whose VM was suspended still took itself for confirmed when it went on, and extended the leases of workers that answered it for longer than its successor assumes: CLOCK_MONOTONIC stands still meanwhile. All deadlines now count on CLOCK_BOOTTIME (42 ns a reading, 41 before).

Not covered: a host that stops a VM without telling it, so that both clocks stand still; timers of libev and libcurl, which fire later, but check the deadline on this clock when they do.

Shown by test_suspend: red before, green after. test_http, test_platform_contract, test_entry_lead pass.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -53,7 +53,9 @@
 {
   struct timespec now;
 
-  clock_gettime (CLOCK_MONOTONIC, &now);
+  /* Unlike CLOCK_MONOTONIC it goes on while the VM is suspended, as the clocks
+     of the other VMs and the workers do. */
+  clock_gettime (CLOCK_BOOTTIME, &now);
   return (uint64_t)now.tv_sec * US_PER_S + (uint64_t)now.tv_nsec / 1000;
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -130,7 +130,8 @@
 /** Ends a request without calling `done`; a stale reference is ignored. */
 void hc_cancel (struct hc_client *hc, struct cyc_ref ref);
 
-/** Returns the monotonic time in microseconds, the clock of all deadlines. */
+/** Returns the monotonic time in microseconds, the clock of all deadlines. It
+ * includes the time for which the VM was suspended. */
 uint64_t hc_now_us (void);
 /** Returns the wall-clock time in Unix milliseconds, for times in messages. */
 uint64_t hc_wall_ms (void);
