Reset a connection to a worker when its call has ended

What callers could see: a task runs twice. When a call of a start ended by its timeout or was abandoned, the connection was closed in the usual way: what the network had not taken yet stayed in the kernel and was delivered once a cut had healed, to the process that holds the other end. The core counts the late execution of an order from the end of its call, and src/ports.h promises that no worker receives it later.

Connections to workers are now closed with a reset, which drops these data. What the other end or a machine between has taken already is not recalled.

Shown by test_http_abandoned (timeout and abandoned start): the order is delivered after the end of its call before, and not after. test_http, test_start_copies, test_platform_contract, test_entry_lead pass.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -218,10 +218,17 @@
 on_open_socket (void *user, curlsocktype purpose,
                 struct curl_sockaddr *address)
 {
+  const struct hc_transfer *transfer = user;
+  struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+  curl_socket_t fd;
+
   (void)purpose;
   if (!may_write (user))
     return CURL_SOCKET_BAD;
-  return socket (address->family, address->socktype, address->protocol);
+  fd = socket (address->family, address->socktype, address->protocol);
+  if (fd >= 0 && transfer->client->reset_on_close)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  return fd;
 }
 
 static void
@@ -451,6 +458,7 @@
       return false;
     }
   hc->loop = desc->loop;
+  hc->reset_on_close = desc->reset_on_close;
   hc->max_answer_bytes = desc->max_answer_bytes ? desc->max_answer_bytes
                                                 : DEFAULT_MAX_ANSWER_BYTES;
   hc->connect_timeout_ms = desc->connect_timeout_ms
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -99,6 +99,11 @@
   /** 0 selects the default of libcurl: four for each open request, so that it
    * closes idle connections when a burst of requests ends. */
   uint32_t max_idle_connections;
+  /** Closes connections with a reset: what a request that has ended has
+   * written and the network has not taken yet is dropped. Else it is delivered
+   * after the end of the request, minutes later if the path was cut meanwhile.
+   */
+  bool reset_on_close;
 };
 
 struct hc_transfer;
@@ -112,6 +117,7 @@
   struct cyc_pool pool;
   uint32_t max_answer_bytes;
   uint32_t connect_timeout_ms;
+  bool reset_on_close;
   uint64_t bytes_in;
   uint64_t bytes_out;
 };
