--- a/tests/test_suspend.c
+++ b/tests/test_suspend.c
@@ -16,8 +16,6 @@
 #define SUSPENDED_S 60
 #define RUN_MAX_US 5000000
 
-int clock_gettime (clockid_t clock, struct timespec *out);
-
 static time_t suspended_s;
 
 /* In place of the C library's. */
