--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -34,6 +34,9 @@
 #define CELL_CHECKPOINT_BYTES 40
 #define CELL_LABELS_MAX 8
 #define CELL_STEPS_MAX 64
+/** A call without an answer may be executed this long after it has ended, as
+ * far as is known: the platform states no bound. */
+#define CELL_CALL_LATE_MAX_US 12000000
 /** Row of no worker. */
 #define CELL_NO_ROW UINT32_MAX
 
@@ -311,7 +314,10 @@
 
 struct cell_desc
 {
-  uint32_t lease_ms;         /**< longest lease that workers grant */
+  uint32_t lease_ms;         /**< longest lease that leaders ask for */
+  uint32_t lease_max_ms;     /**< longest lease that workers grant, as to a
+                                deadline on the clock of an earlier
+                                incarnation; 0: lease_ms */
   uint32_t heartbeat_ms;     /**< interval between a worker's heartbeats; 0 if
                                 unknown */
   uint32_t ticket_margin_ms; /**< a ticket is not used in this last part of its
@@ -341,6 +347,10 @@
  * three heartbeats. */
 void cell_worker_unlisted (struct cell_core *core, struct cyc_str id,
                            uint64_t now_us);
+/** All entries that were written or removed until @p until_us have been
+ * passed.
+ */
+void cell_entries_read (struct cell_core *core, uint64_t until_us);
 /** Returns the number of worker rows. A worker keeps its row for the lifetime
  * of the core, also when it is no longer listed. */
 uint32_t cell_worker_count (const struct cell_core *core);
@@ -352,7 +362,8 @@
   bool listed;
   bool draining;
   uint32_t runs;
-  bool fenced; /**< has answered a hold call of this leader */
+  uint64_t born_ms; /**< its incarnation; 0 if unknown */
+  bool fenced;      /**< has answered a hold call of this leader */
   /** A report requested after this time resolves every unconfirmed start; 0 if
    * there is none. */
   uint64_t report_after_us;
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -87,6 +87,7 @@
   struct cell_core *core = g_new0 (struct cell_core, 1);
 
   core->desc = *desc;
+  core->desc.lease_max_ms = MAX (desc->lease_max_ms, desc->lease_ms);
   core->workers = g_ptr_array_new_with_free_func (g_free);
   core->worker_rows
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -481,6 +482,14 @@
   worker->listed = false;
 }
 
+void
+cell_entries_read (struct cell_core *core, uint64_t until_us)
+{
+  if (core->entries_first_us == 0)
+    core->entries_first_us = until_us;
+  core->entries_read_us = MAX (core->entries_read_us, until_us);
+}
+
 void
 cell_worker_view (const struct cell_core *core, uint32_t row,
                   struct cell_worker_view *out)
@@ -492,6 +501,7 @@
   out->listed = worker->listed;
   out->draining = worker->draining;
   out->runs = worker->run_count;
+  out->born_ms = worker->born_ms;
   out->fenced = worker->fenced;
   out->report_after_us = 0;
   for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
--- a/src/entry.c
+++ b/src/entry.c
@@ -391,6 +391,15 @@
                    findings);
 }
 
+uint64_t
+entry_number (const struct entry *entry)
+{
+  uint64_t number;
+
+  memcpy (&number, entry->incarnation.bytes, sizeof number);
+  return number;
+}
+
 bool
 entry_setup (struct entry *entry, const struct entry_desc *desc,
              struct cyc_findings *findings)
@@ -401,6 +410,8 @@
   entry->calls = calloc (CALLS_MAX, sizeof *entry->calls);
   entry->accept_in_flight = g_ptr_array_new ();
   entry->accept_at_leader = g_ptr_array_new ();
+  entry->accept_copies
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   entry->ended_owners = g_ptr_array_new ();
   g_queue_init (&entry->accept_waiting);
   if (entry->calls == NULL
@@ -409,8 +420,10 @@
                      findings)
       || !setup_links (entry, findings))
     return false;
-  relay_setup (&entry->relay, &(struct relay_desc){ .direct = desc->ports->log,
-                                                    .links = &entry->links });
+  relay_setup (&entry->relay,
+               &(struct relay_desc){ .direct = desc->ports->log,
+                                     .links = &entry->links,
+                                     .first_call = entry_number (entry) });
   tail_setup (&entry->config_tail, &(struct tail_desc){
                                        .loop = desc->loop,
                                        .log = &entry->relay.log,
--- a/src/entry.h
+++ b/src/entry.h
@@ -88,6 +88,9 @@
   GQueue accept_waiting;       /**< struct accept_item not appended yet */
   GPtrArray *accept_in_flight; /**< struct accept_item being appended */
   GPtrArray *accept_at_leader; /**< struct accept_item handed to the leader */
+  GHashTable *accept_copies;   /**< key of a record to struct accept_copies */
+  uint64_t accept_forget_us;   /**< when old rows of accept_copies are dropped
+                                    next */
   uint64_t accept_retry_us;    /**< earliest time of the next append */
   uint64_t accept_down_since_us; /**< when appends began to be refused; 0 if
                                     the log is up */
@@ -125,6 +128,8 @@
   uint64_t renew_epoch;   /**< epoch of the last renewal */
   uint64_t known_end;     /**< this leader knows all records before this offset
                                of the stream of claims; see also lead_tail */
+  uint64_t renewed_end;   /**< offset after the last renewal that confirmed
+                               this VM's leadership; 0 if none has */
   bool renew_in_flight;
 
   struct entry_owner *owner; /**< state as the leader; NULL if not leading */
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -42,8 +42,15 @@
  * the log's outage, which began at @p down_since_us; 0 if the log is up. */
 uint32_t entry_retry_after_s (uint64_t down_since_us, uint64_t now_us);
 
+/** Returns a number that no other process has, for what this one asks of other
+ * VMs: an answer to an earlier process of the VM fits none of its questions.
+ */
+uint64_t entry_number (const struct entry *entry);
+
 /* entry_accept.c */
-/** Handles the leader's answer for a record that this VM submitted to it. */
+/** Handles a leader's answer for a record that this VM submitted. A refusal
+ * counts once every copy of the record that was submitted is refused: the
+ * answer does not tell which copy it is for. */
 void accept_on_stored (struct entry *entry, struct cyc_str key,
                        enum records_outcome outcome, uint32_t retry_after_s);
 /** Has a record stored, by the leader or by an append of this VM. Answers @p
@@ -80,6 +87,11 @@
  */
 uint64_t lead_confirmed_until_us (const struct entry *entry);
 
+/** Returns the highest fencing token of this leader: higher than those that it
+ * returned before the last renewal, and lower than the epoch of each leader
+ * that follows, whose claim is stored after that renewal. */
+uint64_t lead_fence (const struct entry *entry);
+
 /* entry_owner.c */
 /** Returns the epoch under which the owner leads. */
 uint64_t owner_epoch (const struct entry_owner *owner);
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -15,6 +15,9 @@
 #define HOLD_ACK_WAIT_MAX_US 150000
 /** Interval between holds of a worker without runs. */
 #define HOLD_IDLE_US 2500000
+/** The same while a start may be executed late: a process that takes the
+ * worker's place is to get a higher fencing token first. */
+#define HOLD_LATE_START_US 400000
 /** Delay after a hold without an answer. */
 #define HOLD_RETRY_US 400000
 /** Consecutive unanswered holds after which a worker counts as silent. */
@@ -40,6 +43,40 @@
   return &g_array_index (owner->workers, struct owner_worker, row);
 }
 
+/* Returns whether the worker has another incarnation than at the last call. */
+static bool
+is_reborn (const struct owner_worker *slot,
+           const struct cell_worker_view *view)
+{
+  return slot->born_ms != 0 && slot->born_ms != view->born_ms;
+}
+
+/* Returns the target of a call to a worker. A call without an answer may be
+   executed seconds later, by a process that has taken the worker's place and
+   knows of no stop and no lease. Calls to a new incarnation therefore carry a
+   higher fencing token, and once it has got one of them it refuses all calls
+   that were made before. Others keep their token, as a start in flight would
+   be refused. */
+static struct pt_target
+call_target (struct entry_owner *owner, uint32_t row,
+             const struct cell_worker_view *view)
+{
+  struct owner_worker *slot = worker_slot (owner, row);
+  uint64_t fence = lead_fence (owner->entry);
+
+  if (slot->fence == 0)
+    slot->fence = owner->epoch;
+  if (is_reborn (slot, view))
+    slot->fence_outdated = true;
+  slot->born_ms = view->born_ms;
+  if (slot->fence_outdated && fence > slot->fence)
+    {
+      slot->fence = fence;
+      slot->fence_outdated = false;
+    }
+  return (struct pt_target){ view->id, view->address, slot->fence };
+}
+
 static void
 log_ends (const struct entry_owner *owner, uint32_t row,
           const struct cell_report *report)
@@ -123,8 +160,10 @@
       log_ends (owner, row, report);
       cell_worker_report (owner->core, row, report, now_us);
       cell_worker_view (owner->core, row, &view);
-      slot->next_hold_us
-          = now_us + (view.runs > 0 ? HOLD_GAP_US : HOLD_IDLE_US);
+      slot->next_hold_us = now_us
+                           + (view.runs > 0                ? HOLD_GAP_US
+                              : now_us < slot->late_end_us ? HOLD_LATE_START_US
+                                                           : HOLD_IDLE_US);
       slot->ack_deadline_us = now_us + HOLD_ACK_WAIT_MAX_US;
       owner_input_added (owner);
       return;
@@ -190,7 +229,7 @@
   slot->report_in_flight = owner->entry->desc.ports->workers->vtable->hold (
       owner->entry->desc.ports->workers,
       &(struct pt_hold){
-          .target = { view->id, view->address, owner->epoch },
+          .target = call_target (owner, row, view),
           .ack = view->ack,
           .deadline_us = now_us + HOLD_ANSWER_TIMEOUT_MS * 1000ULL,
           .done = on_report,
@@ -221,7 +260,8 @@
     return;
   if (view.ack > slot->ack_sent && slot->next_hold_us > now_us + HOLD_RETRY_US)
     slot->next_hold_us = now_us + HOLD_RETRY_US;
-  if (view.report_after_us != 0 && view.report_after_us >= slot->hold_sent_us)
+  if ((view.report_after_us != 0 && view.report_after_us >= slot->hold_sent_us)
+      || is_reborn (slot, &view))
     slot->next_hold_us = now_us;
   if (now_us < slot->next_hold_us)
     {
@@ -245,7 +285,7 @@
   slot->hold_in_flight = owner->entry->desc.ports->workers->vtable->hold (
       owner->entry->desc.ports->workers,
       &(struct pt_hold){
-          .target = { view.id, view.address, owner->epoch },
+          .target = call_target (owner, row, &view),
           .lease_deadline_ms = lease_end_ms,
           .ack = view.ack,
           .wait_ms = wait_ms,
@@ -360,6 +400,17 @@
           run.generation, (int)result, why);
 }
 
+/* Notes that the worker may execute a start of the run later. */
+static void
+note_late_start (struct entry_owner *owner, struct cyc_ref run)
+{
+  struct cell_order order;
+
+  if (cell_run_describe (owner->core, run, &order))
+    worker_slot (owner, order.worker)->late_end_us
+        = hc_now_us () + CELL_CALL_LATE_MAX_US;
+}
+
 static void
 on_started (void *user, struct cyc_ref run, enum cell_start_result result,
             const struct pt_call_end *unanswered, const char *why)
@@ -378,6 +429,8 @@
       met_add (&owner->entry->met, MET_TASK_START_REFUSED, 1);
       log_refused (owner, run, result, why);
     }
+  if (result == CELL_START_UNKNOWN)
+    note_late_start (owner, run);
   order_unanswered (owner, run, unanswered);
   cell_start_result (owner->core, run, result, now_us);
   owner_input_added (owner);
@@ -413,7 +466,7 @@
   bool begun;
 
   cell_worker_view (owner->core, order->worker, &view);
-  target = (struct pt_target){ view.id, view.address, owner->epoch };
+  target = call_target (owner, order->worker, &view);
   if (order->kind == CELL_ORDER_START)
     {
       uint64_t lease_end_ms = lease_deadline_ms (owner, &view, now_us);
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -323,6 +323,7 @@
   owner->begun_us = hc_now_us ();
   owner->core = cell_setup (
       &(struct cell_desc){ .lease_ms = entry->desc.settings->lease_ms,
+                           .lease_max_ms = entry->desc.settings->lease_max_ms,
                            .heartbeat_ms = entry->desc.settings->heartbeat_ms,
                            .ticket_margin_ms = TICKET_MARGIN_MS,
                            .first_revision = epoch << REVISION_EPOCH_SHIFT });
@@ -489,6 +490,8 @@
       records_tick (&owner->records, now_us);
       return;
     }
+  if (owner->workers_tail.fresh_us != 0)
+    cell_entries_read (owner->core, owner->workers_tail.fresh_us);
   for (uint32_t row = 0; row < cell_worker_count (owner->core); row++)
     orders_hold (owner, row, now_us);
   if (owner->core_has_input || now_us >= cell_next_us (owner->core)
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -99,6 +99,11 @@
   /** 0 selects the default of libcurl: four for each open request, so that it
    * closes idle connections when a burst of requests ends. */
   uint32_t max_idle_connections;
+  /** Closes connections with a reset: what a request that has ended has
+   * written and the network has not taken yet is dropped. Else it is delivered
+   * after the end of the request, minutes later if the path was cut meanwhile.
+   */
+  bool reset_on_close;
 };
 
 struct hc_transfer;
@@ -112,6 +117,7 @@
   struct cyc_pool pool;
   uint32_t max_answer_bytes;
   uint32_t connect_timeout_ms;
+  bool reset_on_close;
   uint64_t bytes_in;
   uint64_t bytes_out;
 };
@@ -130,7 +136,8 @@
 /** Ends a request without calling `done`; a stale reference is ignored. */
 void hc_cancel (struct hc_client *hc, struct cyc_ref ref);
 
-/** Returns the monotonic time in microseconds, the clock of all deadlines. */
+/** Returns the monotonic time in microseconds, the clock of all deadlines. It
+ * includes the time for which the VM was suspended. */
 uint64_t hc_now_us (void);
 /** Returns the wall-clock time in Unix milliseconds, for times in messages. */
 uint64_t hc_wall_ms (void);
