Cut regions off in the simulated fleet, beside releases and lapsing entries

The simulated fleet had none of it: it cut workers off one by one, ended their calls at once and lost what was written, read each entry at once, and never used an address again.

tst_region.c: a region is cut off as one, silent, refusing (calls end at once as refused or broken, or wait) or one way. What was written waits, holds with their leases and acknowledgements too, and is delivered at the end of the cut within 15 ms in any order, after up to 3 s if the test says so, and to the incarnation to which it was written only. A hold without an answer times out as it does in entry_orders.c, so runs are placed behind the cut until then. tst_entries.c: a store with heartbeats, lapses after three of them, or earlier while it is down, entries that are read late, drains, exits, and new workers at addresses used before, which answer 421 to calls for the former worker.

--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -73,24 +73,35 @@
   return config;
 }
 
+void
+fleet_make_entry (const struct fleet_worker *worker,
+                  struct cell_worker_entry *entry)
+{
+  char address[24];
+
+  memset (entry, 0, sizeof *entry);
+  snprintf (address, sizeof address, "127.0.0.1:%u", worker->address + 1);
+  cyc_name_set (&entry->id, cyc_str_of (worker->id));
+  cyc_name_set (&entry->pool, CYC_STR ("pool"));
+  cyc_name_set (&entry->domain, CYC_STR ("north"));
+  cyc_name_set (&entry->address, cyc_str_of (address));
+  cyc_name_set (&entry->labels[0],
+                worker->id[1] == '0' ? CYC_STR ("odd") : CYC_STR ("even"));
+  cyc_name_set (&entry->labels[1],
+                worker->id[1] < '4' ? CYC_STR ("rack-a") : CYC_STR ("rack-b"));
+  entry->label_count = 2;
+  entry->capacity = (struct cyc_resources){ worker->millicores, 1000000, 0 };
+  entry->born_ms = worker->born_ms;
+  entry->draining = worker->draining;
+  entry->leaves_in_ms = worker->leaves_in_ms;
+}
+
 static void
 list_worker (struct fleet *fleet, struct fleet_worker *worker)
 {
-  struct cell_worker_entry entry = { 0 };
+  struct cell_worker_entry entry;
 
-  cyc_name_set (&entry.id, cyc_str_of (worker->id));
-  cyc_name_set (&entry.pool, CYC_STR ("pool"));
-  cyc_name_set (&entry.domain, CYC_STR ("north"));
-  cyc_name_set (&entry.address, CYC_STR ("127.0.0.1:1"));
-  cyc_name_set (&entry.labels[0],
-                worker->id[1] == '0' ? CYC_STR ("odd") : CYC_STR ("even"));
-  cyc_name_set (&entry.labels[1],
-                worker->id[1] < '4' ? CYC_STR ("rack-a") : CYC_STR ("rack-b"));
-  entry.label_count = 2;
-  entry.capacity = (struct cyc_resources){ worker->millicores, 1000000, 0 };
-  entry.born_ms = worker->born_ms;
-  entry.draining = worker->draining;
-  entry.leaves_in_ms = worker->leaves_in_ms;
+  fleet_make_entry (worker, &entry);
   worker->written_ms = fleet->now_ms;
   cell_worker_listed (fleet->core, &entry, fleet_now_us (fleet),
                       fleet_now_us (fleet));
@@ -107,6 +118,11 @@
                            .ticket_margin_ms = 250,
                            .first_revision = fleet->epoch << 32 });
   cell_config_set (fleet->core, fleet->config);
+  if (fleet->entries != NULL)
+    {
+      fleet_entries_load (fleet);
+      return;
+    }
   /* Workers without an entry are listed too, so that the rows of the core are
      those of the fleet. */
   for (uint32_t i = 0; i < fleet->worker_count; i++)
@@ -441,13 +457,23 @@
       batch->number = cell_batch_close (fleet->core);
       /* With a skew, a later batch may be stored before an earlier one. */
       batch->due_ms
-          = fleet->now_ms + APPEND_MS
+          = fleet->now_ms + APPEND_MS + fleet->append_ms
             + (uint64_t)fleet->batch_skew_ms * (FLEET_BATCHES_MAX - 1 - b);
       while (cell_batch_next (fleet->core, &record))
         g_ptr_array_add (batch->records, g_memdup2 (&record, sizeof record));
     }
 }
 
+uint32_t
+fleet_add_worker (struct fleet *fleet, uint32_t millicores)
+{
+  uint32_t row = fleet->worker_count++;
+
+  setup_worker (&fleet->workers[row], row, millicores, fleet->now_ms);
+  fleet->workers[row].listed = false;
+  return row;
+}
+
 /* Starts the worker again, or another one in its place. */
 static void
 return_worker (struct fleet *fleet, uint32_t row)
@@ -487,6 +513,8 @@
     {
       fleet->now_ms += TIME_STEP_MS;
       return_workers (fleet);
+      if (fleet->entries != NULL)
+        fleet_entries_tick (fleet);
       fleet_run_tasks (fleet);
       if (fleet->now_ms > fleet->calls_end_ms)
         fleet_end_calls (fleet);
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -68,18 +68,38 @@
                   acknowledged, so the task may be started again */
 };
 
+/** What a cut does to the calls of the leader to a worker; see tst_region.h.
+ */
+enum fleet_cut
+{
+  FLEET_CUT_NONE,
+  FLEET_CUT_SILENT,   /**< calls and answers wait for the end of the cut */
+  FLEET_CUT_REFUSING, /**< new connections are refused, open ones end or wait
+                       */
+  FLEET_CUT_ONE_WAY   /**< calls arrive, answers wait for the end of the cut */
+};
+
 /** A simulated worker. */
 struct fleet_worker
 {
   char id[16];
-  uint32_t millicores; /**< capacity */
-  bool up;             /**< the process runs */
-  bool partitioned;    /**< runs its tasks, but no call reaches it */
-  bool refusing;       /**< with partitioned: calls are refused */
-  uint64_t crash_ms;   /**< when a deadly task ends the process; 0: never */
-  uint64_t back_ms;    /**< when the crashed worker is back; 0: never */
-  bool answers_lost;   /**< carries out orders, but its answers are lost */
-  bool listed;         /**< has an entry in the service discovery */
+  uint32_t address;     /**< number of its address; 0: one that no other worker
+                           is given later */
+  uint32_t region;      /**< workers of a region are cut off together */
+  enum fleet_cut cut;   /**< from the leader */
+  bool store_cut;       /**< does not reach the service discovery */
+  uint64_t cut_born_ms; /**< the incarnation to which connections were open
+                           when the cut began */
+  uint32_t hold_failures; /**< unanswered holds since its last answer */
+  bool hold_open;         /**< a hold waits for the end of the cut */
+  uint32_t millicores;    /**< capacity */
+  bool up;                /**< the process runs */
+  bool partitioned;       /**< runs its tasks, but no call reaches it */
+  bool refusing;          /**< with partitioned: calls are refused */
+  uint64_t crash_ms;      /**< when a deadly task ends the process; 0: never */
+  uint64_t back_ms;       /**< when the crashed worker is back; 0: never */
+  bool answers_lost;      /**< carries out orders, but its answers are lost */
+  bool listed;            /**< has an entry in the service discovery */
   bool draining;
   uint32_t leaves_in_ms; /**< of a draining worker, as in its entry */
   uint32_t slowdown; /**< factor on the duration of runs started here; 0 means
@@ -143,6 +163,7 @@
 };
 
 struct order_in_flight;
+struct fleet_entries;
 
 /** Faults of calls to workers, each decided by a random generator. */
 struct fleet_call_faults
@@ -179,6 +200,14 @@
   uint64_t calls_end_ms;  /**< until when they may */
   bool log_down;          /**< no batch is stored */
   bool orders_held;       /**< the core's orders are taken and sent later */
+  uint32_t append_ms;     /**< added to the duration of appends */
+  struct fleet_entries *entries; /**< service discovery with a store of its
+                                    own; NULL: entries are read at once */
+  GRand *cut_rand;      /**< decides what a cut does to each call; owned by the
+                           test; needed if workers are cut off by region */
+  uint32_t held_orders; /**< number of orders that waited for the end of a
+                           cut */
+  uint32_t held_executed; /**< number of these that began a run */
   struct fleet_batch batches[FLEET_BATCHES_MAX];
   /** Added to the duration of appends FLEET_BATCHES_MAX - 1 - b times for
    * batches[b], so that batches become durable out of order. */
--- a/tests/tst_fleet_internal.h
+++ b/tests/tst_fleet_internal.h
@@ -10,6 +10,10 @@
 
 /** Quota of the team "limited". */
 #define TEAM_LIMIT_MILLICORES 6000
+/** A call without an answer ends after this time. */
+#define FLEET_CALL_TIMEOUT_MS 1200
+/** An answer to a hold is not awaited for longer. */
+#define FLEET_HOLD_TIMEOUT_MS 1800
 
 /** An order on its way to a worker. */
 struct order_in_flight
@@ -28,6 +32,12 @@
   uint32_t late_ms;           /**< from its arrival to its execution */
   uint64_t execute_ms;        /**< when it is executed */
   uint64_t call_end_ms;       /**< when a call without an answer ends */
+  uint64_t sent_ms;
+  bool held;                     /**< waits for the end of a cut */
+  bool was_held;                 /**< has waited for the end of a cut */
+  bool answer_waits;             /**< its answer waits for the end of a cut */
+  enum cell_start_result result; /**< that answer: of a start */
+  bool stopped;                  /**< or of a stop */
 };
 
 /** A hold that has been sent, or its report on the way back. */
@@ -40,11 +50,42 @@
   uint64_t lease_deadline_ms; /**< 0 if it extends no lease */
   uint64_t born_ms;           /**< of the incarnation that received it */
   bool late;                  /**< it is executed late and not answered */
+  bool unexecuted;            /**< it is executed when the cut ends */
+  bool held;                  /**< it waits for the end of a cut */
+  uint64_t answer_until_us;   /**< a later report is not awaited */
   struct cell_report report;  /**< with copies of all texts */
   GStringChunk *texts;
 };
 
 uint64_t fleet_now_us (const struct fleet *fleet);
+/** Fills in the entry that the worker writes now. */
+void fleet_make_entry (const struct fleet_worker *worker,
+                       struct cell_worker_entry *entry);
+/** Adds a worker that has no entry yet and returns its row. */
+uint32_t fleet_add_worker (struct fleet *fleet, uint32_t millicores);
+/** Passes the core the entries that the store holds. */
+void fleet_entries_load (struct fleet *fleet);
+/** Writes, removes and reads the entries that are due. */
+void fleet_entries_tick (struct fleet *fleet);
+/** Returns whether a cut, or another worker at the address, keeps the order
+ * from its worker. */
+bool fleet_cut_order (struct fleet *fleet, struct order_in_flight *in_flight);
+/** The same for the next hold call. */
+bool fleet_cut_hold (struct fleet *fleet, uint32_t row);
+/** Returns whether a hold or its report waits for the end of a cut. */
+bool fleet_cut_keeps (struct fleet *fleet, struct hold_in_flight *hold);
+/** Passes the core the result of an order, once; the answer to a stop if @p
+ * stopped. */
+void fleet_answer_order (struct fleet *fleet,
+                         struct order_in_flight *in_flight,
+                         enum cell_start_result result, bool stopped);
+/** Returns the end of a lease that begins now, on the worker's clock as far as
+ * the core knows it. */
+uint64_t fleet_lease_deadline (const struct fleet *fleet,
+                               const struct cell_worker_view *view);
+/** The worker obeys a hold and fills in its report. Returns false if it no
+ * longer does. */
+bool fleet_carry_out_hold (struct fleet *fleet, struct hold_in_flight *hold);
 /** Returns the reading of the worker's own clock, in milliseconds. */
 uint64_t fleet_clock (const struct fleet *fleet,
                       const struct fleet_worker *worker);
--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -11,8 +11,6 @@
 #define HOLD_INTERVAL_MS 20
 /* A member of a gang ends if the others are not present within this time. */
 #define GANG_JOIN_TIMEOUT_MS 3000
-/* A call without an answer ends after this time. */
-#define CALL_TIMEOUT_MS 1200
 /* Orders that are slow on their way. */
 #define SLOW_PERMILLE 100
 
@@ -136,10 +134,9 @@
       = MAX (worker->lease_deadline_ms, MIN (deadline_ms, latest_ms));
 }
 
-/* Returns the end of a lease that begins now, on the worker's clock as far as
-   the core knows it. */
-static uint64_t
-lease_deadline (const struct fleet *fleet, const struct cell_worker_view *view)
+uint64_t
+fleet_lease_deadline (const struct fleet *fleet,
+                      const struct cell_worker_view *view)
 {
   return view->clock_ms + (fleet_now_us (fleet) - view->clock_at_us) / 1000
          + fleet->lease_ms;
@@ -200,6 +197,7 @@
     return CELL_START_OLD;
   check_start (fleet, in_flight);
   fleet->starts++;
+  fleet->held_executed += in_flight->was_held;
   fleet->resumed += in_flight->order.checkpoint[0] != 0;
   run = &worker->runs[worker->run_count++];
   memset (run, 0, sizeof *run);
@@ -253,9 +251,9 @@
 
 /* Passes the core the result of an order, once. An answered stop ends the call
    of the start. */
-static void
-answer_order (struct fleet *fleet, struct order_in_flight *in_flight,
-              enum cell_start_result result, bool stopped)
+void
+fleet_answer_order (struct fleet *fleet, struct order_in_flight *in_flight,
+                    enum cell_start_result result, bool stopped)
 {
   uint64_t now_us = fleet_now_us (fleet);
 
@@ -294,7 +292,7 @@
           && memcmp (&start->order.run, &in_flight->order.run,
                      sizeof start->order.run)
                  == 0)
-        answer_order (fleet, start, CELL_START_UNKNOWN, false);
+        fleet_answer_order (fleet, start, CELL_START_UNKNOWN, false);
     }
 }
 
@@ -311,7 +309,7 @@
       || in_flight->born_ms != worker->born_ms)
     {
       in_flight->executed = true;
-      answer_order (fleet, in_flight, CELL_START_UNKNOWN, false);
+      fleet_answer_order (fleet, in_flight, CELL_START_UNKNOWN, false);
       return;
     }
   in_flight->received = true;
@@ -330,7 +328,7 @@
   /* An order dies with the process that received it. */
   if (!worker->up || in_flight->born_ms != worker->born_ms)
     {
-      answer_order (fleet, in_flight, CELL_START_UNKNOWN, false);
+      fleet_answer_order (fleet, in_flight, CELL_START_UNKNOWN, false);
       return;
     }
   if (in_flight->order.kind == CELL_ORDER_STOP)
@@ -345,9 +343,16 @@
         }
     }
   if (worker->partitioned || worker->answers_lost)
-    answer_order (fleet, in_flight, CELL_START_UNKNOWN, false);
+    fleet_answer_order (fleet, in_flight, CELL_START_UNKNOWN, false);
+  else if (worker->cut != FLEET_CUT_NONE && !lost)
+    {
+      in_flight->answer_waits = true;
+      in_flight->call_end_ms = in_flight->sent_ms + FLEET_CALL_TIMEOUT_MS;
+      in_flight->result = result;
+      in_flight->stopped = stopped;
+    }
   else if (!lost)
-    answer_order (fleet, in_flight, result, stopped);
+    fleet_answer_order (fleet, in_flight, result, stopped);
 }
 
 void
@@ -359,14 +364,21 @@
           = g_ptr_array_index (fleet->orders_in_flight, i);
 
       if (!in_flight->received && !in_flight->executed
-          && in_flight->due_ms <= fleet->now_ms)
+          && in_flight->due_ms <= fleet->now_ms
+          && !fleet_cut_order (fleet, in_flight))
         receive_order (fleet, in_flight);
       if (in_flight->received && !in_flight->executed
           && in_flight->execute_ms <= fleet->now_ms)
         execute_order (fleet, in_flight);
-      if (in_flight->received && in_flight->call_end_ms <= fleet->now_ms
-          && (in_flight->answer_lost || in_flight->late_ms > 0))
-        answer_order (fleet, in_flight, CELL_START_UNKNOWN, false);
+      if (in_flight->answer_waits
+          && fleet->workers[in_flight->order.worker].cut == FLEET_CUT_NONE)
+        fleet_answer_order (fleet, in_flight, in_flight->result,
+                            in_flight->stopped);
+      if (in_flight->call_end_ms <= fleet->now_ms
+          && (in_flight->held || in_flight->was_held || in_flight->answer_waits
+              || (in_flight->received
+                  && (in_flight->answer_lost || in_flight->late_ms > 0))))
+        fleet_answer_order (fleet, in_flight, CELL_START_UNKNOWN, false);
       if (in_flight->executed && in_flight->answered)
         g_ptr_array_remove_index (fleet->orders_in_flight, i);
       else
@@ -407,7 +419,7 @@
     in_flight->answer_lost = happens (fleet, faults->lost_permille);
   in_flight->call_end_ms
       = in_flight->due_ms
-        + (g_rand_boolean (faults->rand) ? 0 : CALL_TIMEOUT_MS);
+        + (g_rand_boolean (faults->rand) ? 0 : FLEET_CALL_TIMEOUT_MS);
 }
 
 /* Sends a second copy of an order; the result of both is unknown. */
@@ -444,9 +456,12 @@
       in_flight = g_new0 (struct order_in_flight, 1);
       in_flight->order = order;
       in_flight->epoch = fleet->epoch;
-      in_flight->born_ms = fleet->workers[order.worker].born_ms;
+      in_flight->born_ms = fleet->workers[order.worker].cut != FLEET_CUT_NONE
+                               ? fleet->workers[order.worker].cut_born_ms
+                               : fleet->workers[order.worker].born_ms;
+      in_flight->sent_ms = fleet->now_ms;
       in_flight->millicores = fleet->workers[order.worker].millicores;
-      in_flight->lease_deadline_ms = lease_deadline (fleet, &view);
+      in_flight->lease_deadline_ms = fleet_lease_deadline (fleet, &view);
       if (order.kind == CELL_ORDER_START)
         cell_worker_leased (fleet->core, order.worker,
                             in_flight->lease_deadline_ms);
@@ -473,7 +488,8 @@
     {
       const struct order_in_flight *in_flight
           = g_ptr_array_index (fleet->orders_in_flight, i);
-      uint64_t execute_ms = in_flight->received
+      uint64_t execute_ms = in_flight->held ? 0
+                            : in_flight->received
                                 ? in_flight->execute_ms
                                 : in_flight->due_ms + in_flight->late_ms;
       uint64_t delay_ms
@@ -761,21 +777,35 @@
     };
 }
 
+bool
+fleet_carry_out_hold (struct fleet *fleet, struct hold_in_flight *hold)
+{
+  const struct fleet_worker *worker = &fleet->workers[hold->row];
+
+  if (!worker->up || worker->born_ms != hold->born_ms
+      || hold->epoch < worker->fence)
+    return false;
+  execute_hold (fleet, hold);
+  hold->unexecuted = false;
+  if (!hold->late)
+    fill_report (fleet, hold);
+  return true;
+}
+
 static void
-deliver_hold (struct fleet *fleet, const struct hold_in_flight *hold)
+deliver_hold (struct fleet *fleet, struct hold_in_flight *hold)
 {
   struct fleet_worker *worker = &fleet->workers[hold->row];
 
-  if (hold->late)
-    {
-      if (worker->up && worker->born_ms == hold->born_ms
-          && hold->epoch >= worker->fence)
-        execute_hold (fleet, hold);
-    }
-  else if (hold->epoch == fleet->epoch && !worker->partitioned
-           && !worker->answers_lost)
-    cell_worker_report (fleet->core, hold->row, &hold->report,
-                        fleet_now_us (fleet));
+  if ((hold->late || hold->unexecuted) && !fleet_carry_out_hold (fleet, hold))
+    return;
+  if (hold->late || hold->epoch != fleet->epoch || worker->partitioned
+      || worker->answers_lost || fleet_now_us (fleet) > hold->answer_until_us)
+    return;
+  worker->hold_open = false;
+  worker->hold_failures = 0;
+  cell_worker_report (fleet->core, hold->row, &hold->report,
+                      fleet_now_us (fleet));
 }
 
 void
@@ -786,7 +816,7 @@
       struct hold_in_flight *hold
           = g_ptr_array_index (fleet->holds_in_flight, i);
 
-      if (hold->due_ms > fleet->now_ms)
+      if (hold->due_ms > fleet->now_ms || fleet_cut_keeps (fleet, hold))
         {
           i++;
           continue;
@@ -808,6 +838,8 @@
     return;
   worker->next_hold_ms = fleet->now_ms + HOLD_INTERVAL_MS;
   cell_worker_view (fleet->core, row, &view);
+  if (fleet_cut_hold (fleet, row))
+    return;
   if (!worker->up || worker->partitioned || worker->answers_lost)
     {
       if (worker->partitioned ? worker->refusing : !worker->up)
@@ -825,9 +857,11 @@
   hold->born_ms = worker->born_ms;
   hold->ack = view.ack;
   hold->report.sent_us = fleet_now_us (fleet);
+  hold->answer_until_us
+      = hold->report.sent_us + FLEET_HOLD_TIMEOUT_MS * 1000ULL;
   if (view.clock_ms != 0)
     {
-      hold->lease_deadline_ms = lease_deadline (fleet, &view);
+      hold->lease_deadline_ms = fleet_lease_deadline (fleet, &view);
       cell_worker_leased (fleet->core, row, hold->lease_deadline_ms);
     }
   hold->late = happens (fleet, faults->late_hold_permille);
