Let the simulated leader hold again soon after an answer that was held up

A hold that a cut had held up was answered when the cut ended, but the next one was sent only when that hold would have timed out, up to 1.8 s later.

--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -804,6 +804,8 @@
     return;
   worker->hold_open = false;
   worker->hold_failures = 0;
+  worker->next_hold_ms
+      = MIN (worker->next_hold_ms, fleet->now_ms + HOLD_INTERVAL_MS);
   cell_worker_report (fleet->core, hold->row, &hold->report,
                       fleet_now_us (fleet));
 }
