Do not take a draining worker for gone before the time it announced to stay

Callers would see all tasks of a worker run twice at a time (TWICE).

Cause: an entry that vanishes within 2.7 heartbeats of its last reading, and a refused call, count as the exit of a draining worker, which ends its runs at once, without their lease. A cut that refuses calls and a store that lets entries lapse early in an outage look the same.

The entry of a draining worker states the minimum time that is left (PROTOCOL.md), so a removal before that is a lapse. It is no evidence of an exit now; the runs end by their lease. A worker that really leaves is not affected.

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -338,8 +338,9 @@
   worker->replaced = false;
 }
 
-/* A draining worker has left if it removed its entry and its process is gone.
-   Neither is enough alone: an entry may lapse, and a cut may refuse calls. */
+/* A draining worker has left if it removed its entry, not before the time for
+   which it has announced to stay, and its process is gone. None of it is
+   enough alone: an entry may lapse, and a cut may refuse calls. */
 static void
 check_exit (struct cell_core *core, struct cell_worker *worker)
 {
@@ -473,6 +474,7 @@
   if (worker == NULL)
     return;
   if (worker->listed && worker->draining && worker->listed_after_us != 0
+      && now_us >= worker->stays_until_us
       && now_us < worker->listed_after_us + silence_us)
     worker->entry_left_us = now_us;
   check_exit (core, worker);
--- a/tests/test_cell_late.c
+++ b/tests/test_cell_late.c
@@ -13,6 +13,8 @@
 #include <cmocka.h>
 
 #define TASK "0000000000000001.0.0.0"
+/* A draining worker announces that it stays for at least this time. */
+#define DRAIN_MS 500
 
 /* One task whose start is under way. Its calls and reports are made by the
    test, so the fleet does not advance in between. */
@@ -528,7 +530,8 @@
       start_result (&s, CELL_START_OK);
       report (&s, s.born_ms, true);
       s.fleet->now_ms = s.now_us / 1000;
-      fleet_drain (s.fleet, s.row, 5000);
+      fleet_drain (s.fleet, s.row, DRAIN_MS);
+      tick (&s, DRAIN_MS);
       if (refused_first)
         cell_worker_unanswered (s.core, s.row, CELL_CALL_REFUSED, s.now_us);
       else
@@ -547,6 +550,31 @@
     }
 }
 
+/* The same, before the time for which the worker has announced to stay: it
+   cannot have left, so its entry has lapsed, and the cut refuses calls. */
+static void
+test_removed_entry_before_a_draining_worker_may_leave (void **state)
+{
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  start_result (&s, CELL_START_OK);
+  report (&s, s.born_ms, true);
+  s.fleet->now_ms = s.now_us / 1000;
+  fleet_drain (s.fleet, s.row, DRAIN_MS);
+  tick (&s, DRAIN_MS - 100);
+  cell_worker_unlisted (s.core, cyc_str_of (s.fleet->workers[s.row].id),
+                        s.now_us);
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      cell_worker_unanswered (s.core, s.row, CELL_CALL_REFUSED, s.now_us);
+      tick (&s, 100);
+    }
+  assert_int_equal (over (&s), 0);
+  finish (&s);
+}
+
 struct replaced_case
 {
   const char *description;
@@ -798,6 +826,7 @@
     cmocka_unit_test (test_lapsed_lease_of_a_start_of_a_known_incarnation),
     cmocka_unit_test (test_entry_removed_and_listed_again),
     cmocka_unit_test (test_removed_entry_of_a_draining_worker_that_goes_on),
+    cmocka_unit_test (test_removed_entry_before_a_draining_worker_may_leave),
     cmocka_unit_test (test_worker_left_with_an_open_start),
     cmocka_unit_test (test_another_worker_at_the_address),
     cmocka_unit_test (test_overtaken_report_lacks_an_adopted_run),
