Hold workers for the trials of suspected tasks

Cause: a suspected task starts where no other job has an unproven run. A busy worker always has one, and what comes free is given to other work, so trials waited for a chance that load never gives. The bound on workers with trials was not reached, so it was not the cause; nor was advice: the cases without advice wait as long.

A held worker takes no other starts; reports are requested when its runs become provable (0.2 s), then the trial starts. The worker is chosen by the expected end of its runs, with the code that gangs use, and by what a crash would end. Holds end with the start, when the task no longer waits, when a worker is lost, and after 4 s; the trial then pauses for 1 s. Eight trials are considered a tick.

Waiting trials asked the advisor all the while and claimed capacity that others then did not ask for. Now advice is asked for the held workers, while their runs are proven, and before other questions.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -272,12 +272,15 @@
 
 enum cell_blame_kind
 {
-  CELL_BLAME_BROKEN,    /**< the connections of a worker with runs ended */
-  CELL_BLAME_CRASHED,   /**< it has crashed: its runs ended with it */
-  CELL_BLAME_ALIVE,     /**< it has not crashed: it has answered again */
-  CELL_BLAME_SUSPECTED, /**< a crash counts against the task */
-  CELL_BLAME_CLEARED,   /**< a crash no longer counts against the task */
-  CELL_BLAME_GIVEN_UP   /**< the task's job has failed for its crashes */
+  CELL_BLAME_BROKEN,     /**< the connections of a worker with runs ended */
+  CELL_BLAME_CRASHED,    /**< it has crashed: its runs ended with it */
+  CELL_BLAME_ALIVE,      /**< it has not crashed: it has answered again */
+  CELL_BLAME_SUSPECTED,  /**< a crash counts against the task */
+  CELL_BLAME_CLEARED,    /**< a crash no longer counts against the task */
+  CELL_BLAME_GIVEN_UP,   /**< the task's job has failed for its crashes */
+  CELL_BLAME_HOLD,       /**< workers are held for the trial of the task */
+  CELL_BLAME_HOLD_FAILED /**< the trial has not started there in time, or a
+                            worker cannot be used any more */
 };
 
 /** A step in finding the task that crashes workers, with its evidence. Times
@@ -296,7 +299,13 @@
   uint32_t suspects;            /**< jobs that are suspected of the crash */
   bool sole; /**< the last of them has no other suspect and no other reason
                 near */
-  uint32_t crashes; /**< crashes that count against the task */
+  uint32_t crashes;        /**< crashes that count against the task */
+  uint64_t counted_us;     /**< of a hold: when the last one was counted */
+  uint64_t since_us;       /**< when the hold began */
+  uint32_t held;           /**< workers held; `worker` is one of them */
+  uint32_t beside;         /**< runs of other jobs on them */
+  uint32_t unproven;       /**< of these that may still crash their worker */
+  uint32_t trials_waiting; /**< for which no worker is held */
 };
 
 /** Progress record of a job. */
@@ -493,6 +502,8 @@
   uint32_t jobs_open;
   uint32_t stages_waiting; /**< steps of open rounds with tasks to place */
   uint32_t asks_waiting;   /**< open questions for the advisor */
+  uint32_t trials_waiting; /**< suspected tasks for which no worker is held */
+  uint32_t trials_held;    /**< suspected tasks for which workers are held */
   uint32_t runs;
   uint32_t workers_usable;
   uint64_t used_millicores;
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -101,6 +101,7 @@
   core->scheduled_jobs = g_ptr_array_new ();
   core->dirty = g_ptr_array_new ();
   core->questions = g_ptr_array_new_with_free_func (g_free);
+  core->holds = g_array_new (FALSE, FALSE, sizeof (struct cell_hold));
   core->runs = g_ptr_array_new ();
   core->run_generations = g_array_new (FALSE, TRUE, sizeof (uint32_t));
   core->free_runs = g_array_new (FALSE, FALSE, sizeof (uint32_t));
@@ -166,6 +167,7 @@
   g_ptr_array_free (core->scheduled_jobs, TRUE);
   g_ptr_array_free (core->dirty, TRUE);
   g_ptr_array_free (core->questions, TRUE);
+  g_array_free (core->holds, TRUE);
   g_ptr_array_free (core->runs, TRUE);
   g_ptr_array_free (core->state_pending, TRUE);
   g_ptr_array_free (core->records, TRUE);
@@ -813,6 +815,8 @@
     out->jobs_open += cell_job_open (value);
   out->stages_waiting = core->waiting->len;
   out->asks_waiting = core->questions->len;
+  out->trials_waiting = core->trials_waiting;
+  out->trials_held = core->holds->len;
   for (guint i = 0; i < core->workers->len; i++)
     {
       const struct cell_worker *worker = cell_worker_at (core, i);
--- a/src/cyc_cell_advice.c
+++ b/src/cyc_cell_advice.c
@@ -253,13 +253,70 @@
   return count;
 }
 
+/* A question that waits for its turn is now for a trial as well. */
+static void
+hasten_question (struct cell_core *core, uint64_t ask)
+{
+  for (guint i = 0; i < core->questions->len; i++)
+    {
+      struct cell_question *question = g_ptr_array_index (core->questions, i);
+
+      if (question->ask == ask && !question->handed_out)
+        question->trial = true;
+    }
+}
+
+/* Chooses the workers to name for a trial: those that are held for the stage,
+   or else unknown ones, to hold them later. Returns their number. */
+static uint32_t
+choose_for_trial (const struct cell_core *core, const struct cell_stage *stage,
+                  uint32_t rows[ASK_WORKERS_MAX])
+{
+  GArray *unknown = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+  bool gang = cell_stage_step (stage)->gang;
+  uint32_t max_rows = max_named_workers (&stage->job->cfg.advice);
+  uint32_t count = 0;
+
+  for (guint i = 0; i < core->workers->len; i++)
+    {
+      const struct cell_worker *worker = cell_worker_at (core, i);
+      struct candidate candidate
+          = { .row = i, .shuffle = shuffle_key (stage, i) };
+
+      if (cell_held_for (core, stage, worker))
+        {
+          if (cell_ticket_for (core, stage, i) == NULL && count < max_rows)
+            rows[count++] = i;
+          continue;
+        }
+      if (cell_verdict_of (stage, i) != CELL_VERDICT_UNKNOWN
+          || !cell_worker_eligible (core, stage, worker))
+        continue;
+      candidate.task_slots = cell_slots_total (stage, worker);
+      if (!gang)
+        candidate.task_slots = MIN (1, candidate.task_slots);
+      if (candidate.task_slots > 0)
+        g_array_append_val (unknown, candidate);
+    }
+  if (count == 0)
+    take_candidates (
+        unknown, (gang ? stage->count : 1ULL) * CELL_GANG_SURVEY_FACTOR,
+        queue_allowed_permille (core, stage->job), max_rows, rows, &count);
+  g_array_free (unknown, TRUE);
+  return count;
+}
+
 void
-cell_stage_ask (struct cell_core *core, struct cell_stage *stage)
+cell_stage_ask (struct cell_core *core, struct cell_stage *stage, bool trial)
 {
   struct cell_question *question;
 
   if (stage->ask != 0)
-    return;
+    {
+      if (trial)
+        hasten_question (core, stage->ask);
+      return;
+    }
   if (core->now_us < stage->ask_after_us)
     {
       cell_retry_placement (core, stage->ask_after_us);
@@ -268,6 +325,7 @@
   question = g_new0 (struct cell_question, 1);
   question->ask = core->next_ask++;
   question->stage = stage;
+  question->trial = trial;
   question->cost_us = stage->job->cfg.advice.decision_us;
   stage->ask = question->ask;
   g_ptr_array_add (core->questions, question);
@@ -297,12 +355,20 @@
     }
 }
 
+static bool
+is_before (const struct cell_core *core, const struct cell_question *a,
+           const struct cell_question *b)
+{
+  return a->trial != b->trial ? a->trial
+                              : cell_stage_before (core, a->stage, b->stage);
+}
+
 /* Returns the index of the most urgent question that may be handed out;
    G_MAXUINT if there is none. */
 static guint
 next_question (struct cell_core *core, uint64_t max_cost_us)
 {
-  const struct cell_stage *best_stage = NULL;
+  const struct cell_question *first = NULL;
   guint best = G_MAXUINT;
 
   for (guint i = 0; i < core->questions->len;)
@@ -318,11 +384,10 @@
           continue;
         }
       if (!question->handed_out && question->cost_us <= max_cost_us
-          && (best == G_MAXUINT
-              || cell_stage_before (core, stage, best_stage)))
+          && (first == NULL || is_before (core, question, first)))
         {
           best = i;
-          best_stage = stage;
+          first = question;
         }
       i++;
     }
@@ -359,7 +424,9 @@
       struct cell_stage *stage = question->stage;
       const struct cell_advice_cfg *advice = &stage->job->cfg.advice;
 
-      out->worker_count = choose_workers (core, stage, out->workers);
+      out->worker_count = question->trial
+                              ? choose_for_trial (core, stage, out->workers)
+                              : choose_workers (core, stage, out->workers);
       if (out->worker_count == 0)
         {
           stage->ask_after_us = core->now_us + ASK_RETRY_US;
@@ -453,6 +520,7 @@
       return;
     }
   settle_verdicts (stage, CELL_VERDICT_DENIED, &named);
+  cell_trials_advised (stage);
   stage->surveyed = stage->surveyed || named > 0;
   if (stage->done == stage->count)
     return;
--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -25,16 +25,6 @@
 /** An inherited run is suspected if its placement was recorded at most this
  * long before the last one of the earlier leaders. */
 #define INHERITED_FRESH_MS 1000
-/** A trial takes a worker with other runs if none without runs has been found
- * for this time. */
-#define TRIAL_WAIT_US 3000000
-/** Workers with trials at a time: this fraction of those usable. */
-#define TRIAL_DIVISOR 16
-/** Workers that crashed under trials which are not over yet: this fraction,
- * and at least this many. They must not hold up the trials of innocent tasks,
- * nor may all workers crash at once. */
-#define CRASHED_TRIAL_DIVISOR 4
-#define CRASHED_TRIALS_MIN 2
 /** A task is given up when the weights of its crashes reach HOPELESS_WEIGHT; a
  * weak one has the weight 1. */
 #define SOLE_WEIGHT 2
@@ -42,8 +32,6 @@
 /** Values of CellRun.suspicion. */
 #define SUSPICION_WEAK 1
 #define SUSPICION_STRONG 2
-/** Interval at which a trial that waits is tried to be placed. */
-#define TRIAL_RETRY_US 100000
 /** Added cost of a worker for a trial, above all costs of the best fit: for
  * one that was started just before, and for each run on it. */
 #define TRIAL_YOUNG_COST 20000
@@ -118,8 +106,9 @@
   blame->suspects = cell_worker_at (core, run->worker)->suspects;
 }
 
-static bool
-is_young (const struct cell_core *core, const struct cell_worker *worker)
+bool
+cell_blame_is_young (const struct cell_core *core,
+                     const struct cell_worker *worker)
 {
   return worker->born_ms != 0 && core->now_ms < worker->born_ms + YOUNG_MS;
 }
@@ -148,7 +137,8 @@
       {
         run->broken_us = core->now_us;
         run->broken_born_ms = worker->born_ms;
-        run->broken_weakly = run->inherited || is_young (core, worker);
+        run->broken_weakly
+            = run->inherited || cell_blame_is_young (core, worker);
         cell_job_mark_dirty (core, run->job);
       }
 }
@@ -293,6 +283,11 @@
   run->proven = true;
   run->broken_us = 0;
   end_trial (core, run);
+  if (cell_worker_at (core, run->worker)->hold != 0)
+    {
+      core->placement_pending = true;
+      cell_wake (core, core->now_us);
+    }
   if (task->crashes == NULL || !all_proven (run))
     return;
   report_task (core, CELL_BLAME_CLEARED, run);
@@ -428,34 +423,52 @@
   cell_job_fail (core, run->job);
 }
 
-const struct cell_crashes *
-cell_blame_trial (const struct cell_stage *stage, uint32_t task)
-{
-  uint32_t at = cell_stage_step (stage)->gang ? stage->first_task : task;
-
-  return stage->job->rounds[stage->round].tasks[at].crashes;
-}
-
 void
-cell_blame_count_trial (struct cell_core *core,
-                        const struct cell_worker *worker)
+cell_blame_report_hold (struct cell_core *core, enum cell_blame_kind kind,
+                        const struct cell_hold *hold)
 {
-  bool up = worker->broken_us == 0 && worker->reachable;
+  const struct cell_stage *stage = hold->stage;
+  const struct cell_task *task
+      = &stage->job->rounds[stage->round].tasks[hold->task];
+  struct cell_blame *blame = g_new0 (struct cell_blame, 1);
 
-  if (worker->trial_count == 0)
-    return;
-  core->trial_workers += up;
-  core->crashed_trial_workers += !up;
+  blame->kind = kind;
+  cell_task_name (&(struct cell_run){ .job = stage->job,
+                                      .round = stage->round,
+                                      .task = hold->task },
+                  blame->task);
+  blame->run = task->next_run;
+  blame->since_us = hold->since_us;
+  blame->trials_waiting = core->trials_waiting;
+  if (task->crashes != NULL)
+    {
+      blame->crashes = task->crashes->count;
+      blame->counted_us = task->crashes->counted_us;
+    }
+  for (guint i = 0; i < core->workers->len; i++)
+    {
+      const struct cell_worker *worker = cell_worker_at (core, i);
+
+      if (worker->hold != hold->id)
+        continue;
+      blame->worker = i;
+      blame->held++;
+      for (const struct cell_run *run = worker->runs; run != NULL;
+           run = run->next)
+        {
+          blame->beside += run->job != stage->job;
+          blame->unproven += run->job != stage->job && !run->proven;
+        }
+    }
+  g_queue_push_tail (&core->blames, blame);
 }
 
-bool
-cell_blame_trial_allowed (struct cell_core *core)
+const struct cell_crashes *
+cell_blame_trial (const struct cell_stage *stage, uint32_t task)
 {
-  cell_retry_placement (core, core->now_us + TRIAL_RETRY_US);
-  return core->trial_workers < MAX (1, core->usable_workers / TRIAL_DIVISOR)
-         && core->crashed_trial_workers
-                < MAX (CRASHED_TRIALS_MIN,
-                       core->usable_workers / CRASHED_TRIAL_DIVISOR);
+  uint32_t at = cell_stage_step (stage)->gang ? stage->first_task : task;
+
+  return stage->job->rounds[stage->round].tasks[at].crashes;
 }
 
 void
@@ -467,22 +480,20 @@
   if (accountable (run)->crashes == NULL)
     return;
   run->on_trial = true;
-  if (worker->trial_count++ == 0)
-    core->trial_workers++;
+  worker->trial_count++;
 }
 
 void
 cell_blame_freed (struct cell_core *core, const struct cell_run *run)
 {
-  struct cell_worker *worker = cell_worker_at (core, run->worker);
+  if (run->on_trial)
+    cell_worker_at (core, run->worker)->trial_count--;
+}
 
-  if (!run->on_trial)
-    return;
-  worker->trial_count--;
-  /* A placement of this tick that is undone has used no worker. */
-  if (worker->trial_count == 0 && run->state == CELL_RUN_RECORDING
-      && core->trial_workers > 0)
-    core->trial_workers--;
+bool
+cell_blame_is_likely (const struct cell_crashes *crashes)
+{
+  return crashes->count > 1 || crashes->rows[0].sole;
 }
 
 uint64_t
@@ -492,6 +503,8 @@
   const struct cell_worker *worker = cell_worker_at (core, row);
   uint64_t others = 0;
 
+  if (worker->hold != (trial != NULL ? trial->hold : 0))
+    return UINT64_MAX;
   if (trial == NULL && worker->trial_count == 0)
     return 0;
   for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
@@ -505,10 +518,19 @@
       return UINT64_MAX;
   if (trial == NULL)
     return 0;
-  if (others > 0 && core->now_us < trial->counted_us + TRIAL_WAIT_US)
+  if (others > 0 && (core->trials_waiting == 0 || cell_blame_is_likely (trial))
+      && core->now_us < trial->empty_until_us)
     return UINT64_MAX;
   return others * TRIAL_RUN_COST
-         + (is_young (core, worker) ? TRIAL_YOUNG_COST : 0);
+         + (cell_blame_is_young (core, worker) ? TRIAL_YOUNG_COST : 0);
+}
+
+/* Returns whether a trial, here or soon, waits for the run to be proven. */
+static bool
+awaits_proof (const struct cell_worker *worker, const struct cell_run *run)
+{
+  return run->confirmed_us != 0
+         && (run->on_trial || (worker->hold != 0 && !run->proven));
 }
 
 uint64_t
@@ -517,10 +539,10 @@
 {
   uint64_t after_us = 0;
 
-  if (worker->trial_count == 0)
+  if (worker->trial_count == 0 && worker->hold == 0)
     return 0;
   for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
-    if (run->on_trial && run->confirmed_us != 0
+    if (awaits_proof (worker, run)
         && run->confirmed_us + CELL_TRIAL_US <= core->now_us)
       after_us = MAX (after_us, run->confirmed_us + CELL_TRIAL_US);
   return after_us;
@@ -529,10 +551,10 @@
 void
 cell_blame_tick (struct cell_core *core, const struct cell_worker *worker)
 {
-  if (worker->trial_count == 0)
+  if (worker->trial_count == 0 && worker->hold == 0)
     return;
   for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
-    if (run->on_trial && run->confirmed_us != 0
+    if (awaits_proof (worker, run)
         && run->confirmed_us + CELL_TRIAL_US > core->now_us)
       cell_wake (core, run->confirmed_us + CELL_TRIAL_US);
 }
--- a/src/cyc_cell_gang.c
+++ b/src/cyc_cell_gang.c
@@ -105,19 +105,11 @@
   return complete;
 }
 
-/* A place on a worker for one member of a gang, and when it is expected to be
-   free. */
-struct gang_place
-{
-  uint32_t row;
-  uint64_t free_us;
-};
-
 static int
 by_free_time (const void *a, const void *b)
 {
-  const struct gang_place *left = a;
-  const struct gang_place *right = b;
+  const struct cell_gang_place *left = a;
+  const struct cell_gang_place *right = b;
 
   if (left->free_us != right->free_us)
     return left->free_us < right->free_us ? -1 : 1;
@@ -140,8 +132,8 @@
   return left->at_us < right->at_us ? -1 : left->at_us > right->at_us;
 }
 
-static uint64_t
-run_end_us (const struct cell_core *core, const struct cell_run *run)
+uint64_t
+cell_run_end_us (const struct cell_core *core, const struct cell_run *run)
 {
   const Cyc__CellStep *step
       = cell_stage_step (cell_stage_of_task (run->job, run->round, run->task));
@@ -162,17 +154,15 @@
 
   for (const struct cell_run *run = worker->runs;
        run != NULL && count < RELEASES_MAX; run = run->next)
-    out[count++] = (struct release){ run_end_us (core, run), run->size };
+    out[count++] = (struct release){ cell_run_end_us (core, run), run->size };
   if (count > 1)
     qsort (out, count, sizeof *out, by_release_time);
   return count;
 }
 
-/* Adds a place for each member that the worker can hold, with the time at
-   which enough runs have ended for it to fit beside the members before it. */
-static void
-add_gang_places (const struct cell_core *core, const struct cell_stage *stage,
-                 uint32_t row, GArray *places)
+void
+cell_gang_places (const struct cell_core *core, const struct cell_stage *stage,
+                  uint32_t row, uint32_t max, GArray *places)
 {
   const struct cell_worker *worker = cell_worker_at (core, row);
   struct cyc_resources size = cell_step_size (cell_stage_step (stage));
@@ -181,13 +171,13 @@
   struct cell_resources used
       = { worker->used_millicores, worker->used_memory_mib,
           worker->used_accelerators };
-  uint32_t slots = cell_slots_total (stage, worker);
+  uint32_t slots = MIN (max, cell_slots_total (stage, worker));
   uint64_t free_us = core->now_us;
   uint32_t next = 0;
 
   for (uint32_t k = 1; k <= slots; k++)
     {
-      struct gang_place gang_place = { .row = row };
+      struct cell_gang_place gang_place = { .row = row };
 
       while (next < count
              && (used.millicores + (uint64_t)k * size.millicores
@@ -212,6 +202,14 @@
     }
 }
 
+void
+cell_gang_sort_places (GArray *places)
+{
+  if (places->len > 1)
+    qsort (places->data, places->len, sizeof (struct cell_gang_place),
+           by_free_time);
+}
+
 static void
 release_worker_reservation (struct cell_worker *worker)
 {
@@ -265,23 +263,21 @@
   release_reservation (core, stage);
   stage->has_reservation = true;
   stage->reserve_again_us = core->now_us + RESERVE_INTERVAL_US;
-  places = g_array_new (FALSE, FALSE, sizeof (struct gang_place));
+  places = g_array_new (FALSE, FALSE, sizeof (struct cell_gang_place));
   for (guint i = 0; i < core->workers->len; i++)
     {
       const struct cell_worker *worker = cell_worker_at (core, i);
 
-      if (worker->reserved_for == NULL
+      if (worker->reserved_for == NULL && worker->hold == 0
           && cell_worker_eligible (core, stage, worker)
           && (!advised || cell_verdict_of (stage, i) == CELL_VERDICT_ALLOWED))
-        add_gang_places (core, stage, i, places);
+        cell_gang_places (core, stage, i, stage->count, places);
     }
-  if (places->len > 1)
-    qsort (places->data, places->len, sizeof (struct gang_place),
-           by_free_time);
+  cell_gang_sort_places (places);
   for (guint i = 0; i < places->len && i < stage->count; i++)
     {
       struct cell_worker *worker = cell_worker_at (
-          core, g_array_index (places, struct gang_place, i).row);
+          core, g_array_index (places, struct cell_gang_place, i).row);
 
       worker->reserved_for = stage;
       worker->reserved.millicores += size.millicores;
@@ -295,6 +291,8 @@
 try_place_gang (struct cell_core *core, struct cell_stage *stage)
 {
   struct cyc_resources size = cell_step_size (cell_stage_step (stage));
+  const struct cell_crashes *trial
+      = cell_blame_trial (stage, stage->first_task);
   GPtrArray *racks;
   bool placed = false;
 
@@ -312,9 +310,7 @@
       cell_retry_placement (core, at_us);
       return false;
     }
-  if (!gang_fits (core, stage)
-      || (cell_blame_trial (stage, stage->first_task) != NULL
-          && !cell_blame_trial_allowed (core)))
+  if ((trial != NULL && trial->hold == 0) || !gang_fits (core, stage))
     return false;
   if (!cell_stage_step (stage)->same_rack)
     return place_gang_in_rack (core, stage, &size, CYC_STR (""));
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -197,6 +197,9 @@
   uint64_t crashed_us;      /**< when it broke; 0 if none did */
   uint32_t suspects;        /**< jobs with unproven runs in that crash */
   uint32_t trial_count;     /**< runs on trial */
+  uint64_t hold; /**< id of the hold for a trial, during which no other run
+                    starts; 0 if none */
+  uint64_t no_hold_until_us; /**< a hold has failed here */
   uint64_t reborn_us; /**< when its current incarnation became known; 0 if no
                          earlier one was known */
   uint64_t clock_ms;
@@ -235,7 +238,12 @@
 struct cell_crashes
 {
   uint32_t count;
-  uint64_t counted_us; /**< when the last one was counted */
+  uint64_t counted_us;     /**< when the last one was counted */
+  uint64_t hold;           /**< id of the hold of workers for the trial; 0 if
+                              none */
+  uint64_t empty_until_us; /**< the held workers may first become free of other
+                              runs until then */
+  uint64_t again_us;       /**< no hold before that, as one has failed */
   struct cell_crash rows[CELL_CRASHES_MAX];
 };
 
@@ -281,11 +289,13 @@
   uint32_t round;
   uint32_t step;
   uint32_t first_task;
-  uint32_t count;   /**< all tasks */
-  uint32_t done;    /**< tasks done */
-  uint32_t waiting; /**< tasks neither placed nor done */
-  bool ready;       /**< all dependencies are done and the round is due */
-  bool listed;      /**< in the core's list of waiting stages */
+  uint32_t count;          /**< all tasks */
+  uint32_t done;           /**< tasks done */
+  uint32_t waiting;        /**< tasks neither placed nor done */
+  uint32_t trials_waiting; /**< of these on trial at their next start, in this
+                              tick */
+  bool ready;  /**< all dependencies are done and the round is due */
+  bool listed; /**< in the core's list of waiting stages */
   uint64_t reserve_again_us; /**< when the workers of the reservation are
                                 chosen again */
   bool has_reservation;      /**< capacity is reserved for the stage */
@@ -358,9 +368,29 @@
   uint64_t ask;
   struct cell_stage *stage;
   bool handed_out; /**< cell_ask_next returned it */
+  bool trial;      /**< for a trial, which waits for the answer only */
   uint64_t cost_us;
 };
 
+/** Workers that take no other starts until a trial has started there. */
+struct cell_hold
+{
+  uint64_t id; /**< not 0 */
+  struct cell_stage *stage;
+  uint32_t task; /**< index in the round; the first one of a gang */
+  uint64_t since_us;
+  uint64_t until_us; /**< it fails then */
+  bool risky;        /**< the task is likely to crash them, beside runs */
+};
+
+/** A place on a worker for one member of a gang, and when it is expected to be
+ * free. */
+struct cell_gang_place
+{
+  uint32_t row;
+  uint64_t free_us;
+};
+
 struct cell_core
 {
   struct cell_desc desc;
@@ -409,6 +439,10 @@
   uint32_t crashed_trial_workers; /**< that broke or fell silent under runs on
                                      trial, which are not over yet; in this
                                      tick */
+  uint32_t idle_workers;          /**< usable and without runs, in this tick */
+  uint32_t trials_waiting; /**< for which no worker is held, in this tick */
+  GArray *holds;           /**< struct cell_hold */
+  uint64_t last_hold;      /**< highest id of a hold */
   uint64_t last_placed_ms; /**< Unix time of the last placement of earlier
                               leaders */
 };
@@ -530,12 +564,16 @@
  * it is none. */
 const struct cell_crashes *cell_blame_trial (const struct cell_stage *stage,
                                              uint32_t task);
-/** Adds the worker to the core's counts of workers with trials. */
-void cell_blame_count_trial (struct cell_core *core,
-                             const struct cell_worker *worker);
-/** Returns whether a further worker may be used for a trial. If not, a later
- * placement is requested. */
-bool cell_blame_trial_allowed (struct cell_core *core);
+/** Returns whether the worker's incarnation is so new that it may crash by
+ * itself. */
+bool cell_blame_is_young (const struct cell_core *core,
+                          const struct cell_worker *worker);
+/** Returns whether the task crashes workers more likely than not: another
+ * crash, or one without another suspect, counts against it. */
+bool cell_blame_is_likely (const struct cell_crashes *crashes);
+/** Queues a step about a hold. */
+void cell_blame_report_hold (struct cell_core *core, enum cell_blame_kind kind,
+                             const struct cell_hold *hold);
 /** Returns the added cost of placing a task of the stage on the worker, with
  * regard to trials; UINT64_MAX if impossible. @p trial: see cell_blame_trial.
  */
@@ -557,6 +595,25 @@
 void cell_blame_restore (struct cell_core *core, struct cell_task *task,
                          const Cyc__CellCrash *from);
 
+/* Trials that wait for a worker. */
+
+/** Holds workers for the oldest trials that wait, and asks for the advice that
+ * they need. Requires the counts of this tick. */
+void cell_trials_tick (struct cell_core *core);
+/** Ends the holds that have led to a start or have failed. */
+void cell_trials_end_holds (struct cell_core *core);
+/** Adds the worker to the core's counts of workers with trials. */
+void cell_trials_count (struct cell_core *core,
+                        const struct cell_worker *worker);
+/** Ends the holds for tasks of the job, which is removed. */
+void cell_trials_forget (struct cell_core *core, const struct cell_job *job);
+/** Returns whether the worker is held for a task of the stage. */
+bool cell_held_for (const struct cell_core *core,
+                    const struct cell_stage *stage,
+                    const struct cell_worker *worker);
+/** The advisor has answered a question about the stage. */
+void cell_trials_advised (struct cell_stage *stage);
+
 /* Runs that are over. */
 
 void cell_over_setup (struct cell_core *core);
@@ -630,6 +687,10 @@
                           const struct cell_stage *stage);
 bool cell_team_has_quota (const struct cell_team *team,
                           const struct cyc_resources *size, uint64_t tasks);
+/** Returns whether no run of the stage has failed on the worker, and it is
+ * near the stage's data. */
+bool cell_stage_prefers (const struct cell_stage *stage, uint32_t row,
+                         const struct cell_worker *worker);
 /** Returns the row of the best worker, or CELL_NO_ROW if no allowed worker has
  * capacity. If @p rack is not empty, only workers in that rack are
  * considered. @p trial: see cell_blame_trial. */
@@ -648,6 +709,17 @@
 /** Reserves capacity for a gang that does not fit yet, on the allowed workers
  * where it comes free first. Stages after it may not use that capacity. */
 void cell_gang_reserve (struct cell_core *core, struct cell_stage *stage);
+/** Appends up to @p max places (struct cell_gang_place) for tasks of the stage
+ * on the worker, each with the time at which enough runs are expected to have
+ * ended for it to fit beside those before it. */
+void cell_gang_places (const struct cell_core *core,
+                       const struct cell_stage *stage, uint32_t row,
+                       uint32_t max, GArray *places);
+/** Returns when the run is expected to end. */
+uint64_t cell_run_end_us (const struct cell_core *core,
+                          const struct cell_run *run);
+/** Sorts places by time. */
+void cell_gang_sort_places (GArray *places);
 /** Releases the reservations of stages that no longer wait, and resets the
  * total; cell_gang_reserve counts the remaining ones again. */
 void cell_gang_release_ended (struct cell_core *core);
@@ -657,7 +729,11 @@
                         const struct cell_stage *b);
 
 /* Advice. */
-void cell_stage_ask (struct cell_core *core, struct cell_stage *stage);
+
+/** Asks about the stage, unless a question about it is open. @p trial: for a
+ * trial; such questions come before others. */
+void cell_stage_ask (struct cell_core *core, struct cell_stage *stage,
+                     bool trial);
 /** Drops all questions about steps of the job. */
 void cell_questions_forget (struct cell_core *core,
                             const struct cell_job *job);
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -400,6 +400,7 @@
         i++;
     }
   cell_questions_forget (core, job);
+  cell_trials_forget (core, job);
   for (guint i = 0; i < core->workers->len; i++)
     {
       struct cell_worker *worker = cell_worker_at (core, i);
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -213,6 +213,17 @@
   return false;
 }
 
+bool
+cell_stage_prefers (const struct cell_stage *stage, uint32_t row,
+                    const struct cell_worker *worker)
+{
+  const Cyc__CellStep *step = cell_stage_step (stage);
+
+  return !stage_failed_on (stage, row)
+         && (step->data_rack[0] == 0
+             || has_label (worker, cyc_str_of (step->data_rack)));
+}
+
 /* Returns what would remain of the worker's CPU and memory beside the task,
    as the sum of both in permille. */
 static uint64_t
@@ -347,7 +358,7 @@
       if (!cell_team_has_quota (stage->job->team, size, 1))
         return false;
       trial = cell_blame_trial (stage, stage->first_task + t);
-      if (trial != NULL && !cell_blame_trial_allowed (core))
+      if (trial != NULL && trial->hold == 0)
         continue;
       row = cell_best_worker (core, stage, size, CYC_STR (""), trial);
       if (row == CELL_NO_ROW && trial != NULL)
@@ -355,6 +366,7 @@
       if (row == CELL_NO_ROW)
         return false;
       cell_place (core, stage, stage->first_task + t, row, task->next_run);
+      stage->trials_waiting -= trial != NULL;
     }
   return stage->waiting == 0;
 }
@@ -375,12 +387,17 @@
 {
   const Cyc__CellStep *step = cell_stage_step (stage);
   struct cyc_resources size = cell_step_size (step);
+  uint32_t waiting;
 
   if (!stage->job->cfg_known)
     return;
   if (step->gang ? cell_gang_place (core, stage)
                  : place_tasks (core, stage, &size))
     return;
+  /* Workers are held for trials, which ask for advice themselves. */
+  waiting = (uint32_t)cell_remaining (stage->waiting, stage->trials_waiting);
+  if (waiting == 0)
+    return;
   if (!cell_team_has_quota (stage->job->team, &size,
                             step->gang ? stage->count : 1))
     return;
@@ -389,15 +406,15 @@
   if (stage->job->cfg.advice.required
       && capacity->millicores >= size.millicores
       && capacity->memory_mib >= size.memory_mib)
-    cell_stage_ask (core, stage);
+    cell_stage_ask (core, stage, false);
   /* A gang without a reservation does not block stages that can run
      meanwhile. */
   if (step->gang && !stage->has_reservation)
     return;
-  capacity->millicores = cell_remaining (
-      capacity->millicores, (uint64_t)stage->waiting * size.millicores);
-  capacity->memory_mib = cell_remaining (
-      capacity->memory_mib, (uint64_t)stage->waiting * size.memory_mib);
+  capacity->millicores = cell_remaining (capacity->millicores,
+                                         (uint64_t)waiting * size.millicores);
+  capacity->memory_mib = cell_remaining (capacity->memory_mib,
+                                         (uint64_t)waiting * size.memory_mib);
 }
 
 /* Returns the rank of a stage; lower ranks come first. Late work yields to
@@ -453,6 +470,7 @@
   core->usable_millicores = 0;
   core->usable_workers = 0;
   core->trial_workers = 0;
+  core->idle_workers = 0;
   core->crashed_trial_workers = 0;
   for (guint i = 0; i < core->workers->len; i++)
     {
@@ -460,7 +478,7 @@
 
       if (worker->listed && worker->paused_until_us > core->now_us)
         cell_retry_placement (core, worker->paused_until_us);
-      cell_blame_count_trial (core, worker);
+      cell_trials_count (core, worker);
       if (!cell_worker_usable (core, worker))
         continue;
       core->usable_workers++;
@@ -512,7 +530,9 @@
       g_ptr_array_remove_index_fast (core->waiting, i);
     }
   g_ptr_array_sort_with_data (core->waiting, compare_stages, core);
+  cell_trials_end_holds (core);
   capacity = capacity_soon (core);
+  cell_trials_tick (core);
   for (guint i = 0; i < core->waiting->len; i++)
     {
       struct cell_stage *stage = g_ptr_array_index (core->waiting, i);
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -293,6 +293,24 @@
     }
 }
 
+static void
+log_hold (struct entry_owner *owner, const struct cell_blame *blame,
+          uint64_t now_us)
+{
+  struct cell_worker_view view;
+
+  cell_worker_view (owner->core, blame->worker, &view);
+  ev_log (
+      blame->kind == CELL_BLAME_HOLD ? EV_TRIAL_HELD : EV_TRIAL_HOLD_FAILED,
+      "task=%s run=%u worker=%.*s epoch=%" PRIu64
+      " workers=%u beside=%u unproven=%u crashes=%u suspected_age_ms=%" PRId64
+      " held_age_ms=%" PRId64 " trials_waiting=%u",
+      blame->task, blame->run, CYC_FMT (view.id), owner->epoch, blame->held,
+      blame->beside, blame->unproven, blame->crashes,
+      age_ms (now_us, blame->counted_us), age_ms (now_us, blame->since_us),
+      blame->trials_waiting);
+}
+
 void
 orders_log_blames (struct entry_owner *owner, uint64_t now_us)
 {
@@ -310,6 +328,12 @@
 
   while (cell_blame_next (owner->core, &blame))
     {
+      if (blame.kind == CELL_BLAME_HOLD
+          || blame.kind == CELL_BLAME_HOLD_FAILED)
+        {
+          log_hold (owner, &blame, now_us);
+          continue;
+        }
       met_add (met, MET_WORKERS_CRASHED, blame.kind == CELL_BLAME_CRASHED);
       met_add (met, MET_TASKS_SUSPECTED, blame.kind == CELL_BLAME_SUSPECTED);
       met_add (met, MET_TASKS_CLEARED, blame.kind == CELL_BLAME_CLEARED);
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -447,12 +447,13 @@
   owner->next_load_log_us = now_us + LOAD_LOG_PERIOD_US;
   cell_totals (owner->core, &totals);
   ev_log (EV_LOAD,
-          "jobs=%u open=%u stages_waiting=%u asks_waiting=%u runs=%u "
-          "workers=%u used_millicores=%" PRIu64
-          " capacity_millicores=%" PRIu64,
+          "jobs=%u open=%u stages_waiting=%u asks_waiting=%u "
+          "trials_waiting=%u trials_held=%u runs=%u workers=%u "
+          "used_millicores=%" PRIu64 " capacity_millicores=%" PRIu64,
           totals.jobs, totals.jobs_open, totals.stages_waiting,
-          totals.asks_waiting, totals.runs, totals.workers_usable,
-          totals.used_millicores, totals.capacity_millicores);
+          totals.asks_waiting, totals.trials_waiting, totals.trials_held,
+          totals.runs, totals.workers_usable, totals.used_millicores,
+          totals.capacity_millicores);
 }
 
 void
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -102,6 +102,8 @@
   X (EV_WORKER_ALIVE, MESSAGE, "worker_alive")                                \
   X (EV_TASK_SUSPECTED, MESSAGE, "task_suspected")                            \
   X (EV_TASK_CLEARED, MESSAGE, "task_cleared")                                \
+  X (EV_TRIAL_HELD, MESSAGE, "trial_held")                                    \
+  X (EV_TRIAL_HOLD_FAILED, MESSAGE, "trial_hold_failed")                      \
   X (EV_TASK_GIVEN_UP, WARNING, "task_given_up")                              \
   X (EV_REQUEST_UNANSWERED, MESSAGE, "request_unanswered")                    \
   X (EV_LOAD, MESSAGE, "load")                                                \
