A late order is no silence of its worker, so its crash counts

Cause: a call that times out marks its worker as silent until its next report, and a silent worker's crash suspects nobody. While orders are late, the timeout of one of them marks a worker that answers all other calls, for up to the second that a hold waits. A task that crashes the worker in that time is not suspected, and starts again with no crash counted.

Fix: a call without an answer shows silence only if the worker has not reported since the call was sent. A worker that was cut off later is marked by its next call.

The simulated fleet did not tell the core how orders without an answer end, so no test met this.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -385,9 +385,11 @@
 /** Reports that the worker failed to answer several calls in a row. */
 void cell_worker_silent (struct cell_core *core, uint32_t row,
                          uint64_t now_us);
-/** Reports that a call to the worker ended without an answer. */
+/** Reports that a call to the worker that was sent at @p sent_us ended without
+ * an answer. */
 void cell_worker_unanswered (struct cell_core *core, uint32_t row,
-                             enum cell_call_end end, uint64_t now_us);
+                             enum cell_call_end end, uint64_t sent_us,
+                             uint64_t now_us);
 /** Reports that the connection of a call to the worker ended at @p broken_us,
  * before the answer. */
 void cell_worker_broken (struct cell_core *core, uint32_t row,
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -525,12 +525,15 @@
 
 void
 cell_worker_unanswered (struct cell_core *core, uint32_t row,
-                        enum cell_call_end end, uint64_t now_us)
+                        enum cell_call_end end, uint64_t sent_us,
+                        uint64_t now_us)
 {
   struct cell_worker *worker = cell_worker_at (core, row);
 
   core->now_us = now_us;
-  cell_blame_broken (core, row, end, now_us);
+  /* A worker that has answered since is not silent: one order is late. */
+  if (end != CELL_CALL_SILENT || sent_us >= worker->clock_at_us)
+    cell_blame_broken (core, row, end, now_us);
   if (end != CELL_CALL_REFUSED)
     return;
   worker->absent_us = now_us;
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -65,7 +65,7 @@
 {
   if (end->broken_us != 0)
     cell_worker_broken (owner->core, row, end->broken_us, now_us);
-  cell_worker_unanswered (owner->core, row, end->end, now_us);
+  cell_worker_unanswered (owner->core, row, end->end, end->sent_us, now_us);
   if (end->end == CELL_CALL_OTHER_INCARNATION)
     cell_worker_replaced (owner->core, row, end->sent_us, now_us);
   owner_log_left (owner, row, now_us);
--- a/tests/test_cell_late.c
+++ b/tests/test_cell_late.c
@@ -530,7 +530,8 @@
       s.fleet->now_ms = s.now_us / 1000;
       fleet_drain (s.fleet, s.row, 5000);
       if (refused_first)
-        cell_worker_unanswered (s.core, s.row, CELL_CALL_REFUSED, s.now_us);
+        cell_worker_unanswered (s.core, s.row, CELL_CALL_REFUSED, s.now_us,
+                                s.now_us);
       else
         cell_worker_unlisted (s.core, cyc_str_of (s.fleet->workers[s.row].id),
                               s.now_us);
@@ -540,7 +541,8 @@
         cell_worker_unlisted (s.core, cyc_str_of (s.fleet->workers[s.row].id),
                               s.now_us);
       else
-        cell_worker_unanswered (s.core, s.row, CELL_CALL_REFUSED, s.now_us);
+        cell_worker_unanswered (s.core, s.row, CELL_CALL_REFUSED, s.now_us,
+                                s.now_us);
       tick (&s, 10);
       assert_int_equal (over (&s), 1);
       finish (&s);
--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -812,7 +812,7 @@
     {
       if (worker->partitioned ? worker->refusing : !worker->up)
         cell_worker_unanswered (fleet->core, row, CELL_CALL_REFUSED,
-                                fleet_now_us (fleet));
+                                fleet_now_us (fleet), fleet_now_us (fleet));
       cell_worker_silent (fleet->core, row, fleet_now_us (fleet));
       return;
     }
