--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -276,12 +276,15 @@
 
 enum cell_blame_kind
 {
-  CELL_BLAME_BROKEN,    /**< the connections of a worker with runs ended */
-  CELL_BLAME_CRASHED,   /**< it has crashed: its runs ended with it */
-  CELL_BLAME_ALIVE,     /**< it has not crashed: it has answered again */
-  CELL_BLAME_SUSPECTED, /**< a crash counts against the task */
-  CELL_BLAME_CLEARED,   /**< a crash no longer counts against the task */
-  CELL_BLAME_GIVEN_UP   /**< the task's job has failed for its crashes */
+  CELL_BLAME_BROKEN,     /**< the connections of a worker with runs ended */
+  CELL_BLAME_CRASHED,    /**< it has crashed: its runs ended with it */
+  CELL_BLAME_ALIVE,      /**< it has not crashed: it has answered again */
+  CELL_BLAME_SUSPECTED,  /**< a crash counts against the task */
+  CELL_BLAME_CLEARED,    /**< a crash no longer counts against the task */
+  CELL_BLAME_GIVEN_UP,   /**< the task's job has failed for its crashes */
+  CELL_BLAME_HOLD,       /**< workers are held for the trial of the task */
+  CELL_BLAME_HOLD_FAILED /**< the trial has not started there in time, or a
+                            worker cannot be used any more */
 };
 
 /** A step in finding the task that crashes workers, with its evidence. Times
@@ -300,7 +303,13 @@
   uint32_t suspects;            /**< jobs that are suspected of the crash */
   bool sole; /**< the last of them has no other suspect and no other reason
                 near */
-  uint32_t crashes; /**< crashes that count against the task */
+  uint32_t crashes;        /**< crashes that count against the task */
+  uint64_t counted_us;     /**< of a hold: when the last one was counted */
+  uint64_t since_us;       /**< when the hold began */
+  uint32_t held;           /**< workers held; `worker` is one of them */
+  uint32_t beside;         /**< runs of other jobs on them */
+  uint32_t unproven;       /**< of these that may still crash their worker */
+  uint32_t trials_waiting; /**< for which no worker is held */
 };
 
 /** Progress record of a job. */
@@ -388,9 +397,11 @@
 /** Reports that the worker failed to answer several calls in a row. */
 void cell_worker_silent (struct cell_core *core, uint32_t row,
                          uint64_t now_us);
-/** Reports that a call to the worker ended without an answer. */
+/** Reports that a call to the worker that was sent at @p sent_us ended without
+ * an answer. */
 void cell_worker_unanswered (struct cell_core *core, uint32_t row,
-                             enum cell_call_end end, uint64_t now_us);
+                             enum cell_call_end end, uint64_t sent_us,
+                             uint64_t now_us);
 /** Reports that the connection of a call to the worker ended at @p broken_us,
  * before the answer. */
 void cell_worker_broken (struct cell_core *core, uint32_t row,
@@ -505,6 +516,8 @@
   uint32_t jobs_open;
   uint32_t stages_waiting; /**< steps of open rounds with tasks to place */
   uint32_t asks_waiting;   /**< open questions for the advisor */
+  uint32_t trials_waiting; /**< suspected tasks for which no worker is held */
+  uint32_t trials_held;    /**< suspected tasks for which workers are held */
   uint32_t runs;
   uint32_t workers_usable;
   uint64_t used_millicores;
--- a/tests/test_cell_late.c
+++ b/tests/test_cell_late.c
@@ -534,7 +534,8 @@
       fleet_drain (s.fleet, s.row, DRAIN_MS);
       tick (&s, DRAIN_MS);
       if (refused_first)
-        cell_worker_unanswered (s.core, s.row, CELL_CALL_REFUSED, s.now_us);
+        cell_worker_unanswered (s.core, s.row, CELL_CALL_REFUSED, s.now_us,
+                                s.now_us);
       else
         cell_worker_unlisted (s.core, cyc_str_of (s.fleet->workers[s.row].id),
                               s.now_us);
@@ -544,7 +545,8 @@
         cell_worker_unlisted (s.core, cyc_str_of (s.fleet->workers[s.row].id),
                               s.now_us);
       else
-        cell_worker_unanswered (s.core, s.row, CELL_CALL_REFUSED, s.now_us);
+        cell_worker_unanswered (s.core, s.row, CELL_CALL_REFUSED, s.now_us,
+                                s.now_us);
       tick (&s, 10);
       assert_int_equal (over (&s), 1);
       finish (&s);
@@ -569,7 +571,8 @@
                         s.now_us);
   for (uint32_t i = 0; i < 5; i++)
     {
-      cell_worker_unanswered (s.core, s.row, CELL_CALL_REFUSED, s.now_us);
+      cell_worker_unanswered (s.core, s.row, CELL_CALL_REFUSED, s.now_us,
+                              s.now_us);
       tick (&s, 100);
     }
   assert_int_equal (over (&s), 0);
--- a/tests/tst_region.c
+++ b/tests/tst_region.c
@@ -97,7 +97,7 @@
 
   if (end == CELL_CALL_BROKEN)
     cell_worker_broken (fleet->core, row, now_us, now_us);
-  cell_worker_unanswered (fleet->core, row, end, now_us);
+  cell_worker_unanswered (fleet->core, row, end, sent_us, now_us);
   if (end == CELL_CALL_OTHER_INCARNATION)
     cell_worker_replaced (fleet->core, row, sent_us, now_us);
 }
