--- a/src/tail.c
+++ b/src/tail.c
@@ -12,6 +12,7 @@
 #define RETRY_FIRST_MS 50
 /** Longest answers to a read. A read that fails asks for less the next time:
  * on a narrow link an answer that does not arrive in time is lost as a whole.
+ * After one that arrives, the next asks for more only if it would be in time.
  */
 #define READ_MAX_KIB 512
 #define READ_MIN_KIB 16
@@ -105,10 +106,19 @@
     start_read (tail);
 }
 
+/* Returns whether an answer of twice the length would have arrived in time. */
+static bool
+is_quick (const struct tail *tail)
+{
+  return 2 * (hc_now_us () - tail->sent_us)
+         <= (uint64_t)ANSWER_TIMEOUT_MS * US_PER_MS;
+}
+
 static void
 on_read (void *user, const struct pt_read_result *result)
 {
   struct tail *tail = user;
+  bool behind = result->end > result->next;
 
   tail->in_flight = false;
   if (!tail->running)
@@ -128,10 +138,12 @@
       retry_read_later (tail);
       return;
     }
-  tail->read_max_kib = MIN (tail->read_max_kib * 2, READ_MAX_KIB);
+  if (is_quick (tail))
+    tail->read_max_kib = MIN (tail->read_max_kib * 2, READ_MAX_KIB);
   reset_failures (tail);
   tail->prev_fresh_us = tail->fresh_us;
-  tail->fresh_us = tail->sent_us;
+  if (!behind)
+    tail->fresh_us = tail->sent_us;
   deliver_records (tail, result->records, result->count,
                    result->next - result->count);
   if (!tail->running)
@@ -140,7 +152,7 @@
   if (tail->desc.caught_up != NULL)
     tail->desc.caught_up (tail->desc.user);
   if (tail->running && !tail->in_flight)
-    schedule_read (tail, tail->desc.gap_ms);
+    schedule_read (tail, behind ? 1 : tail->desc.gap_ms);
 }
 
 static void
