Fence a new incarnation also while a hold to the earlier one waits

In one of 15 runs of test_entry_outlive (load average 20 to 28) 2 of 8 cases were red: the hold to the earlier process was still open, so that its successor was called up to 1.8 s after its entry had been read, and an order to the earlier process was executed in between.

--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -212,15 +212,18 @@
 }
 
 /* Asks a worker for a report at once, in addition to a hold that waits, if
-   the report settles whether a start was executed. */
+   the report settles whether a start was executed, or if a new incarnation is
+   to get a higher fencing token. */
 static void
 request_report (struct entry_owner *owner, uint32_t row,
                 const struct cell_worker_view *view, uint64_t now_us)
 {
   struct owner_worker *slot = worker_slot (owner, row);
 
-  if (slot->report_in_flight || view->report_after_us == 0
-      || view->report_after_us < slot->hold_sent_us)
+  bool wanted = view->report_after_us != 0
+                && view->report_after_us >= slot->hold_sent_us;
+
+  if (slot->report_in_flight || (!wanted && !is_reborn (slot, view)))
     return;
   slot->report_in_flight = owner->entry->desc.ports->workers->vtable->hold (
       owner->entry->desc.ports->workers,
