--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -346,9 +346,8 @@
  * three heartbeats. */
 void cell_worker_unlisted (struct cell_core *core, struct cyc_str id,
                            uint64_t now_us);
-/** All entries that were written or removed until @p until_us have been
- * passed.
- */
+/** Reports that all entries written or removed until @p until_us have been
+ * passed. A worker is taken for gone only by entries that were read since. */
 void cell_entries_read (struct cell_core *core, uint64_t until_us);
 /** Returns the number of worker rows. A worker keeps its row for the lifetime
  * of the core, also when it is no longer listed. */
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -28,8 +28,8 @@
  * last update has left by itself: a silent worker's entry is removed only
  * after three. */
 #define CELL_EXIT_HEARTBEATS_PERMILLE 2700
-/** A call that extends a lease ends within this time, without an answer at the
- * latest. */
+/** A call that extends a lease ends within this time: a hold waits 1 s for an
+ * end, and its answer is awaited for 0.8 s more (entry_orders.c). */
 #define CELL_CALL_MAX_US 1800000
 /** A worker that is alive and reaches the service discovery has its entry
  * again this soon after it was removed. */
--- a/src/entry_accept.c
+++ b/src/entry_accept.c
@@ -243,8 +243,8 @@
   copies->submitted_us = hc_now_us ();
 }
 
-/* Counts an answer. Returns whether a copy of the
-   record may still be stored. */
+/* Counts an answer. Returns whether a copy of the record may still be stored.
+ */
 static bool
 count_answered (struct entry *entry, const char *key)
 {
