Acknowledge no ends that only an overtaken report lists

No caller has seen it; found by reading. After a call without an answer ends are acknowledged again once a report lists them. A report that was requested before that call ended, and arrives after it, is of the earlier incarnation, but let the next hold acknowledge its ends to the next one, which forgets those of the same numbers. The report now has to be requested since.

test_acknowledgement_after_an_overtaken_report: red on, green now; so are test_cell and the other cases of test_cell_late.

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -540,9 +540,10 @@
    has not reported yet, so ends are acknowledged again once a report lists
    them. */
 static void
-withhold_ack (struct cell_worker *worker)
+withhold_ack (struct cell_worker *worker, uint64_t now_us)
 {
   worker->first_listed_end = 0;
+  worker->ack_withheld_us = now_us;
 }
 
 void
@@ -553,7 +554,7 @@
   struct cell_worker *worker = cell_worker_at (core, row);
 
   core->now_us = now_us;
-  withhold_ack (worker);
+  withhold_ack (worker, now_us);
   /* A worker that has answered since is not silent: one order is late. */
   if (end != CELL_CALL_SILENT || sent_us >= worker->clock_at_us)
     cell_blame_broken (core, row, end, now_us);
@@ -597,7 +598,7 @@
   if (worker->reachable || worker->silent_us == 0)
     worker->silent_us = now_us;
   worker->reachable = false;
-  withhold_ack (worker);
+  withhold_ack (worker, now_us);
   cell_blame_broken (core, row, CELL_CALL_SILENT, now_us);
   cell_wake (core, now_us);
 }
@@ -690,8 +691,9 @@
     {
       const struct cell_end_row *end = &report->ends[i];
 
-      if (worker->first_listed_end == 0
-          || end->number < worker->first_listed_end)
+      if (report->sent_us >= worker->ack_withheld_us
+          && (worker->first_listed_end == 0
+              || end->number < worker->first_listed_end))
         worker->first_listed_end = end->number;
       if (end->number <= worker->received_end)
         continue;
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -208,6 +208,8 @@
                                  clock */
   uint64_t lease_until_us;    /**< certain end of all leases while clock_ms is
                                  unknown */
+  uint64_t ack_withheld_us;   /**< reports requested before do not tell which
+                                 ends may be acknowledged */
   uint64_t received_end;      /**< highest number of an end received */
   uint64_t first_listed_end; /**< lowest number of an end in the last report; 0
                                 if it listed none */
--- a/tests/test_cell_late.c
+++ b/tests/test_cell_late.c
@@ -808,6 +808,37 @@
   finish (&s);
 }
 
+/* A call ends without an answer, so another incarnation may have the worker's
+   place. An answer to an earlier hold arrives after that: it is of the
+   incarnation before, so nothing may be acknowledged to the next one. */
+static void
+test_acknowledgement_after_an_overtaken_report (void **state)
+{
+  struct cell_end_row end = { .number = 1, .task = CYC_STR (TASK), .run = 1 };
+  struct cell_report report = { .ends = &end, .end_count = 1 };
+  struct cell_worker_view view;
+  struct cell_record record;
+  struct started s;
+
+  (void)state;
+  begin (&s, 1);
+  start_result (&s, CELL_START_OK);
+  tick (&s, 10);
+  report.born_ms = s.born_ms;
+  report.clock_ms = s.now_us / 1000 - s.fleet->workers[0].born_ms + 1000;
+  report.sent_us = s.now_us - 1;
+  cell_worker_unanswered (s.core, s.row, CELL_CALL_BROKEN, s.now_us, s.now_us);
+  tick (&s, 1);
+  cell_worker_report (s.core, s.row, &report, s.now_us);
+  cell_batch_durable (s.core, cell_batch_close (s.core), s.now_us);
+  while (cell_batch_next (s.core, &record))
+    continue;
+  cell_worker_view (s.core, s.row, &view);
+  assert_int_equal (view.received_end, 1);
+  assert_int_equal (view.ack, 0);
+  finish (&s);
+}
+
 int
 main (void)
 {
@@ -834,6 +865,7 @@
     cmocka_unit_test (test_worker_left_with_an_open_start),
     cmocka_unit_test (test_another_worker_at_the_address),
     cmocka_unit_test (test_overtaken_report_lacks_an_adopted_run),
+    cmocka_unit_test (test_acknowledgement_after_an_overtaken_report),
     cmocka_unit_test (test_overtaken_report_shows_a_run_that_has_ended),
     cmocka_unit_test (test_refusal_of_a_start_that_a_report_shows),
     cmocka_unit_test (test_refusal_after_a_stop_was_ordered),
