Bound a hand-over by a leader that falls behind in time

By reading (review): a VM that was asked to lead and could not claim then took the leadership much later from a leader that had gone on; a hand-over that nobody took paused renewals for up to 2.1 s, after which any VM claims; and each successor that loads slowly handed over in its turn.

The request now lapses after 1.5 s, a leader that falls behind pauses renewals for 0.8 s, and one that was asked to lead does not hand over for its load.

test_hand_over_that_comes_late; the case of a VM that does not claim holds up that VM only now, so the others would take over after too long a pause.

--- a/src/entry.h
+++ b/src/entry.h
@@ -103,6 +103,7 @@
                                      claim is planned */
   uint64_t claim_not_before_us; /**< earliest time of the next claim */
   uint64_t handover_epoch;      /**< epoch that this VM was asked to succeed */
+  uint64_t handover_until_us;   /**< until when it may claim for that */
   uint64_t handover_deadline_us; /**< handover: until when this leader waits
                                     for the claim of its successor; 0: none */
   uint64_t handover_again_us;    /**< earliest time of the next handover by a
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -97,8 +97,11 @@
 uint64_t owner_epoch (const struct entry_owner *owner);
 /** Earlier leaders write no start after @p until_us. */
 void owner_earlier_ended (struct entry_owner *owner, uint64_t until_us);
-/** Returns why this leader cannot keep up, for the log; NULL if it does. */
-const char *owner_behind (const struct entry *entry, uint64_t now_us);
+/** Returns why this leader cannot keep up, for the log; NULL if it does. A
+ * leader that has not loaded its state in time is behind if @p loading: each
+ * successor begins to load anew. */
+const char *owner_behind (const struct entry *entry, uint64_t now_us,
+                          bool loading);
 void owner_begin (struct entry *entry, uint64_t epoch);
 void owner_end (struct entry *entry);
 void owner_tick (struct entry *entry, uint64_t now_us);
--- a/src/entry_lead.c
+++ b/src/entry_lead.c
@@ -25,6 +25,10 @@
 /** A leader that falls behind hands over only to a VM that is this many times
  * as suitable: one that is no better would fall behind in its turn. */
 #define HANDOVER_SCORE_FACTOR 2
+/** How long a leader that falls behind does not renew, so that its successor
+ * can claim: with a period between renewals it is shorter than the silence
+ * after which any VM claims. */
+#define HANDOVER_PAUSE_US 800000
 /** Delay after a hand-over for which no VM has claimed. */
 #define HANDOVER_RETRY_US 5000000
 /** Delay between claims of a successor that has not read the last renewal. */
@@ -372,7 +376,7 @@
    can be asked. */
 static bool
 ask_successor (struct entry *entry, uint64_t score_min, uint64_t fresh_us,
-               const char *why)
+               uint64_t pause_us, const char *why)
 {
   Cyc__Peer message = CYC__PEER__INIT;
   Cyc__CellHandOver hand_over = CYC__CELL_HAND_OVER__INIT;
@@ -384,7 +388,7 @@
   hand_over.epoch = entry->leader.epoch;
   if (peer.generation == 0 || !pl_send (&entry->links, peer, &message))
     return false;
-  entry->handover_deadline_us = hc_now_us () + HANDOVER_TIMEOUT_US;
+  entry->handover_deadline_us = hc_now_us () + pause_us;
   ev_log (EV_LEAD_HANDED_OVER, "epoch=%" PRIu64 " to=%s why=%s",
           entry->leader.epoch, name.data, why);
   return true;
@@ -393,10 +397,19 @@
 void
 lead_hand_over (struct entry *entry)
 {
-  if (entry->owner != NULL && !ask_successor (entry, 0, 0, "stopping"))
+  if (entry->owner != NULL
+      && !ask_successor (entry, 0, 0, HANDOVER_TIMEOUT_US, "stopping"))
     lead_release (entry);
 }
 
+/* Returns whether this VM leads because its predecessor has asked it to. */
+static bool
+was_asked_to_lead (const struct entry *entry)
+{
+  return entry->handover_epoch != 0
+         && entry->handover_epoch == entry->replaced_epoch;
+}
+
 /* Hands over to a VM that is much more suitable if this leader cannot keep
    up. */
 static void
@@ -407,22 +420,31 @@
 
   if (entry->stopping || own_score == 0 || now_us < entry->handover_again_us)
     return;
-  why = owner_behind (entry, now_us);
+  why = owner_behind (entry, now_us, !was_asked_to_lead (entry));
   if (why == NULL)
     return;
   entry->handover_again_us = now_us + HANDOVER_RETRY_US;
   ask_successor (entry, own_score * HANDOVER_SCORE_FACTOR,
-                 now_us - VIEW_MAX_AGE_US, why);
+                 now_us - VIEW_MAX_AGE_US, HANDOVER_PAUSE_US, why);
 }
 
 void
 lead_on_hand_over (struct entry *entry, uint64_t epoch)
 {
   entry->handover_epoch = epoch;
+  entry->handover_until_us = hc_now_us () + HANDOVER_TIMEOUT_US;
   entry->claim_not_before_us = 0;
   entry_wake (entry);
 }
 
+/* Returns whether the leader has just asked this VM to succeed it. */
+static bool
+is_asked_to_lead (const struct entry *entry, uint64_t now_us)
+{
+  return entry->handover_epoch == entry->leader.epoch
+         && now_us < entry->handover_until_us;
+}
+
 static bool
 leader_silent (const struct entry *entry, uint64_t now_us)
 {
@@ -430,7 +452,7 @@
   struct pl_peer_view view;
   uint64_t age_us = now_us - leader->seen_us;
 
-  if (leader_ended (entry) || leader->epoch == entry->handover_epoch
+  if (leader_ended (entry) || is_asked_to_lead (entry, now_us)
       || age_us >= LEADER_SILENT_US)
     return true;
   return age_us >= LEADER_SILENT_UNLINKED_US && leader_view (entry, &view)
@@ -476,7 +498,7 @@
   if (entry->claim_at_us == 0)
     {
       entry->claim_at_us = now_us;
-      if (entry->handover_epoch != entry->leader.epoch)
+      if (!is_asked_to_lead (entry, now_us))
         entry->claim_at_us
             += (uint64_t)own_rank (entry) * RANK_DELAY_US
                + (uint64_t)g_random_int_range (0, CLAIM_JITTER_MAX_US);
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -379,12 +379,13 @@
 }
 
 const char *
-owner_behind (const struct entry *entry, uint64_t now_us)
+owner_behind (const struct entry *entry, uint64_t now_us, bool loading)
 {
   struct entry_owner *owner = entry->owner;
 
   if (owner->phase == OWNER_LOADING)
-    return now_us >= owner->begun_us + LOAD_MAX_US ? "loading" : NULL;
+    return loading && now_us >= owner->begun_us + LOAD_MAX_US ? "loading"
+                                                              : NULL;
   return lag_is_behind (&owner->lag, now_us) ? "lagging" : NULL;
 }
 
--- a/tests/test_entry_lag.c
+++ b/tests/test_entry_lag.c
@@ -68,7 +68,7 @@
   uint64_t own_score;      /* of the leader; the others have 100 */
   uint32_t delayed;        /* workers that answer late, of four */
   bool jobs_unloaded;      /* the leader cannot load the jobs */
-  bool successor_is_stuck; /* the others do not claim */
+  bool successor_is_stuck; /* the VM that is asked does not claim */
   bool hands_over;
 };
 
@@ -79,11 +79,13 @@
   { "the calls are prompt", 50, 0, false, false, false },
   { "it does not load", 50, 0, true, false, true },
   { "it does not load, and no VM is much better", 51, 0, true, false, false },
-  { "no VM claims: it goes on", 50, 4, false, true, false },
+  { "the VM that is asked does not claim: it goes on", 50, 4, false, true,
+    false },
 };
 
+/* Sets the score of a VM, or of all if @p vm is NULL. */
 static void
-set_scores (struct tst_cluster *cluster, const char *leader, uint64_t score)
+set_score (struct tst_cluster *cluster, const char *vm, uint64_t score)
 {
   for (uint32_t i = 0; i < TST_CLUSTER_VMS; i++)
     {
@@ -93,8 +95,8 @@
 
       g_hash_table_iter_init (&iter, cluster->vms[i].entry.vms);
       while (g_hash_table_iter_next (&iter, &name, &row))
-        ((struct entry_vm *)row)->lead_score
-            = strcmp (name, leader) == 0 ? score : 100;
+        if (vm == NULL || strcmp (name, vm) == 0)
+          ((struct entry_vm *)row)->lead_score = score;
     }
 }
 
@@ -144,10 +146,17 @@
   if (c->jobs_unloaded)
     unload_jobs (cluster);
   play->leader = tst_cluster_leader (cluster);
-  set_scores (cluster, play->leader->settings.vm.data, c->own_score);
-  for (uint32_t i = 0; i < TST_CLUSTER_VMS; i++)
-    if (c->successor_is_stuck && &cluster->vms[i] != play->leader)
-      cluster->vms[i].entry.claim_in_flight = true;
+  set_score (cluster, NULL, 100);
+  set_score (cluster, play->leader->settings.vm.data, c->own_score);
+  if (c->successor_is_stuck)
+    {
+      struct tst_cluster_vm *asked
+          = &cluster->vms[(tst_cluster_leader_index (cluster) + 1)
+                          % TST_CLUSTER_VMS];
+
+      set_score (cluster, asked->settings.vm.data, 200);
+      asked->entry.claim_in_flight = true;
+    }
   for (uint32_t i = 0; i < c->delayed; i++)
     cluster->fake.workers[i].answer_delay_ms = 150;
 }
@@ -187,12 +196,39 @@
     end_play (&plays[i]);
 }
 
+/* A VM that was asked to lead and could not claim then does not take the
+   leadership from a leader that has gone on. */
+static void
+test_hand_over_that_comes_late (void **state)
+{
+  struct tst_cluster *cluster = calloc (1, sizeof *cluster);
+  const struct tst_cluster_vm *leader;
+  struct entry *asked;
+
+  (void)state;
+  tst_cluster_setup (cluster);
+  leader = tst_cluster_leader (cluster);
+  asked
+      = &cluster
+             ->vms[(tst_cluster_leader_index (cluster) + 1) % TST_CLUSTER_VMS]
+             .entry;
+  asked->claim_in_flight = true;
+  lead_on_hand_over (asked, leader->entry.leader.epoch);
+  tst_cluster_run (cluster, 2000);
+  asked->claim_in_flight = false;
+  tst_cluster_run (cluster, 1000);
+  assert_ptr_equal (tst_cluster_leader (cluster), leader);
+  tst_cluster_teardown (cluster);
+  free (cluster);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_evidence),
     cmocka_unit_test (test_leader_that_falls_behind),
+    cmocka_unit_test (test_hand_over_that_comes_late),
   };
 
   signal (SIGPIPE, SIG_IGN);
