--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -31,6 +31,9 @@
 /** A call that extends a lease ends within this time: a hold waits 1 s for an
  * end, and its answer is awaited for 0.8 s more (entry_orders.c). */
 #define CELL_CALL_MAX_US 1800000
+/** If entries were not read for longer, the service discovery may have been
+ * away. They are read every 400 ms, with two round trips in between. */
+#define CELL_ENTRIES_GAP_MAX_US 1000000
 /** A worker that is alive and reaches the service discovery has its entry
  * again this soon after it was removed. */
 #define CELL_RELISTED_US 2000000
@@ -420,6 +423,8 @@
   uint64_t entries_read_us;  /**< the entries that were written until then are
                                 known; 0 if they are not loaded */
   uint64_t entries_first_us; /**< the same after the load */
+  uint64_t entries_gap_us;   /**< when entries were read again after a gap; 0
+                                if there was none */
   uint64_t first_end_us; /**< when the first end was received; 0 if none yet */
   GHashTable *queue_times; /**< queue name to struct cell_queue_time */
   GHashTable *queue_allowed_permille; /**< by queue name */
