A trial that waits for an idle worker asks for advice too

A step knows a part of them from its first question, so a suspected gang found too few idle ones for 10 s, and a deadly job's end was shown late.

test_cell_holds: the ends of a hold (worker drains or falls silent, job cancelled, deadline). Each of the three checks taken out turns its cases red.

--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -439,7 +439,6 @@
   uint32_t crashed_trial_workers; /**< that broke or fell silent under runs on
                                      trial, which are not over yet; in this
                                      tick */
-  uint32_t idle_workers;          /**< usable and without runs, in this tick */
   uint32_t trials_waiting; /**< for which no worker is held, in this tick */
   GArray *holds;           /**< struct cell_hold */
   uint64_t last_hold;      /**< highest id of a hold */
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -470,7 +470,6 @@
   core->usable_millicores = 0;
   core->usable_workers = 0;
   core->trial_workers = 0;
-  core->idle_workers = 0;
   core->crashed_trial_workers = 0;
   for (guint i = 0; i < core->workers->len; i++)
     {
--- a/src/cyc_cell_trial.c
+++ b/src/cyc_cell_trial.c
@@ -336,8 +336,6 @@
 {
   bool up = worker->broken_us == 0 && worker->reachable;
 
-  core->idle_workers
-      += worker->run_count == 0 && cell_worker_usable (core, worker);
   if (worker->trial_count == 0)
     return;
   core->trial_workers += up;
@@ -426,16 +424,14 @@
   bool likely = cell_blame_is_likely (trial->crashes);
   bool idle = idle_only (core, trial);
 
-  if (idle ? core->idle_workers == 0
-           : likely
-                 && risky_holds (core, cell_stage_step (stage)->gang)
-                        >= MAX (1, core->usable_workers / RISKY_DIVISOR))
+  if (likely && !idle
+      && risky_holds (core, cell_stage_step (stage)->gang)
+             >= MAX (1, core->usable_workers / RISKY_DIVISOR))
     return false;
   if (hold_workers (core, trial, idle))
     return true;
   trial->crashes->again_us = core->now_us + FAILED_PAUSE_US;
-  if (stage->job->cfg.advice.required && (!idle || stage->verdict_count == 0)
-      && (*questions)++ < QUESTIONS_MAX)
+  if (stage->job->cfg.advice.required && (*questions)++ < QUESTIONS_MAX)
     cell_stage_ask (core, stage, true);
   return true;
 }
