--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -430,6 +430,28 @@
 /** Returns whether a job that is not stored yet should be refused: its team
  * exceeded its rate, and work over its team's rate has recently been late. */
 bool cell_job_refusable (const struct cell_core *core, uint64_t id);
+/** Why a job is refused whose queue's tasks crash workers, and until when. */
+struct cell_refusal
+{
+  struct cyc_name queue;
+  uint64_t retry_at_us;      /**< the job is admitted then, if it comes back */
+  uint32_t deadly_permille;  /**< share of the queue's recent jobs that crashed
+                                workers */
+  uint32_t lost_workers;     /**< that the queue's tasks have crashed lately */
+  uint32_t bearable_workers; /**< that the fleet can bear to lose to it */
+  uint32_t backlog;          /**< tasks of the queue that wait for a trial */
+  uint64_t backlog_us;       /**< how long they take, by the rate at which the
+                                queue's trials have ended */
+  uint32_t promised; /**< refused jobs for which an admission is kept */
+};
+/** Returns whether a job that is not stored yet must be refused, because many
+ * of its queue's tasks crash their workers. If so, it is to be withdrawn with
+ * cell_job_withdraw; @p out is filled, and an admission is kept for the job
+ * from @p out->retry_at_us on, unless too many are kept already. Returns false
+ * for a job that is stored or unknown. To be called once for each arrival of a
+ * job, as each admission is counted. */
+bool cell_door_refuses (struct cell_core *core, uint64_t id, uint64_t now_us,
+                        struct cell_refusal *out);
 /** Returns the number of the queue's jobs of which no task has started. */
 uint32_t cell_queue_pending (const struct cell_core *core,
                              struct cyc_str queue);
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -110,6 +110,7 @@
   g_queue_init (&core->orders);
   cell_over_setup (core);
   cell_blame_setup (core);
+  cell_door_setup (core);
   core->batch = 1;
   core->durable_out_of_order = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   core->revision = desc->first_revision;
@@ -176,6 +177,7 @@
   g_queue_clear_full (&core->orders, g_free);
   cell_over_shutdown (core);
   cell_blame_shutdown (core);
+  cell_door_shutdown (core);
   g_free (core);
 }
 
--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -168,10 +168,10 @@
     }
   worker->broken_us = broken_us;
   worker->broken_end = end;
-  if (worker->runs == NULL)
-    return;
-  report_worker (core, CELL_BLAME_BROKEN, row);
+  if (worker->runs != NULL)
+    report_worker (core, CELL_BLAME_BROKEN, row);
   suspect_runs (core, worker);
+  cell_door_broken (core, row);
 }
 
 void
@@ -254,6 +254,7 @@
     return;
   if (worker->runs != NULL)
     report_worker (core, CELL_BLAME_ALIVE, row);
+  cell_door_alive (core, row);
   worker->broken_us = 0;
 }
 
@@ -292,6 +293,7 @@
 
   run->proven = true;
   run->broken_us = 0;
+  cell_door_survived (core, run, task->crashes != NULL);
   end_trial (core, run);
   if (task->crashes == NULL || !all_proven (run))
     return;
@@ -425,6 +427,7 @@
   if (!is_hopeless (task->crashes))
     return;
   report_task (core, CELL_BLAME_GIVEN_UP, run);
+  cell_door_given_up (core, run->job);
   cell_job_fail (core, run->job);
 }
 
@@ -538,8 +541,8 @@
 }
 
 void
-cell_blame_restore (struct cell_core *core, struct cell_task *task,
-                    const Cyc__CellCrash *from)
+cell_blame_restore (struct cell_core *core, struct cell_job *job,
+                    struct cell_task *task, const Cyc__CellCrash *from)
 {
   uint32_t row = cell_worker_row (core, cyc_str_of (from->worker));
   struct cell_worker *worker = cell_worker_at (core, row);
@@ -548,6 +551,7 @@
   worker->crashed_born_ms
       = MAX (worker->crashed_born_ms, from->worker_born_ms);
   worker->crashed_us = core->now_us;
+  cell_door_restored_crash (core, job, row, from->worker_born_ms, from->sole);
   if (task->crashes == NULL)
     task->crashes = g_new0 (struct cell_crashes, 1);
   if (task->crashes->count == CELL_CRASHES_MAX)
@@ -579,6 +583,7 @@
   run->broken_us = core->now_us;
   run->broken_born_ms = from->worker_born_ms;
   run->broken_weakly = from->suspicion != SUSPICION_STRONG;
+  cell_door_restored_run (core, run);
 }
 
 bool
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -337,6 +337,10 @@
   uint64_t accepted_us;
   uint64_t ended_ms;
   uint32_t rounds_finished;
+  uint32_t door_row; /**< its row among the jobs suspected by the door, if it
+                        is there; see cyc_cell_door.c */
+  uint64_t door_recent_until_us; /**< until when it is one of the queue's
+                                    recent jobs; 0: not yet */
 };
 
 struct cell_team
@@ -384,6 +388,7 @@
                                cyc_cell_over.c */
   GQueue concluded_by_age;  /**< the same, oldest first */
   GQueue blames;            /**< struct cell_blame *, to be handed out */
+  struct cell_doors *doors; /**< see cyc_cell_door.c */
   GPtrArray *records;       /**< struct cell_record of closed batches */
   uint64_t first_end_us; /**< when the first end was received; 0 if none yet */
   GHashTable *queue_times; /**< queue name to struct cell_queue_time */
@@ -554,8 +559,32 @@
 void cell_blame_restore_run (struct cell_core *core, struct cell_run *run,
                              const Cyc__CellRun *from);
 /** Restores a crash of an earlier incarnation of a worker from a record. */
-void cell_blame_restore (struct cell_core *core, struct cell_task *task,
-                         const Cyc__CellCrash *from);
+void cell_blame_restore (struct cell_core *core, struct cell_job *job,
+                         struct cell_task *task, const Cyc__CellCrash *from);
+
+/* The door: which new jobs are refused because their queue's tasks crash
+   workers. */
+
+void cell_door_setup (struct cell_core *core);
+void cell_door_shutdown (struct cell_core *core);
+/** The connections of the worker broke, and its unproven runs are suspected
+ * from now on. */
+void cell_door_broken (struct cell_core *core, uint32_t row);
+/** The worker that broke has answered again. */
+void cell_door_alive (struct cell_core *core, uint32_t row);
+/** The worker has survived the run's start. @p cleared: crashes counted
+ * against its task, and no longer do. */
+void cell_door_survived (struct cell_core *core, const struct cell_run *run,
+                         bool cleared);
+/** A task of the job was given up for its crashes. */
+void cell_door_given_up (struct cell_core *core, struct cell_job *job);
+/** A record tells that an incarnation of the worker crashed under a task of
+ * the job. @p sole: no other job was suspected. */
+void cell_door_restored_crash (struct cell_core *core, struct cell_job *job,
+                               uint32_t row, uint64_t born_ms, bool sole);
+/** A record tells that a worker broke under the run, which is suspected. */
+void cell_door_restored_run (struct cell_core *core,
+                             const struct cell_run *run);
 
 /* Runs that are over. */
 
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -767,7 +767,7 @@
     }
   for (size_t i = 0; i < from->n_crashes; i++)
     if (from->crashes[i]->task < job->task_count)
-      cell_blame_restore (core, &round->tasks[from->crashes[i]->task],
+      cell_blame_restore (core, job, &round->tasks[from->crashes[i]->task],
                           from->crashes[i]);
   for (size_t i = 0; i < from->n_runs; i++)
     {
--- a/src/entry_accept.c
+++ b/src/entry_accept.c
@@ -293,6 +293,8 @@
         }
       else if (outcome == RECORDS_OVER_RATE)
         end_item (entry, item, PT_ANSWER_OVER_RATE, retry_after_s);
+      else if (outcome == RECORDS_DEADLY_QUEUE)
+        end_item (entry, item, PT_ANSWER_BUSY, retry_after_s);
       else
         fall_back (entry, item, outcome, retry_after_s, now_us);
     }
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -35,7 +35,9 @@
   RECORDS_STORED = 1,
   RECORDS_REFUSED,   /**< certainly not stored: the log is down */
   RECORDS_OVER_RATE, /**< certainly not stored: the team exceeds its rate */
-  RECORDS_UNKNOWN /**< outcome unknown: the leader ends or is still loading */
+  RECORDS_UNKNOWN, /**< outcome unknown: the leader ends or is still loading */
+  RECORDS_DEADLY_QUEUE /**< certainly not stored: tasks of its queue crash
+                          workers */
 };
 
 /** Returns the delay after which callers retry. It grows with the length of
--- a/src/entry_records.c
+++ b/src/entry_records.c
@@ -21,6 +21,7 @@
 #define PROBE_INTERVAL_US 150000
 /** Retry delay of a team above its rate, whose backlog takes seconds. */
 #define OVER_RATE_RETRY_AFTER_S 2
+#define US_PER_S 1000000
 /** Delay between reads of a part until it is loaded. */
 #define LOAD_GAP_MS 10
 /** Size of the big-endian revision at the start of a progress record. */
@@ -211,18 +212,13 @@
 /* Outcomes for the VMs that submitted records. */
 
 static void
-send_outcome (struct entry_records *records, const struct records_row *row,
-              enum records_outcome outcome)
+send_outcome_later (struct entry_records *records,
+                    const struct records_row *row,
+                    enum records_outcome outcome, uint32_t retry_after_s)
 {
   struct entry *entry = records->owner->entry;
   Cyc__Peer message = CYC__PEER__INIT;
   Cyc__CellStored stored = CYC__CELL_STORED__INIT;
-  uint32_t retry_after_s = 0;
-
-  if (outcome == RECORDS_REFUSED)
-    retry_after_s = entry_retry_after_s (records->down_since_us, hc_now_us ());
-  else if (outcome == RECORDS_OVER_RATE)
-    retry_after_s = OVER_RATE_RETRY_AFTER_S;
 
   if (row->peer.generation == 0)
     {
@@ -237,6 +233,19 @@
   pl_send (&entry->links, row->peer, &message);
 }
 
+static void
+send_outcome (struct entry_records *records, const struct records_row *row,
+              enum records_outcome outcome)
+{
+  uint32_t retry_after_s = 0;
+
+  if (outcome == RECORDS_REFUSED)
+    retry_after_s = entry_retry_after_s (records->down_since_us, hc_now_us ());
+  else if (outcome == RECORDS_OVER_RATE)
+    retry_after_s = OVER_RATE_RETRY_AFTER_S;
+  send_outcome_later (records, row, outcome, retry_after_s);
+}
+
 /* Returns true if another pending record has the same key: another VM may
    have submitted it too. */
 static bool
@@ -546,6 +555,44 @@
   write_batches (records, now_us);
 }
 
+/* Refuses a new job that is beyond its team's rate, or whose queue's tasks
+   crash workers. Returns whether it did. */
+static bool
+refuse_job (struct entry_records *records, struct records_row *row,
+            uint64_t id, uint64_t now_us)
+{
+  struct entry_owner *owner = records->owner;
+  enum records_outcome outcome = RECORDS_OVER_RATE;
+  struct cell_refusal refusal;
+  uint32_t retry_after_s = OVER_RATE_RETRY_AFTER_S;
+
+  if (submitted_elsewhere (records, row))
+    return false;
+  if (!cell_job_refusable (owner->core, id))
+    {
+      if (!cell_door_refuses (owner->core, id, now_us, &refusal))
+        return false;
+      outcome = RECORDS_DEADLY_QUEUE;
+      retry_after_s = (uint32_t)((refusal.retry_at_us - now_us + US_PER_S - 1)
+                                 / US_PER_S);
+      ev_log (
+          EV_JOB_HELD_OFF,
+          "job=%016" PRIx64 " queue=%s epoch=%" PRIu64
+          " deadly_permille=%u lost_workers=%u bearable_workers=%u backlog=%u"
+          " backlog_ms=%" PRIu64 " promised=%u retry_after_ms=%" PRIu64,
+          id, refusal.queue.data, owner->epoch, refusal.deadly_permille,
+          refusal.lost_workers, refusal.bearable_workers, refusal.backlog,
+          refusal.backlog_us / 1000, refusal.promised,
+          (refusal.retry_at_us - now_us) / 1000);
+      met_add (&owner->entry->met, MET_JOBS_HELD_OFF, 1);
+    }
+  g_queue_remove (&records->waiting, row);
+  cell_job_withdraw (owner->core, id);
+  met_add (&owner->entry->met, MET_JOBS_REFUSED, 1);
+  send_outcome_later (records, row, outcome, retry_after_s);
+  return true;
+}
+
 void
 records_submit (struct entry_records *records, struct cyc_str key,
                 struct cyc_str value, struct cyc_ref peer)
@@ -583,13 +630,8 @@
       if (row->key[0] == 'j')
         owner_add_unstored_job (owner, id, value);
       owner_input_added (owner);
-      if (row->key[0] != 'j' || !cell_job_refusable (owner->core, id)
-          || submitted_elsewhere (records, row))
+      if (row->key[0] != 'j' || !refuse_job (records, row, id, now_us))
         return;
-      g_queue_remove (&records->waiting, row);
-      cell_job_withdraw (owner->core, id);
-      met_add (&owner->entry->met, MET_JOBS_REFUSED, 1);
-      send_outcome (records, row, RECORDS_OVER_RATE);
     }
   free_row (row);
 }
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -103,6 +103,7 @@
   X (EV_TASK_SUSPECTED, MESSAGE, "task_suspected")                            \
   X (EV_TASK_CLEARED, MESSAGE, "task_cleared")                                \
   X (EV_TASK_GIVEN_UP, WARNING, "task_given_up")                              \
+  X (EV_JOB_HELD_OFF, MESSAGE, "job_held_off")                                \
   X (EV_REQUEST_UNANSWERED, MESSAGE, "request_unanswered")                    \
   X (EV_LOAD, MESSAGE, "load")                                                \
   X (EV_LINES_DROPPED, WARNING, "lines_dropped")
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -33,6 +33,7 @@
   X (MET_JOBS_ACCEPTED, "jobs_accepted")                                      \
   X (MET_JOBS_ENDED, "jobs_ended")                                            \
   X (MET_JOBS_REFUSED, "jobs_refused")                                        \
+  X (MET_JOBS_HELD_OFF, "jobs_held_off")                                      \
   X (MET_TASK_STARTS, "task_starts")                                          \
   X (MET_TASK_START_REFUSED, "task_starts_refused")                           \
   X (MET_TASK_ENDS, "task_ends")                                              \
--- a/tests/test_cell_contain.c
+++ b/tests/test_cell_contain.c
@@ -1,7 +1,9 @@
 /* A queue of which many tasks crash their workers. Guards against a fleet that
-   all such tasks take down at once, so that other queues are not served. */
+   all such tasks take down at once, so that other queues are not served. The
+   callers come to the door as they do at a leader: those that are refused come
+   back when they were told to. */
 
-#include "tst_fleet.h"
+#include "tst_callers.h"
 
 #include <inttypes.h>
 #include <setjmp.h>
@@ -37,7 +39,7 @@
 };
 
 static uint64_t
-submit (struct fleet *fleet, const struct contain_case *c, uint64_t ms)
+submit (struct callers *callers, const struct contain_case *c, uint64_t ms)
 {
   uint64_t others = 0;
 
@@ -45,8 +47,8 @@
     {
       uint64_t index = ms / c->gap_ms;
 
-      fleet_submit (
-          fleet, index + 1,
+      callers_add (
+          callers, index + 1,
           &(struct fleet_job){ .tasks = { 2 },
                                .work_ms = 800,
                                .deadly = index % 10 < c->deadly_of_ten,
@@ -55,11 +57,12 @@
   if (ms % c->other_gap_ms == 0)
     {
       others = ms / c->other_gap_ms + 1;
-      fleet_submit (fleet, OTHERS_FIRST + others,
-                    &(struct fleet_job){ .tasks = { 2 },
-                                         .work_ms = 800,
-                                         .queue = c->other_queue });
+      callers_add (callers, OTHERS_FIRST + others,
+                   &(struct fleet_job){ .tasks = { 2 },
+                                        .work_ms = 800,
+                                        .queue = c->other_queue });
     }
+  callers_tick (callers);
   return others;
 }
 
@@ -69,30 +72,39 @@
 play (const struct contain_case *c)
 {
   struct fleet *fleet = calloc (1, sizeof *fleet);
+  struct callers callers;
   uint64_t submitted = 0;
   uint64_t done = 0;
 
   fleet_setup (fleet, WORKERS, 8000);
+  callers_setup (&callers, fleet);
   fleet->now_ms = 30000;
   fleet->replace_crashed = true;
   fleet->advice_ms = 100;
   fleet_run (fleet, 100);
   for (uint64_t ms = 0; ms < TRAFFIC_MS; ms += 10)
     {
-      submitted = MAX (submitted, submit (fleet, c, ms));
+      uint64_t others = submit (&callers, c, ms);
+
+      submitted = MAX (submitted, others);
       fleet_run (fleet, 10);
       if (c->takeover && ms == TRAFFIC_MS / 2)
         fleet_takeover (fleet);
     }
-  fleet_run (fleet, PATIENCE_MS);
+  callers_run (&callers, PATIENCE_MS);
   for (uint64_t j = 1; j <= submitted; j++)
     done += fleet_job_state (fleet, OTHERS_FIRST + j) == CELL_JOB_COMPLETE;
+  if (callers_refused_of (&callers, c->other_queue) > 0)
+    fail_msg ("%s: refused the other queue", c->description);
   if (fleet->violations > 0)
     fail_msg ("%s: %s", c->description, fleet->first_violation);
   if (fleet->crashes < 3)
     fail_msg ("%s: only %u crashes", c->description, fleet->crashes);
-  print_message ("%s: %" PRIu64 " of %" PRIu64 " done, %u crashes\n",
-                 c->description, done, submitted, fleet->crashes);
+  print_message ("%s: %" PRIu64 " of %" PRIu64 " done, %u crashes; "
+                 "%u callers turned away, %u of %u back on time accepted\n",
+                 c->description, done, submitted, fleet->crashes,
+                 callers.refused, callers.kept, callers.returned);
+  callers_teardown (&callers);
   fleet_teardown (fleet);
   free (fleet);
   return done * 10 >= submitted * 9;
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -324,6 +324,24 @@
   g_hash_table_remove (fleet->unstored_jobs, &key);
 }
 
+bool
+fleet_offer (struct fleet *fleet, uint64_t id, const struct fleet_job *job,
+             uint64_t *back_ms)
+{
+  struct cell_refusal refusal;
+  bool refused;
+
+  add_job (fleet, id, job, fleet->unstored_jobs);
+  refused
+      = cell_door_refuses (fleet->core, id, fleet_now_us (fleet), &refusal);
+  fleet_finish_submit (fleet, id, !refused);
+  if (refused)
+    *back_ms = fleet->now_ms
+               + (refusal.retry_at_us - fleet_now_us (fleet) + 999999)
+                     / 1000000 * 1000;
+  return !refused;
+}
+
 bool
 fleet_stored (const struct fleet *fleet, uint64_t id)
 {
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -227,6 +227,11 @@
 /** Submits a job that the log holds already. */
 void fleet_submit (struct fleet *fleet, uint64_t id,
                    const struct fleet_job *job);
+/** Submits a job as a caller does, at the door: the core may refuse it.
+ * Returns whether it was accepted and stored. If not, @p back_ms is set to the
+ * time at which the caller comes back, as Retry-After has whole seconds. */
+bool fleet_offer (struct fleet *fleet, uint64_t id,
+                  const struct fleet_job *job, uint64_t *back_ms);
 /** Submits a job that the log does not hold yet; see fleet_finish_submit. */
 void fleet_submit_unstored (struct fleet *fleet, uint64_t id,
                             const struct fleet_job *job);
