A successor counts old crashes by the age of their jobs

Cause: records tell of crashes without their time, and a new leader took those of all waiting tasks for recent ones. They now count by the time at which their jobs were accepted.

--- a/src/cyc_cell_door.c
+++ b/src/cyc_cell_door.c
@@ -22,6 +22,9 @@
 #define BREAKS_MAX 256
 /** For how long. */
 #define RECENT_US 10000000
+/** For how long after its acceptance a job of an earlier leader is: it has
+ * begun some time after that. */
+#define RESTORED_RECENT_US 15000000
 /** How long a crashed worker is missed, with the time until that is noticed.
  */
 #define LOST_US 4000000
@@ -53,9 +56,10 @@
  * most. */
 #define THINNING_WAIT_US 15000000
 #define THINNED_MAX_PERMILLE 750
-/** Longest projected wait for trials, and the time for one while none has
- * ended lately. */
+/** Longest projected wait for trials, longest projected time for one, and that
+ * time while none has ended lately. A new leader has seen few. */
 #define TRIALS_MAX_US 30000000
+#define TRIAL_MAX_US 1000000
 #define TRIAL_GUESS_US 250000
 /** Interval between two counts of the tasks that wait for a trial. */
 #define BACKLOG_AGE_MAX_US 100000
@@ -400,6 +404,12 @@
     suspected->deadly_permille = 1000;
 }
 
+void
+cell_door_restored (struct cell_job *job)
+{
+  job->door_recent_until_us = job->accepted_us + RESTORED_RECENT_US;
+}
+
 /* Adds a break that a record tells of, and suspects the job of it. */
 static struct door_break *
 restore (struct cell_core *core, struct cell_job *job, uint32_t row,
@@ -475,7 +485,8 @@
     }
   if (queue->backlog == 0)
     return;
-  out->trial_us = ended > 0 ? RECENT_US / ended : TRIAL_GUESS_US;
+  out->trial_us
+      = ended > 0 ? MIN (RECENT_US / ended, TRIAL_MAX_US) : TRIAL_GUESS_US;
   out->trials_us = MIN (queue->backlog * out->trial_us, TRIALS_MAX_US);
 }
 
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -578,6 +578,9 @@
                          bool cleared);
 /** A task of the job was given up for its crashes. */
 void cell_door_given_up (struct cell_core *core, struct cell_job *job);
+/** The job is about to be restored from a record. It counts as recent by the
+ * time of its acceptance, as no record tells when it began. */
+void cell_door_restored (struct cell_job *job);
 /** A record tells that an incarnation of the worker crashed under a task of
  * the job. @p sole: no other job was suspected. */
 void cell_door_restored_crash (struct cell_core *core, struct cell_job *job,
