--- a/tests/test_cell_region_cut.c
+++ b/tests/test_cell_region_cut.c
@@ -41,6 +41,8 @@
   bool restarts;      /**< workers restart behind the cut */
   bool drains;        /**< the workers of the region drain before the cut */
   bool stays_longer;  /**< than announced, by much */
+  uint32_t announced_ms;  /**< minimum stay that they announce; 0: 500 if they
+                             stay longer, else until after the case */
   uint32_t store_down_ms; /**< from the beginning of the cut; entries lapse
                              early meanwhile */
   uint32_t unread_ms;   /**< no entry is read from the beginning of the cut */
@@ -134,6 +136,15 @@
     .stays_longer = true,
     .store_down_ms = 2000,
     .work_max_ms = 9000 },
+  { .name = "the same, and they may leave just before the store is back",
+    .cut = FLEET_CUT_REFUSING,
+    .cut_ms = { 4000 },
+    .store = true,
+    .drains = true,
+    .stays_longer = true,
+    .announced_ms = 1900,
+    .store_down_ms = 2000,
+    .work_max_ms = 9000 },
   { .name = "workers restart and their ends are acknowledged after that",
     .cut = FLEET_CUT_SILENT,
     .cut_ms = { 1300, 1300 },
@@ -315,7 +326,9 @@
           = row->stays_longer ? STAYS_MS : REGION_STAYS_LONGER_MS;
       for (uint32_t i = 1; i < WORKERS; i += REGIONS)
         fleet_release_drain (play.fleet, i,
-                             row->stays_longer ? 500 : STAYS_MS);
+                             row->announced_ms != 0 ? row->announced_ms
+                             : row->stays_longer    ? 500
+                                                    : STAYS_MS);
       /* The leader reads that, but its stops do not arrive any more. */
       fleet_run (play.fleet, 5);
     }
