--- a/bench/bench_cell.c
+++ b/bench/bench_cell.c
@@ -12,6 +12,7 @@
 
 #define US_PER_S 1000000
 #define MEASURED_TICKS 200
+#define SETUP_TICKS 6
 #define WORKER_MILLICORES 32000
 
 static double
@@ -68,6 +69,30 @@
     }
 }
 
+/* Adds a job of one step. */
+static void
+add_job (struct cell_core *core, uint64_t id, uint32_t tasks,
+         uint32_t millicores, bool gang, uint64_t now_us)
+{
+  Cyc__CellJob *job = malloc (sizeof *job);
+  Cyc__CellStep *step = malloc (sizeof *step);
+
+  cyc__cell_job__init (job);
+  cyc__cell_step__init (step);
+  job->queue = strdup ("queue");
+  job->team = strdup ("team");
+  job->accepted_ms = now_us / 1000;
+  job->n_steps = 1;
+  job->steps = calloc (1, sizeof (Cyc__CellStep *));
+  job->steps[0] = step;
+  step->count = tasks;
+  step->gang = gang;
+  step->millicores = millicores;
+  step->memory_mib = 8000;
+  step->estimate_ms = 2000;
+  cell_job_add (core, id, job, true, now_us, now_us / 1000);
+}
+
 /* Adds jobs of one step with eight tasks; in every fourth job the step is a
    gang. */
 static void
@@ -75,25 +100,7 @@
           uint64_t now_us)
 {
   for (uint32_t i = 0; i < count; i++)
-    {
-      Cyc__CellJob *job = malloc (sizeof *job);
-      Cyc__CellStep *step = malloc (sizeof *step);
-
-      cyc__cell_job__init (job);
-      cyc__cell_step__init (step);
-      job->queue = strdup ("queue");
-      job->team = strdup ("team");
-      job->accepted_ms = now_us / 1000;
-      job->n_steps = 1;
-      job->steps = calloc (1, sizeof (Cyc__CellStep *));
-      job->steps[0] = step;
-      step->count = 8;
-      step->gang = i % 4 == 0;
-      step->millicores = 4000;
-      step->memory_mib = 8000;
-      step->estimate_ms = 2000;
-      cell_job_add (core, first + i, job, true, now_us, now_us / 1000);
-    }
+    add_job (core, first + i, 8, 4000, i % 4 == 0, now_us);
 }
 
 /* Answers all pending questions for advice; every third worker is denied. */
@@ -137,6 +144,69 @@
       cell_start_result (core, order.run, CELL_START_OK, now_us);
 }
 
+/* Starts @p runs tasks on each worker, as jobs of one step for each. */
+static struct cell_core *
+make_busy_fleet (struct cell_config *config, uint32_t workers, uint32_t runs,
+                 uint64_t *now_us)
+{
+  struct cell_core *core = cell_setup (&(struct cell_desc){
+      .lease_ms = 6000, .ticket_margin_ms = 250, .heartbeat_ms = 1500 });
+  uint32_t row;
+
+  cell_config_set (core, config);
+  add_workers (core, workers, *now_us);
+  for (uint32_t i = 0; i < workers * runs / 100; i++)
+    add_job (core, i + 1, 100, WORKER_MILLICORES / runs, false, *now_us);
+  for (int i = 0; i < SETUP_TICKS; i++)
+    {
+      *now_us += 20000;
+      cell_tick (core, *now_us, *now_us / 1000);
+      answer_asks (core, *now_us);
+      write_records (core, *now_us);
+    }
+  /* The first tick looks at all workers, which have changed. */
+  *now_us += 20000;
+  cell_tick (core, *now_us, *now_us / 1000);
+  while (cell_worker_changed (core, &row))
+    ;
+  return core;
+}
+
+/* Measures ticks that only look at what has changed. @p reports: workers that
+   report between two ticks, without any end. */
+static void
+measure_look (uint32_t workers, uint32_t runs, uint32_t reports)
+{
+  struct cell_config *config = make_config ();
+  uint64_t now_us = 100 * (uint64_t)US_PER_S;
+  struct cell_core *core = make_busy_fleet (config, workers, runs, &now_us);
+  struct cell_totals totals;
+  double start_s = now_s ();
+
+  for (int i = 0; i < MEASURED_TICKS; i++)
+    {
+      uint32_t row;
+
+      now_us += 2000;
+      for (uint32_t r = 0; r < reports; r++)
+        cell_worker_unanswered (core,
+                                (uint32_t)i * 7 % (workers - reports) + r,
+                                CELL_CALL_SILENT, 0, now_us);
+      cell_tick (core, now_us, now_us / 1000);
+      while (cell_worker_changed (core, &row))
+        {
+          struct cell_worker_view view;
+
+          cell_worker_view (core, row, &view);
+        }
+    }
+  cell_totals (core, &totals);
+  printf ("look tick: %5u workers, %5u runs, %u changed: %.2f us\n", workers,
+          totals.runs, reports, (now_s () - start_s) * 1e6 / MEASURED_TICKS);
+  cell_shutdown (core);
+  cell_config_free (config);
+}
+
 static void
 measure_tick (uint32_t workers, uint32_t backlog)
 {
@@ -180,9 +250,16 @@
 {
   static const uint32_t workers[] = { 48, 350, 1400 };
   static const uint32_t backlogs[] = { 0, 100, 800 };
+  static const uint32_t fleets[] = { 540, 2000, 9800 };
+  static const uint32_t runs[] = { 4, 10 };
+  static const uint32_t changed[] = { 0, 4 };
 
   for (size_t w = 0; w < sizeof workers / sizeof workers[0]; w++)
     for (size_t b = 0; b < sizeof backlogs / sizeof backlogs[0]; b++)
       measure_tick (workers[w], backlogs[b]);
+  for (size_t f = 0; f < sizeof fleets / sizeof fleets[0]; f++)
+    for (size_t r = 0; r < sizeof runs / sizeof runs[0]; r++)
+      for (size_t c = 0; c < sizeof changed / sizeof changed[0]; c++)
+        measure_look (fleets[f], runs[r], changed[c]);
   return 0;
 }
--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -393,6 +393,13 @@
 /** Fills @p out. Its strings are valid until the next input to the core. */
 void cell_worker_view (const struct cell_core *core, uint32_t row,
                        struct cell_worker_view *out);
+/** Returns false if no worker has this id, which may be any bytes. */
+bool cell_worker_find (const struct cell_core *core, struct cyc_str id,
+                       uint32_t *row);
+/** Takes the row of a worker whose view may have changed since its row was
+ * last taken. Each worker is returned once, whatever has changed. Returns
+ * false if there is none. Callers that never take any lose nothing else. */
+bool cell_worker_changed (struct cell_core *core, uint32_t *row);
 /** Applies a worker's report: its ends, its running tasks and its clock. A
  * report of an earlier incarnation is ignored. */
 void cell_worker_report (struct cell_core *core, uint32_t row,
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -110,6 +110,9 @@
   core->records = g_ptr_array_new ();
   g_queue_init (&core->recording);
   g_queue_init (&core->orders);
+  core->acks = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  core->reserved_rows = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  cell_look_setup (core);
   cell_over_setup (core);
   cell_blame_setup (core);
   core->batch = 1;
@@ -177,6 +180,9 @@
   g_array_free (core->free_runs, TRUE);
   g_queue_clear (&core->recording);
   g_queue_clear_full (&core->orders, g_free);
+  g_array_free (core->acks, TRUE);
+  g_array_free (core->reserved_rows, TRUE);
+  cell_look_shutdown (core);
   cell_over_shutdown (core);
   cell_blame_shutdown (core);
   g_free (core);
@@ -293,24 +299,27 @@
   cyc_name_set (&worker->id, cyc_str_of (text));
   g_ptr_array_add (core->workers, worker);
   row = core->workers->len - 1;
+  worker->row = row;
   g_hash_table_insert (core->worker_rows, g_strdup (text),
                        g_memdup2 (&row, sizeof row));
   return row;
 }
 
-/* Returns NULL if no worker has this id, which may be any bytes. */
-static struct cell_worker *
-find_worker (const struct cell_core *core, struct cyc_str id)
+bool
+cell_worker_find (const struct cell_core *core, struct cyc_str id,
+                  uint32_t *row)
 {
   struct cyc_name name;
-  const uint32_t *row;
-  struct cell_worker *worker;
+  const uint32_t *found;
 
   if (!cyc_name_set (&name, id))
-    return NULL;
-  row = g_hash_table_lookup (core->worker_rows, name.data);
-  worker = row != NULL ? cell_worker_at (core, *row) : NULL;
-  return worker != NULL && cyc_name_eq (&worker->id, &name) ? worker : NULL;
+    return false;
+  found = g_hash_table_lookup (core->worker_rows, name.data);
+  if (found == NULL
+      || !cyc_name_eq (&cell_worker_at (core, *found)->id, &name))
+    return false;
+  *row = *found;
+  return true;
 }
 
 bool
@@ -353,6 +362,7 @@
       || worker->exited_us != 0)
     return;
   worker->exited_us = core->now_us;
+  cell_worker_touch (core, worker);
   cell_wake (core, core->now_us);
 }
 
@@ -362,6 +372,7 @@
 {
   struct cell_worker *worker = cell_worker_at (core, row);
 
+  cell_worker_touch (core, worker);
   if (worker->born_ms != 0)
     cell_blame_reborn (core, row);
   worker->reborn_us = worker->born_ms != 0 ? core->now_us : 0;
@@ -378,7 +389,7 @@
   worker->first_listed_end = 0;
   worker->ack = 0;
   worker->ack_next = 0;
-  worker->ack_batch = 0;
+  worker->ack_batch = 0; /* and is then removed from core->acks */
   worker->fenced = false;
   worker->consecutive_failures = 0;
   worker->paused_until_us = 0;
@@ -441,6 +452,7 @@
   core->now_us = now_us;
   if (is_odd_entry (core, worker, entry))
     return false;
+  cell_worker_touch (core, worker);
   if (!worker->listed || worker->draining != entry->draining
       || !offers_the_same (worker, entry)
       || worker->entry_born_ms != entry->born_ms)
@@ -479,13 +491,16 @@
 cell_worker_unlisted (struct cell_core *core, struct cyc_str id,
                       uint64_t now_us)
 {
-  struct cell_worker *worker = find_worker (core, id);
+  struct cell_worker *worker;
+  uint32_t row;
   uint64_t silence_us
       = (uint64_t)core->desc.heartbeat_ms * CELL_EXIT_HEARTBEATS_PERMILLE;
 
   core->now_us = now_us;
-  if (worker == NULL)
+  if (!cell_worker_find (core, id, &row))
     return;
+  worker = cell_worker_at (core, row);
+  cell_worker_touch (core, worker);
   if (worker->listed && worker->draining
       && worker->listed_after_us > core->entries_gap_us
       && now_us >= worker->stays_until_us
@@ -497,14 +512,6 @@
   worker->listed = false;
 }
 
-void
-cell_entries_read (struct cell_core *core, uint64_t until_us)
-{
-  if (core->entries_first_us == 0)
-    core->entries_first_us = until_us;
-  core->entries_read_us = MAX (core->entries_read_us, until_us);
-}
-
 void
 cell_worker_view (const struct cell_core *core, uint32_t row,
                   struct cell_worker_view *out)
@@ -518,12 +525,7 @@
   out->runs = worker->run_count;
   out->born_ms = worker->born_ms;
   out->fenced = worker->fenced;
-  out->report_after_us = 0;
-  for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
-    out->report_after_us = MAX (out->report_after_us,
-                                cell_over_report_after_us (core, worker, run));
-  out->report_after_us
-      = MAX (out->report_after_us, cell_blame_report_after_us (core, worker));
+  out->report_after_us = cell_look_report_after_us (core, row);
   out->received_end = worker->received_end;
   out->lease_deadline_ms = worker->lease_deadline_ms;
   out->ends_pending = worker->ack < worker->received_end;
@@ -565,6 +567,7 @@
   struct cell_worker *worker = cell_worker_at (core, row);
 
   core->now_us = now_us;
+  cell_worker_touch (core, worker);
   withhold_ack (worker, now_us);
   /* A worker that has answered since is not silent: one order is late. */
   if (end != CELL_CALL_SILENT || sent_us >= worker->clock_at_us)
@@ -580,6 +583,7 @@
                     uint64_t now_us)
 {
   core->now_us = now_us;
+  cell_worker_touch (core, cell_worker_at (core, row));
   cell_blame_broken (core, row, CELL_CALL_BROKEN, broken_us);
 }
 
@@ -597,6 +601,7 @@
     return;
   worker->exited_us = now_us;
   worker->replaced = true;
+  cell_worker_touch (core, worker);
   cell_wake (core, now_us);
 }
 
@@ -606,6 +611,7 @@
   struct cell_worker *worker = cell_worker_at (core, row);
 
   core->now_us = now_us;
+  cell_worker_touch (core, worker);
   if (worker->reachable || worker->silent_us == 0)
     worker->silent_us = now_us;
   worker->reachable = false;
@@ -714,7 +720,7 @@
   if (worker->ack_batch == 0 && worker->received_end > worker->ack)
     {
       worker->ack_next = worker->received_end;
-      worker->ack_batch = core->batch;
+      cell_ack_later (core, worker);
     }
 }
 
@@ -806,6 +812,7 @@
     }
   if (report->born_ms > worker->born_ms)
     start_incarnation (core, row, report->born_ms);
+  cell_worker_touch (core, worker);
   cell_blame_answered (core, row, report->sent_us);
   if (report->clock_ms > worker->clock_ms)
     {
@@ -839,6 +846,7 @@
   core->next_us = UINT64_MAX;
   cell_runs_tick (core);
   cell_rounds_tick (core);
+  cell_look_count (core);
   cell_place_tick (core);
 }
 
--- a/src/cyc_cell_advice.c
+++ b/src/cyc_cell_advice.c
@@ -65,6 +65,18 @@
              : CELL_VERDICT_UNKNOWN;
 }
 
+uint32_t
+cell_allowed_count (const struct cell_stage *stage)
+{
+  return stage->allowed != NULL ? stage->allowed->len : 0;
+}
+
+uint32_t
+cell_allowed_at (const struct cell_stage *stage, uint32_t index)
+{
+  return g_array_index (stage->allowed, uint32_t, index);
+}
+
 const struct cell_held_ticket *
 cell_ticket_at (const struct cell_core *core, const struct cell_stage *stage,
                 uint32_t index)
@@ -534,6 +546,10 @@
       if (tickets[i].text.len >= CELL_TICKET_BYTES
           || row >= stage->verdict_count)
         continue;
+      if (stage->allowed == NULL)
+        stage->allowed = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+      if (stage->verdicts[row] != CELL_VERDICT_ALLOWED)
+        g_array_append_val (stage->allowed, row);
       stage->verdicts[row] = CELL_VERDICT_ALLOWED;
       keep_ticket (core, stage, row, tickets[i].text, until_us);
     }
--- a/src/cyc_cell_batch.c
+++ b/src/cyc_cell_batch.c
@@ -5,14 +5,20 @@
 
 #include <string.h>
 
+void
+cell_ack_later (struct cell_core *core, struct cell_worker *worker)
+{
+  worker->ack_batch = core->batch;
+  core->acks_batch = core->batch;
+  if (!worker->ack_listed)
+    g_array_append_val (core->acks, worker->row);
+  worker->ack_listed = true;
+}
+
 uint64_t
 cell_batch_close (struct cell_core *core)
 {
-  bool acks = false;
-
-  for (guint i = 0; i < core->workers->len && !acks; i++)
-    acks = cell_worker_at (core, i)->ack_batch == core->batch;
-  if (core->dirty->len == 0 && !acks)
+  if (core->dirty->len == 0 && core->acks_batch != core->batch)
     return 0;
   if (core->dirty->len == 0)
     {
@@ -115,6 +121,7 @@
   memcpy (order->ticket, run->ticket, sizeof order->ticket);
   memcpy (order->checkpoint, task->checkpoint, sizeof order->checkpoint);
   g_queue_push_tail (&core->orders, order);
+  cell_worker_touch (core, cell_worker_at (core, run->worker));
   run->state = CELL_RUN_STARTING;
   run->resumed = task->checkpoint[0] != 0;
 }
@@ -182,19 +189,28 @@
 {
   mark_durable (core, batch);
   core->now_us = now_us;
-  for (guint i = 0; i < core->workers->len; i++)
+  for (guint i = 0; i < core->acks->len;)
     {
-      struct cell_worker *worker = cell_worker_at (core, i);
+      struct cell_worker *worker
+          = cell_worker_at (core, g_array_index (core->acks, uint32_t, i));
 
       /* The effect of an end may be in any batch up to this one. */
-      if (worker->ack_batch == 0 || worker->ack_batch > core->durable)
+      if (worker->ack_batch > core->durable)
+        {
+          i++;
+          continue;
+        }
+      worker->ack_listed = false;
+      g_array_remove_index_fast (core->acks, i);
+      if (worker->ack_batch == 0)
         continue;
+      cell_worker_touch (core, worker);
       worker->ack = worker->ack_next;
       worker->ack_batch = 0;
       if (worker->received_end > worker->ack)
         {
           worker->ack_next = worker->received_end;
-          worker->ack_batch = core->batch;
+          cell_ack_later (core, worker);
         }
     }
   publish_states (core);
@@ -231,8 +247,11 @@
         continue;
       if (out->kind == CELL_ORDER_START)
         {
+          struct cell_worker *worker = cell_worker_at (core, run->worker);
+
           run->ordered_us = core->now_us;
-          run->ordered_born_ms = cell_worker_at (core, run->worker)->born_ms;
+          run->ordered_born_ms = worker->born_ms;
+          cell_worker_touch (core, worker);
           cell_wake (core, core->now_us + CELL_START_TIMEOUT_US);
         }
       return true;
--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -156,6 +156,7 @@
       worker->muted = true;
       return;
     }
+  cell_worker_touch (core, worker);
   worker->broken_us = broken_us;
   worker->broken_end = end;
   if (worker->runs == NULL)
@@ -170,6 +171,7 @@
   struct cell_worker *worker = cell_worker_at (core, row);
 
   cell_blame_broken (core, row, CELL_CALL_OTHER_INCARNATION, core->now_us);
+  cell_worker_touch (core, worker);
   worker->broken_us = 0;
   worker->muted = false;
 }
@@ -253,6 +255,7 @@
   if (!run->on_trial)
     return;
   run->on_trial = false;
+  cell_worker_touch (core, cell_worker_at (core, run->worker));
   cell_worker_at (core, run->worker)->trial_count--;
   core->placement_pending = true;
   cell_wake (core, core->now_us);
@@ -282,6 +285,7 @@
 
   run->proven = true;
   run->broken_us = 0;
+  cell_worker_touch (core, cell_worker_at (core, run->worker));
   end_trial (core, run);
   if (cell_worker_at (core, run->worker)->hold != 0)
     {
@@ -480,6 +484,7 @@
   if (accountable (run)->crashes == NULL)
     return;
   run->on_trial = true;
+  cell_worker_touch (core, worker);
   worker->trial_count++;
 }
 
@@ -535,28 +540,25 @@
 
 uint64_t
 cell_blame_report_after_us (const struct cell_core *core,
-                            const struct cell_worker *worker)
+                            const struct cell_worker *worker,
+                            uint64_t *until_us)
 {
   uint64_t after_us = 0;
 
   if (worker->trial_count == 0 && worker->hold == 0)
     return 0;
   for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
-    if (awaits_proof (worker, run)
-        && run->confirmed_us + CELL_TRIAL_US <= core->now_us)
-      after_us = MAX (after_us, run->confirmed_us + CELL_TRIAL_US);
-  return after_us;
-}
+    {
+      uint64_t proof_us = run->confirmed_us + CELL_TRIAL_US;
 
-void
-cell_blame_tick (struct cell_core *core, const struct cell_worker *worker)
-{
-  if (worker->trial_count == 0 && worker->hold == 0)
-    return;
-  for (const struct cell_run *run = worker->runs; run != NULL; run = run->next)
-    if (awaits_proof (worker, run)
-        && run->confirmed_us + CELL_TRIAL_US > core->now_us)
-      cell_wake (core, run->confirmed_us + CELL_TRIAL_US);
+      if (!awaits_proof (worker, run))
+        continue;
+      if (proof_us > core->now_us)
+        *until_us = MIN (*until_us, proof_us);
+      else
+        after_us = MAX (after_us, proof_us);
+    }
+  return after_us;
 }
 
 void
--- a/src/cyc_cell_gang.c
+++ b/src/cyc_cell_gang.c
@@ -45,12 +45,13 @@
 {
   uint64_t slots = 0;
 
-  for (guint i = 0; i < core->workers->len && slots < stage->count; i++)
+  for (guint i = 0; i < cell_allowed_count (stage) && slots < stage->count;
+       i++)
     {
-      const struct cell_worker *worker = cell_worker_at (core, i);
+      const struct cell_worker *worker
+          = cell_worker_at (core, cell_allowed_at (stage, i));
 
-      if (cell_worker_eligible (core, stage, worker)
-          && cell_verdict_of (stage, i) == CELL_VERDICT_ALLOWED)
+      if (cell_worker_eligible (core, stage, worker))
         slots += cell_slots_soon (core, stage, worker);
     }
   return slots >= stage->count;
@@ -210,49 +211,100 @@
            by_free_time);
 }
 
+/* Releases the reservations for which @p ended returns true. */
 static void
-release_worker_reservation (struct cell_worker *worker)
+release_if (struct cell_core *core,
+            bool (*ended) (const struct cell_stage *stage, const void *arg),
+            const void *arg)
 {
-  worker->reserved_for = NULL;
-  worker->reserved = (struct cell_resources){ 0 };
+  for (guint i = 0; i < core->reserved_rows->len;)
+    {
+      struct cell_worker *worker = cell_worker_at (
+          core, g_array_index (core->reserved_rows, uint32_t, i));
+
+      if (!ended (worker->reserved_for, arg))
+        {
+          i++;
+          continue;
+        }
+      worker->reserved_for = NULL;
+      worker->reserved = (struct cell_resources){ 0 };
+      g_array_remove_index_fast (core->reserved_rows, i);
+    }
+}
+
+static bool
+is_stage (const struct cell_stage *stage, const void *wanted)
+{
+  return stage == wanted;
+}
+
+static bool
+is_of_job (const struct cell_stage *stage, const void *job)
+{
+  return stage->job == job;
+}
+
+static bool
+no_longer_waits (const struct cell_stage *stage, const void *unused)
+{
+  (void)unused;
+  return stage->waiting == 0 || !cell_job_open (stage->job)
+         || !stage->has_reservation;
 }
 
 static void
 release_reservation (struct cell_core *core, struct cell_stage *stage)
 {
-  for (guint i = 0; i < core->workers->len && stage->has_reservation; i++)
-    if (cell_worker_at (core, i)->reserved_for == stage)
-      release_worker_reservation (cell_worker_at (core, i));
+  if (stage->has_reservation)
+    release_if (core, is_stage, stage);
   stage->has_reservation = false;
 }
 
+void
+cell_gang_forget (struct cell_core *core, const struct cell_job *job)
+{
+  release_if (core, is_of_job, job);
+}
+
 void
 cell_gang_release_ended (struct cell_core *core)
 {
   core->reserved_millicores = 0;
-  for (guint i = 0; i < core->workers->len; i++)
+  release_if (core, no_longer_waits, NULL);
+}
+
+/* Lists the places that the gang may reserve. */
+static GArray *
+list_places (const struct cell_core *core, const struct cell_stage *stage)
+{
+  bool advised = stage->job->cfg.advice.required;
+  uint32_t count = advised ? cell_allowed_count (stage) : core->workers->len;
+  GArray *places = g_array_new (FALSE, FALSE, sizeof (struct cell_gang_place));
+
+  for (uint32_t i = 0; i < count; i++)
     {
-      struct cell_worker *worker = cell_worker_at (core, i);
-      const struct cell_stage *stage = worker->reserved_for;
+      uint32_t row = advised ? cell_allowed_at (stage, i) : i;
+      const struct cell_worker *worker = cell_worker_at (core, row);
 
-      if (stage != NULL
-          && (stage->waiting == 0 || !cell_job_open (stage->job)
-              || !stage->has_reservation))
-        release_worker_reservation (worker);
+      if (worker->reserved_for == NULL && worker->hold == 0
+          && cell_worker_eligible (core, stage, worker))
+        cell_gang_places (core, stage, row, stage->count, places);
     }
+  cell_gang_sort_places (places);
+  return places;
 }
 
 void
 cell_gang_reserve (struct cell_core *core, struct cell_stage *stage)
 {
-  bool advised = stage->job->cfg.advice.required;
   struct cyc_resources size = cell_step_size (cell_stage_step (stage));
   uint64_t wanted_millicores = (uint64_t)stage->count * size.millicores;
   GArray *places;
 
   if (core->reserved_millicores > 0
       && core->reserved_millicores + wanted_millicores
-             > core->usable_millicores / RESERVED_DIVISOR)
+             > core->totals.usable_millicores / RESERVED_DIVISOR)
     {
       release_reservation (core, stage);
       return;
@@ -263,22 +315,14 @@
   release_reservation (core, stage);
   stage->has_reservation = true;
   stage->reserve_again_us = core->now_us + RESERVE_INTERVAL_US;
-  places = g_array_new (FALSE, FALSE, sizeof (struct cell_gang_place));
-  for (guint i = 0; i < core->workers->len; i++)
-    {
-      const struct cell_worker *worker = cell_worker_at (core, i);
-
-      if (worker->reserved_for == NULL && worker->hold == 0
-          && cell_worker_eligible (core, stage, worker)
-          && (!advised || cell_verdict_of (stage, i) == CELL_VERDICT_ALLOWED))
-        cell_gang_places (core, stage, i, stage->count, places);
-    }
-  cell_gang_sort_places (places);
+  places = list_places (core, stage);
   for (guint i = 0; i < places->len && i < stage->count; i++)
     {
       struct cell_worker *worker = cell_worker_at (
           core, g_array_index (places, struct cell_gang_place, i).row);
 
+      if (worker->reserved_for == NULL)
+        g_array_append_val (core->reserved_rows, worker->row);
       worker->reserved_for = stage;
       worker->reserved.millicores += size.millicores;
       worker->reserved.memory_mib += size.memory_mib;
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -12,6 +12,7 @@
 
 #include <cyclamendrum/cell.h>
 #include "cell.pb-c.h"
+#include "cyc_due.h"
 #include <glib.h>
 
 /** Maximum permille by which a worker's clock runs slow, as guaranteed by the
@@ -147,8 +148,30 @@
   uint64_t accelerators;
 };
 
+/** What a worker contributes to the core's totals. */
+struct cell_counted
+{
+  uint32_t usable_workers;
+  uint32_t trial_workers;         /**< with runs on trial */
+  uint32_t crashed_trial_workers; /**< that broke or fell silent under runs on
+                                     trial, which are not over yet */
+  uint64_t usable_millicores;     /**< capacity of usable workers */
+  uint64_t soon_millicores; /**< of these free, or free after a call to the
+                               advisor */
+  uint64_t soon_memory_mib;
+};
+
 struct cell_worker
 {
+  uint32_t row;
+  bool touched;   /**< changed since the core last looked at it */
+  bool uncounted; /**< changed since it was last counted */
+  bool unseen;    /**< its view may have changed since it was handed out */
+  bool awaits_entries; /**< is looked at when entries have been read */
+  struct cell_counted counted;
+  uint64_t report_after_us; /**< see cell_worker_view */
+  uint64_t report_until_us; /**< report_after_us is right until then; 0 if it
+                               is to be computed again */
   struct cyc_name id;
   struct cyc_name pool;
   struct cyc_name domain;
@@ -219,6 +242,7 @@
   uint64_t ack;       /**< highest number of an end whose effect is durable */
   uint64_t ack_next;  /**< value of ack once ack_batch is durable */
   uint64_t ack_batch; /**< 0 if none is pending */
+  bool ack_listed;    /**< in the core's list of acknowledgements */
   struct cell_run *runs;
   uint32_t run_count;
 };
@@ -315,6 +339,7 @@
                            size */
   uint8_t *verdicts;    /**< by worker row */
   uint32_t verdict_count;
+  GArray *allowed; /**< uint32_t: rows of allowed workers; NULL if none */
   GArray *tickets; /**< struct cell_held_ticket */
 };
 
@@ -426,7 +451,16 @@
   uint64_t entries_gap_us;   /**< when entries were read again after a gap; 0
                                 if there was none */
   uint64_t first_end_us; /**< when the first end was received; 0 if none yet */
-  GHashTable *queue_times; /**< queue name to struct cell_queue_time */
+  struct due_queue due; /**< worker rows, by when the core must look at them */
+  GArray *touched;      /**< rows of workers to look at in the next tick */
+  GArray *uncounted;    /**< rows of workers to count before a placement */
+  GArray *unseen;       /**< rows of workers whose view is to be handed out */
+  GArray *awaiting_entries;   /**< rows of workers to look at then */
+  GArray *acks;               /**< rows of workers with an ack_batch */
+  uint64_t acks_batch;        /**< latest batch that an ack waits for */
+  GArray *reserved_rows;      /**< rows of workers with a reservation */
+  struct cell_counted totals; /**< of all workers that are counted */
+  GHashTable *queue_times;    /**< queue name to struct cell_queue_time */
   GHashTable *queue_allowed_permille; /**< by queue name */
   uint64_t batch;                     /**< number of the open batch */
   uint64_t durable;             /**< all batches up to this one are durable */
@@ -442,13 +476,7 @@
   uint64_t over_rate_late_us; /**< when work over a team's rate was last late;
                                  0 if never */
   double move_credit; /**< runs that may be moved from slow workers now */
-  uint64_t reserved_millicores;   /**< reserved for gangs in this tick */
-  uint64_t usable_millicores;     /**< capacity of all usable workers */
-  uint32_t usable_workers;        /**< in this tick */
-  uint32_t trial_workers;         /**< with runs on trial, in this tick */
-  uint32_t crashed_trial_workers; /**< that broke or fell silent under runs on
-                                     trial, which are not over yet; in this
-                                     tick */
+  uint64_t reserved_millicores; /**< reserved for gangs in this tick */
   uint32_t trials_waiting; /**< for which no worker is held, in this tick */
   GArray *holds;           /**< struct cell_hold */
   uint64_t last_hold;      /**< highest id of a hold */
@@ -468,11 +496,39 @@
 bool cell_worker_usable (const struct cell_core *core,
                          const struct cell_worker *worker);
 struct cell_team *cell_team_of (struct cell_core *core, struct cyc_str name);
+/** Has ends up to worker->ack_next acknowledged once the open batch is
+ * durable.
+ */
+void cell_ack_later (struct cell_core *core, struct cell_worker *worker);
 /** Includes the job in the next batch of records. */
 void cell_job_mark_dirty (struct cell_core *core, struct cell_job *job);
 /** Brings the next tick forward to @p at_us at the latest. */
 void cell_wake (struct cell_core *core, uint64_t at_us);
 
+/* Looking at workers: only at those that have changed, and at those whose time
+   has come. */
+
+void cell_look_setup (struct cell_core *core);
+void cell_look_shutdown (struct cell_core *core);
+/** Notes a change of the worker or of one of its runs: the next tick looks at
+ * it, it is counted again, and its view is handed out. Does not bring the next
+ * tick forward. */
+void cell_worker_touch (struct cell_core *core, struct cell_worker *worker);
+/** Has a tick look at the worker at @p at_us at the latest. */
+void cell_worker_wake (struct cell_core *core,
+                       const struct cell_worker *worker, uint64_t at_us);
+/** Has the next tick look at the worker once further entries have been read.
+ */
+void cell_look_await_entries (struct cell_core *core,
+                              struct cell_worker *worker);
+/** Takes the next worker to look at in this tick; NULL if there is none. */
+struct cell_worker *cell_look_next (struct cell_core *core);
+/** Brings the totals up to date. */
+void cell_look_count (struct cell_core *core);
+/** Returns cell_worker_view.report_after_us. */
+uint64_t cell_look_report_after_us (const struct cell_core *core,
+                                    uint32_t row);
+
 /* Jobs. */
 struct cell_job *cell_job_find (const struct cell_core *core, uint64_t id);
 void cell_job_free (struct cell_job *job);
@@ -518,8 +574,7 @@
 void cell_run_stop (struct cell_core *core, struct cell_run *run);
 /** Brings the stops of the worker's runs forward, which waited while it was
  * silent. */
-void cell_runs_reached (struct cell_core *core,
-                        const struct cell_worker *worker);
+void cell_runs_reached (struct cell_core *core, struct cell_worker *worker);
 void cell_runs_tick (struct cell_core *core);
 /** Returns when a lease has certainly lapsed that had @p remaining_ms left on
  * the worker's clock at @p from_us. */
@@ -590,12 +645,11 @@
                           const struct cell_stage *stage, uint32_t row,
                           const struct cell_crashes *trial);
 /** Returns the time after which a report must be requested to end the trials
- * on the worker; 0 if it needs none now. */
+ * on the worker; 0 if it needs none now. Lowers @p until_us to the time until
+ * which that holds without a change of the worker. */
 uint64_t cell_blame_report_after_us (const struct cell_core *core,
-                                     const struct cell_worker *worker);
-/** Requests ticks for the ends of trials on the worker. */
-void cell_blame_tick (struct cell_core *core,
-                      const struct cell_worker *worker);
+                                     const struct cell_worker *worker,
+                                     uint64_t *until_us);
 /** Returns what is recorded of the suspicion against the run. */
 uint32_t cell_blame_suspicion (const struct cell_run *run);
 void cell_blame_restore_run (struct cell_core *core, struct cell_run *run,
@@ -611,9 +665,6 @@
 void cell_trials_tick (struct cell_core *core);
 /** Ends the holds that have led to a start or have failed. */
 void cell_trials_end_holds (struct cell_core *core);
-/** Adds the worker to the core's counts of workers with trials. */
-void cell_trials_count (struct cell_core *core,
-                        const struct cell_worker *worker);
 /** Ends the holds for tasks of the job, which is removed. */
 void cell_trials_forget (struct cell_core *core, const struct cell_job *job);
 /** Returns whether the worker is held for a task of the stage. */
@@ -647,10 +698,12 @@
  * have lapsed. */
 void cell_over_expire (struct cell_core *core, struct cell_worker *worker);
 /** Returns the time after which a report must be requested to resolve the run;
- * 0 if it needs none. */
+ * 0 if it needs none. Lowers @p until_us to the time until which that holds
+ * without a change of the worker. */
 uint64_t cell_over_report_after_us (const struct cell_core *core,
                                     const struct cell_worker *worker,
-                                    const struct cell_run *run);
+                                    const struct cell_run *run,
+                                    uint64_t *until_us);
 /** Notes that the worker reports a run that the core does not know as running,
  * or lists its end as done or failed (@p ended). If the run was concluded to
  * be over, the conclusion is handed out as contradicted, unless the run may
@@ -729,6 +782,8 @@
                           const struct cell_run *run);
 /** Sorts places by time. */
 void cell_gang_sort_places (GArray *places);
+/** Releases the reservations of the job, which is removed. */
+void cell_gang_forget (struct cell_core *core, const struct cell_job *job);
 /** Releases the reservations of stages that no longer wait, and resets the
  * total; cell_gang_reserve counts the remaining ones again. */
 void cell_gang_release_ended (struct cell_core *core);
@@ -748,6 +803,10 @@
                             const struct cell_job *job);
 enum cell_verdict cell_verdict_of (const struct cell_stage *stage,
                                    uint32_t row);
+/** Workers that the advisor has allowed, whether or not a ticket for them is
+ * still valid. */
+uint32_t cell_allowed_count (const struct cell_stage *stage);
+uint32_t cell_allowed_at (const struct cell_stage *stage, uint32_t index);
 uint32_t cell_ticket_count (const struct cell_stage *stage);
 /** Returns NULL if the ticket is no longer valid. */
 const struct cell_held_ticket *cell_ticket_at (const struct cell_core *core,
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -92,9 +92,12 @@
   g_free (stage->verdicts);
   if (stage->tickets != NULL)
     g_array_free (stage->tickets, TRUE);
+  if (stage->allowed != NULL)
+    g_array_free (stage->allowed, TRUE);
   stage->verdicts = NULL;
   stage->verdict_count = 0;
   stage->tickets = NULL;
+  stage->allowed = NULL;
 }
 
 struct cell_stage *
@@ -401,16 +404,7 @@
     }
   cell_questions_forget (core, job);
   cell_trials_forget (core, job);
-  for (guint i = 0; i < core->workers->len; i++)
-    {
-      struct cell_worker *worker = cell_worker_at (core, i);
-
-      if (worker->reserved_for != NULL && worker->reserved_for->job == job)
-        {
-          worker->reserved_for = NULL;
-          worker->reserved = (struct cell_resources){ 0 };
-        }
-    }
+  cell_gang_forget (core, job);
   g_ptr_array_remove_fast (core->scheduled_jobs, job);
   g_ptr_array_remove_fast (core->dirty, job);
   while (g_ptr_array_remove_fast (core->state_pending, job))
@@ -588,6 +582,7 @@
             + ((uint64_t)CELL_PAUSE_US
                << MIN (worker->pause_count, CELL_PAUSE_DOUBLINGS_MAX));
       worker->pause_count++;
+      cell_worker_touch (core, worker);
       cell_retry_placement (core, worker->paused_until_us);
     }
   stage->failed_on[stage->failed_next++ % CELL_AVOIDED_WORKERS_MAX]
@@ -784,6 +779,7 @@
       worker = cell_worker_at (core, row);
       if (worker->lease_until_us < lease_until_us)
         worker->lease_until_us = lease_until_us;
+      cell_worker_touch (core, worker);
       made
           = cell_run_new (core, job, from->index, run->task, row, run->number);
       made->state = CELL_RUN_STARTING;
@@ -837,8 +833,10 @@
     {
       struct cell_run *run = g_ptr_array_index (core->runs, i);
 
-      if (run != NULL && run->inherited)
-        run->call_ended_us = MIN (run->call_ended_us, until_us);
+      if (run == NULL || !run->inherited)
+        continue;
+      run->call_ended_us = MIN (run->call_ended_us, until_us);
+      cell_worker_touch (core, cell_worker_at (core, run->worker));
     }
   cell_wake (core, now_us);
 }
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -403,29 +403,35 @@
 
   if (evidence.since_us > core->now_us)
     {
-      cell_wake (core, evidence.since_us);
+      cell_worker_wake (core, worker, evidence.since_us);
       return;
     }
   for (struct cell_run *run = worker->runs; run != NULL; run = next)
     {
       next = run->next;
       if (!weigh (core, run, &evidence) && run->state != CELL_RUN_RECORDING)
-        cell_wake (core, lapse_us (core, worker, run, evidence.since_us));
+        cell_worker_wake (core, worker,
+                          lapse_us (core, worker, run, evidence.since_us));
     }
 }
 
 uint64_t
 cell_over_report_after_us (const struct cell_core *core,
                            const struct cell_worker *worker,
-                           const struct cell_run *run)
+                           const struct cell_run *run, uint64_t *until_us)
 {
   bool reborn = run->worker_born_ms != worker->born_ms;
   uint64_t after_us = 0;
 
   if (run->state == CELL_RUN_RECORDING)
     return 0;
+  if (run->inherited && run->call_ended_us > core->now_us)
+    {
+      *until_us = MIN (*until_us, run->call_ended_us);
+      return 0;
+    }
   if (run->inherited)
-    return run->call_ended_us <= core->now_us ? run->call_ended_us : 0;
+    return run->call_ended_us;
   if (run->state == CELL_RUN_STARTING && run->unconfirmed_us != 0)
     after_us = MAX (run->unconfirmed_us, run->call_ended_us);
   if (reborn && worker->reborn_us != 0)
--- a/src/cyc_cell_pace.c
+++ b/src/cyc_cell_pace.c
@@ -160,6 +160,7 @@
       cell_run_stop (core, run);
       worker->pause_count = MAX (1, worker->pause_count);
       worker->paused_until_us = core->now_us + CELL_PAUSE_US;
+      cell_worker_touch (core, worker);
     }
 }
 
@@ -193,6 +194,7 @@
     return;
   worker->pause_count = MAX (1, worker->pause_count);
   worker->paused_until_us = core->now_us + CELL_PAUSE_US;
+  cell_worker_touch (core, worker);
   cell_retry_placement (core, worker->paused_until_us);
   for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
     if (run->state == CELL_RUN_RUNNING)
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -14,9 +14,6 @@
 /** Cost of using capacity that is reserved for a later stage: more than any
  * remaining permille, less than placing work away from its data. */
 #define RESERVED_COST 10000
-/** Fraction of the used capacity (1/8) that comes free while advice is
- * requested: tasks take some seconds, advice half a second. */
-#define SOON_FREE_DIVISOR 8
 
 bool
 cell_res_fits (const struct cell_worker *worker,
@@ -459,39 +456,6 @@
   return cell_stage_before (core, right, left) ? 1 : 0;
 }
 
-/* Returns the capacity that is free or comes free during a call to the
-   advisor. Also updates usable_millicores and requests a placement at the end
-   of each worker's pause. */
-static struct cell_resources
-capacity_soon (struct cell_core *core)
-{
-  struct cell_resources capacity = { 0 };
-
-  core->usable_millicores = 0;
-  core->usable_workers = 0;
-  core->trial_workers = 0;
-  core->crashed_trial_workers = 0;
-  for (guint i = 0; i < core->workers->len; i++)
-    {
-      const struct cell_worker *worker = cell_worker_at (core, i);
-
-      if (worker->listed && worker->paused_until_us > core->now_us)
-        cell_retry_placement (core, worker->paused_until_us);
-      cell_trials_count (core, worker);
-      if (!cell_worker_usable (core, worker))
-        continue;
-      core->usable_workers++;
-      core->usable_millicores += worker->capacity.millicores;
-      capacity.millicores += cell_remaining (worker->capacity.millicores,
-                                             worker->used_millicores)
-                             + worker->used_millicores / SOON_FREE_DIVISOR;
-      capacity.memory_mib += cell_remaining (worker->capacity.memory_mib,
-                                             worker->used_memory_mib)
-                             + worker->used_memory_mib / SOON_FREE_DIVISOR;
-    }
-  return capacity;
-}
-
 void
 cell_retry_placement (struct cell_core *core, uint64_t at_us)
 {
@@ -503,7 +467,7 @@
 void
 cell_place_tick (struct cell_core *core)
 {
-  struct cell_resources capacity;
+  struct cell_resources capacity = { 0 };
 
   if (core->waiting->len == 0)
     return;
@@ -530,7 +494,8 @@
     }
   g_ptr_array_sort_with_data (core->waiting, compare_stages, core);
   cell_trials_end_holds (core);
-  capacity = capacity_soon (core);
+  capacity.millicores = core->totals.soon_millicores;
+  capacity.memory_mib = core->totals.soon_memory_mib;
   cell_trials_tick (core);
   for (guint i = 0; i < core->waiting->len; i++)
     {
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -5,9 +5,6 @@
 #include <stdio.h>
 #include <string.h>
 
-/** Minimum interval between ticks for repeated stops; a fraction of
- * CELL_STOP_REPEAT_US. */
-#define RUN_TIMER_MIN_US 100000
 /** A run with a checkpoint is stopped this long before its worker leaves: a
  * stop takes up to a second and its end must be received. */
 #define EVACUATE_BEFORE_US 1500000
@@ -16,8 +13,6 @@
 /** A worker that refused a start for want of room gets no new tasks for this
  * time: it has shrunk, and its entry shows that with its next heartbeat. */
 #define NO_ROOM_PAUSE_US 500000
-/** Maximum interval between ticks while any worker has runs. */
-#define RUN_IDLE_TIMER_US 500000
 
 struct cell_run *
 cell_run_at (const struct cell_core *core, struct cyc_ref ref)
@@ -86,6 +81,7 @@
   if (worker->runs != NULL)
     worker->runs->prev = run;
   worker->runs = run;
+  cell_worker_touch (core, worker);
   account_usage (core, run, 1);
   return run;
 }
@@ -152,6 +148,7 @@
     worker->runs = run->next;
   if (run->next != NULL)
     run->next->prev = run->prev;
+  cell_worker_touch (core, worker);
   account_usage (core, run, -1);
   g_ptr_array_index (core->runs, run->ref.index) = NULL;
   g_array_index (core->run_generations, uint32_t, run->ref.index)++;
@@ -168,6 +165,7 @@
     return;
   run->stop_requested = true;
   run->stop_next_us = core->now_us;
+  cell_worker_touch (core, cell_worker_at (core, run->worker));
   cell_wake (core, core->now_us);
 }
 
@@ -178,6 +176,7 @@
 
   worker->paused_until_us
       = MAX (worker->paused_until_us, core->now_us + pause_us);
+  cell_worker_touch (core, worker);
   cell_retry_placement (core, worker->paused_until_us);
 }
 
@@ -208,6 +207,7 @@
   if (run == NULL || run->state == CELL_RUN_RECORDING)
     return;
   run->call_ended_us = now_us;
+  cell_worker_touch (core, cell_worker_at (core, run->worker));
   switch (result)
     {
     case CELL_START_OK:
@@ -255,14 +255,16 @@
   if (run == NULL || !run->stop_in_flight)
     return;
   run->stop_in_flight = false;
+  cell_worker_touch (core, cell_worker_at (core, run->worker));
   if (sent_us != 0)
     run->stop_confirmed_us = now_us;
   cell_wake (core, now_us);
 }
 
 void
-cell_runs_reached (struct cell_core *core, const struct cell_worker *worker)
+cell_runs_reached (struct cell_core *core, struct cell_worker *worker)
 {
+  cell_worker_touch (core, worker);
   for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
     run->stop_next_us = MIN (run->stop_next_us, core->now_us);
 }
@@ -341,56 +343,76 @@
       remaining_us = remaining_work_us (core, run);
       if (core->now_us + remaining_us + EVACUATE_MARGIN_US
           < worker->stays_until_us)
-        continue;
+        {
+          cell_worker_wake (core, worker,
+                            worker->stays_until_us - EVACUATE_MARGIN_US);
+          continue;
+        }
       if (step->checkpointing || step->long_running)
         {
           if (core->now_us >= last_us)
             cell_run_stop (core, run);
           else
-            cell_wake (core, last_us);
+            cell_worker_wake (core, worker, last_us);
         }
       else if (remaining_us > core->now_us - run->confirmed_us)
         cell_run_stop (core, run);
     }
 }
 
-void
-cell_runs_tick (struct cell_core *core)
+/* Orders the stop of the run if that is due, and notes when its start counts
+   as unconfirmed. */
+static void
+look_at_run (struct cell_core *core, const struct cell_worker *worker,
+             struct cell_run *run)
 {
-  for (guint i = 0; i < core->workers->len; i++)
+  if (run->state == CELL_RUN_RECORDING)
+    return;
+  if (run->state == CELL_RUN_STARTING && run->unconfirmed_us == 0
+      && (run->ordered_us != 0 || run->inherited))
     {
-      struct cell_worker *worker = cell_worker_at (core, i);
+      uint64_t timeout_us = run->ordered_us + CELL_START_TIMEOUT_US;
 
-      if (worker->runs == NULL)
-        continue;
-      if (!worker->reachable || worker->exited_us != 0)
-        cell_over_expire (core, worker);
-      if (worker->stays_until_us != 0 && worker->exited_us == 0)
-        evacuate (core, worker);
-      cell_blame_tick (core, worker);
-      for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
-        {
-          if (run->state == CELL_RUN_RECORDING)
-            continue;
-          if (run->inherited && run->call_ended_us > core->now_us)
-            cell_wake (core, run->call_ended_us);
-          if (run->state == CELL_RUN_STARTING && run->unconfirmed_us == 0
-              && (run->ordered_us != 0 || run->inherited)
-              && run->ordered_us + CELL_START_TIMEOUT_US <= core->now_us)
-            run->unconfirmed_us = core->now_us;
-          if (!run->stop_requested || run->stop_in_flight
-              || (run->inherited && !worker->fenced)
-              || (run->stop_confirmed_us != 0
-                  && run->stop_born_ms == worker->born_ms))
-            continue;
-          if (run->stop_next_us <= core->now_us)
-            {
-              order_stop (core, run);
-              continue;
-            }
-          cell_wake (core,
-                     MAX (run->stop_next_us, core->now_us + RUN_TIMER_MIN_US));
-        }
-      cell_wake (core, core->now_us + RUN_IDLE_TIMER_US);
+      if (timeout_us <= core->now_us)
+        run->unconfirmed_us = core->now_us;
+      else
+        cell_worker_wake (core, worker, timeout_us);
     }
+  if (!run->stop_requested || run->stop_in_flight
+      || (run->inherited && !worker->fenced)
+      || (run->stop_confirmed_us != 0 && run->stop_born_ms == worker->born_ms))
+    return;
+  if (run->stop_next_us <= core->now_us)
+    order_stop (core, run);
+  else
+    cell_worker_wake (core, worker, run->stop_next_us);
+}
+
+static void
+look_at_worker (struct cell_core *core, struct cell_worker *worker)
+{
+  if (worker->listed && worker->paused_until_us > core->now_us)
+    cell_worker_wake (core, worker, worker->paused_until_us);
+  if (!worker->reachable || worker->exited_us != 0)
+    cell_over_expire (core, worker);
+  if (worker->runs == NULL)
+    return;
+  if (!worker->reachable && !worker->listed)
+    cell_look_await_entries (core, worker);
+  if (worker->stays_until_us != 0 && worker->exited_us == 0)
+    evacuate (core, worker);
+  for (struct cell_run *run = worker->runs; run != NULL; run = run->next)
+    look_at_run (core, worker, run);
+  cell_look_report_after_us (core, worker->row);
+  cell_worker_wake (core, worker, worker->report_until_us);
+}
+
+void
+cell_runs_tick (struct cell_core *core)
+{
+  struct cell_worker *worker;
+
+  while ((worker = cell_look_next (core)) != NULL)
+    look_at_worker (core, worker);
+  cell_wake (core, due_next (&core->due));
 }
--- a/src/cyc_cell_trial.c
+++ b/src/cyc_cell_trial.c
@@ -91,6 +91,7 @@
 
       if (worker->hold != hold->id)
         continue;
+      cell_worker_touch (core, worker);
       worker->hold = 0;
       worker->no_hold_until_us = core->now_us + pause_us;
     }
@@ -309,6 +310,7 @@
       struct cell_worker *worker = cell_worker_at (
           core, g_array_index (places, struct cell_gang_place, i).row);
 
+      cell_worker_touch (core, worker);
       worker->hold = hold.id;
     }
   g_array_free (places, TRUE);
@@ -323,22 +325,11 @@
 static bool
 may_hold (const struct cell_core *core)
 {
-  return core->holds->len + core->trial_workers
-             < MAX (1, core->usable_workers / TRIAL_DIVISOR)
-         && core->crashed_trial_workers
+  return core->holds->len + core->totals.trial_workers
+             < MAX (1, core->totals.usable_workers / TRIAL_DIVISOR)
+         && core->totals.crashed_trial_workers
                 < MAX (CRASHED_TRIALS_MIN,
-                       core->usable_workers / CRASHED_TRIAL_DIVISOR);
-}
-
-void
-cell_trials_count (struct cell_core *core, const struct cell_worker *worker)
-{
-  bool up = worker->broken_us == 0 && worker->reachable;
-
-  if (worker->trial_count == 0)
-    return;
-  core->trial_workers += up;
-  core->crashed_trial_workers += !up;
+                       core->totals.usable_workers / CRASHED_TRIAL_DIVISOR);
 }
 
 bool
@@ -425,7 +416,7 @@
 
   if (likely && !idle
       && risky_holds (core, cell_stage_step (stage)->gang)
-             >= MAX (1, core->usable_workers / RISKY_DIVISOR))
+             >= MAX (1, core->totals.usable_workers / RISKY_DIVISOR))
     return false;
   if (hold_workers (core, trial, idle))
     return true;
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -43,6 +43,14 @@
   return &g_array_index (owner->workers, struct owner_worker, row);
 }
 
+/* Sets when the next hold of the worker is due. */
+static void
+hold_at (struct entry_owner *owner, uint32_t row, uint64_t at_us)
+{
+  worker_slot (owner, row)->next_hold_us = at_us;
+  due_set (&owner->holds, row, at_us);
+}
+
 /* Returns whether the worker has another incarnation than at the last call. */
 static bool
 is_reborn (const struct owner_worker *slot,
@@ -160,18 +168,20 @@
       log_ends (owner, row, report);
       cell_worker_report (owner->core, row, report, now_us);
       cell_worker_view (owner->core, row, &view);
-      slot->next_hold_us = now_us
-                           + (view.runs > 0                ? HOLD_GAP_US
-                              : now_us < slot->late_end_us ? HOLD_LATE_START_US
-                                                           : HOLD_IDLE_US);
+      hold_at (owner, row,
+               now_us
+                   + (view.runs > 0                ? HOLD_GAP_US
+                      : now_us < slot->late_end_us ? HOLD_LATE_START_US
+                                                   : HOLD_IDLE_US));
       slot->ack_deadline_us = now_us + HOLD_ACK_WAIT_MAX_US;
       owner_input_added (owner);
       return;
     }
   call_unanswered (owner, row, unanswered, now_us);
   slot->failures++;
-  slot->next_hold_us
-      = now_us + (slot->failures < HOLD_FAILURES_SILENT ? 0 : HOLD_RETRY_US);
+  hold_at (owner, row,
+           now_us
+               + (slot->failures < HOLD_FAILURES_SILENT ? 0 : HOLD_RETRY_US));
   if (slot->failures == HOLD_FAILURES_SILENT)
     {
       cell_worker_silent (owner->core, row, now_us);
@@ -240,13 +250,19 @@
           .row = row,
       });
   if (!slot->report_in_flight)
-    return;
+    {
+      due_set (&owner->holds, row, now_us + HOLD_RETRY_US);
+      return;
+    }
   slot->hold_sent_us = now_us;
   owner->calls_in_flight++;
 }
 
-void
-orders_hold (struct entry_owner *owner, uint32_t row, uint64_t now_us)
+/* Sends the next hold of the worker if it is due, or a request for a report if
+   one is wanted at once. Looks again at next_hold_us, or when the view of the
+   worker has changed. */
+static void
+hold_if_due (struct entry_owner *owner, uint32_t row, uint64_t now_us)
 {
   struct owner_worker *slot = worker_slot (owner, row);
   struct cell_worker_view view;
@@ -262,18 +278,21 @@
   if (view.address.len == 0 || (!view.listed && view.runs == 0))
     return;
   if (view.ack > slot->ack_sent && slot->next_hold_us > now_us + HOLD_RETRY_US)
-    slot->next_hold_us = now_us + HOLD_RETRY_US;
+    hold_at (owner, row, now_us + HOLD_RETRY_US);
   if ((view.report_after_us != 0 && view.report_after_us >= slot->hold_sent_us)
       || is_reborn (slot, &view))
     slot->next_hold_us = now_us;
   if (now_us < slot->next_hold_us)
     {
-      entry_wake_at (owner->entry, slot->next_hold_us);
+      due_set (&owner->holds, row, slot->next_hold_us);
       return;
     }
   if (view.report_after_us == 0 && view.ends_pending
       && now_us < slot->ack_deadline_us)
-    return;
+    {
+      due_set (&owner->holds, row, slot->ack_deadline_us);
+      return;
+    }
   /* A worker that did not answer gets no new lease, so the time by which
      its runs end stays known. */
   lease_end_ms = view.runs > 0 && slot->failures == 0
@@ -302,7 +321,17 @@
   if (slot->hold_in_flight)
     owner->calls_in_flight++;
   else
-    slot->next_hold_us = now_us + HOLD_RETRY_US;
+    hold_at (owner, row, now_us + HOLD_RETRY_US);
+}
+
+void
+orders_hold_due (struct entry_owner *owner, uint64_t now_us)
+{
+  uint32_t row;
+
+  while (cell_worker_changed (owner->core, &row)
+         || due_take (&owner->holds, now_us, &row))
+    hold_if_due (owner, row, now_us);
 }
 
 /* Orders. */
@@ -548,5 +577,5 @@
   if (begun)
     owner->calls_in_flight++;
   if (slot->next_hold_us > now_us + HOLD_GAP_US)
-    slot->next_hold_us = now_us + HOLD_GAP_US;
+    hold_at (owner, order->worker, now_us + HOLD_GAP_US);
 }
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -37,6 +37,7 @@
   g_hash_table_destroy (owner->early_cancellations);
   g_hash_table_destroy (owner->unusable_entries);
   g_array_free (owner->workers, TRUE);
+  due_shutdown (&owner->holds);
   cell_shutdown (owner->core);
   g_free (owner->jobs_tails);
   g_free (owner);
@@ -242,10 +243,11 @@
 on_unlisted (struct entry_owner *owner, struct cyc_str id)
 {
   uint64_t now_us = hc_now_us ();
+  uint32_t row;
 
   cell_worker_unlisted (owner->core, id, now_us);
   ev_log (EV_TARGET_LEAVING, "worker=%.*s unlisted=1", CYC_FMT (id));
-  for (uint32_t row = 0; row < cell_worker_count (owner->core); row++)
+  if (cell_worker_find (owner->core, id, &row))
     owner_log_left (owner, row, now_us);
   owner_input_added (owner);
 }
@@ -342,6 +344,7 @@
   owner->unusable_entries
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   owner->workers = g_array_new (FALSE, TRUE, sizeof (struct owner_worker));
+  due_setup (&owner->holds);
   if (entry->config != NULL)
     cell_config_set (owner->core, entry->config);
   owner->advice = advice_begin (entry, owner->core);
@@ -504,8 +507,7 @@
     }
   if (owner->workers_tail.fresh_us != 0)
     cell_entries_read (owner->core, owner->workers_tail.fresh_us);
-  for (uint32_t row = 0; row < cell_worker_count (owner->core); row++)
-    orders_hold (owner, row, now_us);
+  orders_hold_due (owner, now_us);
   if (owner->core_has_input || now_us >= cell_next_us (owner->core)
       || now_us >= owner->last_tick_us + CORE_TICK_MAX_US)
     {
@@ -518,6 +520,8 @@
     orders_send (owner, &order, now_us);
   if (cell_next_us (owner->core) != UINT64_MAX)
     entry_wake_at (entry, cell_next_us (owner->core));
+  if (due_next (&owner->holds) != DUE_NEVER_US)
+    entry_wake_at (entry, due_next (&owner->holds));
   orders_log_conclusions (owner, now_us);
   orders_log_blames (owner, now_us);
   advice_tick (owner->advice, now_us);
--- a/src/entry_owner_internal.h
+++ b/src/entry_owner_internal.h
@@ -8,6 +8,7 @@
 #ifndef ENTRY_OWNER_INTERNAL_H
 #define ENTRY_OWNER_INTERNAL_H
 
+#include "cyc_due.h"
 #include "entry_records.h"
 #include "lead_lag.h"
 
@@ -19,9 +20,9 @@
   uint64_t hold_sent_us; /**< send time of the last hold of either kind */
   uint32_t failures;
   struct pt_call_end unanswered; /**< end of the last hold without an answer */
-  uint64_t next_hold_us;
-  uint64_t ack_deadline_us; /**< the next hold does not wait for
-                                 acknowledgements beyond this time */
+  uint64_t next_hold_us;         /**< set by orders_hold_at */
+  uint64_t ack_deadline_us;      /**< the next hold does not wait for
+                                      acknowledgements beyond this time */
   uint64_t ack_sent;
   uint64_t fence;       /**< fencing token of the newest calls; 0: the epoch */
   bool fence_outdated;  /**< calls under this token were made to an earlier
@@ -52,6 +53,8 @@
                                         the core */
   GArray *workers;                 /**< struct owner_worker by worker row of
                                         the core */
+  struct due_queue holds;          /**< rows of workers, by when orders_hold
+                                        must look at them */
   GHashTable *unusable_entries;    /**< ids of entries that do not describe a
                                         usable worker */
   uint64_t begun_us;
@@ -76,9 +79,10 @@
 void owner_cancel (struct entry_owner *owner, uint64_t id);
 /** Notes new input for the core and schedules a tick. */
 void owner_input_added (struct entry_owner *owner);
-/** Sends the next hold of a worker when it is due: extends its lease and asks
- * which runs it has. */
-void orders_hold (struct entry_owner *owner, uint32_t row, uint64_t now_us);
+/** Sends the holds that are due: they extend leases and ask which runs the
+ * workers have. Looks only at workers whose time has come or whose view has
+ * changed. */
+void orders_hold_due (struct entry_owner *owner, uint64_t now_us);
 /** Logs that a worker has left, if the input of @p now_us showed it. The ages
  * in the line tell an exit from an entry that lapsed with the worker alive. */
 void owner_log_left (struct entry_owner *owner, uint32_t row, uint64_t now_us);
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -1,6 +1,7 @@
 #include "tst_fleet_internal.h"
 
 #include "cell.pb-c.h"
+#include "tst_walk.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -370,6 +371,16 @@
   return count;
 }
 
+static void
+check_walk (struct fleet *fleet)
+{
+  const char *difference = walk_difference (fleet->core);
+
+  if (difference != NULL)
+    fleet_violation (fleet, "the core's tables differ from a walk in",
+                     difference);
+}
+
 static void
 answer_ask (struct fleet *fleet, const struct cell_ask *ask)
 {
@@ -527,6 +538,7 @@
         fleet_hold (fleet, i);
       fleet_check_conclusions (fleet);
       cell_tick (fleet->core, fleet_now_us (fleet), fleet->now_ms);
+      check_walk (fleet);
       fleet_check_conclusions (fleet);
       answer_due_asks (fleet);
       write_batches (fleet);
