Replace a lost instance of a service before work that can wait (LOST)

The run of a task that lasts failed at 35 s; its step came last, as a job that has expired, behind 80 to 95 steps of a full fleet, and was not even asked about until 58 s. Ruled out: the advisor (713 answers in that time), capacity (48 workers usable), limits of the team. Change: a service that has run and is short of an instance is ranked as a job in time, whatever the age of its job, and after 2 s before all else. test_failed_run_is_replaced_under_load was red before, for loads of the same and of a higher priority.

--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -323,6 +323,8 @@
   uint32_t waiting;        /**< tasks neither placed nor done */
   uint32_t trials_waiting; /**< of these on trial at their next start, in this
                               tick */
+  uint64_t short_since_us; /**< since when any of its tasks waits again; 0 if
+                              none has, or before this leader */
   bool ready;  /**< all dependencies are done and the round is due */
   bool listed; /**< in the core's list of waiting stages */
   uint64_t reserve_again_us; /**< when the workers of the reservation are
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -477,6 +477,8 @@
   if (row->state == CELL_TASK_DONE)
     return;
   row->not_before_us = at_us;
+  if (stage->waiting == 0)
+    stage->short_since_us = core->now_us;
   if (row->state == CELL_TASK_PLACED)
     stage->waiting++;
   row->state = CELL_TASK_WAITING;
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -11,6 +11,10 @@
 #define PRIORITY_MAX 1000
 #define RANK_OVER_RATE 4000
 #define RANK_EXPIRED 8000
+/** A service that has been short of an instance for longer comes first. Users
+ * count the instance as lost after 6 s, of which advice takes a half in the
+ * worst case. */
+#define SHORT_MAX_US 2000000
 /** Cost of using capacity that is reserved for a later stage: more than any
  * remaining permille, less than placing work away from its data. */
 #define RESERVED_COST 10000
@@ -421,8 +425,11 @@
 rank_of (const struct cell_core *core, const struct cell_stage *stage)
 {
   const struct cell_job *job = stage->job;
-  uint32_t rank = 2 * MIN (job->cfg.priority, PRIORITY_MAX);
+  uint32_t rank = 1 + 2 * MIN (job->cfg.priority, PRIORITY_MAX);
 
+  /* A service that has lost an instance is wanted until it is cancelled. */
+  if (job->begun && cell_stage_step (stage)->long_running)
+    return core->now_us < stage->short_since_us + SHORT_MAX_US ? rank : 0;
   if (is_late (core, stage))
     rank += 3;
   if (job->over_rate)
--- a/tests/test_cell_lasting.c
+++ b/tests/test_cell_lasting.c
@@ -1,11 +1,14 @@
 /* A task that lasts until its job is cancelled. Guards against an end of an
-   earlier run that makes the core start the task beside its current run. */
+   earlier run that makes the core start the task beside its current run, and
+   against a failed run that is not replaced while other work fills the fleet.
+ */
 
 #include "tst_fleet_internal.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -72,11 +75,69 @@
   free (fleet);
 }
 
+static struct fleet_run *
+find_run (struct fleet *fleet, const char *task)
+{
+  struct fleet_worker *worker = &fleet->workers[0];
+
+  for (uint32_t i = 0; i < worker->run_count; i++)
+    if (strcmp (worker->runs[i].task, task) == 0)
+      return &worker->runs[i];
+  return NULL;
+}
+
+/* A load of short tasks, twice what the worker can take, goes on while the run
+   of a task fails that has lasted for longer than any job may wait. Users count
+   the task as lost from 6 s after the end of its last run. */
+static void
+test_failed_run_is_replaced_under_load (void **state)
+{
+  static const char *const queues[] = { "batch", "urgent" };
+
+  (void)state;
+  for (size_t q = 0; q < sizeof queues / sizeof queues[0]; q++)
+    {
+      struct fleet *fleet = calloc (1, sizeof *fleet);
+      struct fleet_run *run;
+      uint64_t missing_ms = 0;
+
+      fleet_setup (fleet, 1, 4000);
+      fleet_run (fleet, 100);
+      fleet_submit (
+          fleet, 1,
+          &(struct fleet_job){
+              .tasks = { 1 }, .long_running = true, .work_ms = 600000 });
+      fleet_run (fleet, 8000);
+      for (uint64_t i = 0; i < 60; i++)
+        {
+          fleet_submit (
+              fleet, 100 + i,
+              &(struct fleet_job){ .tasks = { 8 }, .queue = queues[q] });
+          if (i == 20)
+            {
+              run = find_run (fleet, TASK);
+              assert_non_null (run);
+              run->fails = true;
+              run->end_ms = fleet->now_ms;
+            }
+          fleet_run (fleet, 500);
+          missing_ms = i < 20 || find_run (fleet, TASK) != NULL
+                           ? 0
+                           : missing_ms + 500;
+          assert_true (missing_ms < 6000);
+        }
+      assert_int_equal (fleet->violations, 0);
+      fleet_teardown (fleet);
+      free (fleet);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_end_of_an_earlier_run_after_a_takeover),
+    cmocka_unit_test (test_failed_run_is_replaced_under_load),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
