--- a/src/gateway_run.c
+++ b/src/gateway_run.c
@@ -116,8 +116,7 @@
   /* A seat beyond the domain's number of seats has no base share. */
   cyc_rt_set_seats (&gw->route, seats,
                     !gw->seat_conflict && gw->settings->seat < seats);
-  curl_multi_setopt (gw->targets.multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                     (long)cyc_rt_connection_limit (&gw->route));
+  hc_limit_connections (&gw->targets, cyc_rt_connection_limit (&gw->route));
 }
 
 static void
@@ -262,12 +261,14 @@
 {
   struct ev_loop *loop = gw->desc.loop;
 
-  if (!hc_setup (&gw->targets, &(struct hc_desc){ .loop = loop }, findings)
+  if (!hc_setup (&gw->targets,
+                 &(struct hc_desc){ .loop = loop,
+                                    .max_idle_connections
+                                    = IDLE_TARGET_CONNECTIONS_MAX },
+                 findings)
       || !hc_setup (&gw->log_calls, &(struct hc_desc){ .loop = loop },
                     findings))
     return false;
-  curl_multi_setopt (gw->targets.multi, CURLMOPT_MAXCONNECTS,
-                     IDLE_TARGET_CONNECTIONS_MAX);
   gw->log = gw->desc.log;
   if (gw->log != NULL)
     return true;
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 #include <errno.h>
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,17 +15,32 @@
 #define DEFAULT_CONNECT_TIMEOUT_MS 1000
 #define US_PER_MS 1000
 #define US_PER_S 1000000
+/** A longer body of a request is not kept for the next one. */
+#define KEPT_BODY_BYTES 8192
+/** Headers that each request has: "Expect:". */
+#define FIXED_HEADERS 1
+
+/* What a transfer leaves to the next one in its place. A new handle costs more
+   than a call that reuses one. */
+struct kept
+{
+  CURL *easy; /* with the options that all requests share */
+  char *body;
+  size_t body_capacity;
+  char *lines; /* of the headers; each ends with a zero byte */
+  size_t lines_capacity;
+  struct curl_slist headers[FIXED_HEADERS + HC_MAX_HEADERS];
+};
 
 struct hc_transfer
 {
+  struct kept kept;
   struct hc_client *client;
+  struct hc_shard *shard;
   struct cyc_ref ref;
-  CURL *easy;
   struct ev_timer timer; /* of the deadline */
   uint64_t deadline_us;
   uint64_t write_until_us; /* 0: only the deadline counts */
-  struct curl_slist *headers;
-  char *request_body;
   char *answer;
   size_t answer_len;
   size_t answer_capacity;
@@ -45,7 +61,7 @@
 struct socket_watch
 {
   struct ev_io io;
-  struct hc_client *client;
+  struct hc_shard *shard;
 };
 
 uint64_t
@@ -236,17 +252,32 @@
 {
   struct hc_client *hc = transfer->client;
   struct cyc_ref ref = transfer->ref;
+  struct kept kept = transfer->kept;
 
   ev_timer_stop (hc->loop, &transfer->timer);
-  curl_multi_remove_handle (hc->multi, transfer->easy);
-  curl_easy_cleanup (transfer->easy);
-  curl_slist_free_all (transfer->headers);
-  free (transfer->request_body);
+  curl_multi_remove_handle (transfer->shard->multi, kept.easy);
   free (transfer->answer);
+  if (kept.body_capacity > KEPT_BODY_BYTES)
+    {
+      free (kept.body);
+      kept.body = NULL;
+      kept.body_capacity = 0;
+    }
   memset (transfer, 0, sizeof *transfer);
+  transfer->kept = kept;
   cyc_pool_release (&hc->pool, ref);
 }
 
+static void
+free_kept (struct kept *kept)
+{
+  if (kept->easy != NULL)
+    curl_easy_cleanup (kept->easy);
+  free (kept->body);
+  free (kept->lines);
+  memset (kept, 0, sizeof *kept);
+}
+
 /* libcurl also reports success for an answer with truncated headers and for a
    body that is delimited only by the end of the connection, which may be
    truncated. Both count as incomplete. */
@@ -284,9 +315,10 @@
   long local_port = 0;
   struct hc_transfer finished;
 
-  curl_easy_getinfo (transfer->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
-  curl_easy_getinfo (transfer->easy, CURLINFO_NUM_CONNECTS, &connections);
-  curl_easy_getinfo (transfer->easy, CURLINFO_LOCAL_PORT, &local_port);
+  curl_easy_getinfo (transfer->kept.easy, CURLINFO_REQUEST_SIZE,
+                     &request_bytes);
+  curl_easy_getinfo (transfer->kept.easy, CURLINFO_NUM_CONNECTS, &connections);
+  curl_easy_getinfo (transfer->kept.easy, CURLINFO_LOCAL_PORT, &local_port);
   if (connection_ended (transfer, code))
     note_broken (transfer);
   result.attempts = transfer->attempts;
@@ -295,11 +327,12 @@
   result.local_port = (uint16_t)local_port;
   result.sent = transfer->attempts == 0 ? HC_SENT_NO : HC_SENT_MAYBE;
   result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
-  curl_easy_getinfo (transfer->easy, CURLINFO_OS_ERRNO, &os_error);
+  curl_easy_getinfo (transfer->kept.easy, CURLINFO_OS_ERRNO, &os_error);
   result.refused = code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED;
   result.error = "";
   if (answer_is_complete (transfer, code))
-    curl_easy_getinfo (transfer->easy, CURLINFO_RESPONSE_CODE, &result.status);
+    curl_easy_getinfo (transfer->kept.easy, CURLINFO_RESPONSE_CODE,
+                       &result.status);
   else if (code == CURLE_OK)
     result.error = "answer was cut short";
   else if (transfer->repeat_denied)
@@ -326,12 +359,13 @@
 }
 
 static void
-process_completed (struct hc_client *hc)
+process_completed (struct hc_shard *shard)
 {
   CURLMsg *message;
   int messages_left;
 
-  while ((message = curl_multi_info_read (hc->multi, &messages_left)) != NULL)
+  while ((message = curl_multi_info_read (shard->multi, &messages_left))
+         != NULL)
     {
       char *transfer = NULL;
       CURLcode code = message->data.result;
@@ -374,44 +408,45 @@
 on_socket_ready (struct ev_loop *loop, struct ev_io *io, int events)
 {
   struct socket_watch *watch = io->data;
-  struct hc_client *hc = watch->client;
+  struct hc_shard *shard = watch->shard;
   int flags = ((events & EV_READ) ? CURL_CSELECT_IN : 0)
               | ((events & EV_WRITE) ? CURL_CSELECT_OUT : 0);
   int running;
 
   (void)loop;
-  curl_multi_socket_action (hc->multi, io->fd, flags, &running);
-  process_completed (hc);
+  curl_multi_socket_action (shard->multi, io->fd, flags, &running);
+  process_completed (shard);
 }
 
 static void
 on_timer (struct ev_loop *loop, struct ev_timer *timer, int events)
 {
-  struct hc_client *hc = timer->data;
+  struct hc_shard *shard = timer->data;
   int running;
 
   (void)loop;
   (void)events;
-  curl_multi_socket_action (hc->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-  process_completed (hc);
+  curl_multi_socket_action (shard->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  process_completed (shard);
 }
 
 static int
 on_socket_change (CURL *easy, curl_socket_t fd, int what, void *user,
                   void *socket_user)
 {
-  struct hc_client *hc = user;
+  struct hc_shard *shard = user;
+  struct ev_loop *loop = shard->client->loop;
   struct socket_watch *watch = socket_user;
   int events = ((what & CURL_POLL_IN) ? EV_READ : 0)
                | ((what & CURL_POLL_OUT) ? EV_WRITE : 0);
 
   (void)easy;
   if (watch != NULL)
-    ev_io_stop (hc->loop, &watch->io);
+    ev_io_stop (loop, &watch->io);
   if (what == CURL_POLL_REMOVE)
     {
       free (watch);
-      curl_multi_assign (hc->multi, fd, NULL);
+      curl_multi_assign (shard->multi, fd, NULL);
       return 0;
     }
   if (watch == NULL)
@@ -419,31 +454,68 @@
       watch = calloc (1, sizeof *watch);
       if (watch == NULL)
         return -1;
-      watch->client = hc;
+      watch->shard = shard;
       ev_init (&watch->io, on_socket_ready);
       watch->io.data = watch;
-      curl_multi_assign (hc->multi, fd, watch);
+      curl_multi_assign (shard->multi, fd, watch);
     }
   ev_io_set (&watch->io, fd, events);
-  ev_io_start (hc->loop, &watch->io);
+  ev_io_start (loop, &watch->io);
   return 0;
 }
 
 static int
 on_timer_change (CURLM *multi, long timeout_ms, void *user)
 {
-  struct hc_client *hc = user;
+  struct hc_shard *shard = user;
+  struct ev_loop *loop = shard->client->loop;
 
   (void)multi;
-  ev_timer_stop (hc->loop, &hc->timer);
+  ev_timer_stop (loop, &shard->timer);
   if (timeout_ms >= 0)
     {
-      ev_timer_set (&hc->timer, (double)timeout_ms / 1000.0, 0.0);
-      ev_timer_start (hc->loop, &hc->timer);
+      ev_timer_set (&shard->timer, (double)timeout_ms / 1000.0, 0.0);
+      ev_timer_start (loop, &shard->timer);
     }
   return 0;
 }
 
+/* Sets up the shard at its first use. */
+static bool
+open_shard (struct hc_shard *shard)
+{
+  const struct hc_client *hc = shard->client;
+
+  if (shard->multi != NULL)
+    return true;
+  shard->multi = curl_multi_init ();
+  if (shard->multi == NULL)
+    return false;
+  curl_multi_setopt (shard->multi, CURLMOPT_SOCKETFUNCTION, on_socket_change);
+  curl_multi_setopt (shard->multi, CURLMOPT_SOCKETDATA, shard);
+  curl_multi_setopt (shard->multi, CURLMOPT_TIMERFUNCTION, on_timer_change);
+  curl_multi_setopt (shard->multi, CURLMOPT_TIMERDATA, shard);
+  if (hc->max_connections_per_host > 0)
+    curl_multi_setopt (shard->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                       (long)hc->max_connections_per_host);
+  if (hc->max_idle_connections > 0)
+    curl_multi_setopt (shard->multi, CURLMOPT_MAXCONNECTS,
+                       (long)hc->max_idle_connections);
+  return true;
+}
+
+/* Returns the shard of the server that the URL names. */
+static struct hc_shard *
+shard_of (struct hc_client *hc, struct cyc_str url)
+{
+  size_t at = url.len > 7 && memcmp (url.data, "http://", 7) == 0 ? 7 : 0;
+  uint32_t hash = 0;
+
+  for (; at < url.len && url.data[at] != '/'; at++)
+    hash = hash * 31 + (unsigned char)url.data[at];
+  return &hc->shards[hash % hc->shard_count];
+}
+
 bool
 hc_setup (struct hc_client *hc, const struct hc_desc *desc,
           struct cyc_findings *findings)
@@ -464,126 +536,174 @@
   hc->connect_timeout_ms = desc->connect_timeout_ms
                                ? desc->connect_timeout_ms
                                : DEFAULT_CONNECT_TIMEOUT_MS;
+  hc->shard_count = CLAMP (desc->shards, 1, HC_MAX_SHARDS);
+  hc->max_connections_per_host = desc->max_connections_per_host;
+  hc->max_idle_connections
+      = (desc->max_idle_connections + hc->shard_count - 1) / hc->shard_count;
+  for (uint32_t i = 0; i < hc->shard_count; i++)
+    {
+      hc->shards[i].client = hc;
+      ev_init (&hc->shards[i].timer, on_timer);
+      hc->shards[i].timer.data = &hc->shards[i];
+    }
   curl_global_init (CURL_GLOBAL_ALL);
-  hc->multi = curl_multi_init ();
   hc->transfers = calloc (max, sizeof *hc->transfers);
-  if (hc->multi == NULL || hc->transfers == NULL
-      || !cyc_pool_setup (&hc->pool, max, NULL))
+  if (hc->transfers == NULL || !cyc_pool_setup (&hc->pool, max, NULL))
     {
       cyc_findings_add (findings, CYC_STR ("http_client"), "out of memory");
       hc_shutdown (hc);
       return false;
     }
-  curl_multi_setopt (hc->multi, CURLMOPT_SOCKETFUNCTION, on_socket_change);
-  curl_multi_setopt (hc->multi, CURLMOPT_SOCKETDATA, hc);
-  curl_multi_setopt (hc->multi, CURLMOPT_TIMERFUNCTION, on_timer_change);
-  curl_multi_setopt (hc->multi, CURLMOPT_TIMERDATA, hc);
-  if (desc->max_connections_per_host > 0)
-    curl_multi_setopt (hc->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                       (long)desc->max_connections_per_host);
-  if (desc->max_idle_connections > 0)
-    curl_multi_setopt (hc->multi, CURLMOPT_MAXCONNECTS,
-                       (long)desc->max_idle_connections);
-  ev_init (&hc->timer, on_timer);
-  hc->timer.data = hc;
   return true;
 }
 
+void
+hc_limit_connections (struct hc_client *hc, uint32_t max_per_host)
+{
+  hc->max_connections_per_host = max_per_host;
+  for (uint32_t i = 0; i < hc->shard_count; i++)
+    if (hc->shards[i].multi != NULL)
+      curl_multi_setopt (hc->shards[i].multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                         (long)max_per_host);
+}
+
 void
 hc_shutdown (struct hc_client *hc)
 {
   if (hc->transfers != NULL)
     for (uint32_t i = 0; i < hc->pool.high; i++)
-      if (cyc_pool_used_at (&hc->pool, i))
-        release_transfer (&hc->transfers[i]);
-  if (hc->multi != NULL)
-    curl_multi_cleanup (hc->multi);
-  if (hc->loop != NULL)
-    ev_timer_stop (hc->loop, &hc->timer);
+      {
+        if (cyc_pool_used_at (&hc->pool, i))
+          release_transfer (&hc->transfers[i]);
+        free_kept (&hc->transfers[i].kept);
+      }
+  for (uint32_t i = 0; i < hc->shard_count; i++)
+    {
+      if (hc->shards[i].multi != NULL)
+        curl_multi_cleanup (hc->shards[i].multi);
+      ev_timer_stop (hc->loop, &hc->shards[i].timer);
+    }
   free (hc->transfers);
   cyc_pool_shutdown (&hc->pool);
   memset (hc, 0, sizeof *hc);
 }
 
+/* Makes room for @p needed bytes, without keeping what is there. */
+static bool
+reserve (char **data, size_t *capacity, size_t needed)
+{
+  if (needed <= *capacity)
+    return true;
+  free (*data);
+  *data = malloc (needed);
+  *capacity = *data != NULL ? needed : 0;
+  return *data != NULL;
+}
+
+/* Sets the options that all requests of the transfer's place share. */
+static bool
+setup_handle (struct hc_transfer *transfer)
+{
+  CURL *easy = curl_easy_init ();
+
+  if (easy == NULL)
+    return false;
+  transfer->kept.easy = easy;
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)transfer->client->connect_timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, (char *)transfer);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, transfer);
+  curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, transfer->error);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_attempt);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, transfer);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, on_open_socket);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, transfer);
+  return true;
+}
+
+/* Sets the method and the body, which libcurl reads where it is kept. */
 static bool
 set_body (struct hc_transfer *transfer, const struct hc_request *request)
 {
-  CURL *easy = transfer->easy;
+  struct kept *kept = &transfer->kept;
 
-  if (request->method == HC_DELETE)
-    curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, "DELETE");
+  curl_easy_setopt (kept->easy, CURLOPT_CUSTOMREQUEST,
+                    request->method == HC_DELETE ? "DELETE" : NULL);
   if (request->method != HC_POST)
-    return true;
-  transfer->request_body = malloc (request->body.len + 1);
-  if (transfer->request_body == NULL)
+    {
+      curl_easy_setopt (kept->easy, CURLOPT_HTTPGET, 1L);
+      return true;
+    }
+  if (!reserve (&kept->body, &kept->body_capacity, request->body.len + 1))
     return false;
   if (request->body.len > 0)
-    memcpy (transfer->request_body, request->body.data, request->body.len);
-  curl_easy_setopt (easy, CURLOPT_POST, 1L);
-  curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
+    memcpy (kept->body, request->body.data, request->body.len);
+  curl_easy_setopt (kept->easy, CURLOPT_POST, 1L);
+  curl_easy_setopt (kept->easy, CURLOPT_POSTFIELDSIZE_LARGE,
                     (curl_off_t)request->body.len);
-  curl_easy_setopt (easy, CURLOPT_POSTFIELDS, transfer->request_body);
+  curl_easy_setopt (kept->easy, CURLOPT_POSTFIELDS, kept->body);
   return true;
 }
 
+/* Builds the list of headers in memory that is kept: libcurl reads it and
+   copies nothing. */
 static bool
 set_headers (struct hc_transfer *transfer, const struct hc_request *request)
 {
   /* "Expect: 100-continue" would add a round trip to larger bodies. */
-  transfer->headers = curl_slist_append (NULL, "Expect:");
+  static char no_expect[] = "Expect:";
+  struct kept *kept = &transfer->kept;
+  size_t bytes = 0;
+  size_t used = 0;
+
   for (uint32_t i = 0; i < request->header_count; i++)
     {
-      char line[HC_MAX_HEADER_BYTES];
-      struct curl_slist *longer;
-
-      if (request->headers[i].len >= sizeof line)
-        return false;
-      snprintf (line, sizeof line, "%.*s", CYC_FMT (request->headers[i]));
-      longer = curl_slist_append (transfer->headers, line);
-      if (longer == NULL)
+      if (request->headers[i].len >= HC_MAX_HEADER_BYTES)
         return false;
-      transfer->headers = longer;
+      bytes += request->headers[i].len + 1;
+    }
+  if (!reserve (&kept->lines, &kept->lines_capacity, bytes))
+    return false;
+  kept->headers[0] = (struct curl_slist){ .data = no_expect };
+  for (uint32_t i = 0; i < request->header_count; i++)
+    {
+      struct curl_slist *header = &kept->headers[FIXED_HEADERS + i];
+
+      *header = (struct curl_slist){ .data = kept->lines + used };
+      memcpy (header->data, request->headers[i].data, request->headers[i].len);
+      header->data[request->headers[i].len] = 0;
+      used += request->headers[i].len + 1;
+      kept->headers[FIXED_HEADERS + i - 1].next = header;
     }
-  curl_easy_setopt (transfer->easy, CURLOPT_HTTPHEADER, transfer->headers);
-  return transfer->headers != NULL;
+  curl_easy_setopt (kept->easy, CURLOPT_HTTPHEADER, kept->headers);
+  return true;
 }
 
 static void
 set_options (struct hc_transfer *transfer, const struct hc_request *request,
              const char *url)
 {
-  CURL *easy = transfer->easy;
+  CURL *easy = transfer->kept.easy;
   uint64_t now_us = hc_now_us ();
   uint64_t remaining_ms = request->deadline_us > now_us
                               ? (request->deadline_us - now_us) / US_PER_MS
                               : 0;
+  /* Without CURLOPT_FORBID_REUSE each such request would leave an idle
+     connection open, and a target accepts only 64 connections. */
+  long fresh = request->fresh_connection ? 1L : 0L;
 
   curl_easy_setopt (easy, CURLOPT_URL, url);
-  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
-  curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
                     (long)(remaining_ms > 0 ? remaining_ms : 1));
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
-                    (long)transfer->client->connect_timeout_ms);
-  curl_easy_setopt (easy, CURLOPT_PRIVATE, (char *)transfer);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, transfer);
-  curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, transfer->error);
-  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_attempt);
-  curl_easy_setopt (easy, CURLOPT_PREREQDATA, transfer);
-  curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, on_open_socket);
-  curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, transfer);
-  if (request->fresh_connection)
-    {
-      /* Without CURLOPT_FORBID_REUSE each such request would leave an idle
-         connection open, and a target accepts only 64 connections. */
-      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
-    }
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, fresh);
+  curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, fresh);
 }
 
 struct cyc_ref
@@ -595,15 +715,16 @@
   char url[1024];
 
   assert (request->done != NULL);
-  if (request->url.len >= sizeof url || request->header_count > HC_MAX_HEADERS)
+  if (request->url.len >= sizeof url || request->header_count > HC_MAX_HEADERS
+      || !open_shard (shard_of (hc, request->url)))
     return none;
   ref = cyc_pool_take (&hc->pool);
   if (ref.generation == 0)
     return none;
   snprintf (url, sizeof url, "%.*s", CYC_FMT (request->url));
   transfer = &hc->transfers[ref.index];
-  memset (transfer, 0, sizeof *transfer);
   transfer->client = hc;
+  transfer->shard = shard_of (hc, request->url);
   transfer->ref = ref;
   transfer->done = request->done;
   transfer->user = request->user;
@@ -612,15 +733,15 @@
   transfer->write_until_us = request->write_until_us;
   ev_init (&transfer->timer, on_deadline);
   transfer->timer.data = transfer;
-  transfer->easy = curl_easy_init ();
-  if (transfer->easy == NULL)
+  if (transfer->kept.easy == NULL && !setup_handle (transfer))
     {
       cyc_pool_release (&hc->pool, ref);
       return none;
     }
   set_options (transfer, request, url);
   if (!set_body (transfer, request) || !set_headers (transfer, request)
-      || curl_multi_add_handle (hc->multi, transfer->easy) != CURLM_OK)
+      || curl_multi_add_handle (transfer->shard->multi, transfer->kept.easy)
+             != CURLM_OK)
     {
       release_transfer (transfer);
       return none;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -99,6 +99,10 @@
   /** 0 selects the default of libcurl: four for each open request, so that it
    * closes idle connections when a burst of requests ends. */
   uint32_t max_idle_connections;
+  /** Parts into which the connections are divided by server; 0: one; at most
+   * HC_MAX_SHARDS. libcurl goes through all connections of a part now and then
+   * while it handles a request, which is dear with thousands of them. */
+  uint32_t shards;
   /** Closes connections with a reset: what a request that has ended has
    * written and the network has not taken yet is dropped. Else it is delivered
    * after the end of the request, minutes later if the path was cut meanwhile.
@@ -106,13 +110,27 @@
   bool reset_on_close;
 };
 
+#define HC_MAX_SHARDS 32
+
+struct hc_client;
+
+/** The connections to some of the servers. */
+struct hc_shard
+{
+  struct hc_client *client;
+  CURLM *multi; /**< NULL until the shard is used */
+  struct ev_timer timer;
+};
+
 struct hc_transfer;
 
 struct hc_client
 {
   struct ev_loop *loop;
-  CURLM *multi;
-  struct ev_timer timer;
+  struct hc_shard shards[HC_MAX_SHARDS];
+  uint32_t shard_count;
+  uint32_t max_connections_per_host;
+  uint32_t max_idle_connections; /**< of one shard */
   struct hc_transfer *transfers; /**< fixed pool */
   struct cyc_pool pool;
   uint32_t max_answer_bytes;
@@ -126,6 +144,8 @@
  * exhausted. */
 bool hc_setup (struct hc_client *hc, const struct hc_desc *desc,
                struct cyc_findings *findings);
+/** Changes desc.max_connections_per_host. */
+void hc_limit_connections (struct hc_client *hc, uint32_t max_per_host);
 /** Ends all requests without calling `done`. */
 void hc_shutdown (struct hc_client *hc);
 /** Starts a request. Returns generation 0, with nothing sent and `done` not
