Split the free cores of the fleet by cause in the load line and the metrics

Cause: 15 to 30% of the fleet stand empty under the worst load, and no line told kept room, fragments and missing tickets apart.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -336,6 +336,29 @@
 
 struct cell_core;
 
+/** Why capacity is free. Where tasks that wait differ in what keeps them from
+ * it, the last of their causes counts. */
+enum cell_idle_cause
+{
+  CELL_IDLE_UNUSABLE, /**< its worker takes no starts: it is silent, drains, is
+                         paused, or takes one task at a time */
+  CELL_IDLE_NO_WORK,  /**< nothing waits */
+  CELL_IDLE_KEPT,     /**< reserved for a gang, or held for a trial */
+  CELL_IDLE_FRAGMENT, /**< no task that waits is small enough */
+  CELL_IDLE_GANG,     /**< only members of gangs fit, which do not all fit */
+  CELL_IDLE_NO_TICKET, /**< no task that fits may run there, as far as the
+                          advisor has answered */
+  CELL_IDLE_OTHER,     /**< a task fits and may run there: it is to be placed,
+                          or waits for its team's limit or a retry */
+  CELL_IDLE_CAUSES
+};
+
+/** Free CPU of the listed workers by cause, in millicores. */
+struct cell_idle
+{
+  uint64_t millicores[CELL_IDLE_CAUSES];
+};
+
 struct cell_core *cell_setup (const struct cell_desc *desc);
 /** Frees the core; NULL is allowed. */
 void cell_shutdown (struct cell_core *core);
@@ -535,6 +558,9 @@
 };
 /** Fills @p out; its capacity is that of usable workers only. */
 void cell_totals (const struct cell_core *core, struct cell_totals *out);
+/** Tells why capacity is free. Looks at all workers, so it is for a log line
+ * now and then; only the first stages that wait are compared with them. */
+void cell_idle_split (const struct cell_core *core, struct cell_idle *out);
 
 /** Parses a job id of 16 hex digits; returns false for any other text. */
 bool cell_job_id_parse (struct cyc_str text, uint64_t *out);
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -465,27 +465,46 @@
   return entry->owner != NULL ? entry->owner->advice : NULL;
 }
 
+/* Counts the free capacity since the last line as core seconds, by cause. */
+static void
+count_idle (struct entry_owner *owner, const struct cell_idle *idle)
+{
+  for (uint32_t cause = 0; cause < CELL_IDLE_CAUSES; cause++)
+    met_add (&owner->entry->met,
+             (enum met_counter) (MET_IDLE_UNUSABLE + cause),
+             idle->millicores[cause] * LOAD_LOG_PERIOD_US / 1000000 / 1000);
+}
+
 static void
 log_load (struct entry_owner *owner, uint64_t now_us)
 {
   struct cell_totals totals;
+  struct cell_idle idle;
 
   if (now_us < owner->next_load_log_us)
     return;
   owner->next_load_log_us = now_us + LOAD_LOG_PERIOD_US;
   cell_totals (owner->core, &totals);
-  ev_log (EV_LOAD,
-          "jobs=%u open=%u stages_waiting=%u asks_waiting=%u "
-          "trials_waiting=%u trials_held=%u runs=%u workers=%u "
-          "used_millicores=%" PRIu64 " capacity_millicores=%" PRIu64
-          " renewal_ms=%" PRIu64 " view_age_ms=%" PRIu64
-          " fastest_ms=%" PRIu64,
-          totals.jobs, totals.jobs_open, totals.stages_waiting,
-          totals.asks_waiting, totals.trials_waiting, totals.trials_held,
-          totals.runs, totals.workers_usable, totals.used_millicores,
-          totals.capacity_millicores, owner->entry->renewal_us / 1000,
-          (now_us - owner->workers_tail.fresh_us) / 1000,
-          owner->lag.last_fastest_us / 1000);
+  cell_idle_split (owner->core, &idle);
+  count_idle (owner, &idle);
+  ev_log (
+      EV_LOAD,
+      "jobs=%u open=%u stages_waiting=%u asks_waiting=%u "
+      "trials_waiting=%u trials_held=%u runs=%u workers=%u "
+      "used_millicores=%" PRIu64 " capacity_millicores=%" PRIu64
+      " renewal_ms=%" PRIu64 " view_age_ms=%" PRIu64 " fastest_ms=%" PRIu64
+      " idle_unusable=%" PRIu64 " idle_no_work=%" PRIu64 " idle_kept=%" PRIu64
+      " idle_fragment=%" PRIu64 " idle_gang=%" PRIu64
+      " idle_no_ticket=%" PRIu64 " idle_other=%" PRIu64,
+      totals.jobs, totals.jobs_open, totals.stages_waiting,
+      totals.asks_waiting, totals.trials_waiting, totals.trials_held,
+      totals.runs, totals.workers_usable, totals.used_millicores,
+      totals.capacity_millicores, owner->entry->renewal_us / 1000,
+      (now_us - owner->workers_tail.fresh_us) / 1000,
+      owner->lag.last_fastest_us / 1000, idle.millicores[CELL_IDLE_UNUSABLE],
+      idle.millicores[CELL_IDLE_NO_WORK], idle.millicores[CELL_IDLE_KEPT],
+      idle.millicores[CELL_IDLE_FRAGMENT], idle.millicores[CELL_IDLE_GANG],
+      idle.millicores[CELL_IDLE_NO_TICKET], idle.millicores[CELL_IDLE_OTHER]);
 }
 
 void
