--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -391,13 +391,15 @@
 static void
 look_at_worker (struct cell_core *core, struct cell_worker *worker)
 {
+  bool absent = !worker->reachable || worker->exited_us != 0;
+
   if (worker->listed && worker->paused_until_us > core->now_us)
     cell_worker_wake (core, worker, worker->paused_until_us);
-  if (!worker->reachable || worker->exited_us != 0)
+  if (absent)
     cell_over_expire (core, worker);
   if (worker->runs == NULL)
     return;
-  if (!worker->reachable && !worker->listed)
+  if (absent && !worker->listed)
     cell_look_await_entries (core, worker);
   if (worker->stays_until_us != 0 && worker->exited_us == 0)
     evacuate (core, worker);
--- a/tests/test_cell_lapse.c
+++ b/tests/test_cell_lapse.c
@@ -135,6 +135,33 @@
   teardown (&f);
 }
 
+/* A worker has announced to leave and has left, as far as its entry and its
+   address tell, and was never silent. What it may have received is over once
+   the entries of the time have been read, not when the next deadline comes. */
+static void
+test_worker_that_left_is_looked_at_when_entries_are_read (void **state)
+{
+  struct fixture f = setup ();
+  struct cell_worker_entry entry;
+
+  (void)state;
+  fleet_make_entry (&f.fleet->workers[f.row], &entry);
+  entry.draining = true;
+  cell_start_result (f.core, f.run, CELL_START_UNKNOWN, f.now_us);
+  cell_worker_listed (f.core, &entry, f.now_us, f.now_us);
+  advance (&f, 100);
+  unlist (&f);
+  f.entries_unread = true;
+  cell_worker_unanswered (f.core, f.row, CELL_CALL_REFUSED, f.now_us,
+                          f.now_us);
+  advance (&f, FLEET_LEASE_MS + RELISTED_MS + MARGIN_MS);
+  assert_int_equal (f.over, 0);
+  f.entries_unread = false;
+  advance (&f, 1);
+  assert_int_equal (f.over, 1);
+  teardown (&f);
+}
+
 /* A worker has restarted and falls silent. A hold to its earlier incarnation
    was open then, and may be executed after the longest delay. */
 static void
@@ -188,6 +215,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_late_start_under_the_longest_lease),
     cmocka_unit_test (test_worker_is_not_gone_while_no_entries_are_read),
+    cmocka_unit_test (
+        test_worker_that_left_is_looked_at_when_entries_are_read),
     cmocka_unit_test (test_lapsed_lease_after_a_restart_with_an_open_hold),
     cmocka_unit_test (test_inherited_run_of_an_unknown_incarnation),
   };
