--- a/src/cyc_cell_look.c
+++ b/src/cyc_cell_look.c
@@ -7,6 +7,9 @@
 /** A worker that was touched is looked at within this time, even if nothing
  * else brings a tick. */
 #define TOUCHED_MAX_US 200000
+/** Fraction of the used capacity (1/8) that comes free while advice is
+ * requested: tasks take some seconds, advice half a second. */
+#define SOON_FREE_DIVISOR 8
 
 void
 cell_look_setup (struct cell_core *core)
@@ -118,10 +121,6 @@
   return true;
 }
 
-/* Fraction of the used capacity (1/8) that comes free while advice is
-   requested: tasks take some seconds, advice half a second. */
-#define SOON_FREE_DIVISOR 8
-
 static struct cell_counted
 count_worker (const struct cell_core *core, const struct cell_worker *worker)
 {
