--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -515,9 +515,9 @@
 
 void cell_look_setup (struct cell_core *core);
 void cell_look_shutdown (struct cell_core *core);
-/** Notes a change of the worker or of one of its runs: the next tick looks at
- * it, it is counted again, and its view is handed out. Does not bring the next
- * tick forward. */
+/** Notes a change of the worker or of one of its runs: the next tick, which
+ * comes soon but not at once, looks at it and counts it again, and its view is
+ * handed out. */
 void cell_worker_touch (struct cell_core *core, struct cell_worker *worker);
 /** Has a tick look at the worker at @p at_us at the latest. */
 void cell_worker_wake (struct cell_core *core,
