Review: cases in order of gravity; case 2, a restart after an hour of traffic

Cause: jobs that have ended are never dropped, so a restart loads all of them and exceeds the memory of the VM.

--- a/review/common.sh
+++ b/review/common.sh
@@ -116,4 +116,30 @@
   curl -s --max-time 5 "http://$control/runs"
 }
 
+memory_mb=260 # limits.memory_mb
+kills=0
+kills_of=(0 0 0)
+peak=0
+# The platform's part: looks at the memory of each process for S seconds.
+watch_memory ()
+{
+  local n kb end
+  end=$(($(date +%s%3N) + $(printf "%.0f" "${1}e3")))
+  while [ "$(date +%s%3N)" -lt "$end" ]; do
+    for n in 0 1 2; do
+      kb=$(awk '/^VmRSS/ { print $2 }' "/proc/${entry_pid[$n]}/status" 2>/dev/null)
+      [ "${kb:-0}" -gt "$peak" ] && peak=$kb
+      if [ "${kb:-0}" -gt $((memory_mb * 1024)) ]; then
+        kill -KILL "${entry_pid[$n]}"
+        kills=$((kills + 1))
+        kills_of[$n]=$((kills_of[n] + 1))
+        note "edge-north-$n has $((kb / 1024)) MB, over $memory_mb MB: killed, started again"
+        sleep 0.5
+        start_entry "$n"
+      fi
+    done
+    sleep 0.1
+  done
+}
+
 config='{"version":1,"routes":[{"name":"plan","host":"h.example","path_prefix":"/plan/","service":"pool","priority":1,"max_attempts":3,"slack_factor":2,"target_latency_ms":1000}],"services":[{"name":"pool"}],"tenants":[{"name":"blue","api_keys":["key-blue"],"weight":100}]}'
