Review: the stand-in is built below build/

Cause: a folder of build output beside the cases was taken for a case by the check of the form. Change: build.sh writes to build/review.

--- a/review/build.sh
+++ b/review/build.sh
@@ -8,7 +8,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 make -s -j4 BUILD=target programs
-out=review/build
+out=build/review
 mkdir -p "$out"
 for file in fk_platform.c fk_platform_workers.c fk_platform.h \
   fk_platform_internal.h; do
--- a/review/common.sh
+++ b/review/common.sh
@@ -35,7 +35,7 @@
 start_platform ()
 {
   printf '%s' "$config" > "$work/config.json"
-  review/build/standin "$1" "$2" "$3" 262144 "$work/config.json" \
+  build/review/standin "$1" "$2" "$3" 262144 "$work/config.json" \
     > "$work/platform" 2> "$work/platform.err" &
   pids+=($!)
   for _ in $(seq 50); do grep -q '^ports=' "$work/platform" && break; sleep 0.1; done
