Tell a record that the log does not take from an outage of the log (LOST)

Cause: an append answered with 400 had the outcome of one answered with 503, "certainly without effect; may be retried". on_written marked the log as down and kept the progress rows, so the same append was repeated for ever; while one part has such rows is_probing() is true, which refuses all submitted jobs and holds up every other batch. The appends of the other VMs repeated an invalid record in the same way until its caller left, and with it all records of that append.

Change: PT_INVALID is the outcome of 400 and 413. The rows of such an append are sent in halves until the invalid one is alone; a submitted one is answered with 413, the job of a progress record fails, all others go on. A batch longer than request_bytes is written by several appends in turn; its orders wait for the last one. The log's limits are settings now.

--- a/fakes/fk_platform.c
+++ b/fakes/fk_platform.c
@@ -207,6 +207,29 @@
   return true;
 }
 
+/* Returns whether the records of an append are within the limits. */
+static bool
+are_records_valid (const struct fkp_platform *platform, struct cyc_str body)
+{
+  const uint8_t *at = (const uint8_t *)body.data;
+  size_t left = body.len;
+
+  if (platform->request_bytes > 0 && body.len > platform->request_bytes)
+    return false;
+  while (left >= 4)
+    {
+      size_t len = (size_t)at[0] << 24 | (size_t)at[1] << 16
+                   | (size_t)at[2] << 8 | at[3];
+
+      if (len > left - 4
+          || (platform->record_bytes > 0 && len > platform->record_bytes))
+        return false;
+      at += 4 + len;
+      left -= 4 + len;
+    }
+  return left == 0;
+}
+
 static void
 on_append (struct fkp_platform *platform, const struct hs_call *call)
 {
@@ -217,6 +240,12 @@
   const uint8_t *at = (const uint8_t *)call->body.data;
   size_t left = call->body.len;
 
+  if (!are_records_valid (platform, call->body))
+    {
+      platform->invalid_appends++;
+      reply_json (platform, call->ref, 400, "{}", 0, 0);
+      return;
+    }
   if (query_u64 (call, "at", offset) != offset)
     {
       reply_json (platform, call->ref, 412, "{\"end_offset\":%" PRIu64 "}",
--- a/fakes/fk_platform.h
+++ b/fakes/fk_platform.h
@@ -204,6 +204,10 @@
   GArray *pending_replies; /**< struct fkp_pending_reply */
   struct ev_timer timer;
   struct fkp_faults faults;
+  uint32_t record_bytes;     /**< longest record that an append may hold; 0: no
+                                limit */
+  uint32_t request_bytes;    /**< the same of the records of one append */
+  uint64_t invalid_appends;  /**< refused for one of these limits */
   uint32_t task_duration_ms; /**< of each run; 0: 200 */
   GArray *late_starts;       /**< struct fkp_late_start */
   GArray *late_holds;        /**< struct fkp_late_hold */
--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -460,6 +460,11 @@
 void cell_job_stored (struct cell_core *core, uint64_t id, uint64_t now_us);
 /** Removes a job that the log certainly does not hold. */
 void cell_job_withdraw (struct cell_core *core, uint64_t id);
+/** Reports that the log does not take a progress record of the job, however
+ * often it is written. The job fails: a run of it that no record names must
+ * not start. Ignored if the job has ended or is unknown. */
+void cell_job_unrecordable (struct cell_core *core, uint64_t id,
+                            uint64_t now_us);
 /** Cancels the job. Returns false if it is unknown. */
 bool cell_job_cancel (struct cell_core *core, uint64_t id, uint64_t now_us);
 /** Returns the time from which every run has certainly ended on a worker that
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -448,6 +448,16 @@
         cell_run_stop (core, job->rounds[r].tasks[t].run);
 }
 
+void
+cell_job_unrecordable (struct cell_core *core, uint64_t id, uint64_t now_us)
+{
+  struct cell_job *job = cell_job_find (core, id);
+
+  core->now_us = now_us;
+  if (job != NULL)
+    cell_job_fail (core, job);
+}
+
 bool
 cell_job_cancel (struct cell_core *core, uint64_t id, uint64_t now_us)
 {
--- a/src/entry.h
+++ b/src/entry.h
@@ -92,6 +92,8 @@
   uint64_t accept_forget_us;   /**< when old rows of accept_copies are dropped
                                     next */
   uint64_t accept_retry_us;    /**< earliest time of the next append */
+  uint32_t accept_records_max; /**< of the next append, after one that the log
+                                    took for invalid; 0: no such limit */
   uint64_t accept_down_since_us; /**< when appends began to be refused; 0 if
                                     the log is up */
   uint64_t accept_next_probe_us; /**< when the next job tries the log during an
--- a/src/entry_accept.c
+++ b/src/entry_accept.c
@@ -135,7 +135,8 @@
    append. */
 static bool
 apply_append_result (struct entry *entry, struct accept_item *item,
-                     enum pt_outcome outcome, uint64_t now_us)
+                     enum pt_outcome outcome, uint32_t appended,
+                     uint64_t now_us)
 {
   if (outcome == PT_OK)
     {
@@ -145,6 +146,14 @@
       end_item (entry, item, answer_of (item), 0);
       return true;
     }
+  /* A record that the log does not take is found by appending fewer. */
+  if (outcome == PT_INVALID && appended > 1)
+    return false;
+  if (outcome == PT_INVALID)
+    {
+      end_item (entry, item, PT_ANSWER_TOO_LARGE, 0);
+      return true;
+    }
   item->maybe_stored = item->maybe_stored || outcome == PT_UNKNOWN;
   if (item->first_refused_us == 0)
     item->first_refused_us = now_us;
@@ -163,6 +172,7 @@
 {
   struct entry *entry = user;
   GPtrArray *flight = entry->accept_in_flight;
+  uint32_t appended = flight->len;
   uint64_t now_us = hc_now_us ();
 
   entry->accept_in_flight = g_ptr_array_new ();
@@ -173,13 +183,18 @@
     entry->accept_down_since_us = 0;
   else if (entry->accept_down_since_us == 0)
     entry->accept_down_since_us = now_us;
+  if (result->outcome == PT_INVALID)
+    entry->accept_records_max = MAX (1, appended / 2);
+  else if (result->outcome == PT_OK)
+    entry->accept_records_max
+        = MIN (entry->accept_records_max * 2, BATCH_RECORDS);
   for (guint i = flight->len; i-- > 0;)
     if (!apply_append_result (entry, g_ptr_array_index (flight, i),
-                              result->outcome, now_us))
+                              result->outcome, appended, now_us))
       g_queue_push_head (&entry->accept_waiting,
                          g_ptr_array_index (flight, i));
   g_ptr_array_free (flight, TRUE);
-  if (result->outcome != PT_OK)
+  if (result->outcome != PT_OK && result->outcome != PT_INVALID)
     {
       entry->accept_retry_us = now_us + APPEND_RETRY_US;
       entry_wake_at (entry, entry->accept_retry_us);
@@ -192,12 +207,14 @@
 append_waiting (struct entry *entry, uint64_t now_us)
 {
   struct pt_record records[BATCH_RECORDS];
+  uint32_t max = entry->accept_records_max > 0 ? entry->accept_records_max
+                                               : BATCH_RECORDS;
   uint32_t count = 0;
   size_t bytes = 0;
 
   if (entry->accept_in_flight->len > 0 || now_us < entry->accept_retry_us)
     return;
-  while (count < BATCH_RECORDS && bytes < BATCH_BYTES
+  while (count < max && bytes < BATCH_BYTES
          && !g_queue_is_empty (&entry->accept_waiting))
     {
       struct accept_item *item = g_queue_pop_head (&entry->accept_waiting);
@@ -342,7 +359,8 @@
   snprintf (name, sizeof name, "%.*s", CYC_FMT (key));
   copies_left = count_answered (entry, name);
   if (copies_left
-      && (outcome == RECORDS_REFUSED || outcome == RECORDS_OVER_RATE))
+      && (outcome == RECORDS_REFUSED || outcome == RECORDS_OVER_RATE
+          || outcome == RECORDS_INVALID))
     return;
   for (guint i = 0; i < entry->accept_at_leader->len;)
     {
@@ -364,6 +382,8 @@
         }
       else if (outcome == RECORDS_OVER_RATE)
         end_item (entry, item, PT_ANSWER_OVER_RATE, retry_after_s);
+      else if (outcome == RECORDS_INVALID)
+        end_item (entry, item, PT_ANSWER_TOO_LARGE, 0);
       else
         fall_back (entry, item, outcome, retry_after_s, now_us);
     }
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -35,7 +35,8 @@
   RECORDS_STORED = 1,
   RECORDS_REFUSED,   /**< certainly not stored: the log is down */
   RECORDS_OVER_RATE, /**< certainly not stored: the team exceeds its rate */
-  RECORDS_UNKNOWN /**< outcome unknown: the leader ends or is still loading */
+  RECORDS_UNKNOWN, /**< outcome unknown: the leader ends or is still loading */
+  RECORDS_INVALID  /**< certainly not stored: the log takes no such record */
 };
 
 /** Returns the delay after which callers retry. It grows with the length of
--- a/src/entry_records.c
+++ b/src/entry_records.c
@@ -5,9 +5,11 @@
 /** Minimum delay between two batches; one append covers all records that
  * arrive in between. */
 #define BATCH_GAP_US 8000
-/** Limits of one append: bytes and submitted records. */
+/** Limits of the submitted records of one batch, in bytes and in number. */
 #define BATCH_BYTES 1048576
 #define BATCH_ROWS 400
+/** Bytes of an append beside the key and the value of a record. */
+#define ROW_OVERHEAD_BYTES 5
 /** Delay after the first failed append and after further consecutive ones. */
 #define APPEND_RETRY_FIRST_US 50000
 #define APPEND_RETRY_US 150000
@@ -260,14 +262,15 @@
 }
 
 static void
-refuse_row (struct entry_records *records, const struct records_row *row)
+refuse_row (struct entry_records *records, const struct records_row *row,
+            enum records_outcome outcome)
 {
   uint64_t id;
 
   if (row->key[0] == 'j' && cell_job_id_parse (cyc_str_of (row->key + 1), &id)
       && !submitted_elsewhere (records, row))
     cell_job_withdraw (records->owner->core, id);
-  send_outcome (records, row, RECORDS_REFUSED);
+  send_outcome (records, row, outcome);
 }
 
 static void
@@ -326,11 +329,64 @@
           continue;
         }
       g_ptr_array_steal_index (part->rows, i);
-      refuse_row (part->records, row);
+      refuse_row (part->records, row, RECORDS_REFUSED);
       free_row (row);
     }
 }
 
+/* Ends the first @p count rows of the part. */
+static void
+remove_rows (struct records_part *part, uint32_t count)
+{
+  g_ptr_array_remove_range (part->rows, 0, count);
+  part->sent = 0;
+}
+
+/* Called when the rows of an append are stored. */
+static void
+on_stored (struct records_part *part, uint64_t now_us)
+{
+  struct entry_records *records = part->records;
+
+  part->maybe_stored = false;
+  part->failures = 0;
+  part->sequence++;
+  part->sent_max *= 2;
+  records->last_success_us = now_us;
+  records->down_since_us = 0;
+  for (uint32_t i = 0; i < part->sent; i++)
+    complete_row (records, g_ptr_array_index (part->rows, i), now_us);
+  remove_rows (part, part->sent);
+}
+
+/* Called when the log takes the rows of an append for invalid, which shows
+   that it is up. The invalid row is found by appending fewer rows, so that it
+   affects no other one. */
+static void
+on_invalid (struct records_part *part, uint64_t now_us)
+{
+  struct entry_records *records = part->records;
+  const struct records_row *row = g_ptr_array_index (part->rows, 0);
+  uint64_t id;
+
+  records->last_success_us = now_us;
+  records->down_since_us = 0;
+  part->maybe_stored = false;
+  if (part->sent > 1)
+    {
+      part->sent_max = part->sent / 2;
+      part->sent = 0;
+      return;
+    }
+  ev_log (EV_RECORD_UNWRITABLE, "key=%s bytes=%zu submitted=%d", row->key,
+          row->len, row->submitted);
+  if (row->submitted)
+    refuse_row (records, row, RECORDS_INVALID);
+  else if (cell_job_id_parse ((struct cyc_str){ row->key + 1, 16 }, &id))
+    cell_job_unrecordable (records->owner->core, id, now_us);
+  remove_rows (part, 1);
+}
+
 static void
 on_written (void *user, const struct pt_append_result *result)
 {
@@ -350,36 +406,56 @@
       lead_step_down (owner->entry, "the log refused the epoch");
       return;
     }
-  if (result->outcome == PT_OK)
+  if (result->outcome == PT_OK || result->outcome == PT_INVALID)
     {
-      GPtrArray *rows = part->rows;
-      uint64_t batch = part->batch;
-
-      part->rows = g_ptr_array_new_with_free_func (free_row);
-      part->batch = 0;
-      part->maybe_stored = false;
-      part->failures = 0;
-      part->sequence++;
-      records->last_success_us = now_us;
-      records->down_since_us = 0;
-      if (batch != 0)
-        cell_batch_durable (owner->core, batch, now_us);
-      for (guint i = 0; i < rows->len; i++)
-        complete_row (records, g_ptr_array_index (rows, i), now_us);
-      g_ptr_array_free (rows, TRUE);
+      if (result->outcome == PT_OK)
+        on_stored (part, now_us);
+      else
+        on_invalid (part, now_us);
+      if (part->rows->len == 0 && part->batch != 0)
+        {
+          cell_batch_durable (owner->core, part->batch, now_us);
+          part->batch = 0;
+        }
       owner_input_added (owner);
       return;
     }
   mark_down (records, part->begun_us);
   part->maybe_stored = part->maybe_stored || result->outcome == PT_UNKNOWN;
   if (!part->maybe_stored)
-    refuse_submitted (part);
+    {
+      refuse_submitted (part);
+      part->sent = 0;
+    }
   part->retry_us
       = now_us
         + (part->failures++ == 0 ? APPEND_RETRY_FIRST_US : APPEND_RETRY_US);
   entry_wake_at (owner->entry, part->retry_us);
 }
 
+/* Returns the number of rows of the next append: those that fit into one. */
+static uint32_t
+choose_rows (const struct records_part *part)
+{
+  size_t max_bytes
+      = part->records->owner->entry->desc.settings->log_request_bytes;
+  uint32_t max = part->sent_max > 0 ? MIN (part->sent_max, part->rows->len)
+                                    : part->rows->len;
+  uint32_t count = 0;
+  size_t bytes = 0;
+
+  while (count < max)
+    {
+      const struct records_row *row = g_ptr_array_index (part->rows, count);
+
+      bytes += ROW_OVERHEAD_BYTES + strlen (row->key) + row->len;
+      if (count > 0 && bytes > max_bytes)
+        break;
+      count++;
+    }
+  return count;
+}
+
 static void
 send_rows (struct records_part *part, uint64_t now_us)
 {
@@ -394,8 +470,10 @@
       entry_wake_at (owner->entry, part->retry_us);
       return;
     }
-  out = g_new0 (struct pt_record, part->rows->len);
-  for (guint i = 0; i < part->rows->len; i++)
+  if (part->sent == 0)
+    part->sent = choose_rows (part);
+  out = g_new0 (struct pt_record, part->sent);
+  for (uint32_t i = 0; i < part->sent; i++)
     {
       const struct records_row *row = g_ptr_array_index (part->rows, i);
 
@@ -409,7 +487,7 @@
           .stream = PT_STREAM_CELL,
           .part = part->index,
           .records = out,
-          .count = part->rows->len,
+          .count = part->sent,
           .epoch = owner->epoch,
           .sequence = part->sequence,
           .deadline_us = now_us + ENTRY_APPEND_TIMEOUT_MS * 1000ULL,
@@ -446,6 +524,8 @@
   struct cell_record record;
   size_t bytes = 0;
 
+  part->sent = 0;
+  part->sent_max = 0;
   part->batch = cell_batch_close (records->owner->core);
   while (cell_batch_next (records->owner->core, &record))
     {
@@ -500,7 +580,7 @@
 
   while ((row = g_queue_pop_head (&records->waiting)) != NULL)
     {
-      refuse_row (records, row);
+      refuse_row (records, row, RECORDS_REFUSED);
       free_row (row);
     }
 }
--- a/src/entry_records.h
+++ b/src/entry_records.h
@@ -5,12 +5,18 @@
  * writes.
  *
  * Each part takes one append at a time. Each batch goes to an idle part, so
- * that records do not wait for each other when the log is slow. Of several
+ * that records do not wait for each other when the log is slow. A batch that
+ * is too long for one append is written by several in turn. Of several
  * progress records of a job, the one with the highest revision is valid. The
  * leader sets its epoch in each part and loads the part up to the end offset
  * that the part had then, so no record of an earlier leader can follow the
  * records that were read.
  *
+ * Errors: while the log is away, submitted records are refused and progress is
+ * kept for a retry. A record that the log does not take in its form, however
+ * often it is sent, is found among those of its append and given up alone: a
+ * submitted one is refused for good, and the job of a progress record fails.
+ *
  * @code
  * records_begin (&records, owner);
  * records_tick (&records, now_us);        // sets the epoch, loads, writes
@@ -53,6 +59,10 @@
   bool maybe_stored; /**< an earlier append of these rows may have taken
                           effect */
   uint32_t failures; /**< consecutive failed appends */
+  uint32_t sent;     /**< rows of the append that is in flight or repeated; 0:
+                          to be chosen */
+  uint32_t sent_max; /**< of the next append, after one that the log took for
+                          invalid; 0: no such limit */
   uint64_t sequence;
   uint64_t begun_us; /**< start of the last append */
   uint64_t retry_us; /**< earliest time of the next append */
--- a/src/entry_settings.h
+++ b/src/entry_settings.h
@@ -32,6 +32,8 @@
   uint32_t link_kbps;           /**< bandwidth of this VM's network link */
   uint32_t log_parts;           /**< number of parts of each partitioned
                                      stream of the log */
+  uint32_t log_record_bytes;    /**< longest record that the log takes */
+  uint32_t log_request_bytes;   /**< the same of the records of one append */
   uint32_t lease_ms;            /**< longest lease that a leader asks for */
   uint32_t lease_max_ms;        /**< longest lease that workers grant */
   uint32_t heartbeat_ms;        /**< interval of the workers' heartbeats; 0
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -41,6 +41,7 @@
   X (EV_LOG_TRIMMED, WARNING, "log_trimmed")                                  \
   X (EV_RECORD_CORRUPT, WARNING, "record_corrupt")                            \
   X (EV_RECORD_REFUSED, MESSAGE, "record_refused")                            \
+  X (EV_RECORD_UNWRITABLE, CRITICAL, "record_unwritable")                     \
   X (EV_SNAPSHOT_WRITTEN, MESSAGE, "snapshot_written")                        \
   X (EV_SNAPSHOT_LOADED, MESSAGE, "snapshot_loaded")                          \
   X (EV_CONFIG_IN_FORCE, MESSAGE, "config_in_force")                          \
--- a/src/ports.h
+++ b/src/ports.h
@@ -41,8 +41,11 @@
                     not hold */
   PT_FENCED,   /**< certainly without effect: a higher epoch has written */
   PT_TRIMMED,  /**< read: the requested records are no longer retained */
-  PT_UNKNOWN   /**< outcome unknown: it may have taken effect, or may take
+  PT_UNKNOWN,  /**< outcome unknown: it may have taken effect, or may take
                     effect later */
+  PT_INVALID   /**< certainly without effect, and no retry will have one: the
+                    log takes no append of this form, as with a record that is
+                    too large. The log itself is up */
 };
 
 struct pt_record
@@ -300,6 +303,7 @@
   PT_ANSWER_NO_QUEUE,
   PT_ANSWER_BAD_KEY,
   PT_ANSWER_BAD_REQUEST,
+  PT_ANSWER_TOO_LARGE,      /**< not executed: the log cannot hold the job */
   PT_ANSWER_BUSY,           /**< not executed; retry after retry_after_s */
   PT_ANSWER_OVER_RATE,      /**< not executed: the team exceeds its rate */
   PT_ANSWER_UNKNOWN_OUTCOME /**< the request may have taken effect; ask for the
--- a/tests/tst_cluster.c
+++ b/tests/tst_cluster.c
@@ -59,6 +59,8 @@
   vm->settings.heartbeat_ms = FKP_HEARTBEAT_MS;
   vm->settings.grace_ms = 6000;
   vm->settings.log_parts = 2;
+  vm->settings.log_record_bytes = 262144;
+  vm->settings.log_request_bytes = 1048576;
   fkp_address (&cluster->fake.log, vm->settings.log_address);
   if (log_address[0] != 0)
     memcpy (vm->settings.log_address, log_address, sizeof log_address);
