--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -312,12 +312,21 @@
   uint32_t trials_waiting; /**< for which no worker is held */
 };
 
-/** Progress record of a job. */
+/** Block of a record with the state of a whole job. */
+#define CELL_NO_BLOCK UINT32_MAX
+
+/** Progress record of a job. A job with many tasks, or with several rounds,
+ * has further ones, each for a block of tasks of one round. No record has more
+ * than 64 KiB. */
 struct cell_record
 {
   uint64_t job;
-  uint64_t revision; /**< the highest revision of a job is valid */
-  uint8_t *data;     /**< the caller frees it */
+  uint32_t round;
+  uint32_t block;    /**< CELL_NO_BLOCK: the record of the job */
+  uint64_t revision; /**< of several records of one job, round and block, the
+                        one with the highest revision is valid */
+  uint8_t *data;     /**< NULL: the record is not needed any more and is to be
+                        removed; else the caller frees it */
   size_t len;
 };
 
@@ -471,14 +480,20 @@
  * does not answer, if its lease was last extended at @p extended_us. */
 uint64_t cell_lease_lapsed_us (const struct cell_core *core,
                                uint64_t extended_us);
-/** Applies the progress record with the highest revision to a job added
- * before. @p lease_until_us: until when its runs may continue on workers that
- * do not answer; @p write_until_us: until when earlier leaders may write
- * starts of them. Returns false if the job is unknown or the record is
- * malformed. */
+/** Applies a progress record to a job added before. The records of a job are
+ * passed by revision, the highest first: one that says of a block what a newer
+ * one does is ignored there. @p lease_until_us: until when its runs may
+ * continue on workers that do not answer; @p write_until_us: until when
+ * earlier leaders may write starts of them. Returns false if the job is
+ * unknown or the record is malformed. */
 bool cell_job_restore (struct cell_core *core, uint64_t id,
                        struct cyc_str record, uint64_t lease_until_us,
                        uint64_t write_until_us);
+/** All records have been passed to cell_job_restore. */
+void cell_jobs_restored (struct cell_core *core);
+/** Returns whether the record of a block may still be needed. */
+bool cell_record_needed (const struct cell_core *core, uint64_t job,
+                         uint32_t round, uint32_t block);
 /** Earlier leaders write no start after @p until_us, which is earlier than
  * assumed by cell_job_restore. */
 void cell_earlier_ended (struct cell_core *core, uint64_t until_us,
--- a/src/cell.pb-c.c
+++ b/src/cell.pb-c.c
@@ -948,7 +948,7 @@
   (ProtobufCMessageInit) cyc__cell_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cyc__cell_round__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cyc__cell_round__field_descriptors[8] =
 {
   {
     "index",
@@ -1034,12 +1034,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "first_task",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellRound, first_task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cyc__cell_round__field_indices_by_name[] = {
   5,   /* field[5] = checkpoints */
   6,   /* field[6] = crashes */
   1,   /* field[1] = done */
   3,   /* field[3] = failures */
+  7,   /* field[7] = first_task */
   0,   /* field[0] = index */
   2,   /* field[2] = next_run */
   4,   /* field[4] = runs */
@@ -1047,7 +1060,7 @@
 static const ProtobufCIntRange cyc__cell_round__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cyc__cell_round__descriptor =
 {
@@ -1057,7 +1070,7 @@
   "Cyc__CellRound",
   "cyc",
   sizeof(Cyc__CellRound),
-  7,
+  8,
   cyc__cell_round__field_descriptors,
   cyc__cell_round__field_indices_by_name,
   1,  cyc__cell_round__number_ranges,
--- a/src/cell.pb-c.h
+++ b/src/cell.pb-c.h
@@ -177,20 +177,24 @@
    */
   size_t n_crashes;
   Cyc__CellCrash **crashes;
+  /*
+   * of those that the lists above are about
+   */
+  uint32_t first_task;
 };
 #define CYC__CELL_ROUND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cyc__cell_round__descriptor) \
-    , 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
- * Progress of a job; written by the leader only.
+ * Progress of a job, or of one block of its tasks; written by the leader only.
  */
 struct  Cyc__CellProgress
 {
   ProtobufCMessage base;
   /*
-   * enum cell_job_state
+   * enum cell_job_state; 0 in the record of a block
    */
   uint32_t state;
   size_t n_rounds;
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -127,16 +127,8 @@
 void
 cell_job_free (struct cell_job *job)
 {
-  for (uint32_t r = 0; r < job->round_count; r++)
-    {
-      for (size_t s = 0; s < job->spec->n_steps; s++)
-        cell_stage_release (&job->rounds[r].stages[s]);
-      for (uint32_t t = 0; t < job->task_count; t++)
-        g_free (job->rounds[r].tasks[t].crashes);
-      g_free (job->rounds[r].stages);
-      g_free (job->rounds[r].tasks);
-    }
-  g_free (job->rounds);
+  cell_rounds_free (job);
+  g_array_free (job->dirty_blocks, TRUE);
   cyc__cell_job__free_unpacked (job->spec, NULL);
   g_free (job);
 }
@@ -201,8 +193,8 @@
   return core->next_us;
 }
 
-void
-cell_job_mark_dirty (struct cell_core *core, struct cell_job *job)
+static void
+list_dirty (struct cell_core *core, struct cell_job *job)
 {
   if (job->dirty)
     return;
@@ -210,6 +202,27 @@
   g_ptr_array_add (core->dirty, job);
 }
 
+void
+cell_job_mark_dirty (struct cell_core *core, struct cell_job *job)
+{
+  job->state_dirty = true;
+  list_dirty (core, job);
+}
+
+void
+cell_task_mark_dirty (struct cell_core *core, struct cell_job *job,
+                      uint32_t round, uint32_t task)
+{
+  struct cell_block_ref ref = { round, task / CELL_BLOCK_TASKS };
+  struct cell_block *block = &cell_round_at (job, round)->blocks[ref.block];
+
+  list_dirty (core, job);
+  if (!job->in_blocks || block->dirty)
+    return;
+  block->dirty = true;
+  g_array_append_val (job->dirty_blocks, ref);
+}
+
 /* Configuration. */
 
 static void
@@ -644,7 +657,7 @@
 
   for (uint32_t t = first; t < first + count; t++)
     {
-      struct cell_run *run = job->rounds[round].tasks[t].run;
+      struct cell_run *run = cell_task_peek (job, round, t)->run;
 
       if (run != NULL && run->number != number)
         cell_run_stop (core, run);
@@ -664,7 +677,7 @@
 
   if (!cell_task_parse (core, end->task, &job, &round, &task))
     return;
-  task_row = &job->rounds[round].tasks[task];
+  task_row = cell_task_at (job, round, task);
   task_row->ended_run = end->run;
   task_row->ended_worker = worker_row;
   task_row->ended_born_ms = worker->born_ms;
@@ -750,7 +763,7 @@
   run = find_run (worker, job, round, task, row->run);
   if (run != NULL)
     return run;
-  if (had_ended (&job->rounds[round].tasks[task], worker_row, report,
+  if (had_ended (cell_task_peek (job, round, task), worker_row, report,
                  row->run))
     return NULL;
   cell_over_contradict (core, worker_row, row->task, row->run, false);
@@ -789,7 +802,7 @@
             run->stop_requested = false;
         }
       cell_blame_seen (core, run, report);
-      task = &run->job->rounds[run->round].tasks[run->task];
+      task = cell_task_at (run->job, run->round, run->task);
       if (task->run == run && row->checkpoint.len > 0
           && row->checkpoint.len < sizeof task->checkpoint)
         snprintf (task->checkpoint, sizeof task->checkpoint, "%.*s",
--- a/src/cyc_cell_batch.c
+++ b/src/cyc_cell_batch.c
@@ -32,13 +32,9 @@
   for (guint i = 0; i < core->dirty->len; i++)
     {
       struct cell_job *job = g_ptr_array_index (core->dirty, i);
-      struct cell_record *record = g_new0 (struct cell_record, 1);
 
-      record->job = job->id;
-      record->revision = ++core->revision;
-      cell_job_record (core, job, record);
+      cell_progress_write (core, job);
       job->dirty = false;
-      g_ptr_array_add (core->records, record);
     }
   g_ptr_array_set_size (core->dirty, 0);
   return core->batch++;
@@ -100,6 +96,8 @@
           continue;
         }
       job->durable_state = job->state;
+      if (!cell_job_open (job))
+        cell_progress_remove (core, job);
       g_ptr_array_remove_index_fast (core->state_pending, i);
     }
 }
@@ -109,7 +107,7 @@
 {
   struct cell_order *order = g_new0 (struct cell_order, 1);
   const struct cell_task *task
-      = &run->job->rounds[run->round].tasks[run->task];
+      = cell_task_peek (run->job, run->round, run->task);
 
   order->kind = CELL_ORDER_START;
   order->run = run->ref;
--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -55,15 +55,19 @@
   return cell_stage_of_task (run->job, run->round, run->task);
 }
 
-/* Returns the task whose crashes are counted for the run. */
-static struct cell_task *
-accountable (const struct cell_run *run)
+/* Returns the index of the task whose crashes are counted for the run. */
+static uint32_t
+accountable_index (const struct cell_run *run)
 {
   const struct cell_stage *stage = stage_of (run);
-  uint32_t task
-      = cell_stage_step (stage)->gang ? stage->first_task : run->task;
 
-  return &run->job->rounds[run->round].tasks[task];
+  return cell_stage_step (stage)->gang ? stage->first_task : run->task;
+}
+
+static struct cell_task *
+accountable (const struct cell_run *run)
+{
+  return cell_task_at (run->job, run->round, accountable_index (run));
 }
 
 /* Queues a step about a worker, to be handed out. */
@@ -139,7 +143,7 @@
         run->broken_born_ms = worker->born_ms;
         run->broken_weakly
             = run->inherited || cell_blame_is_young (core, worker);
-        cell_job_mark_dirty (core, run->job);
+        cell_task_mark_dirty (core, run->job, run->round, run->task);
       }
 }
 
@@ -177,20 +181,22 @@
 }
 
 static void
-clear_crashes (struct cell_core *core, struct cell_task *task,
-               struct cell_job *job)
+clear_crashes (struct cell_core *core, struct cell_job *job, uint32_t round,
+               uint32_t index)
 {
+  struct cell_task *task = cell_task_at (job, round, index);
+
   g_free (task->crashes);
   task->crashes = NULL;
-  cell_job_mark_dirty (core, job);
+  cell_task_mark_dirty (core, job, round, index);
 }
 
 /* Takes back the crash of an incarnation that answers after all. */
 static void
 take_back (struct cell_core *core, uint32_t row, uint64_t born_ms,
-           struct cell_job *job, struct cell_task *task)
+           struct cell_job *job, uint32_t round, uint32_t task)
 {
-  struct cell_crashes *crashes = task->crashes;
+  struct cell_crashes *crashes = cell_task_at (job, round, task)->crashes;
   uint32_t kept = 0;
 
   for (uint32_t i = 0; i < crashes->count; i++)
@@ -199,10 +205,10 @@
   if (kept == crashes->count)
     return;
   crashes->count = kept;
-  cell_job_mark_dirty (core, job);
+  cell_task_mark_dirty (core, job, round, task);
   report_worker (core, CELL_BLAME_CLEARED, row)->crashes = kept;
   if (kept == 0)
-    clear_crashes (core, task, job);
+    clear_crashes (core, job, round, task);
 }
 
 static void
@@ -217,9 +223,15 @@
       struct cell_job *job = value;
 
       for (uint32_t r = 0; r < job->round_count && cell_job_open (job); r++)
-        for (uint32_t t = 0; t < job->task_count; t++)
-          if (job->rounds[r].tasks[t].crashes != NULL)
-            take_back (core, row, born_ms, job, &job->rounds[r].tasks[t]);
+        {
+          const struct cell_round *round = cell_round_at (job, r);
+
+          for (uint32_t t = cell_task_next_row (round, 0, job->task_count);
+               t < job->task_count;
+               t = cell_task_next_row (round, t + 1, job->task_count))
+            if (cell_task_peek (job, r, t)->crashes != NULL)
+              take_back (core, row, born_ms, job, r, t);
+        }
     }
 }
 
@@ -240,7 +252,7 @@
         && sent_us > run->broken_us)
       {
         run->broken_us = 0;
-        cell_job_mark_dirty (core, run->job);
+        cell_task_mark_dirty (core, run->job, run->round, run->task);
       }
   if (worker->broken_us == 0 || sent_us <= worker->broken_us)
     return;
@@ -266,11 +278,11 @@
 all_proven (const struct cell_run *run)
 {
   const struct cell_stage *stage = stage_of (run);
-  const struct cell_task *tasks = run->job->rounds[run->round].tasks;
 
   for (uint32_t t = 0; t < stage->count && cell_stage_step (stage)->gang; t++)
     {
-      const struct cell_run *member = tasks[stage->first_task + t].run;
+      const struct cell_run *member
+          = cell_task_peek (run->job, run->round, stage->first_task + t)->run;
 
       if (member == NULL || !member->proven)
         return false;
@@ -295,7 +307,7 @@
   if (task->crashes == NULL || !all_proven (run))
     return;
   report_task (core, CELL_BLAME_CLEARED, run);
-  clear_crashes (core, task, run->job);
+  clear_crashes (core, run->job, run->round, accountable_index (run));
 }
 
 void
@@ -419,7 +431,7 @@
     .run = run->number,
     .sole = !weak && worker->suspects == 1,
   };
-  cell_job_mark_dirty (core, run->job);
+  cell_task_mark_dirty (core, run->job, run->round, accountable_index (run));
   report_task (core, CELL_BLAME_SUSPECTED, run);
   if (!is_hopeless (task->crashes))
     return;
@@ -433,7 +445,7 @@
 {
   const struct cell_stage *stage = hold->stage;
   const struct cell_task *task
-      = &stage->job->rounds[stage->round].tasks[hold->task];
+      = cell_task_peek (stage->job, stage->round, hold->task);
   struct cell_blame *blame = g_new0 (struct cell_blame, 1);
 
   blame->kind = kind;
@@ -472,7 +484,7 @@
 {
   uint32_t at = cell_stage_step (stage)->gang ? stage->first_task : task;
 
-  return stage->job->rounds[stage->round].tasks[at].crashes;
+  return cell_task_peek (stage->job, stage->round, at)->crashes;
 }
 
 void
--- a/src/cyc_cell_gang.c
+++ b/src/cyc_cell_gang.c
@@ -64,13 +64,10 @@
   for (guint i = 0; i < runs->len; i++)
     {
       struct cell_run *run = g_ptr_array_index (runs, i);
-      struct cell_task *task = &run->job->rounds[run->round].tasks[run->task];
-      struct cell_stage *stage
-          = cell_stage_of_task (run->job, run->round, run->task);
+      struct cell_task *task = cell_task_at (run->job, run->round, run->task);
 
       task->next_run = run->number;
-      task->state = CELL_TASK_WAITING;
-      stage->waiting++;
+      cell_task_set_state (run->job, run->round, run->task, CELL_TASK_WAITING);
       cell_run_free (core, run);
     }
   g_ptr_array_set_size (runs, 0);
@@ -81,7 +78,6 @@
 place_gang_in_rack (struct cell_core *core, struct cell_stage *stage,
                     const struct cyc_resources *size, struct cyc_str rack)
 {
-  struct cell_round *round = &stage->job->rounds[stage->round];
   GPtrArray *placed = g_ptr_array_new ();
   uint32_t number = 1;
   const struct cell_crashes *trial
@@ -89,7 +85,9 @@
   bool complete = true;
 
   for (uint32_t t = 0; t < stage->count; t++)
-    number = MAX (number, round->tasks[stage->first_task + t].next_run);
+    number = MAX (number, cell_task_peek (stage->job, stage->round,
+                                          stage->first_task + t)
+                              ->next_run);
   for (uint32_t t = 0; t < stage->count && complete; t++)
     {
       uint32_t row = cell_best_worker (core, stage, size, rack, trial);
@@ -347,9 +345,9 @@
     return false;
   for (uint32_t t = 0; t < stage->count; t++)
     {
-      uint64_t at_us = stage->job->rounds[stage->round]
-                           .tasks[stage->first_task + t]
-                           .not_before_us;
+      uint64_t at_us
+          = cell_task_peek (stage->job, stage->round, stage->first_task + t)
+                ->not_before_us;
 
       if (at_us <= core->now_us)
         continue;
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -67,6 +67,9 @@
 #define CELL_TRIAL_US 200000
 /** Crashes for which a task is given up, even if each is weak evidence. */
 #define CELL_CRASHES_MAX 4
+/** Tasks of a round are kept and recorded in blocks of this many. A record of
+ * one block has at most half a KiB for each task, so 64 KiB in all. */
+#define CELL_BLOCK_TASKS 128
 
 enum cell_run_state
 {
@@ -348,6 +351,16 @@
   GArray *tickets; /**< struct cell_held_ticket */
 };
 
+/** Consecutive tasks of a round, the last block may have fewer. */
+struct cell_block
+{
+  struct cell_task *tasks; /**< NULL while all tasks are as they were set up */
+  uint32_t waiting;        /**< tasks in state CELL_TASK_WAITING */
+  bool dirty;              /**< its record is to be written */
+  bool recorded;           /**< a record of its own may be in the log */
+  bool restored;           /**< as its newest record has it */
+};
+
 struct cell_round
 {
   uint32_t index;
@@ -355,17 +368,27 @@
   bool due;
   bool finished;
   uint32_t tasks_done;
-  struct cell_task *tasks;
+  struct cell_block *blocks;
   struct cell_stage *stages;
 };
 
+/** Names a block of a job. */
+struct cell_block_ref
+{
+  uint32_t round;
+  uint32_t block;
+};
+
 struct cell_job
 {
   uint64_t id;
   Cyc__CellJob *spec;
-  uint32_t task_count; /**< tasks of one round */
+  uint32_t task_count;  /**< tasks of one round */
+  uint32_t block_count; /**< blocks of one round */
   uint32_t round_count;
   struct cell_round *rounds;
+  bool in_blocks; /**< each block has a record of its own; else the job's
+                     record holds the only block */
   struct cell_team *team;
   struct cyc_name queue;
   struct cell_queue_cfg cfg; /**< the queue's latest known configuration */
@@ -375,6 +398,9 @@
   uint64_t state_batch;              /**< batch that records the state */
   bool stored;                       /**< the log holds the job */
   bool dirty;                        /**< to be recorded in the next batch */
+  bool state_dirty;                  /**< its own record too, if in blocks */
+  GArray *dirty_blocks;              /**< struct cell_block_ref */
+  bool restored;        /**< its state is that of its newest record */
   bool begun;           /**< a worker has started one of its tasks */
   bool over_rate;       /**< the team exceeded its rate when the job arrived */
   uint64_t deadline_us; /**< by the latency objective */
@@ -505,8 +531,11 @@
  * durable.
  */
 void cell_ack_later (struct cell_core *core, struct cell_worker *worker);
-/** Includes the job in the next batch of records. */
+/** Includes the job's own record in the next batch of records. */
 void cell_job_mark_dirty (struct cell_core *core, struct cell_job *job);
+/** Includes the record that holds the task. */
+void cell_task_mark_dirty (struct cell_core *core, struct cell_job *job,
+                           uint32_t round, uint32_t task);
 /** Brings the next tick forward to @p at_us at the latest. */
 void cell_wake (struct cell_core *core, uint64_t at_us);
 
@@ -543,6 +572,8 @@
 void cell_job_set_state (struct cell_core *core, struct cell_job *job,
                          enum cell_job_state state);
 void cell_job_activate (struct cell_core *core, struct cell_job *job);
+/** Stops all runs of a job that has ended. */
+void cell_job_stop_runs (struct cell_core *core, struct cell_job *job);
 /** Fails a job that is open, and stops its runs. */
 void cell_job_fail (struct cell_core *core, struct cell_job *job);
 void cell_task_requeue (struct cell_core *core, struct cell_job *job,
@@ -554,14 +585,51 @@
 void cell_task_failed (struct cell_core *core, struct cell_job *job,
                        uint32_t round, uint32_t index, uint32_t worker_row);
 bool cell_job_open (const struct cell_job *job);
+/** Opens the stages of a round that is due whose dependencies are done, and
+ * lists those with waiting tasks. */
+void cell_round_open (struct cell_core *core, struct cell_job *job,
+                      struct cell_round *round);
+/** Marks the task as done. */
+void cell_task_mark_done (struct cell_core *core, struct cell_job *job,
+                          uint32_t round, uint32_t task);
+/** Notes that all tasks of the round are done, if they are. */
+void cell_round_finish (struct cell_job *job, struct cell_round *round);
 void cell_task_name (const struct cell_run *run, char out[64]);
 bool cell_task_parse (struct cell_core *core, struct cyc_str name,
                       struct cell_job **job, uint32_t *round, uint32_t *task);
 void cell_stage_release (struct cell_stage *stage);
 /** Opens the stages of rounds that have become due. */
 void cell_rounds_tick (struct cell_core *core);
-void cell_job_record (struct cell_core *core, const struct cell_job *job,
-                      struct cell_record *out);
+
+/* Rounds, and the blocks of their tasks. */
+
+void cell_rounds_setup (struct cell_job *job);
+void cell_rounds_free (struct cell_job *job);
+struct cell_round *cell_round_at (const struct cell_job *job, uint32_t round);
+/** Returns the task for reading: if its block has no rows, one that is as all
+ * tasks of the block are. */
+const struct cell_task *cell_task_peek (const struct cell_job *job,
+                                        uint32_t round, uint32_t task);
+/** Returns the row of the task. */
+struct cell_task *cell_task_at (const struct cell_job *job, uint32_t round,
+                                uint32_t task);
+/** Sets the state of the task and what is counted of it. */
+void cell_task_set_state (struct cell_job *job, uint32_t round, uint32_t task,
+                          enum cell_task_state state);
+/** Returns the first task at or after @p task, and before @p end, that has a
+ * row; @p end if there is none. */
+uint32_t cell_task_next_row (const struct cell_round *round, uint32_t task,
+                             uint32_t end);
+/** The same for a task that may wait: of a block with waiting tasks. */
+uint32_t cell_task_next_waiting (const struct cell_round *round, uint32_t task,
+                                 uint32_t end);
+
+/* Progress records. */
+
+/** Adds the records of a dirty job to those of the batch. */
+void cell_progress_write (struct cell_core *core, struct cell_job *job);
+/** Has the records of the blocks of a job removed that has durably ended. */
+void cell_progress_remove (struct cell_core *core, struct cell_job *job);
 
 /* Runs. */
 struct cell_run *cell_run_new (struct cell_core *core, struct cell_job *job,
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -100,17 +100,6 @@
   stage->allowed = NULL;
 }
 
-struct cell_stage *
-cell_stage_of_task (struct cell_job *job, uint32_t round, uint32_t task)
-{
-  struct cell_stage *stages = job->rounds[round].stages;
-
-  for (size_t s = 0; s < job->spec->n_steps; s++)
-    if (task < stages[s].first_task + stages[s].count)
-      return &stages[s];
-  return NULL;
-}
-
 void
 cell_task_name (const struct cell_run *run, char out[64])
 {
@@ -143,62 +132,10 @@
       || index >= (*job)->spec->steps[step]->count)
     return false;
   *round = k;
-  *task = (*job)->rounds[k].stages[step].first_task + index;
+  *task = cell_round_at (*job, k)->stages[step].first_task + index;
   return true;
 }
 
-/* Sets the longest chain of estimates from each step to the end of the
-   round. */
-static void
-set_critical_paths (const struct cell_job *job, struct cell_round *round)
-{
-  for (size_t s = job->spec->n_steps; s-- > 0;)
-    {
-      const Cyc__CellStep *step = job->spec->steps[s];
-      uint64_t critical_path_us = round->stages[s].critical_path_us
-                                  + (uint64_t)step->estimate_ms * US_PER_MS;
-
-      /* So far critical_path_us holds the longest chain that follows the
-         step. */
-      round->stages[s].critical_path_us = critical_path_us;
-      for (size_t d = 0; d < step->n_depends_on; d++)
-        {
-          struct cell_stage *dependency = &round->stages[step->depends_on[d]];
-
-          dependency->critical_path_us
-              = MAX (dependency->critical_path_us, critical_path_us);
-        }
-    }
-}
-
-static void
-setup_round (struct cell_job *job, uint32_t index)
-{
-  struct cell_round *round = &job->rounds[index];
-  uint32_t first = 0;
-
-  round->index = index;
-  if (job->spec->repeat_count > 0)
-    round->due_ms = job->spec->first_due_ms + index * job->spec->interval_ms;
-  round->tasks = g_new0 (struct cell_task, job->task_count);
-  round->stages = g_new0 (struct cell_stage, job->spec->n_steps);
-  for (uint32_t t = 0; t < job->task_count; t++)
-    round->tasks[t].next_run = 1;
-  for (uint32_t s = 0; s < job->spec->n_steps; s++)
-    {
-      struct cell_stage *stage = &round->stages[s];
-
-      stage->job = job;
-      stage->round = index;
-      stage->step = s;
-      stage->first_task = first;
-      stage->count = job->spec->steps[s]->count;
-      stage->waiting = stage->count;
-      first += stage->count;
-    }
-  set_critical_paths (job, round);
-}
-
 /* Returns the longest chain of estimates through the steps, in
    milliseconds. */
 static uint64_t
@@ -219,68 +156,6 @@
   return longest;
 }
 
-/* Marks stages whose dependencies are done, and lists those with waiting
-   tasks. */
-static void
-open_stages (struct cell_core *core, struct cell_job *job,
-             struct cell_round *round)
-{
-  if (!round->due || !cell_job_open (job))
-    return;
-  for (uint32_t s = 0; s < job->spec->n_steps; s++)
-    {
-      struct cell_stage *stage = &round->stages[s];
-      const Cyc__CellStep *step = job->spec->steps[s];
-      bool ready = true;
-
-      for (size_t d = 0; d < step->n_depends_on; d++)
-        {
-          const struct cell_stage *dependency
-              = &round->stages[step->depends_on[d]];
-
-          ready = ready && dependency->done == dependency->count;
-        }
-      stage->ready = ready;
-      if (!ready || stage->listed || stage->waiting == 0)
-        continue;
-      stage->listed = true;
-      g_ptr_array_add (core->waiting, stage);
-      core->placement_pending = true;
-      cell_wake (core, core->now_us);
-    }
-}
-
-void
-cell_rounds_tick (struct cell_core *core)
-{
-  for (guint i = 0; i < core->scheduled_jobs->len;)
-    {
-      struct cell_job *job = g_ptr_array_index (core->scheduled_jobs, i);
-      bool all = true;
-
-      for (uint32_t r = 0; r < job->round_count && cell_job_open (job); r++)
-        {
-          struct cell_round *round = &job->rounds[r];
-
-          if (round->due)
-            continue;
-          if (round->due_ms <= core->now_ms)
-            {
-              round->due = true;
-              open_stages (core, job, round);
-              continue;
-            }
-          all = false;
-          cell_wake (core, core->now_us
-                               + (round->due_ms - core->now_ms) * US_PER_MS);
-        }
-      if (all || !cell_job_open (job))
-        g_ptr_array_remove_index_fast (core->scheduled_jobs, i);
-      else
-        i++;
-    }
-}
-
 static bool
 spec_valid (const Cyc__CellJob *spec)
 {
@@ -354,8 +229,12 @@
     job->cfg = *queue;
   for (size_t s = 0; s < spec->n_steps; s++)
     job->task_count += spec->steps[s]->count;
+  job->block_count
+      = (job->task_count + CELL_BLOCK_TASKS - 1) / CELL_BLOCK_TASKS;
   job->round_count = MAX (1, spec->repeat_count);
-  job->rounds = g_new0 (struct cell_round, job->round_count);
+  job->in_blocks = job->block_count > 1 || job->round_count > 1;
+  job->dirty_blocks
+      = g_array_new (FALSE, FALSE, sizeof (struct cell_block_ref));
   job->state = job->durable_state = CELL_JOB_QUEUED;
   age_us = now_ms > spec->accepted_ms
                ? (now_ms - spec->accepted_ms) * US_PER_MS
@@ -371,12 +250,9 @@
         + (job->deadline_us - job->accepted_us) * EXPIRY_OBJECTIVES;
   job->over_rate = charge_team_rate (core, job->team, age_us);
   g_hash_table_insert (core->jobs, &job->id, job);
+  cell_rounds_setup (job);
   for (uint32_t r = 0; r < job->round_count; r++)
-    {
-      setup_round (job, r);
-      job->rounds[r].due = job->rounds[r].due_ms == 0;
-      open_stages (core, job, &job->rounds[r]);
-    }
+    cell_round_open (core, job, cell_round_at (job, r));
   if (spec->repeat_count > 0)
     {
       g_ptr_array_add (core->scheduled_jobs, job);
@@ -385,14 +261,38 @@
   return true;
 }
 
+/* Calls @p act with the run of each task that has one. */
+static void
+for_each_run (struct cell_core *core, struct cell_job *job,
+              void (*act) (struct cell_core *core, struct cell_run *run))
+{
+  for (uint32_t r = 0; r < job->round_count; r++)
+    {
+      const struct cell_round *round = cell_round_at (job, r);
+
+      for (uint32_t t = cell_task_next_row (round, 0, job->task_count);
+           t < job->task_count;
+           t = cell_task_next_row (round, t + 1, job->task_count))
+        {
+          struct cell_run *run = cell_task_at (job, r, t)->run;
+
+          if (run != NULL)
+            act (core, run);
+        }
+    }
+}
+
+void
+cell_job_stop_runs (struct cell_core *core, struct cell_job *job)
+{
+  for_each_run (core, job, cell_run_stop);
+}
+
 /* Removes the job from all lists and frees it. */
 static void
 forget_job (struct cell_core *core, struct cell_job *job)
 {
-  for (uint32_t r = 0; r < job->round_count; r++)
-    for (uint32_t t = 0; t < job->task_count; t++)
-      if (job->rounds[r].tasks[t].run != NULL)
-        cell_run_free (core, job->rounds[r].tasks[t].run);
+  for_each_run (core, job, cell_run_free);
   for (guint i = 0; i < core->waiting->len;)
     {
       struct cell_stage *stage = g_ptr_array_index (core->waiting, i);
@@ -438,16 +338,6 @@
     job->ended_ms = core->now_ms;
 }
 
-/* Stops all runs of a job that has ended. */
-static void
-stop_runs (struct cell_core *core, struct cell_job *job)
-{
-  for (uint32_t r = 0; r < job->round_count; r++)
-    for (uint32_t t = 0; t < job->task_count; t++)
-      if (job->rounds[r].tasks[t].run != NULL)
-        cell_run_stop (core, job->rounds[r].tasks[t].run);
-}
-
 void
 cell_job_unrecordable (struct cell_core *core, uint64_t id, uint64_t now_us)
 {
@@ -471,7 +361,7 @@
   cell_job_set_state (core, job, CELL_JOB_CANCELED);
   /* The cancellation is already durable. */
   job->durable_state = CELL_JOB_CANCELED;
-  stop_runs (core, job);
+  cell_job_stop_runs (core, job);
   cell_wake (core, now_us);
   return true;
 }
@@ -480,7 +370,7 @@
 cell_task_requeue (struct cell_core *core, struct cell_job *job,
                    uint32_t round, uint32_t task, uint64_t at_us)
 {
-  struct cell_task *row = &job->rounds[round].tasks[task];
+  struct cell_task *row = cell_task_at (job, round, task);
   struct cell_stage *stage = cell_stage_of_task (job, round, task);
 
   row->run = NULL;
@@ -489,32 +379,25 @@
   row->not_before_us = at_us;
   if (stage->waiting == 0)
     stage->short_since_us = core->now_us;
-  if (row->state == CELL_TASK_PLACED)
-    stage->waiting++;
-  row->state = CELL_TASK_WAITING;
-  cell_job_mark_dirty (core, job);
-  open_stages (core, job, &job->rounds[round]);
+  cell_task_set_state (job, round, task, CELL_TASK_WAITING);
+  cell_task_mark_dirty (core, job, round, task);
+  cell_round_open (core, job, cell_round_at (job, round));
   core->placement_pending = true;
   cell_wake (core, at_us);
 }
 
-static void
-mark_done (struct cell_core *core, struct cell_job *job, uint32_t round,
-           uint32_t task)
+void
+cell_task_mark_done (struct cell_core *core, struct cell_job *job,
+                     uint32_t round, uint32_t task)
 {
-  struct cell_round *round_row = &job->rounds[round];
   struct cell_stage *stage = cell_stage_of_task (job, round, task);
-  struct cell_task *row = &round_row->tasks[task];
+  struct cell_task *row = cell_task_at (job, round, task);
 
   if (row->state == CELL_TASK_DONE)
     return;
   job->begun = true;
-  if (row->state == CELL_TASK_WAITING)
-    stage->waiting--;
-  row->state = CELL_TASK_DONE;
+  cell_task_set_state (job, round, task, CELL_TASK_DONE);
   row->checkpoint[0] = 0;
-  stage->done++;
-  round_row->tasks_done++;
   if (stage->done == stage->count)
     cell_stage_release (stage);
   if (row->run != NULL)
@@ -522,37 +405,33 @@
       row->run->superseded = true;
       row->run = NULL;
     }
-  cell_job_mark_dirty (core, job);
+  cell_task_mark_dirty (core, job, round, task);
 }
 
 void
 cell_task_done (struct cell_core *core, struct cell_job *job, uint32_t round,
                 uint32_t task)
 {
-  struct cell_round *round_row = &job->rounds[round];
+  struct cell_round *round_row = cell_round_at (job, round);
   struct cell_stage *stage = cell_stage_of_task (job, round, task);
 
   if (cell_stage_step (stage)->long_running)
     {
       /* A later run may have been started already. */
-      if (round_row->tasks[task].run == NULL)
+      if (cell_task_peek (job, round, task)->run == NULL)
         cell_task_requeue (core, job, round, task, core->now_us);
       return;
     }
   if (cell_stage_step (stage)->gang)
     for (uint32_t t = 0; t < stage->count; t++)
-      mark_done (core, job, round, stage->first_task + t);
+      cell_task_mark_done (core, job, round, stage->first_task + t);
   else
-    mark_done (core, job, round, task);
-  if (round_row->tasks_done == job->task_count && !round_row->finished)
-    {
-      round_row->finished = true;
-      job->rounds_finished++;
-    }
+    cell_task_mark_done (core, job, round, task);
+  cell_round_finish (job, round_row);
   if (job->rounds_finished == job->round_count && cell_job_open (job))
     cell_job_set_state (core, job, CELL_JOB_COMPLETE);
   else
-    open_stages (core, job, round_row);
+    cell_round_open (core, job, round_row);
 }
 
 void
@@ -568,7 +447,7 @@
   if (!cell_job_open (job))
     return;
   cell_job_set_state (core, job, CELL_JOB_FAILED);
-  stop_runs (core, job);
+  cell_job_stop_runs (core, job);
 }
 
 void
@@ -578,10 +457,10 @@
   struct cell_stage *stage = cell_stage_of_task (job, round, index);
   const Cyc__CellStep *step = cell_stage_step (stage);
   uint32_t at = step->gang ? stage->first_task : index;
-  struct cell_task *task = &job->rounds[round].tasks[at];
+  struct cell_task *task = cell_task_at (job, round, at);
   struct cell_worker *worker = cell_worker_at (core, worker_row);
 
-  if (job->rounds[round].tasks[index].state == CELL_TASK_DONE)
+  if (cell_task_peek (job, round, index)->state == CELL_TASK_DONE)
     return;
   job->begun = true;
   if (worker->last_failed_job != job->id)
@@ -602,7 +481,7 @@
   if (step->long_running)
     return;
   task->failures++;
-  cell_job_mark_dirty (core, job);
+  cell_task_mark_dirty (core, job, round, at);
   if (task->failures >= MAX (1, job->cfg.max_attempts) && job->cfg_known)
     cell_job_fail (core, job);
 }
@@ -614,7 +493,7 @@
   struct cell_job *job = run->job;
   uint32_t round = run->round;
   uint32_t task = run->task;
-  struct cell_task *row = &job->rounds[round].tasks[task];
+  struct cell_task *row = cell_task_at (job, round, task);
   struct cell_stage *stage = cell_stage_of_task (job, round, task);
   bool current = row->run == run;
   uint64_t at_us = core->now_us;
@@ -635,7 +514,7 @@
     for (uint32_t t = 0; t < stage->count; t++)
       {
         struct cell_run *other
-            = job->rounds[round].tasks[stage->first_task + t].run;
+            = cell_task_peek (job, round, stage->first_task + t)->run;
 
         if (other != NULL)
           cell_run_stop (core, other);
@@ -643,200 +522,6 @@
   cell_task_requeue (core, job, round, task, at_us);
 }
 
-/* Records. */
-
-/* Adds the crashes that count against the tasks of the round. */
-static void
-record_crashes (const struct cell_core *core, const struct cell_round *from,
-                uint32_t task_count, Cyc__CellRound *out, GPtrArray *arrays)
-{
-  GPtrArray *crashes = g_ptr_array_new ();
-
-  for (uint32_t t = 0; t < task_count; t++)
-    for (uint32_t i = 0;
-         from->tasks[t].crashes != NULL && i < from->tasks[t].crashes->count;
-         i++)
-      {
-        const struct cell_crash *row = &from->tasks[t].crashes->rows[i];
-        Cyc__CellCrash *crash = g_new0 (Cyc__CellCrash, 1);
-
-        cyc__cell_crash__init (crash);
-        crash->task = t;
-        crash->worker = cell_worker_at (core, row->worker)->id.data;
-        crash->worker_born_ms = row->born_ms;
-        crash->sole = row->sole;
-        g_ptr_array_add (crashes, crash);
-        g_ptr_array_add (arrays, crash);
-      }
-  out->n_crashes = crashes->len;
-  out->crashes = (Cyc__CellCrash **)g_ptr_array_free (crashes, FALSE);
-  if (out->crashes != NULL)
-    g_ptr_array_add (arrays, out->crashes);
-}
-
-void
-cell_job_record (struct cell_core *core, const struct cell_job *job,
-                 struct cell_record *out)
-{
-  Cyc__CellProgress progress = CYC__CELL_PROGRESS__INIT;
-  GPtrArray *rounds = g_ptr_array_new_with_free_func (g_free);
-  GPtrArray *arrays = g_ptr_array_new_with_free_func (g_free);
-
-  progress.state = job->state;
-  progress.ended_ms = job->ended_ms;
-  for (uint32_t r = 0; r < job->round_count && cell_job_open (job); r++)
-    {
-      const struct cell_round *from = &job->rounds[r];
-      Cyc__CellRound *round = g_new0 (Cyc__CellRound, 1);
-      uint32_t *next_run = g_new0 (uint32_t, job->task_count);
-      uint32_t *failures = g_new0 (uint32_t, job->task_count);
-      uint8_t *done = g_new0 (uint8_t, job->task_count / 8 + 1);
-      char **checkpoints = g_new0 (char *, job->task_count);
-      Cyc__CellRun **runs = g_new0 (Cyc__CellRun *, job->task_count);
-      bool any_checkpoint = false;
-      bool any = from->finished;
-
-      cyc__cell_round__init (round);
-      round->index = r;
-      for (uint32_t t = 0; t < job->task_count; t++)
-        {
-          const struct cell_task *task = &from->tasks[t];
-
-          next_run[t] = task->next_run;
-          failures[t] = task->failures;
-          any = any || task->next_run > 1;
-          if (task->state == CELL_TASK_DONE)
-            done[t / 8] |= (uint8_t)(1U << (t % 8));
-          checkpoints[t] = (char *)task->checkpoint;
-          any_checkpoint = any_checkpoint || task->checkpoint[0] != 0;
-          if (task->run == NULL)
-            continue;
-          runs[round->n_runs] = g_new0 (Cyc__CellRun, 1);
-          cyc__cell_run__init (runs[round->n_runs]);
-          runs[round->n_runs]->task = t;
-          runs[round->n_runs]->number = task->run->number;
-          runs[round->n_runs]->worker
-              = cell_worker_at (core, task->run->worker)->id.data;
-          runs[round->n_runs]->worker_born_ms = task->run->worker_born_ms;
-          runs[round->n_runs]->placed_ms = task->run->placed_ms;
-          runs[round->n_runs]->suspicion = cell_blame_suspicion (task->run);
-          g_ptr_array_add (arrays, runs[round->n_runs]);
-          round->n_runs++;
-        }
-      record_crashes (core, from, job->task_count, round, arrays);
-      round->done = (ProtobufCBinaryData){ job->task_count / 8 + 1, done };
-      round->n_next_run = job->task_count;
-      round->next_run = next_run;
-      round->n_failures = job->task_count;
-      round->failures = failures;
-      round->runs = runs;
-      round->n_checkpoints = any_checkpoint ? job->task_count : 0;
-      round->checkpoints = checkpoints;
-      g_ptr_array_add (arrays, next_run);
-      g_ptr_array_add (arrays, failures);
-      g_ptr_array_add (arrays, done);
-      g_ptr_array_add (arrays, checkpoints);
-      g_ptr_array_add (arrays, runs);
-      if (any)
-        g_ptr_array_add (rounds, round);
-      else
-        g_free (round);
-    }
-  progress.n_rounds = rounds->len;
-  progress.rounds = (Cyc__CellRound **)rounds->pdata;
-  out->len = cyc__cell_progress__get_packed_size (&progress);
-  out->data = malloc (out->len > 0 ? out->len : 1);
-  cyc__cell_progress__pack (&progress, out->data);
-  g_ptr_array_free (rounds, TRUE);
-  g_ptr_array_free (arrays, TRUE);
-}
-
-static void
-restore_round (struct cell_core *core, struct cell_job *job,
-               const Cyc__CellRound *from, uint64_t lease_until_us,
-               uint64_t write_until_us)
-{
-  struct cell_round *round = &job->rounds[from->index];
-
-  for (uint32_t t = 0; t < job->task_count; t++)
-    {
-      struct cell_task *task = &round->tasks[t];
-
-      if (t < from->n_next_run && from->next_run[t] > task->next_run)
-        task->next_run = from->next_run[t];
-      if (t < from->n_failures)
-        task->failures = from->failures[t];
-      job->begun = job->begun || task->failures > 0;
-      if (t < from->n_checkpoints)
-        g_strlcpy (task->checkpoint, from->checkpoints[t],
-                   sizeof task->checkpoint);
-      if (t / 8 < from->done.len && (from->done.data[t / 8] >> (t % 8) & 1))
-        mark_done (core, job, from->index, t);
-    }
-  for (size_t i = 0; i < from->n_crashes; i++)
-    if (from->crashes[i]->task < job->task_count)
-      cell_blame_restore (core, &round->tasks[from->crashes[i]->task],
-                          from->crashes[i]);
-  for (size_t i = 0; i < from->n_runs; i++)
-    {
-      const Cyc__CellRun *run = from->runs[i];
-      uint32_t row;
-      struct cell_worker *worker;
-      struct cell_run *made;
-
-      if (run->task >= job->task_count
-          || round->tasks[run->task].state != CELL_TASK_WAITING)
-        continue;
-      row = cell_worker_row (core, cyc_str_of (run->worker));
-      worker = cell_worker_at (core, row);
-      if (worker->lease_until_us < lease_until_us)
-        worker->lease_until_us = lease_until_us;
-      cell_worker_touch (core, worker);
-      made
-          = cell_run_new (core, job, from->index, run->task, row, run->number);
-      made->state = CELL_RUN_STARTING;
-      made->inherited = true;
-      /* A connection belongs to one incarnation: none that starts after the
-         last write receives the order. */
-      made->call_ended_us = write_until_us;
-      made->worker_born_ms = run->worker_born_ms;
-      cell_blame_restore_run (core, made, run);
-    }
-  if (round->tasks_done == job->task_count && !round->finished)
-    {
-      round->finished = true;
-      job->rounds_finished++;
-    }
-}
-
-bool
-cell_job_restore (struct cell_core *core, uint64_t id, struct cyc_str record,
-                  uint64_t lease_until_us, uint64_t write_until_us)
-{
-  struct cell_job *job = cell_job_find (core, id);
-  Cyc__CellProgress *progress;
-
-  if (job == NULL)
-    return false;
-  progress = cyc__cell_progress__unpack (NULL, record.len,
-                                         (const uint8_t *)record.data);
-  if (progress == NULL)
-    return false;
-  for (size_t r = 0; r < progress->n_rounds; r++)
-    if (progress->rounds[r]->index < job->round_count)
-      restore_round (core, job, progress->rounds[r], lease_until_us,
-                     write_until_us);
-  if (cell_job_open (job) && progress->state != 0)
-    job->state = job->durable_state = progress->state;
-  job->ended_ms = progress->ended_ms;
-  if (!cell_job_open (job))
-    stop_runs (core, job);
-  for (uint32_t r = 0; r < job->round_count; r++)
-    open_stages (core, job, &job->rounds[r]);
-  cyc__cell_progress__free_unpacked (progress, NULL);
-  return true;
-}
-
 void
 cell_earlier_ended (struct cell_core *core, uint64_t until_us, uint64_t now_us)
 {
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -334,7 +334,7 @@
   cell_blame_placed (core, run);
   g_queue_push_tail (&core->recording, run);
   cell_job_activate (core, stage->job);
-  cell_job_mark_dirty (core, stage->job);
+  cell_task_mark_dirty (core, stage->job, stage->round, task);
   return run;
 }
 
@@ -342,11 +342,14 @@
 place_tasks (struct cell_core *core, struct cell_stage *stage,
              const struct cyc_resources *size)
 {
-  struct cell_round *round = &stage->job->rounds[stage->round];
+  const struct cell_job *job = stage->job;
+  const struct cell_round *round = cell_round_at (job, stage->round);
+  uint32_t end = stage->first_task + stage->count;
 
-  for (uint32_t t = 0; t < stage->count && stage->waiting > 0; t++)
+  for (uint32_t t = cell_task_next_waiting (round, stage->first_task, end);
+       t < end; t = cell_task_next_waiting (round, t + 1, end))
     {
-      struct cell_task *task = &round->tasks[stage->first_task + t];
+      const struct cell_task *task = cell_task_peek (job, stage->round, t);
       const struct cell_crashes *trial;
       uint32_t row;
 
@@ -359,7 +362,7 @@
         }
       if (!cell_team_has_quota (stage->job->team, size, 1))
         return false;
-      trial = cell_blame_trial (stage, stage->first_task + t);
+      trial = cell_blame_trial (stage, t);
       if (trial != NULL && trial->hold == 0)
         continue;
       row = cell_best_worker (core, stage, size, CYC_STR (""), trial);
@@ -367,7 +370,7 @@
         continue;
       if (row == CELL_NO_ROW)
         return false;
-      cell_place (core, stage, stage->first_task + t, row, task->next_run);
+      cell_place (core, stage, t, row, task->next_run);
       stage->trials_waiting -= trial != NULL;
     }
   return stage->waiting == 0;
--- /dev/null
+++ b/src/cyc_cell_progress.c
@@ -0,0 +1,358 @@
+/* Progress records. A job of one block has one record with its state and its
+   tasks. The record of a larger job holds its state only, and each block has
+   one of its own, so that no record grows with the job, and a change of one
+   task writes one block. The records of a job may become durable one after the
+   other; each is complete in itself. */
+
+#include "cyc_cell_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* The parts of a record until it is packed. */
+struct draft
+{
+  Cyc__CellProgress progress;
+  Cyc__CellRound round;
+  Cyc__CellRound *rounds;
+  GPtrArray *owned;
+};
+
+static gpointer
+own (struct draft *draft, gpointer memory)
+{
+  g_ptr_array_add (draft->owned, memory);
+  return memory;
+}
+
+static void
+begin_draft (struct draft *draft)
+{
+  cyc__cell_progress__init (&draft->progress);
+  cyc__cell_round__init (&draft->round);
+  draft->owned = g_ptr_array_new_with_free_func (g_free);
+}
+
+static void
+add_record (struct cell_core *core, const struct cell_job *job, uint32_t round,
+            uint32_t block, struct draft *draft)
+{
+  struct cell_record *record = g_new0 (struct cell_record, 1);
+
+  record->job = job->id;
+  record->round = round;
+  record->block = block;
+  record->revision = ++core->revision;
+  if (draft != NULL)
+    {
+      record->len = cyc__cell_progress__get_packed_size (&draft->progress);
+      record->data = malloc (MAX (1, record->len));
+      cyc__cell_progress__pack (&draft->progress, record->data);
+      g_ptr_array_free (draft->owned, TRUE);
+    }
+  g_ptr_array_add (core->records, record);
+}
+
+static Cyc__CellRun *
+draft_run (const struct cell_core *core, struct draft *draft, uint32_t task,
+           const struct cell_run *run)
+{
+  Cyc__CellRun *out = own (draft, g_new0 (Cyc__CellRun, 1));
+
+  cyc__cell_run__init (out);
+  out->task = task;
+  out->number = run->number;
+  out->worker = cell_worker_at (core, run->worker)->id.data;
+  out->worker_born_ms = run->worker_born_ms;
+  out->placed_ms = run->placed_ms;
+  out->suspicion = cell_blame_suspicion (run);
+  return out;
+}
+
+static void
+draft_crashes (const struct cell_core *core, struct draft *draft,
+               uint32_t task, const struct cell_crashes *crashes)
+{
+  for (uint32_t i = 0; crashes != NULL && i < crashes->count; i++)
+    {
+      const struct cell_crash *row = &crashes->rows[i];
+      Cyc__CellCrash *crash = own (draft, g_new0 (Cyc__CellCrash, 1));
+
+      cyc__cell_crash__init (crash);
+      crash->task = task;
+      crash->worker = cell_worker_at (core, row->worker)->id.data;
+      crash->worker_born_ms = row->born_ms;
+      crash->sole = row->sole;
+      draft->round.crashes[draft->round.n_crashes++] = crash;
+    }
+}
+
+/* Adds the tasks of a block to the draft, unless none was ever started. */
+static void
+draft_block (const struct cell_core *core, const struct cell_job *job,
+             uint32_t round, uint32_t block, struct draft *draft)
+{
+  Cyc__CellRound *out = &draft->round;
+  uint32_t first = block * CELL_BLOCK_TASKS;
+  uint32_t count = MIN (CELL_BLOCK_TASKS, job->task_count - first);
+  uint32_t *next_run = own (draft, g_new0 (uint32_t, count));
+  uint32_t *failures = own (draft, g_new0 (uint32_t, count));
+  uint8_t *done = own (draft, g_new0 (uint8_t, count / 8 + 1));
+  char **checkpoints = own (draft, g_new0 (char *, count));
+  bool any = false;
+
+  out->runs = own (draft, g_new0 (Cyc__CellRun *, count));
+  out->crashes
+      = own (draft, g_new0 (Cyc__CellCrash *, count * CELL_CRASHES_MAX));
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const struct cell_task *task = cell_task_peek (job, round, first + i);
+
+      next_run[i] = task->next_run;
+      failures[i] = task->failures;
+      any = any || task->next_run > 1 || task->state == CELL_TASK_DONE;
+      if (task->state == CELL_TASK_DONE)
+        done[i / 8] |= (uint8_t)(1U << (i % 8));
+      checkpoints[i] = (char *)task->checkpoint;
+      if (task->checkpoint[0] != 0)
+        out->n_checkpoints = count;
+      if (task->run != NULL)
+        out->runs[out->n_runs++]
+            = draft_run (core, draft, first + i, task->run);
+      draft_crashes (core, draft, first + i, task->crashes);
+    }
+  out->index = round;
+  out->first_task = first;
+  out->done = (ProtobufCBinaryData){ count / 8 + 1, done };
+  out->n_next_run = count;
+  out->next_run = next_run;
+  out->n_failures = count;
+  out->failures = failures;
+  out->checkpoints = checkpoints;
+  draft->rounds = out;
+  draft->progress.rounds = &draft->rounds;
+  draft->progress.n_rounds = any;
+}
+
+static void
+write_state (struct cell_core *core, struct cell_job *job)
+{
+  struct draft draft = { 0 };
+
+  begin_draft (&draft);
+  draft.progress.state = job->state;
+  draft.progress.ended_ms = job->ended_ms;
+  if (!job->in_blocks && cell_job_open (job))
+    draft_block (core, job, 0, 0, &draft);
+  add_record (core, job, 0, CELL_NO_BLOCK, &draft);
+}
+
+void
+cell_progress_write (struct cell_core *core, struct cell_job *job)
+{
+  for (guint i = 0; i < job->dirty_blocks->len; i++)
+    {
+      const struct cell_block_ref *ref
+          = &g_array_index (job->dirty_blocks, struct cell_block_ref, i);
+      struct cell_block *block
+          = &cell_round_at (job, ref->round)->blocks[ref->block];
+      struct draft draft = { 0 };
+
+      block->dirty = false;
+      if (!cell_job_open (job))
+        continue;
+      block->recorded = true;
+      begin_draft (&draft);
+      draft_block (core, job, ref->round, ref->block, &draft);
+      add_record (core, job, ref->round, ref->block, &draft);
+    }
+  g_array_set_size (job->dirty_blocks, 0);
+  /* The record that is added last is handed out first: what has ended a job is
+     never durable without its state. */
+  if (!job->in_blocks || job->state_dirty)
+    write_state (core, job);
+  job->state_dirty = false;
+}
+
+void
+cell_progress_remove (struct cell_core *core, struct cell_job *job)
+{
+  for (uint32_t r = 0; r < job->round_count && job->in_blocks; r++)
+    for (uint32_t b = 0; b < job->block_count; b++)
+      {
+        struct cell_block *block = &cell_round_at (job, r)->blocks[b];
+
+        if (block->recorded)
+          add_record (core, job, r, b, NULL);
+        block->recorded = false;
+      }
+}
+
+/* Restoring. */
+
+/* Of several records that hold a block, the newest one counts. */
+static bool
+is_older (const struct cell_round *round, uint32_t task)
+{
+  return round->blocks[task / CELL_BLOCK_TASKS].restored;
+}
+
+static void
+restore_run (struct cell_core *core, struct cell_job *job, uint32_t round,
+             const Cyc__CellRun *run, uint64_t lease_until_us,
+             uint64_t write_until_us)
+{
+  uint32_t row = cell_worker_row (core, cyc_str_of (run->worker));
+  struct cell_worker *worker = cell_worker_at (core, row);
+  struct cell_run *made;
+
+  if (worker->lease_until_us < lease_until_us)
+    worker->lease_until_us = lease_until_us;
+  cell_worker_touch (core, worker);
+  made = cell_run_new (core, job, round, run->task, row, run->number);
+  made->state = CELL_RUN_STARTING;
+  made->inherited = true;
+  /* A connection belongs to one incarnation: none that starts after the
+     last write receives the order. */
+  made->call_ended_us = write_until_us;
+  made->worker_born_ms = run->worker_born_ms;
+  cell_blame_restore_run (core, made, run);
+}
+
+static void
+restore_round (struct cell_core *core, struct cell_job *job,
+               const Cyc__CellRound *from, uint64_t lease_until_us,
+               uint64_t write_until_us)
+{
+  struct cell_round *round = cell_round_at (job, from->index);
+  uint32_t first = from->first_task;
+  uint32_t count;
+
+  if (first >= job->task_count || first % CELL_BLOCK_TASKS != 0)
+    return;
+  count = (uint32_t)MIN (from->n_next_run, job->task_count - first);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct cell_task *task;
+
+      if (is_older (round, first + i))
+        continue;
+      task = cell_task_at (job, from->index, first + i);
+      if (from->next_run[i] > task->next_run)
+        task->next_run = from->next_run[i];
+      if (i < from->n_failures)
+        task->failures = from->failures[i];
+      job->begun = job->begun || task->failures > 0;
+      if (i < from->n_checkpoints)
+        g_strlcpy (task->checkpoint, from->checkpoints[i],
+                   sizeof task->checkpoint);
+      if (i / 8 < from->done.len && (from->done.data[i / 8] >> (i % 8) & 1))
+        cell_task_mark_done (core, job, from->index, first + i);
+    }
+  for (size_t i = 0; i < from->n_crashes; i++)
+    if (from->crashes[i]->task < job->task_count
+        && !is_older (round, from->crashes[i]->task))
+      cell_blame_restore (
+          core, cell_task_at (job, from->index, from->crashes[i]->task),
+          from->crashes[i]);
+  for (size_t i = 0; i < from->n_runs; i++)
+    {
+      const Cyc__CellRun *run = from->runs[i];
+
+      if (run->task < job->task_count && !is_older (round, run->task)
+          && cell_task_peek (job, from->index, run->task)->state
+                 == CELL_TASK_WAITING)
+        restore_run (core, job, from->index, run, lease_until_us,
+                     write_until_us);
+    }
+  for (uint32_t i = 0; i < count; i += CELL_BLOCK_TASKS)
+    {
+      struct cell_block *block
+          = &round->blocks[(first + i) / CELL_BLOCK_TASKS];
+
+      block->restored = true;
+      block->recorded = job->in_blocks;
+    }
+}
+
+/* The members of a gang are done together, but the records of several blocks
+   are not written at once. */
+static void
+complete_gangs (struct cell_core *core, struct cell_job *job,
+                struct cell_round *round)
+{
+  for (size_t s = 0; s < job->spec->n_steps; s++)
+    {
+      const struct cell_stage *stage = &round->stages[s];
+
+      for (uint32_t t = 0; cell_stage_step (stage)->gang && stage->done > 0
+                           && t < stage->count;
+           t++)
+        cell_task_mark_done (core, job, round->index, stage->first_task + t);
+    }
+}
+
+bool
+cell_job_restore (struct cell_core *core, uint64_t id, struct cyc_str record,
+                  uint64_t lease_until_us, uint64_t write_until_us)
+{
+  struct cell_job *job = cell_job_find (core, id);
+  Cyc__CellProgress *progress;
+
+  if (job == NULL)
+    return false;
+  progress = cyc__cell_progress__unpack (NULL, record.len,
+                                         (const uint8_t *)record.data);
+  if (progress == NULL)
+    return false;
+  for (size_t r = 0; r < progress->n_rounds; r++)
+    if (progress->rounds[r]->index < job->round_count)
+      restore_round (core, job, progress->rounds[r], lease_until_us,
+                     write_until_us);
+  if (progress->state != 0 && !job->restored)
+    {
+      if (cell_job_open (job))
+        job->state = job->durable_state = progress->state;
+      job->ended_ms = progress->ended_ms;
+      job->restored = true;
+    }
+  cyc__cell_progress__free_unpacked (progress, NULL);
+  return true;
+}
+
+void
+cell_jobs_restored (struct cell_core *core)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct cell_job *job = value;
+
+      if (!cell_job_open (job))
+        cell_job_stop_runs (core, job);
+      for (uint32_t r = 0; r < job->round_count; r++)
+        {
+          struct cell_round *round = cell_round_at (job, r);
+
+          complete_gangs (core, job, round);
+          cell_round_finish (job, round);
+          cell_round_open (core, job, round);
+        }
+      if (cell_job_open (job) && job->rounds_finished == job->round_count)
+        cell_job_set_state (core, job, CELL_JOB_COMPLETE);
+    }
+}
+
+bool
+cell_record_needed (const struct cell_core *core, uint64_t id, uint32_t round,
+                    uint32_t block)
+{
+  const struct cell_job *job = cell_job_find (core, id);
+
+  (void)round;
+  (void)block;
+  return job == NULL || cell_job_open (job);
+}
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -91,12 +91,9 @@
               uint32_t task, uint32_t worker, uint32_t number)
 {
   struct cell_run *run = allocate_run (core, job, round, task, worker, number);
-  struct cell_stage *stage = cell_stage_of_task (job, round, task);
-  struct cell_task *row = &job->rounds[round].tasks[task];
+  struct cell_task *row = cell_task_at (job, round, task);
 
-  if (row->state == CELL_TASK_WAITING)
-    stage->waiting--;
-  row->state = CELL_TASK_PLACED;
+  cell_task_set_state (job, round, task, CELL_TASK_PLACED);
   row->run = run;
   if (number >= row->next_run)
     row->next_run = number + 1;
@@ -109,14 +106,14 @@
                 uint32_t task, uint32_t worker, uint32_t number)
 {
   struct cell_stage *stage = cell_stage_of_task (job, round, task);
-  struct cell_task *row = &job->rounds[round].tasks[task];
+  struct cell_task *row = cell_task_at (job, round, task);
   struct cell_run *run;
 
   if (row->state == CELL_TASK_WAITING && cell_job_open (job)
       && number >= row->next_run - 1 && !cell_stage_step (stage)->gang)
     {
       run = cell_run_new (core, job, round, task, worker, number);
-      cell_job_mark_dirty (core, job);
+      cell_task_mark_dirty (core, job, round, task);
     }
   else
     {
@@ -135,7 +132,7 @@
 cell_run_free (struct cell_core *core, struct cell_run *run)
 {
   struct cell_worker *worker = cell_worker_at (core, run->worker);
-  struct cell_task *task = &run->job->rounds[run->round].tasks[run->task];
+  struct cell_task *task = cell_task_at (run->job, run->round, run->task);
 
   cell_blame_freed (core, run);
   if (task->run == run)
--- a/src/cyc_cell_trial.c
+++ b/src/cyc_cell_trial.c
@@ -64,7 +64,7 @@
 static struct cell_task *
 task_of (const struct cell_hold *hold)
 {
-  return &hold->stage->job->rounds[hold->stage->round].tasks[hold->task];
+  return cell_task_at (hold->stage->job, hold->stage->round, hold->task);
 }
 
 static bool
@@ -160,28 +160,31 @@
 static void
 list_stage (struct cell_core *core, struct cell_stage *stage, GArray *out)
 {
-  const struct cell_task *tasks = stage->job->rounds[stage->round].tasks;
+  const struct cell_job *job = stage->job;
+  const struct cell_round *round = cell_round_at (job, stage->round);
+  uint32_t end = stage->first_task + stage->count;
   bool gang = cell_stage_step (stage)->gang;
   struct cyc_resources size = cell_step_size (cell_stage_step (stage));
 
   stage->trials_waiting = 0;
   if (gang && stage->waiting < stage->count)
     return;
-  for (uint32_t t = 0; t < (gang ? 1 : stage->count); t++)
+  if (gang)
+    end = stage->first_task + 1;
+  for (uint32_t t = cell_task_next_row (round, stage->first_task, end);
+       t < end; t = cell_task_next_row (round, t + 1, end))
     {
-      struct waiting_trial trial = { stage, stage->first_task + t,
-                                     tasks[stage->first_task + t].crashes };
+      const struct cell_task *task = cell_task_peek (job, stage->round, t);
+      struct waiting_trial trial = { stage, t, task->crashes };
 
-      if (trial.crashes == NULL
-          || tasks[trial.task].state != CELL_TASK_WAITING)
+      if (trial.crashes == NULL || task->state != CELL_TASK_WAITING)
         continue;
       stage->trials_waiting += gang ? stage->count : 1;
       if (trial.crashes->again_us > core->now_us)
         cell_retry_placement (core, trial.crashes->again_us);
-      else if (trial.crashes->hold == 0
-               && tasks[trial.task].not_before_us <= core->now_us
-               && stage->job->cfg_known
-               && cell_team_has_quota (stage->job->team, &size,
+      else if (trial.crashes->hold == 0 && task->not_before_us <= core->now_us
+               && job->cfg_known
+               && cell_team_has_quota (job->team, &size,
                                        gang ? stage->count : 1))
         g_array_append_val (out, trial);
     }
@@ -397,11 +400,18 @@
 void
 cell_trials_advised (struct cell_stage *stage)
 {
-  struct cell_task *tasks = stage->job->rounds[stage->round].tasks;
+  const struct cell_round *round = cell_round_at (stage->job, stage->round);
+  uint32_t end = stage->first_task + stage->count;
 
-  for (uint32_t t = 0; t < stage->count; t++)
-    if (tasks[stage->first_task + t].crashes != NULL)
-      tasks[stage->first_task + t].crashes->again_us = 0;
+  for (uint32_t t = cell_task_next_row (round, stage->first_task, end);
+       t < end; t = cell_task_next_row (round, t + 1, end))
+    {
+      struct cell_crashes *crashes
+          = cell_task_peek (stage->job, stage->round, t)->crashes;
+
+      if (crashes != NULL)
+        crashes->again_us = 0;
+    }
 }
 
 /* Holds workers for the trial if the bounds permit it. Returns whether workers
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -28,6 +28,9 @@
  * 'p' progress), the job id in 16 hexadecimal digits and the terminating NUL.
  */
 #define CELL_KEY_BYTES 18
+/** Size of the longest key: that of a block of tasks has the round and the
+ * block too, ".%x.%x". */
+#define CELL_BLOCK_KEY_BYTES 36
 
 /** Result of storing a record that was submitted to the leader. */
 enum records_outcome
--- a/src/entry_records.h
+++ b/src/entry_records.h
@@ -6,8 +6,11 @@
  *
  * Each part takes one append at a time. Each batch goes to an idle part, so
  * that records do not wait for each other when the log is slow. A batch that
- * is too long for one append is written by several in turn. Of several
- * progress records of a job, the one with the highest revision is valid. The
+ * is too long for one append is written by several in turn. The record of a
+ * block that is not needed any more is removed from each part that holds it,
+ * together with a later batch; one that is left is ignored. Of several
+ * progress records of a job or block, the one with the highest revision is
+ * valid. The
  * leader sets its epoch in each part and loads the part up to the end offset
  * that the part had then, so no record of an earlier leader can follow the
  * records that were read.
@@ -38,7 +41,7 @@
  * outcome. */
 struct records_row
 {
-  char key[CELL_KEY_BYTES];
+  char key[CELL_BLOCK_KEY_BYTES];
   uint8_t *data;
   size_t len;
   bool submitted;       /**< a submitted job or cancellation, not progress */
@@ -66,6 +69,7 @@
   uint64_t sequence;
   uint64_t begun_us; /**< start of the last append */
   uint64_t retry_us; /**< earliest time of the next append */
+  GQueue removals;   /**< char *: keys to be removed with the next batch */
   uint64_t batch;    /**< progress batch of the core in the rows; 0: none */
   GPtrArray *rows;   /**< struct records_row */
 };
@@ -77,8 +81,10 @@
   uint32_t part_count;
   GQueue waiting;           /**< submitted struct records_row not assigned to a
                                  part */
-  GHashTable *loaded;       /**< id to struct loaded_progress; empty after the
+  GHashTable *loaded;       /**< key to struct loaded_progress; empty after the
                                  load */
+  GHashTable *block_parts;  /**< key of a block to a bit set of the parts that
+                                 hold it */
   uint64_t next_batch_us;   /**< earliest time of the next batch */
   uint64_t last_success_us; /**< end of the last successful append */
   uint64_t down_since_us;   /**< start of the first append that failed since
--- a/tests/test_cell_takeover.c
+++ b/tests/test_cell_takeover.c
@@ -28,21 +28,17 @@
   gpointer value;
 
   cell_config_set (core, fleet->config);
-  g_hash_table_iter_init (&iter, fleet->progress);
+  g_hash_table_iter_init (&iter, fleet->jobs);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
-      const struct fleet_record *record = value;
-      uint64_t id = (uint64_t) * (gint64 *)key;
       gsize len;
-      const uint8_t *data
-          = g_bytes_get_data (g_hash_table_lookup (fleet->jobs, key), &len);
+      const uint8_t *data = g_bytes_get_data (value, &len);
 
-      cell_job_add (core, id, cyc__cell_job__unpack (NULL, len, data), true,
+      cell_job_add (core, (uint64_t) * (gint64 *)key,
+                    cyc__cell_job__unpack (NULL, len, data), true,
                     fleet_now_us (fleet), fleet->now_ms);
-      data = g_bytes_get_data (record->data, &len);
-      cell_job_restore (core, id, (struct cyc_str){ (const char *)data, len },
-                        lease_until_us, fleet_now_us (fleet));
     }
+  fleet_restore (fleet, core, lease_until_us, fleet_now_us (fleet));
   return core;
 }
 
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -183,8 +183,8 @@
   fleet->pending_asks = g_array_new (FALSE, FALSE, sizeof (struct fleet_ask));
   fleet->orders_in_flight = g_ptr_array_new_with_free_func (g_free);
   fleet->holds_in_flight = g_ptr_array_new_with_free_func (fleet_free_hold);
-  fleet->progress = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
-                                           free_record);
+  fleet->progress
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_record);
   fleet->unstored_jobs = g_hash_table_new_full (
       g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)g_bytes_unref);
   fleet->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
@@ -429,16 +429,29 @@
 static void
 store_record (struct fleet *fleet, const struct cell_record *record)
 {
-  gint64 key = (gint64)record->job;
-  const struct fleet_record *old = g_hash_table_lookup (fleet->progress, &key);
+  char *key = g_strdup_printf ("%" PRIu64 ".%u.%u", record->job, record->round,
+                               record->block);
+  const struct fleet_record *old = g_hash_table_lookup (fleet->progress, key);
   struct fleet_record *stored;
 
+  if (record->len > FLEET_RECORD_BYTES)
+    fleet_violation (fleet, "a record is too large", key);
   if (old != NULL && old->revision > record->revision)
-    return;
+    {
+      g_free (key);
+      return;
+    }
+  if (record->data == NULL)
+    {
+      g_hash_table_remove (fleet->progress, key);
+      g_free (key);
+      return;
+    }
   stored = g_new0 (struct fleet_record, 1);
+  stored->job = record->job;
   stored->revision = record->revision;
   stored->data = g_bytes_new (record->data, record->len);
-  g_hash_table_insert (fleet->progress, g_memdup2 (&key, sizeof key), stored);
+  g_hash_table_replace (fleet->progress, key, stored);
 }
 
 static void
@@ -457,13 +470,14 @@
       uint64_t number = batch->number;
       struct cell_record record;
 
-      if (number != 0)
+      if (number != 0 || batch->records->len > 0)
         {
           if (fleet->log_down || fleet->now_ms < batch->due_ms)
             continue;
           store_batch (fleet, batch);
           clear_batch (batch);
-          cell_batch_durable (fleet->core, number, fleet_now_us (fleet));
+          if (number != 0)
+            cell_batch_durable (fleet->core, number, fleet_now_us (fleet));
         }
       batch->number = cell_batch_close (fleet->core);
       /* With a skew, a later batch may be stored before an earlier one. */
@@ -546,6 +560,36 @@
     }
 }
 
+static gint
+newest_first (gconstpointer a, gconstpointer b)
+{
+  const struct fleet_record *left = a;
+  const struct fleet_record *right = b;
+
+  return left->revision > right->revision ? -1
+                                          : left->revision < right->revision;
+}
+
+void
+fleet_restore (const struct fleet *fleet, struct cell_core *core,
+               uint64_t lease_until_us, uint64_t write_until_us)
+{
+  GList *records
+      = g_list_sort (g_hash_table_get_values (fleet->progress), newest_first);
+
+  for (const GList *at = records; at != NULL; at = at->next)
+    {
+      const struct fleet_record *record = at->data;
+      gsize len;
+      const char *data = g_bytes_get_data (record->data, &len);
+
+      cell_job_restore (core, record->job, (struct cyc_str){ data, len },
+                        lease_until_us, write_until_us);
+    }
+  g_list_free (records);
+  cell_jobs_restored (core);
+}
+
 static void
 reload_core (struct fleet *fleet)
 {
@@ -563,21 +607,11 @@
                     cyc__cell_job__unpack (NULL, len, data), true,
                     fleet_now_us (fleet), fleet->now_ms);
     }
-  g_hash_table_iter_init (&iter, fleet->progress);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    {
-      const struct fleet_record *record = value;
-      gsize len;
-      const char *data = g_bytes_get_data (record->data, &len);
-
-      /* Runs on workers that do not answer count as ended after the lease and
-         a tenth of it, from the last start on. */
-      cell_job_restore (fleet->core, (uint64_t) * (gint64 *)key,
-                        (struct cyc_str){ data, len },
-                        fleet->calls_end_ms * 1000ULL
-                            + fleet->lease_ms * 1100ULL,
-                        fleet->calls_end_ms * 1000ULL);
-    }
+  /* Runs on workers that do not answer count as ended after the lease and a
+     tenth of it, from the last start on. */
+  fleet_restore (fleet, fleet->core,
+                 fleet->calls_end_ms * 1000ULL + fleet->lease_ms * 1100ULL,
+                 fleet->calls_end_ms * 1000ULL);
 }
 
 void
@@ -586,7 +620,7 @@
   /* The log stores every second of the batches that are being appended. */
   for (uint32_t b = 0; b < FLEET_BATCHES_MAX; b++)
     {
-      if (b % 2 == fleet->epoch % 2 && fleet->batches[b].number != 0)
+      if (b % 2 == fleet->epoch % 2)
         store_batch (fleet, &fleet->batches[b]);
       clear_batch (&fleet->batches[b]);
     }
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -38,6 +38,8 @@
 #define FLEET_HEARTBEAT_MS 1500
 /** Rate limit of the team "heavy"; the other teams have none. */
 #define FLEET_HEAVY_JOBS_PER_S 10
+/** Longest record that the log takes. */
+#define FLEET_RECORD_BYTES 65536
 /** Maximum number of concurrent appends to the log. */
 #define FLEET_BATCHES_MAX 3
 
@@ -158,6 +160,7 @@
 /** A progress record stored in the log. */
 struct fleet_record
 {
+  uint64_t job;
   uint64_t revision;
   GBytes *data;
 };
@@ -212,7 +215,8 @@
   /** Added to the duration of appends FLEET_BATCHES_MAX - 1 - b times for
    * batches[b], so that batches become durable out of order. */
   uint32_t batch_skew_ms;
-  GHashTable *progress; /**< job id to struct fleet_record, as in the log */
+  GHashTable *progress; /**< names of blocks to struct fleet_record, as in the
+                           log */
   GHashTable *jobs;     /**< job id to GBytes, as in the log */
   GHashTable *unstored_jobs; /**< job id to GBytes, not in the log yet */
   /** Names of tasks that ended as done, acknowledged before the worker's lease
--- a/tests/tst_fleet_internal.h
+++ b/tests/tst_fleet_internal.h
@@ -97,6 +97,10 @@
 /** Ends the calls of leaders that are replaced: those that have no connection
  * yet cannot reach a new incarnation. */
 void fleet_end_calls (struct fleet *fleet);
+/** Loads the progress that the log holds into a core that has all jobs. See
+ * cell_job_restore. */
+void fleet_restore (const struct fleet *fleet, struct cell_core *core,
+                    uint64_t lease_until_us, uint64_t write_until_us);
 /** Returns the submitted job that the task belongs to. */
 const struct fleet_job *fleet_job_of_task (const struct fleet *fleet,
                                            const char *task);
