--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -491,9 +491,9 @@
                        uint64_t write_until_us);
 /** All records have been passed to cell_job_restore. */
 void cell_jobs_restored (struct cell_core *core);
-/** Returns whether the record of a block may still be needed. */
+/** Returns whether the records of a round's blocks may still be needed. */
 bool cell_record_needed (const struct cell_core *core, uint64_t job,
-                         uint32_t round, uint32_t block);
+                         uint32_t round);
 /** Earlier leaders write no start after @p until_us, which is earlier than
  * assumed by cell_job_restore. */
 void cell_earlier_ended (struct cell_core *core, uint64_t until_us,
--- a/src/cell.pb-c.c
+++ b/src/cell.pb-c.c
@@ -1077,7 +1077,7 @@
   (ProtobufCMessageInit) cyc__cell_round__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cyc__cell_progress__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cyc__cell_progress__field_descriptors[4] =
 {
   {
     "state",
@@ -1115,16 +1115,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "finished",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cyc__CellProgress, n_finished),
+    offsetof(Cyc__CellProgress, finished),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cyc__cell_progress__field_indices_by_name[] = {
   2,   /* field[2] = ended_ms */
+  3,   /* field[3] = finished */
   1,   /* field[1] = rounds */
   0,   /* field[0] = state */
 };
 static const ProtobufCIntRange cyc__cell_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cyc__cell_progress__descriptor =
 {
@@ -1134,7 +1147,7 @@
   "Cyc__CellProgress",
   "cyc",
   sizeof(Cyc__CellProgress),
-  3,
+  4,
   cyc__cell_progress__field_descriptors,
   cyc__cell_progress__field_indices_by_name,
   1,  cyc__cell_progress__number_ranges,
--- a/src/cell.pb-c.h
+++ b/src/cell.pb-c.h
@@ -203,10 +203,15 @@
    * Unix time
    */
   uint64_t ended_ms;
+  /*
+   * pairs: first finished round, first one after
+   */
+  size_t n_finished;
+  uint32_t *finished;
 };
 #define CYC__CELL_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cyc__cell_progress__descriptor) \
-    , 0, 0,NULL, 0 }
+    , 0, 0,NULL, 0, 0,NULL }
 
 
 /*
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -100,6 +100,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   core->waiting = g_ptr_array_new ();
   core->scheduled_jobs = g_ptr_array_new ();
+  g_queue_init (&core->retired);
   core->dirty = g_ptr_array_new ();
   core->questions = g_ptr_array_new_with_free_func (g_free);
   core->holds = g_array_new (FALSE, FALSE, sizeof (struct cell_hold));
@@ -161,6 +162,7 @@
   g_ptr_array_free (core->workers, TRUE);
   g_ptr_array_free (core->waiting, TRUE);
   g_ptr_array_free (core->scheduled_jobs, TRUE);
+  g_queue_clear_full (&core->retired, g_free);
   g_ptr_array_free (core->dirty, TRUE);
   g_ptr_array_free (core->questions, TRUE);
   g_array_free (core->holds, TRUE);
--- a/src/cyc_cell_advice.c
+++ b/src/cyc_cell_advice.c
@@ -353,14 +353,15 @@
 }
 
 void
-cell_questions_forget (struct cell_core *core, const struct cell_job *job)
+cell_questions_forget (struct cell_core *core, const struct cell_job *job,
+                       uint32_t round)
 {
   for (guint i = 0; i < core->questions->len;)
     {
       const struct cell_question *question
           = g_ptr_array_index (core->questions, i);
 
-      if (question->stage->job == job)
+      if (CELL_STAGE_IS_OF (question->stage, job, round))
         drop_question (core, i);
       else
         i++;
--- a/src/cyc_cell_batch.c
+++ b/src/cyc_cell_batch.c
@@ -54,8 +54,8 @@
   return true;
 }
 
-static bool
-is_durable (const struct cell_core *core, uint64_t batch)
+bool
+cell_batch_is_durable (const struct cell_core *core, uint64_t batch)
 {
   if (batch <= core->durable)
     return true;
@@ -90,7 +90,7 @@
     {
       struct cell_job *job = g_ptr_array_index (core->state_pending, i);
 
-      if (!is_durable (core, job->state_batch))
+      if (!cell_batch_is_durable (core, job->state_batch))
         {
           i++;
           continue;
@@ -171,7 +171,8 @@
       struct cell_run *run = at->data;
 
       next = at->next;
-      run->recorded = run->recorded || is_durable (core, run->batch);
+      run->recorded
+          = run->recorded || cell_batch_is_durable (core, run->batch);
       if (!run->recorded || !run->job->stored)
         continue;
       g_queue_delete_link (&core->recording, at);
--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -222,15 +222,15 @@
     {
       struct cell_job *job = value;
 
-      for (uint32_t r = 0; r < job->round_count && cell_job_open (job); r++)
+      for (guint r = 0; r < job->rounds->len && cell_job_open (job); r++)
         {
-          const struct cell_round *round = cell_round_at (job, r);
+          const struct cell_round *round = g_ptr_array_index (job->rounds, r);
 
           for (uint32_t t = cell_task_next_row (round, 0, job->task_count);
                t < job->task_count;
                t = cell_task_next_row (round, t + 1, job->task_count))
-            if (cell_task_peek (job, r, t)->crashes != NULL)
-              take_back (core, row, born_ms, job, r, t);
+            if (cell_task_peek (job, round->index, t)->crashes != NULL)
+              take_back (core, row, born_ms, job, round->index, t);
         }
     }
 }
--- a/src/cyc_cell_gang.c
+++ b/src/cyc_cell_gang.c
@@ -237,10 +237,19 @@
   return stage == wanted;
 }
 
+/* The rounds that release_if is to find; see CELL_ALL_ROUNDS. */
+struct rounds_wanted
+{
+  const struct cell_job *job;
+  uint32_t round;
+};
+
 static bool
-is_of_job (const struct cell_stage *stage, const void *job)
+is_of_rounds (const struct cell_stage *stage, const void *arg)
 {
-  return stage->job == job;
+  const struct rounds_wanted *wanted = arg;
+
+  return CELL_STAGE_IS_OF (stage, wanted->job, wanted->round);
 }
 
 static bool
@@ -261,9 +270,10 @@
 }
 
 void
-cell_gang_forget (struct cell_core *core, const struct cell_job *job)
+cell_gang_forget (struct cell_core *core, const struct cell_job *job,
+                  uint32_t round)
 {
-  release_if (core, is_of_job, job);
+  release_if (core, is_of_rounds, &(struct rounds_wanted){ job, round });
 }
 
 void
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -354,8 +354,10 @@
 /** Consecutive tasks of a round, the last block may have fewer. */
 struct cell_block
 {
-  struct cell_task *tasks; /**< NULL while all tasks are as they were set up */
+  struct cell_task *tasks; /**< NULL while all tasks are as they were set up,
+                              or once all are done */
   uint32_t waiting;        /**< tasks in state CELL_TASK_WAITING */
+  uint32_t done;           /**< tasks in state CELL_TASK_DONE */
   bool dirty;              /**< its record is to be written */
   bool recorded;           /**< a record of its own may be in the log */
   bool restored;           /**< as its newest record has it */
@@ -367,11 +369,26 @@
   uint64_t due_ms; /**< 0 if due immediately */
   bool due;
   bool finished;
+  uint64_t finished_batch; /**< batch that records that */
   uint32_t tasks_done;
+  uint32_t run_count; /**< runs of its tasks, also those that do not count */
   struct cell_block *blocks;
   struct cell_stage *stages;
 };
 
+/** Rounds of a job, from the first one up to the last one, exclusive. */
+struct cell_span
+{
+  uint32_t first;
+  uint32_t end;
+};
+
+#define CELL_ALL_ROUNDS UINT32_MAX
+
+/** Returns whether the stage is one of a round; see CELL_ALL_ROUNDS. */
+#define CELL_STAGE_IS_OF(stage, j, r)                                         \
+  ((stage)->job == (j) && ((r) == CELL_ALL_ROUNDS || (stage)->round == (r)))
+
 /** Names a block of a job. */
 struct cell_block_ref
 {
@@ -386,9 +403,12 @@
   uint32_t task_count;  /**< tasks of one round */
   uint32_t block_count; /**< blocks of one round */
   uint32_t round_count;
-  struct cell_round *rounds;
-  bool in_blocks; /**< each block has a record of its own; else the job's
-                     record holds the only block */
+  GPtrArray *rounds;    /**< struct cell_round that are set up, by index */
+  uint32_t next_round;  /**< all rounds before it are set up or finished */
+  uint32_t open_rounds; /**< set up and not finished */
+  GArray *finished;     /**< struct cell_span, in order, with gaps between */
+  bool in_blocks;       /**< each block has a record of its own; else the job's
+                           record holds the only block */
   struct cell_team *team;
   struct cyc_name queue;
   struct cell_queue_cfg cfg; /**< the queue's latest known configuration */
@@ -461,7 +481,8 @@
   GHashTable *jobs;          /**< id to struct cell_job */
   GHashTable *teams;         /**< name to struct cell_team */
   GPtrArray *waiting;        /**< ready struct cell_stage with waiting tasks */
-  GPtrArray *scheduled_jobs; /**< struct cell_job with rounds not yet due */
+  GPtrArray *scheduled_jobs; /**< struct cell_job with rounds to be set up */
+  GQueue retired;            /**< struct cell_retired *, oldest first */
   GPtrArray *dirty;          /**< struct cell_job */
   GPtrArray *questions;      /**< open struct cell_question */
   GPtrArray *runs;           /**< by ref.index; NULL if unused */
@@ -531,6 +552,8 @@
  * durable.
  */
 void cell_ack_later (struct cell_core *core, struct cell_worker *worker);
+/** Returns whether the records of the batch are durable. */
+bool cell_batch_is_durable (const struct cell_core *core, uint64_t batch);
 /** Includes the job's own record in the next batch of records. */
 void cell_job_mark_dirty (struct cell_core *core, struct cell_job *job);
 /** Includes the record that holds the task. */
@@ -593,19 +616,39 @@
 void cell_task_mark_done (struct cell_core *core, struct cell_job *job,
                           uint32_t round, uint32_t task);
 /** Notes that all tasks of the round are done, if they are. */
-void cell_round_finish (struct cell_job *job, struct cell_round *round);
+void cell_round_finish (struct cell_core *core, struct cell_job *job,
+                        struct cell_round *round);
 void cell_task_name (const struct cell_run *run, char out[64]);
 bool cell_task_parse (struct cell_core *core, struct cyc_str name,
                       struct cell_job **job, uint32_t *round, uint32_t *task);
 void cell_stage_release (struct cell_stage *stage);
+/** Removes the stages of a round that is removed from all lists; see
+ * cell_gang_forget. */
+void cell_stages_forget (struct cell_core *core, const struct cell_job *job,
+                         uint32_t round);
 /** Opens the stages of rounds that have become due. */
 void cell_rounds_tick (struct cell_core *core);
 
 /* Rounds, and the blocks of their tasks. */
 
-void cell_rounds_setup (struct cell_job *job);
+/** Sets up the only round, or has cell_rounds_tick set up each when it is due.
+ */
+void cell_rounds_begin (struct cell_core *core, struct cell_job *job);
 void cell_rounds_free (struct cell_job *job);
+/** Returns a round that is set up, as one that has runs is; NULL if it is not.
+ */
 struct cell_round *cell_round_at (const struct cell_job *job, uint32_t round);
+/** Sets up the round if it is not, as it was left if it is finished. */
+struct cell_round *cell_round_get (struct cell_core *core,
+                                   struct cell_job *job, uint32_t round);
+bool cell_round_finished (const struct cell_job *job, uint32_t round);
+/** Notes that the rounds of a record are finished. */
+void cell_rounds_finished (struct cell_job *job, uint32_t first, uint32_t end);
+/** Has the rows of the task's block freed soon, if its tasks are all done. */
+void cell_block_retire (struct cell_core *core, const struct cell_job *job,
+                        uint32_t round, uint32_t task);
+/** Has the rounds of a job that has ended freed soon. */
+void cell_rounds_retire (struct cell_core *core, const struct cell_job *job);
 /** Returns the task for reading: if its block has no rows, one that is as all
  * tasks of the block are. */
 const struct cell_task *cell_task_peek (const struct cell_job *job,
@@ -628,6 +671,10 @@
 
 /** Adds the records of a dirty job to those of the batch. */
 void cell_progress_write (struct cell_core *core, struct cell_job *job);
+/** Has the records of a round's blocks removed, which is durably finished. */
+void cell_progress_remove_round (struct cell_core *core,
+                                 const struct cell_job *job,
+                                 struct cell_round *round);
 /** Has the records of the blocks of a job removed that has durably ended. */
 void cell_progress_remove (struct cell_core *core, struct cell_job *job);
 
@@ -742,8 +789,10 @@
 void cell_trials_tick (struct cell_core *core);
 /** Ends the holds that have led to a start or have failed. */
 void cell_trials_end_holds (struct cell_core *core);
-/** Ends the holds for tasks of the job, which is removed. */
-void cell_trials_forget (struct cell_core *core, const struct cell_job *job);
+/** Ends the holds for tasks of a round that is removed; see cell_gang_forget.
+ */
+void cell_trials_forget (struct cell_core *core, const struct cell_job *job,
+                         uint32_t round);
 /** Returns whether the worker is held for a task of the stage. */
 bool cell_held_for (const struct cell_core *core,
                     const struct cell_stage *stage,
@@ -859,8 +908,10 @@
                           const struct cell_run *run);
 /** Sorts places by time. */
 void cell_gang_sort_places (GArray *places);
-/** Releases the reservations of the job, which is removed. */
-void cell_gang_forget (struct cell_core *core, const struct cell_job *job);
+/** Releases the reservations for stages of a round that is removed; @p round:
+ * CELL_ALL_ROUNDS if the job is. */
+void cell_gang_forget (struct cell_core *core, const struct cell_job *job,
+                       uint32_t round);
 /** Releases the reservations of stages that no longer wait, and resets the
  * total; cell_gang_reserve counts the remaining ones again. */
 void cell_gang_release_ended (struct cell_core *core);
@@ -886,9 +937,10 @@
  * trial; such questions come before others. */
 void cell_stage_ask (struct cell_core *core, struct cell_stage *stage,
                      bool trial);
-/** Drops all questions about steps of the job. */
-void cell_questions_forget (struct cell_core *core,
-                            const struct cell_job *job);
+/** Drops the questions about stages of a round that is removed; see
+ * cell_gang_forget. */
+void cell_questions_forget (struct cell_core *core, const struct cell_job *job,
+                            uint32_t round);
 enum cell_verdict cell_verdict_of (const struct cell_stage *stage,
                                    uint32_t row);
 /** Workers that the advisor has allowed, whether or not a ticket for them is
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -18,9 +18,6 @@
 /** A job accepted longer ago than this does not count against its team's rate:
  * a new leader receives old jobs in no particular order. */
 #define RATE_AGE_MAX_US 1000000
-/** Maximum number of occurrences of a scheduled job, all of which are kept in
- * memory. */
-#define ROUNDS_MAX 10000
 
 bool
 cell_job_open (const struct cell_job *job)
@@ -132,7 +129,7 @@
       || index >= (*job)->spec->steps[step]->count)
     return false;
   *round = k;
-  *task = cell_round_at (*job, k)->stages[step].first_task + index;
+  *task = cell_round_get (core, *job, k)->stages[step].first_task + index;
   return true;
 }
 
@@ -161,8 +158,7 @@
 {
   uint64_t tasks = 0;
 
-  if (spec->n_steps == 0 || spec->n_steps > CELL_STEPS_MAX
-      || spec->repeat_count > ROUNDS_MAX)
+  if (spec->n_steps == 0 || spec->n_steps > CELL_STEPS_MAX)
     return false;
   for (size_t s = 0; s < spec->n_steps; s++)
     {
@@ -250,14 +246,7 @@
         + (job->deadline_us - job->accepted_us) * EXPIRY_OBJECTIVES;
   job->over_rate = charge_team_rate (core, job->team, age_us);
   g_hash_table_insert (core->jobs, &job->id, job);
-  cell_rounds_setup (job);
-  for (uint32_t r = 0; r < job->round_count; r++)
-    cell_round_open (core, job, cell_round_at (job, r));
-  if (spec->repeat_count > 0)
-    {
-      g_ptr_array_add (core->scheduled_jobs, job);
-      cell_wake (core, now_us);
-    }
+  cell_rounds_begin (core, job);
   return true;
 }
 
@@ -266,15 +255,15 @@
 for_each_run (struct cell_core *core, struct cell_job *job,
               void (*act) (struct cell_core *core, struct cell_run *run))
 {
-  for (uint32_t r = 0; r < job->round_count; r++)
+  for (guint r = 0; r < job->rounds->len; r++)
     {
-      const struct cell_round *round = cell_round_at (job, r);
+      const struct cell_round *round = g_ptr_array_index (job->rounds, r);
 
       for (uint32_t t = cell_task_next_row (round, 0, job->task_count);
            t < job->task_count;
            t = cell_task_next_row (round, t + 1, job->task_count))
         {
-          struct cell_run *run = cell_task_at (job, r, t)->run;
+          struct cell_run *run = cell_task_peek (job, round->index, t)->run;
 
           if (run != NULL)
             act (core, run);
@@ -288,23 +277,30 @@
   for_each_run (core, job, cell_run_stop);
 }
 
-/* Removes the job from all lists and frees it. */
-static void
-forget_job (struct cell_core *core, struct cell_job *job)
+void
+cell_stages_forget (struct cell_core *core, const struct cell_job *job,
+                    uint32_t round)
 {
-  for_each_run (core, job, cell_run_free);
   for (guint i = 0; i < core->waiting->len;)
     {
-      struct cell_stage *stage = g_ptr_array_index (core->waiting, i);
+      const struct cell_stage *stage = g_ptr_array_index (core->waiting, i);
 
-      if (stage->job == job)
+      if (CELL_STAGE_IS_OF (stage, job, round))
         g_ptr_array_remove_index_fast (core->waiting, i);
       else
         i++;
     }
-  cell_questions_forget (core, job);
-  cell_trials_forget (core, job);
-  cell_gang_forget (core, job);
+  cell_questions_forget (core, job, round);
+  cell_trials_forget (core, job, round);
+  cell_gang_forget (core, job, round);
+}
+
+/* Removes the job from all lists and frees it. */
+static void
+forget_job (struct cell_core *core, struct cell_job *job)
+{
+  for_each_run (core, job, cell_run_free);
+  cell_stages_forget (core, job, CELL_ALL_ROUNDS);
   g_ptr_array_remove_fast (core->scheduled_jobs, job);
   g_ptr_array_remove_fast (core->dirty, job);
   while (g_ptr_array_remove_fast (core->state_pending, job))
@@ -335,7 +331,10 @@
   if (job->durable_state != state)
     g_ptr_array_add (core->state_pending, job);
   if (!cell_job_open (job))
-    job->ended_ms = core->now_ms;
+    {
+      job->ended_ms = core->now_ms;
+      cell_rounds_retire (core, job);
+    }
 }
 
 void
@@ -397,6 +396,7 @@
     return;
   job->begun = true;
   cell_task_set_state (job, round, task, CELL_TASK_DONE);
+  cell_block_retire (core, job, round, task);
   row->checkpoint[0] = 0;
   if (stage->done == stage->count)
     cell_stage_release (stage);
@@ -427,7 +427,7 @@
       cell_task_mark_done (core, job, round, stage->first_task + t);
   else
     cell_task_mark_done (core, job, round, task);
-  cell_round_finish (job, round_row);
+  cell_round_finish (core, job, round_row);
   if (job->rounds_finished == job->round_count && cell_job_open (job))
     cell_job_set_state (core, job, CELL_JOB_COMPLETE);
   else
--- a/src/cyc_cell_progress.c
+++ b/src/cyc_cell_progress.c
@@ -134,6 +134,24 @@
   draft->progress.n_rounds = any;
 }
 
+static void
+draft_finished (const struct cell_job *job, struct draft *draft)
+{
+  uint32_t *bounds
+      = own (draft, g_new (uint32_t, 2 * (size_t)job->finished->len + 1));
+
+  for (guint i = 0; i < job->finished->len; i++)
+    {
+      const struct cell_span *span
+          = &g_array_index (job->finished, struct cell_span, i);
+
+      bounds[2 * i] = span->first;
+      bounds[2 * i + 1] = span->end;
+    }
+  draft->progress.n_finished = 2 * (size_t)job->finished->len;
+  draft->progress.finished = bounds;
+}
+
 static void
 write_state (struct cell_core *core, struct cell_job *job)
 {
@@ -142,8 +160,10 @@
   begin_draft (&draft);
   draft.progress.state = job->state;
   draft.progress.ended_ms = job->ended_ms;
-  if (!job->in_blocks && cell_job_open (job))
+  if (!job->in_blocks && cell_job_open (job) && job->rounds->len > 0)
     draft_block (core, job, 0, 0, &draft);
+  if (job->in_blocks && cell_job_open (job))
+    draft_finished (job, &draft);
   add_record (core, job, 0, CELL_NO_BLOCK, &draft);
 }
 
@@ -154,12 +174,14 @@
     {
       const struct cell_block_ref *ref
           = &g_array_index (job->dirty_blocks, struct cell_block_ref, i);
+      struct cell_round *round = cell_round_at (job, ref->round);
       struct cell_block *block
-          = &cell_round_at (job, ref->round)->blocks[ref->block];
+          = round != NULL ? &round->blocks[ref->block] : NULL;
       struct draft draft = { 0 };
 
-      block->dirty = false;
-      if (!cell_job_open (job))
+      if (block != NULL)
+        block->dirty = false;
+      if (block == NULL || round->finished || !cell_job_open (job))
         continue;
       block->recorded = true;
       begin_draft (&draft);
@@ -174,18 +196,23 @@
   job->state_dirty = false;
 }
 
+void
+cell_progress_remove_round (struct cell_core *core, const struct cell_job *job,
+                            struct cell_round *round)
+{
+  for (uint32_t b = 0; b < job->block_count; b++)
+    {
+      if (round->blocks[b].recorded)
+        add_record (core, job, round->index, b, NULL);
+      round->blocks[b].recorded = false;
+    }
+}
+
 void
 cell_progress_remove (struct cell_core *core, struct cell_job *job)
 {
-  for (uint32_t r = 0; r < job->round_count && job->in_blocks; r++)
-    for (uint32_t b = 0; b < job->block_count; b++)
-      {
-        struct cell_block *block = &cell_round_at (job, r)->blocks[b];
-
-        if (block->recorded)
-          add_record (core, job, r, b, NULL);
-        block->recorded = false;
-      }
+  for (guint r = 0; r < job->rounds->len; r++)
+    cell_progress_remove_round (core, job, g_ptr_array_index (job->rounds, r));
 }
 
 /* Restoring. */
@@ -224,12 +251,14 @@
                const Cyc__CellRound *from, uint64_t lease_until_us,
                uint64_t write_until_us)
 {
-  struct cell_round *round = cell_round_at (job, from->index);
+  struct cell_round *round;
   uint32_t first = from->first_task;
   uint32_t count;
 
-  if (first >= job->task_count || first % CELL_BLOCK_TASKS != 0)
+  if (first >= job->task_count || first % CELL_BLOCK_TASKS != 0
+      || cell_round_finished (job, from->index))
     return;
+  round = cell_round_get (core, job, from->index);
   count = (uint32_t)MIN (from->n_next_run, job->task_count - first);
   for (uint32_t i = 0; i < count; i++)
     {
@@ -315,6 +344,9 @@
         job->state = job->durable_state = progress->state;
       job->ended_ms = progress->ended_ms;
       job->restored = true;
+      for (size_t i = 0; i + 1 < progress->n_finished; i += 2)
+        cell_rounds_finished (job, progress->finished[i],
+                              progress->finished[i + 1]);
     }
   cyc__cell_progress__free_unpacked (progress, NULL);
   return true;
@@ -332,13 +364,16 @@
       struct cell_job *job = value;
 
       if (!cell_job_open (job))
-        cell_job_stop_runs (core, job);
-      for (uint32_t r = 0; r < job->round_count; r++)
         {
-          struct cell_round *round = cell_round_at (job, r);
+          cell_job_stop_runs (core, job);
+          cell_rounds_retire (core, job);
+        }
+      for (guint r = 0; r < job->rounds->len; r++)
+        {
+          struct cell_round *round = g_ptr_array_index (job->rounds, r);
 
           complete_gangs (core, job, round);
-          cell_round_finish (job, round);
+          cell_round_finish (core, job, round);
           cell_round_open (core, job, round);
         }
       if (cell_job_open (job) && job->rounds_finished == job->round_count)
@@ -347,12 +382,10 @@
 }
 
 bool
-cell_record_needed (const struct cell_core *core, uint64_t id, uint32_t round,
-                    uint32_t block)
+cell_record_needed (const struct cell_core *core, uint64_t id, uint32_t round)
 {
   const struct cell_job *job = cell_job_find (core, id);
 
-  (void)round;
-  (void)block;
-  return job == NULL || cell_job_open (job);
+  return job == NULL
+         || (cell_job_open (job) && !cell_round_finished (job, round));
 }
--- a/src/cyc_cell_rounds.c
+++ b/src/cyc_cell_rounds.c
@@ -1,17 +1,65 @@
-/* Rounds of jobs, and the blocks in which their tasks are kept. A block has
-   rows only once one of its tasks differs from how it was set up, so that a
-   round takes as much memory as was started of it. */
+/* Rounds of jobs, and the blocks in which their tasks are kept. What a job
+   takes in memory follows from what is open of it, not from its size:
+
+   - A round is set up when it is due, and freed after it is finished. Of the
+     finished ones only their numbers are kept, as spans.
+   - A block has rows once one of its tasks differs from how it was set up, and
+     until all are done. */
 
 #include "cyc_cell_internal.h"
 
 #define US_PER_MS 1000
+/** Stages of the rounds of one job that are set up at a time: a round that is
+ * due beyond them is set up when another one is finished. */
+#define OPEN_STAGES_MAX 1024
+/** What is finished is freed after this time: an overtaken report of a worker
+ * may still name it. */
+#define RETIRE_DELAY_US 5000000
+/** Longest time for which the core waits for a round without a look at it. */
+#define WAKE_MAX_MS 3600000
+
+/** A round, or a block of one, that is to be freed. */
+struct cell_retired
+{
+  uint64_t job;
+  uint32_t round; /**< CELL_ALL_ROUNDS: the job has ended */
+  uint32_t block; /**< CELL_NO_BLOCK: the whole round */
+  uint64_t at_us;
+};
 
 static const struct cell_task untouched_task = { .next_run = 1 };
+static const struct cell_task done_task
+    = { .state = CELL_TASK_DONE, .next_run = 1 };
+
+/* Returns the position of the round in the list of those that are set up, or
+   that at which it is to be inserted. */
+static guint
+position_of (const struct cell_job *job, uint32_t round)
+{
+  guint low = 0;
+  guint high = job->rounds->len;
+
+  while (low < high)
+    {
+      guint middle = (low + high) / 2;
+      const struct cell_round *at = g_ptr_array_index (job->rounds, middle);
+
+      if (at->index < round)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
 
 struct cell_round *
 cell_round_at (const struct cell_job *job, uint32_t round)
 {
-  return &job->rounds[round];
+  guint at = position_of (job, round);
+  struct cell_round *found
+      = at < job->rounds->len ? g_ptr_array_index (job->rounds, at) : NULL;
+
+  return found != NULL && found->index == round ? found : NULL;
 }
 
 struct cell_stage *
@@ -40,13 +88,20 @@
   return MIN (CELL_BLOCK_TASKS, job->task_count - block * CELL_BLOCK_TASKS);
 }
 
+/* Returns how all tasks of a block without rows are. */
+static const struct cell_task *
+initial_task (const struct cell_block *block)
+{
+  return block->done > 0 ? &done_task : &untouched_task;
+}
+
 const struct cell_task *
 cell_task_peek (const struct cell_job *job, uint32_t round, uint32_t task)
 {
   const struct cell_block *block = block_of (job, round, task);
 
   return block->tasks != NULL ? &block->tasks[task % CELL_BLOCK_TASKS]
-                              : &untouched_task;
+                              : initial_task (block);
 }
 
 struct cell_task *
@@ -59,7 +114,7 @@
     {
       block->tasks = g_new (struct cell_task, size);
       for (uint32_t t = 0; t < size; t++)
-        block->tasks[t] = untouched_task;
+        block->tasks[t] = *initial_task (block);
     }
   return &block->tasks[task % CELL_BLOCK_TASKS];
 }
@@ -87,6 +142,7 @@
   if (state == CELL_TASK_DONE)
     {
       stage->done++;
+      block->done++;
       cell_round_at (job, round)->tasks_done++;
     }
   row->state = state;
@@ -136,20 +192,39 @@
     }
 }
 
-static void
-setup_round (struct cell_job *job, uint32_t index)
+/* Returns when the round is due, Unix time; 0 if at once. */
+static uint64_t
+due_ms (const struct cell_job *job, uint32_t round)
+{
+  const Cyc__CellJob *spec = job->spec;
+
+  if (spec->repeat_count == 0)
+    return 0;
+  if (round > 0
+      && spec->interval_ms > (UINT64_MAX - spec->first_due_ms) / round)
+    return UINT64_MAX;
+  return spec->first_due_ms + round * spec->interval_ms;
+}
+
+static struct cell_round *
+setup_round (struct cell_core *core, struct cell_job *job, uint32_t index)
 {
-  struct cell_round *round = cell_round_at (job, index);
+  struct cell_round *round = g_new0 (struct cell_round, 1);
   uint32_t first = 0;
 
   round->index = index;
-  if (job->spec->repeat_count > 0)
-    round->due_ms = job->spec->first_due_ms + index * job->spec->interval_ms;
-  round->due = round->due_ms == 0;
+  round->due_ms = due_ms (job, index);
+  round->due = round->due_ms <= core->now_ms;
+  round->finished = cell_round_finished (job, index);
   round->blocks = g_new0 (struct cell_block, job->block_count);
   round->stages = g_new0 (struct cell_stage, job->spec->n_steps);
+  if (round->finished)
+    round->tasks_done = job->task_count;
   for (uint32_t b = 0; b < job->block_count; b++)
-    round->blocks[b].waiting = block_size (job, b);
+    if (round->finished)
+      round->blocks[b].done = block_size (job, b);
+    else
+      round->blocks[b].waiting = block_size (job, b);
   for (uint32_t s = 0; s < job->spec->n_steps; s++)
     {
       struct cell_stage *stage = &round->stages[s];
@@ -159,39 +234,222 @@
       stage->step = s;
       stage->first_task = first;
       stage->count = job->spec->steps[s]->count;
-      stage->waiting = stage->count;
+      if (round->finished)
+        stage->done = stage->count;
+      else
+        stage->waiting = stage->count;
       first += stage->count;
     }
   set_critical_paths (job, round);
+  g_ptr_array_insert (job->rounds, (gint)position_of (job, index), round);
+  job->open_rounds += !round->finished;
+  return round;
+}
+
+static void
+free_rows (struct cell_block *block, uint32_t size)
+{
+  for (uint32_t t = 0; block->tasks != NULL && t < size; t++)
+    g_free (block->tasks[t].crashes);
+  g_free (block->tasks);
+  block->tasks = NULL;
+}
+
+static void
+free_round (const struct cell_job *job, struct cell_round *round)
+{
+  for (size_t s = 0; s < job->spec->n_steps; s++)
+    cell_stage_release (&round->stages[s]);
+  for (uint32_t b = 0; b < job->block_count; b++)
+    free_rows (&round->blocks[b], block_size (job, b));
+  g_free (round->blocks);
+  g_free (round->stages);
+  g_free (round);
 }
 
 void
-cell_rounds_setup (struct cell_job *job)
+cell_rounds_begin (struct cell_core *core, struct cell_job *job)
 {
-  job->rounds = g_new0 (struct cell_round, job->round_count);
-  for (uint32_t r = 0; r < job->round_count; r++)
-    setup_round (job, r);
+  job->rounds = g_ptr_array_new ();
+  job->finished = g_array_new (FALSE, FALSE, sizeof (struct cell_span));
+  if (job->spec->repeat_count > 0)
+    {
+      g_ptr_array_add (core->scheduled_jobs, job);
+      cell_wake (core, core->now_us);
+      return;
+    }
+  job->next_round = 1;
+  cell_round_open (core, job, setup_round (core, job, 0));
 }
 
 void
 cell_rounds_free (struct cell_job *job)
 {
-  for (uint32_t r = 0; r < job->round_count; r++)
+  for (guint r = 0; r < job->rounds->len; r++)
+    free_round (job, g_ptr_array_index (job->rounds, r));
+  g_ptr_array_free (job->rounds, TRUE);
+  g_array_free (job->finished, TRUE);
+}
+
+/* Retirement. */
+
+static void
+retire (struct cell_core *core, const struct cell_job *job, uint32_t round,
+        uint32_t block)
+{
+  struct cell_retired *retired = g_new0 (struct cell_retired, 1);
+
+  retired->job = job->id;
+  retired->round = round;
+  retired->block = block;
+  retired->at_us = core->now_us + RETIRE_DELAY_US;
+  g_queue_push_tail (&core->retired, retired);
+  cell_wake (core, retired->at_us);
+}
+
+void
+cell_rounds_retire (struct cell_core *core, const struct cell_job *job)
+{
+  retire (core, job, CELL_ALL_ROUNDS, CELL_NO_BLOCK);
+}
+
+struct cell_round *
+cell_round_get (struct cell_core *core, struct cell_job *job, uint32_t round)
+{
+  struct cell_round *found = cell_round_at (job, round);
+
+  if (found != NULL)
+    return found;
+  found = setup_round (core, job, round);
+  if (!cell_job_open (job))
+    cell_rounds_retire (core, job);
+  else if (found->finished)
+    retire (core, job, round, CELL_NO_BLOCK);
+  return found;
+}
+
+/* Frees the round if nothing refers to it and its end is durable. */
+static bool
+free_finished (struct cell_core *core, struct cell_job *job,
+               struct cell_round *round)
+{
+  if (round->run_count > 0
+      || (cell_job_open (job)
+          && !cell_batch_is_durable (core, round->finished_batch)))
+    return false;
+  if (cell_job_open (job))
+    cell_progress_remove_round (core, job, round);
+  cell_stages_forget (core, job, round->index);
+  g_ptr_array_remove_index (job->rounds, position_of (job, round->index));
+  free_round (job, round);
+  return true;
+}
+
+void
+cell_block_retire (struct cell_core *core, const struct cell_job *job,
+                   uint32_t round, uint32_t task)
+{
+  uint32_t block = task / CELL_BLOCK_TASKS;
+
+  if (job->block_count > 1
+      && block_of (job, round, task)->done == block_size (job, block))
+    retire (core, job, round, block);
+}
+
+/* Returns whether all that was retired could be freed. */
+static bool
+free_retired (struct cell_core *core, const struct cell_retired *retired)
+{
+  struct cell_job *job = cell_job_find (core, retired->job);
+  struct cell_round *round;
+  bool all = true;
+
+  if (job == NULL)
+    return true;
+  if (retired->round == CELL_ALL_ROUNDS)
+    {
+      /* The records of its blocks are removed when its end is durable. */
+      if (job->durable_state != job->state)
+        return false;
+      for (guint r = job->rounds->len; r > 0; r--)
+        all = free_finished (core, job, g_ptr_array_index (job->rounds, r - 1))
+              && all;
+      return all;
+    }
+  round = cell_round_at (job, retired->round);
+  if (round == NULL)
+    return true;
+  if (retired->block == CELL_NO_BLOCK)
+    return free_finished (core, job, round);
+  free_rows (&round->blocks[retired->block], block_size (job, retired->block));
+  return true;
+}
+
+static void
+free_due (struct cell_core *core)
+{
+  struct cell_retired *retired;
+
+  while ((retired = g_queue_peek_head (&core->retired)) != NULL
+         && retired->at_us <= core->now_us)
+    {
+      g_queue_pop_head (&core->retired);
+      if (free_retired (core, retired))
+        {
+          g_free (retired);
+          continue;
+        }
+      retired->at_us = core->now_us + RETIRE_DELAY_US;
+      g_queue_push_tail (&core->retired, retired);
+    }
+  if (retired != NULL)
+    cell_wake (core, retired->at_us);
+}
+
+/* Finished rounds. */
+
+bool
+cell_round_finished (const struct cell_job *job, uint32_t round)
+{
+  for (guint i = 0; i < job->finished->len; i++)
+    {
+      const struct cell_span *span
+          = &g_array_index (job->finished, struct cell_span, i);
+
+      if (round < span->end)
+        return round >= span->first;
+    }
+  return false;
+}
+
+void
+cell_rounds_finished (struct cell_job *job, uint32_t first, uint32_t end)
+{
+  struct cell_span *spans = (struct cell_span *)job->finished->data;
+  guint at = 0;
+
+  if (first >= end || end > job->round_count
+      || cell_round_finished (job, first))
+    return;
+  while (at < job->finished->len && spans[at].end < first)
+    at++;
+  if (at == job->finished->len || spans[at].first > end)
     {
-      struct cell_round *round = cell_round_at (job, r);
-
-      for (size_t s = 0; s < job->spec->n_steps; s++)
-        cell_stage_release (&round->stages[s]);
-      for (uint32_t t = cell_task_next_row (round, 0, job->task_count);
-           t < job->task_count;
-           t = cell_task_next_row (round, t + 1, job->task_count))
-        g_free (cell_task_at (job, r, t)->crashes);
-      for (uint32_t b = 0; b < job->block_count; b++)
-        g_free (round->blocks[b].tasks);
-      g_free (round->blocks);
-      g_free (round->stages);
+      struct cell_span added = { first, end };
+
+      g_array_insert_val (job->finished, at, added);
     }
-  g_free (job->rounds);
+  else
+    {
+      spans[at].first = MIN (spans[at].first, first);
+      spans[at].end = MAX (spans[at].end, end);
+      if (at + 1 < job->finished->len && spans[at + 1].first == spans[at].end)
+        {
+          spans[at].end = spans[at + 1].end;
+          g_array_remove_index (job->finished, at + 1);
+        }
+    }
+  job->rounds_finished += end - first;
 }
 
 void
@@ -224,41 +482,80 @@
 }
 
 void
-cell_round_finish (struct cell_job *job, struct cell_round *round)
+cell_round_finish (struct cell_core *core, struct cell_job *job,
+                   struct cell_round *round)
 {
   if (round->tasks_done < job->task_count || round->finished)
     return;
   round->finished = true;
-  job->rounds_finished++;
+  round->finished_batch = core->batch;
+  job->open_rounds--;
+  cell_rounds_finished (job, round->index, round->index + 1);
+  if (!job->in_blocks || !cell_job_open (job))
+    return;
+  cell_job_mark_dirty (core, job);
+  retire (core, job, round->index, CELL_NO_BLOCK);
+  cell_wake (core, core->now_us);
 }
 
-void
-cell_rounds_tick (struct cell_core *core)
+/* Returns the first round at or after the next one that is not finished. */
+static uint32_t
+next_unfinished (const struct cell_job *job)
 {
-  for (guint i = 0; i < core->scheduled_jobs->len;)
+  for (guint i = 0; i < job->finished->len; i++)
     {
-      struct cell_job *job = g_ptr_array_index (core->scheduled_jobs, i);
-      bool all = true;
+      const struct cell_span *span
+          = &g_array_index (job->finished, struct cell_span, i);
+
+      if (job->next_round < span->first)
+        break;
+      if (job->next_round < span->end)
+        return span->end;
+    }
+  return job->next_round;
+}
 
-      for (uint32_t r = 0; r < job->round_count && cell_job_open (job); r++)
+/* Sets up the rounds of the job that have become due. Returns whether there
+   are later ones. */
+static bool
+open_due (struct cell_core *core, struct cell_job *job)
+{
+  while (cell_job_open (job))
+    {
+      struct cell_round *round;
+      uint64_t at_ms;
+
+      job->next_round = next_unfinished (job);
+      if (job->next_round >= job->round_count)
+        return false;
+      at_ms = due_ms (job, job->next_round);
+      if (at_ms > core->now_ms)
         {
-          struct cell_round *round = cell_round_at (job, r);
-
-          if (round->due)
-            continue;
-          if (round->due_ms <= core->now_ms)
-            {
-              round->due = true;
-              cell_round_open (core, job, round);
-              continue;
-            }
-          all = false;
           cell_wake (core, core->now_us
-                               + (round->due_ms - core->now_ms) * US_PER_MS);
+                               + MIN (at_ms - core->now_ms, WAKE_MAX_MS)
+                                     * US_PER_MS);
+          return true;
         }
-      if (all || !cell_job_open (job))
-        g_ptr_array_remove_index_fast (core->scheduled_jobs, i);
-      else
-        i++;
+      round = cell_round_at (job, job->next_round);
+      if (round == NULL && job->open_rounds > 0
+          && (job->open_rounds + 1) * job->spec->n_steps > OPEN_STAGES_MAX)
+        return true;
+      if (round == NULL)
+        round = setup_round (core, job, job->next_round);
+      round->due = true;
+      cell_round_open (core, job, round);
+      job->next_round++;
     }
+  return false;
+}
+
+void
+cell_rounds_tick (struct cell_core *core)
+{
+  free_due (core);
+  for (guint i = 0; i < core->scheduled_jobs->len;)
+    if (open_due (core, g_ptr_array_index (core->scheduled_jobs, i)))
+      i++;
+    else
+      g_ptr_array_remove_index_fast (core->scheduled_jobs, i);
 }
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -69,6 +69,7 @@
     }
   run->ref.generation
       = ++g_array_index (core->run_generations, uint32_t, run->ref.index);
+  cell_round_at (job, round)->run_count++;
   run->job = job;
   run->round = round;
   run->task = task;
@@ -135,6 +136,7 @@
   struct cell_task *task = cell_task_at (run->job, run->round, run->task);
 
   cell_blame_freed (core, run);
+  cell_round_at (run->job, run->round)->run_count--;
   if (task->run == run)
     task->run = NULL;
   if (run->state == CELL_RUN_RECORDING)
--- a/src/cyc_cell_trial.c
+++ b/src/cyc_cell_trial.c
@@ -104,10 +104,13 @@
 }
 
 void
-cell_trials_forget (struct cell_core *core, const struct cell_job *job)
+cell_trials_forget (struct cell_core *core, const struct cell_job *job,
+                    uint32_t round)
 {
   for (guint i = core->holds->len; i > 0; i--)
-    if (g_array_index (core->holds, struct cell_hold, i - 1).stage->job == job)
+    if (CELL_STAGE_IS_OF (
+            g_array_index (core->holds, struct cell_hold, i - 1).stage, job,
+            round))
       release (core, i - 1, 0);
 }
 
--- a/src/entry_records.c
+++ b/src/entry_records.c
@@ -272,8 +272,7 @@
       struct cell_record name = { 0 };
 
       if (parse_progress_key (cyc_str_of (key), &name)
-          && !cell_record_needed (records->owner->core, name.job, name.round,
-                                  name.block))
+          && !cell_record_needed (records->owner->core, name.job, name.round))
         remove_block (records, key);
     }
   g_list_free (keys);
@@ -385,7 +384,7 @@
       && name.block != CELL_NO_BLOCK && row->len > 0)
     {
       add_block_part (records, row->key, part->index);
-      if (!cell_record_needed (owner->core, name.job, name.round, name.block))
+      if (!cell_record_needed (owner->core, name.job, name.round))
         remove_block (records, row->key);
     }
   if (!row->submitted || !cell_job_id_parse (cyc_str_of (row->key + 1), &id))
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -255,6 +255,9 @@
   out->queue = strdup (job->queue != NULL ? job->queue : "batch");
   out->team = strdup (job->team != NULL ? job->team : "blue");
   out->accepted_ms = fleet->now_ms;
+  out->repeat_count = job->repeat_count;
+  out->first_due_ms = job->first_due_ms;
+  out->interval_ms = job->interval_ms;
   out->steps = calloc (4, sizeof (Cyc__CellStep *));
   for (uint32_t s = 0; s < 4 && job->tasks[s] > 0; s++)
     {
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -137,6 +137,9 @@
   bool always_fails; /**< every run fails */
   uint32_t deadly;   /**< first tasks of the first step that crash each worker
                         that starts them */
+  uint32_t repeat_count; /**< number of rounds; 0: one, due at once */
+  uint64_t first_due_ms; /**< of round 0 */
+  uint64_t interval_ms;
   const char *team;  /**< default "blue" */
   const char *queue; /**< default "batch" */
   const char *label; /**< that the worker must have; NULL if none */
