--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -34,6 +34,12 @@
 #define CELL_CHECKPOINT_BYTES 40
 #define CELL_LABELS_MAX 8
 #define CELL_STEPS_MAX 64
+/** Limits of a job. Its record and those of its tasks stay below 64 KiB, and a
+ * round of the largest one takes 190 KB before any of it is started. */
+#define CELL_PAYLOAD_MAX_BYTES 4000
+#define CELL_TEXT_MAX_BYTES 255
+/** Tasks of one round, in all steps. */
+#define CELL_TASKS_MAX 1000000
 /** A call without an answer may be executed this long after it has ended, as
  * far as is known: the platform states no bound. */
 #define CELL_CALL_LATE_MAX_US 12000000
@@ -458,10 +464,15 @@
 void cell_worker_leased (struct cell_core *core, uint32_t row,
                          uint64_t deadline_ms);
 
+/** Checks what a job asks for. Returns false and adds findings, which name the
+ * field and its limit, if a core would not take it. */
+bool cell_job_check (const struct Cyc__CellJob *job,
+                     struct cyc_findings *findings);
 /** Adds a job and takes ownership of @p job. @p stored: the log holds the job.
  * If not, the core asks for advice and chooses workers, but starts nothing
- * until cell_job_stored. Returns false and frees @p job if it is invalid or
- * the id is already known. */
+ * until cell_job_stored. Returns false and frees @p job if the id is already
+ * known, or if cell_job_check does not pass it. A stored job that it does not
+ * pass is kept as failed. */
 bool cell_job_add (struct cell_core *core, uint64_t id,
                    struct Cyc__CellJob *job, bool stored, uint64_t now_us,
                    uint64_t now_ms);
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -153,25 +153,20 @@
   return longest;
 }
 
-static bool
-spec_valid (const Cyc__CellJob *spec)
+/* Puts a step that never runs in the place of what cannot be held. */
+static void
+strip_spec (Cyc__CellJob *spec)
 {
-  uint64_t tasks = 0;
+  Cyc__CellStep *step = malloc (sizeof *step);
 
-  if (spec->n_steps == 0 || spec->n_steps > CELL_STEPS_MAX)
-    return false;
   for (size_t s = 0; s < spec->n_steps; s++)
-    {
-      const Cyc__CellStep *step = spec->steps[s];
-
-      tasks += step->count;
-      if (step->count == 0 || tasks > 100000)
-        return false;
-      for (size_t d = 0; d < step->n_depends_on; d++)
-        if (step->depends_on[d] >= s)
-          return false;
-    }
-  return true;
+    cyc__cell_step__free_unpacked (spec->steps[s], NULL);
+  cyc__cell_step__init (step);
+  step->count = 1;
+  spec->steps = realloc (spec->steps, sizeof (Cyc__CellStep *));
+  spec->steps[0] = step;
+  spec->n_steps = 1;
+  spec->repeat_count = 0;
 }
 
 /* Charges one job to its team's credit. Returns whether the team exceeds its
@@ -201,17 +196,22 @@
 cell_job_add (struct cell_core *core, uint64_t id, Cyc__CellJob *spec,
               bool stored, uint64_t now_us, uint64_t now_ms)
 {
+  struct cyc_findings findings = { 0 };
   struct cell_job *job;
   const struct cell_queue_cfg *queue = NULL;
   uint64_t age_us;
+  bool valid;
 
   core->now_us = now_us;
   core->now_ms = now_ms;
-  if (cell_job_find (core, id) != NULL || !spec_valid (spec))
+  valid = cell_job_check (spec, &findings);
+  if (cell_job_find (core, id) != NULL || (!valid && !stored))
     {
       cyc__cell_job__free_unpacked (spec, NULL);
       return false;
     }
+  if (!valid)
+    strip_spec (spec);
   job = g_new0 (struct cell_job, 1);
   job->id = id;
   job->spec = spec;
@@ -231,7 +231,7 @@
   job->in_blocks = job->block_count > 1 || job->round_count > 1;
   job->dirty_blocks
       = g_array_new (FALSE, FALSE, sizeof (struct cell_block_ref));
-  job->state = job->durable_state = CELL_JOB_QUEUED;
+  job->state = job->durable_state = valid ? CELL_JOB_QUEUED : CELL_JOB_FAILED;
   age_us = now_ms > spec->accepted_ms
                ? (now_ms - spec->accepted_ms) * US_PER_MS
                : 0;
@@ -247,7 +247,7 @@
   job->over_rate = charge_team_rate (core, job->team, age_us);
   g_hash_table_insert (core->jobs, &job->id, job);
   cell_rounds_begin (core, job);
-  return true;
+  return valid;
 }
 
 /* Calls @p act with the run of each task that has one. */
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -112,6 +112,7 @@
          bool stored, bool from_stream)
 {
   uint64_t now_us = hc_now_us ();
+  struct cyc_findings findings = { 0 };
   gint64 key = (gint64)id;
   gchar *team;
   gchar *queue;
@@ -128,6 +129,10 @@
   team = g_strdup (job->team);
   queue = g_strdup (job->queue);
   age_ms = (int64_t)(hc_wall_ms () - job->accepted_ms);
+  if (!cell_job_check (job, &findings))
+    ev_log (EV_JOB_REFUSED,
+            "job=%016" PRIx64 " stored=%d field=\"%s\" why=\"%s\"", id, stored,
+            findings.rows[0].place, findings.rows[0].text);
   if (cell_job_add (owner->core, id, job, stored, now_us, hc_wall_ms ())
       && owner->phase == OWNER_LEADING)
     ev_log (EV_JOB_SEEN,
--- a/src/entry_requests.c
+++ b/src/entry_requests.c
@@ -214,7 +214,7 @@
 
 static void
 refuse (struct entry *entry, const struct pt_request *request,
-        enum pt_answer_kind kind)
+        enum pt_answer_kind kind, const struct cyc_finding *finding)
 {
   if (kind != PT_ANSWER_NO_QUEUE)
     ev_log (EV_REQUEST_REFUSED,
@@ -226,22 +226,22 @@
       &(struct pt_answer){
           .kind = kind,
           .retry_after_s = kind == PT_ANSWER_BUSY ? RETRY_AFTER_MIN_S : 0,
+          .finding = finding,
           .close = entry->stopping,
       });
 }
 
-/* Packs the submitted job; returns NULL if it is invalid. */
+/* Packs the submitted job. Returns NULL and adds findings if it is invalid. */
 static uint8_t *
 pack_job (struct entry *entry, const struct pt_request *request,
           const struct cell_queue_cfg *queue, const struct cell_team_cfg *team,
-          size_t *len)
+          struct cyc_findings *findings, size_t *len)
 {
-  struct cyc_findings findings = { 0 };
   Cyc__CellJob *job
-      = entry->desc.ports->callers->vtable->job (request->body, &findings);
+      = entry->desc.ports->callers->vtable->job (request->body, findings);
   uint8_t *data;
 
-  ev_findings (EV_REQUEST_REFUSED, &findings);
+  ev_findings (EV_REQUEST_REFUSED, findings);
   if (job == NULL)
     return NULL;
   job->queue = strdup (queue->name.data);
@@ -265,15 +265,16 @@
       = request->wait_ms ? request->wait_ms : CALLER_WAIT_DEFAULT_MS;
   struct cyc_ref ref;
   struct entry_call *call;
+  struct cyc_findings findings = { 0 };
   uint8_t *data = NULL;
   size_t len = 0;
 
   if (verb == PT_VERB_SUBMIT)
     {
-      data = pack_job (entry, request, queue, team, &len);
+      data = pack_job (entry, request, queue, team, &findings, &len);
       if (data == NULL)
         {
-          refuse (entry, request, PT_ANSWER_BAD_REQUEST);
+          refuse (entry, request, PT_ANSWER_BAD_REQUEST, findings.rows);
           return;
         }
     }
@@ -281,7 +282,7 @@
   if (ref.generation == 0)
     {
       free (data);
-      refuse (entry, request, PT_ANSWER_BUSY);
+      refuse (entry, request, PT_ANSWER_BUSY, NULL);
       return;
     }
   call = &entry->calls[ref.index];
@@ -316,19 +317,19 @@
 
   if (entry->config == NULL)
     {
-      refuse (entry, request, PT_ANSWER_BUSY);
+      refuse (entry, request, PT_ANSWER_BUSY, NULL);
       return;
     }
   queue = cell_config_route (entry->config, request->host, request->path);
   if (queue == NULL)
     {
-      refuse (entry, request, PT_ANSWER_NO_QUEUE);
+      refuse (entry, request, PT_ANSWER_NO_QUEUE, NULL);
       return;
     }
   team = cell_config_team_of_key (entry->config, request->key);
   if (team == NULL && !queue->open_to_all)
     {
-      refuse (entry, request, PT_ANSWER_BAD_KEY);
+      refuse (entry, request, PT_ANSWER_BAD_KEY, NULL);
       return;
     }
   rest = (struct cyc_str){ request->path.data + strlen (queue->path_prefix),
@@ -341,7 +342,9 @@
     verb = rest.len == 0 ? PT_VERB_PENDING : PT_VERB_STATE;
   if (verb != PT_VERB_PENDING && !cell_job_id_parse (rest, &job))
     {
-      refuse (entry, request, PT_ANSWER_BAD_REQUEST);
+      refuse (entry, request, PT_ANSWER_BAD_REQUEST,
+              &(struct cyc_finding){
+                  .place = "id", .text = "must be 16 hexadecimal digits" });
       return;
     }
   begin_call (entry, request, queue, team, verb, job);
--- a/src/ports.h
+++ b/src/ports.h
@@ -316,7 +316,10 @@
   enum cell_job_state state;
   uint32_t pending;
   uint32_t retry_after_s; /**< 0 if unknown */
-  bool close;             /**< close the connection after this answer */
+  /** What is wrong with the request: NULL, or the finding to tell. Valid
+   * during the call. */
+  const struct cyc_finding *finding;
+  bool close; /**< close the connection after this answer */
 };
 
 struct pt_callers;
