--- a/fakes/fk_platform.c
+++ b/fakes/fk_platform.c
@@ -240,6 +240,14 @@
   const uint8_t *at = (const uint8_t *)call->body.data;
   size_t left = call->body.len;
 
+  if (platform->faults.busy_topic != NULL && call->body.len > 0
+      && cyc_str_eq (topic, cyc_str_of (platform->faults.busy_topic)))
+    {
+      platform->faults.busy_topic = NULL;
+      fkp_delay_reply (platform, &platform->log, call->ref, 503,
+                       CYC_STR ("{}"), platform->faults.busy_delay_ms);
+      return;
+    }
   if (!are_records_valid (platform, call->body))
     {
       platform->invalid_appends++;
--- a/fakes/fk_platform.h
+++ b/fakes/fk_platform.h
@@ -151,20 +151,23 @@
   bool log_silent;              /**< never answers */
   uint32_t lose_append_answers; /**< number of appends that are stored, but not
                                    answered */
-  uint32_t log_delay_ms;        /**< delay of each answer */
-  const char *unread_topic;     /**< its reads are not answered; or NULL */
-  const char *unloaded_topic;   /**< its newest records are not given; or NULL
-                                 */
-  bool advisor_busy;            /**< answers with status 429 */
-  bool advisor_silent;          /**< never answers */
-  uint32_t lose_start_answers;  /**< number of starts that run, but are not
-                                   answered */
-  bool stop_listening;          /**< a worker or log that loses an answer also
-                                   closes its listening socket */
-  int start_error_status;       /**< HTTP status of each start; 0: no error */
-  const char *reason;           /**< reason in the body of status 409 */
-  bool workers_silent;          /**< no worker answers */
-  bool other_incarnation;       /**< answers with status 421 */
+  const char *busy_topic; /**< the next append to it gets status 503 after
+                             `busy_delay_ms`; or NULL */
+  uint32_t busy_delay_ms;
+  uint32_t log_delay_ms;       /**< delay of each answer */
+  const char *unread_topic;    /**< its reads are not answered; or NULL */
+  const char *unloaded_topic;  /**< its newest records are not given; or NULL
+                                */
+  bool advisor_busy;           /**< answers with status 429 */
+  bool advisor_silent;         /**< never answers */
+  uint32_t lose_start_answers; /**< number of starts that run, but are not
+                                  answered */
+  bool stop_listening;         /**< a worker or log that loses an answer also
+                                  closes its listening socket */
+  int start_error_status;      /**< HTTP status of each start; 0: no error */
+  const char *reason;          /**< reason in the body of status 409 */
+  bool workers_silent;         /**< no worker answers */
+  bool other_incarnation;      /**< answers with status 421 */
   enum fkp_start_fault start;
   uint32_t start_count;       /**< orders that `start` still applies to */
   uint32_t start_delay_ms[4]; /**< of the orders executed later, in turn */
--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -478,8 +478,9 @@
                    uint64_t now_ms);
 /** Reports that the log holds the job; ignored if the job is unknown. */
 void cell_job_stored (struct cell_core *core, uint64_t id, uint64_t now_us);
-/** Removes a job that the log certainly does not hold. */
-void cell_job_withdraw (struct cell_core *core, uint64_t id);
+/** Removes a job that the log certainly does not hold. Returns whether it was
+ * cancelled: so is a copy of it that comes later. */
+bool cell_job_withdraw (struct cell_core *core, uint64_t id);
 /** Reports that the log does not take a progress record of the job, however
  * often it is written. The job fails: a run of it that no record names must
  * not start. Ignored if the job has ended or is unknown. */
@@ -512,6 +513,8 @@
 /** Returns the durable state of the job; 0 if the job is unknown or not
  * stored. */
 enum cell_job_state cell_job_state (const struct cell_core *core, uint64_t id);
+/** Returns whether the job has durably ended. */
+bool cell_job_ended (const struct cell_core *core, uint64_t id);
 /** Returns whether the job's team exceeded its rate when the job arrived. */
 bool cell_job_over_rate (const struct cell_core *core, uint64_t id);
 /** Returns whether a job that is not stored yet should be refused: its team
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -41,6 +41,15 @@
   return job == NULL || !job->stored ? 0 : job->durable_state;
 }
 
+bool
+cell_job_ended (const struct cell_core *core, uint64_t id)
+{
+  enum cell_job_state state = cell_job_state (core, id);
+
+  return state == CELL_JOB_COMPLETE || state == CELL_JOB_FAILED
+         || state == CELL_JOB_CANCELED;
+}
+
 bool
 cell_job_over_rate (const struct cell_core *core, uint64_t id)
 {
@@ -309,14 +318,18 @@
   cell_job_free (job);
 }
 
-void
+bool
 cell_job_withdraw (struct cell_core *core, uint64_t id)
 {
   struct cell_job *job = cell_job_find (core, id);
+  bool cancelled;
 
+  if (job == NULL || job->stored)
+    return false;
   /* Nothing of the job was ordered: all its runs wait until it is stored. */
-  if (job != NULL && !job->stored)
-    forget_job (core, job);
+  cancelled = job->state == CELL_JOB_CANCELED;
+  forget_job (core, job);
+  return cancelled;
 }
 
 void
--- a/src/entry_accept.c
+++ b/src/entry_accept.c
@@ -373,7 +373,9 @@
           continue;
         }
       g_ptr_array_remove_index_fast (entry->accept_at_leader, i);
-      if (outcome == RECORDS_STORED)
+      if (outcome == RECORDS_NO_JOB)
+        end_item (entry, item, PT_ANSWER_NO_JOB, 0);
+      else if (outcome == RECORDS_STORED)
         {
           met_add (&entry->met, MET_JOBS_ACCEPTED, 1);
           met_observe (&entry->met, MET_LOG_APPEND_US,
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -39,7 +39,9 @@
   RECORDS_REFUSED,   /**< certainly not stored: the log is down */
   RECORDS_OVER_RATE, /**< certainly not stored: the team exceeds its rate */
   RECORDS_UNKNOWN, /**< outcome unknown: the leader ends or is still loading */
-  RECORDS_INVALID  /**< certainly not stored: the log takes no such record */
+  RECORDS_INVALID, /**< certainly not stored: the log takes no such record */
+  RECORDS_NO_JOB   /**< the cancellation is stored, of a job that the leader
+                        does not know; if it comes yet it is cancelled */
 };
 
 /** Returns the delay after which callers retry. It grows with the length of
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -27,6 +27,9 @@
 /** A leader that takes longer to load its state is behind: callers wait for
  * their answers meanwhile. */
 #define LOAD_MAX_US 1500000
+/** Cancellations that are kept of jobs that are not known, which take 5 MB.
+ * Beyond them the oldest one is dropped: no job is on its way for so long. */
+#define EARLY_CANCELLATIONS_MAX 65536
 /** Longest interval between two ticks of the core. */
 #define CORE_TICK_MAX_US 200000
 
@@ -35,6 +38,7 @@
 {
   records_shutdown (&owner->records);
   g_hash_table_destroy (owner->early_cancellations);
+  g_queue_clear_full (&owner->cancellations_by_age, g_free);
   g_hash_table_destroy (owner->unusable_entries);
   g_array_free (owner->workers, TRUE);
   due_shutdown (&owner->holds);
@@ -94,17 +98,43 @@
 
 /* Streams. */
 
-void
+/* Keeps the cancellation of a job that the core does not hold. */
+static void
+keep_cancellation (struct entry_owner *owner, uint64_t id)
+{
+  gint64 *key = g_memdup2 (&id, sizeof id);
+
+  if (!g_hash_table_add (owner->early_cancellations, key))
+    return;
+  g_queue_push_tail (&owner->cancellations_by_age, g_memdup2 (&id, sizeof id));
+  while (owner->cancellations_by_age.length > EARLY_CANCELLATIONS_MAX)
+    {
+      gint64 *oldest = g_queue_pop_head (&owner->cancellations_by_age);
+
+      g_hash_table_remove (owner->early_cancellations, oldest);
+      g_free (oldest);
+    }
+}
+
+bool
 owner_cancel (struct entry_owner *owner, uint64_t id)
 {
-  gint64 key = (gint64)id;
+  bool known = cell_job_cancel (owner->core, id, hc_now_us ());
 
-  if (!cell_job_cancel (owner->core, id, hc_now_us ()))
-    g_hash_table_add (owner->early_cancellations,
-                      g_memdup2 (&key, sizeof key));
-  ev_log (EV_JOB_CANCELLED, "job=%016" PRIx64 " epoch=%" PRIu64, id,
-          owner->epoch);
+  if (!known)
+    keep_cancellation (owner, id);
+  ev_log (EV_JOB_CANCELLED,
+          "job=%016" PRIx64 " epoch=%" PRIu64 " known=%d kept=%u", id,
+          owner->epoch, known, g_hash_table_size (owner->early_cancellations));
   owner_input_added (owner);
+  return known;
+}
+
+void
+owner_withdraw_job (struct entry_owner *owner, uint64_t id)
+{
+  if (cell_job_withdraw (owner->core, id))
+    keep_cancellation (owner, id);
 }
 
 static void
@@ -144,8 +174,11 @@
   g_free (queue);
   if (stored)
     cell_job_stored (owner->core, id, now_us);
-  if (g_hash_table_remove (owner->early_cancellations, &key))
+  /* Kept until the job is stored: a copy that is not may be withdrawn. */
+  if (g_hash_table_contains (owner->early_cancellations, &key))
     cell_job_cancel (owner->core, id, now_us);
+  if (stored)
+    g_hash_table_remove (owner->early_cancellations, &key);
   owner_input_added (owner);
 }
 
@@ -346,6 +379,7 @@
                            .first_revision = epoch << REVISION_EPOCH_SHIFT });
   owner->early_cancellations
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  g_queue_init (&owner->cancellations_by_age);
   owner->unusable_entries
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   owner->workers = g_array_new (FALSE, TRUE, sizeof (struct owner_worker));
--- a/src/entry_owner_internal.h
+++ b/src/entry_owner_internal.h
@@ -49,8 +49,9 @@
   uint32_t jobs_parts;
   struct entry_records records;
   struct tail workers_tail;
-  GHashTable *early_cancellations; /**< ids of cancelled jobs that are not in
+  GHashTable *early_cancellations; /**< ids of cancelled jobs that were not in
                                         the core */
+  GQueue cancellations_by_age;     /**< the same, uint64_t *, oldest first */
   GArray *workers;                 /**< struct owner_worker by worker row of
                                         the core */
   struct due_queue holds;          /**< rows of workers, by when orders_hold
@@ -75,8 +76,12 @@
 /** Adds a job to the core before the log has stored it. */
 void owner_add_unstored_job (struct entry_owner *owner, uint64_t id,
                              struct cyc_str value);
-/** Applies a cancellation that the log has stored. */
-void owner_cancel (struct entry_owner *owner, uint64_t id);
+/** Applies a cancellation that the log has stored. Returns false if the job is
+ * not known; it is cancelled if it comes yet. */
+bool owner_cancel (struct entry_owner *owner, uint64_t id);
+/** Removes a job that the log certainly does not hold. Its cancellation stays
+ * in force. */
+void owner_withdraw_job (struct entry_owner *owner, uint64_t id);
 /** Notes new input for the core and schedules a tick. */
 void owner_input_added (struct entry_owner *owner);
 /** Sends the holds that are due: they extend leases and ask which runs the
--- a/src/entry_records.c
+++ b/src/entry_records.c
@@ -367,7 +367,7 @@
 
   if (row->key[0] == 'j' && cell_job_id_parse (cyc_str_of (row->key + 1), &id)
       && !submitted_elsewhere (records, row))
-    cell_job_withdraw (records->owner->core, id);
+    owner_withdraw_job (records->owner, id);
   send_outcome (records, row, outcome);
 }
 
@@ -377,6 +377,7 @@
 {
   struct entry_records *records = part->records;
   struct entry_owner *owner = records->owner;
+  enum records_outcome outcome = RECORDS_STORED;
   struct cell_record name = { 0 };
   uint64_t id;
 
@@ -391,11 +392,11 @@
     return;
   if (row->key[0] == 'j')
     cell_job_stored (owner->core, id, now_us);
-  else
-    owner_cancel (owner, id);
+  else if (!owner_cancel (owner, id) && owner_can_answer (owner->entry))
+    outcome = RECORDS_NO_JOB;
   met_observe (&owner->entry->met, MET_LOG_APPEND_US,
                now_us - row->received_us);
-  send_outcome (records, row, RECORDS_STORED);
+  send_outcome (records, row, outcome);
 }
 
 /* Writing. */
@@ -774,7 +775,8 @@
   row->received_us = now_us;
   if (owner->phase != OWNER_LEADING)
     send_outcome (records, row, RECORDS_UNKNOWN);
-  else if (row->key[0] == 'j' && cell_job_state (owner->core, id) != 0)
+  else if (row->key[0] == 'j' ? cell_job_state (owner->core, id) != 0
+                              : cell_job_ended (owner->core, id))
     send_outcome (records, row, RECORDS_STORED);
   else if (records->down_since_us != 0
            && (is_probing (records) || now_us < records->next_probe_us))
@@ -793,7 +795,7 @@
           || submitted_elsewhere (records, row))
         return;
       g_queue_remove (&records->waiting, row);
-      cell_job_withdraw (owner->core, id);
+      owner_withdraw_job (owner, id);
       met_add (&owner->entry->met, MET_JOBS_REFUSED, 1);
       send_outcome (records, row, RECORDS_OVER_RATE);
     }
--- a/src/entry_requests.c
+++ b/src/entry_requests.c
@@ -76,37 +76,15 @@
   return data;
 }
 
-/* Continues a request with the job's state according to the leader. */
+/* Answers a request with the job's state according to the leader. */
 static void
-apply_job_state (struct entry *entry, struct cyc_ref ref,
-                 enum cell_job_state state)
+answer_state (struct entry *entry, struct cyc_ref ref,
+              enum cell_job_state state)
 {
-  struct entry_call *call = &entry->calls[ref.index];
-  uint8_t *data;
-  size_t len = 0;
-
-  if (state == 0)
-    {
-      requests_answer (entry, ref,
-                       &(struct pt_answer){ .kind = PT_ANSWER_NO_JOB });
-      return;
-    }
-  if (call->verb == PT_VERB_STATE)
-    {
-      requests_answer (
-          entry, ref,
-          &(struct pt_answer){ .kind = PT_ANSWER_STATE, .state = state });
-      return;
-    }
-  if (state != CELL_JOB_QUEUED && state != CELL_JOB_ACTIVE)
-    {
-      requests_answer (entry, ref,
-                       &(struct pt_answer){ .kind = PT_ANSWER_CANCELLED });
-      return;
-    }
-  call->awaiting_leader = false;
-  data = pack_cancel (&len);
-  accept_add (entry, ref, 'c', call->job, data, len);
+  requests_answer (entry, ref,
+                   &(struct pt_answer){ .kind = state != 0 ? PT_ANSWER_STATE
+                                                           : PT_ANSWER_NO_JOB,
+                                        .state = state });
 }
 
 /* The rows and generations of requests begin anew in each process. */
@@ -138,7 +116,7 @@
   if (call->verb != PT_VERB_PENDING
       && owner_job_state (entry, call->job, &state))
     {
-      apply_job_state (entry, ref, state);
+      answer_state (entry, ref, state);
       return;
     }
   if (entry->leader.epoch == 0 || entry->leader.self)
@@ -173,7 +151,7 @@
                      &(struct pt_answer){ .kind = PT_ANSWER_PENDING,
                                           .pending = answer->pending });
   else
-    apply_job_state (entry, ref, answer->known ? answer->state : 0);
+    answer_state (entry, ref, answer->known ? answer->state : 0);
 }
 
 void
@@ -299,8 +277,13 @@
             * 1000,
   };
   met_add (&entry->met, MET_REQUESTS, 1);
-  if (verb == PT_VERB_SUBMIT)
-    accept_add (entry, ref, 'j', job, data, len);
+  /* A cancellation is stored whether or not the job is known: the job may be
+     on its way, here or at another VM. */
+  if (verb == PT_VERB_CANCEL)
+    data = pack_cancel (&len);
+  if (verb == PT_VERB_SUBMIT || verb == PT_VERB_CANCEL)
+    accept_add (entry, ref, verb == PT_VERB_SUBMIT ? 'j' : 'c', job, data,
+                len);
   else
     ask_leader (entry, ref, now_us);
 }
