Tests choose ports that no outgoing connection takes

A test program that starts VMs chose a port that the kernel had just handed out and closed it; an outgoing connection of another program could take it before the VM listened. Seen once of two runs of test_entry_copies beside four other programs: entry_setup failed, whose only system call that can is the bind. Ports are now chosen below the kernel's ephemeral range, from a start that differs by process.

--- a/tests/tst_sched.c
+++ b/tests/tst_sched.c
@@ -10,18 +10,34 @@
 
 #include <cmocka.h>
 
+/** Ports below those that the kernel gives to outgoing connections, which may
+ * take a port between the choice and its use. */
+#define PORT_FIRST 10000
+#define PORT_COUNT 20000
+
 uint16_t
 tst_sched_free_port (void)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t len = sizeof address;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  assert_int_equal (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
-  getsockname (fd, (struct sockaddr *)&address, &len);
-  close (fd);
-  return ntohs (address.sin_port);
+  static uint32_t next;
+
+  if (next == 0)
+    next = (uint32_t)getpid () * 131;
+  for (uint32_t i = 0; i < PORT_COUNT; i++)
+    {
+      uint16_t port = (uint16_t)(PORT_FIRST + next++ % PORT_COUNT);
+      struct sockaddr_in address
+          = { .sin_family = AF_INET, .sin_port = htons (port) };
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+      int bound;
+
+      address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+      bound = bind (fd, (struct sockaddr *)&address, sizeof address);
+      close (fd);
+      if (bound == 0)
+        return port;
+    }
+  fail_msg ("no port is free");
+  return 0;
 }
 
 void
