Say that a job does not exist only if no write of it is to come

What callers saw: a GET of a job that is being stored, or that another VM has stored up to 3 s before, is answered 410.

Cause: cell_job_state is 0 for a job that is held but not stored, and owner_job_state told an unknown job by a view of the other VMs' jobs that may be 3 s old.

Change: an unknown job is reported only by a view that holds all that was stored when the question came; the leader reads the stream at once, beside its long poll (tail_refresh), and keeps questions of other VMs meanwhile. A job that the leader, or the VM that was asked, is storing has no state yet: the question waits, and is answered 503 if that takes too long. Not covered: an append that a third VM makes by itself at that moment.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -513,6 +513,8 @@
 /** Returns the durable state of the job; 0 if the job is unknown or not
  * stored. */
 enum cell_job_state cell_job_state (const struct cell_core *core, uint64_t id);
+/** Returns whether the job is held and not stored yet. */
+bool cell_job_is_unstored (const struct cell_core *core, uint64_t id);
 /** Returns whether the job has durably ended. */
 bool cell_job_ended (const struct cell_core *core, uint64_t id);
 /** Returns whether the job's team exceeded its rate when the job arrived. */
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -41,6 +41,14 @@
   return job == NULL || !job->stored ? 0 : job->durable_state;
 }
 
+bool
+cell_job_is_unstored (const struct cell_core *core, uint64_t id)
+{
+  const struct cell_job *job = cell_job_find (core, id);
+
+  return job != NULL && !job->stored;
+}
+
 bool
 cell_job_ended (const struct cell_core *core, uint64_t id)
 {
--- a/src/entry.c
+++ b/src/entry.c
@@ -215,18 +215,15 @@
   Cyc__Peer message = CYC__PEER__INIT;
   Cyc__CellAnswer answer = CYC__CELL_ANSWER__INIT;
 
-  message.body_case = CYC__PEER__BODY_CELL_ANSWER;
-  message.cell_answer = &answer;
-  answer.ask = ask->ask;
   if (ask->job != 0)
     {
-      enum cell_job_state state = 0;
-
-      answer.leading = owner_job_state (entry, ask->job, &state);
-      answer.state = state;
-      answer.known = state != 0;
+      owner_on_ask (entry, peer, ask->ask, ask->job);
+      return;
     }
-  else if (owner_can_answer (entry))
+  message.body_case = CYC__PEER__BODY_CELL_ANSWER;
+  message.cell_answer = &answer;
+  answer.ask = ask->ask;
+  if (owner_can_answer (entry))
     {
       answer.leading = true;
       answer.pending = owner_pending (entry, cyc_str_of (ask->queue));
--- a/src/entry_accept.c
+++ b/src/entry_accept.c
@@ -458,6 +458,33 @@
     append_directly (entry, item, item->begun_us);
 }
 
+static bool
+holds_job (const GPtrArray *items, uint64_t job)
+{
+  for (guint i = 0; i < items->len; i++)
+    {
+      const struct accept_item *item = g_ptr_array_index (items, i);
+
+      if (item->job == job && item->key[0] == 'j')
+        return true;
+    }
+  return false;
+}
+
+bool
+accept_is_storing (const struct entry *entry, uint64_t job)
+{
+  for (const GList *at = entry->accept_waiting.head; at != NULL; at = at->next)
+    {
+      const struct accept_item *item = at->data;
+
+      if (item->job == job && item->key[0] == 'j')
+        return true;
+    }
+  return holds_job (entry->accept_in_flight, job)
+         || holds_job (entry->accept_at_leader, job);
+}
+
 void
 accept_tick (struct entry *entry, uint64_t now_us)
 {
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -64,6 +64,8 @@
  * Takes ownership of @p data. */
 void accept_add (struct entry *entry, struct cyc_ref call, char kind,
                  uint64_t job, uint8_t *data, size_t len);
+/** Returns whether this VM has a copy of the job on its way to the log. */
+bool accept_is_storing (const struct entry *entry, uint64_t job);
 void accept_tick (struct entry *entry, uint64_t now_us);
 void accept_shutdown (struct entry *entry);
 
@@ -124,10 +126,15 @@
 bool owner_can_answer (const struct entry *entry);
 /** Sets @p state, 0 for an unknown job. Returns false if this VM cannot tell.
  * A durable final state stays valid under any leader and however old the view
- * of the log is; reporting a job as unknown requires a view that includes all
- * jobs. */
-bool owner_job_state (const struct entry *entry, uint64_t job,
+ * of the log is. A job is reported as unknown only if it is not on its way to
+ * the log, by a view that includes all jobs stored at @p at_us, when the
+ * question came. */
+bool owner_job_state (const struct entry *entry, uint64_t job, uint64_t at_us,
                       enum cell_job_state *state);
+/** Answers another VM's question about a job, at once or when the view of the
+ * jobs is new enough. */
+void owner_on_ask (struct entry *entry, struct cyc_ref peer, uint64_t number,
+                   uint64_t job);
 uint32_t owner_pending (const struct entry *entry, struct cyc_str queue);
 /** Frees ended owners that have no calls in flight. */
 void owner_free_idle (struct entry *entry);
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -30,6 +30,10 @@
 /** Cancellations that are kept of jobs that are not known, which take 5 MB.
  * Beyond them the oldest one is dropped: no job is on its way for so long. */
 #define EARLY_CANCELLATIONS_MAX 65536
+/** Questions of other VMs that wait for a newer view, and how long they do:
+ * then the VM has asked again. */
+#define ASKS_MAX 4096
+#define ASK_KEPT_US 500000
 /** Longest interval between two ticks of the core. */
 #define CORE_TICK_MAX_US 200000
 
@@ -39,6 +43,7 @@
   records_shutdown (&owner->records);
   g_hash_table_destroy (owner->early_cancellations);
   g_queue_clear_full (&owner->cancellations_by_age, g_free);
+  g_array_free (owner->asks, TRUE);
   g_hash_table_destroy (owner->unusable_entries);
   g_array_free (owner->workers, TRUE);
   due_shutdown (&owner->holds);
@@ -51,7 +56,7 @@
 jobs_in_flight (const struct entry_owner *owner)
 {
   for (uint32_t i = 0; i < owner->jobs_parts; i++)
-    if (owner->jobs_tails[i].in_flight)
+    if (tail_busy (&owner->jobs_tails[i]))
       return true;
   return false;
 }
@@ -380,6 +385,7 @@
   owner->early_cancellations
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   g_queue_init (&owner->cancellations_by_age);
+  owner->asks = g_array_new (FALSE, FALSE, sizeof (struct owner_ask));
   owner->unusable_entries
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   owner->workers = g_array_new (FALSE, TRUE, sizeof (struct owner_worker));
@@ -470,8 +476,25 @@
   return true;
 }
 
+/* Returns whether the view of the jobs that other VMs have stored holds all
+   that they had at @p at_us. If not, it is read anew. */
+static bool
+jobs_known_at (const struct entry *entry, uint64_t at_us)
+{
+  struct entry_owner *owner = entry->owner;
+  bool known = owner_can_answer (entry);
+
+  for (uint32_t i = 0; i < owner->jobs_parts; i++)
+    if (owner->jobs_tails[i].fresh_us < at_us)
+      {
+        tail_refresh (&owner->jobs_tails[i]);
+        known = false;
+      }
+  return known;
+}
+
 bool
-owner_job_state (const struct entry *entry, uint64_t job,
+owner_job_state (const struct entry *entry, uint64_t job, uint64_t at_us,
                  enum cell_job_state *state)
 {
   const struct entry_owner *owner = entry->owner;
@@ -489,7 +512,65 @@
     case CELL_JOB_ACTIVE:
       return lead_confirmed (entry, hc_now_us ());
     }
-  return owner_can_answer (entry);
+  return !cell_job_is_unstored (owner->core, job)
+         && jobs_known_at (entry, at_us);
+}
+
+static void
+send_answer (struct entry *entry, const struct owner_ask *ask, bool leading,
+             enum cell_job_state state)
+{
+  Cyc__Peer message = CYC__PEER__INIT;
+  Cyc__CellAnswer answer = CYC__CELL_ANSWER__INIT;
+
+  message.body_case = CYC__PEER__BODY_CELL_ANSWER;
+  message.cell_answer = &answer;
+  answer.ask = ask->ask;
+  answer.leading = leading;
+  answer.state = state;
+  answer.known = state != 0;
+  pl_send (&entry->links, ask->peer, &message);
+}
+
+void
+owner_on_ask (struct entry *entry, struct cyc_ref peer, uint64_t number,
+              uint64_t job)
+{
+  struct entry_owner *owner = entry->owner;
+  struct owner_ask ask = {
+    .peer = peer, .ask = number, .job = job, .received_us = hc_now_us ()
+  };
+  enum cell_job_state state = 0;
+  bool answered = owner_job_state (entry, job, ask.received_us, &state);
+
+  /* The VM asks again after half a second, with the same number. */
+  if (!answered && owner != NULL && owner->phase == OWNER_LEADING
+      && owner->asks->len < ASKS_MAX)
+    g_array_append_val (owner->asks, ask);
+  else
+    send_answer (entry, &ask, answered, state);
+}
+
+/* Answers the questions that have waited for a newer view. */
+static void
+answer_asks (struct entry_owner *owner, uint64_t now_us)
+{
+  for (guint i = 0; i < owner->asks->len;)
+    {
+      const struct owner_ask *ask
+          = &g_array_index (owner->asks, struct owner_ask, i);
+      enum cell_job_state state = 0;
+      bool answered
+          = owner_job_state (owner->entry, ask->job, ask->received_us, &state);
+
+      if (!answered && now_us < ask->received_us + ASK_KEPT_US)
+        {
+          i++;
+          continue;
+        }
+      send_answer (owner->entry, ask, answered, state);
+      g_array_remove_index_fast (owner->asks, i);
+    }
 }
 
 uint32_t
@@ -574,6 +655,7 @@
       cell_tick (owner->core, now_us, hc_wall_ms ());
     }
   records_tick (&owner->records, now_us);
+  answer_asks (owner, now_us);
   while (cell_order_next (owner->core, &order))
     orders_send (owner, &order, now_us);
   if (cell_next_us (owner->core) != UINT64_MAX)
--- a/src/entry_owner_internal.h
+++ b/src/entry_owner_internal.h
@@ -38,6 +38,15 @@
   OWNER_LEADING
 };
 
+/** A question of another VM about a job. */
+struct owner_ask
+{
+  struct cyc_ref peer;
+  uint64_t ask;
+  uint64_t job;
+  uint64_t received_us;
+};
+
 struct entry_owner
 {
   struct entry *entry;
@@ -51,13 +60,14 @@
   struct tail workers_tail;
   GHashTable *early_cancellations; /**< ids of cancelled jobs that were not in
                                         the core */
-  GQueue cancellations_by_age;     /**< the same, uint64_t *, oldest first */
-  GArray *workers;                 /**< struct owner_worker by worker row of
-                                        the core */
-  struct due_queue holds;          /**< rows of workers, by when orders_hold
-                                        must look at them */
-  GHashTable *unusable_entries;    /**< ids of entries that do not describe a
-                                        usable worker */
+  GArray *asks; /**< struct owner_ask that wait for a newer view of the jobs */
+  GQueue cancellations_by_age;  /**< the same, uint64_t *, oldest first */
+  GArray *workers;              /**< struct owner_worker by worker row of
+                                     the core */
+  struct due_queue holds;       /**< rows of workers, by when orders_hold
+                                     must look at them */
+  GHashTable *unusable_entries; /**< ids of entries that do not describe a
+                                     usable worker */
   uint64_t begun_us;
   uint64_t next_load_log_us;
   uint64_t last_tick_us;
--- a/src/entry_requests.c
+++ b/src/entry_requests.c
@@ -11,6 +11,8 @@
 #define ASK_TIMEOUT_MS 2000
 /** Delay after which an unanswered question to the leader is sent again. */
 #define ASK_RETRY_US 500000
+/** The same while this VM has the job on its way to the log. */
+#define ASK_STORING_US 50000
 /** Limits of the retry delay of callers; the lower one also applies when no
  * leader can answer. During an outage of the log the delay equals the time
  * that the log has been down: an outage that has lasted long tends to
@@ -76,11 +78,19 @@
   return data;
 }
 
-/* Answers a request with the job's state according to the leader. */
+/* Answers a request with the job's state according to the leader. A job that
+   the leader does not know may be on its way from this VM. */
 static void
 answer_state (struct entry *entry, struct cyc_ref ref,
               enum cell_job_state state)
 {
+  struct entry_call *call = &entry->calls[ref.index];
+
+  if (state == 0 && accept_is_storing (entry, call->job))
+    {
+      call->next_ask_us = hc_now_us () + ASK_STORING_US;
+      return;
+    }
   requests_answer (entry, ref,
                    &(struct pt_answer){ .kind = state != 0 ? PT_ANSWER_STATE
                                                            : PT_ANSWER_NO_JOB,
@@ -114,7 +124,7 @@
       return;
     }
   if (call->verb != PT_VERB_PENDING
-      && owner_job_state (entry, call->job, &state))
+      && owner_job_state (entry, call->job, call->received_us, &state))
     {
       answer_state (entry, ref, state);
       return;
--- a/src/tail.c
+++ b/src/tail.c
@@ -68,6 +68,29 @@
     tail->desc.record (tail->desc.user, &records[i], first_offset + i);
 }
 
+/* Takes the result of a read that was sent at @p sent_us. Of its records those
+   are delivered that were not before: two reads may be in flight. */
+static void
+take_records (struct tail *tail, const struct pt_read_result *result,
+              uint64_t sent_us)
+{
+  uint64_t first = result->next - result->count;
+  uint32_t known = tail->next > first ? (uint32_t)MIN (tail->next - first,
+                                                       (uint64_t)result->count)
+                                      : 0;
+
+  tail->prev_fresh_us = tail->fresh_us;
+  if (result->end <= result->next)
+    tail->fresh_us = MAX (tail->fresh_us, sent_us);
+  deliver_records (tail, result->records + known, result->count - known,
+                   first + known);
+  if (!tail->running)
+    return;
+  tail->next = MAX (tail->next, result->next);
+  if (tail->desc.caught_up != NULL)
+    tail->desc.caught_up (tail->desc.user);
+}
+
 static void
 on_newest (void *user, const struct pt_newest_result *result)
 {
@@ -141,16 +164,7 @@
   if (is_quick (tail))
     tail->read_max_kib = MIN (tail->read_max_kib * 2, READ_MAX_KIB);
   reset_failures (tail);
-  tail->prev_fresh_us = tail->fresh_us;
-  if (!behind)
-    tail->fresh_us = tail->sent_us;
-  deliver_records (tail, result->records, result->count,
-                   result->next - result->count);
-  if (!tail->running)
-    return;
-  tail->next = result->next;
-  if (tail->desc.caught_up != NULL)
-    tail->desc.caught_up (tail->desc.user);
+  take_records (tail, result, tail->sent_us);
   if (tail->running && !tail->in_flight)
     schedule_read (tail, behind ? 1 : tail->desc.gap_ms);
 }
@@ -204,6 +218,43 @@
     retry_read_later (tail);
 }
 
+static void
+on_refreshed (void *user, const struct pt_read_result *result)
+{
+  struct tail *tail = user;
+
+  tail->refreshing = false;
+  /* A load may have begun meanwhile: it delivers everything. */
+  if (tail->running && tail->loaded && result->outcome == PT_OK)
+    take_records (tail, result, tail->refresh_sent_us);
+}
+
+void
+tail_refresh (struct tail *tail)
+{
+  if (!tail->running || !tail->loaded || tail->refreshing)
+    return;
+  tail->refresh_sent_us = hc_now_us ();
+  tail->refreshing = tail->desc.log->vtable->read (
+      tail->desc.log,
+      &(struct pt_read){
+          .stream = tail->desc.stream,
+          .part = tail->desc.part,
+          .from = tail->next,
+          .max_kib = tail->read_max_kib,
+          .deadline_us
+          = tail->refresh_sent_us + (uint64_t)ANSWER_TIMEOUT_MS * US_PER_MS,
+          .done = on_refreshed,
+          .user = tail,
+      });
+}
+
+bool
+tail_busy (const struct tail *tail)
+{
+  return tail->in_flight || tail->refreshing;
+}
+
 void
 tail_setup (struct tail *tail, const struct tail_desc *desc)
 {
--- a/src/tail.h
+++ b/src/tail.h
@@ -5,7 +5,8 @@
  * were trimmed before they were read, a keyed stream is loaded again; other
  * streams continue at the oldest retained record.
  *
- * Order of calls: tail_setup, tail_start, tail_stop at the end. Timers and
+ * Order of calls: tail_setup, tail_start, tail_stop at the end; the tail must
+ * stay until it is not busy. Timers and
  * answers of the log port drive the reads; there is no tick.
  *
  * @code
@@ -48,6 +49,8 @@
   struct ev_timer timer;
   bool running;
   bool in_flight;
+  bool refreshing; /**< a read of tail_refresh is in flight */
+  uint64_t refresh_sent_us;
   bool loaded;
   uint64_t next;          /**< offset to read from */
   uint64_t load_end;      /**< end of the stream when the load started */
@@ -68,5 +71,11 @@
 void tail_setup (struct tail *tail, const struct tail_desc *desc);
 void tail_start (struct tail *tail);
 void tail_stop (struct tail *tail);
+/** Reads the stream at once, beside a long poll in flight, so that `fresh_us`
+ * soon passes the time of this call. Does nothing while such a read is in
+ * flight, or before the stream is loaded. */
+void tail_refresh (struct tail *tail);
+/** Returns whether a read is in flight. */
+bool tail_busy (const struct tail *tail);
 
 #endif
--- a/tests/test_entry_fence.c
+++ b/tests/test_entry_fence.c
@@ -120,7 +120,7 @@
   enum cell_job_state job = 0;
 
   return has_leader (cluster)
-         && owner_job_state (&tst_cluster_leader (cluster)->entry, 2, &job)
+         && owner_job_state (&tst_cluster_leader (cluster)->entry, 2, 0, &job)
          && job == CELL_JOB_COMPLETE;
 }
 
--- a/tests/tst_late.c
+++ b/tests/tst_late.c
@@ -407,7 +407,8 @@
           enum cell_job_state state = 0;
 
           if (!play->cluster.vms[i].up
-              || !owner_job_state (&play->cluster.vms[i].entry, job, &state))
+              || !owner_job_state (&play->cluster.vms[i].entry, job, 0,
+                                   &state))
             continue;
           ended += state == wanted;
           if (state != wanted
