A gang that may reserve nothing still asks for advice where room is free (LOST)

Cause: all gangs together may reserve a quarter of the fleet, and a gang without a reservation named no allowed worker in a question, so it got no new tickets.

Ruled out by the trace: held for a trial (no crash counts against it, no hold is open), quota, room (five workers idle), an advisor that is busy.

Change: a gang also asks if it fits now, on room that no earlier stage has reserved. Reservations are as before.

Whether this is what struck on the users' machines is suspected: their record does not show the step.

--- a/src/cyc_cell_advice.c
+++ b/src/cyc_cell_advice.c
@@ -239,7 +239,7 @@
     {
       uint64_t survey_slots = (uint64_t)stage->count * CELL_GANG_SURVEY_FACTOR;
 
-      if (stage->has_reservation && cell_gang_fits_soon (core, stage))
+      if (cell_gang_may_start_soon (core, stage))
         take_candidates (allowed, wanted_slots * ASK_SURPLUS_FACTOR, 1000,
                          max_rows, rows, &count);
       else if (allowed_slots
--- a/src/cyc_cell_gang.c
+++ b/src/cyc_cell_gang.c
@@ -39,9 +39,12 @@
   return slots >= stage->count;
 }
 
-bool
-cell_gang_fits_soon (const struct cell_core *core,
-                     const struct cell_stage *stage)
+/* Returns whether the allowed workers have @p slots_on for the whole gang. */
+static bool
+fits_on_allowed (const struct cell_core *core, const struct cell_stage *stage,
+                 uint32_t (*slots_on) (const struct cell_core *core,
+                                       const struct cell_stage *stage,
+                                       const struct cell_worker *worker))
 {
   uint64_t slots = 0;
 
@@ -52,11 +55,19 @@
           = cell_worker_at (core, cell_allowed_at (stage, i));
 
       if (cell_worker_eligible (core, stage, worker))
-        slots += cell_slots_soon (core, stage, worker);
+        slots += slots_on (core, stage, worker);
     }
   return slots >= stage->count;
 }
 
+bool
+cell_gang_may_start_soon (const struct cell_core *core,
+                          const struct cell_stage *stage)
+{
+  return fits_on_allowed (
+      core, stage, stage->has_reservation ? cell_slots_soon : cell_slots_now);
+}
+
 /* Removes runs that were placed in this tick and not yet ordered. */
 static void
 undo_placements (struct cell_core *core, GPtrArray *runs)
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -869,10 +869,12 @@
 /** As cell_slots_now, if the worker were empty. */
 uint32_t cell_slots_total (const struct cell_stage *stage,
                            const struct cell_worker *worker);
-/** Returns whether the whole gang fits on allowed workers, including capacity
- * that comes free during a call to the advisor. */
-bool cell_gang_fits_soon (const struct cell_core *core,
-                          const struct cell_stage *stage);
+/** Returns whether the gang may start after a call to the advisor: it fits as
+ * a whole on allowed workers. What comes free during the call counts only for
+ * a gang that has reserved it. One that has reserved nothing, since other
+ * gangs have what may be reserved, still starts where room is free. */
+bool cell_gang_may_start_soon (const struct cell_core *core,
+                               const struct cell_stage *stage);
 bool cell_team_has_quota (const struct cell_team *team,
                           const struct cyc_resources *size, uint64_t tasks);
 /** Returns whether no run of the stage has failed on the worker, and it is
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -384,6 +384,19 @@
                      difference);
 }
 
+bool
+fleet_allows (const struct fleet *fleet, const char *step, uint32_t row)
+{
+  uint64_t mixed = g_str_hash (step) * UINT64_C (0x9e3779b97f4a7c15) + row;
+
+  if (fleet->deny_every_nth != 0 && row % fleet->deny_every_nth == 0)
+    return false;
+  mixed = (mixed ^ mixed >> 30) * UINT64_C (0xbf58476d1ce4e5b9);
+  mixed = (mixed ^ mixed >> 27) * UINT64_C (0x94d049bb133111eb);
+  return fleet->allow_permille == 0
+         || (mixed >> 33) % 1000 < fleet->allow_permille;
+}
+
 static void
 answer_ask (struct fleet *fleet, const struct cell_ask *ask)
 {
@@ -394,8 +407,7 @@
     {
       struct cell_worker_view view;
 
-      if (fleet->deny_every_nth != 0
-          && ask->workers[i] % fleet->deny_every_nth == 0)
+      if (!fleet_allows (fleet, ask->step, ask->workers[i]))
         continue;
       cell_worker_view (fleet->core, ask->workers[i], &view);
       tickets[count++] = (struct cell_ticket){ view.id, CYC_STR ("t") };
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -239,6 +239,7 @@
   GArray *pending_asks;    /**< of struct fleet_ask */
   GHashTable *ask_counts;  /**< step to number of questions about it */
   uint32_t deny_every_nth; /**< every n-th worker is denied; 0: none */
+  uint32_t allow_permille; /**< of the workers, others for each step; 0: all */
   uint32_t lose_start_answers; /**< number of next starts with a lost answer */
   uint32_t delay_starts_ms;    /**< delay of starts on their way to workers */
   GPtrArray *orders_in_flight; /**< of struct order_in_flight */
--- a/tests/tst_fleet_internal.h
+++ b/tests/tst_fleet_internal.h
@@ -58,6 +58,8 @@
 };
 
 uint64_t fleet_now_us (const struct fleet *fleet);
+/** Returns whether the advisor allows the worker to run the step. */
+bool fleet_allows (const struct fleet *fleet, const char *step, uint32_t row);
 /** Fills in the entry that the worker writes now. */
 void fleet_make_entry (const struct fleet_worker *worker,
                        struct cell_worker_entry *entry);
