Log why the step that waits longest has not started

The users' record of LOST does not tell what the step waited for, and neither would ours: advice, room, a trial, quota and a retry all look the same. No decision changes.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -594,6 +594,41 @@
 };
 /** Fills @p out; its capacity is that of usable workers only. */
 void cell_totals (const struct cell_core *core, struct cell_totals *out);
+/** Why a step with nothing running has not started. */
+enum cell_wait_cause
+{
+  CELL_WAIT_NO_QUEUE,  /**< its queue is not in the configuration */
+  CELL_WAIT_QUOTA,     /**< its team has no quota left */
+  CELL_WAIT_LATER,     /**< its tasks may be tried again later */
+  CELL_WAIT_TRIAL,     /**< for a worker to be held for a trial */
+  CELL_WAIT_MEMBERS,   /**< members of its last run are not over */
+  CELL_WAIT_NO_ADVICE, /**< no worker is known as allowed */
+  CELL_WAIT_NO_ROOM,   /**< the workers that it may use have no room */
+  CELL_WAIT_NO_TICKET, /**< they have room, but no ticket is valid */
+  CELL_WAIT_OTHER      /**< it is placed in this tick or the next one */
+};
+
+/** A step that has tasks to place and nothing running. */
+struct cell_wait
+{
+  uint64_t job;
+  uint32_t round;
+  uint32_t step;
+  enum cell_wait_cause cause;
+  uint64_t since_us;
+  uint32_t wanted;  /**< tasks that start at once: all of a gang, else one */
+  uint32_t waiting; /**< tasks to place */
+  uint32_t allowed; /**< workers known as allowed; all, without advice */
+  uint32_t tickets; /**< valid ones */
+  uint64_t places;  /**< for its tasks on the allowed workers */
+  bool asked;       /**< a question about it is open */
+  bool reserved;    /**< it has reserved capacity */
+};
+/** Returns the step that has waited longest with nothing running, if it has
+ * for @p min_us; returns false if there is none. Looks at all that waits, so
+ * it is for a log line now and then. */
+bool cell_wait_longest (const struct cell_core *core, uint64_t min_us,
+                        struct cell_wait *out);
 /** Tells why capacity is free. Looks at all workers, so it is for a log line
  * now and then; only the first stages that wait are compared with them. */
 void cell_idle_split (const struct cell_core *core, struct cell_idle *out);
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -328,6 +328,8 @@
                               tick */
   uint64_t short_since_us; /**< since when any of its tasks waits again; 0 if
                               none has, or before this leader */
+  uint64_t stalled_since_us; /**< since when it waits with nothing running; 0
+                                if it does not */
   bool ready;  /**< all dependencies are done and the round is due */
   bool listed; /**< in the core's list of waiting stages */
   uint64_t reserve_again_us; /**< when the workers of the reservation are
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -475,6 +475,16 @@
   cell_wake (core, at_us);
 }
 
+/* Returns whether the stage has tasks to place and nothing at work. A gang
+   only works as a whole. */
+static bool
+is_stalled (const struct cell_stage *stage)
+{
+  return stage->waiting > 0
+         && (cell_stage_step (stage)->gang
+             || stage->waiting + stage->done == stage->count);
+}
+
 void
 cell_place_tick (struct cell_core *core)
 {
@@ -513,6 +523,10 @@
       struct cell_stage *stage = g_ptr_array_index (core->waiting, i);
 
       place_stage (core, stage, &capacity);
+      if (!is_stalled (stage))
+        stage->stalled_since_us = 0;
+      else if (stage->stalled_since_us == 0)
+        stage->stalled_since_us = core->now_us;
       if (stage->job->over_rate && stage->waiting > 0 && is_late (core, stage))
         core->over_rate_late_us = core->now_us;
     }
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -18,6 +18,9 @@
 #define JOBS_VIEW_MAX_AGE_US 3000000
 /** Interval between log lines with the load. */
 #define LOAD_LOG_PERIOD_US 2000000
+/** A step with nothing running for this long is logged: users count a job that
+ * could run as lost after 3 s. */
+#define STEP_STALLED_US 1500000
 /** A ticket is not used in this last part of its validity: its run must be
  * recorded and ordered before the ticket expires. */
 #define TICKET_MARGIN_MS 250
@@ -627,6 +630,30 @@
       idle.millicores[CELL_IDLE_NO_TICKET], idle.millicores[CELL_IDLE_OTHER]);
 }
 
+/* Logs what keeps the step that has waited longest. */
+static void
+log_wait (struct entry_owner *owner, uint64_t now_us)
+{
+  static const char *const causes[]
+      = { "no_queue",  "quota",   "later",     "trial", "members",
+          "no_advice", "no_room", "no_ticket", "other" };
+  struct cell_wait wait;
+
+  if (now_us < owner->next_wait_log_us)
+    return;
+  owner->next_wait_log_us = now_us + LOAD_LOG_PERIOD_US;
+  if (!cell_wait_longest (owner->core, STEP_STALLED_US, &wait))
+    return;
+  ev_log (EV_STEP_STALLED,
+          "step=%016" PRIx64 ".%u.%u cause=%s age_ms=%" PRIu64
+          " wants=%u waiting=%u allowed=%u tickets=%u places=%" PRIu64
+          " asked=%d reserved=%d epoch=%" PRIu64,
+          wait.job, wait.round, wait.step, causes[wait.cause],
+          (now_us - wait.since_us) / 1000, wait.wanted, wait.waiting,
+          wait.allowed, wait.tickets, wait.places, wait.asked, wait.reserved,
+          owner->epoch);
+}
+
 void
 owner_tick (struct entry *entry, uint64_t now_us)
 {
@@ -666,4 +693,5 @@
   orders_log_blames (owner, now_us);
   advice_tick (owner->advice, now_us);
   log_load (owner, now_us);
+  log_wait (owner, now_us);
 }
--- a/src/entry_owner_internal.h
+++ b/src/entry_owner_internal.h
@@ -70,6 +70,7 @@
                                      usable worker */
   uint64_t begun_us;
   uint64_t next_load_log_us;
+  uint64_t next_wait_log_us;
   uint64_t last_tick_us;
   struct lead_lag lag;
   bool core_has_input; /**< the core got input since its last tick */
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -108,6 +108,7 @@
   X (EV_TASK_GIVEN_UP, WARNING, "task_given_up")                              \
   X (EV_REQUEST_UNANSWERED, MESSAGE, "request_unanswered")                    \
   X (EV_LOAD, MESSAGE, "load")                                                \
+  X (EV_STEP_STALLED, MESSAGE, "step_stalled")                                \
   X (EV_LINES_DROPPED, WARNING, "lines_dropped")
 
 enum ev_code
