--- a/src/cyc_cell_progress.c
+++ b/src/cyc_cell_progress.c
@@ -102,8 +102,8 @@
   bool any = false;
 
   out->runs = own (draft, g_new0 (Cyc__CellRun *, count));
-  out->crashes
-      = own (draft, g_new0 (Cyc__CellCrash *, count * CELL_CRASHES_MAX));
+  out->crashes = own (
+      draft, g_new0 (Cyc__CellCrash *, (gsize)count * CELL_CRASHES_MAX));
   for (uint32_t i = 0; i < count; i++)
     {
       const struct cell_task *task = cell_task_peek (job, round, first + i);
@@ -145,8 +145,8 @@
       const struct cell_span *span
           = &g_array_index (job->finished, struct cell_span, i);
 
-      bounds[2 * i] = span->first;
-      bounds[2 * i + 1] = span->end;
+      bounds[2 * (size_t)i] = span->first;
+      bounds[2 * (size_t)i + 1] = span->end;
     }
   draft->progress.n_finished = 2 * (size_t)job->finished->len;
   draft->progress.finished = bounds;
--- a/tests/test_job_limits.c
+++ b/tests/test_job_limits.c
@@ -128,7 +128,7 @@
 
       if ((job != NULL) != (c->place == NULL))
         fail_msg ("%s: %s", c->name, job != NULL ? "accepted" : "refused");
-      if (job == NULL && strcmp (findings.rows[0].place, c->place) != 0)
+      if (c->place != NULL && strcmp (findings.rows[0].place, c->place) != 0)
         fail_msg ("%s: the finding is about %s", c->name,
                   findings.rows[0].place);
       if (job != NULL && state_when_loaded (job) != CELL_JOB_QUEUED)
