Keep the numbers of answers in the log as they were

PT_ANSWER_TOO_LARGE was added in the middle of the answers, so answer=8 of request_unanswered, which OPERATIONS explains as busy, meant another one. It goes to the end.

--- a/src/ports.h
+++ b/src/ports.h
@@ -303,11 +303,11 @@
   PT_ANSWER_NO_QUEUE,
   PT_ANSWER_BAD_KEY,
   PT_ANSWER_BAD_REQUEST,
-  PT_ANSWER_TOO_LARGE,      /**< not executed: the log cannot hold the job */
-  PT_ANSWER_BUSY,           /**< not executed; retry after retry_after_s */
-  PT_ANSWER_OVER_RATE,      /**< not executed: the team exceeds its rate */
-  PT_ANSWER_UNKNOWN_OUTCOME /**< the request may have taken effect; ask for the
-                                 job's state */
+  PT_ANSWER_BUSY,            /**< not executed; retry after retry_after_s */
+  PT_ANSWER_OVER_RATE,       /**< not executed: the team exceeds its rate */
+  PT_ANSWER_UNKNOWN_OUTCOME, /**< the request may have taken effect; ask for
+                                the job's state */
+  PT_ANSWER_TOO_LARGE        /**< not executed: the log cannot hold the job */
 };
 
 struct pt_answer
