--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -503,7 +503,8 @@
                        uint64_t write_until_us);
 /** All records have been passed to cell_job_restore. */
 void cell_jobs_restored (struct cell_core *core);
-/** Returns whether the records of a round's blocks may still be needed. */
+/** Returns whether the records of a round's blocks may still be needed: until
+ * its end, or that of its job, is durable. */
 bool cell_record_needed (const struct cell_core *core, uint64_t job,
                          uint32_t round);
 /** Earlier leaders write no start after @p until_us, which is earlier than
--- a/src/cyc_cell_place.c
+++ b/src/cyc_cell_place.c
@@ -348,7 +348,8 @@
   bool full = false; /* for tasks that are not on trial */
 
   for (uint32_t t = cell_task_next_waiting (round, stage->first_task, end);
-       t < end; t = cell_task_next_waiting (round, t + 1, end))
+       t < end; t = full ? cell_task_next_row (round, t + 1, end)
+                         : cell_task_next_waiting (round, t + 1, end))
     {
       const struct cell_task *task = cell_task_peek (job, stage->round, t);
       const struct cell_crashes *trial;
--- a/src/cyc_cell_progress.c
+++ b/src/cyc_cell_progress.c
@@ -382,10 +382,19 @@
 }
 
 bool
-cell_record_needed (const struct cell_core *core, uint64_t id, uint32_t round)
+cell_record_needed (const struct cell_core *core, uint64_t id, uint32_t index)
 {
   const struct cell_job *job = cell_job_find (core, id);
+  const struct cell_round *round;
 
-  return job == NULL
-         || (cell_job_open (job) && !cell_round_finished (job, round));
+  if (job == NULL)
+    return true;
+  if (cell_job_ended (core, id))
+    return false;
+  /* A finished round is freed only once that is durable. */
+  round = cell_round_at (job, index);
+  if (round == NULL)
+    return !cell_round_finished (job, index);
+  return !round->finished
+         || !cell_batch_is_durable (core, round->finished_batch);
 }
--- a/src/cyc_cell_rounds.c
+++ b/src/cyc_cell_rounds.c
@@ -337,8 +337,7 @@
       || (cell_job_open (job)
           && !cell_batch_is_durable (core, round->finished_batch)))
     return false;
-  if (cell_job_open (job))
-    cell_progress_remove_round (core, job, round);
+  cell_progress_remove_round (core, job, round);
   cell_stages_forget (core, job, round->index);
   g_ptr_array_remove_index (job->rounds, position_of (job, round->index));
   free_round (job, round);
--- a/tests/test_cell_large.c
+++ b/tests/test_cell_large.c
@@ -158,12 +158,53 @@
   free (fleet);
 }
 
+/* The records of blocks are needed until the end of their job, or of their
+   round, is durable: a leader that removes them before, and is replaced,
+   leaves a job of which nothing seems to have run. */
+static void
+test_blocks_are_needed_until_the_end_is_durable (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+
+  (void)state;
+  fleet_setup (fleet, WORKERS, WORKER_MILLICORES);
+  fleet_run (fleet, 500);
+  fleet_submit (fleet, 1,
+                &(struct fleet_job){ .tasks = { 300 }, .millicores = 50 });
+  fleet_submit (fleet, 2,
+                &(struct fleet_job){ .tasks = { 2 },
+                                     .repeat_count = 2,
+                                     .first_due_ms = fleet->now_ms,
+                                     .interval_ms = 60000 });
+  fleet_run (fleet, 300);
+  assert_true (cell_record_needed (fleet->core, 1, 0));
+  assert_true (cell_record_needed (fleet->core, 2, 0));
+  assert_true (cell_record_needed (fleet->core, 2, 1));
+  fleet->log_down = true;
+  fleet_run (fleet, 1000);
+  assert_int_equal (fleet_running (fleet), 0);
+  assert_true (cell_record_needed (fleet->core, 1, 0));
+  assert_true (cell_record_needed (fleet->core, 2, 0));
+  fleet->log_down = false;
+  fleet_run (fleet, 500);
+  assert_int_equal (fleet_job_state (fleet, 1), CELL_JOB_COMPLETE);
+  assert_false (cell_record_needed (fleet->core, 1, 0));
+  assert_false (cell_record_needed (fleet->core, 2, 0));
+  assert_true (cell_record_needed (fleet->core, 2, 1));
+  fleet_run (fleet, 8000);
+  assert_false (cell_record_needed (fleet->core, 2, 0));
+  assert_int_equal (fleet->violations, 0);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_large_jobs),
     cmocka_unit_test (test_blocks_are_removed),
+    cmocka_unit_test (test_blocks_are_needed_until_the_end_is_durable),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
