Free only what is finished, also of a job that has an earlier one's ID

A job that was cancelled and withdrawn before it was stored left a note to free its rounds after 5 s; a job of the same ID that is open by then lost the rounds it had set up, and never ran. The entry process cancels such a job by the cancellation that it keeps, so no caller can have seen it; found by reading. The note is now ignored for an open job, and single rounds and blocks are freed only if they are finished.

Test: test_withdrawn_job_comes_again, red before. A check of test_cell_rounds failed once of some ten runs: it compared the heap of a million rounds and of a hundred to the byte. Four pairs of measurements: 39456 and 39296, 39712 and 39568, 39568 and 39552, 39712 and 39728; what the allocator splits differs in either direction. It allows 1,024 bytes now, where one round more of each job takes over 9,000.

--- a/src/cyc_cell_rounds.c
+++ b/src/cyc_cell_rounds.c
@@ -361,9 +361,12 @@
 {
   struct cell_job *job = cell_job_find (core, retired->job);
   struct cell_round *round;
+  struct cell_block *block;
   bool all = true;
 
-  if (job == NULL)
+  /* Another job may have the ID of one that was withdrawn. */
+  if (job == NULL
+      || (retired->round == CELL_ALL_ROUNDS && cell_job_open (job)))
     return true;
   if (retired->round == CELL_ALL_ROUNDS)
     {
@@ -379,8 +382,10 @@
   if (round == NULL)
     return true;
   if (retired->block == CELL_NO_BLOCK)
-    return free_finished (core, job, round);
-  free_rows (&round->blocks[retired->block], block_size (job, retired->block));
+    return !round->finished || free_finished (core, job, round);
+  block = &round->blocks[retired->block];
+  if (block->done == block_size (job, retired->block))
+    free_rows (block, block->done);
   return true;
 }
 
--- a/tests/test_cell_rounds.c
+++ b/tests/test_cell_rounds.c
@@ -78,6 +78,10 @@
 /* A leader has 260 MB in all; a tenth of it may go to these jobs. */
 #define BUDGET_BYTES 26000000
 
+/** Two measurements of the same differ by some 200 bytes, by how the allocator
+ * splits what was freed before. One round more of each job is over 9,000. */
+#define ALLOCATOR_BYTES 1024
+
 static const struct memory_case memory_cases[] = {
   { "10 tasks a minute for a week", 10, 10000, 60000, BUDGET_BYTES },
   { "300 tasks every 5 s", 300, 10000, 5000, BUDGET_BYTES },
@@ -100,7 +104,8 @@
       if (bytes > c->max_bytes)
         fail_msg ("%s: %zu bytes", c->name, bytes);
     }
-  assert_true (bytes_of (10, 1000000, 60000) <= bytes_of (10, 100, 60000));
+  assert_true (bytes_of (10, 1000000, 60000)
+               <= bytes_of (10, 100, 60000) + ALLOCATOR_BYTES);
 }
 
 struct run_case
@@ -296,6 +301,35 @@
   free (fleet);
 }
 
+/* A job that is not stored is cancelled and withdrawn, and handed in again.
+   The cleaning up after the first copy must not touch the second one. */
+static void
+test_withdrawn_job_comes_again (void **state)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+
+  (void)state;
+  fleet_setup (fleet, 2, WORKER_MILLICORES);
+  fleet_run (fleet, 500);
+  /* The second copy waits for room until after the cleaning up. */
+  fleet_submit (fleet, 2,
+                &(struct fleet_job){ .tasks = { 2 * WORKER_MILLICORES / 1000 },
+                                     .work_ms = 8000 });
+  fleet_run (fleet, 200);
+  fleet_submit_unstored (fleet, 1, &(struct fleet_job){ .tasks = { 3 } });
+  fleet_run (fleet, 200);
+  cell_job_cancel (fleet->core, 1, fleet_now_us (fleet));
+  assert_true (cell_job_withdraw (fleet->core, 1));
+  fleet_submit (fleet, 1,
+                &(struct fleet_job){
+                    .tasks = { 300 }, .millicores = 1000, .work_ms = 400 });
+  fleet_run (fleet, 20000);
+  assert_int_equal (fleet_job_state (fleet, 1), CELL_JOB_COMPLETE);
+  assert_int_equal (fleet->violations, 0);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
 int
 main (void)
 {
@@ -304,6 +338,7 @@
     cmocka_unit_test (test_rounds_run_once),
     cmocka_unit_test (test_records_of_finished_rounds_are_removed),
     cmocka_unit_test (test_late_reports_of_freed_rounds),
+    cmocka_unit_test (test_withdrawn_job_comes_again),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
