run_over tells what the leader knows of the worker's incarnation

A run that is taken for over by a lapsed lease left no trace of why that lease was believed: whether the leader had seen the worker restart, and since when it has had answers of the present incarnation. Now the line names known_age_ms, answered_age_ms and restart_seen. No decision changes.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -271,6 +271,9 @@
   uint64_t evidence_us;       /**< when the evidence was sent or came true */
   uint64_t concluded_us;
   uint64_t lease_deadline_ms; /**< of the worker, on its clock */
+  uint64_t known_us;          /**< when its incarnation became known */
+  uint64_t answered_us;       /**< when that first answered; 0 if it has not */
+  bool restart_seen;          /**< an earlier incarnation was known before */
 };
 
 /** How a call to a worker ended without an answer. */
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -232,8 +232,11 @@
   uint64_t hold; /**< id of the hold for a trial, during which no other run
                     starts; 0 if none */
   uint64_t no_hold_until_us; /**< a hold has failed here */
-  uint64_t reborn_us; /**< when its current incarnation became known; 0 if no
-                         earlier one was known */
+  uint64_t known_us;         /**< when its current incarnation became known */
+  uint64_t answered_us; /**< when that first answered a call; 0 if it has not
+                         */
+  uint64_t reborn_us;   /**< when its current incarnation became known; 0 if no
+                           earlier one was known */
   uint64_t clock_ms;
   uint64_t clock_at_us;
   uint64_t lease_deadline_ms; /**< latest extension requested, on the worker's
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -101,6 +101,9 @@
     .evidence_us = evidence_us,
     .concluded_us = core->now_us,
     .lease_deadline_ms = worker->lease_deadline_ms,
+    .known_us = worker->known_us,
+    .answered_us = worker->answered_us,
+    .restart_seen = worker->reborn_us != 0,
   };
 
   cell_task_name (run, conclusion.task);
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -351,23 +351,27 @@
       cell_worker_view (owner->core, conclusion.worker, &view);
       if (conclusion.contradicted)
         met_add (&owner->entry->met, MET_RUN_OVER_WRONG, 1);
-      ev_log (conclusion.contradicted ? EV_RUN_OVER_WRONG : EV_RUN_OVER,
-              "task=%s run=%u worker=%.*s because=%s epoch=%" PRIu64
-              " born_ms=%" PRIu64 " now_born_ms=%" PRIu64
-              " concluded_age_ms=%" PRId64 " evidence_age_ms=%" PRId64
-              " ordered_age_ms=%" PRId64 " confirmed_age_ms=%" PRId64
-              " stop_age_ms=%" PRId64 " lease_deadline_ms=%" PRIu64
-              " clock_ms=%" PRIu64 " clock_age_ms=%" PRId64,
-              conclusion.task, conclusion.run, CYC_FMT (view.id),
-              reasons[conclusion.over], owner->epoch, conclusion.run_born_ms,
-              conclusion.worker_born_ms,
-              age_ms (now_us, conclusion.concluded_us),
-              age_ms (now_us, conclusion.evidence_us),
-              age_ms (now_us, conclusion.ordered_us),
-              age_ms (now_us, conclusion.confirmed_us),
-              age_ms (now_us, conclusion.stop_confirmed_us),
-              conclusion.lease_deadline_ms, view.clock_ms,
-              age_ms (now_us, view.clock_at_us));
+      ev_log (
+          conclusion.contradicted ? EV_RUN_OVER_WRONG : EV_RUN_OVER,
+          "task=%s run=%u worker=%.*s because=%s epoch=%" PRIu64
+          " born_ms=%" PRIu64 " now_born_ms=%" PRIu64
+          " concluded_age_ms=%" PRId64 " evidence_age_ms=%" PRId64
+          " ordered_age_ms=%" PRId64 " confirmed_age_ms=%" PRId64
+          " stop_age_ms=%" PRId64 " lease_deadline_ms=%" PRIu64
+          " clock_ms=%" PRIu64 " clock_age_ms=%" PRId64
+          " known_age_ms=%" PRId64 " answered_age_ms=%" PRId64
+          " restart_seen=%d",
+          conclusion.task, conclusion.run, CYC_FMT (view.id),
+          reasons[conclusion.over], owner->epoch, conclusion.run_born_ms,
+          conclusion.worker_born_ms, age_ms (now_us, conclusion.concluded_us),
+          age_ms (now_us, conclusion.evidence_us),
+          age_ms (now_us, conclusion.ordered_us),
+          age_ms (now_us, conclusion.confirmed_us),
+          age_ms (now_us, conclusion.stop_confirmed_us),
+          conclusion.lease_deadline_ms, view.clock_ms,
+          age_ms (now_us, view.clock_at_us),
+          age_ms (now_us, conclusion.known_us),
+          age_ms (now_us, conclusion.answered_us), conclusion.restart_seen);
     }
 }
 
