A report tells which incarnation refuses stale calls

A worker that is back under its old id executes calls made for its former incarnation until it has seen a higher fencing token. The core could not know when that is: it was told of an answer, not under which token the call was made. cell_report.fenced_born_ms says it. Nothing uses it yet.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -182,6 +182,10 @@
   struct cell_end_row *ends;
   uint32_t end_count;
   bool ends_truncated; /**< the worker has more ends than it listed */
+  /** Incarnation that refuses stale calls from this one on: the call carried a
+   * higher fencing token than any call made for an earlier incarnation or by
+   * an earlier leader. 0 if it did not. */
+  uint64_t fenced_born_ms;
 };
 
 enum cell_start_result
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -85,6 +85,15 @@
   return (struct pt_target){ view->id, view->address, slot->fence };
 }
 
+/* Returns the incarnation that refuses stale calls once it has answered a call
+   whose target was made last; 0 if the token of that call is not high
+   enough. */
+static uint64_t
+fences_born_ms (const struct owner_worker *slot)
+{
+  return slot->fence_outdated ? 0 : slot->born_ms;
+}
+
 static void
 log_ends (const struct entry_owner *owner, uint32_t row,
           const struct cell_report *report)
@@ -166,6 +175,7 @@
       if (!slot->hold_waits)
         lag_answered (&owner->lag, now_us - report->sent_us, now_us);
       log_ends (owner, row, report);
+      report->fenced_born_ms = slot->hold_fences_born_ms;
       cell_worker_report (owner->core, row, report, now_us);
       cell_worker_view (owner->core, row, &view);
       hold_at (owner, row,
@@ -222,6 +232,7 @@
     }
   lag_answered (&owner->lag, now_us - report->sent_us, now_us);
   log_ends (owner, row, report);
+  report->fenced_born_ms = worker_slot (owner, row)->report_fences_born_ms;
   cell_worker_report (owner->core, row, report, now_us);
   owner_input_added (owner);
 }
@@ -256,6 +267,7 @@
       return;
     }
   slot->hold_sent_us = now_us;
+  slot->report_fences_born_ms = fences_born_ms (slot);
   owner->calls_in_flight++;
 }
 
@@ -319,6 +331,7 @@
           .row = row,
       });
   slot->hold_sent_us = now_us;
+  slot->hold_fences_born_ms = fences_born_ms (slot);
   if (slot->hold_in_flight)
     owner->calls_in_flight++;
   else
--- a/src/entry_owner_internal.h
+++ b/src/entry_owner_internal.h
@@ -24,10 +24,13 @@
   uint64_t ack_deadline_us;      /**< the next hold does not wait for
                                       acknowledgements beyond this time */
   uint64_t ack_sent;
-  uint64_t fence;       /**< fencing token of the newest calls; 0: the epoch */
-  bool fence_outdated;  /**< calls under this token were made to an earlier
-                           incarnation: later calls carry a higher one */
-  uint64_t born_ms;     /**< incarnation known at the newest call */
+  uint64_t fence;      /**< fencing token of the newest calls; 0: the epoch */
+  bool fence_outdated; /**< calls under this token were made to an earlier
+                          incarnation: later calls carry a higher one */
+  uint64_t born_ms;    /**< incarnation known at the newest call */
+  uint64_t hold_fences_born_ms;   /**< cell_report.fenced_born_ms of the hold
+                                     that is in flight */
+  uint64_t report_fences_born_ms; /**< the same of the further hold */
   uint64_t late_end_us; /**< until when a start without an answer may be
                            executed */
 };
