The simulated fleet has calls that reach a later incarnation

Now a fleet may have a longest lease of its own (fleet_setup_lease_max), a clock for each incarnation (fleet_set_clock), late holds that reach a later incarnation (calls_reach_later) and idle workers that are held less often (hold_idle_ms).

Calls carry a fencing token that rises towards a new incarnation as in call_target of src/entry_orders.c, and reports say which incarnation refuses stale calls. Without calls_reach_later the token is that of the leader's epoch, as before, so that existing tests keep their meaning. A stop raises the token that the worker has seen, as on the platform.

--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -32,6 +32,15 @@
   return fleet->now_ms - worker->born_ms + 1000 + worker->clock_offset_ms;
 }
 
+void
+fleet_set_clock (struct fleet *fleet, uint32_t row, uint64_t clock_ms)
+{
+  struct fleet_worker *worker = &fleet->workers[row];
+
+  /* The offset wraps around if the clock is set back. */
+  worker->clock_offset_ms += clock_ms - fleet_clock (fleet, worker);
+}
+
 static struct cell_config *
 make_config (void)
 {
@@ -116,8 +125,10 @@
 make_core (struct fleet *fleet)
 {
   fleet->epoch++;
+  fleet->epoch_begin_ms = fleet->now_ms;
   fleet->core = cell_setup (
       &(struct cell_desc){ .lease_ms = fleet->lease_ms,
+                           .lease_max_ms = fleet->lease_max_ms,
                            .heartbeat_ms = FLEET_HEARTBEAT_MS,
                            .ticket_margin_ms = 250,
                            .learn_speeds = fleet->learn_speeds,
@@ -177,9 +188,18 @@
 void
 fleet_setup_leased (struct fleet *fleet, uint32_t workers, uint32_t millicores,
                     uint32_t lease_ms)
+{
+  fleet_setup_lease_max (fleet, workers, millicores, lease_ms, lease_ms);
+}
+
+void
+fleet_setup_lease_max (struct fleet *fleet, uint32_t workers,
+                       uint32_t millicores, uint32_t lease_ms,
+                       uint32_t lease_max_ms)
 {
   memset (fleet, 0, sizeof *fleet);
   fleet->lease_ms = lease_ms;
+  fleet->lease_max_ms = lease_max_ms;
   fleet->now_ms = 10000;
   fleet->config = make_config ();
   fleet->worker_count = workers;
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -81,6 +81,16 @@
   FLEET_CUT_ONE_WAY   /**< calls arrive, answers wait for the end of the cut */
 };
 
+/** The calls of a leader to a worker; see call_target in src/entry_orders.c.
+ */
+struct fleet_called
+{
+  uint64_t epoch;      /**< of the leader */
+  uint64_t born_ms;    /**< incarnation that the last call was made for */
+  uint64_t fence;      /**< fencing token of the last call */
+  bool fence_outdated; /**< calls for an earlier incarnation carry it too */
+};
+
 /** A simulated worker. */
 struct fleet_worker
 {
@@ -111,8 +121,9 @@
                         1 */
   bool failing;      /**< every run started here fails */
   uint64_t born_ms;  /**< start of this incarnation */
-  uint64_t clock_offset_ms;
-  uint64_t fence; /**< fencing token: the highest epoch of a leader seen */
+  uint64_t clock_offset_ms;   /**< see fleet_set_clock */
+  uint64_t fence;             /**< highest fencing token seen */
+  struct fleet_called called; /**< by the newest leader */
   uint64_t lease_deadline_ms; /**< on the worker's clock */
   uint64_t written_ms;        /**< when its entry was last written */
   uint64_t next_end_number;
@@ -197,7 +208,16 @@
 /** A core with its workers, log and advisor. */
 struct fleet
 {
-  uint32_t lease_ms;
+  uint32_t lease_ms;     /**< that leaders ask for */
+  uint32_t lease_max_ms; /**< longest one that workers grant */
+  /** Calls made for an incarnation may reach a later one, as on the platform:
+   * a late hold is executed by the incarnation that is there then, and the
+   * leader raises its fencing token towards a new one. */
+  bool calls_reach_later;
+  bool renewals_fail; /**< the fencing token does not rise meanwhile */
+  /** Interval between the holds of a worker without runs; 0: as with runs. A
+   * restart is then not noticed at once. */
+  uint32_t hold_idle_ms;
   struct fleet_call_faults call_faults;
   struct cell_core *core;
   struct cell_config *config;
@@ -205,6 +225,7 @@
   uint32_t worker_count;
   uint64_t now_ms;
   uint64_t epoch;          /**< of the current leader */
+  uint64_t epoch_begin_ms; /**< when it took over */
   uint32_t open_calls_ms;  /**< how long after a takeover the calls of the
                               earlier leader may still get a connection */
   uint64_t calls_end_ms;   /**< until when they may */
@@ -267,6 +288,11 @@
 /** As fleet_setup, with leases of @p lease_ms instead of FLEET_LEASE_MS. */
 void fleet_setup_leased (struct fleet *fleet, uint32_t workers,
                          uint32_t millicores, uint32_t lease_ms);
+/** As fleet_setup_leased, with workers that grant leases of up to @p
+ * lease_max_ms. */
+void fleet_setup_lease_max (struct fleet *fleet, uint32_t workers,
+                            uint32_t millicores, uint32_t lease_ms,
+                            uint32_t lease_max_ms);
 void fleet_teardown (struct fleet *fleet);
 /** Submits a job that the log holds already. */
 void fleet_submit (struct fleet *fleet, uint64_t id,
@@ -293,6 +319,9 @@
 void fleet_leave (struct fleet *fleet, uint32_t worker);
 /** Starts a crashed worker again, as a new incarnation with the same id. */
 void fleet_restart (struct fleet *fleet, uint32_t worker);
+/** Sets the reading of the worker's own clock, which a new incarnation may
+ * begin anywhere. */
+void fleet_set_clock (struct fleet *fleet, uint32_t worker, uint64_t clock_ms);
 /** As fleet_restart, but its entry is not read before fleet_list. */
 void fleet_restart_unread (struct fleet *fleet, uint32_t worker);
 /** The core reads the worker's entry. */
--- a/tests/tst_fleet_internal.h
+++ b/tests/tst_fleet_internal.h
@@ -21,6 +21,7 @@
   struct cell_order order;
   uint64_t due_ms;            /**< when it reaches the worker */
   uint64_t epoch;             /**< of the leader that sent it */
+  uint64_t fence;             /**< its fencing token */
   uint64_t lease_deadline_ms; /**< of the order, on the worker's clock */
   uint64_t born_ms;           /**< of the incarnation that it was sent to */
   uint32_t millicores;        /**< capacity of the worker when it was sent */
@@ -46,6 +47,7 @@
   uint32_t row;
   uint64_t due_ms; /**< when it is executed or its report arrives */
   uint64_t epoch;  /**< of the leader that sent it */
+  uint64_t fence;  /**< its fencing token */
   uint64_t ack;
   uint64_t lease_deadline_ms; /**< 0 if it extends no lease */
   uint64_t born_ms;           /**< of the incarnation that received it */
@@ -85,6 +87,13 @@
  * the core knows it. */
 uint64_t fleet_lease_deadline (const struct fleet *fleet,
                                const struct cell_worker_view *view);
+/** Returns the fencing token of the leader's next call to the worker. */
+uint64_t fleet_call_fence (const struct fleet *fleet,
+                           struct fleet_worker *worker,
+                           const struct cell_worker_view *view);
+/** Returns cell_report.fenced_born_ms of a hold whose fencing token was made
+ * last. */
+uint64_t fleet_fences_born_ms (const struct fleet_worker *worker);
 /** The worker obeys a hold and fills in its report. Returns false if it no
  * longer does. */
 bool fleet_carry_out_hold (struct fleet *fleet, struct hold_in_flight *hold);
--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -9,6 +9,10 @@
 #include <string.h>
 
 #define HOLD_INTERVAL_MS 20
+/* From an order to an idle worker to its next hold. */
+#define HOLD_GAP_MS 30
+/* Interval at which the fencing token that a leader may use rises. */
+#define RENEW_MS 100
 /* A member of a gang ends if the others are not present within this time. */
 #define GANG_JOIN_TIMEOUT_MS 3000
 /* Orders that are slow on their way. */
@@ -128,7 +132,7 @@
 extend_lease (const struct fleet *fleet, struct fleet_worker *worker,
               uint64_t deadline_ms)
 {
-  uint64_t latest_ms = fleet_clock (fleet, worker) + fleet->lease_ms;
+  uint64_t latest_ms = fleet_clock (fleet, worker) + fleet->lease_max_ms;
 
   worker->lease_deadline_ms
       = MAX (worker->lease_deadline_ms, MIN (deadline_ms, latest_ms));
@@ -142,6 +146,43 @@
          + fleet->lease_ms;
 }
 
+/* Returns whether the leader has called an earlier incarnation only. */
+static bool
+is_reborn (const struct fleet *fleet, const struct fleet_worker *worker,
+           const struct cell_worker_view *view)
+{
+  return worker->called.epoch == fleet->epoch && worker->called.born_ms != 0
+         && worker->called.born_ms != view->born_ms;
+}
+
+uint64_t
+fleet_call_fence (const struct fleet *fleet, struct fleet_worker *worker,
+                  const struct cell_worker_view *view)
+{
+  struct fleet_called *called = &worker->called;
+  uint64_t fence = fleet->epoch << 32;
+
+  if (called->epoch != fleet->epoch)
+    *called = (struct fleet_called){ .epoch = fleet->epoch, .fence = fence };
+  if (fleet->calls_reach_later && !fleet->renewals_fail)
+    fence += (fleet->now_ms - fleet->epoch_begin_ms) / RENEW_MS;
+  if (is_reborn (fleet, worker, view))
+    called->fence_outdated = true;
+  called->born_ms = view->born_ms;
+  if (called->fence_outdated && fence > called->fence)
+    {
+      called->fence = fence;
+      called->fence_outdated = false;
+    }
+  return called->fence;
+}
+
+uint64_t
+fleet_fences_born_ms (const struct fleet_worker *worker)
+{
+  return worker->called.fence_outdated ? 0 : worker->called.born_ms;
+}
+
 static bool
 is_deadly (const struct fleet_job *job, const char *task)
 {
@@ -180,9 +221,9 @@
 
   if (!worker->up)
     return CELL_START_UNKNOWN;
-  if (in_flight->epoch < worker->fence)
+  if (in_flight->fence < worker->fence)
     return CELL_START_FENCED;
-  worker->fence = in_flight->epoch;
+  worker->fence = in_flight->fence;
   if (in_flight->lease_deadline_ms < fleet_clock (fleet, worker))
     return CELL_START_REFUSED_OTHER;
   extend_lease (fleet, worker, in_flight->lease_deadline_ms);
@@ -224,8 +265,9 @@
 {
   struct fleet_worker *worker = &fleet->workers[in_flight->order.worker];
 
-  if (!worker->up || in_flight->epoch < worker->fence)
+  if (!worker->up || in_flight->fence < worker->fence)
     return false;
+  worker->fence = in_flight->fence;
   fleet->stops++;
   if (fleet_lookup_number (worker->closed_runs, in_flight->order.task)
       < in_flight->order.number)
@@ -459,6 +501,8 @@
       in_flight = g_new0 (struct order_in_flight, 1);
       in_flight->order = order;
       in_flight->epoch = fleet->epoch;
+      in_flight->fence
+          = fleet_call_fence (fleet, &fleet->workers[order.worker], &view);
       in_flight->born_ms = fleet->workers[order.worker].cut != FLEET_CUT_NONE
                                ? fleet->workers[order.worker].cut_born_ms
                                : fleet->workers[order.worker].born_ms;
@@ -473,6 +517,10 @@
             + (order.kind == CELL_ORDER_START ? fleet->delay_starts_ms : 0);
       choose_fate (fleet, in_flight);
       g_ptr_array_add (fleet->orders_in_flight, in_flight);
+      if (fleet->hold_idle_ms != 0)
+        fleet->workers[order.worker].next_hold_ms
+            = MIN (fleet->workers[order.worker].next_hold_ms,
+                   fleet->now_ms + HOLD_GAP_MS);
       if (happens (fleet, fleet->call_faults.twice_permille))
         send_copy (fleet, in_flight);
     }
@@ -502,7 +550,7 @@
           || in_flight->order.worker != run->worker
           || in_flight->order.number != run->run
           || strcmp (in_flight->order.task, run->task) != 0
-          || in_flight->epoch < worker->fence
+          || in_flight->fence < worker->fence
           || (in_flight->born_ms != worker->born_ms
               && (in_flight->received || !in_flight->reconnects))
           || in_flight->lease_deadline_ms
@@ -689,18 +737,19 @@
                     fleet_lookup_number (fleet->failures, task) + 1);
 }
 
-/* Removes the ends up to number @p ack. Each counts as the task's result,
-   unless the worker's lease lapsed before the acknowledgement. */
+/* Removes the ends that the hold acknowledges. Each counts as the task's
+   result, unless the worker's lease lapsed before, or the number is that of an
+   end of an earlier incarnation: then no leader has learned of this one. */
 static void
 acknowledge_ends (struct fleet *fleet, struct fleet_worker *worker,
-                  uint64_t ack)
+                  const struct hold_in_flight *hold)
 {
   uint32_t kept = 0;
 
   for (uint32_t i = 0; i < worker->end_count; i++)
-    if (worker->ends[i].number > ack)
+    if (worker->ends[i].number > hold->ack)
       worker->ends[kept++] = worker->ends[i];
-    else if (worker->ends[i].lapsed)
+    else if (worker->ends[i].lapsed || hold->born_ms != worker->born_ms)
       continue;
     else if (worker->ends[i].kind == CELL_END_DONE)
       g_hash_table_add (fleet->acknowledged_done,
@@ -740,8 +789,8 @@
 {
   struct fleet_worker *worker = &fleet->workers[hold->row];
 
-  worker->fence = hold->epoch;
-  acknowledge_ends (fleet, worker, hold->ack);
+  worker->fence = hold->fence;
+  acknowledge_ends (fleet, worker, hold);
   if (hold->lease_deadline_ms != 0)
     extend_lease (fleet, worker, hold->lease_deadline_ms);
 }
@@ -785,8 +834,10 @@
 {
   const struct fleet_worker *worker = &fleet->workers[hold->row];
 
-  if (!worker->up || worker->born_ms != hold->born_ms
-      || hold->epoch < worker->fence)
+  if (!worker->up
+      || (worker->born_ms != hold->born_ms
+          && !(fleet->calls_reach_later && hold->late))
+      || hold->fence < worker->fence)
     return false;
   execute_hold (fleet, hold);
   hold->unexecuted = false;
@@ -795,6 +846,16 @@
   return true;
 }
 
+static uint32_t
+hold_interval_ms (const struct fleet *fleet, uint32_t row)
+{
+  struct cell_worker_view view;
+
+  cell_worker_view (fleet->core, row, &view);
+  return view.runs > 0 || fleet->hold_idle_ms == 0 ? HOLD_INTERVAL_MS
+                                                   : fleet->hold_idle_ms;
+}
+
 static void
 deliver_hold (struct fleet *fleet, struct hold_in_flight *hold)
 {
@@ -807,10 +868,11 @@
     return;
   worker->hold_open = false;
   worker->hold_failures = 0;
-  worker->next_hold_ms
-      = MIN (worker->next_hold_ms, fleet->now_ms + HOLD_INTERVAL_MS);
   cell_worker_report (fleet->core, hold->row, &hold->report,
                       fleet_now_us (fleet));
+  worker->next_hold_ms
+      = MIN (worker->next_hold_ms,
+             fleet->now_ms + hold_interval_ms (fleet, hold->row));
 }
 
 void
@@ -838,11 +900,14 @@
   const struct fleet_call_faults *faults = &fleet->call_faults;
   struct hold_in_flight *hold;
   struct cell_worker_view view;
+  uint64_t fence;
 
-  if (fleet->now_ms < worker->next_hold_ms)
-    return;
-  worker->next_hold_ms = fleet->now_ms + HOLD_INTERVAL_MS;
   cell_worker_view (fleet->core, row, &view);
+  if (fleet->now_ms < worker->next_hold_ms
+      && !(fleet->hold_idle_ms != 0
+           && (is_reborn (fleet, worker, &view) || !view.fenced)))
+    return;
+  worker->next_hold_ms = fleet->now_ms + hold_interval_ms (fleet, row);
   if (fleet_cut_hold (fleet, row))
     return;
   if (!worker->up || worker->partitioned || worker->answers_lost)
@@ -853,12 +918,15 @@
       cell_worker_silent (fleet->core, row, fleet_now_us (fleet));
       return;
     }
-  if (fleet->epoch < worker->fence)
+  fence = fleet_call_fence (fleet, worker, &view);
+  if (fence < worker->fence)
     return;
   hold = g_new0 (struct hold_in_flight, 1);
   hold->row = row;
   hold->due_ms = fleet->now_ms;
   hold->epoch = fleet->epoch;
+  hold->fence = fence;
+  hold->report.fenced_born_ms = fleet_fences_born_ms (worker);
   hold->born_ms = worker->born_ms;
   hold->ack = view.ack;
   hold->report.sent_us = fleet_now_us (fleet);
--- a/tests/tst_region.c
+++ b/tests/tst_region.c
@@ -184,6 +184,8 @@
   hold->row = row;
   hold->due_ms = fleet->now_ms;
   hold->epoch = fleet->epoch;
+  hold->fence = fleet_call_fence (fleet, &fleet->workers[row], &view);
+  hold->report.fenced_born_ms = fleet_fences_born_ms (&fleet->workers[row]);
   hold->born_ms = worker->cut_born_ms;
   hold->ack = view.ack;
   hold->unexecuted = true;
