The simulated fleet passes a new leader the entry that was written last

A takeover showed the new core the present incarnation of each worker, also if it had written no entry yet. With calls_reach_later the entry is the one that was written last, which may be of the former incarnation.

--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -116,11 +116,29 @@
 
   fleet_make_entry (worker, &entry);
   worker->written_ms = fleet->now_ms;
+  worker->written_born_ms = worker->born_ms;
   cell_worker_listed (fleet->core, &entry, fleet_now_us (fleet),
                       fleet_now_us (fleet));
   fleet_check_conclusions (fleet);
 }
 
+/* Passes a new core the entry that the worker wrote last. */
+static void
+list_written (struct fleet *fleet, struct fleet_worker *worker)
+{
+  struct cell_worker_entry entry;
+
+  if (!fleet->calls_reach_later)
+    {
+      list_worker (fleet, worker);
+      return;
+    }
+  fleet_make_entry (worker, &entry);
+  entry.born_ms = worker->written_born_ms;
+  cell_worker_listed (fleet->core, &entry, worker->written_ms * 1000,
+                      fleet_now_us (fleet));
+}
+
 static void
 make_core (struct fleet *fleet)
 {
@@ -148,7 +166,7 @@
       bool draining = worker->draining;
 
       worker->draining = draining && worker->listed;
-      list_worker (fleet, worker);
+      list_written (fleet, worker);
       worker->draining = draining;
       if (!worker->listed)
         cell_worker_unlisted (fleet->core, cyc_str_of (worker->id),
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -126,6 +126,7 @@
   struct fleet_called called; /**< by the newest leader */
   uint64_t lease_deadline_ms; /**< on the worker's clock */
   uint64_t written_ms;        /**< when its entry was last written */
+  uint64_t written_born_ms;   /**< incarnation that wrote it */
   uint64_t next_end_number;
   uint64_t next_hold_ms; /**< time of the next hold call */
   struct fleet_run runs[FLEET_RUNS_MAX];
@@ -212,7 +213,8 @@
   uint32_t lease_max_ms; /**< longest one that workers grant */
   /** Calls made for an incarnation may reach a later one, as on the platform:
    * a late hold is executed by the incarnation that is there then, and the
-   * leader raises its fencing token towards a new one. */
+   * leader raises its fencing token towards a new one. A new leader reads the
+   * entries that were written last, which may be of earlier incarnations. */
   bool calls_reach_later;
   bool renewals_fail; /**< the fencing token does not rise meanwhile */
   /** Interval between the holds of a worker without runs; 0: as with runs. A
@@ -322,7 +324,8 @@
 /** Sets the reading of the worker's own clock, which a new incarnation may
  * begin anywhere. */
 void fleet_set_clock (struct fleet *fleet, uint32_t worker, uint64_t clock_ms);
-/** As fleet_restart, but its entry is not read before fleet_list. */
+/** As fleet_restart, but its entry is not read before fleet_list or, without
+ * calls_reach_later, a takeover. */
 void fleet_restart_unread (struct fleet *fleet, uint32_t worker);
 /** The core reads the worker's entry. */
 void fleet_list (struct fleet *fleet, uint32_t worker);
