test_cell_former_life: the successor reads the entry of the former incarnation

While the store is down a successor knows neither the restart nor the new incarnation, and the worker may be cut off before its first call. The run on record and the entry then name the same, old incarnation, although a later one runs the task. The former incarnation is 30 s old, so that its age does not tell that no stale call is left.

--- a/tests/test_cell_former_life.c
+++ b/tests/test_cell_former_life.c
@@ -19,6 +19,9 @@
 /** Until a worker that has crashed is back under its id. */
 #define BACK_MS 600
 #define HOLD_IDLE_MS 2500
+/** Age of the former incarnation, whose own birth tells nothing of the
+ * restart. The next idle hold is not due before the new one is called. */
+#define FORMER_AGE_MS (12 * HOLD_IDLE_MS + 100)
 /** From the crash to the execution of a late hold. */
 #define LATE_HOLD_MS 3600
 /** Clocks of the two incarnations. */
@@ -48,6 +51,8 @@
 {
   TAKEOVER_NONE,
   TAKEOVER_BEFORE, /* the leader does not know the restart yet */
+  TAKEOVER_UNREAD, /* nor does the new one: the store is down, and the entry
+                      that was written last is of the former incarnation */
   TAKEOVER_AFTER,
   TAKEOVER_TWICE, /* after it, and once more */
   TAKEOVER_COUNT
@@ -63,7 +68,7 @@
 static const char *const stale_names[]
     = { "hold", "start", "old start", "late hold", "unfenced late hold" };
 static const char *const takeover_names[]
-    = { "none", "before", "after", "twice" };
+    = { "none", "before", "unread", "after", "twice" };
 static const char *const cut_names[] = { "before call", "after report" };
 
 static struct fleet *
@@ -173,7 +178,7 @@
 restart_with_stale_call (struct fleet *fleet, enum stale stale, bool own_start)
 {
   fleet_set_clock (fleet, 0, FORMER_CLOCK_MS);
-  fleet_run (fleet, 100);
+  fleet_run (fleet, FORMER_AGE_MS);
   if (stale == STALE_HOLD)
     send_late_hold (fleet, 0, BACK_MS + 5);
   if (is_late (stale))
@@ -199,17 +204,19 @@
   struct fleet *fleet = setup (1);
   /* No leader that knows the restart reaches the worker, so that only a start
      made for the former incarnation can have put the task there. */
-  bool unreached
-      = cut == CUT_BEFORE_CALL
-        && (takeover == TAKEOVER_NONE || takeover == TAKEOVER_BEFORE);
+  bool unreached = cut == CUT_BEFORE_CALL && takeover != TAKEOVER_AFTER
+                   && takeover != TAKEOVER_TWICE;
   bool own_start = stale == STALE_START || unreached;
   bool passed;
 
   restart_with_stale_call (fleet, stale, own_start);
   if (takeover == TAKEOVER_BEFORE)
+    fleet->workers[0].written_born_ms = fleet->workers[0].born_ms;
+  if (takeover == TAKEOVER_BEFORE || takeover == TAKEOVER_UNREAD)
     fleet_takeover (fleet);
   fleet->workers[0].partitioned = unreached;
-  fleet_list (fleet, 0);
+  if (takeover != TAKEOVER_UNREAD || !unreached)
+    fleet_list (fleet, 0);
   fleet_run (fleet, 100);
   if (!own_start)
     start_long_task (fleet);
