No start under the token of a worker's former incarnation

A worker that restarts twice before the leader has renewed its claim again needs a higher token than there is. The leader went on with the one under which the middle incarnation had been called, also after the renewal, until the next call was due by itself (up to 2.5 s), and placed tasks there. A hold to the middle incarnation without an answer may be executed seconds later: the last one obeyed it and forgot ends that no leader had read.

Now a start is refused while the token is that of an earlier incarnation, as it is when the worker's clock is unknown, and the worker is called at once when a renewal has brought a higher one. Ends come from runs, so until then the last incarnation has none that a stale acknowledgement could remove.

Callers see: after such a double restart the worker is paused for 1.5 s after the refused start.

--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -59,6 +59,26 @@
   return slot->born_ms != 0 && slot->born_ms != view->born_ms;
 }
 
+/* Returns whether the worker is to be called at once, so that it refuses calls
+   to its earlier incarnation: it is a new one, or a higher token than that of
+   its newest call has become available. */
+static bool
+needs_token (const struct entry_owner *owner, const struct owner_worker *slot,
+             const struct cell_worker_view *view)
+{
+  return is_reborn (slot, view)
+         || (slot->fence_outdated && lead_fence (owner->entry) > slot->fence);
+}
+
+/* Looks at a worker again that needs a higher token than there is: a renewal,
+   which brings one, does not change the view of the worker. */
+static void
+look_for_token (struct entry_owner *owner, uint32_t row, uint64_t now_us)
+{
+  if (worker_slot (owner, row)->fence_outdated)
+    due_lower (&owner->holds, row, now_us + HOLD_RETRY_US);
+}
+
 /* Returns the target of a call to a worker. A call without an answer may be
    executed seconds later, by a process that has taken the worker's place and
    knows of no stop and no lease. Calls to a new incarnation therefore carry a
@@ -249,7 +269,7 @@
   bool wanted = view->report_after_us != 0
                 && view->report_after_us >= slot->hold_sent_us;
 
-  if (slot->report_in_flight || (!wanted && !is_reborn (slot, view)))
+  if (slot->report_in_flight || (!wanted && !needs_token (owner, slot, view)))
     return;
   slot->report_in_flight = owner->entry->desc.ports->workers->vtable->hold (
       owner->entry->desc.ports->workers,
@@ -286,6 +306,7 @@
   if (slot->hold_in_flight)
     {
       request_report (owner, row, &view, now_us);
+      look_for_token (owner, row, now_us);
       return;
     }
   if (view.address.len == 0 || (!view.listed && view.runs == 0))
@@ -293,11 +314,12 @@
   if (view.ack > slot->ack_sent && slot->next_hold_us > now_us + HOLD_RETRY_US)
     hold_at (owner, row, now_us + HOLD_RETRY_US);
   if ((view.report_after_us != 0 && view.report_after_us >= slot->hold_sent_us)
-      || is_reborn (slot, &view))
+      || needs_token (owner, slot, &view))
     slot->next_hold_us = now_us;
   if (now_us < slot->next_hold_us)
     {
       due_set (&owner->holds, row, slot->next_hold_us);
+      look_for_token (owner, row, now_us);
       return;
     }
   if (view.report_after_us == 0 && view.ends_pending
@@ -543,7 +565,11 @@
   target = call_target (owner, order->worker, &view);
   if (order->kind == CELL_ORDER_START)
     {
-      uint64_t lease_end_ms = lease_deadline_ms (owner, &view, now_us);
+      /* Under the token of an earlier incarnation the worker would execute
+         late calls to that one too, such as an acknowledgement of its ends. */
+      uint64_t lease_end_ms = slot->fence_outdated
+                                  ? 0
+                                  : lease_deadline_ms (owner, &view, now_us);
       uint64_t until_us = lead_confirmed_until_us (owner->entry);
 
       begun = lease_end_ms != 0
--- a/tests/test_entry_fence.c
+++ b/tests/test_entry_fence.c
@@ -18,13 +18,18 @@
 #define RAISED_TIMEOUT_MS 5000
 #define ELECTION_TIMEOUT_MS 6000
 #define JOB_TIMEOUT_MS 8000
+/** A leader counts as silent after 2 s without a renewal. */
+#define SLOW_RENEWAL_US 1500000
 #define ONE_TASK                                                              \
   "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":10,"       \
   "\"estimate_ms\":200}]}"
+#define TASKS(count)                                                          \
+  "{\"spec\":\"s\",\"steps\":[{\"count\":" count                              \
+  ",\"cpu\":4000,\"mem_mb\":10,\"estimate_ms\":700}]}"
 /* Fills all workers. */
-#define MANY_TASKS                                                            \
-  "{\"spec\":\"s\",\"steps\":[{\"count\":8,\"cpu\":4000,\"mem_mb\":10,"       \
-  "\"estimate_ms\":700}]}"
+#define MANY_TASKS TASKS ("8")
+/* Fills them for longer than a worker is paused after a refused start. */
+#define LASTING_TASKS TASKS ("32")
 
 static bool
 wait_for (struct tst_cluster *cluster, uint32_t timeout_ms,
@@ -160,12 +165,73 @@
   free (cluster);
 }
 
+/* Returns whether the first worker has been called since its restart. */
+static bool
+is_called (struct tst_cluster *cluster)
+{
+  return cluster->fake.workers[0].fence != 0;
+}
+
+static bool
+first_worker_has_runs (struct tst_cluster *cluster)
+{
+  return cluster->fake.workers[0].run_count > 0;
+}
+
+static bool
+first_worker_has_ends (struct tst_cluster *cluster)
+{
+  return cluster->fake.workers[0].end_count > 0;
+}
+
+/* A worker restarts twice before the leader has renewed its claim again, so
+   there is no higher token for the last incarnation yet. A hold that
+   acknowledges an end of the middle one is executed by the last one when that
+   has an end which no leader has read. */
+static void
+test_second_restart_before_the_next_renewal (void **state)
+{
+  struct tst_cluster *cluster = calloc (1, sizeof *cluster);
+  struct fkp_worker *worker;
+  struct fkp_late_hold late = { .ack = 1 };
+  uint32_t ends;
+
+  (void)state;
+  tst_cluster_setup (cluster);
+  worker = late.worker = &cluster->fake.workers[0];
+  fkp_restart_worker (worker);
+  assert_true (wait_for (cluster, RAISED_TIMEOUT_MS, is_raised));
+  while (tst_cluster_leader (cluster)->entry.renew_in_flight)
+    tst_cluster_run (cluster, 1);
+  tst_cluster_leader (cluster)->entry.renew_at_us
+      = hc_now_us () + SLOW_RENEWAL_US;
+  late.fence = lead_fence (&tst_cluster_leader (cluster)->entry);
+  fkp_restart_worker (worker);
+  assert_true (wait_for (cluster, RAISED_TIMEOUT_MS, is_called));
+  cluster->fake.task_duration_ms = 700;
+  tst_cluster_send (cluster, 0, "POST", "/plain/0000000000000002",
+                    TST_CLUSTER_KEY, LASTING_TASKS);
+  assert_true (wait_for (cluster, JOB_TIMEOUT_MS, first_worker_has_runs));
+  tst_cluster_run (cluster, 100);
+  worker->silent = true;
+  assert_true (wait_for (cluster, JOB_TIMEOUT_MS, first_worker_has_ends));
+  ends = worker->end_count;
+  g_array_append_val (cluster->fake.late_holds, late);
+  fkp_execute_late_holds (&cluster->fake);
+  assert_int_equal (worker->end_count, ends);
+  worker->silent = false;
+  assert_true (wait_for (cluster, JOB_TIMEOUT_MS, second_job_is_complete));
+  tst_cluster_teardown (cluster);
+  free (cluster);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_token_for_a_new_incarnation),
     cmocka_unit_test (test_late_acknowledgement_reaches_the_next_incarnation),
+    cmocka_unit_test (test_second_restart_before_the_next_renewal),
   };
 
   signal (SIGPIPE, SIG_IGN);
