A process that is gone tells nothing of starts that are yet to be written

A worker that left, or whose address another worker has, ended its inherited runs at once, also while their earlier leader could still write their starts. The process that is gone has not received such a start; one that takes its place under its id would: the new leader then starts the task again while that process runs it (TWICE). For silent workers the rule was there already; the list of reasons names it for replaced ones ("the call of the start has ended").

Now such a run is over at once only if the process was gone after the last write; else it waits until the lease of a start written last has lapsed.

Workers that leave later are not affected.

test_process_that_is_gone_before_the_last_start_is_written: two of four cases red before (worker that left, and one that is replaced, before the last write), green after.

--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -191,8 +191,9 @@
       = worker->exited_us != 0 ? worker->exited_us : worker->silent_us;
 
   /* An earlier leader may write the start to an incarnation that is later than
-     the one whose lease is known. */
-  if (run->inherited && worker->exited_us == 0)
+     the one whose lease is known or whose process is gone. */
+  if (run->inherited
+      && (worker->exited_us == 0 || worker->exited_us <= run->call_ended_us))
     worker_us
         = MAX (worker_us, cell_lease_lapsed_us (core, run->call_ended_us));
   if (lease_covers (worker, run))
--- a/tests/test_cell_lapse.c
+++ b/tests/test_cell_lapse.c
@@ -19,6 +19,8 @@
 /** A worker that is alive has its entry again after this time. */
 #define RELISTED_MS 2000
 #define CALL_MAX_MS 1800
+/** How long after a takeover the earlier leader may write starts. */
+#define OPEN_CALLS_MS 2000
 
 /* A task whose start is under way. */
 struct fixture
@@ -209,6 +211,48 @@
     }
 }
 
+/* The process of an inherited run is gone, while the earlier leader may still
+   write the start, or after that. A process that takes its place under its id
+   receives what is written after it was gone. */
+static void
+test_process_that_is_gone_before_the_last_start_is_written (void **state)
+{
+  (void)state;
+  for (int i = 0; i < 4; i++)
+    {
+      bool replaced = i % 2;
+      bool written = i / 2;
+      struct fixture f = setup ();
+      struct cell_worker_entry entry;
+      struct cell_report report = { .born_ms = f.born_ms, .clock_ms = 100 };
+
+      f.fleet->open_calls_ms = OPEN_CALLS_MS;
+      fleet_takeover (f.fleet);
+      f.core = f.fleet->core;
+      report.sent_us = f.now_us;
+      fleet_make_entry (&f.fleet->workers[f.row], &entry);
+      entry.draining = true;
+      cell_worker_listed (f.core, &entry, f.now_us, f.now_us);
+      cell_worker_report (f.core, f.row, &report, f.now_us);
+      advance (&f, written ? OPEN_CALLS_MS + 1 : 1);
+      if (replaced)
+        cell_worker_replaced (f.core, f.row, f.now_us, f.now_us);
+      else
+        {
+          unlist (&f);
+          cell_worker_unanswered (f.core, f.row, CELL_CALL_REFUSED, f.now_us,
+                                  f.now_us);
+        }
+      advance (&f, 1);
+      assert_int_equal (f.over, written);
+      advance (&f, OPEN_CALLS_MS + FLEET_LEASE_MS - 3);
+      assert_int_equal (f.over, written);
+      advance (&f, MARGIN_MS);
+      assert_int_equal (f.over, 1);
+      teardown (&f);
+    }
+}
+
 int
 main (void)
 {
@@ -219,6 +263,8 @@
         test_worker_that_left_is_looked_at_when_entries_are_read),
     cmocka_unit_test (test_lapsed_lease_after_a_restart_with_an_open_hold),
     cmocka_unit_test (test_inherited_run_of_an_unknown_incarnation),
+    cmocka_unit_test (
+        test_process_that_is_gone_before_the_last_start_is_written),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
