A start that another incarnation executes runs for the longest lease

Two bounds counted the lease that the leader asks for (6 s) from the end of a start's call: gone_us, for a start without an answer on a worker that has lost its entry, and lapse_us, for what an earlier leader may still write. Both speak of an incarnation that the leader does not know: it has restarted before it received the start, and reaches the service discovery as little as the leader. The deadline of the start is on the clock of its former incarnation, so it grants up to hold_max_ms (10 s). The task was started again after 6.3 s while that process ran it (TWICE). late_calls_lapse_us counted with the longest lease already.

What it costs, with leases of 6 s and 10 s: 3.9 s more for a start without an answer on a worker that loses its entry, and for inherited runs on workers that are silent from the takeover on.

test_start_under_the_longest_lease_on_an_unlisted_worker and test_start_of_an_earlier_leader_under_the_longest_lease: red before, green after; the other cases of test_cell_lapse as before.

--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -154,14 +154,21 @@
              || run->seen_born_ms == run->last_born_ms);
 }
 
-/* Returns when everything has certainly ended that calls without an answer
-   may do on a worker, the last of which ended at @p call_us. An incarnation to
-   whose clock their deadline does not belong grants the longest lease. */
+/* Returns when everything of a call that ended at @p call_us has certainly
+   lapsed, whichever incarnation has executed it. One to whose clock its
+   deadline does not belong grants the longest lease. */
+static uint64_t
+call_lapsed_us (const struct cell_core *core, uint64_t call_us)
+{
+  return cell_lease_end_us (call_us, core->desc.lease_max_ms);
+}
+
+/* The same of calls without an answer, the last of which ended at @p call_us.
+ */
 static uint64_t
 late_calls_lapse_us (const struct cell_core *core, uint64_t call_us)
 {
-  return cell_lease_end_us (call_us + CELL_CALL_LATE_MAX_US,
-                            core->desc.lease_max_ms);
+  return call_lapsed_us (core, call_us + CELL_CALL_LATE_MAX_US);
 }
 
 /* Returns when everything of a call that ended at @p call_us has ended because
@@ -177,8 +184,7 @@
   if (worker->listed || unlisted_us == 0
       || core->entries_read_us < unlisted_us + CELL_RELISTED_US)
     return UINT64_MAX;
-  return MAX (unlisted_us + CELL_RELISTED_US,
-              cell_lease_lapsed_us (core, call_us));
+  return MAX (unlisted_us + CELL_RELISTED_US, call_lapsed_us (core, call_us));
 }
 
 /* Returns when no copy of the run's start is left on a worker that is silent
@@ -194,8 +200,7 @@
      the one whose lease is known or whose process is gone. */
   if (run->inherited
       && (worker->exited_us == 0 || worker->exited_us <= run->call_ended_us))
-    worker_us
-        = MAX (worker_us, cell_lease_lapsed_us (core, run->call_ended_us));
+    worker_us = MAX (worker_us, call_lapsed_us (core, run->call_ended_us));
   if (lease_covers (worker, run))
     return worker_us;
   if (run->call_ended_us == 0)
--- a/tests/test_cell_lapse.c
+++ b/tests/test_cell_lapse.c
@@ -253,6 +253,50 @@
     }
 }
 
+/* The worker of a start without an answer is silent and has lost its entry.
+   It may have restarted before it received the start, and be cut off from the
+   service discovery: its new incarnation grants the longest lease for a
+   deadline on the clock of the earlier one. */
+static void
+test_start_under_the_longest_lease_on_an_unlisted_worker (void **state)
+{
+  struct fixture f = setup ();
+
+  (void)state;
+  f.core->desc.lease_max_ms = LEASE_MAX_MS;
+  cell_start_result (f.core, f.run, CELL_START_UNKNOWN, f.now_us);
+  cell_worker_silent (f.core, f.row, f.now_us);
+  unlist (&f);
+  advance (&f, LEASE_MAX_MS);
+  assert_int_equal (f.over, 0);
+  advance (&f, MARGIN_MS);
+  assert_int_equal (f.over, 1);
+  teardown (&f);
+}
+
+/* The same for a start that an earlier leader writes last: the successor knows
+   the incarnation of the record only, and its worker is silent. */
+static void
+test_start_of_an_earlier_leader_under_the_longest_lease (void **state)
+{
+  struct fixture f = setup ();
+  struct cell_worker_entry entry;
+
+  (void)state;
+  f.fleet->open_calls_ms = OPEN_CALLS_MS;
+  fleet_takeover (f.fleet);
+  f.core = f.fleet->core;
+  f.core->desc.lease_max_ms = LEASE_MAX_MS;
+  fleet_make_entry (&f.fleet->workers[f.row], &entry);
+  cell_worker_listed (f.core, &entry, f.now_us, f.now_us);
+  cell_worker_silent (f.core, f.row, f.now_us);
+  advance (&f, OPEN_CALLS_MS + LEASE_MAX_MS);
+  assert_int_equal (f.over, 0);
+  advance (&f, MARGIN_MS);
+  assert_int_equal (f.over, 1);
+  teardown (&f);
+}
+
 int
 main (void)
 {
@@ -265,6 +309,9 @@
     cmocka_unit_test (test_inherited_run_of_an_unknown_incarnation),
     cmocka_unit_test (
         test_process_that_is_gone_before_the_last_start_is_written),
+    cmocka_unit_test (
+        test_start_under_the_longest_lease_on_an_unlisted_worker),
+    cmocka_unit_test (test_start_of_an_earlier_leader_under_the_longest_lease),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
