--- a/fakes/fk_platform.h
+++ b/fakes/fk_platform.h
@@ -176,6 +176,9 @@
                                  incarnation too */
   uint32_t late_holds;        /**< number of holds with an acknowledgement that
                                  get no answer: see fkp_execute_late_holds */
+  uint32_t break_holds;       /**< number of holds with an acknowledgement that
+                                 are not executed and whose connection ends
+                                 without an answer */
   const char *deadly_task;    /**< names of tasks that end the process of each
                                  worker that starts them begin so; or NULL */
   uint32_t deadly_after_ms;   /**< from the start to the end of the process */
--- a/fakes/fk_platform_workers.c
+++ b/fakes/fk_platform_workers.c
@@ -345,6 +345,12 @@
       g_array_append_val (worker->platform->late_holds, late);
       return;
     }
+  if (late.ack > 0 && faults->break_holds > 0)
+    {
+      faults->break_holds--;
+      fk_close_without_answer (&worker->hs, call->ref, call->connection);
+      return;
+    }
   kept = acknowledge (worker, late.ack);
   worker->lease_ms
       = MAX (worker->lease_ms, (uint64_t)fk_int (root, "deadline_ms", 0));
