A run that is shown takes the place of one that is not ordered yet

If a worker shows a run that was taken for over, the core adopts it. When its task had been placed again meanwhile, the run that goes on was stopped, and the new one was ordered all the same as soon as its record was durable, though the core knew by then that the task was running: TWICE until the stop took effect. Records take 20 ms, and seconds while the log is slow.

Now a run that waits for its record is withdrawn, and the one that is shown counts. Its number may be lower than that of the withdrawn run, which no worker has received. Gangs are left as they were: their members only work together.

It does not make a wrong conclusion right; it spares the second start where the contradiction comes in time.

--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -721,8 +721,8 @@
                                uint32_t round, uint32_t task, uint32_t worker,
                                uint32_t number);
 /** Adds a run that a worker reports but the core does not know. It becomes the
- * run of its task if that task waits; else it occupies the worker until it is
- * stopped. */
+ * run of its task if that task waits, or if its next run is not ordered yet;
+ * else it occupies the worker until it is stopped. */
 struct cell_run *cell_run_adopt (struct cell_core *core, struct cell_job *job,
                                  uint32_t round, uint32_t task,
                                  uint32_t worker, uint32_t number);
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -108,10 +108,16 @@
 {
   struct cell_stage *stage = cell_stage_of_task (job, round, task);
   struct cell_task *row = cell_task_at (job, round, task);
+  bool may_count = cell_job_open (job) && !cell_stage_step (stage)->gang;
+  bool next_is_unordered
+      = may_count && row->run != NULL && row->run->state == CELL_RUN_RECORDING;
   struct cell_run *run;
 
-  if (row->state == CELL_TASK_WAITING && cell_job_open (job)
-      && number >= row->next_run - 1 && !cell_stage_step (stage)->gang)
+  /* The task was placed again while this run went on. */
+  if (next_is_unordered)
+    cell_over_unordered (core, row->run);
+  if (may_count && row->state == CELL_TASK_WAITING
+      && (next_is_unordered || number >= row->next_run - 1))
     {
       run = cell_run_new (core, job, round, task, worker, number);
       cell_task_mark_dirty (core, job, round, task);
