The time of an entry in the store is no sign of life

An entry that was appended after the call of a start had ended counted as a sign that its incarnation was alive then, so that no later one could have received the start. The store may append it up to 2 s after it was sent. In that time the worker may crash, be back under its id and receive the start from a leader that does not know of it. The first entry of the new incarnation then ended the run as reborn, while that incarnation ran it: TWICE.

Now such an entry speaks of the time 2 s before. Reports are not affected. A write without an answer that the store executes later than that is not covered.

What it costs: a start just before its worker is cut off from the leader is covered by the lease once an entry written 2 s later is read; with heartbeats of 1.5 s that is before a lease of 6 s has lapsed.

--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -376,8 +376,10 @@
   for (struct cell_run *run = worker->runs; run != NULL; run = next)
     {
       next = run->next;
-      if (!weigh (core, run, &evidence) && worker->born_ms != 0)
-        note_alive (run, worker->born_ms, after_us);
+      /* The process may have gone since it sent the entry. */
+      if (!weigh (core, run, &evidence) && worker->born_ms != 0
+          && after_us > CELL_ENTRY_WRITE_MAX_US)
+        note_alive (run, worker->born_ms, after_us - CELL_ENTRY_WRITE_MAX_US);
     }
 }
 
