Runs of a silent worker wait until its incarnation is known to have outlived the earlier leader

After a takeover the runs of a silent worker were over when the lease of the incarnation lapsed that the record of the run names, if the entry names it too. Neither shows that it lived until the earlier leader wrote the start: it may have restarted under its id, and be cut off from the leader and from the store. The new incarnation has then executed the start, and a late call for the former one extends its lease further: the task was started again while it ran (TWICE).

Now such a run is over by the lease only if that incarnation has written its entry since the earlier leader ended, as for a leader's own starts.

Entries are written with each heartbeat, so a worker that lives and reaches the store is known to within a few seconds.

--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -187,6 +187,29 @@
   return MAX (unlisted_us + CELL_RELISTED_US, call_lapsed_us (core, call_us));
 }
 
+/* Returns whether the incarnation that an earlier leader's start was meant for
+   was alive after the last write of it. If not, a later one may have received
+   the start, and calls for the former one that are executed late. */
+static bool
+alive_since_start (const struct cell_worker *worker,
+                   const struct cell_run *run)
+{
+  return run->last_born_ms != 0 && run->last_born_ms == run->worker_born_ms
+         && run->last_born_ms == worker->born_ms;
+}
+
+/* Returns when a start has certainly lapsed that an earlier leader has written
+   last. */
+static uint64_t
+earlier_start_lapsed_us (const struct cell_core *core,
+                         const struct cell_worker *worker,
+                         const struct cell_run *run)
+{
+  return alive_since_start (worker, run)
+             ? cell_lease_lapsed_us (core, run->call_ended_us)
+             : call_lapsed_us (core, run->call_ended_us);
+}
+
 /* Returns when no copy of the run's start is left on a worker that is silent
    or has left, whose lease lapses or which left at @p worker_us. */
 static uint64_t
@@ -200,8 +223,10 @@
      the one whose lease is known or whose process is gone. */
   if (run->inherited
       && (worker->exited_us == 0 || worker->exited_us <= run->call_ended_us))
-    worker_us = MAX (worker_us, call_lapsed_us (core, run->call_ended_us));
-  if (lease_covers (worker, run))
+    worker_us = MAX (worker_us, earlier_start_lapsed_us (core, worker, run));
+  if (lease_covers (worker, run)
+      && (!run->inherited || worker->exited_us != 0
+          || alive_since_start (worker, run)))
     return worker_us;
   if (run->call_ended_us == 0)
     return UINT64_MAX;
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -92,6 +92,7 @@
 static void
 takeover_during_partition (struct fleet *fleet)
 {
+  fleet->heartbeats = true;
   fleet->workers[0].partitioned = true;
   fleet_run (fleet, 100);
   fleet_takeover (fleet);
--- a/tests/test_cell_lapse.c
+++ b/tests/test_cell_lapse.c
@@ -19,6 +19,8 @@
 /** A worker that is alive has its entry again after this time. */
 #define RELISTED_MS 2000
 #define CALL_MAX_MS 1800
+/** The store appends an entry within this time of its writing. */
+#define ENTRY_WRITE_MS 2000
 /** How long after a takeover the earlier leader may write starts. */
 #define OPEN_CALLS_MS 2000
 
@@ -290,6 +292,7 @@
   fleet_make_entry (&f.fleet->workers[f.row], &entry);
   cell_worker_listed (f.core, &entry, f.now_us, f.now_us);
   cell_worker_silent (f.core, f.row, f.now_us);
+  unlist (&f);
   advance (&f, OPEN_CALLS_MS + LEASE_MAX_MS);
   assert_int_equal (f.over, 0);
   advance (&f, MARGIN_MS);
@@ -297,6 +300,31 @@
   teardown (&f);
 }
 
+/* The incarnation that the start was meant for has written its entry since the
+   earlier leader ended, so no later one has received the start, and the task
+   does not wait for the longest lease. */
+static void
+test_incarnation_alive_since_the_earlier_leader_ended (void **state)
+{
+  struct fixture f = setup ();
+  struct cell_worker_entry entry;
+
+  (void)state;
+  f.fleet->open_calls_ms = OPEN_CALLS_MS;
+  fleet_takeover (f.fleet);
+  f.core = f.fleet->core;
+  f.core->desc.lease_max_ms = LEASE_MAX_MS;
+  cell_worker_silent (f.core, f.row, f.now_us);
+  advance (&f, OPEN_CALLS_MS + ENTRY_WRITE_MS + 1);
+  fleet_make_entry (&f.fleet->workers[f.row], &entry);
+  cell_worker_listed (f.core, &entry, f.now_us, f.now_us);
+  advance (&f, FLEET_LEASE_MS - ENTRY_WRITE_MS - 1);
+  assert_int_equal (f.over, 0);
+  advance (&f, MARGIN_MS);
+  assert_int_equal (f.over, 1);
+  teardown (&f);
+}
+
 int
 main (void)
 {
@@ -312,6 +340,7 @@
     cmocka_unit_test (
         test_start_under_the_longest_lease_on_an_unlisted_worker),
     cmocka_unit_test (test_start_of_an_earlier_leader_under_the_longest_lease),
+    cmocka_unit_test (test_incarnation_alive_since_the_earlier_leader_ended),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_cell_takeover.c
+++ b/tests/test_cell_takeover.c
@@ -13,6 +13,9 @@
 #include <cmocka.h>
 
 #define LEASE_LEFT_MS 6000
+/** When an entry is written that shows that its worker is alive later than the
+ * earlier leader; the store may append it 2 s after it was sent. */
+#define ENTRY_AFTER_US 2100000
 
 /* A core of a new leader that has loaded the fleet's jobs and their records,
    and no worker yet. */
@@ -80,6 +83,9 @@
   entry.born_ms = fleet->workers[0].born_ms;
   cell_worker_listed (core, &entry, 0, now_us);
   cell_worker_silent (core, 0, now_us);
+  /* The incarnation lives on, and writes its entry with each heartbeat. */
+  cell_worker_listed (core, &entry, now_us + ENTRY_AFTER_US,
+                      now_us + ENTRY_AFTER_US);
   cell_tick (core, lease_until_us - 1000, lease_until_us / 1000);
   assert_int_equal (conclusions (core), 0);
   cell_tick (core, lease_until_us + 1000, lease_until_us / 1000);
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -613,6 +613,22 @@
       return_worker (fleet, i);
 }
 
+/* Workers that have nothing new to tell write their entry again with each
+   heartbeat. */
+static void
+write_heartbeats (struct fleet *fleet)
+{
+  for (uint32_t i = 0; i < fleet->worker_count; i++)
+    {
+      struct fleet_worker *worker = &fleet->workers[i];
+
+      if (worker->up && worker->listed
+          && worker->written_born_ms == worker->born_ms
+          && fleet->now_ms >= worker->written_ms + FLEET_HEARTBEAT_MS)
+        list_worker (fleet, worker);
+    }
+}
+
 void
 fleet_run (struct fleet *fleet, uint64_t ms)
 {
@@ -625,7 +641,11 @@
       if (fleet->entries != NULL)
         fleet_entries_tick (fleet);
       else
-        cell_entries_read (fleet->core, fleet_now_us (fleet));
+        {
+          if (fleet->heartbeats)
+            write_heartbeats (fleet);
+          cell_entries_read (fleet->core, fleet_now_us (fleet));
+        }
       fleet_run_tasks (fleet);
       if (fleet->now_ms > fleet->calls_end_ms)
         fleet_end_calls (fleet);
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -232,6 +232,8 @@
                               earlier leader may still get a connection */
   uint64_t calls_end_ms;   /**< until when they may */
   bool log_down;           /**< no batch is stored */
+  bool heartbeats;         /**< workers write their entries again with each
+                              heartbeat */
   bool weigh_reservations; /**< of the cores that are made from now on */
   bool learn_speeds;       /**< of the cores that are made from now on */
   bool speeds_lost;        /**< no record of speeds is stored */
