A leader that has not seen a restart counts with the leases of stale calls

A worker that is back under its old id executes calls that were made for its former incarnation. Their deadline is on another clock, so it grants the longest lease (10 s) instead of the 6 s that leaders ask for, to everything that it runs. A leader that sees the restart counts with that. Its successor finds the new incarnation in the entry, the records and the report as if it had always been there, and took the runs for over after 6 s. In each of three wrong conclusions that were traced: because=lapsed, restart_seen=0, 6.4 to 6.7 s after the first answer to the successor.

Ruled out: evidence of the wrong incarnation (entry, record and report named the same one), and calls that the worker executed after it had answered the successor (it refuses them by its token).

Now a leader that has seen no restart assumes stale calls of its predecessors. They end with the first answer under a fencing token above theirs, and the lease that they have extended one longest lease later; so do those of a leader's own, for which it waited 24 s. The record of a run says whether its worker was settled then, that is refuses stale calls and holds no lease of one beyond what leaders ask for, so a successor charges the wait only to workers that have restarted or answered a leader first in the last four seconds.

Why it works: each lease is extended either by a call made for the present incarnation, which the leader counts, or by a stale one, which has come before the first answer under the higher token.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -357,6 +357,8 @@
 struct cell_desc
 {
   uint32_t lease_ms;         /**< longest lease that leaders ask for */
+  uint64_t earlier_until_us; /**< until when earlier leaders may send calls to
+                                workers; 0 if there were none */
   uint32_t lease_max_ms;     /**< longest lease that workers grant, as to a
                                 deadline on the clock of an earlier
                                 incarnation; 0: lease_ms */
--- a/src/cell.pb-c.c
+++ b/src/cell.pb-c.c
@@ -903,7 +903,7 @@
   (ProtobufCMessageInit) cyc__cell_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cyc__cell_run__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cyc__cell_run__field_descriptors[7] =
 {
   {
     "task",
@@ -977,6 +977,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "worker_settled",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellRun, worker_settled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cyc__cell_run__field_indices_by_name[] = {
   1,   /* field[1] = number */
@@ -985,11 +997,12 @@
   0,   /* field[0] = task */
   2,   /* field[2] = worker */
   3,   /* field[3] = worker_born_ms */
+  6,   /* field[6] = worker_settled */
 };
 static const ProtobufCIntRange cyc__cell_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cyc__cell_run__descriptor =
 {
@@ -999,7 +1012,7 @@
   "Cyc__CellRun",
   "cyc",
   sizeof(Cyc__CellRun),
-  6,
+  7,
   cyc__cell_run__field_descriptors,
   cyc__cell_run__field_indices_by_name,
   1,  cyc__cell_run__number_ranges,
--- a/src/cell.pb-c.h
+++ b/src/cell.pb-c.h
@@ -122,10 +122,14 @@
    * of the worker's crash; 1: weak, 2: strong
    */
   uint32_t suspicion;
+  /*
+   * no stale call outlasts the leases of its leader
+   */
+  protobuf_c_boolean worker_settled;
 };
 #define CYC__CELL_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cyc__cell_run__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -399,6 +399,7 @@
   cell_speed_reborn (worker, born_ms);
   worker->known_us = core->now_us;
   worker->answered_us = 0;
+  worker->fenced_us = 0;
   worker->reborn_us = worker->born_ms != 0 ? core->now_us : 0;
   worker->born_ms = born_ms;
   worker->clock_ms = 0;
@@ -844,6 +845,8 @@
   cell_blame_answered (core, row, report->sent_us);
   if (worker->answered_us == 0)
     worker->answered_us = now_us;
+  if (report->fenced_born_ms == report->born_ms)
+    cell_stale_fenced (core, worker, report->born_ms);
   if (report->clock_ms > worker->clock_ms)
     {
       worker->clock_ms = report->clock_ms;
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -240,6 +240,11 @@
                          */
   uint64_t reborn_us;   /**< when its current incarnation became known; 0 if no
                            earlier one was known */
+  uint64_t fenced_us;   /**< since when that refuses stale calls; 0 if it may
+                           execute some */
+  uint64_t settled_born_ms; /**< incarnation of which the records say that it
+                               is settled; see cell_stale_settled. 0 if none
+                               is */
   uint64_t clock_ms;
   uint64_t clock_at_us;
   uint64_t lease_deadline_ms; /**< latest extension requested, on the worker's
@@ -744,6 +749,24 @@
  * the worker's clock at @p from_us. */
 uint64_t cell_lease_end_us (uint64_t from_us, uint64_t remaining_ms);
 
+/* Stale calls. */
+
+/** Returns when the leases have certainly lapsed that stale calls may have
+ * extended; 0 if there are none. */
+uint64_t cell_stale_lease_end_us (const struct cell_core *core,
+                                  const struct cell_worker *worker);
+/** Returns whether an incarnation of the worker is settled: it executes no
+ * stale call any more, and the lease that one has extended ends before a lease
+ * that a leader asks for now. That lasts as long as the incarnation. */
+bool cell_stale_settled (const struct cell_core *core,
+                         const struct cell_worker *worker, uint64_t born_ms);
+/** A record says that an incarnation of the worker is settled. */
+void cell_stale_restore (struct cell_worker *worker, uint64_t settled_born_ms);
+/** The worker has answered a call after which incarnation @p born_ms refuses
+ * stale calls; 0 if none does. */
+void cell_stale_fenced (const struct cell_core *core,
+                        struct cell_worker *worker, uint64_t born_ms);
+
 /* Pace. */
 
 /** Updates the projections of a run from reported progress. */
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -548,6 +548,7 @@
 cell_earlier_ended (struct cell_core *core, uint64_t until_us, uint64_t now_us)
 {
   core->now_us = now_us;
+  core->desc.earlier_until_us = MIN (core->desc.earlier_until_us, until_us);
   for (guint i = 0; i < core->runs->len; i++)
     {
       struct cell_run *run = g_ptr_array_index (core->runs, i);
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -419,13 +419,7 @@
 
   if (worker->clock_ms != 0)
     end_us = cell_lease_end_us (worker->clock_at_us, remaining_ms);
-  /* A late hold whose deadline is on the clock of an earlier incarnation
-     extends the lease by its maximum. It may have been open when the new one
-     became known. */
-  return worker->reborn_us != 0
-             ? MAX (end_us, late_calls_lapse_us (core, worker->reborn_us
-                                                           + CELL_CALL_MAX_US))
-             : end_us;
+  return MAX (end_us, cell_stale_lease_end_us (core, worker));
 }
 
 void
--- a/src/cyc_cell_progress.c
+++ b/src/cyc_cell_progress.c
@@ -66,6 +66,8 @@
   out->worker_born_ms = run->worker_born_ms;
   out->placed_ms = run->placed_ms;
   out->suspicion = cell_blame_suspicion (run);
+  out->worker_settled = cell_stale_settled (
+      core, cell_worker_at (core, run->worker), run->worker_born_ms);
   return out;
 }
 
@@ -243,6 +245,8 @@
      last write receives the order. */
   made->call_ended_us = write_until_us;
   made->worker_born_ms = run->worker_born_ms;
+  if (run->worker_settled)
+    cell_stale_restore (worker, run->worker_born_ms);
   cell_blame_restore_run (core, made, run);
 }
 
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -388,6 +388,7 @@
   owner->core = cell_setup (&(struct cell_desc){
       .lease_ms = entry->desc.settings->lease_ms,
       .lease_max_ms = entry->desc.settings->lease_max_ms,
+      .earlier_until_us = MAX (owner->begun_us, entry->predecessor_end_us),
       .heartbeat_ms = entry->desc.settings->heartbeat_ms,
       .ticket_margin_ms = TICKET_MARGIN_MS,
       .weigh_reservations = entry->desc.settings->weigh_reservations,
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -147,6 +147,7 @@
   fleet->core = cell_setup (
       &(struct cell_desc){ .lease_ms = fleet->lease_ms,
                            .lease_max_ms = fleet->lease_max_ms,
+                           .earlier_until_us = fleet->calls_end_ms * 1000,
                            .heartbeat_ms = FLEET_HEARTBEAT_MS,
                            .ticket_margin_ms = 250,
                            .learn_speeds = fleet->learn_speeds,
