A start without an answer waits for the longest delay of a late call

A start that got no answer may be executed up to 12 s after its call ended, by whichever incarnation the worker then has. The core ended the run ("stopped") as soon as one incarnation had answered a stop and a report lacked the run, took the first incarnation that was alive after the call for the last one that may execute it ("reborn", "lapsed"), and took a worker without an entry for gone after 2 s. Each holds only until the worker restarts under its id. All three now count from the time at which no later incarnation can execute the start (late_start_end_us).

A worker that is gone needs no longest lease for it either (gone_us).

--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -101,9 +101,10 @@
   uint64_t ordered_born_ms; /**< incarnation on whose clock the start's
                                deadline is; 0 if unknown */
   uint64_t call_ended_us;   /**< when the call of the start ended: a process
-                               that starts later cannot receive the order;
-                               0 if it has not. Of an inherited run: until
-                               when an earlier leader may write the start */
+                               that starts later cannot receive the order, but
+                               may execute it late; 0 if it has not. Of an
+                               inherited run: until when an earlier leader may
+                               write the start */
   uint64_t answered_us; /**< when the start was answered, so that no other copy
                            of the order is left; 0 if it was not */
   uint64_t last_born_ms; /**< last incarnation that may have received the
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -154,6 +154,23 @@
              || run->seen_born_ms == run->last_born_ms);
 }
 
+/* Returns from when on no later incarnation can execute the run's start;
+   UINT64_MAX if that is unknown. A start that was answered, or whose run has
+   been shown, was executed and has no other copy; a ticket is valid for one
+   incarnation. Any other start may be executed late by whichever incarnation
+   is then there. An inherited run does not wait for that: each takeover would
+   begin the wait anew. */
+static uint64_t
+late_start_end_us (const struct cell_run *run)
+{
+  if (run->call_ended_us == 0)
+    return UINT64_MAX;
+  if (run->answered_us != 0 || run->seen_born_ms != 0
+      || run->ticket_until_us != 0 || run->inherited)
+    return run->call_ended_us;
+  return run->call_ended_us + CELL_CALL_LATE_MAX_US;
+}
+
 /* Returns when everything of a call that ended at @p call_us has certainly
    lapsed, whichever incarnation has executed it. One to whose clock its
    deadline does not belong grants the longest lease. */
@@ -171,20 +188,25 @@
   return call_lapsed_us (core, call_us + CELL_CALL_LATE_MAX_US);
 }
 
-/* Returns when everything of a call that ended at @p call_us has ended because
-   the worker is gone: the platform lists a worker that is alive again within
-   CELL_RELISTED_US, and the entries of that time have been read. */
+/* Returns when everything of the run's start has ended because the worker is
+   gone: the platform lists a worker that is alive again within
+   CELL_RELISTED_US, and the entries of that time have been read. A later
+   incarnation, which may grant the longest lease, refuses a ticket. */
 static uint64_t
 gone_us (const struct cell_core *core, const struct cell_worker *worker,
-         uint64_t call_us)
+         const struct cell_run *run)
 {
   uint64_t unlisted_us = worker->unlisted_us != 0 ? worker->unlisted_us
                                                   : core->entries_first_us;
+  uint64_t end_us = late_start_end_us (run);
+  uint64_t relisted_us = MAX (unlisted_us, end_us) + CELL_RELISTED_US;
 
   if (worker->listed || unlisted_us == 0
-      || core->entries_read_us < unlisted_us + CELL_RELISTED_US)
+      || core->entries_read_us < relisted_us)
     return UINT64_MAX;
-  return MAX (unlisted_us + CELL_RELISTED_US, call_lapsed_us (core, call_us));
+  return MAX (relisted_us, run->ticket_until_us != 0
+                               ? cell_lease_lapsed_us (core, end_us)
+                               : call_lapsed_us (core, end_us));
 }
 
 /* Returns whether the incarnation that an earlier leader's start was meant for
@@ -234,8 +256,7 @@
   if (worker->replaced)
     return worker_us;
   last_us = late_calls_lapse_us (core, MAX (run->call_ended_us, last_us));
-  return MAX (worker_us,
-              MIN (last_us, gone_us (core, worker, run->call_ended_us)));
+  return MAX (worker_us, MIN (last_us, gone_us (core, worker, run)));
 }
 
 /* Returns whether no copy of the run's start is running or can be executed any
@@ -250,13 +271,14 @@
               leader's fencing token, requested when that leader no longer
               wrote starts, lacks it
    reborn     a later incarnation than the last one that may have received the
-              order: an incarnation that was alive after the call ended
+              order: an incarnation that was alive when no later one could
+              execute it
    missing    the start was answered, so no other copy is left, and a report
               requested after that lacks the run; or the reporting incarnation
               has shown the run before
    stopped    the reporting incarnation has answered a stop, and a report
-              requested after the answer and after the call had ended lacks the
-              run: until then a new incarnation may receive the order
+              requested after the answer, when no later incarnation can execute
+              the order, lacks the run
    lapsed     the lease has lapsed of the only incarnation that may have
               received the order, and that of a start which an earlier leader
               may still write; else the worker has lost its entry, or the
@@ -307,7 +329,7 @@
       && evidence->since_us > run->confirmed_us)
     return true;
   *over = CELL_OVER_STOPPED;
-  return run->call_ended_us != 0 && evidence->since_us > run->call_ended_us
+  return evidence->since_us > late_start_end_us (run)
          && run->stop_confirmed_us != 0
          && run->stop_born_ms == evidence->born_ms
          && evidence->since_us > run->stop_confirmed_us;
@@ -328,13 +350,12 @@
   return true;
 }
 
-/* An incarnation that was alive after the call of the start had ended is the
-   last one that may have received the order. */
+/* An incarnation that was alive when no later one could execute the order is
+   the last one that may have received it. */
 static void
 note_alive (struct cell_run *run, uint64_t born_ms, uint64_t since_us)
 {
-  if (run->last_born_ms == 0 && run->call_ended_us != 0
-      && since_us > run->call_ended_us)
+  if (run->last_born_ms == 0 && since_us > late_start_end_us (run))
     run->last_born_ms = born_ms;
 }
 
@@ -463,7 +484,14 @@
   if (run->inherited)
     return run->call_ended_us;
   if (run->state == CELL_RUN_STARTING && run->unconfirmed_us != 0)
-    after_us = MAX (run->unconfirmed_us, run->call_ended_us);
+    {
+      uint64_t end_us = late_start_end_us (run);
+
+      if (end_us > core->now_us)
+        *until_us = MIN (*until_us, end_us);
+      after_us = MAX (run->unconfirmed_us,
+                      end_us > core->now_us ? run->call_ended_us : end_us);
+    }
   if (reborn && worker->reborn_us != 0)
     after_us = MAX (after_us, MAX (worker->reborn_us, run->call_ended_us));
   if ((reborn || run->state == CELL_RUN_STARTING)
