--- a/fakes/fk_platform.h
+++ b/fakes/fk_platform.h
@@ -77,6 +77,7 @@
   uint64_t deadline_ms; /**< on the worker's clock */
   uint64_t due_ms;
   uint64_t born_ms; /**< incarnation that received it */
+  bool ticketed;    /**< carries a ticket: no other incarnation executes it */
   bool refuse_copy; /**< the next copy is answered with 503 */
 };
 
@@ -172,8 +173,8 @@
   enum fkp_start_fault start;
   uint32_t start_count;       /**< orders that `start` still applies to */
   uint32_t start_delay_ms[4]; /**< of the orders executed later, in turn */
-  bool orders_outlive_worker; /**< a late order is executed by the next
-                                 incarnation too */
+  bool orders_outlive_worker; /**< a late order without a ticket is executed
+                                 by the next incarnation too */
   uint32_t late_holds;        /**< number of holds with an acknowledgement that
                                  get no answer: see fkp_execute_late_holds */
   uint32_t break_holds;       /**< number of holds with an acknowledgement that
--- a/tests/tst_late.c
+++ b/tests/tst_late.c
@@ -178,6 +178,14 @@
     fkp_restart_worker (play->victims[v]);
 }
 
+static void
+workers_restart_silent (struct tst_late_play *play)
+{
+  workers_restart (play);
+  for (uint32_t v = 0; v < VICTIMS; v++)
+    play->victims[v]->silent = true;
+}
+
 static void
 workers_drain (struct tst_late_play *play)
 {
@@ -279,6 +287,12 @@
     { { 0, workers_silent }, { 6000, workers_speak } } },
 };
 
+const struct tst_late_fault tst_late_restart_behind_cut
+    = { "workers restart behind a cut",
+        { { 0, workers_crash },
+          { 500, workers_restart_silent },
+          { 4500, workers_speak } } };
+
 const struct tst_late_fault tst_late_leader_faults[TST_LATE_LEADER_FAULTS] = {
   { "the leader is killed", { { 0, tst_late_kill_leader } } },
   { "the leader hands over", { { 0, hand_over } } },
--- a/tests/tst_late.h
+++ b/tests/tst_late.h
@@ -67,6 +67,7 @@
     tst_late_worker_faults[TST_LATE_WORKER_FAULTS];
 extern const struct tst_late_fault
     tst_late_leader_faults[TST_LATE_LEADER_FAULTS];
+extern const struct tst_late_fault tst_late_restart_behind_cut;
 /** When a second fault begins: while starts are unanswered, and when the
  * leader has given them up but some are still to be executed. */
 extern const uint32_t tst_late_offsets_ms[TST_LATE_OFFSETS];
