The simulated fleet counts ends that a stale acknowledgement removes

An end counts as taken note of when any acknowledgement reaches it (RULES.md). It had been left out because the fleet started tasks under the token of an earlier incarnation, which src/entry_orders.c refuses since 'No start under the token of a worker's former incarnation'. The fleet refuses them now too and counts each end. Its leaders assume earlier ones as those of src/entry_owner.c do, also the first.

test_cell: a takeover while entries are neither written nor read has a case of its own: the runs of the worker that is not reached wait for the longest delay of a late call, as nothing tells which incarnation has received their starts.

--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -11,6 +11,9 @@
 
 #include <cmocka.h>
 
+/* Longest delay of a call that is executed late. */
+#define LATE_CALL_MS 12000
+
 struct fleet_case
 {
   const char *name;
@@ -98,6 +101,15 @@
   fleet_takeover (fleet);
 }
 
+/* Nothing tells the new leader which incarnation has received the starts. */
+static void
+takeover_during_partition_without_entries (struct fleet *fleet)
+{
+  fleet->workers[0].partitioned = true;
+  fleet_run (fleet, 100);
+  fleet_takeover (fleet);
+}
+
 static void
 takeover_while_the_log_is_down (struct fleet *fleet)
 {
@@ -347,6 +359,14 @@
     300,
     16000,
     CELL_JOB_COMPLETE },
+  { "a new leader cannot reach a worker and reads no entries",
+    3,
+    4000,
+    { { .tasks = { 12 }, .work_ms = 2500 } },
+    takeover_during_partition_without_entries,
+    300,
+    16000 + LATE_CALL_MS,
+    CELL_JOB_COMPLETE },
   { "a new leader takes over when the log lacks some ends",
     3,
     4000,
--- a/tests/test_cell_former_life.c
+++ b/tests/test_cell_former_life.c
@@ -206,7 +206,9 @@
      made for the former incarnation can have put the task there. */
   bool unreached = cut == CUT_BEFORE_CALL && takeover != TAKEOVER_AFTER
                    && takeover != TAKEOVER_TWICE;
-  bool own_start = stale == STALE_START || unreached;
+  /* A leader that knows the restart sends no start under its former token. */
+  bool own_start
+      = stale == STALE_START || unreached || stale == STALE_LATE_HOLD_UNFENCED;
   bool passed;
 
   restart_with_stale_call (fleet, stale, own_start);
@@ -445,6 +447,7 @@
     }
   for (uint32_t i = 0; i < RANDOM_WORKERS; i++)
     fleet->workers[i].partitioned = false;
+  fleet->renewals_fail = false;
   fleet->call_faults.late_permille = 0;
   fleet->call_faults.lost_permille = 0;
   fleet->call_faults.twice_permille = 0;
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -144,15 +144,15 @@
 {
   fleet->epoch++;
   fleet->epoch_begin_ms = fleet->now_ms;
-  fleet->core = cell_setup (
-      &(struct cell_desc){ .lease_ms = fleet->lease_ms,
-                           .lease_max_ms = fleet->lease_max_ms,
-                           .earlier_until_us = fleet->calls_end_ms * 1000,
-                           .heartbeat_ms = FLEET_HEARTBEAT_MS,
-                           .ticket_margin_ms = 250,
-                           .learn_speeds = fleet->learn_speeds,
-                           .weigh_reservations = fleet->weigh_reservations,
-                           .first_revision = fleet->epoch << 32 });
+  fleet->core = cell_setup (&(struct cell_desc){
+      .lease_ms = fleet->lease_ms,
+      .lease_max_ms = fleet->lease_max_ms,
+      .earlier_until_us = MAX (fleet->now_ms, fleet->calls_end_ms) * 1000,
+      .heartbeat_ms = FLEET_HEARTBEAT_MS,
+      .ticket_margin_ms = 250,
+      .learn_speeds = fleet->learn_speeds,
+      .weigh_reservations = fleet->weigh_reservations,
+      .first_revision = fleet->epoch << 32 });
   cell_config_set (fleet->core, fleet->config);
   if (fleet->entries != NULL)
     {
--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -477,6 +477,18 @@
   g_ptr_array_add (fleet->orders_in_flight, copy);
 }
 
+/* Returns whether calls to the worker carry a token under which calls were
+   made to an earlier incarnation: no start is sent then. */
+static bool
+fleet_token_outdated (struct fleet *fleet, uint32_t row,
+                      const struct cell_worker_view *view)
+{
+  struct fleet_worker *worker = &fleet->workers[row];
+
+  fleet_call_fence (fleet, worker, view);
+  return worker->called.fence_outdated;
+}
+
 void
 fleet_send_orders (struct fleet *fleet)
 {
@@ -494,6 +506,13 @@
                              fleet_now_us (fleet));
           continue;
         }
+      if (order.kind == CELL_ORDER_START && fleet->calls_reach_later
+          && fleet_token_outdated (fleet, order.worker, &view))
+        {
+          cell_start_result (fleet->core, order.run, CELL_START_REFUSED_OTHER,
+                             fleet_now_us (fleet));
+          continue;
+        }
       fleet->stops_ordered += order.kind == CELL_ORDER_STOP;
       if (order.kind == CELL_ORDER_START
           && fleet->workers[order.worker].evacuated)
@@ -737,9 +756,9 @@
                     fleet_lookup_number (fleet->failures, task) + 1);
 }
 
-/* Removes the ends that the hold acknowledges. Each counts as the task's
-   result, unless the worker's lease lapsed before, or the number is that of an
-   end of an earlier incarnation: then no leader has learned of this one. */
+/* Removes the ends that the hold acknowledges, also if it was made for an
+   earlier incarnation. Each counts as the task's result, unless the worker's
+   lease lapsed before. */
 static void
 acknowledge_ends (struct fleet *fleet, struct fleet_worker *worker,
                   const struct hold_in_flight *hold)
@@ -749,7 +768,7 @@
   for (uint32_t i = 0; i < worker->end_count; i++)
     if (worker->ends[i].number > hold->ack)
       worker->ends[kept++] = worker->ends[i];
-    else if (worker->ends[i].lapsed || hold->born_ms != worker->born_ms)
+    else if (worker->ends[i].lapsed)
       continue;
     else if (worker->ends[i].kind == CELL_END_DONE)
       g_hash_table_add (fleet->acknowledged_done,
