--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -261,8 +261,8 @@
 
 /* Returns whether no copy of the run's start is running or can be executed any
    more, and for what reason. An order without an answer may be executed later,
-   by the process that received it, which may be a later incarnation than was
-   known. The evidence that each reason needs:
+   by whichever incarnation the worker then has. The evidence that each reason
+   needs:
 
    unordered  the start was not ordered
    refused    the result of the start, which holds for all copies of the order,
@@ -280,9 +280,10 @@
               requested after the answer, when no later incarnation can execute
               the order, lacks the run
    lapsed     the lease has lapsed of the only incarnation that may have
-              received the order, and that of a start which an earlier leader
-              may still write; else the worker has lost its entry, or the
-              longest delay of a late call and the longest lease have passed
+              received the order, with what stale calls have added to it, and
+              that of a start which an earlier leader may still write; else the
+              worker has lost its entry, or the longest delay of a late call
+              and the longest lease have passed
    left       as lapsed, with the exit of the process instead of the lease: its
               entry was removed and it does not answer
    replaced   the call of the start has ended, and another worker answers a
