--- a/tests/test_cell_inherited.c
+++ b/tests/test_cell_inherited.c
@@ -58,9 +58,9 @@
   fleet_restart_unread (fleet, row);
   fleet->workers[row].next_hold_ms = UINT64_MAX;
   cell_worker_silent (fleet->core, row, fleet_now_us (fleet));
-  fleet_run (fleet, 3 * FLEET_HEARTBEAT_MS);
+  fleet_run (fleet, 3ULL * FLEET_HEARTBEAT_MS);
   assert_true (fleet_lapse_entry (fleet, row));
-  fleet_run (fleet, 10000 - 3 * FLEET_HEARTBEAT_MS);
+  fleet_run (fleet, 10000 - 3ULL * FLEET_HEARTBEAT_MS);
   if (fleet->violations > 0)
     fail_msg ("%s", fleet->first_violation);
   assert_int_equal (fleet->starts, 2);
