Log bytes, time and tries of reads, and the age of the view behind a refusal

The logs could not tell why a configuration was late: neither the bytes that a failed read had received nor whether bytes were arriving while a read was passed on, and a refusal with 404 left no line. read_cut names an answer that ended before it was complete; config_in_force has bytes, read_ms, tries and the age of the view before; log_unreachable way=direct has the age of the last bytes, the kind and the stream of the call; request_refused has the age of the view, also for 404. Counters log_read_bytes and log_read_bytes_lost. No decision is changed. test_tail, test_platform_contract, test_http and test_entry pass.

--- a/src/entry.c
+++ b/src/entry.c
@@ -86,9 +86,15 @@
   owner_apply_config (entry);
   cell_config_free (old);
   ev_log (EV_CONFIG_IN_FORCE,
-          "version=%" PRIu64 " offset=%" PRIu64 " queues=%u teams=%u pools=%u",
+          "version=%" PRIu64 " offset=%" PRIu64
+          " queues=%u teams=%u pools=%u bytes=%zu read_ms=%" PRIu64
+          " tries=%u old_view_ms=%" PRIu64,
           config->version, offset, config->queue_count, config->team_count,
-          config->pool_count);
+          config->pool_count, entry->config_tail.read_bytes,
+          entry->config_tail.read_us / 1000, entry->config_tail.read_tries,
+          entry->config_tail.prev_fresh_us != 0
+              ? (hc_now_us () - entry->config_tail.prev_fresh_us) / 1000
+              : 0);
   entry_wake (entry);
 }
 
@@ -616,6 +622,23 @@
          && entry->config_tail.fresh_us + READY_VIEW_MAX_AGE_US > now_us;
 }
 
+/* Sums up what the streams that every VM follows have received. */
+static void
+count_reads (struct entry *entry)
+{
+  const struct tail *tails[]
+      = { &entry->config_tail, &entry->lead_tail, &entry->vms_tail };
+  uint64_t *counters = entry->met.counters;
+
+  counters[MET_LOG_READ_BYTES] = 0;
+  counters[MET_LOG_READ_BYTES_LOST] = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (tails); i++)
+    {
+      counters[MET_LOG_READ_BYTES] += tails[i]->bytes;
+      counters[MET_LOG_READ_BYTES_LOST] += tails[i]->bytes_lost;
+    }
+}
+
 struct cyc_str
 entry_metrics (void *user)
 {
@@ -625,6 +648,7 @@
   struct pt_callers_load load;
 
   callers->vtable->load (callers, &load);
+  count_reads (entry);
   counters[MET_CALLERS_OPEN_MAX] = load.open_max;
   counters[MET_CALLERS_ENDED_MEMORY] = load.ended_memory;
   counters[MET_CALLERS_ENDED_CROWDED] = load.ended_crowded;
--- a/src/entry_requests.c
+++ b/src/entry_requests.c
@@ -204,11 +204,12 @@
 refuse (struct entry *entry, const struct pt_request *request,
         enum pt_answer_kind kind, const struct cyc_finding *finding)
 {
-  if (kind != PT_ANSWER_NO_QUEUE)
-    ev_log (EV_REQUEST_REFUSED,
-            "answer=%d method=%.*s path=\"%.*s\" config=%" PRIu64, (int)kind,
-            CYC_FMT (request->method), CYC_FMT (request->path),
-            entry->config != NULL ? entry->config->version : 0);
+  ev_log (EV_REQUEST_REFUSED,
+          "answer=%d method=%.*s path=\"%.*s\" config=%" PRIu64
+          " view_age_ms=%" PRIu64,
+          (int)kind, CYC_FMT (request->method), CYC_FMT (request->path),
+          entry->config != NULL ? entry->config->version : 0,
+          (hc_now_us () - entry->config_tail.fresh_us) / 1000);
   entry->desc.ports->callers->vtable->answer (
       entry->desc.ports->callers, request->call,
       &(struct pt_answer){
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -123,6 +123,7 @@
   size_t len = size * count;
   size_t needed = transfer->answer_len + len;
 
+  transfer->client->received_us = hc_now_us ();
   if (needed > transfer->client->max_answer_bytes)
     return 0;
   if (needed > transfer->answer_capacity)
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -136,6 +136,7 @@
   uint32_t max_answer_bytes;
   uint32_t connect_timeout_ms;
   bool reset_on_close;
+  uint64_t received_us; /**< when bytes of an answer last arrived; 0: never */
   uint64_t bytes_in;
   uint64_t bytes_out;
 };
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -77,6 +77,7 @@
   X (EV_RELOADED, MESSAGE, "reloaded")                                        \
   X (EV_APPEND_FAILED, WARNING, "append_failed")                              \
   X (EV_READ_FAILED, WARNING, "read_failed")                                  \
+  X (EV_READ_CUT, WARNING, "read_cut")                                        \
   X (EV_ENTRY_UNUSABLE, MESSAGE, "entry_unusable")                            \
   X (EV_WORKER_ROW_UNKNOWN, WARNING, "worker_row_unknown")                    \
   X (EV_ADVICE, INFO, "advice")                                               \
--- a/src/log_relay.c
+++ b/src/log_relay.c
@@ -104,6 +104,32 @@
   relay->relaying = false;
 }
 
+/* Returns when bytes last arrived directly from the log; 0 if unknown. */
+static uint64_t
+received_us (const struct log_relay *relay)
+{
+  const struct pt_log *direct = relay->desc.direct;
+
+  return direct->vtable->received_us != NULL
+             ? direct->vtable->received_us (direct)
+             : 0;
+}
+
+static enum pt_stream
+stream_of (const struct relay_call *call)
+{
+  switch (call->kind)
+    {
+    case RELAY_APPEND:
+      return call->append.stream;
+    case RELAY_READ:
+      return call->read.stream;
+    case RELAY_NEWEST:
+      return call->newest.stream;
+    }
+  return PT_STREAM_COUNT;
+}
+
 /* Returns the linked VM that reached the log most recently, except the given
    one; generation 0 if none reached it recently. */
 static struct cyc_ref
@@ -213,10 +239,12 @@
 
       pl_view (relay->desc.links, peer, &view);
       ev_log (EV_LOG_UNREACHABLE,
-              "way=direct failures=%u direct_age_ms=%" PRIu64 " through=%s",
+              "way=direct failures=%u direct_age_ms=%" PRIu64
+              " received_age_ms=%" PRIu64 " kind=%d stream=%d through=%s",
               relay->direct_failures,
               (now_us - relay->direct_success_us) / 1000,
-              view.identity.vm.data);
+              (now_us - received_us (relay)) / 1000, (int)call->kind,
+              (int)stream_of (call), view.identity.vm.data);
     }
   relay->relaying = true;
   return true;
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -57,6 +57,8 @@
   X (MET_LOG_APPENDS, "log_appends")                                          \
   X (MET_LOG_APPEND_FAILURES, "log_append_failures")                          \
   X (MET_LOG_RECORDS, "log_records_read")                                     \
+  X (MET_LOG_READ_BYTES, "log_read_bytes")                                    \
+  X (MET_LOG_READ_BYTES_LOST, "log_read_bytes_lost")                          \
   X (MET_RECORDS_CORRUPT, "log_records_corrupt")                              \
   X (MET_SNAPSHOTS_WRITTEN, "snapshots_written")                              \
   X (MET_CLAIMS_WON, "claims_won")                                            \
--- a/src/ports.h
+++ b/src/ports.h
@@ -87,6 +87,8 @@
                    `next` if not all were returned; 0: unknown */
   const struct pt_record *records;
   uint32_t count;
+  size_t bytes; /**< length of the answer, or of what arrived of one that did
+                   not become complete */
 };
 
 struct pt_read
@@ -109,6 +111,7 @@
   bool more; /**< true: more keys follow; continue with the key of the last
                   record as `after_key` */
   uint64_t end;
+  size_t bytes; /**< as in struct pt_read_result */
 };
 
 struct pt_newest
@@ -129,6 +132,9 @@
   bool (*append) (struct pt_log *log, const struct pt_append *append);
   bool (*read) (struct pt_log *log, const struct pt_read *read);
   bool (*newest) (struct pt_log *log, const struct pt_newest *newest);
+  /** Returns when bytes of an answer last arrived, also of one that is not
+   * complete; monotonic, 0 if none did. NULL if the port cannot tell. */
+  uint64_t (*received_us) (const struct pt_log *log);
 };
 struct pt_log
 {
--- a/src/tail.c
+++ b/src/tail.c
@@ -51,6 +51,28 @@
   schedule_read (tail, MIN (wait_ms, RETRY_MAX_MS));
 }
 
+/* Counts an answer that did not become complete. */
+static void
+note_lost (struct tail *tail, size_t bytes)
+{
+  if (bytes == 0)
+    return;
+  tail->bytes_lost += bytes;
+  ev_log (EV_READ_CUT,
+          "stream=%d next=%" PRIu64 " bytes=%zu ms=%" PRIu64 " try=%u",
+          (int)tail->desc.stream, tail->next, bytes,
+          (hc_now_us () - tail->sent_us) / 1000, tail->failures + 1);
+}
+
+static void
+note_complete (struct tail *tail, size_t bytes)
+{
+  tail->bytes += bytes;
+  tail->read_bytes = bytes;
+  tail->read_us = hc_now_us () - tail->sent_us;
+  tail->read_tries = tail->failures + 1;
+}
+
 static void
 reset_failures (struct tail *tail)
 {
@@ -101,9 +123,11 @@
     return;
   if (result->outcome != PT_OK)
     {
+      note_lost (tail, result->bytes);
       retry_read_later (tail);
       return;
     }
+  note_complete (tail, result->bytes);
   reset_failures (tail);
   tail->load_round_trip_us = (uint32_t)(hc_now_us () - tail->sent_us);
   tail->prev_fresh_us = 0;
@@ -157,12 +181,14 @@
     }
   if (result->outcome != PT_OK)
     {
+      note_lost (tail, result->bytes);
       tail->read_max_kib = MAX (tail->read_max_kib / 2, READ_MIN_KIB);
       retry_read_later (tail);
       return;
     }
   if (is_quick (tail))
     tail->read_max_kib = MIN (tail->read_max_kib * 2, READ_MAX_KIB);
+  note_complete (tail, result->bytes);
   reset_failures (tail);
   take_records (tail, result, tail->sent_us);
   if (tail->running && !tail->in_flight)
--- a/src/tail.h
+++ b/src/tail.h
@@ -66,6 +66,12 @@
   uint64_t sent_us;       /**< time at which the last read was sent */
   uint64_t load_sent_us;  /**< time at which the load began */
   uint32_t load_round_trip_us; /**< round trip of the last page of a load */
+  uint64_t read_us;    /**< duration of the last read that succeeded, with the
+                            wait of its long poll */
+  size_t read_bytes;   /**< length of its answer */
+  uint32_t read_tries; /**< 1: no read failed before it */
+  uint64_t bytes;      /**< of all answers */
+  uint64_t bytes_lost; /**< of answers that did not become complete */
 };
 
 void tail_setup (struct tail *tail, const struct tail_desc *desc);
