--- a/fakes/fk_relay.c
+++ b/fakes/fk_relay.c
@@ -8,6 +8,10 @@
 
 #define BUFFER_BYTES 65536
 #define BACKLOG 128
+/** Interval at which a pair of limited width may carry more bytes. */
+#define WIDTH_PERIOD_S 0.005
+/** Most bytes of one connection at a time on a pair of limited width. */
+#define WIDTH_CHUNK_BYTES 4096
 
 enum
 {
@@ -22,7 +26,11 @@
   uint16_t target;
   struct ev_io accept;
   bool cut;
-  bool silent[2];         /* by direction: bytes are dropped */
+  bool silent[2];    /* by direction: bytes are dropped */
+  uint32_t width;    /* bytes a second in each direction; 0: no limit */
+  double credit[2];  /* bytes that may be read now */
+  uint64_t bytes[2]; /* carried so far */
+  struct ev_timer refill;
   GPtrArray *connections; /* struct connection */
 };
 
@@ -93,8 +101,9 @@
     {
       const struct flow *from = &connection->flows[i];
       const struct flow *to = &connection->flows[1 - i];
-      bool may_read
-          = !from->ended && from->len == 0 && !connection->connecting;
+      bool may_read = !from->ended && from->len == 0 && !connection->connecting
+                      && (connection->pair->width == 0
+                          || connection->pair->credit[i] >= WIDTH_CHUNK_BYTES);
       bool may_write = to->len > 0 || (connection->connecting && i == 1);
       int events = (may_read ? EV_READ : 0) | (may_write ? EV_WRITE : 0);
 
@@ -110,12 +119,18 @@
 read_from_side (struct connection *connection, int d)
 {
   struct flow *flow = &connection->flows[d];
-  ssize_t received
-      = read (connection->sides[d].fd, flow->data, sizeof flow->data);
-  bool drop = connection->pair->silent[d] || flow->bytes_dropped;
+  struct fk_relay_pair *pair = connection->pair;
+  size_t max = pair->width != 0 ? WIDTH_CHUNK_BYTES : sizeof flow->data;
+  bool drop = pair->silent[d] || flow->bytes_dropped;
+  ssize_t received;
 
+  if (pair->width != 0 && pair->credit[d] < WIDTH_CHUNK_BYTES)
+    return true;
+  received = read (connection->sides[d].fd, flow->data, max);
   if (received < 0)
     return errno == EAGAIN || errno == EINTR;
+  pair->credit[d] -= (double)received;
+  pair->bytes[d] += (uint64_t)received;
   if (received == 0)
     {
       flow->ended = true;
@@ -223,6 +238,35 @@
   update_watchers (connection);
 }
 
+static void
+on_refill (struct ev_loop *loop, struct ev_timer *timer, int events)
+{
+  struct fk_relay_pair *pair = timer->data;
+  double most = MAX (pair->width * WIDTH_PERIOD_S, 2.0 * WIDTH_CHUNK_BYTES);
+
+  (void)loop;
+  (void)events;
+  for (int i = 0; i < 2; i++)
+    pair->credit[i]
+        = MIN (pair->credit[i] + pair->width * WIDTH_PERIOD_S, most);
+  for (guint i = 0; i < pair->connections->len; i++)
+    update_watchers (g_ptr_array_index (pair->connections, i));
+}
+
+static void
+set_width (struct fk_relay_pair *pair, uint32_t bytes_per_s)
+{
+  pair->width = bytes_per_s;
+  pair->credit[FORWARD] = 0;
+  pair->credit[BACK] = 0;
+  if (bytes_per_s != 0)
+    ev_timer_again (pair->relay->loop, &pair->refill);
+  else
+    ev_timer_stop (pair->relay->loop, &pair->refill);
+  for (guint i = 0; i < pair->connections->len; i++)
+    update_watchers (g_ptr_array_index (pair->connections, i));
+}
+
 /* shutdown() stops listening but keeps the port bound, so connections are
    refused and no other process can take the port while it is cut. */
 static bool
@@ -287,6 +331,7 @@
       done = set_cut (pair, fk_bool (json, "cut", pair->cut)) && done;
       if (silent != NULL)
         set_silent (pair, silent);
+      set_width (pair, (uint32_t)fk_int (json, "width", pair->width));
     }
   json_object_put (json);
   if (found == 0)
@@ -297,27 +342,60 @@
     fk_reply_json (&relay->hs, call->ref, 200, json_object_new_object ());
 }
 
-static bool
-add_pair (struct fk_relay *relay, struct json_object *row)
+uint16_t
+fk_relay_add (struct fk_relay *relay, const char *group, uint16_t listen_port,
+              uint16_t target)
 {
   struct fk_relay_pair *pair = g_new0 (struct fk_relay_pair, 1);
-  struct sockaddr_in address = loopback ((uint16_t)fk_int (row, "listen", 0));
+  struct sockaddr_in address = loopback (listen_port);
+  socklen_t address_len = sizeof address;
   int fd = open_socket ();
   int on = 1;
 
-  g_strlcpy (pair->group, fk_text (row, "group", ""), sizeof pair->group);
+  g_strlcpy (pair->group, group, sizeof pair->group);
   pair->relay = relay;
-  pair->target = (uint16_t)fk_int (row, "target", 0);
+  pair->target = target;
   pair->connections = g_ptr_array_new ();
   ev_io_init (&pair->accept, on_accept, fd, EV_READ);
   pair->accept.data = pair;
+  ev_timer_init (&pair->refill, on_refill, WIDTH_PERIOD_S, WIDTH_PERIOD_S);
+  pair->refill.data = pair;
   g_ptr_array_add (relay->pairs, pair);
   if (setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0
       || bind (fd, (struct sockaddr *)&address, sizeof address) != 0
-      || listen (fd, BACKLOG) != 0)
-    return false;
+      || listen (fd, BACKLOG) != 0
+      || getsockname (fd, (struct sockaddr *)&address, &address_len) != 0)
+    return 0;
   ev_io_start (relay->loop, &pair->accept);
-  return true;
+  return ntohs (address.sin_port);
+}
+
+void
+fk_relay_set_width (struct fk_relay *relay, const char *group,
+                    uint32_t bytes_per_s)
+{
+  for (guint i = 0; i < relay->pairs->len; i++)
+    {
+      struct fk_relay_pair *pair = relay->pairs->pdata[i];
+
+      if (strcmp (group, pair->group) == 0)
+        set_width (pair, bytes_per_s);
+    }
+}
+
+uint64_t
+fk_relay_bytes_back (const struct fk_relay *relay, const char *group)
+{
+  uint64_t bytes = 0;
+
+  for (guint i = 0; i < relay->pairs->len; i++)
+    {
+      const struct fk_relay_pair *pair = relay->pairs->pdata[i];
+
+      if (strcmp (group, pair->group) == 0)
+        bytes += pair->bytes[BACK];
+    }
+  return bytes;
 }
 
 bool
@@ -328,7 +406,14 @@
   bool done = json_object_is_type (rows, json_type_array);
 
   for (size_t i = 0; done && i < json_object_array_length (rows); i++)
-    done = add_pair (relay, json_object_array_get_idx (rows, i));
+    {
+      struct json_object *row = json_object_array_get_idx (rows, i);
+
+      done = fk_relay_add (relay, fk_text (row, "group", ""),
+                           (uint16_t)fk_int (row, "listen", 0),
+                           (uint16_t)fk_int (row, "target", 0))
+             != 0;
+    }
   json_object_put (json);
   return done;
 }
@@ -358,6 +443,7 @@
       struct fk_relay_pair *pair = relay->pairs->pdata[i];
 
       ev_io_stop (relay->loop, &pair->accept);
+      ev_timer_stop (relay->loop, &pair->refill);
       while (pair->connections->len > 0)
         close_connection_at (pair, 0);
       g_ptr_array_unref (pair->connections);
