A read of the log is bounded by progress, and not repeated while it goes on

Callers saw 404 for a route confirmed 4.4 s before, and requests handled by the configuration before it. Cause: a read had to end 0.9 s after its long poll as a whole, so on a link that needs longer for all VMs each read was cut with most of its bytes received and began again from the first one (read_cut, 2.1 s, 0.84 of 0.9 MB); and a read without an answer for 0.3 s was made again through another VM, over the same link, while its bytes were arriving.

An answer that has begun in time may now take 20 s while it makes progress (hc_request.complete_by_us), a call whose bytes arrive is neither passed on nor repeated, and tail_refresh waits for the read that is arriving. Bytes are a sign of life of a link between VMs, too: a frame of 1 MiB may take longer than silence may last. The round trip by which a VM is judged as a leader ends at the first byte, as the rest depends on the size of the configuration.

--- a/fakes/fk_relay.h
+++ b/fakes/fk_relay.h
@@ -38,6 +38,9 @@
 /** Sets the width of each pair of the group. */
 void fk_relay_set_width (struct fk_relay *relay, const char *group,
                          uint32_t bytes_per_s);
+/** Sets "silent" of each pair of the group. */
+void fk_relay_set_silent (struct fk_relay *relay, const char *group,
+                          const char *silent);
 /** Returns the bytes that the group's pairs have carried to the connecting
  * side. */
 uint64_t fk_relay_bytes_back (const struct fk_relay *relay, const char *group);
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -40,6 +40,9 @@
   struct cyc_ref ref;
   struct ev_timer timer; /* of the deadline */
   uint64_t deadline_us;
+  uint64_t complete_by_us; /* as in hc_request */
+  size_t progress_len;     /* length of the answer when deadline_us was last
+                              extended */
   uint64_t write_until_us; /* 0: only the deadline counts */
   char *answer;
   size_t answer_len;
@@ -54,6 +57,7 @@
   uint64_t broken_us; /* as in hc_result */
   char outcome[16];
   char error[CURL_ERROR_SIZE];
+  void (*progress) (void *user);
   void (*done) (void *user, const struct hc_result *result);
   void *user;
 };
@@ -116,6 +120,20 @@
   return elapsed_ms > wall_now_ms ? 0 : wall_now_ms - elapsed_ms;
 }
 
+/* Extends the deadline of an answer that goes on arriving. */
+static void
+extend_deadline (struct hc_transfer *transfer, size_t answer_len)
+{
+  uint64_t stall_us = hc_now_us () + (uint64_t)HC_STALL_MS * US_PER_MS;
+
+  if (transfer->progress_len > 0
+      && answer_len - transfer->progress_len < HC_PROGRESS_BYTES)
+    return;
+  transfer->progress_len = answer_len;
+  transfer->deadline_us
+      = MAX (transfer->deadline_us, MIN (stall_us, transfer->complete_by_us));
+}
+
 static size_t
 on_body (char *data, size_t size, size_t count, void *user)
 {
@@ -123,7 +141,6 @@
   size_t len = size * count;
   size_t needed = transfer->answer_len + len;
 
-  transfer->client->received_us = hc_now_us ();
   if (needed > transfer->client->max_answer_bytes)
     return 0;
   if (needed > transfer->answer_capacity)
@@ -138,6 +155,9 @@
     }
   memcpy (transfer->answer + transfer->answer_len, data, len);
   transfer->answer_len = needed;
+  extend_deadline (transfer, needed);
+  if (transfer->progress != NULL && len > 0)
+    transfer->progress (transfer->user);
   return len;
 }
 
@@ -693,9 +713,9 @@
 {
   CURL *easy = transfer->kept.easy;
   uint64_t now_us = hc_now_us ();
-  uint64_t remaining_ms = request->deadline_us > now_us
-                              ? (request->deadline_us - now_us) / US_PER_MS
-                              : 0;
+  uint64_t last_us = MAX (request->deadline_us, request->complete_by_us);
+  uint64_t remaining_ms
+      = last_us > now_us ? (last_us - now_us) / US_PER_MS : 0;
   /* Without CURLOPT_FORBID_REUSE each such request would leave an idle
      connection open, and a target accepts only 64 connections. */
   long fresh = request->fresh_connection ? 1L : 0L;
@@ -731,6 +751,8 @@
   transfer->user = request->user;
   transfer->repeatable = request->repeatable || request->method == HC_GET;
   transfer->deadline_us = request->deadline_us;
+  transfer->complete_by_us = request->complete_by_us;
+  transfer->progress = request->progress;
   transfer->write_until_us = request->write_until_us;
   ev_init (&transfer->timer, on_deadline);
   transfer->timer.data = transfer;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -74,7 +74,14 @@
   struct cyc_str body;                    /**< copied */
   struct cyc_str headers[HC_MAX_HEADERS]; /**< "Name: value", copied */
   uint32_t header_count;
-  uint64_t deadline_us; /**< bounds the whole exchange; monotonic */
+  uint64_t deadline_us; /**< monotonic; ends the exchange, unless
+                             complete_by_us is later */
+  /** An answer whose body has begun by deadline_us may take until then while
+   * it makes progress: HC_PROGRESS_BYTES in each HC_STALL_MS. 0: no. For
+   * answers whose length grows with the deployment. */
+  uint64_t complete_by_us;
+  /** Called when bytes of the answer's body arrive; may be NULL. */
+  void (*progress) (void *user);
   /** The request may be written again if its connection ends before the
    * answer, though the server may then execute it more than once, in any order
    * and late. Always so for a GET. */
@@ -111,6 +118,8 @@
 };
 
 #define HC_MAX_SHARDS 32
+#define HC_STALL_MS 1500
+#define HC_PROGRESS_BYTES 4096
 
 struct hc_client;
 
@@ -136,7 +145,6 @@
   uint32_t max_answer_bytes;
   uint32_t connect_timeout_ms;
   bool reset_on_close;
-  uint64_t received_us; /**< when bytes of an answer last arrived; 0: never */
   uint64_t bytes_in;
   uint64_t bytes_out;
 };
--- a/src/log_relay.c
+++ b/src/log_relay.c
@@ -10,6 +10,9 @@
 #define LOG_CONTACT_MAX_AGE_US 1600000
 /** The direct connection is suspect if no call succeeded within this time. */
 #define DIRECT_SUCCESS_MAX_AGE_US 900000
+/** A call whose answer has brought bytes within this time is not relayed: on a
+ * full link a second copy of the answer only delays the first. */
+#define DIRECT_PROGRESS_MAX_AGE_US ((uint64_t)HC_STALL_MS * 1000)
 /** Time after which a read without an answer is relayed if the direct
  * connection is suspect. */
 #define RELAY_DELAY_US 300000
@@ -39,10 +42,11 @@
   uint32_t hops;
   uint64_t start_us;
   uint64_t deadline_us;
-  struct cyc_ref relay_peer;  /* makes the call; generation 0 if not relayed */
-  struct cyc_ref requester;   /* generation 0 for a call of this process */
-  uint64_t requester_ask;     /* number that the requester gave the call */
-  bool direct_open;           /* the direct call has not ended */
+  uint64_t progress_us;      /* when bytes of the direct answer last arrived */
+  struct cyc_ref relay_peer; /* makes the call; generation 0 if not relayed */
+  struct cyc_ref requester;  /* generation 0 for a call of this process */
+  uint64_t requester_ask;    /* number that the requester gave the call */
+  bool direct_open;          /* the direct call has not ended */
   bool may_have_taken_effect; /* by the direct call */
   bool ended;                 /* the caller has its result */
   struct pt_append append;
@@ -104,15 +108,11 @@
   relay->relaying = false;
 }
 
-/* Returns when bytes last arrived directly from the log; 0 if unknown. */
+/* Returns when an answer, or a part of one, last arrived directly. */
 static uint64_t
-received_us (const struct log_relay *relay)
+direct_contact_us (const struct log_relay *relay)
 {
-  const struct pt_log *direct = relay->desc.direct;
-
-  return direct->vtable->received_us != NULL
-             ? direct->vtable->received_us (direct)
-             : 0;
+  return MAX (relay->direct_success_us, relay->direct_progress_us);
 }
 
 static enum pt_stream
@@ -243,7 +243,7 @@
               " received_age_ms=%" PRIu64 " kind=%d stream=%d through=%s",
               relay->direct_failures,
               (now_us - relay->direct_success_us) / 1000,
-              (now_us - received_us (relay)) / 1000, (int)call->kind,
+              (now_us - relay->direct_progress_us) / 1000, (int)call->kind,
               (int)stream_of (call), view.identity.vm.data);
     }
   relay->relaying = true;
@@ -415,6 +415,21 @@
     finish_newest (call, result);
 }
 
+static void
+on_progress (void *user)
+{
+  struct relay_call *call = user;
+
+  call->progress_us = hc_now_us ();
+  call->relay->direct_progress_us = call->progress_us;
+  if (call->ended || call->requester.generation != 0)
+    return;
+  if (call->kind == RELAY_READ && call->read.progress != NULL)
+    call->read.progress (call->read.user);
+  if (call->kind == RELAY_NEWEST && call->newest.progress != NULL)
+    call->newest.progress (call->newest.user);
+}
+
 static bool
 start_direct_call (struct relay_call *call)
 {
@@ -436,6 +451,7 @@
       {
         struct pt_read read = call->read;
 
+        read.progress = on_progress;
         read.done = on_read;
         read.user = call;
         call->direct_open = direct->vtable->read (direct, &read);
@@ -446,6 +462,7 @@
         struct pt_newest newest = call->newest;
 
         newest.after_key = cyc_str_of (call->after);
+        newest.progress = on_progress;
         newest.done = on_newest;
         newest.user = call;
         call->direct_open = direct->vtable->newest (direct, &newest);
@@ -667,7 +684,7 @@
 {
   if (call->kind == RELAY_APPEND)
     return call->start_us + APPEND_RELAY_DELAY_US < now_us
-           && call->relay->direct_success_us + APPEND_RELAY_DELAY_US < now_us;
+           && direct_contact_us (call->relay) + APPEND_RELAY_DELAY_US < now_us;
   return direct_suspect && call->start_us + RELAY_DELAY_US < now_us;
 }
 
@@ -678,10 +695,9 @@
   GHashTableIter iter;
   gpointer value;
   bool direct_suspect
-      = relay->direct_success_us + DIRECT_SUCCESS_MAX_AGE_US < now_us;
+      = direct_contact_us (relay) + DIRECT_SUCCESS_MAX_AGE_US < now_us
+        || relay->direct_failures >= MAX_DIRECT_FAILURES;
 
-  if (relay->direct_failures >= MAX_DIRECT_FAILURES)
-    direct_suspect = true;
   g_hash_table_iter_init (&iter, relay->calls);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -690,6 +706,7 @@
       if (call->ended)
         continue;
       if (call->relay_peer.generation == 0 && call->direct_open
+          && call->progress_us + DIRECT_PROGRESS_MAX_AGE_US < now_us
           && should_relay (call, direct_suspect, now_us))
         relay_to_peer (call, now_us);
       else if (call->relay_peer.generation != 0 && !call->direct_open
--- a/src/log_relay.h
+++ b/src/log_relay.h
@@ -40,9 +40,11 @@
   struct relay_desc desc;
   GHashTable *calls; /**< number to struct relay_call */
   uint64_t next_call;
-  uint64_t direct_success_us; /**< last success of a direct call; 0 if none */
-  uint64_t next_probe_us;     /**< next direct call while calls are relayed */
-  uint32_t direct_failures;   /**< consecutive failures of direct calls */
+  uint64_t direct_success_us;  /**< last success of a direct call; 0 if none */
+  uint64_t direct_progress_us; /**< when bytes of an answer last arrived
+                                    directly; 0 if none did */
+  uint64_t next_probe_us;      /**< next direct call while calls are relayed */
+  uint32_t direct_failures;    /**< consecutive failures of direct calls */
   bool relaying; /**< calls are relayed until a direct one succeeds */
   uint64_t relayed_calls;
 };
--- a/src/peer_conn.c
+++ b/src/peer_conn.c
@@ -157,6 +157,10 @@
       return;
     }
   conn->in.len += (size_t)received;
+  /* A long frame on a narrow link takes longer than silence may last. */
+  if (conn->phase == CONN_OPEN)
+    conn->silent_deadline_us
+        = hc_now_us () + (uint64_t)conn->pl->desc.silent_ms * 1000;
   while (process_frame (conn))
     continue;
 }
--- a/src/ports.h
+++ b/src/ports.h
@@ -96,9 +96,13 @@
   enum pt_stream stream;
   uint32_t part;
   uint64_t from;
-  uint32_t wait_ms; /**< longest wait for the first record */
-  uint32_t max_kib; /**< longest answer; 0: the adapter's limit */
-  uint64_t deadline_us;
+  uint32_t wait_ms;        /**< longest wait for the first record */
+  uint32_t max_kib;        /**< longest answer; 0: the adapter's limit */
+  uint64_t deadline_us;    /**< the answer has begun by then, or is complete */
+  uint64_t complete_by_us; /**< until when one that has begun and makes
+                                progress may take; 0: deadline_us */
+  /** Called when bytes of the answer arrive; may be NULL. */
+  void (*progress) (void *user);
   void (*done) (void *user, const struct pt_read_result *result);
   void *user;
 };
@@ -120,7 +124,9 @@
   uint32_t part;
   struct cyc_str after_key; /**< return keys after this one; empty: from the
                                  first key */
-  uint64_t deadline_us;
+  uint64_t deadline_us;     /**< as in struct pt_read */
+  uint64_t complete_by_us;  /**< as in struct pt_read */
+  void (*progress) (void *user);
   void (*done) (void *user, const struct pt_newest_result *result);
   void *user;
 };
@@ -132,9 +138,6 @@
   bool (*append) (struct pt_log *log, const struct pt_append *append);
   bool (*read) (struct pt_log *log, const struct pt_read *read);
   bool (*newest) (struct pt_log *log, const struct pt_newest *newest);
-  /** Returns when bytes of an answer last arrived, also of one that is not
-   * complete; monotonic, 0 if none did. NULL if the port cannot tell. */
-  uint64_t (*received_us) (const struct pt_log *log);
 };
 struct pt_log
 {
--- a/src/tail.c
+++ b/src/tail.c
@@ -6,14 +6,17 @@
 #include <stdio.h>
 #include <string.h>
 
-/** Time allowed for the answer to a read in addition to the wait of its long
- * poll. A connection that went silent can hide changes for this long. */
+/** Time allowed until the answer to a read begins, in addition to the wait of
+ * its long poll. A connection that went silent can hide changes for this long.
+ */
 #define ANSWER_TIMEOUT_MS 900
+/** Time allowed for an answer that has begun and goes on arriving: records can
+ * be large and links narrow. */
+#define ANSWER_MAX_MS 20000
 #define RETRY_FIRST_MS 50
 /** Longest answers to a read. A read that fails asks for less the next time:
- * on a narrow link an answer that does not arrive in time is lost as a whole.
- * After one that arrives, the next asks for more only if it would be in time.
- */
+ * an answer that does not become complete is lost as a whole. After one that
+ * arrives quickly the next asks for more. */
 #define READ_MAX_KIB 512
 #define READ_MIN_KIB 16
 #define RETRY_MAX_MS 400
@@ -129,7 +132,9 @@
     }
   note_complete (tail, result->bytes);
   reset_failures (tail);
-  tail->load_round_trip_us = (uint32_t)(hc_now_us () - tail->sent_us);
+  tail->load_round_trip_us
+      = (uint32_t)((tail->begun_us != 0 ? tail->begun_us : hc_now_us ())
+                   - tail->sent_us);
   tail->prev_fresh_us = 0;
   if (tail->after_key[0] == 0)
     tail->load_end = result->end;
@@ -153,14 +158,32 @@
     start_read (tail);
 }
 
-/* Returns whether an answer of twice the length would have arrived in time. */
+/* Returns whether the link would carry twice the answer in a short time. */
 static bool
 is_quick (const struct tail *tail)
 {
-  return 2 * (hc_now_us () - tail->sent_us)
+  uint64_t begun_us = tail->begun_us != 0 ? tail->begun_us : tail->sent_us;
+
+  return 2 * (hc_now_us () - begun_us)
          <= (uint64_t)ANSWER_TIMEOUT_MS * US_PER_MS;
 }
 
+static void
+on_progress (void *user)
+{
+  struct tail *tail = user;
+
+  if (tail->begun_us == 0)
+    tail->begun_us = hc_now_us ();
+}
+
+/* Returns until when an answer that begins by @p begin_us may take. */
+static uint64_t
+complete_by_us (uint64_t begin_us)
+{
+  return begin_us + (uint64_t)ANSWER_MAX_MS * US_PER_MS;
+}
+
 static void
 on_read (void *user, const struct pt_read_result *result)
 {
@@ -198,6 +221,9 @@
 static void
 start_load (struct tail *tail)
 {
+  uint64_t deadline_us
+      = tail->sent_us + (uint64_t)ANSWER_TIMEOUT_MS * 2 * US_PER_MS;
+
   if (tail->after_key[0] == 0)
     {
       tail->load_sent_us = tail->sent_us;
@@ -205,41 +231,46 @@
         tail->desc.reload (tail->desc.user);
     }
   tail->in_flight = tail->desc.log->vtable->newest (
-      tail->desc.log,
-      &(struct pt_newest){
-          .stream = tail->desc.stream,
-          .part = tail->desc.part,
-          .after_key = cyc_str_of (tail->after_key),
-          .deadline_us
-          = tail->sent_us + (uint64_t)ANSWER_TIMEOUT_MS * 2 * US_PER_MS,
-          .done = on_newest,
-          .user = tail,
-      });
+      tail->desc.log, &(struct pt_newest){
+                          .stream = tail->desc.stream,
+                          .part = tail->desc.part,
+                          .after_key = cyc_str_of (tail->after_key),
+                          .deadline_us = deadline_us,
+                          .complete_by_us = complete_by_us (deadline_us),
+                          .progress = on_progress,
+                          .done = on_newest,
+                          .user = tail,
+                      });
 }
 
 static void
 start_read (struct tail *tail)
 {
+  uint64_t deadline_us;
+
   if (!tail->running || tail->in_flight)
     return;
   tail->sent_us = hc_now_us ();
+  tail->begun_us = 0;
+  deadline_us
+      = tail->sent_us
+        + (uint64_t)(tail->desc.wait_ms + ANSWER_TIMEOUT_MS) * US_PER_MS;
   if (!tail->loaded)
     start_load (tail);
   else
     tail->in_flight = tail->desc.log->vtable->read (
-        tail->desc.log,
-        &(struct pt_read){
-            .stream = tail->desc.stream,
-            .part = tail->desc.part,
-            .from = tail->next,
-            .wait_ms = tail->desc.wait_ms,
-            .max_kib = tail->read_max_kib,
-            .deadline_us
-            = tail->sent_us
-              + (uint64_t)(tail->desc.wait_ms + ANSWER_TIMEOUT_MS) * US_PER_MS,
-            .done = on_read,
-            .user = tail,
-        });
+        tail->desc.log, &(struct pt_read){
+                            .stream = tail->desc.stream,
+                            .part = tail->desc.part,
+                            .from = tail->next,
+                            .wait_ms = tail->desc.wait_ms,
+                            .max_kib = tail->read_max_kib,
+                            .deadline_us = deadline_us,
+                            .complete_by_us = complete_by_us (deadline_us),
+                            .progress = on_progress,
+                            .done = on_read,
+                            .user = tail,
+                        });
   if (!tail->in_flight)
     retry_read_later (tail);
 }
@@ -258,7 +289,9 @@
 void
 tail_refresh (struct tail *tail)
 {
-  if (!tail->running || !tail->loaded || tail->refreshing)
+  /* The answer that is arriving already has what a second one would. */
+  if (!tail->running || !tail->loaded || tail->refreshing
+      || (tail->in_flight && tail->begun_us != 0))
     return;
   tail->refresh_sent_us = hc_now_us ();
   tail->refreshing = tail->desc.log->vtable->read (
--- a/src/tail.h
+++ b/src/tail.h
@@ -64,8 +64,10 @@
   uint32_t failures;      /**< consecutive failed reads */
   uint32_t read_max_kib;  /**< longest answer to the next read */
   uint64_t sent_us;       /**< time at which the last read was sent */
+  uint64_t begun_us;      /**< when its answer began to arrive; 0: not yet */
   uint64_t load_sent_us;  /**< time at which the load began */
-  uint32_t load_round_trip_us; /**< round trip of the last page of a load */
+  uint32_t load_round_trip_us; /**< from the request for the last page of a
+                                    load to the first byte of the answer */
   uint64_t read_us;    /**< duration of the last read that succeeded, with the
                             wait of its long poll */
   size_t read_bytes;   /**< length of its answer */
