No final refusal from a view of the configuration that may be out of date

Callers got 404 for a route that had been confirmed 4.4 s before, and were served by a configuration that a newer one had replaced.

An unknown queue or key is refused for good only if the view is younger than the bound within which a configuration is in force (config_max_age_ms, from the platform's config_apply_ms); else with 503 and Retry-After. If the view is that old and a newer version is known to exist, which arrives but is not complete, every request is refused for now: its queue or key may be gone. A VM that is cut off, and knows of no newer version, serves what it has.

--- a/src/entry.c
+++ b/src/entry.c
@@ -98,6 +98,21 @@
   entry_wake (entry);
 }
 
+bool
+entry_view_is_current (const struct entry *entry, uint64_t now_us)
+{
+  return entry->config_tail.fresh_us
+             + (uint64_t)entry->desc.settings->config_max_age_ms * 1000
+         > now_us;
+}
+
+bool
+entry_view_is_outdated (const struct entry *entry, uint64_t now_us)
+{
+  return !entry_view_is_current (entry, now_us)
+         && tail_is_behind (&entry->config_tail);
+}
+
 /* Requests to evacuate failure domains. */
 
 static bool
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -53,6 +53,13 @@
  */
 uint64_t entry_number (const struct entry *entry);
 
+/** Returns whether the view of the configuration has every version that is
+ * bound to be in force. */
+bool entry_view_is_current (const struct entry *entry, uint64_t now_us);
+/** Returns whether a newer configuration is known to exist that may be bound
+ * to be in force. */
+bool entry_view_is_outdated (const struct entry *entry, uint64_t now_us);
+
 /* entry_accept.c */
 /** Handles a leader's answer for a record that this VM submitted. A refusal
  * counts once every copy of the record that was submitted is refused: the
--- a/src/entry_requests.c
+++ b/src/entry_requests.c
@@ -299,6 +299,18 @@
     ask_leader (entry, ref, now_us);
 }
 
+/* Refuses a request for good, as the view of the configuration has no such
+   queue or key. A version that has it may be in force if the view is old: the
+   request is then refused for now. */
+static void
+refuse_unknown (struct entry *entry, const struct pt_request *request,
+                enum pt_answer_kind kind)
+{
+  refuse (entry, request,
+          entry_view_is_current (entry, hc_now_us ()) ? kind : PT_ANSWER_BUSY,
+          NULL);
+}
+
 void
 entry_request (void *user, const struct pt_request *request)
 {
@@ -309,7 +321,7 @@
   uint64_t job = 0;
   enum pt_verb verb;
 
-  if (entry->config == NULL)
+  if (entry->config == NULL || entry_view_is_outdated (entry, hc_now_us ()))
     {
       refuse (entry, request, PT_ANSWER_BUSY, NULL);
       return;
@@ -317,13 +329,13 @@
   queue = cell_config_route (entry->config, request->host, request->path);
   if (queue == NULL)
     {
-      refuse (entry, request, PT_ANSWER_NO_QUEUE, NULL);
+      refuse_unknown (entry, request, PT_ANSWER_NO_QUEUE);
       return;
     }
   team = cell_config_team_of_key (entry->config, request->key);
   if (team == NULL && !queue->open_to_all)
     {
-      refuse (entry, request, PT_ANSWER_BAD_KEY, NULL);
+      refuse_unknown (entry, request, PT_ANSWER_BAD_KEY);
       return;
     }
   rest = (struct cyc_str){ request->path.data + strlen (queue->path_prefix),
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -84,6 +84,8 @@
     1000, 600000, 30000 },
   { "evacuation_max_ms", KIND_UINT, false, OFFSET_OF (evacuation_max_ms), 0,
     600000, 0 },
+  { "config_max_age_ms", KIND_UINT, false, OFFSET_OF (config_max_age_ms), 100,
+    600000, 2500 },
   { "domains", KIND_DOMAINS, false, OFFSET_OF (domains), 0, 0, 0 },
   { "weigh_reservations", KIND_BOOL, false, OFFSET_OF (weigh_reservations), 0,
     0, 0 },
--- a/src/entry_settings.h
+++ b/src/entry_settings.h
@@ -44,6 +44,8 @@
   uint32_t evacuation_max_ms;   /**< bound within which the workers of an
                                      evacuated failure domain get no starts; 0:
                                      none */
+  uint32_t config_max_age_ms;   /**< bound within which a confirmed
+                                     configuration is in force */
   struct cyc_name domains[SET_DOMAINS_MAX]; /**< the site's failure domains */
   uint32_t domain_count;                    /**< 0: not known */
   uint32_t memory_mb;                       /**< memory of the machine */
--- a/src/tail.c
+++ b/src/tail.c
@@ -112,6 +112,7 @@
   if (!tail->running)
     return;
   tail->next = MAX (tail->next, result->next);
+  tail->end = MAX (tail->end, result->end);
   if (tail->desc.caught_up != NULL)
     tail->desc.caught_up (tail->desc.user);
 }
@@ -308,6 +309,14 @@
       });
 }
 
+bool
+tail_is_behind (const struct tail *tail)
+{
+  return tail->loaded
+         && (tail->end > tail->next
+             || (tail->in_flight && tail->begun_us != 0));
+}
+
 bool
 tail_busy (const struct tail *tail)
 {
@@ -334,6 +343,7 @@
   tail->loaded = !tail->desc.keyed;
   tail->after_key[0] = 0;
   tail->fresh_us = 0;
+  tail->end = 0;
   start_read (tail);
 }
 
--- a/src/tail.h
+++ b/src/tail.h
@@ -52,7 +52,9 @@
   bool refreshing; /**< a read of tail_refresh is in flight */
   uint64_t refresh_sent_us;
   bool loaded;
-  uint64_t next;          /**< offset to read from */
+  uint64_t next; /**< offset to read from */
+  uint64_t end;  /**< end of the stream, according to the last read; 0: unknown
+                  */
   uint64_t load_end;      /**< end of the stream when the load started */
   char after_key[80];     /**< load: continue after this key; empty: from the
                                first key */
@@ -83,6 +85,9 @@
  * soon passes the time of this call. Does nothing while such a read is in
  * flight, or before the stream is loaded. */
 void tail_refresh (struct tail *tail);
+/** Returns whether the stream is known to have records that have not been
+ * delivered yet. */
+bool tail_is_behind (const struct tail *tail);
 /** Returns whether a read is in flight. */
 bool tail_busy (const struct tail *tail);
 
--- a/tests/tst_cluster.c
+++ b/tests/tst_cluster.c
@@ -56,6 +56,7 @@
   vm->settings.peers
       = (struct set_address){ "127.0.0.1", tst_sched_free_port () };
   vm->settings.lease_ms = 4000;
+  vm->settings.config_max_age_ms = 2500;
   vm->settings.heartbeat_ms = FKP_HEARTBEAT_MS;
   vm->settings.grace_ms = 6000;
   vm->settings.log_parts = 2;
