A relayed long poll ends within the time that is left for it

A VM passed on a long poll that had been waiting for 0.3 to 1.2 s with its whole wait but with what was left of its time, so the VM that made it for the other had no answer in time, counted a failure of the log, and after two of them passed on its own reads: copies beside each other, on a link that may be full (log_unreachable way=direct failures=1 to 6 in the logs of the incident, though the log answered all the while).

The wait of a relayed read now leaves 0.5 s for its answer. test_relay_wait fails before (a failure counted at a VM whose log is up) and passes.

--- a/src/log_relay.c
+++ b/src/log_relay.c
@@ -20,6 +20,10 @@
  * call was answered. An append waits only for the log, and a slow log takes
  * 0.3 s. */
 #define APPEND_RELAY_DELAY_US 300000
+/** Part of the time left for a relayed read that is kept for its answer: a
+ * wait for a record must not take all of it, or the other VM counts a failure.
+ */
+#define RELAYED_ANSWER_MS 500
 /** Interval of direct calls that probe the log while calls are relayed. */
 #define DIRECT_PROBE_INTERVAL_US 400000
 /** Consecutive failures after which the direct connection is suspect. */
@@ -218,7 +222,10 @@
       ask.stream = call->read.stream;
       ask.part = call->read.part;
       ask.from = call->read.from;
-      ask.wait_ms = call->read.wait_ms;
+      ask.wait_ms
+          = MIN (call->read.wait_ms, ask.budget_ms > RELAYED_ANSWER_MS
+                                         ? ask.budget_ms - RELAYED_ANSWER_MS
+                                         : 0);
     }
   else
     {
