An append of many bytes is bounded by progress, too

Found by looking for the cause of the late configuration elsewhere: a batch of the leader had to be answered within 0.7 s as a whole, however long it is (up to 1 MiB), and was passed on to another VM after 0.3 s while its bytes were on their way. On a link that takes longer for the bytes it was cut and sent again for ever, and no job was accepted.

An append whose body is 64 KiB or longer may now take 20 s while its bytes move (hc_request.complete_by_us counts both bodies; libcurl tells the bytes sent), and is not repeated meanwhile. Shorter appends keep their timeout.

--- a/src/entry_accept.c
+++ b/src/entry_accept.c
@@ -238,6 +238,7 @@
               .count = count,
               .deadline_us
               = now_us + (uint64_t)ACCEPT_APPEND_TIMEOUT_MS * 1000,
+              .complete_by_us = now_us + ENTRY_APPEND_MAX_MS * 1000ULL,
               .done = on_stored,
               .user = entry,
           }))
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -23,6 +23,9 @@
 /** Timeout of one append. The usual answer takes 4 ms and a slow log takes up
  * to 60 times that; a round trip between regions takes 40 ms. */
 #define ENTRY_APPEND_TIMEOUT_MS 700
+/** Time allowed for an append of many records that makes progress: on a narrow
+ * link its bytes alone take longer than the timeout. */
+#define ENTRY_APPEND_MAX_MS 20000
 
 /** Size of a key in the streams of jobs: a letter ('j' job, 'c' cancellation,
  * 'p' progress), the job id in 16 hexadecimal digits and the terminating NUL.
--- a/src/entry_records.c
+++ b/src/entry_records.c
@@ -426,6 +426,7 @@
           .epoch = owner->epoch,
           .sequence = part->sequence,
           .deadline_us = now_us + ENTRY_APPEND_TIMEOUT_MS * 1000ULL,
+          .complete_by_us = now_us + ENTRY_APPEND_MAX_MS * 1000ULL,
           .done = on_written,
           .user = part,
       });
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -15,6 +15,9 @@
 #define DEFAULT_CONNECT_TIMEOUT_MS 1000
 #define US_PER_MS 1000
 #define US_PER_S 1000000
+/** A longer body of a request may fill the link for a while: its progress is
+ * watched. */
+#define LONG_BODY_BYTES 65536
 /** A longer body of a request is not kept for the next one. */
 #define KEPT_BODY_BYTES 8192
 /** Headers that each request has: "Expect:". */
@@ -41,7 +44,8 @@
   struct ev_timer timer; /* of the deadline */
   uint64_t deadline_us;
   uint64_t complete_by_us; /* as in hc_request */
-  size_t progress_len;     /* length of the answer when deadline_us was last
+  size_t sent_len;         /* bytes of a long request that have been sent */
+  size_t progress_len;     /* bytes of both bodies when deadline_us was last
                               extended */
   uint64_t write_until_us; /* 0: only the deadline counts */
   char *answer;
@@ -120,16 +124,17 @@
   return elapsed_ms > wall_now_ms ? 0 : wall_now_ms - elapsed_ms;
 }
 
-/* Extends the deadline of an answer that goes on arriving. */
+/* Extends the deadline of an exchange that makes progress; @p moved: bytes of
+   both bodies so far. */
 static void
-extend_deadline (struct hc_transfer *transfer, size_t answer_len)
+extend_deadline (struct hc_transfer *transfer, size_t moved)
 {
   uint64_t stall_us = hc_now_us () + (uint64_t)HC_STALL_MS * US_PER_MS;
 
   if (transfer->progress_len > 0
-      && answer_len - transfer->progress_len < HC_PROGRESS_BYTES)
+      && moved - transfer->progress_len < HC_PROGRESS_BYTES)
     return;
-  transfer->progress_len = answer_len;
+  transfer->progress_len = moved;
   transfer->deadline_us
       = MAX (transfer->deadline_us, MIN (stall_us, transfer->complete_by_us));
 }
@@ -155,7 +160,7 @@
     }
   memcpy (transfer->answer + transfer->answer_len, data, len);
   transfer->answer_len = needed;
-  extend_deadline (transfer, needed);
+  extend_deadline (transfer, transfer->sent_len + needed);
   if (transfer->progress != NULL && len > 0)
     transfer->progress (transfer->user);
   return len;
@@ -210,6 +215,25 @@
   return line.len;
 }
 
+/* libcurl calls this now and then during a transfer. */
+static int
+on_transfer_info (void *user, curl_off_t answer_total, curl_off_t answer_now,
+                  curl_off_t request_total, curl_off_t request_now)
+{
+  struct hc_transfer *transfer = user;
+
+  (void)answer_total;
+  (void)answer_now;
+  (void)request_total;
+  if ((size_t)request_now <= transfer->sent_len)
+    return 0;
+  transfer->sent_len = (size_t)request_now;
+  extend_deadline (transfer, transfer->sent_len + transfer->answer_len);
+  if (transfer->progress != NULL)
+    transfer->progress (transfer->user);
+  return 0;
+}
+
 static void
 note_broken (struct hc_transfer *transfer)
 {
@@ -642,6 +666,8 @@
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, transfer);
   curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, transfer->error);
+  curl_easy_setopt (easy, CURLOPT_XFERINFOFUNCTION, on_transfer_info);
+  curl_easy_setopt (easy, CURLOPT_XFERINFODATA, transfer);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_attempt);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, transfer);
   curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, on_open_socket);
@@ -723,6 +749,11 @@
   curl_easy_setopt (easy, CURLOPT_URL, url);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
                     (long)(remaining_ms > 0 ? remaining_ms : 1));
+  curl_easy_setopt (easy, CURLOPT_NOPROGRESS,
+                    request->complete_by_us != 0
+                            && request->body.len >= LONG_BODY_BYTES
+                        ? 0L
+                        : 1L);
   curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, fresh);
   curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, fresh);
 }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -76,11 +76,12 @@
   uint32_t header_count;
   uint64_t deadline_us; /**< monotonic; ends the exchange, unless
                              complete_by_us is later */
-  /** An answer whose body has begun by deadline_us may take until then while
-   * it makes progress: HC_PROGRESS_BYTES in each HC_STALL_MS. 0: no. For
-   * answers whose length grows with the deployment. */
+  /** An exchange whose bodies have begun to move by deadline_us may take until
+   * then while it makes progress: HC_PROGRESS_BYTES in each HC_STALL_MS. 0:
+   * no. For bodies whose length grows with the deployment. */
   uint64_t complete_by_us;
-  /** Called when bytes of the answer's body arrive; may be NULL. */
+  /** Called when bytes of the answer's body arrive, and when bytes of a long
+   * request are sent; may be NULL. */
   void (*progress) (void *user);
   /** The request may be written again if its connection ends before the
    * answer, though the server may then execute it more than once, in any order
--- a/src/log_relay.c
+++ b/src/log_relay.c
@@ -450,6 +450,7 @@
         struct pt_append append = call->append;
 
         append.records = call->records;
+        append.progress = on_progress;
         append.done = on_append;
         append.user = call;
         call->direct_open = direct->vtable->append (direct, &append);
--- a/src/ports.h
+++ b/src/ports.h
@@ -75,6 +75,10 @@
   uint64_t epoch;    /**< epoch of the only writer allowed; 0 if none */
   uint64_t sequence; /**< number of this append within the epoch, from 0 */
   uint64_t deadline_us;
+  uint64_t complete_by_us; /**< until when an append of many bytes that makes
+                                progress may take; 0: deadline_us */
+  /** Called while the bytes of a long append are sent; may be NULL. */
+  void (*progress) (void *user);
   void (*done) (void *user, const struct pt_append_result *result);
   void *user;
 };
