--- a/src/follow.c
+++ b/src/follow.c
@@ -6,6 +6,9 @@
 #include <string.h>
 
 #define DEFAULT_TIMEOUT_MS 2000
+/** Time allowed for an answer that goes on arriving: records can be large and
+ * links narrow. */
+#define ANSWER_MAX_US 20000000
 #define DEFAULT_WAIT_MS 2000
 #define DEFAULT_BATCH 512
 #define DEFAULT_MAX_APPENDS 4096
@@ -461,6 +464,7 @@
     .wait_ms = wait_ms,
     .deadline_us
     = state->now_us + ((uint64_t)wait_ms + state->desc.timeout_ms) * US_PER_MS,
+    .complete_by_us = state->now_us + ANSWER_MAX_US,
     .done = on_read,
   };
   struct fo_read *read = NULL;
--- a/src/log_client.c
+++ b/src/log_client.c
@@ -263,6 +263,7 @@
             read->wait_ms);
   request.url = cyc_str_of (url);
   request.deadline_us = read->deadline_us;
+  request.complete_by_us = read->complete_by_us;
   request.done = on_read;
   request.user = call;
   call->transfer = hc_send (state->client, &request);
--- a/src/log_client.h
+++ b/src/log_client.h
@@ -71,6 +71,7 @@
   uint32_t max;     /**< maximum number of records */
   uint32_t wait_ms; /**< long poll: longest wait for the first record */
   uint64_t deadline_us;
+  uint64_t complete_by_us; /**< as in struct hc_request; 0: deadline_us */
   void (*done) (void *user, const struct lc_read_result *result);
   void *user;
 };
