A VM that is cut off from the log reads the configuration of the leader in chunks

Found by looking for the cause elsewhere: a read that one VM makes for another is answered in one frame of 1 MiB at most; a longer answer was refused, and asked for again, for ever. A configuration of more than some 5,000 queues did not reach a VM whose way to the log was cut, and its answer stood in front of heartbeats on the link between the VMs.

While its calls of the log fail, a VM reads the configuration of the leader as of a mirror, after those of its domain. It tells its own readers that it is cut off, so that the leader does not read what it has passed on. Relayed reads ask for 256 KiB at most (LogAsk.max_kib), which was the log's limit before.

--- a/src/entry.c
+++ b/src/entry.c
@@ -549,6 +549,19 @@
     }
 }
 
+/* A VM whose calls of the log fail reads the configuration of the leader: that
+   reaches the log, or soon is none any more. */
+static void
+set_last_resort (struct entry *entry)
+{
+  static const struct cyc_name none;
+
+  mir_set_last_resort (&entry->mirror,
+                       entry->relay.relaying && !entry->leader.self
+                           ? &entry->leader.vm
+                           : &none);
+}
+
 /* Begins to read the configuration when the VMs are known and a link to one of
    those that can pass it on is up, or after a while in any case. */
 static void
@@ -575,6 +588,7 @@
        now_us + (entry->owner != NULL ? TICK_LEADING_US : TICK_FOLLOWING_US));
   pl_tick (&entry->links, now_us);
   relay_tick (&entry->relay, now_us);
+  set_last_resort (entry);
   mir_tick (&entry->mirror, now_us);
   start_config (entry, now_us);
   register_vm (entry, now_us);
--- a/src/log_relay.c
+++ b/src/log_relay.c
@@ -24,6 +24,8 @@
  * wait for a record must not take all of it, or the other VM counts a failure.
  */
 #define RELAYED_ANSWER_MS 500
+/** Longest answer to a relayed read: it is sent in one frame between VMs. */
+#define RELAYED_MAX_KIB 256
 /** Interval of direct calls that probe the log while calls are relayed. */
 #define DIRECT_PROBE_INTERVAL_US 400000
 /** Consecutive failures after which the direct connection is suspect. */
@@ -223,6 +225,9 @@
       ask.stream = call->read.stream;
       ask.part = call->read.part;
       ask.from = call->read.from;
+      ask.max_kib = call->read.max_kib != 0
+                        ? MIN (call->read.max_kib, RELAYED_MAX_KIB)
+                        : RELAYED_MAX_KIB;
       ask.wait_ms
           = MIN (call->read.wait_ms, ask.budget_ms > RELAYED_ANSWER_MS
                                          ? ask.budget_ms - RELAYED_ANSWER_MS
@@ -611,6 +616,7 @@
       .part = ask->part,
       .from = ask->from,
       .wait_ms = ask->wait_ms,
+      .max_kib = ask->max_kib,
       .deadline_us = deadline_us,
     };
   else
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -82,12 +82,12 @@
 }
 
 static bool
-is_linked (const struct mirror *mirror, uint32_t source, struct cyc_ref *peer)
+is_linked (const struct mirror *mirror, const struct cyc_name *vm,
+           struct cyc_ref *peer)
 {
   struct pl_peer_view view;
 
-  *peer = pl_find (mirror->desc.links,
-                   cyc_name_str (&mirror->sources[source].vm), SET_ROLE_ENTRY);
+  *peer = pl_find (mirror->desc.links, cyc_name_str (vm), SET_ROLE_ENTRY);
   return peer->generation != 0 && pl_view (mirror->desc.links, *peer, &view)
          && view.linked;
 }
@@ -116,6 +116,21 @@
   return pl_send (call->mirror->desc.links, call->peer, &message);
 }
 
+/* Asks a VM. Returns false if it cannot be asked. */
+static bool
+ask_vm (struct mir_call *call, const struct cyc_name *vm, uint32_t wait_ms,
+        uint64_t now_us)
+{
+  struct mirror *mirror = call->mirror;
+
+  call->source = *vm;
+  if (vm->len == 0 || !is_linked (mirror, vm, &call->peer)
+      || !send_ask (call, wait_ms, now_us))
+    return false;
+  note_way (mirror, cyc_name_str (vm), "answers");
+  return true;
+}
+
 /* Asks the first VM that can be asked. Returns false if there is none. */
 static bool
 ask_any (struct mir_call *call, uint32_t wait_ms, uint64_t now_us)
@@ -124,17 +139,10 @@
 
   for (uint32_t i = 0; i < mirror->source_count; i++)
     if (now_us >= mirror->sources[i].unusable_until_us
-        && is_linked (mirror, i, &call->peer))
-      {
-        call->source = mirror->sources[i].vm;
-        if (send_ask (call, wait_ms, now_us))
-          {
-            note_way (mirror, cyc_name_str (&mirror->sources[i].vm),
-                      "answers");
-            return true;
-          }
-      }
-  return false;
+        && ask_vm (call, &mirror->sources[i].vm, wait_ms, now_us))
+      return true;
+  return now_us >= mirror->last_resort_unusable_until_us
+         && ask_vm (call, &mirror->last_resort, wait_ms, now_us);
 }
 
 static bool
@@ -266,6 +274,8 @@
   for (uint32_t i = 0; i < mirror->source_count; i++)
     if (cyc_name_eq (&mirror->sources[i].vm, &call->source))
       mirror->sources[i].unusable_until_us = now_us + UNUSABLE_US;
+  if (cyc_name_eq (&mirror->last_resort, &call->source))
+    mirror->last_resort_unusable_until_us = now_us + UNUSABLE_US;
   ev_log (EV_MIRROR_FAILED,
           "through=%s why=\"%s\" from=%" PRIu64 " bytes=%zu ms=%" PRIu64,
           call->source.data, why, call->from, call->bytes,
@@ -385,6 +395,9 @@
       else
         fail_over (call, "has not loaded");
       return;
+    case MIR_CUT_OFF:
+      fail_over (call, "cut off from the log");
+      return;
     default:
       fail_over (call, "unknown answer");
     }
@@ -427,13 +440,19 @@
     }
 }
 
+void
+mir_set_last_resort (struct mirror *mirror, const struct cyc_name *vm)
+{
+  mirror->last_resort = *vm;
+}
+
 bool
 mir_is_ready (const struct mirror *mirror)
 {
   struct cyc_ref peer;
 
   for (uint32_t i = 0; i < mirror->source_count; i++)
-    if (is_linked (mirror, i, &peer))
+    if (is_linked (mirror, &mirror->sources[i].vm, &peer))
       return true;
   return mirror->source_count == 0;
 }
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -48,6 +48,8 @@
   MIR_END,        /**< there is no further record */
   MIR_RELOAD,     /**< the reader has to load the stream */
   MIR_NOT_LOADED, /**< the mirror has not loaded it yet */
+  MIR_CUT_OFF     /**< the mirror is cut off from the log; it may get its
+                       records from the reader */
 };
 
 /** A VM that this one reads. */
@@ -66,6 +68,9 @@
   struct mir_cache cache;
   struct mir_source sources[MIR_SOURCES_MAX]; /**< the preferred one first */
   uint32_t source_count;
+  struct cyc_name last_resort; /**< VM to read while the log cannot be reached;
+                                    empty: none */
+  uint64_t last_resort_unusable_until_us;
   uint64_t next_ask;
   struct mir_call *call; /**< the read in flight; NULL if none */
   GArray *waiting;       /**< struct mir_question: of other VMs that wait for a
@@ -81,6 +86,9 @@
 /** Sets the VMs to read; keeps what is known of those that stay. */
 void mir_set_sources (struct mirror *mirror, const struct cyc_name *sources,
                       uint32_t count);
+/** Sets the VM to read, after all others, while the log cannot be reached
+ * directly; empty: none. It may be of another failure domain. */
+void mir_set_last_resort (struct mirror *mirror, const struct cyc_name *vm);
 /** Returns whether a VM to read is linked, or there is none. */
 bool mir_is_ready (const struct mirror *mirror);
 /** Continues a read with the next VM if one does not answer, and answers
--- a/src/mirror_serve.c
+++ b/src/mirror_serve.c
@@ -59,6 +59,16 @@
   return row;
 }
 
+static bool
+reads_last_resort (const struct mirror *mirror)
+{
+  for (uint32_t i = 0; i < mirror->source_count; i++)
+    if (cyc_name_eq (&mirror->sources[i].vm, &mirror->through))
+      return false;
+  return mirror->through.len > 0
+         && cyc_name_eq (&mirror->last_resort, &mirror->through);
+}
+
 /* Returns false if the question has to wait. */
 static bool
 try_answer (struct mirror *mirror, const struct mir_question *question,
@@ -68,7 +78,12 @@
   const struct mir_row *row = NULL;
   bool due = now_us >= question->deadline_us;
 
-  if (!mirror->cache.loaded)
+  if (reads_last_resort (mirror))
+    {
+      answer.state = MIR_CUT_OFF;
+      due = true;
+    }
+  else if (!mirror->cache.loaded)
     answer.state = MIR_NOT_LOADED;
   else if (!question->load && question->from < mirror->cache.floor)
     {
