Choose mirrors once per change of the VMs; waits follow the bound of the configuration

The mirrors were chosen anew after each read of the list of VMs, sorting the domain once for each of its VMs: n^2 log n every 4 s. They are now sorted once, when a record of a VM has come. The wait of the long polls is at most half of config_max_age_ms (a quarter for a question to a mirror), as the view is as old as both together; with 2,500 ms or more nothing changes. Rows of the cache are made and freed in one place, and two tests share how a VM gets a way to the log of its own.

test_config_late, test_config_old_view, test_config_cut_off, test_mirror, test_mirror_fails, test_relay_wait, test_append_width and test_tail pass.

--- a/src/entry.c
+++ b/src/entry.c
@@ -25,6 +25,9 @@
 #define PEER_SILENT_MS 1600
 #define PEER_DEAD_MS 3200
 #define PEERS_MAX 512
+/** Longest wait of a question for the configuration to a VM that mirrors it.
+ * One that stands still is noticed after this wait and that for its answer. */
+#define MIRROR_WAIT_MS 500
 /** Longest wait for the list of VMs and the link to one of them before the
  * configuration is read. */
 #define CONFIG_START_MAX_US 600000
@@ -319,6 +322,7 @@
       row->link_kbps = vm->link_kbps;
       row->millicores = vm->millicores;
       g_hash_table_replace (entry->vms, g_strdup (row->peer.vm.data), row);
+      entry->vms_changed = true;
       if (entry->owner != NULL)
         pl_peer_add (&entry->links, &row->peer);
     }
@@ -383,29 +387,32 @@
     }
 }
 
+/* Chooses the VMs of the domain that mirror the configuration, when the list
+   of VMs has changed. */
 static void
 on_vms_caught_up (void *user)
 {
   struct entry *entry = user;
-  GArray *vms = domain_vms (entry);
-  struct cyc_name sources[MIR_SOURCES_MAX];
-  uint32_t count;
+  GArray *domain;
+  const struct mir_vm *vms;
 
-  /* A copy, as choosing sorts the VMs. */
-  for (guint i = 0; i < vms->len; i++)
+  if (!entry->vms_changed)
+    return;
+  entry->vms_changed = false;
+  domain = domain_vms (entry);
+  mir_sort ((struct mir_vm *)(void *)domain->data, domain->len);
+  vms = (const struct mir_vm *)(const void *)domain->data;
+  for (uint32_t i = 0; i < domain->len; i++)
     {
-      GArray *all = g_array_copy (vms);
-      struct cyc_str reader
-          = cyc_name_str (&g_array_index (vms, struct mir_vm, i).vm);
+      struct cyc_str reader = cyc_name_str (&vms[i].vm);
+      struct cyc_name sources[MIR_SOURCES_MAX];
+      uint32_t count = mir_choose (vms, domain->len, i, sources);
 
-      count = mir_choose ((struct mir_vm *)(void *)all->data, all->len, reader,
-                          sources);
       link_sources (entry, reader, sources, count);
       if (cyc_str_eq (reader, cyc_name_str (&entry->desc.settings->vm)))
         mir_set_sources (&entry->mirror, sources, count);
-      g_array_free (all, TRUE);
     }
-  g_array_free (vms, TRUE);
+  g_array_free (domain, TRUE);
 }
 
 /* Links. */
@@ -600,6 +607,14 @@
   stop_tick (entry, now_us);
 }
 
+/* Returns the wait of a long poll of the configuration. A view is as old as
+   the wait of its own read and of the read of the VM that passes it on. */
+static uint32_t
+config_wait_ms (const struct entry *entry)
+{
+  return MIN (ENTRY_LOG_WAIT_MS, entry->desc.settings->config_max_age_ms / 2);
+}
+
 static bool
 setup_links (struct entry *entry, struct cyc_findings *findings)
 {
@@ -663,17 +678,19 @@
                                      .links = &entry->links,
                                      .first_call = entry_number (entry) });
   mir_setup (&entry->mirror,
-             &(struct mir_desc){ .direct = &entry->relay.log,
-                                 .links = &entry->links,
-                                 .tail = &entry->config_tail,
-                                 .first_ask = entry_number (entry) });
+             &(struct mir_desc){
+                 .direct = &entry->relay.log,
+                 .links = &entry->links,
+                 .tail = &entry->config_tail,
+                 .wait_ms = MIN (MIRROR_WAIT_MS, config_wait_ms (entry) / 2),
+                 .first_ask = entry_number (entry) });
   evac_setup (&entry->evacuations, on_evacuation_changed, entry);
   tail_setup (&entry->config_tail, &(struct tail_desc){
                                        .loop = desc->loop,
                                        .log = &entry->mirror.log,
                                        .stream = PT_STREAM_CONFIG,
                                        .keyed = true,
-                                       .wait_ms = ENTRY_LOG_WAIT_MS,
+                                       .wait_ms = config_wait_ms (entry),
                                        .gap_ms = 20,
                                        .counts_wait = true,
                                        .record = on_operator_record,
--- a/src/entry.h
+++ b/src/entry.h
@@ -87,6 +87,7 @@
   struct tail vms_tail;
   struct mirror mirror; /**< through which config_tail reads */
   GHashTable *vms;      /**< VM name to struct entry_vm */
+  bool vms_changed;     /**< since the VMs that mirror were chosen */
   struct ev_timer timer;
 
   struct cyc_pool call_pool;
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -8,9 +8,6 @@
 
 #include <string.h>
 
-/** Longest wait of a question for a record. A mirror that stands still is
- * noticed after this wait and that for its answer. */
-#define WAIT_MS 500
 /** Time allowed for an answer beyond its wait: it is one chunk at most. */
 #define ANSWER_TIMEOUT_MS 700
 /** A mirror that failed is not asked for this long. */
@@ -49,16 +46,6 @@
   return (struct mirror *)log;
 }
 
-static void
-free_row (gpointer data)
-{
-  struct mir_row *row = data;
-
-  g_bytes_unref (row->key);
-  g_bytes_unref (row->value);
-  g_free (row);
-}
-
 static void
 free_call (struct mir_call *call)
 {
@@ -168,7 +155,7 @@
   call->mirror = mirror;
   call->sent_us = now_us;
   call->from = from;
-  call->rows = g_ptr_array_new_with_free_func (free_row);
+  call->rows = g_ptr_array_new_with_free_func (mir_row_free);
   call->part = g_byte_array_new ();
   if (ask_any (call, wait_ms, now_us))
     {
@@ -187,7 +174,7 @@
       mirror_of (log),
       &(struct mir_call){ .read = *read,
                           .complete_by_us = read->complete_by_us },
-      read->from, MIN (read->wait_ms, WAIT_MS));
+      read->from, MIN (read->wait_ms, mirror_of (log)->desc.wait_ms));
 }
 
 static bool
@@ -200,7 +187,8 @@
   /* The pages before this one came from the log. */
   if (newest->after_key.len > 0)
     return start_direct (mirror_of (log), &request);
-  return start_call (mirror_of (log), &request, 0, WAIT_MS);
+  return start_call (mirror_of (log), &request, 0,
+                     mirror_of (log)->desc.wait_ms);
 }
 
 static bool
@@ -327,10 +315,11 @@
   call->mirror->bytes_in += answer->data.len;
   if (call->part->len < answer->length)
     return true;
-  row = g_new0 (struct mir_row, 1);
-  row->offset = answer->offset;
-  row->key = g_bytes_new (answer->key.data, answer->key.len);
-  row->value = g_bytes_new (call->part->data, call->part->len);
+  row = mir_row_new (
+      &(struct pt_record){
+          .key = { (const char *)answer->key.data, answer->key.len },
+          .value = { (const char *)call->part->data, call->part->len } },
+      answer->offset);
   g_ptr_array_add (call->rows, row);
   g_byte_array_set_size (call->part, 0);
   call->from = answer->offset + 1;
@@ -391,7 +380,7 @@
       return;
     case MIR_NOT_LOADED:
       if (answer->receiving && hc_now_us () < call->complete_by_us)
-        ask_again (call, WAIT_MS);
+        ask_again (call, mirror->desc.wait_ms);
       else
         fail_over (call, "has not loaded");
       return;
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -37,6 +37,7 @@
   struct pt_log *direct; /**< the log itself */
   struct pl_links *links;
   const struct tail *tail; /**< reads the stream through `log` */
+  uint32_t wait_ms;        /**< longest wait of a question for a record */
   uint64_t first_ask; /**< number of the first question; an earlier process of
                            the VM has used none from here on */
 };
--- a/src/mirror_cache.c
+++ b/src/mirror_cache.c
@@ -1,7 +1,18 @@
 #include "mirror_cache.h"
 
-static void
-free_row (gpointer data)
+struct mir_row *
+mir_row_new (const struct pt_record *record, uint64_t offset)
+{
+  struct mir_row *row = g_new0 (struct mir_row, 1);
+
+  row->offset = offset;
+  row->key = g_bytes_new (record->key.data, record->key.len);
+  row->value = g_bytes_new (record->value.data, record->value.len);
+  return row;
+}
+
+void
+mir_row_free (gpointer data)
 {
   struct mir_row *row = data;
 
@@ -14,7 +25,7 @@
 mir_cache_setup (struct mir_cache *cache)
 {
   *cache = (struct mir_cache){
-    .rows = g_ptr_array_new_with_free_func (free_row),
+    .rows = g_ptr_array_new_with_free_func (mir_row_free),
   };
 }
 
@@ -55,26 +66,20 @@
 mir_cache_add (struct mir_cache *cache, const struct pt_record *record,
                uint64_t offset)
 {
-  struct mir_row *row;
   guint at;
 
   for (guint i = 0; i < cache->rows->len; i++)
     if (has_key (cache->rows->pdata[i], record->key))
       {
-        row = cache->rows->pdata[i];
-        if (row->offset > offset)
+        if (((struct mir_row *)cache->rows->pdata[i])->offset > offset)
           return;
         g_ptr_array_remove_index (cache->rows, i);
         break;
       }
-  row = g_new0 (struct mir_row, 1);
-  row->offset = offset;
-  row->key = g_bytes_new (record->key.data, record->key.len);
-  row->value = g_bytes_new (record->value.data, record->value.len);
   for (at = cache->rows->len; at > 0; at--)
     if (((struct mir_row *)cache->rows->pdata[at - 1])->offset <= offset)
       break;
-  g_ptr_array_insert (cache->rows, (gint)at, row);
+  g_ptr_array_insert (cache->rows, (gint)at, mir_row_new (record, offset));
 }
 
 const struct mir_row *
--- a/src/mirror_cache.h
+++ b/src/mirror_cache.h
@@ -31,6 +31,10 @@
   GBytes *value; /**< empty: the key was deleted */
 };
 
+/** Copies the record. */
+struct mir_row *mir_row_new (const struct pt_record *record, uint64_t offset);
+void mir_row_free (gpointer row);
+
 struct mir_cache
 {
   GPtrArray *rows; /**< struct mir_row in order of their offsets */
--- a/src/mirror_choice.c
+++ b/src/mirror_choice.c
@@ -38,33 +38,25 @@
   return 0;
 }
 
-static uint32_t
-rank_of (const struct mir_vm *vms, uint32_t count, struct cyc_str name)
+void
+mir_sort (struct mir_vm *vms, uint32_t count)
 {
-  uint32_t rank = 0;
-
-  while (rank < count && !cyc_str_eq (cyc_name_str (&vms[rank].vm), name))
-    rank++;
-  return rank;
+  qsort (vms, count, sizeof *vms, compare_vms);
 }
 
 uint32_t
-mir_choose (struct mir_vm *vms, uint32_t count, struct cyc_str self,
+mir_choose (const struct mir_vm *vms, uint32_t count, uint32_t rank,
             struct cyc_name sources[MIR_SOURCES_MAX])
 {
-  uint32_t rank;
-  uint32_t mirrors;
+  const struct cyc_name *self = &vms[rank].vm;
+  uint32_t mirrors = count_mirrors (vms, count, vms[rank].link_kbps);
   uint32_t first;
   uint32_t found = 0;
 
-  qsort (vms, count, sizeof *vms, compare_vms);
-  rank = rank_of (vms, count, self);
-  if (rank == count)
-    return 0;
-  mirrors = count_mirrors (vms, count, vms[rank].link_kbps);
   if (rank < mirrors || mirrors == 0)
     return 0;
-  first = (uint32_t)(XXH64 (self.data, self.len, 0) % mirrors);
+  /* Spreads the readers over the mirrors. */
+  first = (uint32_t)(XXH64 (self->data, self->len, 0) % mirrors);
   for (uint32_t i = 0; i < mirrors && found < MIR_SOURCES_MAX; i++)
     sources[found++] = vms[(first + i) % mirrors].vm;
   for (uint32_t i = mirrors; i < rank && found < MIR_SOURCES_MAX; i++)
--- a/src/mirror_choice.h
+++ b/src/mirror_choice.h
@@ -10,7 +10,8 @@
  * is no cycle.
  *
  * @code
- * count = mir_choose (vms, vm_count, self, sources);
+ * mir_sort (vms, vm_count);
+ * count = mir_choose (vms, vm_count, rank, sources);
  * @endcode
  *
  * Errors: none; without a suitable mirror the count is 0.
@@ -29,10 +30,12 @@
   uint32_t millicores;
 };
 
-/** Sorts @p vms, the VMs of one failure domain, and writes to @p sources the
- * VMs that @p self reads, the preferred one first. Returns their number; 0 if
- * it reads the log, as a mirror or because no VM can mirror for it. */
-uint32_t mir_choose (struct mir_vm *vms, uint32_t count, struct cyc_str self,
+/** Sorts the VMs of one failure domain by rank. */
+void mir_sort (struct mir_vm *vms, uint32_t count);
+/** Writes to @p sources the VMs that the one of this rank reads, the preferred
+ * one first; @p vms are sorted. Returns their number; 0 if it reads the log,
+ * as a mirror or because no VM can mirror for it. */
+uint32_t mir_choose (const struct mir_vm *vms, uint32_t count, uint32_t rank,
                      struct cyc_name sources[MIR_SOURCES_MAX]);
 
 #endif
--- a/tests/test_config_cut_off.c
+++ b/tests/test_config_cut_off.c
@@ -21,17 +21,11 @@
   struct tst_cluster *cluster = &link->cluster;
   uint32_t cut;
   uint32_t ms = 0;
-  uint16_t port;
 
   (void)state;
   tst_link_setup (link);
   cut = (tst_cluster_leader_index (cluster) + 1) % TST_CLUSTER_VMS;
-  port = fk_relay_add (&link->relay, "cut", 0, fk_port (&cluster->fake.log));
-  tst_cluster_kill_vm (cluster, cut);
-  snprintf (cluster->vms[cut].settings.log_address,
-            sizeof cluster->vms[cut].settings.log_address, "127.0.0.1:%u",
-            port);
-  tst_cluster_start_vm (cluster, cut);
+  tst_link_own_way (cluster, &link->relay, "cut", cut);
   tst_cluster_run (cluster, 3000);
   /* As for the VM that the others read: it has none to read itself. */
   mir_set_sources (&cluster->vms[cut].entry.mirror, NULL, 0);
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -75,23 +75,19 @@
       uint32_t count = fill (vms, c);
       uint32_t mirrors = 0;
       uint32_t readers[VMS_MAX] = { 0 }; /* of each VM, by rank */
-      struct cyc_name unused[MIR_SOURCES_MAX];
 
-      mir_choose (vms, count, CYC_STR ("vm-00"), unused); /* sorts */
+      mir_sort (vms, count);
       for (uint32_t reader = 0; reader < count; reader++)
         {
           struct cyc_name sources[MIR_SOURCES_MAX];
-          struct cyc_name self = vms[reader].vm;
-          uint32_t found;
+          uint32_t found = mir_choose (vms, count, reader, sources);
 
-          found = mir_choose (vms, count, cyc_name_str (&self), sources);
           assert_in_range (found, 0, MIR_SOURCES_MAX);
           mirrors += found == 0;
           for (uint32_t k = 0; k < found; k++)
-            if (rank_of (vms, count, &sources[k])
-                >= rank_of (vms, count, &self))
+            if (rank_of (vms, count, &sources[k]) >= reader)
               fail_msg ("%s: %s reads %s, which does not rank before it",
-                        c->description, self.data, sources[k].data);
+                        c->description, vms[reader].vm.data, sources[k].data);
           if (found > 0)
             readers[rank_of (vms, count, &sources[0])]++;
         }
--- a/tests/test_relay_wait.c
+++ b/tests/test_relay_wait.c
@@ -1,8 +1,7 @@
 /* A read that one VM makes for another must end within the time that the other
    has left: otherwise it counts as a failure of the log, which is up. */
 
-#include "fk_relay.h"
-#include "tst_cluster.h"
+#include "tst_link.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -37,18 +36,12 @@
   struct fk_relay relay;
   struct cyc_findings findings = { 0 };
   uint32_t cut;
-  uint16_t port;
 
   (void)state;
   tst_cluster_setup (cluster);
   cut = (tst_cluster_leader_index (cluster) + 1) % TST_CLUSTER_VMS;
   assert_true (fk_relay_setup (&relay, cluster->loop, 0, &findings));
-  port = fk_relay_add (&relay, GROUP, 0, fk_port (&cluster->fake.log));
-  tst_cluster_kill_vm (cluster, cut);
-  snprintf (cluster->vms[cut].settings.log_address,
-            sizeof cluster->vms[cut].settings.log_address, "127.0.0.1:%u",
-            port);
-  tst_cluster_start_vm (cluster, cut);
+  tst_link_own_way (cluster, &relay, GROUP, cut);
   tst_cluster_run (cluster, 3000);
   fk_relay_set_silent (&relay, GROUP, "both");
   assert_int_equal (failures_of_others (cluster, cut, 8000), 0);
--- a/tests/tst_link.c
+++ b/tests/tst_link.c
@@ -10,6 +10,28 @@
 
 #define GROUP "log"
 
+/* Restarts a VM, which then reaches the log at the port. */
+static void
+restart_vm (struct tst_cluster *cluster, uint32_t vm, uint16_t port)
+{
+  struct ent_settings *settings = &cluster->vms[vm].settings;
+
+  tst_cluster_kill_vm (cluster, vm);
+  snprintf (settings->log_address, sizeof settings->log_address,
+            "127.0.0.1:%u", port);
+  tst_cluster_start_vm (cluster, vm);
+}
+
+void
+tst_link_own_way (struct tst_cluster *cluster, struct fk_relay *relay,
+                  const char *group, uint32_t vm)
+{
+  uint16_t port = fk_relay_add (relay, group, 0, fk_port (&cluster->fake.log));
+
+  assert_int_not_equal (port, 0);
+  restart_vm (cluster, vm, port);
+}
+
 /* Returns whether a VM makes its calls of the log through another one, as all
    do for a while before there is a leader. */
 static bool
@@ -34,13 +56,7 @@
   port = fk_relay_add (&link->relay, GROUP, 0, fk_port (&cluster->fake.log));
   assert_int_not_equal (port, 0);
   for (uint32_t i = 0; i < TST_CLUSTER_VMS; i++)
-    {
-      tst_cluster_kill_vm (cluster, i);
-      snprintf (cluster->vms[i].settings.log_address,
-                sizeof cluster->vms[i].settings.log_address, "127.0.0.1:%u",
-                port);
-      tst_cluster_start_vm (cluster, i);
-    }
+    restart_vm (cluster, i, port);
   for (int i = 0; i < 100 && tst_cluster_leader (cluster) == NULL; i++)
     tst_cluster_run (cluster, 50);
   tst_cluster_run (cluster, 1500);
--- a/tests/tst_link.h
+++ b/tests/tst_link.h
@@ -24,6 +24,10 @@
 
 /** Starts the platform and all VMs, and waits for a leader. */
 void tst_link_setup (struct tst_link *link);
+/** Restarts a VM with a way to the log of its own, a pair of @p group that @p
+ * relay gets. */
+void tst_link_own_way (struct tst_cluster *cluster, struct fk_relay *relay,
+                       const char *group, uint32_t vm);
 void tst_link_teardown (struct tst_link *link);
 /** @p bytes_per_s of all VMs together, in each direction; 0: no limit. */
 void tst_link_set_width (struct tst_link *link, uint32_t bytes_per_s);
