--- a/src/entry.c
+++ b/src/entry.c
@@ -25,13 +25,6 @@
 #define PEER_SILENT_MS 1600
 #define PEER_DEAD_MS 3200
 #define PEERS_MAX 512
-/** Longest wait of a question for the configuration to a VM that mirrors it.
- * One that stands still is noticed after this wait and that for its answer. */
-#define MIRROR_WAIT_MS 500
-/** Longest wait for the list of VMs and the link to one of them before the
- * configuration is read. */
-#define CONFIG_START_MAX_US 600000
-#define CONFIG_START_POLL_US 10000
 /** Part of the memory for what other VMs are sending. */
 #define PEERS_INPUT_DIVISOR 8
 /** A narrower link lowers the score of a VM as a leader: orders and reports of
@@ -342,79 +335,6 @@
     pl_peer_add (&entry->links, &((struct entry_vm *)value)->peer);
 }
 
-/* Collects the VMs of this VM's failure domain. */
-static GArray *
-domain_vms (const struct entry *entry)
-{
-  GArray *vms = g_array_new (FALSE, FALSE, sizeof (struct mir_vm));
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, entry->vms);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct entry_vm *row = value;
-
-      if (cyc_name_eq (&row->peer.domain, &entry->desc.settings->domain))
-        g_array_append_vals (vms,
-                             &(struct mir_vm){ .vm = row->peer.vm,
-                                               .link_kbps = row->link_kbps,
-                                               .millicores = row->millicores },
-                             1);
-    }
-  return vms;
-}
-
-/* Adds links to the VMs that @p reader reads, if it is this VM, or to @p
-   reader if it reads this VM. */
-static void
-link_sources (struct entry *entry, struct cyc_str reader,
-              const struct cyc_name *sources, uint32_t count)
-{
-  const struct cyc_name *self = &entry->desc.settings->vm;
-  bool own = cyc_str_eq (reader, cyc_name_str (self));
-
-  for (uint32_t i = 0; i < count; i++)
-    {
-      const struct entry_vm *row = NULL;
-
-      if (own)
-        row = g_hash_table_lookup (entry->vms, sources[i].data);
-      else if (cyc_name_eq (&sources[i], self))
-        row = g_hash_table_lookup (entry->vms, reader.data);
-      if (row != NULL)
-        pl_peer_add (&entry->links, &row->peer);
-    }
-}
-
-/* Chooses the VMs of the domain that mirror the configuration, when the list
-   of VMs has changed. */
-static void
-on_vms_caught_up (void *user)
-{
-  struct entry *entry = user;
-  GArray *domain;
-  const struct mir_vm *vms;
-
-  if (!entry->vms_changed)
-    return;
-  entry->vms_changed = false;
-  domain = domain_vms (entry);
-  mir_sort ((struct mir_vm *)(void *)domain->data, domain->len);
-  vms = (const struct mir_vm *)(const void *)domain->data;
-  for (uint32_t i = 0; i < domain->len; i++)
-    {
-      struct cyc_str reader = cyc_name_str (&vms[i].vm);
-      struct cyc_name sources[MIR_SOURCES_MAX];
-      uint32_t count = mir_choose (vms, domain->len, i, sources);
-
-      link_sources (entry, reader, sources, count);
-      if (cyc_str_eq (reader, cyc_name_str (&entry->desc.settings->vm)))
-        mir_set_sources (&entry->mirror, sources, count);
-    }
-  g_array_free (domain, TRUE);
-}
-
 /* Links. */
 
 /* Answers another VM's question about the state of a job or the backlog of
@@ -556,33 +476,6 @@
     }
 }
 
-/* A VM whose calls of the log fail reads the configuration of the leader: that
-   reaches the log, or soon is none any more. */
-static void
-set_last_resort (struct entry *entry)
-{
-  static const struct cyc_name none;
-
-  mir_set_last_resort (&entry->mirror,
-                       entry->relay.relaying && !entry->leader.self
-                           ? &entry->leader.vm
-                           : &none);
-}
-
-/* Begins to read the configuration when the VMs are known and a link to one of
-   those that can pass it on is up, or after a while in any case. */
-static void
-start_config (struct entry *entry, uint64_t now_us)
-{
-  if (entry->config_tail.running)
-    return;
-  if (now_us >= entry->config_start_by_us
-      || (entry->vms_tail.loaded && mir_is_ready (&entry->mirror)))
-    tail_start (&entry->config_tail);
-  else
-    entry_wake_at (entry, now_us + CONFIG_START_POLL_US);
-}
-
 static void
 on_tick (struct ev_loop *loop, struct ev_timer *timer, int events)
 {
@@ -595,9 +488,7 @@
        now_us + (entry->owner != NULL ? TICK_LEADING_US : TICK_FOLLOWING_US));
   pl_tick (&entry->links, now_us);
   relay_tick (&entry->relay, now_us);
-  set_last_resort (entry);
-  mir_tick (&entry->mirror, now_us);
-  start_config (entry, now_us);
+  mirrors_tick (entry, now_us);
   register_vm (entry, now_us);
   accept_tick (entry, now_us);
   lead_tick (entry, now_us);
@@ -607,14 +498,6 @@
   stop_tick (entry, now_us);
 }
 
-/* Returns the wait of a long poll of the configuration. A view is as old as
-   the wait of its own read and of the read of the VM that passes it on. */
-static uint32_t
-config_wait_ms (const struct entry *entry)
-{
-  return MIN (ENTRY_LOG_WAIT_MS, entry->desc.settings->config_max_age_ms / 2);
-}
-
 static bool
 setup_links (struct entry *entry, struct cyc_findings *findings)
 {
@@ -677,20 +560,14 @@
                &(struct relay_desc){ .direct = desc->ports->log,
                                      .links = &entry->links,
                                      .first_call = entry_number (entry) });
-  mir_setup (&entry->mirror,
-             &(struct mir_desc){
-                 .direct = &entry->relay.log,
-                 .links = &entry->links,
-                 .tail = &entry->config_tail,
-                 .wait_ms = MIN (MIRROR_WAIT_MS, config_wait_ms (entry) / 2),
-                 .first_ask = entry_number (entry) });
+  mirrors_setup (entry);
   evac_setup (&entry->evacuations, on_evacuation_changed, entry);
   tail_setup (&entry->config_tail, &(struct tail_desc){
                                        .loop = desc->loop,
                                        .log = &entry->mirror.log,
                                        .stream = PT_STREAM_CONFIG,
                                        .keyed = true,
-                                       .wait_ms = config_wait_ms (entry),
+                                       .wait_ms = entry_config_wait_ms (entry),
                                        .gap_ms = 20,
                                        .counts_wait = true,
                                        .record = on_operator_record,
@@ -716,12 +593,11 @@
                                     .wait_ms = ENTRY_VMS_WAIT_MS,
                                     .gap_ms = 200,
                                     .record = on_vm,
-                                    .caught_up = on_vms_caught_up,
+                                    .caught_up = mirrors_on_vms,
                                     .user = entry,
                                 });
   tail_start (&entry->vms_tail);
   tail_start (&entry->lead_tail);
-  entry->config_start_by_us = hc_now_us () + CONFIG_START_MAX_US;
   ev_init (&entry->timer, on_tick);
   entry->timer.data = entry;
   arm (entry, 0);
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -56,6 +56,19 @@
  */
 uint64_t entry_number (const struct entry *entry);
 
+/* entry_mirrors.c */
+/** Returns the wait of a long poll of the configuration. A view is as old as
+ * the wait of its own read and of the read of the VM that passes it on. */
+uint32_t entry_config_wait_ms (const struct entry *entry);
+void mirrors_setup (struct entry *entry);
+/** Chooses the VMs of the domain that mirror the configuration, if the list of
+ * VMs has changed; @p user is the entry. */
+void mirrors_on_vms (void *user);
+/** Continues reads through mirrors, and begins to read the configuration when
+ * the mirrors are known. */
+void mirrors_tick (struct entry *entry, uint64_t now_us);
+
+/* entry.c */
 /** Returns whether the view of the configuration has every version that is
  * bound to be in force. */
 bool entry_view_is_current (const struct entry *entry, uint64_t now_us);
