A reader of a mirror skips no record that was written ahead of one it has seen

A load in pages may show a record beyond the end that the mirror has read to; the mirror passed it on, and the reader went on after its offset: a record in between, a configuration or a request to evacuate, was never read. A reader now goes on where the mirror's view ends, and gets the record seen ahead a second time, which changes nothing. A chunk that begins beyond the length of its record is refused.

test_record_seen_ahead of test_mirror_fails: the readers stay at the old version before, have the new one now. test_config_late, _cut_off, _old_view, test_mirror, test_tail, test_entry, _evacuate and test_relay_wait pass.

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -305,7 +305,7 @@
   if (call->part->len > 0 && answer->offset != call->part_offset)
     g_byte_array_set_size (call->part, 0);
   if (answer->offset < call->from || answer->at != call->part->len
-      || answer->length > VALUE_MAX_BYTES
+      || answer->length > VALUE_MAX_BYTES || answer->at > answer->length
       || answer->data.len > answer->length - answer->at
       || (answer->data.len == 0 && answer->length > 0))
     return false;
@@ -342,7 +342,8 @@
 {
   uint64_t now_us = hc_now_us ();
   uint64_t fresh_us = MIN (fresh_us_of (call, answer), now_us);
-  uint64_t next = MAX (call->from, answer->end);
+  /* A record beyond the end was seen ahead of others, in a page of a load. */
+  uint64_t next = answer->end;
 
   if (call->rows->len == 0 && fresh_us + VIEW_MAX_AGE_US < now_us
       && !answer->receiving)
--- a/tests/test_mirror_fails.c
+++ b/tests/test_mirror_fails.c
@@ -138,10 +138,38 @@
     play (&fail_cases[i]);
 }
 
+/* A load in pages may show a record before those that were written ahead of
+   it. A reader that gets it must still get the ones between. */
+static void
+test_record_seen_ahead (void **state)
+{
+  struct tst_link *link = calloc (1, sizeof *link);
+  struct entry *entry;
+  uint32_t mirror;
+
+  (void)state;
+  tst_link_setup (link);
+  mirror = mirror_index (link);
+  entry = &link->cluster.vms[mirror].entry;
+  mir_record (
+      &entry->mirror,
+      &(struct pt_record){ .key = CYC_STR ("other"), .value = CYC_STR ("x") },
+      entry->config_tail.next + 1);
+  tst_cluster_run (&link->cluster, 1000);
+  tst_link_publish (link, 2, 1);
+  fkp_put (&link->cluster.fake, "keyed.op", "other", "x");
+  tst_cluster_run (&link->cluster, 2000);
+  assert_true (others_have (link, mirror));
+  tst_link_teardown (link);
+  free (link);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_mirror_fails) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_mirror_fails),
+          cmocka_unit_test (test_record_seen_ahead) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
