--- a/review/standin-2-cases.c
+++ b/review/standin-2-cases.c
@@ -19,7 +19,7 @@
 
   if (!begin (3, 4, 32000))
     return 2;
-  add_job (1, 60, false, 2000);
+  add_job (1, 2000);
   if (submit (0, "/second/0000000000000001", "key-green",
               "{\"spec\":\"s\",\"steps\":[" STEP_60 "," STEP_60 "," STEP_60
               "]}",
@@ -34,7 +34,7 @@
     {
       char path[64];
 
-      add_job (0x100 + j, 60, false, 200);
+      add_job (0x100 + j, 200);
       snprintf (path, sizeof path, "/first/%016x", 0x100 + j);
       send_call (j % 3, HC_POST, path, "key-blue", SMALL_JOB (60, 500, 200),
                  &replies[j]);
@@ -88,8 +88,8 @@
 
   if (!begin (3, 4, 32000))
     return 2;
-  add_job (7, 1, false, 20000);
-  add_job (8, 1, false, 500);
+  add_job (7, 20000);
+  add_job (8, 500);
   if (submit (0, blue, "key-blue", SMALL_JOB (1, 1000, 20000), 5) != 200)
     return 2;
   run_ms (2000);
@@ -156,9 +156,9 @@
 
   if (!begin (3, 4, 32000))
     return 2;
-  add_job (1, 1, false, 500);
-  add_job (2, 10, false, 500);
-  add_job (3, 10, false, 500);
+  add_job (1, 500);
+  add_job (2, 500);
+  add_job (3, 500);
   if (submit (0, "/first/0000000000000001", "key-blue",
               SMALL_JOB (1, 1000, 500), 5)
       != 200)
@@ -175,7 +175,7 @@
     {
       char path[64];
 
-      add_job (0x100 + j, 1, false, 500);
+      add_job (0x100 + j, 500);
       snprintf (path, sizeof path, "/first/%016x", 0x100 + j);
       accepted[j]
           = submit (j, path, "key-blue", SMALL_JOB (1, 1000, 500), 2) == 200;
@@ -205,38 +205,6 @@
   return ended >= 2;
 }
 
-/* A route is removed and is there again, while a task of it has its last
-   attempt. */
-
-static int
-case_route (void)
-{
-  char body[256];
-  uint32_t runs = 0;
-
-  if (!begin (3, 4, 32000))
-    return 2;
-  st.fail_ms = 4000;
-  add_job (1, 1, false, 30000);
-  for (uint32_t w = 0; w < st.worker_count; w++)
-    st.workers[w].failing = true;
-  if (submit (0, "/first/0000000000000001", "key-blue",
-              SMALL_JOB (1, 1000, 4000), 5)
-      != 200)
-    return 2;
-  run_ms (6000);
-  if (st.trouble)
-    publish_config (2, false);
-  run_ms (5000);
-  publish_config (3, true);
-  run_ms (9000);
-  call (0, HC_GET, "/first/0000000000000001", "key-blue", "", body);
-  for (guint i = 0; i < st.failed_ends->len; i++)
-    runs = MAX (runs, g_array_index (st.failed_ends, struct st_end, i).run);
-  note ("highest run that has failed: %u; max_attempts is 2", runs);
-  return runs > 2;
-}
-
 /* The operator adds a tenant whose key is a SHA-256 digest in hexadecimal
    digits, and a route whose host name has 70 characters. */
 
@@ -256,8 +224,8 @@
 
   if (!begin (3, 4, 32000))
     return 2;
-  add_job (1, 1, false, 500);
-  add_job (2, 1, false, 500);
+  add_job (1, 500);
+  add_job (2, 500);
   snprintf (text, sizeof text,
             "{\"version\":5,\"routes\":["
             "{\"name\":\"r-first\",\"host\":\"h.example\","
@@ -299,6 +267,35 @@
   return by_key == 401 || by_host == 404;
 }
 
+/* A route is removed and is there again, while a task of it has its last
+   attempt. */
+
+static int
+case_route (void)
+{
+  char body[256];
+
+  if (!begin (3, 4, 32000))
+    return 2;
+  add_job (1, 4000);
+  for (uint32_t w = 0; w < st.worker_count; w++)
+    st.workers[w].failing = true;
+  if (submit (0, "/first/0000000000000001", "key-blue",
+              SMALL_JOB (1, 1000, 4000), 5)
+      != 200)
+    return 2;
+  run_ms (6000);
+  if (st.trouble)
+    publish_config (2, false);
+  run_ms (5000);
+  publish_config (3, true);
+  run_ms (9000);
+  call (0, HC_GET, "/first/0000000000000001", "key-blue", "", body);
+  note ("highest run that has ended `failed`: %u; max_attempts is 2",
+        st.failed_run);
+  return st.failed_run > 2;
+}
+
 static const struct
 {
   const char *name;
--- a/review/standin-2.c
+++ b/review/standin-2.c
@@ -24,8 +24,6 @@
 #define ENTRIES_MAX 3
 #define WORKERS_MAX 16
 #define RUNS_MAX 1024
-#define GANG_TIMEOUT_MS 3000
-#define STEPS_MAX 4
 #define HEARTBEAT_MS 1500
 #define MEMORY_MB 260
 #define RESTART_MS 500
@@ -36,8 +34,6 @@
 struct st_job
 {
   uint64_t id;
-  uint32_t count[STEPS_MAX];
-  bool gang;
   uint32_t work_ms;
 };
 
@@ -46,7 +42,6 @@
   char task[64];
   uint32_t number;
   uint64_t start_ms;
-  uint64_t begin_ms; /* work has begun; 0: the gang is not complete */
   const struct st_job *job;
   uint64_t stop_at_ms; /* a stop is under way until then; 0: none */
 };
@@ -118,10 +113,9 @@
   struct st_entry entries[ENTRIES_MAX];
   uint32_t entry_count;
   GPtrArray *jobs;
-  GArray *failed_ends; /* struct st_end */
+  uint32_t failed_run; /* highest number of a run that ended `failed` */
   uint64_t next_beat_ms;
   uint64_t seq;
-  uint32_t fail_ms;
   uint64_t begun_ms;
   bool trouble;
   FILE *record;
@@ -152,6 +146,12 @@
   return fkp_now_ms () - worker->born_ms + 1;
 }
 
+static uint64_t
+work_of (const struct st_run *run)
+{
+  return run->job != NULL ? run->job->work_ms : 1000;
+}
+
 static struct st_job *
 find_job (uint64_t id)
 {
@@ -197,7 +197,7 @@
   memcpy (end.task, run->task, sizeof end.task);
   g_array_append_val (worker->ends, end);
   if (strcmp (how, "failed") == 0)
-    g_array_append_val (st.failed_ends, end);
+    st.failed_run = MAX (st.failed_run, end.run);
   note_over (worker, run->task, run->number);
   note ("%s: end %" PRIu64 " of %s run %u: %s", worker->id, end.number,
         end.task, end.run, how);
@@ -280,10 +280,7 @@
   for (uint32_t i = 0; i < worker->run_count; i++)
     {
       const struct st_run *run = &worker->runs[i];
-      uint64_t work_ms = run->job != NULL ? run->job->work_ms : 1000;
-      uint64_t done = run->begin_ms != 0 ? (fkp_now_ms () - run->begin_ms)
-                                               * 100 / MAX (work_ms, 1)
-                                         : 0;
+      uint64_t done = (fkp_now_ms () - run->start_ms) * 100 / work_of (run);
 
       g_string_append_printf (out, "%s[\"%s\",%u,\"\",%u,0]", i > 0 ? "," : "",
                               run->task, run->number,
@@ -355,125 +352,21 @@
   json_object_put (root);
 }
 
-/* Returns the name of the step of a task: the task without its index. */
-static size_t
-step_len (const char *task)
-{
-  const char *dot = strrchr (task, '.');
-
-  return dot != NULL ? (size_t)(dot - task) : strlen (task);
-}
-
-static bool
-same_gang (const struct st_run *a, const struct st_run *b)
-{
-  return a->number == b->number && step_len (a->task) == step_len (b->task)
-         && memcmp (a->task, b->task, step_len (a->task)) == 0;
-}
-
-static uint32_t
-width_of (const struct st_run *run)
-{
-  const char *k = strchr (run->task, '.');
-  const char *step = k != NULL ? strchr (k + 1, '.') : NULL;
-  long number = step != NULL ? strtol (step + 1, NULL, 10) : 0;
-
-  return run->job != NULL && number < STEPS_MAX ? run->job->count[number] : 1;
-}
-
-/* Ends all members of the gang; those on failing workers as failed. */
-static void
-end_gang (const struct st_run *member, const char *how)
-{
-  struct st_run gang = *member;
-
-  for (uint32_t w = 0; w < st.worker_count; w++)
-    {
-      struct st_worker *worker = &st.workers[w];
-
-      for (uint32_t r = 0; r < worker->run_count;)
-        if (same_gang (&worker->runs[r], &gang))
-          end_run (worker, &worker->runs[r],
-                   how != NULL       ? how
-                   : worker->failing ? "failed"
-                                     : "broken");
-        else
-          r++;
-    }
-}
-
-/* Looks at the gang of a run. Returns whether it has ended. */
-static bool
-gang_tick (struct st_run *run, uint64_t now)
-{
-  uint32_t present = 0;
-  bool failing = false;
-
-  for (uint32_t w = 0; w < st.worker_count; w++)
-    for (uint32_t r = 0; r < st.workers[w].run_count; r++)
-      if (same_gang (&st.workers[w].runs[r], run))
-        {
-          present++;
-          failing = failing || st.workers[w].failing;
-        }
-  if (run->begin_ms == 0 && present < width_of (run))
-    {
-      if (now < run->start_ms + GANG_TIMEOUT_MS)
-        return false;
-      end_gang (run, "alone");
-      return true;
-    }
-  if (run->begin_ms == 0)
-    {
-      for (uint32_t w = 0; w < st.worker_count; w++)
-        for (uint32_t r = 0; r < st.workers[w].run_count; r++)
-          if (same_gang (&st.workers[w].runs[r], run))
-            st.workers[w].runs[r].begin_ms = now;
-      return false;
-    }
-  if (present < width_of (run))
-    {
-      end_gang (run, "broken");
-      return true;
-    }
-  if (failing && now >= run->begin_ms + st.fail_ms)
-    {
-      end_gang (run, NULL);
-      return true;
-    }
-  if (now >= run->begin_ms + run->job->work_ms)
-    {
-      end_gang (run, "done");
-      return true;
-    }
-  return false;
-}
-
 static void
 worker_tick (struct st_worker *worker, uint64_t now)
 {
   for (uint32_t r = 0; r < worker->run_count;)
     {
       struct st_run *run = &worker->runs[r];
-      uint32_t work_ms = run->job != NULL ? run->job->work_ms : 1000;
 
       if (worker->lease_ms < worker_clock (worker))
         end_run (worker, run, "lapsed");
       else if (run->stop_at_ms != 0 && now >= run->stop_at_ms)
         end_run (worker, run, "stopped");
-      else if (run->job != NULL && run->job->gang)
-        r = gang_tick (run, now) ? 0 : r + 1;
+      else if (now >= run->start_ms + work_of (run))
+        end_run (worker, run, worker->failing ? "failed" : "done");
       else
-        {
-          if (run->begin_ms == 0)
-            run->begin_ms = now;
-          if (worker->failing && now >= run->begin_ms + st.fail_ms)
-            end_run (worker, run, "failed");
-          else if (now >= run->begin_ms + work_ms)
-            end_run (worker, run, "done");
-          else
-            r++;
-        }
+        r++;
     }
   for (guint i = 0; i < worker->holds->len;)
     {
@@ -783,16 +676,13 @@
   return strstr (body, state) != NULL;
 }
 
-static struct st_job *
-add_job (uint64_t id, uint32_t count, bool gang, uint32_t work_ms)
+static void
+add_job (uint64_t id, uint32_t work_ms)
 {
   struct st_job *job = g_new0 (struct st_job, 1);
 
-  *job = (struct st_job){
-    .id = id, .count = { count }, .gang = gang, .work_ms = work_ms
-  };
+  *job = (struct st_job){ .id = id, .work_ms = work_ms };
   g_ptr_array_add (st.jobs, job);
-  return job;
 }
 
 /* All. */
@@ -874,8 +764,6 @@
   struct cyc_findings findings = { 0 };
 
   st.jobs = g_ptr_array_new ();
-  st.failed_ends = g_array_new (FALSE, FALSE, sizeof (struct st_end));
-  st.fail_ms = 200;
   if (!fkp_setup (&st.platform, st.loop, 0, &findings)
       || !hc_setup (&st.client, &(struct hc_desc){ .loop = st.loop },
                     &findings)
