--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -327,6 +327,47 @@
   uint32_t trials_waiting; /**< for which no worker is held */
 };
 
+enum cell_attempt_kind
+{
+  CELL_ATTEMPT_COUNTED, /**< counts as one more failed attempt */
+  CELL_ATTEMPT_ENDED,   /**< does not count: its task is done */
+  CELL_ATTEMPT_LASTING, /**< does not count: the task is restarted however it
+                           ends */
+  CELL_ATTEMPT_UNKNOWN  /**< does not count: the run is not known */
+};
+
+/** What an end `failed` that a worker has listed counts as. */
+struct cell_attempt
+{
+  enum cell_attempt_kind kind;
+  char task[64];         /**< whose run ended; one member of a gang */
+  uint32_t run;          /**< number of the run of the task */
+  uint32_t worker;       /**< row */
+  uint64_t end;          /**< number of the end */
+  uint32_t failures;     /**< attempts of the task or gang that count */
+  uint32_t max_attempts; /**< of the queue as last known */
+  bool queue_known;      /**< the queue is in the configuration */
+  bool run_known;        /**< the run occupied the worker until this end */
+};
+
+/** Why a job has failed. */
+enum cell_failure_cause
+{
+  CELL_FAILURE_ATTEMPTS,    /**< max_attempts runs of a task or gang failed */
+  CELL_FAILURE_CRASHES,     /**< a task was given up for crashes of workers */
+  CELL_FAILURE_UNRECORDABLE /**< the log takes no record of its progress */
+};
+
+/** A job that has failed, as its next record says. */
+struct cell_failure
+{
+  uint64_t job;
+  enum cell_failure_cause cause;
+  char task[64];         /**< empty if no task is the reason */
+  uint32_t failures;     /**< attempts of that task or its gang that count */
+  uint32_t max_attempts; /**< of the queue as last known */
+};
+
 /** Block of a record with the state of a whole job. */
 #define CELL_NO_BLOCK UINT32_MAX
 
@@ -580,6 +621,12 @@
  * false if there is none. */
 bool cell_blame_next (struct cell_core *core, struct cell_blame *out);
 
+/** Returns what the next end `failed` counts as; returns false if there is
+ * none. */
+bool cell_attempt_next (struct cell_core *core, struct cell_attempt *out);
+/** Returns the next job that has failed; returns false if there is none. */
+bool cell_failure_next (struct cell_core *core, struct cell_failure *out);
+
 /** Fills @p out with the names of a run that was ordered. Returns false if the
  * run is over. */
 bool cell_run_describe (const struct cell_core *core, struct cyc_ref run,
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -120,6 +120,7 @@
   cell_over_setup (core);
   cell_speed_setup (core);
   cell_blame_setup (core);
+  cell_attempts_setup (core);
   core->batch = 1;
   core->durable_out_of_order = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   core->revision = desc->first_revision;
@@ -185,6 +186,7 @@
   cell_over_shutdown (core);
   cell_speed_shutdown (core);
   cell_blame_shutdown (core);
+  cell_attempts_shutdown (core);
   g_free (core);
 }
 
@@ -701,16 +703,22 @@
   if (run != NULL
       && (end->kind == CELL_END_DONE || end->kind == CELL_END_FAILED))
     cell_blame_survived (core, run);
+  if (end->kind == CELL_END_FAILED)
+    cell_attempt_failed (
+        core,
+        &(struct cell_failed_end){
+            .job = job,
+            .round = round,
+            .task = task,
+            .run = end->run,
+            .worker = worker_row,
+            .number = end->number,
+            .run_known = run != NULL,
+            .contradicts = run == NULL
+                           && cell_over_contradict (
+                               core, worker_row, end->task, end->run, true) });
   if (run != NULL && end->kind != CELL_END_DONE)
-    {
-      cell_run_ended (core, run, end->kind, end->checkpoint);
-      return;
-    }
-  /* An earlier leader has counted the failures of runs that this one does not
-     know. */
-  if (end->kind == CELL_END_FAILED
-      && cell_over_contradict (core, worker_row, end->task, end->run, true))
-    cell_task_failed (core, job, round, task, worker_row);
+    cell_run_ended (core, run, end->kind, end->checkpoint);
   if (end->kind != CELL_END_DONE)
     return;
   if (run != NULL)
--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -436,7 +436,9 @@
   if (!is_hopeless (task->crashes))
     return;
   report_task (core, CELL_BLAME_GIVEN_UP, run);
-  cell_job_fail (core, run->job);
+  cell_job_fail (
+      core, run->job, CELL_FAILURE_CRASHES,
+      &(struct cell_task_ref){ run->round, accountable_index (run) });
 }
 
 void
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -526,6 +526,8 @@
                                 cyc_cell_over.c */
   GQueue concluded_by_age;   /**< the same, oldest first */
   GQueue blames;             /**< struct cell_blame *, to be handed out */
+  GQueue attempts;           /**< struct cell_attempt *, to be handed out */
+  GQueue failures;           /**< struct cell_failure *, to be handed out */
   GPtrArray *records;        /**< struct cell_record of closed batches */
   uint64_t entries_read_us;  /**< the entries that were written until then are
                                 known; 0 if they are not loaded */
@@ -644,17 +646,48 @@
 void cell_job_activate (struct cell_core *core, struct cell_job *job);
 /** Stops all runs of a job that has ended. */
 void cell_job_stop_runs (struct cell_core *core, struct cell_job *job);
-/** Fails a job that is open, and stops its runs. */
-void cell_job_fail (struct cell_core *core, struct cell_job *job);
+/** Names a task of a job. */
+struct cell_task_ref
+{
+  uint32_t round;
+  uint32_t task; /**< index in the round */
+};
+/** Fails a job that is open, and stops its runs. @p at: the task that is the
+ * reason, the first one of a gang; NULL if none is. */
+void cell_job_fail (struct cell_core *core, struct cell_job *job,
+                    enum cell_failure_cause cause,
+                    const struct cell_task_ref *at);
 void cell_task_requeue (struct cell_core *core, struct cell_job *job,
                         uint32_t round, uint32_t task, uint64_t at_us);
 void cell_task_done (struct cell_core *core, struct cell_job *job,
                      uint32_t round, uint32_t task);
-/** Counts a failed run of the task; a gang's failures are counted at its first
- * task. */
-void cell_task_failed (struct cell_core *core, struct cell_job *job,
-                       uint32_t round, uint32_t index, uint32_t worker_row);
 bool cell_job_open (const struct cell_job *job);
+
+/* Failed attempts. */
+
+void cell_attempts_setup (struct cell_core *core);
+void cell_attempts_shutdown (struct cell_core *core);
+/** An end `failed`, as a worker has listed it. */
+struct cell_failed_end
+{
+  struct cell_job *job;
+  uint32_t round;
+  uint32_t task;    /**< index in the round */
+  uint32_t run;     /**< number of the run */
+  uint32_t worker;  /**< row */
+  uint64_t number;  /**< of the end */
+  bool run_known;   /**< the run occupies the worker until this end */
+  bool contradicts; /**< the run had been concluded to be over */
+};
+/** Counts a failed run of a task, or of a gang at its first task, and fails
+ * the job after the last attempt. */
+void cell_attempt_failed (struct cell_core *core,
+                          const struct cell_failed_end *end);
+/** Hands out that the job has failed; @p at as for cell_job_fail. */
+void cell_failure_report (struct cell_core *core, struct cell_job *job,
+                          enum cell_failure_cause cause,
+                          const struct cell_task_ref *at);
+
 /** Opens the stages of a round that is due whose dependencies are done, and
  * lists those with waiting tasks. */
 void cell_round_open (struct cell_core *core, struct cell_job *job,
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -366,7 +366,7 @@
 
   core->now_us = now_us;
   if (job != NULL)
-    cell_job_fail (core, job);
+    cell_job_fail (core, job, CELL_FAILURE_UNRECORDABLE, NULL);
 }
 
 bool
@@ -464,50 +464,16 @@
 }
 
 void
-cell_job_fail (struct cell_core *core, struct cell_job *job)
+cell_job_fail (struct cell_core *core, struct cell_job *job,
+               enum cell_failure_cause cause, const struct cell_task_ref *at)
 {
   if (!cell_job_open (job))
     return;
+  cell_failure_report (core, job, cause, at);
   cell_job_set_state (core, job, CELL_JOB_FAILED);
   cell_job_stop_runs (core, job);
 }
 
-void
-cell_task_failed (struct cell_core *core, struct cell_job *job, uint32_t round,
-                  uint32_t index, uint32_t worker_row)
-{
-  struct cell_stage *stage = cell_stage_of_task (job, round, index);
-  const Cyc__CellStep *step = cell_stage_step (stage);
-  uint32_t at = step->gang ? stage->first_task : index;
-  struct cell_task *task = cell_task_at (job, round, at);
-  struct cell_worker *worker = cell_worker_at (core, worker_row);
-
-  if (cell_task_peek (job, round, index)->state == CELL_TASK_DONE)
-    return;
-  job->begun = true;
-  if (worker->last_failed_job != job->id)
-    worker->consecutive_failures++;
-  worker->last_failed_job = job->id;
-  if (worker->consecutive_failures >= CELL_PAUSE_FAILURES)
-    {
-      worker->paused_until_us
-          = core->now_us
-            + ((uint64_t)CELL_PAUSE_US
-               << MIN (worker->pause_count, CELL_PAUSE_DOUBLINGS_MAX));
-      worker->pause_count++;
-      cell_worker_touch (core, worker);
-      cell_retry_placement (core, worker->paused_until_us);
-    }
-  stage->failed_on[stage->failed_next++ % CELL_AVOIDED_WORKERS_MAX]
-      = worker_row + 1;
-  if (step->long_running)
-    return;
-  task->failures++;
-  cell_task_mark_dirty (core, job, round, at);
-  if (task->failures >= MAX (1, job->cfg.max_attempts) && job->cfg_known)
-    cell_job_fail (core, job);
-}
-
 void
 cell_run_ended (struct cell_core *core, struct cell_run *run,
                 enum cell_end_kind kind, struct cyc_str checkpoint)
@@ -520,8 +486,6 @@
   bool current = row->run == run;
   uint64_t at_us = core->now_us;
 
-  if (kind == CELL_END_FAILED)
-    cell_task_failed (core, job, round, task, run->worker);
   if (kind == CELL_END_ALONE)
     at_us += CELL_RETRY_US;
   if (current && checkpoint.len > 0 && checkpoint.len < sizeof row->checkpoint)
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -410,6 +410,46 @@
     }
 }
 
+static void
+log_attempt (struct entry_owner *owner, const struct cell_attempt *attempt)
+{
+  static const char *const kinds[]
+      = { "counted", "ended", "lasting", "unknown" };
+  bool counted = attempt->kind == CELL_ATTEMPT_COUNTED;
+  struct cell_worker_view view;
+
+  met_add (&owner->entry->met,
+           counted ? MET_ATTEMPTS_COUNTED : MET_ATTEMPTS_IGNORED, 1);
+  cell_worker_view (owner->core, attempt->worker, &view);
+  ev_log (counted ? EV_ATTEMPT_COUNTED : EV_ATTEMPT_IGNORED,
+          "task=%s run=%u worker=%.*s epoch=%" PRIu64 " number=%" PRIu64
+          " why=%s attempts=%u max_attempts=%u queue_known=%d run_known=%d",
+          attempt->task, attempt->run, CYC_FMT (view.id), owner->epoch,
+          attempt->end, kinds[attempt->kind], attempt->failures,
+          attempt->max_attempts, attempt->queue_known, attempt->run_known);
+}
+
+void
+orders_log_attempts (struct entry_owner *owner)
+{
+  static const char *const causes[]
+      = { "attempts", "crashes", "unrecordable" };
+  struct cell_attempt attempt;
+  struct cell_failure failure;
+
+  while (cell_attempt_next (owner->core, &attempt))
+    log_attempt (owner, &attempt);
+  while (cell_failure_next (owner->core, &failure))
+    {
+      met_add (&owner->entry->met, MET_JOBS_FAILED, 1);
+      ev_log (EV_JOB_FAILED,
+              "job=%016" PRIx64 " because=%s task=%s epoch=%" PRIu64
+              " attempts=%u max_attempts=%u",
+              failure.job, causes[failure.cause], failure.task, owner->epoch,
+              failure.failures, failure.max_attempts);
+    }
+}
+
 static void
 log_hold (struct entry_owner *owner, const struct cell_blame *blame,
           uint64_t now_us)
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -784,6 +784,7 @@
     entry_wake_at (entry, due_next (&owner->holds));
   orders_log_conclusions (owner, now_us);
   orders_log_blames (owner, now_us);
+  orders_log_attempts (owner);
   advice_tick (owner->advice, now_us);
   log_load (owner, now_us);
   log_wait (owner, now_us);
--- a/src/entry_owner_internal.h
+++ b/src/entry_owner_internal.h
@@ -112,6 +112,8 @@
 /** Logs which runs the core has concluded to be over without a listed end, and
  * which of these conclusions were wrong. */
 void orders_log_conclusions (struct entry_owner *owner, uint64_t now_us);
+/** Logs what ends `failed` count as, and which jobs have failed and why. */
+void orders_log_attempts (struct entry_owner *owner);
 /** Logs how workers broke and which tasks their crashes count against. */
 void orders_log_blames (struct entry_owner *owner, uint64_t now_us);
 /** Sends an order of the core to its worker. */
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -98,6 +98,9 @@
   X (EV_RUN_REFUSED, MESSAGE, "run_refused")                                  \
   X (EV_RUN_STOP, INFO, "run_stop")                                           \
   X (EV_RUN_END, INFO, "run_end")                                             \
+  X (EV_ATTEMPT_COUNTED, INFO, "attempt_counted")                             \
+  X (EV_ATTEMPT_IGNORED, INFO, "attempt_ignored")                             \
+  X (EV_JOB_FAILED, MESSAGE, "job_failed")                                    \
   X (EV_RUN_OVER, INFO, "run_over")                                           \
   X (EV_RUN_OVER_WRONG, WARNING, "run_over_wrong")                            \
   X (EV_WORKER_LEFT, MESSAGE, "worker_left")                                  \
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -36,6 +36,9 @@
   X (MET_TASK_STARTS, "task_starts")                                          \
   X (MET_TASK_START_REFUSED, "task_starts_refused")                           \
   X (MET_TASK_ENDS, "task_ends")                                              \
+  X (MET_ATTEMPTS_COUNTED, "attempts_failed")                                 \
+  X (MET_ATTEMPTS_IGNORED, "attempts_ignored")                                \
+  X (MET_JOBS_FAILED, "jobs_failed")                                          \
   X (MET_RUN_OVER_WRONG, "runs_over_wrong")                                   \
   X (MET_WORKERS_CRASHED, "workers_crashed")                                  \
   X (MET_TASKS_SUSPECTED, "tasks_suspected")                                  \
