Fleet of the tests: members of a gang that fail by themselves

A job can now have failing runs, failing members of them and a time from one worker's failures to the next one's; the others are told late or never, and a stop may take time. With the defaults nothing changes.

Every test of the fleet now checks failed runs without looking at times: a job that is shown as failed has max_attempts distinct failed runs of one task or gang that a leader was told of, unless the core names another cause, and no start is handed out after that. The check of starts after too many failures counted ends of members under their own names; it counts distinct runs of the gang, which is stricter. Tasks that last are exempt, as failures do not end them.

--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -60,7 +60,7 @@
       snprintf (queue->path_prefix, sizeof queue->path_prefix, "/%s/",
                 names[i]);
       queue->priority = i;
-      queue->max_attempts = 3;
+      queue->max_attempts = FLEET_ATTEMPTS_MAX;
       queue->slack_permille = 2000;
       queue->objective_ms = 1000;
     }
@@ -243,6 +243,12 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   fleet->failures
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  fleet->failures_told
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  fleet->failures_listed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  fleet->failure_causes
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   fleet->deadly_starts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   for (uint32_t i = 0; i < workers; i++)
@@ -286,6 +292,9 @@
   g_hash_table_destroy (fleet->acknowledged_done);
   g_hash_table_destroy (fleet->done_tasks);
   g_hash_table_destroy (fleet->failures);
+  g_hash_table_destroy (fleet->failures_told);
+  g_hash_table_destroy (fleet->failures_listed);
+  g_hash_table_destroy (fleet->failure_causes);
   g_hash_table_destroy (fleet->deadly_starts);
   g_hash_table_destroy (fleet->ask_counts);
 }
@@ -659,8 +668,11 @@
       cell_tick (fleet->core, fleet_now_us (fleet), fleet->now_ms);
       check_walk (fleet);
       fleet_check_conclusions (fleet);
+      fleet_check_failures (fleet);
       answer_due_asks (fleet);
       write_batches (fleet);
+      if (fleet->now_ms >= fleet->shown_check_ms)
+        fleet_check_shown (fleet);
       fleet_send_orders (fleet);
     }
 }
@@ -735,9 +747,12 @@
     }
   g_array_set_size (fleet->pending_asks, 0);
   fleet->calls_end_ms = fleet->now_ms + fleet->open_calls_ms;
+  fleet_check_failures (fleet);
+  fleet_check_shown (fleet);
   cell_shutdown (fleet->core);
   make_core (fleet);
   reload_core (fleet);
+  fleet->shown_check_ms = fleet->now_ms;
 }
 
 void
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -12,6 +12,11 @@
  * listed no end, no copy of its start may be running or still be accepted by
  * the worker.
  *
+ * A failed run of a task or gang counts once. A job that is shown as failed
+ * has a task or gang with max_attempts distinct runs that workers have told a
+ * leader of as failed, unless the core names another cause; no start of it
+ * comes later.
+ *
  * @code
  * fleet_setup (&fleet, 4, 8000);
  * fleet_submit (&fleet, 1, &(struct fleet_job){ .tasks = { 3 }, ... });
@@ -42,6 +47,11 @@
 #define FLEET_RECORD_BYTES 65536
 /** Maximum number of concurrent appends to the log. */
 #define FLEET_BATCHES_MAX 3
+/** gang_notice_ms of members that are never told. */
+#define FLEET_NOTICE_NEVER UINT32_MAX
+/** A member of a gang that is not told of the end of another fails by itself
+ * after this time. */
+#define FLEET_UNTOLD_MS 3000
 
 /** A run of a task on a worker. */
 struct fleet_run
@@ -51,11 +61,15 @@
   uint32_t number;
   uint64_t end_ms;
   uint64_t start_ms;
-  uint64_t work_ms;   /**< duration */
-  bool fails;         /**< ends as failed */
-  bool gang;          /**< member of a gang */
-  bool gang_complete; /**< all members of the gang are present, or the run is
-                         in no gang; it makes progress only then */
+  uint64_t work_ms;    /**< duration */
+  bool fails;          /**< ends as failed */
+  bool gang;           /**< member of a gang */
+  bool gang_complete;  /**< all members of the gang are present, or the run is
+                          in no gang; it makes progress only then */
+  uint32_t notice_ms;  /**< as gang_notice_ms of the fleet, for this run */
+  uint64_t stopped_ms; /**< when it ends as stopped; 0: it was not ordered */
+  uint64_t told_ms;    /**< when it ends as broken, told of the end of another
+                          member; 0: not known yet, or never */
 };
 
 /** The end of a run, listed by the worker until it is acknowledged. */
@@ -150,8 +164,17 @@
   bool checkpointing;
   bool long_running;
   bool always_fails; /**< every run fails */
-  uint32_t deadly;   /**< first tasks of the first step that crash each worker
-                        that starts them */
+  /** The first runs of each task or gang fail, as many as this. Members of a
+   * gang that are due at the same moment all fail by themselves. */
+  uint32_t failing_runs;
+  uint32_t failing_members; /**< number of members of such a run that fail by
+                               themselves, unless they are told of the end of
+                               another before; 0: all */
+  uint32_t failing_per_worker; /**< no more of them on one worker; 0: all */
+  uint32_t fail_gap_ms; /**< from the failures on one worker to those on the
+                           next */
+  uint32_t deadly; /**< first tasks of the first step that crash each worker
+                      that starts them */
   uint32_t repeat_count; /**< number of rounds; 0: one, due at once */
   uint64_t first_due_ms; /**< of round 0 */
   uint64_t interval_ms;
@@ -201,6 +224,9 @@
   uint32_t late_hold_permille;  /**< holds without an answer that are executed
                                    2 to 12 s later */
   uint32_t report_delay_max_ms; /**< reports may overtake each other */
+  uint32_t failing_permille; /**< runs of tasks and gangs that fail; of a gang
+                                any of its members, told at any time or never
+                              */
   /** Decides instead of the generator; NULL if none. */
   void (*choose) (void *user, struct order_in_flight *order);
   void *user;
@@ -257,9 +283,21 @@
   /** Names of tasks that ended as done, acknowledged before the worker's lease
    * lapsed. */
   GHashTable *acknowledged_done;
-  GHashTable *done_tasks;     /**< names of tasks that ended as done */
-  GHashTable *failures;       /**< task name to number of failed runs that were
-                                 acknowledged before a lapse */
+  GHashTable *done_tasks; /**< names of tasks that ended as done */
+  /** Name of a task or gang to the number of distinct failed runs that were
+   * acknowledged before a lapse. */
+  GHashTable *failures;
+  /** The same of those that a leader was told of. */
+  GHashTable *failures_told;
+  GHashTable *failures_listed; /**< the same of those that workers listed */
+  GHashTable *failure_causes;  /**< job id to the enum cell_failure_cause of
+                                  the job's last failure */
+  uint64_t shown_check_ms;     /**< when the states of jobs are checked next */
+  /** The other members of a gang learn of the end of one that fails this much
+   * later, and on each further worker as much later again. */
+  uint32_t gang_notice_ms;
+  uint32_t stop_ms; /**< from an executed stop to the end of the run, which may
+                       fail by itself before; 0: it ends at once */
   GHashTable *submitted_jobs; /**< job id to struct fleet_job */
   GHashTable *deadly_starts;  /**< deadly task to its starts on workers whose
                                  answers arrive */
--- a/tests/tst_fleet_internal.h
+++ b/tests/tst_fleet_internal.h
@@ -1,7 +1,8 @@
 /**
  * @file
  * Internal functions of the simulated fleet, shared by tst_fleet.c (core, log
- * and advisor) and tst_fleet_workers.c (workers).
+ * and advisor), tst_fleet_workers.c (workers), tst_fleet_gang.c (gangs on the
+ * workers) and tst_fleet_attempts.c (checks of failed runs).
  */
 #ifndef TST_FLEET_INTERNAL_H
 #define TST_FLEET_INTERNAL_H
@@ -10,6 +11,8 @@
 
 /** Quota of the team "limited". */
 #define TEAM_LIMIT_MILLICORES 6000
+/** Failed runs after which a job fails, in all queues. */
+#define FLEET_ATTEMPTS_MAX 3
 /** A call without an answer ends after this time. */
 #define FLEET_CALL_TIMEOUT_MS 1200
 /** An answer to a hold is not awaited for longer. */
@@ -105,6 +108,40 @@
 /** Checks the conclusions that the core hands out. */
 void fleet_check_conclusions (struct fleet *fleet);
 void fleet_free_hold (gpointer data);
+/** Lists the end of a run on its worker. */
+void fleet_add_end (struct fleet *fleet, struct fleet_worker *worker,
+                    const struct fleet_run *run, enum cell_end_kind kind);
+void fleet_remove_run (struct fleet_worker *worker, uint32_t index);
+/** Ends the other members of the gang, or has them told later. */
+void fleet_end_gang (struct fleet *fleet, const struct fleet_run *member,
+                     enum cell_end_kind kind);
+/** Records all tasks of the gang as done: one member's end counts for all. */
+void fleet_mark_gang_done (struct fleet *fleet, const struct fleet_run *run);
+/** Begins the work of a gang once all members are present, or ends the run of
+ * the member when they are not present in time. */
+void fleet_join_gang (struct fleet *fleet, struct fleet_worker *worker,
+                      uint32_t index);
+/** Returns whether the job, or a random choice, lets the run fail. */
+bool fleet_run_fails (const struct fleet *fleet, const struct fleet_job *job,
+                      const struct fleet_run *run);
+/** Returns the number of distinct failed runs of the task, or of its gang,
+ * that @p table holds. */
+uint32_t fleet_failed_runs (const struct fleet *fleet, GHashTable *table,
+                            const char *task);
+/** Adds a failed run to those that @p table holds. */
+void fleet_count_failed (const struct fleet *fleet, GHashTable *table,
+                         const char *task, uint32_t run);
+/** Notes the failed runs that a report tells the leader of. */
+void fleet_note_told (const struct fleet *fleet,
+                      const struct cell_report *report);
+/** Checks that a run of the task may begin after those that have failed. */
+void fleet_check_attempts (struct fleet *fleet, const char *task);
+/** Checks that a start is not handed out after its job has failed. */
+void fleet_check_open (struct fleet *fleet, const char *task);
+/** Checks the failures of jobs that the core hands out. */
+void fleet_check_failures (struct fleet *fleet);
+/** Checks the jobs that are shown as failed. */
+void fleet_check_shown (struct fleet *fleet);
 /** Ends the calls of leaders that are replaced: those that have no connection
  * yet cannot reach a new incarnation. */
 void fleet_end_calls (struct fleet *fleet);
--- a/tests/tst_fleet_workers.c
+++ b/tests/tst_fleet_workers.c
@@ -13,8 +13,6 @@
 #define HOLD_GAP_MS 30
 /* Interval at which the fencing token that a leader may use rises. */
 #define RENEW_MS 100
-/* A member of a gang ends if the others are not present within this time. */
-#define GANG_JOIN_TIMEOUT_MS 3000
 /* Orders that are slow on their way. */
 #define SLOW_PERMILLE 100
 
@@ -82,8 +80,7 @@
     fleet_violation (fleet, "team over its limit by", task);
   if (g_hash_table_contains (fleet->acknowledged_done, task))
     fleet_violation (fleet, "started after its end:", task);
-  if (fleet_lookup_number (fleet->failures, task) >= 3)
-    fleet_violation (fleet, "too many attempts of", task);
+  fleet_check_attempts (fleet, task);
   if (job->sequential && step > 0)
     for (uint32_t t = 0; t < job->tasks[step - 1]; t++)
       {
@@ -102,9 +99,9 @@
   fleet_set_number (worker->closed_runs, task, number);
 }
 
-static void
-add_end (struct fleet *fleet, struct fleet_worker *worker,
-         const struct fleet_run *run, enum cell_end_kind kind)
+void
+fleet_add_end (struct fleet *fleet, struct fleet_worker *worker,
+               const struct fleet_run *run, enum cell_end_kind kind)
 {
   struct fleet_end *end = &worker->ends[worker->end_count++];
 
@@ -118,10 +115,12 @@
             kind == CELL_END_STOPPED ? "saved" : run->checkpoint);
   if (kind == CELL_END_DONE)
     g_hash_table_add (fleet->done_tasks, g_strdup (run->task));
+  if (kind == CELL_END_FAILED)
+    fleet_count_failed (fleet, fleet->failures_listed, run->task, run->number);
 }
 
-static void
-remove_run (struct fleet_worker *worker, uint32_t index)
+void
+fleet_remove_run (struct fleet_worker *worker, uint32_t index)
 {
   worker->runs[index] = worker->runs[--worker->run_count];
 }
@@ -252,6 +251,9 @@
   run->end_ms = fleet->now_ms + run->work_ms;
   run->fails = job->always_fails || worker->failing;
   run->gang = job->gang;
+  run->notice_ms = fleet->gang_notice_ms;
+  if (!job->gang)
+    run->fails = run->fails || fleet_run_fails (fleet, job, run);
   run->gang_complete = !job->gang;
   if (is_deadly (job, run->task))
     note_deadly (fleet, worker, run->task);
@@ -276,8 +278,12 @@
     if (strcmp (worker->runs[i].task, in_flight->order.task) == 0
         && worker->runs[i].number <= in_flight->order.number)
       {
-        add_end (fleet, worker, &worker->runs[i], CELL_END_STOPPED);
-        remove_run (worker, i);
+        if (worker->runs[i].stopped_ms == 0)
+          worker->runs[i].stopped_ms = fleet->now_ms + fleet->stop_ms;
+        if (fleet->stop_ms > 0)
+          return true;
+        fleet_add_end (fleet, worker, &worker->runs[i], CELL_END_STOPPED);
+        fleet_remove_run (worker, i);
         return true;
       }
   return true;
@@ -514,6 +520,8 @@
           continue;
         }
       fleet->stops_ordered += order.kind == CELL_ORDER_STOP;
+      if (order.kind == CELL_ORDER_START)
+        fleet_check_open (fleet, order.task);
       if (order.kind == CELL_ORDER_START
           && fleet->workers[order.worker].evacuated)
         fleet_violation (fleet, "a start in an evacuated domain", order.task);
@@ -609,75 +617,6 @@
     }
 }
 
-/* Ends the other members of the gang. */
-static void
-end_gang (struct fleet *fleet, const struct fleet_run *member,
-          enum cell_end_kind kind)
-{
-  for (uint32_t w = 0; w < fleet->worker_count; w++)
-    for (uint32_t r = 0; r < fleet->workers[w].run_count;)
-      {
-        struct fleet_run *run = &fleet->workers[w].runs[r];
-
-        if (strncmp (run->task, member->task,
-                     (size_t)(strrchr (member->task, '.') - member->task + 1))
-                != 0
-            || run->number != member->number)
-          {
-            r++;
-            continue;
-          }
-        add_end (fleet, &fleet->workers[w], run, kind);
-        remove_run (&fleet->workers[w], r);
-      }
-}
-
-/* Records all tasks of the gang as done: one member's end counts for all. */
-static void
-mark_gang_done (struct fleet *fleet, const struct fleet_run *run)
-{
-  const struct fleet_job *job = fleet_job_of_task (fleet, run->task);
-  unsigned int step = 0;
-
-  sscanf (run->task + 16, ".%*u.%u", &step);
-  for (uint32_t t = 0; t < job->tasks[step]; t++)
-    g_hash_table_add (fleet->done_tasks,
-                      g_strdup_printf ("%.16s.0.%u.%u", run->task, step, t));
-}
-
-/* Begins the work of a gang's member once all members are present, or ends the
-   run when they are not present in time. */
-static void
-join_gang (struct fleet *fleet, struct fleet_worker *worker, uint32_t index)
-{
-  struct fleet_run *run = &worker->runs[index];
-  const struct fleet_job *job = fleet_job_of_task (fleet, run->task);
-  unsigned int step = 0;
-  uint32_t present = 0;
-
-  sscanf (run->task + 16, ".%*u.%u", &step);
-  for (uint32_t w = 0; w < fleet->worker_count; w++)
-    for (uint32_t r = 0; r < fleet->workers[w].run_count; r++)
-      {
-        const struct fleet_run *other = &fleet->workers[w].runs[r];
-        unsigned int other_step = 0;
-
-        sscanf (other->task + 16, ".%*u.%u", &other_step);
-        present += strncmp (other->task, run->task, 16) == 0
-                   && other_step == step && other->number == run->number;
-      }
-  if (present == job->tasks[step])
-    {
-      run->gang_complete = true;
-      run->end_ms = fleet->now_ms + run->work_ms;
-    }
-  else if (fleet->now_ms >= run->start_ms + GANG_JOIN_TIMEOUT_MS)
-    {
-      add_end (fleet, worker, run, CELL_END_ALONE);
-      remove_run (worker, index);
-    }
-}
-
 void
 fleet_run_tasks (struct fleet *fleet)
 {
@@ -690,14 +629,14 @@
       if (worker->crash_ms != 0 && fleet->now_ms >= worker->crash_ms)
         {
           for (uint32_t r = 0; r < worker->run_count;)
-            if (worker->runs[r].gang)
-              {
-                struct fleet_run member = worker->runs[r];
+            {
+              struct fleet_run member = worker->runs[r];
+              uint32_t old_count = worker->run_count;
 
-                end_gang (fleet, &member, CELL_END_BROKEN);
-              }
-            else
-              r++;
+              if (member.gang)
+                fleet_end_gang (fleet, &member, CELL_END_BROKEN);
+              r += worker->run_count == old_count;
+            }
           fleet_crash (fleet, w);
           worker->back_ms = fleet->now_ms + FLEET_BACK_MS;
           fleet->crashes++;
@@ -709,18 +648,30 @@
       while (worker->run_count > 0
              && fleet_clock (fleet, worker) > worker->lease_deadline_ms)
         {
-          add_end (fleet, worker, &worker->runs[0], CELL_END_LAPSED);
-          remove_run (worker, 0);
+          fleet_add_end (fleet, worker, &worker->runs[0], CELL_END_LAPSED);
+          fleet_remove_run (worker, 0);
         }
       for (uint32_t r = 0; r < worker->run_count;)
         {
           struct fleet_run run = worker->runs[r];
 
+          if (run.stopped_ms != 0 && fleet->now_ms >= run.stopped_ms)
+            {
+              fleet_add_end (fleet, worker, &run, CELL_END_STOPPED);
+              fleet_remove_run (worker, r);
+              continue;
+            }
+          if (run.told_ms != 0 && fleet->now_ms >= run.told_ms)
+            {
+              fleet_add_end (fleet, worker, &run, CELL_END_BROKEN);
+              fleet_remove_run (worker, r);
+              continue;
+            }
           if (!run.gang_complete)
             {
               uint32_t old_count = worker->run_count;
 
-              join_gang (fleet, worker, r);
+              fleet_join_gang (fleet, worker, r);
               r += worker->run_count == old_count;
               continue;
             }
@@ -729,15 +680,15 @@
               r++;
               continue;
             }
-          add_end (fleet, worker, &run,
-                   run.fails ? CELL_END_FAILED : CELL_END_DONE);
-          remove_run (worker, r);
+          fleet_add_end (fleet, worker, &run,
+                         run.fails ? CELL_END_FAILED : CELL_END_DONE);
+          fleet_remove_run (worker, r);
           if (run.gang)
             {
-              end_gang (fleet, &run,
-                        run.fails ? CELL_END_BROKEN : CELL_END_DONE);
+              fleet_end_gang (fleet, &run,
+                              run.fails ? CELL_END_BROKEN : CELL_END_DONE);
               if (!run.fails)
-                mark_gang_done (fleet, &run);
+                fleet_mark_gang_done (fleet, &run);
             }
         }
     }
@@ -749,13 +700,6 @@
   return fleet_lookup_number (fleet->ask_counts, step);
 }
 
-static void
-count_failure (struct fleet *fleet, const char *task)
-{
-  fleet_set_number (fleet->failures, task,
-                    fleet_lookup_number (fleet->failures, task) + 1);
-}
-
 /* Removes the ends that the hold acknowledges, also if it was made for an
    earlier incarnation. Each counts as the task's result, unless the worker's
    lease lapsed before. */
@@ -774,7 +718,8 @@
       g_hash_table_add (fleet->acknowledged_done,
                         g_strdup (worker->ends[i].task));
     else if (worker->ends[i].kind == CELL_END_FAILED)
-      count_failure (fleet, worker->ends[i].task);
+      fleet_count_failed (fleet, fleet->failures, worker->ends[i].task,
+                          worker->ends[i].run);
   worker->end_count = kept;
 }
 
@@ -887,6 +832,7 @@
     return;
   worker->hold_open = false;
   worker->hold_failures = 0;
+  fleet_note_told (fleet, &hold->report);
   cell_worker_report (fleet->core, hold->row, &hold->report,
                       fleet_now_us (fleet));
   worker->next_hold_ms
