--- a/tests/tst_fleet_gang.c
+++ b/tests/tst_fleet_gang.c
@@ -66,6 +66,13 @@
   return 0;
 }
 
+/* Returns whether the member fails by itself at this moment. */
+static bool
+is_failing_now (const struct fleet *fleet, const struct fleet_run *run)
+{
+  return run->gang_complete && run->fails && run->end_ms <= fleet->now_ms;
+}
+
 void
 fleet_end_gang (struct fleet *fleet, const struct fleet_run *member,
                 enum cell_end_kind kind)
@@ -78,16 +85,12 @@
       {
         struct fleet_run *run = &fleet->workers[w].runs[r];
 
-        if (!is_same_gang (member, run))
+        if (!is_same_gang (member, run)
+            || (together && kind == CELL_END_BROKEN && run->notice_ms == 0
+                && is_failing_now (fleet, run)))
           r++;
         else if (kind == CELL_END_BROKEN && run->notice_ms > 0)
-          {
-            tell_member (fleet, run, from, w);
-            r++;
-          }
-        else if (kind == CELL_END_BROKEN && together && run->gang_complete
-                 && run->fails && run->end_ms <= fleet->now_ms)
-          r++; /* it fails by itself at this moment */
+          tell_member (fleet, &fleet->workers[w].runs[r++], from, w);
         else
           {
             fleet_add_end (fleet, &fleet->workers[w], run, kind);
