Gangs in the stand-in of the platform that whole VMs meet

Change: tasks whose names begin with a given prefix are a gang. Its members work once all of one run are present, and end done together. Its first runs can fail: some members end failed by themselves, one after the other, and the others end broken when they learn of it: at once, late, later still on further workers, or never. A stop of a member can take a while, in which it may still fail. Without a prefix nothing changes.

--- a/fakes/fk_platform.h
+++ b/fakes/fk_platform.h
@@ -107,6 +107,42 @@
                             the acknowledgement */
 };
 
+/** Time that a member of a gang waits for the others. */
+#define FKP_GANG_TIMEOUT_MS 3000
+/** As `notice_ms`: members never learn that another one ended. */
+#define FKP_GANG_UNTOLD UINT32_MAX
+
+/** A gang, and how its runs fail. Its members work from the moment when all
+ * members of one run are present, and end `done` together. */
+struct fkp_gang
+{
+  const char *prefix;       /**< names of its tasks begin so; NULL: no gang */
+  uint32_t size;            /**< number of members */
+  uint32_t failing_runs;    /**< its first runs that fail; a run counts once
+                                 all members were present */
+  uint32_t failing_members; /**< members 0 to this number - 1 of a failing run
+                                 end `failed` by themselves, one after the
+                                 other; those that learn of an end before end
+                                 `broken` */
+  uint32_t fail_after_ms;   /**< from the presence of all members to the first
+                                 such end */
+  uint32_t fail_gap_ms;     /**< between two such ends */
+  uint32_t notice_ms;       /**< from the first end of a member to the ends
+                                 `broken` of others on its worker */
+  uint32_t further_notice_ms; /**< the same, added for each worker further on
+                                   in the table of workers */
+  uint32_t stop_ms;           /**< how long a stop of a member takes; it may
+                                   fail in the meantime */
+};
+
+/** A run of the gang all of whose members were present. */
+struct fkp_gang_run
+{
+  uint32_t number;
+  uint64_t present_ms; /**< since when */
+  bool fails;
+};
+
 struct fkp_platform;
 
 struct fkp_worker
@@ -186,6 +222,7 @@
   bool deadly_unanswered;     /**< such a start gets no answer */
   uint32_t back_after_ms; /**< time until a crashed worker is back; 0: 600 */
   bool back_under_old_id; /**< it is back under its id, not a new one */
+  struct fkp_gang gang;
 };
 
 /** A call that is answered later. */
@@ -220,6 +257,7 @@
   GArray *late_starts;       /**< struct fkp_late_start */
   GArray *late_holds;        /**< struct fkp_late_hold */
   GArray *history;           /**< struct fkp_history, in order of begin */
+  GArray *gang_runs;         /**< struct fkp_gang_run */
   uint64_t calls;
   uint64_t advice_requests;
   uint64_t entry_seq;
--- a/fakes/fk_platform_workers.c
+++ b/fakes/fk_platform_workers.c
@@ -51,8 +51,8 @@
                         g_memdup2 (&highest, sizeof highest));
 }
 
-static void
-end_run (struct fkp_worker *worker, uint32_t index, const char *outcome)
+void
+fkp_end_run (struct fkp_worker *worker, uint32_t index, const char *outcome)
 {
   struct fkp_run *run = &worker->runs[index];
   struct fkp_end *end = &worker->ends[worker->end_count++];
@@ -181,6 +181,8 @@
   run->end_ms
       = run->start_ms
         + (platform->task_duration_ms ? platform->task_duration_ms : 200);
+  if (fkp_is_gang_member (platform, start->task))
+    run->end_ms = UINT64_MAX;
   worker->starts++;
   memcpy (history.task, start->task, sizeof history.task);
   g_array_append_val (platform->history, history);
@@ -288,10 +290,19 @@
   const char *task = fk_text (root, "task", "");
   uint32_t number = (uint32_t)fk_int (root, "run", 0);
   uint32_t index;
-  const struct fkp_run *run = find_run (worker, task, &index);
+  struct fkp_run *run = find_run (worker, task, &index);
+  uint32_t stop_ms = worker->platform->faults.gang.stop_ms;
 
-  if (run != NULL && run->number == number)
-    end_run (worker, index, "stopped");
+  if (run != NULL && run->number == number && stop_ms > 0
+      && fkp_is_gang_member (worker->platform, task))
+    {
+      /* A repeated stop does not prolong the first one. */
+      if (!run->stopping)
+        run->end_ms = fkp_now_ms () + stop_ms;
+      run->stopping = true;
+    }
+  else if (run != NULL && run->number == number)
+    fkp_end_run (worker, index, "stopped");
   else
     note_over (worker, task, number);
   reply_clock (worker, call->ref, 200, NULL);
@@ -588,6 +599,7 @@
 fkp_workers_tick (struct fkp_platform *platform, uint64_t now)
 {
   execute_late_starts (platform, now);
+  fkp_gangs_tick (platform, now);
   for (uint32_t w = 0; w < platform->worker_count; w++)
     {
       struct fkp_worker *worker = &platform->workers[w];
@@ -595,9 +607,10 @@
       crash_if_due (worker, now);
       for (uint32_t r = 0; r < worker->run_count;)
         if (worker->runs[r].end_ms <= now)
-          end_run (worker, r, "done");
+          fkp_end_run (worker, r,
+                       worker->runs[r].stopping ? "stopped" : "done");
         else if (worker->lease_ms < worker_clock (worker))
-          end_run (worker, r, "lapsed");
+          fkp_end_run (worker, r, "lapsed");
         else
           r++;
       if (worker->lease_ms < worker_clock (worker))
@@ -642,6 +655,8 @@
   platform->late_holds
       = g_array_new (FALSE, FALSE, sizeof (struct fkp_late_hold));
   platform->history = g_array_new (FALSE, FALSE, sizeof (struct fkp_history));
+  platform->gang_runs
+      = g_array_new (FALSE, FALSE, sizeof (struct fkp_gang_run));
 }
 
 void
@@ -656,4 +671,5 @@
   g_array_free (platform->late_starts, TRUE);
   g_array_free (platform->late_holds, TRUE);
   g_array_free (platform->history, TRUE);
+  g_array_free (platform->gang_runs, TRUE);
 }
