--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -13,6 +13,7 @@
 #include <cyclamendrum/cell.h>
 #include "cell.pb-c.h"
 #include "cyc_due.h"
+#include "cyc_spans.h"
 #include "cyc_speed.h"
 #include <glib.h>
 
@@ -404,13 +405,6 @@
   struct cell_stage *stages;
 };
 
-/** Rounds of a job, from the first one up to the last one, exclusive. */
-struct cell_span
-{
-  uint32_t first;
-  uint32_t end;
-};
-
 #define CELL_ALL_ROUNDS UINT32_MAX
 
 /** Returns whether the stage is one of a round; see CELL_ALL_ROUNDS. */
@@ -434,7 +428,7 @@
   GPtrArray *rounds;    /**< struct cell_round that are set up, by index */
   uint32_t next_round;  /**< all rounds before it are set up or finished */
   uint32_t open_rounds; /**< set up and not finished */
-  GArray *finished;     /**< struct cell_span, in order, with gaps between */
+  GArray *finished;     /**< set of rounds; see cyc_spans.h */
   bool in_blocks;       /**< each block has a record of its own; else the job's
                            record holds the only block */
   struct cell_team *team;
--- a/src/cyc_cell_progress.c
+++ b/src/cyc_cell_progress.c
@@ -144,8 +144,8 @@
 
   for (guint i = 0; i < job->finished->len; i++)
     {
-      const struct cell_span *span
-          = &g_array_index (job->finished, struct cell_span, i);
+      const struct spn_span *span
+          = &g_array_index (job->finished, struct spn_span, i);
 
       bounds[2 * (size_t)i] = span->first;
       bounds[2 * (size_t)i + 1] = span->end;
--- a/src/cyc_cell_rounds.c
+++ b/src/cyc_cell_rounds.c
@@ -271,7 +271,7 @@
 cell_rounds_begin (struct cell_core *core, struct cell_job *job)
 {
   job->rounds = g_ptr_array_new ();
-  job->finished = g_array_new (FALSE, FALSE, sizeof (struct cell_span));
+  job->finished = g_array_new (FALSE, FALSE, sizeof (struct spn_span));
   if (job->spec->repeat_count > 0)
     {
       g_ptr_array_add (core->scheduled_jobs, job);
@@ -415,44 +415,16 @@
 bool
 cell_round_finished (const struct cell_job *job, uint32_t round)
 {
-  for (guint i = 0; i < job->finished->len; i++)
-    {
-      const struct cell_span *span
-          = &g_array_index (job->finished, struct cell_span, i);
-
-      if (round < span->end)
-        return round >= span->first;
-    }
-  return false;
+  return spn_contains (job->finished, round);
 }
 
 void
 cell_rounds_finished (struct cell_job *job, uint32_t first, uint32_t end)
 {
-  struct cell_span *spans = (struct cell_span *)job->finished->data;
-  guint at = 0;
-
   if (first >= end || end > job->round_count
       || cell_round_finished (job, first))
     return;
-  while (at < job->finished->len && spans[at].end < first)
-    at++;
-  if (at == job->finished->len || spans[at].first > end)
-    {
-      struct cell_span added = { first, end };
-
-      g_array_insert_val (job->finished, at, added);
-    }
-  else
-    {
-      spans[at].first = MIN (spans[at].first, first);
-      spans[at].end = MAX (spans[at].end, end);
-      if (at + 1 < job->finished->len && spans[at + 1].first == spans[at].end)
-        {
-          spans[at].end = spans[at + 1].end;
-          g_array_remove_index (job->finished, at + 1);
-        }
-    }
+  spn_add (job->finished, first, end);
   job->rounds_finished += end - first;
 }
 
@@ -508,8 +480,8 @@
 {
   for (guint i = 0; i < job->finished->len; i++)
     {
-      const struct cell_span *span
-          = &g_array_index (job->finished, struct cell_span, i);
+      const struct spn_span *span
+          = &g_array_index (job->finished, struct spn_span, i);
 
       if (job->next_round < span->first)
         break;
