A failed run counts once, whichever members and leaders tell of it

Cause: each end failed of any member added one to the count of the gang, and nothing looked at the number of the run. The count was stored with the job, but not which runs it was made of; what kept a run from counting twice or not at all (the run's row, the conclusions of the last 60 s) was known to one leader only. A member that was heard of after a takeover counted again, and a run that the earlier leader had taken as lapsed was never counted.

Change: the numbers of the failed runs are kept as a set, at the task or at the gang's first task, in the record that holds the count. An end whose run is in the set changes nothing, so the order of the ends, repeated ends and takeovers do not matter, and an end of a run that this leader does not know can be counted. Ends of jobs that have ended, and of numbers that the task has never had, do not count. The set is bounded (8 spans of a task). In records of the earlier version the count is at most the number of runs.

--- a/include/cyclamendrum/cell.h
+++ b/include/cyclamendrum/cell.h
@@ -329,11 +329,13 @@
 
 enum cell_attempt_kind
 {
-  CELL_ATTEMPT_COUNTED, /**< counts as one more failed attempt */
-  CELL_ATTEMPT_ENDED,   /**< does not count: its task is done */
-  CELL_ATTEMPT_LASTING, /**< does not count: the task is restarted however it
-                           ends */
-  CELL_ATTEMPT_UNKNOWN  /**< does not count: the run is not known */
+  CELL_ATTEMPT_COUNTED,  /**< counts as one more failed attempt */
+  CELL_ATTEMPT_ENDED,    /**< does not count: its task or its job has ended */
+  CELL_ATTEMPT_LASTING,  /**< does not count: the task is restarted however it
+                            ends */
+  CELL_ATTEMPT_REPEATED, /**< does not count: another end has told of the run
+                          */
+  CELL_ATTEMPT_UNKNOWN   /**< does not count: the task has had no such run */
 };
 
 /** What an end `failed` that a worker has listed counts as. */
--- a/src/cell.pb-c.c
+++ b/src/cell.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &cyc__cell_crash__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cyc__cell_failed_runs__init
+                     (Cyc__CellFailedRuns         *message)
+{
+  static const Cyc__CellFailedRuns init_value = CYC__CELL_FAILED_RUNS__INIT;
+  *message = init_value;
+}
+size_t cyc__cell_failed_runs__get_packed_size
+                     (const Cyc__CellFailedRuns *message)
+{
+  assert(message->base.descriptor == &cyc__cell_failed_runs__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cyc__cell_failed_runs__pack
+                     (const Cyc__CellFailedRuns *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cyc__cell_failed_runs__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cyc__cell_failed_runs__pack_to_buffer
+                     (const Cyc__CellFailedRuns *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cyc__cell_failed_runs__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cyc__CellFailedRuns *
+       cyc__cell_failed_runs__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cyc__CellFailedRuns *)
+     protobuf_c_message_unpack (&cyc__cell_failed_runs__descriptor,
+                                allocator, len, data);
+}
+void   cyc__cell_failed_runs__free_unpacked
+                     (Cyc__CellFailedRuns *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cyc__cell_failed_runs__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cyc__cell_round__init
                      (Cyc__CellRound         *message)
 {
@@ -1096,7 +1141,58 @@
   (ProtobufCMessageInit) cyc__cell_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cyc__cell_round__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cyc__cell_failed_runs__field_descriptors[2] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellFailedRuns, task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bounds",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cyc__CellFailedRuns, n_bounds),
+    offsetof(Cyc__CellFailedRuns, bounds),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cyc__cell_failed_runs__field_indices_by_name[] = {
+  1,   /* field[1] = bounds */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange cyc__cell_failed_runs__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cyc__cell_failed_runs__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cyc.CellFailedRuns",
+  "CellFailedRuns",
+  "Cyc__CellFailedRuns",
+  "cyc",
+  sizeof(Cyc__CellFailedRuns),
+  2,
+  cyc__cell_failed_runs__field_descriptors,
+  cyc__cell_failed_runs__field_indices_by_name,
+  1,  cyc__cell_failed_runs__number_ranges,
+  (ProtobufCMessageInit) cyc__cell_failed_runs__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cyc__cell_round__field_descriptors[9] =
 {
   {
     "index",
@@ -1194,11 +1290,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed_runs",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cyc__CellRound, n_failed_runs),
+    offsetof(Cyc__CellRound, failed_runs),
+    &cyc__cell_failed_runs__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cyc__cell_round__field_indices_by_name[] = {
   5,   /* field[5] = checkpoints */
   6,   /* field[6] = crashes */
   1,   /* field[1] = done */
+  8,   /* field[8] = failed_runs */
   3,   /* field[3] = failures */
   7,   /* field[7] = first_task */
   0,   /* field[0] = index */
@@ -1208,7 +1317,7 @@
 static const ProtobufCIntRange cyc__cell_round__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cyc__cell_round__descriptor =
 {
@@ -1218,7 +1327,7 @@
   "Cyc__CellRound",
   "cyc",
   sizeof(Cyc__CellRound),
-  8,
+  9,
   cyc__cell_round__field_descriptors,
   cyc__cell_round__field_indices_by_name,
   1,  cyc__cell_round__number_ranges,
--- a/src/cell.pb-c.h
+++ b/src/cell.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct Cyc__CellJob Cyc__CellJob;
 typedef struct Cyc__CellRun Cyc__CellRun;
 typedef struct Cyc__CellCrash Cyc__CellCrash;
+typedef struct Cyc__CellFailedRuns Cyc__CellFailedRuns;
 typedef struct Cyc__CellRound Cyc__CellRound;
 typedef struct Cyc__CellProgress Cyc__CellProgress;
 typedef struct Cyc__CellSpeed Cyc__CellSpeed;
@@ -154,6 +155,27 @@
     , 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * Runs of a task or gang whose failures have been counted, or need not be.
+ */
+struct  Cyc__CellFailedRuns
+{
+  ProtobufCMessage base;
+  /*
+   * position in the round's list of tasks
+   */
+  uint32_t task;
+  /*
+   * pairs: first number of a run, first one after
+   */
+  size_t n_bounds;
+  uint32_t *bounds;
+};
+#define CYC__CELL_FAILED_RUNS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cyc__cell_failed_runs__descriptor) \
+    , 0, 0,NULL }
+
+
 struct  Cyc__CellRound
 {
   ProtobufCMessage base;
@@ -168,7 +190,7 @@
   size_t n_next_run;
   uint32_t *next_run;
   /*
-   * per task: number of failures
+   * per task: number of failed runs
    */
   size_t n_failures;
   uint32_t *failures;
@@ -188,10 +210,15 @@
    * of those that the lists above are about
    */
   uint32_t first_task;
+  /*
+   * of tasks with failures; missing
+   */
+  size_t n_failed_runs;
+  Cyc__CellFailedRuns **failed_runs;
 };
 #define CYC__CELL_ROUND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cyc__cell_round__descriptor) \
-    , 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -409,6 +436,25 @@
 void   cyc__cell_crash__free_unpacked
                      (Cyc__CellCrash *message,
                       ProtobufCAllocator *allocator);
+/* Cyc__CellFailedRuns methods */
+void   cyc__cell_failed_runs__init
+                     (Cyc__CellFailedRuns         *message);
+size_t cyc__cell_failed_runs__get_packed_size
+                     (const Cyc__CellFailedRuns   *message);
+size_t cyc__cell_failed_runs__pack
+                     (const Cyc__CellFailedRuns   *message,
+                      uint8_t             *out);
+size_t cyc__cell_failed_runs__pack_to_buffer
+                     (const Cyc__CellFailedRuns   *message,
+                      ProtobufCBuffer     *buffer);
+Cyc__CellFailedRuns *
+       cyc__cell_failed_runs__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cyc__cell_failed_runs__free_unpacked
+                     (Cyc__CellFailedRuns *message,
+                      ProtobufCAllocator *allocator);
 /* Cyc__CellRound methods */
 void   cyc__cell_round__init
                      (Cyc__CellRound         *message);
@@ -556,6 +602,9 @@
 typedef void (*Cyc__CellCrash_Closure)
                  (const Cyc__CellCrash *message,
                   void *closure_data);
+typedef void (*Cyc__CellFailedRuns_Closure)
+                 (const Cyc__CellFailedRuns *message,
+                  void *closure_data);
 typedef void (*Cyc__CellRound_Closure)
                  (const Cyc__CellRound *message,
                   void *closure_data);
@@ -587,6 +636,7 @@
 extern const ProtobufCMessageDescriptor cyc__cell_job__descriptor;
 extern const ProtobufCMessageDescriptor cyc__cell_run__descriptor;
 extern const ProtobufCMessageDescriptor cyc__cell_crash__descriptor;
+extern const ProtobufCMessageDescriptor cyc__cell_failed_runs__descriptor;
 extern const ProtobufCMessageDescriptor cyc__cell_round__descriptor;
 extern const ProtobufCMessageDescriptor cyc__cell_progress__descriptor;
 extern const ProtobufCMessageDescriptor cyc__cell_speed__descriptor;
--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -704,19 +704,18 @@
       && (end->kind == CELL_END_DONE || end->kind == CELL_END_FAILED))
     cell_blame_survived (core, run);
   if (end->kind == CELL_END_FAILED)
-    cell_attempt_failed (
-        core,
-        &(struct cell_failed_end){
-            .job = job,
-            .round = round,
-            .task = task,
-            .run = end->run,
-            .worker = worker_row,
-            .number = end->number,
-            .run_known = run != NULL,
-            .contradicts = run == NULL
-                           && cell_over_contradict (
-                               core, worker_row, end->task, end->run, true) });
+    {
+      if (run == NULL)
+        cell_over_contradict (core, worker_row, end->task, end->run, true);
+      cell_attempt_failed (
+          core, &(struct cell_failed_end){ .job = job,
+                                           .round = round,
+                                           .task = task,
+                                           .run = end->run,
+                                           .worker = worker_row,
+                                           .number = end->number,
+                                           .run_known = run != NULL });
+    }
   if (run != NULL && end->kind != CELL_END_DONE)
     cell_run_ended (core, run, end->kind, end->checkpoint);
   if (end->kind != CELL_END_DONE)
--- a/src/cyc_cell_attempts.c
+++ b/src/cyc_cell_attempts.c
@@ -19,19 +19,25 @@
   g_queue_clear_full (&core->failures, g_free);
 }
 
-static struct cell_stage *
-stage_of (const struct cell_failed_end *end)
+static const Cyc__CellStep *
+step_of (struct cell_job *job, uint32_t round, uint32_t task)
 {
-  return cell_stage_of_task (end->job, end->round, end->task);
+  return cell_stage_step (cell_stage_of_task (job, round, task));
 }
 
-/* Returns the index of the task where the failures of the run are counted. */
+/* Returns the index of the task at which failed runs are counted. */
 static uint32_t
-counted_at (const struct cell_failed_end *end)
+counted_at (struct cell_job *job, uint32_t round, uint32_t task)
 {
-  const struct cell_stage *stage = stage_of (end);
+  const struct cell_stage *stage = cell_stage_of_task (job, round, task);
 
-  return cell_stage_step (stage)->gang ? stage->first_task : end->task;
+  return cell_stage_step (stage)->gang ? stage->first_task : task;
+}
+
+uint32_t
+cell_failures (const struct cell_task *task)
+{
+  return task->failed != NULL ? task->failed->count : 0;
 }
 
 static void
@@ -48,8 +54,8 @@
   attempt->run = end->run;
   attempt->worker = end->worker;
   attempt->end = end->number;
-  attempt->failures
-      = cell_task_peek (end->job, end->round, counted_at (end))->failures;
+  attempt->failures = cell_failures (cell_task_peek (
+      end->job, end->round, counted_at (end->job, end->round, end->task)));
   attempt->max_attempts = end->job->cfg.max_attempts;
   attempt->queue_known = end->job->cfg_known;
   attempt->run_known = end->run_known;
@@ -61,7 +67,8 @@
 static void
 note_worker (struct cell_core *core, const struct cell_failed_end *end)
 {
-  struct cell_stage *stage = stage_of (end);
+  struct cell_stage *stage
+      = cell_stage_of_task (end->job, end->round, end->task);
   struct cell_worker *worker = cell_worker_at (core, end->worker);
 
   if (worker->last_failed_job != end->job->id)
@@ -81,38 +88,115 @@
       = end->worker + 1;
 }
 
+static struct cell_failed_runs *
+failed_runs_new (void)
+{
+  struct cell_failed_runs *failed = g_new0 (struct cell_failed_runs, 1);
+
+  failed->runs = g_array_new (FALSE, FALSE, sizeof (struct spn_span));
+  return failed;
+}
+
+void
+cell_attempts_free (struct cell_task *task)
+{
+  if (task->failed == NULL)
+    return;
+  g_array_free (task->failed->runs, TRUE);
+  g_free (task->failed);
+  task->failed = NULL;
+}
+
+/* Returns false if the run has been counted before. */
+static bool
+count_run (struct cell_task *task, uint32_t run)
+{
+  if (task->failed == NULL)
+    task->failed = failed_runs_new ();
+  if (spn_contains (task->failed->runs, run))
+    return false;
+  spn_add (task->failed->runs, run, run + 1);
+  spn_limit (task->failed->runs, CELL_FAILED_SPANS_MAX);
+  task->failed->count++;
+  return true;
+}
+
+/* The limit is not known while the queue is in no configuration. */
+static bool
+is_exhausted (const struct cell_job *job, uint32_t failures)
+{
+  return job->cfg_known && failures >= MAX (1, job->cfg.max_attempts);
+}
+
+static void
+fail_if_exhausted (struct cell_core *core, struct cell_job *job,
+                   uint32_t round, uint32_t at)
+{
+  if (is_exhausted (job, cell_failures (cell_task_peek (job, round, at))))
+    cell_job_fail (core, job, CELL_FAILURE_ATTEMPTS,
+                   &(struct cell_task_ref){ round, at });
+}
+
 void
 cell_attempt_failed (struct cell_core *core, const struct cell_failed_end *end)
 {
   struct cell_job *job = end->job;
-  uint32_t at = counted_at (end);
-  struct cell_task *task = cell_task_at (job, end->round, at);
+  uint32_t at = counted_at (job, end->round, end->task);
+  bool lasting = step_of (job, end->round, end->task)->long_running;
+  const struct cell_task *member = cell_task_peek (job, end->round, end->task);
+  bool counted;
 
-  if (cell_task_peek (job, end->round, end->task)->state == CELL_TASK_DONE)
+  if (member->state == CELL_TASK_DONE || !cell_job_open (job))
     {
       report (core, end, CELL_ATTEMPT_ENDED);
       return;
     }
-  /* An earlier leader has counted the failures of runs that this one does not
-     know. */
-  if (!end->run_known && !end->contradicts)
+  if (end->run == 0 || end->run >= member->next_run)
     {
       report (core, end, CELL_ATTEMPT_UNKNOWN);
       return;
     }
   job->begun = true;
-  note_worker (core, end);
-  if (cell_stage_step (stage_of (end))->long_running)
+  counted
+      = !lasting && count_run (cell_task_at (job, end->round, at), end->run);
+  if (counted || end->run_known)
+    note_worker (core, end);
+  if (counted)
+    cell_task_mark_dirty (core, job, end->round, at);
+  report (core, end,
+          counted   ? CELL_ATTEMPT_COUNTED
+          : lasting ? CELL_ATTEMPT_LASTING
+                    : CELL_ATTEMPT_REPEATED);
+  if (counted)
+    fail_if_exhausted (core, job, end->round, at);
+}
+
+void
+cell_attempts_draft (const struct cell_task *task, Cyc__CellFailedRuns *out)
+{
+  const GArray *runs = task->failed->runs;
+
+  for (guint i = 0; i < runs->len; i++)
     {
-      report (core, end, CELL_ATTEMPT_LASTING);
-      return;
+      const struct spn_span *span = &g_array_index (runs, struct spn_span, i);
+
+      out->bounds[out->n_bounds++] = span->first;
+      out->bounds[out->n_bounds++] = span->end;
     }
-  task->failures++;
-  cell_task_mark_dirty (core, job, end->round, at);
-  report (core, end, CELL_ATTEMPT_COUNTED);
-  if (task->failures >= MAX (1, job->cfg.max_attempts) && job->cfg_known)
-    cell_job_fail (core, job, CELL_FAILURE_ATTEMPTS,
-                   &(struct cell_task_ref){ end->round, at });
+}
+
+void
+cell_attempts_restore (struct cell_task *task, uint32_t count,
+                       const Cyc__CellFailedRuns *from, uint32_t before)
+{
+  if (task->failed == NULL)
+    task->failed = failed_runs_new ();
+  task->failed->count = count;
+  if (from == NULL)
+    spn_add (task->failed->runs, 1, before);
+  for (size_t i = 0; from != NULL && i + 1 < from->n_bounds; i += 2)
+    spn_add (task->failed->runs, from->bounds[i], from->bounds[i + 1]);
+  spn_limit (task->failed->runs, CELL_FAILED_SPANS_MAX);
 }
 
 bool
@@ -143,7 +227,8 @@
                                           .round = at->round,
                                           .task = at->task },
                       failure->task);
-      failure->failures = cell_task_peek (job, at->round, at->task)->failures;
+      failure->failures
+          = cell_failures (cell_task_peek (job, at->round, at->task));
     }
   g_queue_push_tail (&core->failures, failure);
 }
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -72,6 +72,10 @@
 #define CELL_TRIAL_US 200000
 /** Crashes for which a task is given up, even if each is weak evidence. */
 #define CELL_CRASHES_MAX 4
+/** Spans of the numbers of failed runs that are kept of a task. If more are
+ * apart, the runs between the lowest ones are no longer told from counted
+ * ones. */
+#define CELL_FAILED_SPANS_MAX 8
 /** Tasks of a round are kept and recorded in blocks of this many. A record of
  * one block has at most half a KiB for each task, so 64 KiB in all. */
 #define CELL_BLOCK_TASKS 128
@@ -300,6 +304,15 @@
   struct cell_crash rows[CELL_CRASHES_MAX];
 };
 
+/** Failed runs of a task, or of a gang at its first task. Several messages may
+ * tell of one: each member of a gang may fail, and an end is listed until it
+ * is acknowledged, also to later leaders. */
+struct cell_failed_runs
+{
+  uint32_t count; /**< distinct runs */
+  GArray *runs;   /**< set of their numbers; see cyc_spans.h */
+};
+
 struct cell_task
 {
   enum cell_task_state state;
@@ -309,11 +322,12 @@
   uint32_t ended_worker;   /**< row of that worker */
   uint64_t ended_born_ms;  /**< its incarnation */
   uint64_t ended_clock_ms; /**< its clock when it listed the end */
-  uint32_t failures;
-  uint64_t not_before_us;       /**< earliest time of the next placement */
-  struct cell_run *run;         /**< NULL unless placed */
-  struct cell_crashes *crashes; /**< NULL if none; a gang's are at its first
-                                   task */
+  struct cell_failed_runs *failed; /**< NULL if none; a gang's are at its
+                                      first task */
+  uint64_t not_before_us;          /**< earliest time of the next placement */
+  struct cell_run *run;            /**< NULL unless placed */
+  struct cell_crashes *crashes;    /**< NULL if none; a gang's are at its first
+                                      task */
   char checkpoint[CELL_CHECKPOINT_BYTES];
 };
 
@@ -666,17 +680,28 @@
 {
   struct cell_job *job;
   uint32_t round;
-  uint32_t task;    /**< index in the round */
-  uint32_t run;     /**< number of the run */
-  uint32_t worker;  /**< row */
-  uint64_t number;  /**< of the end */
-  bool run_known;   /**< the run occupies the worker until this end */
-  bool contradicts; /**< the run had been concluded to be over */
+  uint32_t task;   /**< index in the round */
+  uint32_t run;    /**< number of the run */
+  uint32_t worker; /**< row */
+  uint64_t number; /**< of the end */
+  bool run_known;  /**< the run occupies the worker until this end */
 };
-/** Counts a failed run of a task, or of a gang at its first task, and fails
- * the job after the last attempt. */
+/** Counts the failed run of a task, or of a gang, if no other end has told of
+ * it, and fails the job after the last attempt. */
 void cell_attempt_failed (struct cell_core *core,
                           const struct cell_failed_end *end);
+/** Returns how often the task, or the gang whose first task it is, has failed.
+ */
+uint32_t cell_failures (const struct cell_task *task);
+/** Adds the failed runs of a task to a record; @p out has room for
+ * CELL_FAILED_SPANS_MAX pairs of bounds. */
+void cell_attempts_draft (const struct cell_task *task,
+                          Cyc__CellFailedRuns *out);
+/** Restores @p count failed runs of a task. @p from: NULL if the record does
+ * not say which; then they are among those below @p before. */
+void cell_attempts_restore (struct cell_task *task, uint32_t count,
+                            const Cyc__CellFailedRuns *from, uint32_t before);
+void cell_attempts_free (struct cell_task *task);
 /** Hands out that the job has failed; @p at as for cell_job_fail. */
 void cell_failure_report (struct cell_core *core, struct cell_job *job,
                           enum cell_failure_cause cause,
@@ -928,8 +953,8 @@
 /** Notes that the worker reports a run that the core does not know as running,
  * or lists its end as done or failed (@p ended). If the run was concluded to
  * be over, the conclusion is handed out as contradicted, unless the run may
- * have ended before it. Returns whether it was concluded to be over. */
-bool cell_over_contradict (struct cell_core *core, uint32_t worker,
+ * have ended before it. */
+void cell_over_contradict (struct cell_core *core, uint32_t worker,
                            struct cyc_str task, uint32_t run, bool ended);
 
 /* Speeds. */
--- a/src/cyc_cell_over.c
+++ b/src/cyc_cell_over.c
@@ -501,7 +501,7 @@
   return after_us;
 }
 
-bool
+void
 cell_over_contradict (struct cell_core *core, uint32_t worker,
                       struct cyc_str task, uint32_t run, bool ended)
 {
@@ -511,7 +511,7 @@
   snprintf (wanted.task, sizeof wanted.task, "%.*s", CYC_FMT (task));
   found = g_hash_table_lookup (core->concluded, &wanted);
   if (found == NULL)
-    return false;
+    return;
   /* A silent worker lists later what ended before its lease lapsed. */
   found->contradicted = !(
       ended
@@ -519,7 +519,6 @@
   if (found->contradicted)
     hand_out (core, found);
   forget (core, found);
-  return true;
 }
 
 bool
--- a/src/cyc_cell_progress.c
+++ b/src/cyc_cell_progress.c
@@ -89,6 +89,23 @@
     }
 }
 
+static void
+draft_failed_runs (struct draft *draft, uint32_t task,
+                   const struct cell_task *from)
+{
+  Cyc__CellFailedRuns *out;
+
+  if (from->failed == NULL)
+    return;
+  out = own (draft, g_new0 (Cyc__CellFailedRuns, 1));
+  cyc__cell_failed_runs__init (out);
+  out->task = task;
+  out->bounds
+      = own (draft, g_new0 (uint32_t, 2 * (gsize)CELL_FAILED_SPANS_MAX));
+  cell_attempts_draft (from, out);
+  draft->round.failed_runs[draft->round.n_failed_runs++] = out;
+}
+
 /* Adds the tasks of a block to the draft, unless none was ever started. */
 static void
 draft_block (const struct cell_core *core, const struct cell_job *job,
@@ -104,6 +121,7 @@
   bool any = false;
 
   out->runs = own (draft, g_new0 (Cyc__CellRun *, count));
+  out->failed_runs = own (draft, g_new0 (Cyc__CellFailedRuns *, count));
   out->crashes = own (
       draft, g_new0 (Cyc__CellCrash *, (gsize)count * CELL_CRASHES_MAX));
   for (uint32_t i = 0; i < count; i++)
@@ -111,7 +129,7 @@
       const struct cell_task *task = cell_task_peek (job, round, first + i);
 
       next_run[i] = task->next_run;
-      failures[i] = task->failures;
+      failures[i] = cell_failures (task);
       any = any || task->next_run > 1 || task->state == CELL_TASK_DONE;
       if (task->state == CELL_TASK_DONE)
         done[i / 8] |= (uint8_t)(1U << (i % 8));
@@ -122,6 +140,7 @@
         out->runs[out->n_runs++]
             = draft_run (core, draft, first + i, task->run);
       draft_crashes (core, draft, first + i, task->crashes);
+      draft_failed_runs (draft, first + i, task);
     }
   out->index = round;
   out->first_task = first;
@@ -250,6 +269,64 @@
   cell_blame_restore_run (core, made, run);
 }
 
+/* Returns the failed runs of a task in the record; NULL if it has none. */
+static const Cyc__CellFailedRuns *
+failed_runs_of (const Cyc__CellRound *from, uint32_t task)
+{
+  for (size_t i = 0; i < from->n_failed_runs; i++)
+    if (from->failed_runs[i]->task == task)
+      return from->failed_runs[i];
+  return NULL;
+}
+
+/* Returns the number of the run that the record has of a task; 0 if it has
+   none. */
+static uint32_t
+recorded_run (const Cyc__CellRound *from, uint32_t task)
+{
+  for (size_t i = 0; i < from->n_runs; i++)
+    if (from->runs[i]->task == task)
+      return from->runs[i]->number;
+  return 0;
+}
+
+/* Returns the first run of a task that is not among its failures, by a record
+   of an earlier version, which only has their number: of a gang, one for each
+   member. All but the newest run have ended; that one has if the record lacks
+   a member's run. */
+static uint32_t
+uncounted_run (struct cell_job *job, const Cyc__CellRound *from,
+               uint32_t index)
+{
+  uint32_t task = from->first_task + index;
+  const struct cell_stage *stage = cell_stage_of_task (job, from->index, task);
+  uint32_t count = cell_stage_step (stage)->gang ? stage->count : 1;
+  uint32_t newest = from->next_run[index] - 1;
+
+  if (from->failures[index] >= newest)
+    return newest + 1;
+  for (uint32_t t = 0; t < count && index + t < from->n_next_run; t++)
+    if (recorded_run (from, task + t) != newest)
+      return newest + 1;
+  return newest;
+}
+
+static void
+restore_failures (struct cell_job *job, const Cyc__CellRound *from,
+                  uint32_t index)
+{
+  uint32_t task = from->first_task + index;
+  const Cyc__CellFailedRuns *runs = failed_runs_of (from, task);
+  uint32_t count = from->failures[index];
+
+  if (runs == NULL)
+    count = MIN (count, from->next_run[index] - 1);
+  if (count > 0)
+    cell_attempts_restore (cell_task_at (job, from->index, task), count, runs,
+                           runs != NULL ? 0
+                                        : uncounted_run (job, from, index));
+}
+
 static void
 restore_round (struct cell_core *core, struct cell_job *job,
                const Cyc__CellRound *from, uint64_t lease_until_us,
@@ -273,9 +350,11 @@
       task = cell_task_at (job, from->index, first + i);
       if (from->next_run[i] > task->next_run)
         task->next_run = from->next_run[i];
-      if (i < from->n_failures)
-        task->failures = from->failures[i];
-      job->begun = job->begun || task->failures > 0;
+      if (i < from->n_failures && from->failures[i] > 0)
+        {
+          restore_failures (job, from, i);
+          job->begun = true;
+        }
       if (i < from->n_checkpoints)
         g_strlcpy (task->checkpoint, from->checkpoints[i],
                    sizeof task->checkpoint);
--- a/src/cyc_cell_rounds.c
+++ b/src/cyc_cell_rounds.c
@@ -250,7 +250,10 @@
 free_rows (struct cell_block *block, uint32_t size)
 {
   for (uint32_t t = 0; block->tasks != NULL && t < size; t++)
-    g_free (block->tasks[t].crashes);
+    {
+      g_free (block->tasks[t].crashes);
+      cell_attempts_free (&block->tasks[t]);
+    }
   g_free (block->tasks);
   block->tasks = NULL;
 }
--- a/src/entry_orders.c
+++ b/src/entry_orders.c
@@ -414,7 +414,7 @@
 log_attempt (struct entry_owner *owner, const struct cell_attempt *attempt)
 {
   static const char *const kinds[]
-      = { "counted", "ended", "lasting", "unknown" };
+      = { "counted", "ended", "lasting", "repeated", "unknown" };
   bool counted = attempt->kind == CELL_ATTEMPT_COUNTED;
   struct cell_worker_view view;
 
