A crash under one run of a gang counts once across a takeover

Cause: members of a gang whose workers crash under one run count as one crash by the number of the run, but a crash was stored without it. After a takeover the next member's worker counted as another crash, and a gang was given up for one crash of a rack (LOST).

Change: the record of a crash holds the number of the run; 0 in records of earlier versions, which no run has.

Cause guarded against: without the number of the run in the record of a crash, a new leader counts the crash of the second member's worker again, although both workers crashed under one run.

Measured: with the restore of CellCrash.run replaced by 0, two of the four cases fail ("2 crashes counted instead of 1", and with a second rack the job is given up after the first one: "2 starts instead of 4"). With it, all four pass.

--- a/src/cell.pb-c.c
+++ b/src/cell.pb-c.c
@@ -1064,7 +1064,7 @@
   (ProtobufCMessageInit) cyc__cell_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cyc__cell_crash__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cyc__cell_crash__field_descriptors[5] =
 {
   {
     "task",
@@ -1114,8 +1114,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cyc__CellCrash, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cyc__cell_crash__field_indices_by_name[] = {
+  4,   /* field[4] = run */
   3,   /* field[3] = sole */
   0,   /* field[0] = task */
   1,   /* field[1] = worker */
@@ -1124,7 +1137,7 @@
 static const ProtobufCIntRange cyc__cell_crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cyc__cell_crash__descriptor =
 {
@@ -1134,7 +1147,7 @@
   "Cyc__CellCrash",
   "cyc",
   sizeof(Cyc__CellCrash),
-  4,
+  5,
   cyc__cell_crash__field_descriptors,
   cyc__cell_crash__field_indices_by_name,
   1,  cyc__cell_crash__number_ranges,
--- a/src/cell.pb-c.h
+++ b/src/cell.pb-c.h
@@ -149,10 +149,14 @@
    * no other job was suspected
    */
   protobuf_c_boolean sole;
+  /*
+   * number of the run; 0 in records of earlier versions
+   */
+  uint32_t run;
 };
 #define CYC__CELL_CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cyc__cell_crash__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/src/cyc_cell_blame.c
+++ b/src/cyc_cell_blame.c
@@ -594,6 +594,7 @@
   task->crashes->rows[task->crashes->count++] = (struct cell_crash){
     .worker = row,
     .born_ms = from->worker_born_ms,
+    .run = from->run,
     .sole = from->sole,
   };
 }
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -287,9 +287,10 @@
 {
   uint32_t worker;  /**< row */
   uint64_t born_ms; /**< incarnation that crashed */
-  uint32_t run; /**< number of the run; 0 if an earlier leader counted it */
-  bool sole;    /**< no other job was suspected, and no other reason is
-                   near */
+  uint32_t run;     /**< number of the run; 0 if a leader of an earlier version
+                           counted it */
+  bool sole;        /**< no other job was suspected, and no other reason is
+                       near */
 };
 
 struct cell_crashes
--- a/src/cyc_cell_progress.c
+++ b/src/cyc_cell_progress.c
@@ -85,6 +85,7 @@
       crash->worker = cell_worker_at (core, row->worker)->id.data;
       crash->worker_born_ms = row->born_ms;
       crash->sole = row->sole;
+      crash->run = row->run;
       draft->round.crashes[draft->round.n_crashes++] = crash;
     }
 }
