No start after the last failed run when a queue comes back

Cause: the count was compared with max_attempts only at the moment at which an end was counted; while the queue is unknown there is no limit, and nothing looked again.

Change: the count is compared with the limit whenever a task is to be started again, after a configuration and after the records were restored. A start that is not ordered yet is not ordered while the queue is unknown. While the view of the configuration is too old for starts, the limit may be too, so no job fails by it until the view is fresh; hold_starts_if_stale therefore runs before the core's tick. A run is not adopted into a job that this has failed.

The checks of the tests' fleet follow the limits that were in force: the lowest for a job that is shown as failed, the highest for a start. Without a changed configuration both are 3, as before.

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -272,6 +272,7 @@
   for (uint32_t i = 0; i < config->team_count; i++)
     apply_team (core, &config->teams[i]);
   g_hash_table_foreach (core->jobs, apply_to_job, core);
+  cell_attempts_check_later (core);
   core->placement_pending = true;
   cell_wake (core, 0);
 }
@@ -884,6 +885,7 @@
   core->now_us = now_us;
   core->now_ms = now_ms;
   core->next_us = UINT64_MAX;
+  cell_attempts_tick (core);
   cell_runs_tick (core);
   cell_rounds_tick (core);
   cell_look_count (core);
--- a/src/cyc_cell_attempts.c
+++ b/src/cyc_cell_attempts.c
@@ -109,7 +109,7 @@
 
 /* Returns false if the run has been counted before. */
 static bool
-count_run (struct cell_task *task, uint32_t run)
+count_run (struct cell_job *job, struct cell_task *task, uint32_t run)
 {
   if (task->failed == NULL)
     task->failed = failed_runs_new ();
@@ -118,6 +118,7 @@
   spn_add (task->failed->runs, run, run + 1);
   spn_limit (task->failed->runs, CELL_FAILED_SPANS_MAX);
   task->failed->count++;
+  job->failures_max = MAX (job->failures_max, task->failed->count);
   return true;
 }
 
@@ -132,7 +133,12 @@
 fail_if_exhausted (struct cell_core *core, struct cell_job *job,
                    uint32_t round, uint32_t at)
 {
-  if (is_exhausted (job, cell_failures (cell_task_peek (job, round, at))))
+  if (!is_exhausted (job, cell_failures (cell_task_peek (job, round, at))))
+    return;
+  /* The limit may have been raised; nothing is started meanwhile. */
+  if (core->starts_held)
+    core->check_attempts = true;
+  else
     cell_job_fail (core, job, CELL_FAILURE_ATTEMPTS,
                    &(struct cell_task_ref){ round, at });
 }
@@ -157,8 +163,8 @@
       return;
     }
   job->begun = true;
-  counted
-      = !lasting && count_run (cell_task_at (job, end->round, at), end->run);
+  counted = !lasting
+            && count_run (job, cell_task_at (job, end->round, at), end->run);
   if (counted || end->run_known)
     note_worker (core, end);
   if (counted)
@@ -171,6 +177,54 @@
     fail_if_exhausted (core, job, end->round, at);
 }
 
+void
+cell_attempts_check (struct cell_core *core, struct cell_job *job,
+                     uint32_t round, uint32_t task)
+{
+  const struct cell_task *row = cell_task_peek (job, round, task);
+
+  if (row->state != CELL_TASK_DONE
+      && (row->run == NULL || row->run->state == CELL_RUN_RECORDING))
+    fail_if_exhausted (core, job, round, counted_at (job, round, task));
+}
+
+static void
+check_job (struct cell_core *core, struct cell_job *job)
+{
+  if (!cell_job_open (job) || !is_exhausted (job, job->failures_max))
+    return;
+  for (guint r = 0; r < job->rounds->len; r++)
+    {
+      const struct cell_round *round = g_ptr_array_index (job->rounds, r);
+
+      for (uint32_t t = cell_task_next_row (round, 0, job->task_count);
+           t < job->task_count && cell_job_open (job);
+           t = cell_task_next_row (round, t + 1, job->task_count))
+        cell_attempts_check (core, job, round->index, t);
+    }
+}
+
+void
+cell_attempts_check_later (struct cell_core *core)
+{
+  core->check_attempts = true;
+  cell_wake (core, 0);
+}
+
+void
+cell_attempts_tick (struct cell_core *core)
+{
+  GHashTableIter iter;
+  gpointer job;
+
+  if (!core->check_attempts || core->starts_held)
+    return;
+  core->check_attempts = false;
+  g_hash_table_iter_init (&iter, core->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &job))
+    check_job (core, job);
+}
+
 void
 cell_attempts_draft (const struct cell_task *task, Cyc__CellFailedRuns *out)
 {
@@ -186,12 +240,14 @@
 }
 
 void
-cell_attempts_restore (struct cell_task *task, uint32_t count,
-                       const Cyc__CellFailedRuns *from, uint32_t before)
+cell_attempts_restore (struct cell_job *job, struct cell_task *task,
+                       uint32_t count, const Cyc__CellFailedRuns *from,
+                       uint32_t before)
 {
   if (task->failed == NULL)
     task->failed = failed_runs_new ();
   task->failed->count = count;
+  job->failures_max = MAX (job->failures_max, count);
   if (from == NULL)
     spn_add (task->failed->runs, 1, before);
   for (size_t i = 0; from != NULL && i + 1 < from->n_bounds; i += 2)
--- a/src/cyc_cell_batch.c
+++ b/src/cyc_cell_batch.c
@@ -152,7 +152,8 @@
 {
   const struct cell_worker *worker = cell_worker_at (core, run->worker);
 
-  return !run->stop_requested && cell_job_open (run->job) && worker->listed
+  return !run->stop_requested && cell_job_open (run->job)
+         && run->job->cfg_known && worker->listed
          && cell_entry_current (worker) && !worker->draining
          && !worker->evacuated && worker->reachable && still_fits (worker, run)
          && cell_worker_suits (
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -288,7 +288,7 @@
   uint32_t worker;  /**< row */
   uint64_t born_ms; /**< incarnation that crashed */
   uint32_t run;     /**< number of the run; 0 if a leader of an earlier version
-                           counted it */
+                       counted it */
   bool sole;        /**< no other job was suspected, and no other reason is
                        near */
 };
@@ -457,8 +457,9 @@
   bool dirty;                        /**< to be recorded in the next batch */
   bool state_dirty;                  /**< its own record too, if in blocks */
   GArray *dirty_blocks;              /**< struct cell_block_ref */
-  bool restored;        /**< its state is that of its newest record */
-  bool begun;           /**< a worker has started one of its tasks */
+  bool restored;         /**< its state is that of its newest record */
+  bool begun;            /**< a worker has started one of its tasks */
+  uint32_t failures_max; /**< most failed runs of any of its tasks or gangs */
   bool over_rate;       /**< the team exceeded its rate when the job arrived */
   uint64_t deadline_us; /**< by the latency objective */
   uint64_t expires_us;  /**< after this time the result is no longer awaited */
@@ -535,6 +536,7 @@
                                 cyc_cell_over.c */
   GQueue concluded_by_age;   /**< the same, oldest first */
   GQueue blames;             /**< struct cell_blame *, to be handed out */
+  bool check_attempts;       /**< in the next tick */
   GQueue attempts;           /**< struct cell_attempt *, to be handed out */
   GQueue failures;           /**< struct cell_failure *, to be handed out */
   GPtrArray *records;        /**< struct cell_record of closed batches */
@@ -694,14 +696,22 @@
 /** Returns how often the task, or the gang whose first task it is, has failed.
  */
 uint32_t cell_failures (const struct cell_task *task);
+/** Has the job failed if the task is to be started again, but has no attempt
+ * left. A run whose start is not ordered yet counts as one to be started. */
+void cell_attempts_check (struct cell_core *core, struct cell_job *job,
+                          uint32_t round, uint32_t task);
+/** Has the next tick check all tasks: the limits may have changed. */
+void cell_attempts_check_later (struct cell_core *core);
+void cell_attempts_tick (struct cell_core *core);
 /** Adds the failed runs of a task to a record; @p out has room for
  * CELL_FAILED_SPANS_MAX pairs of bounds. */
 void cell_attempts_draft (const struct cell_task *task,
                           Cyc__CellFailedRuns *out);
 /** Restores @p count failed runs of a task. @p from: NULL if the record does
  * not say which; then they are among those below @p before. */
-void cell_attempts_restore (struct cell_task *task, uint32_t count,
-                            const Cyc__CellFailedRuns *from, uint32_t before);
+void cell_attempts_restore (struct cell_job *job, struct cell_task *task,
+                            uint32_t count, const Cyc__CellFailedRuns *from,
+                            uint32_t before);
 void cell_attempts_free (struct cell_task *task);
 /** Hands out that the job has failed; @p at as for cell_job_fail. */
 void cell_failure_report (struct cell_core *core, struct cell_job *job,
--- a/src/cyc_cell_jobs.c
+++ b/src/cyc_cell_jobs.c
@@ -402,6 +402,7 @@
     stage->short_since_us = core->now_us;
   cell_task_set_state (job, round, task, CELL_TASK_WAITING);
   cell_task_mark_dirty (core, job, round, task);
+  cell_attempts_check (core, job, round, task);
   cell_round_open (core, job, cell_round_at (job, round));
   core->placement_pending = true;
   cell_wake (core, at_us);
--- a/src/cyc_cell_progress.c
+++ b/src/cyc_cell_progress.c
@@ -323,9 +323,9 @@
   if (runs == NULL)
     count = MIN (count, from->next_run[index] - 1);
   if (count > 0)
-    cell_attempts_restore (cell_task_at (job, from->index, task), count, runs,
-                           runs != NULL ? 0
-                                        : uncounted_run (job, from, index));
+    cell_attempts_restore (
+        job, cell_task_at (job, from->index, task), count, runs,
+        runs != NULL ? 0 : uncounted_run (job, from, index));
 }
 
 static void
@@ -463,6 +463,7 @@
       if (cell_job_open (job) && job->rounds_finished == job->round_count)
         cell_job_set_state (core, job, CELL_JOB_COMPLETE);
     }
+  cell_attempts_check_later (core);
 }
 
 bool
--- a/src/cyc_cell_runs.c
+++ b/src/cyc_cell_runs.c
@@ -116,7 +116,7 @@
   /* The task was placed again while this run went on. */
   if (next_is_unordered)
     cell_over_unordered (core, row->run);
-  if (may_count && row->state == CELL_TASK_WAITING
+  if (may_count && cell_job_open (job) && row->state == CELL_TASK_WAITING
       && (next_is_unordered || number >= row->next_run - 1))
     {
       run = cell_run_new (core, job, round, task, worker, number);
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -766,6 +766,7 @@
   if (owner->workers_tail.fresh_us != 0)
     cell_entries_read (owner->core, owner->workers_tail.fresh_us);
   orders_hold_due (owner, now_us);
+  hold_starts_if_stale (owner, now_us);
   if (owner->core_has_input || now_us >= cell_next_us (owner->core)
       || now_us >= owner->last_tick_us + CORE_TICK_MAX_US)
     {
@@ -775,7 +776,6 @@
     }
   records_tick (&owner->records, now_us);
   answer_asks (owner, now_us);
-  hold_starts_if_stale (owner, now_us);
   while (cell_order_next (owner->core, &order))
     orders_send (owner, &order, now_us);
   if (cell_next_us (owner->core) != UINT64_MAX)
--- a/tests/tst_fleet.c
+++ b/tests/tst_fleet.c
@@ -665,6 +665,7 @@
       for (uint32_t i = 0; i < fleet->worker_count; i++)
         fleet_hold (fleet, i);
       fleet_check_conclusions (fleet);
+      fleet_note_limits (fleet);
       cell_tick (fleet->core, fleet_now_us (fleet), fleet->now_ms);
       check_walk (fleet);
       fleet_check_conclusions (fleet);
--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -292,7 +292,10 @@
   GHashTable *failures_listed; /**< the same of those that workers listed */
   GHashTable *failure_causes;  /**< job id to the enum cell_failure_cause of
                                   the job's last failure */
-  uint64_t shown_check_ms;     /**< when the states of jobs are checked next */
+  /** The lowest and the highest max_attempts that were in force so far. */
+  uint32_t attempts_lowest;
+  uint32_t attempts_highest;
+  uint64_t shown_check_ms; /**< when the states of jobs are checked next */
   /** The other members of a gang learn of the end of one that fails this much
    * later, and on each further worker as much later again. */
   uint32_t gang_notice_ms;
