A stage lists a worker that it avoids once, however many members fail there

Cause: each end failed put its worker into the four entries of the stage's failed_on. Four members of a gang that failed on one worker pushed out the other workers of the same run, and the next run was placed there again.

Change: a worker that is listed moves to the front instead of being listed again; the one whose last failure is the oldest is dropped.

Measured: eight members that fail on two workers of six, four on each; the new test fails without the change ("started again on worker 0, where it has failed") and passes with it.

--- a/src/cyc_cell_attempts.c
+++ b/src/cyc_cell_attempts.c
@@ -62,6 +62,20 @@
   g_queue_push_tail (&core->attempts, attempt);
 }
 
+/* Puts the worker first among those that the stage avoids, once: several
+   members of a gang may fail on one worker. */
+static void
+avoid_worker (struct cell_stage *stage, uint32_t row)
+{
+  uint32_t at = 0;
+
+  while (at < CELL_AVOIDED_WORKERS_MAX - 1 && stage->failed_on[at] != row + 1)
+    at++;
+  memmove (stage->failed_on + 1, stage->failed_on,
+           at * sizeof stage->failed_on[0]);
+  stage->failed_on[0] = row + 1;
+}
+
 /* Pauses a worker on which runs of several jobs have failed one after the
    other, and has the stage avoid it. */
 static void
@@ -84,8 +98,7 @@
       cell_worker_touch (core, worker);
       cell_retry_placement (core, worker->paused_until_us);
     }
-  stage->failed_on[stage->failed_next++ % CELL_AVOIDED_WORKERS_MAX]
-      = end->worker + 1;
+  avoid_worker (stage, end->worker);
 }
 
 static struct cell_failed_runs *
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -385,11 +385,10 @@
   uint64_t ask_after_us; /**< earliest time of the next question */
   uint64_t critical_path_us; /**< longest chain of estimates from this step to
                                 the end of the round */
-  /** 1 + row of a worker on which a run failed; 0 if unused. */
+  /** 1 + row of a worker on which a run failed, the last one first; 0 if
+   * unused. */
   uint32_t failed_on[CELL_AVOIDED_WORKERS_MAX];
-  uint32_t failed_next; /**< entry of failed_on to overwrite next, modulo its
-                           size */
-  uint8_t *verdicts;    /**< by worker row */
+  uint8_t *verdicts; /**< by worker row */
   uint32_t verdict_count;
   GArray *allowed; /**< uint32_t: rows of allowed workers; NULL if none */
   GArray *tickets; /**< struct cell_held_ticket */
