A gang's run that fails counts once against each worker it was on

Cause: each end failed raised the consecutive failures of its worker, unless the end before it was of the same job. Two gangs whose members fail in turn on one worker paused it after two failed runs instead of three, and from the third failure on each further member doubled the pause, up to 24 s.

Change: a worker remembers the last 8 runs that failed on it; the end of another member of one of them neither counts nor doubles. Runs of tasks that are in no gang count as before.

--- a/src/cyc_cell_attempts.c
+++ b/src/cyc_cell_attempts.c
@@ -76,6 +76,31 @@
   stage->failed_on[0] = row + 1;
 }
 
+/* Remembers that the run has failed on the worker. Returns false if another
+   member of the same gang has told of it. */
+static bool
+remember_on_worker (struct cell_worker *worker,
+                    const struct cell_failed_end *end)
+{
+  const struct cell_failed_ref failed
+      = { .job = end->job->id,
+          .round = end->round,
+          .at = counted_at (end->job, end->round, end->task),
+          .run = end->run };
+
+  for (uint32_t i = 0; i < CELL_FAILED_REFS_MAX; i++)
+    {
+      const struct cell_failed_ref *other = &worker->failed_refs[i];
+
+      if (other->job == failed.job && other->round == failed.round
+          && other->at == failed.at && other->run == failed.run)
+        return false;
+    }
+  worker->failed_refs[worker->failed_refs_next++ % CELL_FAILED_REFS_MAX]
+      = failed;
+  return true;
+}
+
 /* Pauses a worker on which runs of several jobs have failed one after the
    other, and has the stage avoid it. */
 static void
@@ -85,20 +110,21 @@
       = cell_stage_of_task (end->job, end->round, end->task);
   struct cell_worker *worker = cell_worker_at (core, end->worker);
 
+  avoid_worker (stage, end->worker);
+  if (!remember_on_worker (worker, end))
+    return;
   if (worker->last_failed_job != end->job->id)
     worker->consecutive_failures++;
   worker->last_failed_job = end->job->id;
-  if (worker->consecutive_failures >= CELL_PAUSE_FAILURES)
-    {
-      worker->paused_until_us
-          = core->now_us
-            + ((uint64_t)CELL_PAUSE_US
-               << MIN (worker->pause_count, CELL_PAUSE_DOUBLINGS_MAX));
-      worker->pause_count++;
-      cell_worker_touch (core, worker);
-      cell_retry_placement (core, worker->paused_until_us);
-    }
-  avoid_worker (stage, end->worker);
+  if (worker->consecutive_failures < CELL_PAUSE_FAILURES)
+    return;
+  worker->paused_until_us
+      = core->now_us
+        + ((uint64_t)CELL_PAUSE_US
+           << MIN (worker->pause_count, CELL_PAUSE_DOUBLINGS_MAX));
+  worker->pause_count++;
+  cell_worker_touch (core, worker);
+  cell_retry_placement (core, worker->paused_until_us);
 }
 
 static struct cell_failed_runs *
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -58,6 +58,9 @@
 #define CELL_PAUSE_US 3000000
 /** The pause doubles with each further failure, up to this many times. */
 #define CELL_PAUSE_DOUBLINGS_MAX 3
+/** Number of failed runs that a worker remembers, so that the further members
+ * of a gang are not taken for further failures. */
+#define CELL_FAILED_REFS_MAX 8
 /** Tasks of a gang that the workers known as allowed should hold when empty,
  * as a multiple of the gang's size. A busy fleet is three quarters full, and
  * its free capacity is fragmented. */
@@ -174,6 +177,15 @@
   uint64_t soon_memory_mib;
 };
 
+/** A failed run of a task or of a gang. */
+struct cell_failed_ref
+{
+  uint64_t job;
+  uint32_t round;
+  uint32_t at;  /**< index of the task, or of the first one of the gang */
+  uint32_t run; /**< its number; 0 if unused */
+};
+
 struct cell_worker
 {
   uint32_t row;
@@ -223,6 +235,9 @@
   bool reachable; /**< not reported silent since its last report */
   uint32_t consecutive_failures;
   uint64_t last_failed_job;
+  /** The runs that failed here last: each counts once. */
+  struct cell_failed_ref failed_refs[CELL_FAILED_REFS_MAX];
+  uint32_t failed_refs_next; /**< entry to overwrite next, modulo the size */
   uint64_t paused_until_us;
   uint32_t pause_count; /**< pauses since a task last succeeded; a worker with
                            any gets one task at a time */
--- a/tests/test_cell_gang_workers.c
+++ b/tests/test_cell_gang_workers.c
@@ -14,6 +14,10 @@
 
 #define WORKER_MILLICORES 4000
 #define WORK_MS 60000
+/** From a failed run until its task has been started again. */
+#define RESTART_MS 1500
+/** Above the first pause of a worker, below the second one. */
+#define FIRST_PAUSE_MAX_MS 4500
 
 static bool
 is_of_job (const struct fleet_run *run, uint64_t job)
@@ -98,12 +102,100 @@
   free (fleet);
 }
 
+struct pause_case
+{
+  const char *name;
+  uint32_t tasks[4]; /* of the jobs 1 to 4, gangs if more than one */
+  uint64_t fails[8]; /* jobs in the order in which a run each fails */
+  uint64_t least_ms; /* from the last end to the next start there */
+  uint64_t within_ms;
+};
+
+static const struct pause_case pause_cases[] = {
+  { "two gangs whose members fail in turn",
+    { 2, 2 },
+    { 1, 2, 1, 2 },
+    0,
+    RESTART_MS },
+  { "two runs, and a gang of which one member fails",
+    { 1, 1, 2 },
+    { 1, 2, 3 },
+    RESTART_MS,
+    FIRST_PAUSE_MAX_MS },
+  { "two runs, and a gang of which both members fail",
+    { 1, 1, 2 },
+    { 1, 2, 3, 3 },
+    RESTART_MS,
+    FIRST_PAUSE_MAX_MS },
+  { "runs of four jobs",
+    { 1, 1, 1, 1 },
+    { 1, 2, 3, 4 },
+    FIRST_PAUSE_MAX_MS,
+    10000 },
+};
+
+/* Has the only worker pause as it does after runs of several jobs, and starts
+   a task there after the pause. */
+static void
+test_pause_counts_a_run_once (void **state)
+{
+  const struct pause_case *c = *state;
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  uint32_t starts = 0;
+  uint64_t begin_ms;
+
+  fleet_setup (fleet, 1, WORKER_MILLICORES);
+  fleet_run (fleet, 100);
+  for (uint32_t j = 0; j < 4 && c->tasks[j] > 0; j++)
+    {
+      fleet_submit (fleet, j + 1,
+                    &(struct fleet_job){ .tasks = { c->tasks[j] },
+                                         .gang = c->tasks[j] > 1,
+                                         .work_ms = WORK_MS });
+      starts += c->tasks[j];
+    }
+  wait_for_starts (fleet, starts);
+  /* All ends are told by one report, so that no task is started again
+     before. */
+  fleet->workers[0].answers_lost = true;
+  for (uint32_t i = 0; i < 8 && c->fails[i] > 0; i++)
+    {
+      fail_one (fleet, 0, c->fails[i]);
+      fleet_run (fleet, 5);
+    }
+  fleet->workers[0].answers_lost = false;
+  begin_ms = fleet->now_ms;
+  fleet_run (fleet, 30);
+  for (uint32_t j = 0; j < 4 && c->tasks[j] > 0; j++)
+    fleet_cancel (fleet, j + 1);
+  fleet_submit (fleet, 9, &(struct fleet_job){ .tasks = { 1 } });
+  while (runs_of_job (fleet, 0, 9) == 0 && fleet->now_ms < begin_ms + 60000)
+    fleet_run (fleet, 5);
+  if (fleet->now_ms - begin_ms < c->least_ms
+      || fleet->now_ms - begin_ms > c->within_ms)
+    fail_msg ("%s: a start after %" PRIu64 " ms", c->name,
+              fleet->now_ms - begin_ms);
+  check_violations (fleet);
+  fleet_teardown (fleet);
+  free (fleet);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_next_run_avoids_all_workers_of_the_failed_one),
+  enum
+  {
+    CASES = sizeof pause_cases / sizeof pause_cases[0]
   };
-
+  struct CMUnitTest tests[CASES + 1]
+      = { [CASES] = cmocka_unit_test (
+              test_next_run_avoids_all_workers_of_the_failed_one) };
+
+  for (size_t i = 0; i < CASES; i++)
+    tests[i] = (struct CMUnitTest){
+      .name = pause_cases[i].name,
+      .test_func = test_pause_counts_a_run_once,
+      .initial_state = (void *)&pause_cases[i],
+    };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
