A gang's run weighs once in the durations that are learned of its queue

Cause: each member's end done was a sample of the mean and long duration of the queue, and of the mean that speeds are compared with. A gang of 40 members that took 0.3 s made tasks of 10 s of the same queue seem slow: they were stopped and repeated elsewhere.

Change: only the end that marks the gang as done is learned from.

--- a/src/cyc_cell.c
+++ b/src/cyc_cell.c
@@ -726,7 +726,6 @@
       worker->consecutive_failures = 0;
       worker->pause_count = 0;
       cell_pace_done (core, run);
-      cell_speed_done (core, run);
       cell_run_free (core, run);
     }
   else
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -850,7 +850,8 @@
 /** Updates the projections of a run from reported progress. */
 void cell_pace_progress (struct cell_core *core, struct cell_run *run,
                          uint32_t percent);
-/** Updates the mean task duration of the queue with a run that succeeded. */
+/** Learns the durations of the queue and the speed of the worker from a run
+ * that succeeded; from a gang's run once. */
 void cell_pace_done (struct cell_core *core, const struct cell_run *run);
 /** Returns the duration within which nine in ten tasks of the stage's queue
  * end; 0 if unknown. */
--- a/src/cyc_cell_pace.c
+++ b/src/cyc_cell_pace.c
@@ -55,8 +55,8 @@
   core->move_credit = MIN (core->move_credit + MOVE_SHARE, MOVE_CREDIT_MAX);
 }
 
-void
-cell_pace_done (struct cell_core *core, const struct cell_run *run)
+static void
+learn_time (struct cell_core *core, const struct cell_run *run)
 {
   struct cell_queue_time *time
       = g_hash_table_lookup (core->queue_times, run->job->queue.data);
@@ -84,6 +84,22 @@
            * (took_us > time->long_us ? LONG_SHARE : LONG_SHARE - 1.0);
 }
 
+/* All members of a gang list the end of its run, and the first one marks them
+   all as done. */
+void
+cell_pace_done (struct cell_core *core, const struct cell_run *run)
+{
+  const struct cell_stage *stage
+      = cell_stage_of_task (run->job, run->round, run->task);
+
+  if (cell_stage_step (stage)->gang
+      && cell_task_peek (run->job, run->round, run->task)->state
+             == CELL_TASK_DONE)
+    return;
+  learn_time (core, run);
+  cell_speed_done (core, run);
+}
+
 uint64_t
 cell_pace_long_us (const struct cell_core *core,
                    const struct cell_stage *stage)
