--- a/tests/test_cell_gang_crashes.c
+++ b/tests/test_cell_gang_crashes.c
@@ -78,7 +78,7 @@
 static uint32_t
 crash_rack (struct fleet *fleet, const struct crash_case *c)
 {
-  uint32_t rows[MEMBERS];
+  uint32_t rows[MEMBERS] = { 0 };
   uint32_t crashes;
   uint32_t later;
 
