--- a/tests/test_core_gang.c
+++ b/tests/test_core_gang.c
@@ -5,6 +5,8 @@
  */
 #include "tst_core.h"
 
+#include <stdio.h>
+
 #define MAX_RUNNING_TASKS 64
 
 static struct tst_core t;
@@ -362,6 +364,50 @@
   tst_core_close (&t);
 }
 
+/* Guards against a failed run of a gang that counts once for each of its
+ * members, or twice if an end is told twice: the gang would be given up after
+ * its first run. */
+static void
+failed_run_of_a_gang_counts_once (void **state)
+{
+  enum
+  {
+    TASKS = 3,
+    RUNS = 3
+  };
+
+  (void)state;
+  open_three_workers (9);
+  for (uint32_t i = 0; i < 3 * TASKS; i++)
+    {
+      char name[8];
+
+      snprintf (name, sizeof name, "x%u", i);
+      tst_core_add_worker (&t, name, "r3");
+    }
+  /* Each worker takes one member, since the core counts workers. */
+  tst_core_set_queue (&t, "wide", "other", CYC_KIND_GANG, 6000);
+  tst_core_add_job (&t, 1, "wide", TASKS);
+  for (uint32_t run = 1; run <= RUNS; run++)
+    {
+      tst_core_tick (&t, TST_SECOND_US);
+      assert_int_equal (tst_core_count_decisions (&t, CYC_DECISION_START),
+                        TASKS);
+      assert_null (tst_core_first_decision (&t, CYC_DECISION_JOB_ENDED));
+      tst_core_report_each (&t, CYC_DECISION_START, CYC_TASK_EVENT_FAILED);
+      for (uint32_t i = 0; run < RUNS && i < TASKS; i++)
+        assert_int_equal (cyc_core_task_report (&t.core, &t.decisions[i].job,
+                                                i, CYC_TASK_EVENT_FAILED,
+                                                t.now_us),
+                          CYC_CORE_INVALID);
+    }
+  tst_core_tick (&t, TST_SECOND_US);
+  assert_int_equal (tst_core_count_decisions (&t, CYC_DECISION_START), 0);
+  assert_true (
+      tst_core_first_decision (&t, CYC_DECISION_JOB_ENDED)->job_failed);
+  tst_core_close (&t);
+}
+
 int
 main (void)
 {
@@ -375,6 +421,7 @@
         two_gangs_below_share_hold_reservations_at_the_same_time),
     cmocka_unit_test (gang_prefers_one_rack),
     cmocka_unit_test (two_gangs_that_do_not_fit_together_both_run),
+    cmocka_unit_test (failed_run_of_a_gang_counts_once),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
