--- a/tests/tst_fleet.h
+++ b/tests/tst_fleet.h
@@ -170,6 +170,7 @@
   uint32_t failing_members; /**< number of members of such a run that fail by
                                themselves, unless they are told of the end of
                                another before; 0: all */
+  uint32_t failing_first;   /**< members before this one are not chosen */
   uint32_t failing_per_worker; /**< no more of them on one worker; 0: all */
   uint32_t fail_gap_ms; /**< from the failures on one worker to those on the
                            next */
--- a/tests/tst_fleet_gang.c
+++ b/tests/tst_fleet_gang.c
@@ -16,6 +16,7 @@
 struct failing_plan
 {
   uint32_t members;    /* that fail by themselves */
+  uint32_t first;      /* index of the first member that may */
   uint32_t per_worker; /* of them at most */
   uint32_t gap_ms;     /* from one worker to the next */
   uint32_t notice_ms;
@@ -131,6 +132,7 @@
   GRand *rand = fleet->call_faults.rand;
   struct failing_plan plan = {
     .members = job->failing_members != 0 ? job->failing_members : count,
+    .first = job->failing_first,
     .per_worker = job->failing_per_worker,
     .gap_ms = job->fail_gap_ms,
     .notice_ms = fleet->gang_notice_ms,
@@ -159,6 +161,12 @@
   return plan;
 }
 
+static uint32_t
+index_of (const struct fleet_run *run)
+{
+  return (uint32_t)g_ascii_strtoull (strrchr (run->task, '.') + 1, NULL, 10);
+}
+
 /* Chooses the members that fail by themselves. The others do so if they are
    not told in time. */
 static void
@@ -181,7 +189,7 @@
           run->fails = true;
           run->notice_ms = plan->notice_ms;
           run->end_ms += (uint64_t)workers * plan->gap_ms;
-          if (chosen < plan->members
+          if (chosen < plan->members && index_of (run) >= plan->first
               && (plan->per_worker == 0 || here < plan->per_worker))
             {
               chosen++;
