A batch without rows is durable at once

Cause: the late ends of runs of a job in blocks that has ended make the job dirty, so the core opens a batch, but the job needs no record any more. With nothing to append, the batch was dropped and never reported as durable, and no later end was acknowledged under that leader.

Change: one function reports a part's batch once no row of the part is left: after a fill without rows, after an append, and after an append whose refused jobs were its last rows. The last of these is not covered by a test. The fake platform can let the runs of a task fail.

--- a/fakes/fk_platform.h
+++ b/fakes/fk_platform.h
@@ -220,6 +220,9 @@
                                  worker that starts them begin so; or NULL */
   uint32_t deadly_after_ms;   /**< from the start to the end of the process */
   bool deadly_unanswered;     /**< such a start gets no answer */
+  const char *failing_task;   /**< runs of tasks whose names begin so end as
+                                 failed; or NULL */
+  uint32_t failing_after_ms;  /**< from the start to such an end */
   uint32_t back_after_ms; /**< time until a crashed worker is back; 0: 600 */
   bool back_under_old_id; /**< it is back under its id, not a new one */
   struct fkp_gang gang;
--- a/fakes/fk_platform_workers.c
+++ b/fakes/fk_platform_workers.c
@@ -152,6 +152,13 @@
          && g_str_has_prefix (task, platform->faults.deadly_task);
 }
 
+static bool
+is_failing (const struct fkp_platform *platform, const char *task)
+{
+  return platform->faults.failing_task != NULL
+         && g_str_has_prefix (task, platform->faults.failing_task);
+}
+
 /* Executes a start. Returns why it was refused, or NULL. */
 static const char *
 execute_start (struct fkp_worker *worker, const struct fkp_late_start *start,
@@ -183,6 +190,8 @@
         + (platform->task_duration_ms ? platform->task_duration_ms : 200);
   if (fkp_is_gang_member (platform, start->task))
     run->end_ms = UINT64_MAX;
+  if (is_failing (platform, start->task))
+    run->end_ms = run->start_ms + platform->faults.failing_after_ms;
   worker->starts++;
   memcpy (history.task, start->task, sizeof history.task);
   g_array_append_val (platform->history, history);
@@ -595,6 +604,15 @@
     bring_back (worker);
 }
 
+/* Returns how a run ends whose time has come. */
+static const char *
+due_outcome (const struct fkp_run *run, const struct fkp_platform *platform)
+{
+  if (run->stopping)
+    return "stopped";
+  return is_failing (platform, run->task) ? "failed" : "done";
+}
+
 void
 fkp_workers_tick (struct fkp_platform *platform, uint64_t now)
 {
@@ -607,8 +625,7 @@
       crash_if_due (worker, now);
       for (uint32_t r = 0; r < worker->run_count;)
         if (worker->runs[r].end_ms <= now)
-          fkp_end_run (worker, r,
-                       worker->runs[r].stopping ? "stopped" : "done");
+          fkp_end_run (worker, r, due_outcome (&worker->runs[r], platform));
         else if (worker->lease_ms < worker_clock (worker))
           fkp_end_run (worker, r, "lapsed");
         else
--- a/src/entry_records.c
+++ b/src/entry_records.c
@@ -322,6 +322,22 @@
   remove_rows (part, 1);
 }
 
+/* Reports the part's batch as durable once no row of the part is left. A batch
+   may have no row from the beginning: the progress of a job in blocks that has
+   ended needs no record. A batch that is never reported would keep the core
+   from acknowledging any later end. */
+static void
+end_batch (struct records_part *part, uint64_t now_us)
+{
+  struct entry_owner *owner = part->records->owner;
+
+  if (part->rows->len > 0 || part->batch == 0)
+    return;
+  cell_batch_durable (owner->core, part->batch, now_us);
+  part->batch = 0;
+  owner_input_added (owner);
+}
+
 static void
 on_written (void *user, const struct pt_append_result *result)
 {
@@ -347,11 +363,7 @@
         on_stored (part, now_us);
       else
         on_invalid (part, now_us);
-      if (part->rows->len == 0 && part->batch != 0)
-        {
-          cell_batch_durable (owner->core, part->batch, now_us);
-          part->batch = 0;
-        }
+      end_batch (part, now_us);
       owner_input_added (owner);
       return;
     }
@@ -361,6 +373,7 @@
     {
       refuse_submitted (part);
       part->sent = 0;
+      end_batch (part, now_us);
     }
   part->retry_us
       = now_us
@@ -596,7 +609,10 @@
     return;
   fill_part (part);
   if (part->rows->len == 0)
-    return;
+    {
+      end_batch (part, now_us);
+      return;
+    }
   records->next_batch_us = now_us + BATCH_GAP_US;
   part->retry_us = 0;
   send_rows (part, now_us);
