--- a/src/cyc_cell_batch.c
+++ b/src/cyc_cell_batch.c
@@ -146,7 +146,7 @@
 }
 
 /* Returns whether the run may still be started: while its record was written,
-   the run, its worker or its ticket may have become invalid. */
+   the run, its queue, its worker or its ticket may have become invalid. */
 static bool
 may_start (const struct cell_core *core, const struct cell_run *run)
 {
--- a/src/cyc_cell_internal.h
+++ b/src/cyc_cell_internal.h
@@ -80,7 +80,8 @@
  * ones. */
 #define CELL_FAILED_SPANS_MAX 8
 /** Tasks of a round are kept and recorded in blocks of this many. A record of
- * one block has at most half a KiB for each task, so 64 KiB in all. */
+ * one block has at most half a KiB for each task, so 64 KiB in all: a task of
+ * an open job has fewer than CELL_CRASHES_MAX crashes. */
 #define CELL_BLOCK_TASKS 128
 
 enum cell_run_state
